--- /dev/null
+++ b/bergamothill/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command-line tool."""
--- /dev/null
+++ b/bergamothill/clock.py
@@ -0,0 +1,93 @@
+"""Clock type of the project: whole milliseconds, never seconds, never wall time by accident."""
+
+from __future__ import annotations
+
+import threading
+import time
+from abc import ABC, abstractmethod
+from typing import NewType
+
+__all__ = ["Clock", "ManualClock", "Millis", "SystemClock", "seconds"]
+
+Millis = NewType("Millis", int)
+"""An instant or a duration in milliseconds."""
+
+
+def seconds(duration_ms: int) -> float:
+    """Convert to the seconds that the standard library expects.
+
+    :param duration_ms: duration in milliseconds
+    :returns: the same duration in seconds
+    """
+    return duration_ms / 1000
+
+
+class Clock(ABC):
+    """Source of time; decisions receive one and never read the system clock."""
+
+    @abstractmethod
+    def now_ms(self) -> Millis:
+        """Return a monotonic instant in milliseconds, meaningful in this process only."""
+
+    @abstractmethod
+    def wall_ms(self) -> Millis:
+        """Return milliseconds since the epoch, for records that outlive the process."""
+
+    @abstractmethod
+    def sleep_ms(self, duration_ms: int) -> None:
+        """Block the calling thread.
+
+        :param duration_ms: how long, in milliseconds
+        """
+
+
+class SystemClock(Clock):
+    """Clock of the machine.
+
+    ``CLOCK_BOOTTIME`` is used where it exists, because ``CLOCK_MONOTONIC`` stands still while a
+    machine is suspended and would make every belief look fresh after a resume.
+    """
+
+    _CLOCK_ID = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+
+    def now_ms(self) -> Millis:
+        """Return the boot-time clock in milliseconds."""
+        return Millis(time.clock_gettime_ns(self._CLOCK_ID) // 1_000_000)
+
+    def wall_ms(self) -> Millis:
+        """Return the real-time clock in milliseconds since the epoch."""
+        return Millis(time.time_ns() // 1_000_000)
+
+    def sleep_ms(self, duration_ms: int) -> None:
+        """Sleep in the operating system."""
+        time.sleep(seconds(max(0, duration_ms)))
+
+
+class ManualClock(Clock):
+    """Clock that moves only when told to, for tests and replays."""
+
+    _WALL_OFFSET_MS = 1_700_000_000_000
+
+    def __init__(self, start_ms: int = 0) -> None:
+        self._now_ms = start_ms
+        self._lock = threading.Lock()
+
+    def now_ms(self) -> Millis:
+        """Return the instant last set."""
+        return Millis(self._now_ms)
+
+    def wall_ms(self) -> Millis:
+        """Return the instant last set, moved to a fixed epoch."""
+        return Millis(self._now_ms + self._WALL_OFFSET_MS)
+
+    def sleep_ms(self, duration_ms: int) -> None:
+        """Move the clock instead of blocking."""
+        self.advance_ms(duration_ms)
+
+    def advance_ms(self, duration_ms: int) -> None:
+        """Move the clock forward.
+
+        :param duration_ms: how far, in milliseconds; at least 0
+        """
+        with self._lock:
+            self._now_ms += max(0, duration_ms)
--- /dev/null
+++ b/bergamothill/process/__init__.py
@@ -0,0 +1,1 @@
+"""What lives as long as the process: settings, daemon, membership, leases, metrics."""
--- /dev/null
+++ b/scripts/__init__.py
@@ -0,0 +1,1 @@
+"""Development programs: test runner, demo, benches and proofs."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems, run as separate processes."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of bergamothill."""
--- /dev/null
+++ b/tests/proof/__init__.py
@@ -0,0 +1,1 @@
+"""Stateful proofs, one module for each promise."""
