--- /dev/null
+++ b/bergamothill/request/routing.py
@@ -0,0 +1,140 @@
+"""Routing of one prompt: choose engine and restore length by expected cost."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from bergamothill.ids import ServerId, StoreId, ZoneName
+from bergamothill.version.config import PolicyWeights
+
+__all__ = ["EngineView", "Prompt", "Route", "StoredBlock", "choose_route"]
+
+
+@dataclass(frozen=True, slots=True)
+class StoredBlock:
+    """A kept block that a store instance holds.
+
+    :param store: store instance that holds it
+    :param zone: availability zone of the store
+    :param size_bytes: bytes to move
+    :param token_count: tokens that the block covers
+    """
+
+    store: StoreId
+    zone: ZoneName
+    size_bytes: int
+    token_count: int
+
+
+@dataclass(frozen=True, slots=True)
+class Prompt:
+    """What routing knows of a prompt.
+
+    :param block_keys: keys of the full blocks, in prefix order
+    :param block_tokens: tokens of each full block
+    :param prompt_tokens: tokens of the whole prompt, the tail after the last full block included
+    :param stored: for each leading block that a store holds, where; ends at the first miss
+    """
+
+    block_keys: tuple[str, ...]
+    block_tokens: tuple[int, ...]
+    prompt_tokens: int
+    stored: tuple[StoredBlock, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class EngineView:
+    """What routing believes of one engine that serves the pinned version.
+
+    :param server: engine
+    :param zone: availability zone of the engine
+    :param queued_tokens: prompt tokens ahead: lagged report plus what this zone sent since
+    :param running: runs in the batch
+    :param prefill_tokens_per_s: prefill speed
+    :param link_bytes_per_s: speed of the engine's link to the stores
+    :param link_queued_bytes: bytes ahead on that link
+    :param cached_blocks: leading blocks of this prompt that the engine is believed to keep
+    """
+
+    server: ServerId
+    zone: ZoneName
+    queued_tokens: int
+    running: int
+    prefill_tokens_per_s: int
+    link_bytes_per_s: int
+    link_queued_bytes: int
+    cached_blocks: int
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Decision for one prompt.
+
+    :param server: engine to run on
+    :param restore_blocks: leading blocks to have on the engine before the run, cached ones included
+    :param expected_ttft_ms: expected time to first token, in milliseconds
+    :param cost: expected cost in weighted milliseconds
+    """
+
+    server: ServerId
+    restore_blocks: int
+    expected_ttft_ms: int
+    cost: float
+
+
+MILLIS_PER_SECOND = 1_000
+BYTES_PER_MB = 1_000_000
+TOKENS_PER_UNIT = 1_000
+NEAR_BEST_MS = 5.0
+
+
+def choose_route(
+    prompt: Prompt,
+    engines: Sequence[EngineView],
+    weights: PolicyWeights,
+    rng: random.Random,
+) -> Route | None:
+    """Choose the engine and restore length of least expected cost.
+
+    Ties break at random among the near-best, because lagged load would send a herd to one engine.
+
+    :param prompt: prompt to place
+    :param engines: engines that serve the pinned version
+    :param weights: what waiting, recomputing and moving cost
+    :param rng: source of the random choice
+    :returns: the route, or None when there is no engine
+    """
+    routes = [_best_for(prompt, engine, weights) for engine in engines]
+    if not routes:
+        return None
+    best = min(route.cost for route in routes)
+    return rng.choice([route for route in routes if route.cost <= best + NEAR_BEST_MS])
+
+
+def _best_for(prompt: Prompt, engine: EngineView, weights: PolicyWeights) -> Route:
+    lengths = range(engine.cached_blocks, max(engine.cached_blocks, len(prompt.stored)) + 1)
+    routes = [_estimate(prompt, engine, length, weights) for length in lengths]
+    return min(routes, key=lambda route: route.cost)
+
+
+def _estimate(prompt: Prompt, engine: EngineView, length: int, weights: PolicyWeights) -> Route:
+    """Estimate one restore length: queue and restore overlap, prefill of the rest follows."""
+    moved = prompt.stored[engine.cached_blocks : length]
+    moved_bytes = sum(block.size_bytes for block in moved)
+    covered = sum(prompt.block_tokens[:length])
+    rest_tokens = max(1, prompt.prompt_tokens - covered)
+    queue_ms = engine.queued_tokens * MILLIS_PER_SECOND / engine.prefill_tokens_per_s
+    restore_ms = 0.0
+    if moved_bytes:
+        link_bytes = engine.link_queued_bytes + moved_bytes
+        restore_ms = link_bytes * MILLIS_PER_SECOND / engine.link_bytes_per_s
+    prefill_ms = rest_tokens * MILLIS_PER_SECOND / engine.prefill_tokens_per_s
+    ttft_ms = max(queue_ms, restore_ms) + prefill_ms
+    cost = (
+        weights.ttft * ttft_ms
+        + weights.recompute * rest_tokens / TOKENS_PER_UNIT
+        + weights.link * moved_bytes / BYTES_PER_MB
+    )
+    return Route(engine.server, length, round(ttft_ms), cost)
--- /dev/null
+++ b/tests/proof/harness.py
@@ -0,0 +1,149 @@
+"""Harness of the proofs: runs a state machine with its mechanism on, then switched off."""
+
+from __future__ import annotations
+
+import io
+from contextlib import redirect_stdout
+from dataclasses import dataclass
+from typing import ClassVar
+
+from hypothesis import HealthCheck, Phase, Verbosity, seed, settings
+from hypothesis.stateful import RuleBasedStateMachine, run_state_machine_as_test
+
+__all__ = ["Proof", "ProofMachine", "ProofResult", "check_proof", "run_proof"]
+
+DISABLED_OPERATIONS = 20_000
+STEPS_PER_EXAMPLE = 50
+
+
+class ProofMachine(RuleBasedStateMachine):
+    """Base of the proofs' machines.
+
+    A rule calls :meth:`operation` once; a rule that brings about a failure calls :meth:`fault`.
+    ``mechanism_enabled`` tells the machine whether to build its subject with the mechanism under
+    proof, or with a test double that lacks it.
+    """
+
+    mechanism_enabled: ClassVar[bool] = True
+    operations: ClassVar[int] = 0
+    faults: ClassVar[int] = 0
+
+    def operation(self) -> None:
+        """Count one fuzzed operation."""
+        type(self).operations += 1
+
+    def fault(self) -> None:
+        """Count one operation that is a failure."""
+        type(self).operations += 1
+        type(self).faults += 1
+
+
+@dataclass(frozen=True, slots=True)
+class Proof:
+    """One point to prove.
+
+    :param slug: name of the point in the printed line
+    :param machine: state machine with its invariants
+    """
+
+    slug: str
+    machine: type[ProofMachine]
+
+
+@dataclass(frozen=True, slots=True)
+class ProofResult:
+    """Outcome of one proof.
+
+    :param report: shortest failing sequence found with the mechanism on; empty when none
+    """
+
+    slug: str
+    seed: int
+    operations: int
+    faults: int
+    violations: int
+    violations_when_disabled: int
+    report: str
+
+    def line(self) -> str:
+        """Return the line that ``make proof`` prints."""
+        return (
+            f"proof point={self.slug} seed={self.seed} operations={self.operations}"
+            f" faults={self.faults} violations={self.violations}"
+            f" violations_when_disabled={self.violations_when_disabled}"
+        )
+
+
+def _variant(proof: Proof, enabled: bool) -> type[ProofMachine]:
+    name = proof.machine.__name__ + ("" if enabled else "Disabled")
+    attributes = {"mechanism_enabled": enabled, "operations": 0, "faults": 0}
+    return type(name, (proof.machine,), attributes)
+
+
+def _run(machine: type[ProofMachine], operations: int, run_seed: int | None) -> str:
+    """Run until the operations are done; return the report of a violation, or nothing."""
+    options = settings(
+        max_examples=max(1, operations // STEPS_PER_EXAMPLE),
+        stateful_step_count=STEPS_PER_EXAMPLE,
+        deadline=None,
+        database=None,
+        derandomize=run_seed is None,
+        suppress_health_check=list(HealthCheck),
+        phases=(Phase.generate, Phase.shrink),
+        verbosity=Verbosity.normal,
+        print_blob=False,
+    )
+    output = io.StringIO()
+    try:
+        with redirect_stdout(output):
+            run_state_machine_as_test(machine, settings=options)
+    except AssertionError as error:
+        notes = "\n".join(getattr(error, "__notes__", ()))
+        return f"{notes}\n{output.getvalue()}\n{error}".strip() or repr(error)
+    return ""
+
+
+def run_proof(proof: Proof, *, operations: int, run_seed: int | None) -> ProofResult:
+    """Run a proof with the mechanism on until enough operations ran, then with it off.
+
+    :param proof: point to prove
+    :param operations: least number of fuzzed operations with the mechanism on
+    :param run_seed: seed of the run; None derandomizes
+    :returns: counts and, for a violation, the shortest sequence found
+    :raises Exception: anything but an ``AssertionError`` is a fault of the proof and passes on
+    """
+    enabled = _variant(proof, enabled=True)
+    report = ""
+    batch = 0
+    while enabled.operations < operations and not report:
+        if run_seed is not None:
+            seed(run_seed * 1_000 + batch)(enabled)
+        report = _run(enabled, operations - enabled.operations, run_seed)
+        batch += 1
+        if run_seed is None:
+            break
+    disabled = _variant(proof, enabled=False)
+    if run_seed is not None:
+        seed(run_seed)(disabled)
+    disabled_report = _run(disabled, DISABLED_OPERATIONS, run_seed)
+    return ProofResult(
+        slug=proof.slug,
+        seed=run_seed or 0,
+        operations=enabled.operations,
+        faults=enabled.faults,
+        violations=int(bool(report)),
+        violations_when_disabled=int(bool(disabled_report)),
+        report=report,
+    )
+
+
+def check_proof(case: object, proof: Proof, *, operations: int = 2_000) -> None:
+    """Run the short derandomized form of a proof inside a unit test.
+
+    :param case: the running ``unittest.TestCase``
+    :param proof: point to prove
+    :param operations: about how many fuzzed operations to run
+    """
+    result = run_proof(proof, operations=operations, run_seed=None)
+    case.assertEqual("", result.report)
+    case.assertEqual(1, result.violations_when_disabled, "the proof cannot see the fault")
