--- /dev/null
+++ b/bergamothill/connection/httpstore.py
@@ -0,0 +1,78 @@
+"""Store instance over HTTP."""
+
+from __future__ import annotations
+
+from urllib.parse import quote, urlencode
+
+from bergamothill.connection.http import HttpClient, HttpReply, decode_json
+from bergamothill.connection.refusal import check_reply
+from bergamothill.connection.store import StoredObject, StoreInstance
+from bergamothill.errors import ProtocolError
+
+__all__ = ["HttpStoreInstance"]
+
+CALL_TIMEOUT_MS = 2_000
+RANGE_STATUS_EMPTY = 416
+
+
+class HttpStoreInstance(StoreInstance):
+    """Client of one store.
+
+    :param client: HTTP client of the store
+    :param timeout_ms: longest duration of one call, in milliseconds
+    """
+
+    def __init__(self, client: HttpClient, *, timeout_ms: int = CALL_TIMEOUT_MS) -> None:
+        self._client = client
+        self._timeout_ms = timeout_ms
+
+    def put(self, name: str, value: bytes) -> None:
+        """See :meth:`StoreInstance.put`."""
+        self._call("PUT", _object_path(name), "store.put", body=value)
+
+    def get(self, name: str, *, start: int = 0, length: int | None = None) -> bytes:
+        """See :meth:`StoreInstance.get`."""
+        if length == 0:
+            return b""
+        last = "" if length is None else str(start + length - 1)
+        headers = {"Range": f"bytes={start}-{last}"}
+        reply = self._send("GET", _object_path(name), "store.get", headers=headers)
+        if reply.status == RANGE_STATUS_EMPTY:
+            return b""
+        return check_reply(reply, step="store.get", peer=self._client.peer).body
+
+    def delete(self, name: str) -> None:
+        """See :meth:`StoreInstance.delete`."""
+        self._call("DELETE", _object_path(name), "store.delete")
+
+    def list(self, prefix: str) -> tuple[StoredObject, ...]:
+        """See :meth:`StoreInstance.list`."""
+        reply = self._call("GET", "/objects?" + urlencode({"prefix": prefix}), "store.list")
+        rows = decode_json(reply, step="store.list", peer=self._client.peer)
+        try:
+            return tuple(StoredObject(name, int(size), int(age)) for name, size, age in rows)
+        except (ValueError, TypeError) as error:
+            raise ProtocolError(
+                f"malformed list: {error!r}", step="store.list", peer=self._client.peer
+            ) from error
+
+    def _call(self, method: str, path: str, step: str, body: bytes | None = None) -> HttpReply:
+        reply = self._send(method, path, step, body=body)
+        return check_reply(reply, step=step, peer=self._client.peer)
+
+    def _send(
+        self,
+        method: str,
+        path: str,
+        step: str,
+        *,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> HttpReply:
+        return self._client.request(
+            method, path, step=step, timeout_ms=self._timeout_ms, body=body, headers=headers
+        )
+
+
+def _object_path(name: str) -> str:
+    return "/objects/" + quote(name, safe="/")
--- /dev/null
+++ b/bergamothill/connection/memoryengine.py
@@ -0,0 +1,265 @@
+"""Model engine in memory, for tests and embedding: no delay, deterministic answers."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import threading
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from bergamothill.connection.engine import (
+    BlockRef,
+    CacheEvents,
+    EngineLoad,
+    EngineOrder,
+    EngineState,
+    EventKind,
+    ModelEngine,
+    OnEvent,
+    OrderKind,
+    Run,
+    StreamEvent,
+    TransferOrder,
+    TransferResult,
+)
+from bergamothill.connection.enginecache import (
+    EngineCache,
+    StagedBlock,
+    answer_tokens,
+    block_bytes,
+)
+from bergamothill.connection.store import StoreInstance
+from bergamothill.errors import (
+    ConflictError,
+    FencedError,
+    NotFoundError,
+    ProtocolError,
+    UnavailableError,
+)
+from bergamothill.ids import (
+    AdapterName,
+    FencingNumber,
+    Incarnation,
+    ModelName,
+    ServerId,
+    StreamId,
+    WeightVersion,
+)
+
+__all__ = ["MemoryModelEngine", "RunRecord", "answer_seed"]
+
+BLOCK_TOKENS = 2_048
+BYTES_PER_TOKEN = 16
+CACHE_BLOCKS = 256
+ANSWER_TOKENS = 32
+PREFILL_TOKENS_PER_S = 8_000
+LINK_BYTES_PER_S = 1_000_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class RunRecord:
+    """What truly ran, for oracles.
+
+    :param run: run as received
+    :param weight_version: version that computed the answer
+    :param cached_blocks: leading blocks that were not recomputed
+    :param intact: every block used held the right bytes
+    """
+
+    run: Run
+    weight_version: WeightVersion
+    cached_blocks: int
+    intact: bool
+
+
+def answer_seed(run: Run, version: WeightVersion) -> str:
+    """Return what a synthetic answer depends on: brand, model, adapter, version and prompt."""
+    prompt = json.dumps(run.messages, sort_keys=True).encode()
+    digest = hashlib.sha256(prompt).hexdigest()
+    return "\0".join((run.brand, run.model, run.adapter, version, digest))
+
+
+class MemoryModelEngine(ModelEngine):
+    """Engine that answers at once.
+
+    :param server: id of the engine
+    :param model: model that it serves
+    :param versions: weight versions loaded
+    :param adapters: adapters loaded
+    :param stores: store instances by ``host:port``
+    :param cache_blocks: blocks that the cache holds
+    :param answer_tokens: longest answer, in tokens
+    :param checks_fencing: refuse an order with an old fencing number
+    """
+
+    def __init__(
+        self,
+        server: ServerId,
+        model: ModelName,
+        versions: Iterable[WeightVersion],
+        *,
+        adapters: Iterable[AdapterName] = (),
+        stores: Mapping[str, StoreInstance] | None = None,
+        cache_blocks: int = CACHE_BLOCKS,
+        answer_tokens: int = ANSWER_TOKENS,
+        checks_fencing: bool = True,
+    ) -> None:
+        self.server = server
+        self.model = model
+        self.versions = {WeightVersion(version) for version in versions}
+        self.adapters = set(adapters)
+        self.cache = EngineCache(cache_blocks)
+        self.records: list[RunRecord] = []
+        self.leaving = False
+        self.incarnation = Incarnation(1)
+        self._stores = dict(stores or {})
+        self._answer_tokens = answer_tokens
+        self._checks_fencing = checks_fencing
+        self._fencing_number = FencingNumber(0)
+        self._role = "serve"
+        self._streams: dict[StreamId, list[StreamEvent]] = {}
+        self._lock = threading.Lock()
+
+    def run(self, run: Run, on_event: OnEvent, *, idle_timeout_ms: int) -> None:
+        """See :meth:`ModelEngine.run`."""
+        with self._lock:
+            self._check_run(run)
+            events = self._compute(run)
+            self._streams[run.stream_id] = events
+        for event in events:
+            on_event(event)
+
+    def resume(
+        self, stream_id: StreamId, after: int, on_event: OnEvent, *, idle_timeout_ms: int
+    ) -> None:
+        """See :meth:`ModelEngine.resume`."""
+        with self._lock:
+            events = self._streams.get(stream_id)
+        if events is None:
+            raise self._refuse(NotFoundError, f"no stream {stream_id}", "engine.resume")
+        for event in events[after + 1 :]:
+            on_event(event)
+
+    def cancel(self, stream_id: StreamId) -> None:
+        """See :meth:`ModelEngine.cancel`."""
+
+    def load(self) -> EngineLoad:
+        """See :meth:`ModelEngine.load`."""
+        return EngineLoad(
+            age_ms=0,
+            queued_tokens=0,
+            running=0,
+            prefill_tokens_per_s=PREFILL_TOKENS_PER_S,
+            link_bytes_per_s=LINK_BYTES_PER_S,
+            link_queued_bytes=0,
+            cache_free_tokens=self.cache.free_blocks * BLOCK_TOKENS,
+            state=self._state(),
+        )
+
+    def export_block(self, order: TransferOrder) -> TransferResult:
+        """See :meth:`ModelEngine.export_block`."""
+        block = order.block
+        with self._lock:
+            held = self.cache.holds(block.key, order.weight_version)
+        if not held:
+            raise self._refuse(NotFoundError, f"block {block.key} not kept", "engine.export")
+        content = self._content(order)
+        self._store(order).put(order.object_name, content)
+        return TransferResult(_describe(block, content), 0)
+
+    def import_block(self, order: TransferOrder) -> TransferResult:
+        """See :meth:`ModelEngine.import_block`."""
+        content = self._store(order).get(order.object_name)
+        found = _describe(order.block, content)
+        if found != order.block:
+            raise self._refuse(ProtocolError, "length or digest differ", "engine.import")
+        intact = content == self._content(order)
+        staged = StagedBlock(order.block.key, order.weight_version, intact)
+        with self._lock:
+            self.cache.stage(order.block.generation, staged)
+        return TransferResult(found, 0)
+
+    def order(self, order: EngineOrder) -> EngineState:
+        """See :meth:`ModelEngine.order`."""
+        with self._lock:
+            if self._checks_fencing and order.fencing_number < self._fencing_number:
+                raise self._refuse(FencedError, "old fencing number", "engine.order")
+            if self._checks_fencing:
+                self._fencing_number = order.fencing_number
+            self._apply(order)
+            return self._state()
+
+    def cache_events(self, after: int) -> CacheEvents:
+        """See :meth:`ModelEngine.cache_events`."""
+        with self._lock:
+            return self.cache.events(after)
+
+    def _check_run(self, run: Run) -> None:
+        if self.leaving or self._role != "serve":
+            raise self._refuse(UnavailableError, "the engine is leaving", "engine.run")
+        if run.model != self.model or run.weight_version not in self.versions:
+            raise self._refuse(ConflictError, "weight version not loaded", "engine.run")
+        if run.adapter and run.adapter not in self.adapters:
+            raise self._refuse(ConflictError, "adapter not loaded", "engine.run")
+
+    def _compute(self, run: Run) -> list[StreamEvent]:
+        version = run.weight_version
+        self.cache.admit(run.imported)
+        cached = self.cache.leading(run.block_keys, version)
+        intact = self.cache.is_intact(run.block_keys[:cached], version)
+        for key in run.block_keys[cached:]:
+            self.cache.keep(key, version)
+        self.records.append(RunRecord(run, version, cached, intact))
+        seed = answer_seed(run, version) + ("" if intact else "corrupt")
+        count = min(run.max_tokens, self._answer_tokens)
+        return _answer(seed, count, min(cached * BLOCK_TOKENS, run.prompt_tokens - 1), version)
+
+    def _apply(self, order: EngineOrder) -> None:
+        if order.kind is OrderKind.LOAD_WEIGHTS:
+            self.versions.add(order.weight_version)
+        elif order.kind is OrderKind.UNLOAD_WEIGHTS:
+            self.versions.discard(order.weight_version)
+        elif order.kind is OrderKind.LOAD_ADAPTER:
+            self.adapters.add(order.adapter)
+        else:
+            self._role = order.role
+
+    def _state(self) -> EngineState:
+        return EngineState(
+            incarnation=self.incarnation,
+            leaving=self.leaving,
+            versions=frozenset(f"{self.model}:{version}" for version in self.versions),
+            adapters=frozenset(f"{self.model}:{adapter}" for adapter in self.adapters),
+            role=self._role,
+            fencing_number=self._fencing_number,
+        )
+
+    def _content(self, order: TransferOrder) -> bytes:
+        size_bytes = order.block.token_count * BYTES_PER_TOKEN
+        return block_bytes(
+            order.block.key, order.brand, order.model, order.weight_version, size_bytes
+        )
+
+    def _store(self, order: TransferOrder) -> StoreInstance:
+        store = self._stores.get(order.store_address)
+        if store is None:
+            raise self._refuse(UnavailableError, "store unreachable", "engine.transfer")
+        return store
+
+    def _refuse(self, error_class: type, message: str, step: str) -> Exception:
+        return error_class(message, step=step, peer=self.server)
+
+
+def _describe(block: BlockRef, content: bytes) -> BlockRef:
+    digest = hashlib.sha256(content).hexdigest()
+    return BlockRef(block.key, block.generation, len(content), digest, block.token_count)
+
+
+def _answer(seed: str, count: int, cached_tokens: int, version: WeightVersion) -> list[StreamEvent]:
+    start = StreamEvent(0, EventKind.START, cached_tokens=cached_tokens, weight_version=version)
+    tokens = [
+        StreamEvent(index, EventKind.TOKEN, text)
+        for index, text in enumerate(answer_tokens(seed, count), start=1)
+    ]
+    return [start, *tokens, StreamEvent(count + 1, EventKind.END, finish_reason="stop")]
--- /dev/null
+++ b/bergamothill/connection/memorystore.py
@@ -0,0 +1,65 @@
+"""Store instance in memory, for tests and embedding."""
+
+from __future__ import annotations
+
+import threading
+
+from bergamothill.clock import Clock
+from bergamothill.connection.store import StoredObject, StoreInstance
+from bergamothill.errors import NotFoundError, StoreFullError
+
+__all__ = ["MemoryStoreInstance"]
+
+
+class MemoryStoreInstance(StoreInstance):
+    """Store that lives as long as the process.
+
+    :param clock: source of the objects' ages
+    :param capacity_bytes: room for all objects together
+    """
+
+    def __init__(self, clock: Clock, *, capacity_bytes: int = 1 << 30) -> None:
+        self._clock = clock
+        self._capacity_bytes = capacity_bytes
+        self._values: dict[str, bytes] = {}
+        self._written_ms: dict[str, int] = {}
+        self._lock = threading.Lock()
+
+    @property
+    def used_bytes(self) -> int:
+        """Bytes that the objects take."""
+        with self._lock:
+            return sum(map(len, self._values.values()))
+
+    def put(self, name: str, value: bytes) -> None:
+        """See :meth:`StoreInstance.put`."""
+        with self._lock:
+            used = sum(map(len, self._values.values())) - len(self._values.get(name, b""))
+            if used + len(value) > self._capacity_bytes:
+                raise StoreFullError("no room", step="store.put", peer="memory")
+            self._values[name] = bytes(value)
+            self._written_ms[name] = self._clock.now_ms()
+
+    def get(self, name: str, *, start: int = 0, length: int | None = None) -> bytes:
+        """See :meth:`StoreInstance.get`."""
+        with self._lock:
+            value = self._values.get(name)
+        if value is None:
+            raise NotFoundError(f"no object {name}", step="store.get", peer="memory")
+        return value[start:] if length is None else value[start : start + length]
+
+    def delete(self, name: str) -> None:
+        """See :meth:`StoreInstance.delete`."""
+        with self._lock:
+            self._values.pop(name, None)
+            self._written_ms.pop(name, None)
+
+    def list(self, prefix: str) -> tuple[StoredObject, ...]:
+        """See :meth:`StoreInstance.list`."""
+        now_ms = self._clock.now_ms()
+        with self._lock:
+            return tuple(
+                StoredObject(name, len(self._values[name]), now_ms - self._written_ms[name])
+                for name in sorted(self._values)
+                if name.startswith(prefix)
+            )
--- /dev/null
+++ b/bergamothill/connection/refusal.py
@@ -0,0 +1,65 @@
+"""Typed refusals on the wire: error to JSON body, and back to the error class."""
+
+from __future__ import annotations
+
+import json
+from typing import Any, NoReturn
+
+from bergamothill import errors
+from bergamothill.connection.http import HttpReply
+from bergamothill.errors import BergamothillError, Execution, ProtocolError
+
+__all__ = ["check_reply", "raise_refusal", "refusal_body"]
+
+_CLASSES_BY_CODE = {
+    error_class.code: error_class
+    for error_class in (getattr(errors, name) for name in errors.__all__)
+    if isinstance(error_class, type)
+    and issubclass(error_class, BergamothillError)
+    and error_class is not errors.SettingsError
+}
+
+
+def refusal_body(error: BergamothillError) -> dict[str, Any]:
+    """Return the JSON object that tells a peer about an error."""
+    body: dict[str, Any] = {"code": error.code, "message": error.message}
+    if error.retry_after_ms is not None:
+        body["retry_after_ms"] = error.retry_after_ms
+    return body
+
+
+def raise_refusal(reply: HttpReply, *, step: str, peer: str) -> NoReturn:
+    """Raise the error that a reply of status 4xx or 5xx names.
+
+    :param reply: reply with the typed JSON body
+    :param step: step for the error
+    :param peer: peer for the error
+    :raises BergamothillError: the class whose code the body has, with ``Execution.NOT_RUN``
+    :raises ProtocolError: the body is no typed refusal; the outcome is unknown
+    """
+    try:
+        body = json.loads(reply.body)
+        error_class = _CLASSES_BY_CODE[body["code"]]
+        message = str(body.get("message", ""))
+        retry_after_ms = body.get("retry_after_ms")
+    except (ValueError, KeyError, TypeError, AttributeError):
+        raise ProtocolError(
+            f"status {reply.status} without a typed body",
+            step=step,
+            peer=peer,
+            execution=Execution.UNKNOWN,
+        ) from None
+    raise error_class(
+        message,
+        step=step,
+        peer=peer,
+        execution=Execution.NOT_RUN,
+        retry_after_ms=retry_after_ms,
+    )
+
+
+def check_reply(reply: HttpReply, *, step: str, peer: str) -> HttpReply:
+    """Return the reply, or raise its refusal; see :func:`raise_refusal`."""
+    if reply.status >= 400:
+        raise_refusal(reply, step=step, peer=peer)
+    return reply
--- /dev/null
+++ b/tests/test_engine.py
@@ -0,0 +1,122 @@
+import hashlib
+import json
+import subprocess
+import sys
+import unittest
+import urllib.request
+
+from bergamothill.connection.engine import BlockRef, EventKind, Run, TransferOrder
+from bergamothill.connection.http import HttpClient
+from bergamothill.connection.httpengine import HttpModelEngine
+from bergamothill.connection.httpstore import HttpStoreInstance
+from bergamothill.errors import ConflictError, NotFoundError, StoreFullError, StreamBrokenError
+
+OPTIONS = (
+    "--server-id",
+    "e1",
+    "--model",
+    "m",
+    "--versions",
+    "v1",
+    "--prefill-tokens-per-s",
+    "1000000",
+)
+
+
+def start(module, *options):
+    command = [sys.executable, "-m", module, "--port", "0", *options]
+    process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+    port = process.stdout.readline().strip().removeprefix("ready port=")
+    return process, f"127.0.0.1:{port}"
+
+
+def stop(process):
+    process.kill()
+    process.wait()
+    process.stdout.close()
+
+
+def put_json(address, path, value):
+    request = urllib.request.Request(
+        f"http://{address}{path}", json.dumps(value).encode(), method="PUT"
+    )
+    urllib.request.urlopen(request).close()
+
+
+def make_run(**changes):
+    values = {
+        "request_id": "r1",
+        "stream_id": "s1",
+        "brand": "b",
+        "model": "m",
+        "adapter": "",
+        "weight_version": "v1",
+        "messages": ({"role": "user", "content": "hello"},),
+        "block_keys": ("k1", "k2"),
+        "prompt_tokens": 5000,
+        "max_tokens": 8,
+        "deadline_ms": 1000,
+    }
+    return Run(**(values | changes))
+
+
+class StandInTests(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.engine_process, cls.engine_address = start("standins.engine", *OPTIONS)
+        cls.addClassCleanup(stop, cls.engine_process)
+        cls.store_process, cls.store_address = start(
+            "standins.store", "--capacity-bytes", "5000000"
+        )
+        cls.addClassCleanup(stop, cls.store_process)
+
+    def setUp(self):
+        put_json(self.engine_address, "/faults", {})
+        put_json(self.store_address, "/faults", {})
+        self.engine = HttpModelEngine(HttpClient("e1", self.engine_address))
+        self.store = HttpStoreInstance(HttpClient("s1", self.store_address))
+
+    def run_events(self, **changes):
+        events = []
+        self.engine.run(make_run(**changes), events.append, idle_timeout_ms=5000)
+        return events
+
+    def test_whole_answer_and_resume(self):
+        events = self.run_events()
+        self.assertEqual([event.sequence for event in events], list(range(10)))
+        self.assertEqual(events[0].weight_version, "v1")
+        self.assertIs(events[-1].kind, EventKind.END)
+        again = []
+        self.engine.resume("s1", 3, again.append, idle_timeout_ms=5000)
+        self.assertEqual(again, events[4:])
+
+    def test_refusals_are_typed(self):
+        with self.assertRaises(ConflictError):
+            self.run_events(weight_version="v9")
+        with self.assertRaises(NotFoundError):
+            self.engine.resume("unknown", -1, print, idle_timeout_ms=1000)
+
+    def test_cut_stream_is_broken(self):
+        put_json(self.engine_address, "/faults", {"cut_after_events": 3})
+        with self.assertRaises(StreamBrokenError):
+            self.run_events()
+
+    def test_block_travels_by_the_store(self):
+        self.run_events()
+        empty = BlockRef("k1", "g1", 0, "", 2048)
+        order = TransferOrder(empty, self.store_address, "x/k1", "v1", "b", 5000, "m")
+        result = self.engine.export_block(order)
+        content = self.store.get("x/k1")
+        self.assertEqual(hashlib.sha256(content).hexdigest(), result.block.digest)
+        order = TransferOrder(result.block, self.store_address, "x/k1", "v1", "b", 5000, "m")
+        self.assertEqual(self.engine.import_block(order).block, result.block)
+
+    def test_store_objects(self):
+        self.store.put("a/1", b"hello")
+        self.assertEqual(self.store.get("a/1", start=1, length=3), b"ell")
+        self.assertEqual([o.name for o in self.store.list("a/")], ["a/1"])
+        self.store.delete("a/1")
+        with self.assertRaises(NotFoundError):
+            self.store.get("a/1")
+        with self.assertRaises(StoreFullError):
+            self.store.put("a/2", b"x" * 6_000_000)
