Buffer the stand-ins' writes

Cause: werkzeug writes a chunk of a stream in four unbuffered writes, four packets an event. Change: the stand-ins' handler buffers; werkzeug flushes after each event.

--- a/standins/base.py
+++ b/standins/base.py
@@ -75,6 +75,7 @@
     """Request handler that keeps connections alive and logs nothing."""
 
     protocol_version = "HTTP/1.1"
+    wbufsize = 65_536
 
     def setup(self) -> None:
         """Send small writes at once."""
