--- /dev/null
+++ b/tests/proof/proof_blocks.py
@@ -0,0 +1,343 @@
+"""Proof that no run uses a freed or partly written block, over the least store."""
+
+import hashlib
+
+from hypothesis import strategies as st
+from hypothesis.stateful import initialize, precondition, rule
+
+from bergamothill.connection.engine import BlockRef
+from bergamothill.ids import BrandName, Generation, ModelName, WeightVersion
+from bergamothill.version.blockname import ROOT, BlockName, parse_listing
+from bergamothill.version.blockstore import (
+    BlockBounds,
+    BlockRead,
+    BlockWrite,
+    DataMoved,
+    DeleteObject,
+    ExportData,
+    ImportData,
+    ListCopy,
+    Listed,
+    MarkerPut,
+    PutMarker,
+    ReadConfirmed,
+    ReadRejected,
+    StepFailed,
+)
+from bergamothill.version.blocksweep import BlockSweep
+from tests.proof.harness import Proof, ProofMachine
+from tests.proof.leaststore import LeastStore
+
+BOUNDS = BlockBounds()
+WARM_TIME_MS = 200_000
+HALF_BYTES = 4
+KEYS = ("k0", "k1")
+ACTORS = 3
+PICK = st.integers(0, ACTORS - 1)
+WAITS_MS = (1, 1_000, 19_999, 30_000, 60_000, 120_000, 200_000)
+
+
+def content_of(key):
+    return hashlib.sha256(key.encode()).digest()[: 2 * HALF_BYTES]
+
+
+def describe(name, content):
+    digest = hashlib.sha256(content).hexdigest()
+    return BlockRef(name.key, name.generation, len(content), digest, 2_048)
+
+
+class TrustingRead(BlockRead):
+    """Reader that believes its look-up: no check after the last byte."""
+
+    def handle(self, event, now_ms):
+        if isinstance(event, DataMoved):
+            return (ReadConfirmed(event.block.generation),)
+        return super().handle(event, now_ms)
+
+
+class UnlistedRead(BlockRead):
+    """Reader that checks the digest but does not ask the store again."""
+
+    def handle(self, event, now_ms):
+        if isinstance(event, DataMoved) and event.block == self._found.block:
+            return (ReadConfirmed(event.block.generation),)
+        return super().handle(event, now_ms)
+
+
+class UndigestedRead(BlockRead):
+    """Reader that asks the store again but believes its digest."""
+
+    def handle(self, event, now_ms):
+        if isinstance(event, DataMoved):
+            return (ListCopy(self._found.name),)
+        return super().handle(event, now_ms)
+
+
+class Writer:
+    def __init__(self, name, now_ms):
+        self.name = name
+        self.machine = BlockWrite(name, 0, BOUNDS)
+        self.effect = self.machine.start(now_ms)[0]
+        self.place = None
+
+
+class Reader:
+    def __init__(self, machine, now_ms):
+        self.machine = machine
+        self.effect = machine.start(now_ms)[0]
+        self.place = None
+        self.read = b""
+        self.read_freed = False
+
+
+class Sweeper:
+    def __init__(self):
+        self.machine = BlockSweep(BOUNDS)
+        self.queue = []
+
+
+class BlockMachine(ProofMachine):
+    """Writers, readers and sweepers of one store, each a step at a time."""
+
+    read_class = TrustingRead
+
+    @initialize()
+    def set_up(self):
+        self.store = LeastStore()
+        self.now_ms = 1_000_000
+        self.drawn = 0
+        self.writers = []
+        self.readers = []
+        self.sweepers = [Sweeper(), Sweeper()]
+        self.late = []
+
+    # Writers.
+
+    @rule(key=st.sampled_from(KEYS))
+    def start_write(self, key):
+        self.operation()
+        self.drawn += 1
+        generation = Generation(f"g{self.drawn}")
+        name = BlockName(BrandName("b"), ModelName("m"), WeightVersion("v"), key, generation)
+        self.writers = [*self.writers[-ACTORS + 1 :], Writer(name, self.now_ms)]
+
+    @rule(key=st.sampled_from(KEYS))
+    def write_whole(self, key):
+        self.start_write(key)
+        writer = self.writers[-1]
+        while writer in self.writers:
+            self._step_write(writer)
+
+    @precondition(lambda self: self.writers)
+    @rule(pick=PICK)
+    def step_write(self, pick):
+        self.operation()
+        self._step_write(self.writers[pick % len(self.writers)])
+
+    @precondition(lambda self: self.writers)
+    @rule(pick=PICK, lands=st.booleans())
+    def lose_reply_of_write(self, pick, lands):
+        """The writer hears nothing; its put lands now or later, or, for data, in part."""
+        self.fault()
+        writer = self.writers[pick % len(self.writers)]
+        effect = writer.effect
+        if isinstance(effect, PutMarker):
+            self._lose_put(effect.object_name, lands)
+        elif isinstance(effect, ExportData):
+            self._fill(writer, content_of(writer.name.key)[:HALF_BYTES])
+            if lands:
+                self.late.append((writer.name.data, content_of(writer.name.key)))
+        self._feed_writer(writer, StepFailed())
+
+    @precondition(lambda self: self.writers)
+    @rule(pick=PICK)
+    def kill_writer(self, pick):
+        self.fault()
+        self.writers.pop(pick % len(self.writers))
+
+    def _step_write(self, writer):
+        effect = writer.effect
+        if isinstance(effect, ExportData):
+            self._export(writer)
+        elif isinstance(effect, ListCopy):
+            self._feed_writer(writer, Listed(self._listing(writer.name)))
+        else:
+            put = self.store.put(effect.object_name, b"", self.now_ms)
+            self._feed_writer(writer, MarkerPut() if put else StepFailed())
+
+    def _export(self, writer):
+        content = content_of(writer.name.key)
+        if writer.place is None:
+            self._fill(writer, content[:HALF_BYTES])
+            if writer.place is None:
+                self._feed_writer(writer, StepFailed())
+            return
+        self._fill(writer, content)
+        self._feed_writer(writer, DataMoved(describe(writer.name, content)))
+
+    def _fill(self, writer, content):
+        if writer.place is None and not self.store.full:
+            writer.place = self.store.open(writer.name.data, self.now_ms)
+        if writer.place is not None:
+            self.store.fill(writer.place, writer.name.data, content, self.now_ms)
+
+    def _feed_writer(self, writer, event):
+        writer.effect = writer.machine.handle(event, self.now_ms)[0]
+        if not isinstance(writer.effect, ExportData | ListCopy | PutMarker):
+            self.writers.remove(writer)
+
+    # Readers.
+
+    @rule(key=st.sampled_from(KEYS), pick=PICK)
+    def start_read(self, key, pick):
+        self.operation()
+        listed = parse_listing(self.store.list(f"{ROOT}b/m/v/{key}/", self.now_ms))
+        found = [copy for copy in listed if copy.is_readable(BOUNDS.write_ms)]
+        if found:
+            read_class = BlockRead if self.mechanism_enabled else self.read_class
+            machine = read_class(found[pick % len(found)], self.now_ms, BOUNDS)
+            self.readers = [*self.readers[-ACTORS + 1 :], Reader(machine, self.now_ms)]
+
+    @precondition(lambda self: self.readers)
+    @rule(pick=PICK)
+    def step_read(self, pick):
+        self.operation()
+        reader = self.readers[pick % len(self.readers)]
+        effect = reader.effect
+        if isinstance(effect, ImportData):
+            self._import(reader, effect)
+        elif isinstance(effect, ListCopy):
+            self._feed_reader(reader, Listed(self._listing(effect.name)))
+
+    def _import(self, reader, effect):
+        """Read half of the data at the place that the name led to at the start."""
+        if reader.place is None:
+            reader.place = self.store.objects.get(effect.name.data)
+            if reader.place is None:
+                self._feed_reader(reader, StepFailed())
+                return
+        start = len(reader.read)
+        chunk = reader.place.content[start : start + HALF_BYTES]
+        reader.read += chunk
+        reader.read_freed |= reader.place.owner != effect.name.data
+        if len(chunk) < HALF_BYTES or len(reader.read) == 2 * HALF_BYTES:
+            block = describe(effect.name, reader.read)
+            self._feed_reader(reader, DataMoved(block))
+
+    def _feed_reader(self, reader, event):
+        reader.effect = reader.machine.handle(event, self.now_ms)[0]
+        if isinstance(reader.effect, ReadConfirmed):
+            self._check_use(reader)
+        if isinstance(reader.effect, ReadConfirmed | ReadRejected):
+            self.readers.remove(reader)
+
+    def _check_use(self, reader):
+        """Oracle: what a run is about to use was whole, and its own, at the last byte."""
+        key = reader.machine._found.name.key
+        assert reader.read == content_of(key), "a run uses bytes that are not the block's"
+        assert not reader.read_freed, "a run uses bytes that were read after the block was freed"
+
+    # Sweepers.
+
+    @rule(pick=st.integers(0, 1), evict=st.booleans())
+    def plan_sweep(self, pick, evict):
+        self.operation()
+        sweeper = self.sweepers[pick]
+        copies = parse_listing(self.store.list(ROOT, self.now_ms))
+        if evict:
+            steps = sweeper.machine.evict(copies, self._warm_time_ms, 2 * HALF_BYTES)
+        else:
+            steps = sweeper.machine.plan(copies, self._warm_time_ms, self.now_ms)
+        sweeper.queue = [(step, list(step.effects)) for step in steps]
+
+    @rule(pick=st.integers(0, 1), count=st.integers(1, 4))
+    def step_sweep(self, pick, count):
+        self.operation()
+        sweeper = self.sweepers[pick]
+        for _ in range(count):
+            if sweeper.queue:
+                self._step_sweep(sweeper)
+
+    @rule(pick=st.integers(0, 1), lands=st.booleans())
+    def lose_reply_of_sweep(self, pick, lands):
+        self.fault()
+        queue = self.sweepers[pick].queue
+        if queue:
+            _, effects = queue.pop(0)
+            if isinstance(effects[0], PutMarker):
+                self._lose_put(effects[0].object_name, lands)
+            elif lands:
+                self.store.delete(effects[0].object_name)
+
+    @rule(pick=st.integers(0, 1))
+    def kill_sweeper(self, pick):
+        self.fault()
+        self.sweepers[pick] = Sweeper()
+
+    def _step_sweep(self, sweeper):
+        step, effects = sweeper.queue[0]
+        effect = effects.pop(0)
+        if isinstance(effect, DeleteObject):
+            self.store.delete(effect.object_name)
+        elif not self.store.put(effect.object_name, b"", self.now_ms):
+            effects[:0] = sweeper.machine.marker_refused(step, self.now_ms)
+        if not effects:
+            sweeper.queue.pop(0)
+
+    @staticmethod
+    def _warm_time_ms(brand):
+        return WARM_TIME_MS
+
+    # Store and time.
+
+    @rule(wait_ms=st.sampled_from(WAITS_MS))
+    def advance(self, wait_ms):
+        self.operation()
+        self.now_ms += wait_ms
+
+    @precondition(lambda self: self.late)
+    @rule(pick=PICK)
+    def land_late_put(self, pick):
+        self.fault()
+        name, content = self.late.pop(pick % len(self.late))
+        self.store.put(name, content, self.now_ms)
+
+    @rule(full=st.booleans())
+    def set_full(self, full):
+        self.fault()
+        self.store.full = full
+
+    @rule()
+    def take_snapshot(self):
+        self.operation()
+        self.store.take_snapshot()
+
+    @rule(keep_snapshot=st.booleans())
+    def store_dies(self, keep_snapshot):
+        self.fault()
+        self.store.die(keep_snapshot=keep_snapshot)
+
+    def _lose_put(self, name, lands):
+        if lands:
+            self.store.put(name, b"", self.now_ms)
+        else:
+            self.late.append((name, b""))
+
+    def _listing(self, name):
+        listed = parse_listing(self.store.list(name.prefix, self.now_ms))
+        return listed[0] if listed else None
+
+
+class UnlistedMachine(BlockMachine):
+    """Finds the fault of a reader that does not ask the store again."""
+
+    read_class = UnlistedRead
+
+
+class UndigestedMachine(BlockMachine):
+    """Finds the fault of a reader that does not compare the digest."""
+
+    read_class = UndigestedRead
+
+
+PROOFS = (Proof(slug="blocks", machine=BlockMachine),)
