--- /dev/null
+++ b/bergamothill/process/frontend.py
@@ -0,0 +1,145 @@
+"""WSGI application of an entry instance: routes requests and turns errors into typed bodies."""
+
+from __future__ import annotations
+
+import json
+import uuid
+from collections.abc import Callable, Iterable
+from typing import Any, Protocol
+
+from werkzeug.exceptions import HTTPException, RequestEntityTooLarge
+from werkzeug.routing import Map, Rule
+from werkzeug.wrappers import Request, Response
+
+from bergamothill.errors import (
+    BergamothillError,
+    InvalidRequestError,
+    NotFoundError,
+    OverloadedError,
+)
+from bergamothill.ids import RequestId
+from bergamothill.process.httpserver import OVERLOADED_KEY
+from bergamothill.process.logs import EventLog
+from bergamothill.request.chat import error_body
+
+__all__ = ["Frontend", "View", "json_response"]
+
+MILLIS_PER_SECOND = 1_000
+OVERLOAD_RETRY_MS = 1_000
+REQUEST_ID_HEADER = "X-Request-Id"
+
+_log = EventLog("frontend")
+
+StartResponse = Callable[..., Callable[[bytes], None]]
+
+
+class Streamed(Protocol):
+    """An answer that is written as it arises."""
+
+    def __call__(self, start_response: StartResponse) -> Iterable[bytes]:
+        """Write the answer; an error raised before the first byte becomes a typed body."""
+
+
+View = Callable[..., Response | Streamed]
+
+
+def json_response(value: Any, status: int = 200) -> Response:
+    """Return a response with a JSON body.
+
+    :param value: what the body says
+    :param status: HTTP status
+    """
+    return Response(json.dumps(value), status, content_type="application/json")
+
+
+class Frontend:
+    """Routes requests to views.
+
+    A view takes the request, its id and the rule's variables. It returns a response, or an answer
+    that is written as it arises.
+
+    :param max_body_bytes: largest request body
+    """
+
+    def __init__(self, max_body_bytes: int) -> None:
+        self._max_body_bytes = max_body_bytes
+        self._map = Map()
+        self._views: dict[str, View] = {}
+        self._always_served: set[str] = set()
+
+    def route(
+        self, path: str, view: View, methods: tuple[str, ...], *, always_served: bool = False
+    ) -> None:
+        """Add a route.
+
+        :param path: werkzeug rule
+        :param view: handles its requests
+        :param methods: HTTP methods
+        :param always_served: served even when all workers are busy
+        """
+        endpoint = f"{'|'.join(methods)} {path}"
+        self._map.add(Rule(path, endpoint=endpoint, methods=methods))
+        self._views[endpoint] = view
+        if always_served:
+            self._always_served.add(endpoint)
+
+    def __call__(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
+        """Serve one request (WSGI)."""
+        request = Request(environ)
+        request.max_content_length = self._max_body_bytes
+        request_id = RequestId(f"req-{uuid.uuid4().hex}")
+        try:
+            answer = self._dispatch(request, request_id)
+            if isinstance(answer, Response):
+                answer.headers[REQUEST_ID_HEADER] = request_id
+                return answer(environ, start_response)
+            return answer(start_response)
+        except ConnectionError:
+            raise
+        except BergamothillError as error:
+            return self._error(error, request, request_id)(environ, start_response)
+        except Exception as error:  # noqa: BLE001 - a caller never gets a traceback
+            _log.error("unexpected_error", request_id=request_id, error=repr(error))
+            internal = BergamothillError("internal error", step="frontend")
+            return self._error(internal, request, request_id)(environ, start_response)
+
+    def _dispatch(self, request: Request, request_id: RequestId) -> Response | Streamed:
+        try:
+            endpoint, arguments = self._map.bind_to_environ(request.environ).match()
+            if request.environ.get(OVERLOADED_KEY) and endpoint not in self._always_served:
+                raise OverloadedError(
+                    "all workers of this entry instance are busy",
+                    step="frontend.workers",
+                    retry_after_ms=OVERLOAD_RETRY_MS,
+                )
+            return self._views[endpoint](request, request_id, **arguments)
+        except RequestEntityTooLarge:
+            error = InvalidRequestError(
+                f"the body is larger than {self._max_body_bytes} bytes", step="request.read"
+            )
+            error.code, error.http_status = "body_too_large", 413
+            raise error from None
+        except HTTPException as error:
+            code = error.code or 500
+            kind = NotFoundError if code == 404 else InvalidRequestError
+            typed = kind(error.description or error.name, step="frontend.route")
+            typed.http_status = code
+            raise typed from None
+
+    def _error(self, error: BergamothillError, request: Request, request_id: RequestId) -> Response:
+        _log.info(
+            "request_failed",
+            request_id=request_id,
+            path=request.path,
+            code=error.code,
+            step=error.step,
+            peer=error.peer,
+            execution=error.execution.value,
+            reason=error.message,
+        )
+        response = json_response(error_body(error, request_id), error.http_status)
+        response.headers[REQUEST_ID_HEADER] = request_id
+        if error.retry_after_ms is not None:
+            seconds_up = -(-error.retry_after_ms // MILLIS_PER_SECOND)
+            response.headers["Retry-After"] = str(max(1, seconds_up))
+        return response
--- /dev/null
+++ b/bergamothill/process/settings.py
@@ -0,0 +1,232 @@
+"""Settings of an entry instance: read from TOML and checked whole before the start."""
+
+from __future__ import annotations
+
+import ipaddress
+import os
+import tomllib
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from bergamothill.errors import SettingsError
+from bergamothill.ids import EntryInstanceId, ZoneName
+
+__all__ = ["SETTING_KEYS", "SettingKey", "Settings", "load_settings"]
+
+MAX_PORT = 65_535
+MIN_SECRET_LENGTH = 16
+DIGEST_LENGTH = 64
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """Checked settings of one entry instance.
+
+    :param entry_id: name of the instance, unique in the deployment
+    :param zone: availability zone
+    :param listen_address: ``host:port`` for callers and operators
+    :param peer_address: ``host:port`` for the other entry instances
+    :param kvs_address: key-value service
+    :param instance_list_address: instance list
+    :param weight_store_address: weight store
+    :param shared_secret: signs stream tokens and authenticates peers; the same on every instance
+    :param operator_key_digest: hexadecimal SHA-256 of the operators' bearer key
+    :param statsd_address: ``host:port`` of the metrics daemon; empty sends none
+    :param log_level: least severe level that is logged
+    :param max_body_bytes: largest request body
+    :param worker_threads: most requests in progress at once
+    :param idle_timeout_ms: longest silence of a back end in mid-stream
+    :param drain_notice_ms: how long new work is taken after readiness fails
+    :param drain_finish_ms: how long requests in progress may take after that
+    """
+
+    entry_id: EntryInstanceId
+    zone: ZoneName
+    listen_address: str
+    peer_address: str
+    kvs_address: str
+    instance_list_address: str
+    weight_store_address: str
+    shared_secret: str
+    operator_key_digest: str
+    statsd_address: str
+    log_level: str
+    max_body_bytes: int
+    worker_threads: int
+    idle_timeout_ms: int
+    drain_notice_ms: int
+    drain_finish_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class SettingKey:
+    """One key of the settings file.
+
+    :param key: dotted key in the file
+    :param field: field of :class:`Settings`
+    :param expected: what is allowed, for people
+    :param is_valid: tells whether a value is allowed
+    :param default: value when the key is missing; None makes the key required
+    """
+
+    key: str
+    field: str
+    expected: str
+    is_valid: Callable[[Any], bool]
+    default: Any = None
+
+
+def _is_name(value: Any) -> bool:
+    return isinstance(value, str) and 0 < len(value) <= 64 and value.replace("-", "").isalnum()
+
+
+def _is_address(value: Any) -> bool:
+    if not isinstance(value, str):
+        return False
+    host, _, port = value.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        return False
+    return port.isdecimal() and 0 < int(port) <= MAX_PORT
+
+
+def _is_optional_address(value: Any) -> bool:
+    return value == "" or _is_address(value)
+
+
+def _is_secret(value: Any) -> bool:
+    return isinstance(value, str) and len(value) >= MIN_SECRET_LENGTH
+
+
+def _is_digest(value: Any) -> bool:
+    return (
+        isinstance(value, str)
+        and len(value) == DIGEST_LENGTH
+        and all(char in "0123456789abcdef" for char in value)
+    )
+
+
+def _is_level(value: Any) -> bool:
+    return value in ("debug", "info", "warning", "error")
+
+
+def _between(least: int, most: int) -> Callable[[Any], bool]:
+    return lambda value: type(value) is int and least <= value <= most
+
+
+_NAME = "1 to 64 letters, digits and hyphens"
+_ADDRESS = "IP number and port, such as 127.0.0.1:8080"
+
+SETTING_KEYS: tuple[SettingKey, ...] = (
+    SettingKey("entry.id", "entry_id", _NAME, _is_name),
+    SettingKey("entry.zone", "zone", _NAME, _is_name),
+    SettingKey("entry.listen_address", "listen_address", _ADDRESS, _is_address),
+    SettingKey("entry.peer_address", "peer_address", _ADDRESS, _is_address),
+    SettingKey("platform.kvs_address", "kvs_address", _ADDRESS, _is_address),
+    SettingKey("platform.instance_list_address", "instance_list_address", _ADDRESS, _is_address),
+    SettingKey("platform.weight_store_address", "weight_store_address", _ADDRESS, _is_address),
+    SettingKey(
+        "security.shared_secret",
+        "shared_secret",
+        f"text of at least {MIN_SECRET_LENGTH} characters",
+        _is_secret,
+    ),
+    SettingKey(
+        "security.operator_key_digest",
+        "operator_key_digest",
+        f"SHA-256 of the operators' key as {DIGEST_LENGTH} lower-case hexadecimal digits",
+        _is_digest,
+    ),
+    SettingKey(
+        "metrics.statsd_address",
+        "statsd_address",
+        f"{_ADDRESS}, or empty",
+        _is_optional_address,
+        default="",
+    ),
+    SettingKey("log.level", "log_level", "debug, info, warning or error", _is_level, "info"),
+    SettingKey(
+        "requests.max_body_bytes",
+        "max_body_bytes",
+        "1024 to 268435456",
+        _between(1_024, 268_435_456),
+        67_108_864,
+    ),
+    SettingKey(
+        "requests.worker_threads", "worker_threads", "8 to 2048", _between(8, 2_048), default=512
+    ),
+    SettingKey(
+        "requests.idle_timeout_ms",
+        "idle_timeout_ms",
+        "1000 to 600000",
+        _between(1_000, 600_000),
+        10_000,
+    ),
+    SettingKey(
+        "drain.notice_ms", "drain_notice_ms", "0 to 600000", _between(0, 600_000), default=10_000
+    ),
+    SettingKey(
+        "drain.finish_ms",
+        "drain_finish_ms",
+        "1000 to 3600000",
+        _between(1_000, 3_600_000),
+        180_000,
+    ),
+)
+
+_SECRET_FIELDS = frozenset({"shared_secret"})
+
+
+def load_settings(path: str | os.PathLike[str]) -> Settings:
+    """Read and check a settings file.
+
+    :param path: TOML file
+    :returns: the checked settings
+    :raises ExceptionGroup: one :class:`~bergamothill.errors.SettingsError` for each fault
+    """
+    file = os.fspath(path)
+    try:
+        document = tomllib.loads(Path(file).read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        fault = SettingsError(file=file, key="-", found=str(error), expected="a TOML file")
+        raise ExceptionGroup("settings are invalid", [fault]) from None
+    return _check(file, _flatten(document))
+
+
+def _flatten(document: Mapping[str, Any], prefix: str = "") -> dict[str, Any]:
+    flat: dict[str, Any] = {}
+    for key, value in document.items():
+        if isinstance(value, dict):
+            flat.update(_flatten(value, f"{prefix}{key}."))
+        else:
+            flat[f"{prefix}{key}"] = value
+    return flat
+
+
+def _check(file: str, flat: Mapping[str, Any]) -> Settings:
+    faults: list[SettingsError] = []
+    values: dict[str, Any] = {}
+    for setting in SETTING_KEYS:
+        value = flat.get(setting.key, setting.default)
+        if value is None:
+            found = "nothing"
+        elif setting.field in _SECRET_FIELDS:
+            found = "another value"
+        else:
+            found = repr(value)
+        if value is None or not setting.is_valid(value):
+            faults.append(
+                SettingsError(file=file, key=setting.key, found=found, expected=setting.expected)
+            )
+        values[setting.field] = value
+    known = {setting.key for setting in SETTING_KEYS}
+    for key in sorted(set(flat) - known):
+        faults.append(
+            SettingsError(file=file, key=key, found="an unknown key", expected="no such key")
+        )
+    if faults:
+        raise ExceptionGroup("settings are invalid", faults)
+    return Settings(**values)
