Add the inference state machine with the proofs whole-answers and not-run

Cause: a stream may be cut, repeated, reordered or lost at any step, and a refusal may only be called not run when no engine ran it.

--- /dev/null
+++ b/bergamothill/request/inference.py
@@ -0,0 +1,327 @@
+"""State of one inference: attempts, the answer stream, and what to do after each failure.
+
+Typed events go in, typed effects come out; there is no socket, thread or clock in here. The
+runner in :mod:`bergamothill.request.relay` carries the effects out.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from functools import singledispatchmethod
+
+from bergamothill.connection.engine import EventKind, StreamEvent
+from bergamothill.errors import (
+    BergamothillError,
+    Execution,
+    NotFoundError,
+    ProtocolError,
+    StreamBrokenError,
+    UnavailableError,
+)
+from bergamothill.ids import ServerId, StreamId, WeightVersion
+from bergamothill.request.attempt import Attempt, AttemptLog
+from bergamothill.request.stream import AnswerStream, StreamPhase
+
+__all__ = [
+    "Closed",
+    "Effect",
+    "Failed",
+    "Finished",
+    "InferenceMachine",
+    "Place",
+    "Placed",
+    "Refused",
+    "Resume",
+    "Send",
+    "Unplaceable",
+]
+
+MAX_ATTEMPTS = 3
+MAX_IDLE_RESUMPTIONS = 3
+_STEP = "inference"
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Effect: choose a backend server that is not among those tried.
+
+    :param tried: servers of earlier attempts
+    """
+
+    tried: tuple[ServerId, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Effect: send the run to a backend server.
+
+    :param server: backend server
+    :param stream_id: stream to open there
+    """
+
+    server: ServerId
+    stream_id: StreamId
+
+
+@dataclass(frozen=True, slots=True)
+class Resume:
+    """Effect: fetch the rest of the stream on a new connection.
+
+    :param server: backend server that keeps the stream
+    :param stream_id: stream to resume
+    :param after: last sequence received without a hole
+    """
+
+    server: ServerId
+    stream_id: StreamId
+    after: int
+
+
+@dataclass(frozen=True, slots=True)
+class Finished:
+    """Effect: the whole answer was delivered."""
+
+
+@dataclass(frozen=True, slots=True)
+class Failed:
+    """Effect: give the caller this final error.
+
+    :param error: what happened, with what may truly be said of execution
+    """
+
+    error: BergamothillError
+
+
+Effect = Place | Send | Resume | Finished | Failed
+
+
+@dataclass(frozen=True, slots=True)
+class Placed:
+    """Event: a backend server was chosen.
+
+    :param server: backend server
+    :param stream_id: unused name for the stream there
+    """
+
+    server: ServerId
+    stream_id: StreamId
+
+
+@dataclass(frozen=True, slots=True)
+class Unplaceable:
+    """Event: no backend server can take the run.
+
+    :param error: why
+    """
+
+    error: BergamothillError
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """Event: the exchange failed with an error.
+
+    :param error: its ``execution`` tells whether the run may have begun
+    """
+
+    error: BergamothillError
+
+
+@dataclass(frozen=True, slots=True)
+class Closed:
+    """Event: the connection ended without an error."""
+
+
+class InferenceMachine:
+    """Decides the course of one inference.
+
+    :param version: weight version pinned at admission
+    """
+
+    def __init__(self, version: WeightVersion) -> None:
+        self._version = version
+        self._attempts = self._new_attempts()
+        self._attempt: Attempt | None = None
+        self._server = ServerId("")
+        self._stream_id = StreamId("")
+        self._stream = self._new_stream(-1)
+        self._start: StreamEvent | None = None
+        self._last_error: BergamothillError | None = None
+        self._idle_resumptions = 0
+        self._progress = -1
+        self._is_resumption = False
+        self._has_delivered = False
+
+    @classmethod
+    def resuming(
+        cls, version: WeightVersion, server: ServerId, stream_id: StreamId, after: int
+    ) -> InferenceMachine:
+        """Return the state of a stream that another connection of the caller began.
+
+        :param version: weight version pinned for the run
+        :param server: backend server that keeps the stream
+        :param stream_id: stream to resume
+        :param after: last sequence that the caller has
+        """
+        machine = cls(version)
+        machine._server = server
+        machine._stream_id = stream_id
+        machine._stream = machine._new_stream(after)
+        machine._progress = after
+        machine._is_resumption = True
+        machine._has_delivered = True
+        return machine
+
+    def _new_attempts(self) -> AttemptLog:
+        return AttemptLog()
+
+    def _new_stream(self, after: int) -> AnswerStream:
+        return AnswerStream(after)
+
+    def begin(self) -> Effect:
+        """Return the first effect."""
+        if self._is_resumption:
+            return Resume(self._server, self._stream_id, self._stream.after)
+        return Place(())
+
+    def sending(self) -> None:
+        """Note that the run's bytes may leave from now on; called last before the send."""
+        if self._attempt is not None:
+            self._attempts.sending(self._attempt)
+
+    def receive(self, event: StreamEvent) -> tuple[StreamEvent, ...]:
+        """Take an event of the current stream.
+
+        The START event is held until there is something to deliver after it, so that a run which
+        fails before its first token can still move to another backend server.
+
+        :param event: event as it arrived
+        :returns: events that the caller gets now
+        :raises ProtocolError: the engine ran another weight version than the pinned one
+        """
+        ready = self._stream.receive(event)
+        if not ready:
+            return ()
+        if self._attempt is not None:
+            self._attempts.started(self._attempt)
+        if ready[0].kind is EventKind.START:
+            self._check_version(ready[0])
+            if not self._has_delivered:
+                self._start = ready[0]
+                ready = ready[1:]
+        ready = tuple(event for event in ready if event.kind is not EventKind.ERROR)
+        if not ready:
+            return ()
+        if self._start is not None:
+            ready = (self._start, *ready)
+            self._start = None
+        self._has_delivered = True
+        return ready
+
+    @singledispatchmethod
+    def handle(self, event: object) -> Effect:
+        """Take an event and return the next effect.
+
+        :param event: one of the event types of this module
+        """
+        raise TypeError(f"unknown event {event!r}")
+
+    @handle.register
+    def _(self, event: Placed) -> Effect:
+        self._attempt = self._attempts.begin(event.server)
+        self._server = event.server
+        self._stream_id = event.stream_id
+        self._stream = self._new_stream(-1)
+        self._start = None
+        self._progress = -1
+        self._idle_resumptions = 0
+        return Send(event.server, event.stream_id)
+
+    @handle.register
+    def _(self, event: Unplaceable) -> Effect:
+        error = self._last_error or event.error
+        if error.retry_after_ms is None:
+            error.retry_after_ms = event.error.retry_after_ms
+        return self._fail(error)
+
+    @handle.register
+    def _(self, event: Closed) -> Effect:
+        broken = StreamBrokenError(
+            "the connection ended before the answer",
+            step=_STEP,
+            peer=self._server,
+            execution=Execution.UNKNOWN,
+        )
+        return self._after_failure(broken)
+
+    @handle.register
+    def _(self, event: Refused) -> Effect:
+        return self._after_failure(event.error)
+
+    def _after_failure(self, error: BergamothillError) -> Effect:
+        if self._stream.phase is StreamPhase.COMPLETE:
+            return Finished()
+        if self._stream.phase is StreamPhase.FAILED:
+            error = StreamBrokenError(
+                f"the engine ended the stream: {self._stream.failure}",
+                step=_STEP,
+                peer=self._server,
+                execution=Execution.UNKNOWN,
+            )
+        if self._attempt is not None:
+            self._attempts.failed(self._attempt, error)
+        self._last_error = error
+        if self._has_delivered:
+            return self._resume_or_fail(error)
+        if len(self._attempts.servers) < MAX_ATTEMPTS:
+            return Place(self._attempts.servers)
+        return self._fail(error)
+
+    def _resume_or_fail(self, error: BergamothillError) -> Effect:
+        is_final = isinstance(error, NotFoundError | ProtocolError)
+        if is_final or self._stream.phase is StreamPhase.FAILED:
+            return self._fail(self._as_broken(error))
+        after = self._stream.connection_lost()
+        if after > self._progress:
+            self._idle_resumptions = 0
+        self._progress = after
+        self._idle_resumptions += 1
+        if self._idle_resumptions > MAX_IDLE_RESUMPTIONS:
+            return self._fail(self._as_broken(error))
+        return Resume(self._server, self._stream_id, after)
+
+    def _as_broken(self, error: BergamothillError) -> BergamothillError:
+        if self._is_resumption and isinstance(error, NotFoundError):
+            return error
+        return StreamBrokenError(
+            f"the answer cannot be finished: {error.message}",
+            step=error.step,
+            peer=error.peer,
+            execution=Execution.UNKNOWN,
+        )
+
+    def _fail(self, error: BergamothillError) -> Failed:
+        if self._is_resumption:
+            error.execution = Execution.UNKNOWN
+            return Failed(error)
+        return Failed(self._attempts.final(error))
+
+    def _check_version(self, start: StreamEvent) -> None:
+        if start.weight_version == self._version:
+            return
+        self._stream.phase = StreamPhase.OPEN
+        raise ProtocolError(
+            f"the engine ran version {start.weight_version}, not {self._version}",
+            step="weights.check",
+            peer=self._server,
+            execution=Execution.UNKNOWN,
+        )
+
+
+def nothing_available(reason: str, retry_after_ms: int) -> UnavailableError:
+    """Return the error for a run that no backend server can take.
+
+    :param reason: why, for people
+    :param retry_after_ms: when to ask again, in milliseconds
+    """
+    return UnavailableError(reason, step="route", retry_after_ms=retry_after_ms)
--- a/bergamothill/request/stream.py
+++ b/bergamothill/request/stream.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import Enum
 
 from bergamothill.connection.engine import EventKind, StreamEvent
@@ -25,18 +24,16 @@
     FAILED = "failed"
 
 
-@dataclass(slots=True)
 class AnswerStream:
     """State of one answer stream at one entry instance.
 
     :param after: last sequence that the caller already has; -1 for none
     """
 
-    after: int = -1
-    phase: StreamPhase = StreamPhase.OPEN
-    failure: str = ""
-
-    def __post_init__(self) -> None:
+    def __init__(self, after: int = -1) -> None:
+        self.after = after
+        self.phase = StreamPhase.OPEN
+        self.failure = ""
         self._held: dict[int, StreamEvent] = {}
 
     @property
--- /dev/null
+++ b/tests/proof/proof_stream.py
@@ -0,0 +1,253 @@
+"""Whole answers and true refusals, with engines that fail at every step."""
+
+from __future__ import annotations
+
+from hypothesis import strategies as st
+from hypothesis.stateful import initialize, precondition, rule
+
+from bergamothill.connection.engine import EventKind, StreamEvent
+from bergamothill.errors import (
+    BergamothillError,
+    Execution,
+    NotFoundError,
+    OverloadedError,
+    PeerTimeoutError,
+    PeerUnreachableError,
+    StreamBrokenError,
+    UnavailableError,
+)
+from bergamothill.ids import ServerId, StreamId, WeightVersion
+from bergamothill.request.attempt import AttemptLog
+from bergamothill.request.inference import (
+    Closed,
+    Failed,
+    Finished,
+    InferenceMachine,
+    Place,
+    Placed,
+    Refused,
+    Resume,
+    Send,
+    Unplaceable,
+)
+from bergamothill.request.stream import AnswerStream
+from tests.proof.harness import Proof, ProofMachine
+
+VERSION = WeightVersion("v1")
+SERVERS = tuple(ServerId(f"e{number}") for number in range(4))
+
+
+def answer(length: int) -> list[StreamEvent]:
+    """The whole answer of a run: START, tokens that differ, END."""
+    tokens = [
+        StreamEvent(number, EventKind.TOKEN, text=f"t{number}") for number in range(1, length + 1)
+    ]
+    start = StreamEvent(0, EventKind.START, weight_version=VERSION)
+    return [start, *tokens, StreamEvent(length + 1, EventKind.END, finish_reason="stop")]
+
+
+class UnorderedStream(AnswerStream):
+    """Double without the ordering by sequence."""
+
+    def receive(self, event):
+        delivered = AnswerStream(after=event.sequence - 1).receive(event)
+        self.after = max(self.after, event.sequence)
+        if event.kind is EventKind.END:
+            self.phase = type(self.phase).COMPLETE
+        return delivered
+
+
+class OptimisticAttemptLog(AttemptLog):
+    """Double that judges a request by its last attempt only."""
+
+    def execution(self):
+        last = self._attempts[-1:]
+        harmless = all(attempt.state.value in ("unsent", "refused") for attempt in last)
+        return Execution.NOT_RUN if harmless else Execution.UNKNOWN
+
+
+class InferenceWorld(ProofMachine):
+    """One inference at a time; the rules are what engines and connections do."""
+
+    double = InferenceMachine
+
+    def __init__(self):
+        super().__init__()
+        self.machine = None
+
+    def build(self):
+        machine = InferenceMachine if self.mechanism_enabled else self.double
+        return machine(VERSION)
+
+    @initialize()
+    def begin_request(self):
+        self.machine = self.build()
+        self.ran = set()
+        self.kept = {}
+        self.delivered = []
+        self.position = 0
+        self.in_flight = []
+        self.count = 0
+        self.effect = self.machine.begin()
+
+    def finish(self, effect):
+        self.effect = effect
+        if isinstance(effect, Finished):
+            self.check_finished()
+        elif isinstance(effect, Failed):
+            self.check_failed(effect.error)
+        if isinstance(effect, Finished | Failed):
+            self.begin_request()
+
+    def check_finished(self):
+        whole = next((kept for kept in self.kept.values() if kept == self.delivered), None)
+        assert whole is not None, f"delivered {self.delivered} is no engine's whole answer"
+
+    def check_failed(self, error):
+        if error.execution is Execution.NOT_RUN:
+            assert not self.ran, f"refused as not run, but {sorted(self.ran)} ran it"
+        if self.delivered:
+            assert self.delivered[-1].kind is not EventKind.END, "failed after a whole answer"
+
+    def deliver(self, event):
+        for ready in self.machine.receive(event):
+            if ready.sequence != len(self.delivered):
+                raise AssertionError(f"event {ready} at place {len(self.delivered)}")
+            self.delivered.append(ready)
+
+    @precondition(lambda self: isinstance(self.effect, Place))
+    @rule(server=st.sampled_from(SERVERS))
+    def place(self, server):
+        self.operation()
+        self.count += 1
+        self.finish(self.machine.handle(Placed(server, StreamId(f"s{self.count}"))))
+
+    @precondition(lambda self: isinstance(self.effect, Place))
+    @rule()
+    def no_server(self):
+        self.fault()
+        error = UnavailableError("no engine", step="route", retry_after_ms=100)
+        self.finish(self.machine.handle(Unplaceable(error)))
+
+    @precondition(lambda self: isinstance(self.effect, Send))
+    @rule()
+    def not_sent(self):
+        self.fault()
+        error = PeerUnreachableError("connection refused", step="engine.run")
+        self.finish(self.machine.handle(Refused(error)))
+
+    @precondition(lambda self: isinstance(self.effect, Send))
+    @rule()
+    def refuse(self):
+        self.fault()
+        self.machine.sending()
+        self.finish(self.machine.handle(Refused(OverloadedError("full", step="engine.run"))))
+
+    @precondition(lambda self: isinstance(self.effect, Send))
+    @rule(did_run=st.booleans())
+    def lose_reply(self, did_run):
+        self.fault()
+        self.machine.sending()
+        if did_run:
+            self.ran.add(self.effect.server)
+        self.finish(self.machine.handle(Refused(PeerTimeoutError("reset", step="engine.run"))))
+
+    @precondition(lambda self: isinstance(self.effect, Send))
+    @rule(length=st.integers(0, 6), steps=st.lists(st.integers(0, 9), max_size=12))
+    def run(self, length, steps):
+        self.operation()
+        self.machine.sending()
+        self.ran.add(self.effect.server)
+        self.kept[self.effect.stream_id] = answer(length)
+        self.play(answer(length), steps)
+
+    @precondition(lambda self: isinstance(self.effect, Send))
+    @rule(length=st.integers(0, 4), count=st.integers(0, 8))
+    def run_in_order_then_cut(self, length, count):
+        self.fault()
+        self.machine.sending()
+        self.ran.add(self.effect.server)
+        self.kept[self.effect.stream_id] = answer(length)
+        self.play(answer(length), range(count))
+
+    @precondition(lambda self: isinstance(self.effect, Resume))
+    @rule(steps=st.lists(st.integers(0, 9), max_size=12))
+    def resume(self, steps):
+        self.fault()
+        kept = self.kept.get(self.effect.stream_id, [])
+        self.play(kept[self.effect.after + 1 :], steps)
+
+    @precondition(lambda self: isinstance(self.effect, Resume))
+    @rule()
+    def resume_whole(self):
+        self.operation()
+        kept = self.kept.get(self.effect.stream_id, [])
+        rest = kept[self.effect.after + 1 :]
+        self.play(rest, range(len(rest)))
+
+    @precondition(lambda self: isinstance(self.effect, Resume))
+    @rule()
+    def engine_forgot_stream(self):
+        self.fault()
+        self.kept.pop(self.effect.stream_id, None)
+        self.finish(self.machine.handle(Refused(NotFoundError("unknown", step="engine.resume"))))
+
+    @precondition(lambda self: isinstance(self.effect, Resume))
+    @rule()
+    def resume_fails(self):
+        self.fault()
+        error = StreamBrokenError("cut", step="engine.resume", execution=Execution.UNKNOWN)
+        self.finish(self.machine.handle(Refused(error)))
+
+    @precondition(lambda self: isinstance(self.effect, Send))
+    @rule()
+    def run_another_version(self):
+        self.fault()
+        self.machine.sending()
+        self.ran.add(self.effect.server)
+        start = StreamEvent(0, EventKind.START, weight_version="v0")
+        try:
+            self.deliver(start)
+        except BergamothillError as error:
+            self.finish(self.machine.handle(Refused(error)))
+            return
+        raise AssertionError("a run under another version was accepted")
+
+    def play(self, events, order):
+        """Deliver events in the given order, repeats and holes included, then cut."""
+        for index in order:
+            if index < len(events):
+                self.deliver(events[index])
+        self.finish(self.machine.handle(Closed()))
+
+
+class UnorderedMachine(InferenceMachine):
+    """Double whose streams are not put in order."""
+
+    def _new_stream(self, after):
+        return UnorderedStream(after)
+
+
+class OptimisticMachine(InferenceMachine):
+    """Double whose refusals look at the last attempt only."""
+
+    def _new_attempts(self):
+        return OptimisticAttemptLog()
+
+
+class WholeAnswers(InferenceWorld):
+    """Point 4: the caller gets each event once, in order, and an end only after all of them."""
+
+    double = UnorderedMachine
+
+
+class TrueRefusals(InferenceWorld):
+    """Point 5: "not run" only when no engine's record shows the run."""
+
+    double = OptimisticMachine
+
+
+PROOFS = (
+    Proof(slug="whole-answers", machine=WholeAnswers),
+    Proof(slug="not-run", machine=TrueRefusals),
+)
