--- /dev/null
+++ b/bergamothill/version/change.py
@@ -0,0 +1,353 @@
+"""Operators' changes of the configuration as typed records, and the items they touch."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import singledispatch
+from typing import Any, ClassVar, TypeVar
+
+from bergamothill.errors import InvalidRequestError
+from bergamothill.ids import AdapterName, BrandName, ModelName, ServiceName, WeightVersion
+
+__all__ = [
+    "CHANGE_KINDS",
+    "AddAdapter",
+    "AddBrand",
+    "AddKey",
+    "AddModel",
+    "AddService",
+    "AllowAdapter",
+    "AllowModel",
+    "AllowService",
+    "Change",
+    "DisallowAdapter",
+    "DisallowModel",
+    "DisallowService",
+    "FinishRollout",
+    "RemoveAdapter",
+    "RemoveBrand",
+    "RemoveException",
+    "RemoveKey",
+    "RemoveModel",
+    "RemoveService",
+    "SetDefault",
+    "SetException",
+    "SetModel",
+    "SetWeightTarget",
+    "items_touched",
+]
+
+STEP = "configuration.change"
+
+EXCEPTION_NAMES = frozenset(
+    {"warm_time_ms", "answer_timeout_ms", "weights", "limits", "objectives"}
+)
+"""Defaults from which a brand may depart."""
+
+C = TypeVar("C")
+
+
+class Change:
+    """Base of all changes; ``kind`` names the change in files and records."""
+
+    kind: ClassVar[str] = ""
+    __slots__ = ()
+
+
+CHANGE_KINDS: dict[str, type[Change]] = {}
+"""Change classes by their kind."""
+
+
+def _change(kind: str) -> Callable[[type[C]], type[C]]:
+    def register(cls: type[C]) -> type[C]:
+        record = dataclass(frozen=True, slots=True)(cls)
+        record.kind = kind
+        CHANGE_KINDS[kind] = record
+        return record
+
+    return register
+
+
+@_change("add_brand")
+class AddBrand(Change):
+    """Create a brand without keys or rights."""
+
+    brand: BrandName
+
+
+@_change("remove_brand")
+class RemoveBrand(Change):
+    """Remove a brand with its keys, rights and exceptions."""
+
+    brand: BrandName
+
+
+@_change("add_key")
+class AddKey(Change):
+    """Let a bearer key name the brand.
+
+    :param key_digest: hexadecimal SHA-256 of the key
+    """
+
+    brand: BrandName
+    key_digest: str
+
+
+@_change("remove_key")
+class RemoveKey(Change):
+    """Withdraw a bearer key from the brand.
+
+    :param key_digest: hexadecimal SHA-256 of the key
+    """
+
+    brand: BrandName
+    key_digest: str
+
+
+@_change("allow_model")
+class AllowModel(Change):
+    """Let the brand use a model."""
+
+    brand: BrandName
+    model: ModelName
+
+
+@_change("disallow_model")
+class DisallowModel(Change):
+    """Withdraw a model, and its adapters, from the brand."""
+
+    brand: BrandName
+    model: ModelName
+
+
+@_change("allow_adapter")
+class AllowAdapter(Change):
+    """Let the brand use an adapter of a model."""
+
+    brand: BrandName
+    model: ModelName
+    adapter: AdapterName
+
+
+@_change("disallow_adapter")
+class DisallowAdapter(Change):
+    """Withdraw an adapter from the brand."""
+
+    brand: BrandName
+    model: ModelName
+    adapter: AdapterName
+
+
+@_change("allow_service")
+class AllowService(Change):
+    """Let the brand call a plain service."""
+
+    brand: BrandName
+    service: ServiceName
+
+
+@_change("disallow_service")
+class DisallowService(Change):
+    """Withdraw a plain service from the brand."""
+
+    brand: BrandName
+    service: ServiceName
+
+
+@_change("set_default")
+class SetDefault(Change):
+    """Set a value for the whole fleet.
+
+    :param name: field of :class:`Defaults`; dotted for a part, such as ``limits.burst``
+    :param value: plain value
+    """
+
+    name: str
+    value: Any
+
+
+@_change("set_exception")
+class SetException(Change):
+    """Let the brand depart from a default.
+
+    :param name: one of :data:`~bergamothill.version.effect.EXCEPTION_NAMES`
+    :param value: plain value; a dictionary may leave out parts, which take the default's value
+    :param reason: why; not empty
+    """
+
+    brand: BrandName
+    name: str
+    value: Any
+    reason: str
+
+
+@_change("remove_exception")
+class RemoveException(Change):
+    """Return the brand to a default."""
+
+    brand: BrandName
+    name: str
+
+
+@_change("add_model")
+class AddModel(Change):
+    """Create a model whose engines already serve a version.
+
+    :param version: current weight version
+    :param bytes_per_token: size of kept context
+    """
+
+    model: ModelName
+    version: WeightVersion
+    bytes_per_token: int = 1_000
+
+
+@_change("set_model")
+class SetModel(Change):
+    """Set the size of a model's kept context, in bytes for each token."""
+
+    model: ModelName
+    bytes_per_token: int
+
+
+@_change("remove_model")
+class RemoveModel(Change):
+    """Remove a model that no brand may use."""
+
+    model: ModelName
+
+
+@_change("add_adapter")
+class AddAdapter(Change):
+    """Add an adapter to a model."""
+
+    model: ModelName
+    adapter: AdapterName
+
+
+@_change("remove_adapter")
+class RemoveAdapter(Change):
+    """Remove an adapter that no brand may use."""
+
+    model: ModelName
+    adapter: AdapterName
+
+
+@_change("set_weight_target")
+class SetWeightTarget(Change):
+    """Start a rollout to a weight version; the current version as target ends it."""
+
+    model: ModelName
+    version: WeightVersion
+
+
+@_change("finish_rollout")
+class FinishRollout(Change):
+    """Make the target of a rollout the current version.
+
+    :param version: the target that was reached
+    """
+
+    model: ModelName
+    version: WeightVersion
+
+
+@_change("add_service")
+class AddService(Change):
+    """Create a plain service, or set its repeatable methods.
+
+    :param repeatable_methods: HTTP methods that may be sent again after a lost reply
+    """
+
+    service: ServiceName
+    repeatable_methods: frozenset[str] = frozenset({"GET", "HEAD"})
+
+
+@_change("remove_service")
+class RemoveService(Change):
+    """Remove a service that no brand may call."""
+
+    service: ServiceName
+
+
+@singledispatch
+def items_touched(change: Change) -> tuple[str, ...]:
+    """Return the items that a change reads or writes, as paths.
+
+    Two changes are in conflict when an item of one equals, or lies below, an item of the other.
+
+    :param change: change to look at
+    """
+    raise InvalidRequestError(f"unknown change {type(change).__name__}", step=STEP)
+
+
+@items_touched.register(AddBrand)
+@items_touched.register(RemoveBrand)
+def _(change: AddBrand | RemoveBrand) -> tuple[str, ...]:
+    return (f"brands/{change.brand}",)
+
+
+@items_touched.register(AddKey)
+@items_touched.register(RemoveKey)
+def _(change: AddKey | RemoveKey) -> tuple[str, ...]:
+    short = change.key_digest[:16]
+    return (f"brands/{change.brand}/keys/{short}", f"keys/{short}")
+
+
+@items_touched.register(AllowModel)
+@items_touched.register(DisallowModel)
+def _(change: AllowModel | DisallowModel) -> tuple[str, ...]:
+    return (f"brands/{change.brand}/models/{change.model}",)
+
+
+@items_touched.register(AllowAdapter)
+@items_touched.register(DisallowAdapter)
+def _(change: AllowAdapter | DisallowAdapter) -> tuple[str, ...]:
+    return (f"brands/{change.brand}/models/{change.model}/{change.adapter}",)
+
+
+@items_touched.register(AllowService)
+@items_touched.register(DisallowService)
+def _(change: AllowService | DisallowService) -> tuple[str, ...]:
+    return (f"brands/{change.brand}/services/{change.service}",)
+
+
+@items_touched.register
+def _(change: SetDefault) -> tuple[str, ...]:
+    return (f"defaults/{change.name.replace('.', '/')}",)
+
+
+@items_touched.register(SetException)
+@items_touched.register(RemoveException)
+def _(change: SetException | RemoveException) -> tuple[str, ...]:
+    return (f"brands/{change.brand}/exceptions/{change.name}",)
+
+
+@items_touched.register(AddModel)
+@items_touched.register(RemoveModel)
+def _(change: AddModel | RemoveModel) -> tuple[str, ...]:
+    return (f"models/{change.model}",)
+
+
+@items_touched.register
+def _(change: SetModel) -> tuple[str, ...]:
+    return (f"models/{change.model}/bytes_per_token",)
+
+
+@items_touched.register(AddAdapter)
+@items_touched.register(RemoveAdapter)
+def _(change: AddAdapter | RemoveAdapter) -> tuple[str, ...]:
+    return (f"models/{change.model}/adapters/{change.adapter}",)
+
+
+@items_touched.register(SetWeightTarget)
+@items_touched.register(FinishRollout)
+def _(change: SetWeightTarget | FinishRollout) -> tuple[str, ...]:
+    return (f"models/{change.model}/version",)
+
+
+@items_touched.register(AddService)
+@items_touched.register(RemoveService)
+def _(change: AddService | RemoveService) -> tuple[str, ...]:
+    return (f"services/{change.service}",)
--- /dev/null
+++ b/bergamothill/version/revision.py
@@ -0,0 +1,448 @@
+"""Writer of the accepted configuration: one head record, replaced by compare-and-swap."""
+
+from __future__ import annotations
+
+import json
+import re
+import secrets
+from collections.abc import Iterator, Mapping
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, replace
+from typing import Any
+
+import cbor2
+
+from bergamothill.clock import Clock
+from bergamothill.connection.kvs import ABSENT, KeyValueEntry, KeyValueService
+from bergamothill.errors import (
+    BergamothillError,
+    ConflictError,
+    Execution,
+    PeerTimeoutError,
+    PeerUnreachableError,
+    ProtocolError,
+    UnavailableError,
+)
+from bergamothill.ids import ChangeId, Revision
+from bergamothill.version.change import Change, items_touched
+from bergamothill.version.config import Configuration
+from bergamothill.version.effect import apply_changes
+from bergamothill.version.plain import to_plain
+from bergamothill.version.record import (
+    EMPTY_HEAD,
+    HEAD_KEY,
+    AcceptedChange,
+    Bucket,
+    Head,
+    HistoryPage,
+    bucket_records,
+    conflicts,
+    content_key,
+    decode,
+    digest_of,
+    encode,
+    join_buckets,
+    next_lineage,
+    split_buckets,
+)
+
+__all__ = [
+    "Accepted",
+    "ChangeConflictError",
+    "ConfigurationWriter",
+    "Snapshot",
+    "base_of",
+    "new_change_id",
+]
+
+RECENT_MAX = 192
+PAGE_CHANGES = 96
+RETIRED_MAX = 64
+MAX_ITEMS = 8
+SUMMARY_LENGTH = 96
+SETTLE_TIMEOUT_MS = 10_000
+RETRY_DELAY_MS = 100
+FETCH_WORKERS = 8
+STEP = "configuration.submit"
+
+_BASE = re.compile(r"^r(\d+)-")
+
+
+class ChangeConflictError(ConflictError):
+    """A change lost against another to the same item.
+
+    :param winner: the accepted change that won
+    """
+
+    def __init__(self, winner: AcceptedChange) -> None:
+        super().__init__(
+            f"change {winner.change_id} won at revision {winner.revision}: {winner.summary}",
+            step=STEP,
+        )
+        self.winner = winner
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """Outcome of an accepted change set.
+
+    :param change_id: id of the change set
+    :param revision: revision at which it was accepted
+    :param repeated: it had been accepted by an earlier attempt
+    :param superseded_by: later accepted changes to the same items, oldest first
+    """
+
+    change_id: ChangeId
+    revision: Revision
+    repeated: bool = False
+    superseded_by: tuple[AcceptedChange, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """Accepted state as read from the key-value service.
+
+    :param head: head record
+    :param mod_revision: revision of the head's key at the service
+    :param configuration: content of the head
+    """
+
+    head: Head
+    mod_revision: int
+    configuration: Configuration
+
+
+def new_change_id(base: Revision) -> ChangeId:
+    """Draw an id; it carries the revision that the change is based on.
+
+    :param base: revision that the operator has seen
+    """
+    return ChangeId(f"r{base}-{secrets.token_hex(8)}")
+
+
+def base_of(change_id: ChangeId) -> Revision | None:
+    """Return the revision that a change id carries; None for an id of another form."""
+    found = _BASE.match(change_id)
+    return Revision(int(found.group(1))) if found else None
+
+
+def _fingerprint(changes: tuple[Change, ...]) -> str:
+    plain = [[change.kind, to_plain(change)] for change in changes]
+    return digest_of(cbor2.dumps(plain, canonical=True))[:32]
+
+
+def _items(changes: tuple[Change, ...]) -> tuple[str, ...]:
+    """Return the items touched; a long list is cut to leading parts, which conflict with more."""
+    items = sorted({item for change in changes for item in items_touched(change)})
+    for depth in (2, 1):
+        if len(items) > MAX_ITEMS:
+            items = sorted({"/".join(item.split("/")[:depth]) for item in items})
+    return tuple(items)
+
+
+def _summary(changes: tuple[Change, ...]) -> str:
+    texts = []
+    for change in changes:
+        values = to_plain(change).values()
+        shown = " ".join(v if isinstance(v, str) else json.dumps(v) for v in values)
+        texts.append(f"{change.kind} {shown}")
+    text = "; ".join(texts)
+    return text if len(text) <= SUMMARY_LENGTH else text[: SUMMARY_LENGTH - 1] + "…"
+
+
+class ConfigurationWriter:
+    """Reads and changes the accepted configuration.
+
+    :param kvs: key-value service of the platform
+    :param clock: source of time
+    :param settle_timeout_ms: how long a lost reply is followed up, in milliseconds
+    """
+
+    def __init__(
+        self, kvs: KeyValueService, clock: Clock, *, settle_timeout_ms: int = SETTLE_TIMEOUT_MS
+    ) -> None:
+        self._kvs = kvs
+        self._clock = clock
+        self._settle_timeout_ms = settle_timeout_ms
+        self._cache: dict[str, tuple[Any, ...]] = {}
+
+    def read(self) -> Snapshot:
+        """Read the accepted configuration.
+
+        :raises PeerUnreachableError: the service was not reached
+        :raises PeerTimeoutError: the service did not answer
+        """
+        while True:
+            head, mod_revision = self._read_head()
+            try:
+                contents = self._read_contents(head)
+            except KeyError:
+                # A content that is gone belongs to a head that was replaced long ago.
+                if self._read_head()[1] == mod_revision:
+                    raise ProtocolError(
+                        f"revision {head.revision} lacks content", step="configuration.read"
+                    ) from None
+                continue
+            return Snapshot(head, mod_revision, join_buckets(head.revision, contents))
+
+    def history(self, limit: int) -> tuple[AcceptedChange, ...]:
+        """Return the latest accepted changes, newest first.
+
+        :param limit: most changes to return
+        """
+        head, _ = self._read_head()
+        found: list[AcceptedChange] = []
+        for change in self._changes_back(head):
+            if len(found) >= limit:
+                break
+            found.append(change)
+        return tuple(found)
+
+    def submit(
+        self,
+        changes: tuple[Change, ...],
+        *,
+        change_id: ChangeId | None = None,
+        base: Revision | None = None,
+    ) -> Accepted:
+        """Have a change set accepted as a whole, or not at all.
+
+        An id that was accepted before is reported and not applied again.
+
+        :param changes: changes, applied in order
+        :param change_id: id of the change set; drawn when left out
+        :param base: revision that the operator has seen; changes to the same items accepted after
+            it are conflicts. Left out, it is that of the id, or the one read first
+        :returns: where it was accepted
+        :raises ChangeConflictError: a change to the same item won
+        :raises InvalidRequestError: a change is malformed
+        :raises NotFoundError: a change names something that does not exist
+        :raises PeerUnreachableError: the service was not reached; the change was not accepted
+        :raises PeerTimeoutError: the outcome is unknown; submit again with the same id
+        """
+        attempt = _Attempt(self, changes, change_id, base)
+        return attempt.run(self._clock.now_ms() + self._settle_timeout_ms)
+
+    def _read_head(self) -> tuple[Head, int]:
+        entry = self._kvs.get(HEAD_KEY)
+        if entry is None:
+            return EMPTY_HEAD, ABSENT
+        return decode(Head, entry.value), entry.mod_revision
+
+    def _read_contents(self, head: Head) -> dict[str, tuple[Any, ...]]:
+        missing = {n: d for n, d in head.buckets.items() if d not in self._cache}
+        if len(missing) > FETCH_WORKERS:
+            with ThreadPoolExecutor(FETCH_WORKERS) as pool:
+                values = list(pool.map(self._read_content, missing.values()))
+        else:
+            values = [self._read_content(digest) for digest in missing.values()]
+        for (name, digest), value in zip(missing.items(), values, strict=True):
+            self._cache[digest] = bucket_records(name, value)
+        self._cache = {digest: self._cache[digest] for digest in head.buckets.values()}
+        return {name: self._cache[digest] for name, digest in head.buckets.items()}
+
+    def _read_content(self, digest: str) -> bytes:
+        entry = self._kvs.get(content_key(digest))
+        if entry is None:
+            raise KeyError(digest)
+        if digest_of(entry.value) != digest:
+            raise ProtocolError(f"content {digest} is damaged", step="configuration.read")
+        return entry.value
+
+    def _changes_back(self, head: Head) -> Iterator[AcceptedChange]:
+        yield from reversed(head.recent)
+        page_digest = head.page
+        while page_digest:
+            page = decode(HistoryPage, self._read_content(page_digest))
+            yield from reversed(page.changes)
+            page_digest = page.page
+
+    def _write_content(self, value: bytes) -> str:
+        digest = digest_of(value)
+        try:
+            self._kvs.put_if(content_key(digest), value, expected=ABSENT)
+        except ConflictError:
+            pass  # The name is the digest: what is there is the same content.
+        return digest
+
+    def _delete_content(self, digest: str) -> None:
+        try:
+            entry = self._kvs.get(content_key(digest))
+            if entry is not None:
+                self._kvs.delete_if(entry.key, expected=entry.mod_revision)
+        except BergamothillError:
+            pass  # Left-over content costs room only.
+
+
+class _Attempt:
+    """One submission, followed up until it is settled or its time is over."""
+
+    def __init__(
+        self,
+        writer: ConfigurationWriter,
+        changes: tuple[Change, ...],
+        change_id: ChangeId | None,
+        base: Revision | None,
+    ) -> None:
+        self._writer = writer
+        self._kvs = writer._kvs
+        self._clock = writer._clock
+        self._changes = changes
+        self._change_id = change_id
+        self._given = change_id is not None
+        self._base = base if base is not None or change_id is None else base_of(change_id)
+        self._items = _items(changes)
+        self._fingerprint = _fingerprint(changes)
+        self._in_doubt = False
+
+    def run(self, deadline_ms: int) -> Accepted:
+        """Try until settled.
+
+        :param deadline_ms: instant to give up, in milliseconds
+        """
+        while True:
+            try:
+                accepted = self._once()
+            except (PeerUnreachableError, PeerTimeoutError) as error:
+                if not self._in_doubt:
+                    raise self._not_run(error) from error
+                if self._clock.now_ms() >= deadline_ms:
+                    raise self._unknown(error) from error
+                self._clock.sleep_ms(RETRY_DELAY_MS)
+                continue
+            if accepted is not None:
+                return accepted
+            if self._clock.now_ms() >= deadline_ms:
+                raise self._contended()
+
+    def _once(self) -> Accepted | None:
+        head, mod_revision = self._writer._read_head()
+        if self._base is None and not self._given:
+            self._base = head.revision
+        if self._change_id is None:
+            self._change_id = new_change_id(self._base or Revision(0))
+        earlier = self._find_earlier(head)
+        if earlier is not None:
+            return earlier
+        self._check_conflicts(head)
+        return self._write(head, mod_revision)
+
+    def _find_earlier(self, head: Head) -> Accepted | None:
+        """Look for the id among the accepted changes after the base, newest first."""
+        later: list[AcceptedChange] = []
+        for done in self._writer._changes_back(head):
+            if self._base is not None and done.revision <= self._base:
+                return None
+            if done.change_id == self._change_id:
+                return self._report(done, later)
+            if conflicts(self._items, done.items):
+                later.append(done)
+        return None
+
+    def _report(self, done: AcceptedChange, later: list[AcceptedChange]) -> Accepted:
+        if done.fingerprint != self._fingerprint:
+            raise ConflictError(
+                f"change id {done.change_id} names another change, accepted at revision"
+                f" {done.revision}: {done.summary}",
+                step=STEP,
+            )
+        return Accepted(done.change_id, done.revision, True, tuple(reversed(later)))
+
+    def _check_conflicts(self, head: Head) -> None:
+        if self._base is None:
+            return
+        for done in self._writer._changes_back(head):
+            if done.revision <= self._base:
+                return
+            if conflicts(self._items, done.items):
+                raise ChangeConflictError(done)
+
+    def _write(self, head: Head, mod_revision: int) -> Accepted | None:
+        contents = self._writer._read_contents(head)
+        before = join_buckets(head.revision, contents)
+        after = apply_changes(before, self._changes)
+        revision = Revision(head.revision + 1)
+        written, buckets = self._write_buckets(head, contents, after, revision)
+        new_head = self._next_head(head, buckets, revision)
+        try:
+            self._kvs_put(encode(new_head), mod_revision)
+        except ConflictError:
+            self._discard(written)
+            return None
+        for digest in self._dropped(head, new_head):
+            self._writer._delete_content(digest)
+        return Accepted(self._change_id, revision)
+
+    def _kvs_put(self, value: bytes, mod_revision: int) -> KeyValueEntry:
+        """Write the head; after a lost reply the same write again, which a late one cannot pass."""
+        deadline_ms = self._clock.now_ms() + self._writer._settle_timeout_ms
+        while True:
+            try:
+                return self._kvs.put_if(HEAD_KEY, value, expected=mod_revision)
+            except (PeerUnreachableError, PeerTimeoutError) as error:
+                self._in_doubt |= error.execution is Execution.UNKNOWN
+                if not self._in_doubt or self._clock.now_ms() >= deadline_ms:
+                    raise
+            self._clock.sleep_ms(RETRY_DELAY_MS)
+
+    def _write_buckets(
+        self,
+        head: Head,
+        contents: Mapping[str, tuple[Any, ...]],
+        after: Configuration,
+        revision: Revision,
+    ) -> tuple[list[str], dict[str, str]]:
+        written: list[str] = []
+        buckets: dict[str, str] = {}
+        for name, records in split_buckets(after).items():
+            if contents.get(name) == records:
+                buckets[name] = head.buckets[name]
+                continue
+            bucket = Bucket(f"{revision} {self._change_id}", to_plain(records))
+            buckets[name] = self._writer._write_content(encode(bucket))
+            written.append(buckets[name])
+        return written, buckets
+
+    def _next_head(self, head: Head, buckets: dict[str, str], revision: Revision) -> Head:
+        change = AcceptedChange(
+            change_id=self._change_id,
+            revision=revision,
+            lineage="",
+            fingerprint=self._fingerprint,
+            items=self._items,
+            summary=_summary(self._changes),
+            accepted_wall_ms=self._clock.wall_ms(),
+        )
+        change = replace(change, lineage=next_lineage(head, change, buckets))
+        recent, page = (*head.recent, change), head.page
+        if len(recent) > RECENT_MAX:
+            old = HistoryPage(recent[:PAGE_CHANGES], page)
+            recent, page = recent[PAGE_CHANGES:], self._writer._write_content(encode(old))
+        kept = set(buckets.values())
+        replaced = tuple(digest for digest in head.buckets.values() if digest not in kept)
+        retired = (*head.retired, *replaced)[-RETIRED_MAX:]
+        return Head(revision, change.lineage, buckets, recent, page, retired)
+
+    def _dropped(self, head: Head, new_head: Head) -> set[str]:
+        gone = {*head.retired, *head.buckets.values()}
+        return gone - {*new_head.retired, *new_head.buckets.values()}
+
+    def _discard(self, written: list[str]) -> None:
+        head, _ = self._writer._read_head()
+        if head.find(self._change_id) is None:
+            for digest in written:
+                self._writer._delete_content(digest)
+
+    def _not_run(self, error: BergamothillError) -> BergamothillError:
+        cls = type(error)
+        message = f"change {self._change_id or ''} was not accepted: {error.message}"
+        return cls(message, step=STEP, peer=error.peer, execution=Execution.NOT_RUN)
+
+    def _unknown(self, error: BergamothillError) -> PeerTimeoutError:
+        message = f"outcome of change {self._change_id} is unknown; repeat it with the same id"
+        return PeerTimeoutError(message, step=STEP, peer=error.peer)
+
+    def _contended(self) -> UnavailableError:
+        return UnavailableError(
+            f"change {self._change_id} lost every race and was not accepted", step=STEP
+        )
