--- /dev/null
+++ b/bergamothill/connection/kvs_memory.py
@@ -0,0 +1,218 @@
+"""In-memory twin of the key-value service."""
+
+from __future__ import annotations
+
+import threading
+from collections import deque
+from dataclasses import dataclass, field
+
+from bergamothill.clock import Clock, seconds
+from bergamothill.connection.kvs import (
+    ABSENT,
+    MAX_VALUE_BYTES,
+    KeyValueEntry,
+    KeyValueService,
+)
+from bergamothill.errors import ConflictError, InvalidRequestError, LeaseLostError
+from bergamothill.ids import LeaseId
+
+__all__ = ["KeyValueSnapshot", "MemoryKeyValueService"]
+
+CHANGE_LOG_LENGTH = 10_000
+FIRST_REVISION = 1
+"""Revision of an empty service; above 0, which a watch takes for "nothing seen yet"."""
+
+
+@dataclass(slots=True)
+class _Lease:
+    ttl_ms: int
+    expires_ms: int
+    keys: set[str] = field(default_factory=set)
+
+
+@dataclass(frozen=True, slots=True)
+class _Change:
+    revision: int
+    key: str
+
+
+@dataclass(frozen=True, slots=True)
+class KeyValueSnapshot:
+    """State of the service at one instant, to restore it from.
+
+    :param revision: revision of the service
+    :param entries: all keys
+    """
+
+    revision: int
+    entries: tuple[KeyValueEntry, ...]
+
+
+class MemoryKeyValueService(KeyValueService):
+    """Key-value service inside the process.
+
+    :param clock: source of time for the ends of leases; a wait for a change blocks in real time
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._revision = FIRST_REVISION
+        self._entries: dict[str, KeyValueEntry] = {}
+        self._leases: dict[LeaseId, _Lease] = {}
+        self._lease_of_key: dict[str, LeaseId] = {}
+        self._granted = 0
+        self._changes: deque[_Change] = deque(maxlen=CHANGE_LOG_LENGTH)
+        self._changed = threading.Condition()
+
+    def get(self, key: str) -> KeyValueEntry | None:
+        """Read one key."""
+        with self._changed:
+            self._expire_leases()
+            return self._entries.get(key)
+
+    def scan(self, prefix: str) -> tuple[KeyValueEntry, ...]:
+        """Read all keys below a prefix, in key order."""
+        with self._changed:
+            self._expire_leases()
+            found = [key for key in self._entries if key.startswith(prefix)]
+            return tuple(self._entries[key] for key in sorted(found))
+
+    def put_if(
+        self, key: str, value: bytes, *, expected: int, lease_id: LeaseId | None = None
+    ) -> KeyValueEntry:
+        """Write when the key is still at the expected revision."""
+        if len(value) > MAX_VALUE_BYTES:
+            raise InvalidRequestError(f"value of {len(value)} bytes is too large", step="kvs.put")
+        with self._changed:
+            self._check(key, expected, "kvs.put")
+            lease = None if lease_id is None else self._live_lease(lease_id, "kvs.put")
+            self._detach(key)
+            entry = KeyValueEntry(key, value, self._record_change(key))
+            self._entries[key] = entry
+            if lease is not None and lease_id is not None:
+                lease.keys.add(key)
+                self._lease_of_key[key] = lease_id
+            return entry
+
+    def delete_if(self, key: str, *, expected: int) -> None:
+        """Delete when the key is still at the expected revision."""
+        with self._changed:
+            self._check(key, expected, "kvs.delete")
+            self._remove(key)
+
+    def grant_lease(self, ttl_ms: int) -> LeaseId:
+        """Open a lease."""
+        with self._changed:
+            self._granted += 1
+            lease_id = LeaseId(f"lease-{self._granted}")
+            self._leases[lease_id] = _Lease(ttl_ms, self._clock.now_ms() + ttl_ms)
+            self._changed.notify_all()
+            return lease_id
+
+    def renew_lease(self, lease_id: LeaseId) -> None:
+        """Start the lease's life anew."""
+        with self._changed:
+            lease = self._live_lease(lease_id, "kvs.renew")
+            lease.expires_ms = self._clock.now_ms() + lease.ttl_ms
+
+    def revoke_lease(self, lease_id: LeaseId) -> None:
+        """End the lease and remove its keys."""
+        with self._changed:
+            self._end_lease(lease_id)
+
+    def wait_change(self, prefix: str, *, after: int, timeout_ms: int) -> int:
+        """Wait until a key below the prefix changes.
+
+        A service restored from an old state answers at once, with a revision below ``after``.
+        """
+        left_ms = timeout_ms
+        with self._changed:
+            while True:
+                self._expire_leases()
+                if after == 0 or self._has_changed(prefix, after):
+                    return self._revision
+                if left_ms <= 0:
+                    return after
+                started_ms = self._clock.now_ms()
+                wait_ms = self._wait_ms(left_ms)
+                is_notified = self._changed.wait(seconds(wait_ms))
+                left_ms -= self._clock.now_ms() - started_ms if is_notified else wait_ms
+
+    def snapshot(self) -> KeyValueSnapshot:
+        """Return the present state."""
+        with self._changed:
+            self._expire_leases()
+            return KeyValueSnapshot(self._revision, tuple(self._entries.values()))
+
+    def restore(self, snapshot: KeyValueSnapshot) -> None:
+        """Replace the present state by an old one; its leases have ended, its keys stay.
+
+        :param snapshot: state to return to
+        """
+        with self._changed:
+            self._entries = {entry.key: entry for entry in snapshot.entries}
+            self._revision = snapshot.revision
+            self._leases.clear()
+            self._lease_of_key.clear()
+            self._changes.clear()
+            self._changed.notify_all()
+
+    def _check(self, key: str, expected: int, step: str) -> None:
+        self._expire_leases()
+        entry = self._entries.get(key)
+        found = ABSENT if entry is None else entry.mod_revision
+        if found != expected:
+            raise ConflictError(f"key {key} is at {found}, expected {expected}", step=step)
+
+    def _record_change(self, key: str) -> int:
+        self._revision += 1
+        self._changes.append(_Change(self._revision, key))
+        self._changed.notify_all()
+        return self._revision
+
+    def _has_changed(self, prefix: str, after: int) -> bool:
+        if after > self._revision:
+            return True
+        oldest = self._changes[0].revision if self._changes else self._revision + 1
+        if after + 1 < oldest:
+            return True
+        newest_first = reversed(self._changes)
+        for change in newest_first:
+            if change.revision <= after:
+                return False
+            if change.key.startswith(prefix):
+                return True
+        return False
+
+    def _wait_ms(self, left_ms: int) -> int:
+        now_ms = self._clock.now_ms()
+        ends = [max(1, lease.expires_ms - now_ms) for lease in self._leases.values()]
+        return min([left_ms, *ends])
+
+    def _live_lease(self, lease_id: LeaseId, step: str) -> _Lease:
+        self._expire_leases()
+        lease = self._leases.get(lease_id)
+        if lease is None:
+            raise LeaseLostError(f"lease {lease_id} has ended", step=step)
+        return lease
+
+    def _expire_leases(self) -> None:
+        now_ms = self._clock.now_ms()
+        ended = [name for name, lease in self._leases.items() if lease.expires_ms <= now_ms]
+        for lease_id in ended:
+            self._end_lease(lease_id)
+
+    def _end_lease(self, lease_id: LeaseId) -> None:
+        lease = self._leases.pop(lease_id, None)
+        for key in sorted(lease.keys) if lease is not None else ():
+            self._remove(key)
+
+    def _remove(self, key: str) -> None:
+        self._detach(key)
+        if self._entries.pop(key, None) is not None:
+            self._record_change(key)
+
+    def _detach(self, key: str) -> None:
+        lease = self._leases.get(self._lease_of_key.pop(key, LeaseId("")))
+        if lease is not None:
+            lease.keys.discard(key)
