Make the configuration importable: a mappingproxy default is unhashable on 3.11

Cause: dataclasses refuse an unhashable class-level default; importing version.config raised ValueError. Ruled out: a plain dict default (refused as well). Change: default_factory returning the shared empty mapping. Before: tests that import routing fail to load; after: they run.

--- a/bergamothill/version/config.py
+++ b/bergamothill/version/config.py
@@ -123,7 +123,7 @@
     models: frozenset[ModelName] = frozenset()
     adapters: frozenset[str] = frozenset()
     services: frozenset[ServiceName] = frozenset()
-    exceptions: Mapping[str, ExceptionRecord] = EMPTY
+    exceptions: Mapping[str, ExceptionRecord] = field(default_factory=lambda: EMPTY)
 
 
 @dataclass(frozen=True, slots=True)
@@ -165,9 +165,9 @@
 
     revision: Revision = Revision(0)
     defaults: Defaults = field(default_factory=Defaults)
-    brands: Mapping[BrandName, BrandConfig] = EMPTY
-    models: Mapping[ModelName, ModelConfig] = EMPTY
-    services: Mapping[ServiceName, ServiceConfig] = EMPTY
+    brands: Mapping[BrandName, BrandConfig] = field(default_factory=lambda: EMPTY)
+    models: Mapping[ModelName, ModelConfig] = field(default_factory=lambda: EMPTY)
+    services: Mapping[ServiceName, ServiceConfig] = field(default_factory=lambda: EMPTY)
 
     def value_for(self, brand: BrandName, default_name: str) -> object:
         """Return a default, or the brand's exception to it.
