--- /dev/null
+++ b/bergamothill/request/usage.py
@@ -0,0 +1,57 @@
+"""Decaying rates per brand: recent demand and recent work, for fair admission."""
+
+from __future__ import annotations
+
+import math
+
+from bergamothill.ids import BrandName
+
+__all__ = ["DecayingRates"]
+
+MILLIS_PER_SECOND = 1_000
+
+
+class DecayingRates:
+    """Exponentially decaying rate of each brand.
+
+    :param time_constant_ms: age at which an amount has decayed to 1/e, in milliseconds
+    """
+
+    def __init__(self, time_constant_ms: int) -> None:
+        self._time_constant_ms = time_constant_ms
+        self._rates: dict[BrandName, tuple[float, int]] = {}
+
+    def add(self, brand: BrandName, amount: float, now_ms: int) -> None:
+        """Count an amount.
+
+        :param brand: brand that it belongs to
+        :param amount: requests or tokens
+        :param now_ms: current instant
+        """
+        step = amount * MILLIS_PER_SECOND / self._time_constant_ms
+        self._rates[brand] = (self.rate(brand, now_ms) + step, now_ms)
+
+    def rate(self, brand: BrandName, now_ms: int) -> float:
+        """Return a brand's amount per second.
+
+        :param brand: brand asked for
+        :param now_ms: current instant
+        """
+        rate, at_ms = self._rates.get(brand, (0.0, now_ms))
+        return rate * math.exp(-max(0, now_ms - at_ms) / self._time_constant_ms)
+
+    def all_rates(self, now_ms: int) -> dict[BrandName, float]:
+        """Return the amount per second of each brand ever counted.
+
+        :param now_ms: current instant
+        """
+        return {brand: self.rate(brand, now_ms) for brand in self._rates}
+
+    def forget_below(self, least_rate: float, now_ms: int) -> None:
+        """Drop brands whose rate has decayed, so that idle brands take no memory.
+
+        :param least_rate: rate to keep
+        :param now_ms: current instant
+        """
+        kept = {b: r for b, r in self._rates.items() if self.rate(b, now_ms) >= least_rate}
+        self._rates = kept
