--- a/bergamothill/connection/bus.py
+++ b/bergamothill/connection/bus.py
@@ -76,3 +76,13 @@
     @abstractmethod
     def live_peers(self) -> tuple[EntryInstanceId, ...]:
         """Return the live entry instances of this zone, itself included, in name order."""
+
+    def local_ms(self, peer: EntryInstanceId, peer_ms: int) -> int | None:
+        """Convert an instant on a peer's clock, to bound the age of what the peer reports.
+
+        :param peer: entry instance that read its clock
+        :param peer_ms: instant on the peer's clock, in milliseconds
+        :returns: instant on this process's clock that is not later than the peer's; None when the
+            relation of the clocks is not known
+        """
+        return None
--- /dev/null
+++ b/bergamothill/connection/codec.py
@@ -0,0 +1,263 @@
+"""CBOR form of typed messages, without any transport.
+
+A dataclass travels as the list of its field values in order. Trailing fields that equal their
+defaults are left out, and unknown trailing values are skipped, so that two releases understand
+each other while an upgrade is under way.
+"""
+
+from __future__ import annotations
+
+import types
+from collections.abc import Callable, Mapping
+from dataclasses import MISSING, Field, fields, is_dataclass
+from enum import Enum
+from functools import cache, singledispatch
+from typing import Any, NewType, TypeVar, Union, get_args, get_origin, get_type_hints
+
+import cbor2
+
+from bergamothill.connection.bus import MESSAGE_TYPES
+from bergamothill.errors import ProtocolError
+
+__all__ = ["decode_message", "decode_record", "encode_message", "encode_record"]
+
+R = TypeVar("R")
+Converter = Callable[[Any], Any]
+
+STEP = "codec"
+_SCALARS = (int, float, str, bytes, bool, type(None))
+
+
+@singledispatch
+def _to_wire(value: Any) -> Any:
+    if is_dataclass(value):
+        return _fields_to_wire(value)
+    raise TypeError(f"{type(value).__name__} cannot be sent")
+
+
+@_to_wire.register(int)
+@_to_wire.register(float)
+@_to_wire.register(str)
+@_to_wire.register(bytes)
+@_to_wire.register(type(None))
+def _(value: Any) -> Any:
+    return value
+
+
+@_to_wire.register(Enum)
+def _(value: Enum) -> Any:
+    return value.value
+
+
+@_to_wire.register(tuple)
+@_to_wire.register(list)
+def _(value: Any) -> list[Any]:
+    return [_to_wire(item) for item in value]
+
+
+@_to_wire.register(frozenset)
+@_to_wire.register(set)
+def _(value: Any) -> list[Any]:
+    return sorted(_to_wire(item) for item in value)
+
+
+@_to_wire.register(Mapping)
+def _(value: Mapping) -> dict[Any, Any]:
+    return {_to_wire(key): _to_wire(item) for key, item in value.items()}
+
+
+def _fields_to_wire(record: Any) -> list[Any]:
+    values = [getattr(record, name) for name in _field_names(type(record))]
+    defaults = _defaults(type(record))
+    while values and defaults[len(values) - 1] is not MISSING:
+        if values[-1] != defaults[len(values) - 1]:
+            break
+        values.pop()
+    return [_to_wire(value) for value in values]
+
+
+@cache
+def _field_names(cls: type) -> tuple[str, ...]:
+    return tuple(item.name for item in fields(cls))
+
+
+@cache
+def _defaults(cls: type) -> tuple[Any, ...]:
+    return tuple(_default(item) for item in fields(cls))
+
+
+def _default(item: Field) -> Any:
+    if item.default_factory is not MISSING:
+        return item.default_factory()
+    return item.default
+
+
+def _refuse(expected: str, value: Any) -> ProtocolError:
+    return ProtocolError(f"expected {expected}, found {type(value).__name__}", step=STEP)
+
+
+def _scalar(cls: type) -> Converter:
+    def convert(value: Any) -> Any:
+        if type(value) is cls:
+            return value
+        if cls is float and type(value) is int:
+            return float(value)
+        raise _refuse(cls.__name__, value)
+
+    return convert
+
+
+def _enum(cls: type[Enum]) -> Converter:
+    def convert(value: Any) -> Enum:
+        try:
+            return cls(value)
+        except ValueError as error:
+            raise _refuse(cls.__name__, value) from error
+
+    return convert
+
+
+def _sequence(build: Callable[[Any], Any], item: Converter) -> Converter:
+    def convert(value: Any) -> Any:
+        if not isinstance(value, list | tuple):
+            raise _refuse("a list", value)
+        return build(item(entry) for entry in value)
+
+    return convert
+
+
+def _fixed_tuple(items: tuple[Converter, ...]) -> Converter:
+    def convert(value: Any) -> tuple[Any, ...]:
+        if not isinstance(value, list | tuple) or len(value) != len(items):
+            raise _refuse(f"a list of {len(items)}", value)
+        return tuple(item(entry) for item, entry in zip(items, value, strict=True))
+
+    return convert
+
+
+def _mapping(key: Converter, item: Converter) -> Converter:
+    def convert(value: Any) -> dict[Any, Any]:
+        if not isinstance(value, dict):
+            raise _refuse("a map", value)
+        return {key(name): item(entry) for name, entry in value.items()}
+
+    return convert
+
+
+def _union(options: tuple[Converter, ...]) -> Converter:
+    def convert(value: Any) -> Any:
+        for option in options:
+            try:
+                return option(value)
+            except ProtocolError:
+                continue
+        raise _refuse("one of several types", value)
+
+    return convert
+
+
+def _record(cls: type) -> Converter:
+    hints = get_type_hints(cls)
+    converters = [_converter(hints[name]) for name in _field_names(cls)]
+    required = sum(1 for default in _defaults(cls) if default is MISSING)
+
+    def convert(value: Any) -> Any:
+        if not isinstance(value, list | tuple) or len(value) < required:
+            raise _refuse(f"the fields of {cls.__name__}", value)
+        pairs = zip(converters, value, strict=False)
+        return cls(*(converter(entry) for converter, entry in pairs))
+
+    return convert
+
+
+def _generic(hint: Any, origin: Any) -> Converter:
+    arguments = get_args(hint)
+    if origin in (Union, types.UnionType):
+        return _union(tuple(_converter(option) for option in arguments))
+    if origin is tuple and len(arguments) == 2 and arguments[1] is Ellipsis:
+        return _sequence(tuple, _converter(arguments[0]))
+    if origin is tuple:
+        return _fixed_tuple(tuple(_converter(item) for item in arguments))
+    if origin in (list, frozenset, set):
+        return _sequence(origin, _converter(arguments[0]))
+    if isinstance(origin, type) and issubclass(origin, Mapping):
+        return _mapping(_converter(arguments[0]), _converter(arguments[1]))
+    raise TypeError(f"{hint} cannot be received")
+
+
+@cache
+def _converter(hint: Any) -> Converter:
+    if hint is Any or hint is object:
+        return lambda value: value
+    if isinstance(hint, NewType):
+        return _converter(hint.__supertype__)
+    origin = get_origin(hint)
+    if origin is not None:
+        return _generic(hint, origin)
+    if hint in _SCALARS or hint is None:
+        return _scalar(type(None) if hint is None else hint)
+    if isinstance(hint, type) and issubclass(hint, Enum):
+        return _enum(hint)
+    if is_dataclass(hint):
+        return _record(hint)
+    raise TypeError(f"{hint} cannot be received")
+
+
+def _load(data: bytes) -> Any:
+    try:
+        return cbor2.loads(data)
+    except Exception as error:  # noqa: BLE001 - whatever the decoder raises, the frame is at fault
+        raise ProtocolError(f"frame is no CBOR: {error}", step=STEP) from error
+
+
+def _build(cls: type[R], value: Any) -> R:
+    try:
+        return _converter(cls)(value)
+    except (TypeError, ValueError, RecursionError) as error:
+        raise ProtocolError(f"malformed {cls.__name__}: {error}", step=STEP) from error
+
+
+def encode_record(record: object) -> bytes:
+    """Encode a dataclass whose type the receiver knows beforehand.
+
+    :param record: dataclass instance
+    :returns: CBOR bytes
+    """
+    return cbor2.dumps(_to_wire(record))
+
+
+def decode_record(cls: type[R], data: bytes) -> R:
+    """Decode a dataclass of a known type.
+
+    :param cls: class that the bytes must describe
+    :param data: CBOR bytes
+    :raises ProtocolError: the bytes are malformed
+    """
+    return _build(cls, _load(data))
+
+
+def encode_message(message: object) -> bytes:
+    """Encode a registered message with its name.
+
+    :param message: instance of a class registered with :func:`~bergamothill.connection.bus.message`
+    :returns: CBOR bytes
+    :raises TypeError: the class is not registered
+    """
+    name = getattr(type(message), "wire_name", None)
+    if name is None:
+        raise TypeError(f"{type(message).__name__} is no registered message")
+    return cbor2.dumps([name, _to_wire(message)])
+
+
+def decode_message(data: bytes) -> object | None:
+    """Decode a registered message.
+
+    :param data: CBOR bytes
+    :returns: the message, or None when this release does not know its name
+    :raises ProtocolError: the bytes are malformed
+    """
+    value = _load(data)
+    if not isinstance(value, list) or len(value) != 2 or not isinstance(value[0], str):
+        raise _refuse("name and fields", value)
+    cls = MESSAGE_TYPES.get(value[0])
+    return None if cls is None else _build(cls, value[1])
--- /dev/null
+++ b/bergamothill/process/rendezvous.py
@@ -0,0 +1,27 @@
+"""Rendezvous hashing: every instance ranks the same members alike without talking."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from hashlib import blake2b
+from typing import TypeVar
+
+__all__ = ["rendezvous"]
+
+T = TypeVar("T", bound=str)
+
+_SCORE_BYTES = 8
+
+
+def _score(key: str, member: str) -> bytes:
+    return blake2b(f"{key}\0{member}".encode(), digest_size=_SCORE_BYTES).digest()
+
+
+def rendezvous(key: str, members: Iterable[T]) -> tuple[T, ...]:
+    """Rank members for a key; a member's arrival or departure moves only its own keys.
+
+    :param key: what is to be placed
+    :param members: candidates
+    :returns: all members, the first choice first
+    """
+    return tuple(sorted(members, key=lambda member: (_score(key, member), member), reverse=True))
