--- a/bergamothill/version/revision.py
+++ b/bergamothill/version/revision.py
@@ -2,22 +2,24 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import re
 import secrets
-from collections.abc import Iterator, Mapping
-from concurrent.futures import ThreadPoolExecutor
+from collections.abc import Mapping
 from dataclasses import dataclass, replace
+from itertools import islice
 from typing import Any
 
 import cbor2
 
 from bergamothill.clock import Clock
-from bergamothill.connection.kvs import ABSENT, KeyValueEntry, KeyValueService
+from bergamothill.connection.kvs import KeyValueService
 from bergamothill.errors import (
     BergamothillError,
     ConflictError,
     Execution,
+    NotFoundError,
     PeerTimeoutError,
     PeerUnreachableError,
     ProtocolError,
@@ -29,22 +31,18 @@
 from bergamothill.version.effect import apply_changes
 from bergamothill.version.plain import to_plain
 from bergamothill.version.record import (
-    EMPTY_HEAD,
-    HEAD_KEY,
     AcceptedChange,
     Bucket,
     Head,
     HistoryPage,
-    bucket_records,
     conflicts,
-    content_key,
-    decode,
     digest_of,
     encode,
     join_buckets,
     next_lineage,
     split_buckets,
 )
+from bergamothill.version.recordstore import RecordStore
 
 __all__ = [
     "Accepted",
@@ -62,7 +60,7 @@
 SUMMARY_LENGTH = 96
 SETTLE_TIMEOUT_MS = 10_000
 RETRY_DELAY_MS = 100
-FETCH_WORKERS = 8
+TOKEN_BYTES = 8
 STEP = "configuration.submit"
 
 _BASE = re.compile(r"^r(\d+)-")
@@ -161,28 +159,26 @@
     def __init__(
         self, kvs: KeyValueService, clock: Clock, *, settle_timeout_ms: int = SETTLE_TIMEOUT_MS
     ) -> None:
-        self._kvs = kvs
+        self._records = RecordStore(kvs)
         self._clock = clock
         self._settle_timeout_ms = settle_timeout_ms
-        self._cache: dict[str, tuple[Any, ...]] = {}
 
     def read(self) -> Snapshot:
         """Read the accepted configuration.
 
         :raises PeerUnreachableError: the service was not reached
         :raises PeerTimeoutError: the service did not answer
+        :raises ProtocolError: the service lost a part of the configuration
         """
         while True:
-            head, mod_revision = self._read_head()
+            head, mod_revision = self._records.read_head()
             try:
-                contents = self._read_contents(head)
-            except KeyError:
-                # A content that is gone belongs to a head that was replaced long ago.
-                if self._read_head()[1] == mod_revision:
-                    raise ProtocolError(
-                        f"revision {head.revision} lacks content", step="configuration.read"
-                    ) from None
-                continue
+                contents = self._records.read_contents(head)
+            except NotFoundError as error:
+                # Contents are deleted some time after their head was replaced.
+                if self._records.read_head()[1] != mod_revision:
+                    continue
+                raise ProtocolError(error.message, step=error.step) from error
             return Snapshot(head, mod_revision, join_buckets(head.revision, contents))
 
     def history(self, limit: int) -> tuple[AcceptedChange, ...]:
@@ -190,13 +186,8 @@
 
         :param limit: most changes to return
         """
-        head, _ = self._read_head()
-        found: list[AcceptedChange] = []
-        for change in self._changes_back(head):
-            if len(found) >= limit:
-                break
-            found.append(change)
-        return tuple(found)
+        head, _ = self._records.read_head()
+        return tuple(islice(self._records.changes_back(head), limit))
 
     def submit(
         self,
@@ -220,117 +211,74 @@
         :raises PeerUnreachableError: the service was not reached; the change was not accepted
         :raises PeerTimeoutError: the outcome is unknown; submit again with the same id
         """
-        attempt = _Attempt(self, changes, change_id, base)
-        return attempt.run(self._clock.now_ms() + self._settle_timeout_ms)
-
-    def _read_head(self) -> tuple[Head, int]:
-        entry = self._kvs.get(HEAD_KEY)
-        if entry is None:
-            return EMPTY_HEAD, ABSENT
-        return decode(Head, entry.value), entry.mod_revision
-
-    def _read_contents(self, head: Head) -> dict[str, tuple[Any, ...]]:
-        missing = {n: d for n, d in head.buckets.items() if d not in self._cache}
-        if len(missing) > FETCH_WORKERS:
-            with ThreadPoolExecutor(FETCH_WORKERS) as pool:
-                values = list(pool.map(self._read_content, missing.values()))
-        else:
-            values = [self._read_content(digest) for digest in missing.values()]
-        for (name, digest), value in zip(missing.items(), values, strict=True):
-            self._cache[digest] = bucket_records(name, value)
-        self._cache = {digest: self._cache[digest] for digest in head.buckets.values()}
-        return {name: self._cache[digest] for name, digest in head.buckets.items()}
-
-    def _read_content(self, digest: str) -> bytes:
-        entry = self._kvs.get(content_key(digest))
-        if entry is None:
-            raise KeyError(digest)
-        if digest_of(entry.value) != digest:
-            raise ProtocolError(f"content {digest} is damaged", step="configuration.read")
-        return entry.value
-
-    def _changes_back(self, head: Head) -> Iterator[AcceptedChange]:
-        yield from reversed(head.recent)
-        page_digest = head.page
-        while page_digest:
-            page = decode(HistoryPage, self._read_content(page_digest))
-            yield from reversed(page.changes)
-            page_digest = page.page
-
-    def _write_content(self, value: bytes) -> str:
-        digest = digest_of(value)
-        try:
-            self._kvs.put_if(content_key(digest), value, expected=ABSENT)
-        except ConflictError:
-            pass  # The name is the digest: what is there is the same content.
-        return digest
-
-    def _delete_content(self, digest: str) -> None:
-        try:
-            entry = self._kvs.get(content_key(digest))
-            if entry is not None:
-                self._kvs.delete_if(entry.key, expected=entry.mod_revision)
-        except BergamothillError:
-            pass  # Left-over content costs room only.
+        submission = _Submission(self._records, self._clock, changes, change_id, base)
+        return submission.run(self._settle_timeout_ms)
 
 
-class _Attempt:
+class _Submission:
     """One submission, followed up until it is settled or its time is over."""
 
     def __init__(
         self,
-        writer: ConfigurationWriter,
+        records: RecordStore,
+        clock: Clock,
         changes: tuple[Change, ...],
         change_id: ChangeId | None,
         base: Revision | None,
     ) -> None:
-        self._writer = writer
-        self._kvs = writer._kvs
-        self._clock = writer._clock
+        self._records = records
+        self._clock = clock
         self._changes = changes
         self._change_id = change_id
-        self._given = change_id is not None
-        self._base = base if base is not None or change_id is None else base_of(change_id)
+        self._base = base
+        if base is None and change_id is not None:
+            self._base = base_of(change_id)
         self._items = _items(changes)
         self._fingerprint = _fingerprint(changes)
-        self._in_doubt = False
+        self._token = secrets.token_hex(TOKEN_BYTES)
+        self._doubtful_at: int | None = None
+        self._deadline_ms = 0
 
-    def run(self, deadline_ms: int) -> Accepted:
+    def run(self, timeout_ms: int) -> Accepted:
         """Try until settled.
 
-        :param deadline_ms: instant to give up, in milliseconds
+        :param timeout_ms: when to give up, in milliseconds
         """
+        self._deadline_ms = self._clock.now_ms() + timeout_ms
         while True:
             try:
-                accepted = self._once()
+                accepted = self._attempt()
             except (PeerUnreachableError, PeerTimeoutError) as error:
-                if not self._in_doubt:
-                    raise self._not_run(error) from error
-                if self._clock.now_ms() >= deadline_ms:
-                    raise self._unknown(error) from error
-                self._clock.sleep_ms(RETRY_DELAY_MS)
-                continue
-            if accepted is not None:
-                return accepted
-            if self._clock.now_ms() >= deadline_ms:
-                raise self._contended()
-
-    def _once(self) -> Accepted | None:
-        head, mod_revision = self._writer._read_head()
-        if self._base is None and not self._given:
-            self._base = head.revision
-        if self._change_id is None:
-            self._change_id = new_change_id(self._base or Revision(0))
+                self._check_time(error)
+            else:
+                if accepted is not None:
+                    return accepted
+                self._check_contention()
+            self._clock.sleep_ms(RETRY_DELAY_MS)
+
+    def _attempt(self) -> Accepted | None:
+        head, mod_revision = self._records.read_head()
+        self._take_base(head)
         earlier = self._find_earlier(head)
         if earlier is not None:
             return earlier
+        if mod_revision != self._doubtful_at:
+            # The head moved on without this change: a write still under way can only fail.
+            self._doubtful_at = None
         self._check_conflicts(head)
         return self._write(head, mod_revision)
 
+    def _take_base(self, head: Head) -> None:
+        if self._change_id is not None:
+            return
+        if self._base is None:
+            self._base = head.revision
+        self._change_id = new_change_id(self._base)
+
     def _find_earlier(self, head: Head) -> Accepted | None:
         """Look for the id among the accepted changes after the base, newest first."""
         later: list[AcceptedChange] = []
-        for done in self._writer._changes_back(head):
+        for done in self._records.changes_back(head):
             if self._base is not None and done.revision <= self._base:
                 return None
             if done.change_id == self._change_id:
@@ -350,38 +298,44 @@
 
     def _check_conflicts(self, head: Head) -> None:
         if self._base is None:
-            return
-        for done in self._writer._changes_back(head):
+            self._base = head.revision
+        for done in self._records.changes_back(head):
             if done.revision <= self._base:
                 return
             if conflicts(self._items, done.items):
                 raise ChangeConflictError(done)
 
     def _write(self, head: Head, mod_revision: int) -> Accepted | None:
-        contents = self._writer._read_contents(head)
-        before = join_buckets(head.revision, contents)
-        after = apply_changes(before, self._changes)
+        try:
+            contents = self._records.read_contents(head)
+        except NotFoundError:
+            return None
+        after = apply_changes(join_buckets(head.revision, contents), self._changes)
         revision = Revision(head.revision + 1)
         written, buckets = self._write_buckets(head, contents, after, revision)
         new_head = self._next_head(head, buckets, revision)
         try:
-            self._kvs_put(encode(new_head), mod_revision)
+            self._write_head(new_head, mod_revision)
         except ConflictError:
             self._discard(written)
             return None
         for digest in self._dropped(head, new_head):
-            self._writer._delete_content(digest)
+            self._records.delete_content(digest)
         return Accepted(self._change_id, revision)
 
-    def _kvs_put(self, value: bytes, mod_revision: int) -> KeyValueEntry:
-        """Write the head; after a lost reply the same write again, which a late one cannot pass."""
-        deadline_ms = self._clock.now_ms() + self._writer._settle_timeout_ms
+    def _write_head(self, head: Head, mod_revision: int) -> None:
+        """Write the head; after a lost reply send the same write again.
+
+        Reading back would not settle it: the lost write may still take effect after the read.
+        """
         while True:
             try:
-                return self._kvs.put_if(HEAD_KEY, value, expected=mod_revision)
+                self._records.write_head(head, mod_revision)
+                return
             except (PeerUnreachableError, PeerTimeoutError) as error:
-                self._in_doubt |= error.execution is Execution.UNKNOWN
-                if not self._in_doubt or self._clock.now_ms() >= deadline_ms:
+                if error.execution is Execution.UNKNOWN:
+                    self._doubtful_at = mod_revision
+                if self._doubtful_at is None or self._clock.now_ms() >= self._deadline_ms:
                     raise
             self._clock.sleep_ms(RETRY_DELAY_MS)
 
@@ -398,8 +352,8 @@
             if contents.get(name) == records:
                 buckets[name] = head.buckets[name]
                 continue
-            bucket = Bucket(f"{revision} {self._change_id}", to_plain(records))
-            buckets[name] = self._writer._write_content(encode(bucket))
+            bucket = Bucket(f"{revision} {self._token}", to_plain(records))
+            buckets[name] = self._records.write_content(encode(bucket))
             written.append(buckets[name])
         return written, buckets
 
@@ -417,7 +371,7 @@
         recent, page = (*head.recent, change), head.page
         if len(recent) > RECENT_MAX:
             old = HistoryPage(recent[:PAGE_CHANGES], page)
-            recent, page = recent[PAGE_CHANGES:], self._writer._write_content(encode(old))
+            recent, page = recent[PAGE_CHANGES:], self._records.write_content(encode(old))
         kept = set(buckets.values())
         replaced = tuple(digest for digest in head.buckets.values() if digest not in kept)
         retired = (*head.retired, *replaced)[-RETIRED_MAX:]
@@ -428,21 +382,39 @@
         return gone - {*new_head.retired, *new_head.buckets.values()}
 
     def _discard(self, written: list[str]) -> None:
-        head, _ = self._writer._read_head()
-        if head.find(self._change_id) is None:
+        """Delete the contents of a head that was not accepted."""
+        with contextlib.suppress(BergamothillError):
+            head, _ = self._records.read_head()
+            used = {*head.buckets.values(), *head.retired}
             for digest in written:
-                self._writer._delete_content(digest)
+                if digest not in used:
+                    self._records.delete_content(digest)
+
+    def _check_time(self, error: BergamothillError) -> None:
+        """Raise when there is no point in trying further."""
+        over = self._clock.now_ms() >= self._deadline_ms
+        if self._doubtful_at is not None:
+            if over:
+                raise self._unknown(error) from error
+            return
+        if over or isinstance(error, PeerUnreachableError):
+            raise self._not_run(error) from error
 
-    def _not_run(self, error: BergamothillError) -> BergamothillError:
-        cls = type(error)
-        message = f"change {self._change_id or ''} was not accepted: {error.message}"
-        return cls(message, step=STEP, peer=error.peer, execution=Execution.NOT_RUN)
+    def _check_contention(self) -> None:
+        if self._clock.now_ms() < self._deadline_ms:
+            return
+        if self._doubtful_at is not None:
+            raise PeerTimeoutError(self._unknown_text(), step=STEP)
+        raise UnavailableError(
+            f"change {self._change_id} lost every race and was not accepted", step=STEP
+        )
+
+    def _unknown_text(self) -> str:
+        return f"outcome of change {self._change_id} is unknown; repeat it with the same id"
 
     def _unknown(self, error: BergamothillError) -> PeerTimeoutError:
-        message = f"outcome of change {self._change_id} is unknown; repeat it with the same id"
-        return PeerTimeoutError(message, step=STEP, peer=error.peer)
+        return PeerTimeoutError(self._unknown_text(), step=STEP, peer=error.peer)
 
-    def _contended(self) -> UnavailableError:
-        return UnavailableError(
-            f"change {self._change_id} lost every race and was not accepted", step=STEP
-        )
+    def _not_run(self, error: BergamothillError) -> BergamothillError:
+        message = f"change {self._change_id or ''} was not accepted: {error.message}"
+        return type(error)(message, step=STEP, peer=error.peer, execution=Execution.NOT_RUN)
--- /dev/null
+++ b/bergamothill/version/watcher.py
@@ -0,0 +1,400 @@
+"""Keeps an entry instance's configuration up to date from the key-value service and from peers."""
+
+from __future__ import annotations
+
+import hashlib
+import random
+import threading
+from collections import deque
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+
+from bergamothill.clock import Clock, seconds
+from bergamothill.connection.bus import PeerBus, Scope, message
+from bergamothill.connection.kvs import KeyValueService
+from bergamothill.errors import BergamothillError, NotFoundError, UnavailableError
+from bergamothill.ids import EntryInstanceId, Revision
+from bergamothill.process.logs import EventLog
+from bergamothill.version.config import Configuration
+from bergamothill.version.follower import (
+    ConfigurationFollower,
+    HeadVerdict,
+    RefusalReason,
+    Source,
+    VerdictKind,
+)
+from bergamothill.version.record import EMPTY_HEAD, HEAD_KEY, encode
+from bergamothill.version.recordstore import RecordStore
+
+__all__ = ["ConfigurationStatus", "ConfigurationWatcher"]
+
+WATCHERS_PER_ZONE = 2
+WATCH_TIMEOUT_MS = 2_500
+HEAD_READ_INTERVAL_MS = 30_000
+RETRY_DELAY_MS = 500
+IDLE_DELAY_MS = 1_000
+TICK_MS = 1_000
+TICKS_PER_EXCHANGE = 5
+SILENCE_LIMIT_MS = 3_000
+PEER_TIMEOUT_MS = 1_000
+START_GRACE_MS = 500
+START_PEERS = 3
+NO_AGE = -1
+
+_log = EventLog("configuration")
+
+
+@message("configuration.announce")
+@dataclass(frozen=True, slots=True)
+class Announce:
+    """A peer has a revision in force.
+
+    :param revision: revision in force
+    :param lineage: its lineage
+    :param age_ms: time since it was confirmed as the latest, in milliseconds; -1 for never
+    """
+
+    revision: int
+    lineage: str
+    age_ms: int
+
+
+@message("configuration.head_request")
+@dataclass(frozen=True, slots=True)
+class HeadRequest:
+    """Ask for the peer's head if it is newer.
+
+    :param revision: revision in force at the sender
+    """
+
+    revision: int
+
+
+@message("configuration.head_reply")
+@dataclass(frozen=True, slots=True)
+class HeadReply:
+    """Head of a peer.
+
+    :param announce: what the peer has in force
+    :param value: encoded head; empty when it is not newer
+    """
+
+    announce: Announce
+    value: bytes
+
+
+@message("configuration.content_request")
+@dataclass(frozen=True, slots=True)
+class ContentRequest:
+    """Ask for one content of the peer's configuration."""
+
+    digest: str
+
+
+@message("configuration.content_reply")
+@dataclass(frozen=True, slots=True)
+class ContentReply:
+    """Content of a peer's configuration.
+
+    :param value: its bytes; empty when the peer does not have it
+    """
+
+    value: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationStatus:
+    """What an entry instance reports of its configuration.
+
+    :param revision: revision in force; 0 before the first
+    :param lineage: lineage of that revision
+    :param age_ms: time since it was confirmed as the latest, in milliseconds; None for never
+    :param refused_revision: revision of a head that is refused; 0 for none
+    :param reason: why it is refused
+    :param holds_watch: this instance watches the key-value service for its zone
+    :param kvs_reachable: the last call to the key-value service was answered
+    """
+
+    revision: Revision
+    lineage: str
+    age_ms: int | None
+    refused_revision: Revision
+    reason: RefusalReason
+    holds_watch: bool
+    kvs_reachable: bool
+
+
+class ConfigurationWatcher:
+    """Runs a :class:`ConfigurationFollower` against the key-value service and the peers.
+
+    :param kvs: key-value service of the platform
+    :param bus: messages to the other entry instances
+    :param clock: source of time
+    :param entry_id: this entry instance
+    :param on_apply: called with each configuration as it comes into force, one at a time
+    :param rng: source of random choices
+    """
+
+    def __init__(
+        self,
+        kvs: KeyValueService,
+        bus: PeerBus,
+        clock: Clock,
+        entry_id: EntryInstanceId,
+        on_apply: Callable[[Configuration], None],
+        *,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._kvs = kvs
+        self._records = RecordStore(kvs)
+        self._bus = bus
+        self._clock = clock
+        self._entry_id = entry_id
+        self._on_apply = on_apply
+        self._random = rng or random.Random()
+        self._follower = ConfigurationFollower(clock)
+        self._lock = threading.RLock()
+        self._follow_lock = threading.RLock()
+        self._behind: deque[EntryInstanceId] = deque(maxlen=START_PEERS)
+        self._wake = threading.Event()
+        self._stop = threading.Event()
+        self._started = threading.Event()
+        self._pool: ThreadPoolExecutor | None = None
+        self._seen: int | None = None
+        self._head_read_ms = 0
+        self._kvs_reachable = False
+        self._ticks = 0
+        bus.subscribe(Announce, self._on_announce)
+        bus.subscribe(HeadRequest, self._on_head_request)
+        bus.subscribe(ContentRequest, self._on_content_request)
+
+    def start(self) -> None:
+        """Start the threads; returns at once."""
+        self._pool = ThreadPoolExecutor(2, thread_name_prefix="configuration")
+        self._pool.submit(self._loop, self._watch_loop_step)
+        self._pool.submit(self._loop, self._peer_loop_step)
+
+    def stop(self) -> None:
+        """Stop the threads and wait for them, at most one watch long."""
+        self._stop.set()
+        self._wake.set()
+        if self._pool is not None:
+            self._pool.shutdown(wait=True)
+
+    def current(self) -> Configuration:
+        """Return the configuration in force.
+
+        :raises UnavailableError: none is known yet
+        """
+        configuration = self._follower.configuration
+        if configuration is None:
+            raise UnavailableError(
+                "no configuration is known yet", step="configuration", retry_after_ms=TICK_MS
+            )
+        return configuration
+
+    def status(self) -> ConfigurationStatus:
+        """Return what is known of the configuration."""
+        with self._lock:
+            status = self._follower.status()
+        return ConfigurationStatus(
+            revision=status.revision,
+            lineage=status.lineage,
+            age_ms=status.age_ms,
+            refused_revision=status.refused_revision,
+            reason=status.reason,
+            holds_watch=self.holds_watch(),
+            kvs_reachable=self._kvs_reachable,
+        )
+
+    def holds_watch(self) -> bool:
+        """Tell whether this instance is ranked to watch the key-value service for its zone."""
+        peers = set(self._bus.live_peers()) | {self._entry_id}
+        ranked = sorted(peers, key=_rank)
+        return self._entry_id in ranked[:WATCHERS_PER_ZONE]
+
+    def start_from_peers(self) -> None:
+        """Take the highest configuration of a few peers, before the key-value service is read."""
+        others = self._others()
+        for peer in self._random.sample(others, min(START_PEERS, len(others))):
+            self.pull(peer)
+
+    def watch_once(self) -> int:
+        """Wait for one change at the key-value service, or read its head.
+
+        :returns: pause before the next call, in milliseconds
+        """
+        if not self.holds_watch() and not self._steps_in():
+            self._seen = None
+            return IDLE_DELAY_MS
+        try:
+            delay_ms = self._watch()
+        except BergamothillError as error:
+            self._seen = None
+            if self._kvs_reachable:
+                _log.warning("kvs_lost", step=error.step, error=error.message)
+            self._kvs_reachable = False
+            return RETRY_DELAY_MS + self._random.randrange(RETRY_DELAY_MS)
+        if not self._kvs_reachable:
+            _log.info("kvs_reached", revision=self._follower.head.revision)
+        self._kvs_reachable = True
+        return delay_ms
+
+    def peer_once(self) -> None:
+        """Catch up with peers that are ahead, and compare revisions with a random one."""
+        self._ticks += 1
+        while self._behind:
+            self.pull(self._behind.popleft())
+        if self.holds_watch():
+            self._announce(Scope.ZONE)
+        others = self._others()
+        if others and self._ticks % TICKS_PER_EXCHANGE == 0:
+            self.pull(self._random.choice(others))
+
+    def pull(self, peer: EntryInstanceId) -> None:
+        """Take a peer's configuration if it is newer.
+
+        :param peer: entry instance to ask
+        """
+        request = HeadRequest(self._follower.head.revision)
+        try:
+            reply = self._bus.request(peer, request, timeout_ms=PEER_TIMEOUT_MS)
+            if reply.value:
+                self._follow(reply.value, Source.PEER, lambda d: self._from_peer(peer, d))
+        except BergamothillError as error:
+            _log.debug("pull_failed", peer=peer, step=error.step, error=error.message)
+            return
+        self._on_announce(peer, reply.announce)
+
+    def _loop(self, step: Callable[[], int]) -> None:
+        while not self._stop.is_set():
+            try:
+                delay_ms = step()
+            except Exception as error:  # noqa: BLE001 - the loop must outlive any fault of a step
+                _log.error("step_failed", error=repr(error))
+                delay_ms = IDLE_DELAY_MS
+            if delay_ms:
+                self._stop.wait(seconds(delay_ms))
+
+    def _watch_loop_step(self) -> int:
+        if not self._started.wait(seconds(PEER_TIMEOUT_MS * START_PEERS)):
+            self._started.set()
+        return self.watch_once()
+
+    def _peer_loop_step(self) -> int:
+        if not self._started.is_set():
+            if not self._others():
+                self._stop.wait(seconds(START_GRACE_MS))
+            self.start_from_peers()
+            self._started.set()
+        self.peer_once()
+        self._wake.wait(seconds(TICK_MS))
+        self._wake.clear()
+        return 0
+
+    def _steps_in(self) -> bool:
+        """Decide to read the key-value service although others should; two do so on average."""
+        age_ms = self._follower.status().age_ms
+        if age_ms is not None and age_ms <= SILENCE_LIMIT_MS:
+            return False
+        return self._random.random() * (len(self._others()) + 1) < WATCHERS_PER_ZONE
+
+    def _others(self) -> list[EntryInstanceId]:
+        return [peer for peer in self._bus.live_peers() if peer != self._entry_id]
+
+    def _watch(self) -> int:
+        started_ms = self._clock.now_ms()
+        if self._seen is None or started_ms - self._head_read_ms >= HEAD_READ_INTERVAL_MS:
+            seen = self._kvs.wait_change(HEAD_KEY, after=0, timeout_ms=0)
+            self._read_head()
+            self._seen = seen
+            return 0 if seen else RETRY_DELAY_MS
+        seen = self._kvs.wait_change(HEAD_KEY, after=self._seen, timeout_ms=WATCH_TIMEOUT_MS)
+        if seen != self._seen:
+            self._read_head()
+            self._seen = seen
+            return 0
+        with self._lock:
+            if self._follower.status().reason is RefusalReason.NONE:
+                head = self._follower.head
+                self._follower.confirm(head.revision, head.lineage, 0)
+        is_early = self._clock.now_ms() - started_ms < RETRY_DELAY_MS
+        return RETRY_DELAY_MS if is_early else 0
+
+    def _read_head(self) -> None:
+        self._head_read_ms = self._clock.now_ms()
+        entry = self._kvs.get(HEAD_KEY)
+        value = encode(EMPTY_HEAD) if entry is None else entry.value
+        verdict = self._follow(value, Source.KVS, self._records.read_content)
+        if verdict.kind is VerdictKind.REFUSED:
+            _log.error(
+                "configuration_refused",
+                revision=verdict.revision,
+                reason=verdict.reason.value,
+                in_force=self._follower.head.revision,
+            )
+
+    def _follow(self, value: bytes, source: Source, fetch: Callable[[str], bytes]) -> HeadVerdict:
+        """Bring a head into force if the follower allows it, with the contents it lacks."""
+        with self._follow_lock:
+            with self._lock:
+                verdict = self._follower.offer_head(value, source)
+            while verdict.kind is VerdictKind.FETCH:
+                contents = {digest: fetch(digest) for digest in verdict.fetch}
+                with self._lock:
+                    for digest, content in contents.items():
+                        self._follower.offer_content(digest, content)
+                    verdict = self._follower.judge() or verdict
+            if verdict.kind is VerdictKind.READY:
+                self._apply(source)
+        return verdict
+
+    def _apply(self, source: Source) -> None:
+        with self._lock:
+            configuration = self._follower.apply()
+        _log.info("configuration_applied", revision=configuration.revision, source=source.value)
+        self._on_apply(configuration)
+        self._announce(Scope.EVERYWHERE)
+
+    def _from_peer(self, peer: EntryInstanceId, digest: str) -> bytes:
+        reply = self._bus.request(peer, ContentRequest(digest), timeout_ms=PEER_TIMEOUT_MS)
+        if not reply.value:
+            raise NotFoundError(f"no content {digest}", step="configuration.pull", peer=peer)
+        return reply.value
+
+    def _announcement(self) -> Announce:
+        status = self._follower.status()
+        age_ms = NO_AGE if status.age_ms is None else status.age_ms
+        return Announce(status.revision, status.lineage, age_ms)
+
+    def _announce(self, scope: Scope) -> None:
+        with self._lock:
+            announcement = self._announcement()
+        if self._follower.configuration is not None:
+            self._bus.publish(announcement, scope)
+
+    def _on_announce(self, sender: EntryInstanceId, announce: Announce) -> None:
+        with self._lock:
+            if announce.age_ms != NO_AGE:
+                self._follower.confirm(
+                    Revision(announce.revision), announce.lineage, announce.age_ms
+                )
+            is_newer = self._follower.is_newer(Revision(announce.revision))
+        if is_newer and sender not in self._behind:
+            self._behind.append(sender)
+            self._wake.set()
+
+    def _on_head_request(self, sender: EntryInstanceId, request: HeadRequest) -> HeadReply:
+        with self._lock:
+            is_newer = self._follower.head.revision > request.revision
+            value = self._follower.head_value if is_newer else b""
+            return HeadReply(self._announcement(), value)
+
+    def _on_content_request(self, sender: EntryInstanceId, request: ContentRequest) -> ContentReply:
+        with self._lock:
+            return ContentReply(self._follower.content(request.digest) or b"")
+
+
+def _rank(peer: EntryInstanceId) -> bytes:
+    return hashlib.sha256(f"configuration-watch {peer}".encode()).digest()
