--- a/bergamothill/version/record.py
+++ b/bergamothill/version/record.py
@@ -88,7 +88,7 @@
 
     revision: Revision = Revision(0)
     lineage: str = ""
-    buckets: Mapping[str, str] = EMPTY
+    buckets: Mapping[str, str] = field(default_factory=lambda: EMPTY)
     recent: tuple[AcceptedChange, ...] = ()
     page: str = ""
     retired: tuple[str, ...] = ()
--- /dev/null
+++ b/tests/test_watcher.py
@@ -0,0 +1,205 @@
+import random
+import unittest
+
+from bergamothill.clock import ManualClock, SystemClock
+from bergamothill.connection.kvs_memory import MemoryKeyValueService
+from bergamothill.errors import PeerUnreachableError, UnavailableError
+from bergamothill.version.change import AddBrand, SetDefault
+from bergamothill.version.follower import RefusalReason
+from bergamothill.version.revision import ConfigurationWriter
+from bergamothill.version.watcher import ConfigurationWatcher
+from tests.localbus import LocalNetwork
+
+
+class SwitchedKeyValueService(MemoryKeyValueService):
+    """Service that can be down for some clients."""
+
+    def __init__(self, clock):
+        super().__init__(clock)
+        self.down = False
+        self.reads = 0
+
+    def get(self, key):
+        self._check_up()
+        self.reads += 1
+        return super().get(key)
+
+    def wait_change(self, prefix, *, after, timeout_ms):
+        self._check_up()
+        return super().wait_change(prefix, after=after, timeout_ms=0)
+
+    def _check_up(self):
+        if self.down:
+            raise PeerUnreachableError("down", step="kvs")
+
+
+class WatcherCase(unittest.TestCase):
+    def setUp(self):
+        self.clock = ManualClock()
+        self.kvs = SwitchedKeyValueService(self.clock)
+        self.network = LocalNetwork()
+        self.applied = {}
+        self.watchers = {}
+
+    def add(self, entry, zone="a"):
+        self.applied[entry] = []
+        bus = self.network.bus(entry, zone)
+        self.watchers[entry] = ConfigurationWatcher(
+            self.kvs,
+            bus,
+            self.clock,
+            entry,
+            lambda configuration: self.applied[entry].append(configuration.revision),
+            rng=random.Random(1),
+        )
+        return self.watchers[entry]
+
+    def step(self, rounds=1):
+        for _ in range(rounds):
+            for watcher in self.watchers.values():
+                watcher.watch_once()
+                watcher.peer_once()
+            self.clock.advance_ms(1_000)
+
+    def accept(self, value):
+        return ConfigurationWriter(self.kvs, self.clock).submit(
+            (SetDefault("warm_time_ms", value),)
+        )
+
+    def revisions(self):
+        return {watcher.current().revision for watcher in self.watchers.values()}
+
+
+class WatcherTests(WatcherCase):
+    def test_two_of_each_zone_hold_the_watch(self):
+        for number in range(6):
+            self.add(f"a{number}", "a")
+            self.add(f"b{number}", "b")
+        holders = [entry for entry, w in self.watchers.items() if w.holds_watch()]
+        self.assertEqual(sorted(holder[0] for holder in holders), ["a", "a", "b", "b"])
+
+    def test_change_reaches_all_entries(self):
+        for number in range(5):
+            self.add(f"a{number}")
+        self.accept(5)
+        self.step(2)
+        self.assertEqual(self.revisions(), {1})
+        self.accept(6)
+        self.step(2)
+        self.assertEqual(self.revisions(), {2})
+        self.assertEqual(self.applied["a0"], [1, 2])
+
+    def test_lost_announcements_are_made_up_for(self):
+        for number in range(5):
+            self.add(f"a{number}")
+        self.accept(5)
+        self.step(2)
+        self.accept(6)
+        for bus in self.network.buses.values():
+            bus.lose_publishes = 2
+        self.step(4)
+        self.assertEqual(self.revisions(), {2})
+
+    def test_empty_service_gives_the_empty_configuration(self):
+        watcher = self.add("a0")
+        self.step()
+        self.assertEqual(watcher.current().revision, 0)
+        self.assertEqual(self.applied["a0"], [0])
+
+    def test_no_configuration_is_not_run(self):
+        self.kvs.down = True
+        watcher = self.add("a0")
+        self.step()
+        with self.assertRaises(UnavailableError):
+            watcher.current()
+        self.assertIsNone(watcher.status().age_ms)
+
+    def test_entry_started_in_an_outage_takes_the_peers_configuration(self):
+        for number in range(3):
+            self.add(f"a{number}")
+        self.accept(5)
+        self.step(2)
+        self.kvs.down = True
+        self.clock.advance_ms(60_000)
+        late = self.add("a9")
+        late.start_from_peers()
+        self.assertEqual(late.current().revision, 1)
+        self.assertGreaterEqual(late.status().age_ms, 60_000)
+        self.assertFalse(late.status().kvs_reachable)
+
+    def test_rolled_back_service_is_refused_and_reported(self):
+        watcher = self.add("a0")
+        self.accept(5)
+        old = self.kvs.snapshot()
+        self.accept(6)
+        self.step(2)
+        self.kvs.restore(old)
+        self.step()
+        self.assertEqual(watcher.current().defaults.warm_time_ms, 6)
+        self.assertIs(watcher.status().reason, RefusalReason.ROLLED_BACK)
+
+    def test_restored_service_that_went_another_way_is_refused(self):
+        watcher = self.add("a0")
+        self.accept(5)
+        old = self.kvs.snapshot()
+        self.accept(6)
+        self.step(2)
+        self.kvs.restore(old)
+        for value in (7, 8, 9):
+            self.accept(value)
+        self.step()
+        self.assertEqual(watcher.current().defaults.warm_time_ms, 6)
+        self.assertIs(watcher.status().reason, RefusalReason.DIVERGED)
+
+    def test_entry_steps_in_when_the_watching_entries_are_frozen(self):
+        for number in range(4):
+            self.add(f"a{number}")
+        self.accept(5)
+        self.step(2)
+        frozen = [entry for entry, w in self.watchers.items() if w.holds_watch()]
+        # Membership has not seen it yet: the frozen entries stay ranked.
+        for bus in self.network.buses.values():
+            bus.live_peers = lambda: ("a0", "a1", "a2", "a3")
+        self.network.frozen.update(frozen)
+        for entry in frozen:
+            del self.watchers[entry]
+        self.accept(6)
+        self.step(6)
+        self.assertEqual(self.revisions(), {2})
+
+    def test_only_changed_buckets_are_fetched(self):
+        self.add("a0")
+        writer = ConfigurationWriter(self.kvs, self.clock)
+        writer.submit(tuple(AddBrand(f"brand-{number}") for number in range(200)))
+        self.step(2)
+        writer.submit((AddBrand("acme"),))
+        before = self.kvs.reads
+        self.step()
+        self.assertEqual(self.kvs.reads - before, 2)
+
+
+class RunnerTests(unittest.TestCase):
+    def test_threads_apply_a_change_and_stop(self):
+        clock = SystemClock()
+        kvs = MemoryKeyValueService(clock)
+        network = LocalNetwork()
+        writer = ConfigurationWriter(kvs, clock)
+        watchers = [
+            ConfigurationWatcher(kvs, network.bus(entry, "a"), clock, entry, lambda _: None)
+            for entry in ("a0", "a1", "a2")
+        ]
+        for watcher in watchers:
+            watcher.start()
+        try:
+            writer.submit((SetDefault("warm_time_ms", 5),))
+            deadline_ms = clock.now_ms() + 6_000
+            while clock.now_ms() < deadline_ms and not all(map(_has_first, watchers)):
+                clock.sleep_ms(20)
+            self.assertTrue(all(map(_has_first, watchers)))
+        finally:
+            for watcher in watchers:
+                watcher.stop()
+
+
+def _has_first(watcher):
+    return watcher.status().revision == 1
