--- a/bergamothill/connection/link.py
+++ b/bergamothill/connection/link.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import secrets
 import socket
 import threading
@@ -31,13 +32,18 @@
 from bergamothill.connection.peerclock import PeerClock
 from bergamothill.errors import PeerTimeoutError, PeerUnreachableError, ProtocolError
 
-__all__ = ["MAX_FRAME_BYTES", "PeerLink", "accept_link", "dial_link"]
+__all__ = ["MAX_FRAME_BYTES", "PeerLink", "TRANSPORT_LOGGER", "accept_link", "dial_link"]
 
 MAX_FRAME_BYTES = 1_500_000
 NONCE_BYTES = 16
 CLOSE_TIMEOUT_MS = 500
 STEP = "peer.link"
 
+TRANSPORT_LOGGER = logging.getLogger("bergamothill.websockets")
+"""Logger of the websocket library; the links log their own events."""
+
+TRANSPORT_LOGGER.setLevel(logging.CRITICAL + 1)
+
 _TRANSPORT_ERRORS = (OSError, EOFError, WebSocketException)
 
 
@@ -201,7 +207,9 @@
 
 def _open_socket(address: str, timeout_ms: int) -> socket.socket:
     host, _, port = address.rpartition(":")
-    return socket.create_connection((host, int(port)), timeout=seconds(timeout_ms))
+    raw = socket.create_connection((host, int(port)), timeout=seconds(timeout_ms))
+    raw.settimeout(None)
+    return raw
 
 
 def _open_websocket(address: str, clock: Clock, timeout_ms: int) -> ClientConnection:
@@ -218,6 +226,7 @@
             ping_interval=None,
             close_timeout=seconds(CLOSE_TIMEOUT_MS),
             max_size=MAX_FRAME_BYTES,
+            logger=TRANSPORT_LOGGER,
         )
     except BaseException:
         raw.close()
--- a/bergamothill/connection/peer.py
+++ b/bergamothill/connection/peer.py
@@ -21,6 +21,7 @@
 from bergamothill.connection.link import (
     CLOSE_TIMEOUT_MS,
     MAX_FRAME_BYTES,
+    TRANSPORT_LOGGER,
     PeerLink,
     accept_link,
     dial_link,
@@ -122,6 +123,7 @@
             ping_interval=None,
             close_timeout=seconds(CLOSE_TIMEOUT_MS),
             max_size=MAX_FRAME_BYTES,
+            logger=TRANSPORT_LOGGER,
         )
         bound_port = self._server.socket.getsockname()[1]
         identity = self._identity
