--- a/bergamothill/connection/peer.py
+++ b/bergamothill/connection/peer.py
@@ -30,7 +30,8 @@
 from bergamothill.connection.relay import RelayFilter
 from bergamothill.errors import BergamothillError, PeerUnreachableError, UnavailableError
 from bergamothill.ids import EntryInstanceId, Incarnation, ZoneName
-from bergamothill.process.membership import (
+from bergamothill.process.membership import Membership, PeerView
+from bergamothill.process.membershipevents import (
     CloseLink,
     Dial,
     DialFailed,
@@ -43,9 +44,7 @@
     LinkId,
     LinkOpened,
     LinkSent,
-    Membership,
     PeerChanged,
-    PeerView,
     SendHeartbeat,
     Tick,
 )
