--- a/bergamothill/connection/peer.py
+++ b/bergamothill/connection/peer.py
@@ -21,6 +21,7 @@
 from bergamothill.connection.link import (
     CLOSE_TIMEOUT_MS,
     MAX_FRAME_BYTES,
+    TRANSPORT_LOGGER,
     PeerLink,
     accept_link,
     dial_link,
@@ -29,7 +30,8 @@
 from bergamothill.connection.relay import RelayFilter
 from bergamothill.errors import BergamothillError, PeerUnreachableError, UnavailableError
 from bergamothill.ids import EntryInstanceId, Incarnation, ZoneName
-from bergamothill.process.membership import (
+from bergamothill.process.membership import Membership, PeerView
+from bergamothill.process.membershipevents import (
     CloseLink,
     Dial,
     DialFailed,
@@ -42,9 +44,7 @@
     LinkId,
     LinkOpened,
     LinkSent,
-    Membership,
     PeerChanged,
-    PeerView,
     SendHeartbeat,
     Tick,
 )
@@ -122,6 +122,7 @@
             ping_interval=None,
             close_timeout=seconds(CLOSE_TIMEOUT_MS),
             max_size=MAX_FRAME_BYTES,
+            logger=TRANSPORT_LOGGER,
         )
         bound_port = self._server.socket.getsockname()[1]
         identity = self._identity
