--- a/bergamothill/connection/enginecache.py
+++ b/bergamothill/connection/enginecache.py
@@ -77,6 +77,8 @@
     def stage(self, generation: Generation, block: StagedBlock) -> None:
         """Hold an imported block apart from the kept ones."""
         self._staged[generation] = block
+        while len(self._staged) > self._capacity_blocks:
+            del self._staged[next(iter(self._staged))]
 
     def admit(self, imported: Sequence[Generation]) -> None:
         """Move confirmed imports from staging to the kept blocks."""
--- a/bergamothill/connection/memorystore.py
+++ b/bergamothill/connection/memorystore.py
@@ -20,7 +20,7 @@
 
     def __init__(self, clock: Clock, *, capacity_bytes: int = 1 << 30) -> None:
         self._clock = clock
-        self._capacity_bytes = capacity_bytes
+        self.capacity_bytes = capacity_bytes
         self._values: dict[str, bytes] = {}
         self._written_ms: dict[str, int] = {}
         self._lock = threading.Lock()
@@ -35,7 +35,7 @@
         """See :meth:`StoreInstance.put`."""
         with self._lock:
             used = sum(map(len, self._values.values())) - len(self._values.get(name, b""))
-            if used + len(value) > self._capacity_bytes:
+            if used + len(value) > self.capacity_bytes:
                 raise StoreFullError("no room", step="store.put", peer="memory")
             self._values[name] = bytes(value)
             self._written_ms[name] = self._clock.now_ms()
--- /dev/null
+++ b/bergamothill/request/blockport.py
@@ -0,0 +1,120 @@
+"""Carries out the effects of the block protocol at one engine and one store instance."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import singledispatchmethod
+
+from bergamothill.clock import Clock
+from bergamothill.connection.engine import BlockRef, ModelEngine, TransferOrder
+from bergamothill.errors import BergamothillError
+from bergamothill.request.storecalls import StoreEndpoint
+from bergamothill.version.blockname import BlockName, parse_listing
+from bergamothill.version.blockstore import (
+    BlockEffect,
+    BlockEvent,
+    BlockRead,
+    BlockWrite,
+    DataMoved,
+    ExportData,
+    ImportData,
+    ListCopy,
+    Listed,
+    MarkerPut,
+    PutMarker,
+    ReadConfirmed,
+    ReadRejected,
+    StepFailed,
+    WriteAbandoned,
+    WriteCommitted,
+)
+
+__all__ = ["BlockPort", "run_block_machine"]
+
+BlockOutcome = WriteCommitted | WriteAbandoned | ReadConfirmed | ReadRejected
+
+
+class BlockPort:
+    """Adapter between one block's machine and the outside.
+
+    :param engine: engine that moves the data
+    :param endpoint: store instance
+    :param token_count: tokens that the block covers
+    :param deadline_ms: longest duration of a transfer, in milliseconds
+    """
+
+    def __init__(
+        self, engine: ModelEngine, endpoint: StoreEndpoint, token_count: int, deadline_ms: int
+    ) -> None:
+        self.error: BergamothillError | None = None
+        self._engine = engine
+        self._endpoint = endpoint
+        self._token_count = token_count
+        self._deadline_ms = deadline_ms
+
+    def perform(self, effect: BlockEffect) -> BlockEvent:
+        """Carry out an effect and return its outcome.
+
+        :param effect: what to do; not a result
+        :returns: the outcome; a failure is kept in ``error``
+        """
+        try:
+            return self._perform(effect)
+        except BergamothillError as error:
+            self.error = error
+            return StepFailed()
+
+    @singledispatchmethod
+    def _perform(self, effect: BlockEffect) -> BlockEvent:
+        raise TypeError(f"unknown effect {effect!r}")
+
+    @_perform.register
+    def _(self, effect: ExportData) -> BlockEvent:
+        name = effect.name
+        block = BlockRef(name.key, name.generation, 0, "", self._token_count)
+        return DataMoved(self._engine.export_block(self._order(name, block)).block)
+
+    @_perform.register
+    def _(self, effect: ImportData) -> BlockEvent:
+        order = self._order(effect.name, effect.block)
+        return DataMoved(self._engine.import_block(order).block)
+
+    @_perform.register
+    def _(self, effect: ListCopy) -> BlockEvent:
+        listed = parse_listing(self._endpoint.instance.list(effect.name.prefix))
+        own = [listing for listing in listed if listing.name == effect.name]
+        return Listed(own[0] if own else None)
+
+    @_perform.register
+    def _(self, effect: PutMarker) -> BlockEvent:
+        self._endpoint.instance.put(effect.object_name, b"")
+        return MarkerPut()
+
+    def _order(self, name: BlockName, block: BlockRef) -> TransferOrder:
+        return TransferOrder(
+            block=block,
+            store_address=self._endpoint.address,
+            object_name=name.data,
+            weight_version=name.weight_version,
+            brand=name.brand,
+            deadline_ms=self._deadline_ms,
+            model=name.model,
+        )
+
+
+def run_block_machine(
+    machine: BlockRead | BlockWrite,
+    perform: Callable[[BlockEffect], BlockEvent],
+    clock: Clock,
+) -> BlockOutcome:
+    """Drive a machine to its result.
+
+    :param machine: machine that was not started
+    :param perform: carries out an effect
+    :param clock: source of time
+    """
+    effect = machine.start(clock.now_ms())
+    while not isinstance(effect, BlockOutcome):
+        event = perform(effect)
+        effect = machine.handle(event, clock.now_ms())
+    return effect
--- a/bergamothill/version/blockstore.py
+++ b/bergamothill/version/blockstore.py
@@ -191,16 +191,16 @@
         self._started_ms = 0
         self._block: BlockRef | None = None
 
-    def start(self, now_ms: int) -> tuple[BlockEffect, ...]:
+    def start(self, now_ms: int) -> BlockEffect:
         """Begin the write.
 
         :param now_ms: now, in milliseconds
         """
         self._started_ms = now_ms
-        return (ExportData(self._name),)
+        return ExportData(self._name)
 
     @singledispatchmethod
-    def handle(self, event: BlockEvent, now_ms: int) -> tuple[BlockEffect, ...]:
+    def handle(self, event: BlockEvent, now_ms: int) -> BlockEffect:
         """Take the outcome of the last effect and return what to do next.
 
         :param event: outcome
@@ -209,12 +209,12 @@
         raise TypeError(f"unknown event {event!r}")
 
     @handle.register
-    def _(self, event: DataMoved, now_ms: int) -> tuple[BlockEffect, ...]:
+    def _(self, event: DataMoved, now_ms: int) -> BlockEffect:
         self._block = event.block
-        return (ListCopy(self._name),)
+        return ListCopy(self._name)
 
     @handle.register
-    def _(self, event: Listed, now_ms: int) -> tuple[BlockEffect, ...]:
+    def _(self, event: Listed, now_ms: int) -> BlockEffect:
         if now_ms - self._started_ms >= self._bounds.write_ms:
             return self._abandon(DoubtReason.LATE)
         listing = event.listing
@@ -222,22 +222,22 @@
             return self._abandon(DoubtReason.CHANGED)
         if listing.retired_age_ms is not None:
             return self._abandon(DoubtReason.CHANGED)
-        return (PutMarker(self._name.commit(self._block, self._index)),)
+        return PutMarker(self._name.commit(self._block, self._index))
 
     @handle.register
-    def _(self, event: MarkerPut, now_ms: int) -> tuple[BlockEffect, ...]:
-        return (WriteCommitted(self._block),)
+    def _(self, event: MarkerPut, now_ms: int) -> BlockEffect:
+        return WriteCommitted(self._block)
 
     @handle.register
-    def _(self, event: StepFailed, now_ms: int) -> tuple[BlockEffect, ...]:
+    def _(self, event: StepFailed, now_ms: int) -> BlockEffect:
         return self._abandon(DoubtReason.FAILED)
 
-    def _abandon(self, reason: DoubtReason) -> tuple[BlockEffect, ...]:
+    def _abandon(self, reason: DoubtReason) -> BlockEffect:
         """Give up and leave what was written to the sweeper.
 
         A commit record whose reply was lost may be in force, so a writer deletes nothing.
         """
-        return (WriteAbandoned(reason),)
+        return WriteAbandoned(reason)
 
 
 class BlockRead:
@@ -253,19 +253,19 @@
         self._looked_up_ms = looked_up_ms
         self._bounds = bounds
 
-    def start(self, now_ms: int) -> tuple[BlockEffect, ...]:
+    def start(self, now_ms: int) -> BlockEffect:
         """Begin the read.
 
         :param now_ms: now, in milliseconds
         """
         if not self._found.is_readable(self._bounds.write_ms):
-            return (ReadRejected(DoubtReason.CHANGED),)
+            return ReadRejected(DoubtReason.CHANGED)
         if self._is_late(now_ms):
-            return (ReadRejected(DoubtReason.LATE),)
-        return (ImportData(self._found.name, self._found.block),)
+            return ReadRejected(DoubtReason.LATE)
+        return ImportData(self._found.name, self._found.block)
 
     @singledispatchmethod
-    def handle(self, event: BlockEvent, now_ms: int) -> tuple[BlockEffect, ...]:
+    def handle(self, event: BlockEvent, now_ms: int) -> BlockEffect:
         """Take the outcome of the last effect and return what to do next.
 
         :param event: outcome
@@ -274,22 +274,22 @@
         raise TypeError(f"unknown event {event!r}")
 
     @handle.register
-    def _(self, event: DataMoved, now_ms: int) -> tuple[BlockEffect, ...]:
+    def _(self, event: DataMoved, now_ms: int) -> BlockEffect:
         if event.block != self._found.block:
-            return (ReadRejected(DoubtReason.CHANGED),)
-        return (ListCopy(self._found.name),)
+            return ReadRejected(DoubtReason.CHANGED)
+        return ListCopy(self._found.name)
 
     @handle.register
-    def _(self, event: Listed, now_ms: int) -> tuple[BlockEffect, ...]:
+    def _(self, event: Listed, now_ms: int) -> BlockEffect:
         if self._is_late(now_ms):
-            return (ReadRejected(DoubtReason.LATE),)
+            return ReadRejected(DoubtReason.LATE)
         if not self._is_unchanged(event.listing):
-            return (ReadRejected(DoubtReason.CHANGED),)
-        return (ReadConfirmed(self._found.name.generation),)
+            return ReadRejected(DoubtReason.CHANGED)
+        return ReadConfirmed(self._found.name.generation)
 
     @handle.register
-    def _(self, event: StepFailed, now_ms: int) -> tuple[BlockEffect, ...]:
-        return (ReadRejected(DoubtReason.FAILED),)
+    def _(self, event: StepFailed, now_ms: int) -> BlockEffect:
+        return ReadRejected(DoubtReason.FAILED)
 
     def _is_late(self, now_ms: int) -> bool:
         return now_ms - self._looked_up_ms >= self._bounds.read_ms
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -383,12 +383,13 @@
             return
         if self._options.weight_store:
             client = HttpClient("weight-store", self._options.weight_store)
-            path = f"/weights/{order.model}/{order.weight_version}"
+            path = f"/models/{order.model}/versions/{order.weight_version}"
             reply = client.request(
                 "GET", path, step="engine.order", timeout_ms=WEIGHT_STORE_TIMEOUT_MS
             )
             if reply.status != 200:
                 raise self._refuse(NotFoundError, "no such weight version", "engine.order")
+            return
         time.sleep(self._options.weight_load_ms / 1000)
 
     def _refuse(self, error_class: type, message: str, step: str) -> BergamothillError:
--- a/tests/proof/proof_blocks.py
+++ b/tests/proof/proof_blocks.py
@@ -51,7 +51,7 @@
 
     def handle(self, event, now_ms):
         if isinstance(event, DataMoved):
-            return (ReadConfirmed(event.block.generation),)
+            return ReadConfirmed(event.block.generation)
         return super().handle(event, now_ms)
 
 
@@ -60,7 +60,7 @@
 
     def handle(self, event, now_ms):
         if isinstance(event, DataMoved) and event.block == self._found.block:
-            return (ReadConfirmed(event.block.generation),)
+            return ReadConfirmed(event.block.generation)
         return super().handle(event, now_ms)
 
 
@@ -69,7 +69,7 @@
 
     def handle(self, event, now_ms):
         if isinstance(event, DataMoved):
-            return (ListCopy(self._found.name),)
+            return ListCopy(self._found.name)
         return super().handle(event, now_ms)
 
 
@@ -77,14 +77,14 @@
     def __init__(self, name, now_ms):
         self.name = name
         self.machine = BlockWrite(name, 0, BOUNDS)
-        self.effect = self.machine.start(now_ms)[0]
+        self.effect = self.machine.start(now_ms)
         self.place = None
 
 
 class Reader:
     def __init__(self, machine, now_ms):
         self.machine = machine
-        self.effect = machine.start(now_ms)[0]
+        self.effect = machine.start(now_ms)
         self.place = None
         self.read = b""
         self.read_freed = False
@@ -182,7 +182,7 @@
             self.store.fill(writer.place, writer.name.data, content, self.now_ms)
 
     def _feed_writer(self, writer, event):
-        writer.effect = writer.machine.handle(event, self.now_ms)[0]
+        writer.effect = writer.machine.handle(event, self.now_ms)
         if not isinstance(writer.effect, ExportData | ListCopy | PutMarker):
             self.writers.remove(writer)
 
@@ -225,7 +225,7 @@
             self._feed_reader(reader, DataMoved(block))
 
     def _feed_reader(self, reader, event):
-        reader.effect = reader.machine.handle(event, self.now_ms)[0]
+        reader.effect = reader.machine.handle(event, self.now_ms)
         if isinstance(reader.effect, ReadConfirmed):
             self._check_use(reader)
         if isinstance(reader.effect, ReadConfirmed | ReadRejected):
--- /dev/null
+++ b/tests/test_restore.py
@@ -0,0 +1,197 @@
+import unittest
+
+from bergamothill.clock import ManualClock, SystemClock
+from bergamothill.connection.engine import Run
+from bergamothill.connection.memoryengine import MemoryModelEngine
+from bergamothill.connection.memorystore import MemoryStoreInstance
+from bergamothill.errors import PeerTimeoutError
+from bergamothill.request.restore import ExportStatus, KeptContext
+from bergamothill.request.storecalls import StoreEndpoint
+from bergamothill.version.block import chain_blocks
+
+WARM_TIME_MS = 3_600_000
+BLOCK_TOKENS = 64
+MESSAGES = ({"role": "user", "content": "x" * 1_500},)
+
+
+class FailingStore(MemoryStoreInstance):
+    """Store whose listed methods fail."""
+
+    failing = frozenset()
+
+    def put(self, name, value):
+        self.fail("put")
+        super().put(name, value)
+
+    def list(self, prefix):
+        self.fail("list")
+        return super().list(prefix)
+
+    def fail(self, method):
+        if method in self.failing:
+            raise PeerTimeoutError("no answer", step=f"store.{method}", peer="s")
+
+
+class KeptContextTests(unittest.TestCase):
+    def setUp(self):
+        # The protocol's clock stands still; waiting for threads uses the machine's.
+        self.clock = ManualClock()
+        self.stores = {name: FailingStore(self.clock, capacity_bytes=1 << 20) for name in "st"}
+        endpoints = {
+            name: StoreEndpoint(name, f"zone-{name}", f"{name}:1", store)
+            for name, store in self.stores.items()
+        }
+        self.engines = [self.make_engine(), self.make_engine()]
+        self.kept = KeptContext(endpoints, "zone-s", self.clock, lambda brand: WARM_TIME_MS)
+        self.addCleanup(self.kept.close)
+        self.chain = chain_blocks("b", "m", "", "v1", MESSAGES, BLOCK_TOKENS)
+
+    def make_engine(self):
+        addresses = {f"{name}:1": store for name, store in self.stores.items()}
+        return MemoryModelEngine("e", "m", ["v1"], stores=addresses)
+
+    def run_on(self, engine, imported=()):
+        run = Run(
+            request_id="r",
+            stream_id="s",
+            brand="b",
+            model="m",
+            adapter="",
+            weight_version="v1",
+            messages=MESSAGES,
+            block_keys=self.chain.keys,
+            prompt_tokens=self.chain.prompt_tokens,
+            max_tokens=4,
+            deadline_ms=1_000,
+            imported=imported,
+        )
+        engine.run(run, lambda event: None, idle_timeout_ms=1_000)
+        return engine.records[-1]
+
+    def export_all(self, zone="zone-s"):
+        self.run_on(self.engines[0])
+        indexes = range(len(self.chain.keys))
+        return [
+            self.kept.export(self.engines[0], self.chain, index, zone).status for index in indexes
+        ]
+
+    def call_inline(self):
+        """Have calls to stores done when they are submitted."""
+        self.kept.calls.submit = lambda endpoint, call: call(endpoint)
+
+    def count_names(self, end):
+        return sum(item.name.endswith(end) for item in self.stores["s"].list(""))
+
+    def restore(self, found):
+        return self.kept.restore("e", self.engines[1], found, timeout_ms=5_000)
+
+    def test_exported_prefix_is_restored_on_another_engine(self):
+        statuses = self.export_all()
+        self.assertEqual(set(statuses), {ExportStatus.COMMITTED})
+        found = self.kept.lookup(self.chain)
+        self.assertEqual([one.block.key for one in found], list(self.chain.keys))
+        self.assertEqual({one.zone for one in found}, {"zone-s"})
+        record = self.run_on(self.engines[1], self.restore(found))
+        self.assertEqual(record.cached_blocks, len(self.chain.keys))
+        self.assertTrue(record.intact)
+
+    def test_second_export_writes_nothing(self):
+        self.export_all()
+        before = self.stores["s"].used_bytes
+        self.assertEqual(set(self.export_all()), {ExportStatus.PRESENT})
+        self.assertEqual(self.stores["s"].used_bytes, before)
+
+    def test_another_brand_or_version_finds_nothing(self):
+        self.export_all()
+        for brand, version in (("c", "v1"), ("b", "v2")):
+            chain = chain_blocks(brand, "m", "", version, MESSAGES, BLOCK_TOKENS)
+            self.assertEqual(self.kept.lookup(chain), ())
+
+    def test_store_in_another_zone_is_asked_too(self):
+        self.export_all(zone="zone-t")
+        found = self.kept.lookup(self.chain)
+        self.assertEqual({one.store for one in found}, {"t"})
+
+    def test_failing_store_is_a_miss_and_left_out_for_a_while(self):
+        self.export_all()
+        self.stores["s"].failing = {"list"}
+        self.assertEqual(self.kept.lookup(self.chain), ())
+        self.stores["s"].failing = frozenset()
+        self.assertEqual(self.kept.lookup(self.chain), ())
+        self.clock.advance_ms(2_001)
+        self.assertEqual(len(self.kept.lookup(self.chain)), len(self.chain.keys))
+
+    def test_gone_block_shortens_the_prefix(self):
+        self.export_all()
+        found = self.kept.lookup(self.chain)
+        self.stores["s"].delete(found[2].listing.commits[0].name)
+        self.assertEqual(len(self.restore(found)), 2)
+
+    def test_changed_bytes_are_rejected(self):
+        self.export_all()
+        found = self.kept.lookup(self.chain)
+        name = found[0].listing.name.data
+        self.stores["s"].put(name, b"x" * found[0].block.size_bytes)
+        self.assertEqual(self.restore(found), ())
+
+    def test_look_up_older_than_the_read_bound_is_rejected(self):
+        self.export_all()
+        found = self.kept.lookup(self.chain)
+        self.clock.advance_ms(self.kept.bounds.read_ms)
+        self.assertEqual(self.restore(found), ())
+
+    def test_sweep_retires_waits_and_deletes_after_the_warm_time(self):
+        self.export_all()
+        count = len(self.chain.keys)
+        self.clock.advance_ms(WARM_TIME_MS - 1)
+        self.assertEqual(sum(report.retired for report in self.kept.sweep()), 0)
+        self.clock.advance_ms(1)
+        self.assertEqual(sum(report.retired for report in self.kept.sweep()), count)
+        self.assertEqual(self.kept.lookup(self.chain), ())
+        self.assertEqual(sum(report.deleted for report in self.kept.sweep()), 0)
+        self.clock.advance_ms(self.kept.bounds.retire_wait_ms)
+        self.assertEqual(sum(report.deleted for report in self.kept.sweep()), count)
+        self.assertEqual(self.stores["s"].list(""), ())
+
+    def test_use_renews_the_warm_time(self):
+        self.export_all()
+        self.clock.advance_ms(WARM_TIME_MS - 1)
+        found = self.kept.lookup(self.chain)
+        self.call_inline()
+        self.restore(found)
+        self.clock.advance_ms(1)
+        self.assertEqual(self.count_names("/used"), len(self.chain.keys))
+        self.assertEqual(sum(report.retired for report in self.kept.sweep()), 0)
+
+    def test_full_store_retires_what_returns_last(self):
+        self.export_all()
+        self.clock.advance_ms(self.kept.bounds.write_ms)
+        self.stores["s"].capacity_bytes = self.stores["s"].used_bytes
+        self.call_inline()
+        other = chain_blocks("b", "m", "", "v1", ({"role": "user", "content": "y" * 900},), 64)
+        self.engines[0].cache.keep(other.keys[0], "v1")
+        outcome = self.kept.export(self.engines[0], other, 0, "zone-s")
+        self.assertIs(outcome.status, ExportStatus.FULL)
+        self.assertEqual(self.count_names("/retired"), len(self.chain.keys))
+
+    def test_orphan_of_a_dead_writer_is_removed(self):
+        self.export_all()
+        name = self.kept.lookup(self.chain)[0].listing
+        self.stores["s"].delete(name.commits[0].name)
+        for _ in range(2):
+            self.clock.advance_ms(self.kept.bounds.orphan_ms)
+            self.kept.sweep()
+        self.assertNotIn(name.name.data, [item.name for item in self.stores["s"].list("")])
+
+
+class WaitingTests(unittest.TestCase):
+    def test_hung_store_costs_the_look_up_its_timeout_only(self):
+        clock = SystemClock()
+        hung = MemoryStoreInstance(clock)
+        hung.list = lambda prefix: clock.sleep_ms(400) or ()
+        endpoints = {"s": StoreEndpoint("s", "z", "s:1", hung)}
+        kept = KeptContext(endpoints, "z", clock, lambda brand: WARM_TIME_MS)
+        self.addCleanup(kept.close)
+        chain = chain_blocks("b", "m", "", "v1", MESSAGES, BLOCK_TOKENS)
+        self.assertEqual(kept.lookup(chain, timeout_ms=20), ())
+        self.assertFalse(kept.calls.is_trusted("s"))
