Run calls to plain services at most once, with the proof at-most-once

The record is created by one conditional write before the send; a failed write is sent again with the same token until it is settled; the record passes on only after its owner said that it gave up unsent, which is final; the age of the claim is checked after the last blocking step before the send.

One write against two before the send: a second write ("sending") would let others run a call whose owner died between claim and send, which is the time of one reply on the loopback; it costs one more write of the few hundred a second and its latency on each call. Chosen: one, so such a call is "outcome unknown".

ServiceCall gets the field service_name (additive): the record's key needs it, and a keyed call without one is refused. The harness reports one violation instead of an exception group.

Red: without a record (UnrecordedAttempt), with records taken from silent owners (HastyAttempt) and without the age check (AgelessAttempt) the oracle sees a second effect.

--- a/bergamothill/connection/service.py
+++ b/bergamothill/connection/service.py
@@ -9,7 +9,7 @@
 from urllib.parse import quote
 
 from bergamothill.connection.http import HttpClient
-from bergamothill.ids import BrandName, IdempotencyKey, RequestId
+from bergamothill.ids import BrandName, IdempotencyKey, RequestId, ServiceName
 
 __all__ = ["HttpPlainService", "MemoryPlainService", "PlainService", "ServiceCall", "ServiceReply"]
 
@@ -29,6 +29,7 @@
     :param content_type: media type of the body
     :param idempotency_key: the caller's key; empty when none was given
     :param timeout_ms: longest wait for the reply, in milliseconds
+    :param service_name: service that is called; must be set together with an idempotency key
     """
 
     request_id: RequestId
@@ -39,6 +40,7 @@
     content_type: str
     idempotency_key: IdempotencyKey
     timeout_ms: int
+    service_name: ServiceName = ServiceName("")
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/bergamothill/request/attempt.py
@@ -0,0 +1,265 @@
+"""Decisions of one attempt to run a non-idempotent call at most once, without I/O.
+
+The record is created before the call is sent, and the attempt that owns it is the only one that
+may send. A record passes to another attempt only after its owner has said that it gave up unsent;
+an owner that does not answer keeps it, and the outcome stays unknown.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from enum import Enum
+from functools import singledispatchmethod
+
+from bergamothill.connection.kvs import ABSENT
+from bergamothill.connection.service import ServiceCall, ServiceReply
+from bergamothill.errors import ConflictError, Execution, PeerTimeoutError, UnavailableError
+from bergamothill.ids import EntryInstanceId
+from bergamothill.request.actionrecord import (
+    MAX_STORED_REPLY_BYTES,
+    ActionRecord,
+    AttemptToken,
+    RecordState,
+    call_digest,
+    record_key,
+)
+from bergamothill.request.attemptsteps import (
+    Answer,
+    AskOwner,
+    ClaimFailed,
+    ClaimRefused,
+    ClaimWritten,
+    CompletionEnded,
+    Effect,
+    Event,
+    OwnerAnswered,
+    OwnerSilent,
+    OwnerStatus,
+    Pause,
+    PauseEnded,
+    ReadFailed,
+    ReadRecord,
+    RecordRead,
+    Refuse,
+    ReleaseClaim,
+    ReplyReceived,
+    Send,
+    SendFailed,
+    SendNotStarted,
+    WriteClaim,
+    WriteCompletion,
+)
+
+__all__ = ["Attempt", "AttemptState"]
+
+CLAIM_ATTEMPTS = 3
+CLAIM_MAX_AGE_MS = 5_000
+CLAIM_RETRY_PAUSE_MS = 50
+MAX_CONFLICTS = 6
+IN_PROGRESS_RETRY_MS = 500
+UNKNOWN_RETRY_MS = 5_000
+UNAVAILABLE_RETRY_MS = 1_000
+
+
+class AttemptState(Enum):
+    """State of an attempt; :attr:`GIVEN_UP` and :attr:`DONE` are final."""
+
+    CLAIMING = "claiming"
+    SENT = "sent"
+    DONE = "done"
+    GIVEN_UP = "given_up"
+    """The attempt has not sent the call and never will."""
+
+
+class Attempt:
+    """One attempt of one entry instance to run one call.
+
+    :meth:`start` and :meth:`step` return the one effect to carry out next; its outcome is the next
+    event. The effects :class:`Answer` and :class:`Refuse` end the attempt.
+
+    :param call: call with an idempotency key
+    :param owner: entry instance that makes the attempt
+    :param token: random name of the attempt
+    :param started_ms: present instant, in milliseconds
+    """
+
+    def __init__(
+        self,
+        call: ServiceCall,
+        *,
+        owner: EntryInstanceId,
+        token: AttemptToken,
+        started_ms: int,
+    ) -> None:
+        self.call = call
+        self.key = record_key(call)
+        self.token = token
+        self.state = AttemptState.CLAIMING
+        self.may_have_run = False
+        """Whether an earlier call with the key may have run; then no refusal says "not run"."""
+        self.loose_end: ReleaseClaim | WriteCompletion | None = None
+        self._claim = ActionRecord(owner, token, call_digest(call))
+        self._expected = ABSENT
+        self._mod_revision = ABSENT
+        self._started_ms = started_ms
+        self._failed_claims = 0
+        self._conflicts = 0
+        self._reply: ServiceReply | None = None
+
+    def start(self) -> Effect:
+        """Return the first effect."""
+        return self._write_claim()
+
+    def step(self, event: Event, now_ms: int) -> Effect:
+        """Take the outcome of the last effect and return the next one.
+
+        :param event: outcome of the last effect
+        :param now_ms: present instant, read after the effect ended, in milliseconds
+        """
+        if self.state is AttemptState.GIVEN_UP:
+            raise RuntimeError(f"attempt {self.token} has given up")
+        return self._on(event, now_ms)
+
+    @singledispatchmethod
+    def _on(self, event: Event, now_ms: int) -> Effect:
+        raise TypeError(f"no such event: {event!r}")
+
+    @_on.register
+    def _(self, event: ClaimWritten, now_ms: int) -> Effect:
+        return self._send_once(event.mod_revision, now_ms)
+
+    @_on.register
+    def _(self, event: ClaimRefused, now_ms: int) -> Effect:
+        self._conflicts += 1
+        return ReadRecord(self.key)
+
+    @_on.register
+    def _(self, event: ClaimFailed, now_ms: int) -> Effect:
+        self._failed_claims += 1
+        if self._failed_claims >= CLAIM_ATTEMPTS or self._is_too_late(now_ms):
+            return self._give_up("the key-value service cannot record the call")
+        return Pause(CLAIM_RETRY_PAUSE_MS)
+
+    @_on.register
+    def _(self, event: PauseEnded, now_ms: int) -> Effect:
+        # The same conditional write again: a copy that is still on its way can then only lose.
+        return self._write_claim()
+
+    @_on.register
+    def _(self, event: RecordRead, now_ms: int) -> Effect:
+        record = event.record
+        if record is None:
+            return self._claim_at(ABSENT, now_ms)
+        if record.token == self.token:
+            return self._send_once(event.mod_revision, now_ms)
+        if record.digest != self._claim.digest:
+            return self._refuse_other_body()
+        if record.state is RecordState.DONE:
+            return self._repeat_answer(record)
+        self._expected = event.mod_revision
+        return AskOwner(record.owner, record.token)
+
+    @_on.register
+    def _(self, event: ReadFailed, now_ms: int) -> Effect:
+        self.may_have_run = True
+        return self._give_up("the record of the call cannot be read")
+
+    @_on.register
+    def _(self, event: OwnerAnswered, now_ms: int) -> Effect:
+        if event.status is OwnerStatus.GIVEN_UP:
+            self.may_have_run = False
+            return self._claim_at(self._expected, now_ms)
+        if event.status is OwnerStatus.FORGOTTEN:
+            return self._refuse_unknown("the owner of the call has forgotten it", UNKNOWN_RETRY_MS)
+        return self._refuse_unknown("the call is in progress", IN_PROGRESS_RETRY_MS)
+
+    @_on.register
+    def _(self, event: OwnerSilent, now_ms: int) -> Effect:
+        return self._refuse_unknown("the owner of the call cannot be asked", UNKNOWN_RETRY_MS)
+
+    @_on.register
+    def _(self, event: ReplyReceived, now_ms: int) -> Effect:
+        self.state = AttemptState.DONE
+        self._reply = event.reply
+        is_kept = len(event.reply.body) <= MAX_STORED_REPLY_BYTES
+        record = replace(
+            self._claim,
+            state=RecordState.DONE,
+            status=event.reply.status,
+            reply=event.reply if is_kept else None,
+        )
+        self.loose_end = WriteCompletion(self.key, record, self._mod_revision)
+        return self.loose_end
+
+    @_on.register
+    def _(self, event: CompletionEnded, now_ms: int) -> Effect:
+        if event.is_recorded:
+            self.loose_end = None
+        return Answer(self._reply)
+
+    @_on.register
+    def _(self, event: SendNotStarted, now_ms: int) -> Effect:
+        return self._give_up("the server cannot be reached")
+
+    @_on.register
+    def _(self, event: SendFailed, now_ms: int) -> Effect:
+        return Refuse(
+            PeerTimeoutError(
+                "the call was sent and its reply was lost",
+                step="action.send",
+                retry_after_ms=UNKNOWN_RETRY_MS,
+            )
+        )
+
+    def _write_claim(self) -> Effect:
+        return WriteClaim(self.key, self._claim, self._expected)
+
+    def _claim_at(self, expected: int, now_ms: int) -> Effect:
+        if self._conflicts >= MAX_CONFLICTS or self._is_too_late(now_ms):
+            return self._give_up("the record of the call keeps changing")
+        self._expected = expected
+        return self._write_claim()
+
+    def _send_once(self, mod_revision: int, now_ms: int) -> Effect:
+        self._mod_revision = mod_revision
+        if self._is_too_late(now_ms):
+            return self._give_up("the claim is too old to send")
+        self.state = AttemptState.SENT
+        left_ms = self._started_ms + self.call.timeout_ms - now_ms
+        return Send(replace(self.call, timeout_ms=left_ms))
+
+    def _is_too_late(self, now_ms: int) -> bool:
+        age_ms = now_ms - self._started_ms
+        return age_ms >= min(CLAIM_MAX_AGE_MS, self.call.timeout_ms)
+
+    def _give_up(self, message: str) -> Effect:
+        self.state = AttemptState.GIVEN_UP
+        if self._mod_revision != ABSENT:
+            # An owned record proves that no other attempt has sent.
+            self.may_have_run = False
+            self.loose_end = ReleaseClaim(self.key, self._mod_revision)
+        execution = Execution.UNKNOWN if self.may_have_run else Execution.NOT_RUN
+        return Refuse(
+            UnavailableError(
+                message,
+                step="action.claim",
+                execution=execution,
+                retry_after_ms=UNAVAILABLE_RETRY_MS,
+            )
+        )
+
+    def _refuse_unknown(self, message: str, retry_after_ms: int) -> Effect:
+        self.state = AttemptState.GIVEN_UP
+        return Refuse(PeerTimeoutError(message, step="action.ask", retry_after_ms=retry_after_ms))
+
+    def _refuse_other_body(self) -> Effect:
+        self.state = AttemptState.GIVEN_UP
+        message = "the idempotency key was used with another method, path or body"
+        return Refuse(ConflictError(message, step="action.claim"))
+
+    def _repeat_answer(self, record: ActionRecord) -> Effect:
+        self.state = AttemptState.GIVEN_UP
+        if record.reply is not None:
+            return Answer(record.reply)
+        message = f"the call ran with status {record.status}; its reply is too large to keep"
+        return Refuse(ConflictError(message, step="action.repeat", execution=Execution.UNKNOWN))
--- /dev/null
+++ b/bergamothill/request/attemptsteps.py
@@ -0,0 +1,235 @@
+"""Events and effects of an attempt to run a call at most once."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+from bergamothill.connection.service import ServiceCall, ServiceReply
+from bergamothill.errors import BergamothillError
+from bergamothill.ids import EntryInstanceId
+from bergamothill.request.actionrecord import ActionRecord, AttemptToken
+
+__all__ = [
+    "Answer",
+    "AskOwner",
+    "ClaimFailed",
+    "ClaimRefused",
+    "ClaimWritten",
+    "CompletionEnded",
+    "Effect",
+    "Event",
+    "OwnerAnswered",
+    "OwnerSilent",
+    "OwnerStatus",
+    "Pause",
+    "PauseEnded",
+    "ReadFailed",
+    "ReadRecord",
+    "RecordRead",
+    "Refuse",
+    "ReleaseClaim",
+    "ReplyReceived",
+    "Send",
+    "SendFailed",
+    "SendNotStarted",
+    "WriteClaim",
+    "WriteCompletion",
+]
+
+
+class OwnerStatus(Enum):
+    """What an entry instance says of one of its attempts."""
+
+    CLAIMING = "claiming"
+    SENT = "sent"
+    GIVEN_UP = "given_up"
+    FORGOTTEN = "forgotten"
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimWritten:
+    """The claim was stored.
+
+    :param mod_revision: revision of the record
+    """
+
+    mod_revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimRefused:
+    """The record is at another revision than the claim expected."""
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimFailed:
+    """The claim got no reply; it may take effect, also later."""
+
+
+@dataclass(frozen=True, slots=True)
+class RecordRead:
+    """The record was read.
+
+    :param record: the record; None when there is none
+    :param mod_revision: its revision; :data:`~bergamothill.connection.kvs.ABSENT` without one
+    """
+
+    record: ActionRecord | None
+    mod_revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReadFailed:
+    """The record could not be read."""
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerAnswered:
+    """The owner of the record answered.
+
+    :param status: what it says of its attempt
+    """
+
+    status: OwnerStatus
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerSilent:
+    """The owner of the record could not be asked."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReplyReceived:
+    """The service answered.
+
+    :param reply: its reply
+    """
+
+    reply: ServiceReply
+
+
+@dataclass(frozen=True, slots=True)
+class SendNotStarted:
+    """No byte of the call was sent."""
+
+
+@dataclass(frozen=True, slots=True)
+class SendFailed:
+    """The call was sent, and no reply arrived."""
+
+
+@dataclass(frozen=True, slots=True)
+class CompletionEnded:
+    """The reply was recorded, or not.
+
+    :param is_recorded: whether the record is known to hold the reply
+    """
+
+    is_recorded: bool
+
+
+@dataclass(frozen=True, slots=True)
+class PauseEnded:
+    """The pause is over."""
+
+
+Event = (
+    ClaimWritten
+    | ClaimRefused
+    | ClaimFailed
+    | RecordRead
+    | ReadFailed
+    | OwnerAnswered
+    | OwnerSilent
+    | ReplyReceived
+    | SendNotStarted
+    | SendFailed
+    | CompletionEnded
+    | PauseEnded
+)
+
+
+@dataclass(frozen=True, slots=True)
+class WriteClaim:
+    """Store the claim if the record is at the expected revision."""
+
+    key: str
+    record: ActionRecord
+    expected: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReadRecord:
+    """Read the record."""
+
+    key: str
+
+
+@dataclass(frozen=True, slots=True)
+class AskOwner:
+    """Ask the owner of the record about its attempt."""
+
+    owner: EntryInstanceId
+    token: AttemptToken
+
+
+@dataclass(frozen=True, slots=True)
+class Pause:
+    """Wait before the next write.
+
+    :param duration_ms: how long, in milliseconds
+    """
+
+    duration_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Send the call now, once, on a fresh connection."""
+
+    call: ServiceCall
+
+
+@dataclass(frozen=True, slots=True)
+class WriteCompletion:
+    """Store the reply in the record."""
+
+    key: str
+    record: ActionRecord
+    expected: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReleaseClaim:
+    """Remove the record of an attempt that gave up unsent."""
+
+    key: str
+    expected: int
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Final: hand the reply to the caller."""
+
+    reply: ServiceReply
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """Final: hand the error to the caller."""
+
+    error: BergamothillError
+
+
+Effect = (
+    WriteClaim
+    | ReadRecord
+    | AskOwner
+    | Pause
+    | Send
+    | WriteCompletion
+    | ReleaseClaim
+    | Answer
+    | Refuse
+)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -5,9 +5,16 @@
 import json
 import subprocess
 import sys
+from collections.abc import Callable
+from enum import Enum
 from pathlib import Path
+from typing import Any
 
+from bergamothill.clock import Clock
+from bergamothill.connection.bus import PeerBus
 from bergamothill.connection.http import HttpClient
+from bergamothill.connection.kvs_memory import MemoryKeyValueService
+from bergamothill.errors import BergamothillError, PeerTimeoutError, PeerUnreachableError
 
 ROOT = Path(__file__).resolve().parent.parent
 STOP_TIMEOUT_S = 5
@@ -49,3 +56,97 @@
     def json(self, method: str, path: str, body: object = None) -> object:
         reply = self.client.request_json(method, path, step="test", timeout_ms=5_000, body=body)
         return json.loads(reply.body)
+
+
+class WriteFault(Enum):
+    """What happens to the next write."""
+
+    NONE = "none"
+    LOST_REPLY = "lost_reply"
+    LATE = "late"
+    NO_EFFECT = "no_effect"
+
+
+class FaultyKeyValueService(MemoryKeyValueService):
+    """Key-value service whose faults the test sets: ``is_down`` and ``fault`` of each write."""
+
+    def __init__(self, clock: Clock) -> None:
+        super().__init__(clock)
+        self.is_down = False
+        self.fault = WriteFault.NONE
+        self.late_writes: list[Callable[[], Any]] = []
+
+    def get(self, key):
+        self._check_up("kvs.get")
+        return super().get(key)
+
+    def put_if(self, key, value, *, expected, lease_id=None):
+        put = super().put_if
+        return self._write(lambda: put(key, value, expected=expected, lease_id=lease_id))
+
+    def delete_if(self, key, *, expected):
+        delete = super().delete_if
+        return self._write(lambda: delete(key, expected=expected))
+
+    def grant_lease(self, ttl_ms):
+        grant = super().grant_lease
+        return self._write(lambda: grant(ttl_ms))
+
+    def renew_lease(self, lease_id):
+        renew = super().renew_lease
+        return self._write(lambda: renew(lease_id))
+
+    def revoke_lease(self, lease_id):
+        revoke = super().revoke_lease
+        return self._write(lambda: revoke(lease_id))
+
+    def land_late_write(self, index: int = 0) -> None:
+        """Let one late write take effect; the service may refuse it."""
+        try:
+            self.late_writes.pop(index)()
+        except BergamothillError:
+            return
+
+    def _check_up(self, step: str) -> None:
+        if self.is_down:
+            raise PeerUnreachableError("down", step=step)
+
+    def _write(self, work: Callable[[], Any]) -> Any:
+        self._check_up("kvs.write")
+        if self.fault is WriteFault.LATE:
+            self.late_writes.append(work)
+        if self.fault in (WriteFault.LATE, WriteFault.NO_EFFECT):
+            raise PeerTimeoutError("no reply", step="kvs.write")
+        result = work()
+        if self.fault is WriteFault.LOST_REPLY:
+            raise PeerTimeoutError("reply lost", step="kvs.write")
+        return result
+
+
+class LoopbackBus(PeerBus):
+    """Bus of one entry instance; ``peers`` maps each name to its bus, an absent one is gone."""
+
+    def __init__(self, name: str, peers: dict[str, LoopbackBus]) -> None:
+        self.name = name
+        self.peers = peers
+        self.is_frozen = False
+        self.cut_from: set[str] = set()
+        self._handlers: dict[type, Callable[[Any, Any], Any]] = {}
+        peers[name] = self
+
+    def subscribe(self, message_type, handler):
+        self._handlers[message_type] = handler
+
+    def publish(self, message, scope):
+        raise NotImplementedError
+
+    def request(self, peer, message, *, timeout_ms):
+        other = self.peers.get(peer)
+        if other is None or peer in self.cut_from or self.name in other.cut_from:
+            raise PeerUnreachableError("no link", step="bus", peer=peer)
+        if other.is_frozen:
+            raise PeerTimeoutError("no reply", step="bus", peer=peer)
+        return other._handlers[type(message)](self.name, message)
+
+    def live_peers(self):
+        return tuple(sorted(self.peers))
--- a/tests/proof/harness.py
+++ b/tests/proof/harness.py
@@ -92,6 +92,7 @@
         phases=(Phase.generate, Phase.shrink),
         verbosity=Verbosity.normal,
         print_blob=False,
+        report_multiple_bugs=False,
     )
     output = io.StringIO()
     try:
--- /dev/null
+++ b/tests/proof/proof_action.py
@@ -0,0 +1,389 @@
+"""Proof that a non-idempotent call runs at most once and that each refusal tells the truth."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from enum import Enum
+from unittest import mock
+
+from hypothesis import strategies as st
+from hypothesis.stateful import initialize, precondition, rule
+
+from bergamothill.clock import ManualClock
+from bergamothill.connection.service import PlainService, ServiceCall, ServiceReply
+from bergamothill.errors import Execution, PeerTimeoutError, PeerUnreachableError
+from bergamothill.request import action
+from bergamothill.request.action import RETENTION_MS, ActionRunner
+from bergamothill.request.attempt import Attempt, AttemptState
+from bergamothill.request.attemptsteps import (
+    Answer,
+    Effect,
+    Event,
+    OwnerSilent,
+    Refuse,
+    Send,
+)
+from tests.builders import FaultyKeyValueService, LoopbackBus, WriteFault
+from tests.proof.harness import Proof, ProofMachine
+
+ENTRIES = 3
+MAX_LIVE_ATTEMPTS = 6
+MAX_STEPS_TO_END = 60
+DAY_AND_MORE_MS = RETENTION_MS + 2 * 3_600_000
+TIMEOUT_MS = 10_000
+WRITE_FAULTS = [fault for fault in WriteFault if fault is not WriteFault.NONE]
+
+
+class SendFault(Enum):
+    """What happens to the next call of the back end."""
+
+    NONE = "none"
+    LOST_REPLY = "lost_reply"
+    LATE = "late"
+    NEVER_RUN = "never_run"
+    NOT_SENT = "not_sent"
+
+
+SEND_FAULTS = [fault for fault in SendFault if fault is not SendFault.NONE]
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    call: ServiceCall
+    at_ms: int
+
+
+class BackEnd(PlainService):
+    """Oracle: what really ran, and what was promised not to run."""
+
+    def __init__(self, clock: ManualClock) -> None:
+        self.clock = clock
+        self.fault = SendFault.NONE
+        self.late_calls: list[ServiceCall] = []
+        self.runs: list[Run] = []
+        self.promised_not_run: set[str] = set()
+        self.has_violation = False
+
+    def call(self, call: ServiceCall) -> ServiceReply:
+        if self.fault is SendFault.NOT_SENT:
+            raise PeerUnreachableError("not sent", step="service")
+        if self.fault is SendFault.LATE:
+            self.late_calls.append(call)
+        if self.fault in (SendFault.LATE, SendFault.NEVER_RUN):
+            raise PeerTimeoutError("no reply", step="service")
+        self.run(call)
+        if self.fault is SendFault.LOST_REPLY:
+            raise PeerTimeoutError("reply lost", step="service")
+        return ServiceReply(201, "text/plain", call.request_id.encode())
+
+    def run(self, call: ServiceCall) -> None:
+        for earlier in self._within_retention(call):
+            self._fail(
+                f"key {call.idempotency_key} ran for {earlier.call.request_id}"
+                f" and again for {call.request_id}"
+            )
+        self.runs.append(Run(call, self.clock.now_ms()))
+        self.check_not_run(call.request_id)
+
+    def check_not_run(self, request_id: str) -> None:
+        has_run = any(run.call.request_id == request_id for run in self.runs)
+        if has_run and request_id in self.promised_not_run:
+            self._fail(f"{request_id} was told that it did not run, and it ran")
+
+    def check_reply(self, call: ServiceCall, reply: ServiceReply) -> None:
+        ran = [run.call for run in self.runs if run.call.request_id.encode() == reply.body]
+        if not ran:
+            self._fail(f"{call.request_id} got a reply of nothing that ran")
+        if (ran[0].idempotency_key, ran[0].body) != (call.idempotency_key, call.body):
+            self._fail(f"{call.request_id} got the reply of {ran[0].request_id}")
+
+    def _fail(self, message: str) -> None:
+        self.has_violation = True
+        raise AssertionError(message)
+
+    def _within_retention(self, call: ServiceCall) -> list[Run]:
+        oldest_ms = self.clock.now_ms() - RETENTION_MS
+        return [
+            run
+            for run in self.runs
+            if run.call.idempotency_key == call.idempotency_key and run.at_ms > oldest_ms
+        ]
+
+
+@dataclass(slots=True, eq=False)
+class Progress:
+    """One attempt under way: what it waits for is an effect to carry out or its outcome."""
+
+    attempt: Attempt
+    effect: Effect | None
+    event: Event | None = None
+
+
+class Entry:
+    """One entry instance: the runner of the product and the attempts under way."""
+
+    def __init__(self, name: str, world: AtMostOnceMachine) -> None:
+        self.name = name
+        self.bus = LoopbackBus(name, world.buses)
+        self.runner = ActionRunner(world.kvs, self.bus, world.clock, name)
+        self.progress: deque[Progress] = deque()
+
+
+class AtMostOnceMachine(ProofMachine):
+    """Several entry instances, one key-value service and one back end, all failing."""
+
+    attempt_class: type[Attempt] = Attempt
+
+    @initialize()
+    def build(self) -> None:
+        self.clock = ManualClock()
+        self.kvs = FaultyKeyValueService(self.clock)
+        self.back_end = BackEnd(self.clock)
+        self.buses: dict[str, LoopbackBus] = {}
+        self.started = 0
+        self.entries = [Entry(f"entry-{number}", self) for number in range(ENTRIES)]
+
+    @rule(
+        entry=st.integers(0, ENTRIES - 1),
+        key=st.integers(0, 1),
+        is_other=st.booleans(),
+        steps=st.integers(0, 8),
+        fault=st.sampled_from(SendFault),
+    )
+    def request(self, entry: int, key: int, is_other: bool, steps: int, fault: SendFault) -> None:
+        self.operation() if fault is SendFault.NONE else self.fault()
+        body = b"other" if is_other and key else b"body"
+        self.back_end.fault = fault
+        self._start(self.entries[entry], key, body, steps)
+        self.back_end.fault = SendFault.NONE
+
+    @precondition(lambda self: self._movable())
+    @rule(index=st.integers(0, 8), steps=st.integers(1, 8))
+    def advance(self, index: int, steps: int) -> None:
+        self.operation()
+        self._advance(index, steps)
+
+    @precondition(lambda self: self._movable())
+    @rule(index=st.integers(0, 8), steps=st.integers(1, 4), fault=st.sampled_from(WRITE_FAULTS))
+    def advance_with_write_fault(self, index: int, steps: int, fault: WriteFault) -> None:
+        self.fault()
+        self.kvs.fault = fault
+        self._advance(index, steps)
+        self.kvs.fault = WriteFault.NONE
+
+    @precondition(lambda self: self._movable())
+    @rule(index=st.integers(0, 8), steps=st.integers(1, 4), fault=st.sampled_from(SEND_FAULTS))
+    def advance_with_send_fault(self, index: int, steps: int, fault: SendFault) -> None:
+        self.fault()
+        self.back_end.fault = fault
+        self._advance(index, steps)
+        self.back_end.fault = SendFault.NONE
+
+    @precondition(lambda self: self._movable())
+    @rule(index=st.integers(0, 8), steps=st.integers(1, 4))
+    def advance_in_kvs_outage(self, index: int, steps: int) -> None:
+        self.fault()
+        self.kvs.is_down = True
+        self._advance(index, steps)
+        self.kvs.is_down = False
+
+    @precondition(lambda self: not self.kvs.is_down and self._movable())
+    @rule()
+    def begin_kvs_outage(self) -> None:
+        self.fault()
+        self.kvs.is_down = True
+
+    @precondition(lambda self: self.kvs.is_down)
+    @rule()
+    def end_kvs_outage(self) -> None:
+        self.operation()
+        self.kvs.is_down = False
+
+    @precondition(lambda self: self._movable())
+    @rule(index=st.integers(0, 8))
+    def freeze_owner(self, index: int) -> None:
+        self.fault()
+        entry, _ = self._pick(index)
+        entry.bus.is_frozen = True
+
+    @precondition(lambda self: any(entry.bus.is_frozen for entry in self.entries))
+    @rule(steps=st.integers(0, 8))
+    def wake(self, steps: int) -> None:
+        self.operation()
+        entry = next(entry for entry in self.entries if entry.bus.is_frozen)
+        entry.bus.is_frozen = False
+        if entry.progress:
+            self._advance_progress(entry, entry.progress[0], steps)
+
+    @precondition(lambda self: any(entry.progress for entry in self.entries))
+    @rule(entry=st.integers(0, ENTRIES - 1), keeps_name=st.booleans())
+    def kill_and_replace(self, entry: int, keeps_name: bool) -> None:
+        self.fault()
+        old = self.entries[entry]
+        del self.buses[old.name]
+        self.started += 1
+        name = old.name if keeps_name else f"entry-{entry}-{self.started}"
+        self.entries[entry] = Entry(name, self)
+
+    @rule(entry=st.integers(0, ENTRIES - 1), other=st.integers(0, ENTRIES - 1))
+    def toggle_cut(self, entry: int, other: int) -> None:
+        self.fault()
+        self.entries[entry].bus.cut_from ^= {self.entries[other].name}
+
+    @precondition(lambda self: self.kvs.late_writes)
+    @rule(index=st.integers(0, 5))
+    def land_late_write(self, index: int) -> None:
+        self.fault()
+        self.kvs.land_late_write(index % len(self.kvs.late_writes))
+
+    @precondition(lambda self: self.back_end.late_calls)
+    @rule(index=st.integers(0, 5))
+    def land_late_call(self, index: int) -> None:
+        self.fault()
+        late = self.back_end.late_calls
+        self.back_end.run(late.pop(index % len(late)))
+
+    @rule(entry=st.integers(0, ENTRIES - 1))
+    def maintain(self, entry: int) -> None:
+        self.operation()
+        if not self.entries[entry].bus.is_frozen:
+            self.entries[entry].runner.maintain()
+
+    @precondition(lambda self: self._movable())
+    @rule(duration_ms=st.sampled_from([10, 100, 1_000, 6_000]))
+    def let_time_pass(self, duration_ms: int) -> None:
+        self.operation()
+        self.clock.advance_ms(duration_ms)
+
+    @precondition(lambda self: any(entry.progress for entry in self.entries))
+    @rule()
+    def let_records_expire(self) -> None:
+        """Move past the retention; nothing that long on its way arrives any more."""
+        self.fault()
+        self.kvs.late_writes.clear()
+        self.back_end.late_calls.clear()
+        self.clock.advance_ms(DAY_AND_MORE_MS)
+
+    def teardown(self) -> None:
+        """Mend everything: each attempt comes to its end."""
+        if not hasattr(self, "entries") or self.back_end.has_violation:
+            return
+        self.kvs.is_down = False
+        for entry in self.entries:
+            entry.bus.is_frozen = False
+            entry.bus.cut_from.clear()
+        for entry in self.entries:
+            while entry.progress:
+                self._finish_oldest(entry)
+        for call in self.back_end.late_calls:
+            self.back_end.run(call)
+
+    def _finish_oldest(self, entry: Entry) -> None:
+        oldest = entry.progress[0]
+        self._advance_progress(entry, oldest, MAX_STEPS_TO_END)
+        if oldest in entry.progress:
+            raise AssertionError(f"{oldest.attempt.call.request_id} does not end")
+
+    def _start(self, entry: Entry, key: int, body: bytes, steps: int) -> None:
+        if entry.bus.is_frozen or len(entry.progress) >= MAX_LIVE_ATTEMPTS:
+            return
+        self.started += 1
+        call = ServiceCall(
+            f"r{self.started}", "mend", "POST", "book", body, "", f"k{key}", TIMEOUT_MS, "booking"
+        )
+        with mock.patch.object(action, "Attempt", self.attempt_class):
+            attempt = entry.runner.begin(call)
+        progress = Progress(attempt, None)
+        entry.progress.append(progress)
+        self._take_effect(entry, progress, attempt.start())
+        self._advance_progress(entry, progress, steps)
+
+    def _movable(self) -> list[tuple[Entry, Progress]]:
+        awake = [entry for entry in self.entries if not entry.bus.is_frozen]
+        return [(entry, progress) for entry in awake for progress in entry.progress]
+
+    def _pick(self, index: int) -> tuple[Entry, Progress]:
+        movable = self._movable()
+        return movable[index % len(movable)]
+
+    def _advance(self, index: int, steps: int) -> None:
+        entry, progress = self._pick(index)
+        self._advance_progress(entry, progress, steps)
+
+    def _advance_progress(self, entry: Entry, progress: Progress, steps: int) -> None:
+        for _ in range(steps):
+            if progress not in entry.progress:
+                return
+            self._advance_once(entry, progress)
+
+    def _advance_once(self, entry: Entry, progress: Progress) -> None:
+        if progress.event is None:
+            progress.event = entry.runner.perform(progress.effect, self.back_end)
+            return
+        event, progress.event = progress.event, None
+        self._take_effect(entry, progress, progress.attempt.step(event, self.clock.now_ms()))
+
+    def _take_effect(self, entry: Entry, progress: Progress, effect: Effect) -> None:
+        progress.effect = effect
+        if isinstance(effect, Send):
+            # Nothing blocks between the decision to send and the send.
+            progress.event = entry.runner.perform(effect, self.back_end)
+        if isinstance(effect, Answer | Refuse):
+            entry.progress.remove(progress)
+            entry.runner.finish(progress.attempt)
+            self._check(progress.attempt.call, effect)
+
+    def _check(self, call: ServiceCall, effect: Answer | Refuse) -> None:
+        if isinstance(effect, Answer):
+            self.back_end.check_reply(call, effect.reply)
+        elif effect.error.execution is Execution.NOT_RUN:
+            self.back_end.promised_not_run.add(call.request_id)
+            self.back_end.check_not_run(call.request_id)
+
+
+class UnrecordedAttempt(Attempt):
+    """Test double without the mechanism: sends without a record."""
+
+    def start(self) -> Effect:
+        self.state = AttemptState.SENT
+        return Send(self.call)
+
+
+class HastyAttempt(Attempt):
+    """Test double that takes the record of an owner that does not answer."""
+
+    def step(self, event: Event, now_ms: int) -> Effect:
+        if isinstance(event, OwnerSilent):
+            return self._claim_at(self._expected, now_ms)
+        return super().step(event, now_ms)
+
+
+class AgelessAttempt(Attempt):
+    """Test double that sends however old its claim is."""
+
+    def _is_too_late(self, now_ms: int) -> bool:
+        return False
+
+
+class AtMostOnceProofMachine(AtMostOnceMachine):
+    """The machine with the mechanism, or without any record."""
+
+    @property
+    def attempt_class(self) -> type[Attempt]:
+        return Attempt if self.mechanism_enabled else UnrecordedAttempt
+
+
+class HastyMachine(AtMostOnceMachine):
+    """The machine whose entry instances do not wait for a silent owner."""
+
+    attempt_class = HastyAttempt
+
+
+class AgelessMachine(AtMostOnceMachine):
+    """The machine whose entry instances do not check the age of a claim."""
+
+    attempt_class = AgelessAttempt
+
+
+PROOFS = (Proof("at-most-once", AtMostOnceProofMachine),)
