--- /dev/null
+++ b/bergamothill/process/answers.py
@@ -0,0 +1,130 @@
+"""Sinks of answers: as server-sent events, or collected into one body."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from bergamothill.clock import Clock
+from bergamothill.connection.engine import EventKind, StreamEvent
+from bergamothill.errors import BergamothillError
+from bergamothill.ids import RequestId, ServerId, StreamId
+from bergamothill.request.chat import ChunkEncoder, Usage
+
+__all__ = ["AnswerRecord", "CollectingSink", "EventStreamSink"]
+
+SSE_HEADERS = [
+    ("Content-Type", "text/event-stream; charset=utf-8"),
+    ("Cache-Control", "no-store"),
+    ("X-Accel-Buffering", "no"),
+]
+
+MakeEncoder = Callable[[ServerId, StreamId], ChunkEncoder]
+
+
+class AnswerRecord:
+    """What is known of an answer while it arrives.
+
+    :param prompt_tokens: tokens of the prompt; 0 when not known
+    :param clock: source of time
+    """
+
+    def __init__(self, prompt_tokens: int, clock: Clock) -> None:
+        self._clock = clock
+        self.prompt_tokens = prompt_tokens
+        self.cached_tokens = 0
+        self.completion_tokens = 0
+        self.finish_reason = ""
+        self.first_token_ms: int | None = None
+
+    @property
+    def is_complete(self) -> bool:
+        """The end of the answer was delivered."""
+        return bool(self.finish_reason)
+
+    def usage(self) -> Usage:
+        """Return the tokens counted so far."""
+        return Usage(self.prompt_tokens, self.cached_tokens, self.completion_tokens)
+
+    def take(self, event: StreamEvent) -> None:
+        """Count an event that the caller gets."""
+        if event.kind is EventKind.TOKEN:
+            self.completion_tokens += 1
+            if self.first_token_ms is None:
+                self.first_token_ms = self._clock.now_ms()
+        elif event.kind is EventKind.START:
+            self.cached_tokens = event.cached_tokens
+        elif event.kind is EventKind.END:
+            self.finish_reason = event.finish_reason or "stop"
+
+
+class CollectingSink:
+    """Collects the text of an answer.
+
+    :param record: counts the events
+    """
+
+    def __init__(self, record: AnswerRecord) -> None:
+        self.record = record
+        self._pieces: list[str] = []
+
+    @property
+    def text(self) -> str:
+        """Text received so far."""
+        return "".join(self._pieces)
+
+    def deliver(
+        self, events: tuple[StreamEvent, ...], server: ServerId, stream_id: StreamId
+    ) -> None:
+        """Take events."""
+        for event in events:
+            self.record.take(event)
+            self._pieces.append(event.text)
+
+
+class EventStreamSink:
+    """Writes an answer to the caller as server-sent events.
+
+    Nothing is written before the first event, so that a request which fails earlier still gets a
+    typed body with its HTTP status.
+
+    :param start_response: WSGI's function that opens the response
+    :param make_encoder: makes the encoder once the stream's name is known
+    :param record: counts the events
+    :param request_id: the caller's request
+    """
+
+    def __init__(
+        self,
+        start_response: Callable[..., Callable[[bytes], None]],
+        make_encoder: MakeEncoder,
+        record: AnswerRecord,
+        request_id: RequestId,
+    ) -> None:
+        self._start_response = start_response
+        self._make_encoder = make_encoder
+        self._request_id = request_id
+        self._write: Callable[[bytes], None] | None = None
+        self._encoder: ChunkEncoder | None = None
+        self.record = record
+
+    @property
+    def has_begun(self) -> bool:
+        """A part of the response was written."""
+        return self._write is not None
+
+    def deliver(
+        self, events: tuple[StreamEvent, ...], server: ServerId, stream_id: StreamId
+    ) -> None:
+        """Write events."""
+        if self._write is None:
+            headers = [*SSE_HEADERS, ("X-Request-Id", self._request_id)]
+            self._write = self._start_response("200 OK", headers)
+            self._encoder = self._make_encoder(server, stream_id)
+        for event in events:
+            self.record.take(event)
+            usage = self.record.usage() if event.kind is EventKind.END else None
+            self._write(self._encoder.encode(event, usage))
+
+    def fail(self, error: BergamothillError) -> None:
+        """End a response that has begun with a typed error event."""
+        self._write(ChunkEncoder.encode_error(error, self._request_id))
--- a/bergamothill/process/frontend.py
+++ b/bergamothill/process/frontend.py
@@ -18,8 +18,8 @@
     OverloadedError,
 )
 from bergamothill.ids import RequestId
+from bergamothill.logs import EventLog
 from bergamothill.process.httpserver import OVERLOADED_KEY
-from bergamothill.process.logs import EventLog
 from bergamothill.request.chat import error_body
 
 __all__ = ["Frontend", "View", "json_response"]
--- a/tests/proof/proof_stream.py
+++ b/tests/proof/proof_stream.py
@@ -17,7 +17,7 @@
     UnavailableError,
 )
 from bergamothill.ids import ServerId, StreamId, WeightVersion
-from bergamothill.request.attempt import AttemptLog
+from bergamothill.request.attemptlog import AttemptLog
 from bergamothill.request.inference import (
     Closed,
     Failed,
