Routing v3: compute a prefix while the blocks behind it are restored

Change: with overlap=True a route may have blocks before compute_blocks computed while those up to restore_blocks are imported; a block behind a miss becomes usable too. Import and its check still end before the run that uses it. Off by default until the caller can do it. Ruled out: starting the run before the import is confirmed (breaks the check before use).

--- a/bergamothill/request/routing.py
+++ b/bergamothill/request/routing.py
@@ -35,13 +35,13 @@
     :param block_keys: keys of the full blocks, in prefix order
     :param block_tokens: tokens of each full block
     :param prompt_tokens: tokens of the whole prompt, the tail after the last full block included
-    :param stored: for each leading block that a store holds, where; ends at the first miss
+    :param stored: for each leading block, where a store holds it, or None; may end early
     """
 
     block_keys: tuple[str, ...]
     block_tokens: tuple[int, ...]
     prompt_tokens: int
-    stored: tuple[StoredBlock, ...]
+    stored: tuple[StoredBlock | None, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,12 +76,17 @@
     :param restore_blocks: leading blocks to have on the engine before the run, cached ones included
     :param expected_ttft_ms: expected time to first token, in milliseconds
     :param cost: expected cost in weighted milliseconds
+    :param compute_blocks: leading blocks to have computed by then, cached ones included: a prefill
+        of the prefix up to here runs while the blocks from here to ``restore_blocks`` are imported
+    :param queue_ms: part of the expected time that is spent in the engine's queue
     """
 
     server: ServerId
     restore_blocks: int
     expected_ttft_ms: int
     cost: float
+    compute_blocks: int = 0
+    queue_ms: int = 0
 
 
 MILLIS_PER_SECOND = 1_000
@@ -95,6 +100,8 @@
     engines: Sequence[EngineView],
     weights: PolicyWeights,
     rng: random.Random,
+    *,
+    overlap: bool = False,
 ) -> Route | None:
     """Choose the engine and restore length of least expected cost.
 
@@ -104,37 +111,56 @@
     :param engines: engines that serve the pinned version
     :param weights: what waiting, recomputing and moving cost
     :param rng: source of the random choice
+    :param overlap: the caller can have a prefix computed while later blocks are imported
     :returns: the route, or None when there is no engine
     """
-    routes = [_best_for(prompt, engine, weights) for engine in engines]
+    routes = [_best_for(prompt, engine, weights, overlap) for engine in engines]
     if not routes:
         return None
     best = min(route.cost for route in routes)
     return rng.choice([route for route in routes if route.cost <= best + NEAR_BEST_MS])
 
 
-def _best_for(prompt: Prompt, engine: EngineView, weights: PolicyWeights) -> Route:
-    lengths = range(engine.cached_blocks, max(engine.cached_blocks, len(prompt.stored)) + 1)
-    routes = [_estimate(prompt, engine, length, weights) for length in lengths]
+def _best_for(prompt: Prompt, engine: EngineView, weights: PolicyWeights, overlap: bool) -> Route:
+    cached = engine.cached_blocks
+    routes = [
+        _estimate(prompt, engine, cached, length, weights)
+        for length in range(cached, _stored_end(prompt, cached) + 1)
+    ]
+    if overlap:
+        routes += [
+            _estimate(prompt, engine, start, _stored_end(prompt, start), weights)
+            for start in range(cached + 1, len(prompt.stored))
+            if prompt.stored[start] is not None
+        ]
     return min(routes, key=lambda route: route.cost)
 
 
-def _estimate(prompt: Prompt, engine: EngineView, length: int, weights: PolicyWeights) -> Route:
-    """Estimate one restore length: queue and restore overlap, prefill of the rest follows."""
-    moved = prompt.stored[engine.cached_blocks : length]
-    moved_bytes = sum(block.size_bytes for block in moved)
-    covered = sum(prompt.block_tokens[:length])
-    rest_tokens = max(1, prompt.prompt_tokens - covered)
-    queue_ms = engine.queued_tokens * MILLIS_PER_SECOND / engine.prefill_tokens_per_s
+def _stored_end(prompt: Prompt, start: int) -> int:
+    """Return the end of the run of stored blocks that begins at a block."""
+    end = start
+    while end < len(prompt.stored) and prompt.stored[end] is not None:
+        end += 1
+    return end
+
+
+def _estimate(
+    prompt: Prompt, engine: EngineView, start: int, end: int, weights: PolicyWeights
+) -> Route:
+    """Estimate one split: blocks before ``start`` are computed while those up to ``end`` arrive."""
+    moved_bytes = sum(block.size_bytes for block in prompt.stored[start:end])
+    early_tokens = sum(prompt.block_tokens[engine.cached_blocks : start])
+    rest_tokens = max(1, prompt.prompt_tokens - sum(prompt.block_tokens[:end]))
+    token_ms = MILLIS_PER_SECOND / engine.prefill_tokens_per_s
+    queue_ms = engine.queued_tokens * token_ms
     restore_ms = 0.0
     if moved_bytes:
         link_bytes = engine.link_queued_bytes + moved_bytes
         restore_ms = link_bytes * MILLIS_PER_SECOND / engine.link_bytes_per_s
-    prefill_ms = rest_tokens * MILLIS_PER_SECOND / engine.prefill_tokens_per_s
-    ttft_ms = max(queue_ms, restore_ms) + prefill_ms
+    ttft_ms = max(queue_ms + early_tokens * token_ms, restore_ms) + rest_tokens * token_ms
     cost = (
         weights.ttft * ttft_ms
-        + weights.recompute * rest_tokens / TOKENS_PER_UNIT
+        + weights.recompute * (early_tokens + rest_tokens) / TOKENS_PER_UNIT
         + weights.link * moved_bytes / BYTES_PER_MB
     )
-    return Route(engine.server, length, round(ttft_ms), cost)
+    return Route(engine.server, end, round(ttft_ms), cost, start, round(queue_ms))
--- a/scripts/measurement/policies.py
+++ b/scripts/measurement/policies.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
-from bergamothill.request.routing import EngineView, Prompt
+from bergamothill.request.routing import EngineView, Prompt, choose_route
 from bergamothill.version.config import PolicyWeights
 from scripts.measurement.fakes import hash_of
 
@@ -93,6 +93,13 @@
     return rng.choice([plan for cost, plan in best.values() if cost <= least + NEAR_BEST_MS])
 
 
+def _overlapped(prompt, engines, weights, rng, name) -> Plan:
+    route = choose_route(prompt, engines, weights, rng, overlap=True)
+    view = next(each for each in engines if each.server == route.server)
+    start = max(view.cached_blocks, route.compute_blocks)
+    return Plan(view, start, route.restore_blocks, route.expected_ttft_ms, route.queue_ms)
+
+
 def _least(engines, rng, key) -> EngineView:
     least = min(key(each) for each in engines)
     return rng.choice([each for each in engines if key(each) == least])
@@ -136,5 +143,7 @@
         Policy("least_loaded", _least_loaded),
         Policy("sticky_by_hash", _sticky),
         Policy("v1", _version_1, own_sends=False, single_flight=False, idle_export=False),
+        Policy("v2", _version_1),
+        Policy("v3", _overlapped),
     )
 }
