Routing v4: relay own sends within 10 ms and to the other zones

Cause: an engine is used from every zone, but only sends of the own zone were known, 100 ms late. Change: relay period 10 ms, all reachable zones; LoadEstimator is unchanged.

--- a/scripts/measurement/policies.py
+++ b/scripts/measurement/policies.py
@@ -45,6 +45,8 @@
     :param own_sends: estimates add what was sent since the report
     :param single_flight: transfers of one block to one engine are joined
     :param idle_export: exports wait for idle link time
+    :param relay_ms: period at which an entry instance relays what it sent
+    :param relay_everywhere: other zones get it too
     :param admission: requests pass admission
     """
 
@@ -53,6 +55,8 @@
     own_sends: bool = True
     single_flight: bool = True
     idle_export: bool = True
+    relay_ms: int = 100
+    relay_everywhere: bool = False
     admission: bool = False
 
 
@@ -145,5 +149,6 @@
         Policy("v1", _version_1, own_sends=False, single_flight=False, idle_export=False),
         Policy("v2", _version_1),
         Policy("v3", _overlapped),
+        Policy("v4", _overlapped, relay_ms=10, relay_everywhere=True),
     )
 }
--- a/scripts/measurement/replay.py
+++ b/scripts/measurement/replay.py
@@ -29,7 +29,6 @@
 REPORT_MS = 500
 REPORT_LAG_MS = 250
 LATE_REPORT_LAG_MS = 2_000
-RELAY_MS = 100
 EVENTS_MS = 1_000
 EVENTS_LOST = 0.05
 EXPORT_MS = 100
@@ -133,7 +132,7 @@
             self._loop.after(arrival.at_ms, lambda arrival=arrival: self._arrive(arrival))
         self._loop.after(self.fault_ms, self._break)
         self._loop.every(REPORT_MS, self._report)
-        self._loop.every(RELAY_MS, self._relay)
+        self._loop.every(self.policy.relay_ms, self._relay)
         self._loop.every(EVENTS_MS, self._observe)
         self._loop.every(EXPORT_MS, self._export)
         self._loop.run(self.length_ms + DEADLINE_MS)
@@ -184,9 +183,14 @@
             if delta is None:
                 continue
             for entry in self._entries:
-                if entry is not sender and entry.zone == sender.zone:
+                if entry is not sender and self._hears(entry, sender):
                     entry.load.relayed(delta, self._now_ms())
 
+    def _hears(self, entry: _Entry, sender: _Entry) -> bool:
+        if entry.zone == sender.zone:
+            return True
+        return self.policy.relay_everywhere and not self._cut(entry.zone, sender.zone)
+
     def _observe(self) -> None:
         for engine in self._engines.values():
             events = engine.take_events().events
