--- a/bergamothill/connection/http.py
+++ b/bergamothill/connection/http.py
@@ -13,7 +13,7 @@
 
 from bergamothill.errors import PeerTimeoutError, PeerUnreachableError, ProtocolError
 
-__all__ = ["HttpClient", "HttpReply", "decode_json"]
+__all__ = ["CONTROL_TRAFFIC", "HttpClient", "HttpReply", "Traffic", "decode_json"]
 
 CONNECT_TIMEOUT_MS = 1_000
 MAX_IDLE_HANDLES = 32
@@ -22,6 +22,28 @@
 _NOT_SENT_CODES = frozenset({pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST})
 
 
+class Traffic:
+    """Bytes exchanged, counted over all clients of the process."""
+
+    def __init__(self) -> None:
+        self._total_bytes = 0
+        self._lock = threading.Lock()
+
+    @property
+    def total_bytes(self) -> int:
+        """Bytes sent and received so far, header fields included."""
+        return self._total_bytes
+
+    def add(self, size_bytes: int) -> None:
+        """Count bytes."""
+        with self._lock:
+            self._total_bytes += size_bytes
+
+
+CONTROL_TRAFFIC = Traffic()
+"""Traffic of the exchanges over kept connections: all but runs, streams and calls to services."""
+
+
 @dataclass(frozen=True, slots=True)
 class HttpReply:
     """Reply of an HTTP peer.
@@ -231,6 +253,9 @@
         if fresh:
             curl.close()
             return
+        received = curl.getinfo(pycurl.HEADER_SIZE) + curl.getinfo(pycurl.SIZE_DOWNLOAD)
+        sent = curl.getinfo(pycurl.REQUEST_SIZE) + curl.getinfo(pycurl.SIZE_UPLOAD)
+        CONTROL_TRAFFIC.add(int(received + sent))
         curl.reset()
         with self._lock:
             if len(self._idle) < MAX_IDLE_HANDLES:
--- a/bergamothill/process/entry.py
+++ b/bergamothill/process/entry.py
@@ -11,7 +11,7 @@
 
 from bergamothill.clock import Clock
 from bergamothill.connection.bus import Scope
-from bergamothill.connection.http import HttpClient
+from bergamothill.connection.http import CONTROL_TRAFFIC, HttpClient
 from bergamothill.connection.instancelist import HttpInstanceList, Instance, InstanceKind
 from bergamothill.connection.kvs_http import HttpKeyValueService
 from bergamothill.connection.peer import PeerMesh
@@ -133,7 +133,7 @@
     def _make_policy(self) -> None:
         self._admission = Admission(
             lambda brand: self._index.configuration.value_for(brand, "limits"),
-            1,
+            None,
             self._clock.now_ms(),
             self._rng,
         )
@@ -265,7 +265,12 @@
             self._mesh.peers(),
             self._table.status(self._clock.now_ms()),
         )
-        return {**status, "draining": self._work.is_draining, "in_progress": self._work.in_progress}
+        return {
+            **status,
+            "draining": self._work.is_draining,
+            "in_progress": self._work.in_progress,
+            "control_bytes": sum(self._mesh.bytes_total()) + CONTROL_TRAFFIC.total_bytes,
+        }
 
 
 class _NoStatsd:
--- a/bergamothill/request/limits.py
+++ b/bergamothill/request/limits.py
@@ -40,6 +40,7 @@
 CONCURRENT_RETRY_MS = 1_000
 LEAST_RETRY_MS = 100
 ASK_ID_BITS = 63
+LARGEST_FLEET = 400
 
 
 class RequestClass(Enum):
@@ -125,7 +126,8 @@
     loan to peers of the zone that do. An instance cut off from its peers keeps its own part.
 
     :param limits_for: limits in force of a brand
-    :param members: entry instances of the fleet by the instance list, not by reachability
+    :param members: entry instances of the fleet by the instance list, not by reachability; None
+        while the list was not read, which counts as the largest fleet
     :param started_ms: instant at which this incarnation started
     :param rng: source of request numbers
     """
@@ -133,12 +135,13 @@
     def __init__(
         self,
         limits_for: Callable[[BrandName], Limits],
-        members: int,
+        members: int | None,
         started_ms: int,
         rng: random.Random,
     ) -> None:
         self._limits_for = limits_for
-        self._members = max(1, members)
+        self._is_listed = members is not None
+        self._members = LARGEST_FLEET if members is None else max(1, members)
         self._started_ms = started_ms
         self._older_members = self._members
         self._resized_ms = started_ms
@@ -208,6 +211,9 @@
         :param members: entry instances of the fleet by the instance list
         :param now_ms: current instant
         """
+        if not self._is_listed and not self._quotas:
+            self._older_members = self._members = max(1, members)
+        self._is_listed = True
         if max(1, members) == self._members:
             return
         settled = now_ms - self._resized_ms > LOAN_MS + LOAN_MARGIN_MS
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -45,6 +45,16 @@
         self.assertEqual(10, admitted(subject, 50, SETTLED_MS + 10_000))
         self.assertEqual(5, admitted(subject, 50, SETTLED_MS + 11_000))
 
+    def test_first_read_of_the_instance_list_is_no_change_of_size(self) -> None:
+        limits = Limits(requests_per_s=10, burst=20)
+        subject = Admission(lambda brand: limits, None, 0, random.Random(1))
+        subject.resize(2, 0)
+        self.assertEqual(1 + 2, admitted(subject, 50, 0) + admitted(subject, 50, 1_000))
+
+    def test_without_the_instance_list_the_share_is_least(self) -> None:
+        subject = Admission(lambda brand: Limits(), None, 0, random.Random(1))
+        self.assertEqual(1, admitted(subject, 50, SETTLED_MS))
+
     def test_limits_requests_in_progress(self) -> None:
         subject = admission(Limits(concurrent=4))
         ticket = subject.admit(HUTS, RequestClass.INTERACTIVE, 1, 9, SETTLED_MS + 9_000)
