--- a/tests/proof/harness.py
+++ b/tests/proof/harness.py
@@ -80,7 +80,9 @@
     return type(name, (proof.machine,), attributes)
 
 
-def _run(machine: type[ProofMachine], operations: int, run_seed: int | None) -> str:
+def _run(
+    machine: type[ProofMachine], operations: int, run_seed: int | None, *, shrink: bool = True
+) -> str:
     """Run until the operations are done; return the report of a violation, or nothing."""
     options = settings(
         max_examples=max(1, operations // STEPS_PER_EXAMPLE),
@@ -89,7 +91,7 @@
         database=None,
         derandomize=run_seed is None,
         suppress_health_check=list(HealthCheck),
-        phases=(Phase.generate, Phase.shrink),
+        phases=(Phase.generate, Phase.shrink) if shrink else (Phase.generate,),
         verbosity=Verbosity.normal,
         print_blob=False,
     )
@@ -125,7 +127,7 @@
     disabled = _variant(proof, enabled=False)
     if run_seed is not None:
         seed(run_seed)(disabled)
-    disabled_report = _run(disabled, DISABLED_OPERATIONS, run_seed)
+    disabled_report = _run(disabled, DISABLED_OPERATIONS, run_seed, shrink=False)
     return ProofResult(
         slug=proof.slug,
         seed=run_seed or 0,
