Check the weight version of each run, import and export

Cause: an engine may run another version than the one a request was pinned to, and a run may outlive a swap. WeightVersionError is a ProtocolError. Proof 'weight-versions'.

--- a/bergamothill/errors.py
+++ b/bergamothill/errors.py
@@ -23,6 +23,7 @@
     "StoreFullError",
     "StreamBrokenError",
     "UnavailableError",
+    "WeightVersionError",
 ]
 
 
@@ -153,6 +154,15 @@
     http_status = 502
 
 
+class WeightVersionError(ProtocolError):
+    """An engine ran another weight version than the one that the run is pinned to.
+
+    The engine computed something, but nothing of it is delivered or kept.
+    """
+
+    code = "wrong_weight_version"
+
+
 class StreamBrokenError(BergamothillError):
     """An answer stream cannot be finished; what was received is not the whole answer."""
 
--- /dev/null
+++ b/tests/proof/proof_weights.py
@@ -0,0 +1,213 @@
+"""Proof that no request uses blocks or gets tokens of another weight version than its own."""
+
+from dataclasses import dataclass, field
+
+from hypothesis import strategies as st
+from hypothesis.stateful import initialize, precondition, rule
+
+from bergamothill.connection.engine import EngineState, EventKind, StreamEvent
+from bergamothill.errors import WeightVersionError
+from bergamothill.ids import Incarnation, Revision, WeightVersion
+from bergamothill.version.block import chain_blocks
+from bergamothill.version.config import Configuration, ModelConfig
+from bergamothill.version.weights import RunVersion, pin_version, seems_loaded
+from tests.proof.harness import Proof, ProofMachine
+
+MODEL = "m"
+VERSIONS = ("v1", "v2", "v3")
+VERSION = st.sampled_from(VERSIONS)
+ENGINES = 2
+RUNS = 4
+PICK = st.integers(0, RUNS - 1)
+ENGINE = st.integers(0, ENGINES - 1)
+TOKENS = 3
+CHAINS = {
+    version: chain_blocks(
+        "b", MODEL, "", WeightVersion(version), ({"role": "user", "content": "x" * 99},), 16
+    )
+    for version in VERSIONS
+}
+
+
+class UncheckedRunVersion(RunVersion):
+    """Trusts the order that it sent: does not compare what START says."""
+
+    def check(self, event):
+        pass
+
+    def may_export(self, chain):
+        return True
+
+
+@dataclass
+class Engine:
+    """Engine that tells in START what it truly runs, whatever its state report says.
+
+    :param kept: version that truly computed what is kept, by block key and that version
+    """
+
+    loaded: set = field(default_factory=lambda: {"v1"})
+    forced: str = ""
+    kept: set = field(default_factory=set)
+    reported: EngineState | None = None
+
+    def state(self):
+        versions = frozenset(f"{MODEL}:{version}" for version in self.loaded)
+        return EngineState(Incarnation(1), False, versions)
+
+
+@dataclass
+class ActiveRun:
+    version: RunVersion
+    chain: object
+    engine: Engine
+    true_version: str
+    events: list
+    delivered: list = field(default_factory=list)
+    refused: bool = False
+
+
+class WeightMachine(ProofMachine):
+    """Rollouts, stale orders and lying engines around runs that start, outlive swaps and export."""
+
+    @initialize()
+    def set_up(self):
+        self.engines = [Engine() for _ in range(ENGINES)]
+        for engine in self.engines:
+            engine.reported = engine.state()
+        self.runs = []
+        self.store = {}
+        self.configure("v1")
+
+    def configure(self, version):
+        model = ModelConfig(MODEL, WeightVersion(version), WeightVersion(version))
+        self.configuration = Configuration(Revision(1), models={MODEL: model})
+
+    # Operators and duties.
+
+    @rule(version=VERSION)
+    def swap(self, version):
+        """A rollout: each engine gets the order, then new requests are pinned to the version."""
+        self.operation()
+        for engine in self.engines:
+            engine.loaded = {version}
+        self.configure(version)
+
+    @rule(version=VERSION)
+    def configure_before_the_engines(self, version):
+        self.operation()
+        self.configure(version)
+
+    @rule(pick=ENGINE, version=VERSION)
+    def stale_order(self, pick, version):
+        """An order of a holder that lost its lease, at an engine that ignores fencing."""
+        self.fault()
+        self.engines[pick].loaded = {version}
+
+    @rule(pick=ENGINE)
+    def report_state(self, pick):
+        self.operation()
+        self.engines[pick].reported = self.engines[pick].state()
+
+    @rule(pick=ENGINE, version=st.sampled_from(("", *VERSIONS)))
+    def force_version(self, pick, version):
+        """The engine runs this version from now on, whatever it is asked and reports."""
+        self.fault()
+        self.engines[pick].forced = version
+
+    @rule(pick=ENGINE)
+    def restart_engine(self, pick):
+        self.fault()
+        engine = self.engines[pick]
+        engine.kept.clear()
+        self.runs = [run for run in self.runs if run.engine is not engine]
+
+    # Runs.
+
+    @rule(pick=ENGINE)
+    def start_run(self, pick):
+        self.operation()
+        engine = self.engines[pick]
+        pinned = pin_version(self.configuration, MODEL)
+        if not seems_loaded(engine.reported, MODEL, pinned):
+            return
+        if pinned not in engine.loaded and not engine.forced:
+            return
+        self._begin(engine, pinned)
+
+    @precondition(lambda self: self.store)
+    @rule(pick=ENGINE)
+    def start_returning_run(self, pick):
+        """Import what the store has for the pinned version, then run."""
+        self.operation()
+        engine = self.engines[pick]
+        pinned = pin_version(self.configuration, MODEL)
+        chain = CHAINS[pinned]
+        run_class = RunVersion if self.mechanism_enabled else UncheckedRunVersion
+        if not run_class(pinned, "e").may_use(chain):
+            return
+        for key in chain.keys:
+            if key in self.store:
+                assert self.store[key] == pinned, "an import has blocks of another version"
+        if pinned in engine.loaded or engine.forced:
+            self._begin(engine, pinned)
+
+    def _begin(self, engine, pinned):
+        true_version = engine.forced or pinned
+        run_class = RunVersion if self.mechanism_enabled else UncheckedRunVersion
+        events = [StreamEvent(0, EventKind.START, weight_version=true_version)]
+        events += [StreamEvent(n, EventKind.TOKEN, true_version) for n in range(1, TOKENS + 1)]
+        events.append(StreamEvent(TOKENS + 1, EventKind.END, finish_reason="stop"))
+        chain = CHAINS[pinned]
+        engine.kept.update((key, true_version) for key in chain.keys)
+        run = ActiveRun(run_class(pinned, "e"), chain, engine, true_version, events)
+        self.runs = [*self.runs[-RUNS + 1 :], run]
+
+    @precondition(lambda self: self.runs)
+    @rule(pick=PICK, count=st.integers(1, TOKENS + 2))
+    def step_run(self, pick, count):
+        self.operation()
+        run = self.runs[pick % len(self.runs)]
+        for _ in range(count):
+            self._deliver(run)
+
+    @precondition(lambda self: self.runs)
+    @rule(pick=PICK)
+    def lose_start(self, pick):
+        """The START event is lost on the way and the rest arrives."""
+        self.fault()
+        run = self.runs[pick % len(self.runs)]
+        if run.events and run.events[0].kind is EventKind.START:
+            run.events.pop(0)
+
+    def _deliver(self, run):
+        if run.refused or not run.events:
+            return
+        event = run.events.pop(0)
+        try:
+            run.version.check(event)
+        except WeightVersionError:
+            run.refused = True
+            return
+        if event.kind is EventKind.TOKEN:
+            assert event.text == run.version.pinned, "a caller got tokens of another version"
+
+    # Exports, at any time after the run began.
+
+    @precondition(lambda self: self.runs)
+    @rule(pick=PICK, version=VERSION, own=st.booleans())
+    def export(self, pick, version, own):
+        """Export what the run computed, under its own chain or under the one now in force."""
+        self.operation()
+        run = self.runs[pick % len(self.runs)]
+        chain = run.chain if own else CHAINS[version]
+        if run.refused or not run.version.may_export(chain):
+            return
+        for key in run.chain.keys:
+            if (key, run.true_version) in run.engine.kept:
+                stored_key = chain.keys[run.chain.keys.index(key)]
+                self.store[stored_key] = run.true_version
+                assert run.true_version == chain.weight_version, "a block is kept as another's"
+
+
+PROOFS = (Proof(slug="weight-versions", machine=WeightMachine),)
