--- a/bergamothill/request/inference.py
+++ b/bergamothill/request/inference.py
@@ -19,7 +19,7 @@
     UnavailableError,
 )
 from bergamothill.ids import ServerId, StreamId, WeightVersion
-from bergamothill.request.attempt import Attempt, AttemptLog
+from bergamothill.request.attemptlog import Attempt, AttemptLog
 from bergamothill.request.stream import AnswerStream, StreamPhase
 
 __all__ = [
--- a/bergamothill/request/restore.py
+++ b/bergamothill/request/restore.py
@@ -13,7 +13,7 @@
 from bergamothill.connection.engine import BlockRef, ModelEngine
 from bergamothill.errors import BergamothillError, StoreFullError
 from bergamothill.ids import Generation, ServerId, StoreId, ZoneName
-from bergamothill.process.logs import EventLog
+from bergamothill.logs import EventLog
 from bergamothill.process.metrics import StatsdMetrics
 from bergamothill.request.blockport import BlockPort, run_block_machine
 from bergamothill.request.flight import SingleFlight
--- a/bergamothill/request/sweep.py
+++ b/bergamothill/request/sweep.py
@@ -8,7 +8,7 @@
 from bergamothill.clock import Clock
 from bergamothill.errors import BergamothillError, StoreFullError
 from bergamothill.ids import StoreId
-from bergamothill.process.logs import EventLog
+from bergamothill.logs import EventLog
 from bergamothill.request.storecalls import StoreEndpoint
 from bergamothill.version.blockname import ROOT, CopyListing, parse_listing
 from bergamothill.version.blockstore import BlockBounds, DeleteObject, PutMarker
--- a/tests/proof/harness.py
+++ b/tests/proof/harness.py
@@ -94,6 +94,7 @@
         phases=(Phase.generate, Phase.shrink) if shrink else (Phase.generate,),
         verbosity=Verbosity.normal,
         print_blob=False,
+        report_multiple_bugs=False,
     )
     output = io.StringIO()
     try:
