Drive the proof of blocks deeper: bulk frees, held sweepers, repeated puts

Two faults of the oracle itself mended: an overwrite by the same copy and the death of a store are no free of a block. Replay of a reader frozen across a free with an old state of the store coming back: red with a reader that has no bound, green with the product's.

--- a/tests/proof/leaststore.py
+++ b/tests/proof/leaststore.py
@@ -12,6 +12,8 @@
     owner: str = ""
     content: bytes = b""
     written_ms: int = 0
+    deletions: int = 0
+    lost: bool = False
 
 
 @dataclass(slots=True)
@@ -23,7 +25,7 @@
 
     def open(self, name, now_ms):
         """Begin an object, in a freed place where there is one."""
-        self.delete(name)
+        self._release(name)
         place = self.free.pop() if self.free else Place()
         place.owner, place.content, place.written_ms = name, b"", now_ms
         self.objects[name] = place
@@ -42,10 +44,17 @@
         return True
 
     def delete(self, name):
+        """Free an object; its bytes stay at the place until another object takes it."""
+        place = self._release(name)
+        if place is not None:
+            place.deletions += 1
+
+    def _release(self, name):
         place = self.objects.pop(name, None)
         if place is not None:
             place.owner = ""
             self.free.append(place)
+        return place
 
     def list(self, prefix, now_ms):
         return [
@@ -59,8 +68,9 @@
 
     def die(self, *, keep_snapshot):
         """Come back empty, or with the state of the snapshot; every old place is lost."""
-        for name in list(self.objects):
-            self.delete(name)
+        for place in self.objects.values():
+            place.lost = True
+        self.objects.clear()
         self.free.clear()
         if keep_snapshot:
             for name, (content, written_ms) in self.snapshot.items():
--- a/tests/proof/proof_blocks.py
+++ b/tests/proof/proof_blocks.py
@@ -1,6 +1,7 @@
 """Proof that no run uses a freed or partly written block, over the least store."""
 
 import hashlib
+from enum import Enum
 
 from hypothesis import strategies as st
 from hypothesis.stateful import initialize, precondition, rule
@@ -29,12 +30,27 @@
 from tests.proof.leaststore import LeastStore
 
 BOUNDS = BlockBounds()
-WARM_TIME_MS = 200_000
+WARM_TIME_MS = 45_000
 HALF_BYTES = 4
 KEYS = ("k0", "k1")
+NEED_ALL_BYTES = 1 << 20
 ACTORS = 3
 PICK = st.integers(0, ACTORS - 1)
-WAITS_MS = (1, 1_000, 19_999, 30_000, 60_000, 120_000, 200_000)
+WAITS_MS = (1, 1_000, 10_000, 19_999, 31_000, 61_000, 121_000)
+
+
+class Fault(Enum):
+    KILL_WRITER = "kill writer"
+    KILL_SWEEPER = "kill sweeper"
+    FULL = "store takes no more"
+    ROOM = "store has room again"
+    SNAPSHOT = "store notes its state"
+    REPEAT_PUT = "second, delayed delivery of a put shows its full length and half of its bytes"
+    DIE_EMPTY = "store dies and returns empty"
+    DIE_OLD = "store dies and returns with the noted state"
+
+
+FAULTS = (*Fault, Fault.DIE_OLD, Fault.DIE_OLD)
 
 
 def content_of(key):
@@ -88,6 +104,7 @@
         self.place = None
         self.read = b""
         self.read_freed = False
+        self.deletions = 0
 
 
 class Sweeper:
@@ -149,12 +166,6 @@
                 self.late.append((writer.name.data, content_of(writer.name.key)))
         self._feed_writer(writer, StepFailed())
 
-    @precondition(lambda self: self.writers)
-    @rule(pick=PICK)
-    def kill_writer(self, pick):
-        self.fault()
-        self.writers.pop(pick % len(self.writers))
-
     def _step_write(self, writer):
         effect = writer.effect
         if isinstance(effect, ExportData):
@@ -188,21 +199,34 @@
 
     # Readers.
 
-    @rule(key=st.sampled_from(KEYS), pick=PICK)
-    def start_read(self, key, pick):
+    @precondition(lambda self: self._readable())
+    @rule(pick=PICK)
+    def start_read(self, pick):
         self.operation()
-        listed = parse_listing(self.store.list(f"{ROOT}b/m/v/{key}/", self.now_ms))
-        found = [copy for copy in listed if copy.is_readable(BOUNDS.write_ms)]
-        if found:
-            read_class = BlockRead if self.mechanism_enabled else self.read_class
-            machine = read_class(found[pick % len(found)], self.now_ms, BOUNDS)
-            self.readers = [*self.readers[-ACTORS + 1 :], Reader(machine, self.now_ms)]
+        found = self._readable()
+        read_class = BlockRead if self.mechanism_enabled else self.read_class
+        machine = read_class(found[pick % len(found)], self.now_ms, BOUNDS)
+        self.readers = [*self.readers[-ACTORS + 1 :], Reader(machine, self.now_ms)]
+
+    @precondition(lambda self: self._readable())
+    @rule(pick=PICK)
+    def read_whole(self, pick):
+        self.start_read(pick)
+        reader = self.readers[-1]
+        while reader in self.readers:
+            self._step_read(reader)
+
+    def _readable(self):
+        listed = parse_listing(self.store.list(ROOT, self.now_ms))
+        return [copy for copy in listed if copy.is_readable(BOUNDS.write_ms)]
 
     @precondition(lambda self: self.readers)
     @rule(pick=PICK)
     def step_read(self, pick):
         self.operation()
-        reader = self.readers[pick % len(self.readers)]
+        self._step_read(self.readers[pick % len(self.readers)])
+
+    def _step_read(self, reader):
         effect = reader.effect
         if isinstance(effect, ImportData):
             self._import(reader, effect)
@@ -210,16 +234,20 @@
             self._feed_reader(reader, Listed(self._listing(effect.name)))
 
     def _import(self, reader, effect):
-        """Read half of the data at the place that the name led to at the start."""
-        if reader.place is None:
+        """Read half of the data at the place that the name led to at the start.
+
+        After the death of the store the rest is asked for by name again.
+        """
+        if reader.place is None or reader.place.lost:
             reader.place = self.store.objects.get(effect.name.data)
             if reader.place is None:
                 self._feed_reader(reader, StepFailed())
                 return
+            reader.deletions = reader.place.deletions
         start = len(reader.read)
         chunk = reader.place.content[start : start + HALF_BYTES]
         reader.read += chunk
-        reader.read_freed |= reader.place.owner != effect.name.data
+        reader.read_freed |= reader.place.deletions != reader.deletions
         if len(chunk) < HALF_BYTES or len(reader.read) == 2 * HALF_BYTES:
             block = describe(effect.name, reader.read)
             self._feed_reader(reader, DataMoved(block))
@@ -242,22 +270,58 @@
     @rule(pick=st.integers(0, 1), evict=st.booleans())
     def plan_sweep(self, pick, evict):
         self.operation()
+        self._plan_sweep(self.sweepers[pick], evict)
+
+    @precondition(lambda self: any(sweeper.queue for sweeper in self.sweepers))
+    @rule(pick=st.integers(0, 1), count=st.integers(1, 4))
+    def step_sweep(self, pick, count):
+        self.operation()
+        for _ in range(count):
+            self._step_sweep(self.sweepers[pick])
+
+    @rule(pick=st.integers(0, 1), wait_ms=st.sampled_from(WAITS_MS))
+    def sweep_whole(self, pick, wait_ms):
+        self.operation()
+        self.now_ms += wait_ms
         sweeper = self.sweepers[pick]
+        self._plan_sweep(sweeper, evict=False)
+        while sweeper.queue:
+            self._step_sweep(sweeper)
+
+    @rule(
+        pick=st.integers(0, 1),
+        wait_ms=st.sampled_from((*WAITS_MS, BOUNDS.retire_wait_ms)),
+        note=st.booleans(),
+        hold=st.booleans(),
+    )
+    def free_all(self, pick, wait_ms, note, hold):
+        """Evict whatever may be and delete what the wait allows, under every open read.
+
+        :param note: the store notes its state before
+        :param hold: the sweeper freezes before its deletions
+        """
+        self.operation()
+        self.now_ms += BOUNDS.write_ms if note else 0
+        if note:
+            self.store.take_snapshot()
+        sweeper = self.sweepers[pick]
+        self._plan_sweep(sweeper, evict=True, needed_bytes=NEED_ALL_BYTES)
+        while sweeper.queue:
+            self._step_sweep(sweeper)
+        self.now_ms += wait_ms
+        self._plan_sweep(sweeper, evict=False)
+        while sweeper.queue and not hold:
+            self._step_sweep(sweeper)
+
+    def _plan_sweep(self, sweeper, evict, needed_bytes=2 * HALF_BYTES):
         copies = parse_listing(self.store.list(ROOT, self.now_ms))
         if evict:
-            steps = sweeper.machine.evict(copies, self._warm_time_ms, 2 * HALF_BYTES)
+            steps = sweeper.machine.evict(copies, self._warm_time_ms, needed_bytes)
         else:
             steps = sweeper.machine.plan(copies, self._warm_time_ms, self.now_ms)
         sweeper.queue = [(step, list(step.effects)) for step in steps]
 
-    @rule(pick=st.integers(0, 1), count=st.integers(1, 4))
-    def step_sweep(self, pick, count):
-        self.operation()
-        sweeper = self.sweepers[pick]
-        for _ in range(count):
-            if sweeper.queue:
-                self._step_sweep(sweeper)
-
+    @precondition(lambda self: any(sweeper.queue for sweeper in self.sweepers))
     @rule(pick=st.integers(0, 1), lands=st.booleans())
     def lose_reply_of_sweep(self, pick, lands):
         self.fault()
@@ -269,12 +333,9 @@
             elif lands:
                 self.store.delete(effects[0].object_name)
 
-    @rule(pick=st.integers(0, 1))
-    def kill_sweeper(self, pick):
-        self.fault()
-        self.sweepers[pick] = Sweeper()
-
     def _step_sweep(self, sweeper):
+        if not sweeper.queue:
+            return
         step, effects = sweeper.queue[0]
         effect = effects.pop(0)
         if isinstance(effect, DeleteObject):
@@ -295,6 +356,29 @@
         self.operation()
         self.now_ms += wait_ms
 
+    @rule(kind=st.sampled_from(FAULTS), pick=PICK)
+    def fail(self, kind, pick):
+        self.fault()
+        if kind is Fault.KILL_WRITER and self.writers:
+            self.writers.pop(pick % len(self.writers))
+        elif kind is Fault.KILL_SWEEPER:
+            self.sweepers[pick % 2] = Sweeper()
+        elif kind in (Fault.FULL, Fault.ROOM):
+            self.store.full = kind is Fault.FULL
+        elif kind is Fault.SNAPSHOT:
+            self.store.take_snapshot()
+        elif kind is Fault.REPEAT_PUT:
+            self._repeat_put(pick)
+        elif kind in (Fault.DIE_EMPTY, Fault.DIE_OLD):
+            self.store.die(keep_snapshot=kind is Fault.DIE_OLD)
+
+    def _repeat_put(self, pick):
+        names = [name for name in self.store.objects if name.endswith("/data")]
+        if names:
+            name = names[pick % len(names)]
+            content = self.store.objects[name].content[:HALF_BYTES]
+            self.store.put(name, content.ljust(2 * HALF_BYTES, b"?"), self.now_ms)
+
     @precondition(lambda self: self.late)
     @rule(pick=PICK)
     def land_late_put(self, pick):
@@ -302,21 +386,6 @@
         name, content = self.late.pop(pick % len(self.late))
         self.store.put(name, content, self.now_ms)
 
-    @rule(full=st.booleans())
-    def set_full(self, full):
-        self.fault()
-        self.store.full = full
-
-    @rule()
-    def take_snapshot(self):
-        self.operation()
-        self.store.take_snapshot()
-
-    @rule(keep_snapshot=st.booleans())
-    def store_dies(self, keep_snapshot):
-        self.fault()
-        self.store.die(keep_snapshot=keep_snapshot)
-
     def _lose_put(self, name, lands):
         if lands:
             self.store.put(name, b"", self.now_ms)
--- a/tests/test_blockstore.py
+++ b/tests/test_blockstore.py
@@ -3,7 +3,14 @@
 from bergamothill.connection.store import StoredObject
 from bergamothill.ids import Generation
 from bergamothill.version.blockname import BlockName, brand_prefix, parse_listing
-from bergamothill.version.blockstore import BlockBounds, DeleteObject, PutMarker
+from bergamothill.version.blockstore import (
+    BlockBounds,
+    BlockRead,
+    DeleteObject,
+    DoubtReason,
+    PutMarker,
+    ReadRejected,
+)
 from bergamothill.version.blocksweep import BlockSweep
 from tests.proof import proof_blocks
 from tests.proof.harness import Proof, check_proof
@@ -114,3 +121,36 @@
 
     def test_reader_without_a_digest_is_found_out(self):
         check_proof(self, Proof("blocks", proof_blocks.UndigestedMachine), operations=100)
+
+
+class UnboundedRead(BlockRead):
+    """Reader that does not mind how long it took."""
+
+    def _is_late(self, now_ms):
+        return False
+
+
+class FrozenReaderReplay(unittest.TestCase):
+    """Reader frozen in mid-read while its block is freed and an old state of the store returns."""
+
+    def replay(self, read_class):
+        machine = proof_blocks.BlockMachine()
+        machine.set_up()
+        machine.write_whole("k0")
+        machine.advance(BOUNDS.write_ms)
+        (found,) = machine._readable()
+        reader = proof_blocks.Reader(read_class(found, machine.now_ms, BOUNDS), machine.now_ms)
+        machine.readers.append(reader)
+        machine._step_read(reader)
+        machine.free_all(0, BOUNDS.retire_wait_ms, note=True, hold=False)
+        machine._step_read(reader)
+        machine.fail(proof_blocks.Fault.DIE_OLD, 0)
+        machine._step_read(reader)
+        return reader.effect
+
+    def test_reader_past_its_bound_starts_over(self):
+        self.assertEqual(self.replay(BlockRead), ReadRejected(DoubtReason.LATE))
+
+    def test_reader_without_a_bound_uses_a_freed_block(self):
+        with self.assertRaisesRegex(AssertionError, "after the block was freed"):
+            self.replay(UnboundedRead)
