--- a/standins/store.py
+++ b/standins/store.py
@@ -4,7 +4,7 @@
 of a put, then drops the connection; ``write_bytes_per_s`` and ``read_bytes_per_s`` slow the bytes
 down, a growing part of a slow put being visible; ``reuse_places`` makes a read of a deleted object
 that is under way go on with the bytes of the next object put. ``POST /snapshot`` notes the objects,
-``POST /restore`` brings them back, ``POST /wipe`` loses everything.
+``POST /restore`` brings them back, ``POST /wipe`` loses everything. ``GET /stats`` counts the calls.
 """
 
 from __future__ import annotations
@@ -12,6 +12,7 @@
 import argparse
 import threading
 import time
+from collections import Counter
 from collections.abc import Iterator
 
 from werkzeug.wrappers import Request, Response
@@ -49,7 +50,9 @@
         self._places: dict[str, Place] = {}
         self._freed: list[Place] = []
         self._snapshot: dict[str, bytes] = {}
+        self._calls = Counter()
         self._lock = threading.Lock()
+        self.route("/stats", lambda request: json_response(self._calls), ["GET"])
         self.route("/objects", self._list, ["GET"])
         self.route("/objects/<path:name>", self._put, ["PUT"])
         self.route("/objects/<path:name>", self._get, ["GET"])
@@ -60,6 +63,7 @@
         self.route("/healthz", lambda request: json_response({"status": "ok"}), ["GET"])
 
     def _list(self, request: Request) -> Response:
+        self._calls["list"] += 1
         prefix = request.args.get("prefix", "")
         now_s = time.monotonic()
         with self._lock:
@@ -71,6 +75,7 @@
         return json_response(sorted(rows))
 
     def _put(self, request: Request, name: str) -> Response:
+        self._calls["put"] += 1
         value = request.get_data()
         try:
             place = self._open(name, len(value))
@@ -103,6 +108,7 @@
         place.write(value)
 
     def _get(self, request: Request, name: str) -> Response:
+        self._calls["get"] += 1
         with self._lock:
             place = self._places.get(name)
         if place is None:
@@ -125,6 +131,7 @@
             yield place.value[position : position + length].ljust(length, b"\0")
 
     def _delete(self, request: Request, name: str) -> Response:
+        self._calls["delete"] += 1
         with self._lock:
             place = self._places.pop(name, None)
             if place is not None:
