--- a/bergamothill/connection/sse.py
+++ b/bergamothill/connection/sse.py
@@ -49,8 +49,9 @@
 
 
 def _normalize_line_ends(buffer: bytes) -> bytes:
-    """Turn CR LF into LF, leaving a final CR whose LF may be in the next chunk."""
-    return buffer.replace(b"\r\n", b"\n")
+    """Turn CR LF and CR into LF, leaving a final CR whose LF may be in the next chunk."""
+    buffer = buffer.replace(b"\r\n", b"\n")
+    return buffer[:-1].replace(b"\r", b"\n") + buffer[-1:]
 
 
 def _parse_block(block: str) -> SseEvent | None:
--- a/standins/store.py
+++ b/standins/store.py
@@ -4,7 +4,7 @@
 of a put, then drops the connection; ``write_bytes_per_s`` and ``read_bytes_per_s`` slow the bytes
 down, a growing part of a slow put being visible; ``reuse_places`` makes a read of a deleted object
 that is under way go on with the bytes of the next object put. ``POST /snapshot`` notes the objects,
-``POST /restore`` brings them back, ``POST /wipe`` loses everything. ``GET /stats`` counts the calls.
+``POST /restore`` brings them back, ``POST /wipe`` loses everything, ``GET /stats`` counts calls.
 """
 
 from __future__ import annotations
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -5,11 +5,24 @@
 import unittest
 import urllib.request
 
-from bergamothill.connection.engine import BlockRef, EventKind, Run, TransferOrder
+from bergamothill.connection.engine import (
+    BlockRef,
+    EngineOrder,
+    EventKind,
+    OrderKind,
+    Run,
+    TransferOrder,
+)
 from bergamothill.connection.http import HttpClient
 from bergamothill.connection.httpengine import HttpModelEngine
 from bergamothill.connection.httpstore import HttpStoreInstance
-from bergamothill.errors import ConflictError, NotFoundError, StoreFullError, StreamBrokenError
+from bergamothill.errors import (
+    ConflictError,
+    FencedError,
+    NotFoundError,
+    StoreFullError,
+    StreamBrokenError,
+)
 
 OPTIONS = (
     "--server-id",
@@ -60,6 +73,10 @@
     return Run(**(values | changes))
 
 
+def make_order(fencing_number):
+    return EngineOrder(OrderKind.LOAD_WEIGHTS, fencing_number, 2_000, "m", "v7")
+
+
 class StandInTests(unittest.TestCase):
     @classmethod
     def setUpClass(cls):
@@ -101,6 +118,29 @@
         with self.assertRaises(StreamBrokenError):
             self.run_events()
 
+    def test_engine_tells_the_version_that_truly_ran(self):
+        put_json(self.engine_address, "/faults", {"run_version": "v2"})
+        self.assertEqual(self.run_events()[0].weight_version, "v2")
+        put_json(self.engine_address, "/faults", {"run_version": "v2", "claim_version": "v1"})
+        self.assertEqual(self.run_events()[0].weight_version, "v1")
+        with urllib.request.urlopen(f"http://{self.engine_address}/runs") as reply:
+            self.assertEqual(json.load(reply)[-1]["weight_version"], "v2")
+
+    def test_disturbed_streams(self):
+        put_json(self.engine_address, "/faults", {"duplicate_events": True})
+        self.assertEqual([event.sequence for event in self.run_events()][:4], [0, 0, 1, 1])
+        put_json(self.engine_address, "/faults", {"reorder_events": True})
+        self.assertEqual([event.sequence for event in self.run_events()][:4], [1, 0, 3, 2])
+        put_json(self.engine_address, "/faults", {"silent_after_events": 2})
+        with self.assertRaises(StreamBrokenError):
+            self.engine.run(make_run(), lambda event: None, idle_timeout_ms=1_000)
+
+    def test_old_fencing_number_is_refused(self):
+        self.engine.order(make_order(2))
+        with self.assertRaises(FencedError):
+            self.engine.order(make_order(1))
+        self.assertIn("m:v7", self.engine.load().state.versions)
+
     def test_block_travels_by_the_store(self):
         self.run_events()
         empty = BlockRef("k1", "g1", 0, "", 2048)
