Write the configuration in force back to a rolled-back key-value service

Cause: a service restored from an old state was refused and reported only, and the next operator's change would have been based on the old state and refused everywhere. The entry instances that hold the watch replace an earlier state of their own head (it has no change that theirs lacks) by compare-and-swap; a diverged head only when an operator orders it.

--- a/bergamothill/version/follower.py
+++ b/bergamothill/version/follower.py
@@ -237,7 +237,8 @@
         follows = known is None or known == head.lineage
         if follows and source is Source.PEER:
             return HeadVerdict(VerdictKind.OLDER, head.revision)
-        return self._refuse(head, RefusalReason.ROLLED_BACK if follows else RefusalReason.DIVERGED)
+        reason = RefusalReason.ROLLED_BACK if follows else RefusalReason.DIVERGED
+        return self._refuse(head, reason, is_ancestor=known == head.lineage)
 
     def _judge_candidate(self, candidate: _Candidate) -> HeadVerdict:
         head = candidate.head
--- a/bergamothill/version/watcher.py
+++ b/bergamothill/version/watcher.py
@@ -12,7 +12,7 @@
 
 from bergamothill.clock import Clock, seconds
 from bergamothill.connection.bus import PeerBus, Scope, message
-from bergamothill.connection.kvs import KeyValueService
+from bergamothill.connection.kvs import KeyValueEntry, KeyValueService
 from bergamothill.errors import BergamothillError, NotFoundError, UnavailableError
 from bergamothill.ids import EntryInstanceId, Revision
 from bergamothill.process.logs import EventLog
@@ -24,8 +24,9 @@
     Source,
     VerdictKind,
 )
-from bergamothill.version.record import EMPTY_HEAD, HEAD_KEY, encode
+from bergamothill.version.record import EMPTY_HEAD, HEAD_KEY, Head, decode, encode
 from bergamothill.version.recordstore import RecordStore
+from bergamothill.version.repair import HeadRepair
 
 __all__ = ["ConfigurationStatus", "ConfigurationWatcher"]
 
@@ -148,6 +149,7 @@
     ) -> None:
         self._kvs = kvs
         self._records = RecordStore(kvs)
+        self._repair = HeadRepair(kvs)
         self._bus = bus
         self._clock = clock
         self._entry_id = entry_id
@@ -328,12 +330,23 @@
         value = encode(EMPTY_HEAD) if entry is None else entry.value
         verdict = self._follow(value, Source.KVS, self._records.read_content)
         if verdict.kind is VerdictKind.REFUSED:
-            _log.error(
-                "configuration_refused",
-                revision=verdict.revision,
-                reason=verdict.reason.value,
-                in_force=self._follower.head.revision,
-            )
+            self._on_refused(entry, decode(Head, value), verdict)
+
+    def _on_refused(self, entry: KeyValueEntry | None, refused: Head, verdict: HeadVerdict) -> None:
+        in_force = self._follower.head
+        _log.error(
+            "configuration_refused",
+            revision=refused.revision,
+            reason=verdict.reason.value,
+            in_force=in_force.revision,
+        )
+        if not self._repair.is_due(refused, verdict):
+            return
+        with self._follow_lock:
+            value, content = self._follower.head_value, self._follower.content
+            done = self._repair.write_back(refused, entry, value, content)
+        if done:
+            _log.warning("configuration_written_back", revision=in_force.revision)
 
     def _follow(self, value: bytes, source: Source, fetch: Callable[[str], bytes]) -> HeadVerdict:
         """Bring a head into force if the follower allows it, with the contents it lacks."""
--- a/tests/test_watcher.py
+++ b/tests/test_watcher.py
@@ -6,6 +6,7 @@
 from bergamothill.errors import PeerUnreachableError, UnavailableError
 from bergamothill.version.change import AddBrand, SetDefault
 from bergamothill.version.follower import RefusalReason
+from bergamothill.version.repair import RecoveryOrder, order_recovery
 from bergamothill.version.revision import ConfigurationWriter
 from bergamothill.version.watcher import ConfigurationWatcher
 from tests.localbus import LocalNetwork
@@ -127,16 +128,32 @@
         self.assertGreaterEqual(late.status().age_ms, 60_000)
         self.assertFalse(late.status().kvs_reachable)
 
-    def test_rolled_back_service_is_refused_and_reported(self):
+    def test_rolled_back_service_is_refused_reported_and_written_back(self):
         watcher = self.add("a0")
         self.accept(5)
         old = self.kvs.snapshot()
         self.accept(6)
         self.step(2)
         self.kvs.restore(old)
-        self.step()
+        watcher.watch_once()
         self.assertEqual(watcher.current().defaults.warm_time_ms, 6)
         self.assertIs(watcher.status().reason, RefusalReason.ROLLED_BACK)
+        self.step()
+        self.assertIs(watcher.status().reason, RefusalReason.NONE)
+        self.assertEqual(self.accept(7).revision, 3)
+        self.step()
+        self.assertEqual(watcher.current().defaults.warm_time_ms, 7)
+
+    def test_emptied_service_is_written_back(self):
+        watcher = self.add("a0")
+        empty = self.kvs.snapshot()
+        self.accept(5)
+        self.step(2)
+        self.kvs.restore(empty)
+        self.step(2)
+        self.assertEqual(watcher.status().reason, RefusalReason.NONE)
+        snapshot = ConfigurationWriter(self.kvs, self.clock).read()
+        self.assertEqual(snapshot.configuration.defaults.warm_time_ms, 5)
 
     def test_restored_service_that_went_another_way_is_refused(self):
         watcher = self.add("a0")
@@ -150,6 +167,12 @@
         self.step()
         self.assertEqual(watcher.current().defaults.warm_time_ms, 6)
         self.assertIs(watcher.status().reason, RefusalReason.DIVERGED)
+        writer = ConfigurationWriter(self.kvs, self.clock)
+        order_recovery(self.kvs, RecoveryOrder(writer.read().head.lineage, "restored by mistake"))
+        self.clock.advance_ms(30_000)
+        self.step(2)
+        self.assertEqual(writer.read().configuration.defaults.warm_time_ms, 6)
+        self.assertIs(watcher.status().reason, RefusalReason.NONE)
 
     def test_entry_steps_in_when_the_watching_entries_are_frozen(self):
         for number in range(4):
