Add the operators' functions and the command-line tool

Cause: operators had no way to change or see the configuration. Change: bergamothill/porcelain.py, one plain function for each thing an operator does; bergamothill/cli/ parses and prints; connection/entry.py talks to entry instances (/operator/status, /operator/drain, /operator/report). A change id is said before the first attempt; reads are repeated and never of unknown outcome.

--- /dev/null
+++ b/bergamothill/cli/fleet.py
@@ -0,0 +1,189 @@
+"""Commands that talk to entry instances: status, drain, report, rollout status, recover."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+from cleo.helpers import argument, option
+
+from bergamothill import porcelain
+from bergamothill.cli.base import BaseCommand, ExitCode, exit_code
+from bergamothill.connection.entry import EntryAnswer, EntryStatus
+from bergamothill.errors import PeerUnreachableError
+from bergamothill.process.burn import render_json, render_text
+from bergamothill.version.plain import to_plain
+
+__all__ = ["fleet_commands"]
+
+POLL_INTERVAL_MS = 500
+
+
+def _answer_plain(answer: EntryAnswer) -> dict[str, Any]:
+    if answer.error is not None:
+        return {"address": answer.address, "error": str(answer.error)}
+    return {"address": answer.address, **(to_plain(answer.value) or {})}
+
+
+def _worst(answers: Iterable[EntryAnswer], *, may_change: bool) -> int:
+    errors = (answer.error for answer in answers if answer.error is not None)
+    codes = (exit_code(error, may_change=may_change) for error in errors)
+    return max(codes, default=ExitCode.OK)
+
+
+class _StatusCommand(BaseCommand):
+    """Shows what entry instances say of themselves and of the servers."""
+
+    def __init__(self) -> None:
+        super().__init__("status", "Show entry instances, servers, leases and stores")
+
+    def run_command(self) -> int:
+        answers = porcelain.status(self.entries())
+        if self.wants_json:
+            self.print_json([_answer_plain(answer) for answer in answers])
+        else:
+            self._print(answers)
+        return _worst(answers, may_change=False)
+
+    def _print(self, answers: tuple[EntryAnswer, ...]) -> None:
+        known = [answer.value for answer in answers if answer.value is not None]
+        latest = max((status.revision for status in known), default=0)
+        self.print_table(
+            ("address", "entry", "zone", "revision", "age ms", "state", "peers"),
+            [self._row(answer, latest) for answer in answers],
+        )
+        for title, field in (("server", "servers"), ("store", "stores"), ("lease", "leases")):
+            self._print_facts(title, field, known)
+
+    def _row(self, answer: EntryAnswer, latest: int) -> tuple[Any, ...]:
+        if answer.error is not None:
+            return (answer.address, "-", "-", "-", "-", f"error: {answer.error.message}", "-")
+        status: EntryStatus = answer.value
+        state = "draining" if status.draining else "serving"
+        if status.revision < latest:
+            state += f", {latest - status.revision} revisions behind"
+        age_ms = "never" if status.configuration_age_ms is None else status.configuration_age_ms
+        peers = len(status.peers)
+        return (answer.address, status.entry, status.zone, status.revision, age_ms, state, peers)
+
+    def _print_facts(self, title: str, field: str, known: list[EntryStatus]) -> None:
+        """Print each fact once, with the entry instances that see it."""
+        seen: dict[str, list[str]] = {}
+        for status in known:
+            for fact in getattr(status, field):
+                seen.setdefault(_fact_text(fact), []).append(status.entry)
+        for text, entries in sorted(seen.items()):
+            self.print_text(f"{title} {text} seen by {','.join(sorted(entries))}")
+
+
+def _fact_text(fact: Any) -> str:
+    if isinstance(fact, Mapping):
+        return " ".join(f"{name}={value}" for name, value in fact.items())
+    return str(fact)
+
+
+class _DrainCommand(BaseCommand):
+    """Starts the graceful shutdown of entry instances."""
+
+    may_change = True
+
+    def __init__(self) -> None:
+        wait = option("wait", None, "Wait until they have stopped")
+        super().__init__("drain", "Start the graceful shutdown of --entry", (), (wait,))
+
+    def run_command(self) -> int:
+        clients = self.entries()
+        timeout_ms = self.timeout_ms()
+        answers = porcelain.drain(clients)
+        stopped = self._wait(clients, timeout_ms) if self.option("wait") else None
+        if self.wants_json:
+            entries = [_answer_plain(answer) for answer in answers]
+            self.print_json({"entries": entries, "stopped": stopped})
+        else:
+            for answer in answers:
+                outcome = "drains" if answer.error is None else f"error: {answer.error}"
+                self.print_text(f"{answer.address} {outcome}")
+        return max(_worst(answers, may_change=True), ExitCode.UNREACHABLE * (stopped is False))
+
+    def _wait(self, clients: list[Any], timeout_ms: int) -> bool:
+        return porcelain.wait_until(
+            clients,
+            self.clock,
+            lambda answer: isinstance(answer.error, PeerUnreachableError),
+            timeout_ms=timeout_ms,
+            on_progress=lambda done, total: self.print_progress(
+                f"{done} of {total} entry instances have stopped"
+            ),
+        )
+
+
+class _ReportCommand(BaseCommand):
+    """Shows the report on service-level burn."""
+
+    def __init__(self) -> None:
+        super().__init__("report", "Show the report on service-level burn")
+
+    def run_command(self) -> int:
+        report = porcelain.report(self.entries())
+        self.print_text(render_json(report) if self.wants_json else render_text(report))
+        return ExitCode.OK
+
+
+class _RolloutStatusCommand(BaseCommand):
+    """Shows the rollouts under way."""
+
+    def __init__(self) -> None:
+        wait = option("wait", None, "Wait until none is under way")
+        super().__init__("rollout status", "Show the rollouts under way", (), (wait,))
+
+    def run_command(self) -> int:
+        writer = self.writer()
+        deadline_ms = self.clock.now_ms() + self.timeout_ms()
+        shown: list[str] | None = None
+        while True:
+            models = porcelain.read(writer).models.values()
+            moving = [model for model in models if model.current != model.target]
+            names = [f"{model.name} {model.current} -> {model.target}" for model in moving]
+            if not self.option("wait") or not moving or self.clock.now_ms() >= deadline_ms:
+                break
+            if names != shown:
+                self.print_progress(f"under way: {'; '.join(names)}")
+                shown = names
+            self.clock.sleep_ms(POLL_INTERVAL_MS)
+        if self.wants_json:
+            self.print_json([to_plain(model) for model in moving])
+        else:
+            self.print_text("\n".join(names) or "no rollout is under way")
+        return ExitCode.UNREACHABLE if self.option("wait") and moving else ExitCode.OK
+
+
+class _RecoverCommand(BaseCommand):
+    """Orders the entry instances to replace a diverged head."""
+
+    may_change = True
+
+    def __init__(self) -> None:
+        super().__init__(
+            "recover",
+            "Replace an accepted configuration that the entry instances refuse by theirs",
+            (argument("reason"),),
+        )
+
+    def run_command(self) -> int:
+        revision = porcelain.recover(self.kvs(), self.clock, self.argument("reason"))
+        if self.wants_json:
+            self.print_json({"replaced_revision": revision})
+        else:
+            self.print_text(f"revision {revision} will be replaced by that of the entry instances")
+        return ExitCode.OK
+
+
+def fleet_commands() -> list[BaseCommand]:
+    """Return the commands that talk to entry instances."""
+    return [
+        _StatusCommand(),
+        _DrainCommand(),
+        _ReportCommand(),
+        _RolloutStatusCommand(),
+        _RecoverCommand(),
+    ]
--- /dev/null
+++ b/bergamothill/connection/entry.py
@@ -0,0 +1,162 @@
+"""Operators' client of an entry instance over HTTP."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable, Iterable, Mapping
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from typing import Any, TypeVar
+
+from bergamothill.connection.http import HttpClient, HttpReply, decode_json
+from bergamothill.errors import (
+    AuthenticationError,
+    BergamothillError,
+    InvalidRequestError,
+    ProtocolError,
+    UnavailableError,
+)
+from bergamothill.ids import EntryInstanceId, Incarnation, Revision, ZoneName
+from bergamothill.process.burn import BurnReport
+from bergamothill.version.plain import from_plain
+
+__all__ = ["EntryAnswer", "EntryClient", "EntryStatus", "ask_all"]
+
+CALL_TIMEOUT_MS = 3_000
+STATUS_PATH = "/operator/status"
+DRAIN_PATH = "/operator/drain"
+REPORT_PATH = "/operator/report"
+MAX_CALLS_AT_ONCE = 32
+
+T = TypeVar("T")
+
+
+@dataclass(frozen=True, slots=True)
+class EntryStatus:
+    """What an entry instance says of itself and of what it sees.
+
+    :param entry: entry instance
+    :param zone: its availability zone
+    :param incarnation: grows at each start
+    :param revision: configuration in force; 0 for none
+    :param configuration_age_ms: time since it was confirmed as the latest; None for never
+    :param draining: a graceful shutdown is under way
+    :param peers: live entry instances that it sees
+    :param servers: backend servers, each with at least ``server``, ``zone`` and ``state``
+    :param leases: duty leases that it holds
+    :param stores: store instances
+    """
+
+    entry: EntryInstanceId
+    zone: ZoneName
+    incarnation: Incarnation
+    revision: Revision
+    configuration_age_ms: Any
+    draining: bool
+    peers: tuple[Any, ...] = ()
+    servers: tuple[Mapping[str, Any], ...] = ()
+    leases: tuple[Any, ...] = ()
+    stores: tuple[Any, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class EntryAnswer:
+    """What one entry instance answered.
+
+    :param address: ``host:port`` that was asked
+    :param value: the answer; None when there is none
+    :param error: why there is none
+    """
+
+    address: str
+    value: Any = None
+    error: BergamothillError | None = None
+
+
+class EntryClient:
+    """Client of one entry instance.
+
+    :param address: ``host:port``
+    :param operator_key: operators' bearer key
+    """
+
+    def __init__(self, address: str, operator_key: str) -> None:
+        self.address = address
+        self._http = HttpClient(address, address)
+        self._headers = {"Authorization": f"Bearer {operator_key}"}
+
+    def status(self) -> EntryStatus:
+        """Return the status.
+
+        :raises PeerUnreachableError: the entry instance was not reached
+        :raises PeerTimeoutError: it did not answer in time
+        :raises AuthenticationError: the operators' key is wrong
+        """
+        return self._get(EntryStatus, STATUS_PATH, "operator.status")
+
+    def report(self) -> BurnReport:
+        """Return the report on service-level burn; raises as :meth:`status` does."""
+        return self._get(BurnReport, REPORT_PATH, "operator.report")
+
+    def drain(self) -> None:
+        """Start the graceful shutdown; an instance that drains already goes on.
+
+        :raises PeerUnreachableError: the entry instance was not reached; it does not drain
+        :raises PeerTimeoutError: the reply was lost; asking again is safe
+        :raises AuthenticationError: the operators' key is wrong
+        """
+        self._send("POST", DRAIN_PATH, "operator.drain")
+
+    def _get(self, cls: type, path: str, step: str) -> Any:
+        reply = self._send("GET", path, step)
+        plain = decode_json(reply, step=step, peer=self.address)
+        try:
+            known = {item.name for item in dataclasses.fields(cls)}
+            return from_plain(cls, {name: plain[name] for name in plain if name in known})
+        except (InvalidRequestError, TypeError) as error:
+            raise ProtocolError(f"bad reply: {error}", step=step, peer=self.address) from error
+
+    def _send(self, method: str, path: str, step: str) -> HttpReply:
+        reply = self._http.request(
+            method,
+            path,
+            step=step,
+            timeout_ms=CALL_TIMEOUT_MS,
+            body=b"" if method == "POST" else None,
+            headers=self._headers,
+        )
+        if reply.status not in (200, 202):
+            raise self._refusal(reply, step)
+        return reply
+
+    def _refusal(self, reply: HttpReply, step: str) -> BergamothillError:
+        text = reply.body[:200].decode("utf-8", "replace")
+        if reply.status in (401, 403):
+            return AuthenticationError(
+                f"the operators' key was refused: {text}", step=step, peer=self.address
+            )
+        cls = UnavailableError if reply.status >= 500 else ProtocolError
+        return cls(f"status {reply.status}: {text}", step=step, peer=self.address)
+
+
+def ask_all(
+    clients: Iterable[EntryClient], call: Callable[[EntryClient], T]
+) -> tuple[EntryAnswer, ...]:
+    """Ask entry instances, all at once.
+
+    :param clients: entry instances to ask
+    :param call: what to ask each
+    :returns: answers in the order of the clients
+    """
+
+    def ask(client: EntryClient) -> EntryAnswer:
+        try:
+            return EntryAnswer(client.address, call(client))
+        except BergamothillError as error:
+            return EntryAnswer(client.address, error=error)
+
+    clients = tuple(clients)
+    if not clients:
+        return ()
+    with ThreadPoolExecutor(min(MAX_CALLS_AT_ONCE, len(clients))) as pool:
+        return tuple(pool.map(ask, clients))
--- /dev/null
+++ b/bergamothill/porcelain.py
@@ -0,0 +1,503 @@
+"""What operators do, as plain functions."""
+
+from __future__ import annotations
+
+import secrets
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Any
+
+from bergamothill.clock import Clock
+from bergamothill.connection.entry import EntryAnswer, EntryClient, EntryStatus, ask_all
+from bergamothill.connection.http import HttpClient
+from bergamothill.connection.kvs import KeyValueService
+from bergamothill.connection.kvs_http import HttpKeyValueService
+from bergamothill.errors import BergamothillError, InvalidRequestError, UnavailableError
+from bergamothill.ids import (
+    AdapterName,
+    BrandName,
+    ChangeId,
+    ModelName,
+    Revision,
+    ServiceName,
+    WeightVersion,
+)
+from bergamothill.process.burn import BurnReport
+from bergamothill.request.auth import key_digest
+from bergamothill.version.change import (
+    AddAdapter,
+    AddBrand,
+    AddKey,
+    AddModel,
+    AddService,
+    AllowAdapter,
+    AllowModel,
+    AllowService,
+    Change,
+    DisallowAdapter,
+    DisallowModel,
+    DisallowService,
+    RemoveAdapter,
+    RemoveBrand,
+    RemoveException,
+    RemoveKey,
+    RemoveModel,
+    RemoveService,
+    SetDefault,
+    SetException,
+    SetModel,
+    SetWeightTarget,
+)
+from bergamothill.version.changefile import changes_from_toml
+from bergamothill.version.config import Configuration
+from bergamothill.version.record import AcceptedChange
+from bergamothill.version.repair import RecoveryOrder, order_recovery
+from bergamothill.version.revision import Accepted, ConfigurationWriter
+
+__all__ = [
+    "SubmitOptions",
+    "add_adapter",
+    "add_brand",
+    "add_key",
+    "add_model",
+    "add_service",
+    "allow_adapter",
+    "allow_model",
+    "allow_service",
+    "apply",
+    "diff",
+    "disallow_adapter",
+    "disallow_model",
+    "disallow_service",
+    "drain",
+    "has_revision",
+    "history",
+    "new_key",
+    "open_kvs",
+    "read",
+    "recover",
+    "remove_adapter",
+    "remove_brand",
+    "remove_exception",
+    "remove_key",
+    "remove_model",
+    "remove_service",
+    "report",
+    "set_bytes_per_token",
+    "set_default",
+    "set_exception",
+    "set_warm_time",
+    "start_rollout",
+    "status",
+    "stop_rollout",
+    "submit",
+    "wait_until",
+]
+
+KEY_BYTES = 32
+KEY_PREFIX = "bh-"
+POLL_INTERVAL_MS = 250
+
+
+@dataclass(frozen=True, slots=True)
+class SubmitOptions:
+    """How a change is submitted.
+
+    :param change_id: id of the change, to repeat it safely; drawn when left out
+    :param base: revision that the change is based on; the accepted one when left out
+    """
+
+    change_id: ChangeId | None = None
+    base: Revision | None = None
+
+
+DEFAULT_OPTIONS = SubmitOptions()
+
+
+def open_kvs(address: str) -> KeyValueService:
+    """Return a client of the key-value service.
+
+    :param address: ``host:port``
+    """
+    return HttpKeyValueService(HttpClient("kvs", address))
+
+
+def read(writer: ConfigurationWriter) -> Configuration:
+    """Return the accepted configuration."""
+    return writer.read().configuration
+
+
+def history(writer: ConfigurationWriter, limit: int) -> tuple[AcceptedChange, ...]:
+    """Return the latest accepted changes, newest first."""
+    return writer.history(limit)
+
+
+def submit(
+    writer: ConfigurationWriter,
+    changes: Iterable[Change],
+    options: SubmitOptions = DEFAULT_OPTIONS,
+) -> Accepted:
+    """Have changes accepted together; see :meth:`ConfigurationWriter.submit`."""
+    return writer.submit(tuple(changes), change_id=options.change_id, base=options.base)
+
+
+def add_brand(
+    writer: ConfigurationWriter, brand: BrandName, options: SubmitOptions = DEFAULT_OPTIONS
+) -> Accepted:
+    """Create a brand."""
+    return submit(writer, [AddBrand(brand)], options)
+
+
+def remove_brand(
+    writer: ConfigurationWriter, brand: BrandName, options: SubmitOptions = DEFAULT_OPTIONS
+) -> Accepted:
+    """Remove a brand with its keys, rights and exceptions."""
+    return submit(writer, [RemoveBrand(brand)], options)
+
+
+def new_key() -> str:
+    """Draw a bearer key; only its digest goes into the configuration."""
+    return KEY_PREFIX + secrets.token_urlsafe(KEY_BYTES)
+
+
+def add_key(
+    writer: ConfigurationWriter,
+    brand: BrandName,
+    key: str,
+    options: SubmitOptions = DEFAULT_OPTIONS,
+) -> Accepted:
+    """Let a bearer key name a brand.
+
+    :param key: the key itself
+    """
+    return submit(writer, [AddKey(brand, key_digest(key))], options)
+
+
+def remove_key(
+    writer: ConfigurationWriter,
+    brand: BrandName,
+    digest: str,
+    options: SubmitOptions = DEFAULT_OPTIONS,
+) -> Accepted:
+    """Withdraw a bearer key from a brand.
+
+    :param digest: hexadecimal SHA-256 of the key
+    """
+    return submit(writer, [RemoveKey(brand, digest)], options)
+
+
+def allow_model(
+    writer: ConfigurationWriter,
+    brand: BrandName,
+    model: ModelName,
+    options: SubmitOptions = DEFAULT_OPTIONS,
+) -> Accepted:
+    """Let a brand use a model."""
+    return submit(writer, [AllowModel(brand, model)], options)
+
+
+def disallow_model(
+    writer: ConfigurationWriter,
+    brand: BrandName,
+    model: ModelName,
+    options: SubmitOptions = DEFAULT_OPTIONS,
+) -> Accepted:
+    """Withdraw a model from a brand."""
+    return submit(writer, [DisallowModel(brand, model)], options)
+
+
+def allow_adapter(
+    writer: ConfigurationWriter,
+    brand: BrandName,
+    model: ModelName,
+    adapter: AdapterName,
+    options: SubmitOptions = DEFAULT_OPTIONS,
+) -> Accepted:
+    """Let a brand use an adapter."""
+    return submit(writer, [AllowAdapter(brand, model, adapter)], options)
+
+
+def disallow_adapter(
+    writer: ConfigurationWriter,
+    brand: BrandName,
+    model: ModelName,
+    adapter: AdapterName,
+    options: SubmitOptions = DEFAULT_OPTIONS,
+) -> Accepted:
+    """Withdraw an adapter from a brand."""
+    return submit(writer, [DisallowAdapter(brand, model, adapter)], options)
+
+
+def allow_service(
+    writer: ConfigurationWriter,
+    brand: BrandName,
+    service: ServiceName,
+    options: SubmitOptions = DEFAULT_OPTIONS,
+) -> Accepted:
+    """Let a brand call a plain service."""
+    return submit(writer, [AllowService(brand, service)], options)
+
+
+def disallow_service(
+    writer: ConfigurationWriter,
+    brand: BrandName,
+    service: ServiceName,
+    options: SubmitOptions = DEFAULT_OPTIONS,
+) -> Accepted:
+    """Withdraw a plain service from a brand."""
+    return submit(writer, [DisallowService(brand, service)], options)
+
+
+def set_default(
+    writer: ConfigurationWriter,
+    name: str,
+    value: Any,
+    options: SubmitOptions = DEFAULT_OPTIONS,
+) -> Accepted:
+    """Set a value for the whole fleet.
+
+    :param name: default; dotted for a part, such as ``limits.burst``
+    """
+    return submit(writer, [SetDefault(name, value)], options)
+
+
+def set_warm_time(
+    writer: ConfigurationWriter,
+    warm_time_ms: int,
+    brand: BrandName | None = None,
+    reason: str = "",
+    options: SubmitOptions = DEFAULT_OPTIONS,
+) -> Accepted:
+    """Set how long conversations stay warm, for the fleet or as an exception for a brand.
+
+    :param warm_time_ms: time after the last use, in milliseconds
+    :param brand: brand that departs from the default; None sets the default
+    :param reason: why the brand departs from it
+    """
+    if brand is None:
+        return set_default(writer, "warm_time_ms", warm_time_ms, options)
+    return set_exception(writer, brand, "warm_time_ms", warm_time_ms, reason, options)
+
+
+def set_exception(
+    writer: ConfigurationWriter,
+    brand: BrandName,
+    name: str,
+    value: Any,
+    reason: str,
+    options: SubmitOptions = DEFAULT_OPTIONS,
+) -> Accepted:
+    """Let a brand depart from a default.
+
+    :param reason: why; not empty
+    """
+    return submit(writer, [SetException(brand, name, value, reason)], options)
+
+
+def remove_exception(
+    writer: ConfigurationWriter,
+    brand: BrandName,
+    name: str,
+    options: SubmitOptions = DEFAULT_OPTIONS,
+) -> Accepted:
+    """Return a brand to a default."""
+    return submit(writer, [RemoveException(brand, name)], options)
+
+
+def add_model(
+    writer: ConfigurationWriter,
+    model: ModelName,
+    version: WeightVersion,
+    bytes_per_token: int = 1_000,
+    options: SubmitOptions = DEFAULT_OPTIONS,
+) -> Accepted:
+    """Create a model.
+
+    :param version: weight version that its engines serve
+    """
+    return submit(writer, [AddModel(model, version, bytes_per_token)], options)
+
+
+def set_bytes_per_token(
+    writer: ConfigurationWriter,
+    model: ModelName,
+    bytes_per_token: int,
+    options: SubmitOptions = DEFAULT_OPTIONS,
+) -> Accepted:
+    """Set the size of a model's kept context, in bytes for each token."""
+    return submit(writer, [SetModel(model, bytes_per_token)], options)
+
+
+def remove_model(
+    writer: ConfigurationWriter, model: ModelName, options: SubmitOptions = DEFAULT_OPTIONS
+) -> Accepted:
+    """Remove a model that no brand may use."""
+    return submit(writer, [RemoveModel(model)], options)
+
+
+def add_adapter(
+    writer: ConfigurationWriter,
+    model: ModelName,
+    adapter: AdapterName,
+    options: SubmitOptions = DEFAULT_OPTIONS,
+) -> Accepted:
+    """Add an adapter to a model."""
+    return submit(writer, [AddAdapter(model, adapter)], options)
+
+
+def remove_adapter(
+    writer: ConfigurationWriter,
+    model: ModelName,
+    adapter: AdapterName,
+    options: SubmitOptions = DEFAULT_OPTIONS,
+) -> Accepted:
+    """Remove an adapter that no brand may use."""
+    return submit(writer, [RemoveAdapter(model, adapter)], options)
+
+
+def add_service(
+    writer: ConfigurationWriter,
+    service: ServiceName,
+    repeatable_methods: Iterable[str] = ("GET", "HEAD"),
+    options: SubmitOptions = DEFAULT_OPTIONS,
+) -> Accepted:
+    """Create a plain service, or set its repeatable methods."""
+    methods = frozenset(method.upper() for method in repeatable_methods)
+    return submit(writer, [AddService(service, methods)], options)
+
+
+def remove_service(
+    writer: ConfigurationWriter, service: ServiceName, options: SubmitOptions = DEFAULT_OPTIONS
+) -> Accepted:
+    """Remove a service that no brand may call."""
+    return submit(writer, [RemoveService(service)], options)
+
+
+def start_rollout(
+    writer: ConfigurationWriter,
+    model: ModelName,
+    version: WeightVersion,
+    options: SubmitOptions = DEFAULT_OPTIONS,
+) -> Accepted:
+    """Move a model's engines to a weight version; the entry instances carry it out."""
+    return submit(writer, [SetWeightTarget(model, version)], options)
+
+
+def stop_rollout(
+    writer: ConfigurationWriter, model: ModelName, options: SubmitOptions = DEFAULT_OPTIONS
+) -> Accepted:
+    """Return a model's engines to the current weight version."""
+    snapshot = writer.read()
+    if model not in snapshot.configuration.models:
+        raise InvalidRequestError(f"model {model} does not exist", step="porcelain.stop_rollout")
+    current = snapshot.configuration.models[model].current
+    base = snapshot.head.revision if options.base is None else options.base
+    changed = SubmitOptions(options.change_id, base)
+    return submit(writer, [SetWeightTarget(model, current)], changed)
+
+
+def diff(writer: ConfigurationWriter, text: str) -> tuple[Change, ...]:
+    """Return what :func:`apply` would change.
+
+    :param text: TOML file
+    """
+    return changes_from_toml(text, read(writer))
+
+
+def apply(
+    writer: ConfigurationWriter, text: str, options: SubmitOptions = DEFAULT_OPTIONS
+) -> Accepted | None:
+    """Have the changes of a TOML file accepted together.
+
+    :param text: TOML file
+    :returns: None when there is nothing to change
+    """
+    snapshot = writer.read()
+    changes = changes_from_toml(text, snapshot.configuration)
+    if not changes:
+        return None
+    base = snapshot.head.revision if options.base is None else options.base
+    if options.change_id is not None and options.base is None:
+        base = None
+    return submit(writer, changes, SubmitOptions(options.change_id, base))
+
+
+def recover(kvs: KeyValueService, clock: Clock, reason: str) -> Revision:
+    """Order the entry instances to replace the accepted head, which they refuse, by their own.
+
+    Needed only after the key-value service was restored from an old state and then changed.
+
+    :param reason: why; not empty
+    :returns: revision of the head to be replaced
+    """
+    if not reason.strip():
+        raise InvalidRequestError("a recovery needs a written reason", step="porcelain.recover")
+    head = ConfigurationWriter(kvs, clock).read().head
+    order_recovery(kvs, RecoveryOrder(head.lineage, reason))
+    return head.revision
+
+
+def status(clients: Iterable[EntryClient]) -> tuple[EntryAnswer, ...]:
+    """Ask entry instances for their status, all at once."""
+    return ask_all(clients, EntryClient.status)
+
+
+def drain(clients: Iterable[EntryClient]) -> tuple[EntryAnswer, ...]:
+    """Start the graceful shutdown of entry instances."""
+    return ask_all(clients, EntryClient.drain)
+
+
+def report(clients: Iterable[EntryClient]) -> BurnReport:
+    """Return the report on service-level burn of the fleet, from the first that answers.
+
+    :raises UnavailableError: no entry instance answered
+    """
+    error: BergamothillError | None = None
+    for client in clients:
+        try:
+            return client.report()
+        except BergamothillError as caught:
+            error = caught
+    raise error or UnavailableError("no entry instance is given", step="porcelain.report")
+
+
+def wait_until(
+    clients: Iterable[EntryClient],
+    clock: Clock,
+    is_done: Callable[[EntryAnswer], bool],
+    *,
+    timeout_ms: int,
+    on_progress: Callable[[int, int], None] = lambda done, total: None,
+) -> bool:
+    """Poll entry instances until each satisfies a condition.
+
+    :param is_done: tells whether an answer satisfies it
+    :param timeout_ms: longest wait, in milliseconds
+    :param on_progress: called with the number done, and the total, when it changes
+    :returns: whether all did in time
+    """
+    waiting = list(clients)
+    total = len(waiting)
+    deadline_ms = clock.now_ms() + timeout_ms
+    shown = -1
+    while True:
+        answers = status(waiting)
+        waiting = [c for c, a in zip(waiting, answers, strict=True) if not is_done(a)]
+        if total - len(waiting) != shown:
+            shown = total - len(waiting)
+            on_progress(shown, total)
+        if not waiting:
+            return True
+        if clock.now_ms() >= deadline_ms:
+            return False
+        clock.sleep_ms(POLL_INTERVAL_MS)
+
+
+def has_revision(revision: Revision) -> Callable[[EntryAnswer], bool]:
+    """Return a condition: a configuration at least as new is in force."""
+
+    def check(answer: EntryAnswer) -> bool:
+        found: EntryStatus | None = answer.value
+        return found is not None and found.revision >= revision
+
+    return check
--- a/bergamothill/version/plain.py
+++ b/bergamothill/version/plain.py
@@ -122,6 +122,8 @@
 
 
 def _scalar(cls: type, plain: Any, where: str) -> Any:
+    if issubclass(cls, Enum):
+        return _member(cls, plain, where)
     if cls is float and type(plain) is int:
         return float(plain)
     if isinstance(plain, bool) and cls is not bool:
@@ -130,6 +132,13 @@
     return plain
 
 
+def _member(cls: type[Enum], plain: Any, where: str) -> Enum:
+    try:
+        return cls(plain)
+    except ValueError:
+        raise _mismatch(cls, plain, where) from None
+
+
 def _expect(cls: type, plain: Any, where: str) -> None:
     if not isinstance(plain, cls):
         raise _mismatch(cls, plain, where)
--- a/bergamothill/version/revision.py
+++ b/bergamothill/version/revision.py
@@ -6,10 +6,10 @@
 import json
 import re
 import secrets
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
 from itertools import islice
-from typing import Any
+from typing import Any, TypeVar
 
 import cbor2
 
@@ -63,6 +63,8 @@
 TOKEN_BYTES = 8
 STEP = "configuration.submit"
 
+T = TypeVar("T")
+
 _BASE = re.compile(r"^r(\d+)-")
 
 
@@ -170,24 +172,18 @@
         :raises PeerTimeoutError: the service did not answer
         :raises ProtocolError: the service lost a part of the configuration
         """
-        while True:
-            head, mod_revision = self._records.read_head()
-            try:
-                contents = self._records.read_contents(head)
-            except NotFoundError as error:
-                # Contents are deleted some time after their head was replaced.
-                if self._records.read_head()[1] != mod_revision:
-                    continue
-                raise ProtocolError(error.message, step=error.step) from error
-            return Snapshot(head, mod_revision, join_buckets(head.revision, contents))
+        return self._read(self._read_snapshot)
+
+    def revision(self) -> Revision:
+        """Return the accepted revision; cheaper than :meth:`read`."""
+        return self._read(self._records.read_head)[0].revision
 
     def history(self, limit: int) -> tuple[AcceptedChange, ...]:
         """Return the latest accepted changes, newest first.
 
         :param limit: most changes to return
         """
-        head, _ = self._records.read_head()
-        return tuple(islice(self._records.changes_back(head), limit))
+        return self._read(lambda: self._read_history(limit))
 
     def submit(
         self,
@@ -214,6 +210,38 @@
         submission = _Submission(self._records, self._clock, changes, change_id, base)
         return submission.run(self._settle_timeout_ms)
 
+    def _read(self, call: Callable[[], T]) -> T:
+        """Repeat a read that was not answered; its failure is never of unknown outcome."""
+        deadline_ms = self._clock.now_ms() + self._settle_timeout_ms
+        while True:
+            try:
+                return call()
+            except PeerTimeoutError as error:
+                if self._clock.now_ms() >= deadline_ms:
+                    raise PeerTimeoutError(
+                        error.message,
+                        step=error.step,
+                        peer=error.peer,
+                        execution=Execution.NOT_RUN,
+                    ) from error
+            self._clock.sleep_ms(RETRY_DELAY_MS)
+
+    def _read_snapshot(self) -> Snapshot:
+        while True:
+            head, mod_revision = self._records.read_head()
+            try:
+                contents = self._records.read_contents(head)
+            except NotFoundError as error:
+                # Contents are deleted some time after their head was replaced.
+                if self._records.read_head()[1] != mod_revision:
+                    continue
+                raise ProtocolError(error.message, step=error.step) from error
+            return Snapshot(head, mod_revision, join_buckets(head.revision, contents))
+
+    def _read_history(self, limit: int) -> tuple[AcceptedChange, ...]:
+        head, _ = self._records.read_head()
+        return tuple(islice(self._records.changes_back(head), limit))
+
 
 class _Submission:
     """One submission, followed up until it is settled or its time is over."""
--- a/bergamothill/version/watcher.py
+++ b/bergamothill/version/watcher.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import random
 import threading
 from collections import deque
@@ -16,6 +15,7 @@
 from bergamothill.errors import BergamothillError, NotFoundError, UnavailableError
 from bergamothill.ids import EntryInstanceId, Revision
 from bergamothill.process.logs import EventLog
+from bergamothill.process.rendezvous import rendezvous
 from bergamothill.version.config import Configuration
 from bergamothill.version.follower import (
     ConfigurationFollower,
@@ -31,6 +31,7 @@
 __all__ = ["ConfigurationStatus", "ConfigurationWatcher"]
 
 WATCHERS_PER_ZONE = 2
+WATCH_KEY = "configuration-watch"
 WATCH_TIMEOUT_MS = 2_500
 HEAD_READ_INTERVAL_MS = 30_000
 RETRY_DELAY_MS = 500
@@ -213,8 +214,7 @@
     def holds_watch(self) -> bool:
         """Tell whether this instance is ranked to watch the key-value service for its zone."""
         peers = set(self._bus.live_peers()) | {self._entry_id}
-        ranked = sorted(peers, key=_rank)
-        return self._entry_id in ranked[:WATCHERS_PER_ZONE]
+        return self._entry_id in rendezvous(WATCH_KEY, peers)[:WATCHERS_PER_ZONE]
 
     def start_from_peers(self) -> None:
         """Take the highest configuration of a few peers, before the key-value service is read."""
@@ -407,7 +407,3 @@
     def _on_content_request(self, sender: EntryInstanceId, request: ContentRequest) -> ContentReply:
         with self._lock:
             return ContentReply(self._follower.content(request.digest) or b"")
-
-
-def _rank(peer: EntryInstanceId) -> bytes:
-    return hashlib.sha256(f"configuration-watch {peer}".encode()).digest()
--- a/tests/test_watcher.py
+++ b/tests/test_watcher.py
@@ -3,13 +3,13 @@
 
 from bergamothill.clock import ManualClock, SystemClock
 from bergamothill.connection.kvs_memory import MemoryKeyValueService
+from bergamothill.connection.memorybus import MemoryNetwork
 from bergamothill.errors import PeerUnreachableError, UnavailableError
 from bergamothill.version.change import AddBrand, SetDefault
 from bergamothill.version.follower import RefusalReason
 from bergamothill.version.repair import RecoveryOrder, order_recovery
 from bergamothill.version.revision import ConfigurationWriter
 from bergamothill.version.watcher import ConfigurationWatcher
-from tests.localbus import LocalNetwork
 
 
 class SwitchedKeyValueService(MemoryKeyValueService):
@@ -38,13 +38,14 @@
     def setUp(self):
         self.clock = ManualClock()
         self.kvs = SwitchedKeyValueService(self.clock)
-        self.network = LocalNetwork()
+        self.network = MemoryNetwork()
         self.applied = {}
+        self.buses = {}
         self.watchers = {}
 
     def add(self, entry, zone="a"):
         self.applied[entry] = []
-        bus = self.network.bus(entry, zone)
+        bus = self.buses[entry] = self.network.join(entry, zone)
         self.watchers[entry] = ConfigurationWatcher(
             self.kvs,
             bus,
@@ -96,9 +97,13 @@
         self.accept(5)
         self.step(2)
         self.accept(6)
-        for bus in self.network.buses.values():
-            bus.lose_publishes = 2
-        self.step(4)
+        for bus in self.buses.values():
+            bus.publish = lambda message, scope: None
+        self.step(1)
+        self.assertEqual(self.revisions(), {1, 2})
+        for bus in self.buses.values():
+            del bus.publish
+        self.step(2)
         self.assertEqual(self.revisions(), {2})
 
     def test_empty_service_gives_the_empty_configuration(self):
@@ -181,10 +186,11 @@
         self.step(2)
         frozen = [entry for entry, w in self.watchers.items() if w.holds_watch()]
         # Membership has not seen it yet: the frozen entries stay ranked.
-        for bus in self.network.buses.values():
+        for bus in self.buses.values():
             bus.live_peers = lambda: ("a0", "a1", "a2", "a3")
-        self.network.frozen.update(frozen)
         for entry in frozen:
+            for other in self.buses:
+                self.network.cut(entry, other)
             del self.watchers[entry]
         self.accept(6)
         self.step(6)
@@ -205,10 +211,10 @@
     def test_threads_apply_a_change_and_stop(self):
         clock = SystemClock()
         kvs = MemoryKeyValueService(clock)
-        network = LocalNetwork()
+        network = MemoryNetwork()
         writer = ConfigurationWriter(kvs, clock)
         watchers = [
-            ConfigurationWatcher(kvs, network.bus(entry, "a"), clock, entry, lambda _: None)
+            ConfigurationWatcher(kvs, network.join(entry, "a"), clock, entry, lambda _: None)
             for entry in ("a0", "a1", "a2")
         ]
         for watcher in watchers:
