--- a/bergamothill/version/watcher.py
+++ b/bergamothill/version/watcher.py
@@ -38,7 +38,9 @@
 IDLE_DELAY_MS = 1_000
 TICK_MS = 1_000
 TICKS_PER_EXCHANGE = 5
+TICKS_PER_REMOTE_ANNOUNCE = 4
 SILENCE_LIMIT_MS = 3_000
+TURN_MS = 1_000
 PEER_TIMEOUT_MS = 1_000
 START_GRACE_MS = 500
 START_PEERS = 3
@@ -168,6 +170,7 @@
         self._head_read_ms = 0
         self._kvs_reachable = False
         self._ticks = 0
+        self._created_ms = clock.now_ms()
         bus.subscribe(Announce, self._on_announce)
         bus.subscribe(HeadRequest, self._on_head_request)
         bus.subscribe(ContentRequest, self._on_content_request)
@@ -213,8 +216,7 @@
 
     def holds_watch(self) -> bool:
         """Tell whether this instance is ranked to watch the key-value service for its zone."""
-        peers = set(self._bus.live_peers()) | {self._entry_id}
-        return self._entry_id in rendezvous(WATCH_KEY, peers)[:WATCHERS_PER_ZONE]
+        return self._rank()[0] < WATCHERS_PER_ZONE
 
     def start_from_peers(self) -> None:
         """Take the highest configuration of a few peers, before the key-value service is read."""
@@ -227,7 +229,7 @@
 
         :returns: pause before the next call, in milliseconds
         """
-        if not self.holds_watch() and not self._steps_in():
+        if not self._is_due():
             self._seen = None
             return IDLE_DELAY_MS
         try:
@@ -249,7 +251,8 @@
         while self._behind:
             self.pull(self._behind.popleft())
         if self.holds_watch():
-            self._announce(Scope.ZONE)
+            is_remote = self._ticks % TICKS_PER_REMOTE_ANNOUNCE == 0
+            self._announce(Scope.EVERYWHERE if is_remote else Scope.ZONE)
         others = self._others()
         if others and self._ticks % TICKS_PER_EXCHANGE == 0:
             self.pull(self._random.choice(others))
@@ -295,12 +298,26 @@
         self._wake.clear()
         return 0
 
-    def _steps_in(self) -> bool:
-        """Decide to read the key-value service although others should; two do so on average."""
-        age_ms = self._follower.status().age_ms
-        if age_ms is not None and age_ms <= SILENCE_LIMIT_MS:
+    def _rank(self) -> tuple[int, int]:
+        """Return this instance's place for the watch, from 0, and the number of places."""
+        ranked = rendezvous(WATCH_KEY, {*self._bus.live_peers(), self._entry_id})
+        return ranked.index(self._entry_id), len(ranked)
+
+    def _is_due(self) -> bool:
+        """Tell whether to watch now: the first in rank do, and while all is silent others in turn.
+
+        The turn bounds the calls in an outage to those of two instances of each zone.
+        """
+        place, places = self._rank()
+        if place < WATCHERS_PER_ZONE:
+            return True
+        with self._lock:
+            age_ms = self._follower.status().age_ms
+        silent_ms = self._clock.now_ms() - self._created_ms if age_ms is None else age_ms
+        turn = (silent_ms - SILENCE_LIMIT_MS) // TURN_MS + 1
+        if turn < 1:
             return False
-        return self._random.random() * (len(self._others()) + 1) < WATCHERS_PER_ZONE
+        return (place - turn * WATCHERS_PER_ZONE) % places < WATCHERS_PER_ZONE
 
     def _others(self) -> list[EntryInstanceId]:
         return [peer for peer in self._bus.live_peers() if peer != self._entry_id]
@@ -368,7 +385,7 @@
             configuration = self._follower.apply()
         _log.info("configuration_applied", revision=configuration.revision, source=source.value)
         self._on_apply(configuration)
-        self._announce(Scope.EVERYWHERE)
+        self._announce(Scope.EVERYWHERE if source is Source.KVS else Scope.ZONE)
 
     def _from_peer(self, peer: EntryInstanceId, digest: str) -> bytes:
         reply = self._bus.request(peer, ContentRequest(digest), timeout_ms=PEER_TIMEOUT_MS)
@@ -394,8 +411,10 @@
                     Revision(announce.revision), announce.lineage, announce.age_ms
                 )
             is_newer = self._follower.is_newer(Revision(announce.revision))
-        if is_newer and sender not in self._behind:
-            self._behind.append(sender)
+        # Of another zone's announcement only a few instances make use, then hand it on.
+        if is_newer and (sender in self._bus.live_peers() or self._is_due()):
+            if sender not in self._behind:
+                self._behind.append(sender)
             self._wake.set()
 
     def _on_head_request(self, sender: EntryInstanceId, request: HeadRequest) -> HeadReply:
