--- a/bergamothill/cli/fleet.py
+++ b/bergamothill/cli/fleet.py
@@ -62,6 +62,8 @@
         state = "draining" if status.draining else "serving"
         if status.revision < latest:
             state += f", {latest - status.revision} revisions behind"
+        if status.refused_revision:
+            state += f", refuses revision {status.refused_revision}: {status.refused_reason}"
         age_ms = "never" if status.configuration_age_ms is None else status.configuration_age_ms
         peers = len(status.peers)
         return (answer.address, status.entry, status.zone, status.revision, age_ms, state, peers)
@@ -124,9 +126,10 @@
         super().__init__("report", "Show the report on service-level burn")
 
     def run_command(self) -> int:
-        report = porcelain.report(self.entries())
+        configuration = porcelain.read(self.writer())
+        report = porcelain.report(self.entries(), configuration, self.clock)
         self.print_text(render_json(report) if self.wants_json else render_text(report))
-        return ExitCode.OK
+        return ExitCode.UNREACHABLE if report.missing else ExitCode.OK
 
 
 class _RolloutStatusCommand(BaseCommand):
--- a/bergamothill/connection/entry.py
+++ b/bergamothill/connection/entry.py
@@ -17,7 +17,7 @@
     UnavailableError,
 )
 from bergamothill.ids import EntryInstanceId, Incarnation, Revision, ZoneName
-from bergamothill.process.burn import BurnReport
+from bergamothill.process.metrics import MetricSnapshot, decode_snapshot
 from bergamothill.version.plain import from_plain
 
 __all__ = ["EntryAnswer", "EntryClient", "EntryStatus", "ask_all"]
@@ -25,7 +25,7 @@
 CALL_TIMEOUT_MS = 3_000
 STATUS_PATH = "/operator/status"
 DRAIN_PATH = "/operator/drain"
-REPORT_PATH = "/operator/report"
+BURN_PATH = "/operator/burn"
 MAX_CALLS_AT_ONCE = 32
 
 T = TypeVar("T")
@@ -41,7 +41,11 @@
     :param revision: configuration in force; 0 for none
     :param configuration_age_ms: time since it was confirmed as the latest; None for never
     :param draining: a graceful shutdown is under way
-    :param peers: live entry instances that it sees
+    :param refused_revision: head of the key-value service that it refuses; 0 for none
+    :param refused_reason: why it refuses it
+    :param kvs_reachable: its last call to the key-value service was answered
+    :param holds_watch: it watches the key-value service for its zone
+    :param peers: other entry instances as it sees them
     :param servers: backend servers, each with at least ``server``, ``zone`` and ``state``
     :param leases: duty leases that it holds
     :param stores: store instances
@@ -51,8 +55,12 @@
     zone: ZoneName
     incarnation: Incarnation
     revision: Revision
-    configuration_age_ms: Any
-    draining: bool
+    configuration_age_ms: Any = None
+    draining: bool = False
+    refused_revision: Revision = Revision(0)
+    refused_reason: str = ""
+    kvs_reachable: bool = True
+    holds_watch: bool = False
     peers: tuple[Any, ...] = ()
     servers: tuple[Mapping[str, Any], ...] = ()
     leases: tuple[Any, ...] = ()
@@ -94,9 +102,9 @@
         """
         return self._get(EntryStatus, STATUS_PATH, "operator.status")
 
-    def report(self) -> BurnReport:
-        """Return the report on service-level burn; raises as :meth:`status` does."""
-        return self._get(BurnReport, REPORT_PATH, "operator.report")
+    def burn(self) -> MetricSnapshot:
+        """Return what it recorded for the burn report; raises as :meth:`status` does."""
+        return decode_snapshot(self._send("GET", BURN_PATH, "operator.burn").body)
 
     def drain(self) -> None:
         """Start the graceful shutdown; an instance that drains already goes on.
--- a/bergamothill/porcelain.py
+++ b/bergamothill/porcelain.py
@@ -12,17 +12,18 @@
 from bergamothill.connection.http import HttpClient
 from bergamothill.connection.kvs import KeyValueService
 from bergamothill.connection.kvs_http import HttpKeyValueService
-from bergamothill.errors import BergamothillError, InvalidRequestError, UnavailableError
+from bergamothill.errors import InvalidRequestError
 from bergamothill.ids import (
     AdapterName,
     BrandName,
     ChangeId,
+    EntryInstanceId,
     ModelName,
     Revision,
     ServiceName,
     WeightVersion,
 )
-from bergamothill.process.burn import BurnReport
+from bergamothill.process.burn import BurnReport, collect
 from bergamothill.request.auth import key_digest
 from bergamothill.version.change import (
     AddAdapter,
@@ -447,18 +448,19 @@
     return ask_all(clients, EntryClient.drain)
 
 
-def report(clients: Iterable[EntryClient]) -> BurnReport:
-    """Return the report on service-level burn of the fleet, from the first that answers.
+def report(
+    clients: Iterable[EntryClient], configuration: Configuration, clock: Clock
+) -> BurnReport:
+    """Return the report on service-level burn, merged over entry instances.
 
-    :raises UnavailableError: no entry instance answered
+    :param clients: entry instances to ask; those that do not answer are named as missing
+    :param configuration: source of the objectives
+    :param clock: source of time
     """
-    error: BergamothillError | None = None
-    for client in clients:
-        try:
-            return client.report()
-        except BergamothillError as caught:
-            error = caught
-    raise error or UnavailableError("no entry instance is given", step="porcelain.report")
+    answers = ask_all(clients, EntryClient.burn)
+    snapshots = [answer.value for answer in answers if answer.error is None]
+    missing = [EntryInstanceId(answer.address) for answer in answers if answer.error is not None]
+    return collect(snapshots, missing, configuration, clock.wall_ms())
 
 
 def wait_until(
--- /dev/null
+++ b/bergamothill/request/runner.py
@@ -0,0 +1,320 @@
+"""Runner of one inference: carries out the effects of its state machine on the wire."""
+
+from __future__ import annotations
+
+import threading
+import uuid
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import singledispatchmethod
+from typing import Protocol
+
+from bergamothill.clock import Clock
+from bergamothill.connection.engine import EventKind, ModelEngine, Run, StreamEvent
+from bergamothill.errors import BergamothillError, Execution, UnavailableError
+from bergamothill.ids import (
+    AdapterName,
+    BrandName,
+    Generation,
+    ModelName,
+    RequestId,
+    ServerId,
+    StreamId,
+    WeightVersion,
+)
+from bergamothill.logs import EventLog
+from bergamothill.request.inference import (
+    Closed,
+    Effect,
+    Failed,
+    Finished,
+    InferenceMachine,
+    Place,
+    Placed,
+    Refused,
+    Resume,
+    Send,
+    Unplaceable,
+)
+from bergamothill.request.retry import RetryBudget
+from bergamothill.version.block import BlockChain
+
+__all__ = ["AnswerSink", "InferenceJob", "InferenceRunner", "Placement", "Placer"]
+
+RETRY_AFTER_MS = 1_000
+
+_log = EventLog("inference")
+
+
+@dataclass(frozen=True, slots=True)
+class InferenceJob:
+    """What one inference is asked to do, fixed at admission.
+
+    :param request_id: the caller's request
+    :param brand: brand that pays
+    :param model: model to run
+    :param adapter: adapter to apply; empty for none
+    :param version: weight version pinned for the run
+    :param messages: chat messages
+    :param chain: blocks of the prompt
+    :param max_tokens: most tokens to generate
+    :param priority: priority at the engine; lower runs first
+    :param deadline_ms: instant, by this process's clock, until which the first token is useful
+    """
+
+    request_id: RequestId
+    brand: BrandName
+    model: ModelName
+    adapter: AdapterName
+    version: WeightVersion
+    messages: tuple[object, ...]
+    chain: BlockChain
+    max_tokens: int
+    priority: int
+    deadline_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """Where a run goes.
+
+    :param server: backend server
+    :param engine: its client
+    :param imported: generations imported for the run and confirmed
+    :param known_tokens: leading tokens of the prompt that were kept somewhere
+    """
+
+    server: ServerId
+    engine: ModelEngine
+    imported: tuple[Generation, ...]
+    known_tokens: int
+
+
+class Placer(Protocol):
+    """Chooses backend servers and prepares them."""
+
+    def place(self, job: InferenceJob, tried: tuple[ServerId, ...]) -> Placement:
+        """Choose a server and restore the prompt's prefix there.
+
+        :param job: what is to run
+        :param tried: servers that are out of the question
+        :raises UnavailableError: no server can take the run
+        """
+
+    def confirm(self, server: ServerId) -> None:
+        """Check, right before a send, that the server takes new work.
+
+        :raises UnavailableError: it is leaving, or nothing fresh is known of it
+        """
+
+    def failed(self, server: ServerId, error: BergamothillError) -> None:
+        """Learn from a failed exchange."""
+
+    def ran(self, server: ServerId, job: InferenceJob, start: StreamEvent) -> None:
+        """Learn from the first event of a run."""
+
+
+class AnswerSink(Protocol):
+    """Takes the events of an answer, in sequence, each once."""
+
+    def deliver(
+        self, events: tuple[StreamEvent, ...], server: ServerId, stream_id: StreamId
+    ) -> None:
+        """Pass events on to the caller."""
+
+
+class InferenceRunner:
+    """Runs one inference to its end in the calling thread.
+
+    :param job: what to run
+    :param placer: chooses backend servers
+    :param retries: budget for attempts after the first
+    :param sink: gets the answer
+    :param clock: source of time
+    :param idle_timeout_ms: longest silence of an engine in mid-stream
+    """
+
+    def __init__(
+        self,
+        job: InferenceJob,
+        placer: Placer,
+        retries: RetryBudget,
+        sink: AnswerSink,
+        clock: Clock,
+        idle_timeout_ms: int,
+    ) -> None:
+        self._job = job
+        self._placer = placer
+        self._retries = retries
+        self._sink = sink
+        self._clock = clock
+        self._idle_timeout_ms = idle_timeout_ms
+        self._machine = InferenceMachine(job.version)
+        self._placement: Placement | None = None
+
+    @property
+    def placement(self) -> Placement | None:
+        """Where the last attempt went; None when there was none."""
+        return self._placement
+
+    def run(self) -> None:
+        """Run to the end of the answer.
+
+        :raises BergamothillError: the final error, with what may be said of execution
+        """
+        effect = self._machine.begin()
+        while not isinstance(effect, Finished | Failed):
+            effect = self._carry_out(effect)
+        if isinstance(effect, Failed):
+            raise effect.error
+        self._retries.succeeded()
+
+    @singledispatchmethod
+    def _carry_out(self, effect: object) -> Effect:
+        raise TypeError(f"unknown effect {effect!r}")
+
+    @_carry_out.register
+    def _(self, effect: Place) -> Effect:
+        if effect.tried and not self._retries.try_spend():
+            spent = UnavailableError(
+                "the retry budget is spent", step="retry", retry_after_ms=RETRY_AFTER_MS
+            )
+            return self._machine.handle(Unplaceable(spent))
+        try:
+            self._placement = self._placer.place(self._job, effect.tried)
+        except BergamothillError as error:
+            return self._machine.handle(Unplaceable(error))
+        stream_id = StreamId(uuid.uuid4().hex)
+        return self._machine.handle(Placed(self._placement.server, stream_id))
+
+    @_carry_out.register
+    def _(self, effect: Send) -> Effect:
+        placement = self._placement
+        run = self._run_for(effect.stream_id, placement.imported)
+
+        def send() -> None:
+            self._placer.confirm(effect.server)
+            self._machine.sending()
+            placement.engine.run(
+                run,
+                lambda event: self._receive(event, effect.server, effect.stream_id),
+                idle_timeout_ms=self._idle_timeout_ms,
+            )
+
+        return self._exchange(send, effect.server, effect.stream_id)
+
+    @_carry_out.register
+    def _(self, effect: Resume) -> Effect:
+        engine = self._placement.engine
+        _log.info(
+            "stream_resumed",
+            request_id=self._job.request_id,
+            server=effect.server,
+            after=effect.after,
+        )
+        return self._exchange(
+            lambda: engine.resume(
+                effect.stream_id,
+                effect.after,
+                lambda event: self._receive(event, effect.server, effect.stream_id),
+                idle_timeout_ms=self._idle_timeout_ms,
+            ),
+            effect.server,
+            effect.stream_id,
+        )
+
+    def _exchange(self, call: Callable[[], None], server: ServerId, stream_id: StreamId) -> Effect:
+        try:
+            call()
+        except BergamothillError as error:
+            _log.warning(
+                "attempt_failed",
+                request_id=self._job.request_id,
+                brand=self._job.brand,
+                server=server,
+                code=error.code,
+                step=error.step,
+                execution=error.execution.value,
+            )
+            self._placer.failed(server, error)
+            effect = self._machine.handle(Refused(error))
+            if error.execution is Execution.UNKNOWN and not isinstance(effect, Resume | Finished):
+                _cancel_in_background(self._placement.engine, stream_id)
+            return effect
+        return self._machine.handle(Closed())
+
+    def _receive(self, event: StreamEvent, server: ServerId, stream_id: StreamId) -> None:
+        ready = self._machine.receive(event)
+        if event.kind is EventKind.START:
+            self._placer.ran(server, self._job, event)
+        if ready:
+            self._sink.deliver(ready, server, stream_id)
+
+    def _run_for(self, stream_id: StreamId, imported: tuple[Generation, ...]) -> Run:
+        job = self._job
+        return Run(
+            request_id=job.request_id,
+            stream_id=stream_id,
+            brand=job.brand,
+            model=job.model,
+            adapter=job.adapter,
+            weight_version=job.version,
+            messages=job.messages,
+            block_keys=job.chain.keys,
+            prompt_tokens=job.chain.prompt_tokens,
+            max_tokens=job.max_tokens,
+            deadline_ms=max(1, job.deadline_ms - self._clock.now_ms()),
+            priority=job.priority,
+            imported=imported,
+        )
+
+
+def resume_stream(
+    engine: ModelEngine,
+    version: WeightVersion,
+    server: ServerId,
+    stream_id: StreamId,
+    after: int,
+    sink: AnswerSink,
+    idle_timeout_ms: int,
+) -> None:
+    """Deliver the rest of a stream that another connection of the caller began.
+
+    :param engine: engine that keeps the stream
+    :param version: weight version pinned for the run
+    :param server: backend server
+    :param stream_id: stream to resume
+    :param after: last sequence that the caller has
+    :param sink: gets the rest
+    :param idle_timeout_ms: longest silence of the engine
+    :raises BergamothillError: the stream cannot be finished
+    """
+    machine = InferenceMachine.resuming(version, server, stream_id, after)
+    effect = machine.begin()
+
+    def receive(event: StreamEvent) -> None:
+        ready = machine.receive(event)
+        if ready:
+            sink.deliver(ready, server, stream_id)
+
+    while isinstance(effect, Resume):
+        try:
+            engine.resume(stream_id, effect.after, receive, idle_timeout_ms=idle_timeout_ms)
+        except BergamothillError as error:
+            effect = machine.handle(Refused(error))
+        else:
+            effect = machine.handle(Closed())
+    if isinstance(effect, Failed):
+        raise effect.error
+
+
+def _cancel_in_background(engine: ModelEngine, stream_id: StreamId) -> None:
+    """Free the engine from a run that nobody waits for, without making the caller wait."""
+
+    def cancel() -> None:
+        try:
+            engine.cancel(stream_id)
+        except BergamothillError as error:
+            _log.info("cancel_failed", stream_id=stream_id, peer=error.peer, step=error.step)
+
+    threading.Thread(target=cancel, name="cancel", daemon=True).start()
