--- a/bergamothill/process/drain.py
+++ b/bergamothill/process/drain.py
@@ -43,6 +43,8 @@
 DEFAULT_HAND_OVER_MS = 20_000
 HAND_OVER_RETRY_MS = 500
 LEASE_RELEASE_MS = 2_000
+PAUSE_MS = 1_000
+"""A gap between two events above this many milliseconds is a pause of this process."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -198,7 +200,7 @@
 class DrainReport:
     """Outcome of a drain.
 
-    :param duration_ms: from the stop request to the end, in milliseconds
+    :param duration_ms: from the stop request to the end without pauses, in milliseconds
     :param finished: streams that ended by themselves since the stop request
     :param handed_over: streams handed over
     :param remaining: streams still in progress when the time ran out
@@ -249,23 +251,39 @@
         self._streams: dict[StreamId, _Stream] = {}
         self._leases: set[LeaseId] = set()
         self._started_ms = 0
+        self._last_ms: int | None = None
+        self._paused_ms = 0
         self._seen_ms: int | None = None
         self._release_started_ms = 0
         self._finished = 0
         self._handed_over = 0
 
     def handle(self, event: DrainEvent, now_ms: int) -> tuple[DrainEffect, ...]:
-        """Take in one event.
+        """Take in one event; feed :class:`TimePassed` several times a second.
 
         :param event: what happened
         :param now_ms: instant now
         :returns: what to do, in order
         """
         effects: list[DrainEffect] = []
+        now_ms = self._running_ms(now_ms)
         self._on(event, now_ms, effects)
         self._advance(now_ms, effects)
         return tuple(effects)
 
+    def _running_ms(self, now_ms: int) -> int:
+        """Return the instant without the pauses of this process.
+
+        A pause must not use up the time of the balancer and the streams: what they sent meanwhile
+        waits in our buffers.
+        """
+        if self._last_ms is not None:
+            gap_ms = now_ms - self._last_ms
+            if gap_ms > PAUSE_MS and not self.ready:
+                self._paused_ms += gap_ms
+        self._last_ms = now_ms
+        return now_ms - self._paused_ms
+
     def hold_lease(self, lease: LeaseId) -> None:
         """Note a lease to release at the end.
 
--- a/bergamothill/process/serverpoll.py
+++ b/bergamothill/process/serverpoll.py
@@ -4,7 +4,7 @@
 
 import threading
 from collections.abc import Callable
-from concurrent.futures import Future, ThreadPoolExecutor
+from concurrent.futures import Executor, Future, ThreadPoolExecutor
 from contextlib import suppress
 
 import logbook
@@ -52,6 +52,7 @@
     :param entry_id: this entry instance
     :param zone: its availability zone
     :param on_instances: receives the instances whenever they changed
+    :param pool: runs the blocking calls; None makes one
     """
 
     def __init__(
@@ -64,6 +65,7 @@
         entry_id: EntryInstanceId,
         zone: ZoneName,
         on_instances: Callable[[tuple[Instance, ...]], None] = lambda instances: None,
+        pool: Executor | None = None,
     ) -> None:
         self._instance_list = instance_list
         self._engine_factory = engine_factory
@@ -87,7 +89,7 @@
         self._list_started_ms = -(1 << 60)
         self._list_future: Future[None] | None = None
         self._stopping = threading.Event()
-        self._pool = ThreadPoolExecutor(POLL_WORKERS, thread_name_prefix="server-poll")
+        self._pool = pool or ThreadPoolExecutor(POLL_WORKERS, thread_name_prefix="server-poll")
         self._loop = ThreadPoolExecutor(1, thread_name_prefix="server-beat")
         bus.subscribe(ServerReport, self._on_report)
         bus.subscribe(LeavingNotice, self._on_notice)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -5,6 +5,8 @@
 import json
 import subprocess
 import sys
+import time
+from collections.abc import Callable
 from pathlib import Path
 
 from bergamothill.connection.http import HttpClient
@@ -80,3 +82,16 @@
     def json(self, method: str, path: str, body: object = None) -> object:
         reply = self.client.request_json(method, path, step="test", timeout_ms=5_000, body=body)
         return json.loads(reply.body)
+
+
+WAIT_LIMIT_S = 20
+WAIT_STEP_S = 0.02
+
+
+def await_true(condition: Callable[[], bool]) -> None:
+    """Wait until a condition holds; the limit only ends a test that hangs."""
+    limit = time.monotonic() + WAIT_LIMIT_S
+    while not condition():
+        if time.monotonic() > limit:
+            raise AssertionError("the condition never held")
+        time.sleep(WAIT_STEP_S)
