Prove leaving servers

Cause: an entry instance that was paused through the announcement, or whose buffers held old reports, must not send to a leaving server. Change: the real table and poller on simulated edges with skewed clocks; freezes in mid-call, slow and cut links, a list that lags or is away, lagging answers, restarts.

--- /dev/null
+++ b/tests/proof/leavingworld.py
@@ -0,0 +1,248 @@
+"""World of the proof of leaving servers: engines, instance list, entry instances and their bus."""
+
+from __future__ import annotations
+
+from concurrent.futures import Executor, Future
+
+from bergamothill.clock import Clock
+from bergamothill.connection.bus import PeerBus, Scope
+from bergamothill.connection.engine import EngineLoad, EngineState
+from bergamothill.connection.instancelist import (
+    Instance,
+    InstanceKind,
+    InstanceList,
+    InstanceState,
+)
+from bergamothill.connection.peerclock import PeerClock
+from bergamothill.errors import PeerTimeoutError, PeerUnreachableError
+from bergamothill.process.serverpoll import ServerPoller
+
+ENTRIES = {"a1": "a", "a2": "a", "a3": "a", "b1": "b"}
+SERVERS = {
+    "ea": (InstanceKind.ENGINE, "a"),
+    "eb": (InstanceKind.ENGINE, "b"),
+    "sa": (InstanceKind.SERVICE, "a"),
+}
+STEP_MS = 250
+DEATH_SEEN_MS = 4_500
+
+
+class InlineExecutor(Executor):
+    """Runs work in the calling thread."""
+
+    def submit(self, function, /, *arguments, **keywords):
+        future = Future()
+        future.set_result(function(*arguments, **keywords))
+        return future
+
+
+class SkewedClock(Clock):
+    """Clock of one entry instance; each starts elsewhere."""
+
+    def __init__(self, world, offset_ms):
+        self.world = world
+        self.offset_ms = offset_ms
+
+    def now_ms(self):
+        return self.world.now_ms + self.offset_ms
+
+    def wall_ms(self):
+        return self.world.now_ms
+
+    def sleep_ms(self, duration_ms):
+        raise NotImplementedError
+
+
+class Server:
+    """True state of a backend server."""
+
+    def __init__(self, name):
+        self.name = name
+        self.kind, self.zone = SERVERS[name]
+        self.incarnation = 1
+        self.alive = True
+        self.listed_state = InstanceState.LIVE
+        self.answers_leaving_ms = None
+        self.listed_leaving_ms = None
+        self.lag_ms = 0
+
+    def instance(self, state):
+        address = f"{self.name}:1"
+        group = "booking" if self.kind is InstanceKind.SERVICE else ""
+        return Instance(self.name, self.kind, self.zone, address, self.incarnation, state, group)
+
+
+class SimEngine:
+    """Client of an engine; only ``load`` is used here."""
+
+    def __init__(self, world, entry, server):
+        self.world, self.entry, self.server = world, entry, server
+
+    def load(self):
+        server = self.server
+        if not server.alive:
+            raise PeerUnreachableError("engine is gone", step="engine.load", peer=server.name)
+        true_ms = self.world.now_ms - server.lag_ms
+        since_ms = server.answers_leaving_ms
+        leaving = since_ms is not None and true_ms >= since_ms
+        state = EngineState(server.incarnation, leaving, frozenset({"m:v"}))
+        load = EngineLoad(server.lag_ms, 0, 0, 1_000, 1_000, 0, 0, state)
+        self.entry.pause_if_asked()
+        return load
+
+
+class SimList(InstanceList):
+    """Instance list as one entry instance reads it."""
+
+    def __init__(self, world, entry_name):
+        self.world, self.entry_name = world, entry_name
+
+    def instances(self):
+        if self.entry_name in self.world.list_away:
+            raise PeerUnreachableError("list is away", step="list.read")
+        shown_ms = self.world.now_ms - self.world.list_lag_ms
+        return tuple(self._shown(server, shown_ms) for server in self.world.servers.values())
+
+    @staticmethod
+    def _shown(server, shown_ms):
+        since_ms = server.listed_leaving_ms
+        leaving = since_ms is not None and shown_ms >= since_ms
+        return server.instance(InstanceState.LEAVING if leaving else InstanceState.LIVE)
+
+
+class SimBus(PeerBus):
+    """Bus of one entry instance; frames wait while their receiver is frozen or the link slow."""
+
+    def __init__(self, world, name):
+        self.world, self.name = world, name
+        self.handlers = {}
+        self.clocks = {}
+        self.echoes = {}
+
+    def subscribe(self, message_type, handler):
+        self.handlers[message_type] = handler
+
+    def publish(self, message, scope):
+        for other in self.world.entries.values():
+            in_scope = scope is Scope.EVERYWHERE or ENTRIES[other.name] == ENTRIES[self.name]
+            if other.name != self.name and in_scope:
+                self.world.send(self.frame(message), self.name, other.name)
+
+    def frame(self, message):
+        clock = self.world.entries[self.name].clock
+        return clock.now_ms(), self.echoes.copy(), message
+
+    def receive(self, sender, frame):
+        sent_ms, echoes, message = frame
+        now_ms = self.world.entries[self.name].clock.now_ms()
+        echo_ms, echo_received_ms = echoes.get(self.name, (-1, 0))
+        self.clocks.setdefault(sender, PeerClock()).observe(echo_ms, echo_received_ms, now_ms)
+        self.echoes[sender] = (sent_ms, now_ms)
+        handler = self.handlers.get(type(message))
+        return None if handler is None else handler(sender, message)
+
+    def request(self, peer, message, *, timeout_ms):
+        other = self.world.entries[peer]
+        if not self.world.joined(self.name, peer) or other.frozen:
+            raise PeerTimeoutError("no reply", step="peer.request", peer=peer)
+        answer = other.bus.receive(self.name, self.frame(message))
+        reply = other.bus.frame(None)
+        self.receive(peer, reply)
+        return answer
+
+    def live_peers(self):
+        names = [n for n in ENTRIES if ENTRIES[n] == ENTRIES[self.name]]
+        return tuple(n for n in names if n == self.name or not self.world.seen_dead(self.name, n))
+
+    def local_ms(self, peer, peer_ms):
+        clock = self.clocks.get(peer)
+        now_ms = self.world.entries[self.name].clock.now_ms()
+        return None if clock is None else clock.local_ms(peer_ms, now_ms)
+
+
+class Entry:
+    """One entry instance: the real table and poller on simulated edges."""
+
+    def __init__(self, world, name, offset_ms, table):
+        self.world, self.name = world, name
+        self.clock = SkewedClock(world, offset_ms)
+        self.bus = SimBus(world, name)
+        self.table = table
+        self.frozen = False
+        self.pause_steps = 0
+        self.inbox = []
+        self.poller = ServerPoller(
+            SimList(world, name),
+            lambda instance: SimEngine(world, self, world.servers[instance.instance_id]),
+            self.bus,
+            table,
+            self.clock,
+            name,
+            ENTRIES[name],
+            pool=InlineExecutor(),
+        )
+
+    def pause_if_asked(self):
+        """Freeze this instance for some steps in the middle of a call."""
+        steps, self.pause_steps = self.pause_steps, 0
+        if steps:
+            was_frozen, self.frozen = self.frozen, True
+            for _ in range(steps):
+                self.world.step()
+            self.frozen = was_frozen
+
+    def read_inbox(self):
+        inbox, self.inbox = self.inbox, []
+        for sender, frame in inbox:
+            self.bus.receive(sender, frame)
+
+
+class World:
+    """All of it under one clock."""
+
+    def __init__(self, make_table):
+        self.now_ms = 0
+        self.list_away = set()
+        self.list_lag_ms = 0
+        self.cuts = {}
+        self.slow = {}
+        self.servers = {name: Server(name) for name in SERVERS}
+        self.entries = {}
+        for index, name in enumerate(ENTRIES):
+            self.entries[name] = Entry(self, name, 1_000_000 * (index + 1), make_table())
+        self.frozen_ms = {}
+
+    def joined(self, one, other):
+        pair = frozenset((one, other))
+        return pair not in self.cuts and pair not in self.slow
+
+    def send(self, frame, source, target):
+        pair = frozenset((source, target))
+        if pair in self.cuts:
+            return
+        if pair in self.slow:
+            self.slow[pair].append((source, target, frame))
+        elif self.entries[target].frozen:
+            self.entries[target].inbox.append((source, frame))
+        else:
+            self.entries[target].bus.receive(source, frame)
+
+    def seen_dead(self, observer, name):
+        since_ms = self.cuts.get(frozenset((observer, name)))
+        if self.entries[name].frozen:
+            frozen_ms = self.frozen_ms.get(name, self.now_ms)
+            since_ms = frozen_ms if since_ms is None else min(since_ms, frozen_ms)
+        return since_ms is not None and self.now_ms - since_ms >= DEATH_SEEN_MS
+
+    def step(self):
+        self.now_ms += STEP_MS
+        for entry in self.entries.values():
+            if entry.frozen:
+                self.frozen_ms.setdefault(entry.name, self.now_ms)
+            else:
+                self.frozen_ms.pop(entry.name, None)
+                entry.poller.beat()
+        for observe in self.observers:
+            observe()
+
+    observers = ()
--- /dev/null
+++ b/tests/proof/proof_leaving.py
@@ -0,0 +1,217 @@
+"""Proof that a leaving server receives no new work once an entry instance can learn of it."""
+
+from __future__ import annotations
+
+import itertools
+
+from hypothesis import strategies as st
+from hypothesis.stateful import initialize, precondition, rule
+
+from bergamothill.connection.instancelist import InstanceKind
+from bergamothill.process.servers import ServerTable
+from tests.proof.harness import Proof, ProofMachine
+from tests.proof.leavingworld import ENTRIES, SERVERS, World
+from tests.proof.require import require
+
+BOUND_MS = 5_000
+LAGS_MS = (0, 250, 2_000)
+LIST_LAGS_MS = (0, 1_000, 20_000)
+entries = st.sampled_from(sorted(ENTRIES))
+servers = st.sampled_from(sorted(SERVERS))
+engines = st.sampled_from([n for n in sorted(SERVERS) if SERVERS[n][0] is InstanceKind.ENGINE])
+
+
+class TrustsBeliefs(ServerTable):
+    """Double without the mechanism: sends on what it believes, however old."""
+
+    def may_send(self, server, now_ms):
+        with self._lock:
+            record = self._servers.get(server)
+            return record is not None and not self._is_leaving(record)
+
+
+class LeavingProof(ProofMachine):
+    """Entry instances send work while servers leave and the ways to learn of it fail."""
+
+    @initialize()
+    def begin(self):
+        self.world = World(ServerTable if self.mechanism_enabled else TrustsBeliefs)
+        self.world.observers = (self.observe,)
+        self.list_shows_ms = {}
+        self.peer_knows_ms = {}
+        for _ in range(8):
+            self.world.step()
+
+    def observe(self):
+        """Follow since when each instance could learn that a server leaves."""
+        now_ms = self.world.now_ms
+        for server, (entry, zone) in itertools.product(
+            self.world.servers.values(), ENTRIES.items()
+        ):
+            self.follow(self.list_shows_ms, (entry, server.name), self.list_shows(entry, server))
+            for peer, peer_zone in ENTRIES.items():
+                if peer != entry and peer_zone == zone:
+                    knows = self.peer_tells(entry, peer, server.name)
+                    self.follow(self.peer_knows_ms, (entry, server.name, peer), knows)
+        self.last_ms = now_ms
+
+    def follow(self, since, key, holds):
+        if holds:
+            since.setdefault(key, self.world.now_ms)
+        else:
+            since.pop(key, None)
+
+    def list_shows(self, entry, server):
+        since_ms = server.listed_leaving_ms
+        if since_ms is None or entry in self.world.list_away:
+            return False
+        return self.world.now_ms - self.world.list_lag_ms >= since_ms
+
+    def peer_tells(self, entry, peer, server):
+        other = self.world.entries[peer]
+        incarnation = self.world.servers[server].incarnation
+        return (
+            not other.frozen
+            and self.world.joined(entry, peer)
+            and any(
+                known.server == server and known.incarnation == incarnation
+                for known in other.table.leaving(other.clock.now_ms())
+            )
+        )
+
+    def check_sent(self, entry, server):
+        true = self.world.servers[server]
+        now_ms = self.world.now_ms
+        since = {
+            "its own answer": true.answers_leaving_ms if true.alive else None,
+            "the instance list": self.list_shows_ms.get((entry, server)),
+        }
+        for peer in ENTRIES:
+            since[f"peer {peer}"] = self.peer_knows_ms.get((entry, server, peer))
+        for source, since_ms in since.items():
+            late_ms = 0 if since_ms is None else now_ms - since_ms
+            require(
+                late_ms <= BOUND_MS,
+                f"{entry} sent to {server} {late_ms} ms after {source} said that it leaves",
+            )
+
+    def send(self, entry, server, pause_steps, pause_in_call):
+        """Confirm, perhaps pause, check, send."""
+        node = self.world.entries[entry]
+        true = self.world.servers[server]
+        never_left = true.answers_leaving_ms is None and true.listed_leaving_ms is None
+        if pause_in_call:
+            node.pause_steps = pause_steps
+        confirmed = node.poller.confirm(server)
+        paused = node.pause_steps == 0 and pause_in_call
+        node.pause_steps = 0
+        known = node.table.instance(server)
+        current = known is not None and known.incarnation == true.incarnation
+        if true.alive and never_left and current and not paused:
+            require(confirmed, f"{entry} refuses {server}, which is live and answers")
+        if pause_steps and not pause_in_call:
+            node.frozen = True
+            for _ in range(pause_steps):
+                self.world.step()
+            node.frozen = False
+        if node.table.may_send(server, node.clock.now_ms()):
+            self.check_sent(entry, server)
+
+    @rule(steps=st.integers(1, 8))
+    def time_passes(self, steps):
+        self.operation()
+        for _ in range(steps):
+            self.world.step()
+
+    @rule(entry=entries, server=servers)
+    def work_is_sent(self, entry, server):
+        self.operation()
+        if not self.world.entries[entry].frozen:
+            self.send(entry, server, 0, False)
+
+    @rule(entry=entries, server=servers, steps=st.integers(1, 40), in_call=st.booleans())
+    def work_is_sent_with_a_pause(self, entry, server, steps, in_call):
+        self.fault()
+        if not self.world.entries[entry].frozen:
+            self.send(entry, server, steps, in_call)
+
+    @rule(server=servers, listed=st.booleans(), answers=st.booleans())
+    def server_leaves(self, server, listed, answers):
+        self.operation()
+        true = self.world.servers[server]
+        if listed and true.listed_leaving_ms is None:
+            true.listed_leaving_ms = self.world.now_ms
+        if answers and true.kind is InstanceKind.ENGINE and true.answers_leaving_ms is None:
+            true.answers_leaving_ms = self.world.now_ms
+
+    @rule(server=servers)
+    def server_dies(self, server):
+        self.fault()
+        self.world.servers[server].alive = False
+
+    @rule(server=servers)
+    def server_restarts(self, server):
+        self.fault()
+        true = self.world.servers[server]
+        true.incarnation += 1
+        true.alive = True
+        true.answers_leaving_ms = true.listed_leaving_ms = None
+        for since in (self.list_shows_ms, self.peer_knows_ms):
+            for key in [key for key in since if key[1] == server]:
+                del since[key]
+
+    @rule(server=engines, lag_ms=st.sampled_from(LAGS_MS))
+    def answers_lag(self, server, lag_ms):
+        self.fault()
+        self.world.servers[server].lag_ms = lag_ms
+
+    @rule(lag_ms=st.sampled_from(LIST_LAGS_MS))
+    def list_lags(self, lag_ms):
+        self.fault()
+        self.world.list_lag_ms = lag_ms
+
+    @rule(names=st.sets(entries))
+    def list_goes_away(self, names):
+        self.fault()
+        self.world.list_away = names
+
+    @rule(one=entries, other=entries)
+    def link_is_cut(self, one, other):
+        self.fault()
+        if one != other:
+            self.world.cuts.setdefault(frozenset((one, other)), self.world.now_ms)
+
+    @rule(one=entries, other=entries)
+    def link_is_slow(self, one, other):
+        self.fault()
+        if one != other:
+            self.world.slow.setdefault(frozenset((one, other)), [])
+
+    @precondition(lambda self: self.world.cuts or self.world.slow)
+    @rule()
+    def links_heal(self):
+        self.operation()
+        slow, self.world.slow = self.world.slow, {}
+        self.world.cuts.clear()
+        for source, target, frame in itertools.chain.from_iterable(slow.values()):
+            self.world.send(frame, source, target)
+
+    @rule(entry=entries)
+    def entry_freezes(self, entry):
+        self.fault()
+        self.world.entries[entry].frozen = True
+
+    @rule(entry=entries, server=servers, reads_first=st.booleans())
+    def entry_wakes_and_sends(self, entry, server, reads_first):
+        self.operation()
+        node = self.world.entries[entry]
+        if node.frozen:
+            node.frozen = False
+            if reads_first:
+                node.read_inbox()
+            self.send(entry, server, 0, False)
+            node.read_inbox()
+            self.send(entry, server, 0, False)
+
+
+PROOFS = (Proof(slug="leaving-servers", machine=LeavingProof),)
