--- a/bergamothill/connection/outgoing.py
+++ b/bergamothill/connection/outgoing.py
@@ -80,6 +80,8 @@
         return len(self._entries) < self._max_frames and self._bytes + size <= self._max_bytes
 
     def _make_room(self, size: int) -> bool:
+        if size > self._max_bytes:
+            return False
         while not self._fits(size):
             victim = next((entry for entry in self._entries if entry.droppable), None)
             if victim is None:
--- a/tests/proof/proof_leaving.py
+++ b/tests/proof/proof_leaving.py
@@ -44,16 +44,13 @@
 
     def observe(self):
         """Follow since when each instance could learn that a server leaves."""
-        now_ms = self.world.now_ms
-        for server, (entry, zone) in itertools.product(
-            self.world.servers.values(), ENTRIES.items()
-        ):
+        pairs = itertools.product(self.world.servers.values(), ENTRIES.items())
+        for server, (entry, zone) in pairs:
             self.follow(self.list_shows_ms, (entry, server.name), self.list_shows(entry, server))
             for peer, peer_zone in ENTRIES.items():
                 if peer != entry and peer_zone == zone:
                     knows = self.peer_tells(entry, peer, server.name)
                     self.follow(self.peer_knows_ms, (entry, server.name, peer), knows)
-        self.last_ms = now_ms
 
     def follow(self, since, key, holds):
         if holds:
@@ -196,22 +193,70 @@
         for source, target, frame in itertools.chain.from_iterable(slow.values()):
             self.world.send(frame, source, target)
 
-    @rule(entry=entries)
-    def entry_freezes(self, entry):
+    @rule()
+    def zones_are_cut(self):
         self.fault()
-        self.world.entries[entry].frozen = True
+        for one, other in itertools.combinations(ENTRIES, 2):
+            if ENTRIES[one] != ENTRIES[other]:
+                self.world.cuts.setdefault(frozenset((one, other)), self.world.now_ms)
 
-    @rule(entry=entries, server=servers, reads_first=st.booleans())
-    def entry_wakes_and_sends(self, entry, server, reads_first):
+    @rule(steps=st.integers(1, 32))
+    def time_passes_and_all_send(self, steps):
         self.operation()
+        for _ in range(steps):
+            self.world.step()
+        for entry, server in itertools.product(ENTRIES, SERVERS):
+            if not self.world.entries[entry].frozen:
+                self.send(entry, server, 0, False)
+
+    @rule(names=st.sets(entries, min_size=1))
+    def entries_freeze(self, names):
+        self.fault()
+        for name in names:
+            self.world.entries[name].frozen = True
+
+    @rule(
+        sleeper=entries,
+        others=st.sets(entries),
+        server=servers,
+        channels=st.sampled_from([(True, False), (False, True), (True, True)]),
+        early_steps=st.integers(0, 6),
+        late_steps=st.integers(16, 32),
+        order=st.permutations(["read", "beat", "send"]),
+    )
+    def server_leaves_unseen(
+        self, sleeper, others, server, channels, early_steps, late_steps, order
+    ):
+        """Freeze one, later some others, let a server leave meanwhile, wake the first."""
+        self.fault()
+        self.world.entries[sleeper].frozen = True
+        for _ in range(early_steps):
+            self.world.step()
+        for name in others:
+            self.world.entries[name].frozen = True
+        self.server_leaves(server, *channels)
+        for _ in range(late_steps):
+            self.world.step()
+        self.wake(sleeper, server, order)
+
+    @rule(entry=entries, server=servers, order=st.permutations(["read", "beat", "send"]))
+    def entry_wakes_and_sends(self, entry, server, order):
+        self.operation()
+        if self.world.entries[entry].frozen:
+            self.wake(entry, server, order)
+
+    def wake(self, entry, server, order):
+        """Let an instance go on; its threads run in any order."""
         node = self.world.entries[entry]
-        if node.frozen:
-            node.frozen = False
-            if reads_first:
+        node.frozen = False
+        for thread in (*order, "send"):
+            if thread == "read":
                 node.read_inbox()
-            self.send(entry, server, 0, False)
-            node.read_inbox()
-            self.send(entry, server, 0, False)
+            elif thread == "beat":
+                node.poller.beat()
+            else:
+                self.send(entry, server, 0, False)
+        node.read_inbox()
 
 
 PROOFS = (Proof(slug="leaving-servers", machine=LeavingProof),)
