Measure the slopes of membership, mesh and server table

Cause: the budget of 1.6 % of a core and 13 KB/s for control has to hold with 33 peers and 83 engines in a zone.

--- a/bergamothill/connection/link.py
+++ b/bergamothill/connection/link.py
@@ -73,6 +73,11 @@
         self._next_correlation = 0
         self._greeted = False
 
+    @property
+    def socket(self) -> socket.socket:
+        """Socket of the connection, for its counters."""
+        return self._connection.socket
+
     def send(self, kind: FrameKind, *, body: bytes = b"", droppable: bool = True, **fields) -> bool:
         """Queue a frame without waiting.
 
--- a/bergamothill/connection/peer.py
+++ b/bergamothill/connection/peer.py
@@ -217,6 +217,11 @@
             received = self._closed_bytes_received + sum(link.bytes_received for link in links)
         return sent, received
 
+    def links(self) -> tuple[PeerLink, ...]:
+        """Return the open links, for their counters."""
+        with self._lock:
+            return tuple(self._links.values())
+
     def _link_to(self, peer: EntryInstanceId) -> PeerLink | None:
         with self._lock:
             link_id = self._membership.link_of(peer)
--- /dev/null
+++ b/scripts/slopenode.py
@@ -0,0 +1,142 @@
+"""One entry instance's control roles as a process of its own, measured for ``scripts.slopes``."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import random
+import resource
+import socket
+import struct
+import sys
+import threading
+import time
+from dataclasses import asdict, dataclass, replace
+
+from bergamothill.clock import SystemClock
+from bergamothill.connection.engine import EngineLoad
+from bergamothill.connection.http import HttpClient
+from bergamothill.connection.httpengine import HttpModelEngine
+from bergamothill.connection.instancelist import HttpInstanceList, Instance
+from bergamothill.connection.peer import PeerMesh
+from bergamothill.ids import EntryInstanceId, Incarnation, ZoneName
+from bergamothill.process.serverpoll import ServerPoller
+from bergamothill.process.servers import ServerTable
+
+SECRET = "slopes"
+TCP_INFO_BYTES = 192
+ACKED_RECEIVED_AND_SEGMENTS = struct.Struct("=QQII")
+ACKED_OFFSET = 120
+HEADER_BYTES = 66
+"""Ethernet, IP and TCP headers of one segment."""
+
+KILOBYTE = 1_024
+
+
+@dataclass(frozen=True, slots=True)
+class Counters:
+    """Counters of one process at one instant."""
+
+    at_s: float
+    cpu_s: float
+    payload_bytes: int
+    wire_bytes: int
+    segments: int
+    http_bytes: int
+    http_calls: int
+
+
+class CountingClient(HttpClient):
+    """HTTP client that counts the bytes of bodies and headers, both ways."""
+
+    calls = 0
+    total_bytes = 0
+    lock = threading.Lock()
+    REQUEST_BYTES = 200
+
+    def request(self, *arguments, **keywords):
+        """Send a request and count it."""
+        reply = super().request(*arguments, **keywords)
+        headers = sum(len(name) + len(value) + 4 for name, value in reply.headers.items())
+        with CountingClient.lock:
+            CountingClient.calls += 1
+            CountingClient.total_bytes += self.REQUEST_BYTES + headers + len(reply.body)
+        return reply
+
+
+class ChangingEngine(HttpModelEngine):
+    """Engine whose load differs at each poll, as under traffic."""
+
+    def load(self) -> EngineLoad:
+        """Return the real answer with other figures."""
+        load = super().load()
+        return replace(load, queued_tokens=random.randrange(100_000), running=random.randrange(64))
+
+
+def wire_of(mesh: PeerMesh) -> tuple[int, int]:
+    """Return bytes on the wire and segments over all open links, headers included."""
+    total_bytes = total_segments = 0
+    for link in mesh.links():
+        info = link.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+        acked, received, out, into = ACKED_RECEIVED_AND_SEGMENTS.unpack_from(info, ACKED_OFFSET)
+        total_bytes += acked + received + HEADER_BYTES * (out + into)
+        total_segments += out + into
+    return total_bytes, total_segments
+
+
+def read_counters(mesh: PeerMesh) -> Counters:
+    """Read all counters of this process."""
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    wire_bytes, segments = wire_of(mesh)
+    return Counters(
+        time.monotonic(),
+        usage.ru_utime + usage.ru_stime,
+        sum(mesh.bytes_total()),
+        wire_bytes,
+        segments,
+        CountingClient.total_bytes,
+        CountingClient.calls,
+    )
+
+
+def main() -> None:
+    """Serve the control roles; print address, then counters at two instants."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--id", required=True)
+    parser.add_argument("--list-address", required=True)
+    arguments = parser.parse_args()
+    clock = SystemClock()
+    zone = ZoneName("a")
+    entry = EntryInstanceId(arguments.id)
+    mesh = PeerMesh(entry, zone, Incarnation(1), "127.0.0.1:0", clock, SECRET)
+    mesh.start()
+    print(mesh.address, flush=True)
+    sys.stdin.readline()
+
+    def make_engine(instance: Instance) -> ChangingEngine:
+        return ChangingEngine(CountingClient(instance.instance_id, instance.address))
+
+    instance_list = HttpInstanceList(CountingClient("list", arguments.list_address))
+    table = ServerTable()
+    poller = ServerPoller(
+        instance_list, make_engine, mesh, table, clock, entry, zone, mesh.update_instances
+    )
+    poller.start()
+    for _ in range(2):
+        sys.stdin.readline()
+        counters = asdict(read_counters(mesh))
+        counters["live"] = len(mesh.live_peers())
+        counters["rss_mb"] = resident_mb()
+        counters["threads"] = threading.active_count()
+        print(json.dumps(counters), flush=True)
+
+
+def resident_mb() -> float:
+    """Return the resident memory of this process in MB."""
+    with open("/proc/self/statm", encoding="ascii") as file:
+        pages = int(file.read().split()[1])
+    return pages * resource.getpagesize() / KILOBYTE / KILOBYTE
+
+
+if __name__ == "__main__":
+    main()
