--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP = $(VENV)/.installed
 SEED ?= 1
 
-.PHONY: demo test lint format proof bench slopes
+.PHONY: demo test lint format proof bench measure slopes
 
 $(STAMP): constraints.txt pyproject.toml
 	test -x $(PYTHON) || python3 -m venv $(VENV)
@@ -31,5 +31,8 @@
 bench: $(STAMP)
 	$(PYTHON) -m scripts.bench
 
+measure: $(STAMP)
+	$(PYTHON) -m scripts.measure --seed $(SEED)
+
 slopes: $(STAMP)
 	$(PYTHON) -m scripts.slopes
--- /dev/null
+++ b/bergamothill/process/entry.py
@@ -0,0 +1,281 @@
+"""Entry instance: makes the parts of the process and joins them."""
+
+from __future__ import annotations
+
+import random
+import threading
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+import statsd
+
+from bergamothill.clock import Clock
+from bergamothill.connection.bus import Scope
+from bergamothill.connection.http import HttpClient
+from bergamothill.connection.instancelist import HttpInstanceList, Instance, InstanceKind
+from bergamothill.connection.kvs_http import HttpKeyValueService
+from bergamothill.connection.peer import PeerMesh
+from bergamothill.connection.service import PlainService
+from bergamothill.errors import UnavailableError
+from bergamothill.ids import BrandName, EntryInstanceId, Incarnation, ServerId, ServiceName
+from bergamothill.logs import EventLog
+from bergamothill.process.callers import CallerRoutes, Serving
+from bergamothill.process.clientpool import ClientPool, engine_client
+from bergamothill.process.drain import DrainBounds
+from bergamothill.process.frontend import Frontend
+from bergamothill.process.httpserver import HttpServer
+from bergamothill.process.metrics import Recorder, StatsdMetrics
+from bergamothill.process.operators import OperatorRoutes
+from bergamothill.process.pollplan import PollPlan
+from bergamothill.process.serverpoll import ServerPoller
+from bergamothill.process.servers import ServerTable
+from bergamothill.process.settings import Settings
+from bergamothill.process.status import entry_status
+from bergamothill.process.upkeep import Task, Upkeep
+from bergamothill.process.work import WorkTracker
+from bergamothill.request.action import ActionRunner
+from bergamothill.request.auth import BrandIndex
+from bergamothill.request.cachehints import CacheHints, KeptHintDelta
+from bergamothill.request.limits import Admission, LoanGrant, LoanRequest
+from bergamothill.request.load import LoadEstimator, SentWorkDelta
+from bergamothill.request.placement import EnginePlacer
+from bergamothill.request.restore import KeptContext
+from bergamothill.request.retry import RetryBudget
+from bergamothill.request.token import StreamTokens
+from bergamothill.version.config import Configuration
+from bergamothill.version.watcher import ConfigurationWatcher
+
+__all__ = ["EntryInstance"]
+
+EXPORT_WORKERS = 4
+HAND_OVER_MS = 20_000
+RETRY_AFTER_MS = 1_000
+LOAN_INTERVAL_MS = 2_000
+LOAN_PEERS = 8
+LOAN_TIMEOUT_MS = 500
+ACTION_INTERVAL_MS = 1_000
+
+_log = EventLog("entry")
+
+
+class EntryInstance:
+    """One entry instance.
+
+    :param settings: checked settings
+    :param clock: clock of the process
+    """
+
+    def __init__(self, settings: Settings, clock: Clock) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._rng = random.Random()
+        self._index = BrandIndex(Configuration())
+        self._incarnation = Incarnation(clock.wall_ms())
+        self._make_connections()
+        self._make_policy()
+        self._make_work()
+        self._make_routes()
+
+    def start(self) -> None:
+        """Start all parts; the callers' port opens last."""
+        self._mesh.start()
+        self._poller.start()
+        self._watcher.start()
+        self._upkeep.start()
+        self._server.start()
+
+    def start_drain(self) -> None:
+        """Begin a planned stop."""
+        self._work.start_drain()
+
+    def run_until_drained(self) -> None:
+        """Serve until a planned stop is over, then end all parts."""
+        self._work.wait_closed()
+        self._server.stop()
+        self._upkeep.stop()
+        self._poller.close()
+        self._watcher.stop()
+        self._mesh.close()
+        self._exports.shutdown(wait=True, cancel_futures=True)
+        self._kept.close()
+
+    def _make_connections(self) -> None:
+        settings, clock = self._settings, self._clock
+        self._kvs = HttpKeyValueService(HttpClient("kvs", settings.kvs_address))
+        instance_list = HttpInstanceList(
+            HttpClient("instance-list", settings.instance_list_address)
+        )
+        self._mesh = PeerMesh(
+            settings.entry_id,
+            settings.zone,
+            self._incarnation,
+            settings.peer_address,
+            clock,
+            settings.shared_secret,
+        )
+        self._table = ServerTable()
+        self._clients = ClientPool(self._table.instance)
+        self._poller = ServerPoller(
+            instance_list,
+            engine_client,
+            self._mesh,
+            self._table,
+            clock,
+            settings.entry_id,
+            settings.zone,
+            self._on_instances,
+        )
+        self._watcher = ConfigurationWatcher(
+            self._kvs, self._mesh, clock, settings.entry_id, self._on_configuration
+        )
+        self._actions = ActionRunner(self._kvs, self._mesh, clock, settings.entry_id)
+
+    def _make_policy(self) -> None:
+        self._admission = Admission(
+            lambda brand: self._index.configuration.value_for(brand, "limits"),
+            1,
+            self._clock.now_ms(),
+            self._rng,
+        )
+        self._admission_lock = threading.Lock()
+        self._estimator = LoadEstimator()
+        self._hints = CacheHints()
+        self._kept = KeptContext({}, self._settings.zone, self._clock, self._warm_time_ms)
+        self._exports = ThreadPoolExecutor(EXPORT_WORKERS, thread_name_prefix="export")
+        self._placer = EnginePlacer(
+            self._clock,
+            self._table,
+            self._poller.confirm,
+            self._clients.engine,
+            self._kept,
+            self._estimator,
+            self._hints,
+            lambda: self._index.configuration.defaults.weights,
+            self._rng,
+            self._exports,
+        )
+
+        self._mesh.subscribe(LoanRequest, self._on_loan_request)
+        self._mesh.subscribe(SentWorkDelta, lambda _, delta: self._placer.relayed_work(delta))
+        self._mesh.subscribe(KeptHintDelta, lambda _, delta: self._placer.relayed_hints(delta))
+
+    def _make_work(self) -> None:
+        settings = self._settings
+        bounds = DrainBounds(settings.drain_notice_ms, settings.drain_finish_ms, HAND_OVER_MS)
+        self._work = WorkTracker(self._clock, bounds, self._mesh.leave)
+        self._recorder = Recorder(settings.entry_id, self._clock)
+        host, _, port = settings.statsd_address.rpartition(":")
+        sink = statsd.StatsClient(host, int(port)) if port else _NoStatsd()
+        self._metrics = StatsdMetrics(sink, settings.zone)
+        self._upkeep = Upkeep(self._clock, self._tasks())
+
+    def _make_routes(self) -> None:
+        settings = self._settings
+        frontend = Frontend(settings.max_body_bytes)
+        serving = Serving(
+            clock=self._clock,
+            zone=settings.zone,
+            brand_index=self._brand_index,
+            placer=self._placer,
+            admission=self._admission,
+            admission_lock=self._admission_lock,
+            retries=RetryBudget(),
+            tokens=StreamTokens(settings.shared_secret, self._clock),
+            actions=self._actions,
+            engine_for=self._clients.engine,
+            service_for=self._service_for,
+            recorder=self._recorder,
+            metrics=self._metrics,
+            idle_timeout_ms=settings.idle_timeout_ms,
+        )
+        CallerRoutes(serving).add_to(frontend, self._work.guard)
+        OperatorRoutes(
+            settings.operator_key_digest,
+            self._work,
+            self._status,
+            lambda: self._watcher.status().revision > 0,
+            self._recorder,
+        ).add_to(frontend)
+        self._server = HttpServer(settings.listen_address, frontend, settings.worker_threads)
+
+    def _tasks(self) -> tuple[Task, ...]:
+        return (
+            Task("relay_load", self._relay_interval_ms, self._relay_load),
+            Task("loans", lambda: LOAN_INTERVAL_MS, self._ask_loans),
+            Task("actions", lambda: ACTION_INTERVAL_MS, self._actions.maintain),
+        )
+
+    def _relay_interval_ms(self) -> int:
+        return PollPlan.tick_ms(self._mesh.live_peers())
+
+    def _relay_load(self) -> None:
+        for delta in self._placer.deltas():
+            self._mesh.publish(delta, Scope.ZONE)
+
+    def _ask_loans(self) -> None:
+        peers = [peer for peer in self._mesh.live_peers() if peer != self._settings.entry_id]
+        asked = self._rng.sample(peers, min(LOAN_PEERS, len(peers)))
+        with self._admission_lock:
+            request = self._admission.loan_request(len(asked), self._clock.now_ms())
+        if request is None:
+            return
+        for peer in asked:
+            grant = self._mesh.request(peer, request, timeout_ms=LOAN_TIMEOUT_MS)
+            with self._admission_lock:
+                self._admission.accept(peer, grant, self._clock.now_ms())
+
+    def _on_loan_request(self, sender: EntryInstanceId, request: LoanRequest) -> LoanGrant:
+        with self._admission_lock:
+            return self._admission.lend(request, self._clock.now_ms())
+
+    def _on_instances(self, instances: tuple[Instance, ...]) -> None:
+        self._mesh.update_instances(instances)
+        self._kept.calls.replace(self._clients.store_endpoints(instances))
+        entries = sum(1 for item in instances if item.kind is InstanceKind.ENTRY)
+        with self._admission_lock:
+            self._admission.resize(entries, self._clock.now_ms())
+
+    def _on_configuration(self, configuration: Configuration) -> None:
+        self._index = BrandIndex(configuration)
+        _log.info("configuration_applied", revision=configuration.revision)
+
+    def _brand_index(self) -> BrandIndex:
+        self._watcher.current()
+        return self._index
+
+    def _warm_time_ms(self, brand: BrandName) -> int:
+        return self._index.configuration.value_for(brand, "warm_time_ms")
+
+    def _service_for(self, name: ServiceName) -> tuple[ServerId, PlainService]:
+        servers = self._table.services(name)
+        if not servers:
+            raise UnavailableError(
+                f"no server of {name} takes work",
+                step="service.route",
+                retry_after_ms=RETRY_AFTER_MS,
+            )
+        instance = self._rng.choice(servers)
+        return ServerId(instance.instance_id), self._clients.service(instance)
+
+    def _status(self) -> dict[str, Any]:
+        status = entry_status(
+            self._settings,
+            self._incarnation,
+            self._watcher.status(),
+            self._mesh.peers(),
+            self._table.status(self._clock.now_ms()),
+        )
+        return {**status, "draining": self._work.is_draining, "in_progress": self._work.in_progress}
+
+
+class _NoStatsd:
+    """Takes metrics where no metrics daemon is set."""
+
+    def incr(self, stat: str, count: int = 1) -> None:
+        """Drop a count."""
+
+    def timing(self, stat: str, delta: float) -> None:
+        """Drop a duration."""
+
+    def gauge(self, stat: str, value: float) -> None:
+        """Drop a value."""
--- a/bergamothill/process/httpserver.py
+++ b/bergamothill/process/httpserver.py
@@ -9,7 +9,7 @@
 
 from werkzeug.serving import BaseWSGIServer, WSGIRequestHandler
 
-from bergamothill.process.logs import EventLog
+from bergamothill.logs import EventLog
 
 __all__ = ["OVERLOADED_KEY", "HttpServer"]
 
--- a/bergamothill/request/storecalls.py
+++ b/bergamothill/request/storecalls.py
@@ -12,7 +12,7 @@
 from bergamothill.connection.store import StoreInstance
 from bergamothill.errors import BergamothillError, UnavailableError
 from bergamothill.ids import StoreId, ZoneName
-from bergamothill.process.logs import EventLog
+from bergamothill.logs import EventLog
 from bergamothill.process.rendezvous import rendezvous
 
 __all__ = ["StoreCalls", "StoreEndpoint"]
--- a/bergamothill/version/watcher.py
+++ b/bergamothill/version/watcher.py
@@ -15,7 +15,7 @@
 from bergamothill.connection.kvs import KeyValueService
 from bergamothill.errors import BergamothillError, NotFoundError, UnavailableError
 from bergamothill.ids import EntryInstanceId, Revision
-from bergamothill.process.logs import EventLog
+from bergamothill.logs import EventLog
 from bergamothill.version.config import Configuration
 from bergamothill.version.follower import (
     ConfigurationFollower,
