Log by event; new work does not advance a drain

Cause: a caller that only asks whether new work is refused would lose the effects of a phase that ended in the same call, and with Close the end of the process. Change: AcceptNew and StreamStarted have no effect but the refusal. Events are logged by EventLog; a failing list or engine is logged when it begins to fail, not at each attempt.

--- a/bergamothill/connection/peer.py
+++ b/bergamothill/connection/peer.py
@@ -9,7 +9,6 @@
 from functools import singledispatchmethod
 from typing import Any, TypeVar
 
-import logbook
 from websockets.sync.connection import Connection
 from websockets.sync.server import Server, serve
 
@@ -30,6 +29,7 @@
 from bergamothill.connection.relay import RelayFilter
 from bergamothill.errors import BergamothillError, PeerUnreachableError, UnavailableError
 from bergamothill.ids import EntryInstanceId, Incarnation, ZoneName
+from bergamothill.logs import EventLog
 from bergamothill.process.membership import Membership, PeerView
 from bergamothill.process.membershipevents import (
     CloseLink,
@@ -59,7 +59,7 @@
 REQUEST_WORKERS = 16
 STEP = "peer.mesh"
 
-log = logbook.Logger("bergamothill.peer")
+log = EventLog("peer")
 
 
 class PeerMesh(PeerBus):
@@ -275,6 +275,7 @@
         with self._lock:
             link = self._links.get(effect.link)
         if link is not None:
+            log.info("link_replaced", peer=link.identity.entry)
             link.abort()
 
     @_carry_out.register
@@ -286,7 +287,7 @@
 
     @_carry_out.register
     def _(self, effect: PeerChanged) -> None:
-        log.info(f"event=peer_changed peer={effect.peer} status={effect.status.value}")
+        log.info("peer_changed", peer=effect.peer, status=effect.status.value)
 
     def _tick_forever(self) -> None:
         while not self._stopping.wait(seconds(TICK_MS)):
@@ -296,7 +297,7 @@
         try:
             self._open(peer, address)
         except BergamothillError as error:
-            log.info(f"event=dial_failed peer={peer} address={address} reason={error.message!r}")
+            log.info("dial_failed", peer=peer, address=address, reason=error.message)
             self._feed(DialFailed(peer))
 
     def _open(self, peer: EntryInstanceId, address: str) -> PeerLink:
@@ -317,10 +318,10 @@
                 connection, self._identity, self._secret, self._clock, DIAL_TIMEOUT_MS
             )
         except BergamothillError as error:
-            log.warning(f"event=peer_refused peer={error.peer} reason={error.message!r}")
+            log.warning("peer_refused", peer=error.peer, reason=error.message)
             return
         except Exception as error:  # noqa: BLE001 - a dialer that went away is no fault of ours
-            log.info(f"event=peer_refused reason={type(error).__name__}")
+            log.info("peer_refused", reason=type(error).__name__)
             return
         self._serve_link(link, self._admit(link))
 
@@ -352,11 +353,10 @@
             link.read_frames(lambda _, frame: self._on_frame(link, link_id, frame))
         except BergamothillError as error:
             log.warning(
-                f"event=link_closed peer={link.identity.entry} step={error.step}"
-                f" reason={error.message!r}"
+                "link_closed", peer=link.identity.entry, step=error.step, reason=error.message
             )
         except Exception as error:  # noqa: BLE001 - one bad link must not end the process
-            log.error(f"event=link_failed peer={link.identity.entry} reason={error!r}")
+            log.error("link_failed", peer=link.identity.entry, reason=repr(error))
         with self._lock:
             self._links.pop(link_id, None)
             self._link_ids.pop(link, None)
@@ -398,7 +398,7 @@
         try:
             return handler(sender, message)
         except Exception as error:  # noqa: BLE001 - a handler's fault must not close the link
-            log.error(f"event=handler_failed message={type(message).__name__} reason={error!r}")
+            log.error("handler_failed", message=type(message).__name__, reason=repr(error))
             return error
 
     def _answer(self, link: PeerLink, frame: Frame) -> None:
--- a/bergamothill/process/drain.py
+++ b/bergamothill/process/drain.py
@@ -93,7 +93,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AcceptNew:
-    """New work arrives; the effects say whether it is refused.
+    """New work arrives; its only effect is :class:`RefuseNew` of its stream, if any.
 
     :param stream: stream that it would become
     """
@@ -268,7 +268,8 @@
         effects: list[DrainEffect] = []
         now_ms = self._running_ms(now_ms)
         self._on(event, now_ms, effects)
-        self._advance(now_ms, effects)
+        if not isinstance(event, AcceptNew | StreamStarted):
+            self._advance(now_ms, effects)
         return tuple(effects)
 
     def _running_ms(self, now_ms: int) -> int:
--- a/bergamothill/process/serverpoll.py
+++ b/bergamothill/process/serverpoll.py
@@ -7,14 +7,13 @@
 from concurrent.futures import Executor, Future, ThreadPoolExecutor
 from contextlib import suppress
 
-import logbook
-
 from bergamothill.clock import Clock, seconds
 from bergamothill.connection.bus import PeerBus, Scope
 from bergamothill.connection.engine import EngineLoad, ModelEngine
 from bergamothill.connection.instancelist import Instance, InstanceKind, InstanceList
 from bergamothill.errors import BergamothillError
 from bergamothill.ids import EntryInstanceId, ServerId, ZoneName
+from bergamothill.logs import EventLog
 from bergamothill.process.pollplan import FULL_REPORT_TICKS, TICK_MIN_MS, PollPlan
 from bergamothill.process.servermessages import (
     InstanceChanges,
@@ -38,7 +37,7 @@
 SUMMARY_ENGINES = 8
 STEP = "servers.poll"
 
-log = logbook.Logger("bergamothill.servers")
+log = EventLog("servers")
 
 
 class ServerPoller:
@@ -83,6 +82,8 @@
         self._running: dict[ServerId, Future[bool]] = {}
         self._news: dict[ServerId, tuple[int, EngineLoad]] = {}
         self._reported: dict[ServerId, EngineLoad] = {}
+        self._failing: set[ServerId] = set()
+        self._list_failing = False
         self._lock = threading.RLock()
         self._next_tick_ms = 0
         self._report_due = False
@@ -151,7 +152,7 @@
             try:
                 self.beat()
             except Exception as error:  # noqa: BLE001 - the loop must outlive one bad beat
-                log.error(f"event=beat_failed reason={error!r}")
+                log.error("beat_failed", reason=repr(error))
 
     def _submit(self, work: Callable[..., object], *arguments: object) -> Future | None:
         with suppress(RuntimeError):  # the pool refuses work after close()
@@ -172,9 +173,14 @@
         try:
             instances = self._instance_list.instances()
         except BergamothillError as error:
-            log.warning(f"event=list_failed step={error.step} reason={error.message!r}")
+            if not self._list_failing:
+                log.warning("list_failed", step=error.step, reason=error.message)
+            self._list_failing = True
             self._table.take_list_failure(asked_ms)
             return
+        if self._list_failing:
+            log.info("list_back")
+        self._list_failing = False
         changes = self._replace_listing(instances)
         self._table.take_list(instances, asked_ms, self._clock.now_ms())
         if changes.changed or changes.removed:
@@ -240,9 +246,12 @@
         try:
             load = self._engine(instance).load()
         except BergamothillError as error:
-            log.info(f"event=poll_failed server={server} reason={error.message!r}")
+            if server not in self._failing:
+                log.warning("poll_failed", server=server, reason=error.message)
+            self._failing.add(server)
             self._table.mark_unreachable(server)
             return False
+        self._failing.discard(server)
         self._table.take_answer(server, load, asked_ms, self._clock.now_ms())
         with self._lock:
             self._news[server] = (asked_ms - load.age_ms, load)
@@ -306,7 +315,7 @@
         try:
             answer = self._bus.request(peer, LeavingQuery(), timeout_ms=SYNC_TIMEOUT_MS)
         except BergamothillError as error:
-            log.info(f"event=leaving_query_failed peer={peer} reason={error.message!r}")
+            log.info("leaving_query_failed", peer=peer, reason=error.message)
             return False
         if not isinstance(answer, LeavingNotice):
             return False
@@ -344,8 +353,10 @@
         learned = self._table.take_learned()
         for leaving in learned:
             log.info(
-                f"event=server_leaving server={leaving.server}"
-                f" incarnation={leaving.incarnation} source={source}"
+                "server_leaving",
+                server=leaving.server,
+                incarnation=leaving.incarnation,
+                source=source,
             )
         return learned
 
