Keep the incarnations of list and server apart

Cause: the instance list and the server number incarnations each for itself (the stand-in engine by its start time, the list from 1): once the engine had answered, a leaving entry of the list counted for an older incarnation and was ignored. Change: a leaving incarnation says who numbered it; a server leaves if either series says so. A peer's listed address is taken while no link is open. The test that let an answer alone end what the list had said now asks for a greater listed incarnation: stricter.

--- a/bergamothill/process/membership.py
+++ b/bergamothill/process/membership.py
@@ -179,6 +179,8 @@
         record = self._peers.get(peer)
         if record is None or instance.incarnation > record.incarnation:
             record = self._replace(peer, instance, now_ms, effects)
+        if not record.links:
+            record.address = instance.address
         if instance.incarnation == record.incarnation and instance.state is InstanceState.LEAVING:
             self._set_status(record, PeerStatus.LEFT, now_ms, effects)
 
--- a/bergamothill/process/servermessages.py
+++ b/bergamothill/process/servermessages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import Enum
 
 from bergamothill.connection.bus import message
 from bergamothill.connection.engine import EngineLoad, EngineState
@@ -15,6 +16,7 @@
     "LeavingQuery",
     "LeavingServer",
     "LoadFigures",
+    "Numbering",
     "ServerNews",
     "ServerReport",
     "ZoneSummary",
@@ -67,17 +69,29 @@
     )
 
 
+class Numbering(Enum):
+    """Who numbered an incarnation; the two series need not agree."""
+
+    LISTED = 0
+    """The instance list."""
+
+    OWN = 1
+    """The server itself."""
+
+
 @dataclass(frozen=True, slots=True)
 class LeavingServer:
     """A server that takes no new work.
 
     :param server: backend server, or store instance
     :param incarnation: incarnation that leaves; a greater one is not concerned
+    :param numbering: series of the incarnation
     :param age_ms: time since it was learned first, in milliseconds
     """
 
     server: ServerId
     incarnation: Incarnation
+    numbering: Numbering = Numbering.LISTED
     age_ms: int = 0
 
 
@@ -86,7 +100,7 @@
     """What one poll of an engine found.
 
     :param server: engine
-    :param incarnation: its incarnation
+    :param incarnation: its incarnation, by its own numbering
     :param asked_ms: instant on the reporter's clock at which the engine's state was true
     :param figures: load; None when unchanged since the last report
     :param state: what the engine serves; None when unchanged
--- a/bergamothill/process/serverpoll.py
+++ b/bergamothill/process/serverpoll.py
@@ -380,7 +380,7 @@
     load = record.load
     return ServerNews(
         ServerId(record.instance.instance_id),
-        record.instance.incarnation,
+        load.state.incarnation,
         now_ms,
         figures_of(load),
         load.state,
--- a/bergamothill/process/servers.py
+++ b/bergamothill/process/servers.py
@@ -19,6 +19,7 @@
     InstanceChanges,
     LeavingNotice,
     LeavingServer,
+    Numbering,
     ServerNews,
     ServerReport,
     ZoneSummary,
@@ -54,7 +55,7 @@
 class EngineRecord:
     """Belief about one engine.
 
-    :param instance: instance as listed, with the greatest incarnation seen
+    :param instance: instance as listed
     :param load: last load report; None before the first
     :param received_at_ms: instant on this process's clock at which the report was made, or earlier
     :param leaving: takes no new work
@@ -87,6 +88,7 @@
 @dataclass(slots=True)
 class _Server:
     instance: Instance
+    own_incarnation: Incarnation = Incarnation(0)
     listed: bool = True
     reachable: bool = True
     load: EngineLoad | None = None
@@ -322,7 +324,7 @@
             server=ServerId(instance.instance_id),
             kind=instance.kind,
             zone=instance.zone,
-            incarnation=instance.incarnation,
+            incarnation=record.own_incarnation or instance.incarnation,
             leaving=self._is_leaving(record),
             reachable=record.reachable,
             age_ms=now_ms - record.confirmed_ms if known else None,
@@ -347,8 +349,11 @@
         record = self._servers.get(name)
         if instance.state is InstanceState.LEAVING:
             self._note_leaving(LeavingServer(name, instance.incarnation), now_ms)
-        if record is None or instance.incarnation > record.instance.incarnation:
+        if record is None:
             self._servers[name] = _Server(instance, touched_ms=now_ms)
+        elif instance.incarnation > record.instance.incarnation:
+            own = record.own_incarnation
+            self._servers[name] = _Server(instance, own, touched_ms=now_ms)
         elif instance.incarnation == record.instance.incarnation:
             record.instance = instance
             record.listed = True
@@ -356,7 +361,7 @@
     def _take_news(self, news: ServerNews, true_ms: int, now_ms: int) -> None:
         """Take in what was true at an instant of our clock, or later."""
         record = self._servers.get(news.server)
-        if record is None or news.incarnation < record.instance.incarnation:
+        if record is None or news.incarnation < record.own_incarnation:
             return
         record = self._note_state(news, now_ms) or record
         if true_ms < record.confirmed_ms:
@@ -371,19 +376,19 @@
         record = self._servers.get(news.server)
         if record is None:
             return None
-        if news.incarnation > record.instance.incarnation:
-            instance = replace(
-                record.instance, incarnation=news.incarnation, state=InstanceState.LIVE
+        if news.incarnation > record.own_incarnation:
+            record = _Server(
+                record.instance, news.incarnation, listed=record.listed, touched_ms=now_ms
             )
-            record = _Server(instance, listed=record.listed, touched_ms=now_ms)
             self._servers[news.server] = record
         if news.state is not None and news.state.leaving:
-            self._note_leaving(LeavingServer(news.server, news.incarnation), now_ms)
+            leaving = LeavingServer(news.server, news.incarnation, Numbering.OWN)
+            self._note_leaving(leaving, now_ms)
         return record
 
     def _take_load(self, news: ServerNews, true_ms: int) -> None:
         record = self._servers.get(news.server)
-        if record is None or news.incarnation != record.instance.incarnation:
+        if record is None or news.incarnation != record.own_incarnation:
             return
         state = news.state or (record.load.state if record.load is not None else None)
         if state is None or true_ms < record.load_ms:
@@ -400,7 +405,10 @@
 
     def _is_leaving(self, record: _Server) -> bool:
         instance = record.instance
-        return self._leaving.contains(ServerId(instance.instance_id), instance.incarnation)
+        server = ServerId(instance.instance_id)
+        return self._leaving.contains(
+            server, instance.incarnation, Numbering.LISTED
+        ) or self._leaving.contains(server, record.own_incarnation, Numbering.OWN)
 
     def _usable(self, record: _Server) -> bool:
         return record.reachable and not self._is_leaving(record)
--- a/tests/proof/leavingworld.py
+++ b/tests/proof/leavingworld.py
@@ -25,6 +25,7 @@
 }
 STEP_MS = 250
 DEATH_SEEN_MS = 4_500
+OWN_OFFSET = 1_000
 
 
 class InlineExecutor(Executor):
@@ -54,23 +55,38 @@
 
 
 class Server:
-    """True state of a backend server."""
+    """True state of a backend server; list and server number its incarnations apart."""
 
     def __init__(self, name):
         self.name = name
         self.kind, self.zone = SERVERS[name]
         self.incarnation = 1
         self.alive = True
-        self.listed_state = InstanceState.LIVE
         self.answers_leaving_ms = None
-        self.listed_leaving_ms = None
         self.lag_ms = 0
+        self.history = [(0, self.instance(InstanceState.LIVE))]
+
+    @property
+    def own_incarnation(self):
+        return OWN_OFFSET + self.incarnation
 
     def instance(self, state):
         address = f"{self.name}:1"
         group = "booking" if self.kind is InstanceKind.SERVICE else ""
         return Instance(self.name, self.kind, self.zone, address, self.incarnation, state, group)
 
+    def list_as(self, state, now_ms):
+        self.history.append((now_ms, self.instance(state)))
+
+    def shown(self, shown_ms):
+        """Return what a list shows whose data are of an instant."""
+        past = [instance for since_ms, instance in self.history if since_ms <= shown_ms]
+        return past[-1] if past else self.history[0][1]
+
+    @property
+    def listed_leaving(self):
+        return self.history[-1][1].state is InstanceState.LEAVING
+
 
 class SimEngine:
     """Client of an engine; only ``load`` is used here."""
@@ -85,7 +101,7 @@
         true_ms = self.world.now_ms - server.lag_ms
         since_ms = server.answers_leaving_ms
         leaving = since_ms is not None and true_ms >= since_ms
-        state = EngineState(server.incarnation, leaving, frozenset({"m:v"}))
+        state = EngineState(server.own_incarnation, leaving, frozenset({"m:v"}))
         load = EngineLoad(server.lag_ms, 0, 0, 1_000, 1_000, 0, 0, state)
         self.entry.pause_if_asked()
         return load
@@ -101,13 +117,7 @@
         if self.entry_name in self.world.list_away:
             raise PeerUnreachableError("list is away", step="list.read")
         shown_ms = self.world.now_ms - self.world.list_lag_ms
-        return tuple(self._shown(server, shown_ms) for server in self.world.servers.values())
-
-    @staticmethod
-    def _shown(server, shown_ms):
-        since_ms = server.listed_leaving_ms
-        leaving = since_ms is not None and shown_ms >= since_ms
-        return server.instance(InstanceState.LEAVING if leaving else InstanceState.LIVE)
+        return tuple(server.shown(shown_ms) for server in self.world.servers.values())
 
 
 class SimBus(PeerBus):
--- a/tests/proof/proof_leaving.py
+++ b/tests/proof/proof_leaving.py
@@ -7,7 +7,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import initialize, precondition, rule
 
-from bergamothill.connection.instancelist import InstanceKind
+from bergamothill.connection.instancelist import InstanceKind, InstanceState
+from bergamothill.process.servermessages import Numbering
 from bergamothill.process.servers import ServerTable
 from tests.proof.harness import Proof, ProofMachine
 from tests.proof.leavingworld import ENTRIES, SERVERS, World
@@ -64,19 +65,21 @@
             since.pop(key, None)
 
     def list_shows(self, entry, server):
-        since_ms = server.listed_leaving_ms
-        if since_ms is None or entry in self.world.list_away:
+        if entry in self.world.list_away:
             return False
-        return self.world.now_ms - self.world.list_lag_ms >= since_ms
+        shown = server.shown(self.world.now_ms - self.world.list_lag_ms)
+        is_current = shown.incarnation == server.incarnation
+        return is_current and shown.state is InstanceState.LEAVING
 
     def peer_tells(self, entry, peer, server):
         other = self.world.entries[peer]
-        incarnation = self.world.servers[server].incarnation
+        true = self.world.servers[server]
+        current = {(Numbering.LISTED, true.incarnation), (Numbering.OWN, true.own_incarnation)}
         return (
             not other.frozen
             and self.world.joined(entry, peer)
             and any(
-                known.server == server and known.incarnation == incarnation
+                known.server == server and (known.numbering, known.incarnation) in current
                 for known in other.table.leaving(other.clock.now_ms())
             )
         )
@@ -101,7 +104,7 @@
         """Confirm, perhaps pause, check, send."""
         node = self.world.entries[entry]
         true = self.world.servers[server]
-        never_left = true.answers_leaving_ms is None and true.listed_leaving_ms is None
+        never_left = true.answers_leaving_ms is None and not true.listed_leaving
         if pause_in_call:
             node.pause_steps = pause_steps
         confirmed = node.poller.confirm(server)
@@ -141,8 +144,8 @@
     def server_leaves(self, server, listed, answers):
         self.operation()
         true = self.world.servers[server]
-        if listed and true.listed_leaving_ms is None:
-            true.listed_leaving_ms = self.world.now_ms
+        if listed and not true.listed_leaving:
+            true.list_as(InstanceState.LEAVING, self.world.now_ms)
         if answers and true.kind is InstanceKind.ENGINE and true.answers_leaving_ms is None:
             true.answers_leaving_ms = self.world.now_ms
 
@@ -157,7 +160,8 @@
         true = self.world.servers[server]
         true.incarnation += 1
         true.alive = True
-        true.answers_leaving_ms = true.listed_leaving_ms = None
+        true.answers_leaving_ms = None
+        true.list_as(InstanceState.LIVE, self.world.now_ms)
         for since in (self.list_shows_ms, self.peer_knows_ms):
             for key in [key for key in since if key[1] == server]:
                 del since[key]
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -55,7 +55,23 @@
         self.assertTrue(self.table.engines()[0].leaving)
         second = replace(LOAD, state=replace(LOAD.state, incarnation=2))
         self.table.take_answer("e1", second, 4, 4)
-        self.assertTrue(self.table.may_send("e1", 4))
+        self.assertFalse(self.table.may_send("e1", 4))
+        self.table.take_list((replace(ENGINE, incarnation=2),), 5, 5)
+        self.table.take_answer("e1", second, 5, 5)
+        self.assertTrue(self.table.may_send("e1", 5))
+
+    def test_list_and_server_may_number_incarnations_apart(self):
+        own = replace(LOAD, state=replace(LOAD.state, incarnation=1_000))
+        self.table.take_answer("e1", own, 1, 1)
+        self.assertTrue(self.table.may_send("e1", 1))
+        self.table.take_list((replace(ENGINE, state=InstanceState.LEAVING),), 2, 2)
+        self.assertFalse(self.table.may_send("e1", 2))
+        self.table.take_list((replace(ENGINE, incarnation=2),), 3, 3)
+        self.table.take_answer("e1", own, 3, 3)
+        self.assertTrue(self.table.may_send("e1", 3))
+        leaving = replace(own, state=replace(own.state, leaving=True))
+        self.table.take_answer("e1", leaving, 4, 4)
+        self.assertFalse(self.table.may_send("e1", 4))
 
     def test_an_unreachable_server_is_asked_again_before_use(self):
         self.table.take_answer("e1", LOAD, 0, 0)
