Let messages share the frame of a report; measure requests too

Cause: at 33 peers each further message a tick costs as much as the report itself; deltas of sent work and of kept prefixes went out on timers of their own. Ran: tests.test_servers tests.test_peer: passed; the scope test failed once on my own wrong expectation of the new messages and names all five now.

--- a/bergamothill/connection/bus.py
+++ b/bergamothill/connection/bus.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from enum import Enum
 from typing import Any, TypeVar
 
@@ -65,6 +65,15 @@
     def publish(self, message: object, scope: Scope) -> None:
         """Send to all in scope without waiting; a peer that cannot be reached is skipped."""
 
+    def publish_batch(self, messages: Iterable[object], scope: Scope) -> None:
+        """Send several messages to all in scope, in one frame where the bus has frames.
+
+        :param messages: registered messages, delivered in order
+        :param scope: how far they go
+        """
+        for item in messages:
+            self.publish(item, scope)
+
     @abstractmethod
     def request(self, peer: EntryInstanceId, message: object, *, timeout_ms: int) -> Any:
         """Send to one entry instance and wait for what its handler returns.
--- a/bergamothill/connection/peer.py
+++ b/bergamothill/connection/peer.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import suppress
+from dataclasses import dataclass
 from functools import singledispatchmethod
 from typing import Any, TypeVar
 
@@ -13,7 +14,7 @@
 from websockets.sync.server import Server, serve
 
 from bergamothill.clock import Clock, seconds
-from bergamothill.connection.bus import PeerBus, Scope
+from bergamothill.connection.bus import PeerBus, Scope, message
 from bergamothill.connection.codec import decode_message, encode_message
 from bergamothill.connection.frames import Frame, FrameKind, PeerIdentity
 from bergamothill.connection.instancelist import Instance
@@ -62,6 +63,14 @@
 log = EventLog("peer")
 
 
+@message("batch")
+@dataclass(frozen=True, slots=True)
+class _Batch:
+    """Several encoded messages in one frame."""
+
+    bodies: tuple[bytes, ...]
+
+
 class PeerMesh(PeerBus):
     """Full mesh inside the availability zone, a few relayed links to the others.
 
@@ -167,13 +176,23 @@
 
     def publish(self, message: object, scope: Scope) -> None:
         """Send to all in scope without waiting."""
-        body = encode_message(message)
+        self._publish_body(encode_message(message), scope)
+
+    def _publish_body(self, body: bytes, scope: Scope) -> None:
         if scope is Scope.EVERYWHERE:
             self._spread(self._relay.originate(body), None)
             return
         for link in self._zone_links():
             self._send(link, FrameKind.PUBLISH, body=body)
 
+    def publish_batch(self, messages: Iterable[object], scope: Scope) -> None:
+        """Send several messages in one frame without waiting."""
+        bodies = tuple(encode_message(item) for item in messages)
+        if len(bodies) == 1:
+            self._publish_body(bodies[0], scope)
+        elif bodies:
+            self._publish_body(encode_message(_Batch(bodies)), scope)
+
     def request(self, peer: EntryInstanceId, message: object, *, timeout_ms: int) -> Any:
         """Send to one entry instance and wait for what its handler returns.
 
@@ -383,15 +402,19 @@
 
     def _on_publish(self, link: PeerLink, frame: Frame) -> None:
         if frame.counter == 0:
-            self._deliver(link.identity.entry, frame)
+            self._deliver(link.identity.entry, frame.body)
             return
         passed_on = self._relay.receive(frame)
         if passed_on is not None:
-            self._deliver(frame.origin, frame)
+            self._deliver(frame.origin, frame.body)
             self._spread(passed_on, link)
 
-    def _deliver(self, sender: EntryInstanceId, frame: Frame) -> Any:
-        message = decode_message(frame.body)
+    def _deliver(self, sender: EntryInstanceId, body: bytes) -> Any:
+        message = decode_message(body)
+        if isinstance(message, _Batch):
+            for item in message.bodies:
+                self._deliver(sender, item)
+            return None
         handler = self._handlers.get(type(message))
         if handler is None:
             return None
@@ -403,7 +426,7 @@
 
     def _answer(self, link: PeerLink, frame: Frame) -> None:
         try:
-            result = self._deliver(link.identity.entry, frame)
+            result = self._deliver(link.identity.entry, frame.body)
             failure = str(result) if isinstance(result, Exception) else ""
         except BergamothillError as error:
             result, failure = None, str(error)
--- a/bergamothill/process/pollplan.py
+++ b/bergamothill/process/pollplan.py
@@ -37,12 +37,14 @@
         self._rank_cache: dict[ServerId, tuple[EntryInstanceId, ...]] = {}
         self._rank_members: tuple[EntryInstanceId, ...] = ()
 
-    def tick_ms(self, live: Sequence[EntryInstanceId]) -> int:
+    @staticmethod
+    def tick_ms(live: Sequence[EntryInstanceId], least_ms: int = TICK_MIN_MS) -> int:
         """Return the time between two polls of a server and two reports; it grows with the zone.
 
         :param live: live entry instances of the zone
+        :param least_ms: least time, in milliseconds
         """
-        return max(self._tick_min_ms, TICK_PER_PEER_MS * len(live))
+        return max(least_ms, TICK_PER_PEER_MS * len(live))
 
     @staticmethod
     def summary_ms(live: Sequence[EntryInstanceId], zone_count: int) -> int:
@@ -64,7 +66,7 @@
         :param age_ms: age of what is known of the server, in milliseconds
         """
         ranked = self._ranked(server, tuple(live))
-        overdue = age_ms // (OVERDUE_TICKS * self.tick_ms(live))
+        overdue = age_ms // (OVERDUE_TICKS * self.tick_ms(live, self._tick_min_ms))
         return self._entry_id in ranked[: 1 + max(0, overdue)]
 
     def reads_list(
--- a/bergamothill/process/serverpoll.py
+++ b/bergamothill/process/serverpoll.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from concurrent.futures import Executor, Future, ThreadPoolExecutor
 from contextlib import suppress
 
@@ -53,6 +53,7 @@
     :param on_instances: receives the instances whenever they changed
     :param pool: runs the blocking calls; None makes one
     :param tick_min_ms: least time between two polls of an engine, in milliseconds
+    :param extras: messages to the zone that go out with each report, in the same frame
     """
 
     def __init__(
@@ -67,6 +68,7 @@
         on_instances: Callable[[tuple[Instance, ...]], None] = lambda instances: None,
         pool: Executor | None = None,
         tick_min_ms: int = TICK_MIN_MS,
+        extras: Callable[[], Iterable[object]] = tuple,
     ) -> None:
         self._instance_list = instance_list
         self._engine_factory = engine_factory
@@ -76,6 +78,8 @@
         self._entry_id = entry_id
         self._zone = zone
         self._on_instances = on_instances
+        self._extras = extras
+        self._tick_min_ms = tick_min_ms
         self._plan = PollPlan(entry_id, zone, tick_min_ms)
         self._listing: dict[str, Instance] = {}
         self._engines: dict[ServerId, tuple[Instance, ModelEngine]] = {}
@@ -140,7 +144,7 @@
             self._report_due = False
             self._report(now_ms)
         if now_ms >= self._next_tick_ms:
-            self._next_tick_ms = now_ms + self._plan.tick_ms(live)
+            self._next_tick_ms = now_ms + self._plan.tick_ms(live, self._tick_min_ms)
             self._report_due = True
             self._start_polls(now_ms, live)
         if now_ms >= self._next_summary_ms:
@@ -281,7 +285,7 @@
             list_read_ms=max(-1, self._table.list_read_ms()),
             news=news,
         )
-        self._bus.publish(report, Scope.ZONE)
+        self._bus.publish_batch((report, *self._extras()), Scope.ZONE)
 
     def _one_news(
         self, server: ServerId, asked_ms: int, load: EngineLoad, whole: bool
--- a/scripts/slopenode.py
+++ b/scripts/slopenode.py
@@ -19,9 +19,11 @@
 from bergamothill.connection.httpengine import HttpModelEngine
 from bergamothill.connection.instancelist import HttpInstanceList, Instance
 from bergamothill.connection.peer import PeerMesh
-from bergamothill.ids import EntryInstanceId, Incarnation, ZoneName
+from bergamothill.ids import EntryInstanceId, Incarnation, ServerId, ZoneName
 from bergamothill.process.serverpoll import ServerPoller
 from bergamothill.process.servers import ServerTable
+from bergamothill.request.cachehints import CacheHints, KeptHint, KeptHintDelta
+from bergamothill.request.load import LoadEstimator, SentWork, SentWorkDelta
 
 SECRET = "slopes"
 TCP_INFO_BYTES = 192
@@ -74,6 +76,31 @@
         return replace(load, queued_tokens=random.randrange(100_000), running=random.randrange(64))
 
 
+class Traffic:
+    """Messages that requests add to each report.
+
+    :param requests_per_s: rate of requests at this node
+    :param engines: engines that requests are sent to
+    """
+
+    def __init__(self, requests_per_s: float, engines: int) -> None:
+        self._requests_per_s = requests_per_s
+        self._engines = engines
+        self._last_s = time.monotonic()
+
+    def messages(self) -> tuple[object, ...]:
+        """Return what the requests since the last call tell the zone."""
+        now_s = time.monotonic()
+        count = round((now_s - self._last_s) * self._requests_per_s)
+        self._last_s = now_s
+        servers = [ServerId(f"e{random.randrange(self._engines):03}") for _ in range(count)]
+        if not servers:
+            return ()
+        work = tuple(SentWork(s, 2_000, 20_000_000, random.randrange(2_000)) for s in servers)
+        hints = tuple(KeptHint(f"{random.getrandbits(64):016x}", s) for s in servers)
+        return SentWorkDelta(work), KeptHintDelta(hints)
+
+
 def wire_of(mesh: PeerMesh) -> tuple[int, int]:
     """Return bytes on the wire and segments over all open links, headers included."""
     total_bytes = total_segments = 0
@@ -106,6 +133,8 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--id", required=True)
     parser.add_argument("--list-address", required=True)
+    parser.add_argument("--requests-per-s", type=float, default=0)
+    parser.add_argument("--engines", type=int, default=1)
     arguments = parser.parse_args()
     clock = SystemClock()
     zone = ZoneName("a")
@@ -120,8 +149,20 @@
 
     instance_list = HttpInstanceList(CountingClient("list", arguments.list_address))
     table = ServerTable()
+    traffic = Traffic(arguments.requests_per_s, arguments.engines)
+    hints, loads = CacheHints(), LoadEstimator()
+    mesh.subscribe(KeptHintDelta, lambda _, delta: hints.relayed(delta))
+    mesh.subscribe(SentWorkDelta, lambda _, delta: loads.relayed(delta, clock.now_ms()))
     poller = ServerPoller(
-        instance_list, make_engine, mesh, table, clock, entry, zone, mesh.update_instances
+        instance_list,
+        make_engine,
+        mesh,
+        table,
+        clock,
+        entry,
+        zone,
+        mesh.update_instances,
+        extras=traffic.messages,
     )
     poller.start()
     for _ in range(2):
--- a/scripts/slopes.py
+++ b/scripts/slopes.py
@@ -9,6 +9,7 @@
 import sys
 import time
 from contextlib import ExitStack
+from dataclasses import dataclass
 from pathlib import Path
 from statistics import mean
 
@@ -18,16 +19,37 @@
 WARM_UP_S = 8
 ENGINE_ARGUMENTS = ("--port", "0", "--server-id", "e", "--model", "m", "--versions", "v1")
 STOP_TIMEOUT_S = 5
+
+
+@dataclass(frozen=True, slots=True)
+class Case:
+    """One size.
+
+    :param peers: entry instances in the zone
+    :param servers: engines in the zone
+    :param elsewhere: engines listed in other zones
+    :param requests_per_s: requests at each entry instance
+    """
+
+    peers: int
+    servers: int
+    elsewhere: int = 0
+    requests_per_s: float = 0
+
+
+LETTER_REQUESTS_PER_S = 8.2
+"""2,700 requests a second over 330 entry instances."""
+
 CASES = (
-    (4, 10, 0),
-    (8, 10, 0),
-    (16, 10, 0),
-    (33, 10, 0),
-    (33, 40, 0),
-    (33, 83, 0),
-    (33, 83, 1_100),
+    Case(4, 10),
+    Case(8, 10),
+    Case(16, 10),
+    Case(33, 10),
+    Case(33, 40),
+    Case(33, 83),
+    Case(33, 83, 1_100),
+    Case(33, 83, 1_100, LETTER_REQUESTS_PER_S),
 )
-"""Entry instances in the zone, engines in the zone, instances listed in other zones."""
 
 
 class Processes:
@@ -88,39 +110,48 @@
     child.stdin.flush()
 
 
-def run_case(peers: int, servers: int, others: int, seconds: int) -> str:
+def run_case(case: Case, seconds: int) -> str:
     """Run one size and return its line; figures are means over the nodes.
 
-    :param peers: entry instances in the zone
-    :param servers: engines in the zone
-    :param others: engines listed in other zones
+    :param case: size
     :param seconds: measured time
     """
     with ExitStack() as stack:
         processes = Processes(stack)
         list_address = stand_in_address(processes.start("standins.instancelist", "--port", "0"))
         engine_address = stand_in_address(processes.start("standins.engine", *ENGINE_ARGUMENTS))
-        client = HttpClient("list", list_address)
-        nodes = [
-            processes.start("scripts.slopenode", "--id", f"n{n:03}", "--list-address", list_address)
-            for n in range(peers)
-        ]
-        for number, node in enumerate(nodes):
-            register(client, f"n{number:03}", "entry", "a", node.stdout.readline().strip())
-        for number in range(servers):
-            register(client, f"e{number:03}", "engine", "a", engine_address)
-        for number in range(others):
-            register(client, f"o{number:04}", "engine", f"z{number % 9}", engine_address)
+        nodes = start_nodes(processes, case, list_address)
+        register_all(HttpClient("list", list_address), case, nodes, engine_address)
         for node in nodes:
             tell(node)
         time.sleep(WARM_UP_S)
         before = read_all(nodes)
         time.sleep(seconds)
         after = read_all(nodes)
-    return line_of(peers, servers, others, before, after)
+    return line_of(case, before, after)
+
+
+def start_nodes(processes: Processes, case: Case, list_address: str) -> list[subprocess.Popen]:
+    """Start the entry instances of a case."""
+    options = ["--list-address", list_address, "--engines", str(case.servers)]
+    options += ["--requests-per-s", str(case.requests_per_s)]
+    names = [f"n{number:03}" for number in range(case.peers)]
+    return [processes.start("scripts.slopenode", "--id", name, *options) for name in names]
 
 
-def line_of(peers: int, servers: int, others: int, before: list[dict], after: list[dict]) -> str:
+def register_all(
+    client: HttpClient, case: Case, nodes: list[subprocess.Popen], engine_address: str
+) -> None:
+    """Register all instances of a case; the engines share one stand-in."""
+    for number, node in enumerate(nodes):
+        register(client, f"n{number:03}", "entry", "a", node.stdout.readline().strip())
+    for number in range(case.servers):
+        register(client, f"e{number:03}", "engine", "a", engine_address)
+    for number in range(case.elsewhere):
+        register(client, f"o{number:04}", "engine", f"z{number % 9}", engine_address)
+
+
+def line_of(case: Case, before: list[dict], after: list[dict]) -> str:
     """Return the printed line of one case."""
 
     def rate(name: str, start_name: str = "") -> float:
@@ -130,7 +161,8 @@
         )
 
     return (
-        f"slope peers={peers} servers={servers} listed_elsewhere={others}"
+        f"slope peers={case.peers} servers={case.servers} listed_elsewhere={case.elsewhere}"
+        f" requests_s={case.requests_per_s}"
         f" live={min(node['live'] for node in after)}"
         f" cpu_share={rate('cpu_before_s', 'cpu_after_s'):.4f}"
         f" mesh_payload_bytes_s={rate('payload_bytes'):.0f}"
@@ -141,15 +173,21 @@
     )
 
 
+def parse_case(text: str) -> Case:
+    """Return the case of a command-line argument."""
+    peers, servers, elsewhere, requests_per_s = text.split(",")
+    return Case(int(peers), int(servers), int(elsewhere), float(requests_per_s))
+
+
 def main() -> int:
     """Run the sizes and print one line each."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=int, default=20)
-    parser.add_argument("--case", action="append", help="peers,servers,listed_elsewhere")
+    parser.add_argument("--case", action="append", help="peers,servers,elsewhere,requests_per_s")
     arguments = parser.parse_args()
-    cases = [tuple(map(int, case.split(","))) for case in arguments.case or ()] or CASES
+    cases = [parse_case(text) for text in arguments.case or ()] or CASES
     for case in cases:
-        print(run_case(*case, arguments.seconds), flush=True)
+        print(run_case(case, arguments.seconds), flush=True)
     return 0
 
 
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -114,12 +114,11 @@
         await_true(lambda: any(v.link for v in meshes[0].peers() if v.zone == "b"))
         meshes[0].publish(Number(1), Scope.EVERYWHERE)
         await_true(lambda: len(received) >= 3)
-        meshes[0].publish(Number(2), Scope.ZONE)
-        await_true(lambda: len(received) >= 4)
+        meshes[0].publish_batch((Number(2), Number(3)), Scope.ZONE)
+        await_true(lambda: len(received) >= 5)
         expected = [("a1", to, Number(1)) for to in ("a2", "b1", "b2")]
-        self.assertEqual(
-            sorted(received, key=str), sorted([*expected, ("a1", "a2", Number(2))], key=str)
-        )
+        expected += [("a1", "a2", Number(value)) for value in (2, 3)]
+        self.assertEqual(sorted(received, key=str), sorted(expected, key=str))
         meshes[2].subscribe(Number, lambda sender, m: Number(m.value + 1))
         self.assertEqual(meshes[0].request("b1", Number(4), timeout_ms=5_000), Number(5))
 
