--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP = $(VENV)/.installed
 SEED ?= 1
 
-.PHONY: demo test lint format proof bench measure
+.PHONY: demo test lint format proof bench measure slopes
 
 $(STAMP): constraints.txt pyproject.toml
 	test -x $(PYTHON) || python3 -m venv $(VENV)
@@ -33,3 +33,6 @@
 
 measure: $(STAMP)
 	$(PYTHON) -m scripts.measure --seed $(SEED)
+
+slopes: $(STAMP)
+	$(PYTHON) -m scripts.slopes
