--- a/bergamothill/connection/kvs_memory.py
+++ b/bergamothill/connection/kvs_memory.py
@@ -16,7 +16,7 @@
 from bergamothill.errors import ConflictError, InvalidRequestError, LeaseLostError
 from bergamothill.ids import LeaseId
 
-__all__ = ["KeyValueSnapshot", "MemoryKeyValueService"]
+__all__ = ["KeyValueSnapshot", "LeaseSnapshot", "MemoryKeyValueService"]
 
 CHANGE_LOG_LENGTH = 10_000
 FIRST_REVISION = 1
@@ -36,16 +36,31 @@
     key: str
 
 
+@dataclass(frozen=True, slots=True)
+class LeaseSnapshot:
+    """One lease at one instant.
+
+    :param ttl_ms: its life without renewal, in milliseconds
+    :param keys: keys that its end removes
+    """
+
+    lease_id: LeaseId
+    ttl_ms: int
+    keys: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class KeyValueSnapshot:
     """State of the service at one instant, to restore it from.
 
     :param revision: revision of the service
     :param entries: all keys
+    :param leases: all leases
     """
 
     revision: int
     entries: tuple[KeyValueEntry, ...]
+    leases: tuple[LeaseSnapshot, ...]
 
 
 class MemoryKeyValueService(KeyValueService):
@@ -142,21 +157,33 @@
         """Return the present state."""
         with self._changed:
             self._expire_leases()
-            return KeyValueSnapshot(self._revision, tuple(self._entries.values()))
+            leases = tuple(
+                LeaseSnapshot(lease_id, lease.ttl_ms, tuple(sorted(lease.keys)))
+                for lease_id, lease in self._leases.items()
+            )
+            return KeyValueSnapshot(self._revision, tuple(self._entries.values()), leases)
 
     def restore(self, snapshot: KeyValueSnapshot) -> None:
-        """Replace the present state by an old one; its leases have ended, its keys stay.
+        """Replace the present state by an old one; the lives of its leases start anew.
 
         :param snapshot: state to return to
         """
         with self._changed:
             self._entries = {entry.key: entry for entry in snapshot.entries}
             self._revision = snapshot.revision
-            self._leases.clear()
-            self._lease_of_key.clear()
+            self._leases = {}
+            self._lease_of_key = {}
+            for lease in snapshot.leases:
+                self._restore_lease(lease)
             self._changes.clear()
             self._changed.notify_all()
 
+    def _restore_lease(self, lease: LeaseSnapshot) -> None:
+        expires_ms = self._clock.now_ms() + lease.ttl_ms
+        self._leases[lease.lease_id] = _Lease(lease.ttl_ms, expires_ms, set(lease.keys))
+        for key in lease.keys:
+            self._lease_of_key[key] = lease.lease_id
+
     def _check(self, key: str, expected: int, step: str) -> None:
         self._expire_leases()
         entry = self._entries.get(key)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -80,6 +80,10 @@
         self._check_up("kvs.get")
         return super().get(key)
 
+    def peek(self, key):
+        """Return what is stored, whatever the faults."""
+        return super().get(key)
+
     def put_if(self, key, value, *, expected, lease_id=None):
         put = super().put_if
         return self._write(lambda: put(key, value, expected=expected, lease_id=lease_id))
--- /dev/null
+++ b/tests/proof/proof_lease.py
@@ -0,0 +1,298 @@
+"""Proof that the orders of two holders of a duty never interleave at an engine."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from hypothesis import strategies as st
+from hypothesis.stateful import initialize, precondition, rule
+
+from bergamothill.clock import Clock, ManualClock, Millis
+from bergamothill.errors import LeaseLostError, UnavailableError
+from bergamothill.process.lease import LeasePerformer, duty_key, new_token
+from bergamothill.process.leasemachine import (
+    ORDER_LIFE_MS,
+    LeaseEffect,
+    LeaseEvent,
+    LeaseMachine,
+    OrderGate,
+    OrderPermit,
+)
+from tests.builders import FaultyKeyValueService, WriteFault
+from tests.proof.harness import Proof, ProofMachine
+
+DUTY = "rollout/zone-a"
+RATES = (0.99, 1.0, 1.01)
+SKEWS_MS = (-400, 0, 400)
+TICK_MS = 1_000
+WHOLE_EXCHANGE_STEPS = 8
+STEPS = st.sampled_from([8, 8, 8, 4, 3, 2, 1])
+WRITE_FAULTS = st.sampled_from([*[WriteFault.NONE] * len(WriteFault), *WriteFault])
+
+
+class DriftingClock(Clock):
+    """Clock that runs a little fast or slow and shows a wall time that is a little off."""
+
+    def __init__(self, world: ManualClock, rate: float, skew_ms: int) -> None:
+        self._world = world
+        self._rate = rate
+        self._skew_ms = skew_ms
+
+    def now_ms(self) -> Millis:
+        return Millis(int(self._world.now_ms() * self._rate))
+
+    def wall_ms(self) -> Millis:
+        return Millis(self._world.wall_ms() + self._skew_ms)
+
+    def sleep_ms(self, duration_ms: int) -> None:
+        self._world.sleep_ms(duration_ms)
+
+
+class Engine:
+    """Oracle: refuses old numbers, or keeps to deadlines, and records what it applied."""
+
+    def __init__(self, refuses_old_numbers: bool, clock: ManualClock) -> None:
+        self.refuses_old_numbers = refuses_old_numbers
+        self.highest = 0
+        self.has_violation = False
+        self._clock = clock
+
+    def receive(self, order: OrderPermit) -> None:
+        is_old = order.fencing < self.highest
+        if is_old and self.refuses_old_numbers:
+            return
+        if self._clock.wall_ms() >= order.deadline_wall_ms and not self.refuses_old_numbers:
+            return
+        if is_old:
+            self.has_violation = True
+            raise AssertionError(f"order {order.fencing} took effect after {self.highest}")
+        self.highest = order.fencing
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    permit: OrderPermit
+    engine: Engine
+
+
+class Candidate:
+    """One entry instance that wants the duty: the product's machine, performer and gate."""
+
+    def __init__(self, name: str, kvs: FaultyKeyValueService, clock: Clock) -> None:
+        self.name = name
+        self.clock = clock
+        self.machine = LeaseMachine(name, new_token)
+        self.performer = LeasePerformer(kvs, DUTY)
+        self.gate = OrderGate(self.machine)
+        self.is_frozen = False
+        self.effect: LeaseEffect | None = None
+        self.event: LeaseEvent | None = None
+        self.permitted: list[Order] = []
+
+    @property
+    def is_idle(self) -> bool:
+        return self.effect is None and self.event is None
+
+    def tick(self) -> None:
+        self.effect = self.machine.tick(self.clock.now_ms())
+
+    def advance(self) -> None:
+        if self.event is not None:
+            event, self.event = self.event, None
+            self.effect = self.machine.step(event, self.clock.now_ms())
+        elif self.effect is not None:
+            effect, self.effect = self.effect, None
+            self.event = self.performer.perform(effect)
+
+
+class FencingMachine(ProofMachine):
+    """Three candidates with drifting clocks, one failing key-value service, two engines."""
+
+    gate_class: type[OrderGate] = OrderGate
+
+    @initialize()
+    def build(self) -> None:
+        self.clock = ManualClock()
+        self.kvs = FaultyKeyValueService(self.clock)
+        self.started = 0
+        self.candidates = [self._new_candidate(number) for number in range(len(RATES))]
+        self.engines = [Engine(True, self.clock), Engine(False, self.clock)]
+        self.on_the_way: list[Order] = []
+
+    @rule(index=st.integers(0, 2), steps=STEPS, fault=WRITE_FAULTS)
+    def tick(self, index: int, steps: int, fault: WriteFault) -> None:
+        self.operation() if fault is WriteFault.NONE else self.fault()
+        self.kvs.fault = fault
+        self._move(self.candidates[index], steps)
+        self.kvs.fault = WriteFault.NONE
+
+    @rule(index=st.integers(0, 2), steps=st.integers(1, 4))
+    def tick_in_kvs_outage(self, index: int, steps: int) -> None:
+        self.fault()
+        self.kvs.is_down = True
+        self._move(self.candidates[index], steps)
+        self.kvs.is_down = False
+
+    @precondition(lambda self: self._believing())
+    @rule(index=st.integers(0, 2), is_sent=st.booleans())
+    def order(self, index: int, is_sent: bool) -> None:
+        self.operation()
+        believing = self._believing()
+        candidate = believing[index % len(believing)]
+        for engine in self.engines:
+            self._permit(candidate, engine)
+        if is_sent:
+            self._send(candidate)
+
+    @precondition(lambda self: any(one.permitted for one in self.candidates))
+    @rule(index=st.integers(0, 2))
+    def send_permitted(self, index: int) -> None:
+        """Send late what was permitted early, as an instance frozen in between would."""
+        self.fault()
+        holding = [one for one in self.candidates if one.permitted and not one.is_frozen]
+        if holding:
+            self._send(holding[index % len(holding)])
+
+    @precondition(lambda self: self.on_the_way)
+    @rule(index=st.integers(0, 5))
+    def arrive(self, index: int) -> None:
+        self.operation()
+        order = self.on_the_way.pop(index % len(self.on_the_way))
+        order.engine.receive(order.permit)
+
+    @rule(duration_ms=st.sampled_from([100, 1_000, 3_000, 6_000, 9_000]))
+    def let_time_pass(self, duration_ms: int) -> None:
+        self.operation()
+        self.clock.advance_ms(duration_ms)
+
+    @rule(duration_ms=st.sampled_from([2_000, 6_000, 9_000]))
+    def let_time_pass_with_renewals(self, duration_ms: int) -> None:
+        self.operation()
+        for _ in range(duration_ms // TICK_MS):
+            self.clock.advance_ms(TICK_MS)
+            for candidate in self.candidates:
+                self._move(candidate, WHOLE_EXCHANGE_STEPS)
+
+    @precondition(lambda self: self._believing())
+    @rule(duration_ms=st.sampled_from([0, 6_000, 9_000, 20_000]))
+    def freeze_holder(self, duration_ms: int) -> None:
+        self.fault()
+        self._believing()[0].is_frozen = True
+        self.clock.advance_ms(duration_ms)
+
+    @precondition(lambda self: any(one.is_frozen for one in self.candidates))
+    @rule()
+    def wake(self) -> None:
+        self.operation()
+        next(one for one in self.candidates if one.is_frozen).is_frozen = False
+
+    @precondition(lambda self: self._believing())
+    @rule(index=st.integers(0, 2), is_holder=st.booleans())
+    def kill_and_replace(self, index: int, is_holder: bool) -> None:
+        self.fault()
+        if is_holder:
+            index = self.candidates.index(self._believing()[0])
+        self.candidates[index] = self._new_candidate(index)
+
+    @precondition(lambda self: self._believing())
+    @rule(steps=STEPS, fault=WRITE_FAULTS)
+    def release(self, steps: int, fault: WriteFault) -> None:
+        self.operation() if fault is WriteFault.NONE else self.fault()
+        candidate = self._believing()[0]
+        if candidate.is_idle:
+            candidate.effect = candidate.machine.release()
+            self.kvs.fault = fault
+            self._move(candidate, min(steps, 2))
+            self.kvs.fault = WriteFault.NONE
+
+    @precondition(lambda self: self.kvs.late_writes)
+    @rule(index=st.integers(0, 5))
+    def land_late_write(self, index: int) -> None:
+        self.fault()
+        self.kvs.land_late_write(index % len(self.kvs.late_writes))
+
+    def teardown(self) -> None:
+        """Let everything arrive, and mend everything: somebody gets the duty."""
+        if not hasattr(self, "engines") or any(one.has_violation for one in self.engines):
+            return
+        while self.on_the_way:
+            self.arrive(0)
+        self.kvs.late_writes.clear()
+        self.clock.advance_ms(30_000)
+        for candidate in self.candidates:
+            candidate.is_frozen = False
+            self._move(candidate, 20)
+            self._move(candidate, 20)
+        if not self._believing():
+            raise AssertionError("nobody holds the duty after everything is mended")
+
+    def _new_candidate(self, number: int) -> Candidate:
+        self.started += 1
+        clock = DriftingClock(self.clock, RATES[number], SKEWS_MS[number])
+        candidate = Candidate(f"entry-{self.started}", self.kvs, clock)
+        candidate.gate = self.gate_class(candidate.machine)
+        return candidate
+
+    def _move(self, candidate: Candidate, steps: int) -> None:
+        if candidate.is_frozen:
+            return
+        if candidate.is_idle:
+            candidate.tick()
+        for _ in range(steps):
+            candidate.advance()
+
+    def _believing(self) -> list[Candidate]:
+        awake = [one for one in self.candidates if not one.is_frozen]
+        return [one for one in awake if one.machine.state.value == "held"]
+
+    def _permit(self, candidate: Candidate, engine: Engine) -> None:
+        now_ms, wall_ms = candidate.clock.now_ms(), candidate.clock.wall_ms()
+        try:
+            permit = candidate.gate.permit(
+                now_ms, wall_ms, refuses_old_numbers=engine.refuses_old_numbers
+            )
+        except (LeaseLostError, UnavailableError):
+            return
+        self._check_holder(candidate, permit, engine)
+        candidate.permitted.append(Order(permit, engine))
+
+    def _check_holder(self, candidate: Candidate, permit: OrderPermit, engine: Engine) -> None:
+        entry = self.kvs.peek(duty_key(DUTY))
+        if entry is None or entry.mod_revision != permit.fencing:
+            engine.has_violation = True
+            raise AssertionError(f"{candidate.name} was permitted an order past its lease")
+
+    def _send(self, candidate: Candidate) -> None:
+        self.on_the_way.extend(candidate.permitted)
+        candidate.permitted.clear()
+
+
+class CarelessGate(OrderGate):
+    """Test double without the mechanism: believes what it knew before a pause."""
+
+    def permit(self, now_ms: int, wall_ms: int, *, refuses_old_numbers: bool) -> OrderPermit:
+        return OrderPermit(self._machine.fencing, wall_ms + ORDER_LIFE_MS, ORDER_LIFE_MS)
+
+
+class ImpatientGate(OrderGate):
+    """Test double that does not wait for the predecessor's orders."""
+
+    def _wait_ms(self, now_ms: int) -> int:
+        return 0
+
+
+class FencingProofMachine(FencingMachine):
+    """The machine with the mechanism, or with orders that nothing holds back."""
+
+    @property
+    def gate_class(self) -> type[OrderGate]:
+        return OrderGate if self.mechanism_enabled else CarelessGate
+
+
+class ImpatientMachine(FencingMachine):
+    """The machine whose new holders do not wait."""
+
+    gate_class = ImpatientGate
+
+
+PROOFS = (Proof("fencing", FencingProofMachine),)
--- a/tests/test_kvs.py
+++ b/tests/test_kvs.py
@@ -112,12 +112,16 @@
         self.assertGreater(changed, entry.mod_revision)
 
     def test_restore_returns_to_the_old_revision(self):
+        self.kvs.put_if("leased", b"", expected=ABSENT, lease_id=self.kvs.grant_lease(100))
         old = self.kvs.snapshot()
         entry = self.kvs.put_if("k", b"", expected=ABSENT)
         self.kvs.restore(old)
         self.assertIsNone(self.kvs.get("k"))
+        self.assertIsNotNone(self.kvs.get("leased"))
         seen = self.kvs.wait_change("k", after=entry.mod_revision, timeout_ms=1_000)
         self.assertLess(seen, entry.mod_revision)
+        self.clock.advance_ms(100)
+        self.assertIsNone(self.kvs.get("leased"))
 
 
 class HttpKeyValueServiceTest(KeyValueContract, unittest.TestCase):
