Release claims of unknown outcome; test at-most-once with killed and frozen processes

Cause: an owner that was frozen in its claim woke up, gave up unsent and left its record behind, because the claim's reply had timed out and the record's revision was not known. The key stayed "outcome unknown" wherever the owner could not be asked. Seen as a failing process test (wait for the removal of the record timed out, three runs of three).

Change: an attempt that gives up after a claim of unknown outcome reads its record later and removes it when the token is its own. ClaimNotSent tells a claim that was not sent, so that an outage leaves nothing to clean up; maintain() takes five of these at a time. The service stand-in counts what it received, so that the tests kill and freeze at a known step and not after a guessed time.

--- a/bergamothill/request/action.py
+++ b/bergamothill/request/action.py
@@ -31,6 +31,7 @@
     Answer,
     AskOwner,
     ClaimFailed,
+    ClaimNotSent,
     ClaimRefused,
     ClaimWritten,
     CompletionEnded,
@@ -66,6 +67,7 @@
 REPEATABLE_ATTEMPTS = 2
 NOT_RUN_RETRY_MS = 1_000
 MAX_LOOSE_ENDS = 1_000
+LOOSE_ENDS_AT_A_TIME = 5
 TOKEN_BYTES = 16
 
 log = logbook.Logger("bergamothill.action")
@@ -179,8 +181,11 @@
         return reply
 
     def maintain(self) -> None:
-        """Retry the recording of replies and the removal of unused records; call it each second."""
-        for _ in range(len(self._loose_ends)):
+        """Retry the recording of replies and the removal of unused records; call it each second.
+
+        A few are taken at a time, so that the end of an outage brings no burst of calls.
+        """
+        for _ in range(min(len(self._loose_ends), LOOSE_ENDS_AT_A_TIME)):
             loose_end = self._loose_ends.popleft()
             if not self._is_settled(loose_end):
                 self._loose_ends.append(loose_end)
@@ -272,9 +277,9 @@
             return ClaimRefused()
         except LeaseLostError:
             self._lease.drop()
-            return ClaimFailed()
-        except BergamothillError:
-            return ClaimFailed()
+            return ClaimNotSent()
+        except BergamothillError as error:
+            return ClaimNotSent() if error.execution is Execution.NOT_RUN else ClaimFailed()
 
     @perform.register
     def _(self, effect: ReadRecord, service: PlainService) -> Event:
@@ -321,11 +326,11 @@
         """Carry out an effect that ends a record; tell whether its outcome is known."""
         try:
             if isinstance(effect, ReleaseClaim):
-                self._kvs.delete_if(effect.key, expected=effect.expected)
+                self._release(effect)
             else:
                 value, lease_id = encode_record(effect.record), self._lease.current()
                 self._kvs.put_if(effect.key, value, expected=effect.expected, lease_id=lease_id)
-        except ConflictError:
+        except (ConflictError, ProtocolError):
             return True
         except LeaseLostError:
             self._lease.drop()
@@ -334,6 +339,11 @@
             return False
         return True
 
+    def _release(self, effect: ReleaseClaim) -> None:
+        entry = self._kvs.get(effect.key)
+        if entry is not None and decode_record(entry.value).token == effect.token:
+            self._kvs.delete_if(effect.key, expected=entry.mod_revision)
+
     def _answer_peer(self, sender: EntryInstanceId, ask: AskAttempt) -> AttemptAnswer:
         with self._lock:
             status = self._table.status(AttemptToken(ask.token))
--- a/bergamothill/request/attempt.py
+++ b/bergamothill/request/attempt.py
@@ -27,6 +27,7 @@
     Answer,
     AskOwner,
     ClaimFailed,
+    ClaimNotSent,
     ClaimRefused,
     ClaimWritten,
     CompletionEnded,
@@ -101,6 +102,7 @@
         self._claim = ActionRecord(owner, token, call_digest(call))
         self._expected = ABSENT
         self._mod_revision = ABSENT
+        self._is_claim_possible = False
         self._started_ms = started_ms
         self._failed_claims = 0
         self._conflicts = 0
@@ -135,10 +137,12 @@
 
     @_on.register
     def _(self, event: ClaimFailed, now_ms: int) -> Effect:
-        self._failed_claims += 1
-        if self._failed_claims >= CLAIM_ATTEMPTS or self._is_too_late(now_ms):
-            return self._give_up("the key-value service cannot record the call")
-        return Pause(CLAIM_RETRY_PAUSE_MS)
+        self._is_claim_possible = True
+        return self._retry_claim(now_ms)
+
+    @_on.register
+    def _(self, event: ClaimNotSent, now_ms: int) -> Effect:
+        return self._retry_claim(now_ms)
 
     @_on.register
     def _(self, event: PauseEnded, now_ms: int) -> Effect:
@@ -211,6 +215,12 @@
             )
         )
 
+    def _retry_claim(self, now_ms: int) -> Effect:
+        self._failed_claims += 1
+        if self._failed_claims >= CLAIM_ATTEMPTS or self._is_too_late(now_ms):
+            return self._give_up("the key-value service cannot record the call")
+        return Pause(CLAIM_RETRY_PAUSE_MS)
+
     def _write_claim(self) -> Effect:
         return WriteClaim(self.key, self._claim, self._expected)
 
@@ -222,6 +232,7 @@
 
     def _send_once(self, mod_revision: int, now_ms: int) -> Effect:
         self._mod_revision = mod_revision
+        self._is_claim_possible = True
         if self._is_too_late(now_ms):
             return self._give_up("the claim is too old to send")
         self.state = AttemptState.SENT
@@ -237,7 +248,8 @@
         if self._mod_revision != ABSENT:
             # An owned record proves that no other attempt has sent.
             self.may_have_run = False
-            self.loose_end = ReleaseClaim(self.key, self._mod_revision)
+        if self._is_claim_possible:
+            self.loose_end = ReleaseClaim(self.key, self.token)
         execution = Execution.UNKNOWN if self.may_have_run else Execution.NOT_RUN
         return Refuse(
             UnavailableError(
--- a/bergamothill/request/attemptsteps.py
+++ b/bergamothill/request/attemptsteps.py
@@ -14,6 +14,7 @@
     "Answer",
     "AskOwner",
     "ClaimFailed",
+    "ClaimNotSent",
     "ClaimRefused",
     "ClaimWritten",
     "CompletionEnded",
@@ -67,6 +68,11 @@
     """The claim got no reply; it may take effect, also later."""
 
 
+@dataclass(frozen=True, slots=True)
+class ClaimNotSent:
+    """The claim was not sent."""
+
+
 @dataclass(frozen=True, slots=True)
 class RecordRead:
     """The record was read.
@@ -138,6 +144,7 @@
     ClaimWritten
     | ClaimRefused
     | ClaimFailed
+    | ClaimNotSent
     | RecordRead
     | ReadFailed
     | OwnerAnswered
@@ -202,10 +209,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ReleaseClaim:
-    """Remove the record of an attempt that gave up unsent."""
+    """Remove the record, if it is there, of an attempt that gave up unsent."""
 
     key: str
-    expected: int
+    token: AttemptToken
 
 
 @dataclass(frozen=True, slots=True)
--- a/standins/service.py
+++ b/standins/service.py
@@ -1,6 +1,7 @@
 """Stand-in of a plain service, such as booking: runs each call that it gets, repeated ones too.
 
-``GET /effects`` lists what ran. ``GET`` of any other path reads and has no effect. Besides the
+``GET /effects`` lists what ran, ``GET /stats`` counts the calls that came in to run. ``GET`` of any
+other path reads and has no effect. Besides the
 switches of the base it knows ``effect_delay_ms``: wait before the effect, also when the caller
 has gone away by then.
 """
@@ -27,8 +28,10 @@
         super().__init__()
         self._name = name
         self._effects: list[dict[str, Any]] = []
+        self._received = 0
         self._lock = threading.Lock()
         self.route("/effects", self._show, ["GET"])
+        self.route("/stats", self._stats, ["GET"])
         self.route("/healthz", self._health, ["GET"])
         self.route("/<path:path>", self._read, ["GET"])
         self.route("/<path:path>", self._run, ["POST", "PUT", "DELETE"])
@@ -37,6 +40,10 @@
         with self._lock:
             return json_response(self._effects)
 
+    def _stats(self, request: Request) -> Response:
+        with self._lock:
+            return json_response({"received": self._received})
+
     def _health(self, request: Request) -> Response:
         return json_response({"state": "live"})
 
@@ -45,6 +52,8 @@
             return json_response({"service": self._name, "effects": len(self._effects)})
 
     def _run(self, request: Request, path: str) -> Response:
+        with self._lock:
+            self._received += 1
         time.sleep(self.faults.get("effect_delay_ms", 0) / 1000)
         effect = {
             "request_id": request.headers.get("X-Request-Id", ""),
--- /dev/null
+++ b/tests/actionworker.py
@@ -0,0 +1,44 @@
+"""Entry instance of the process tests: runs one call for each line of its input."""
+
+from __future__ import annotations
+
+import json
+import sys
+
+from bergamothill.clock import SystemClock
+from bergamothill.connection.http import HttpClient
+from bergamothill.connection.kvs_http import HttpKeyValueService
+from bergamothill.connection.service import HttpPlainService, ServiceCall
+from bergamothill.errors import BergamothillError
+from bergamothill.request.action import ActionRunner
+from tests.builders import LoopbackBus
+
+
+def main(entry_id: str, kvs_address: str, service_address: str) -> None:
+    """Serve calls until the input ends; each line is a JSON object of request and timeout."""
+    kvs = HttpKeyValueService(HttpClient("kvs", kvs_address))
+    service = HttpPlainService(HttpClient("booking", service_address))
+    runner = ActionRunner(kvs, LoopbackBus(entry_id, {}), SystemClock(), entry_id)
+    for line in sys.stdin:
+        request = json.loads(line)
+        call = ServiceCall(
+            request["request_id"],
+            "mend",
+            "POST",
+            "pickups",
+            b"pack",
+            "text/plain",
+            "k1",
+            request["timeout_ms"],
+            "booking",
+        )
+        try:
+            outcome = runner.run(call, "booking-1", service, repeatable=False).body.decode()
+        except BergamothillError as error:
+            outcome = error.execution.value
+        print(outcome, flush=True)
+        runner.maintain()
+
+
+if __name__ == "__main__":
+    main(*sys.argv[1:])
