--- /dev/null
+++ b/bergamothill/request/placement.py
@@ -0,0 +1,296 @@
+"""Placement of a run: chooses an engine from what is believed, restores there, confirms it last."""
+
+from __future__ import annotations
+
+import random
+import threading
+from collections.abc import Callable
+from concurrent.futures import Executor
+from dataclasses import dataclass
+
+from bergamothill.clock import Clock
+from bergamothill.connection.engine import ModelEngine, StreamEvent
+from bergamothill.errors import (
+    BergamothillError,
+    PeerUnreachableError,
+    UnavailableError,
+)
+from bergamothill.ids import Generation, ServerId
+from bergamothill.logs import EventLog
+from bergamothill.process.servers import EngineRecord, ServerTable
+from bergamothill.request.cachehints import CacheHints, KeptHintDelta
+from bergamothill.request.load import LoadEstimator, SentWorkDelta
+from bergamothill.request.restore import ExportStatus, Found, KeptContext
+from bergamothill.request.routing import EngineView, Prompt, Route, choose_route
+from bergamothill.request.runner import InferenceJob, Placement
+from bergamothill.version.block import BlockChain
+from bergamothill.version.config import PolicyWeights
+
+__all__ = ["EnginePlacer", "Expectation"]
+
+MILLIS_PER_SECOND = 1_000
+RETRY_AFTER_MS = 1_000
+RESTORE_TIMEOUT_MS = 10_000
+
+_EXPORT_ENDS = (ExportStatus.ABANDONED, ExportStatus.FULL)
+
+_log = EventLog("placement")
+
+
+@dataclass(frozen=True, slots=True)
+class Expectation:
+    """What a request may expect before any work is done for it.
+
+    :param ttft_ms: least time to first token that is possible, in milliseconds
+    :param queue_ms: part of it that is spent in the engine's queue
+    """
+
+    ttft_ms: int
+    queue_ms: int
+
+
+class EnginePlacer:
+    """Chooses engines for runs; safe for concurrent use.
+
+    :param clock: source of time
+    :param table: backend servers as believed
+    :param confirm_server: asks a server directly; tells whether it takes new work
+    :param engine_for: returns the client of an engine
+    :param kept: kept context at the store instances
+    :param estimator: queues of the engines between their reports
+    :param hints: which engine keeps which prefix
+    :param weights: policy in force
+    :param rng: source of random choices
+    :param background: runs exports
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        table: ServerTable,
+        confirm_server: Callable[[ServerId], bool],
+        engine_for: Callable[[ServerId], ModelEngine],
+        kept: KeptContext,
+        estimator: LoadEstimator,
+        hints: CacheHints,
+        weights: Callable[[], PolicyWeights],
+        rng: random.Random,
+        background: Executor,
+    ) -> None:
+        self._clock = clock
+        self._table = table
+        self._confirm_server = confirm_server
+        self._engine_for = engine_for
+        self._kept = kept
+        self._estimator = estimator
+        self._hints = hints
+        self._weights = weights
+        self._rng = rng
+        self._background = background
+        self._lock = threading.Lock()
+
+    def expect(self, chain: BlockChain) -> Expectation:
+        """Return the least time to first token that a prompt may expect.
+
+        :param chain: blocks of the prompt
+        :raises UnavailableError: no engine serves the version
+        """
+        views = self._views(chain, self._serving(chain, ()))
+        if not views:
+            raise _no_engine(chain)
+        tail_tokens = max(1, chain.prompt_tokens - sum(chain.token_counts))
+        best = min(views, key=lambda view: _queue_ms(view) + _prefill_ms(view, tail_tokens))
+        queue_ms = round(_queue_ms(best))
+        return Expectation(queue_ms + round(_prefill_ms(best, tail_tokens)), queue_ms)
+
+    def place(self, job: InferenceJob, tried: tuple[ServerId, ...]) -> Placement:
+        """Choose an engine and restore the prompt's prefix there.
+
+        :param job: what is to run
+        :param tried: engines that are out of the question
+        :raises UnavailableError: no engine can take the run
+        """
+        chain = job.chain
+        views = self._views(chain, self._serving(chain, tried))
+        if not views:
+            raise _no_engine(chain)
+        found = self._lookup(chain, views)
+        stored = tuple(item.stored() for item in found)
+        prompt = Prompt(chain.keys, chain.token_counts, chain.prompt_tokens, stored)
+        with self._lock:
+            route = choose_route(prompt, views, self._weights(), self._rng)
+        engine = self._engine_for(route.server)
+        cached = next(view.cached_blocks for view in views if view.server == route.server)
+        imported = self._restore(job, route, engine, found, cached)
+        self._note_sent(route.server, chain, cached + len(imported), found)
+        known = max(len(found), max(view.cached_blocks for view in views))
+        _log.info(
+            "placed",
+            request_id=job.request_id,
+            brand=job.brand,
+            server=route.server,
+            blocks=len(chain.keys),
+            found=len(found),
+            cached=cached,
+            restored=len(imported),
+            expected_ttft_ms=route.expected_ttft_ms,
+        )
+        known_tokens = sum(chain.token_counts[:known])
+        return Placement(route.server, engine, imported, known_tokens)
+
+    def confirm(self, server: ServerId) -> None:
+        """Check, right before a send, that the engine takes new work.
+
+        :raises UnavailableError: it is leaving, or nothing fresh is known of it
+        """
+        if self._table.may_send(server, self._clock.now_ms()):
+            return
+        self._confirm_server(server)
+        if not self._table.may_send(server, self._clock.now_ms()):
+            raise UnavailableError(
+                "the engine takes no new work",
+                step="leaving",
+                peer=server,
+                retry_after_ms=RETRY_AFTER_MS,
+            )
+
+    def failed(self, server: ServerId, error: BergamothillError) -> None:
+        """Learn from a failed exchange."""
+        if isinstance(error, PeerUnreachableError):
+            self._table.mark_unreachable(server)
+
+    def ran(self, server: ServerId, job: InferenceJob, start: StreamEvent) -> None:
+        """Learn from the engine's own count of cached tokens."""
+        cached = _whole_blocks(job.chain, start.cached_tokens)
+        with self._lock:
+            self._hints.missed(server, job.chain.keys, cached)
+            self._hints.ran(server, job.chain.keys)
+
+    def finished(self, job: InferenceJob, server: ServerId) -> None:
+        """Export in the background what the stores do not hold yet.
+
+        :param job: job that ended
+        :param server: engine that ran it
+        """
+        if job.chain.keys:
+            self._background.submit(self._export, job, server)
+
+    def deltas(self) -> tuple[object, ...]:
+        """Return the messages that tell the zone of what was sent and kept since the last call."""
+        with self._lock:
+            deltas = (self._estimator.delta(self._clock.now_ms()), self._hints.delta())
+        return tuple(delta for delta in deltas if delta is not None)
+
+    def relayed_work(self, delta: SentWorkDelta) -> None:
+        """Count what a peer sent."""
+        with self._lock:
+            self._estimator.relayed(delta, self._clock.now_ms())
+
+    def relayed_hints(self, delta: KeptHintDelta) -> None:
+        """Take what a peer learned of the engines' caches."""
+        with self._lock:
+            self._hints.relayed(delta)
+
+    def _export(self, job: InferenceJob, server: ServerId) -> None:
+        record = self._table.instance(server)
+        if record is None:
+            return
+        try:
+            engine = self._engine_for(server)
+            for index in range(len(job.chain.keys)):
+                outcome = self._kept.export(engine, job.chain, index, record.zone)
+                if outcome.status in _EXPORT_ENDS:
+                    break
+        except BergamothillError as error:
+            _log.warning(
+                "export_failed",
+                request_id=job.request_id,
+                brand=job.brand,
+                server=server,
+                step=error.step,
+                peer=error.peer,
+                reason=error.message,
+            )
+
+    def _serving(self, chain: BlockChain, tried: tuple[ServerId, ...]) -> list[EngineRecord]:
+        version = f"{chain.model}:{chain.weight_version}"
+        return [
+            record
+            for record in self._table.engines()
+            if _takes_work(record, version, chain.adapter)
+            and record.instance.instance_id not in tried
+        ]
+
+    def _views(self, chain: BlockChain, records: list[EngineRecord]) -> tuple[EngineView, ...]:
+        with self._lock:
+            for record in records:
+                server = ServerId(record.instance.instance_id)
+                self._estimator.report(
+                    server, record.instance.zone, record.load, record.received_at_ms
+                )
+            cached = self._hints.cached_blocks(chain.keys)
+            servers = [ServerId(record.instance.instance_id) for record in records]
+            believed = {server: cached.get(server, 0) for server in servers}
+            return self._estimator.views(believed, self._clock.now_ms())
+
+    def _lookup(self, chain: BlockChain, views: tuple[EngineView, ...]) -> tuple[Found, ...]:
+        if not chain.keys or min(view.cached_blocks for view in views) == len(chain.keys):
+            return ()
+        return self._kept.lookup(chain)
+
+    def _restore(
+        self,
+        job: InferenceJob,
+        route: Route,
+        engine: ModelEngine,
+        found: tuple[Found, ...],
+        cached: int,
+    ) -> tuple[Generation, ...]:
+        wanted = found[cached : route.restore_blocks]
+        if not wanted:
+            return ()
+        left_ms = max(1, job.deadline_ms - self._clock.now_ms())
+        timeout_ms = min(RESTORE_TIMEOUT_MS, left_ms)
+        return self._kept.restore(route.server, engine, wanted, timeout_ms=timeout_ms)
+
+    def _note_sent(
+        self, server: ServerId, chain: BlockChain, covered: int, found: tuple[Found, ...]
+    ) -> None:
+        rest_tokens = chain.prompt_tokens - sum(chain.token_counts[:covered])
+        with self._lock:
+            self._estimator.sent(server, rest_tokens, 0, self._clock.now_ms())
+
+
+def _takes_work(record: EngineRecord, version: str, adapter: str) -> bool:
+    if record.load is None or record.leaving or not record.reachable:
+        return False
+    state = record.load.state
+    has_adapter = not adapter or adapter in state.adapters
+    return version in state.versions and has_adapter and state.role == "serve"
+
+
+def _queue_ms(view: EngineView) -> float:
+    return view.queued_tokens * MILLIS_PER_SECOND / view.prefill_tokens_per_s
+
+
+def _prefill_ms(view: EngineView, tokens: int) -> float:
+    return tokens * MILLIS_PER_SECOND / view.prefill_tokens_per_s
+
+
+def _whole_blocks(chain: BlockChain, tokens: int) -> int:
+    blocks = 0
+    covered = 0
+    for count in chain.token_counts:
+        covered += count
+        if covered > tokens:
+            break
+        blocks += 1
+    return blocks
+
+
+def _no_engine(chain: BlockChain) -> UnavailableError:
+    return UnavailableError(
+        f"no engine serves {chain.model} {chain.weight_version}",
+        step="route",
+        retry_after_ms=RETRY_AFTER_MS,
+    )
