--- a/bergamothill/process/lease.py
+++ b/bergamothill/process/lease.py
@@ -7,12 +7,12 @@
 from functools import singledispatchmethod
 
 import cbor2
-import logbook
 
 from bergamothill.clock import Clock
 from bergamothill.connection.kvs import ABSENT, KeyValueService
 from bergamothill.errors import BergamothillError, ConflictError, LeaseLostError
 from bergamothill.ids import DutyName, EntryInstanceId, FencingNumber
+from bergamothill.logs import EventLog
 from bergamothill.process.leasemachine import (
     LEASE_TTL_MS,
     Granted,
@@ -45,7 +45,7 @@
 KEY_PREFIX = "duty"
 TOKEN_BYTES = 16
 
-log = logbook.Logger("bergamothill.lease")
+_log = EventLog("lease")
 
 
 def duty_key(duty: DutyName) -> str:
@@ -126,7 +126,7 @@
         try:
             self._kvs.revoke_lease(effect.lease_id)
         except BergamothillError:
-            log.info("event=lease_revoke_failed key={}", self._key)
+            _log.info("lease_revoke_failed", key=self._key)
         return RevokeEnded()
 
 
@@ -223,6 +223,6 @@
         is_held = self.is_held
         if is_held != self._was_held:
             event = "lease_acquired" if is_held else "lease_lost"
-            log.info("event={} duty={} fencing={}", event, self.duty, self.fencing)
+            _log.info(event, duty=self.duty, fencing=self.fencing)
         self._was_held = is_held
         return is_held
--- a/bergamothill/request/action.py
+++ b/bergamothill/request/action.py
@@ -8,8 +8,6 @@
 from dataclasses import dataclass, replace
 from functools import singledispatchmethod
 
-import logbook
-
 from bergamothill.clock import Clock
 from bergamothill.connection.bus import PeerBus, message
 from bergamothill.connection.kvs import ABSENT, KeyValueService
@@ -25,9 +23,11 @@
     ProtocolError,
 )
 from bergamothill.ids import EntryInstanceId, LeaseId, ServerId
+from bergamothill.logs import EventLog
+from bergamothill.process.metrics import StatsdMetrics
+from bergamothill.request.actionattempt import ActionAttempt
 from bergamothill.request.actionrecord import AttemptToken, decode_record, encode_record
-from bergamothill.request.attempt import Attempt
-from bergamothill.request.attemptsteps import (
+from bergamothill.request.actionsteps import (
     Answer,
     AskOwner,
     ClaimFailed,
@@ -54,7 +54,8 @@
     WriteClaim,
     WriteCompletion,
 )
-from bergamothill.request.attempttable import AttemptTable
+from bergamothill.request.actiontable import ActionTable
+from bergamothill.request.retry import RetryBudget
 
 __all__ = ["RETENTION_MS", "ActionRunner", "AskAttempt", "AttemptAnswer", "RecordLease"]
 
@@ -70,7 +71,7 @@
 LOOSE_ENDS_AT_A_TIME = 5
 TOKEN_BYTES = 16
 
-log = logbook.Logger("bergamothill.action")
+_log = EventLog("action")
 
 
 @message("action.ask")
@@ -89,7 +90,7 @@
 class AttemptAnswer:
     """Answers :class:`AskAttempt`.
 
-    :param status: value of :class:`~bergamothill.request.attemptsteps.OwnerStatus`
+    :param status: value of :class:`~bergamothill.request.actionsteps.OwnerStatus`
     """
 
     status: str
@@ -138,10 +139,17 @@
     :param bus: links to the other entry instances
     :param clock: source of time
     :param entry_id: this entry instance
+    :param metrics: counters; None for none
     """
 
     def __init__(
-        self, kvs: KeyValueService, bus: PeerBus, clock: Clock, entry_id: EntryInstanceId
+        self,
+        kvs: KeyValueService,
+        bus: PeerBus,
+        clock: Clock,
+        entry_id: EntryInstanceId,
+        *,
+        metrics: StatsdMetrics | None = None,
     ) -> None:
         self.outcomes: Counter[str] = Counter()
         """Ended calls by outcome: ``answered``, ``not_run`` and ``unknown``."""
@@ -149,8 +157,10 @@
         self._bus = bus
         self._clock = clock
         self._entry_id = entry_id
+        self._metrics = metrics
         self._lease = RecordLease(kvs, clock)
-        self._table = AttemptTable()
+        self._retries = RetryBudget()
+        self._table = ActionTable()
         self._loose_ends: deque[ReleaseClaim | WriteCompletion] = deque(maxlen=MAX_LOOSE_ENDS)
         self._lock = threading.Lock()
         bus.subscribe(AskAttempt, self._answer_peer)
@@ -174,10 +184,10 @@
             reply = self._run(call, server_id, service, repeatable)
         except BergamothillError as error:
             error.peer = error.peer or server_id
-            self.outcomes[error.execution.value] += 1
+            self._count(error.execution.value, call)
             self._log_refusal(call, server_id, error)
             raise
-        self.outcomes["answered"] += 1
+        self._count("answered", call)
         return reply
 
     def maintain(self) -> None:
@@ -191,19 +201,21 @@
                 self._loose_ends.append(loose_end)
                 return
 
-    def begin(self, call: ServiceCall) -> Attempt:
+    def begin(self, call: ServiceCall) -> ActionAttempt:
         """Return a new attempt, for embedders that carry out its effects themselves.
 
         :param call: call with an idempotency key that names its service
         """
         token = AttemptToken(secrets.token_hex(TOKEN_BYTES))
-        attempt = Attempt(call, owner=self._entry_id, token=token, started_ms=self._clock.now_ms())
+        attempt = ActionAttempt(
+            call, owner=self._entry_id, token=token, started_ms=self._clock.now_ms()
+        )
         with self._lock:
             attempt.may_have_run = self._table.may_have_run(attempt.key)
             self._table.add(attempt)
         return attempt
 
-    def finish(self, attempt: Attempt) -> None:
+    def finish(self, attempt: ActionAttempt) -> None:
         """Remember an attempt that ended.
 
         :param attempt: attempt from :meth:`begin`
@@ -231,15 +243,23 @@
         while True:
             attempts_left -= 1
             try:
-                return _send_unrecorded(call, service)
+                reply = _send_unrecorded(call, service)
             except (PeerTimeoutError, PeerUnreachableError) as error:
                 if error.execution is Execution.UNKNOWN:
                     execution = Execution.UNKNOWN
                 left_ms = deadline_ms - self._clock.now_ms()
-                if attempts_left == 0 or left_ms <= 0:
+                if attempts_left == 0 or left_ms <= 0 or not self._may_retry():
                     error.execution = execution
                     raise
                 call = replace(call, timeout_ms=left_ms)
+            else:
+                with self._lock:
+                    self._retries.succeeded()
+                return reply
+
+    def _may_retry(self) -> bool:
+        with self._lock:
+            return self._retries.try_spend()
 
     def _run_recorded(self, call: ServiceCall, service: PlainService) -> ServiceReply:
         attempt = self.begin(call)
@@ -260,7 +280,7 @@
 
         :param effect: effect that does not end the attempt
         :param service: client of the server to send to
-        :returns: its outcome, for :meth:`~bergamothill.request.attempt.Attempt.step`
+        :returns: its outcome, for :meth:`~bergamothill.request.actionattempt.ActionAttempt.step`
         """
         raise TypeError(f"no such effect: {effect!r}")
 
@@ -349,20 +369,25 @@
             status = self._table.status(AttemptToken(ask.token))
         return AttemptAnswer(status.value)
 
+    def _count(self, outcome: str, call: ServiceCall) -> None:
+        self.outcomes[outcome] += 1
+        if self._metrics is not None:
+            self._metrics.incr(f"action.{outcome}", call.brand)
+
     def _log_refusal(
         self, call: ServiceCall, server_id: ServerId, error: BergamothillError
     ) -> None:
-        log.warning(
-            "event=action_refused request={} brand={} service={} server={} step={} code={}"
-            " execution={} retry_after_ms={}",
-            call.request_id,
-            call.brand,
-            call.service_name,
-            server_id,
-            error.step,
-            error.code,
-            error.execution.value,
-            error.retry_after_ms,
+        _log.warning(
+            "action_refused",
+            request=call.request_id,
+            brand=call.brand,
+            service=call.service_name,
+            server=server_id,
+            step=error.step,
+            code=error.code,
+            execution=error.execution.value,
+            retry_after_ms=error.retry_after_ms,
+            reason=error.message,
         )
 
 
--- a/bergamothill/request/attempt.py
+++ b/bergamothill/request/actionattempt.py
@@ -23,7 +23,7 @@
     call_digest,
     record_key,
 )
-from bergamothill.request.attemptsteps import (
+from bergamothill.request.actionsteps import (
     Answer,
     AskOwner,
     ClaimFailed,
@@ -51,7 +51,7 @@
     WriteCompletion,
 )
 
-__all__ = ["Attempt", "AttemptState"]
+__all__ = ["ActionAttempt", "ActionState"]
 
 CLAIM_ATTEMPTS = 3
 CLAIM_MAX_AGE_MS = 5_000
@@ -62,7 +62,7 @@
 UNAVAILABLE_RETRY_MS = 1_000
 
 
-class AttemptState(Enum):
+class ActionState(Enum):
     """State of an attempt; :attr:`GIVEN_UP` and :attr:`DONE` are final."""
 
     CLAIMING = "claiming"
@@ -72,7 +72,7 @@
     """The attempt has not sent the call and never will."""
 
 
-class Attempt:
+class ActionAttempt:
     """One attempt of one entry instance to run one call.
 
     :meth:`start` and :meth:`step` return the one effect to carry out next; its outcome is the next
@@ -95,7 +95,7 @@
         self.call = call
         self.key = record_key(call)
         self.token = token
-        self.state = AttemptState.CLAIMING
+        self.state = ActionState.CLAIMING
         self.may_have_run = False
         """Whether an earlier call with the key may have run; then no refusal says "not run"."""
         self.loose_end: ReleaseClaim | WriteCompletion | None = None
@@ -118,7 +118,7 @@
         :param event: outcome of the last effect
         :param now_ms: present instant, read after the effect ended, in milliseconds
         """
-        if self.state is AttemptState.GIVEN_UP:
+        if self.state is ActionState.GIVEN_UP:
             raise RuntimeError(f"attempt {self.token} has given up")
         return self._on(event, now_ms)
 
@@ -183,7 +183,7 @@
 
     @_on.register
     def _(self, event: ReplyReceived, now_ms: int) -> Effect:
-        self.state = AttemptState.DONE
+        self.state = ActionState.DONE
         self._reply = event.reply
         is_kept = len(event.reply.body) <= MAX_STORED_REPLY_BYTES
         record = replace(
@@ -235,7 +235,7 @@
         self._is_claim_possible = True
         if self._is_too_late(now_ms):
             return self._give_up("the claim is too old to send")
-        self.state = AttemptState.SENT
+        self.state = ActionState.SENT
         left_ms = self._started_ms + self.call.timeout_ms - now_ms
         return Send(replace(self.call, timeout_ms=left_ms))
 
@@ -244,7 +244,7 @@
         return age_ms >= min(CLAIM_MAX_AGE_MS, self.call.timeout_ms)
 
     def _give_up(self, message: str) -> Effect:
-        self.state = AttemptState.GIVEN_UP
+        self.state = ActionState.GIVEN_UP
         if self._mod_revision != ABSENT:
             # An owned record proves that no other attempt has sent.
             self.may_have_run = False
@@ -261,16 +261,16 @@
         )
 
     def _refuse_unknown(self, message: str, retry_after_ms: int) -> Effect:
-        self.state = AttemptState.GIVEN_UP
+        self.state = ActionState.GIVEN_UP
         return Refuse(PeerTimeoutError(message, step="action.ask", retry_after_ms=retry_after_ms))
 
     def _refuse_other_body(self) -> Effect:
-        self.state = AttemptState.GIVEN_UP
+        self.state = ActionState.GIVEN_UP
         message = "the idempotency key was used with another method, path or body"
         return Refuse(ConflictError(message, step="action.claim"))
 
     def _repeat_answer(self, record: ActionRecord) -> Effect:
-        self.state = AttemptState.GIVEN_UP
+        self.state = ActionState.GIVEN_UP
         if record.reply is not None:
             return Answer(record.reply)
         message = f"the call ran with status {record.status}; its reply is too large to keep"
--- a/bergamothill/request/attempttable.py
+++ b/bergamothill/request/actiontable.py
@@ -4,32 +4,32 @@
 
 from collections import OrderedDict
 
+from bergamothill.request.actionattempt import ActionAttempt, ActionState
 from bergamothill.request.actionrecord import AttemptToken
-from bergamothill.request.attempt import Attempt, AttemptState
-from bergamothill.request.attemptsteps import OwnerStatus
+from bergamothill.request.actionsteps import OwnerStatus
 
-__all__ = ["AttemptTable"]
+__all__ = ["ActionTable"]
 
 MAX_REMEMBERED_TOKENS = 20_000
 MAX_REMEMBERED_KEYS = 20_000
 
 
-class AttemptTable:
+class ActionTable:
     """What one entry instance knows of its own attempts; not safe for threads."""
 
     def __init__(self) -> None:
-        self._live: dict[AttemptToken, Attempt] = {}
+        self._live: dict[AttemptToken, ActionAttempt] = {}
         self._given_up: OrderedDict[AttemptToken, None] = OrderedDict()
         self._sent_keys: OrderedDict[str, None] = OrderedDict()
 
-    def add(self, attempt: Attempt) -> None:
+    def add(self, attempt: ActionAttempt) -> None:
         """Remember an attempt that starts.
 
         :param attempt: attempt before its first effect
         """
         self._live[attempt.token] = attempt
 
-    def finish(self, attempt: Attempt) -> None:
+    def finish(self, attempt: ActionAttempt) -> None:
         """Replace an attempt that ended by what has to be remembered of it.
 
         An attempt cut short before it sent, by an error in the process, gives up.
@@ -37,9 +37,9 @@
         :param attempt: attempt after its last effect
         """
         del self._live[attempt.token]
-        if attempt.state is AttemptState.CLAIMING:
-            attempt.state = AttemptState.GIVEN_UP
-        if attempt.state is AttemptState.GIVEN_UP:
+        if attempt.state is ActionState.CLAIMING:
+            attempt.state = ActionState.GIVEN_UP
+        if attempt.state is ActionState.GIVEN_UP:
             _remember(self._given_up, attempt.token, MAX_REMEMBERED_TOKENS)
         else:
             _remember(self._sent_keys, attempt.key, MAX_REMEMBERED_KEYS)
@@ -52,7 +52,7 @@
         if key in self._sent_keys:
             return True
         live = self._live.values()
-        return any(one.key == key and one.state is not AttemptState.GIVEN_UP for one in live)
+        return any(one.key == key and one.state is not ActionState.GIVEN_UP for one in live)
 
     def status(self, token: AttemptToken) -> OwnerStatus:
         """Return what to say of an attempt.
@@ -63,9 +63,9 @@
         if attempt is None:
             is_given_up = token in self._given_up
             return OwnerStatus.GIVEN_UP if is_given_up else OwnerStatus.FORGOTTEN
-        if attempt.state is AttemptState.GIVEN_UP:
+        if attempt.state is ActionState.GIVEN_UP:
             return OwnerStatus.GIVEN_UP
-        if attempt.state is AttemptState.CLAIMING:
+        if attempt.state is ActionState.CLAIMING:
             return OwnerStatus.CLAIMING
         return OwnerStatus.SENT
 
