Split the runner of actions: performer and record lease in modules of their own

Change: actionperformer.py carries out effects and answers peers, recordlease.py holds the shared lease; ActionTable guards itself, so that runner and performer share no lock.

--- a/bergamothill/request/actiontable.py
+++ b/bergamothill/request/actiontable.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import threading
 from collections import OrderedDict
 
 from bergamothill.request.actionattempt import ActionAttempt, ActionState
@@ -15,9 +16,10 @@
 
 
 class ActionTable:
-    """What one entry instance knows of its own attempts; not safe for threads."""
+    """What one entry instance knows of its own attempts; safe for threads."""
 
     def __init__(self) -> None:
+        self._lock = threading.Lock()
         self._live: dict[AttemptToken, ActionAttempt] = {}
         self._given_up: OrderedDict[AttemptToken, None] = OrderedDict()
         self._sent_keys: OrderedDict[str, None] = OrderedDict()
@@ -27,7 +29,8 @@
 
         :param attempt: attempt before its first effect
         """
-        self._live[attempt.token] = attempt
+        with self._lock:
+            self._live[attempt.token] = attempt
 
     def finish(self, attempt: ActionAttempt) -> None:
         """Replace an attempt that ended by what has to be remembered of it.
@@ -36,32 +39,35 @@
 
         :param attempt: attempt after its last effect
         """
-        del self._live[attempt.token]
-        if attempt.state is ActionState.CLAIMING:
-            attempt.state = ActionState.GIVEN_UP
-        if attempt.state is ActionState.GIVEN_UP:
-            _remember(self._given_up, attempt.token, MAX_REMEMBERED_TOKENS)
-        else:
-            _remember(self._sent_keys, attempt.key, MAX_REMEMBERED_KEYS)
+        with self._lock:
+            del self._live[attempt.token]
+            if attempt.state is ActionState.CLAIMING:
+                attempt.state = ActionState.GIVEN_UP
+            if attempt.state is ActionState.GIVEN_UP:
+                _remember(self._given_up, attempt.token, MAX_REMEMBERED_TOKENS)
+            else:
+                _remember(self._sent_keys, attempt.key, MAX_REMEMBERED_KEYS)
 
     def may_have_run(self, key: str) -> bool:
         """Tell whether this entry instance sent, or is sending, a call with this record.
 
         :param key: key of the record
         """
-        if key in self._sent_keys:
-            return True
-        live = self._live.values()
-        return any(one.key == key and one.state is not ActionState.GIVEN_UP for one in live)
+        with self._lock:
+            if key in self._sent_keys:
+                return True
+            live = self._live.values()
+            return any(one.key == key and one.state is not ActionState.GIVEN_UP for one in live)
 
     def status(self, token: AttemptToken) -> OwnerStatus:
         """Return what to say of an attempt.
 
         :param token: attempt asked about
         """
-        attempt = self._live.get(token)
-        if attempt is None:
+        with self._lock:
+            attempt = self._live.get(token)
             is_given_up = token in self._given_up
+        if attempt is None:
             return OwnerStatus.GIVEN_UP if is_given_up else OwnerStatus.FORGOTTEN
         if attempt.state is ActionState.GIVEN_UP:
             return OwnerStatus.GIVEN_UP
--- a/tests/proof/proof_action.py
+++ b/tests/proof/proof_action.py
@@ -14,7 +14,7 @@
 from bergamothill.connection.service import PlainService, ServiceCall, ServiceReply
 from bergamothill.errors import Execution, PeerTimeoutError, PeerUnreachableError
 from bergamothill.request import action
-from bergamothill.request.action import RETENTION_MS, ActionRunner
+from bergamothill.request.action import ActionRunner
 from bergamothill.request.actionattempt import ActionAttempt, ActionState
 from bergamothill.request.actionsteps import (
     Answer,
@@ -24,6 +24,7 @@
     Refuse,
     Send,
 )
+from bergamothill.request.recordlease import RETENTION_MS
 from tests.builders import FaultyKeyValueService, WriteFault
 from tests.localbus import LocalNetwork
 from tests.proof.harness import Proof, ProofMachine
@@ -324,7 +325,7 @@
 
     def _advance_once(self, entry: Entry, progress: Progress) -> None:
         if progress.event is None:
-            progress.event = entry.runner.perform(progress.effect, self.back_end)
+            progress.event = entry.runner.performer.perform(progress.effect, self.back_end)
             return
         event, progress.event = progress.event, None
         self._take_effect(entry, progress, progress.attempt.step(event, self.clock.now_ms()))
@@ -333,7 +334,7 @@
         progress.effect = effect
         if isinstance(effect, Send):
             # Nothing blocks between the decision to send and the send.
-            progress.event = entry.runner.perform(effect, self.back_end)
+            progress.event = entry.runner.performer.perform(effect, self.back_end)
         if isinstance(effect, Answer | Refuse):
             entry.progress.remove(progress)
             entry.runner.finish(progress.attempt)
--- a/tests/test_action.py
+++ b/tests/test_action.py
@@ -15,12 +15,13 @@
     ProtocolError,
     UnavailableError,
 )
-from bergamothill.request.action import LEASE_SHARING_MS, RETENTION_MS, ActionRunner, RecordLease
+from bergamothill.request.action import ActionRunner
 from bergamothill.request.actionrecord import (
     MAX_STORED_REPLY_BYTES,
     decode_record,
     record_key,
 )
+from bergamothill.request.recordlease import LEASE_SHARING_MS, RETENTION_MS, RecordLease
 from tests.builders import FaultyKeyValueService, WriteFault
 from tests.localbus import LocalNetwork
 from tests.proof.harness import check_proof
@@ -49,6 +50,9 @@
     def runner(self, name):
         return ActionRunner(self.kvs, self.network.bus(name, "zone-a"), self.clock, name)
 
+    def grant_lease(self, runner):
+        runner.performer._lease.current()
+
     def run_call(self, runner, call=CALL, repeatable=False):
         return runner.run(call, "booking-1", self.service, repeatable=repeatable)
 
@@ -78,7 +82,7 @@
         self.refusal(self.first, replace(CALL, service_name=""), InvalidRequestError)
 
     def test_a_lost_claim_reply_is_settled(self):
-        self.first._lease.current()
+        self.grant_lease(self.first)
         self.kvs.fault = WriteFault.LOST_REPLY
         self.assertEqual(201, self.run_call(self.first).status)
         self.assertEqual(["r1"], self.ran())
@@ -101,7 +105,7 @@
         self.assertEqual(Execution.UNKNOWN, refused.execution)
 
     def test_a_late_claim_of_a_live_owner_is_taken_over(self):
-        self.first._lease.current()
+        self.grant_lease(self.first)
         self.kvs.fault = WriteFault.LATE
         refused = self.refusal(self.first, error=UnavailableError)
         self.assertEqual(Execution.NOT_RUN, refused.execution)
@@ -111,7 +115,7 @@
         self.assertEqual(["r2"], self.ran())
 
     def test_a_claim_of_a_dead_owner_is_an_unknown_outcome(self):
-        self.first._lease.current()
+        self.grant_lease(self.first)
         self.kvs.fault = WriteFault.LATE
         self.refusal(self.first, error=UnavailableError)
         self.kvs.fault = WriteFault.NONE
