--- a/tests/proof/proof_action.py
+++ b/tests/proof/proof_action.py
@@ -97,7 +97,7 @@
         ran = [run.call for run in self.runs if run.call.request_id.encode() == reply.body]
         if not ran:
             self._fail(f"{call.request_id} got a reply of nothing that ran")
-        if (ran[0].idempotency_key, ran[0].body) != (call.idempotency_key, call.body):
+        if (_scope(ran[0]), ran[0].body) != (_scope(call), call.body):
             self._fail(f"{call.request_id} got the reply of {ran[0].request_id}")
 
     def _fail(self, message: str) -> None:
@@ -107,12 +107,15 @@
     def _within_retention(self, call: ServiceCall) -> list[Run]:
         oldest_ms = self.clock.now_ms() - RETENTION_MS
         return [
-            run
-            for run in self.runs
-            if run.call.idempotency_key == call.idempotency_key and run.at_ms > oldest_ms
+            run for run in self.runs if _scope(run.call) == _scope(call) and run.at_ms > oldest_ms
         ]
 
 
+def _scope(call: ServiceCall) -> tuple[str, str]:
+    """Return what two calls must share to be one action."""
+    return call.brand, call.idempotency_key
+
+
 @dataclass(slots=True, eq=False)
 class Progress:
     """One attempt under way: what it waits for is an effect to carry out or its outcome."""
@@ -153,16 +156,19 @@
 
     @rule(
         entry=st.integers(0, ENTRIES - 1),
+        brand=st.sampled_from(["mend", "mend", "quill"]),
         key=st.integers(0, 1),
         is_other=st.booleans(),
         steps=st.integers(0, 8),
         fault=st.sampled_from(SendFault),
     )
-    def request(self, entry: int, key: int, is_other: bool, steps: int, fault: SendFault) -> None:
+    def request(
+        self, entry: int, brand: str, key: int, is_other: bool, steps: int, fault: SendFault
+    ) -> None:
         self.operation() if fault is SendFault.NONE else self.fault()
         body = b"other" if is_other and key else b"body"
         self.back_end.fault = fault
-        self._start(self.entries[entry], key, body, steps)
+        self._start(self.entries[entry], brand, key, body, steps)
         self.back_end.fault = SendFault.NONE
 
     @precondition(lambda self: self._movable())
@@ -291,12 +297,12 @@
         if oldest in entry.progress:
             raise AssertionError(f"{oldest.attempt.call.request_id} does not end")
 
-    def _start(self, entry: Entry, key: int, body: bytes, steps: int) -> None:
+    def _start(self, entry: Entry, brand: str, key: int, body: bytes, steps: int) -> None:
         if entry.is_frozen or len(entry.progress) >= MAX_LIVE_ATTEMPTS:
             return
         self.started += 1
         call = ServiceCall(
-            f"r{self.started}", "mend", "POST", "book", body, "", f"k{key}", TIMEOUT_MS, "booking"
+            f"r{self.started}", brand, "POST", "book", body, "", f"k{key}", TIMEOUT_MS, "booking"
         )
         with mock.patch.object(action, "ActionAttempt", self.attempt_class):
             attempt = entry.runner.begin(call)
--- a/tests/test_action.py
+++ b/tests/test_action.py
@@ -235,16 +235,16 @@
 
 def _owner_dies_after_its_send(machine):
     machine.build()
-    machine.request(entry=0, key=0, is_other=False, steps=2, fault=SendFault.NONE)
+    machine.request(entry=0, brand="mend", key=0, is_other=False, steps=2, fault=SendFault.NONE)
     machine.freeze_owner(index=0)
-    machine.request(entry=1, key=0, is_other=False, steps=20, fault=SendFault.NONE)
+    machine.request(entry=1, brand="mend", key=0, is_other=False, steps=20, fault=SendFault.NONE)
     machine.teardown()
 
 
 def _owner_sleeps_for_a_day(machine):
     machine.build()
-    machine.request(entry=0, key=0, is_other=False, steps=1, fault=SendFault.NONE)
+    machine.request(entry=0, brand="mend", key=0, is_other=False, steps=1, fault=SendFault.NONE)
     machine.freeze_owner(index=0)
     machine.let_records_expire()
-    machine.request(entry=1, key=0, is_other=False, steps=20, fault=SendFault.NONE)
+    machine.request(entry=1, brand="mend", key=0, is_other=False, steps=20, fault=SendFault.NONE)
     machine.wake(steps=20)
