--- a/tests/test_action.py
+++ b/tests/test_action.py
@@ -15,13 +15,15 @@
     ProtocolError,
     UnavailableError,
 )
-from bergamothill.request.action import LEASE_SHARING_MS, RETENTION_MS, ActionRunner, RecordLease
+from bergamothill.request.action import ActionRunner
 from bergamothill.request.actionrecord import (
     MAX_STORED_REPLY_BYTES,
     decode_record,
     record_key,
 )
-from tests.builders import FaultyKeyValueService, LoopbackBus, WriteFault
+from bergamothill.request.recordlease import LEASE_SHARING_MS, RETENTION_MS, RecordLease
+from tests.builders import FaultyKeyValueService, WriteFault
+from tests.localbus import LocalNetwork
 from tests.proof.harness import check_proof
 from tests.proof.proof_action import (
     PROOFS,
@@ -41,12 +43,15 @@
         self.clock = ManualClock()
         self.kvs = FaultyKeyValueService(self.clock)
         self.service = BackEnd(self.clock)
-        self.buses = {}
+        self.network = LocalNetwork()
         self.first = self.runner("entry-1")
         self.second = self.runner("entry-2")
 
     def runner(self, name):
-        return ActionRunner(self.kvs, LoopbackBus(name, self.buses), self.clock, name)
+        return ActionRunner(self.kvs, self.network.bus(name, "zone-a"), self.clock, name)
+
+    def grant_lease(self, runner):
+        runner.performer._lease.current()
 
     def run_call(self, runner, call=CALL, repeatable=False):
         return runner.run(call, "booking-1", self.service, repeatable=repeatable)
@@ -77,7 +82,7 @@
         self.refusal(self.first, replace(CALL, service_name=""), InvalidRequestError)
 
     def test_a_lost_claim_reply_is_settled(self):
-        self.first._lease.current()
+        self.grant_lease(self.first)
         self.kvs.fault = WriteFault.LOST_REPLY
         self.assertEqual(201, self.run_call(self.first).status)
         self.assertEqual(["r1"], self.ran())
@@ -100,7 +105,7 @@
         self.assertEqual(Execution.UNKNOWN, refused.execution)
 
     def test_a_late_claim_of_a_live_owner_is_taken_over(self):
-        self.first._lease.current()
+        self.grant_lease(self.first)
         self.kvs.fault = WriteFault.LATE
         refused = self.refusal(self.first, error=UnavailableError)
         self.assertEqual(Execution.NOT_RUN, refused.execution)
@@ -110,12 +115,12 @@
         self.assertEqual(["r2"], self.ran())
 
     def test_a_claim_of_a_dead_owner_is_an_unknown_outcome(self):
-        self.first._lease.current()
+        self.grant_lease(self.first)
         self.kvs.fault = WriteFault.LATE
         self.refusal(self.first, error=UnavailableError)
         self.kvs.fault = WriteFault.NONE
         self.kvs.land_late_write()
-        del self.buses["entry-1"]
+        self.network.remove("entry-1")
         refused = self.refusal(self.second, error=PeerTimeoutError)
         self.assertEqual(Execution.UNKNOWN, refused.execution)
         self.assertIsNotNone(refused.retry_after_ms)
@@ -230,16 +235,16 @@
 
 def _owner_dies_after_its_send(machine):
     machine.build()
-    machine.request(entry=0, key=0, is_other=False, steps=2, fault=SendFault.NONE)
+    machine.request(entry=0, brand="mend", key=0, is_other=False, steps=2, fault=SendFault.NONE)
     machine.freeze_owner(index=0)
-    machine.request(entry=1, key=0, is_other=False, steps=20, fault=SendFault.NONE)
+    machine.request(entry=1, brand="mend", key=0, is_other=False, steps=20, fault=SendFault.NONE)
     machine.teardown()
 
 
 def _owner_sleeps_for_a_day(machine):
     machine.build()
-    machine.request(entry=0, key=0, is_other=False, steps=1, fault=SendFault.NONE)
+    machine.request(entry=0, brand="mend", key=0, is_other=False, steps=1, fault=SendFault.NONE)
     machine.freeze_owner(index=0)
     machine.let_records_expire()
-    machine.request(entry=1, key=0, is_other=False, steps=20, fault=SendFault.NONE)
+    machine.request(entry=1, brand="mend", key=0, is_other=False, steps=20, fault=SendFault.NONE)
     machine.wake(steps=20)
