Routing v5: price a first token that comes after the objective

Change: PolicyWeights.late (default 0) is charged once when the expected first token misses 0.9 of the objective, so that only as much is recomputed as the objective needs.

--- a/bergamothill/request/routing.py
+++ b/bergamothill/request/routing.py
@@ -93,6 +93,24 @@
 BYTES_PER_MB = 1_000_000
 TOKENS_PER_UNIT = 1_000
 NEAR_BEST_MS = 5.0
+OBJECTIVE_MARGIN = 0.9
+
+
+@dataclass(frozen=True, slots=True)
+class _Prices:
+    weights: PolicyWeights
+    objective_ms: int | None
+
+    def cost(self, ttft_ms: float, computed_tokens: int, moved_bytes: int) -> float:
+        weights = self.weights
+        cost = (
+            weights.ttft * ttft_ms
+            + weights.recompute * computed_tokens / TOKENS_PER_UNIT
+            + weights.link * moved_bytes / BYTES_PER_MB
+        )
+        if self.objective_ms is not None and ttft_ms > self.objective_ms * OBJECTIVE_MARGIN:
+            cost += weights.late
+        return cost
 
 
 def choose_route(
@@ -102,6 +120,7 @@
     rng: random.Random,
     *,
     overlap: bool = False,
+    objective_ms: int | None = None,
 ) -> Route | None:
     """Choose the engine and restore length of least expected cost.
 
@@ -112,24 +131,26 @@
     :param weights: what waiting, recomputing and moving cost
     :param rng: source of the random choice
     :param overlap: the caller can have a prefix computed while later blocks are imported
+    :param objective_ms: time to first token that the brand is promised; None for none
     :returns: the route, or None when there is no engine
     """
-    routes = [_best_for(prompt, engine, weights, overlap) for engine in engines]
+    prices = _Prices(weights, objective_ms)
+    routes = [_best_for(prompt, engine, prices, overlap) for engine in engines]
     if not routes:
         return None
     best = min(route.cost for route in routes)
     return rng.choice([route for route in routes if route.cost <= best + NEAR_BEST_MS])
 
 
-def _best_for(prompt: Prompt, engine: EngineView, weights: PolicyWeights, overlap: bool) -> Route:
+def _best_for(prompt: Prompt, engine: EngineView, prices: _Prices, overlap: bool) -> Route:
     cached = engine.cached_blocks
     routes = [
-        _estimate(prompt, engine, cached, length, weights)
+        _estimate(prompt, engine, cached, length, prices)
         for length in range(cached, _stored_end(prompt, cached) + 1)
     ]
     if overlap:
         routes += [
-            _estimate(prompt, engine, start, _stored_end(prompt, start), weights)
+            _estimate(prompt, engine, start, _stored_end(prompt, start), prices)
             for start in range(cached + 1, len(prompt.stored))
             if prompt.stored[start] is not None
         ]
@@ -144,9 +165,7 @@
     return end
 
 
-def _estimate(
-    prompt: Prompt, engine: EngineView, start: int, end: int, weights: PolicyWeights
-) -> Route:
+def _estimate(prompt: Prompt, engine: EngineView, start: int, end: int, prices: _Prices) -> Route:
     """Estimate one split: blocks before ``start`` are computed while those up to ``end`` arrive."""
     moved_bytes = sum(block.size_bytes for block in prompt.stored[start:end])
     early_tokens = sum(prompt.block_tokens[engine.cached_blocks : start])
@@ -158,9 +177,5 @@
         link_bytes = engine.link_queued_bytes + moved_bytes
         restore_ms = link_bytes * MILLIS_PER_SECOND / engine.link_bytes_per_s
     ttft_ms = max(queue_ms + early_tokens * token_ms, restore_ms) + rest_tokens * token_ms
-    cost = (
-        weights.ttft * ttft_ms
-        + weights.recompute * (early_tokens + rest_tokens) / TOKENS_PER_UNIT
-        + weights.link * moved_bytes / BYTES_PER_MB
-    )
+    cost = prices.cost(ttft_ms, early_tokens + rest_tokens, moved_bytes)
     return Route(engine.server, end, round(ttft_ms), cost, start, round(queue_ms))
--- a/bergamothill/version/config.py
+++ b/bergamothill/version/config.py
@@ -41,11 +41,13 @@
     :param ttft: weight of one millisecond of time to first token
     :param recompute: cost, in those milliseconds, of recomputing 1,000 tokens of returning context
     :param link: cost, in those milliseconds, of moving 1 MB over a link to a store
+    :param late: cost, in those milliseconds, of a first token expected after the objective
     """
 
     ttft: float = 1.0
     recompute: float = 20.0
     link: float = 1.0
+    late: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/scripts/measurement/policies.py
+++ b/scripts/measurement/policies.py
@@ -14,6 +14,7 @@
 
 MILLIS_PER_SECOND = 1_000
 NEAR_BEST_MS = 5.0
+OBJECTIVE_MS = 440
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,13 +98,17 @@
     return rng.choice([plan for cost, plan in best.values() if cost <= least + NEAR_BEST_MS])
 
 
-def _overlapped(prompt, engines, weights, rng, name) -> Plan:
-    route = choose_route(prompt, engines, weights, rng, overlap=True)
+def _overlapped(prompt, engines, weights, rng, name, objective_ms=None) -> Plan:
+    route = choose_route(prompt, engines, weights, rng, overlap=True, objective_ms=objective_ms)
     view = next(each for each in engines if each.server == route.server)
     start = max(view.cached_blocks, route.compute_blocks)
     return Plan(view, start, route.restore_blocks, route.expected_ttft_ms, route.queue_ms)
 
 
+def _objective(prompt, engines, weights, rng, name) -> Plan:
+    return _overlapped(prompt, engines, weights, rng, name, OBJECTIVE_MS)
+
+
 def _least(engines, rng, key) -> EngineView:
     least = min(key(each) for each in engines)
     return rng.choice([each for each in engines if key(each) == least])
@@ -150,5 +155,6 @@
         Policy("v2", _version_1),
         Policy("v3", _overlapped),
         Policy("v4", _overlapped, relay_ms=10, relay_everywhere=True),
+        Policy("v5", _objective, relay_ms=10, relay_everywhere=True),
     )
 }
--- a/scripts/measurement/trace.py
+++ b/scripts/measurement/trace.py
@@ -82,7 +82,7 @@
         link_bytes_per_s=1_000_000_000,
         bytes_per_token=40_000,
         cache_tokens=120_000,
-        weights=PolicyWeights(ttft=0.3, recompute=60.0, link=0.5),
+        weights=PolicyWeights(ttft=1.0, recompute=60.0, link=0.1, late=100.0),
     ),
     "association": Deployment(
         name="association",
@@ -98,7 +98,7 @@
         link_bytes_per_s=1_250_000_000,
         bytes_per_token=40_000,
         cache_tokens=80_000,
-        weights=PolicyWeights(ttft=1.0, recompute=5.0, link=0.05),
+        weights=PolicyWeights(ttft=1.0, recompute=42.0, link=0.05, late=100.0),
     ),
 }
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -55,6 +55,14 @@
         thrifty = PolicyWeights(ttft=1, recompute=0, link=1)
         self.assertEqual("engine-1", choose(subject, ENGINE, busy, weights=thrifty).server)
 
+    def test_computes_no_more_than_the_objective_needs(self) -> None:
+        weights = PolicyWeights(ttft=1, recompute=60, link=0, late=500)
+        subject = prompt(5, (BLOCK,) * 5)
+        options = {"weights": weights, "overlap": True}
+        self.assertEqual(0, choose(subject, ENGINE, objective_ms=1_000, **options).compute_blocks)
+        self.assertEqual(1, choose(subject, ENGINE, objective_ms=400, **options).compute_blocks)
+        self.assertEqual(0, choose(subject, ENGINE, objective_ms=200, **options).compute_blocks)
+
     def test_ties_spread_over_the_near_best(self) -> None:
         engines = [replace(ENGINE, server=ServerId(f"engine-{i}")) for i in range(4)]
         rng = random.Random(1)
