--- a/bergamothill/request/load.py
+++ b/bergamothill/request/load.py
@@ -28,12 +28,14 @@
     :param tokens: prompt tokens to compute
     :param link_bytes: bytes to import
     :param age_ms: time since it was sent, in milliseconds
+    :param reused: keys of the cached blocks that the work uses again; no cache event tells of it
     """
 
     server: ServerId
     tokens: int
     link_bytes: int
     age_ms: int
+    reused: tuple[str, ...] = ()
 
 
 @message("sent_work_delta")
@@ -52,6 +54,7 @@
     at_ms: int
     tokens: int
     link_bytes: int
+    reused: tuple[str, ...] = ()
 
 
 @dataclass(slots=True)
@@ -98,15 +101,23 @@
         """
         self._engines.pop(server, None)
 
-    def sent(self, server: ServerId, tokens: int, link_bytes: int, now_ms: int) -> None:
+    def sent(
+        self,
+        server: ServerId,
+        tokens: int,
+        link_bytes: int,
+        now_ms: int,
+        reused: tuple[str, ...] = (),
+    ) -> None:
         """Count work that this entry instance sends.
 
         :param server: engine
         :param tokens: prompt tokens to compute
         :param link_bytes: bytes to import
         :param now_ms: current instant
+        :param reused: keys of the cached blocks that the work uses again
         """
-        send = _Send(now_ms, tokens, link_bytes)
+        send = _Send(now_ms, tokens, link_bytes, reused)
         self._add(server, send)
         self._unrelayed.append((server, send))
 
@@ -118,7 +129,7 @@
         if not self._unrelayed:
             return None
         work = tuple(
-            SentWork(server, send.tokens, send.link_bytes, now_ms - send.at_ms)
+            SentWork(server, send.tokens, send.link_bytes, now_ms - send.at_ms, send.reused)
             for server, send in self._unrelayed
         )
         self._unrelayed = []
--- a/scripts/measurement/policies.py
+++ b/scripts/measurement/policies.py
@@ -48,6 +48,7 @@
     :param idle_export: exports wait for idle link time
     :param relay_ms: period at which an entry instance relays what it sent
     :param relay_everywhere: other zones get it too
+    :param relay_reused: the relay names the cached blocks that were used again
     :param admission: requests pass admission
     """
 
@@ -58,6 +59,7 @@
     idle_export: bool = True
     relay_ms: int = 100
     relay_everywhere: bool = False
+    relay_reused: bool = False
     admission: bool = False
 
 
@@ -156,5 +158,6 @@
         Policy("v3", _overlapped),
         Policy("v4", _overlapped, relay_ms=10, relay_everywhere=True),
         Policy("v5", _objective, relay_ms=10, relay_everywhere=True),
+        Policy("v6", _objective, relay_ms=10, relay_everywhere=True, relay_reused=True),
     )
 }
--- a/scripts/measurement/replay.py
+++ b/scripts/measurement/replay.py
@@ -185,6 +185,8 @@
             for entry in self._entries:
                 if entry is not sender and self._hears(entry, sender):
                     entry.load.relayed(delta, self._now_ms())
+                    for work in delta.work:
+                        entry.prefix.used(work.server, work.reused)
 
     def _hears(self, entry: _Entry, sender: _Entry) -> bool:
         if entry.zone == sender.zone:
@@ -294,7 +296,7 @@
         missing = attempt.keys[plan.compute_until : plan.restore_until]
         tokens = attempt.outcome.arrival.prompt_tokens - (cached + len(missing)) * BLOCK_TOKENS
         imported = len(missing) * self.deployment.block_bytes
-        self._sent(attempt.entry, plan.view.server, tokens, imported)
+        self._sent(attempt.entry, plan.view.server, tokens, imported, attempt.keys[:cached])
         attempt.entry.prefix.used(plan.view.server, attempt.keys)
         attempt.waiting = 1
         for key in missing:
@@ -304,9 +306,17 @@
             self._warm(attempt)
         self._arrived(attempt)
 
-    def _sent(self, entry: _Entry, server: ServerId, tokens: int, link_bytes: int) -> None:
+    def _sent(
+        self,
+        entry: _Entry,
+        server: ServerId,
+        tokens: int,
+        link_bytes: int,
+        cached: tuple[str, ...] = (),
+    ) -> None:
         if self.policy.own_sends:
-            entry.load.sent(server, tokens, link_bytes, self._now_ms())
+            reused = cached if self.policy.relay_reused else ()
+            entry.load.sent(server, tokens, link_bytes, self._now_ms(), reused)
 
     def _warm(self, attempt: _Attempt) -> None:
         """Compute the first missing blocks while the later ones arrive."""
