--- a/bergamothill/request/prefix.py
+++ b/bergamothill/request/prefix.py
@@ -4,8 +4,6 @@
 
 from collections import OrderedDict
 from collections.abc import Sequence
-from dataclasses import dataclass, field
-from itertools import islice
 
 from bergamothill.connection.engine import CacheEventKind, CacheEvents
 from bergamothill.ids import ServerId
@@ -13,79 +11,17 @@
 __all__ = ["PrefixIndex"]
 
 KEYS_PER_ENGINE = 20_000
-CAPACITY_WEIGHT = 0.1
-SAFE_PART = 0.85
-KEPT_PER_CAPACITY = 4
-EVICTIONS_PER_SAMPLE = 4
-USES_PER_CUTOFF = 50
-LEAST_SAMPLES = 8
-
-
-@dataclass(slots=True)
-class _Cache:
-    """Keys by the number of their last use, least recently used first."""
-
-    uses: int = 0
-    kept: OrderedDict[str, int] = field(default_factory=OrderedDict)
-    capacity: float | None = None
-    evictions: int = 0
-    samples: int = 0
-    cutoff: int = 0
-    cutoff_uses: int = 0
-
-    def use(self, key: str) -> None:
-        self.uses += 1
-        self.kept[key] = self.uses
-        self.kept.move_to_end(key)
-
-    def evict(self, key: str) -> None:
-        self.evictions += 1
-        if key in self.kept and self.evictions % EVICTIONS_PER_SAMPLE == 1:
-            self._learn(self._rank(key))
-        self.kept.pop(key, None)
-
-    def keeps(self, key: str) -> bool:
-        return self.kept.get(key, -1) >= self._safe_cutoff()
-
-    def trim(self, most_keys: int) -> None:
-        bound = most_keys
-        if self.capacity is not None and self.samples >= LEAST_SAMPLES:
-            bound = min(most_keys, round(self.capacity * KEPT_PER_CAPACITY) + 1)
-        while len(self.kept) > bound:
-            self.kept.popitem(last=False)
-
-    def _rank(self, key: str) -> int:
-        return next(rank for rank, known in enumerate(reversed(self.kept)) if known == key)
-
-    def _learn(self, rank: int) -> None:
-        self.samples += 1
-        known = float(rank) if self.capacity is None else self.capacity
-        self.capacity = known + CAPACITY_WEIGHT * (rank - known)
-
-    def _safe_cutoff(self) -> int:
-        """Return the least use number that is safely inside the cache."""
-        if self.capacity is None or self.samples < LEAST_SAMPLES:
-            return 0
-        safe = max(1, round(self.capacity * SAFE_PART))
-        if self.uses - self.cutoff_uses > safe // USES_PER_CUTOFF:
-            self.cutoff_uses = self.uses
-            outside = next(islice(reversed(self.kept.values()), safe, None), -1)
-            self.cutoff = outside + 1
-        return self.cutoff
 
 
 class PrefixIndex:
-    """Block keys that each engine is believed to keep.
-
-    The size of an engine's cache is learned from the rank, by last use, of what it evicts. Keys
-    near that rank count as absent: their eviction may be under way, and its event comes late.
+    """Block keys that each engine is believed to keep, least recently used first.
 
     :param most_keys: bound of the keys remembered for one engine
     """
 
     def __init__(self, most_keys: int = KEYS_PER_ENGINE) -> None:
         self._most_keys = most_keys
-        self._caches: dict[ServerId, _Cache] = {}
+        self._kept: dict[ServerId, OrderedDict[str, None]] = {}
 
     def leading(self, server: ServerId, block_keys: Sequence[str]) -> int:
         """Return how many leading blocks of a prompt an engine is believed to keep.
@@ -93,11 +29,9 @@
         :param server: engine
         :param block_keys: keys of the prompt's full blocks, in prefix order
         """
-        cache = self._caches.get(server)
-        if cache is None:
-            return 0
+        kept = self._kept.get(server, {})
         for position, key in enumerate(block_keys):
-            if not cache.keeps(key):
+            if key not in kept:
                 return position
         return len(block_keys)
 
@@ -107,10 +41,12 @@
         :param server: engine
         :param block_keys: keys of the blocks
         """
-        cache = self._caches.setdefault(server, _Cache())
+        kept = self._kept.setdefault(server, OrderedDict())
         for key in block_keys:
-            cache.use(key)
-        cache.trim(self._most_keys)
+            kept[key] = None
+            kept.move_to_end(key)
+        while len(kept) > self._most_keys:
+            kept.popitem(last=False)
 
     def correct(self, server: ServerId, block_keys: Sequence[str], cached_blocks: int) -> None:
         """Replace belief by what a run reported: all blocks past the cached ones were absent.
@@ -119,11 +55,11 @@
         :param block_keys: keys that were believed to be kept before the run
         :param cached_blocks: leading blocks that the engine says it had
         """
-        cache = self._caches.get(server)
-        if cache is None:
+        kept = self._kept.get(server)
+        if kept is None:
             return
         for key in block_keys[cached_blocks:]:
-            cache.kept.pop(key, None)
+            kept.pop(key, None)
 
     def observe(self, server: ServerId, events: CacheEvents) -> None:
         """Take in cache events; after a gap the rest still counts, since all are hints.
@@ -131,17 +67,15 @@
         :param server: engine
         :param events: events in order
         """
-        cache = self._caches.setdefault(server, _Cache())
         for event in events.events:
             if event.kind is CacheEventKind.KEPT:
-                cache.use(event.key)
+                self.used(server, (event.key,))
             else:
-                cache.evict(event.key)
-        cache.trim(self._most_keys)
+                self._kept.get(server, OrderedDict()).pop(event.key, None)
 
     def forget(self, server: ServerId) -> None:
         """Drop an engine that left or started anew.
 
         :param server: engine
         """
-        self._caches.pop(server, None)
+        self._kept.pop(server, None)
