Routing v7: renew the believed cached prefix while the blocks behind it are restored

Cause: when the prefix was evicted meanwhile, the run found none of it and the restored blocks were of no use: the whole context was computed again. Change: a prefill of the believed cached blocks goes out at once; where they are there it renews them, where they are not it computes them during the import. The caller sends it as the run of compute_blocks, also when there is nothing to compute.

--- a/scripts/measurement/policies.py
+++ b/scripts/measurement/policies.py
@@ -49,6 +49,8 @@
     :param relay_ms: period at which an entry instance relays what it sent
     :param relay_everywhere: other zones get it too
     :param relay_reused: the relay names the cached blocks that were used again
+    :param renew_cached: a prefill of the cached blocks runs at once, so that they are still there
+        after the import, or are computed meanwhile
     :param admission: requests pass admission
     """
 
@@ -60,6 +62,7 @@
     relay_ms: int = 100
     relay_everywhere: bool = False
     relay_reused: bool = False
+    renew_cached: bool = False
     admission: bool = False
 
 
@@ -159,5 +162,13 @@
         Policy("v4", _overlapped, relay_ms=10, relay_everywhere=True),
         Policy("v5", _objective, relay_ms=10, relay_everywhere=True),
         Policy("v6", _objective, relay_ms=10, relay_everywhere=True, relay_reused=True),
+        Policy(
+            "v7",
+            _objective,
+            relay_ms=10,
+            relay_everywhere=True,
+            relay_reused=True,
+            renew_cached=True,
+        ),
     )
 }
--- a/scripts/measurement/replay.py
+++ b/scripts/measurement/replay.py
@@ -302,7 +302,8 @@
         for key in missing:
             attempt.waiting += 1
             self._import(attempt, key)
-        if plan.compute_until > cached:
+        renew = self.policy.renew_cached and missing and cached
+        if plan.compute_until > cached or renew:
             self._warm(attempt)
         self._arrived(attempt)
 
