--- a/bergamothill/request/limits.py
+++ b/bergamothill/request/limits.py
@@ -26,15 +26,16 @@
 ]
 
 STEP = "admission"
-DEMAND_TIME_CONSTANT_MS = 2_000
-WORK_TIME_CONSTANT_MS = 10_000
+DEMAND_TIME_CONSTANT_MS = 5_000
+WORK_TIME_CONSTANT_MS = 30_000
 LEAST_RATE_PER_S = 0.01
 DEMAND_HEADROOM = 1.25
 LEAST_LOAN = 0.001
-PRESSURE_MS = 220
+PRESSURE_MS = 100
 BATCH_PRESSURE_MS = 110
 BATCH_CONCURRENT_PART = 0.5
 FAIR_EXCESS = 1.5
+EXCESS_ALLOWANCE = 0.1
 EXCESS_PRIORITY_LIMIT = 4
 BATCH_PRIORITY = 10
 CONCURRENT_RETRY_MS = 1_000
@@ -269,7 +270,10 @@
             self._quota(loan.brand).borrow(loan.share, asked_ms + LOAN_MS, now_ms)
 
     def excess(self, brand: BrandName, now_ms: int) -> float:
-        """Return a brand's recent work over its fair share; 1 is exactly its share.
+        """Return a brand's recent work, less a tenth of all, over its fair share.
+
+        The tenth keeps a single request of a small brand from counting as an excess. Fair shares
+        are in proportion to the rate limits of the brands that were active.
 
         :param brand: brand asked for
         :param now_ms: current instant
@@ -280,7 +284,8 @@
             return 0.0
         weights = {name: self._limits_for(name).requests_per_s for name in active}
         fair = weights[brand] / sum(weights.values())
-        return active[brand] / sum(active.values()) / max(fair, LEAST_LOAN)
+        part = active[brand] / sum(active.values())
+        return max(0.0, part - EXCESS_ALLOWANCE) / max(fair, LEAST_LOAN)
 
     def _check_deadline(self, expected_ttft_ms: int, deadline_ms: int) -> None:
         if expected_ttft_ms > deadline_ms:
@@ -327,7 +332,10 @@
         return rate / max(limits.requests_per_s, LEAST_RATE_PER_S)
 
     def _lack(self, brand: BrandName, now_ms: int) -> float:
-        return max(0.0, self._needed(brand, now_ms) - self._quota(brand).share(now_ms))
+        quota = self._quota(brand)
+        if not quota.is_low(now_ms):
+            return 0.0
+        return max(0.0, self._needed(brand, now_ms) - quota.share(now_ms))
 
 
 def _refusal(text: str, retry_after_ms: int) -> OverloadedError:
--- a/bergamothill/request/quota.py
+++ b/bergamothill/request/quota.py
@@ -49,6 +49,14 @@
         self._advance(now_ms)
         return self._usable()
 
+    def is_low(self, now_ms: int) -> bool:
+        """Tell whether less than half of the bucket is left.
+
+        :param now_ms: current instant
+        """
+        self._advance(now_ms)
+        return self._tokens < self._capacity() / 2
+
     def lendable(self, needed: float, now_ms: int) -> float:
         """Return the part that may be lent; what was borrowed is not lent on.
 
--- a/bergamothill/request/routing.py
+++ b/bergamothill/request/routing.py
@@ -78,7 +78,7 @@
     :param cost: expected cost in weighted milliseconds
     :param compute_blocks: leading blocks to have computed by then, cached ones included: a prefill
         of the prefix up to here runs while the blocks from here to ``restore_blocks`` are imported
-    :param queue_ms: part of the expected time that is spent in the engine's queue
+    :param queue_ms: longest wait in a queue of the engine, for prefill or for the link
     """
 
     server: ServerId
@@ -172,10 +172,10 @@
     rest_tokens = max(1, prompt.prompt_tokens - sum(prompt.block_tokens[:end]))
     token_ms = MILLIS_PER_SECOND / engine.prefill_tokens_per_s
     queue_ms = engine.queued_tokens * token_ms
-    restore_ms = 0.0
-    if moved_bytes:
-        link_bytes = engine.link_queued_bytes + moved_bytes
-        restore_ms = link_bytes * MILLIS_PER_SECOND / engine.link_bytes_per_s
+    byte_ms = MILLIS_PER_SECOND / engine.link_bytes_per_s
+    link_queue_ms = engine.link_queued_bytes * byte_ms if moved_bytes else 0.0
+    restore_ms = link_queue_ms + moved_bytes * byte_ms
     ttft_ms = max(queue_ms + early_tokens * token_ms, restore_ms) + rest_tokens * token_ms
     cost = prices.cost(ttft_ms, early_tokens + rest_tokens, moved_bytes)
-    return Route(engine.server, end, round(ttft_ms), cost, start, round(queue_ms))
+    waiting_ms = round(max(queue_ms, link_queue_ms))
+    return Route(engine.server, end, round(ttft_ms), cost, start, waiting_ms)
--- a/scripts/measurement/policies.py
+++ b/scripts/measurement/policies.py
@@ -170,5 +170,14 @@
             relay_reused=True,
             renew_cached=True,
         ),
+        Policy(
+            "v8",
+            _objective,
+            relay_ms=10,
+            relay_everywhere=True,
+            relay_reused=True,
+            renew_cached=True,
+            admission=True,
+        ),
     )
 }
