--- a/bergamothill/process/entry.py
+++ b/bergamothill/process/entry.py
@@ -5,6 +5,7 @@
 import random
 import threading
 from concurrent.futures import ThreadPoolExecutor
+from dataclasses import asdict
 from typing import Any
 
 import statsd
@@ -16,14 +17,23 @@
 from bergamothill.connection.kvs_http import HttpKeyValueService
 from bergamothill.connection.peer import PeerMesh
 from bergamothill.connection.service import PlainService
-from bergamothill.errors import UnavailableError
-from bergamothill.ids import BrandName, EntryInstanceId, Incarnation, ServerId, ServiceName
+from bergamothill.errors import BergamothillError, UnavailableError
+from bergamothill.ids import (
+    BrandName,
+    DutyName,
+    EntryInstanceId,
+    Incarnation,
+    ServerId,
+    ServiceName,
+)
 from bergamothill.logs import EventLog
 from bergamothill.process.callers import CallerRoutes, Serving
 from bergamothill.process.clientpool import ClientPool, engine_client
 from bergamothill.process.drain import DrainBounds
+from bergamothill.process.duties import Duties, Duty
 from bergamothill.process.frontend import Frontend
 from bergamothill.process.httpserver import HttpServer
+from bergamothill.process.lease import DutyLease
 from bergamothill.process.metrics import Recorder, StatsdMetrics
 from bergamothill.process.operators import OperatorRoutes
 from bergamothill.process.pollplan import PollPlan
@@ -54,6 +64,8 @@
 LOAN_PEERS = 8
 LOAN_TIMEOUT_MS = 500
 ACTION_INTERVAL_MS = 1_000
+DUTY_INTERVAL_MS = 1_000
+SWEEP_INTERVAL_MS = 30_000
 
 _log = EventLog("entry")
 
@@ -162,7 +174,8 @@
     def _make_work(self) -> None:
         settings = self._settings
         bounds = DrainBounds(settings.drain_notice_ms, settings.drain_finish_ms, HAND_OVER_MS)
-        self._work = WorkTracker(self._clock, bounds, self._mesh.leave)
+        self._duties = Duties(self._mesh, settings.entry_id, self._clock, self._make_duties())
+        self._work = WorkTracker(self._clock, bounds, self._leave)
         self._recorder = Recorder(settings.entry_id, self._clock)
         host, _, port = settings.statsd_address.rpartition(":")
         sink = statsd.StatsClient(host, int(port)) if port else _NoStatsd()
@@ -203,8 +216,24 @@
             Task("relay_load", self._relay_interval_ms, self._relay_load),
             Task("loans", lambda: LOAN_INTERVAL_MS, self._ask_loans),
             Task("actions", lambda: ACTION_INTERVAL_MS, self._actions.maintain),
+            Task("duties", lambda: DUTY_INTERVAL_MS, self._duties.tick),
         )
 
+    def _make_duties(self) -> tuple[Duty, ...]:
+        zone = self._settings.zone
+        sweep = DutyLease(
+            self._kvs, self._clock, DutyName(f"sweep/{zone}"), self._settings.entry_id
+        )
+        return (Duty(sweep, SWEEP_INTERVAL_MS, self._kept.sweep),)
+
+    def _leave(self) -> None:
+        """Release the duties and leave membership."""
+        try:
+            self._duties.leave()
+        except BergamothillError as error:
+            _log.warning("release_failed", step=error.step, peer=error.peer, reason=error.message)
+        self._mesh.leave()
+
     def _relay_interval_ms(self) -> int:
         return PollPlan.tick_ms(self._mesh.live_peers())
 
@@ -269,6 +298,7 @@
             **status,
             "draining": self._work.is_draining,
             "in_progress": self._work.in_progress,
+            "leases": [asdict(duty) for duty in self._duties.status()],
             "control_bytes": sum(self._mesh.bytes_total()) + CONTROL_TRAFFIC.total_bytes,
         }
 
