--- a/bergamothill/process/pollplan.py
+++ b/bergamothill/process/pollplan.py
@@ -10,7 +10,7 @@
 __all__ = ["PollPlan"]
 
 TICK_MIN_MS = 500
-TICK_PER_PEER_MS = 45
+TICK_PER_PEER_MS = 75
 LIST_SLOT_MS = 2_000
 LIST_AGE_MAX_MS = 3_000
 LIST_RETRY_MS = 1_000
@@ -25,21 +25,26 @@
 
     :param entry_id: this entry instance
     :param zone: its availability zone
+    :param tick_min_ms: least time between two polls of a server, in milliseconds
     """
 
-    def __init__(self, entry_id: EntryInstanceId, zone: ZoneName) -> None:
+    def __init__(
+        self, entry_id: EntryInstanceId, zone: ZoneName, tick_min_ms: int = TICK_MIN_MS
+    ) -> None:
+        self._tick_min_ms = tick_min_ms
         self._entry_id = entry_id
         self._zone = zone
         self._rank_cache: dict[ServerId, tuple[EntryInstanceId, ...]] = {}
         self._rank_members: tuple[EntryInstanceId, ...] = ()
 
     @staticmethod
-    def tick_ms(live: Sequence[EntryInstanceId]) -> int:
+    def tick_ms(live: Sequence[EntryInstanceId], least_ms: int = TICK_MIN_MS) -> int:
         """Return the time between two polls of a server and two reports; it grows with the zone.
 
         :param live: live entry instances of the zone
+        :param least_ms: least time, in milliseconds
         """
-        return max(TICK_MIN_MS, TICK_PER_PEER_MS * len(live))
+        return max(least_ms, TICK_PER_PEER_MS * len(live))
 
     @staticmethod
     def summary_ms(live: Sequence[EntryInstanceId], zone_count: int) -> int:
@@ -61,7 +66,7 @@
         :param age_ms: age of what is known of the server, in milliseconds
         """
         ranked = self._ranked(server, tuple(live))
-        overdue = age_ms // (OVERDUE_TICKS * self.tick_ms(live))
+        overdue = age_ms // (OVERDUE_TICKS * self.tick_ms(live, self._tick_min_ms))
         return self._entry_id in ranked[: 1 + max(0, overdue)]
 
     def reads_list(
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -5,6 +5,7 @@
 import json
 import subprocess
 import sys
+import time
 from collections.abc import Callable
 from enum import Enum
 from pathlib import Path
@@ -88,6 +89,19 @@
         return json.loads(reply.body)
 
 
+WAIT_LIMIT_S = 20
+WAIT_STEP_S = 0.02
+
+
+def await_true(condition: Callable[[], bool]) -> None:
+    """Wait until a condition holds; the limit only ends a test that hangs."""
+    limit = time.monotonic() + WAIT_LIMIT_S
+    while not condition():
+        if time.monotonic() > limit:
+            raise AssertionError("the condition never held")
+        time.sleep(WAIT_STEP_S)
+
+
 class WriteFault(Enum):
     """What happens to the next write."""
 
--- a/tests/test_watcher.py
+++ b/tests/test_watcher.py
@@ -3,12 +3,13 @@
 
 from bergamothill.clock import ManualClock, SystemClock
 from bergamothill.connection.kvs_memory import MemoryKeyValueService
+from bergamothill.connection.memorybus import MemoryNetwork
 from bergamothill.errors import PeerUnreachableError, UnavailableError
 from bergamothill.version.change import AddBrand, SetDefault
 from bergamothill.version.follower import RefusalReason
+from bergamothill.version.repair import RecoveryOrder, order_recovery
 from bergamothill.version.revision import ConfigurationWriter
 from bergamothill.version.watcher import ConfigurationWatcher
-from tests.localbus import LocalNetwork
 
 
 class SwitchedKeyValueService(MemoryKeyValueService):
@@ -37,13 +38,14 @@
     def setUp(self):
         self.clock = ManualClock()
         self.kvs = SwitchedKeyValueService(self.clock)
-        self.network = LocalNetwork()
+        self.network = MemoryNetwork()
         self.applied = {}
+        self.buses = {}
         self.watchers = {}
 
     def add(self, entry, zone="a"):
         self.applied[entry] = []
-        bus = self.network.bus(entry, zone)
+        bus = self.buses[entry] = self.network.join(entry, zone)
         self.watchers[entry] = ConfigurationWatcher(
             self.kvs,
             bus,
@@ -95,9 +97,13 @@
         self.accept(5)
         self.step(2)
         self.accept(6)
-        for bus in self.network.buses.values():
-            bus.lose_publishes = 2
-        self.step(4)
+        for bus in self.buses.values():
+            bus.publish = lambda message, scope: None
+        self.step(1)
+        self.assertEqual(self.revisions(), {1, 2})
+        for bus in self.buses.values():
+            del bus.publish
+        self.step(2)
         self.assertEqual(self.revisions(), {2})
 
     def test_empty_service_gives_the_empty_configuration(self):
@@ -127,16 +133,32 @@
         self.assertGreaterEqual(late.status().age_ms, 60_000)
         self.assertFalse(late.status().kvs_reachable)
 
-    def test_rolled_back_service_is_refused_and_reported(self):
+    def test_rolled_back_service_is_refused_reported_and_written_back(self):
         watcher = self.add("a0")
         self.accept(5)
         old = self.kvs.snapshot()
         self.accept(6)
         self.step(2)
         self.kvs.restore(old)
-        self.step()
+        watcher.watch_once()
         self.assertEqual(watcher.current().defaults.warm_time_ms, 6)
         self.assertIs(watcher.status().reason, RefusalReason.ROLLED_BACK)
+        self.step()
+        self.assertIs(watcher.status().reason, RefusalReason.NONE)
+        self.assertEqual(self.accept(7).revision, 3)
+        self.step()
+        self.assertEqual(watcher.current().defaults.warm_time_ms, 7)
+
+    def test_emptied_service_is_written_back(self):
+        watcher = self.add("a0")
+        empty = self.kvs.snapshot()
+        self.accept(5)
+        self.step(2)
+        self.kvs.restore(empty)
+        self.step(2)
+        self.assertEqual(watcher.status().reason, RefusalReason.NONE)
+        snapshot = ConfigurationWriter(self.kvs, self.clock).read()
+        self.assertEqual(snapshot.configuration.defaults.warm_time_ms, 5)
 
     def test_restored_service_that_went_another_way_is_refused(self):
         watcher = self.add("a0")
@@ -150,6 +172,12 @@
         self.step()
         self.assertEqual(watcher.current().defaults.warm_time_ms, 6)
         self.assertIs(watcher.status().reason, RefusalReason.DIVERGED)
+        writer = ConfigurationWriter(self.kvs, self.clock)
+        order_recovery(self.kvs, RecoveryOrder(writer.read().head.lineage, "restored by mistake"))
+        self.clock.advance_ms(30_000)
+        self.step(2)
+        self.assertEqual(writer.read().configuration.defaults.warm_time_ms, 6)
+        self.assertIs(watcher.status().reason, RefusalReason.NONE)
 
     def test_entry_steps_in_when_the_watching_entries_are_frozen(self):
         for number in range(4):
@@ -158,10 +186,11 @@
         self.step(2)
         frozen = [entry for entry, w in self.watchers.items() if w.holds_watch()]
         # Membership has not seen it yet: the frozen entries stay ranked.
-        for bus in self.network.buses.values():
+        for bus in self.buses.values():
             bus.live_peers = lambda: ("a0", "a1", "a2", "a3")
-        self.network.frozen.update(frozen)
         for entry in frozen:
+            for other in self.buses:
+                self.network.cut(entry, other)
             del self.watchers[entry]
         self.accept(6)
         self.step(6)
@@ -182,10 +211,10 @@
     def test_threads_apply_a_change_and_stop(self):
         clock = SystemClock()
         kvs = MemoryKeyValueService(clock)
-        network = LocalNetwork()
+        network = MemoryNetwork()
         writer = ConfigurationWriter(kvs, clock)
         watchers = [
-            ConfigurationWatcher(kvs, network.bus(entry, "a"), clock, entry, lambda _: None)
+            ConfigurationWatcher(kvs, network.join(entry, "a"), clock, entry, lambda _: None)
             for entry in ("a0", "a1", "a2")
         ]
         for watcher in watchers:
