Run the tests of actions on the twin of the peer mesh

Cause: tests/localbus.py went away on main while the tests of actions had begun to use it, so that test_action could not be imported after the merge. Change: they use MemoryNetwork; a frozen entry instance is cut from all others.

--- a/tests/actionworker.py
+++ b/tests/actionworker.py
@@ -8,17 +8,17 @@
 from bergamothill.clock import SystemClock
 from bergamothill.connection.http import HttpClient
 from bergamothill.connection.kvs_http import HttpKeyValueService
+from bergamothill.connection.memorybus import MemoryNetwork
 from bergamothill.connection.service import HttpPlainService, ServiceCall
 from bergamothill.errors import BergamothillError
 from bergamothill.request.action import ActionRunner
-from tests.localbus import LocalNetwork
 
 
 def main(entry_id: str, kvs_address: str, service_address: str) -> None:
     """Serve calls until the input ends; each line is a JSON object of request and timeout."""
     kvs = HttpKeyValueService(HttpClient("kvs", kvs_address))
     service = HttpPlainService(HttpClient("booking", service_address))
-    runner = ActionRunner(kvs, LocalNetwork().bus(entry_id, "zone-a"), SystemClock(), entry_id)
+    runner = ActionRunner(kvs, MemoryNetwork().join(entry_id, "zone-a"), SystemClock(), entry_id)
     for line in sys.stdin:
         request = json.loads(line)
         call = ServiceCall(
--- a/tests/proof/proof_action.py
+++ b/tests/proof/proof_action.py
@@ -11,6 +11,7 @@
 from hypothesis.stateful import initialize, precondition, rule
 
 from bergamothill.clock import ManualClock
+from bergamothill.connection.memorybus import MemoryNetwork
 from bergamothill.connection.service import PlainService, ServiceCall, ServiceReply
 from bergamothill.errors import Execution, PeerTimeoutError, PeerUnreachableError
 from bergamothill.request import action
@@ -26,7 +27,6 @@
 )
 from bergamothill.request.recordlease import RETENTION_MS
 from tests.builders import FaultyKeyValueService, WriteFault
-from tests.localbus import LocalNetwork
 from tests.proof.harness import Proof, ProofMachine
 
 ENTRIES = 3
@@ -130,14 +130,11 @@
 
     def __init__(self, name: str, world: AtMostOnceMachine) -> None:
         self.name = name
-        self.network = world.network
-        bus = self.network.bus(name, f"zone-of-{name}")
+        bus = world.network.join(name, "zone-a")
         self.runner = ActionRunner(world.kvs, bus, world.clock, name)
         self.progress: deque[Progress] = deque()
-
-    @property
-    def is_frozen(self) -> bool:
-        return self.name in self.network.frozen
+        self.is_frozen = False
+        self.is_cut_off = False
 
 
 class AtMostOnceMachine(ProofMachine):
@@ -150,7 +147,7 @@
         self.clock = ManualClock()
         self.kvs = FaultyKeyValueService(self.clock)
         self.back_end = BackEnd(self.clock)
-        self.network = LocalNetwork()
+        self.network = MemoryNetwork()
         self.started = 0
         self.entries = [Entry(f"entry-{number}", self) for number in range(ENTRIES)]
 
@@ -218,14 +215,16 @@
     def freeze_owner(self, index: int) -> None:
         self.fault()
         entry, _ = self._pick(index)
-        self.network.frozen.add(entry.name)
+        entry.is_frozen = True
+        self._link()
 
     @precondition(lambda self: any(entry.is_frozen for entry in self.entries))
     @rule(steps=st.integers(0, 8))
     def wake(self, steps: int) -> None:
         self.operation()
         entry = next(entry for entry in self.entries if entry.is_frozen)
-        self.network.frozen.discard(entry.name)
+        entry.is_frozen = False
+        self._link()
         if entry.progress:
             self._advance_progress(entry, entry.progress[0], steps)
 
@@ -234,15 +233,17 @@
     def kill_and_replace(self, entry: int, keeps_name: bool) -> None:
         self.fault()
         old = self.entries[entry]
-        self.network.remove(old.name)
+        self.network.leave(old.name)
         self.started += 1
         name = old.name if keeps_name else f"entry-{entry}-{self.started}"
         self.entries[entry] = Entry(name, self)
+        self._link()
 
     @rule(entry=st.integers(0, ENTRIES - 1))
     def toggle_cut(self, entry: int) -> None:
         self.fault()
-        self.network.cut_zones ^= {f"zone-of-{self.entries[entry].name}"}
+        self.entries[entry].is_cut_off ^= True
+        self._link()
 
     @precondition(lambda self: self.kvs.late_writes)
     @rule(index=st.integers(0, 5))
@@ -283,14 +284,24 @@
         if not hasattr(self, "entries") or self.back_end.has_violation:
             return
         self.kvs.is_down = False
-        self.network.frozen.clear()
-        self.network.cut_zones.clear()
+        for entry in self.entries:
+            entry.is_frozen = False
+            entry.is_cut_off = False
+        self._link()
         for entry in self.entries:
             while entry.progress:
                 self._finish_oldest(entry)
         for call in self.back_end.late_calls:
             self.back_end.run(call)
 
+    def _link(self) -> None:
+        """Cut the entry instances that are frozen or cut off, and no others."""
+        self.network.heal()
+        for entry in self.entries:
+            if entry.is_frozen or entry.is_cut_off:
+                for other in self.entries:
+                    self.network.cut(entry.name, other.name)
+
     def _finish_oldest(self, entry: Entry) -> None:
         oldest = entry.progress[0]
         self._advance_progress(entry, oldest, MAX_STEPS_TO_END)
--- a/tests/test_action.py
+++ b/tests/test_action.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 from bergamothill.clock import ManualClock
+from bergamothill.connection.memorybus import MemoryNetwork
 from bergamothill.connection.service import MemoryPlainService, ServiceCall, ServiceReply
 from bergamothill.errors import (
     BergamothillError,
@@ -23,7 +24,6 @@
 )
 from bergamothill.request.recordlease import LEASE_SHARING_MS, RETENTION_MS, RecordLease
 from tests.builders import FaultyKeyValueService, WriteFault
-from tests.localbus import LocalNetwork
 from tests.proof.harness import check_proof
 from tests.proof.proof_action import (
     PROOFS,
@@ -43,12 +43,12 @@
         self.clock = ManualClock()
         self.kvs = FaultyKeyValueService(self.clock)
         self.service = BackEnd(self.clock)
-        self.network = LocalNetwork()
+        self.network = MemoryNetwork()
         self.first = self.runner("entry-1")
         self.second = self.runner("entry-2")
 
     def runner(self, name):
-        return ActionRunner(self.kvs, self.network.bus(name, "zone-a"), self.clock, name)
+        return ActionRunner(self.kvs, self.network.join(name, "zone-a"), self.clock, name)
 
     def grant_lease(self, runner):
         runner.performer._lease.current()
@@ -120,7 +120,7 @@
         self.refusal(self.first, error=UnavailableError)
         self.kvs.fault = WriteFault.NONE
         self.kvs.land_late_write()
-        self.network.remove("entry-1")
+        self.network.leave("entry-1")
         refused = self.refusal(self.second, error=PeerTimeoutError)
         self.assertEqual(Execution.UNKNOWN, refused.execution)
         self.assertIsNotNone(refused.retry_after_ms)
