--- a/bergamothill/connection/peer.py
+++ b/bergamothill/connection/peer.py
@@ -3,18 +3,18 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import suppress
+from dataclasses import dataclass
 from functools import singledispatchmethod
 from typing import Any, TypeVar
 
-import logbook
 from websockets.sync.connection import Connection
 from websockets.sync.server import Server, serve
 
 from bergamothill.clock import Clock, seconds
-from bergamothill.connection.bus import PeerBus, Scope
+from bergamothill.connection.bus import PeerBus, Scope, message
 from bergamothill.connection.codec import decode_message, encode_message
 from bergamothill.connection.frames import Frame, FrameKind, PeerIdentity
 from bergamothill.connection.instancelist import Instance
@@ -30,6 +30,7 @@
 from bergamothill.connection.relay import RelayFilter
 from bergamothill.errors import BergamothillError, PeerUnreachableError, UnavailableError
 from bergamothill.ids import EntryInstanceId, Incarnation, ZoneName
+from bergamothill.logs import EventLog
 from bergamothill.process.membership import Membership, PeerView
 from bergamothill.process.membershipevents import (
     CloseLink,
@@ -59,7 +60,15 @@
 REQUEST_WORKERS = 16
 STEP = "peer.mesh"
 
-log = logbook.Logger("bergamothill.peer")
+log = EventLog("peer")
+
+
+@message("batch")
+@dataclass(frozen=True, slots=True)
+class _Batch:
+    """Several encoded messages in one frame."""
+
+    bodies: tuple[bytes, ...]
 
 
 class PeerMesh(PeerBus):
@@ -167,13 +176,23 @@
 
     def publish(self, message: object, scope: Scope) -> None:
         """Send to all in scope without waiting."""
-        body = encode_message(message)
+        self._publish_body(encode_message(message), scope)
+
+    def _publish_body(self, body: bytes, scope: Scope) -> None:
         if scope is Scope.EVERYWHERE:
             self._spread(self._relay.originate(body), None)
             return
         for link in self._zone_links():
             self._send(link, FrameKind.PUBLISH, body=body)
 
+    def publish_batch(self, messages: Iterable[object], scope: Scope) -> None:
+        """Send several messages in one frame without waiting."""
+        bodies = tuple(encode_message(item) for item in messages)
+        if len(bodies) == 1:
+            self._publish_body(bodies[0], scope)
+        elif bodies:
+            self._publish_body(encode_message(_Batch(bodies)), scope)
+
     def request(self, peer: EntryInstanceId, message: object, *, timeout_ms: int) -> Any:
         """Send to one entry instance and wait for what its handler returns.
 
@@ -217,6 +236,11 @@
             received = self._closed_bytes_received + sum(link.bytes_received for link in links)
         return sent, received
 
+    def links(self) -> tuple[PeerLink, ...]:
+        """Return the open links, for their counters."""
+        with self._lock:
+            return tuple(self._links.values())
+
     def _link_to(self, peer: EntryInstanceId) -> PeerLink | None:
         with self._lock:
             link_id = self._membership.link_of(peer)
@@ -270,6 +294,7 @@
         with self._lock:
             link = self._links.get(effect.link)
         if link is not None:
+            log.info("link_replaced", peer=link.identity.entry)
             link.abort()
 
     @_carry_out.register
@@ -281,7 +306,7 @@
 
     @_carry_out.register
     def _(self, effect: PeerChanged) -> None:
-        log.info(f"event=peer_changed peer={effect.peer} status={effect.status.value}")
+        log.info("peer_changed", peer=effect.peer, status=effect.status.value)
 
     def _tick_forever(self) -> None:
         while not self._stopping.wait(seconds(TICK_MS)):
@@ -291,7 +316,7 @@
         try:
             self._open(peer, address)
         except BergamothillError as error:
-            log.info(f"event=dial_failed peer={peer} address={address} reason={error.message!r}")
+            log.info("dial_failed", peer=peer, address=address, reason=error.message)
             self._feed(DialFailed(peer))
 
     def _open(self, peer: EntryInstanceId, address: str) -> PeerLink:
@@ -312,10 +337,10 @@
                 connection, self._identity, self._secret, self._clock, DIAL_TIMEOUT_MS
             )
         except BergamothillError as error:
-            log.warning(f"event=peer_refused peer={error.peer} reason={error.message!r}")
+            log.warning("peer_refused", peer=error.peer, reason=error.message)
             return
         except Exception as error:  # noqa: BLE001 - a dialer that went away is no fault of ours
-            log.info(f"event=peer_refused reason={type(error).__name__}")
+            log.info("peer_refused", reason=type(error).__name__)
             return
         self._serve_link(link, self._admit(link))
 
@@ -347,11 +372,10 @@
             link.read_frames(lambda _, frame: self._on_frame(link, link_id, frame))
         except BergamothillError as error:
             log.warning(
-                f"event=link_closed peer={link.identity.entry} step={error.step}"
-                f" reason={error.message!r}"
+                "link_closed", peer=link.identity.entry, step=error.step, reason=error.message
             )
         except Exception as error:  # noqa: BLE001 - one bad link must not end the process
-            log.error(f"event=link_failed peer={link.identity.entry} reason={error!r}")
+            log.error("link_failed", peer=link.identity.entry, reason=repr(error))
         with self._lock:
             self._links.pop(link_id, None)
             self._link_ids.pop(link, None)
@@ -378,27 +402,31 @@
 
     def _on_publish(self, link: PeerLink, frame: Frame) -> None:
         if frame.counter == 0:
-            self._deliver(link.identity.entry, frame)
+            self._deliver(link.identity.entry, frame.body)
             return
         passed_on = self._relay.receive(frame)
         if passed_on is not None:
-            self._deliver(frame.origin, frame)
+            self._deliver(frame.origin, frame.body)
             self._spread(passed_on, link)
 
-    def _deliver(self, sender: EntryInstanceId, frame: Frame) -> Any:
-        message = decode_message(frame.body)
+    def _deliver(self, sender: EntryInstanceId, body: bytes) -> Any:
+        message = decode_message(body)
+        if isinstance(message, _Batch):
+            for item in message.bodies:
+                self._deliver(sender, item)
+            return None
         handler = self._handlers.get(type(message))
         if handler is None:
             return None
         try:
             return handler(sender, message)
         except Exception as error:  # noqa: BLE001 - a handler's fault must not close the link
-            log.error(f"event=handler_failed message={type(message).__name__} reason={error!r}")
+            log.error("handler_failed", message=type(message).__name__, reason=repr(error))
             return error
 
     def _answer(self, link: PeerLink, frame: Frame) -> None:
         try:
-            result = self._deliver(link.identity.entry, frame)
+            result = self._deliver(link.identity.entry, frame.body)
             failure = str(result) if isinstance(result, Exception) else ""
         except BergamothillError as error:
             result, failure = None, str(error)
