--- a/bergamothill/request/limits.py
+++ b/bergamothill/request/limits.py
@@ -38,6 +38,7 @@
 EXCESS_ALLOWANCE = 0.1
 EXCESS_PRIORITY_LIMIT = 4
 BATCH_PRIORITY = 10
+WEIGHING_MS = 1_000
 CONCURRENT_RETRY_MS = 1_000
 LEAST_RETRY_MS = 100
 ASK_ID_BITS = 63
@@ -149,6 +150,8 @@
         self._demand = DecayingRates(DEMAND_TIME_CONSTANT_MS)
         self._work = DecayingRates(WORK_TIME_CONSTANT_MS)
         self._asks: dict[int, int] = {}
+        self._weight = 0.0
+        self._weighed_ms = started_ms - WEIGHING_MS
 
     def admit(
         self,
@@ -181,7 +184,7 @@
         priority = self._priority(brand, request_class, now_ms)
         key = (brand, request_class)
         self._in_progress[key] = self._in_progress.get(key, 0) + 1
-        self._work.add(brand, cost_tokens, now_ms)
+        self._count_work(brand, cost_tokens, now_ms)
         return Ticket(brand, request_class, priority)
 
     def release(self, ticket: Ticket) -> None:
@@ -278,15 +281,28 @@
         :param brand: brand asked for
         :param now_ms: current instant
         """
-        rates = self._work.all_rates(now_ms)
-        active = {name: rate for name, rate in rates.items() if rate > LEAST_RATE_PER_S}
-        if brand not in active or len(active) < 2:
+        total = self._work.total(now_ms)
+        if total <= LEAST_RATE_PER_S:
             return 0.0
-        weights = {name: self._limits_for(name).requests_per_s for name in active}
-        fair = weights[brand] / sum(weights.values())
-        part = active[brand] / sum(active.values())
+        weight = self._limits_for(brand).requests_per_s
+        fair = min(1.0, weight / max(weight, self._active_weight(now_ms)))
+        part = self._work.rate(brand, now_ms) / total
         return max(0.0, part - EXCESS_ALLOWANCE) / max(fair, LEAST_LOAN)
 
+    def _count_work(self, brand: BrandName, cost_tokens: int, now_ms: int) -> None:
+        if brand not in self._work:
+            self._weight += self._limits_for(brand).requests_per_s
+        self._work.add(brand, cost_tokens, now_ms)
+
+    def _active_weight(self, now_ms: int) -> float:
+        """Return the summed rate limits of the active brands, at most a second old."""
+        if now_ms - self._weighed_ms >= WEIGHING_MS:
+            self._weighed_ms = now_ms
+            self._work.forget_below(LEAST_RATE_PER_S, now_ms)
+            active = self._work.all_rates(now_ms)
+            self._weight = sum(self._limits_for(name).requests_per_s for name in active)
+        return self._weight
+
     def _check_deadline(self, expected_ttft_ms: int, deadline_ms: int) -> None:
         if expected_ttft_ms > deadline_ms:
             late_ms = expected_ttft_ms - deadline_ms
--- a/bergamothill/request/usage.py
+++ b/bergamothill/request/usage.py
@@ -20,6 +20,10 @@
     def __init__(self, time_constant_ms: int) -> None:
         self._time_constant_ms = time_constant_ms
         self._rates: dict[BrandName, tuple[float, int]] = {}
+        self._total: tuple[float, int] = (0.0, 0)
+
+    def __contains__(self, brand: BrandName) -> bool:
+        return brand in self._rates
 
     def add(self, brand: BrandName, amount: float, now_ms: int) -> None:
         """Count an amount.
@@ -30,6 +34,7 @@
         """
         step = amount * MILLIS_PER_SECOND / self._time_constant_ms
         self._rates[brand] = (self.rate(brand, now_ms) + step, now_ms)
+        self._total = (self.total(now_ms) + step, now_ms)
 
     def rate(self, brand: BrandName, now_ms: int) -> float:
         """Return a brand's amount per second.
@@ -37,8 +42,14 @@
         :param brand: brand asked for
         :param now_ms: current instant
         """
-        rate, at_ms = self._rates.get(brand, (0.0, now_ms))
-        return rate * math.exp(-max(0, now_ms - at_ms) / self._time_constant_ms)
+        return self._decayed(self._rates.get(brand, (0.0, now_ms)), now_ms)
+
+    def total(self, now_ms: int) -> float:
+        """Return the amount per second of all brands together.
+
+        :param now_ms: current instant
+        """
+        return self._decayed(self._total, now_ms)
 
     def all_rates(self, now_ms: int) -> dict[BrandName, float]:
         """Return the amount per second of each brand ever counted.
@@ -55,3 +66,7 @@
         """
         kept = {b: r for b, r in self._rates.items() if self.rate(b, now_ms) >= least_rate}
         self._rates = kept
+
+    def _decayed(self, rate: tuple[float, int], now_ms: int) -> float:
+        value, at_ms = rate
+        return value * math.exp(-max(0, now_ms - at_ms) / self._time_constant_ms)
--- a/scripts/measurement/policies.py
+++ b/scripts/measurement/policies.py
@@ -171,7 +171,7 @@
             renew_cached=True,
         ),
         Policy(
-            "v8",
+            "chosen",
             _objective,
             relay_ms=10,
             relay_everywhere=True,
