--- a/scripts/measure.py
+++ b/scripts/measure.py
@@ -6,7 +6,9 @@
 import sys
 from collections.abc import Sequence
 from concurrent.futures import ProcessPoolExecutor
+from dataclasses import replace
 
+from bergamothill.version.config import PolicyWeights
 from scripts.measurement.policies import POLICIES
 from scripts.measurement.replay import Fault, Outcome, Replay
 from scripts.measurement.trace import DEPLOYMENTS, FLOODING_BRAND
@@ -27,12 +29,22 @@
     return ordered[min(len(ordered) - 1, int(len(ordered) * percent / 100))]
 
 
-def measure(deployment: str, fault: Fault, policy: str, seed: int, length_ms: int) -> str:
+def measure(
+    deployment: str,
+    fault: Fault,
+    policy: str,
+    seed: int,
+    length_ms: int,
+    weights: PolicyWeights | None = None,
+) -> str:
     """Run one replay and return its line.
 
     :param length_ms: length of the trace, in milliseconds
+    :param weights: weights in place of the deployment's own
     """
-    replay = Replay(DEPLOYMENTS[deployment], POLICIES[policy], fault, seed, length_ms)
+    sizes = DEPLOYMENTS[deployment]
+    sizes = replace(sizes, weights=weights or sizes.weights)
+    replay = Replay(sizes, POLICIES[policy], fault, seed, length_ms)
     replay.run()
     outcomes = [each for each in replay.outcomes if each.arrival.at_ms >= replay.fault_ms]
     head = f"measure deployment={deployment} fault={fault.value} policy={policy} seed={seed} "
@@ -82,14 +94,22 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--length-ms", type=int, default=LENGTH_MS)
     parser.add_argument("--workers", type=int, default=WORKERS)
+    parser.add_argument("--weights", type=float, nargs=4, help="ttft recompute link late")
     parser.add_argument("--deployment", nargs="*", default=list(DEPLOYMENTS))
     parser.add_argument("--fault", nargs="*", default=[fault.value for fault in Fault])
     parser.add_argument("--policy", nargs="*", default=list(POLICIES))
     arguments = parser.parse_args()
+    weights = PolicyWeights(*arguments.weights) if arguments.weights else None
     with ProcessPoolExecutor(max_workers=arguments.workers) as pool:
         futures = [
             pool.submit(
-                measure, deployment, Fault(fault), policy, arguments.seed, arguments.length_ms
+                measure,
+                deployment,
+                Fault(fault),
+                policy,
+                arguments.seed,
+                arguments.length_ms,
+                weights,
             )
             for deployment in arguments.deployment
             for fault in arguments.fault
--- /dev/null
+++ b/tests/test_examples.py
@@ -0,0 +1,20 @@
+from __future__ import annotations
+
+import unittest
+from pathlib import Path
+
+from bergamothill.version.changefile import changes_from_toml
+from bergamothill.version.config import Configuration
+from bergamothill.version.effect import apply_changes
+from scripts.measurement.trace import DEPLOYMENTS
+
+EXAMPLES = Path(__file__).resolve().parent.parent / "docs" / "examples"
+
+
+class ExampleTests(unittest.TestCase):
+    def test_each_desk_is_measured_with_its_example(self) -> None:
+        for name, deployment in DEPLOYMENTS.items():
+            text = (EXAMPLES / f"{name}.toml").read_text(encoding="utf-8")
+            changes = changes_from_toml(text, Configuration())
+            configuration = apply_changes(Configuration(), changes)
+            self.assertEqual(deployment.weights, configuration.defaults.weights)
