Make routing cheap at 83 engines: prefix sums, a lower bound for each engine, alike engines once

Cause: estimating each split of each engine took 3.29 ms for 83 engines and 10 blocks (after prefix sums; 0.61 ms at 9), at 8.2 prompts a second 2.7 % of a core. Change: engines in order of a bound on their cost, ending when none can be near the best; engines in the same state are estimated once. The replay asks for views of engines with queued exports only. Ruled out: two random choices (another decision; this one is exact).

--- a/bergamothill/request/routing.py
+++ b/bergamothill/request/routing.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
+from itertools import accumulate
 
 from bergamothill.ids import ServerId, StoreId, ZoneName
 from bergamothill.version.config import PolicyWeights
@@ -134,48 +135,126 @@
     :param objective_ms: time to first token that the brand is promised; None for none
     :returns: the route, or None when there is no engine
     """
-    prices = _Prices(weights, objective_ms)
-    routes = [_best_for(prompt, engine, prices, overlap) for engine in engines]
-    if not routes:
+    if not engines:
         return None
-    best = min(route.cost for route in routes)
-    return rng.choice([route for route in routes if route.cost <= best + NEAR_BEST_MS])
-
-
-def _best_for(prompt: Prompt, engine: EngineView, prices: _Prices, overlap: bool) -> Route:
-    cached = engine.cached_blocks
-    routes = [
-        _estimate(prompt, engine, cached, length, prices)
-        for length in range(cached, _stored_end(prompt, cached) + 1)
-    ]
-    if overlap:
-        routes += [
-            _estimate(prompt, engine, start, _stored_end(prompt, start), prices)
-            for start in range(cached + 1, len(prompt.stored))
-            if prompt.stored[start] is not None
-        ]
-    return min(routes, key=lambda route: route.cost)
-
-
-def _stored_end(prompt: Prompt, start: int) -> int:
-    """Return the end of the run of stored blocks that begins at a block."""
-    end = start
-    while end < len(prompt.stored) and prompt.stored[end] is not None:
-        end += 1
-    return end
-
-
-def _estimate(prompt: Prompt, engine: EngineView, start: int, end: int, prices: _Prices) -> Route:
+    chain = _Chain.of(prompt)
+    prices = _Prices(weights, objective_ms)
+    best = float("inf")
+    splits: dict[int, _Split] = {}
+    alike: dict[tuple[int, ...], _Split] = {}
+    bounds = sorted((_least_cost(chain, engine, prices), i) for i, engine in enumerate(engines))
+    for bound, index in bounds:
+        if bound > best + NEAR_BEST_MS:
+            break
+        state = _state(engines[index])
+        if state not in alike:
+            alike[state] = _best_split(chain, engines[index], prices, overlap)
+        splits[index] = alike[state]
+        best = min(best, splits[index].cost)
+    near = sorted(i for i, split in splits.items() if split.cost <= best + NEAR_BEST_MS)
+    chosen = rng.choice(near)
+    return splits[chosen].route(engines[chosen].server)
+
+
+@dataclass(frozen=True, slots=True)
+class _Chain:
+    """Sums over the leading blocks of a prompt, so that each split costs the same to estimate.
+
+    :param tokens: tokens of the first n blocks
+    :param stored_bytes: bytes of those of the first n blocks that a store holds
+    :param stored_ends: for each block, the end of the run of stored blocks that begins there
+    """
+
+    prompt_tokens: int
+    tokens: tuple[int, ...]
+    stored_bytes: tuple[int, ...]
+    stored_ends: tuple[int, ...]
+
+    @classmethod
+    def of(cls, prompt: Prompt) -> _Chain:
+        sizes = [block.size_bytes if block else 0 for block in prompt.stored]
+        ends = [len(prompt.stored)]
+        for position in reversed(range(len(prompt.stored))):
+            ends.append(ends[-1] if prompt.stored[position] else position)
+        return cls(
+            prompt.prompt_tokens,
+            tuple(accumulate(prompt.block_tokens, initial=0)),
+            tuple(accumulate(sizes, initial=0)),
+            tuple(reversed(ends)),
+        )
+
+    def stored_end(self, start: int) -> int:
+        return self.stored_ends[start] if start < len(self.stored_ends) else start
+
+    def splits(self, cached: int, overlap: bool) -> Iterator[tuple[int, int]]:
+        """Yield where computing ends and restoring ends, both counted in leading blocks."""
+        for end in range(cached, self.stored_end(cached) + 1):
+            yield cached, end
+        if not overlap:
+            return
+        for start in range(cached + 1, len(self.stored_ends) - 1):
+            if self.stored_ends[start] > start:
+                yield start, self.stored_ends[start]
+
+
+@dataclass(frozen=True, slots=True)
+class _Split:
+    start: int
+    end: int
+    ttft_ms: float
+    waiting_ms: float
+    cost: float
+
+    def route(self, server: ServerId) -> Route:
+        return Route(
+            server,
+            self.end,
+            round(self.ttft_ms),
+            self.cost,
+            self.start,
+            round(self.waiting_ms),
+        )
+
+
+def _state(engine: EngineView) -> tuple[int, ...]:
+    """Return all that an estimate depends on; idle engines are often alike."""
+    return (
+        engine.queued_tokens,
+        engine.link_queued_bytes,
+        engine.cached_blocks,
+        engine.prefill_tokens_per_s,
+        engine.link_bytes_per_s,
+    )
+
+
+def _least_cost(chain: _Chain, engine: EngineView, prices: _Prices) -> float:
+    """Return a bound that no split on the engine can be below."""
+    tail_tokens = max(1, chain.prompt_tokens - chain.tokens[-1])
+    ahead_tokens = engine.queued_tokens + tail_tokens
+    ttft_ms = ahead_tokens * MILLIS_PER_SECOND / engine.prefill_tokens_per_s
+    return prices.cost(ttft_ms, tail_tokens, 0)
+
+
+def _best_split(chain: _Chain, engine: EngineView, prices: _Prices, overlap: bool) -> _Split:
+    splits = (
+        _estimate(chain, engine, start, end, prices)
+        for start, end in chain.splits(engine.cached_blocks, overlap)
+    )
+    return min(splits, key=lambda split: split.cost)
+
+
+def _estimate(chain: _Chain, engine: EngineView, start: int, end: int, prices: _Prices) -> _Split:
     """Estimate one split: blocks before ``start`` are computed while those up to ``end`` arrive."""
-    moved_bytes = sum(block.size_bytes for block in prompt.stored[start:end])
-    early_tokens = sum(prompt.block_tokens[engine.cached_blocks : start])
-    rest_tokens = max(1, prompt.prompt_tokens - sum(prompt.block_tokens[:end]))
+    moved_bytes = 0
+    if end > start:
+        moved_bytes = chain.stored_bytes[end] - chain.stored_bytes[start]
+    early_tokens = chain.tokens[start] - chain.tokens[engine.cached_blocks]
+    rest_tokens = max(1, chain.prompt_tokens - chain.tokens[end])
     token_ms = MILLIS_PER_SECOND / engine.prefill_tokens_per_s
-    queue_ms = engine.queued_tokens * token_ms
     byte_ms = MILLIS_PER_SECOND / engine.link_bytes_per_s
+    queue_ms = engine.queued_tokens * token_ms
     link_queue_ms = engine.link_queued_bytes * byte_ms if moved_bytes else 0.0
     restore_ms = link_queue_ms + moved_bytes * byte_ms
     ttft_ms = max(queue_ms + early_tokens * token_ms, restore_ms) + rest_tokens * token_ms
     cost = prices.cost(ttft_ms, early_tokens + rest_tokens, moved_bytes)
-    waiting_ms = round(max(queue_ms, link_queue_ms))
-    return Route(engine.server, end, round(ttft_ms), cost, start, waiting_ms)
+    return _Split(start, end, ttft_ms, max(queue_ms, link_queue_ms), cost)
--- a/scripts/measurement/replay.py
+++ b/scripts/measurement/replay.py
@@ -296,10 +296,13 @@
         cached = {
             server: entry.prefix.leading(server, keys)
             for server, engine in self._engines.items()
-            if server not in entry.gone and not self._cut(entry.zone, engine.zone)
+            if self._usable(entry, engine)
         }
         return entry.load.views(cached, self._now_ms())
 
+    def _usable(self, entry: _Entry, engine: FakeEngine) -> bool:
+        return engine.server not in entry.gone and not self._cut(entry.zone, engine.zone)
+
     def _start(self, attempt: _Attempt) -> None:
         plan = attempt.plan
         cached = plan.view.cached_blocks
@@ -445,9 +448,12 @@
 
     def _export(self) -> None:
         for entry in self._entries:
-            for view in self._views(entry, ()):
-                if not entry.exports.queued(view.server):
-                    continue
+            waiting = {
+                server: 0
+                for server, engine in self._engines.items()
+                if entry.exports.queued(server) and self._usable(entry, engine)
+            }
+            for view in entry.load.views(waiting, self._now_ms()):
                 idle = view.link_queued_bytes == 0
                 candidate = entry.exports.next(view.server, idle, self._now_ms())
                 if candidate and candidate.key not in self._stores.held:
