Place by the brand's objective; count sent work before the restore; begin the docs

Cause: the daemon routed without the objective that the chosen policy weighs, and counted work only after its restore, so that placements at the same time saw an idle link.

--- a/bergamothill/process/entry.py
+++ b/bergamothill/process/entry.py
@@ -64,6 +64,8 @@
 LOAN_PEERS = 8
 LOAN_TIMEOUT_MS = 500
 ACTION_INTERVAL_MS = 1_000
+RELAY_INTERVAL_MS = 100
+SMALL_ZONE = 8
 DUTY_INTERVAL_MS = 1_000
 SWEEP_INTERVAL_MS = 30_000
 
@@ -175,6 +177,7 @@
             self._estimator,
             self._hints,
             lambda: self._index.configuration.defaults.weights,
+            lambda brand: self._index.configuration.value_for(brand, "objectives").ttft_ms,
             self._rng,
             self._exports,
         )
@@ -243,7 +246,8 @@
         self._mesh.leave()
 
     def _relay_interval_ms(self) -> int:
-        return PollPlan.tick_ms(self._mesh.live_peers())
+        peers = self._mesh.live_peers()
+        return RELAY_INTERVAL_MS if len(peers) <= SMALL_ZONE else PollPlan.tick_ms(peers)
 
     def _relay_load(self) -> None:
         for delta in self._placer.deltas():
--- a/bergamothill/request/placement.py
+++ b/bergamothill/request/placement.py
@@ -15,7 +15,7 @@
     PeerUnreachableError,
     UnavailableError,
 )
-from bergamothill.ids import Generation, ServerId
+from bergamothill.ids import BrandName, Generation, ServerId
 from bergamothill.logs import EventLog
 from bergamothill.process.servers import EngineRecord, ServerTable
 from bergamothill.request.cachehints import CacheHints, KeptHintDelta
@@ -60,6 +60,7 @@
     :param estimator: queues of the engines between their reports
     :param hints: which engine keeps which prefix
     :param weights: policy in force
+    :param objective_ms: time to first token that a brand is promised
     :param rng: source of random choices
     :param background: runs exports
     """
@@ -74,6 +75,7 @@
         estimator: LoadEstimator,
         hints: CacheHints,
         weights: Callable[[], PolicyWeights],
+        objective_ms: Callable[[BrandName], int],
         rng: random.Random,
         background: Executor,
     ) -> None:
@@ -85,6 +87,7 @@
         self._estimator = estimator
         self._hints = hints
         self._weights = weights
+        self._objective_ms = objective_ms
         self._rng = rng
         self._background = background
         self._lock = threading.Lock()
@@ -118,11 +121,18 @@
         stored = tuple(item.stored() for item in found)
         prompt = Prompt(chain.keys, chain.token_counts, chain.prompt_tokens, stored)
         with self._lock:
-            route = choose_route(prompt, views, self._weights(), self._rng)
+            route = choose_route(
+                prompt,
+                views,
+                self._weights(),
+                self._rng,
+                objective_ms=self._objective_ms(chain.brand),
+            )
         engine = self._engine_for(route.server)
         cached = next(view.cached_blocks for view in views if view.server == route.server)
-        imported = self._restore(job, route, engine, found, cached)
-        self._note_sent(route.server, chain, cached + len(imported), found)
+        wanted = found[cached : route.restore_blocks]
+        self._note_sent(route, chain, sum(item.block.size_bytes for item in wanted))
+        imported = self._restore(job, route.server, engine, wanted)
         known = max(len(found), max(view.cached_blocks for view in views))
         _log.info(
             "placed",
@@ -239,26 +249,19 @@
         return self._kept.lookup(chain)
 
     def _restore(
-        self,
-        job: InferenceJob,
-        route: Route,
-        engine: ModelEngine,
-        found: tuple[Found, ...],
-        cached: int,
+        self, job: InferenceJob, server: ServerId, engine: ModelEngine, wanted: tuple[Found, ...]
     ) -> tuple[Generation, ...]:
-        wanted = found[cached : route.restore_blocks]
         if not wanted:
             return ()
         left_ms = max(1, job.deadline_ms - self._clock.now_ms())
         timeout_ms = min(RESTORE_TIMEOUT_MS, left_ms)
-        return self._kept.restore(route.server, engine, wanted, timeout_ms=timeout_ms)
+        return self._kept.restore(server, engine, wanted, timeout_ms=timeout_ms)
 
-    def _note_sent(
-        self, server: ServerId, chain: BlockChain, covered: int, found: tuple[Found, ...]
-    ) -> None:
-        rest_tokens = chain.prompt_tokens - sum(chain.token_counts[:covered])
+    def _note_sent(self, route: Route, chain: BlockChain, moved_bytes: int) -> None:
+        """Count the work before it begins, so that the next placement sees it."""
+        rest_tokens = chain.prompt_tokens - sum(chain.token_counts[: route.restore_blocks])
         with self._lock:
-            self._estimator.sent(server, rest_tokens, 0, self._clock.now_ms())
+            self._estimator.sent(route.server, rest_tokens, moved_bytes, self._clock.now_ms())
 
 
 def _takes_work(record: EngineRecord, version: str, adapter: str) -> bool:
