--- a/bergamothill/connection/peer.py
+++ b/bergamothill/connection/peer.py
@@ -58,6 +58,8 @@
 DIAL_TIMEOUT_MS = 800
 DIAL_WORKERS = 64
 REQUEST_WORKERS = 16
+CLOSE_LINKS_MS = 1_000
+CLOSE_STEP_MS = 20
 STEP = "peer.mesh"
 
 log = EventLog("peer")
@@ -151,9 +153,18 @@
             links = list(self._links.values())
         for link in links:
             link.close()
+        self._await_links_closed()
         for pool in (self._dialers, self._requests, self._threads):
             pool.shutdown(wait=False, cancel_futures=True)
 
+    def _await_links_closed(self) -> None:
+        """Give the links time to send what is queued, then end those whose peer reads nothing."""
+        deadline_ms = self._clock.now_ms() + CLOSE_LINKS_MS
+        while self.links() and self._clock.now_ms() < deadline_ms:
+            self._clock.sleep_ms(CLOSE_STEP_MS)
+        for link in self.links():
+            link.abort()
+
     def leave(self) -> None:
         """Tell the peers that this instance leaves; links stay open for streams handed over."""
         with self._lock:
--- a/bergamothill/process/pollplan.py
+++ b/bergamothill/process/pollplan.py
@@ -12,7 +12,9 @@
 TICK_MIN_MS = 500
 TICK_PER_PEER_MS = 75
 LIST_SLOT_MS = 2_000
-LIST_AGE_MAX_MS = 3_000
+LIST_OVERDUE_MS = 2_600
+LIST_OVERDUE_STEP_MS = 125
+LIST_OVERDUE_STEPS = 8
 LIST_RETRY_MS = 1_000
 SUMMARY_MIN_MS = 1_000
 SUMMARY_PER_PEER_AND_ZONE_MS = 15
@@ -74,7 +76,8 @@
     ) -> bool:
         """Tell whether this instance reads the instance list now.
 
-        The instances of a zone take turns, one each time slot, because the whole list is large.
+        The instances of a zone take turns, one each time slot, because the whole list is large. If
+        the one whose turn it is fails, the others step in one after another.
 
         :param wall_ms: wall time
         :param live: live entry instances of the zone
@@ -83,11 +86,12 @@
         """
         if own_age_ms < LIST_RETRY_MS:
             return False
-        if age_ms >= LIST_AGE_MAX_MS:
-            return True
         slot = wall_ms // LIST_SLOT_MS
-        chosen = rendezvous(f"list {self._zone} {slot}", live)[0]
-        return chosen == self._entry_id and own_age_ms >= LIST_SLOT_MS
+        rank = rendezvous(f"list {self._zone} {slot}", live).index(self._entry_id)
+        wait_ms = LIST_OVERDUE_STEP_MS * min(rank, LIST_OVERDUE_STEPS)
+        if age_ms >= LIST_OVERDUE_MS + wait_ms:
+            return True
+        return rank == 0 and own_age_ms >= LIST_SLOT_MS
 
     def summarizes(self, live: Sequence[EntryInstanceId]) -> bool:
         """Tell whether this instance reports its zone to the others."""
--- a/bergamothill/process/servermessages.py
+++ b/bergamothill/process/servermessages.py
@@ -155,12 +155,16 @@
 @message("instance_changes")
 @dataclass(frozen=True, slots=True)
 class InstanceChanges:
-    """What changed in the instance list since the reader's last knowledge of it.
+    """What a read of the instance list changed in the reader's knowledge of it.
 
+    :param read_ms: instant on the reader's clock before the read
+    :param leaving_digest: as in :class:`ServerReport`, after the read
     :param changed: new and changed instances
     :param removed: names of instances no longer listed
     """
 
+    read_ms: int
+    leaving_digest: int
     changed: tuple[Instance, ...] = ()
     removed: tuple[str, ...] = ()
 
--- a/bergamothill/process/serverpoll.py
+++ b/bergamothill/process/serverpoll.py
@@ -89,6 +89,7 @@
         self._failing: set[ServerId] = set()
         self._list_failing = False
         self._lock = threading.RLock()
+        self._list_lock = threading.RLock()
         self._next_tick_ms = 0
         self._report_due = False
         self._tick_count = 0
@@ -125,13 +126,13 @@
         """
         if self._table.may_send(server, self._clock.now_ms()):
             return True
+        if not self._table.announcements_young(self._clock.now_ms()):
+            self._confirm_announcements()
         instance = self._table.instance(server)
         if instance is None or self._table.is_leaving(server):
             return False
         if instance.kind is InstanceKind.ENGINE and not self._poll_once(server):
             return False
-        if not self._table.may_send(server, self._clock.now_ms()):
-            self._confirm_announcements()
         return self._table.may_send(server, self._clock.now_ms())
 
     def beat(self) -> None:
@@ -185,29 +186,47 @@
         if self._list_failing:
             log.info("list_back")
         self._list_failing = False
-        changes = self._replace_listing(instances)
+        with self._list_lock:
+            is_first = not self._listing
+            changed, removed = self._replace_listing(instances)
+            if is_first or changed or removed:
+                self._on_instances(instances)
         self._table.take_list(instances, asked_ms, self._clock.now_ms())
-        if changes.changed or changes.removed:
-            self._bus.publish(changes, Scope.ZONE)
-            self._on_instances(instances)
+        digest = self._table.leaving_digest()
+        self._bus.publish(InstanceChanges(asked_ms, digest, changed, removed), Scope.ZONE)
         self._announce(self._clock.now_ms())
 
-    def _replace_listing(self, instances: tuple[Instance, ...]) -> InstanceChanges:
-        with self._lock:
-            new = {i.instance_id: i for i in instances}
-            old, self._listing = self._listing, new
+    def _replace_listing(
+        self, instances: tuple[Instance, ...]
+    ) -> tuple[tuple[Instance, ...], tuple[str, ...]]:
+        """Replace what is known of the list; return what changed and what was removed.
+
+        A first read changes nothing: the peers know the list, and the whole of it is large.
+        """
+        new = {i.instance_id: i for i in instances}
+        old, self._listing = self._listing, new
+        if not old:
+            return (), ()
         changed = tuple(i for i in instances if old.get(i.instance_id) != i)
-        return InstanceChanges(changed, tuple(sorted(old.keys() - new.keys())))
+        return changed, tuple(sorted(old.keys() - new.keys()))
 
     def _on_changes(self, sender: EntryInstanceId, changes: InstanceChanges) -> None:
-        with self._lock:
+        self._table.take_changes(
+            changes, lambda ms: self._bus.local_ms(sender, ms), self._clock.now_ms()
+        )
+        self._log_learned(sender)
+        if changes.changed or changes.removed:
+            self._apply_changes(changes)
+
+    def _apply_changes(self, changes: InstanceChanges) -> None:
+        """Bring the listing up to date; before the first read there is none."""
+        with self._list_lock:
+            if not self._listing:
+                return
             self._listing.update({i.instance_id: i for i in changes.changed})
             for name in changes.removed:
                 self._listing.pop(name, None)
-            instances = tuple(self._listing.values())
-        self._table.take_changes(changes, self._clock.now_ms())
-        self._log_learned(sender)
-        self._on_instances(instances)
+            self._on_instances(tuple(self._listing.values()))
 
     def _start_polls(self, now_ms: int, live: tuple[EntryInstanceId, ...]) -> None:
         records = self._zone_engines()
@@ -365,7 +384,7 @@
         return learned
 
     def _summarize(self, now_ms: int, live: tuple[EntryInstanceId, ...]) -> None:
-        with self._lock:
+        with self._list_lock:
             zones = {instance.zone for instance in self._listing.values()} | {self._zone}
         self._next_summary_ms = now_ms + self._plan.summary_ms(live, len(zones))
         if len(zones) == 1 or not self._plan.summarizes(live):
--- a/bergamothill/process/servers.py
+++ b/bergamothill/process/servers.py
@@ -31,6 +31,9 @@
 NEVER_MS = -(1 << 60)
 """Instant before all others."""
 
+UNKNOWN = Incarnation(0)
+"""Incarnation of a server that has not answered since the list showed a new one."""
+
 ToLocal = Callable[[int], int | None]
 """Converts an instant on the reporter's clock to one of ours that is not later."""
 
@@ -88,7 +91,7 @@
 @dataclass(slots=True)
 class _Server:
     instance: Instance
-    own_incarnation: Incarnation = Incarnation(0)
+    own_incarnation: Incarnation = UNKNOWN
     listed: bool = True
     reachable: bool = True
     load: EngineLoad | None = None
@@ -112,6 +115,7 @@
         self._list_read_ms = NEVER_MS
         self._agreed_ms = NEVER_MS
         self._has_peers = False
+        self._has_list = False
         self._lock = threading.RLock()
 
     def take_list(self, instances: Iterable[Instance], asked_ms: int, now_ms: int) -> None:
@@ -131,6 +135,7 @@
             self._leaving.expire(listed, now_ms)
             self._list_tried_ms = max(self._list_tried_ms, asked_ms)
             self._list_read_ms = max(self._list_read_ms, asked_ms)
+            self._has_list = True
 
     def take_list_failure(self, asked_ms: int) -> None:
         """Note that the instance list could not be read.
@@ -140,8 +145,12 @@
         with self._lock:
             self._list_tried_ms = max(self._list_tried_ms, asked_ms)
 
-    def take_changes(self, changes: InstanceChanges, now_ms: int) -> None:
-        """Take in changes of the instance list that a peer read."""
+    def take_changes(self, changes: InstanceChanges, to_local: ToLocal, now_ms: int) -> None:
+        """Take in what a peer's read of the instance list changed.
+
+        The read counts as ours only if the sets of leaving servers are equal after it, because an
+        earlier change may have been lost.
+        """
         with self._lock:
             for instance in filter(_is_server, changes.changed):
                 self._take_instance(instance, now_ms)
@@ -150,6 +159,8 @@
                 if server is not None:
                     server.listed = False
             self._forget_unlisted(now_ms)
+            if changes.leaving_digest == self._leaving.digest():
+                self._adopt_read(to_local(changes.read_ms))
 
     def take_answer(self, server: ServerId, load: EngineLoad, asked_ms: int, now_ms: int) -> None:
         """Take in an engine's own answer.
@@ -330,6 +341,11 @@
             age_ms=now_ms - record.confirmed_ms if known else None,
         )
 
+    def announcements_young(self, now_ms: int) -> bool:
+        """Tell whether the instance list and the peers were heard lately enough to send."""
+        with self._lock:
+            return self._announcements_young(now_ms)
+
     def _announcements_young(self, now_ms: int) -> bool:
         list_ms = max(self._list_tried_ms, self._list_read_ms)
         if now_ms - list_ms > self._bounds.list_ms:
@@ -340,20 +356,21 @@
         made = to_local(made_ms)
         if made is not None:
             self._agreed_ms = max(self._agreed_ms, made)
-        read = to_local(list_read_ms) if list_read_ms >= 0 else None
-        if read is not None:
-            self._list_read_ms = max(self._list_read_ms, read)
+        if list_read_ms >= 0:
+            self._adopt_read(to_local(list_read_ms))
+
+    def _adopt_read(self, read_ms: int | None) -> None:
+        """Count a peer's read of the list as ours; changes alone are no list without a first."""
+        if self._has_list and read_ms is not None:
+            self._list_read_ms = max(self._list_read_ms, read_ms)
 
     def _take_instance(self, instance: Instance, now_ms: int) -> None:
         name = ServerId(instance.instance_id)
         record = self._servers.get(name)
         if instance.state is InstanceState.LEAVING:
             self._note_leaving(LeavingServer(name, instance.incarnation), now_ms)
-        if record is None:
+        if record is None or instance.incarnation > record.instance.incarnation:
             self._servers[name] = _Server(instance, touched_ms=now_ms)
-        elif instance.incarnation > record.instance.incarnation:
-            own = record.own_incarnation
-            self._servers[name] = _Server(instance, own, touched_ms=now_ms)
         elif instance.incarnation == record.instance.incarnation:
             record.instance = instance
             record.listed = True
@@ -406,9 +423,10 @@
     def _is_leaving(self, record: _Server) -> bool:
         instance = record.instance
         server = ServerId(instance.instance_id)
-        return self._leaving.contains(
-            server, instance.incarnation, Numbering.LISTED
-        ) or self._leaving.contains(server, record.own_incarnation, Numbering.OWN)
+        if self._leaving.contains(server, instance.incarnation, Numbering.LISTED):
+            return True
+        own = record.own_incarnation
+        return own != UNKNOWN and self._leaving.contains(server, own, Numbering.OWN)
 
     def _usable(self, record: _Server) -> bool:
         return record.reachable and not self._is_leaving(record)
--- a/tests/proof/proof_leaving.py
+++ b/tests/proof/proof_leaving.py
@@ -85,6 +85,7 @@
         )
 
     def check_sent(self, entry, server):
+        self.observe()
         true = self.world.servers[server]
         now_ms = self.world.now_ms
         since = {
--- a/tests/proof/proof_membership.py
+++ b/tests/proof/proof_membership.py
@@ -79,6 +79,7 @@
         self.apart_ms = {}
         self.together_ms = {}
         self.list_away = False
+        self.shown = {}
         self.nodes = {}
         for name in ZONES:
             self.boot(name, 1)
@@ -112,6 +113,8 @@
         )
 
     def feed(self, node, event):
+        if isinstance(event, InstancesListed):
+            self.shown[node.name] = {instance.instance_id for instance in event.instances}
         for effect in node.membership.handle(event, self.now_ms):
             match effect:
                 case Dial(peer, _):
@@ -215,6 +218,15 @@
         cut = frozenset((one.name, other.name)) in self.cuts
         return not cut and other.running and not other.frozen and not other.left
 
+    def can_meet(self, one, other):
+        """Tell whether the last list read at either end shows the other, or they are joined."""
+        joined = any(set(wire.ends) == {one.name, other.name} for wire in self.wires)
+        return (
+            joined
+            or other.name in self.shown[one.name]
+            or (one.name in self.shown[other.name] and not other.frozen)
+        )
+
     def check_pair(self, one, other):
         pair = (one.name, other.name)
         if not one.running or one.frozen or ZONES[one.name] != ZONES[other.name]:
@@ -223,6 +235,8 @@
         live = other.name in one.membership.live_peers()
         if self.reachable(one, other):
             self.apart_ms.pop(pair, None)
+            if not self.can_meet(one, other):
+                self.together_ms[frozenset(pair)] = self.now_ms
             if self.reachable(other, one):
                 settled_ms = self.now_ms - self.together_ms[frozenset(pair)]
                 missing = not live and settled_ms > SETTLE_MS
