--- a/bergamothill/request/routing.py
+++ b/bergamothill/request/routing.py
@@ -78,7 +78,7 @@
     :param cost: expected cost in weighted milliseconds
     :param compute_blocks: leading blocks to have computed by then, cached ones included: a prefill
         of the prefix up to here runs while the blocks from here to ``restore_blocks`` are imported
-    :param queue_ms: part of the expected time that is spent in the engine's queue
+    :param queue_ms: longest wait in a queue of the engine, for prefill or for the link
     """
 
     server: ServerId
@@ -93,6 +93,24 @@
 BYTES_PER_MB = 1_000_000
 TOKENS_PER_UNIT = 1_000
 NEAR_BEST_MS = 5.0
+OBJECTIVE_MARGIN = 0.9
+
+
+@dataclass(frozen=True, slots=True)
+class _Prices:
+    weights: PolicyWeights
+    objective_ms: int | None
+
+    def cost(self, ttft_ms: float, computed_tokens: int, moved_bytes: int) -> float:
+        weights = self.weights
+        cost = (
+            weights.ttft * ttft_ms
+            + weights.recompute * computed_tokens / TOKENS_PER_UNIT
+            + weights.link * moved_bytes / BYTES_PER_MB
+        )
+        if self.objective_ms is not None and ttft_ms > self.objective_ms * OBJECTIVE_MARGIN:
+            cost += weights.late
+        return cost
 
 
 def choose_route(
@@ -102,6 +120,7 @@
     rng: random.Random,
     *,
     overlap: bool = False,
+    objective_ms: int | None = None,
 ) -> Route | None:
     """Choose the engine and restore length of least expected cost.
 
@@ -112,24 +131,26 @@
     :param weights: what waiting, recomputing and moving cost
     :param rng: source of the random choice
     :param overlap: the caller can have a prefix computed while later blocks are imported
+    :param objective_ms: time to first token that the brand is promised; None for none
     :returns: the route, or None when there is no engine
     """
-    routes = [_best_for(prompt, engine, weights, overlap) for engine in engines]
+    prices = _Prices(weights, objective_ms)
+    routes = [_best_for(prompt, engine, prices, overlap) for engine in engines]
     if not routes:
         return None
     best = min(route.cost for route in routes)
     return rng.choice([route for route in routes if route.cost <= best + NEAR_BEST_MS])
 
 
-def _best_for(prompt: Prompt, engine: EngineView, weights: PolicyWeights, overlap: bool) -> Route:
+def _best_for(prompt: Prompt, engine: EngineView, prices: _Prices, overlap: bool) -> Route:
     cached = engine.cached_blocks
     routes = [
-        _estimate(prompt, engine, cached, length, weights)
+        _estimate(prompt, engine, cached, length, prices)
         for length in range(cached, _stored_end(prompt, cached) + 1)
     ]
     if overlap:
         routes += [
-            _estimate(prompt, engine, start, _stored_end(prompt, start), weights)
+            _estimate(prompt, engine, start, _stored_end(prompt, start), prices)
             for start in range(cached + 1, len(prompt.stored))
             if prompt.stored[start] is not None
         ]
@@ -144,23 +165,17 @@
     return end
 
 
-def _estimate(
-    prompt: Prompt, engine: EngineView, start: int, end: int, weights: PolicyWeights
-) -> Route:
+def _estimate(prompt: Prompt, engine: EngineView, start: int, end: int, prices: _Prices) -> Route:
     """Estimate one split: blocks before ``start`` are computed while those up to ``end`` arrive."""
     moved_bytes = sum(block.size_bytes for block in prompt.stored[start:end])
     early_tokens = sum(prompt.block_tokens[engine.cached_blocks : start])
     rest_tokens = max(1, prompt.prompt_tokens - sum(prompt.block_tokens[:end]))
     token_ms = MILLIS_PER_SECOND / engine.prefill_tokens_per_s
     queue_ms = engine.queued_tokens * token_ms
-    restore_ms = 0.0
-    if moved_bytes:
-        link_bytes = engine.link_queued_bytes + moved_bytes
-        restore_ms = link_bytes * MILLIS_PER_SECOND / engine.link_bytes_per_s
+    byte_ms = MILLIS_PER_SECOND / engine.link_bytes_per_s
+    link_queue_ms = engine.link_queued_bytes * byte_ms if moved_bytes else 0.0
+    restore_ms = link_queue_ms + moved_bytes * byte_ms
     ttft_ms = max(queue_ms + early_tokens * token_ms, restore_ms) + rest_tokens * token_ms
-    cost = (
-        weights.ttft * ttft_ms
-        + weights.recompute * (early_tokens + rest_tokens) / TOKENS_PER_UNIT
-        + weights.link * moved_bytes / BYTES_PER_MB
-    )
-    return Route(engine.server, end, round(ttft_ms), cost, start, round(queue_ms))
+    cost = prices.cost(ttft_ms, early_tokens + rest_tokens, moved_bytes)
+    waiting_ms = round(max(queue_ms, link_queue_ms))
+    return Route(engine.server, end, round(ttft_ms), cost, start, waiting_ms)
