--- a/bergamothill/process/callers.py
+++ b/bergamothill/process/callers.py
@@ -269,7 +269,7 @@
                 serving.admission.release(ticket)
             known = runner.placement.known_tokens if runner.placement else 0
             self._note_outcome(arrived_ms, known)
-        serving.placer.finished(job, runner.placement.server)
+        serving.placer.finished(job, runner.placement)
 
     def _admit(self, expected_ttft_ms: int, queue_ms: int, deadline_ms: int) -> Ticket:
         serving = self._serving
--- a/bergamothill/process/entry.py
+++ b/bergamothill/process/entry.py
@@ -46,12 +46,14 @@
 from bergamothill.request.action import ActionRunner
 from bergamothill.request.auth import BrandIndex
 from bergamothill.request.cachehints import CacheHints, KeptHintDelta
+from bergamothill.request.exporter import Exporter
 from bergamothill.request.limits import Admission, LoanGrant, LoanRequest
 from bergamothill.request.load import LoadEstimator, SentWorkDelta
 from bergamothill.request.placement import EnginePlacer
 from bergamothill.request.restore import KeptContext
 from bergamothill.request.retry import RetryBudget
 from bergamothill.request.token import StreamTokens
+from bergamothill.version.block import BlockChain
 from bergamothill.version.config import Configuration
 from bergamothill.version.watcher import ConfigurationWatcher
 
@@ -66,6 +68,7 @@
 ACTION_INTERVAL_MS = 1_000
 RELAY_INTERVAL_MS = 100
 SMALL_ZONE = 8
+EXPORT_INTERVAL_MS = 100
 DUTY_INTERVAL_MS = 1_000
 SWEEP_INTERVAL_MS = 30_000
 
@@ -179,8 +182,16 @@
             lambda: self._index.configuration.defaults.weights,
             lambda brand: self._index.configuration.value_for(brand, "objectives").ttft_ms,
             self._rng,
+        )
+        self._exporter = Exporter(
+            self._clock,
+            self._kept,
+            self._placer.is_link_idle,
+            self._block_bytes,
+            self._warm_time_ms,
             self._exports,
         )
+        self._placer.use_exporter(self._exporter)
 
         self._mesh.subscribe(LoanRequest, self._on_loan_request)
         self._mesh.subscribe(SentWorkDelta, lambda _, delta: self._placer.relayed_work(delta))
@@ -225,6 +236,7 @@
     def _tasks(self) -> tuple[Task, ...]:
         return (
             Task("relay_load", self._relay_interval_ms, self._relay_load),
+            Task("exports", lambda: EXPORT_INTERVAL_MS, self._exporter.step),
             Task("loans", lambda: LOAN_INTERVAL_MS, self._ask_loans),
             Task("actions", lambda: ACTION_INTERVAL_MS, self._actions.maintain),
             Task("duties", lambda: DUTY_INTERVAL_MS, self._duties.tick),
@@ -287,6 +299,10 @@
     def _warm_time_ms(self, brand: BrandName) -> int:
         return self._index.configuration.value_for(brand, "warm_time_ms")
 
+    def _block_bytes(self, chain: BlockChain, index: int) -> int:
+        model = self._index.configuration.models.get(chain.model)
+        return chain.token_counts[index] * (model.bytes_per_token if model else 0)
+
     def _service_for(self, name: ServiceName) -> tuple[ServerId, PlainService]:
         servers = self._table.services(name)
         if not servers:
--- a/bergamothill/request/placement.py
+++ b/bergamothill/request/placement.py
@@ -5,7 +5,6 @@
 import random
 import threading
 from collections.abc import Callable
-from concurrent.futures import Executor
 from dataclasses import dataclass
 
 from bergamothill.clock import Clock
@@ -19,8 +18,9 @@
 from bergamothill.logs import EventLog
 from bergamothill.process.servers import EngineRecord, ServerTable
 from bergamothill.request.cachehints import CacheHints, KeptHintDelta
+from bergamothill.request.exporter import Exporter, ExportSource
 from bergamothill.request.load import LoadEstimator, SentWorkDelta
-from bergamothill.request.restore import ExportStatus, Found, KeptContext
+from bergamothill.request.restore import Found, KeptContext
 from bergamothill.request.routing import EngineView, Prompt, Route, choose_route
 from bergamothill.request.runner import InferenceJob, Placement
 from bergamothill.version.block import BlockChain
@@ -32,8 +32,6 @@
 RETRY_AFTER_MS = 1_000
 RESTORE_TIMEOUT_MS = 10_000
 
-_EXPORT_ENDS = (ExportStatus.ABANDONED, ExportStatus.FULL)
-
 _log = EventLog("placement")
 
 
@@ -62,7 +60,6 @@
     :param weights: policy in force
     :param objective_ms: time to first token that a brand is promised
     :param rng: source of random choices
-    :param background: runs exports
     """
 
     def __init__(
@@ -77,7 +74,6 @@
         weights: Callable[[], PolicyWeights],
         objective_ms: Callable[[BrandName], int],
         rng: random.Random,
-        background: Executor,
     ) -> None:
         self._clock = clock
         self._table = table
@@ -89,9 +85,13 @@
         self._weights = weights
         self._objective_ms = objective_ms
         self._rng = rng
-        self._background = background
+        self._exporter: Exporter | None = None
         self._lock = threading.Lock()
 
+    def use_exporter(self, exporter: Exporter) -> None:
+        """Set the exporter, which itself asks this placer for idle links."""
+        self._exporter = exporter
+
     def expect(self, chain: BlockChain) -> Expectation:
         """Return the least time to first token that a prompt may expect.
 
@@ -146,7 +146,7 @@
             expected_ttft_ms=route.expected_ttft_ms,
         )
         known_tokens = sum(chain.token_counts[:known])
-        return Placement(route.server, engine, imported, known_tokens)
+        return Placement(route.server, engine, imported, known_tokens, len(found))
 
     def confirm(self, server: ServerId) -> None:
         """Check, right before a send, that the engine takes new work.
@@ -176,14 +176,22 @@
             self._hints.missed(server, job.chain.keys, cached)
             self._hints.ran(server, job.chain.keys)
 
-    def finished(self, job: InferenceJob, server: ServerId) -> None:
-        """Export in the background what the stores do not hold yet.
+    def finished(self, job: InferenceJob, placement: Placement) -> None:
+        """Have the blocks exported that the stores do not hold yet.
 
         :param job: job that ended
-        :param server: engine that ran it
+        :param placement: where it ran
         """
-        if job.chain.keys:
-            self._background.submit(self._export, job, server)
+        instance = self._table.instance(placement.server)
+        if instance is not None and job.chain.keys:
+            source = ExportSource(placement.server, instance.zone, placement.engine)
+            self._exporter.offer(source, job.chain, placement.stored_blocks)
+
+    def is_link_idle(self, server: ServerId) -> bool:
+        """Tell whether nothing is believed to wait for an engine's link."""
+        with self._lock:
+            views = self._estimator.views({server: 0}, self._clock.now_ms())
+        return bool(views) and views[0].link_queued_bytes == 0
 
     def deltas(self) -> tuple[object, ...]:
         """Return the messages that tell the zone of what was sent and kept since the last call."""
@@ -201,27 +209,6 @@
         with self._lock:
             self._hints.relayed(delta)
 
-    def _export(self, job: InferenceJob, server: ServerId) -> None:
-        record = self._table.instance(server)
-        if record is None:
-            return
-        try:
-            engine = self._engine_for(server)
-            for index in range(len(job.chain.keys)):
-                outcome = self._kept.export(engine, job.chain, index, record.zone)
-                if outcome.status in _EXPORT_ENDS:
-                    break
-        except BergamothillError as error:
-            _log.warning(
-                "export_failed",
-                request_id=job.request_id,
-                brand=job.brand,
-                server=server,
-                step=error.step,
-                peer=error.peer,
-                reason=error.message,
-            )
-
     def _serving(self, chain: BlockChain, tried: tuple[ServerId, ...]) -> list[EngineRecord]:
         version = f"{chain.model}:{chain.weight_version}"
         return [
--- a/bergamothill/request/runner.py
+++ b/bergamothill/request/runner.py
@@ -82,12 +82,14 @@
     :param engine: its client
     :param imported: generations imported for the run and confirmed
     :param known_tokens: leading tokens of the prompt that were kept somewhere
+    :param stored_blocks: leading blocks of the prompt that stores held
     """
 
     server: ServerId
     engine: ModelEngine
     imported: tuple[Generation, ...]
     known_tokens: int
+    stored_blocks: int
 
 
 class Placer(Protocol):
