--- a/bergamothill/connection/http.py
+++ b/bergamothill/connection/http.py
@@ -7,17 +7,18 @@
 from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
 import pycurl
 
+from bergamothill.connection.streamhub import STREAM_HUB
 from bergamothill.errors import PeerTimeoutError, PeerUnreachableError, ProtocolError
 
 __all__ = ["CONTROL_TRAFFIC", "HttpClient", "HttpReply", "Traffic", "decode_json"]
 
 CONNECT_TIMEOUT_MS = 1_000
 MAX_IDLE_HANDLES = 32
-MILLIS_PER_SECOND = 1_000
 
 _NOT_SENT_CODES = frozenset({pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST})
 
@@ -171,18 +172,18 @@
         """Send one request on a fresh connection and hand on the reply's body as it arrives.
 
         An exception raised by ``on_chunk`` closes the connection and passes on unchanged.
+        ``on_chunk`` runs in the thread that reads all streams and must not block.
 
         :param on_chunk: receives the body's chunks of a reply with status 200
-        :param idle_timeout_ms: longest silence; rounded up to whole seconds
+        :param idle_timeout_ms: longest silence, in milliseconds; noticed up to 250 ms late
         :returns: the reply; its body holds the chunks when the status was not 200
         :raises PeerUnreachableError: no connection could be opened; nothing was sent
         :raises PeerTimeoutError: the exchange failed or fell silent later
         """
         exchange = _Exchange(on_chunk)
         curl = self._prepare(method, path, body, headers, True, exchange)
-        curl.setopt(pycurl.LOW_SPEED_LIMIT, 1)
-        curl.setopt(pycurl.LOW_SPEED_TIME, max(1, -(-idle_timeout_ms // MILLIS_PER_SECOND)))
-        self._perform(curl, exchange, step, True)
+        perform = partial(STREAM_HUB.perform, idle_timeout_ms=idle_timeout_ms)
+        self._perform(curl, exchange, step, True, perform)
         return HttpReply(exchange.status, exchange.headers, b"".join(exchange.chunks))
 
     def close(self) -> None:
@@ -224,9 +225,16 @@
         curl.setopt(pycurl.WRITEFUNCTION, exchange.body_chunk)
         return curl
 
-    def _perform(self, curl: pycurl.Curl, exchange: _Exchange, step: str, fresh: bool) -> None:
+    def _perform(
+        self,
+        curl: pycurl.Curl,
+        exchange: _Exchange,
+        step: str,
+        fresh: bool,
+        perform: Callable[[pycurl.Curl], None] = pycurl.Curl.perform,
+    ) -> None:
         try:
-            curl.perform()
+            perform(curl)
         except pycurl.error as error:
             sent = curl.getinfo(pycurl.CONNECT_TIME) > 0 or curl.getinfo(pycurl.REQUEST_SIZE) > 0
             curl.close()
--- a/bergamothill/process/entry.py
+++ b/bergamothill/process/entry.py
@@ -5,6 +5,7 @@
 import random
 import threading
 from concurrent.futures import ThreadPoolExecutor
+from dataclasses import asdict
 from typing import Any
 
 import statsd
@@ -16,14 +17,23 @@
 from bergamothill.connection.kvs_http import HttpKeyValueService
 from bergamothill.connection.peer import PeerMesh
 from bergamothill.connection.service import PlainService
-from bergamothill.errors import UnavailableError
-from bergamothill.ids import BrandName, EntryInstanceId, Incarnation, ServerId, ServiceName
+from bergamothill.errors import BergamothillError, UnavailableError
+from bergamothill.ids import (
+    BrandName,
+    DutyName,
+    EntryInstanceId,
+    Incarnation,
+    ServerId,
+    ServiceName,
+)
 from bergamothill.logs import EventLog
 from bergamothill.process.callers import CallerRoutes, Serving
 from bergamothill.process.clientpool import ClientPool, engine_client
 from bergamothill.process.drain import DrainBounds
+from bergamothill.process.duties import Duties, Duty
 from bergamothill.process.frontend import Frontend
 from bergamothill.process.httpserver import HttpServer
+from bergamothill.process.lease import DutyLease
 from bergamothill.process.metrics import Recorder, StatsdMetrics
 from bergamothill.process.operators import OperatorRoutes
 from bergamothill.process.pollplan import PollPlan
@@ -54,6 +64,10 @@
 LOAN_PEERS = 8
 LOAN_TIMEOUT_MS = 500
 ACTION_INTERVAL_MS = 1_000
+RELAY_INTERVAL_MS = 100
+SMALL_ZONE = 8
+DUTY_INTERVAL_MS = 1_000
+SWEEP_INTERVAL_MS = 30_000
 
 _log = EventLog("entry")
 
@@ -71,6 +85,7 @@
         self._rng = random.Random()
         self._index = BrandIndex(Configuration())
         self._incarnation = Incarnation(clock.wall_ms())
+        self._make_metrics()
         self._make_connections()
         self._make_policy()
         self._make_work()
@@ -99,6 +114,13 @@
         self._exports.shutdown(wait=True, cancel_futures=True)
         self._kept.close()
 
+    def _make_metrics(self) -> None:
+        settings = self._settings
+        host, _, port = settings.statsd_address.rpartition(":")
+        sink = statsd.StatsClient(host, int(port)) if port else _NoStatsd()
+        self._metrics = StatsdMetrics(sink, settings.zone)
+        self._recorder = Recorder(settings.entry_id, self._clock)
+
     def _make_connections(self) -> None:
         settings, clock = self._settings, self._clock
         self._kvs = HttpKeyValueService(HttpClient("kvs", settings.kvs_address))
@@ -128,7 +150,9 @@
         self._watcher = ConfigurationWatcher(
             self._kvs, self._mesh, clock, settings.entry_id, self._on_configuration
         )
-        self._actions = ActionRunner(self._kvs, self._mesh, clock, settings.entry_id)
+        self._actions = ActionRunner(
+            self._kvs, self._mesh, clock, settings.entry_id, metrics=self._metrics
+        )
 
     def _make_policy(self) -> None:
         self._admission = Admission(
@@ -140,7 +164,9 @@
         self._admission_lock = threading.Lock()
         self._estimator = LoadEstimator()
         self._hints = CacheHints()
-        self._kept = KeptContext({}, self._settings.zone, self._clock, self._warm_time_ms)
+        self._kept = KeptContext(
+            {}, self._settings.zone, self._clock, self._warm_time_ms, metrics=self._metrics
+        )
         self._exports = ThreadPoolExecutor(EXPORT_WORKERS, thread_name_prefix="export")
         self._placer = EnginePlacer(
             self._clock,
@@ -151,6 +177,7 @@
             self._estimator,
             self._hints,
             lambda: self._index.configuration.defaults.weights,
+            lambda brand: self._index.configuration.value_for(brand, "objectives").ttft_ms,
             self._rng,
             self._exports,
         )
@@ -162,11 +189,8 @@
     def _make_work(self) -> None:
         settings = self._settings
         bounds = DrainBounds(settings.drain_notice_ms, settings.drain_finish_ms, HAND_OVER_MS)
-        self._work = WorkTracker(self._clock, bounds, self._mesh.leave)
-        self._recorder = Recorder(settings.entry_id, self._clock)
-        host, _, port = settings.statsd_address.rpartition(":")
-        sink = statsd.StatsClient(host, int(port)) if port else _NoStatsd()
-        self._metrics = StatsdMetrics(sink, settings.zone)
+        self._duties = Duties(self._mesh, settings.entry_id, self._clock, self._make_duties())
+        self._work = WorkTracker(self._clock, bounds, self._leave)
         self._upkeep = Upkeep(self._clock, self._tasks())
 
     def _make_routes(self) -> None:
@@ -203,10 +227,27 @@
             Task("relay_load", self._relay_interval_ms, self._relay_load),
             Task("loans", lambda: LOAN_INTERVAL_MS, self._ask_loans),
             Task("actions", lambda: ACTION_INTERVAL_MS, self._actions.maintain),
+            Task("duties", lambda: DUTY_INTERVAL_MS, self._duties.tick),
         )
 
+    def _make_duties(self) -> tuple[Duty, ...]:
+        zone = self._settings.zone
+        sweep = DutyLease(
+            self._kvs, self._clock, DutyName(f"sweep/{zone}"), self._settings.entry_id
+        )
+        return (Duty(sweep, SWEEP_INTERVAL_MS, self._kept.sweep),)
+
+    def _leave(self) -> None:
+        """Release the duties and leave membership."""
+        try:
+            self._duties.leave()
+        except BergamothillError as error:
+            _log.warning("release_failed", step=error.step, peer=error.peer, reason=error.message)
+        self._mesh.leave()
+
     def _relay_interval_ms(self) -> int:
-        return PollPlan.tick_ms(self._mesh.live_peers())
+        peers = self._mesh.live_peers()
+        return RELAY_INTERVAL_MS if len(peers) <= SMALL_ZONE else PollPlan.tick_ms(peers)
 
     def _relay_load(self) -> None:
         for delta in self._placer.deltas():
@@ -269,6 +310,7 @@
             **status,
             "draining": self._work.is_draining,
             "in_progress": self._work.in_progress,
+            "leases": [asdict(duty) for duty in self._duties.status()],
             "control_bytes": sum(self._mesh.bytes_total()) + CONTROL_TRAFFIC.total_bytes,
         }
 
--- a/bergamothill/process/serverpoll.py
+++ b/bergamothill/process/serverpoll.py
@@ -3,19 +3,18 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Callable
-from concurrent.futures import Future, ThreadPoolExecutor
+from collections.abc import Callable, Iterable
+from concurrent.futures import Executor, Future, ThreadPoolExecutor
 from contextlib import suppress
 
-import logbook
-
 from bergamothill.clock import Clock, seconds
 from bergamothill.connection.bus import PeerBus, Scope
 from bergamothill.connection.engine import EngineLoad, ModelEngine
 from bergamothill.connection.instancelist import Instance, InstanceKind, InstanceList
 from bergamothill.errors import BergamothillError
 from bergamothill.ids import EntryInstanceId, ServerId, ZoneName
-from bergamothill.process.pollplan import FULL_REPORT_TICKS, PollPlan
+from bergamothill.logs import EventLog
+from bergamothill.process.pollplan import FULL_REPORT_TICKS, TICK_MIN_MS, PollPlan
 from bergamothill.process.servermessages import (
     InstanceChanges,
     LeavingNotice,
@@ -38,7 +37,7 @@
 SUMMARY_ENGINES = 8
 STEP = "servers.poll"
 
-log = logbook.Logger("bergamothill.servers")
+log = EventLog("servers")
 
 
 class ServerPoller:
@@ -52,6 +51,9 @@
     :param entry_id: this entry instance
     :param zone: its availability zone
     :param on_instances: receives the instances whenever they changed
+    :param pool: runs the blocking calls; None makes one
+    :param tick_min_ms: least time between two polls of an engine, in milliseconds
+    :param extras: messages to the zone that go out with each report, in the same frame
     """
 
     def __init__(
@@ -64,6 +66,9 @@
         entry_id: EntryInstanceId,
         zone: ZoneName,
         on_instances: Callable[[tuple[Instance, ...]], None] = lambda instances: None,
+        pool: Executor | None = None,
+        tick_min_ms: int = TICK_MIN_MS,
+        extras: Callable[[], Iterable[object]] = tuple,
     ) -> None:
         self._instance_list = instance_list
         self._engine_factory = engine_factory
@@ -73,13 +78,18 @@
         self._entry_id = entry_id
         self._zone = zone
         self._on_instances = on_instances
-        self._plan = PollPlan(entry_id, zone)
+        self._extras = extras
+        self._tick_min_ms = tick_min_ms
+        self._plan = PollPlan(entry_id, zone, tick_min_ms)
         self._listing: dict[str, Instance] = {}
         self._engines: dict[ServerId, tuple[Instance, ModelEngine]] = {}
         self._running: dict[ServerId, Future[bool]] = {}
         self._news: dict[ServerId, tuple[int, EngineLoad]] = {}
         self._reported: dict[ServerId, EngineLoad] = {}
+        self._failing: set[ServerId] = set()
+        self._list_failing = False
         self._lock = threading.RLock()
+        self._list_lock = threading.RLock()
         self._next_tick_ms = 0
         self._report_due = False
         self._tick_count = 0
@@ -87,7 +97,7 @@
         self._list_started_ms = -(1 << 60)
         self._list_future: Future[None] | None = None
         self._stopping = threading.Event()
-        self._pool = ThreadPoolExecutor(POLL_WORKERS, thread_name_prefix="server-poll")
+        self._pool = pool or ThreadPoolExecutor(POLL_WORKERS, thread_name_prefix="server-poll")
         self._loop = ThreadPoolExecutor(1, thread_name_prefix="server-beat")
         bus.subscribe(ServerReport, self._on_report)
         bus.subscribe(LeavingNotice, self._on_notice)
@@ -116,13 +126,13 @@
         """
         if self._table.may_send(server, self._clock.now_ms()):
             return True
+        if not self._table.announcements_young(self._clock.now_ms()):
+            self._confirm_announcements()
         instance = self._table.instance(server)
         if instance is None or self._table.is_leaving(server):
             return False
         if instance.kind is InstanceKind.ENGINE and not self._poll_once(server):
             return False
-        if not self._table.may_send(server, self._clock.now_ms()):
-            self._confirm_announcements()
         return self._table.may_send(server, self._clock.now_ms())
 
     def beat(self) -> None:
@@ -135,7 +145,7 @@
             self._report_due = False
             self._report(now_ms)
         if now_ms >= self._next_tick_ms:
-            self._next_tick_ms = now_ms + self._plan.tick_ms(live)
+            self._next_tick_ms = now_ms + self._plan.tick_ms(live, self._tick_min_ms)
             self._report_due = True
             self._start_polls(now_ms, live)
         if now_ms >= self._next_summary_ms:
@@ -147,7 +157,7 @@
             try:
                 self.beat()
             except Exception as error:  # noqa: BLE001 - the loop must outlive one bad beat
-                log.error(f"event=beat_failed reason={error!r}")
+                log.error("beat_failed", reason=repr(error))
 
     def _submit(self, work: Callable[..., object], *arguments: object) -> Future | None:
         with suppress(RuntimeError):  # the pool refuses work after close()
@@ -168,32 +178,55 @@
         try:
             instances = self._instance_list.instances()
         except BergamothillError as error:
-            log.warning(f"event=list_failed step={error.step} reason={error.message!r}")
+            if not self._list_failing:
+                log.warning("list_failed", step=error.step, reason=error.message)
+            self._list_failing = True
             self._table.take_list_failure(asked_ms)
             return
-        changes = self._replace_listing(instances)
+        if self._list_failing:
+            log.info("list_back")
+        self._list_failing = False
+        with self._list_lock:
+            is_first = not self._listing
+            changed, removed = self._replace_listing(instances)
+            if is_first or changed or removed:
+                self._on_instances(instances)
         self._table.take_list(instances, asked_ms, self._clock.now_ms())
-        if changes.changed or changes.removed:
-            self._bus.publish(changes, Scope.ZONE)
-            self._on_instances(instances)
+        digest = self._table.leaving_digest()
+        self._bus.publish(InstanceChanges(asked_ms, digest, changed, removed), Scope.ZONE)
         self._announce(self._clock.now_ms())
 
-    def _replace_listing(self, instances: tuple[Instance, ...]) -> InstanceChanges:
-        with self._lock:
-            new = {i.instance_id: i for i in instances}
-            old, self._listing = self._listing, new
+    def _replace_listing(
+        self, instances: tuple[Instance, ...]
+    ) -> tuple[tuple[Instance, ...], tuple[str, ...]]:
+        """Replace what is known of the list; return what changed and what was removed.
+
+        A first read changes nothing: the peers know the list, and the whole of it is large.
+        """
+        new = {i.instance_id: i for i in instances}
+        old, self._listing = self._listing, new
+        if not old:
+            return (), ()
         changed = tuple(i for i in instances if old.get(i.instance_id) != i)
-        return InstanceChanges(changed, tuple(sorted(old.keys() - new.keys())))
+        return changed, tuple(sorted(old.keys() - new.keys()))
 
     def _on_changes(self, sender: EntryInstanceId, changes: InstanceChanges) -> None:
-        with self._lock:
+        self._table.take_changes(
+            changes, lambda ms: self._bus.local_ms(sender, ms), self._clock.now_ms()
+        )
+        self._log_learned(sender)
+        if changes.changed or changes.removed:
+            self._apply_changes(changes)
+
+    def _apply_changes(self, changes: InstanceChanges) -> None:
+        """Bring the listing up to date; before the first read there is none."""
+        with self._list_lock:
+            if not self._listing:
+                return
             self._listing.update({i.instance_id: i for i in changes.changed})
             for name in changes.removed:
                 self._listing.pop(name, None)
-            instances = tuple(self._listing.values())
-        self._table.take_changes(changes, self._clock.now_ms())
-        self._log_learned(sender)
-        self._on_instances(instances)
+            self._on_instances(tuple(self._listing.values()))
 
     def _start_polls(self, now_ms: int, live: tuple[EntryInstanceId, ...]) -> None:
         records = self._zone_engines()
@@ -236,9 +269,12 @@
         try:
             load = self._engine(instance).load()
         except BergamothillError as error:
-            log.info(f"event=poll_failed server={server} reason={error.message!r}")
+            if server not in self._failing:
+                log.warning("poll_failed", server=server, reason=error.message)
+            self._failing.add(server)
             self._table.mark_unreachable(server)
             return False
+        self._failing.discard(server)
         self._table.take_answer(server, load, asked_ms, self._clock.now_ms())
         with self._lock:
             self._news[server] = (asked_ms - load.age_ms, load)
@@ -268,7 +304,7 @@
             list_read_ms=max(-1, self._table.list_read_ms()),
             news=news,
         )
-        self._bus.publish(report, Scope.ZONE)
+        self._bus.publish_batch((report, *self._extras()), Scope.ZONE)
 
     def _one_news(
         self, server: ServerId, asked_ms: int, load: EngineLoad, whole: bool
@@ -302,7 +338,7 @@
         try:
             answer = self._bus.request(peer, LeavingQuery(), timeout_ms=SYNC_TIMEOUT_MS)
         except BergamothillError as error:
-            log.info(f"event=leaving_query_failed peer={peer} reason={error.message!r}")
+            log.info("leaving_query_failed", peer=peer, reason=error.message)
             return False
         if not isinstance(answer, LeavingNotice):
             return False
@@ -340,13 +376,15 @@
         learned = self._table.take_learned()
         for leaving in learned:
             log.info(
-                f"event=server_leaving server={leaving.server}"
-                f" incarnation={leaving.incarnation} source={source}"
+                "server_leaving",
+                server=leaving.server,
+                incarnation=leaving.incarnation,
+                source=source,
             )
         return learned
 
     def _summarize(self, now_ms: int, live: tuple[EntryInstanceId, ...]) -> None:
-        with self._lock:
+        with self._list_lock:
             zones = {instance.zone for instance in self._listing.values()} | {self._zone}
         self._next_summary_ms = now_ms + self._plan.summary_ms(live, len(zones))
         if len(zones) == 1 or not self._plan.summarizes(live):
@@ -365,7 +403,7 @@
     load = record.load
     return ServerNews(
         ServerId(record.instance.instance_id),
-        record.instance.incarnation,
+        load.state.incarnation,
         now_ms,
         figures_of(load),
         load.state,
--- a/tests/proof/proof_action.py
+++ b/tests/proof/proof_action.py
@@ -11,12 +11,13 @@
 from hypothesis.stateful import initialize, precondition, rule
 
 from bergamothill.clock import ManualClock
+from bergamothill.connection.memorybus import MemoryNetwork
 from bergamothill.connection.service import PlainService, ServiceCall, ServiceReply
 from bergamothill.errors import Execution, PeerTimeoutError, PeerUnreachableError
 from bergamothill.request import action
-from bergamothill.request.action import RETENTION_MS, ActionRunner
-from bergamothill.request.attempt import Attempt, AttemptState
-from bergamothill.request.attemptsteps import (
+from bergamothill.request.action import ActionRunner
+from bergamothill.request.actionattempt import ActionAttempt, ActionState
+from bergamothill.request.actionsteps import (
     Answer,
     Effect,
     Event,
@@ -24,7 +25,8 @@
     Refuse,
     Send,
 )
-from tests.builders import FaultyKeyValueService, LoopbackBus, WriteFault
+from bergamothill.request.recordlease import RETENTION_MS
+from tests.builders import FaultyKeyValueService, WriteFault
 from tests.proof.harness import Proof, ProofMachine
 
 ENTRIES = 3
@@ -95,7 +97,7 @@
         ran = [run.call for run in self.runs if run.call.request_id.encode() == reply.body]
         if not ran:
             self._fail(f"{call.request_id} got a reply of nothing that ran")
-        if (ran[0].idempotency_key, ran[0].body) != (call.idempotency_key, call.body):
+        if (_scope(ran[0]), ran[0].body) != (_scope(call), call.body):
             self._fail(f"{call.request_id} got the reply of {ran[0].request_id}")
 
     def _fail(self, message: str) -> None:
@@ -105,17 +107,20 @@
     def _within_retention(self, call: ServiceCall) -> list[Run]:
         oldest_ms = self.clock.now_ms() - RETENTION_MS
         return [
-            run
-            for run in self.runs
-            if run.call.idempotency_key == call.idempotency_key and run.at_ms > oldest_ms
+            run for run in self.runs if _scope(run.call) == _scope(call) and run.at_ms > oldest_ms
         ]
 
 
+def _scope(call: ServiceCall) -> tuple[str, str]:
+    """Return what two calls must share to be one action."""
+    return call.brand, call.idempotency_key
+
+
 @dataclass(slots=True, eq=False)
 class Progress:
     """One attempt under way: what it waits for is an effect to carry out or its outcome."""
 
-    attempt: Attempt
+    attempt: ActionAttempt
     effect: Effect | None
     event: Event | None = None
 
@@ -125,37 +130,42 @@
 
     def __init__(self, name: str, world: AtMostOnceMachine) -> None:
         self.name = name
-        self.bus = LoopbackBus(name, world.buses)
-        self.runner = ActionRunner(world.kvs, self.bus, world.clock, name)
+        bus = world.network.join(name, "zone-a")
+        self.runner = ActionRunner(world.kvs, bus, world.clock, name)
         self.progress: deque[Progress] = deque()
+        self.is_frozen = False
+        self.is_cut_off = False
 
 
 class AtMostOnceMachine(ProofMachine):
     """Several entry instances, one key-value service and one back end, all failing."""
 
-    attempt_class: type[Attempt] = Attempt
+    attempt_class: type[ActionAttempt] = ActionAttempt
 
     @initialize()
     def build(self) -> None:
         self.clock = ManualClock()
         self.kvs = FaultyKeyValueService(self.clock)
         self.back_end = BackEnd(self.clock)
-        self.buses: dict[str, LoopbackBus] = {}
+        self.network = MemoryNetwork()
         self.started = 0
         self.entries = [Entry(f"entry-{number}", self) for number in range(ENTRIES)]
 
     @rule(
         entry=st.integers(0, ENTRIES - 1),
+        brand=st.sampled_from(["mend", "mend", "quill"]),
         key=st.integers(0, 1),
         is_other=st.booleans(),
         steps=st.integers(0, 8),
         fault=st.sampled_from(SendFault),
     )
-    def request(self, entry: int, key: int, is_other: bool, steps: int, fault: SendFault) -> None:
+    def request(
+        self, entry: int, brand: str, key: int, is_other: bool, steps: int, fault: SendFault
+    ) -> None:
         self.operation() if fault is SendFault.NONE else self.fault()
         body = b"other" if is_other and key else b"body"
         self.back_end.fault = fault
-        self._start(self.entries[entry], key, body, steps)
+        self._start(self.entries[entry], brand, key, body, steps)
         self.back_end.fault = SendFault.NONE
 
     @precondition(lambda self: self._movable())
@@ -205,14 +215,16 @@
     def freeze_owner(self, index: int) -> None:
         self.fault()
         entry, _ = self._pick(index)
-        entry.bus.is_frozen = True
+        entry.is_frozen = True
+        self._link()
 
-    @precondition(lambda self: any(entry.bus.is_frozen for entry in self.entries))
+    @precondition(lambda self: any(entry.is_frozen for entry in self.entries))
     @rule(steps=st.integers(0, 8))
     def wake(self, steps: int) -> None:
         self.operation()
-        entry = next(entry for entry in self.entries if entry.bus.is_frozen)
-        entry.bus.is_frozen = False
+        entry = next(entry for entry in self.entries if entry.is_frozen)
+        entry.is_frozen = False
+        self._link()
         if entry.progress:
             self._advance_progress(entry, entry.progress[0], steps)
 
@@ -221,15 +233,17 @@
     def kill_and_replace(self, entry: int, keeps_name: bool) -> None:
         self.fault()
         old = self.entries[entry]
-        del self.buses[old.name]
+        self.network.leave(old.name)
         self.started += 1
         name = old.name if keeps_name else f"entry-{entry}-{self.started}"
         self.entries[entry] = Entry(name, self)
+        self._link()
 
-    @rule(entry=st.integers(0, ENTRIES - 1), other=st.integers(0, ENTRIES - 1))
-    def toggle_cut(self, entry: int, other: int) -> None:
+    @rule(entry=st.integers(0, ENTRIES - 1))
+    def toggle_cut(self, entry: int) -> None:
         self.fault()
-        self.entries[entry].bus.cut_from ^= {self.entries[other].name}
+        self.entries[entry].is_cut_off ^= True
+        self._link()
 
     @precondition(lambda self: self.kvs.late_writes)
     @rule(index=st.integers(0, 5))
@@ -247,7 +261,7 @@
     @rule(entry=st.integers(0, ENTRIES - 1))
     def maintain(self, entry: int) -> None:
         self.operation()
-        if not self.entries[entry].bus.is_frozen:
+        if not self.entries[entry].is_frozen:
             self.entries[entry].runner.maintain()
 
     @precondition(lambda self: self._movable())
@@ -271,28 +285,37 @@
             return
         self.kvs.is_down = False
         for entry in self.entries:
-            entry.bus.is_frozen = False
-            entry.bus.cut_from.clear()
+            entry.is_frozen = False
+            entry.is_cut_off = False
+        self._link()
         for entry in self.entries:
             while entry.progress:
                 self._finish_oldest(entry)
         for call in self.back_end.late_calls:
             self.back_end.run(call)
 
+    def _link(self) -> None:
+        """Cut the entry instances that are frozen or cut off, and no others."""
+        self.network.heal()
+        for entry in self.entries:
+            if entry.is_frozen or entry.is_cut_off:
+                for other in self.entries:
+                    self.network.cut(entry.name, other.name)
+
     def _finish_oldest(self, entry: Entry) -> None:
         oldest = entry.progress[0]
         self._advance_progress(entry, oldest, MAX_STEPS_TO_END)
         if oldest in entry.progress:
             raise AssertionError(f"{oldest.attempt.call.request_id} does not end")
 
-    def _start(self, entry: Entry, key: int, body: bytes, steps: int) -> None:
-        if entry.bus.is_frozen or len(entry.progress) >= MAX_LIVE_ATTEMPTS:
+    def _start(self, entry: Entry, brand: str, key: int, body: bytes, steps: int) -> None:
+        if entry.is_frozen or len(entry.progress) >= MAX_LIVE_ATTEMPTS:
             return
         self.started += 1
         call = ServiceCall(
-            f"r{self.started}", "mend", "POST", "book", body, "", f"k{key}", TIMEOUT_MS, "booking"
+            f"r{self.started}", brand, "POST", "book", body, "", f"k{key}", TIMEOUT_MS, "booking"
         )
-        with mock.patch.object(action, "Attempt", self.attempt_class):
+        with mock.patch.object(action, "ActionAttempt", self.attempt_class):
             attempt = entry.runner.begin(call)
         progress = Progress(attempt, None)
         entry.progress.append(progress)
@@ -300,7 +323,7 @@
         self._advance_progress(entry, progress, steps)
 
     def _movable(self) -> list[tuple[Entry, Progress]]:
-        awake = [entry for entry in self.entries if not entry.bus.is_frozen]
+        awake = [entry for entry in self.entries if not entry.is_frozen]
         return [(entry, progress) for entry in awake for progress in entry.progress]
 
     def _pick(self, index: int) -> tuple[Entry, Progress]:
@@ -319,7 +342,7 @@
 
     def _advance_once(self, entry: Entry, progress: Progress) -> None:
         if progress.event is None:
-            progress.event = entry.runner.perform(progress.effect, self.back_end)
+            progress.event = entry.runner.performer.perform(progress.effect, self.back_end)
             return
         event, progress.event = progress.event, None
         self._take_effect(entry, progress, progress.attempt.step(event, self.clock.now_ms()))
@@ -328,7 +351,7 @@
         progress.effect = effect
         if isinstance(effect, Send):
             # Nothing blocks between the decision to send and the send.
-            progress.event = entry.runner.perform(effect, self.back_end)
+            progress.event = entry.runner.performer.perform(effect, self.back_end)
         if isinstance(effect, Answer | Refuse):
             entry.progress.remove(progress)
             entry.runner.finish(progress.attempt)
@@ -342,15 +365,15 @@
             self.back_end.check_not_run(call.request_id)
 
 
-class UnrecordedAttempt(Attempt):
+class UnrecordedAttempt(ActionAttempt):
     """Test double without the mechanism: sends without a record."""
 
     def start(self) -> Effect:
-        self.state = AttemptState.SENT
+        self.state = ActionState.SENT
         return Send(self.call)
 
 
-class HastyAttempt(Attempt):
+class HastyAttempt(ActionAttempt):
     """Test double that takes the record of an owner that does not answer."""
 
     def step(self, event: Event, now_ms: int) -> Effect:
@@ -359,7 +382,7 @@
         return super().step(event, now_ms)
 
 
-class AgelessAttempt(Attempt):
+class AgelessAttempt(ActionAttempt):
     """Test double that sends however old its claim is."""
 
     def _is_too_late(self, now_ms: int) -> bool:
@@ -370,8 +393,8 @@
     """The machine with the mechanism, or without any record."""
 
     @property
-    def attempt_class(self) -> type[Attempt]:
-        return Attempt if self.mechanism_enabled else UnrecordedAttempt
+    def attempt_class(self) -> type[ActionAttempt]:
+        return ActionAttempt if self.mechanism_enabled else UnrecordedAttempt
 
 
 class HastyMachine(AtMostOnceMachine):
