--- a/bergamothill/cli/fleet.py
+++ b/bergamothill/cli/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
+from pathlib import Path
 from typing import Any
 
 from cleo.helpers import argument, option
@@ -12,6 +13,7 @@
 from bergamothill.connection.entry import EntryAnswer, EntryStatus
 from bergamothill.errors import PeerUnreachableError
 from bergamothill.process.burn import render_json, render_text
+from bergamothill.process.burnpage import render_html
 from bergamothill.version.plain import to_plain
 
 __all__ = ["fleet_commands"]
@@ -123,11 +125,14 @@
     """Shows the report on service-level burn."""
 
     def __init__(self) -> None:
-        super().__init__("report", "Show the report on service-level burn")
+        html = option("html", None, "Write a page with plots to this file", flag=False)
+        super().__init__("report burn", "Show the report on service-level burn", (), (html,))
 
     def run_command(self) -> int:
         configuration = porcelain.read(self.writer())
         report = porcelain.report(self.entries(), configuration, self.clock)
+        if self.option("html"):
+            Path(self.option("html")).write_text(render_html(report), encoding="utf-8")
         self.print_text(render_json(report) if self.wants_json else render_text(report))
         return ExitCode.UNREACHABLE if report.missing else ExitCode.OK
 
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -3,15 +3,17 @@
 from __future__ import annotations
 
 import json
+import subprocess
 import sys
 import threading
 import time
 
 from bergamothill.version.change import SetDefault
 from scripts.caller import Answer
-from scripts.deployment import BRANDS, Deployment, DeploymentShape, wait_until
-from scripts.processes import ProcessGroup
+from scripts.deployment import BRANDS, OPERATOR_KEY, Deployment, DeploymentShape, wait_until
+from scripts.processes import ROOT, ProcessGroup
 
+REPORT = ROOT / "out" / "burn.html"
 MANUAL_SECTIONS = 24
 PHOTOS = 8
 BLOCK_TOKENS = 2_048
@@ -114,6 +116,21 @@
     return {"config_in_force_ms": elapsed_ms}
 
 
+def show_burn(deployment: Deployment) -> dict[str, object]:
+    """Write the report on service-level burn, as the operators' command line does."""
+    REPORT.parent.mkdir(exist_ok=True)
+    command = [sys.executable, "-m", "bergamothill.cli.main", "report", "burn"]
+    command += ["--kvs", deployment.kvs.address, "--operator-key", OPERATOR_KEY]
+    for entry in deployment.entries:
+        command += ["--entry", entry.address]
+    done = subprocess.run(
+        [*command, "--html", str(REPORT)], cwd=ROOT, capture_output=True, text=True, check=False
+    )
+    expect(done.returncode == 0, f"the report is written, not {done.stderr}")
+    step(f"the burn report is in {REPORT.relative_to(ROOT)}")
+    return {}
+
+
 def show_planned_stop(deployment: Deployment) -> dict[str, object]:
     """Stop an entry instance in mid-stream; the stream ends whole."""
     begun = threading.Event()
@@ -141,6 +158,9 @@
     return {"streams_cut": cut}
 
 
+SHOWS = (show_returning, show_booking, show_configuration, show_burn, show_planned_stop)
+
+
 def main() -> int:
     """Run the demo and print its one line of figures.
 
@@ -152,7 +172,13 @@
             step("starting 2 availability zones, 4 entry instances, 4 engines, 2 stores")
             shape = DeploymentShape(engine_options=ENGINE_OPTIONS)
             deployment = Deployment.start(group, shape)
-            for show in (show_returning, show_booking, show_configuration, show_planned_stop):
+            for show in (
+                show_returning,
+                show_booking,
+                show_configuration,
+                show_burn,
+                show_planned_stop,
+            ):
                 figures.update(show(deployment))
         except Exception as error:
             for path in sorted(group.folder.glob("*.log")):
