Check each run's version through RunVersion, in the machine that delivers answers

Cause: the check stood twice, in InferenceMachine and in version.weights, and the proof drove the one that the product did not use. Engines reported adapters as model:adapter, routing compares bare names as the interface says, so no run with an adapter could be placed (found on reading, no test had one). Change: InferenceMachine checks with RunVersion, a token before START is refused too; an export needs a confirmed version; admission pins with pin_version, routing asks seems_loaded. The double of proof_stream that lacks order checks START only, since the check of versions would otherwise refuse what order is there to mend; the product's own machine is proved as before. Engines report adapters by their name.

--- a/bergamothill/connection/memoryengine.py
+++ b/bergamothill/connection/memoryengine.py
@@ -230,7 +230,7 @@
             incarnation=self.incarnation,
             leaving=self.leaving,
             versions=frozenset(f"{self.model}:{version}" for version in self.versions),
-            adapters=frozenset(f"{self.model}:{adapter}" for adapter in self.adapters),
+            adapters=frozenset(self.adapters),
             role=self._role,
             fencing_number=self._fencing_number,
         )
--- a/bergamothill/process/callers.py
+++ b/bergamothill/process/callers.py
@@ -50,6 +50,7 @@
 from bergamothill.request.token import StreamToken, StreamTokens
 from bergamothill.version.block import BlockChain, chain_blocks
 from bergamothill.version.config import Configuration, ModelConfig
+from bergamothill.version.weights import pin_version
 
 __all__ = ["CallerRoutes", "Serving"]
 
@@ -137,7 +138,8 @@
         brand = index.authenticate(request.headers.get("Authorization"))
         chat = parse_chat(request.get_data())
         model = _permitted_model(index.configuration, brand, chat)
-        chain = chain_blocks(brand, model.name, chat.adapter, model.current, chat.messages)
+        version = pin_version(index.configuration, model.name)
+        chain = chain_blocks(brand, model.name, chat.adapter, version, chat.messages)
         answer = _ChatAnswer(self._serving, index.configuration, request_id, brand, chat, chain)
         if chat.is_stream:
             return lambda start_response: answer.stream(
@@ -269,7 +271,8 @@
                 serving.admission.release(ticket)
             known = runner.placement.known_tokens if runner.placement else 0
             self._note_outcome(arrived_ms, known)
-        serving.placer.finished(job, runner.placement.server)
+        if runner.may_export:
+            serving.placer.finished(job, runner.placement.server)
 
     def _admit(self, expected_ttft_ms: int, queue_ms: int, deadline_ms: int) -> Ticket:
         serving = self._serving
--- a/bergamothill/request/inference.py
+++ b/bergamothill/request/inference.py
@@ -17,10 +17,13 @@
     ProtocolError,
     StreamBrokenError,
     UnavailableError,
+    WeightVersionError,
 )
 from bergamothill.ids import ServerId, StreamId, WeightVersion
 from bergamothill.request.attemptlog import Attempt, AttemptLog
 from bergamothill.request.stream import AnswerStream, StreamPhase
+from bergamothill.version.block import BlockChain
+from bergamothill.version.weights import RunVersion
 
 __all__ = [
     "Closed",
@@ -145,6 +148,7 @@
         self._server = ServerId("")
         self._stream_id = StreamId("")
         self._stream = self._new_stream(-1)
+        self._run_version = self._new_run_version(ServerId(""), is_confirmed=False)
         self._start: StreamEvent | None = None
         self._last_error: BergamothillError | None = None
         self._idle_resumptions = 0
@@ -167,6 +171,7 @@
         machine._server = server
         machine._stream_id = stream_id
         machine._stream = machine._new_stream(after)
+        machine._run_version = machine._new_run_version(server, is_confirmed=after >= 0)
         machine._progress = after
         machine._is_resumption = True
         machine._has_delivered = True
@@ -178,6 +183,16 @@
     def _new_stream(self, after: int) -> AnswerStream:
         return AnswerStream(after)
 
+    def _new_run_version(self, server: ServerId, *, is_confirmed: bool) -> RunVersion:
+        return RunVersion(self._version, server, is_confirmed=is_confirmed)
+
+    def may_export(self, chain: BlockChain) -> bool:
+        """Tell whether blocks that the last attempt computed may be kept under a chain's keys.
+
+        :param chain: blocks of the prompt
+        """
+        return self._run_version.may_export(chain)
+
     def begin(self) -> Effect:
         """Return the first effect."""
         if self._is_resumption:
@@ -197,18 +212,17 @@
 
         :param event: event as it arrived
         :returns: events that the caller gets now
-        :raises ProtocolError: the engine ran another weight version than the pinned one
+        :raises WeightVersionError: the engine ran another weight version than the pinned one
         """
         ready = self._stream.receive(event)
         if not ready:
             return ()
         if self._attempt is not None:
             self._attempts.started(self._attempt)
-        if ready[0].kind is EventKind.START:
-            self._check_version(ready[0])
-            if not self._has_delivered:
-                self._start = ready[0]
-                ready = ready[1:]
+        self._check_version(ready)
+        if ready[0].kind is EventKind.START and not self._has_delivered:
+            self._start = ready[0]
+            ready = ready[1:]
         ready = tuple(event for event in ready if event.kind is not EventKind.ERROR)
         if not ready:
             return ()
@@ -232,6 +246,7 @@
         self._server = event.server
         self._stream_id = event.stream_id
         self._stream = self._new_stream(-1)
+        self._run_version = self._new_run_version(event.server, is_confirmed=False)
         self._start = None
         self._progress = -1
         self._idle_resumptions = 0
@@ -306,16 +321,13 @@
             return Failed(error)
         return Failed(self._attempts.final(error))
 
-    def _check_version(self, start: StreamEvent) -> None:
-        if start.weight_version == self._version:
-            return
-        self._stream.phase = StreamPhase.OPEN
-        raise ProtocolError(
-            f"the engine ran version {start.weight_version}, not {self._version}",
-            step="weights.check",
-            peer=self._server,
-            execution=Execution.UNKNOWN,
-        )
+    def _check_version(self, ready: tuple[StreamEvent, ...]) -> None:
+        try:
+            for event in ready:
+                self._run_version.check(event)
+        except WeightVersionError:
+            self._stream.phase = StreamPhase.OPEN
+            raise
 
 
 def nothing_available(reason: str, retry_after_ms: int) -> UnavailableError:
--- a/bergamothill/request/placement.py
+++ b/bergamothill/request/placement.py
@@ -25,6 +25,7 @@
 from bergamothill.request.runner import InferenceJob, Placement
 from bergamothill.version.block import BlockChain
 from bergamothill.version.config import PolicyWeights
+from bergamothill.version.weights import seems_loaded
 
 __all__ = ["EnginePlacer", "Expectation"]
 
@@ -213,12 +214,10 @@
             )
 
     def _serving(self, chain: BlockChain, tried: tuple[ServerId, ...]) -> list[EngineRecord]:
-        version = f"{chain.model}:{chain.weight_version}"
         return [
             record
             for record in self._table.engines()
-            if _takes_work(record, version, chain.adapter)
-            and record.instance.instance_id not in tried
+            if _takes_work(record, chain) and record.instance.instance_id not in tried
         ]
 
     def _views(self, chain: BlockChain, records: list[EngineRecord]) -> tuple[EngineView, ...]:
@@ -261,12 +260,13 @@
             self._estimator.sent(server, rest_tokens, 0, self._clock.now_ms())
 
 
-def _takes_work(record: EngineRecord, version: str, adapter: str) -> bool:
+def _takes_work(record: EngineRecord, chain: BlockChain) -> bool:
     if record.load is None or record.leaving or not record.reachable:
         return False
     state = record.load.state
-    has_adapter = not adapter or adapter in state.adapters
-    return version in state.versions and has_adapter and state.role == "serve"
+    has_adapter = not chain.adapter or chain.adapter in state.adapters
+    has_version = seems_loaded(state, chain.model, chain.weight_version)
+    return has_version and has_adapter and state.role == "serve"
 
 
 def _queue_ms(view: EngineView) -> float:
--- a/bergamothill/request/runner.py
+++ b/bergamothill/request/runner.py
@@ -157,6 +157,11 @@
         """Where the last attempt went; None when there was none."""
         return self._placement
 
+    @property
+    def may_export(self) -> bool:
+        """Whether the blocks of the prompt may be kept under their keys."""
+        return self._machine.may_export(self._job.chain)
+
     def run(self) -> None:
         """Run to the end of the answer.
 
--- a/bergamothill/version/weights.py
+++ b/bergamothill/version/weights.py
@@ -40,12 +40,15 @@
 
     :param pinned: version resolved at admission
     :param server: engine that the attempt goes to
+    :param is_confirmed: START was checked before, where the stream is resumed after it
     """
 
-    def __init__(self, pinned: WeightVersion, server: ServerId) -> None:
+    def __init__(
+        self, pinned: WeightVersion, server: ServerId, *, is_confirmed: bool = False
+    ) -> None:
         self.pinned = pinned
         self._server = server
-        self._is_confirmed = False
+        self._is_confirmed = is_confirmed
 
     def check(self, event: StreamEvent) -> None:
         """Check an event before any of it is delivered.
--- a/tests/proof/proof_stream.py
+++ b/tests/proof/proof_stream.py
@@ -227,6 +227,10 @@
     def _new_stream(self, after):
         return UnorderedStream(after)
 
+    def _check_version(self, ready):
+        # A token that overtakes START would be refused by the check of versions, not of order.
+        super()._check_version(tuple(event for event in ready if event.kind is EventKind.START))
+
 
 class OptimisticMachine(InferenceMachine):
     """Double whose refusals look at the last attempt only."""
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -141,6 +141,10 @@
             self.engine.order(make_order(1))
         self.assertIn("m:v7", self.engine.load().state.versions)
 
+    def test_adapters_are_reported_by_their_name(self):
+        order = EngineOrder(OrderKind.LOAD_ADAPTER, 1, 2_000, "m", adapter="a1")
+        self.assertEqual(self.engine.order(order).adapters, frozenset({"a1"}))
+
     def test_block_travels_by_the_store(self):
         self.run_events()
         empty = BlockRef("k1", "g1", 0, "", 2048)
