Spare an export's question where the store showed the block a minute ago

Cause: after each run of a returning conversation every block was listed again before its export, though the look-up had just found it. Change: KeptContext remembers for a minute which blocks a store showed. Ran: tests.test_restore 14 passed.

--- a/bergamothill/request/restore.py
+++ b/bergamothill/request/restore.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import secrets
-from collections.abc import Mapping, Sequence
+import threading
+from collections import OrderedDict
+from collections.abc import Iterable, Mapping, Sequence
 from concurrent.futures import CancelledError, Future, ThreadPoolExecutor, TimeoutError
 from dataclasses import dataclass
 from enum import Enum
@@ -38,6 +40,8 @@
 TRANSFER_THREADS = 32
 TOUCH_INTERVAL_MS = 600_000
 GENERATION_BYTES = 16
+PRESENT_MS = 60_000
+PRESENT_KEYS = 20_000
 
 Result = TypeVar("Result")
 
@@ -131,6 +135,8 @@
         self._log = EventLog("blocks")
         self._imports: SingleFlight[Generation | None] = SingleFlight()
         self._exports: SingleFlight[ExportOutcome] = SingleFlight()
+        self._present: OrderedDict[str, int] = OrderedDict()
+        self._present_lock = threading.Lock()
         self._transfers = ThreadPoolExecutor(TRANSFER_THREADS, thread_name_prefix="transfer")
 
     def close(self) -> None:
@@ -191,12 +197,17 @@
     ) -> ExportOutcome:
         """Copy one block from an engine to a store, unless it is there; blocks until done.
 
+        A block that some store showed within the last minute counts as there. At worst the store
+        has lost it since, and the block is exported after a later run.
+
         :param engine: engine that keeps the block
         :param chain: blocks of the prompt, under the version that the run confirmed
         :param index: position of the block in the chain
         :param zone: availability zone of the engine
         """
         key = chain.keys[index]
+        if self._was_present(key):
+            return ExportOutcome(key, ExportStatus.PRESENT)
         endpoint = self.calls.writer_of(key, zone)
         if endpoint is None or not self.calls.is_trusted(endpoint.store):
             return ExportOutcome(key, ExportStatus.ABANDONED)
@@ -209,6 +220,8 @@
             self._exports.fail(ServerId(endpoint.store), key, error)
             raise
         self._exports.succeed(ServerId(endpoint.store), key, outcome)
+        if outcome.status in (ExportStatus.COMMITTED, ExportStatus.PRESENT):
+            self._note_present((key,))
         return outcome
 
     def sweep(self) -> tuple[SweepReport, ...]:
@@ -257,10 +270,26 @@
             return None
 
     def _counted(self, chain: BlockChain, found: list[Found]) -> tuple[Found, ...]:
+        self._note_present(one.block.key for one in found)
         self._count("block.found", chain.brand, len(found))
         self._count("block.missed", chain.brand, len(chain.keys) - len(found))
         return tuple(found)
 
+    def _note_present(self, keys: Iterable[str]) -> None:
+        """Remember blocks that a store has shown, so that an export need not ask for them."""
+        now_ms = self._clock.now_ms()
+        with self._present_lock:
+            for key in keys:
+                self._present[key] = now_ms
+                self._present.move_to_end(key)
+            while len(self._present) > PRESENT_KEYS:
+                self._present.popitem(last=False)
+
+    def _was_present(self, key: str) -> bool:
+        with self._present_lock:
+            seen_ms = self._present.get(key)
+        return seen_ms is not None and self._clock.now_ms() - seen_ms < PRESENT_MS
+
     # Import.
 
     def _fly(
--- a/tests/test_restore.py
+++ b/tests/test_restore.py
@@ -5,7 +5,7 @@
 from bergamothill.connection.memoryengine import MemoryModelEngine
 from bergamothill.connection.memorystore import MemoryStoreInstance
 from bergamothill.errors import PeerTimeoutError
-from bergamothill.request.restore import ExportStatus, KeptContext
+from bergamothill.request.restore import PRESENT_MS, ExportStatus, KeptContext
 from bergamothill.request.storecalls import StoreEndpoint
 from bergamothill.version.block import chain_blocks
 
@@ -101,6 +101,14 @@
         self.assertEqual(set(self.export_all()), {ExportStatus.PRESENT})
         self.assertEqual(self.stores["s"].used_bytes, before)
 
+    def test_block_lost_by_its_store_is_exported_again_after_a_while(self):
+        self.export_all()
+        for item in self.stores["s"].list(""):
+            self.stores["s"].delete(item.name)
+        self.assertEqual(set(self.export_all()), {ExportStatus.PRESENT})
+        self.clock.advance_ms(PRESENT_MS)
+        self.assertEqual(set(self.export_all()), {ExportStatus.COMMITTED})
+
     def test_another_brand_or_version_finds_nothing(self):
         self.export_all()
         for brand, version in (("c", "v1"), ("b", "v2")):
