--- a/bergamothill/request/placement.py
+++ b/bergamothill/request/placement.py
@@ -13,6 +13,7 @@
     BergamothillError,
     PeerUnreachableError,
     UnavailableError,
+    WeightVersionError,
 )
 from bergamothill.ids import BrandName, Generation, ServerId
 from bergamothill.logs import EventLog
@@ -25,6 +26,7 @@
 from bergamothill.request.runner import InferenceJob, Placement
 from bergamothill.version.block import BlockChain
 from bergamothill.version.config import PolicyWeights
+from bergamothill.version.weights import VersionDoubts, seems_loaded
 
 __all__ = ["EnginePlacer", "Expectation"]
 
@@ -85,6 +87,7 @@
         self._weights = weights
         self._objective_ms = objective_ms
         self._rng = rng
+        self._doubts = VersionDoubts()
         self._exporter: Exporter | None = None
         self._lock = threading.Lock()
 
@@ -168,6 +171,9 @@
         """Learn from a failed exchange."""
         if isinstance(error, PeerUnreachableError):
             self._table.mark_unreachable(server)
+        elif isinstance(error, WeightVersionError):
+            with self._lock:
+                self._doubts.note(server, self._clock.now_ms())
 
     def ran(self, server: ServerId, job: InferenceJob, start: StreamEvent) -> None:
         """Learn from the engine's own count of cached tokens."""
@@ -210,12 +216,13 @@
             self._hints.relayed(delta)
 
     def _serving(self, chain: BlockChain, tried: tuple[ServerId, ...]) -> list[EngineRecord]:
-        version = f"{chain.model}:{chain.weight_version}"
+        now_ms = self._clock.now_ms()
         return [
             record
             for record in self._table.engines()
-            if _takes_work(record, version, chain.adapter)
+            if _takes_work(record, chain)
             and record.instance.instance_id not in tried
+            and not self._doubts.is_doubted(ServerId(record.instance.instance_id), now_ms)
         ]
 
     def _views(self, chain: BlockChain, records: list[EngineRecord]) -> tuple[EngineView, ...]:
@@ -251,12 +258,13 @@
             self._estimator.sent(route.server, rest_tokens, moved_bytes, self._clock.now_ms())
 
 
-def _takes_work(record: EngineRecord, version: str, adapter: str) -> bool:
+def _takes_work(record: EngineRecord, chain: BlockChain) -> bool:
     if record.load is None or record.leaving or not record.reachable:
         return False
     state = record.load.state
-    has_adapter = not adapter or adapter in state.adapters
-    return version in state.versions and has_adapter and state.role == "serve"
+    has_adapter = not chain.adapter or chain.adapter in state.adapters
+    is_serving = state.role == "serve"
+    return has_adapter and is_serving and seems_loaded(state, chain.model, chain.weight_version)
 
 
 def _queue_ms(view: EngineView) -> float:
