Split kept context into look-up, import, export and presence

Change: blocklookup, blockimport, blockexport, presence; KeptContext is the facade, same interface. Ran: tests.test_restore tests.test_blockprocess 17 passed.

--- /dev/null
+++ b/bergamothill/request/blockimport.py
@@ -0,0 +1,128 @@
+"""Import of kept blocks into an engine, one transfer for each block and engine."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from concurrent.futures import Future, ThreadPoolExecutor
+
+from bergamothill.clock import Clock
+from bergamothill.connection.engine import ModelEngine
+from bergamothill.ids import Generation, ServerId
+from bergamothill.logs import EventLog
+from bergamothill.request.blocklookup import BlockCount, Found, result_by
+from bergamothill.request.blockport import BlockPort, run_block_machine
+from bergamothill.request.flight import SingleFlight
+from bergamothill.request.storecalls import StoreCalls
+from bergamothill.version.blockstore import BlockBounds, BlockRead, ReadConfirmed
+
+__all__ = ["BlockImporter"]
+
+TRANSFER_THREADS = 32
+TOUCH_INTERVAL_MS = 600_000
+
+
+class BlockImporter:
+    """Has engines import blocks.
+
+    :param calls: calls to the stores
+    :param clock: source of time
+    :param bounds: time bounds of the block protocol
+    :param count: metrics
+    """
+
+    def __init__(
+        self, calls: StoreCalls, clock: Clock, bounds: BlockBounds, count: BlockCount
+    ) -> None:
+        self._calls = calls
+        self._clock = clock
+        self._bounds = bounds
+        self._count = count
+        self._log = EventLog("blocks")
+        self._imports: SingleFlight[Generation | None] = SingleFlight()
+        self._transfers = ThreadPoolExecutor(TRANSFER_THREADS, thread_name_prefix="transfer")
+
+    def close(self) -> None:
+        """Stop the threads; transfers that have not begun are dropped."""
+        self._transfers.shutdown(wait=False, cancel_futures=True)
+
+    def restore(
+        self,
+        server: ServerId,
+        engine: ModelEngine,
+        found: Sequence[Found],
+        *,
+        timeout_ms: int,
+    ) -> tuple[Generation, ...]:
+        """Have an engine import blocks and return those that a run may use.
+
+        :param server: id of the engine
+        :param engine: engine that imports
+        :param found: leading blocks, as returned by :meth:`lookup`; those that the engine keeps
+            may be left out at the front
+        :param timeout_ms: longest time to wait, in milliseconds
+        :returns: generations of the longest confirmed prefix of ``found``
+        """
+        deadline_ms = self._clock.now_ms() + timeout_ms
+        flights = [self._fly(server, engine, one, timeout_ms) for one in found]
+        confirmed: list[Generation] = []
+        for flight in flights:
+            generation = result_by(flight, deadline_ms, self._clock)
+            if generation is None:
+                break
+            confirmed.append(generation)
+        for one in found[: len(confirmed)]:
+            self._touch(one)
+        return tuple(confirmed)
+
+    def _fly(
+        self, server: ServerId, engine: ModelEngine, found: Found, timeout_ms: int
+    ) -> Future[Generation | None]:
+        """Start the import of one block, or join the one under way."""
+        key = f"{found.block.key}/{found.block.generation}"
+        flight = self._imports.join(server, key)
+        if flight.leader:
+            self._transfers.submit(self._lead_import, server, engine, found, key, timeout_ms)
+        return flight.future
+
+    def _lead_import(
+        self, server: ServerId, engine: ModelEngine, found: Found, key: str, timeout_ms: int
+    ) -> None:
+        try:
+            generation = self._import(server, engine, found, timeout_ms)
+        except Exception as error:
+            self._imports.fail(server, key, error)
+            raise
+        self._imports.succeed(server, key, generation)
+
+    def _import(
+        self, server: ServerId, engine: ModelEngine, found: Found, timeout_ms: int
+    ) -> Generation | None:
+        endpoint = self._calls.find(found.store)
+        if endpoint is None:
+            return None
+        port = BlockPort(engine, endpoint, found.block.token_count, timeout_ms)
+        machine = BlockRead(found.listing, found.looked_up_ms, self._bounds)
+        outcome = run_block_machine(machine, port.perform, self._clock)
+        if isinstance(outcome, ReadConfirmed):
+            return outcome.generation
+        self._log.warning(
+            "block_rejected",
+            brand=found.listing.name.brand,
+            key=found.block.key,
+            store=found.store,
+            server=server,
+            reason=outcome.reason.value,
+            error=port.error or "",
+        )
+        self._count("block.rejected", found.listing.name.brand, 1)
+        return None
+
+    def _touch(self, found: Found) -> None:
+        """Note the use at the store, now and then."""
+        age_ms = found.listing.commits[0].age_ms
+        if found.listing.used_age_ms is not None:
+            age_ms = min(age_ms, found.listing.used_age_ms)
+        endpoint = self._calls.find(found.store)
+        if age_ms < TOUCH_INTERVAL_MS or endpoint is None:
+            return
+        self._calls.submit(endpoint, lambda at: at.instance.put(found.listing.name.used, b""))
--- a/bergamothill/version/blockname.py
+++ b/bergamothill/version/blockname.py
@@ -19,6 +19,7 @@
 from bergamothill.connection.engine import BlockRef
 from bergamothill.connection.store import StoredObject
 from bergamothill.ids import BrandName, Generation, ModelName, WeightVersion
+from bergamothill.version.block import BlockChain
 
 __all__ = [
     "ROOT",
@@ -26,6 +27,7 @@
     "Commit",
     "CopyListing",
     "brand_prefix",
+    "name_copy",
     "parse_listing",
 ]
 
@@ -158,6 +160,16 @@
         return self.data_age_ms - commit.age_ms < write_bound_ms
 
 
+def name_copy(chain: BlockChain, key: str, generation: Generation) -> BlockName:
+    """Return the name of a copy of one block of a prompt.
+
+    :param chain: blocks of the prompt
+    :param key: key of the block
+    :param generation: name drawn for the copy
+    """
+    return BlockName(chain.brand, chain.model, chain.weight_version, key, generation)
+
+
 def brand_prefix(brand: BrandName) -> str:
     """Return the prefix of the names of a brand's blocks."""
     return ROOT + _segment(brand)
--- a/tests/test_restore.py
+++ b/tests/test_restore.py
@@ -5,7 +5,8 @@
 from bergamothill.connection.memoryengine import MemoryModelEngine
 from bergamothill.connection.memorystore import MemoryStoreInstance
 from bergamothill.errors import PeerTimeoutError
-from bergamothill.request.restore import PRESENT_MS, ExportStatus, KeptContext
+from bergamothill.request.presence import PRESENT_MS
+from bergamothill.request.restore import ExportStatus, KeptContext
 from bergamothill.request.storecalls import StoreEndpoint
 from bergamothill.version.block import chain_blocks
 
