Refuse a change based on a revision that the service no longer has

Cause: the proof of the configuration found a change that took effect twice. The service was restored to before the change's base; the change was accepted at a revision at or below its base, where a repeat does not look for its id. Change: the writer refuses a base above the accepted revision (StaleConfigurationError, not run; unknown while a write is in doubt).

--- a/bergamothill/version/revision.py
+++ b/bergamothill/version/revision.py
@@ -23,6 +23,7 @@
     PeerTimeoutError,
     PeerUnreachableError,
     ProtocolError,
+    StaleConfigurationError,
     UnavailableError,
 )
 from bergamothill.ids import ChangeId, Revision
@@ -202,6 +203,7 @@
             it are conflicts. Left out, it is that of the id, or the one read first
         :returns: where it was accepted
         :raises ChangeConflictError: a change to the same item won
+        :raises StaleConfigurationError: the service has less than the revision that was seen
         :raises InvalidRequestError: a change is malformed
         :raises NotFoundError: a change names something that does not exist
         :raises PeerUnreachableError: the service was not reached; the change was not accepted
@@ -287,6 +289,7 @@
     def _attempt(self) -> Accepted | None:
         head, mod_revision = self._records.read_head()
         self._take_base(head)
+        self._check_base(head)
         earlier = self._find_earlier(head)
         if earlier is not None:
             return earlier
@@ -303,6 +306,21 @@
             self._base = head.revision
         self._change_id = new_change_id(self._base)
 
+    def _check_base(self, head: Head) -> None:
+        """Refuse to go on from a service that was restored to before what the operator saw.
+
+        The change could be accepted at or below its base, where a repeat does not look for it.
+        """
+        if self._base is None or self._base <= head.revision:
+            return
+        if self._doubtful_at is not None:
+            raise PeerTimeoutError(self._unknown_text(), step=STEP)
+        raise StaleConfigurationError(
+            f"change {self._change_id} is based on revision {self._base}, the key-value service"
+            f" has {head.revision}: it was restored from an old state",
+            step=STEP,
+        )
+
     def _find_earlier(self, head: Head) -> Accepted | None:
         """Look for the id among the accepted changes after the base, newest first."""
         later: list[AcceptedChange] = []
--- a/tests/proof/proof_configuration.py
+++ b/tests/proof/proof_configuration.py
@@ -84,10 +84,10 @@
         if head.lineage not in self.chains:
             change = self.submitted[head.recent[-1].change_id]
             chain = self.chains[self.current]
+            self.chains[head.lineage] = (*chain, change.change_id)
             assert not change.is_refused, f"{change.change_id} was refused and took effect"
             assert change.change_id not in chain, f"{change.change_id} took effect twice"
             assert head.revision == len(chain) + 1, "a revision was left out"
-            self.chains[head.lineage] = (*chain, change.change_id)
         self.current = head.lineage
         self.lost -= set(self.chains[head.lineage])
         self.effects.append((now_ms, head.revision))
--- a/tests/test_revision.py
+++ b/tests/test_revision.py
@@ -9,6 +9,7 @@
     NotFoundError,
     PeerTimeoutError,
     PeerUnreachableError,
+    StaleConfigurationError,
 )
 from bergamothill.version import revision
 from bergamothill.version.change import AddBrand, AddModel, AllowModel, SetDefault
@@ -191,6 +192,14 @@
         pages = 5
         self.assertEqual(len(self.kvs.scan(CONTENT_PREFIX)), pages + 1 + 2)
 
+    def test_change_seen_after_what_the_service_has_is_refused(self):
+        old = self.kvs.snapshot()
+        self.warm(5)
+        self.kvs.restore(old)
+        with self.assertRaises(StaleConfigurationError):
+            self.warm(6, change_id=new_change_id(1))
+        self.assertEqual(self.writer.read().head.revision, 0)
+
     def test_id_carries_its_base(self):
         self.assertEqual(base_of(new_change_id(17)), 17)
         self.assertIsNone(base_of("ticket-4711"))
