--- a/bergamothill/version/config.py
+++ b/bergamothill/version/config.py
@@ -86,6 +86,8 @@
 
     :param warm_time_ms: how long a conversation's context is kept after its last use
     :param answer_timeout_ms: longest duration of a request, in milliseconds
+    :param concurrent_weight_loads: engines that may load weights at once
+    :param rollout_failures: engines that may fail to load before a rollout goes back
     """
 
     warm_time_ms: int = 86_400_000
@@ -94,6 +96,7 @@
     limits: Limits = field(default_factory=Limits)
     objectives: Objectives = field(default_factory=Objectives)
     concurrent_weight_loads: int = 2
+    rollout_failures: int = 1
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/bergamothill/version/rolloutrunner.py
@@ -0,0 +1,190 @@
+"""Carries out weight rollouts under a duty lease."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from concurrent.futures import Future, ThreadPoolExecutor
+
+from bergamothill.clock import Clock
+from bergamothill.connection.engine import EngineLoad, EngineOrder, ModelEngine
+from bergamothill.errors import (
+    BergamothillError,
+    Execution,
+    LeaseLostError,
+    OverloadedError,
+    StoreFullError,
+    UnavailableError,
+)
+from bergamothill.ids import ModelName, ServerId
+from bergamothill.logs import EventLog
+from bergamothill.process.lease import DutyLease
+from bergamothill.version.change import Change, FinishRollout, SetWeightTarget
+from bergamothill.version.config import Configuration, ModelConfig
+from bergamothill.version.revision import ConfigurationWriter
+from bergamothill.version.rollout import (
+    EngineView,
+    FinishOrder,
+    GoBack,
+    OrderOutcome,
+    RolloutEffect,
+    RolloutMachine,
+    RolloutRule,
+    SendOrder,
+)
+
+__all__ = ["RolloutRunner"]
+
+WORKERS = 16
+CHECK_INTERVAL_MS = 30_000
+
+_log = EventLog("rollout")
+
+Engines = Callable[[ModelName], Mapping[ServerId, ModelEngine]]
+
+
+class RolloutRunner:
+    """Moves engines to the versions that the configuration names while this instance has the duty.
+
+    :param lease: duty lease of the rollouts
+    :param configuration: returns the configuration in force
+    :param writer: submits the end of a rollout
+    :param engines: returns the engines of a model that are not leaving
+    :param refuses_old_numbers: tells whether an engine refuses old fencing numbers
+    :param clock: source of time
+    """
+
+    def __init__(
+        self,
+        lease: DutyLease,
+        configuration: Callable[[], Configuration],
+        writer: ConfigurationWriter,
+        engines: Engines,
+        refuses_old_numbers: Callable[[ServerId], bool],
+        clock: Clock,
+    ) -> None:
+        self._lease = lease
+        self._configuration = configuration
+        self._writer = writer
+        self._engines = engines
+        self._refuses_old_numbers = refuses_old_numbers
+        self._clock = clock
+        self._machines: dict[ModelName, RolloutMachine] = {}
+        self._checked_ms: dict[ModelName, int] = {}
+        self._fencing = lease.fencing
+        self._pool = ThreadPoolExecutor(WORKERS, thread_name_prefix="rollout")
+        self._orders: dict[Future[tuple[OrderOutcome, int]], SendOrder] = {}
+
+    def step(self) -> None:
+        """Keep the lease, take in finished orders and start new ones; to be called every second."""
+        is_held = self._lease.tick()
+        self._collect()
+        if not is_held:
+            return
+        if self._lease.fencing != self._fencing:
+            self._fencing = self._lease.fencing
+            self._machines.clear()
+            self._checked_ms.clear()
+            self._orders.clear()
+        configuration = self._configuration()
+        for model in configuration.models.values():
+            self._step_model(model, configuration)
+
+    def stop(self) -> None:
+        """Wait for the orders under way and release the lease."""
+        self._pool.shutdown(wait=True)
+        self._lease.release()
+
+    def _step_model(self, model: ModelConfig, configuration: Configuration) -> None:
+        now_ms = self._clock.now_ms()
+        machine = self._machines.setdefault(model.name, RolloutMachine(model.name))
+        is_moving = model.current != model.target or machine.is_busy
+        if not is_moving and now_ms < self._checked_ms.get(model.name, 0) + CHECK_INTERVAL_MS:
+            return
+        self._checked_ms[model.name] = now_ms
+        engines = self._engines(model.name)
+        servers = sorted(engines)
+        loads = list(self._pool.map(lambda server: _load(engines[server]), servers))
+        views = tuple(EngineView(s, load) for s, load in zip(servers, loads, strict=True))
+        defaults = configuration.defaults
+        rule = RolloutRule(defaults.concurrent_weight_loads, defaults.rollout_failures)
+        busy = sum(machine.loads_under_way for machine in self._machines.values())
+        free_loads = rule.concurrent_loads - busy
+        effects = machine.plan(model, views, rule, free_loads=free_loads, now_ms=now_ms)
+        for effect in effects:
+            self._perform(effect, engines)
+
+    def _perform(self, effect: RolloutEffect, engines: Mapping[ServerId, ModelEngine]) -> None:
+        if isinstance(effect, SendOrder):
+            future = self._pool.submit(self._send, effect, engines[effect.server])
+            self._orders[future] = effect
+        elif isinstance(effect, FinishOrder):
+            self._submit(FinishRollout(effect.model, effect.version), "rollout_finished")
+        elif isinstance(effect, GoBack):
+            _log.error("rollout_failed", model=effect.model, engines=",".join(effect.failed))
+            self._submit(SetWeightTarget(effect.model, effect.version), "rollout_went_back")
+
+    def _submit(self, change: Change, event: str) -> None:
+        base = self._configuration().revision
+        try:
+            accepted = self._writer.submit((change,), base=base)
+        except BergamothillError as error:
+            _log.warning("rollout_change_failed", model=change.model, error=str(error))
+            return
+        _log.info(event, model=change.model, version=change.version, revision=accepted.revision)
+
+    def _send(self, order: SendOrder, engine: ModelEngine) -> tuple[OrderOutcome, int]:
+        """Send one order; the permit is taken after the last step that may block."""
+        now_ms = self._clock.now_ms()
+        try:
+            refuses = self._refuses_old_numbers(order.server)
+            permit = self._lease.permit(refuses_old_numbers=refuses)
+        except (LeaseLostError, UnavailableError) as error:
+            _log.info("order_not_permitted", server=order.server, error=str(error))
+            return OrderOutcome.NOT_SENT, now_ms
+        deadline_ms = self._clock.now_ms() + permit.life_ms
+        try:
+            engine.order(
+                EngineOrder(
+                    kind=order.kind,
+                    fencing_number=permit.fencing,
+                    deadline_ms=permit.life_ms,
+                    model=order.model,
+                    weight_version=order.version,
+                    role=order.role,
+                )
+            )
+        except BergamothillError as error:
+            outcome = _outcome(error)
+            _log.warning(
+                "order_failed",
+                server=order.server,
+                order=order.kind.value,
+                outcome=outcome.value,
+                error=str(error),
+            )
+            return outcome, deadline_ms
+        _log.info("order_done", server=order.server, order=order.kind.value, version=order.version)
+        return OrderOutcome.DONE, deadline_ms
+
+    def _collect(self) -> None:
+        for future in [future for future in self._orders if future.done()]:
+            order = self._orders.pop(future)
+            outcome, deadline_ms = future.result()
+            machine = self._machines.get(order.model)
+            if machine is not None:
+                machine.report(order, outcome, deadline_ms=deadline_ms)
+
+
+def _load(engine: ModelEngine) -> EngineLoad | None:
+    try:
+        return engine.load()
+    except BergamothillError:
+        return None
+
+
+def _outcome(error: BergamothillError) -> OrderOutcome:
+    if error.execution is Execution.UNKNOWN:
+        return OrderOutcome.UNKNOWN
+    if isinstance(error, (StoreFullError, OverloadedError)):
+        return OrderOutcome.NO_ROOM
+    return OrderOutcome.REFUSED
--- /dev/null
+++ b/tests/test_rollout.py
@@ -0,0 +1,197 @@
+import unittest
+from dataclasses import replace
+
+from bergamothill.clock import ManualClock
+from bergamothill.connection.engine import OrderKind
+from bergamothill.connection.kvs_memory import MemoryKeyValueService
+from bergamothill.connection.memoryengine import MemoryModelEngine
+from bergamothill.errors import PeerTimeoutError, StoreFullError
+from bergamothill.ids import ServerId
+from bergamothill.process.lease import DutyLease
+from bergamothill.version.change import AddModel, SetWeightTarget
+from bergamothill.version.config import ModelConfig
+from bergamothill.version.revision import ConfigurationWriter
+from bergamothill.version.rollout import (
+    EngineView,
+    FinishOrder,
+    GoBack,
+    OrderOutcome,
+    RolloutMachine,
+    RolloutRule,
+    SendOrder,
+)
+from bergamothill.version.rolloutrunner import RolloutRunner
+
+RULE = RolloutRule(concurrent_loads=2, failures=1)
+MODEL = ModelConfig("guide", "v1", "v2")
+
+
+class Fleet:
+    """Engines and a holder of the duty, stepped by hand."""
+
+    def __init__(self, count, *, room=2):
+        self.engines = {
+            ServerId(f"e{n}"): MemoryModelEngine(ServerId(f"e{n}"), "guide", ["v1"])
+            for n in range(count)
+        }
+        self.room = room
+        self.running = dict.fromkeys(self.engines, 0)
+        self.model = MODEL
+        self.machine = RolloutMachine("guide")
+        self.now_ms = 0
+        self.broken = set()
+        self.most_loading = 0
+        self.least_serving = count
+
+    def views(self):
+        return [
+            EngineView(server, replace(engine.load(), running=self.running[server]))
+            for server, engine in self.engines.items()
+        ]
+
+    def plan(self):
+        return self.machine.plan(self.model, self.views(), RULE, free_loads=2, now_ms=self.now_ms)
+
+    def step(self):
+        effects = self.plan()
+        orders = [effect for effect in effects if isinstance(effect, SendOrder)]
+        loading = sum(order.kind is OrderKind.LOAD_WEIGHTS for order in orders)
+        self.most_loading = max(self.most_loading, loading)
+        for order in orders:
+            self.machine.report(order, self.carry_out(order), deadline_ms=self.now_ms + 5_000)
+        for effect in effects:
+            if isinstance(effect, FinishOrder):
+                self.model = replace(self.model, current=effect.version)
+            if isinstance(effect, GoBack):
+                self.model = replace(self.model, target=effect.version)
+        self.least_serving = min(self.least_serving, self.serving())
+        self.now_ms += 1_000
+        return effects
+
+    def carry_out(self, order):
+        engine = self.engines[order.server]
+        if order.kind is OrderKind.UNLOAD_WEIGHTS and self.running[order.server]:
+            raise AssertionError(f"{order.server} would cut its runs short")
+        if order.kind is OrderKind.LOAD_WEIGHTS:
+            if order.server in self.broken:
+                return OrderOutcome.REFUSED
+            if len(engine.versions) >= self.room:
+                return OrderOutcome.NO_ROOM
+            engine.versions.add(order.version)
+        elif order.kind is OrderKind.UNLOAD_WEIGHTS:
+            engine.versions.discard(order.version)
+        else:
+            engine._role = order.role
+        return OrderOutcome.DONE
+
+    def serving(self):
+        return sum(
+            engine._role == "serve" and self.model.current in engine.versions
+            for engine in self.engines.values()
+        )
+
+    def run(self, steps=100):
+        for _ in range(steps):
+            self.step()
+
+
+class MachineTests(unittest.TestCase):
+    def assert_moved(self, fleet, version="v2"):
+        self.assertEqual((fleet.model.current, fleet.model.target), (version, version))
+        for engine in fleet.engines.values():
+            self.assertEqual((engine.versions, engine._role), ({version}, "serve"))
+
+    def test_loads_beside_what_serves(self):
+        fleet = Fleet(5)
+        fleet.run()
+        self.assert_moved(fleet)
+        self.assertEqual(fleet.most_loading, 2)
+        self.assertGreaterEqual(fleet.least_serving, 3)
+
+    def test_swaps_where_there_is_no_room(self):
+        for count in (1, 2, 5):
+            with self.subTest(count=count):
+                fleet = Fleet(count, room=1)
+                fleet.run(200)
+                self.assert_moved(fleet)
+                self.assertGreaterEqual(fleet.least_serving, count // 2)
+
+    def test_waits_for_the_runs_of_a_draining_engine(self):
+        fleet = Fleet(2)
+        fleet.running = dict.fromkeys(fleet.engines, 3)
+        fleet.run(20)
+        self.assertEqual(fleet.model.current, "v2")
+        self.assertIn("v1", fleet.engines["e0"].versions)
+        fleet.running = dict.fromkeys(fleet.engines, 0)
+        fleet.run()
+        self.assert_moved(fleet)
+
+    def test_goes_back_when_too_many_fail(self):
+        fleet = Fleet(5)
+        fleet.broken = {"e1", "e3"}
+        fleet.run()
+        self.assert_moved(fleet, "v1")
+
+    def test_one_failure_within_the_rule_is_left_behind(self):
+        fleet = Fleet(5)
+        fleet.broken = {"e1"}
+        fleet.run(30)
+        self.assertEqual(fleet.model.current, "v2")
+        fleet.broken.clear()
+        fleet.run()
+        self.assert_moved(fleet)
+
+    def test_new_holder_goes_on_from_what_the_engines_say(self):
+        for steps in range(1, 12):
+            with self.subTest(steps=steps):
+                fleet = Fleet(4, room=1)
+                fleet.run(steps)
+                fleet.machine = RolloutMachine("guide")
+                fleet.run(200)
+                self.assert_moved(fleet)
+
+    def test_order_of_unknown_outcome_is_not_repeated_before_its_deadline(self):
+        fleet = Fleet(1)
+        (order,) = fleet.plan()
+        fleet.machine.report(order, OrderOutcome.UNKNOWN, deadline_ms=5_000)
+        self.assertEqual(fleet.plan(), ())
+        self.assertEqual(fleet.machine.loads_under_way, 1)
+        fleet.now_ms = 5_000
+        self.assertEqual(fleet.plan(), (order,))
+
+
+class RunnerTests(unittest.TestCase):
+    def test_rollout_under_a_lease(self):
+        clock = ManualClock()
+        kvs = MemoryKeyValueService(clock)
+        writer = ConfigurationWriter(kvs, clock)
+        writer.submit((AddModel("guide", "v1"),))
+        writer.submit((SetWeightTarget("guide", "v2"),))
+        engines = {f"e{n}": MemoryModelEngine(f"e{n}", "guide", ["v1"]) for n in range(3)}
+        failures = iter([StoreFullError("no room", step="x"), PeerTimeoutError("x", step="x")])
+        order = engines["e0"].order
+
+        def fail_twice(request):
+            error = next(failures, None)
+            if error is not None:
+                raise error
+            return order(request)
+
+        engines["e0"].order = fail_twice
+        runner = RolloutRunner(
+            DutyLease(kvs, clock, "rollout", "entry-1"),
+            lambda: writer.read().configuration,
+            writer,
+            lambda model: engines,
+            lambda server: True,
+            clock,
+        )
+        for _ in range(300):
+            runner.step()
+            for future in list(runner._orders):
+                future.exception()
+            clock.advance_ms(1_000)
+        runner.stop()
+        self.assertEqual(writer.read().configuration.models["guide"].current, "v2")
+        for engine in engines.values():
+            self.assertEqual(engine.versions, {"v2"})
