--- a/bergamothill/cli/base.py
+++ b/bergamothill/cli/base.py
@@ -59,9 +59,10 @@
     :param error: what went wrong
     :param may_change: the command changes something, so that an unknown outcome matters
     """
+    if may_change and error.execution is Execution.UNKNOWN:
+        return ExitCode.UNKNOWN_OUTCOME
     if isinstance(error, (PeerTimeoutError, PeerUnreachableError, UnavailableError)):
-        unknown = may_change and error.execution is Execution.UNKNOWN
-        return ExitCode.UNKNOWN_OUTCOME if unknown else ExitCode.UNREACHABLE
+        return ExitCode.UNREACHABLE
     return ExitCode.REFUSED
 
 
--- a/bergamothill/cli/change.py
+++ b/bergamothill/cli/change.py
@@ -84,7 +84,7 @@
         drawn = new_change_id(base)
         # Said before the first attempt, so that it is known however the command ends.
         self.print_progress(f"change id {drawn}")
-        return SubmitOptions(drawn, base)
+        return SubmitOptions(drawn, base, is_repeat=False)
 
     def _base(self) -> Revision | None:
         text = self.option("base")
--- a/bergamothill/cli/fleet.py
+++ b/bergamothill/cli/fleet.py
@@ -64,6 +64,8 @@
         state = "draining" if status.draining else "serving"
         if status.revision < latest:
             state += f", {latest - status.revision} revisions behind"
+        if not status.kvs_reachable:
+            state += ", lost the key-value service"
         if status.refused_revision:
             state += f", refuses revision {status.refused_revision}: {status.refused_reason}"
         age_ms = "never" if status.configuration_age_ms is None else status.configuration_age_ms
--- a/bergamothill/porcelain.py
+++ b/bergamothill/porcelain.py
@@ -4,7 +4,7 @@
 
 import secrets
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from bergamothill.clock import Clock
@@ -106,10 +106,12 @@
 
     :param change_id: id of the change, to repeat it safely; drawn when left out
     :param base: revision that the change is based on; the accepted one when left out
+    :param is_repeat: the id may have been submitted before; False where it was just drawn
     """
 
     change_id: ChangeId | None = None
     base: Revision | None = None
+    is_repeat: bool = True
 
 
 DEFAULT_OPTIONS = SubmitOptions()
@@ -139,7 +141,12 @@
     options: SubmitOptions = DEFAULT_OPTIONS,
 ) -> Accepted:
     """Have changes accepted together; see :meth:`ConfigurationWriter.submit`."""
-    return writer.submit(tuple(changes), change_id=options.change_id, base=options.base)
+    return writer.submit(
+        tuple(changes),
+        change_id=options.change_id,
+        base=options.base,
+        is_repeat=options.is_repeat,
+    )
 
 
 def add_brand(
@@ -393,7 +400,7 @@
         raise InvalidRequestError(f"model {model} does not exist", step="porcelain.stop_rollout")
     current = snapshot.configuration.models[model].current
     base = snapshot.head.revision if options.base is None else options.base
-    changed = SubmitOptions(options.change_id, base)
+    changed = replace(options, base=base)
     return submit(writer, [SetWeightTarget(model, current)], changed)
 
 
@@ -420,7 +427,7 @@
     base = snapshot.head.revision if options.base is None else options.base
     if options.change_id is not None and options.base is None:
         base = None
-    return submit(writer, changes, SubmitOptions(options.change_id, base))
+    return submit(writer, changes, replace(options, base=base))
 
 
 def recover(kvs: KeyValueService, clock: Clock, reason: str) -> Revision:
--- a/bergamothill/version/follower.py
+++ b/bergamothill/version/follower.py
@@ -25,6 +25,7 @@
     "ConfigurationFollower",
     "FollowerStatus",
     "HeadVerdict",
+    "PreparedConfiguration",
     "RefusalReason",
     "Source",
     "VerdictKind",
@@ -120,8 +121,8 @@
         self._clock = clock
         self._head = EMPTY_HEAD
         self._head_value = b""
-        self._contents: dict[str, bytes] = {}
-        self._records: dict[str, tuple[Any, ...]] = {}
+        self._contents: Mapping[str, bytes] = {}
+        self._records: Mapping[str, tuple[Any, ...]] = {}
         self._configuration: Configuration | None = None
         self._confirmed_ms: int | None = None
         self._refused_revision = Revision(0)
@@ -209,6 +210,13 @@
         """Put the head that is ready in force.
 
         :returns: the configuration now in force
+        :raises ProtocolError: no head is ready, or a content is damaged
+        """
+        return self.commit(self.prepare())
+
+    def prepare(self) -> PreparedConfiguration:
+        """Decode the head that is ready, which may take long, and change nothing.
+
         :raises ProtocolError: no head is ready, or a content is damaged
         """
         candidate = self._candidate
@@ -219,13 +227,22 @@
         records = self._decoded(head, contents)
         by_name = {name: records[digest] for name, digest in head.buckets.items()}
         configuration = join_buckets(head.revision, by_name)
-        self._head, self._head_value = head, candidate.value
-        self._contents, self._records = contents, records
-        self._configuration = configuration
+        return PreparedConfiguration(candidate, contents, records, configuration)
+
+    def commit(self, prepared: PreparedConfiguration) -> Configuration:
+        """Put a decoded head in force.
+
+        :param prepared: what :meth:`prepare` returned; no head was offered since
+        :returns: the configuration now in force
+        """
+        candidate = prepared.candidate
+        self._head, self._head_value = candidate.head, candidate.value
+        self._contents, self._records = prepared.contents, prepared.records
+        self._configuration = prepared.configuration
         self._confirmed_ms = candidate.offered_ms if candidate.source is Source.KVS else None
         self._candidate = None
         self._clear_refusal()
-        return configuration
+        return prepared.configuration
 
     def _judge_not_newer(self, head: Head, source: Source) -> HeadVerdict:
         if head.revision == self._head.revision and head.lineage == self._head.lineage:
@@ -301,3 +318,19 @@
         self.source = source
         self.offered_ms = offered_ms
         self.contents: dict[str, bytes] = {}
+
+
+@dataclass(frozen=True, slots=True)
+class PreparedConfiguration:
+    """Decoded head that is ready to be put in force.
+
+    :param candidate: the head
+    :param contents: bytes of its contents by digest
+    :param records: their records by digest
+    :param configuration: all of it put together
+    """
+
+    candidate: _Candidate
+    contents: Mapping[str, bytes]
+    records: Mapping[str, tuple[Any, ...]]
+    configuration: Configuration
--- a/bergamothill/version/revision.py
+++ b/bergamothill/version/revision.py
@@ -54,8 +54,8 @@
     "new_change_id",
 ]
 
-RECENT_MAX = 192
-PAGE_CHANGES = 96
+RECENT_MAX = 128
+PAGE_CHANGES = 64
 RETIRED_MAX = 64
 MAX_ITEMS = 8
 SUMMARY_LENGTH = 96
@@ -192,6 +192,7 @@
         *,
         change_id: ChangeId | None = None,
         base: Revision | None = None,
+        is_repeat: bool = True,
     ) -> Accepted:
         """Have a change set accepted as a whole, or not at all.
 
@@ -201,6 +202,8 @@
         :param change_id: id of the change set; drawn when left out
         :param base: revision that the operator has seen; changes to the same items accepted after
             it are conflicts. Left out, it is that of the id, or the one read first
+        :param is_repeat: a given id may have been submitted before, so that a failure says nothing
+            about the change; False where the caller has just drawn it
         :returns: where it was accepted
         :raises ChangeConflictError: a change to the same item won
         :raises StaleConfigurationError: the service has less than the revision that was seen
@@ -209,7 +212,8 @@
         :raises PeerUnreachableError: the service was not reached; the change was not accepted
         :raises PeerTimeoutError: the outcome is unknown; submit again with the same id
         """
-        submission = _Submission(self._records, self._clock, changes, change_id, base)
+        may_have_run = is_repeat and change_id is not None
+        submission = _Submission(self._records, self._clock, changes, change_id, base, may_have_run)
         return submission.run(self._settle_timeout_ms)
 
     def _read(self, call: Callable[[], T]) -> T:
@@ -255,7 +259,9 @@
         changes: tuple[Change, ...],
         change_id: ChangeId | None,
         base: Revision | None,
+        may_have_run: bool,
     ) -> None:
+        self._may_have_run = may_have_run
         self._records = records
         self._clock = clock
         self._changes = changes
@@ -313,12 +319,12 @@
         """
         if self._base is None or self._base <= head.revision:
             return
-        if self._doubtful_at is not None:
-            raise PeerTimeoutError(self._unknown_text(), step=STEP)
+        in_doubt = self._may_have_run or self._doubtful_at is not None
         raise StaleConfigurationError(
             f"change {self._change_id} is based on revision {self._base}, the key-value service"
             f" has {head.revision}: it was restored from an old state",
             step=STEP,
+            execution=Execution.UNKNOWN if in_doubt else Execution.NOT_RUN,
         )
 
     def _find_earlier(self, head: Head) -> Accepted | None:
@@ -439,17 +445,18 @@
     def _check_time(self, error: BergamothillError) -> None:
         """Raise when there is no point in trying further."""
         over = self._clock.now_ms() >= self._deadline_ms
-        if self._doubtful_at is not None:
-            if over:
+        is_unreachable = isinstance(error, PeerUnreachableError)
+        if self._doubtful_at is not None or self._may_have_run:
+            if over or (is_unreachable and self._doubtful_at is None):
                 raise self._unknown(error) from error
             return
-        if over or isinstance(error, PeerUnreachableError):
+        if over or is_unreachable:
             raise self._not_run(error) from error
 
     def _check_contention(self) -> None:
         if self._clock.now_ms() < self._deadline_ms:
             return
-        if self._doubtful_at is not None:
+        if self._doubtful_at is not None or self._may_have_run:
             raise PeerTimeoutError(self._unknown_text(), step=STEP)
         raise UnavailableError(
             f"change {self._change_id} lost every race and was not accepted", step=STEP
--- a/bergamothill/version/watcher.py
+++ b/bergamothill/version/watcher.py
@@ -394,8 +394,10 @@
         return verdict
 
     def _apply(self, source: Source) -> None:
+        # Decoding takes long with many brands; the lock is needed by the threads of the links.
+        prepared = self._follower.prepare()
         with self._lock:
-            configuration = self._follower.apply()
+            configuration = self._follower.commit(prepared)
         _log.info("configuration_applied", revision=configuration.revision, source=source.value)
         self._on_apply(configuration)
         self._announce(Scope.EVERYWHERE if source is Source.KVS else Scope.ZONE)
--- a/tests/proof/proof_configuration.py
+++ b/tests/proof/proof_configuration.py
@@ -124,14 +124,16 @@
         self.submitted[change.change_id] = change
         return change
 
-    def submit(self, change):
+    def submit(self, change, *, is_repeat=False):
         """Submit a change and hold the outcome against the oracle."""
         writer = self.writer_class(
             self.world.service, self.world.writer_clock, settle_timeout_ms=SETTLE_TIMEOUT_MS
         )
         was_refused, change.is_refused = change.is_refused, False
         try:
-            accepted = writer.submit(change.changes(), change_id=change.change_id)
+            accepted = writer.submit(
+                change.changes(), change_id=change.change_id, is_repeat=is_repeat
+            )
         except BergamothillError as error:
             if change.accepted_at is None and error.execution is Execution.NOT_RUN:
                 self.refuse(change, error, was_refused)
@@ -220,7 +222,7 @@
         if change.change_id in self.lost:
             return
         before = self.chains[self.current]
-        self.submit(change)
+        self.submit(change, is_repeat=True)
         if change.change_id in before:
             assert self.chains[self.current] == before, "a repeated change took effect again"
 
--- a/tests/test_revision.py
+++ b/tests/test_revision.py
@@ -158,6 +158,17 @@
             self.warm(5)
         self.assertIs(caught.exception.execution, Execution.NOT_RUN)
 
+    def test_repeat_that_does_not_reach_the_service_says_nothing_of_the_first(self):
+        change_id = new_change_id(0)
+        self.kvs.hold_back = 1_000
+        with self.assertRaises(PeerTimeoutError):
+            self.warm(5, change_id=change_id, is_repeat=False)
+        self.kvs.land_held()
+        self.kvs.down = True
+        with self.assertRaises(PeerTimeoutError) as caught:
+            self.warm(5, change_id=change_id)
+        self.assertIs(caught.exception.execution, Execution.UNKNOWN)
+
     def test_refused_change_leaves_no_content(self):
         self.warm(5)
         before = len(self.kvs.scan(CONTENT_PREFIX))
