--- a/scripts/measurement/policies.py
+++ b/scripts/measurement/policies.py
@@ -64,7 +64,6 @@
     relay_reused: bool = False
     renew_cached: bool = False
     admission: bool = False
-    short_first: bool = False
 
 
 def _recompute_always(prompt, engines, weights, rng, name) -> Plan:
@@ -180,15 +179,5 @@
             renew_cached=True,
             admission=True,
         ),
-        Policy(
-            "short",
-            _objective,
-            relay_ms=10,
-            relay_everywhere=True,
-            relay_reused=True,
-            renew_cached=True,
-            admission=True,
-            short_first=True,
-        ),
     )
 }
--- a/scripts/measurement/replay.py
+++ b/scripts/measurement/replay.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-from bisect import bisect
 from collections.abc import Callable
 from concurrent.futures import Future
 from dataclasses import dataclass, field
@@ -36,7 +35,6 @@
 DEADLINE_MS = 10_000
 WARM_TIME_MS = 86_400_000
 SLOW_LINK = 0.1
-SHORT_TOKENS = (2_500, 8_000)
 CALLER_DELAY_MS = 1
 CUT_ZONE = ZoneName("c")
 FAULTY_ENGINE = ServerId("engine-0")
@@ -354,12 +352,7 @@
             self._arrived(attempt)
 
     def _priority(self, attempt: _Attempt) -> int:
-        priority = attempt.ticket.priority if attempt.ticket else 0
-        if not self.policy.short_first:
-            return priority
-        tokens = attempt.outcome.arrival.prompt_tokens
-        tokens -= attempt.plan.restore_until * BLOCK_TOKENS
-        return 3 * priority + bisect(SHORT_TOKENS, tokens)
+        return attempt.ticket.priority if attempt.ticket else 0
 
     def _import(self, attempt: _Attempt, key: str) -> None:
         server = attempt.plan.view.server
