--- a/bergamothill/request/runner.py
+++ b/bergamothill/request/runner.py
@@ -82,12 +82,14 @@
     :param engine: its client
     :param imported: generations imported for the run and confirmed
     :param known_tokens: leading tokens of the prompt that were kept somewhere
+    :param stored_blocks: leading blocks of the prompt that stores held
     """
 
     server: ServerId
     engine: ModelEngine
     imported: tuple[Generation, ...]
     known_tokens: int
+    stored_blocks: int
 
 
 class Placer(Protocol):
@@ -157,6 +159,11 @@
         """Where the last attempt went; None when there was none."""
         return self._placement
 
+    @property
+    def may_export(self) -> bool:
+        """Whether the blocks of the prompt may be kept under their keys."""
+        return self._machine.may_export(self._job.chain)
+
     def run(self) -> None:
         """Run to the end of the answer.
 
