Carry out rollouts in the daemon under the duty rollout

Cause: the runner had no process around it. Run: an operator's 'rollout start' moves both engines to v2 by the weight store in mid-stream, and the stream ends whole (tests.test_entry_processes, 1 passed).

--- a/bergamothill/process/entry.py
+++ b/bergamothill/process/entry.py
@@ -12,6 +12,7 @@
 
 from bergamothill.clock import Clock
 from bergamothill.connection.bus import Scope
+from bergamothill.connection.engine import ModelEngine
 from bergamothill.connection.http import CONTROL_TRAFFIC, HttpClient
 from bergamothill.connection.instancelist import HttpInstanceList, Instance, InstanceKind
 from bergamothill.connection.kvs_http import HttpKeyValueService
@@ -23,6 +24,7 @@
     DutyName,
     EntryInstanceId,
     Incarnation,
+    ModelName,
     ServerId,
     ServiceName,
 )
@@ -38,7 +40,7 @@
 from bergamothill.process.operators import OperatorRoutes
 from bergamothill.process.pollplan import PollPlan
 from bergamothill.process.serverpoll import ServerPoller
-from bergamothill.process.servers import ServerTable
+from bergamothill.process.servers import EngineRecord, ServerTable
 from bergamothill.process.settings import Settings
 from bergamothill.process.status import entry_status
 from bergamothill.process.upkeep import Task, Upkeep
@@ -55,6 +57,8 @@
 from bergamothill.request.token import StreamTokens
 from bergamothill.version.block import BlockChain
 from bergamothill.version.config import Configuration
+from bergamothill.version.revision import ConfigurationWriter
+from bergamothill.version.rolloutrunner import RolloutRunner
 from bergamothill.version.watcher import ConfigurationWatcher
 
 __all__ = ["EntryInstance"]
@@ -243,15 +247,39 @@
         )
 
     def _make_duties(self) -> tuple[Duty, ...]:
-        zone = self._settings.zone
-        sweep = DutyLease(
-            self._kvs, self._clock, DutyName(f"sweep/{zone}"), self._settings.entry_id
+        settings, clock = self._settings, self._clock
+        sweep = DutyLease(self._kvs, clock, DutyName(f"sweep/{settings.zone}"), settings.entry_id)
+        rollout = DutyLease(self._kvs, clock, DutyName("rollout"), settings.entry_id)
+        self._rollouts = RolloutRunner(
+            rollout,
+            self._watcher.current,
+            ConfigurationWriter(self._kvs, clock),
+            self._engines_of,
+            self._refuses_old_numbers,
+            clock,
+        )
+        return (
+            Duty(sweep, SWEEP_INTERVAL_MS, self._kept.sweep),
+            Duty(rollout, DUTY_INTERVAL_MS, self._rollouts.step),
         )
-        return (Duty(sweep, SWEEP_INTERVAL_MS, self._kept.sweep),)
+
+    def _engines_of(self, model: ModelName) -> dict[ServerId, ModelEngine]:
+        """Return the engines that serve a model, or that the instance list names for it."""
+        servers = [
+            ServerId(record.instance.instance_id)
+            for record in self._table.engines()
+            if not record.leaving and _belongs_to(record, model)
+        ]
+        return {server: self._clients.engine(server) for server in servers}
+
+    def _refuses_old_numbers(self, server: ServerId) -> bool:
+        """Tell whether an engine has shown that it takes account of fencing numbers."""
+        return self._clients.engine(server).load().state.fencing_number > 0
 
     def _leave(self) -> None:
-        """Release the duties and leave membership."""
+        """End orders under way, release the duties and leave membership."""
         try:
+            self._rollouts.stop()
             self._duties.leave()
         except BergamothillError as error:
             _log.warning("release_failed", step=error.step, peer=error.peer, reason=error.message)
@@ -331,6 +359,13 @@
         }
 
 
+def _belongs_to(record: EngineRecord, model: ModelName) -> bool:
+    if record.instance.group == model:
+        return True
+    versions = record.load.state.versions if record.load is not None else ()
+    return any(version.startswith(f"{model}:") for version in versions)
+
+
 class _NoStatsd:
     """Takes metrics where no metrics daemon is set."""
 
--- a/tests/test_entry_processes.py
+++ b/tests/test_entry_processes.py
@@ -207,3 +207,32 @@
     def state_at(self, entry, server):
         servers = self.deployment.status(entry)["servers"]
         return next(item["state"] for item in servers if item["server"] == server)
+
+
+class RolloutTests(DeploymentTestCase):
+    def test_operators_order_moves_every_engine_and_cuts_no_stream(self):
+        self.deployment.weight_store.json("PUT", "/models/manual/versions", ["v1", "v2"])
+        answers = []
+        caller = self.deployment.caller(0)
+        asking = threading.Thread(
+            target=lambda: answers.append(caller.chat(QUESTION, max_tokens=200))
+        )
+        asking.start()
+        command = [sys.executable, "-m", "bergamothill.cli.main", "rollout", "start", "manual"]
+        command += ["v2", "--kvs", self.deployment.kvs.address]
+        done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, check=False)
+        self.assertEqual(0, done.returncode, done.stderr)
+        wait_until(self.is_moved, "requests run on v2")
+        asking.join()
+        self.assertTrue(answers[0].is_whole)
+        wait_until(lambda: all("v2" in versions for versions in self.loaded()), "all have v2")
+
+    def is_moved(self):
+        answer = self.deployment.caller(1).chat(QUESTION, max_tokens=1)
+        self.assertTrue(answer.is_whole, answer.error)
+        runs = [run for engine in self.deployment.engines for run in engine.json("GET", "/runs")]
+        return any(run["weight_version"] == "v2" for run in runs)
+
+    def loaded(self):
+        loads = [engine.json("GET", "/load") for engine in self.deployment.engines]
+        return [str(load["state"]["versions"]) for load in loads]
