Split the submission, the watch messages and the entry calls into modules of their own

Change: version/submission.py, version/watchmessages.py; waiting for entry instances moves to connection/entry.py. The names stay importable where they were. The proof of the configuration now also sees the lack of the exchange with peers and of settled replies (tests.test_revision.ProofTests).

--- a/bergamothill/connection/entry.py
+++ b/bergamothill/connection/entry.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
+from bergamothill.clock import Clock
 from bergamothill.connection.http import HttpClient, HttpReply, decode_json
 from bergamothill.errors import (
     AuthenticationError,
@@ -20,13 +21,14 @@
 from bergamothill.process.metrics import MetricSnapshot, decode_snapshot
 from bergamothill.version.plain import from_plain
 
-__all__ = ["EntryAnswer", "EntryClient", "EntryStatus", "ask_all"]
+__all__ = ["EntryAnswer", "EntryClient", "EntryStatus", "ask_all", "has_revision", "wait_until"]
 
 CALL_TIMEOUT_MS = 3_000
 STATUS_PATH = "/operator/status"
 DRAIN_PATH = "/operator/drain"
 BURN_PATH = "/operator/burn"
 MAX_CALLS_AT_ONCE = 32
+POLL_INTERVAL_MS = 250
 
 T = TypeVar("T")
 
@@ -168,3 +170,45 @@
         return ()
     with ThreadPoolExecutor(min(MAX_CALLS_AT_ONCE, len(clients))) as pool:
         return tuple(pool.map(ask, clients))
+
+
+def wait_until(
+    clients: Iterable[EntryClient],
+    clock: Clock,
+    is_done: Callable[[EntryAnswer], bool],
+    *,
+    timeout_ms: int,
+    on_progress: Callable[[int, int], None] = lambda done, total: None,
+) -> bool:
+    """Poll entry instances until each satisfies a condition.
+
+    :param is_done: tells whether an answer satisfies it
+    :param timeout_ms: longest wait, in milliseconds
+    :param on_progress: called with the number done, and the total, when it changes
+    :returns: whether all did in time
+    """
+    waiting = list(clients)
+    total = len(waiting)
+    deadline_ms = clock.now_ms() + timeout_ms
+    shown = -1
+    while True:
+        answers = ask_all(waiting, EntryClient.status)
+        waiting = [c for c, a in zip(waiting, answers, strict=True) if not is_done(a)]
+        if total - len(waiting) != shown:
+            shown = total - len(waiting)
+            on_progress(shown, total)
+        if not waiting:
+            return True
+        if clock.now_ms() >= deadline_ms:
+            return False
+        clock.sleep_ms(POLL_INTERVAL_MS)
+
+
+def has_revision(revision: Revision) -> Callable[[EntryAnswer], bool]:
+    """Return a condition: a configuration at least as new is in force."""
+
+    def check(answer: EntryAnswer) -> bool:
+        found: EntryStatus | None = answer.value
+        return found is not None and found.revision >= revision
+
+    return check
--- a/bergamothill/porcelain.py
+++ b/bergamothill/porcelain.py
@@ -3,12 +3,18 @@
 from __future__ import annotations
 
 import secrets
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass, replace
 from typing import Any
 
 from bergamothill.clock import Clock
-from bergamothill.connection.entry import EntryAnswer, EntryClient, EntryStatus, ask_all
+from bergamothill.connection.entry import (
+    EntryAnswer,
+    EntryClient,
+    ask_all,
+    has_revision,
+    wait_until,
+)
 from bergamothill.connection.http import HttpClient
 from bergamothill.connection.kvs import KeyValueService
 from bergamothill.connection.kvs_http import HttpKeyValueService
@@ -97,7 +103,6 @@
 
 KEY_BYTES = 32
 KEY_PREFIX = "bh-"
-POLL_INTERVAL_MS = 250
 
 
 @dataclass(frozen=True, slots=True)
@@ -468,45 +473,3 @@
     snapshots = [answer.value for answer in answers if answer.error is None]
     missing = [EntryInstanceId(answer.address) for answer in answers if answer.error is not None]
     return collect(snapshots, missing, configuration, clock.wall_ms())
-
-
-def wait_until(
-    clients: Iterable[EntryClient],
-    clock: Clock,
-    is_done: Callable[[EntryAnswer], bool],
-    *,
-    timeout_ms: int,
-    on_progress: Callable[[int, int], None] = lambda done, total: None,
-) -> bool:
-    """Poll entry instances until each satisfies a condition.
-
-    :param is_done: tells whether an answer satisfies it
-    :param timeout_ms: longest wait, in milliseconds
-    :param on_progress: called with the number done, and the total, when it changes
-    :returns: whether all did in time
-    """
-    waiting = list(clients)
-    total = len(waiting)
-    deadline_ms = clock.now_ms() + timeout_ms
-    shown = -1
-    while True:
-        answers = status(waiting)
-        waiting = [c for c, a in zip(waiting, answers, strict=True) if not is_done(a)]
-        if total - len(waiting) != shown:
-            shown = total - len(waiting)
-            on_progress(shown, total)
-        if not waiting:
-            return True
-        if clock.now_ms() >= deadline_ms:
-            return False
-        clock.sleep_ms(POLL_INTERVAL_MS)
-
-
-def has_revision(revision: Revision) -> Callable[[EntryAnswer], bool]:
-    """Return a condition: a configuration at least as new is in force."""
-
-    def check(answer: EntryAnswer) -> bool:
-        found: EntryStatus | None = answer.value
-        return found is not None and found.revision >= revision
-
-    return check
--- a/bergamothill/version/watcher.py
+++ b/bergamothill/version/watcher.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 
 from bergamothill.clock import Clock, seconds
-from bergamothill.connection.bus import PeerBus, Scope, message
+from bergamothill.connection.bus import PeerBus, Scope
 from bergamothill.connection.kvs import KeyValueEntry, KeyValueService
 from bergamothill.errors import BergamothillError, NotFoundError, UnavailableError
 from bergamothill.ids import EntryInstanceId, Revision
@@ -27,6 +27,14 @@
 from bergamothill.version.record import EMPTY_HEAD, HEAD_KEY, Head, decode, encode
 from bergamothill.version.recordstore import RecordStore
 from bergamothill.version.repair import HeadRepair
+from bergamothill.version.watchmessages import (
+    NO_AGE,
+    Announce,
+    ContentReply,
+    ContentRequest,
+    HeadReply,
+    HeadRequest,
+)
 
 __all__ = ["ConfigurationStatus", "ConfigurationWatcher"]
 
@@ -44,69 +52,10 @@
 PEER_TIMEOUT_MS = 1_000
 START_GRACE_MS = 500
 START_PEERS = 3
-NO_AGE = -1
 
 _log = EventLog("configuration")
 
 
-@message("configuration.announce")
-@dataclass(frozen=True, slots=True)
-class Announce:
-    """A peer has a revision in force.
-
-    :param revision: revision in force
-    :param lineage: its lineage
-    :param age_ms: time since it was confirmed as the latest, in milliseconds; -1 for never
-    """
-
-    revision: int
-    lineage: str
-    age_ms: int
-
-
-@message("configuration.head_request")
-@dataclass(frozen=True, slots=True)
-class HeadRequest:
-    """Ask for the peer's head if it is newer.
-
-    :param revision: revision in force at the sender
-    """
-
-    revision: int
-
-
-@message("configuration.head_reply")
-@dataclass(frozen=True, slots=True)
-class HeadReply:
-    """Head of a peer.
-
-    :param announce: what the peer has in force
-    :param value: encoded head; empty when it is not newer
-    """
-
-    announce: Announce
-    value: bytes
-
-
-@message("configuration.content_request")
-@dataclass(frozen=True, slots=True)
-class ContentRequest:
-    """Ask for one content of the peer's configuration."""
-
-    digest: str
-
-
-@message("configuration.content_reply")
-@dataclass(frozen=True, slots=True)
-class ContentReply:
-    """Content of a peer's configuration.
-
-    :param value: its bytes; empty when the peer does not have it
-    """
-
-    value: bytes
-
-
 @dataclass(frozen=True, slots=True)
 class ConfigurationStatus:
     """What an entry instance reports of its configuration.
--- a/tests/proof/proof_configuration.py
+++ b/tests/proof/proof_configuration.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import invariant, precondition, rule
 
-from bergamothill.errors import BergamothillError, ConflictError, Execution
+from bergamothill.errors import BergamothillError, ConflictError, Execution, PeerTimeoutError
 from bergamothill.version.change import SetDefault
 from bergamothill.version.follower import ConfigurationFollower, Source
 from bergamothill.version.record import Head, decode
@@ -36,6 +36,25 @@
         self._follower = TrustingFollower(clock)
 
 
+class LonelyWatcher(ConfigurationWatcher):
+    """Double that learns nothing from peers."""
+
+    def pull(self, peer):
+        """Ask nobody."""
+
+
+class HastyWriter(ConfigurationWriter):
+    """Double that takes a change whose reply was lost for refused."""
+
+    def submit(self, changes, **options):
+        try:
+            return super().submit(changes, **options)
+        except PeerTimeoutError as error:
+            raise PeerTimeoutError(
+                error.message, step=error.step, execution=Execution.NOT_RUN
+            ) from error
+
+
 class Submitted:
     """What the oracle knows of one change."""
 
--- a/tests/test_revision.py
+++ b/tests/test_revision.py
@@ -11,7 +11,7 @@
     PeerUnreachableError,
     StaleConfigurationError,
 )
-from bergamothill.version import revision
+from bergamothill.version import submission
 from bergamothill.version.change import AddBrand, AddModel, AllowModel, SetDefault
 from bergamothill.version.record import CONTENT_PREFIX, HEAD_KEY
 from bergamothill.version.revision import (
@@ -20,14 +20,29 @@
     base_of,
     new_change_id,
 )
-from tests.proof.harness import check_proof
-from tests.proof.proof_configuration import PROOFS
+from bergamothill.version.watcher import ConfigurationWatcher
+from tests.proof.harness import Proof, check_proof
+from tests.proof.proof_configuration import (
+    PROOFS,
+    ConfigurationMachine,
+    HastyWriter,
+    LonelyWatcher,
+)
 
 
 class ProofTests(unittest.TestCase):
     def test_short_form(self):
         check_proof(self, PROOFS[0], operations=1_000)
 
+    def test_each_part_is_needed(self):
+        parts = ((LonelyWatcher, ConfigurationWriter), (ConfigurationWatcher, HastyWriter))
+        for watcher, writer in parts:
+            name = f"{watcher.__name__}And{writer.__name__}"
+            doubles = {"watcher_double": watcher, "writer_double": writer}
+            machine = type(name, (ConfigurationMachine,), doubles)
+            with self.subTest(name=name):
+                check_proof(self, Proof(name, machine), operations=50)
+
 
 class FaultyKeyValueService(MemoryKeyValueService):
     """Loses replies of head writes, before or after their effect."""
@@ -186,9 +201,9 @@
 
     def test_old_changes_move_to_pages_and_are_still_found(self):
         with (
-            mock.patch.object(revision, "RECENT_MAX", 6),
-            mock.patch.object(revision, "PAGE_CHANGES", 3),
-            mock.patch.object(revision, "RETIRED_MAX", 2),
+            mock.patch.object(submission, "RECENT_MAX", 6),
+            mock.patch.object(submission, "PAGE_CHANGES", 3),
+            mock.patch.object(submission, "RETIRED_MAX", 2),
         ):
             change_id = new_change_id(0)
             self.warm(1, change_id=change_id)
