Ask a server again that left by its own answer

Cause: scripts.proof leaving-servers: operations=120973 (shrinking included) violations=1, 'b1 refuses ea, which is live and answers': an old summary that waited in the buffers of a woken instance brought back the incarnation that had left, and confirm returned without asking. A needless refusal; no work was sent to a leaving server. Change: confirm asks the engine unless the instance list says that it leaves. Not run again after this change: the 100,000 operations of leaving-servers and the whole suite (332 passed before it).

--- a/bergamothill/process/serverpoll.py
+++ b/bergamothill/process/serverpoll.py
@@ -129,7 +129,7 @@
         if not self._table.announcements_young(self._clock.now_ms()):
             self._confirm_announcements()
         instance = self._table.instance(server)
-        if instance is None or self._table.is_leaving(server):
+        if instance is None or self._table.is_listed_leaving(server):
             return False
         if instance.kind is InstanceKind.ENGINE and not self._poll_once(server):
             return False
--- a/bergamothill/process/servers.py
+++ b/bergamothill/process/servers.py
@@ -263,6 +263,14 @@
             record = self._servers.get(server)
             return record is not None and self._is_leaving(record)
 
+    def is_listed_leaving(self, server: ServerId) -> bool:
+        """Tell whether the instance list says that a server leaves; asking the server is no use."""
+        with self._lock:
+            record = self._servers.get(server)
+            return record is not None and self._leaving.contains(
+                server, record.instance.incarnation, Numbering.LISTED
+            )
+
     def engines(self) -> tuple[EngineRecord, ...]:
         """Return what is believed of all engines, leaving and unreachable ones included."""
         with self._lock:
