--- a/bergamothill/process/entry.py
+++ b/bergamothill/process/entry.py
@@ -38,7 +38,6 @@
 from bergamothill.process.lease import DutyLease
 from bergamothill.process.metrics import Recorder, StatsdMetrics
 from bergamothill.process.operators import OperatorRoutes
-from bergamothill.process.pollplan import PollPlan
 from bergamothill.process.serverpoll import ServerPoller
 from bergamothill.process.servers import EngineRecord, ServerTable
 from bergamothill.process.settings import Settings
@@ -153,6 +152,7 @@
             settings.entry_id,
             settings.zone,
             self._on_instances,
+            extras=self._report_extras,
         )
         self._watcher = ConfigurationWatcher(
             self._kvs, self._mesh, clock, settings.entry_id, self._on_configuration
@@ -239,7 +239,7 @@
 
     def _tasks(self) -> tuple[Task, ...]:
         return (
-            Task("relay_load", self._relay_interval_ms, self._relay_load),
+            Task("relay_load", lambda: RELAY_INTERVAL_MS, self._relay_load),
             Task("exports", lambda: EXPORT_INTERVAL_MS, self._exporter.step),
             Task("loans", lambda: LOAN_INTERVAL_MS, self._ask_loans),
             Task("actions", lambda: ACTION_INTERVAL_MS, self._actions.maintain),
@@ -285,13 +285,17 @@
             _log.warning("release_failed", step=error.step, peer=error.peer, reason=error.message)
         self._mesh.leave()
 
-    def _relay_interval_ms(self) -> int:
-        peers = self._mesh.live_peers()
-        return RELAY_INTERVAL_MS if len(peers) <= SMALL_ZONE else PollPlan.tick_ms(peers)
+    def _is_small_zone(self) -> bool:
+        return len(self._mesh.live_peers()) <= SMALL_ZONE
 
     def _relay_load(self) -> None:
-        for delta in self._placer.deltas():
-            self._mesh.publish(delta, Scope.ZONE)
+        """Tell the peers at once in a small zone; in a large one the reports carry it."""
+        if self._is_small_zone():
+            for delta in self._placer.deltas():
+                self._mesh.publish(delta, Scope.ZONE)
+
+    def _report_extras(self) -> tuple[object, ...]:
+        return () if self._is_small_zone() else self._placer.deltas()
 
     def _ask_loans(self) -> None:
         peers = [peer for peer in self._mesh.live_peers() if peer != self._settings.entry_id]
