Show the proof of whole answers late events and cancelled runs

Cause: the rule for late events played one event at a time and all answers had the same tokens, so a mixture of two attempts looked like one of them. Change: tokens are named by their stream, and late events come in a row; unit tests for late events, cancelled runs and the pauses between resumptions.

--- a/tests/proof/proof_stream.py
+++ b/tests/proof/proof_stream.py
@@ -217,16 +217,16 @@
         raise AssertionError("a run under another version was accepted")
 
     @precondition(lambda self: isinstance(self.effect, Send | Resume))
-    @rule(index=st.integers(0, 9), choice=st.integers(0, 3))
-    def late_event_of_an_abandoned_attempt(self, index, choice):
+    @rule(count=st.integers(1, 9), choice=st.integers(0, 3))
+    def late_events_of_an_abandoned_attempt(self, count, choice):
         """An attempt that was given up goes on sending while the next one is under way."""
         abandoned = sorted(name for name in self.kept if name != self.effect.stream_id)
         if not abandoned:
             return
         self.fault()
         name = abandoned[choice % len(abandoned)]
-        events = self.kept[name]
-        self.take(events[min(index, len(events) - 1)], name)
+        for event in self.kept[name][:count]:
+            self.take(event, name)
 
     @precondition(lambda self: isinstance(self.effect, Resume))
     @rule()
--- a/tests/test_inference.py
+++ b/tests/test_inference.py
@@ -71,6 +71,33 @@
             effect = machine.handle(Refused(OverloadedError("full", step="engine.run")))
         self.assertIs(Execution.UNKNOWN, effect.error.execution)
 
+    def test_late_events_of_an_abandoned_attempt_are_dropped(self):
+        machine = started_machine()
+        machine.receive(answer(2)[0], S1)
+        machine.handle(Closed())
+        machine.handle(Placed(ServerId("e2"), StreamId("s2")))
+        machine.sending()
+        for event in answer(2, "s1"):
+            self.assertEqual((), machine.receive(event, S1))
+        events = answer(2, "s2")
+        machine.receive(events[0], StreamId("s2"))
+        self.assertEqual(tuple(events[:2]), machine.receive(events[1], StreamId("s2")))
+
+    def test_cancelled_run_is_not_a_whole_answer(self):
+        machine = started_machine()
+        for event in answer(3)[:2]:
+            machine.receive(event)
+        end = StreamEvent(2, EventKind.END, finish_reason="cancelled")
+        self.assertEqual((), machine.receive(end))
+        self.assertIsInstance(machine.handle(Closed()), Failed)
+
+    def test_resumptions_without_progress_wait_longer_each_time(self):
+        machine = started_machine()
+        for event in answer(3)[:2]:
+            machine.receive(event)
+        pauses = [machine.handle(Closed()).pause_ms for _ in range(3)]
+        self.assertEqual([0, 250, 1_000], pauses)
+
     def test_error_event_ends_the_stream(self):
         machine = started_machine()
         for event in answer(3)[:2]:
