--- /dev/null
+++ b/tests/proof/proof_rollout.py
@@ -0,0 +1,215 @@
+"""Weight rollout: no run is cut short, loads stay limited, and a version goes on serving."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from hypothesis import strategies as st
+from hypothesis.stateful import initialize, precondition, rule
+
+from bergamothill.connection.engine import EngineLoad, EngineState, OrderKind
+from bergamothill.version.config import ModelConfig
+from bergamothill.version.rollout import (
+    EngineView,
+    FinishOrder,
+    GoBack,
+    OrderOutcome,
+    RolloutMachine,
+    RolloutRule,
+    SendOrder,
+)
+from tests.proof.harness import Proof, ProofMachine
+
+MODEL = "m"
+VERSIONS = ("v1", "v2", "v3")
+NAMES = ("e0", "e1", "e2", "e3")
+RULE = RolloutRule(concurrent_loads=2, failures=1)
+ORDER_LIFE_MS = 1_000
+LONGEST_LAG_MS = 500
+
+
+class HastyRolloutMachine(RolloutMachine):
+    """Double that takes a draining engine for an idle one."""
+
+    def _engine(self, view, now_ms):
+        engine = super()._engine(view, now_ms)
+        return None if engine is None else replace(engine, is_idle=not engine.is_serving)
+
+
+class Engine:
+    """An engine as it truly is, and what it last reported."""
+
+    def __init__(self, versions, has_room=True):
+        self.versions = set(versions)
+        self.has_room = has_room
+        self.role = "serve"
+        self.runs = []
+        self.report = None
+        self.reported_ms = 0
+
+    def take_report(self, now_ms):
+        names = frozenset(f"{MODEL}:{version}" for version in self.versions)
+        state = EngineState(1, False, names, role=self.role)
+        self.report = EngineLoad(0, 0, len(self.runs), 8_000, 1_000, 0, 1_000, state)
+        self.reported_ms = now_ms
+
+    def load(self, now_ms):
+        return replace(self.report, age_ms=now_ms - self.reported_ms)
+
+
+class RolloutWorld(ProofMachine):
+    """Engines, callers, an operator who changes the target, and holders that come and go."""
+
+    @initialize(without_room=st.sets(st.sampled_from(NAMES)))
+    def begin(self, without_room):
+        self.now_ms = 0
+        self.model = ModelConfig(MODEL, "v1", "v1")
+        self.engines = {name: Engine(["v1"], name not in without_room) for name in NAMES}
+        self.away = set()
+        self.orders = []
+        self.new_holder()
+        self.report_all()
+
+    def new_holder(self):
+        machine = RolloutMachine if self.mechanism_enabled else HastyRolloutMachine
+        self.machine = machine(MODEL)
+
+    def report_all(self):
+        for name, engine in self.engines.items():
+            if name not in self.away:
+                engine.take_report(self.now_ms)
+
+    def views(self):
+        return [
+            EngineView(name, None if name in self.away else engine.load(self.now_ms))
+            for name, engine in self.engines.items()
+        ]
+
+    @rule()
+    def plan(self):
+        self.operation()
+        free = RULE.concurrent_loads - self.machine.loads_under_way
+        effects = self.machine.plan(
+            self.model, self.views(), RULE, free_loads=free, now_ms=self.now_ms
+        )
+        for effect in effects:
+            self.take(effect)
+        loads = self.machine.loads_under_way
+        assert loads <= RULE.concurrent_loads, f"{loads} engines load at once"
+
+    def take(self, effect):
+        if isinstance(effect, SendOrder):
+            assert effect.server not in [order.server for order in self.orders], (
+                f"{effect} while another order to the engine is under way"
+            )
+            self.orders.append(effect)
+        elif isinstance(effect, FinishOrder):
+            have = [e for e in self.engines.values() if effect.version in e.versions]
+            assert have, f"{effect} though no engine has it"
+            self.model = replace(self.model, current=effect.version)
+        elif isinstance(effect, GoBack):
+            self.model = replace(self.model, target=effect.version)
+
+    @precondition(lambda self: self.orders)
+    @rule(index=st.integers(0, 3))
+    def order_is_done(self, index):
+        self.operation()
+        order = self.orders.pop(index % len(self.orders))
+        engine = self.engines[order.server]
+        if order.kind is OrderKind.LOAD_WEIGHTS and not self.fits(engine, order):
+            self.machine.report(order, OrderOutcome.NO_ROOM, deadline_ms=self.now_ms)
+            return
+        self.apply(order, engine)
+        self.machine.report(order, OrderOutcome.DONE, deadline_ms=self.now_ms)
+
+    @rule(rounds=st.integers(1, 6))
+    def work_undisturbed(self, rounds):
+        """Several plans in turn, each of whose orders is done before the next."""
+        for _ in range(rounds):
+            self.plan()
+            while self.orders:
+                self.order_is_done(0)
+            self.pass_time(LONGEST_LAG_MS)
+
+    @precondition(lambda self: self.orders)
+    @rule(index=st.integers(0, 3), takes_effect=st.booleans())
+    def reply_is_lost(self, index, takes_effect):
+        self.fault()
+        order = self.orders.pop(index % len(self.orders))
+        engine = self.engines[order.server]
+        if takes_effect and (order.kind is not OrderKind.LOAD_WEIGHTS or self.fits(engine, order)):
+            self.apply(order, engine)
+        deadline_ms = self.now_ms + ORDER_LIFE_MS
+        self.machine.report(order, OrderOutcome.UNKNOWN, deadline_ms=deadline_ms)
+
+    @precondition(lambda self: self.orders)
+    @rule(index=st.integers(0, 3))
+    def engine_refuses(self, index):
+        self.fault()
+        order = self.orders.pop(index % len(self.orders))
+        self.machine.report(order, OrderOutcome.REFUSED, deadline_ms=self.now_ms + ORDER_LIFE_MS)
+
+    def fits(self, engine, order):
+        return engine.has_room or not engine.versions - {order.version}
+
+    def apply(self, order, engine):
+        if order.kind is OrderKind.LOAD_WEIGHTS:
+            engine.versions.add(order.version)
+        elif order.kind is OrderKind.UNLOAD_WEIGHTS:
+            assert order.version not in engine.runs, f"{order} cuts a run short"
+            engine.versions.discard(order.version)
+        else:
+            engine.role = order.role
+
+    @rule(name=st.sampled_from(NAMES))
+    def request_arrives(self, name):
+        self.operation()
+        engine = self.engines[name]
+        if engine.role == "serve" and self.model.current in engine.versions:
+            engine.runs.append(self.model.current)
+
+    @rule(name=st.sampled_from(NAMES))
+    def run_ends(self, name):
+        self.operation()
+        if self.engines[name].runs:
+            self.engines[name].runs.pop()
+
+    @rule(version=st.sampled_from(VERSIONS))
+    def operator_sets_target(self, version):
+        self.operation()
+        self.model = replace(self.model, target=version)
+
+    @rule(duration_ms=st.sampled_from([100, LONGEST_LAG_MS, 3_000]))
+    def pass_time(self, duration_ms):
+        self.operation()
+        self.now_ms += duration_ms
+        self.report_all()
+
+    @rule()
+    def holder_dies(self):
+        """Orders of the dead holder took effect or lost it before the next one may send."""
+        self.fault()
+        for order in self.orders:
+            engine = self.engines[order.server]
+            if order.kind is OrderKind.SET_ROLE:
+                engine.role = order.role
+        self.orders = []
+        self.now_ms += ORDER_LIFE_MS
+        self.report_all()
+        self.new_holder()
+
+    @rule(name=st.sampled_from(NAMES))
+    def engine_goes_or_comes(self, name):
+        self.fault()
+        self.away ^= {name}
+        self.report_all()
+
+    @rule(name=st.sampled_from(NAMES))
+    def engine_restarts(self, name):
+        self.fault()
+        self.orders = [order for order in self.orders if order.server != name]
+        self.engines[name] = Engine([self.model.current], self.engines[name].has_room)
+        self.engines[name].take_report(self.now_ms)
+
+
+PROOFS = (Proof(slug="rollout", machine=RolloutWorld),)
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -21,6 +21,8 @@
     SendOrder,
 )
 from bergamothill.version.rolloutrunner import RolloutRunner
+from tests.proof.harness import check_proof
+from tests.proof.proof_rollout import PROOFS
 
 RULE = RolloutRule(concurrent_loads=2, failures=1)
 MODEL = ModelConfig("guide", "v1", "v2")
@@ -195,3 +197,8 @@
         self.assertEqual(writer.read().configuration.models["guide"].current, "v2")
         for engine in engines.values():
             self.assertEqual(engine.versions, {"v2"})
+
+
+class RolloutProofTests(unittest.TestCase):
+    def test_no_run_is_cut_short(self):
+        check_proof(self, PROOFS[0])
