--- a/scripts/bench.py
+++ b/scripts/bench.py
@@ -9,6 +9,7 @@
 import time
 import uuid
 from concurrent.futures import ProcessPoolExecutor
+from multiprocessing import get_context
 from pathlib import Path
 
 from bergamothill.connection.engine import EventKind, Run, StreamEvent
@@ -141,7 +142,8 @@
     """Hold many streams at one entry instance and measure it in a steady window."""
     entry = deployment.entries[0]
     workers = STREAMS // STREAMS_PER_PROCESS
-    with ProcessPoolExecutor(workers) as pool:
+    # A forked process would inherit the stream hub without its thread.
+    with ProcessPoolExecutor(workers, mp_context=get_context("spawn")) as pool:
         loads = [
             pool.submit(hold_streams, entry.address, STREAMS_PER_PROCESS) for _ in range(workers)
         ]
