--- /dev/null
+++ b/bergamothill/process/chatanswer.py
@@ -0,0 +1,221 @@
+"""One chat completion: admission, run, sink and record."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from contextlib import contextmanager
+from typing import Any
+
+from werkzeug.wrappers import Request, Response
+
+from bergamothill.errors import (
+    BergamothillError,
+)
+from bergamothill.ids import (
+    BrandName,
+    RequestId,
+    ServerId,
+    StreamId,
+)
+from bergamothill.logs import EventLog
+from bergamothill.process.answers import (
+    AnswerRecord,
+    CollectingSink,
+    EventStreamSink,
+    Headers,
+    OpenResponse,
+)
+from bergamothill.process.chunkwriter import ChunkWriter
+from bergamothill.process.frontend import json_response
+from bergamothill.process.serving import Serving
+from bergamothill.request.chat import ChatRequest, ChunkEncoder, completion_body
+from bergamothill.request.limits import RequestClass, Ticket
+from bergamothill.request.runner import InferenceJob, InferenceRunner
+from bergamothill.request.token import StreamToken
+from bergamothill.version.block import BlockChain
+from bergamothill.version.config import Configuration
+
+__all__ = ["ChatAnswer", "response_opener", "typed_end"]
+
+MILLIS_PER_SECOND = 1_000
+SOCKET_KEY = "werkzeug.socket"
+
+_log = EventLog("callers")
+
+
+class ChatAnswer:
+    """One chat completion from admission to its record.
+
+    :param serving: what it needs from the process
+    :param configuration: configuration in force at its arrival
+    :param request_id: the caller's request
+    :param brand: brand that pays
+    :param chat: checked request
+    :param chain: blocks of the prompt
+    """
+
+    def __init__(
+        self,
+        serving: Serving,
+        configuration: Configuration,
+        request_id: RequestId,
+        brand: BrandName,
+        chat: ChatRequest,
+        chain: BlockChain,
+    ) -> None:
+        self._serving = serving
+        self._configuration = configuration
+        self._request_id = request_id
+        self._brand = brand
+        self._chat = chat
+        self._chain = chain
+        self._created_s = serving.clock.wall_ms() // MILLIS_PER_SECOND
+        self._record = AnswerRecord(chain.prompt_tokens, serving.clock)
+
+    def collect(self, arrived_ms: int) -> Response:
+        """Run to the end and return the whole answer.
+
+        :param arrived_ms: instant at which the request arrived
+        :raises BergamothillError: the final error
+        """
+        sink = CollectingSink(self._record)
+        self._run(sink, arrived_ms)
+        body = completion_body(
+            self._request_id,
+            self._model_name(),
+            self._created_s,
+            sink.text,
+            self._record.finish_reason,
+            self._record.usage(),
+        )
+        return json_response(body)
+
+    def stream(self, open_response: OpenResponse, arrived_ms: int) -> Iterable[bytes]:
+        """Run and write the answer as it arrives.
+
+        :param open_response: sends the header and returns the writer of the body
+        :param arrived_ms: instant at which the request arrived
+        :raises BergamothillError: the final error, where nothing was written yet
+        """
+        sink = EventStreamSink(open_response, self._encoder, self._record, self._request_id)
+        with typed_end(sink):
+            self._run(sink, arrived_ms)
+        return ()
+
+    def _run(self, sink: CollectingSink | EventStreamSink, arrived_ms: int) -> None:
+        serving = self._serving
+        deadline_ms = arrived_ms + self._deadline_after_ms()
+        expected = serving.placer.expect(self._chain)
+        ticket = self._admit(expected.ttft_ms, expected.queue_ms, deadline_ms)
+        job = self._job(ticket, deadline_ms)
+        runner = InferenceRunner(
+            job, serving.placer, serving.retries, sink, serving.clock, serving.idle_timeout_ms
+        )
+        try:
+            runner.run()
+        finally:
+            with serving.admission_lock:
+                serving.admission.release(ticket)
+            known = runner.placement.known_tokens if runner.placement else 0
+            self._note_outcome(arrived_ms, known)
+        if runner.may_export:
+            serving.placer.finished(job, runner.placement)
+
+    def _admit(self, expected_ttft_ms: int, queue_ms: int, deadline_ms: int) -> Ticket:
+        serving = self._serving
+        kind = RequestClass.BATCH if self._chat.is_batch else RequestClass.INTERACTIVE
+        now_ms = serving.clock.now_ms()
+        with serving.admission_lock:
+            return serving.admission.admit(
+                self._brand,
+                kind,
+                expected_ttft_ms,
+                deadline_ms - now_ms,
+                now_ms,
+                queue_ms=queue_ms,
+                cost_tokens=self._chain.prompt_tokens,
+            )
+
+    def _job(self, ticket: Ticket, deadline_ms: int) -> InferenceJob:
+        return InferenceJob(
+            request_id=self._request_id,
+            brand=self._brand,
+            model=self._chain.model,
+            adapter=self._chain.adapter,
+            version=self._chain.weight_version,
+            messages=self._chat.messages,
+            chain=self._chain,
+            max_tokens=self._chat.max_tokens,
+            priority=ticket.priority,
+            deadline_ms=deadline_ms,
+        )
+
+    def _deadline_after_ms(self) -> int:
+        if self._chat.deadline_ms:
+            return self._chat.deadline_ms
+        return self._configuration.value_for(self._brand, "answer_timeout_ms")
+
+    def _note_outcome(self, arrived_ms: int, returning_tokens: int) -> None:
+        record = self._record
+        ttft_ms = None
+        if record.first_token_ms is not None:
+            ttft_ms = record.first_token_ms - arrived_ms
+            self._serving.metrics.timing("ttft", ttft_ms, self._brand)
+        self._serving.recorder.request(
+            self._brand,
+            self._serving.zone,
+            ttft_ms,
+            max(0, returning_tokens - record.cached_tokens),
+            returning_tokens,
+            record.is_complete,
+        )
+        _log.info(
+            "request_done",
+            request_id=self._request_id,
+            brand=self._brand,
+            model=self._chain.model,
+            complete=record.is_complete,
+            ttft_ms=ttft_ms,
+            prompt_tokens=record.prompt_tokens,
+            cached_tokens=record.cached_tokens,
+            completion_tokens=record.completion_tokens,
+        )
+
+    def _encoder(self, server: ServerId, stream_id: StreamId) -> ChunkEncoder:
+        token = StreamToken(
+            brand=self._brand,
+            server=server,
+            stream_id=stream_id,
+            request_id=self._request_id,
+            model=self._chain.model,
+            weight_version=self._chain.weight_version,
+            issued_ms=self._serving.clock.wall_ms(),
+        )
+        text = self._serving.tokens.sign(token)
+        return ChunkEncoder(self._request_id, self._model_name(), self._created_s, text)
+
+    def _model_name(self) -> str:
+        adapter = self._chain.adapter
+        return f"{self._chain.model}:{adapter}" if adapter else self._chain.model
+
+
+@contextmanager
+def typed_end(sink: EventStreamSink):
+    """Turn an error after the first byte into an error event; an earlier one passes on."""
+    try:
+        yield
+    except BergamothillError as error:
+        if not sink.has_begun:
+            raise
+        sink.fail(error)
+    sink.finish()
+
+
+def response_opener(request: Request, start_response: Callable[..., Any]) -> OpenResponse:
+    """Return the function that sends the header of a streamed response."""
+
+    def open_response(headers: Headers) -> ChunkWriter:
+        start_response("200 OK", headers)(b"")
+        return ChunkWriter(request.environ[SOCKET_KEY])
+
+    return open_response
--- a/bergamothill/process/entry.py
+++ b/bergamothill/process/entry.py
@@ -29,7 +29,7 @@
     ServiceName,
 )
 from bergamothill.logs import EventLog
-from bergamothill.process.callers import CallerRoutes, Serving
+from bergamothill.process.callers import CallerRoutes
 from bergamothill.process.clientpool import ClientPool, engine_client
 from bergamothill.process.drain import DrainBounds
 from bergamothill.process.duties import Duties, Duty
@@ -40,6 +40,7 @@
 from bergamothill.process.operators import OperatorRoutes
 from bergamothill.process.serverpoll import ServerPoller
 from bergamothill.process.servers import EngineRecord, ServerTable
+from bergamothill.process.serving import Serving
 from bergamothill.process.settings import Settings
 from bergamothill.process.status import entry_status
 from bergamothill.process.upkeep import Task, Upkeep
