--- a/tests/test_entry_processes.py
+++ b/tests/test_entry_processes.py
@@ -12,7 +12,7 @@
 from scripts.processes import ROOT, ProcessGroup
 
 QUESTION = [{"role": "user", "content": "Which quills fit a 1975 jack?"}]
-ENGINE_OPTIONS = ("--decode-ms", "15", "--answer-tokens", "200")
+ENGINE_OPTIONS = ("--decode-ms", "15", "--answer-tokens", "600")
 ANSWER_TOKENS = 60
 
 
@@ -161,7 +161,7 @@
         def ask():
             caller = self.deployment.caller(0)
             on_event = lambda answer: begun.set()  # noqa: E731
-            answers.append(caller.chat(QUESTION, max_tokens=200, on_event=on_event))
+            answers.append(caller.chat(QUESTION, max_tokens=600, on_event=on_event))
 
         thread = threading.Thread(target=ask)
         thread.start()
