--- /dev/null
+++ b/bergamothill/platform/config.py
@@ -0,0 +1,161 @@
+"""Format of the operator's configuration and of named weight versions."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from bergamothill.errors import ProtocolError
+from bergamothill.ids import BrandName, ModelName, ServiceName, ZoneName
+from bergamothill.platform.reading import Fields
+from bergamothill.version.routetable import (
+    Brand,
+    CallerLimits,
+    EngineTraits,
+    KeptStore,
+    RepeatRule,
+    Route,
+    RoutingConfig,
+    Service,
+    ServiceShare,
+)
+from bergamothill.version.weightgoal import WeightGoal
+
+__all__ = ["CONFIG_KEY", "OPERATOR_PREFIX", "VERSION_PREFIX", "decode_config", "decode_goal"]
+
+OPERATOR_PREFIX = "op/"
+CONFIG_KEY = "op/config"
+VERSION_PREFIX = "op/version/"
+
+_STEP = "config.decode"
+_RULES = {
+    "safe": RepeatRule.IDEMPOTENT,
+    "unsafe": RepeatRule.ONCE,
+    "streaming": RepeatRule.STREAM,
+}
+
+
+def decode_config(encoded: bytes) -> RoutingConfig:
+    """Decode the operator's configuration.
+
+    :param encoded: value of :data:`CONFIG_KEY`
+    :raises ProtocolError: it is not a configuration
+    """
+    top = Fields(_json(encoded), step=_STEP)
+    services: dict[ServiceName, Service] = {}
+    stores: list[KeptStore] = []
+    for row in top.rows("services"):
+        fields = Fields(row, step=_STEP)
+        if fields.has("kvStoreAddress"):
+            stores.append(_store(fields))
+        else:
+            service = _service(fields)
+            services[service.name] = service
+    return RoutingConfig(
+        version=top.integer("version"),
+        routes=tuple(_route(Fields(row, step=_STEP)) for row in top.rows("routes")),
+        services=services,
+        stores=tuple(stores),
+        brands=_brands(top),
+        limits=_limits(top.child("limits")),
+    )
+
+
+def decode_goal(encoded: bytes) -> WeightGoal:
+    """Decode a named weight version.
+
+    :param encoded: value of a key below :data:`VERSION_PREFIX`
+    :raises ProtocolError: it names no version
+    """
+    fields = Fields(_json(encoded), step="version.decode")
+    return WeightGoal(ModelName(fields.text("model")), fields.integer("version"))
+
+
+def _json(encoded: bytes) -> Any:
+    try:
+        return json.loads(encoded)
+    except ValueError as error:
+        raise ProtocolError(f"not JSON: {error}", step=_STEP) from error
+
+
+def _route(fields: Fields) -> Route:
+    kind = fields.text("kind")
+    if kind not in _RULES:
+        raise ProtocolError(f"no such kind of route: {kind!r:.40}", step=_STEP)
+    timeout_ms = int(fields.number("timeoutMs"))
+    return Route(
+        name=fields.text("name", ""),
+        host=fields.text("host").lower(),
+        prefix=fields.text("prefix"),
+        rule=_RULES[kind],
+        shares=_shares(fields),
+        timeout_ms=timeout_ms,
+        target_ms=int(fields.number("targetLatencyMs", timeout_ms)),
+        event_gap_ms=int(fields.number("gapTargetMs", timeout_ms)),
+        most_servers=max(1, fields.integer("maxAttempts", 1)),
+        rank=fields.integer("priority", 0),
+        is_public=fields.flag("public", False),
+        is_resumable=fields.flag("resumable", False),
+    )
+
+
+def _shares(fields: Fields) -> tuple[ServiceShare, ...]:
+    rows = [Fields(row, step=_STEP) for row in fields.rows("trafficSplit")]
+    shares = [ServiceShare(ServiceName(r.text("service")), r.number("weight")) for r in rows]
+    positive = tuple(share for share in shares if share.weight > 0)
+    if positive:
+        return positive
+    return (ServiceShare(ServiceName(fields.text("service")), 1.0),)
+
+
+def _service(fields: Fields) -> Service:
+    engine = _engine(fields.child("engine")) if fields.has("engine") else None
+    # "connectionLimit" counts the connections of all callers of one server together.
+    limit = fields.integer("connectionLimit", 0)
+    return Service(ServiceName(fields.text("name")), limit, engine)
+
+
+def _engine(fields: Fields) -> EngineTraits:
+    models = (Fields(row, step=_STEP).text("name") for row in fields.rows("models"))
+    return EngineTraits(
+        slots=fields.integer("slots", 1),
+        memory_tokens=int(fields.number("kvCapacityTokens", 0)),
+        token_bytes=int(fields.number("kvTokenBytes", 0)),
+        models=tuple(ModelName(name) for name in models),
+        event_listeners=fields.integer("maxConcurrent", 0),
+    )
+
+
+def _store(fields: Fields) -> KeptStore:
+    return KeptStore(
+        name=ServiceName(fields.text("name")),
+        address=fields.text("kvStoreAddress"),
+        zone=ZoneName(fields.text("zone", "")),
+        capacity_tokens=int(fields.number("kvCapacityTokens", 0)),
+        link_mbps=fields.number("linkMbps", 0),
+        first_byte_ms=fields.number("first_ms", 0),
+        is_managed=fields.flag("managed", False),
+        event_listeners=fields.integer("maxConcurrent", 0),
+    )
+
+
+def _brands(top: Fields) -> dict[str, Brand]:
+    brands: dict[str, Brand] = {}
+    for row in top.rows("tenants"):
+        fields = Fields(row, step=_STEP)
+        rank = fields.integer("priority") if fields.has("priority") else None
+        brand = Brand(BrandName(fields.text("name")), rank, fields.flag("isolated", False))
+        for key in fields.rows("apiKeys"):
+            if isinstance(key, str):
+                brands[key] = brand
+    return brands
+
+
+def _limits(fields: Fields) -> CallerLimits:
+    usual = CallerLimits()
+    return CallerLimits(
+        header_bytes=fields.integer("maxHeaderBytes", usual.header_bytes),
+        body_bytes=fields.integer("maxBodyBytes", usual.body_bytes),
+        header_timeout_ms=int(fields.number("headerTimeoutMs", usual.header_timeout_ms)),
+        idle_timeout_ms=int(fields.number("idleTimeoutMs", usual.idle_timeout_ms)),
+    )
--- /dev/null
+++ b/bergamothill/platform/requests.py
@@ -0,0 +1,206 @@
+"""Header fields of requests and answers."""
+
+from __future__ import annotations
+
+from bergamothill.errors import InvalidRequestError
+from bergamothill.ids import ModelName, RequestId
+from bergamothill.request.callerrequest import (
+    AnswerHead,
+    CallerRequest,
+    ForwardTerms,
+    Header,
+    PromptPart,
+    RawRequest,
+)
+
+__all__ = ["decode_answer", "decode_request", "encode_forward"]
+
+_STEP = "request.decode"
+
+_CONNECTION_FIELDS = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    )
+)
+
+_SYSTEM_FIELDS = frozenset(
+    (
+        b"authorization",
+        b"x-deadline-milliseconds",
+        b"x-tenant",
+        b"x-cache-salt",
+        b"x-expected-instance",
+        b"x-expected-version",
+        b"x-request-urgency",
+        b"x-kv-fetch-source",
+        b"x-kv-save-target",
+        b"x-kv-until",
+        b"x-kv-backup",
+        b"kv-from",
+        b"x-hold",
+        b"x-pin-milliseconds",
+        b"x-not-executed",
+    )
+)
+"""Set by the system alone; what a caller sends under these names is dropped."""
+
+
+def decode_request(raw: RawRequest) -> CallerRequest:
+    """Decode a caller's request.
+
+    :param raw: request as read
+    :raises InvalidRequestError: its header fields contradict each other or cannot be read
+    """
+    first: dict[bytes, bytes] = {}
+    dropped = set(_CONNECTION_FIELDS)
+    for name, value in raw.headers:
+        lower = name.lower()
+        if lower == b"connection":
+            dropped.update(token.strip().lower() for token in value.split(b","))
+        if lower in first and lower in _SINGLE_FIELDS and first[lower] != value:
+            raise InvalidRequestError(f"repeated field {lower.decode('latin-1')}", step=_STEP)
+        first.setdefault(lower, value)
+    # A field that the routing depends on cannot be taken away by naming it a connection's own.
+    dropped -= _SINGLE_FIELDS
+    dropped |= _SYSTEM_FIELDS
+    prompt_tokens, most_output_tokens = _token_counts(first.get(b"x-token-counts"))
+    model = first.get(b"x-model")
+    return CallerRequest(
+        raw=raw,
+        request_id=RequestId(_text(first.get(b"x-request-id"))),
+        host=_text(first.get(b"host")),
+        key=_bearer_key(first.get(b"authorization")),
+        patience_ms=_milliseconds(first.get(b"x-deadline-milliseconds")),
+        model=None if model is None else ModelName(_text(model)),
+        parts=_parts(first.get(b"x-prompt-prefix")),
+        prompt_tokens=prompt_tokens,
+        most_output_tokens=most_output_tokens,
+        last_event_id=_text(first.get(b"last-event-id")),
+        passed_headers=[(n, v) for n, v in raw.headers if n.lower() not in dropped],
+    )
+
+
+_SINGLE_FIELDS = frozenset(
+    (
+        b"host",
+        b"x-request-id",
+        b"authorization",
+        b"x-model",
+        b"x-token-counts",
+        b"x-prompt-prefix",
+        b"x-deadline-milliseconds",
+        b"last-event-id",
+    )
+)
+
+
+def encode_forward(request: CallerRequest, terms: ForwardTerms) -> bytes:
+    """Encode a request to a backend server, head and body.
+
+    :param request: caller's request
+    :param terms: what is set anew
+    """
+    raw = request.raw
+    lines = [b"%s %s HTTP/1.1" % (raw.method, raw.target)]
+    resumes = bool(terms.last_event_id)
+    for name, value in request.passed_headers:
+        if resumes and name.lower() == b"last-event-id":
+            continue
+        lines.append(b"%s: %s" % (name, value))
+    lines.extend(f"{name}: {value}".encode("latin-1") for name, value in _system_fields(terms))
+    if raw.body or raw.method not in (b"GET", b"HEAD", b"DELETE"):
+        lines.append(b"Content-Length: %d" % len(raw.body))
+    lines.append(b"Connection: close\r\n\r\n")
+    return b"\r\n".join(lines) + raw.body
+
+
+def _system_fields(terms: ForwardTerms) -> list[tuple[str, object]]:
+    fields: list[tuple[str, object]] = [
+        ("X-Deadline-Milliseconds", max(1, terms.time_left_ms)),
+        ("X-Expected-Instance", terms.server),
+    ]
+    if terms.brand is not None:
+        fields.append(("X-Tenant", terms.brand))
+    if terms.urgency is not None:
+        fields.append(("X-Request-Urgency", terms.urgency))
+    if terms.weight_version is not None:
+        fields.append(("X-Expected-Version", terms.weight_version))
+    if terms.cache_salt:
+        fields.append(("X-Cache-Salt", terms.cache_salt))
+    if any(terms.fetch_from):
+        fields.append(("X-Kv-Fetch-Source", _addresses(terms.fetch_from)))
+    if any(terms.save_to):
+        fields.append(("X-Kv-Save-Target", _addresses(terms.save_to)))
+    if terms.last_event_id:
+        fields.append(("Last-Event-Id", terms.last_event_id))
+    return fields
+
+
+def _addresses(addresses: tuple[str, ...]) -> str:
+    return ",".join(address or "-" for address in addresses)
+
+
+def decode_answer(status: int, headers: list[Header]) -> AnswerHead:
+    """Decode the head of an answer.
+
+    :param status: HTTP status
+    :param headers: header fields in order
+    """
+    first: dict[bytes, bytes] = {}
+    for name, value in headers:
+        first.setdefault(name.lower(), value)
+    versions = _text(first.get(b"x-weight-versions"))
+    dropped = {token.strip().lower() for token in first.get(b"connection", b"").split(b",")}
+    dropped |= _CONNECTION_FIELDS
+    return AnswerHead(
+        status=status,
+        request_id=RequestId(_text(first.get(b"x-request-id"))),
+        is_signed=b"x-server-signature" in first,
+        is_not_run=b"x-not-executed" in first or status == 421,
+        weight_version=int(versions) if versions.isdecimal() else None,
+        instance=_text(first.get(b"x-instance-id")),
+        is_leaving=b"close" in first.get(b"connection", b"").lower(),
+        headers=[(n, v) for n, v in headers if n.lower() not in dropped],
+    )
+
+
+def _text(value: bytes | None) -> str:
+    return "" if value is None else value.decode("latin-1").strip()
+
+
+def _bearer_key(value: bytes | None) -> str | None:
+    scheme, _, key = _text(value).partition(" ")
+    return key.strip() if scheme.lower() == "bearer" and key.strip() else None
+
+
+def _milliseconds(value: bytes | None) -> int | None:
+    text = _text(value)
+    return int(text) if text.isdecimal() and len(text) <= 9 else None
+
+
+def _token_counts(value: bytes | None) -> tuple[int, int]:
+    counts = _text(value).split(",")
+    if len(counts) != 2 or not all(c.strip().isdecimal() for c in counts):
+        return (0, 0)
+    return (int(counts[0]), int(counts[1]))
+
+
+def _parts(value: bytes | None) -> tuple[PromptPart, ...]:
+    """Return the parts of a prompt; what cannot be read names none and only loses reuse."""
+    parts = []
+    for entry in _text(value).split(","):
+        name, separator, tokens = entry.strip().partition(":")
+        if not separator or not tokens.isdecimal():
+            return ()
+        parts.append(PromptPart(name, int(tokens)))
+    return tuple(parts)
--- /dev/null
+++ b/bergamothill/platform/settings.py
@@ -0,0 +1,124 @@
+"""Settings file of the platform."""
+
+from __future__ import annotations
+
+import tomllib
+from collections.abc import Callable, Mapping
+from pathlib import Path
+from typing import Any
+
+from bergamothill.errors import SettingsError
+from bergamothill.ids import EntryInstanceId, ZoneName
+from bergamothill.process.nodesettings import DeploymentBounds, NodeSettings
+from bergamothill.process.settings import is_address
+
+__all__ = ["SETTINGS_VARIABLE", "is_node_settings", "load_node_settings"]
+
+SETTINGS_VARIABLE = "BERGAMOTHILL_CONFIG"
+
+MS_PER_S = 1_000
+
+
+def is_node_settings(path: str) -> bool:
+    """Tell whether a file has the platform's layout rather than the product's own.
+
+    :param path: settings file
+    """
+    try:
+        return "nodeName" in tomllib.loads(Path(path).read_text(encoding="utf-8"))
+    except (OSError, ValueError):
+        return False
+
+
+def load_node_settings(path: str) -> NodeSettings:
+    """Read and check a settings file whole.
+
+    :param path: settings file
+    :raises ExceptionGroup: one :class:`~bergamothill.errors.SettingsError` for each fault
+    """
+    reader = _Reader(path)
+    settings = NodeSettings(
+        entry=EntryInstanceId(reader.text("nodeName")),
+        zone=ZoneName(reader.text("zone")),
+        ip_address=reader.text("ipAddress"),
+        caller_address=reader.address("listenAddresses.front"),
+        readiness_address=reader.address("listenAddresses.readyAddress"),
+        store_address=reader.address("platform.address"),
+        least_lease_ms=reader.whole("platform.ttlMinMs", 1_000),
+        memory_mb=reader.whole("limits.memoryMb", 256),
+        descriptors=reader.whole("limits.fileDescriptors", 1_024),
+        bounds=_bounds(reader),
+    )
+    reader.raise_faults()
+    return settings
+
+
+def _bounds(reader: _Reader) -> DeploymentBounds:
+    return DeploymentBounds(
+        drain_notice_ms=reader.whole("bounds.drainTimeoutMs", 2_000),
+        stop_grace_ms=int(reader.number("bounds.gracePeriodS", 8) * MS_PER_S),
+        key_revocation_ms=reader.whole("bounds.revokeMs", 5_000),
+        is_revocation_strict=reader.flag("bounds.strictRevocation", True),
+        retry_ratio=reader.number("bounds.retryBudgetRatio", 0.1),
+        retry_slack=reader.number("bounds.retryBudgetSlack", 0),
+        retry_window_ms=int(reader.number("bounds.budgetWindowS", 10) * MS_PER_S),
+        order_turn_ms=reader.whole("bounds.leaseMs", 3_000),
+        weights_due_ms=reader.whole("bounds.versionMs", 6_000),
+        engines_check_fencing=reader.flag("bounds.requireFencing", False),
+        reuse_window_ms=int(reader.number("bounds.reuseWindowS", 20) * MS_PER_S),
+    )
+
+
+class _Reader:
+    """Reads dotted keys and collects faults instead of stopping at the first."""
+
+    def __init__(self, path: str) -> None:
+        self._path = path
+        self._faults: list[SettingsError] = []
+        self._values = self._load()
+
+    def text(self, key: str) -> str:
+        return self._checked(key, lambda v: isinstance(v, str) and v != "", "text", "")
+
+    def address(self, key: str) -> str:
+        return self._checked(key, is_address, "IP number and port", "")
+
+    def whole(self, key: str, default: int) -> int:
+        return int(self.number(key, default))
+
+    def number(self, key: str, default: float) -> float:
+        return self._checked(key, _is_number, "number that is not negative", default)
+
+    def flag(self, key: str, default: bool) -> bool:
+        return self._checked(key, lambda v: isinstance(v, bool), "true or false", default)
+
+    def raise_faults(self) -> None:
+        if self._faults:
+            raise ExceptionGroup(f"invalid settings in {self._path}", self._faults)
+
+    def _load(self) -> Mapping[str, Any]:
+        try:
+            return tomllib.loads(Path(self._path).read_text(encoding="utf-8"))
+        except (OSError, ValueError) as error:
+            fault = SettingsError(
+                file=self._path, key="", found=str(error), expected="a readable TOML file"
+            )
+            raise ExceptionGroup(f"invalid settings in {self._path}", [fault]) from error
+
+    def _checked(
+        self, key: str, is_valid: Callable[[Any], bool], expected: str, default: Any
+    ) -> Any:
+        value: Any = self._values
+        for part in key.split("."):
+            value = value.get(part) if isinstance(value, Mapping) else None
+        if value is None and default != "":
+            return default
+        if is_valid(value):
+            return value
+        fault = SettingsError(file=self._path, key=key, found=repr(value), expected=expected)
+        self._faults.append(fault)
+        return default
+
+
+def _is_number(value: Any) -> bool:
+    return isinstance(value, int | float) and not isinstance(value, bool) and value >= 0
--- /dev/null
+++ b/bergamothill/platform/store.py
@@ -0,0 +1,191 @@
+"""Calls of the platform's key-value service."""
+
+from __future__ import annotations
+
+import base64
+import json
+from collections.abc import Iterator, Mapping
+from typing import Any
+from urllib.parse import urlencode
+
+from bergamothill.connection.http import HttpClient, HttpReply, decode_json
+from bergamothill.connection.kvs import KeyValueEntry, KeyValueService
+from bergamothill.errors import (
+    ConflictError,
+    LeaseLostError,
+    OverloadedError,
+    PeerTimeoutError,
+    ProtocolError,
+    UnavailableError,
+)
+from bergamothill.ids import LeaseId
+
+__all__ = ["PlatformKeyValueService"]
+
+CALL_TIMEOUT_MS = 800  # two calls in a row fit into the shortest bound of the configuration, 2 s
+WATCH_SLACK_MS = 1_000
+
+_JSON_HEADERS = {"Content-Type": "application/json"}
+
+
+class PlatformKeyValueService(KeyValueService):
+    """Key-value service of the platform.
+
+    Conditional writes and grants go on fresh connections: a resend by the transport would turn the
+    success of the first copy into a conflict of the second.
+
+    :param client: client of the service's address
+    :param timeout_ms: longest duration of a call
+    """
+
+    def __init__(self, client: HttpClient, *, timeout_ms: int = CALL_TIMEOUT_MS) -> None:
+        self._client = client
+        self._timeout_ms = timeout_ms
+
+    def get(self, key: str) -> KeyValueEntry | None:
+        """Read one key, linearizably."""
+        reply = self._call("GET", "/kv-key", "kvs.get", query={"key": key}, allowed=(200, 404))
+        if reply.status == 404:
+            return None
+        return self._entry(self._object(reply, "kvs.get"), "kvs.get")
+
+    def scan(self, prefix: str) -> tuple[KeyValueEntry, ...]:
+        """Read all keys below a prefix; pages are no snapshot."""
+        return tuple(self._pages(prefix))
+
+    def put_if(
+        self, key: str, value: bytes, *, expected: int, lease_id: LeaseId | None = None
+    ) -> KeyValueEntry:
+        """Write when the key is still at the expected revision."""
+        row = {"key": key, "value": base64.b64encode(value).decode()}
+        if lease_id is not None:
+            row["lease"] = int(lease_id)
+        revision = self._transact(key, expected, writes=[row], lease_id=lease_id)
+        return KeyValueEntry(key, value, revision)
+
+    def delete_if(self, key: str, *, expected: int) -> None:
+        """Delete when the key is still at the expected revision."""
+        self._transact(key, expected, drops=[key])
+
+    def grant_lease(self, ttl_ms: int) -> LeaseId:
+        """Open a lease."""
+        reply = self._call("POST", "/kv-lease", "kvs.grant", body={"ttlMs": ttl_ms}, fresh=True)
+        return LeaseId(str(self._integer(reply, "lease", "kvs.grant")))
+
+    def renew_lease(self, lease_id: LeaseId) -> None:
+        """Start the lease's life anew."""
+        reply = self._call("POST", f"/kv-keep/{lease_id}", "kvs.renew", allowed=(200, 404))
+        if reply.status == 404:
+            raise self._lease_lost(lease_id, "kvs.renew")
+
+    def revoke_lease(self, lease_id: LeaseId) -> None:
+        """End the lease and remove its keys."""
+        path = f"/kv-lease-end/{lease_id}"
+        self._call("DELETE", path, "kvs.revoke", allowed=(200, 204, 404))
+
+    def wait_change(self, prefix: str, *, after: int, timeout_ms: int) -> int:
+        """Wait until a key below the prefix changes; 0 tells that the history is gone."""
+        query = {"prefix": prefix, "after": after, "waitMs": timeout_ms}
+        reply = self._call(
+            "GET",
+            "/kv-watch",
+            "kvs.watch",
+            query=query,
+            allowed=(200, 410),
+            timeout_ms=timeout_ms + WATCH_SLACK_MS,
+        )
+        return 0 if reply.status == 410 else self._integer(reply, "currentRev", "kvs.watch")
+
+    def _pages(self, prefix: str) -> Iterator[KeyValueEntry]:
+        query = {"prefix": prefix}
+        while True:
+            reply = self._call("GET", "/kv-range", "kvs.scan", query=query)
+            page = self._object(reply, "kvs.scan")
+            entries = [self._entry(item, "kvs.scan") for item in page.get("items", [])]
+            yield from entries
+            if not page.get("hasMore") or not entries:
+                return
+            query["after"] = entries[-1].key
+
+    def _transact(
+        self,
+        key: str,
+        expected: int,
+        *,
+        writes: list[dict[str, Any]] | None = None,
+        drops: list[str] | None = None,
+        lease_id: LeaseId | None = None,
+    ) -> int:
+        step = "kvs.put"
+        body = {
+            # "expected" holds the condition: the revision that the key must have; 0 for none.
+            "expected": [{"key": key, "revision": expected}],
+            "writes": writes or [],
+            "drop": drops or [],
+        }
+        reply = self._call("POST", "/kv-txn", step, body=body, fresh=True, allowed=(200, 404, 412))
+        if reply.status == 404:
+            raise self._lease_lost(lease_id, step)
+        if reply.status == 412:
+            raise ConflictError(f"{key} changed", step=step, peer=self._client.peer)
+        return self._integer(reply, "revision", step)
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        step: str,
+        *,
+        query: Mapping[str, Any] | None = None,
+        body: Any = None,
+        fresh: bool = False,
+        allowed: tuple[int, ...] = (200,),
+        timeout_ms: int | None = None,
+    ) -> HttpReply:
+        encoded = None if body is None else json.dumps(body).encode()
+        reply = self._client.request(
+            method,
+            f"{path}?{urlencode(query)}" if query else path,
+            step=step,
+            timeout_ms=timeout_ms or self._timeout_ms,
+            body=encoded if encoded is not None or method != "POST" else b"",
+            headers=_JSON_HEADERS,
+            fresh=fresh,
+        )
+        if reply.status not in allowed:
+            raise self._refusal(reply, step)
+        return reply
+
+    def _refusal(self, reply: HttpReply, step: str) -> Exception:
+        text = f"status {reply.status}: {reply.body[:200].decode('utf-8', 'replace')}"
+        if reply.status == 429:
+            return OverloadedError(text, step=step, peer=self._client.peer)
+        if reply.status == 503:
+            return UnavailableError(text, step=step, peer=self._client.peer)
+        if reply.status >= 500:
+            return PeerTimeoutError(text, step=step, peer=self._client.peer)
+        return ProtocolError(text, step=step, peer=self._client.peer)
+
+    def _lease_lost(self, lease_id: LeaseId | None, step: str) -> LeaseLostError:
+        return LeaseLostError(f"lease {lease_id} has ended", step=step, peer=self._client.peer)
+
+    def _object(self, reply: HttpReply, step: str) -> Mapping[str, Any]:
+        value = decode_json(reply, step=step, peer=self._client.peer)
+        if not isinstance(value, Mapping):
+            raise ProtocolError("reply is no object", step=step, peer=self._client.peer)
+        return value
+
+    def _integer(self, reply: HttpReply, name: str, step: str) -> int:
+        value = self._object(reply, step).get(name)
+        if not isinstance(value, int):
+            raise ProtocolError(f"{name} is no integer", step=step, peer=self._client.peer)
+        return value
+
+    def _entry(self, item: Any, step: str) -> KeyValueEntry:
+        try:
+            value = base64.b64decode(item["value"], validate=True)
+            return KeyValueEntry(str(item["key"]), value, int(item["revision"]))
+        except (KeyError, TypeError, ValueError) as error:
+            raise ProtocolError(
+                f"bad entry: {error!r}", step=step, peer=self._client.peer
+            ) from error
--- a/bergamothill/process/daemon.py
+++ b/bergamothill/process/daemon.py
@@ -1,8 +1,9 @@
-"""Program ``bergamothilld``: one entry instance."""
+"""Program ``bergamothilld``: one entry instance, on its own or on the users' platform."""
 
 from __future__ import annotations
 
 import argparse
+import os
 import signal
 import sys
 from collections.abc import Sequence
@@ -10,7 +11,12 @@
 from bergamothill.clock import SystemClock
 from bergamothill.errors import SettingsError
 from bergamothill.logs import EventLog, install_log_handler
-from bergamothill.process.entry import EntryInstance
+from bergamothill.platform.settings import (
+    SETTINGS_VARIABLE,
+    is_node_settings,
+    load_node_settings,
+)
+from bergamothill.process.nodesettings import NodeSettings
 from bergamothill.process.settings import Settings, load_settings
 
 __all__ = ["main"]
@@ -28,20 +34,41 @@
     :returns: process exit code; 2 when the settings are invalid
     """
     parser = argparse.ArgumentParser(prog="bergamothilld", description=__doc__)
-    parser.add_argument("settings", help="settings file (TOML)")
+    parser.add_argument(
+        "settings",
+        nargs="?",
+        default=os.environ.get(SETTINGS_VARIABLE),
+        help=f"settings file (TOML); taken from {SETTINGS_VARIABLE} when left out",
+    )
     parser.add_argument("--check", action="store_true", help="check the settings and end")
     arguments = parser.parse_args(argv)
+    if arguments.settings is None:
+        parser.error(f"no settings file given, and {SETTINGS_VARIABLE} is not set")
     try:
-        settings = load_settings(arguments.settings)
+        settings = _load(arguments.settings)
     except ExceptionGroup as group:
         _print_faults(group)
         return EXIT_SETTINGS
     if arguments.check:
         print(f"{arguments.settings}: ok")
         return EXIT_OK
+    if isinstance(settings, NodeSettings):
+        return _serve_on_platform(settings)
     return _serve(settings)
 
 
+def _load(path: str) -> Settings | NodeSettings:
+    return load_node_settings(path) if is_node_settings(path) else load_settings(path)
+
+
+def _serve_on_platform(settings: NodeSettings) -> int:
+    # The two forms share few modules; each loads only its own, since memory is priced.
+    from bergamothill.process.platformnode import serve
+
+    serve(settings)
+    return EXIT_OK
+
+
 def _print_faults(group: ExceptionGroup) -> None:
     for fault in group.exceptions:
         if isinstance(fault, SettingsError):
@@ -49,6 +76,8 @@
 
 
 def _serve(settings: Settings) -> int:
+    from bergamothill.process.entry import EntryInstance
+
     install_log_handler(settings.log_level, settings.entry_id)
     entry = EntryInstance(settings, SystemClock())
     for number in (signal.SIGTERM, signal.SIGINT):
--- /dev/null
+++ b/bergamothill/process/fleet.py
@@ -0,0 +1,269 @@
+"""Beliefs about the backend servers, and the choice of one; no I/O and no clock.
+
+A server is used while the list shows it as ready. What requests show goes before the list: a
+server that answers as another instance is gone, one that refused is left alone for a while.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from bergamothill.ids import ModelName, ServerId, ServiceName, ZoneName
+from bergamothill.process.backends import BackendServer
+from bergamothill.request.callerrequest import CallerRequest, ForwardTerms
+from bergamothill.version.routetable import Brand, Service
+from bergamothill.version.weightgoal import WeightGoal
+
+__all__ = ["Fleet", "ServerBelief"]
+
+REFUSAL_REST_MS = 120
+"""A server that is full or busy with an order is not asked again for one batch or so."""
+
+FAILURE_REST_MS = 500
+MOST_FAILURE_REST_MS = 4_000
+
+RETURN_GRACE_MS = 2_300
+"""Entries that lapsed in an outage of the key-value service are back within two seconds."""
+
+OTHER_ZONE_COST = 1.0
+"""Requests in progress that a server of the own zone may have more than one of another zone."""
+
+HERD_LIMIT = 1.5
+"""Load, relative to the least loaded engine, from which on reuse of kept context gives way."""
+
+
+@dataclass(slots=True)
+class ServerBelief:
+    """What is believed of one incarnation of a server.
+
+    :param entry: its listed entry
+    :param in_progress: requests that this entry instance has there
+    :param tokens: prompt tokens of those
+    :param rests_until_ms: not used before, unless nothing else is left
+    :param failures: failures in a row
+    :param is_gone: seen to have left, by its own answer
+    :param missing_since_ms: when the list lost it; None while it is listed
+    :param weights: weight versions seen in answers, which may be newer than the list
+    """
+
+    entry: BackendServer
+    in_progress: int = 0
+    tokens: int = 0
+    rests_until_ms: int = 0
+    failures: int = 0
+    is_gone: bool = False
+    missing_since_ms: int | None = None
+    weights: dict[ModelName, int] | None = None
+
+    def weight_version(self, model: ModelName) -> int | None:
+        """Return the newest version that the server is known to have."""
+        listed = self.entry.weights.get(model)
+        seen = (self.weights or {}).get(model)
+        if listed is None or seen is None:
+            return seen if listed is None else listed
+        return max(listed, seen)
+
+
+class Fleet:
+    """All backend servers.
+
+    :param zone: availability zone of this entry instance
+    """
+
+    def __init__(self, zone: ZoneName) -> None:
+        self._zone = zone
+        self._beliefs: dict[ServerId, ServerBelief] = {}
+        self._by_service: dict[ServiceName, list[ServerBelief]] = {}
+        self._grace_until_ms = 0
+        self.goals: dict[ModelName, WeightGoal] = {}
+        self.listed_ms: int | None = None
+
+    def store_returned(self, now_ms: int) -> None:
+        """Keep servers that the list lost until the entries that lapsed are back."""
+        self._grace_until_ms = now_ms + RETURN_GRACE_MS
+
+    def apply_list(self, entries: Iterable[BackendServer], sent_ms: int, now_ms: int) -> list[str]:
+        """Take over the list of servers.
+
+        :param entries: readable entries
+        :param sent_ms: when the list was asked for
+        :param now_ms: present instant
+        :returns: what changed, for the log
+        """
+        self.listed_ms = sent_ms
+        listed = {entry.server: entry for entry in entries}
+        changes = []
+        for server, entry in listed.items():
+            changes += self._take_entry(server, entry)
+        for server, belief in list(self._beliefs.items()):
+            if server in listed:
+                continue
+            if belief.missing_since_ms is None:
+                belief.missing_since_ms = now_ms
+                changes.append(f"{server}:missing")
+            if now_ms >= self._grace_until_ms or belief.entry.is_leaving:
+                if belief.in_progress == 0:
+                    del self._beliefs[server]
+                belief.is_gone = True
+        self._index()
+        return changes
+
+    def _take_entry(self, server: ServerId, entry: BackendServer) -> list[str]:
+        belief = self._beliefs.get(server)
+        if belief is None or belief.entry.started_wall_ms != entry.started_wall_ms:
+            self._beliefs[server] = ServerBelief(entry)
+            return [f"{server}:{'new' if belief is None else 'restarted'}"]
+        if belief.missing_since_ms is not None:
+            belief.missing_since_ms, belief.is_gone = None, False
+        changes = []
+        if entry.is_leaving and not belief.entry.is_leaving:
+            changes.append(f"{server}:leaving")
+        if entry.weights != belief.entry.weights:
+            changes.append(f"{server}:weights")
+        if belief.entry.is_leaving and not entry.is_leaving:
+            return changes  # leaving is final for one incarnation; an older entry came late
+        belief.entry = entry
+        return changes
+
+    def _index(self) -> None:
+        self._by_service = {}
+        for belief in self._beliefs.values():
+            self._by_service.setdefault(belief.entry.service, []).append(belief)
+
+    def belief(self, server: ServerId) -> ServerBelief | None:
+        """Return what is believed of a server."""
+        return self._beliefs.get(server)
+
+    def usable(self, service: ServiceName) -> list[ServerBelief]:
+        """Return the servers of a service that may get new work."""
+        return [
+            belief
+            for belief in self._by_service.get(service, ())
+            if not belief.entry.is_leaving and not belief.is_gone
+        ]
+
+    # What requests show.
+
+    def started(self, server: ServerId, tokens: int) -> None:
+        """Note that a request is on its way to a server."""
+        belief = self._beliefs.get(server)
+        if belief is not None:
+            belief.in_progress += 1
+            belief.tokens += tokens
+
+    def ended(self, server: ServerId, tokens: int) -> None:
+        """Note that a request at a server ended."""
+        belief = self._beliefs.get(server)
+        if belief is not None:
+            belief.in_progress = max(0, belief.in_progress - 1)
+            belief.tokens = max(0, belief.tokens - tokens)
+
+    def answered(self, server: ServerId, model: ModelName | None, version: int | None) -> None:
+        """Note a sound answer."""
+        belief = self._beliefs.get(server)
+        if belief is None:
+            return
+        belief.failures = 0
+        if model is not None and version is not None:
+            self._saw_version(belief, model, version)
+
+    def refused(self, server: ServerId, now_ms: int) -> None:
+        """Note that a server ran nothing because it is full or changing its weights."""
+        belief = self._beliefs.get(server)
+        if belief is not None:
+            belief.rests_until_ms = max(belief.rests_until_ms, now_ms + REFUSAL_REST_MS)
+
+    def failed(self, server: ServerId, now_ms: int) -> None:
+        """Note a lost answer or a failed connection."""
+        belief = self._beliefs.get(server)
+        if belief is None:
+            return
+        belief.failures += 1
+        rest_ms = min(MOST_FAILURE_REST_MS, FAILURE_REST_MS << min(8, belief.failures - 1))
+        belief.rests_until_ms = max(belief.rests_until_ms, now_ms + rest_ms)
+
+    def is_other_instance(self, server: ServerId) -> None:
+        """Note that another instance answers at the server's address."""
+        belief = self._beliefs.get(server)
+        if belief is not None:
+            belief.is_gone = True
+
+    def has_other_weights(self, server: ServerId, model: ModelName, expected: int) -> None:
+        """Note that a server does not have the version that it was expected to have."""
+        belief = self._beliefs.get(server)
+        goal = self.goals.get(model)
+        if belief is not None and goal is not None and goal.version > expected:
+            self._saw_version(belief, model, goal.version)
+
+    def _saw_version(self, belief: ServerBelief, model: ModelName, version: int) -> None:
+        if belief.weights is None:
+            belief.weights = {}
+        belief.weights[model] = max(version, belief.weights.get(model, 0))
+
+    # Choice.
+
+    def choose(
+        self,
+        service: Service,
+        request: CallerRequest,
+        brand: Brand | None,
+        avoided: tuple[str, ...],
+        now_ms: int,
+    ) -> tuple[BackendServer, ForwardTerms] | None:
+        """Return a server and the terms for it; see
+        :class:`~bergamothill.request.forwarding.ServerChooser`.
+        """
+        usable = self.usable(service.name)
+        if not usable:
+            return None
+        candidates = [b for b in usable if b.entry.server not in avoided]
+        candidates = candidates or usable
+        awake = [b for b in candidates if b.rests_until_ms <= now_ms]
+        if awake:
+            candidates = awake
+        else:
+            first = min(b.rests_until_ms for b in candidates)
+            candidates = [b for b in candidates if b.rests_until_ms == first]
+        terms_brand = brand.name if brand is not None else None
+        if service.engine is None or request.model is None:
+            belief = min(candidates, key=self._plain_cost)
+            terms = ForwardTerms(belief.entry.server, 0, brand=terms_brand)
+            return (belief.entry, terms)
+        belief = self._engine(candidates, request)
+        version = belief.weight_version(request.model)
+        terms = ForwardTerms(
+            belief.entry.server,
+            0,
+            brand=terms_brand,
+            weight_version=version,
+            cache_salt=_salt(version, brand),
+        )
+        return (belief.entry, terms)
+
+    def _plain_cost(self, belief: ServerBelief) -> tuple[float, str]:
+        other_zone = OTHER_ZONE_COST if belief.entry.zone != self._zone else 0.0
+        return (belief.in_progress + other_zone, belief.entry.server)
+
+    def _engine(self, candidates: list[ServerBelief], request: CallerRequest) -> ServerBelief:
+        model = request.model
+        newest = max((b.weight_version(model) or 0) for b in candidates)
+        candidates = [b for b in candidates if (b.weight_version(model) or 0) == newest]
+        part = request.parts[-2].name if len(request.parts) > 1 else request.request_id
+        ranked = sorted(candidates, key=lambda b: _rendezvous(part, b.entry.server), reverse=True)
+        least = min(b.tokens for b in candidates)
+        for belief in ranked[:2]:
+            if belief.tokens <= HERD_LIMIT * least + request.prompt_tokens:
+                return belief
+        return min(ranked, key=lambda b: b.tokens)
+
+
+def _salt(version: int | None, brand: Brand | None) -> str:
+    """Return the namespace of kept context: never shared across versions, nor with a wall."""
+    wall = f".{brand.name}" if brand is not None and brand.is_isolated else ""
+    return f"v{version}{wall}"
+
+
+def _rendezvous(part: str, server: str) -> bytes:
+    return hashlib.blake2b(f"{part}|{server}".encode(), digest_size=8).digest()
--- /dev/null
+++ b/bergamothill/process/gatewaymetrics.py
@@ -0,0 +1,62 @@
+"""Counters and latency histograms of an entry instance, as text."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from hdrh.histogram import HdrHistogram
+
+from bergamothill.process.metrics import LEAST_LATENCY_MS, MOST_LATENCY_MS, new_histogram
+
+__all__ = ["GatewayMetrics"]
+
+QUANTILES = (50.0, 90.0, 95.0, 99.0, 100.0)
+
+
+class GatewayMetrics:
+    """Counters by name and label, and histograms of latencies in milliseconds."""
+
+    def __init__(self) -> None:
+        self._counters: Counter[str] = Counter()
+        self._histograms: dict[str, HdrHistogram] = {}
+
+    def count(self, name: str, **labels: object) -> None:
+        """Add one to a counter.
+
+        :param name: name of the counter
+        :param labels: labels, each with a bounded set of values
+        """
+        self._counters[_labelled(name, labels)] += 1
+
+    def observe(self, name: str, latency_ms: int, **labels: object) -> None:
+        """Record a latency.
+
+        :param name: name of the histogram
+        :param latency_ms: latency in milliseconds
+        """
+        key = _labelled(name, labels)
+        histogram = self._histograms.get(key)
+        if histogram is None:
+            histogram = self._histograms[key] = new_histogram()
+        histogram.record_value(min(MOST_LATENCY_MS, max(LEAST_LATENCY_MS, latency_ms)))
+
+    def text(self) -> str:
+        """Return all metrics, one a line."""
+        lines = [f"bergamothill_{key} {value}" for key, value in sorted(self._counters.items())]
+        for key, histogram in sorted(self._histograms.items()):
+            name, _, labels = key.partition("{")
+            labels = labels.rstrip("}")
+            prefix = f"{labels}," if labels else ""
+            for quantile in QUANTILES:
+                value = histogram.get_value_at_percentile(quantile)
+                label = f'{prefix}quantile="{quantile / 100:g}"'
+                lines.append(f"bergamothill_{name}{{{label}}} {value}")
+            lines.append(f"bergamothill_{name}_count{{{labels}}} {histogram.get_total_count()}")
+        return "\n".join(lines) + "\n"
+
+
+def _labelled(name: str, labels: dict[str, object]) -> str:
+    if not labels:
+        return name
+    inner = ",".join(f'{label}="{value}"' for label, value in sorted(labels.items()))
+    return f"{name}{{{inner}}}"
--- /dev/null
+++ b/bergamothill/process/platformnode.py
@@ -0,0 +1,233 @@
+"""An entry instance on the users' platform: sockets, threads and signals around the decisions."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import threading
+from collections.abc import Callable
+from functools import partial
+
+from bergamothill.clock import Clock, SystemClock, seconds
+from bergamothill.connection.callerhttp import CallerConnection
+from bergamothill.connection.http import HttpClient
+from bergamothill.connection.kvs import KeyValueEntry
+from bergamothill.errors import ProtocolError
+from bergamothill.logs import EventLog
+from bergamothill.platform.config import (
+    CONFIG_KEY,
+    OPERATOR_PREFIX,
+    VERSION_PREFIX,
+    decode_config,
+    decode_goal,
+)
+from bergamothill.platform.servers import SERVER_PREFIX, decode_server
+from bergamothill.platform.store import PlatformKeyValueService
+from bergamothill.process.beliefs import ConfigBelief
+from bergamothill.process.boundedlog import install_bounded_log
+from bergamothill.process.fleet import Fleet
+from bergamothill.process.gateway import Gateway
+from bergamothill.process.gatewaymetrics import GatewayMetrics
+from bergamothill.process.nodesettings import NodeSettings
+from bergamothill.process.readiness import ReadinessHandler
+from bergamothill.process.storefollower import Snapshot, StoreFollower
+
+__all__ = ["METRICS_PORT", "PlatformNode"]
+
+METRICS_PORT = 9464
+LISTEN_BACKLOG = 1_024
+
+LEAST_NOTICE_MS = 3_000
+"""The balancer asks each second and takes an instance out after two misses."""
+
+EXIT_MARGIN_MS = 700
+"""Time before the kill that is left to close connections and write the log."""
+
+DRAIN_CHECK_MS = 50
+
+_log = EventLog("node")
+
+
+class PlatformNode:
+    """One entry instance.
+
+    :param settings: checked settings
+    :param clock: source of time
+    """
+
+    def __init__(self, settings: NodeSettings, clock: Clock) -> None:
+        bounds = settings.bounds
+        self._settings = settings
+        self._clock = clock
+        self._metrics = GatewayMetrics()
+        self._config = ConfigBelief(bounds.key_revocation_ms, is_strict=bounds.is_revocation_strict)
+        self._fleet = Fleet(settings.zone)
+        self._gateway = Gateway(clock, bounds, self._config, self._fleet, self._metrics)
+        self._connections: set[CallerConnection] = set()
+        self._draining = False
+        self._unreadable: set[str] = set()
+        client = HttpClient("key-value service", settings.store_address)
+        self._kvs = PlatformKeyValueService(client)
+
+    async def run(self) -> None:
+        """Serve until drained."""
+        loop = asyncio.get_running_loop()
+        stopped = asyncio.Event()
+        loop.add_signal_handler(signal.SIGTERM, stopped.set)
+        loop.add_signal_handler(signal.SIGINT, stopped.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        follower = StoreFollower(
+            self._kvs,
+            self._clock,
+            (OPERATOR_PREFIX, SERVER_PREFIX),
+            on_snapshot=lambda s: loop.call_soon_threadsafe(self._take_snapshot, s),
+            on_link=lambda is_linked: loop.call_soon_threadsafe(self._note_link, is_linked),
+        )
+        thread = threading.Thread(target=follower.run, name="store", daemon=True)
+        thread.start()
+        servers = await self._listen(loop)
+        await stopped.wait()
+        await self._drain()
+        follower.stop()
+        for server in servers:
+            server.close()
+        for connection in list(self._connections):
+            connection.close_if_idle()
+
+    async def _listen(self, loop: asyncio.AbstractEventLoop) -> list[asyncio.Server]:
+        settings = self._settings
+        readiness = ReadinessHandler(self.is_ready, self._metrics.text)
+        metrics_address = f"{settings.ip_address}:{METRICS_PORT}"
+        servers = []
+        for address, handler, register in (
+            (settings.readiness_address, readiness, _ignore),
+            (metrics_address, readiness, _ignore),
+            (settings.caller_address, self._gateway, self._register),
+        ):
+            host, _, port = address.rpartition(":")
+            factory: Callable[[], CallerConnection] = partial(
+                CallerConnection, handler, self._clock, register
+            )
+            server = await loop.create_server(factory, host, int(port), backlog=LISTEN_BACKLOG)
+            servers.append(server)
+        return servers
+
+    def _register(self, connection: CallerConnection, is_open: bool) -> None:
+        if is_open:
+            self._connections.add(connection)
+        else:
+            self._connections.discard(connection)
+
+    def is_ready(self) -> bool:
+        """Tell whether callers can be served here."""
+        now_ms = self._clock.now_ms()
+        has_beliefs = self._config.table is not None and self._fleet.listed_ms is not None
+        return has_beliefs and not self._draining and self._config.keys_hold(now_ms)
+
+    # Beliefs.
+
+    def _note_link(self, is_linked: bool) -> None:
+        self._metrics.count("store_link", state="back" if is_linked else "lost")
+        if is_linked:
+            self._fleet.store_returned(self._clock.now_ms())
+
+    def _take_snapshot(self, snapshot: Snapshot) -> None:
+        if snapshot.prefix == OPERATOR_PREFIX:
+            self._take_operator(snapshot)
+        else:
+            self._take_servers(snapshot)
+
+    def _take_operator(self, snapshot: Snapshot) -> None:
+        for entry in snapshot.entries:
+            if entry.key == CONFIG_KEY:
+                self._take_config(entry, snapshot.sent_ms)
+            elif entry.key.startswith(VERSION_PREFIX):
+                self._take_goal(entry)
+
+    def _take_config(self, entry: KeyValueEntry, sent_ms: int) -> None:
+        if entry.mod_revision == self._config.revision:
+            self._config.confirm(entry.mod_revision, sent_ms)
+            return
+        try:
+            config = decode_config(entry.value)
+        except ProtocolError as error:
+            self._note_unreadable(entry, error)
+            return
+        if self._config.take(config, entry.mod_revision, sent_ms):
+            _log.info(
+                "config_applied",
+                version=config.version,
+                revision=entry.mod_revision,
+                routes=len(config.routes),
+                keys=len(config.brands),
+                age_ms=self._clock.now_ms() - sent_ms,
+            )
+
+    def _take_goal(self, entry: KeyValueEntry) -> None:
+        try:
+            goal = decode_goal(entry.value)
+        except ProtocolError as error:
+            self._note_unreadable(entry, error)
+            return
+        known = self._fleet.goals.get(goal.model)
+        if known is None or goal.version > known.version:
+            self._fleet.goals[goal.model] = goal
+            _log.info("weights_named", model=goal.model, version=goal.version)
+
+    def _take_servers(self, snapshot: Snapshot) -> None:
+        servers = []
+        for entry in snapshot.entries:
+            try:
+                servers.append(decode_server(entry.key, entry.value))
+            except ProtocolError as error:
+                self._note_unreadable(entry, error)
+        now_ms = self._clock.now_ms()
+        changes = self._fleet.apply_list(servers, snapshot.sent_ms, now_ms)
+        if changes:
+            _log.info(
+                "servers_changed", changes=" ".join(changes), age_ms=now_ms - snapshot.sent_ms
+            )
+
+    def _note_unreadable(self, entry: KeyValueEntry, error: ProtocolError) -> None:
+        if entry.key not in self._unreadable:
+            self._unreadable.add(entry.key)
+            _log.warning("entry_unreadable", key=entry.key, error=error.message)
+
+    # Planned stop.
+
+    def _reload(self) -> None:
+        _log.info("reload", detail="settings take effect at a restart")
+
+    async def _drain(self) -> None:
+        started_ms = self._clock.now_ms()
+        _log.info("stop_begins", in_progress=self._gateway.in_progress)
+        self._draining = True
+        self._gateway.start_drain()
+        last_ms = started_ms + self._settings.bounds.stop_grace_ms - EXIT_MARGIN_MS
+        notice_ms = started_ms + min(LEAST_NOTICE_MS, self._settings.bounds.stop_grace_ms // 2)
+        while self._clock.now_ms() < last_ms:
+            now_ms = self._clock.now_ms()
+            if now_ms >= notice_ms:
+                for connection in list(self._connections):
+                    connection.close_if_idle()
+                if not self._connections and not self._gateway.in_progress:
+                    break
+            await asyncio.sleep(seconds(DRAIN_CHECK_MS))
+        _log.info("stop_ends", in_progress=self._gateway.in_progress)
+
+
+def _ignore(_connection: CallerConnection, _is_open: bool) -> None:
+    """Keep no account of the connections of checks."""
+
+
+def serve(settings: NodeSettings) -> None:
+    """Run an entry instance until it is told to stop.
+
+    :param settings: checked settings
+    """
+    clock = SystemClock()
+    handler = install_bounded_log(clock, "info")
+    _log.info("started", entry=settings.entry, zone=settings.zone, caller=settings.caller_address)
+    asyncio.run(PlatformNode(settings, clock).run())
+    _log.info("stopped", entry=settings.entry)
+    handler.close()
--- a/bergamothill/process/settings.py
+++ b/bergamothill/process/settings.py
@@ -13,7 +13,7 @@
 from bergamothill.errors import SettingsError
 from bergamothill.ids import EntryInstanceId, ZoneName
 
-__all__ = ["SETTING_KEYS", "SettingKey", "Settings", "load_settings"]
+__all__ = ["SETTING_KEYS", "SettingKey", "Settings", "is_address", "load_settings"]
 
 MAX_PORT = 65_535
 MIN_SECRET_LENGTH = 16
@@ -82,7 +82,7 @@
     return isinstance(value, str) and 0 < len(value) <= 64 and value.replace("-", "").isalnum()
 
 
-def _is_address(value: Any) -> bool:
+def is_address(value: Any) -> bool:
     if not isinstance(value, str):
         return False
     host, _, port = value.rpartition(":")
@@ -94,7 +94,7 @@
 
 
 def _is_optional_address(value: Any) -> bool:
-    return value == "" or _is_address(value)
+    return value == "" or is_address(value)
 
 
 def _is_secret(value: Any) -> bool:
@@ -123,11 +123,11 @@
 SETTING_KEYS: tuple[SettingKey, ...] = (
     SettingKey("entry.id", "entry_id", _NAME, _is_name),
     SettingKey("entry.zone", "zone", _NAME, _is_name),
-    SettingKey("entry.listen_address", "listen_address", _ADDRESS, _is_address),
-    SettingKey("entry.peer_address", "peer_address", _ADDRESS, _is_address),
-    SettingKey("platform.kvs_address", "kvs_address", _ADDRESS, _is_address),
-    SettingKey("platform.instance_list_address", "instance_list_address", _ADDRESS, _is_address),
-    SettingKey("platform.weight_store_address", "weight_store_address", _ADDRESS, _is_address),
+    SettingKey("entry.listen_address", "listen_address", _ADDRESS, is_address),
+    SettingKey("entry.peer_address", "peer_address", _ADDRESS, is_address),
+    SettingKey("platform.kvs_address", "kvs_address", _ADDRESS, is_address),
+    SettingKey("platform.instance_list_address", "instance_list_address", _ADDRESS, is_address),
+    SettingKey("platform.weight_store_address", "weight_store_address", _ADDRESS, is_address),
     SettingKey(
         "security.shared_secret",
         "shared_secret",
