--- a/bergamothill/connection/callerhttp.py
+++ b/bergamothill/connection/callerhttp.py
@@ -258,7 +258,7 @@
 
     def send(self, piece: bytes) -> None:
         """Send the next bytes of a streamed answer."""
-        if not self._is_closed and piece:
+        if piece and not self._is_closed and not self._transport.is_closing():
             self._transport.write(_chunk(piece))
 
     def end_stream(self) -> None:
--- a/bergamothill/process/fleet.py
+++ b/bergamothill/process/fleet.py
@@ -15,6 +15,7 @@
 from bergamothill.request.callerrequest import CallerRequest, ForwardTerms
 from bergamothill.version.routetable import Brand, Service
 from bergamothill.version.weightgoal import WeightGoal
+from bergamothill.version.weightswap import SwapEngine
 
 __all__ = ["Fleet", "ServerBelief"]
 
@@ -34,6 +35,13 @@
 """Load, relative to the least loaded engine, from which on reuse of kept context gives way."""
 
 
+OLD_WEIGHTS_FREE_MS = 1_100
+"""Old weights cost nothing for 1.5 s after a version was named; it is read up to 400 ms later."""
+
+QUEUE_MARGIN_MS = 2_000
+"""Time that a request may wait at an engine before it begins."""
+
+
 @dataclass(slots=True)
 class ServerBelief:
     """What is believed of one incarnation of a server.
@@ -70,14 +78,17 @@
     """All backend servers.
 
     :param zone: availability zone of this entry instance
+    :param weights_due_ms: time in which engines move to a named weight version
     """
 
-    def __init__(self, zone: ZoneName) -> None:
+    def __init__(self, zone: ZoneName, weights_due_ms: int) -> None:
         self._zone = zone
+        self._weights_due_ms = weights_due_ms
         self._beliefs: dict[ServerId, ServerBelief] = {}
         self._by_service: dict[ServiceName, list[ServerBelief]] = {}
         self._grace_until_ms = 0
         self.goals: dict[ModelName, WeightGoal] = {}
+        self._named_ms: dict[ModelName, int] = {}
         self.listed_ms: int | None = None
 
     def store_returned(self, now_ms: int) -> None:
@@ -144,6 +155,30 @@
             if not belief.entry.is_leaving and not belief.is_gone
         ]
 
+    def name_weights(self, goal: WeightGoal, now_ms: int) -> bool:
+        """Take over a version that the operator named.
+
+        :returns: whether it is newer than the one known
+        """
+        known = self.goals.get(goal.model)
+        if known is not None and goal.version <= known.version:
+            return False
+        self.goals[goal.model] = goal
+        # The first one read was named before this process started.
+        self._named_ms[goal.model] = now_ms if known is not None else now_ms - self._weights_due_ms
+        return True
+
+    def engines(self) -> tuple[SwapEngine, ...]:
+        """Return the engines that are listed and not leaving, one entry for each model."""
+        return tuple(
+            SwapEngine(b.entry.server, b.entry.started_wall_ms, b.entry.address, model, version)
+            for beliefs in self._by_service.values()
+            for b in beliefs
+            if not b.entry.is_leaving and not b.is_gone
+            for model in b.entry.weights
+            if (version := b.weight_version(model)) is not None
+        )
+
     # What requests show.
 
     def started(self, server: ServerId, tokens: int) -> None:
@@ -197,6 +232,12 @@
         if belief is not None and goal is not None and goal.version > expected:
             self._saw_version(belief, model, goal.version)
 
+    def swapped(self, server: ServerId, model: ModelName, version: int) -> None:
+        """Note that a server was seen with new weights."""
+        belief = self._beliefs.get(server)
+        if belief is not None:
+            self._saw_version(belief, model, version)
+
     def _saw_version(self, belief: ServerBelief, model: ModelName, version: int) -> None:
         if belief.weights is None:
             belief.weights = {}
@@ -212,8 +253,9 @@
         avoided: tuple[str, ...],
         now_ms: int,
     ) -> tuple[BackendServer, ForwardTerms] | None:
-        """Return a server and the terms for it; see
-        :class:`~bergamothill.request.forwarding.ServerChooser`.
+        """Return a server and the terms for it.
+
+        Implements :class:`~bergamothill.request.forwarding.ServerChooser`.
         """
         usable = self.usable(service.name)
         if not usable:
@@ -231,6 +273,9 @@
             belief = min(candidates, key=self._plain_cost)
             terms = ForwardTerms(belief.entry.server, 0, brand=terms_brand)
             return (belief.entry, terms)
+        candidates = self._with_due_weights(candidates, request.model, now_ms)
+        if not candidates:
+            return None
         belief = self._engine(candidates, request)
         version = belief.weight_version(request.model)
         terms = ForwardTerms(
@@ -246,10 +291,28 @@
         other_zone = OTHER_ZONE_COST if belief.entry.zone != self._zone else 0.0
         return (belief.in_progress + other_zone, belief.entry.server)
 
+    def _with_due_weights(
+        self, candidates: list[ServerBelief], model: ModelName, now_ms: int
+    ) -> list[ServerBelief]:
+        """Return the engines whose weights may still begin a request.
+
+        Right after a version is named all may; later the new ones go first once they can carry the
+        load; near the bound only they may.
+        """
+        known = [b for b in candidates if b.weight_version(model) is not None]
+        goal = self.goals.get(model)
+        if goal is None:
+            return known
+        new = [b for b in known if b.weight_version(model) >= goal.version]
+        age_ms = now_ms - self._named_ms[model]
+        if age_ms < OLD_WEIGHTS_FREE_MS:
+            return known
+        if age_ms >= self._weights_due_ms - QUEUE_MARGIN_MS:
+            return new
+        carries_load = 2 * len(new) >= len(known) or age_ms >= self._weights_due_ms // 2
+        return new if new and carries_load else known
+
     def _engine(self, candidates: list[ServerBelief], request: CallerRequest) -> ServerBelief:
-        model = request.model
-        newest = max((b.weight_version(model) or 0) for b in candidates)
-        candidates = [b for b in candidates if (b.weight_version(model) or 0) == newest]
         part = request.parts[-2].name if len(request.parts) > 1 else request.request_id
         ranked = sorted(candidates, key=lambda b: _rendezvous(part, b.entry.server), reverse=True)
         least = min(b.tokens for b in candidates)
--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -212,6 +212,7 @@
 
     def _note_first(self) -> None:
         self._first_ms = self._clock.now_ms()
+        self._forwarding.stream_started = self._relay.stream_started
 
     async def drive(self) -> None:
         """Carry out the steps of the request."""
@@ -226,7 +227,7 @@
         self._end(step)
 
     async def _attempt(self, send: Send) -> ForwardStep:
-        relay, forwarding, server = self._relay, self._forwarding, send.server.server
+        relay, server = self._relay, send.server.server
         relay.begin_attempt()
         started_ms = self._clock.now_ms()
         self._fleet.started(server, self._request.prompt_tokens)
@@ -240,7 +241,6 @@
         finally:
             self._fleet.ended(server, self._request.prompt_tokens)
         now_ms = self._clock.now_ms()
-        forwarding.stream_started = relay.stream_started
         outcome = self._outcome(result.end)
         status = relay.head.status if relay.head is not None else 0
         self._trail.append(f"{server}:{outcome}:{status}:{now_ms - started_ms}ms{result.detail}")
--- a/bergamothill/process/lease.py
+++ b/bergamothill/process/lease.py
@@ -14,7 +14,6 @@
 from bergamothill.ids import DutyName, EntryInstanceId, FencingNumber
 from bergamothill.logs import EventLog
 from bergamothill.process.leasemachine import (
-    LEASE_TTL_MS,
     Granted,
     GrantFailed,
     GrantLease,
@@ -28,6 +27,7 @@
     LeaseEnded,
     LeaseEvent,
     LeaseMachine,
+    LeaseTimes,
     OrderGate,
     OrderPermit,
     ReadFailed,
@@ -146,7 +146,7 @@
     :param clock: source of time
     :param duty: duty, with its availability zone where it is split by zone
     :param holder: this entry instance
-    :param ttl_ms: life of the lease without renewal, in milliseconds
+    :param times: durations of the lease
     """
 
     def __init__(
@@ -156,11 +156,11 @@
         duty: DutyName,
         holder: EntryInstanceId,
         *,
-        ttl_ms: int = LEASE_TTL_MS,
+        times: LeaseTimes | None = None,
     ) -> None:
         self.duty = duty
         self._clock = clock
-        self._machine = LeaseMachine(holder, new_token, ttl_ms=ttl_ms)
+        self._machine = LeaseMachine(holder, new_token, times=times)
         self._performer = LeasePerformer(kvs, duty)
         self._gate = OrderGate(self._machine)
         self._was_held = False
--- a/bergamothill/process/leasemachine.py
+++ b/bergamothill/process/leasemachine.py
@@ -35,6 +35,7 @@
     "LeaseEvent",
     "LeaseMachine",
     "LeaseState",
+    "LeaseTimes",
     "OrderGate",
     "OrderPermit",
     "ReadFailed",
@@ -61,6 +62,21 @@
 HolderToken = NewType("HolderToken", str)
 
 
+@dataclass(frozen=True, slots=True)
+class LeaseTimes:
+    """Durations of a duty lease.
+
+    :param ttl_ms: life without renewal
+    :param margin_ms: time before its end from which on it counts as lost
+    :param settle_ms: time for which a new holder sends no orders to engines that do not check
+        fencing numbers, since those of its predecessor may still arrive
+    """
+
+    ttl_ms: int = LEASE_TTL_MS
+    margin_ms: int = LEASE_MARGIN_MS
+    settle_ms: int = ORDER_LIFE_MS + CLOCK_SKEW_MS
+
+
 class LeaseState(Enum):
     """State of a duty lease at one entry instance."""
 
@@ -213,7 +229,7 @@
 
     :param holder: this entry instance
     :param new_token: draws a random token for each acquisition
-    :param ttl_ms: life of the lease without renewal, in milliseconds
+    :param times: durations of the lease
     """
 
     def __init__(
@@ -221,14 +237,14 @@
         holder: EntryInstanceId,
         new_token: Callable[[], HolderToken],
         *,
-        ttl_ms: int = LEASE_TTL_MS,
+        times: LeaseTimes | None = None,
     ) -> None:
         self.state = LeaseState.FREE
         self.fencing = FencingNumber(0)
         self.acquired_ms = 0
         self._holder = holder
         self._new_token = new_token
-        self._ttl_ms = ttl_ms
+        self.times = times or LeaseTimes()
         self._record = HolderRecord(holder, HolderToken(""))
         self._lease_id: LeaseId | None = None
         self._asked_ms = 0
@@ -252,7 +268,7 @@
         if self.state is LeaseState.FREE:
             self.state = LeaseState.ACQUIRING
             return ReadHolder()
-        is_due = now_ms >= self._confirmed_ms + self._ttl_ms // RENEWALS_PER_TTL
+        is_due = now_ms >= self._confirmed_ms + self.times.ttl_ms // RENEWALS_PER_TTL
         if self.state is LeaseState.HELD and is_due:
             self._asked_ms = now_ms
             return RenewLease(self._lease_id)
@@ -280,7 +296,7 @@
             return None
         if event.record is None and self._lease_id is None:
             self._asked_ms = now_ms
-            return GrantLease(self._ttl_ms)
+            return GrantLease(self.times.ttl_ms)
         if event.record is not None and event.record.token == self._record.token:
             return self._hold(event.mod_revision, now_ms)
         return self._abandon()
@@ -350,7 +366,7 @@
         return None
 
     def _valid_until_ms(self) -> int:
-        return self._confirmed_ms + self._ttl_ms - LEASE_MARGIN_MS
+        return self._confirmed_ms + self.times.ttl_ms - self.times.margin_ms
 
     def _abandon(self) -> LeaseEffect | None:
         lease_id = self._lease_id
@@ -411,4 +427,4 @@
         return OrderPermit(self._machine.fencing, wall_ms + ORDER_LIFE_MS, ORDER_LIFE_MS)
 
     def _wait_ms(self, now_ms: int) -> int:
-        return self._machine.acquired_ms + ORDER_LIFE_MS + CLOCK_SKEW_MS - now_ms
+        return self._machine.acquired_ms + self._machine.times.settle_ms - now_ms
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -5,7 +5,7 @@
 import asyncio
 import signal
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from functools import partial
 
 from bergamothill.clock import Clock, SystemClock, seconds
@@ -13,7 +13,9 @@
 from bergamothill.connection.http import HttpClient
 from bergamothill.connection.kvs import KeyValueEntry
 from bergamothill.errors import ProtocolError
+from bergamothill.ids import DutyName, ModelName
 from bergamothill.logs import EventLog
+from bergamothill.platform import engines
 from bergamothill.platform.config import (
     CONFIG_KEY,
     OPERATOR_PREFIX,
@@ -28,13 +30,22 @@
 from bergamothill.process.fleet import Fleet
 from bergamothill.process.gateway import Gateway
 from bergamothill.process.gatewaymetrics import GatewayMetrics
+from bergamothill.process.lease import DutyLease
+from bergamothill.process.leasemachine import LeaseTimes
 from bergamothill.process.nodesettings import NodeSettings
+from bergamothill.process.orderturn import OrderTurn
 from bergamothill.process.readiness import ReadinessHandler
 from bergamothill.process.storefollower import Snapshot, StoreFollower
+from bergamothill.process.swapduty import SwapDuty
+from bergamothill.version.weightgoal import WeightGoal
+from bergamothill.version.weightswap import SwapEngine
 
 __all__ = ["METRICS_PORT", "PlatformNode"]
 
 METRICS_PORT = 9464
+SWAP_DUTY = DutyName("weights")
+ORDER_MARK_KEY = "duty-orders/weights"
+LEASE_MARGIN_PART = 5
 LISTEN_BACKLOG = 1_024
 
 LEAST_NOTICE_MS = 3_000
@@ -61,38 +72,69 @@
         self._clock = clock
         self._metrics = GatewayMetrics()
         self._config = ConfigBelief(bounds.key_revocation_ms, is_strict=bounds.is_revocation_strict)
-        self._fleet = Fleet(settings.zone)
+        self._fleet = Fleet(settings.zone, bounds.weights_due_ms)
         self._gateway = Gateway(clock, bounds, self._config, self._fleet, self._metrics)
         self._connections: set[CallerConnection] = set()
         self._draining = False
         self._unreadable: set[str] = set()
         client = HttpClient("key-value service", settings.store_address)
         self._kvs = PlatformKeyValueService(client)
+        self._swap_view: tuple[Mapping[ModelName, WeightGoal], tuple[SwapEngine, ...]] = ({}, ())
+        self._swaps = self._swap_duty()
+
+    def _swap_duty(self) -> SwapDuty:
+        bounds, holder = self._settings.bounds, self._settings.entry
+        ttl_ms = max(self._settings.least_lease_ms, bounds.order_turn_ms // 2)
+        # Orders are kept apart by turns, so the lease's own settling time is not needed.
+        times = LeaseTimes(ttl_ms=ttl_ms, margin_ms=ttl_ms // LEASE_MARGIN_PART, settle_ms=0)
+        lease = DutyLease(self._kvs, self._clock, SWAP_DUTY, holder, times=times)
+        turn = OrderTurn(self._kvs, ORDER_MARK_KEY, holder, lease, bounds.order_turn_ms)
+        return SwapDuty(
+            lease,
+            turn,
+            self._clock,
+            engines,
+            lambda: self._swap_view,
+            holder,
+            checks_fencing=bounds.engines_check_fencing,
+            on_swapped=self._on_swapped,
+        )
+
+    def _on_swapped(self, engine: SwapEngine, version: int) -> None:
+        self._loop.call_soon_threadsafe(self._fleet.swapped, engine.server, engine.model, version)
 
     async def run(self) -> None:
         """Serve until drained."""
-        loop = asyncio.get_running_loop()
+        loop = self._loop = asyncio.get_running_loop()
         stopped = asyncio.Event()
         loop.add_signal_handler(signal.SIGTERM, stopped.set)
         loop.add_signal_handler(signal.SIGINT, stopped.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
-        follower = StoreFollower(
+        followers = [
+            self._follower(OPERATOR_PREFIX, self._take_operator),
+            self._follower(SERVER_PREFIX, self._take_servers),
+        ]
+        for follower in followers:
+            follower.start()
+        swaps = threading.Thread(target=self._swaps.run, name="swaps", daemon=True)
+        swaps.start()
+        servers = await self._listen(loop)
+        await stopped.wait()
+        self._swaps.stop()
+        await self._drain(servers[-1])
+        for follower in followers:
+            follower.stop()
+        swaps.join(timeout=seconds(EXIT_MARGIN_MS // 2))
+
+    def _follower(self, prefix: str, take: Callable[[Snapshot], None]) -> StoreFollower:
+        call = self._loop.call_soon_threadsafe
+        return StoreFollower(
             self._kvs,
             self._clock,
-            (OPERATOR_PREFIX, SERVER_PREFIX),
-            on_snapshot=lambda s: loop.call_soon_threadsafe(self._take_snapshot, s),
-            on_link=lambda is_linked: loop.call_soon_threadsafe(self._note_link, is_linked),
+            prefix,
+            on_snapshot=lambda snapshot: call(take, snapshot),
+            on_link=lambda is_linked: call(self._note_link, is_linked),
         )
-        thread = threading.Thread(target=follower.run, name="store", daemon=True)
-        thread.start()
-        servers = await self._listen(loop)
-        await stopped.wait()
-        await self._drain()
-        follower.stop()
-        for server in servers:
-            server.close()
-        for connection in list(self._connections):
-            connection.close_if_idle()
 
     async def _listen(self, loop: asyncio.AbstractEventLoop) -> list[asyncio.Server]:
         settings = self._settings
@@ -131,12 +173,6 @@
         if is_linked:
             self._fleet.store_returned(self._clock.now_ms())
 
-    def _take_snapshot(self, snapshot: Snapshot) -> None:
-        if snapshot.prefix == OPERATOR_PREFIX:
-            self._take_operator(snapshot)
-        else:
-            self._take_servers(snapshot)
-
     def _take_operator(self, snapshot: Snapshot) -> None:
         for entry in snapshot.entries:
             if entry.key == CONFIG_KEY:
@@ -169,10 +205,10 @@
         except ProtocolError as error:
             self._note_unreadable(entry, error)
             return
-        known = self._fleet.goals.get(goal.model)
-        if known is None or goal.version > known.version:
-            self._fleet.goals[goal.model] = goal
+        if self._fleet.name_weights(goal, self._clock.now_ms()):
             _log.info("weights_named", model=goal.model, version=goal.version)
+            self._publish_engines()
+            self._swaps.wake()
 
     def _take_servers(self, snapshot: Snapshot) -> None:
         servers = []
@@ -183,11 +219,16 @@
                 self._note_unreadable(entry, error)
         now_ms = self._clock.now_ms()
         changes = self._fleet.apply_list(servers, snapshot.sent_ms, now_ms)
+        self._publish_engines()
         if changes:
             _log.info(
                 "servers_changed", changes=" ".join(changes), age_ms=now_ms - snapshot.sent_ms
             )
 
+    def _publish_engines(self) -> None:
+        """Hand an unchanging view of the engines to the thread of the swap duty."""
+        self._swap_view = (dict(self._fleet.goals), self._fleet.engines())
+
     def _note_unreadable(self, entry: KeyValueEntry, error: ProtocolError) -> None:
         if entry.key not in self._unreadable:
             self._unreadable.add(entry.key)
@@ -198,7 +239,7 @@
     def _reload(self) -> None:
         _log.info("reload", detail="settings take effect at a restart")
 
-    async def _drain(self) -> None:
+    async def _drain(self, callers: asyncio.Server) -> None:
         started_ms = self._clock.now_ms()
         _log.info("stop_begins", in_progress=self._gateway.in_progress)
         self._draining = True
@@ -208,6 +249,7 @@
         while self._clock.now_ms() < last_ms:
             now_ms = self._clock.now_ms()
             if now_ms >= notice_ms:
+                callers.close()
                 for connection in list(self._connections):
                     connection.close_if_idle()
                 if not self._connections and not self._gateway.in_progress:
--- a/bergamothill/process/settings.py
+++ b/bergamothill/process/settings.py
@@ -83,6 +83,10 @@
 
 
 def is_address(value: Any) -> bool:
+    """Tell whether a value is an IP number and a port.
+
+    :param value: value of a settings file
+    """
     if not isinstance(value, str):
         return False
     host, _, port = value.rpartition(":")
--- a/bergamothill/request/retryshare.py
+++ b/bergamothill/request/retryshare.py
@@ -1,4 +1,4 @@
-"""This entry instance's share of a service's retry budget, in a sliding window; no clock.
+"""Retry budget of a service: the share of one entry instance, in a sliding window; no clock.
 
 The budget belongs to the whole deployment. Each entry instance spends a share that stays within it
 whatever the others do: the ratio of the requests that it took itself, and an equal part of the
