--- a/bergamothill/platform/config.py
+++ b/bergamothill/platform/config.py
@@ -121,6 +121,7 @@
         slots=fields.integer("slots", 1),
         memory_tokens=int(fields.number("kvCapacityTokens", 0)),
         token_bytes=int(fields.number("kvTokenBytes", 0)),
+        link_mbps=fields.number("linkMbps", 0),
         models=tuple(ModelName(name) for name in models),
         event_listeners=fields.integer("maxConcurrent", 0),
     )
--- a/bergamothill/platform/requests.py
+++ b/bergamothill/platform/requests.py
@@ -139,6 +139,8 @@
         fields.append(("X-Cache-Salt", terms.cache_salt))
     if any(terms.fetch_from):
         fields.append(("X-Kv-Fetch-Source", _addresses(terms.fetch_from)))
+    if terms.fetch_until_ms:
+        fields.append(("X-Kv-Until", terms.fetch_until_ms))
     if any(terms.save_to):
         fields.append(("X-Kv-Save-Target", _addresses(terms.save_to)))
     if terms.last_event_id:
--- a/bergamothill/process/fleet.py
+++ b/bergamothill/process/fleet.py
@@ -6,14 +6,14 @@
 
 from __future__ import annotations
 
-import hashlib
 from collections.abc import Iterable
 from dataclasses import dataclass
 
 from bergamothill.ids import ModelName, ServerId, ServiceName, ZoneName
 from bergamothill.process.backends import BackendServer
 from bergamothill.request.callerrequest import CallerRequest, ForwardTerms
-from bergamothill.version.routetable import Brand, Service
+from bergamothill.request.contextplan import ContextPlan, ContextPlanner
+from bergamothill.version.routetable import Brand, EngineTraits, Service
 from bergamothill.version.weightgoal import WeightGoal
 from bergamothill.version.weightswap import SwapEngine
 
@@ -31,8 +31,14 @@
 OTHER_ZONE_COST = 1.0
 """Requests in progress that a server of the own zone may have more than one of another zone."""
 
-HERD_LIMIT = 1.5
-"""Load, relative to the least loaded engine, from which on reuse of kept context gives way."""
+READ_TOKENS_PER_MS = 100.0
+"""Reading speed of an engine, for estimates that are only compared with each other."""
+
+MEMORY_SHARE = 0.9
+"""Part of an engine's memory that requests in progress may fill before they crowd each other."""
+
+BATCH_MS_PER_RUN = 0.5
+"""Delay that each request in progress adds to the batch of another."""
 
 
 OLD_WEIGHTS_FREE_MS = 1_100
@@ -49,6 +55,7 @@
     :param entry: its listed entry
     :param in_progress: requests that this entry instance has there
     :param tokens: prompt tokens of those
+    :param unread_tokens: tokens that it has yet to read for those that have no first token
     :param rests_until_ms: not used before, unless nothing else is left
     :param failures: failures in a row
     :param is_gone: seen to have left, by its own answer
@@ -59,6 +66,7 @@
     entry: BackendServer
     in_progress: int = 0
     tokens: int = 0
+    unread_tokens: int = 0
     rests_until_ms: int = 0
     failures: int = 0
     is_gone: bool = False
@@ -79,10 +87,12 @@
 
     :param zone: availability zone of this entry instance
     :param weights_due_ms: time in which engines move to a named weight version
+    :param planner: knows what is kept where
     """
 
-    def __init__(self, zone: ZoneName, weights_due_ms: int) -> None:
+    def __init__(self, zone: ZoneName, weights_due_ms: int, planner: ContextPlanner) -> None:
         self._zone = zone
+        self._planner = planner
         self._weights_due_ms = weights_due_ms
         self._beliefs: dict[ServerId, ServerBelief] = {}
         self._by_service: dict[ServiceName, list[ServerBelief]] = {}
@@ -140,6 +150,8 @@
 
     def _index(self) -> None:
         self._by_service = {}
+        engines = (b.entry for b in self._beliefs.values() if b.entry.weights and not b.is_gone)
+        self._planner.set_engines({entry.address: entry.zone for entry in engines})
         for belief in self._beliefs.values():
             self._by_service.setdefault(belief.entry.service, []).append(belief)
 
@@ -181,12 +193,23 @@
 
     # What requests show.
 
-    def started(self, server: ServerId, tokens: int) -> None:
-        """Note that a request is on its way to a server."""
+    def started(self, server: ServerId, tokens: int, unread_tokens: int) -> None:
+        """Note that a request is on its way to a server.
+
+        :param tokens: length of its prompt
+        :param unread_tokens: tokens that the server has to read for it
+        """
         belief = self._beliefs.get(server)
         if belief is not None:
             belief.in_progress += 1
             belief.tokens += tokens
+            belief.unread_tokens += unread_tokens
+
+    def read(self, server: ServerId, unread_tokens: int) -> None:
+        """Note that a server has read a prompt, or will not read it."""
+        belief = self._beliefs.get(server)
+        if belief is not None:
+            belief.unread_tokens = max(0, belief.unread_tokens - unread_tokens)
 
     def ended(self, server: ServerId, tokens: int) -> None:
         """Note that a request at a server ended."""
@@ -276,16 +299,7 @@
         candidates = self._with_due_weights(candidates, request.model, now_ms)
         if not candidates:
             return None
-        belief = self._engine(candidates, request)
-        version = belief.weight_version(request.model)
-        terms = ForwardTerms(
-            belief.entry.server,
-            0,
-            brand=terms_brand,
-            weight_version=version,
-            cache_salt=_salt(version, brand),
-        )
-        return (belief.entry, terms)
+        return self._place(candidates, service.engine, request, brand, now_ms)
 
     def _plain_cost(self, belief: ServerBelief) -> tuple[float, str]:
         other_zone = OTHER_ZONE_COST if belief.entry.zone != self._zone else 0.0
@@ -312,21 +326,53 @@
         carries_load = 2 * len(new) >= len(known) or age_ms >= self._weights_due_ms // 2
         return new if new and carries_load else known
 
-    def _engine(self, candidates: list[ServerBelief], request: CallerRequest) -> ServerBelief:
-        part = request.parts[-2].name if len(request.parts) > 1 else request.request_id
-        ranked = sorted(candidates, key=lambda b: _rendezvous(part, b.entry.server), reverse=True)
-        least = min(b.tokens for b in candidates)
-        for belief in ranked[:2]:
-            if belief.tokens <= HERD_LIMIT * least + request.prompt_tokens:
-                return belief
-        return min(ranked, key=lambda b: b.tokens)
+    def _place(
+        self,
+        candidates: list[ServerBelief],
+        traits: EngineTraits,
+        request: CallerRequest,
+        brand: Brand | None,
+        now_ms: int,
+    ) -> tuple[BackendServer, ForwardTerms]:
+        """Return the engine with the earliest expected first token, and what it fetches."""
+        best: tuple[float, str, ServerBelief, ContextPlan, str] | None = None
+        for belief in candidates:
+            entry = belief.entry
+            salt = _salt(belief.weight_version(request.model), brand)
+            plan = self._planner.plan(entry.address, entry.zone, traits, request, salt, now_ms)
+            cost = (self._first_token_ms(belief, traits, request, plan), entry.server)
+            if best is None or cost < best[:2]:
+                best = (*cost, belief, plan, salt)
+        _, _, belief, plan, salt = best
+        terms = ForwardTerms(
+            belief.entry.server,
+            0,
+            brand=brand.name if brand is not None else None,
+            weight_version=belief.weight_version(request.model),
+            cache_salt=salt,
+            fetch_from=plan.fetch_from,
+            save_to=self._planner.saves(request, salt, now_ms),
+            fetch_until_ms=plan.fetch_until_ms,
+            unread_tokens=plan.read_tokens,
+        )
+        return (belief.entry, terms)
+
+    def _first_token_ms(
+        self,
+        belief: ServerBelief,
+        traits: EngineTraits,
+        request: CallerRequest,
+        plan: ContextPlan,
+    ) -> float:
+        queue_ms = belief.unread_tokens / READ_TOKENS_PER_MS
+        read_ms = plan.read_tokens / READ_TOKENS_PER_MS
+        excess = belief.tokens + request.prompt_tokens - MEMORY_SHARE * traits.memory_tokens
+        memory_ms = max(0.0, excess) / READ_TOKENS_PER_MS
+        batch_ms = BATCH_MS_PER_RUN * belief.in_progress
+        return queue_ms + read_ms + plan.fetch_ms + memory_ms + batch_ms
 
 
 def _salt(version: int | None, brand: Brand | None) -> str:
     """Return the namespace of kept context: never shared across versions, nor with a wall."""
     wall = f".{brand.name}" if brand is not None and brand.is_isolated else ""
     return f"v{version}{wall}"
-
-
-def _rendezvous(part: str, server: str) -> bytes:
-    return hashlib.blake2b(f"{part}|{server}".encode(), digest_size=8).digest()
--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -12,7 +12,7 @@
 from bergamothill.connection.backendhttp import ExchangeEnd, exchange
 from bergamothill.connection.callerhttp import CallerConnection
 from bergamothill.errors import InvalidRequestError
-from bergamothill.ids import ServiceName
+from bergamothill.ids import ServerId, ServiceName
 from bergamothill.logs import EventLog
 from bergamothill.platform.requests import decode_answer, decode_request, encode_forward
 from bergamothill.process.beliefs import Admission, ConfigBelief, Verdict
@@ -192,6 +192,7 @@
         self._route = route
         self._service = service
         self._first_ms: int | None = None
+        self._unread: tuple[ServerId, int] | None = None
         self._trail: list[str] = []
         self._forwarding = Forwarding(
             request,
@@ -212,8 +213,14 @@
 
     def _note_first(self) -> None:
         self._first_ms = self._clock.now_ms()
+        self._note_read()
         self._forwarding.stream_started = self._relay.stream_started
 
+    def _note_read(self) -> None:
+        if self._unread is not None:
+            self._fleet.read(*self._unread)
+            self._unread = None
+
     async def drive(self) -> None:
         """Carry out the steps of the request."""
         step = self._forwarding.begin(self._clock.now_ms())
@@ -230,7 +237,9 @@
         relay, server = self._relay, send.server.server
         relay.begin_attempt()
         started_ms = self._clock.now_ms()
-        self._fleet.started(server, self._request.prompt_tokens)
+        tokens = self._request.prompt_tokens
+        self._unread = (server, send.terms.unread_tokens)
+        self._fleet.started(server, tokens, send.terms.unread_tokens)
         try:
             result = await exchange(
                 send.server.address,
@@ -239,7 +248,8 @@
                 connect_timeout_ms=CONNECT_TIMEOUT_MS,
             )
         finally:
-            self._fleet.ended(server, self._request.prompt_tokens)
+            self._note_read()
+            self._fleet.ended(server, tokens)
         now_ms = self._clock.now_ms()
         outcome = self._outcome(result.end)
         status = relay.head.status if relay.head is not None else 0
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -30,6 +30,7 @@
 from bergamothill.process.fleet import Fleet
 from bergamothill.process.gateway import Gateway
 from bergamothill.process.gatewaymetrics import GatewayMetrics
+from bergamothill.process.keptlistener import KeptListener
 from bergamothill.process.lease import DutyLease
 from bergamothill.process.leasemachine import LeaseTimes
 from bergamothill.process.nodesettings import NodeSettings
@@ -37,6 +38,8 @@
 from bergamothill.process.readiness import ReadinessHandler
 from bergamothill.process.storefollower import Snapshot, StoreFollower
 from bergamothill.process.swapduty import SwapDuty
+from bergamothill.request.contextplan import ContextPlanner
+from bergamothill.version.keptindex import KeptIndex
 from bergamothill.version.weightgoal import WeightGoal
 from bergamothill.version.weightswap import SwapEngine
 
@@ -72,7 +75,10 @@
         self._clock = clock
         self._metrics = GatewayMetrics()
         self._config = ConfigBelief(bounds.key_revocation_ms, is_strict=bounds.is_revocation_strict)
-        self._fleet = Fleet(settings.zone, bounds.weights_due_ms)
+        self._kept = KeptIndex()
+        self._planner = ContextPlanner(self._kept)
+        self._listener = KeptListener(self._kept, clock)
+        self._fleet = Fleet(settings.zone, bounds.weights_due_ms, self._planner)
         self._gateway = Gateway(clock, bounds, self._config, self._fleet, self._metrics)
         self._connections: set[CallerConnection] = set()
         self._draining = False
@@ -124,6 +130,7 @@
         await self._drain(servers[-1])
         for follower in followers:
             follower.stop()
+        self._listener.stop()
         swaps.join(timeout=seconds(EXIT_MARGIN_MS // 2))
 
     def _follower(self, prefix: str, take: Callable[[Snapshot], None]) -> StoreFollower:
@@ -190,6 +197,8 @@
             self._note_unreadable(entry, error)
             return
         if self._config.take(config, entry.mod_revision, sent_ms):
+            self._planner.set_stores(config.stores)
+            self._listen_to_kept()
             _log.info(
                 "config_applied",
                 version=config.version,
@@ -228,6 +237,13 @@
     def _publish_engines(self) -> None:
         """Hand an unchanging view of the engines to the thread of the swap duty."""
         self._swap_view = (dict(self._fleet.goals), self._fleet.engines())
+        self._listen_to_kept()
+
+    def _listen_to_kept(self) -> None:
+        table = self._config.table
+        stores = () if table is None else (store.address for store in table.config.stores)
+        engines = (engine.address for engine in self._swap_view[1])
+        self._listener.follow([*stores, *engines])
 
     def _note_unreadable(self, entry: KeyValueEntry, error: ProtocolError) -> None:
         if entry.key not in self._unreadable:
--- a/bergamothill/request/callerrequest.py
+++ b/bergamothill/request/callerrequest.py
@@ -91,7 +91,10 @@
         empty text for none
     :param save_to: address for each part of the prompt to which the engine sends it; empty text
         for none
+    :param fetch_until_ms: instant after which a fetch is discarded, on the servers' clock; 0 for
+        none
     :param last_event_id: event after which the stream goes on; empty for its start
+    :param unread_tokens: tokens that the server is expected to read; not sent
     """
 
     server: ServerId
@@ -102,7 +105,9 @@
     cache_salt: str = ""
     fetch_from: tuple[str, ...] = ()
     save_to: tuple[str, ...] = ()
+    fetch_until_ms: int = 0
     last_event_id: str = ""
+    unread_tokens: int = 0
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/bergamothill/request/contextplan.py
@@ -0,0 +1,195 @@
+"""Plans which kept context of a prompt an engine holds, fetches, reads and saves; no I/O."""
+
+from __future__ import annotations
+
+import hashlib
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from bergamothill.ids import ZoneName
+from bergamothill.request.callerrequest import CallerRequest
+from bergamothill.version.keptindex import KeptIndex, PartKey
+from bergamothill.version.routetable import EngineTraits, KeptStore
+
+__all__ = ["ContextPlan", "ContextPlanner"]
+
+OTHER_ZONE_FACTOR = 2.0
+"""Transfers between zones take twice as long."""
+
+FETCH_LIFE_MS = 1_500
+"""A fetch that takes longer than this is slower than reading the prompt again."""
+
+SAVE_PAUSE_MS = 3_000
+"""Time in which a save that was ordered is expected to show in the store's events."""
+
+BYTES_PER_MS_PER_MBPS = 125
+
+MAX_SAVES_NOTED = 5_000
+"""Saves under way that are noted before those that are over are dropped."""
+
+
+@dataclass(frozen=True, slots=True)
+class ContextPlan:
+    """Where the parts of a prompt come from at one engine.
+
+    :param held_tokens: held by the engine
+    :param fetched_tokens: fetched from elsewhere
+    :param read_tokens: read by the engine, the request's own part included
+    :param fetch_ms: expected duration of the fetch
+    :param fetch_from: address for each part; empty text for none
+    :param fetch_until_ms: on the servers' clock; 0 for no limit
+    """
+
+    held_tokens: int
+    fetched_tokens: int
+    read_tokens: int
+    fetch_ms: float
+    fetch_from: tuple[str, ...]
+    fetch_until_ms: int
+
+
+class ContextPlanner:
+    """Knows what is kept where.
+
+    :param index: holdings of engines and stores
+    """
+
+    def __init__(self, index: KeptIndex) -> None:
+        self._index = index
+        self._stores: tuple[KeptStore, ...] = ()
+        self._zones: dict[str, ZoneName] = {}
+        self._saving: dict[PartKey, int] = {}
+
+    def set_stores(self, stores: tuple[KeptStore, ...]) -> None:
+        """Set the stores of the configuration in force."""
+        self._stores = stores
+
+    def set_engines(self, zones: Mapping[str, ZoneName]) -> None:
+        """Set the engines that context may be fetched from.
+
+        :param zones: zone of each, by address
+        """
+        self._zones = dict(zones)
+
+    def plan(
+        self,
+        engine: str,
+        zone: ZoneName,
+        traits: EngineTraits,
+        request: CallerRequest,
+        salt: str,
+        now_ms: int,
+    ) -> ContextPlan:
+        """Return where the parts of a prompt come from.
+
+        Context is of use only without a gap from the start of the prompt: behind the first part
+        that has to be read nothing is fetched.
+
+        :param engine: address of the engine
+        :param zone: its zone
+        :param traits: traits of its service
+        """
+        held = fetched = 0
+        fetch_ms = 0.0
+        sources = [""] * len(request.parts)
+        until_ms = 0
+        for number, part in enumerate(request.parts[:-1]):
+            key = PartKey(salt, part.name)
+            if self._index.tokens_at(engine, key) >= part.tokens:
+                held += part.tokens
+                continue
+            source = self._source(engine, zone, traits, key, part.tokens, now_ms)
+            if source is None:
+                break
+            address, duration_ms = source
+            sources[number] = address
+            fetched += part.tokens
+            fetch_ms += duration_ms
+            offset_ms = self._index.source(address).clock_offset_ms
+            until_ms = now_ms + offset_ms + FETCH_LIFE_MS
+        return ContextPlan(
+            held_tokens=held,
+            fetched_tokens=fetched,
+            read_tokens=max(0, request.prompt_tokens - held - fetched),
+            fetch_ms=fetch_ms,
+            fetch_from=tuple(sources) if fetched else (),
+            fetch_until_ms=until_ms,
+        )
+
+    def _source(
+        self,
+        engine: str,
+        zone: ZoneName,
+        traits: EngineTraits,
+        key: PartKey,
+        tokens: int,
+        now_ms: int,
+    ) -> tuple[str, float] | None:
+        """Return the quickest source of a part, and how long it takes."""
+        best: tuple[str, float] | None = None
+        size_bytes = tokens * traits.token_bytes
+        for store in self._stores:
+            if self._index.tokens_at(store.address, key) < tokens:
+                continue
+            if not self._index.source(store.address).is_certain(now_ms):
+                continue
+            link_mbps = min(store.link_mbps, traits.link_mbps)
+            duration_ms = store.first_byte_ms + _transfer_ms(
+                size_bytes, link_mbps, store.zone != zone
+            )
+            if best is None or duration_ms < best[1]:
+                best = (store.address, duration_ms)
+        if best is not None:
+            return best
+        for address, other_zone in self._zones.items():
+            if address == engine or self._index.tokens_at(address, key) < tokens:
+                continue
+            if not self._index.source(address).is_certain(now_ms):
+                continue
+            duration_ms = _transfer_ms(size_bytes, traits.link_mbps, other_zone != zone)
+            if best is None or duration_ms < best[1]:
+                best = (address, duration_ms)
+        return best
+
+    def saves(self, request: CallerRequest, salt: str, now_ms: int) -> tuple[str, ...]:
+        """Return the address to which each part is saved, and note that it is being saved.
+
+        :returns: empty text for parts that are saved already, and for the request's own
+        """
+        if not self._stores:
+            return ()
+        targets = [""] * len(request.parts)
+        for number, part in enumerate(request.parts[:-1]):
+            key = PartKey(salt, part.name)
+            if self._saving.get(key, 0) > now_ms or self._is_stored(key):
+                continue
+            home = self._home(key, now_ms)
+            if home is None:
+                continue
+            targets[number] = home.address
+            self._saving[key] = now_ms + SAVE_PAUSE_MS
+        if len(self._saving) > MAX_SAVES_NOTED:
+            self._saving = {k: until for k, until in self._saving.items() if until > now_ms}
+        return tuple(targets) if any(targets) else ()
+
+    def _is_stored(self, key: PartKey) -> bool:
+        return any(self._index.tokens_at(store.address, key) for store in self._stores)
+
+    def _home(self, key: PartKey, now_ms: int) -> KeptStore | None:
+        """Return the store that keeps a part: rendezvous hashing weighted by capacity."""
+        sound = (s for s in self._stores if self._index.source(s.address).is_certain(now_ms))
+        return max(sound, key=lambda store: _home_score(key, store), default=None)
+
+
+def _transfer_ms(size_bytes: int, link_mbps: float, crosses_zones: bool) -> float:
+    if link_mbps <= 0:
+        return math.inf
+    duration_ms = size_bytes / (link_mbps * BYTES_PER_MS_PER_MBPS)
+    return duration_ms * (OTHER_ZONE_FACTOR if crosses_zones else 1.0)
+
+
+def _home_score(key: PartKey, store: KeptStore) -> float:
+    digest = hashlib.blake2b(f"{key.part}|{store.address}".encode(), digest_size=8).digest()
+    unit = (int.from_bytes(digest, "big") + 1) / (2**64 + 1)
+    return -max(1, store.capacity_tokens) / math.log(unit)
--- a/bergamothill/version/routetable.py
+++ b/bergamothill/version/routetable.py
@@ -88,6 +88,7 @@
     :param slots: requests in one batch
     :param memory_tokens: tokens that an engine's memory holds
     :param token_bytes: bytes of kept context a token
+    :param link_mbps: bandwidth of an engine's link
     :param models: models that they serve
     :param event_listeners: waiting reads of cache events that a server admits
     """
@@ -95,6 +96,7 @@
     slots: int
     memory_tokens: int
     token_bytes: int
+    link_mbps: float
     models: tuple[ModelName, ...]
     event_listeners: int
 
