--- a/bergamothill/request/forwarding.py
+++ b/bergamothill/request/forwarding.py
@@ -41,6 +41,11 @@
 """Time left below which no server can answer."""
 
 
+LEAST_URGENT = 9
+RANKS_PER_BRAND_RANK = 3
+"""A brand's rank goes before the ranks of routes, of which three are in use."""
+
+
 class Reason(Enum):
     """Why a request ended without a server's answer."""
 
@@ -208,6 +213,8 @@
         server, terms = chosen
         terms.time_left_ms = self._leaves_ms - now_ms
         terms.last_event_id = last_event_id
+        if self._service.engine is not None:
+            terms.urgency = _urgency(self._route, self._brand)
         attempt = self.attempts.begin(server.server)
         self.attempts.sending(attempt)
         return Send(server, terms, attempt)
@@ -221,5 +228,11 @@
         return Finish(504 if reason is Reason.EXPIRED else 502, None, reason)
 
 
+def _urgency(route: Route, brand: Brand | None) -> int:
+    """Return the urgency of a run; 0 comes first."""
+    brand_rank = brand.rank if brand is not None and brand.rank is not None else 0
+    return min(LEAST_URGENT, RANKS_PER_BRAND_RANK * brand_rank + route.rank)
+
+
 _NOT_RUN: BergamothillError = UnavailableError("refused by the server", step="forward")
 _UNKNOWN: BergamothillError = PeerTimeoutError("answer lost", step="forward")
--- a/bergamothill/version/weightswap.py
+++ b/bergamothill/version/weightswap.py
@@ -173,13 +173,15 @@
         goals: Mapping[ModelName, WeightGoal],
         now_ms: int,
     ) -> None:
-        listed = {(engine.server, engine.started_wall_ms) for engine in engines}
+        listed = {(engine.server, engine.started_wall_ms): engine.version for engine in engines}
         for server, swap in list(self._swaps.items()):
             engine = swap.engine
             goal = goals.get(engine.model)
             is_over = now_ms - swap.since_ms >= SWAP_PATIENCE_MS
             is_outdated = goal is None or (goal.version != swap.version and not swap.is_ordered)
-            if (engine.server, engine.started_wall_ms) not in listed or is_over or is_outdated:
+            if listed.get((engine.server, engine.started_wall_ms), 0) >= swap.version:
+                self._finish(swap)
+            elif (engine.server, engine.started_wall_ms) not in listed or is_over or is_outdated:
                 del self._swaps[server]
         self._finished = {key: v for key, v in self._finished.items() if key in listed}
 
