--- a/bergamothill/platform/settings.py
+++ b/bergamothill/platform/settings.py
@@ -10,7 +10,7 @@
 from bergamothill.errors import SettingsError
 from bergamothill.ids import EntryInstanceId, ZoneName
 from bergamothill.process.nodesettings import DeploymentBounds, NodeSettings
-from bergamothill.process.settings import is_address
+from bergamothill.process.settings import MAX_PORT, is_address
 
 __all__ = ["SETTINGS_VARIABLE", "is_node_settings", "load_node_settings"]
 
@@ -43,6 +43,7 @@
         ip_address=reader.text("ipAddress"),
         caller_address=reader.address("listenAddresses.front"),
         readiness_address=reader.address("listenAddresses.readyAddress"),
+        peer_port=reader.first_port("internalPortRange"),
         store_address=reader.address("platform.address"),
         least_lease_ms=reader.whole("platform.ttlMinMs", 1_000),
         memory_mb=reader.whole("limits.memoryMb", 256),
@@ -92,6 +93,10 @@
     def flag(self, key: str, default: bool) -> bool:
         return self._checked(key, lambda v: isinstance(v, bool), "true or false", default)
 
+    def first_port(self, key: str) -> int:
+        value = self._checked(key, _is_port_range, "first and last port", [])
+        return value[0] if value else 0
+
     def raise_faults(self) -> None:
         if self._faults:
             raise ExceptionGroup(f"invalid settings in {self._path}", self._faults)
@@ -120,5 +125,14 @@
         return default
 
 
+def _is_port_range(value: Any) -> bool:
+    return (
+        isinstance(value, list)
+        and len(value) == 2
+        and all(type(port) is int and 0 < port <= MAX_PORT for port in value)
+        and value[0] <= value[1]
+    )
+
+
 def _is_number(value: Any) -> bool:
     return isinstance(value, int | float) and not isinstance(value, bool) and value >= 0
--- a/bergamothill/process/fleet.py
+++ b/bergamothill/process/fleet.py
@@ -11,6 +11,7 @@
 
 from bergamothill.ids import ModelName, ServerId, ServiceName, ZoneName
 from bergamothill.process.backends import BackendServer
+from bergamothill.process.loadreport import PeerLoads, ServerLoad
 from bergamothill.request.callerrequest import CallerRequest, ForwardTerms
 from bergamothill.request.contextplan import ContextPlan, ContextPlanner
 from bergamothill.version.routetable import Brand, EngineTraits, Service
@@ -88,10 +89,18 @@
     :param zone: availability zone of this entry instance
     :param weights_due_ms: time in which engines move to a named weight version
     :param planner: knows what is kept where
+    :param peer_loads: requests of the other entry instances
     """
 
-    def __init__(self, zone: ZoneName, weights_due_ms: int, planner: ContextPlanner) -> None:
+    def __init__(
+        self,
+        zone: ZoneName,
+        weights_due_ms: int,
+        planner: ContextPlanner,
+        peer_loads: PeerLoads,
+    ) -> None:
         self._zone = zone
+        self._peer_loads = peer_loads
         self._planner = planner
         self._weights_due_ms = weights_due_ms
         self._beliefs: dict[ServerId, ServerBelief] = {}
@@ -266,6 +275,14 @@
             belief.weights = {}
         belief.weights[model] = max(version, belief.weights.get(model, 0))
 
+    def own_loads(self) -> dict[ServerId, ServerLoad]:
+        """Return the requests of this entry instance, for its peers."""
+        return {
+            server: ServerLoad(belief.in_progress, belief.tokens, belief.unread_tokens)
+            for server, belief in self._beliefs.items()
+            if belief.in_progress
+        }
+
     # Choice.
 
     def choose(
@@ -303,7 +320,8 @@
 
     def _plain_cost(self, belief: ServerBelief) -> tuple[float, str]:
         other_zone = OTHER_ZONE_COST if belief.entry.zone != self._zone else 0.0
-        return (belief.in_progress + other_zone, belief.entry.server)
+        in_progress = belief.in_progress + self._peer_loads.at(belief.entry.server).in_progress
+        return (in_progress + other_zone, belief.entry.server)
 
     def _with_due_weights(
         self, candidates: list[ServerBelief], model: ModelName, now_ms: int
@@ -354,6 +372,8 @@
             save_to=self._planner.saves(request, salt, now_ms),
             fetch_until_ms=plan.fetch_until_ms,
             unread_tokens=plan.read_tokens,
+            held_tokens=plan.held_tokens,
+            fetched_tokens=plan.fetched_tokens,
         )
         return (belief.entry, terms)
 
@@ -364,11 +384,13 @@
         request: CallerRequest,
         plan: ContextPlan,
     ) -> float:
-        queue_ms = belief.unread_tokens / READ_TOKENS_PER_MS
+        others = self._peer_loads.at(belief.entry.server)
+        queue_ms = (belief.unread_tokens + others.unread_tokens) / READ_TOKENS_PER_MS
         read_ms = plan.read_tokens / READ_TOKENS_PER_MS
-        excess = belief.tokens + request.prompt_tokens - MEMORY_SHARE * traits.memory_tokens
+        tokens = belief.tokens + others.tokens + request.prompt_tokens
+        excess = tokens - MEMORY_SHARE * traits.memory_tokens
         memory_ms = max(0.0, excess) / READ_TOKENS_PER_MS
-        batch_ms = BATCH_MS_PER_RUN * belief.in_progress
+        batch_ms = BATCH_MS_PER_RUN * (belief.in_progress + others.in_progress)
         return queue_ms + read_ms + plan.fetch_ms + memory_ms + batch_ms
 
 
--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -36,9 +36,12 @@
 
 CONNECT_TIMEOUT_MS = 300  # zones are a few ms apart; a lost opening packet is sent again after 1 s
 STALE_RETRY_MS = 300
-EXPECTED_INSTANCES = 16
+UNKNOWN_INSTANCES = 16
 """Entry instances that the retry slack is divided by until their number is known."""
 
+SPARE_INSTANCES = 1
+"""Entry instances that may have started and are not yet known."""
+
 _log = EventLog("gateway")
 
 
@@ -68,6 +71,20 @@
         self._shares: dict[ServiceName, RetryShare] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._draining = False
+        self._instances = UNKNOWN_INSTANCES
+
+    def set_instances(self, instances: int) -> None:
+        """Set the number of entry instances that share the retry slack.
+
+        It only grows, so that instances that are cut off from the registry keep their share.
+
+        :param instances: entry instances that are registered, this one included
+        """
+        expected = instances + SPARE_INSTANCES
+        known = 0 if self._instances == UNKNOWN_INSTANCES else self._instances
+        self._instances = max(known, expected)
+        for share in self._shares.values():
+            share.slack = self._bounds.retry_slack / self._instances
 
     @property
     def in_progress(self) -> int:
@@ -103,7 +120,7 @@
         share = self._shares.get(service)
         if share is None:
             bounds = self._bounds
-            slack = bounds.retry_slack / EXPECTED_INSTANCES
+            slack = bounds.retry_slack / self._instances
             share = RetryShare(bounds.retry_ratio, slack, bounds.retry_window_ms)
             self._shares[service] = share
         return share
@@ -253,7 +270,12 @@
         now_ms = self._clock.now_ms()
         outcome = self._outcome(result.end)
         status = relay.head.status if relay.head is not None else 0
-        self._trail.append(f"{server}:{outcome}:{status}:{now_ms - started_ms}ms{result.detail}")
+        terms = send.terms
+        context = f"{terms.held_tokens}+{terms.fetched_tokens}+{terms.unread_tokens}"
+        self._trail.append(
+            f"{server}:{outcome}:{status}:{now_ms - started_ms}ms:w{terms.weight_version}:{context}"
+            + (f":{result.detail}" if result.detail else "")
+        )
         return self._conclude(outcome, send, now_ms)
 
     def _outcome(self, end: ExchangeEnd) -> str:
@@ -334,6 +356,7 @@
             config_age_ms=self._admission.age_ms,
             first_ms=first_ms,
             total_ms=now_ms - arrived_ms,
+            parts=",".join(f"{part.name}:{part.tokens}" for part in self._request.parts),
             attempts=";".join(self._trail),
         )
         metrics = self._gateway._metrics
--- /dev/null
+++ b/bergamothill/process/loadexchange.py
@@ -0,0 +1,96 @@
+"""Exchanges load reports with the other entry instances, on the event loop."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from bergamothill.clock import Clock, seconds
+from bergamothill.connection.datagrams import Datagrams
+from bergamothill.errors import ProtocolError
+from bergamothill.ids import EntryInstanceId
+from bergamothill.logs import EventLog
+from bergamothill.process.fleet import Fleet
+from bergamothill.process.loadreport import LoadReport, PeerLoads, decode_report, encode_report
+from bergamothill.process.registry import Peer
+
+__all__ = ["LoadExchange"]
+
+REPORT_INTERVAL_MS = 50  # half of the quickest prompt's time at an engine
+INTERVAL_PER_PEER_MS = 4  # bounds the datagrams of one instance to 250 a second
+KEEPALIVE_MS = 400
+
+_log = EventLog("peers")
+
+
+class LoadExchange:
+    """Sends this entry instance's reports and takes those of the others.
+
+    :param entry: this entry instance
+    :param clock: source of time
+    :param fleet: its requests
+    :param loads: takes the others' reports
+    """
+
+    def __init__(
+        self, entry: EntryInstanceId, clock: Clock, fleet: Fleet, loads: PeerLoads
+    ) -> None:
+        self._entry = entry
+        self._clock = clock
+        self._fleet = fleet
+        self._loads = loads
+        self._peers: dict[EntryInstanceId, Peer] = {}
+        self._datagrams = Datagrams(self._take)
+        self._number = time.time_ns()
+        self._last_sent_ms = 0
+        self._last_loads: dict = {}
+
+    @property
+    def instances(self) -> int:
+        """Number of entry instances that are known, this one included."""
+        return len(self._peers) + 1
+
+    def set_peers(self, peers: tuple[Peer, ...]) -> None:
+        """Set the other entry instances.
+
+        :param peers: those that the registry lists
+        """
+        found = {peer.entry: peer for peer in peers}
+        if found.keys() != self._peers.keys():
+            _log.info("peers_changed", peers=" ".join(sorted(found)) or "-")
+        self._peers = found
+
+    async def run(self, host: str, port: int) -> None:
+        """Report until cancelled.
+
+        :param host: address of this machine
+        :param port: port for datagrams
+        """
+        await self._datagrams.open(host, port)
+        try:
+            while True:
+                interval_ms = max(REPORT_INTERVAL_MS, INTERVAL_PER_PEER_MS * len(self._peers))
+                await asyncio.sleep(seconds(interval_ms))
+                self._report()
+        finally:
+            self._datagrams.close()
+
+    def _report(self) -> None:
+        now_ms = self._clock.now_ms()
+        self._loads.refresh(now_ms)
+        loads = self._fleet.own_loads()
+        is_due = now_ms - self._last_sent_ms >= KEEPALIVE_MS
+        if not self._peers or (loads == self._last_loads and not is_due):
+            return
+        self._number += 1
+        self._last_sent_ms, self._last_loads = now_ms, loads
+        report = encode_report(LoadReport(self._entry, self._number, loads))
+        self._datagrams.send(report, [(peer.host, peer.port) for peer in self._peers.values()])
+
+    def _take(self, datagram: bytes) -> None:
+        try:
+            report = decode_report(datagram)
+        except ProtocolError as error:
+            _log.info("report_unreadable", reason=error.message)
+            return
+        self._loads.take(report, self._clock.now_ms())
--- a/bergamothill/process/nodesettings.py
+++ b/bergamothill/process/nodesettings.py
@@ -48,6 +48,7 @@
     :param ip_address: address of the machine
     :param caller_address: ``host:port`` for callers
     :param readiness_address: ``host:port`` for the balancer's readiness checks
+    :param peer_port: port for the other entry instances
     :param store_address: ``host:port`` of the key-value service
     :param least_lease_ms: shortest lease that the key-value service grants
     :param memory_mb: memory limit of the process
@@ -60,6 +61,7 @@
     ip_address: str
     caller_address: str
     readiness_address: str
+    peer_port: int
     store_address: str
     least_lease_ms: int
     memory_mb: int
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -33,9 +33,12 @@
 from bergamothill.process.keptlistener import KeptListener
 from bergamothill.process.lease import DutyLease
 from bergamothill.process.leasemachine import LeaseTimes
+from bergamothill.process.loadexchange import LoadExchange
+from bergamothill.process.loadreport import PeerLoads
 from bergamothill.process.nodesettings import NodeSettings
 from bergamothill.process.orderturn import OrderTurn
 from bergamothill.process.readiness import ReadinessHandler
+from bergamothill.process.registry import Peer, Registry
 from bergamothill.process.storefollower import Snapshot, StoreFollower
 from bergamothill.process.swapduty import SwapDuty
 from bergamothill.request.contextplan import ContextPlanner
@@ -78,7 +81,9 @@
         self._kept = KeptIndex()
         self._planner = ContextPlanner(self._kept)
         self._listener = KeptListener(self._kept, clock)
-        self._fleet = Fleet(settings.zone, bounds.weights_due_ms, self._planner)
+        peer_loads = PeerLoads()
+        self._fleet = Fleet(settings.zone, bounds.weights_due_ms, self._planner, peer_loads)
+        self._exchange = LoadExchange(settings.entry, clock, self._fleet, peer_loads)
         self._gateway = Gateway(clock, bounds, self._config, self._fleet, self._metrics)
         self._connections: set[CallerConnection] = set()
         self._draining = False
@@ -122,6 +127,11 @@
         ]
         for follower in followers:
             follower.start()
+        registry = self._registry()
+        threading.Thread(target=registry.run, name="registry", daemon=True).start()
+        reports = loop.create_task(
+            self._exchange.run(self._settings.ip_address, self._settings.peer_port)
+        )
         swaps = threading.Thread(target=self._swaps.run, name="swaps", daemon=True)
         swaps.start()
         servers = await self._listen(loop)
@@ -131,6 +141,8 @@
         for follower in followers:
             follower.stop()
         self._listener.stop()
+        registry.stop()
+        reports.cancel()
         swaps.join(timeout=seconds(EXIT_MARGIN_MS // 2))
 
     def _follower(self, prefix: str, take: Callable[[Snapshot], None]) -> StoreFollower:
@@ -143,6 +155,20 @@
             on_link=lambda is_linked: call(self._note_link, is_linked),
         )
 
+    def _registry(self) -> Registry:
+        settings = self._settings
+        own = Peer(settings.entry, settings.ip_address, settings.peer_port)
+        return Registry(
+            self._kvs,
+            self._clock,
+            own,
+            lambda peers: self._loop.call_soon_threadsafe(self._take_peers, peers),
+        )
+
+    def _take_peers(self, peers: tuple[Peer, ...]) -> None:
+        self._exchange.set_peers(peers)
+        self._gateway.set_instances(self._exchange.instances)
+
     async def _listen(self, loop: asyncio.AbstractEventLoop) -> list[asyncio.Server]:
         settings = self._settings
         readiness = ReadinessHandler(self.is_ready, self._metrics.text)
--- a/bergamothill/request/callerrequest.py
+++ b/bergamothill/request/callerrequest.py
@@ -95,6 +95,8 @@
         none
     :param last_event_id: event after which the stream goes on; empty for its start
     :param unread_tokens: tokens that the server is expected to read; not sent
+    :param held_tokens: tokens that it is expected to hold; not sent
+    :param fetched_tokens: tokens that it is expected to fetch; not sent
     """
 
     server: ServerId
@@ -108,6 +110,8 @@
     fetch_until_ms: int = 0
     last_event_id: str = ""
     unread_tokens: int = 0
+    held_tokens: int = 0
+    fetched_tokens: int = 0
 
 
 @dataclass(slots=True)
