--- a/bergamothill/process/fleet.py
+++ b/bergamothill/process/fleet.py
@@ -14,6 +14,7 @@
 from bergamothill.process.loadreport import PeerLoads, ServerLoad
 from bergamothill.request.callerrequest import CallerRequest, ForwardTerms
 from bergamothill.request.contextplan import ContextPlan, ContextPlanner
+from bergamothill.request.forwarding import NoRoom
 from bergamothill.version.routetable import Brand, EngineTraits, Service
 from bergamothill.version.weightgoal import WeightGoal
 from bergamothill.version.weightswap import SwapEngine
@@ -35,13 +36,22 @@
 READ_TOKENS_PER_MS = 100.0
 """Reading speed of an engine, for estimates that are only compared with each other."""
 
-MEMORY_SHARE = 0.9
-"""Part of an engine's memory that requests in progress may fill before they crowd each other."""
+MEMORY_SHARE = 0.95
+"""Part of an engine's memory that requests in progress may fill; answers need the rest."""
+
+MEMORY_SHARE_PER_URGENCY = 0.035
+"""Room left for each step of urgency that a request stands behind the most urgent ones."""
+
+MEMORY_MS = 20.0
+"""Weight of a full memory against delays: context that is kept is lost to requests in progress."""
 
 BATCH_MS_PER_RUN = 0.5
 """Delay that each request in progress adds to the batch of another."""
 
 
+SUSPECT_SILENCE_MS = 600
+"""An engine with requests sends events every few ten ms, and pauses 300 ms for new weights."""
+
 OLD_WEIGHTS_FREE_MS = 1_100
 """Old weights cost nothing for 1.5 s after a version was named; it is read up to 400 ms later."""
 
@@ -57,6 +67,7 @@
     :param in_progress: requests that this entry instance has there
     :param tokens: prompt tokens of those
     :param unread_tokens: tokens that it has yet to read for those that have no first token
+    :param heard_ms: when bytes last came from it, or when it last had nothing to send us
     :param rests_until_ms: not used before, unless nothing else is left
     :param failures: failures in a row
     :param is_gone: seen to have left, by its own answer
@@ -68,6 +79,7 @@
     in_progress: int = 0
     tokens: int = 0
     unread_tokens: int = 0
+    heard_ms: int = 0
     rests_until_ms: int = 0
     failures: int = 0
     is_gone: bool = False
@@ -202,7 +214,26 @@
 
     # What requests show.
 
-    def started(self, server: ServerId, tokens: int, unread_tokens: int) -> None:
+    def heard(self, server: ServerId, now_ms: int) -> None:
+        """Note that bytes came from a server."""
+        belief = self._beliefs.get(server)
+        if belief is not None:
+            belief.heard_ms = now_ms
+
+    def heard_at(self, address: str, now_ms: int) -> None:
+        """Note that bytes came from the server at an address."""
+        for belief in self._beliefs.values():
+            if belief.entry.address == address:
+                belief.heard_ms = now_ms
+
+    def silence_ms(self, server: ServerId, now_ms: int) -> int:
+        """Return how long a server with requests of ours has sent nothing at all."""
+        belief = self._beliefs.get(server)
+        if belief is None or belief.in_progress == 0:
+            return 0
+        return now_ms - belief.heard_ms
+
+    def started(self, server: ServerId, tokens: int, unread_tokens: int, now_ms: int) -> None:
         """Note that a request is on its way to a server.
 
         :param tokens: length of its prompt
@@ -210,6 +241,8 @@
         """
         belief = self._beliefs.get(server)
         if belief is not None:
+            if belief.in_progress == 0:
+                belief.heard_ms = max(belief.heard_ms, now_ms)
             belief.in_progress += 1
             belief.tokens += tokens
             belief.unread_tokens += unread_tokens
@@ -291,8 +324,9 @@
         request: CallerRequest,
         brand: Brand | None,
         avoided: tuple[str, ...],
+        urgency: int,
         now_ms: int,
-    ) -> tuple[BackendServer, ForwardTerms] | None:
+    ) -> tuple[BackendServer, ForwardTerms] | NoRoom | None:
         """Return a server and the terms for it.
 
         Implements :class:`~bergamothill.request.forwarding.ServerChooser`.
@@ -302,6 +336,8 @@
             return None
         candidates = [b for b in usable if b.entry.server not in avoided]
         candidates = candidates or usable
+        if service.engine is not None:
+            candidates = [b for b in candidates if not self._is_silent(b, now_ms)] or candidates
         awake = [b for b in candidates if b.rests_until_ms <= now_ms]
         if awake:
             candidates = awake
@@ -316,7 +352,24 @@
         candidates = self._with_due_weights(candidates, request.model, now_ms)
         if not candidates:
             return None
-        return self._place(candidates, service.engine, request, brand, now_ms)
+        roomy = [b for b in candidates if self._has_room(b, service.engine, request, urgency)]
+        if not roomy:
+            return NoRoom()
+        return self._place(roomy, service.engine, request, brand, now_ms)
+
+    def _has_room(
+        self, belief: ServerBelief, traits: EngineTraits, request: CallerRequest, urgency: int
+    ) -> bool:
+        """Tell whether an engine can run a request without preempting another."""
+        others = self._peer_loads.at(belief.entry.server)
+        if belief.in_progress + others.in_progress == 0:
+            return True  # nothing else will ever make room for a very long prompt
+        share = MEMORY_SHARE - MEMORY_SHARE_PER_URGENCY * urgency
+        tokens = belief.tokens + others.tokens + request.prompt_tokens
+        return tokens <= share * traits.memory_tokens
+
+    def _is_silent(self, belief: ServerBelief, now_ms: int) -> bool:
+        return self.silence_ms(belief.entry.server, now_ms) >= SUSPECT_SILENCE_MS
 
     def _plain_cost(self, belief: ServerBelief) -> tuple[float, str]:
         other_zone = OTHER_ZONE_COST if belief.entry.zone != self._zone else 0.0
@@ -388,8 +441,7 @@
         queue_ms = (belief.unread_tokens + others.unread_tokens) / READ_TOKENS_PER_MS
         read_ms = plan.read_tokens / READ_TOKENS_PER_MS
         tokens = belief.tokens + others.tokens + request.prompt_tokens
-        excess = tokens - MEMORY_SHARE * traits.memory_tokens
-        memory_ms = max(0.0, excess) / READ_TOKENS_PER_MS
+        memory_ms = MEMORY_MS * tokens / max(1, traits.memory_tokens)
         batch_ms = BATCH_MS_PER_RUN * (belief.in_progress + others.in_progress)
         return queue_ms + read_ms + plan.fetch_ms + memory_ms + batch_ms
 
--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -9,7 +9,7 @@
 from functools import singledispatchmethod
 
 from bergamothill.clock import Clock, seconds
-from bergamothill.connection.backendhttp import ExchangeEnd, exchange
+from bergamothill.connection.backendhttp import ExchangeEnd, ExchangeResult, exchange
 from bergamothill.connection.callerhttp import CallerConnection
 from bergamothill.errors import InvalidRequestError
 from bergamothill.ids import ServerId, ServiceName
@@ -18,6 +18,7 @@
 from bergamothill.process.beliefs import Admission, ConfigBelief, Verdict
 from bergamothill.process.fleet import Fleet
 from bergamothill.process.gatewaymetrics import GatewayMetrics
+from bergamothill.process.linekeeper import LineKeeper
 from bergamothill.process.nodesettings import DeploymentBounds
 from bergamothill.request.answerrelay import AnswerRelay, AttemptVerdict
 from bergamothill.request.callerrequest import CallerRequest, RawRequest
@@ -27,15 +28,22 @@
     Finish,
     Forwarding,
     ForwardStep,
+    Hold,
     Send,
 )
 from bergamothill.request.retryshare import RetryShare
+from bergamothill.request.waitingline import WaitingRequest
 from bergamothill.version.routetable import CallerLimits, RepeatRule, Route, Service
 
 __all__ = ["Gateway"]
 
 CONNECT_TIMEOUT_MS = 300  # zones are a few ms apart; a lost opening packet is sent again after 1 s
 STALE_RETRY_MS = 300
+SILENCE_CHECK_MS = 100
+
+STALL_SILENCE_MS = 1_000
+"""Waiting reads of events return within 700 ms, and 80 ms is an event's usual delay."""
+
 UNKNOWN_INSTANCES = 16
 """Entry instances that the retry slack is divided by until their number is known."""
 
@@ -70,6 +78,8 @@
         self._metrics = metrics
         self._shares: dict[ServiceName, RetryShare] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._runs: set[_Run] = set()
+        self._lines: dict[ServiceName, LineKeeper] = {}
         self._draining = False
         self._instances = UNKNOWN_INSTANCES
 
@@ -115,6 +125,26 @@
         if not task.cancelled() and task.exception() is not None:
             _log.error("request_crashed", error=repr(task.exception()))
 
+    def line(self, service: ServiceName) -> LineKeeper:
+        """Return the line of requests that wait for a service."""
+        keeper = self._lines.get(service)
+        if keeper is None:
+            keeper = self._lines[service] = LineKeeper(self._clock)
+        return keeper
+
+    def room_changed(self) -> None:
+        """Let those try that come next in their lines."""
+        for keeper in self._lines.values():
+            keeper.room_changed()
+
+    async def watch_silence(self) -> None:
+        """Look for attempts at servers that fell silent, until cancelled."""
+        while True:
+            await asyncio.sleep(seconds(SILENCE_CHECK_MS))
+            now_ms = self._clock.now_ms()
+            for run in list(self._runs):
+                run.check_silence(now_ms)
+
     def share(self, service: ServiceName) -> RetryShare:
         """Return the retry budget of a service."""
         share = self._shares.get(service)
@@ -139,11 +169,14 @@
             self._deny(connection, request, admission)
             return
         run = _Run(self, connection, request, admission, service)
+        self._runs.add(run)
         try:
             await run.drive()
         except asyncio.CancelledError:
             run.log("caller_left", 0)
             raise
+        finally:
+            self._runs.discard(run)
 
     def _service(self, admission: Admission, request: CallerRequest) -> Service | None:
         """Return the service that gets the request, by the weights of its route."""
@@ -211,6 +244,9 @@
         self._first_ms: int | None = None
         self._unread: tuple[ServerId, int] | None = None
         self._trail: list[str] = []
+        self._task: asyncio.Task[ExchangeResult] | None = None
+        self._server = ServerId("")
+        self._is_stalled = False
         self._forwarding = Forwarding(
             request,
             route,
@@ -226,6 +262,7 @@
             is_stream=route.rule is RepeatRule.STREAM,
             decode=decode_answer,
             on_first=self._note_first,
+            on_bytes=self._note_bytes,
         )
 
     def _note_first(self) -> None:
@@ -233,6 +270,9 @@
         self._note_read()
         self._forwarding.stream_started = self._relay.stream_started
 
+    def _note_bytes(self) -> None:
+        self._fleet.heard(self._server, self._clock.now_ms())
+
     def _note_read(self) -> None:
         if self._unread is not None:
             self._fleet.read(*self._unread)
@@ -244,29 +284,48 @@
         due_s = seconds(self._forwarding.due_ms - self._clock.now_ms())
         try:
             async with asyncio.timeout(max(0.0, due_s)):
-                while isinstance(step, Send):
-                    step = await self._attempt(step)
+                while isinstance(step, Send | Hold):
+                    step = await (
+                        self._attempt(step) if isinstance(step, Send) else self._wait(step)
+                    )
         except TimeoutError:
             step = self._forwarding.expired(self._clock.now_ms())
         self._end(step)
 
+    async def _wait(self, hold: Hold) -> ForwardStep:
+        """Wait in the line for room at the engines."""
+        keeper = self._gateway.line(self._service.name)
+        arrived_ms = self._request.raw.arrived_ms
+        waiting = WaitingRequest(hold.urgency, arrived_ms, hold.tokens, hold.leaves_ms)
+        started_ms = self._clock.now_ms()
+        step: ForwardStep = hold
+        if keeper.line.join(waiting, started_ms):
+            try:
+                while isinstance(step, Hold) and self._clock.now_ms() < hold.leaves_ms:
+                    await keeper.wait_turn(waiting)
+                    if keeper.line.head() is waiting:
+                        step = self._forwarding.retry(self._clock.now_ms())
+            finally:
+                keeper.leave(waiting)
+        now_ms = self._clock.now_ms()
+        self._trail.append(f"held:{now_ms - started_ms}ms:line{len(keeper.line)}")
+        return self._forwarding.full(now_ms) if isinstance(step, Hold) else step
+
     async def _attempt(self, send: Send) -> ForwardStep:
         relay, server = self._relay, send.server.server
         relay.begin_attempt()
         started_ms = self._clock.now_ms()
         tokens = self._request.prompt_tokens
         self._unread = (server, send.terms.unread_tokens)
-        self._fleet.started(server, tokens, send.terms.unread_tokens)
+        self._fleet.started(server, tokens, send.terms.unread_tokens, started_ms)
+        keeper = self._gateway.line(self._service.name)
+        keeper.line.admitted(tokens, started_ms)
         try:
-            result = await exchange(
-                send.server.address,
-                encode_forward(self._request, send.terms),
-                relay,
-                connect_timeout_ms=CONNECT_TIMEOUT_MS,
-            )
+            result = await self._exchange(send)
         finally:
             self._note_read()
             self._fleet.ended(server, tokens)
+            keeper.room_changed()
         now_ms = self._clock.now_ms()
         outcome = self._outcome(result.end)
         status = relay.head.status if relay.head is not None else 0
@@ -278,6 +337,37 @@
         )
         return self._conclude(outcome, send, now_ms)
 
+    async def _exchange(self, send: Send) -> ExchangeResult:
+        """Carry out an attempt; one at a server that fell silent is given up."""
+        self._is_stalled = False
+        self._server = send.server.server
+        task = asyncio.ensure_future(
+            exchange(
+                send.server.address,
+                encode_forward(self._request, send.terms),
+                self._relay,
+                connect_timeout_ms=CONNECT_TIMEOUT_MS,
+            )
+        )
+        self._task = task
+        try:
+            return await task
+        except asyncio.CancelledError:
+            if not self._is_stalled:
+                task.cancel()
+                raise
+            return ExchangeResult(ExchangeEnd.BROKEN, "server is silent")
+        finally:
+            self._task = None
+
+    def check_silence(self, now_ms: int) -> None:
+        """Give the attempt up if its server has fallen silent and another can go on."""
+        if self._task is None or not self._route.may_repeat or self._service.engine is None:
+            return
+        if self._fleet.silence_ms(self._server, now_ms) >= STALL_SILENCE_MS:
+            self._is_stalled = True
+            self._task.cancel()
+
     def _outcome(self, end: ExchangeEnd) -> str:
         """Name the outcome of an attempt: by the answer's head first, by its end second."""
         relay = self._relay
--- a/bergamothill/process/keptlistener.py
+++ b/bergamothill/process/keptlistener.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from bergamothill.clock import Clock, seconds
 from bergamothill.connection.pollconnection import PollConnection
@@ -26,11 +26,13 @@
 
     :param index: index to keep
     :param clock: source of time
+    :param on_reply: told the address of each engine or store that answered
     """
 
-    def __init__(self, index: KeptIndex, clock: Clock) -> None:
+    def __init__(self, index: KeptIndex, clock: Clock, on_reply: Callable[[str], None]) -> None:
         self._index = index
         self._clock = clock
+        self._on_reply = on_reply
         self._tasks: dict[str, asyncio.Task[None]] = {}
 
     def follow(self, addresses: Iterable[str]) -> None:
@@ -74,6 +76,7 @@
         sent_ms = self._clock.now_ms()
         head = encode_events_read(address, source.next_number, WAIT_MS)
         reply = await connection.read(head, step="kept.events", timeout_ms=WAIT_MS + REPLY_SLACK_MS)
+        self._on_reply(address)
         epoch = source.epoch
         batch = decode_events(reply)
         has_gap = source.apply(batch, sent_ms, self._clock.now_ms())
--- a/bergamothill/process/loadexchange.py
+++ b/bergamothill/process/loadexchange.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 
 from bergamothill.clock import Clock, seconds
 from bergamothill.connection.datagrams import Datagrams
@@ -30,11 +31,18 @@
     :param clock: source of time
     :param fleet: its requests
     :param loads: takes the others' reports
+    :param on_report: told of each report
     """
 
     def __init__(
-        self, entry: EntryInstanceId, clock: Clock, fleet: Fleet, loads: PeerLoads
+        self,
+        entry: EntryInstanceId,
+        clock: Clock,
+        fleet: Fleet,
+        loads: PeerLoads,
+        on_report: Callable[[], None],
     ) -> None:
+        self._on_report = on_report
         self._entry = entry
         self._clock = clock
         self._fleet = fleet
@@ -94,3 +102,4 @@
             _log.info("report_unreadable", reason=error.message)
             return
         self._loads.take(report, self._clock.now_ms())
+        self._on_report()
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -80,10 +80,12 @@
         self._config = ConfigBelief(bounds.key_revocation_ms, is_strict=bounds.is_revocation_strict)
         self._kept = KeptIndex()
         self._planner = ContextPlanner(self._kept)
-        self._listener = KeptListener(self._kept, clock)
+        self._listener = KeptListener(self._kept, clock, self._note_source)
         peer_loads = PeerLoads()
         self._fleet = Fleet(settings.zone, bounds.weights_due_ms, self._planner, peer_loads)
-        self._exchange = LoadExchange(settings.entry, clock, self._fleet, peer_loads)
+        self._exchange = LoadExchange(
+            settings.entry, clock, self._fleet, peer_loads, self._room_changed
+        )
         self._gateway = Gateway(clock, bounds, self._config, self._fleet, self._metrics)
         self._connections: set[CallerConnection] = set()
         self._draining = False
@@ -132,6 +134,7 @@
         reports = loop.create_task(
             self._exchange.run(self._settings.ip_address, self._settings.peer_port)
         )
+        silence = loop.create_task(self._gateway.watch_silence())
         swaps = threading.Thread(target=self._swaps.run, name="swaps", daemon=True)
         swaps.start()
         servers = await self._listen(loop)
@@ -143,6 +146,7 @@
         self._listener.stop()
         registry.stop()
         reports.cancel()
+        silence.cancel()
         swaps.join(timeout=seconds(EXIT_MARGIN_MS // 2))
 
     def _follower(self, prefix: str, take: Callable[[Snapshot], None]) -> StoreFollower:
@@ -187,6 +191,9 @@
             servers.append(server)
         return servers
 
+    def _room_changed(self) -> None:
+        self._gateway.room_changed()
+
     def _register(self, connection: CallerConnection, is_open: bool) -> None:
         if is_open:
             self._connections.add(connection)
@@ -271,6 +278,9 @@
         engines = (engine.address for engine in self._swap_view[1])
         self._listener.follow([*stores, *engines])
 
+    def _note_source(self, address: str) -> None:
+        self._fleet.heard_at(address, self._clock.now_ms())
+
     def _note_unreadable(self, entry: KeyValueEntry, error: ProtocolError) -> None:
         if entry.key not in self._unreadable:
             self._unreadable.add(entry.key)
--- a/bergamothill/request/answerrelay.py
+++ b/bergamothill/request/answerrelay.py
@@ -52,6 +52,7 @@
     :param is_stream: the route's answers are event streams
     :param decode: decodes the head of an answer
     :param on_first: called when the first bytes go to the caller
+    :param on_bytes: called when bytes came from the server
     """
 
     def __init__(
@@ -62,7 +63,9 @@
         is_stream: bool,
         decode: Callable[[int, list[Header]], AnswerHead],
         on_first: Callable[[], None],
+        on_bytes: Callable[[], None],
     ) -> None:
+        self._on_bytes = on_bytes
         self.stream_started = False
         self._caller = caller
         self._request_id = request_id
@@ -109,6 +112,7 @@
 
     def on_body(self, piece: bytes) -> None:
         """Take the next bytes of the body."""
+        self._on_bytes()
         if not self._is_stream or self.verdict is not AttemptVerdict.SUCCESS:
             self._body.append(piece)
             return
--- a/bergamothill/request/forwarding.py
+++ b/bergamothill/request/forwarding.py
@@ -23,6 +23,8 @@
     "Finish",
     "Forwarding",
     "ForwardStep",
+    "Hold",
+    "NoRoom",
     "Reason",
     "Send",
     "ServerChooser",
@@ -41,6 +43,13 @@
 """Time left below which no server can answer."""
 
 
+LEAST_SILENCE_MS = 2_000
+"""Callers of streams leave after two seconds of silence, four times the objective or eight times
+the longest pause that is on time, whichever is longest."""
+
+FIRST_EVENT_MS = 300
+"""Time that an engine with room takes up to the first event."""
+
 LEAST_URGENT = 9
 RANKS_PER_BRAND_RANK = 3
 """A brand's rank goes before the ranks of routes, of which three are in use."""
@@ -54,6 +63,7 @@
     BUDGET = "retry_budget"
     BROKEN = "answer_lost"
     EXPIRED = "expired"
+    FULL = "engines_full"
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,7 +106,25 @@
     reason: Reason
 
 
-ForwardStep = Send | Deliver | Finish | BreakOff
+@dataclass(frozen=True, slots=True)
+class Hold:
+    """Wait for room at the engines, then call :meth:`Forwarding.retry`.
+
+    :param urgency: place in the line; 0 comes first
+    :param tokens: memory that is needed
+    :param leaves_ms: when waiting is of no use any more
+    """
+
+    urgency: int
+    tokens: int
+    leaves_ms: int
+
+
+ForwardStep = Send | Deliver | Finish | BreakOff | Hold
+
+
+class NoRoom:
+    """All servers that could run the request are full."""
 
 
 class ServerChooser(Protocol):
@@ -108,10 +136,12 @@
         request: CallerRequest,
         brand: Brand | None,
         avoided: tuple[str, ...],
+        urgency: int,
         now_ms: int,
-    ) -> tuple[BackendServer, ForwardTerms] | None:
+    ) -> tuple[BackendServer, ForwardTerms] | NoRoom | None:
         """Return a server and the terms for it, or None when there is none.
 
+        :param urgency: 0 comes first; the less urgent, the more room has to be left
         :param avoided: servers that failed the request already; used only when nothing else is left
         """
 
@@ -148,6 +178,8 @@
         self._share = share
         self._spread = spread
         self._runs = 0
+        self._urgency = _urgency(route, brand)
+        self._held_event_id = ""
         arrived_ms = request.raw.arrived_ms
         patience_ms = request.patience_ms
         self._leaves_ms = arrived_ms + (route.timeout_ms if patience_ms is None else patience_ms)
@@ -195,6 +227,22 @@
         """Take that the time for an answer is over."""
         return self._give_up(now_ms, Reason.EXPIRED)
 
+    def retry(self, now_ms: int) -> ForwardStep:
+        """Try again to find room."""
+        return self._send(now_ms, self._held_event_id)
+
+    def full(self, now_ms: int) -> ForwardStep:
+        """Take that waiting for room is of no use."""
+        return self._give_up(now_ms, Reason.FULL)
+
+    def _hold(self, now_ms: int, last_event_id: str) -> ForwardStep:
+        self._held_event_id = last_event_id
+        request = self._request
+        leaves_ms = request.raw.arrived_ms + _silence_ms(self._route) - FIRST_EVENT_MS
+        if self.stream_started:
+            leaves_ms = now_ms + _silence_ms(self._route) - FIRST_EVENT_MS
+        return Hold(self._urgency, request.prompt_tokens, min(leaves_ms, self.due_ms))
+
     def _again(self, now_ms: int, last_event_id: str, *, is_repeat: bool) -> ForwardStep:
         if len(self.attempts.servers) >= MAX_SENDS:
             return self._give_up(now_ms, Reason.REFUSED)
@@ -206,15 +254,17 @@
         if self.due_ms - now_ms < LEAST_USEFUL_MS:
             return self._give_up(now_ms, Reason.EXPIRED)
         chosen = self._chooser.choose(
-            self._service, self._request, self._brand, self.attempts.servers, now_ms
+            self._service, self._request, self._brand, self.attempts.servers, self._urgency, now_ms
         )
         if chosen is None:
             return self._give_up(now_ms, Reason.NO_SERVER)
+        if isinstance(chosen, NoRoom):
+            return self._hold(now_ms, last_event_id)
         server, terms = chosen
         terms.time_left_ms = self._leaves_ms - now_ms
         terms.last_event_id = last_event_id
         if self._service.engine is not None:
-            terms.urgency = _urgency(self._route, self._brand)
+            terms.urgency = self._urgency
         attempt = self.attempts.begin(server.server)
         self.attempts.sending(attempt)
         return Send(server, terms, attempt)
@@ -228,6 +278,11 @@
         return Finish(504 if reason is Reason.EXPIRED else 502, None, reason)
 
 
+def _silence_ms(route: Route) -> int:
+    """Return how long a caller waits for the next event of a stream before it leaves."""
+    return max(LEAST_SILENCE_MS, 4 * route.target_ms, 8 * route.event_gap_ms)
+
+
 def _urgency(route: Route, brand: Brand | None) -> int:
     """Return the urgency of a run; 0 comes first."""
     brand_rank = brand.rank if brand is not None and brand.rank is not None else 0
