--- a/bergamothill/connection/backendhttp.py
+++ b/bergamothill/connection/backendhttp.py
@@ -74,7 +74,7 @@
     loop = asyncio.get_running_loop()
     host, _, port = address.rpartition(":")
     done: asyncio.Future[ExchangeResult] = loop.create_future()
-    protocol = _BackendConnection(request, sink, done)
+    protocol = _BackendConnection(sink, done)
     try:
         async with asyncio.timeout(seconds(connect_timeout_ms)):
             transport, _ = await loop.create_connection(lambda: protocol, host, int(port))
@@ -82,6 +82,8 @@
         return ExchangeResult(ExchangeEnd.NOT_CONNECTED, "connect timeout")
     except OSError as error:
         return ExchangeResult(ExchangeEnd.NOT_CONNECTED, str(error))
+    # Written only now: a connection that is given up while it opens has carried no request.
+    transport.write(request)
     try:
         return await done
     finally:
@@ -91,10 +93,7 @@
 class _BackendConnection(asyncio.Protocol):
     """Connection of one exchange."""
 
-    def __init__(
-        self, request: bytes, sink: ExchangeSink, done: asyncio.Future[ExchangeResult]
-    ) -> None:
-        self._request = request
+    def __init__(self, sink: ExchangeSink, done: asyncio.Future[ExchangeResult]) -> None:
         self._sink = sink
         self._done = done
         self._parser = httptools.HttpResponseParser(self)
@@ -105,10 +104,6 @@
         self._ends_with_connection = False
         self._saw_end = False
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Send the request."""
-        transport.write(self._request)
-
     def data_received(self, data: bytes) -> None:
         """Read a part of the answer."""
         if self._done.done():
--- a/bergamothill/platform/keptcontext.py
+++ b/bergamothill/platform/keptcontext.py
@@ -4,15 +4,16 @@
 
 import json
 
-from bergamothill.connection.http import HttpClient
+from bergamothill.connection.http import HttpClient, decode_json
 from bergamothill.connection.pollconnection import PollReply
 from bergamothill.errors import ConflictError, ProtocolError
 from bergamothill.platform.reading import Fields
 from bergamothill.version.keptindex import EventBatch, HoldingEvent, PartKey
+from bergamothill.version.keptsweep import StoreListing
 
-__all__ = ["decode_events", "encode_events_read", "free_parts"]
+__all__ = ["decode_events", "encode_events_read", "free_parts", "list_parts"]
 
-FREE_TIMEOUT_MS = 800
+CALL_TIMEOUT_MS = 800
 
 _STEP = "kept.events"
 
@@ -61,6 +62,27 @@
     return HoldingEvent(PartKey(salt, part), int(tokens))
 
 
+def list_parts(address: str) -> StoreListing:
+    """List all that a store holds.
+
+    :param address: ``host:port`` of the store
+    :raises BergamothillError: the call failed
+    """
+    step = "kept.list"
+    client = HttpClient("kept-context store", address)
+    reply = client.request("GET", "/kv-list", step=step, timeout_ms=CALL_TIMEOUT_MS, fresh=True)
+    if reply.status != 200:
+        raise ProtocolError(f"status {reply.status}", step=step, peer=address)
+    fields = Fields(decode_json(reply, step=step, peer=address), step=step)
+    # "held" has the complete parts; those being written, or broken off, stand apart.
+    rows = [*fields.rows("held"), *fields.rows("incompleteParts")]
+    try:
+        keys = tuple(PartKey(str(row[0]), str(row[1])) for row in rows)
+    except (IndexError, TypeError) as error:
+        raise ProtocolError(f"bad part: {error!r}", step=step, peer=address) from error
+    return StoreListing(fields.integer("epoch"), keys)
+
+
 def free_parts(address: str, keys: list[PartKey], epoch: int) -> None:
     """Free parts at a store.
 
@@ -76,7 +98,7 @@
         "POST",
         "/kv-free",
         step="kept.free",
-        timeout_ms=FREE_TIMEOUT_MS,
+        timeout_ms=CALL_TIMEOUT_MS,
         body=json.dumps(body).encode(),
         headers={"Content-Type": "application/json"},
         fresh=True,
--- a/bergamothill/process/fleet.py
+++ b/bergamothill/process/fleet.py
@@ -15,6 +15,7 @@
 from bergamothill.request.callerrequest import CallerRequest, ForwardTerms
 from bergamothill.request.contextplan import ContextPlan, ContextPlanner
 from bergamothill.request.forwarding import NoRoom
+from bergamothill.version.keptnamespace import namespace
 from bergamothill.version.routetable import Brand, EngineTraits, Service
 from bergamothill.version.weightgoal import WeightGoal
 from bergamothill.version.weightswap import SwapEngine
@@ -409,7 +410,8 @@
         best: tuple[float, str, ServerBelief, ContextPlan, str] | None = None
         for belief in candidates:
             entry = belief.entry
-            salt = _salt(belief.weight_version(request.model), brand)
+            version = belief.weight_version(request.model)
+            salt = namespace(request.model, version, brand)
             plan = self._planner.plan(entry.address, entry.zone, traits, request, salt, now_ms)
             cost = (self._first_token_ms(belief, traits, request, plan), entry.server)
             if best is None or cost < best[:2]:
@@ -444,9 +446,3 @@
         memory_ms = MEMORY_MS * tokens / max(1, traits.memory_tokens)
         batch_ms = BATCH_MS_PER_RUN * (belief.in_progress + others.in_progress)
         return queue_ms + read_ms + plan.fetch_ms + memory_ms + batch_ms
-
-
-def _salt(version: int | None, brand: Brand | None) -> str:
-    """Return the namespace of kept context: never shared across versions, nor with a wall."""
-    wall = f".{brand.name}" if brand is not None and brand.is_isolated else ""
-    return f"v{version}{wall}"
--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -353,8 +353,7 @@
         try:
             return await task
         except asyncio.CancelledError:
-            if not self._is_stalled:
-                task.cancel()
+            if not self._is_stalled or asyncio.current_task().cancelling():
                 raise
             return ExchangeResult(ExchangeEnd.BROKEN, "server is silent")
         finally:
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -41,7 +41,8 @@
 from bergamothill.process.registry import Peer, Registry
 from bergamothill.process.storefollower import Snapshot, StoreFollower
 from bergamothill.process.swapduty import SwapDuty
-from bergamothill.request.contextplan import ContextPlanner
+from bergamothill.process.sweepduty import SweepDuty
+from bergamothill.request.contextplan import FETCH_LIFE_MS, ContextPlanner
 from bergamothill.version.keptindex import KeptIndex
 from bergamothill.version.weightgoal import WeightGoal
 from bergamothill.version.weightswap import SwapEngine
@@ -113,6 +114,20 @@
             on_swapped=self._on_swapped,
         )
 
+    def _sweep_duty(self) -> SweepDuty:
+        return SweepDuty(
+            self._clock,
+            lambda: self._swaps.is_held,
+            lambda: self._swap_view,
+            self._managed_stores,
+            settle_ms=self._settings.bounds.key_revocation_ms + FETCH_LIFE_MS,
+        )
+
+    def _managed_stores(self) -> tuple[str, ...]:
+        table = self._config.table
+        stores = () if table is None else table.config.stores
+        return tuple(store.address for store in stores if store.is_managed)
+
     def _on_swapped(self, engine: SwapEngine, version: int) -> None:
         self._loop.call_soon_threadsafe(self._fleet.swapped, engine.server, engine.model, version)
 
@@ -134,7 +149,11 @@
         reports = loop.create_task(
             self._exchange.run(self._settings.ip_address, self._settings.peer_port)
         )
-        silence = loop.create_task(self._gateway.watch_silence())
+        tasks = [
+            reports,
+            loop.create_task(self._gateway.watch_silence()),
+            loop.create_task(self._sweep_duty().run()),
+        ]
         swaps = threading.Thread(target=self._swaps.run, name="swaps", daemon=True)
         swaps.start()
         servers = await self._listen(loop)
@@ -145,8 +164,8 @@
             follower.stop()
         self._listener.stop()
         registry.stop()
-        reports.cancel()
-        silence.cancel()
+        for task in tasks:
+            task.cancel()
         swaps.join(timeout=seconds(EXIT_MARGIN_MS // 2))
 
     def _follower(self, prefix: str, take: Callable[[Snapshot], None]) -> StoreFollower:
--- a/bergamothill/process/swapduty.py
+++ b/bergamothill/process/swapduty.py
@@ -102,6 +102,11 @@
         self._stopped = True
         self._wake.set()
 
+    @property
+    def is_held(self) -> bool:
+        """Whether the duty falls to this entry instance now."""
+        return self._lease.is_held
+
     def wake(self) -> None:
         """Act at once on a version that was named, if the duty is held here."""
         if self._lease.is_held:
--- /dev/null
+++ b/bergamothill/process/sweepduty.py
@@ -0,0 +1,81 @@
+"""Frees outdated kept context while this entry instance holds the duty, on the event loop."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping
+from concurrent.futures import ThreadPoolExecutor
+
+from bergamothill.clock import Clock, seconds
+from bergamothill.errors import BergamothillError
+from bergamothill.ids import ModelName
+from bergamothill.logs import EventLog
+from bergamothill.platform.keptcontext import free_parts, list_parts
+from bergamothill.version.keptsweep import KeptSweep, SweepTask
+from bergamothill.version.weightgoal import WeightGoal
+from bergamothill.version.weightswap import SwapEngine
+
+__all__ = ["SweepDuty"]
+
+INTERVAL_MS = 1_000
+BATCH_PARTS = 500
+
+_log = EventLog("sweep")
+
+
+class SweepDuty:
+    """Sweeps the managed stores.
+
+    :param clock: source of time
+    :param is_held: tells whether the duty is held here
+    :param view: returns goals and engines
+    :param stores: returns the addresses of managed stores
+    :param settle_ms: see :class:`~bergamothill.version.keptsweep.KeptSweep`
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        is_held: Callable[[], bool],
+        view: Callable[[], tuple[Mapping[ModelName, WeightGoal], tuple[SwapEngine, ...]]],
+        stores: Callable[[], tuple[str, ...]],
+        settle_ms: int,
+    ) -> None:
+        self._clock = clock
+        self._is_held = is_held
+        self._view = view
+        self._stores = stores
+        self._settle_ms = settle_ms
+        self._sweep = KeptSweep(settle_ms)
+
+    async def run(self) -> None:
+        """Sweep when due, until cancelled."""
+        loop = asyncio.get_running_loop()
+        with ThreadPoolExecutor(max_workers=1, thread_name_prefix="sweep") as pool:
+            while True:
+                await asyncio.sleep(seconds(INTERVAL_MS))
+                if not self._is_held():
+                    self._sweep = KeptSweep(self._settle_ms)
+                    continue
+                goals, engines = self._view()
+                now_ms = self._clock.now_ms()
+                for task in self._sweep.plan(goals, engines, self._stores(), now_ms):
+                    if await loop.run_in_executor(pool, _sweep_store, task):
+                        self._sweep.done(task)
+
+
+def _sweep_store(task: SweepTask) -> bool:
+    """List a store and free what is outdated; runs in a thread.
+
+    :returns: whether nothing outdated is left
+    """
+    try:
+        listing = list_parts(task.address)
+        outdated = task.outdated(listing)
+        for start in range(0, len(outdated), BATCH_PARTS):
+            free_parts(task.address, outdated[start : start + BATCH_PARTS], listing.epoch)
+    except BergamothillError as error:
+        _log.info("sweep_failed", store=task.address, step=error.step, reason=error.message)
+        return False
+    _log.info("store_swept", store=task.address, held=len(listing.keys), freed=len(outdated))
+    return True
--- a/bergamothill/request/contextplan.py
+++ b/bergamothill/request/contextplan.py
@@ -12,7 +12,7 @@
 from bergamothill.version.keptindex import KeptIndex, PartKey
 from bergamothill.version.routetable import EngineTraits, KeptStore
 
-__all__ = ["ContextPlan", "ContextPlanner"]
+__all__ = ["FETCH_LIFE_MS", "ContextPlan", "ContextPlanner"]
 
 OTHER_ZONE_FACTOR = 2.0
 """Transfers between zones take twice as long."""
