--- a/bergamothill/process/readiness.py
+++ b/bergamothill/process/readiness.py
@@ -6,13 +6,12 @@
 from collections.abc import Callable
 
 from bergamothill.connection.callerhttp import CallerConnection
+from bergamothill.platform.checks import METRICS_PATH, READINESS_PATH
 from bergamothill.request.callerrequest import RawRequest
 from bergamothill.version.routetable import CallerLimits
 
 __all__ = ["ReadinessHandler"]
 
-READINESS_PATH = b"/readiness"
-
 
 class ReadinessHandler:
     """Handler of the connections of checks.
@@ -42,7 +41,7 @@
         path = request.target.partition(b"?")[0]
         if path == READINESS_PATH:
             connection.answer(200 if self._is_ready() else 503, [], b"")
-        elif path == b"/metrics":
+        elif path == METRICS_PATH:
             connection.answer(200, [(b"Content-Type", b"text/plain")], self._metrics().encode())
         else:
             connection.answer(404, [], b"")
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import time
 from collections.abc import Callable
 from enum import Enum
@@ -10,7 +11,15 @@
 from bergamothill.clock import Clock
 from bergamothill.connection.kvs_memory import MemoryKeyValueService
 from bergamothill.errors import BergamothillError, PeerTimeoutError, PeerUnreachableError
+from bergamothill.platform.config import decode_config
+from bergamothill.process.backends import BackendServer
+from bergamothill.process.fleet import Fleet
+from bergamothill.process.loadreport import PeerLoads
 from bergamothill.request.auth import key_digest
+from bergamothill.request.callerrequest import CallerRequest, PromptPart, RawRequest
+from bergamothill.request.contextplan import ContextPlanner
+from bergamothill.version.keptindex import KeptIndex
+from bergamothill.version.routetable import RoutingConfig
 
 OPERATOR_KEY = "operator-key"
 WAIT_LIMIT_S = 20
@@ -120,3 +129,186 @@
         if self.fault is WriteFault.LOST_REPLY:
             raise PeerTimeoutError("reply lost", step="kvs.write")
         return result
+
+
+# Data of deployments on the users' platform.
+
+NODE_SETTINGS = """
+nodeName = "front-a-1"
+zone = "zone-a"
+ipAddress = "127.0.0.1"
+internalPortRange = [17700, 17715]
+[listenAddresses]
+front = "127.0.0.1:18005"
+readyAddress = "127.0.0.1:18002"
+[limits]
+memoryMb = 300
+fileDescriptors = 4100
+[bounds]
+drainTimeoutMs = 2000
+gracePeriodS = 8
+revokeMs = 5000
+strictRevocation = true
+retryBudgetRatio = 0.2
+retryBudgetSlack = 52
+budgetWindowS = 10
+leaseMs = 3000
+versionMs = 6000
+requireFencing = false
+reuseWindowS = 20
+[platform]
+address = "127.0.0.1:18007"
+ttlMinMs = 1000
+"""
+
+
+def operator_config(**changes: Any) -> dict[str, Any]:
+    """Return an operator's configuration as it lies in the platform's store."""
+    return {
+        "version": 7,
+        "routes": [
+            {
+                "name": "quote",
+                "host": "desk.example",
+                "prefix": "/quote/",
+                "kind": "streaming",
+                "timeoutMs": 12000,
+                "targetLatencyMs": 600,
+                "gapTargetMs": 300,
+                "priority": 2,
+                "service": "llm",
+                "maxAttempts": 2,
+                "public": False,
+                "resumable": True,
+            },
+            {
+                "name": "book",
+                "host": "desk.example",
+                "prefix": "/book/",
+                "kind": "unsafe",
+                "timeoutMs": 2000,
+                "service": "bookings",
+                "maxAttempts": 1,
+                "public": False,
+            },
+            {
+                "name": "open",
+                "host": "desk.example",
+                "prefix": "/book/open/",
+                "kind": "safe",
+                "timeoutMs": 1000,
+                "trafficSplit": [
+                    {"service": "bookings", "weight": 90},
+                    {"service": "llm", "weight": 10},
+                ],
+                "maxAttempts": 2,
+                "public": True,
+            },
+        ],
+        "services": [
+            {"name": "bookings", "healthCheckPath": "/health", "connectionLimit": 96},
+            {
+                "name": "llm",
+                "connectionLimit": 360,
+                "engine": {
+                    "slots": 64,
+                    "kvCapacityTokens": 100000,
+                    "kvTokenBytes": 327680,
+                    "linkMbps": 1100000.0,
+                    "maxConcurrent": 12,
+                    "models": [{"name": "m1"}],
+                },
+            },
+            {
+                "name": "cache",
+                "kvStoreAddress": "127.0.0.1:19001",
+                "zone": "zone-a",
+                "kvCapacityTokens": 200000,
+                "linkMbps": 2600000.0,
+                "managed": True,
+                "first_ms": 0.5,
+                "maxConcurrent": 12,
+            },
+        ],
+        "limits": {
+            "maxHeaderBytes": 4096,
+            "maxBodyBytes": 10000,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
+        "tenants": [
+            {"name": "kowhai", "apiKeys": ["key-1", "key-2"], "priority": 1},
+            {"name": "walled", "apiKeys": ["key-3"], "isolated": True},
+        ],
+        **changes,
+    }
+
+
+def server_entry(**changes: Any) -> dict[str, Any]:
+    """Return a backend server's entry as it lies in the platform's store."""
+    return {
+        "service": "llm",
+        "address": "127.0.0.1:20001",
+        "zone": "zone-a",
+        "version": "v1",
+        "slots": 64,
+        "state": "ready",
+        "born": 1_700_000_000_000,
+        "models": [{"name": "m1", "version": 1, "adapters": []}],
+        "sequenceNumber": 4,
+        **changes,
+    }
+
+
+def routing_config(**changes: Any) -> RoutingConfig:
+    """Return the decoded form of :func:`operator_config`."""
+    return decode_config(json.dumps(operator_config(**changes)).encode())
+
+
+def backend(server: str = "s1", **changes: Any) -> BackendServer:
+    """Return a listed backend server; by default an engine with version 1 of model ``m1``."""
+    values = {
+        "server": server,
+        "started_wall_ms": 1,
+        "service": "llm",
+        "address": f"10.0.0.{server.strip('s')}:80",
+        "zone": "zone-a",
+        "slots": 64,
+        "is_leaving": False,
+        "weights": {"m1": 1},
+        **changes,
+    }
+    return BackendServer(**values)
+
+
+def caller_request(**changes: Any) -> CallerRequest:
+    """Return a prompt of 3,000 tokens in three parts, of which two are shared."""
+    raw = RawRequest(b"POST", b"/quote/2f", [], b"{}", changes.pop("arrived_ms", 0))
+    values = {
+        "raw": raw,
+        "request_id": "r1",
+        "host": "desk.example",
+        "key": "key-1",
+        "patience_ms": 12_000,
+        "model": "m1",
+        "parts": (PromptPart("a", 500), PromptPart("b", 2_000), PromptPart("c", 500)),
+        "prompt_tokens": 3_000,
+        "most_output_tokens": 50,
+        **changes,
+    }
+    return CallerRequest(**values)
+
+
+def fleet(*servers: BackendServer, index: KeptIndex | None = None, **changes: Any) -> Fleet:
+    """Return beliefs about servers that were listed at 0 ms."""
+    planner = ContextPlanner(index or KeptIndex())
+    values = {
+        "zone": "zone-a",
+        "weights_due_ms": 6_000,
+        "planner": planner,
+        "peer_loads": PeerLoads(),
+        **changes,
+    }
+    beliefs = Fleet(**values)
+    beliefs.apply_list(servers, 0, 0)
+    return beliefs
--- /dev/null
+++ b/tests/test_forwarding.py
@@ -0,0 +1,149 @@
+"""Tests of the decisions about one forwarded request."""
+
+import unittest
+
+from bergamothill.process.backends import BackendServer
+from bergamothill.request.callerrequest import ForwardTerms
+from bergamothill.request.forwarding import (
+    BreakOff,
+    Deliver,
+    Finish,
+    Forwarding,
+    Hold,
+    NoRoom,
+    Reason,
+    Send,
+)
+from bergamothill.request.retryshare import RetryShare
+from tests.builders import backend, caller_request, routing_config
+
+
+class Chooser:
+    """Offers servers in order, or what the test sets."""
+
+    def __init__(self, *servers: BackendServer) -> None:
+        self.servers = servers
+        self.answer = None
+
+    def choose(self, service, request, brand, avoided, urgency, now_ms):
+        if self.answer is not None:
+            return self.answer
+        fresh = [s for s in self.servers if s.server not in avoided] or list(self.servers)
+        return (fresh[0], ForwardTerms(fresh[0].server, 0)) if fresh else None
+
+
+class ForwardingTest(unittest.TestCase):
+    def forwarding(self, route=0, chooser=None, ratio=1.0, **changes):
+        config = routing_config()
+        route = config.routes[route]
+        service = config.services[route.shares[0].service]
+        self.chooser = chooser or Chooser(backend("s1"), backend("s2"))
+        share = RetryShare(ratio, 10, 10_000)
+        brand = config.brands["key-1"]
+        request = caller_request(**changes)
+        return Forwarding(request, route, service, brand, self.chooser, share, 0.5)
+
+    def test_terms_carry_the_time_that_is_left(self):
+        step = self.forwarding(patience_ms=3_000).begin(1_000)
+        self.assertEqual(2_000, step.terms.time_left_ms)
+
+    def test_no_server_is_refused_at_once_as_not_run(self):
+        step = self.forwarding(chooser=Chooser()).begin(0)
+        self.assertEqual((503, Reason.NO_SERVER), (step.status, step.reason))
+        self.assertIsNotNone(step.retry_after_ms)
+
+    def test_a_refused_request_goes_to_another_server_whatever_its_kind(self):
+        run = self.forwarding(route=1)
+        first = run.begin(0)
+        second = run.refused(first, 10)
+        self.assertIsInstance(second, Send)
+        self.assertNotEqual(first.server.server, second.server.server)
+
+    def test_refused_everywhere_is_not_run(self):
+        run = self.forwarding(route=1)
+        step = run.begin(0)
+        while isinstance(step, Send):
+            step = run.refused(step, 10)
+        self.assertEqual((503, Reason.REFUSED), (step.status, step.reason))
+
+    def test_a_lost_answer_is_never_sent_again_nor_called_not_run(self):
+        run = self.forwarding(route=1)
+        step = run.broken(run.begin(0), 10, last_event_id="")
+        self.assertEqual((502, None), (step.status, step.retry_after_ms))
+
+    def test_refusal_then_loss_is_unknown(self):
+        run = self.forwarding(route=1)
+        step = run.broken(run.refused(run.begin(0), 5), 10, last_event_id="")
+        self.assertEqual(502, step.status)
+
+    def test_loss_then_refusal_is_unknown(self):
+        run = self.forwarding(route=2)
+        step = run.broken(run.begin(0), 10, last_event_id="")
+        while isinstance(step, Send):
+            step = run.refused(step, 20)
+        self.assertEqual(502, step.status)
+
+    def test_expiry_with_an_attempt_in_flight_is_unknown(self):
+        run = self.forwarding(route=1)
+        run.begin(0)
+        self.assertEqual(504, run.expired(2_000).status)
+
+    def test_expiry_before_any_attempt_is_not_run(self):
+        run = self.forwarding()
+        self.chooser.answer = NoRoom()
+        self.assertIsInstance(run.begin(0), Hold)
+        self.assertEqual(503, run.expired(12_000).status)
+
+    def test_expiry_in_mid_stream_breaks_off(self):
+        run = self.forwarding()
+        run.begin(0)
+        run.stream_started = True
+        self.assertIsInstance(run.expired(12_000), BreakOff)
+
+    def test_a_resumable_stream_goes_on_after_its_last_event(self):
+        run = self.forwarding()
+        first = run.begin(0)
+        run.stream_started = True
+        step = run.broken(first, 50, last_event_id="7")
+        self.assertEqual("7", step.terms.last_event_id)
+        self.assertNotEqual(first.server.server, step.server.server)
+
+    def test_a_started_stream_without_event_ids_cannot_go_on(self):
+        run = self.forwarding()
+        first = run.begin(0)
+        run.stream_started = True
+        self.assertIsInstance(run.broken(first, 50, last_event_id=""), BreakOff)
+
+    def test_no_more_servers_run_it_than_the_route_allows(self):
+        run = self.forwarding()
+        second = run.broken(run.begin(0), 10, last_event_id="")
+        self.assertIsInstance(run.broken(second, 20, last_event_id=""), Finish)
+
+    def test_a_failure_that_may_not_be_repeated_is_delivered(self):
+        run = self.forwarding(route=1)
+        self.assertIsInstance(run.failed(run.begin(0), 10), Deliver)
+
+    def test_a_failure_is_delivered_when_the_retry_budget_is_spent(self):
+        run = self.forwarding(route=2, ratio=0.0)
+        run._share.slack = 0
+        self.assertIsInstance(run.failed(run.begin(0), 10), Deliver)
+
+    def test_an_attempt_that_was_not_connected_costs_no_budget(self):
+        run = self.forwarding(route=1, ratio=0.0)
+        run._share.slack = 0
+        self.assertIsInstance(run.not_connected(run.begin(0), 10), Send)
+
+    def test_a_held_request_is_retried_from_where_it_stood(self):
+        run = self.forwarding()
+        first = run.begin(0)
+        run.stream_started = True
+        self.chooser.answer = NoRoom()
+        hold = run.broken(first, 50, last_event_id="7")
+        self.assertIsInstance(hold, Hold)
+        self.chooser.answer = None
+        self.assertEqual("7", run.retry(60).terms.last_event_id)
+
+    def test_a_request_is_held_no_longer_than_its_caller_waits_for_an_event(self):
+        run = self.forwarding()
+        self.chooser.answer = NoRoom()
+        self.assertEqual(2_400 - 300, run.begin(0).leaves_ms)
--- /dev/null
+++ b/tests/test_keptcontext.py
@@ -0,0 +1,172 @@
+"""Tests of what is known of kept context, and of the plans made with it."""
+
+import unittest
+
+from bergamothill.connection.pollconnection import PollReply
+from bergamothill.errors import ProtocolError
+from bergamothill.platform.keptcontext import decode_events
+from bergamothill.request.contextplan import SAVE_PAUSE_MS, ContextPlanner
+from bergamothill.version.keptindex import (
+    CERTAINTY_MS,
+    EventBatch,
+    HoldingEvent,
+    KeptIndex,
+    PartKey,
+)
+from bergamothill.version.keptnamespace import namespace, version_of
+from bergamothill.version.keptsweep import KeptSweep, StoreListing
+from bergamothill.version.routetable import Brand
+from bergamothill.version.weightgoal import WeightGoal
+from bergamothill.version.weightswap import SwapEngine
+from tests.builders import caller_request, routing_config
+
+ENGINE = "10.0.0.1:80"
+OTHER = "10.0.0.2:80"
+STORE = "127.0.0.1:19001"
+SALT = "m1~1"
+
+
+def batch(*parts, epoch=1, number=5, has_gap=False):
+    events = tuple(HoldingEvent(PartKey(SALT, name), tokens) for name, tokens in parts)
+    return EventBatch(epoch, number, has_gap, events, clock_ms=50_000)
+
+
+class IndexTest(unittest.TestCase):
+    def setUp(self):
+        self.index = KeptIndex()
+        self.source = self.index.source(STORE)
+
+    def test_events_add_and_remove(self):
+        self.source.apply(batch(("a", 500), ("b", 9)), 0, 10)
+        self.source.apply(batch(("b", 0)), 20, 30)
+        self.assertEqual(500, self.index.tokens_at(STORE, PartKey(SALT, "a")))
+        self.assertEqual(0, self.index.tokens_at(STORE, PartKey(SALT, "b")))
+
+    def test_a_new_epoch_forgets_all_and_starts_from_the_first_event(self):
+        self.source.apply(batch(("a", 500)), 0, 10)
+        self.assertTrue(self.source.apply(batch(("b", 500), epoch=2), 20, 30))
+        self.assertEqual({}, self.source.parts)
+        self.assertEqual(0, self.source.next_number)
+
+    def test_certainty_ends_without_answers(self):
+        self.source.apply(batch(), 1_000, 1_010)
+        self.assertTrue(self.source.is_certain(1_000 + CERTAINTY_MS - 1))
+        self.assertFalse(self.source.is_certain(1_000 + CERTAINTY_MS))
+
+    def test_replies_that_are_no_events(self):
+        for body in (b"", b"[]", b'{"epoch":1,"next":2,"events":[[1]]}', b'{"epoch":"x"}'):
+            with self.subTest(body), self.assertRaises(ProtocolError):
+                decode_events(PollReply(200, body))
+        with self.assertRaises(ProtocolError):
+            decode_events(PollReply(429, b"{}"))
+
+
+class PlanTest(unittest.TestCase):
+    def setUp(self):
+        self.index = KeptIndex()
+        self.planner = ContextPlanner(self.index)
+        config = routing_config()
+        self.planner.set_stores(config.stores)
+        self.planner.set_engines({ENGINE: "zone-a", OTHER: "zone-b"})
+        self.traits = config.services["llm"].engine
+
+    def plan(self, now_ms=100):
+        request = caller_request()
+        return self.planner.plan(ENGINE, "zone-a", self.traits, request, SALT, now_ms)
+
+    def test_nothing_known_is_read(self):
+        plan = self.plan()
+        self.assertEqual(
+            (0, 0, 3_000, ()),
+            (plan.held_tokens, plan.fetched_tokens, plan.read_tokens, plan.fetch_from),
+        )
+
+    def test_what_a_store_holds_is_fetched(self):
+        self.index.source(STORE).apply(batch(("a", 500), ("b", 2_000)), 0, 0)
+        plan = self.plan()
+        self.assertEqual((STORE, STORE, ""), plan.fetch_from)
+        self.assertEqual(500, plan.read_tokens)
+        self.assertGreater(plan.fetch_until_ms, 50_000)
+
+    def test_nothing_is_fetched_behind_a_gap(self):
+        self.index.source(STORE).apply(batch(("b", 2_000)), 0, 0)
+        self.assertEqual((), self.plan().fetch_from)
+
+    def test_a_part_that_is_not_whole_is_not_fetched(self):
+        self.index.source(STORE).apply(batch(("a", 400)), 0, 0)
+        self.assertEqual((), self.plan().fetch_from)
+
+    def test_a_store_that_does_not_answer_is_not_read(self):
+        self.index.source(STORE).apply(batch(("a", 500)), 0, 0)
+        self.assertEqual((), self.plan(now_ms=CERTAINTY_MS).fetch_from)
+
+    def test_another_engine_is_a_source_too(self):
+        self.index.source(ENGINE).apply(batch(("a", 500)), 0, 0)
+        self.index.source(OTHER).apply(batch(("b", 2_000)), 0, 0)
+        plan = self.plan()
+        self.assertEqual(("", OTHER, ""), plan.fetch_from)
+        self.assertEqual((500, 2_000), (plan.held_tokens, plan.fetched_tokens))
+
+    def test_shared_parts_are_saved_once_while_a_save_is_under_way(self):
+        self.index.source(STORE).apply(batch(), 0, 0)
+        request = caller_request()
+        self.assertEqual((STORE, STORE, ""), self.planner.saves(request, SALT, 100))
+        self.assertEqual((), self.planner.saves(request, SALT, 200))
+        self.index.source(STORE).apply(batch(), 4_000, 4_000)
+        later = self.planner.saves(request, SALT, 100 + SAVE_PAUSE_MS)
+        self.assertEqual((STORE, STORE, ""), later)
+
+    def test_what_is_stored_is_not_saved_again(self):
+        self.index.source(STORE).apply(batch(("a", 500), ("b", 2_000)), 0, 0)
+        self.assertEqual((), self.planner.saves(caller_request(), SALT, 100))
+
+
+class NamespaceTest(unittest.TestCase):
+    def test_versions_models_and_isolated_brands_are_apart(self):
+        open_brand, walled = Brand("kowhai"), Brand("walled", is_isolated=True)
+        names = {
+            namespace("m1", 1, open_brand),
+            namespace("m1", 2, open_brand),
+            namespace("m2", 1, open_brand),
+            namespace("m1", 1, walled),
+            namespace("m1", 1, Brand("other", is_isolated=True)),
+        }
+        self.assertEqual(5, len(names))
+        self.assertEqual(namespace("m1", 1, None), namespace("m1", 1, open_brand))
+        self.assertEqual(1, version_of(namespace("m1", 1, walled), "m1"))
+        self.assertIsNone(version_of(namespace("m1", 1, walled), "m2"))
+        self.assertIsNone(version_of("anything", "m1"))
+
+
+class SweepTest(unittest.TestCase):
+    def plan(self, sweep, version, now_ms, goal=2):
+        engines = [SwapEngine("s1", 1, ENGINE, "m1", version)]
+        return sweep.plan({"m1": WeightGoal("m1", goal)}, engines, [STORE], now_ms)
+
+    def test_waits_until_no_engine_has_had_old_weights_for_a_while(self):
+        sweep = KeptSweep(6_500)
+        self.assertEqual((), self.plan(sweep, 1, 0))
+        self.assertEqual((), self.plan(sweep, 2, 1_000))
+        self.assertEqual((), self.plan(sweep, 2, 7_400))
+        (task,) = self.plan(sweep, 2, 7_500)
+        sweep.done(task)
+        self.assertEqual((), self.plan(sweep, 2, 99_000))
+
+    def test_an_engine_with_old_weights_starts_the_wait_anew(self):
+        sweep = KeptSweep(6_500)
+        self.plan(sweep, 2, 0)
+        self.plan(sweep, 1, 6_000)
+        self.assertEqual((), self.plan(sweep, 2, 6_600))
+
+    def test_frees_older_versions_of_known_models_only(self):
+        sweep = KeptSweep(0)
+        (task,) = self.plan(sweep, 2, 0)
+        keys = [PartKey(salt, "p") for salt in ("m1~1", "m1~2", "m2~1", "m1~1~walled", "else")]
+        outdated = task.outdated(StoreListing(1, tuple(keys)))
+        self.assertEqual(["m1~1", "m1~1~walled"], [key.salt for key in outdated])
+
+    def test_a_failed_sweep_is_tried_again_later(self):
+        sweep = KeptSweep(0)
+        self.assertEqual(1, len(self.plan(sweep, 2, 0)))
+        self.assertEqual((), self.plan(sweep, 2, 100))
+        self.assertEqual(1, len(self.plan(sweep, 2, 5_000)))
--- /dev/null
+++ b/tests/test_platform_config.py
@@ -0,0 +1,138 @@
+"""Tests of the adapter's formats: configuration, servers and settings."""
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bergamothill.errors import ProtocolError, SettingsError
+from bergamothill.platform.config import decode_config, decode_goal
+from bergamothill.platform.servers import decode_server
+from bergamothill.platform.settings import is_node_settings, load_node_settings
+from bergamothill.process.daemon import main
+from bergamothill.version.routetable import RepeatRule, RouteTable
+from tests.builders import NODE_SETTINGS, operator_config, routing_config, server_entry
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.sampled_from(sorted(operator_config()) + ["name"]), inner, max_size=4)
+    ),
+    max_leaves=12,
+)
+
+
+class ConfigTest(unittest.TestCase):
+    def test_decodes_routes_services_stores_and_keys(self):
+        config = routing_config()
+        quote, book, public = config.routes
+        self.assertEqual(7, config.version)
+        self.assertEqual(RepeatRule.STREAM, quote.rule)
+        self.assertTrue(quote.may_repeat)
+        self.assertFalse(book.may_repeat)
+        self.assertEqual([90, 10], [share.weight for share in public.shares])
+        self.assertEqual({"llm", "bookings"}, set(config.services))
+        self.assertEqual(["127.0.0.1:19001"], [store.address for store in config.stores])
+        self.assertEqual("kowhai", config.brands["key-2"].name)
+        self.assertTrue(config.brands["key-3"].is_isolated)
+        self.assertEqual(4096, config.limits.header_bytes)
+
+    def test_the_longest_prefix_of_the_host_wins(self):
+        table = RouteTable(routing_config())
+        self.assertEqual("book", table.find("desk.example", "/book/x").name)
+        self.assertEqual("open", table.find("DESK.example:80", "/book/open/x").name)
+        self.assertIsNone(table.find("other.example", "/book/x"))
+        self.assertIsNone(table.find("desk.example", "/booking/"))
+
+    def test_an_unknown_kind_of_route_is_refused(self):
+        routes = operator_config()["routes"]
+        routes[0]["kind"] = "other"
+        with self.assertRaises(ProtocolError):
+            routing_config(routes=routes)
+
+    def test_a_goal(self):
+        goal = decode_goal(b'{"model": "m1", "version": 3}')
+        self.assertEqual(("m1", 3), (goal.model, goal.version))
+
+    @settings(max_examples=300, deadline=None)
+    @given(JSON)
+    def test_other_json_is_a_typed_error(self, value):
+        for decode in (decode_config, decode_goal):
+            try:
+                decode(json.dumps(value).encode())
+            except ProtocolError:
+                continue
+
+    @settings(max_examples=200, deadline=None)
+    @given(st.sampled_from(sorted(operator_config())), JSON)
+    def test_a_wrong_field_is_a_typed_error(self, name, value):
+        try:
+            routing_config(**{name: value})
+        except ProtocolError:
+            return
+
+
+class ServerTest(unittest.TestCase):
+    def decode(self, **changes):
+        return decode_server("servers/i-1", json.dumps(server_entry(**changes)).encode())
+
+    def test_decodes_an_entry(self):
+        server = self.decode(state="draining")
+        self.assertEqual("i-1", server.server)
+        self.assertTrue(server.is_leaving)
+        self.assertEqual({"m1": 1}, server.weights)
+        self.assertEqual(1_700_000_000_000, server.started_wall_ms)
+
+    def test_entries_of_other_writers_name_no_server(self):
+        for changes in (
+            {"state": "odd"},
+            {"slots": "many"},
+            {"service": None},
+            {"address": "nowhere"},
+            {"models": [{"name": "m1"}]},
+        ):
+            with self.subTest(changes), self.assertRaises(ProtocolError):
+                self.decode(**changes)
+        with self.assertRaises(ProtocolError):
+            decode_server("servers/i-1", b"\xff\xfe")
+
+    @settings(max_examples=300, deadline=None)
+    @given(st.sampled_from(sorted(server_entry())), JSON)
+    def test_a_wrong_field_is_a_typed_error(self, name, value):
+        try:
+            self.decode(**{name: value})
+        except ProtocolError:
+            return
+
+
+class SettingsTest(unittest.TestCase):
+    def path(self, text):
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        path = Path(folder) / "node.toml"
+        path.write_text(text, encoding="utf-8")
+        return str(path)
+
+    def test_loads(self):
+        path = self.path(NODE_SETTINGS)
+        self.assertTrue(is_node_settings(path))
+        node = load_node_settings(path)
+        self.assertEqual(
+            ("front-a-1", 17700, 8000), (node.entry, node.peer_port, node.bounds.stop_grace_ms)
+        )
+        self.assertEqual(0, main(["--check", path]))
+
+    def test_all_faults_are_reported_together(self):
+        text = NODE_SETTINGS.replace('"127.0.0.1:18005"', '"here"').replace("5000", '"soon"')
+        with self.assertRaises(ExceptionGroup) as caught:
+            load_node_settings(self.path(text))
+        keys = {fault.key for fault in caught.exception.exceptions}
+        self.assertEqual({"listenAddresses.front", "bounds.revokeMs"}, keys)
+        self.assertTrue(all(isinstance(f, SettingsError) for f in caught.exception.exceptions))
+        self.assertEqual(2, main(["--check", self.path(text)]))
+
+    def test_the_product_s_own_form_is_told_apart(self):
+        self.assertFalse(is_node_settings(self.path("[entry]\nid = 'x'\n")))
--- /dev/null
+++ b/tests/test_weightswap.py
@@ -0,0 +1,169 @@
+"""Tests of weight swaps, and of the turns that keep two holders' orders apart."""
+
+import unittest
+
+from bergamothill.clock import ManualClock
+from bergamothill.errors import UnavailableError
+from bergamothill.process.lease import DutyLease
+from bergamothill.process.leasemachine import LeaseTimes
+from bergamothill.process.orderturn import TURN_MARGIN_MS, OrderTurn
+from bergamothill.version.weightgoal import WeightGoal
+from bergamothill.version.weightswap import (
+    SWAP_PATIENCE_MS,
+    AskState,
+    EngineState,
+    OrderSwap,
+    SwapEngine,
+    SwapOutcome,
+    WeightSwap,
+)
+from tests.builders import FaultyKeyValueService
+
+GOAL = {"m1": WeightGoal("m1", 2)}
+TURN_MS = 3_000
+
+
+def engine(name, version=1):
+    return SwapEngine(name, 1, f"{name}:80", "m1", version)
+
+
+def state(version=1, is_busy=False, orders=0):
+    return EngineState({"m1": version}, is_busy, orders, 0, 0)
+
+
+class WeightSwapTest(unittest.TestCase):
+    def setUp(self):
+        self.swap = WeightSwap()
+        self.engines = [engine(f"s{n}") for n in range(5)]
+
+    def plan(self, now_ms, engines=None, goals=GOAL):
+        return self.swap.plan(goals, self.engines if engines is None else engines, now_ms)
+
+    def order(self, now_ms=100):
+        """Bring the first engine to its order."""
+        self.plan(now_ms)
+        self.swap.reported(self.engines[0], state())
+        orders = [e for e in self.plan(now_ms + 1) if isinstance(e, OrderSwap)]
+        return orders[0]
+
+    def test_two_of_five_engines_are_asked_first(self):
+        effects = self.plan(100)
+        self.assertEqual(["s0", "s1"], [effect.engine.server for effect in effects])
+        self.assertTrue(all(isinstance(effect, AskState) for effect in effects))
+
+    def test_a_single_engine_is_swapped_too(self):
+        self.assertEqual(1, len(self.plan(100, self.engines[:1])))
+
+    def test_the_order_names_the_count_that_the_engine_reported(self):
+        self.plan(100)
+        self.swap.reported(self.engines[0], state(orders=3))
+        orders = [e for e in self.plan(101) if isinstance(e, OrderSwap)]
+        self.assertEqual([3], [order.orders_accepted for order in orders])
+
+    def test_a_busy_engine_is_not_ordered(self):
+        self.plan(100)
+        self.swap.reported(self.engines[0], state(is_busy=True))
+        self.assertEqual([], [e for e in self.plan(101) if isinstance(e, OrderSwap)])
+
+    def test_an_accepted_order_is_not_repeated(self):
+        self.swap.ordered(self.order(), SwapOutcome.ACCEPTED, 110)
+        self.swap.reported(self.engines[0], state(is_busy=True, orders=1))
+        for now_ms in range(120, 3_000, 100):
+            effects = self.plan(now_ms)
+            self.assertFalse(
+                [e for e in effects if isinstance(e, OrderSwap) and e.engine.server == "s0"]
+            )
+
+    def test_an_order_of_unknown_outcome_is_repeated_under_the_same_count(self):
+        first = self.order()
+        self.swap.ordered(first, SwapOutcome.UNKNOWN, 800)
+        self.swap.reported(self.engines[0], state())
+        second = next(e for e in self.plan(900) if isinstance(e, OrderSwap))
+        self.assertEqual(first.orders_accepted, second.orders_accepted)
+
+    def test_the_next_engine_follows_when_one_is_done(self):
+        self.order()
+        self.assertTrue(self.swap.reported(self.engines[0], state(version=2)))
+        servers = {effect.engine.server for effect in self.plan(300)}
+        self.assertIn("s2", servers)
+
+    def test_the_list_may_tell_first_that_an_engine_is_done(self):
+        self.order()
+        engines = [engine("s0", version=2), *self.engines[1:]]
+        self.assertIn("s2", {effect.engine.server for effect in self.plan(300, engines)})
+
+    def test_an_engine_that_never_changes_gives_its_place_up(self):
+        self.swap.ordered(self.order(), SwapOutcome.ACCEPTED, 110)
+        self.plan(100 + SWAP_PATIENCE_MS)
+        self.assertFalse(self.swap.is_idle)
+
+    def test_an_engine_that_left_is_forgotten(self):
+        self.plan(100, self.engines[:1])
+        self.assertEqual((), self.plan(200, []))
+        self.assertTrue(self.swap.is_idle)
+
+    def test_a_newer_goal_replaces_one_that_was_not_ordered(self):
+        self.plan(100)
+        self.swap.reported(self.engines[0], state())
+        newer = {"m1": WeightGoal("m1", 3)}
+        self.plan(101, goals=newer)
+        self.swap.reported(self.engines[0], state())
+        orders = [e for e in self.plan(300, goals=newer) if isinstance(e, OrderSwap)]
+        self.assertEqual({3}, {order.version for order in orders})
+
+    def test_nothing_to_do(self):
+        self.assertEqual((), self.plan(100, [engine("s0", version=2)]))
+        self.assertTrue(self.swap.is_idle)
+
+
+class OrderTurnTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = ManualClock(1_000)
+        self.kvs = FaultyKeyValueService(self.clock)
+        self.times = LeaseTimes(ttl_ms=1_500, margin_ms=300, settle_ms=0)
+
+    def holder(self, name):
+        lease = DutyLease(self.kvs, self.clock, "weights", name, times=self.times)
+        return lease, OrderTurn(self.kvs, "mark", name, lease, TURN_MS)
+
+    def test_the_first_holder_starts_at_once(self):
+        lease, turn = self.holder("entry-1")
+        self.assertTrue(lease.tick())
+        turn.open(self.clock.now_ms(), must_wait=True)
+
+    def test_a_successor_waits_for_a_turn_when_its_predecessor_may_have_ordered(self):
+        lease, turn = self.holder("entry-1")
+        lease.tick()
+        turn.open(self.clock.now_ms(), must_wait=True)
+        self.clock.advance_ms(1_600)
+        successor, its_turn = self.holder("entry-2")
+        self.assertTrue(successor.tick())
+        with self.assertRaises(UnavailableError):
+            its_turn.open(self.clock.now_ms(), must_wait=True)
+        self.clock.advance_ms(TURN_MS + TURN_MARGIN_MS)
+        successor.tick()
+        its_turn.open(self.clock.now_ms(), must_wait=True)
+
+    def test_a_successor_starts_at_once_after_a_predecessor_that_rested(self):
+        lease, turn = self.holder("entry-1")
+        lease.tick()
+        turn.open(self.clock.now_ms(), must_wait=True)
+        turn.ordered(self.clock.now_ms())
+        self.clock.advance_ms(1_000)
+        turn.rest(self.clock.now_ms())
+        self.assertIsNotNone(self.kvs.peek("mark"))
+        self.clock.advance_ms(TURN_MS)
+        turn.rest(self.clock.now_ms())
+        self.assertIsNone(self.kvs.peek("mark"))
+        successor, its_turn = self.holder("entry-2")
+        successor.tick()
+        its_turn.open(self.clock.now_ms(), must_wait=True)
+
+    def test_engines_that_check_fencing_numbers_need_no_turns(self):
+        lease, turn = self.holder("entry-1")
+        lease.tick()
+        turn.open(self.clock.now_ms(), must_wait=False)
+        self.clock.advance_ms(1_600)
+        successor, its_turn = self.holder("entry-2")
+        successor.tick()
+        its_turn.open(self.clock.now_ms(), must_wait=False)
