--- /dev/null
+++ b/standins/platformstore.py
@@ -0,0 +1,137 @@
+"""Stand-in of the users' platform's key-value service.
+
+Besides the switches of the base it knows these:
+
+- ``busy``: answer 503, nothing done
+- ``limited``: answer 429, nothing done
+- ``late_writes``: number of writes whose reply is lost at once and whose effect comes late
+- ``late_effect_ms``: how late that effect comes (default 2000)
+- ``compacted``: watches find their history gone
+"""
+
+from __future__ import annotations
+
+import argparse
+import base64
+import json
+import threading
+from typing import Any
+
+from werkzeug.wrappers import Request, Response
+
+from bergamothill.clock import SystemClock
+from bergamothill.connection.kvs import KeyValueEntry
+from bergamothill.connection.kvs_memory import MemoryKeyValueService
+from bergamothill.errors import ConflictError, LeaseLostError
+from bergamothill.ids import LeaseId
+from standins.base import DropConnection, StandIn, json_response
+
+LATE_EFFECT_MS = 2_000
+PAGE_ITEMS = 3
+
+
+class PlatformStoreStandIn(StandIn):
+    """HTTP face of an in-memory key-value service, in the platform's format."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.service = MemoryKeyValueService(SystemClock())
+        self._leases: dict[int, LeaseId] = {}
+        self._lock = threading.Lock()
+        self.route("/kv-key", self._get, ["GET"])
+        self.route("/kv-range", self._range, ["GET"])
+        self.route("/kv-watch", self._watch, ["GET"])
+        self.route("/kv-txn", self._transact, ["POST"])
+        self.route("/kv-lease", self._grant, ["POST"])
+        self.route("/kv-keep/<int:lease>", self._keep, ["POST"])
+        self.route("/kv-lease-end/<int:lease>", self._end, ["DELETE"])
+
+    def _dispatch(self, request: Request) -> Response:
+        if request.path.startswith("/kv-"):
+            if self.faults.get("busy"):
+                return json_response({"error": "busy"}, 503)
+            if self.faults.get("limited"):
+                return json_response({"error": "too many calls"}, 429)
+        return super()._dispatch(request)
+
+    def _get(self, request: Request) -> Response:
+        entry = self.service.get(request.args["key"])
+        if entry is None:
+            return json_response({"error": "no such key"}, 404)
+        return json_response(_item(entry))
+
+    def _range(self, request: Request) -> Response:
+        after = request.args.get("after", "")
+        found = [e for e in self.service.scan(request.args["prefix"]) if e.key > after]
+        page = found[:PAGE_ITEMS]
+        items = [_item(entry) for entry in page]
+        return json_response({"items": items, "hasMore": len(found) > len(page), "currentRev": 1})
+
+    def _watch(self, request: Request) -> Response:
+        if self.faults.get("compacted"):
+            return json_response({"error": "history is gone"}, 410)
+        after, wait_ms = int(request.args["after"]), int(request.args["waitMs"])
+        revision = self.service.wait_change(request.args["prefix"], after=after, timeout_ms=wait_ms)
+        return json_response({"events": [], "currentRev": revision})
+
+    def _transact(self, request: Request) -> Response:
+        body = json.loads(request.get_data())
+        if self.faults.take("late_writes"):
+            delay_s = self.faults.get("late_effect_ms", LATE_EFFECT_MS) / 1000
+            threading.Timer(delay_s, self._apply, [body]).start()
+            raise DropConnection
+        return self._apply(body)
+
+    def _apply(self, body: dict[str, Any]) -> Response:
+        (condition,) = body["expected"]
+        try:
+            for write in body["writes"]:
+                lease = self._leases.get(write.get("lease", 0))
+                if write.get("lease") and lease is None:
+                    return json_response({"error": "no such lease"}, 404)
+                value = base64.b64decode(write["value"])
+                expected = condition["revision"]
+                entry = self.service.put_if(write["key"], value, expected=expected, lease_id=lease)
+                return json_response({"revision": entry.mod_revision})
+            for key in body["drop"]:
+                self.service.delete_if(key, expected=condition["revision"])
+            return json_response({"revision": 1})
+        except LeaseLostError:
+            return json_response({"error": "no such lease"}, 404)
+        except ConflictError:
+            return json_response({"items": []}, 412)
+
+    def _grant(self, request: Request) -> Response:
+        ttl_ms = json.loads(request.get_data())["ttlMs"]
+        lease = self.service.grant_lease(ttl_ms)
+        with self._lock:
+            number = len(self._leases) + 1
+            self._leases[number] = lease
+        return json_response({"lease": number, "ttlMs": ttl_ms})
+
+    def _keep(self, request: Request, lease: int) -> Response:
+        try:
+            self.service.renew_lease(self._leases.get(lease, LeaseId("")))
+        except LeaseLostError:
+            return json_response({"error": "no such lease"}, 404)
+        return json_response({"ttlMs": 1})
+
+    def _end(self, request: Request, lease: int) -> Response:
+        self.service.revoke_lease(self._leases.get(lease, LeaseId("")))
+        return json_response({})
+
+
+def _item(entry: KeyValueEntry) -> dict[str, Any]:
+    value = base64.b64encode(entry.value).decode()
+    return {"key": entry.key, "value": value, "revision": entry.mod_revision, "lease": 0}
+
+
+def main() -> None:
+    """Serve until SIGTERM."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, default=0)
+    PlatformStoreStandIn().serve(parser.parse_args().port)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_loadexchange.py
@@ -0,0 +1,152 @@
+"""Tests of load reports, the retry share, the registry and the bounded log."""
+
+import contextlib
+import io
+import os
+import unittest
+
+import logbook
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bergamothill.clock import ManualClock
+from bergamothill.errors import ProtocolError
+from bergamothill.process.boundedlog import BURST_LINES, BoundedHandler
+from bergamothill.process.gatewaymetrics import GatewayMetrics
+from bergamothill.process.loadreport import (
+    REPORT_LIFE_MS,
+    LoadReport,
+    PeerLoads,
+    ServerLoad,
+    decode_report,
+    encode_report,
+)
+from bergamothill.process.registry import Peer, Registry
+from bergamothill.request.retryshare import SAFETY, RetryShare
+from tests.builders import FaultyKeyValueService
+
+
+class LoadReportTest(unittest.TestCase):
+    def report(self, number=1, tokens=10, entry="e1"):
+        return LoadReport(entry, number, {"s1": ServerLoad(1, tokens, 5)})
+
+    def test_round_trip(self):
+        self.assertEqual(self.report(), decode_report(encode_report(self.report())))
+
+    @given(st.binary(max_size=60))
+    def test_other_datagrams_are_typed_errors(self, datagram):
+        try:
+            decode_report(datagram)
+        except ProtocolError:
+            return
+
+    def test_reports_add_up_and_older_ones_are_dropped(self):
+        loads = PeerLoads()
+        loads.take(self.report(number=2, tokens=10), 0)
+        loads.take(self.report(number=1, tokens=99), 0)
+        loads.take(self.report(entry="e2", tokens=7), 0)
+        self.assertEqual(17, loads.at("s1").tokens)
+        self.assertEqual(0, loads.at("s2").tokens)
+
+    def test_a_silent_sender_counts_for_a_short_time(self):
+        loads = PeerLoads()
+        loads.take(self.report(), 0)
+        loads.refresh(REPORT_LIFE_MS)
+        self.assertEqual(10, loads.at("s1").tokens)
+        loads.refresh(REPORT_LIFE_MS + 1)
+        self.assertEqual(0, loads.at("s1").tokens)
+
+
+class RetryShareTest(unittest.TestCase):
+    @given(st.lists(st.tuples(st.integers(0, 400), st.booleans()), max_size=200))
+    def test_repeats_stay_within_ratio_and_slack_in_every_window(self, steps):
+        share, now_ms = RetryShare(0.2, 4, 10_000), 0
+        arrivals, repeats = [], []
+        for gap_ms, repeats_now in steps:
+            now_ms += gap_ms
+            if not repeats_now:
+                share.arrived(now_ms)
+                arrivals.append(now_ms)
+            elif share.try_spend(now_ms):
+                repeats.append(now_ms)
+                window = [t for t in repeats if t >= now_ms - 10_000]
+                requests = [t for t in arrivals if t >= now_ms - 10_000]
+                self.assertLessEqual(len(window), SAFETY * (0.2 * len(requests) + 4))
+
+
+class RegistryTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = ManualClock()
+        self.kvs = FaultyKeyValueService(self.clock)
+        self.seen = []
+
+    def registry(self, name):
+        own = Peer(name, "10.0.0.1", 7700)
+        return Registry(self.kvs, self.clock, own, lambda peers: self.seen.append(peers))
+
+    def test_instances_see_each_other_and_lapse(self):
+        first, second = self.registry("e1"), self.registry("e2")
+        first._tick()
+        second._tick()
+        self.assertEqual(["e1"], [peer.entry for peer in self.seen[-1]])
+        second._leave()
+        first._tick()
+        self.assertEqual((), self.seen[-1])
+
+    def test_an_entry_of_an_earlier_start_is_taken_over(self):
+        self.registry("e1")._tick()
+        again = self.registry("e1")
+        again._tick()
+        self.clock.advance_ms(9_000)
+        again._tick()
+        self.clock.advance_ms(9_000)
+        again._tick()
+        self.registry("e2")._tick()
+        self.assertEqual(["e1"], [peer.entry for peer in self.seen[-1]])
+
+    def test_a_lapsed_entry_is_written_again(self):
+        registry = self.registry("e1")
+        registry._tick()
+        self.clock.advance_ms(60_000)
+        registry._tick()
+        self.registry("e2")._tick()
+        self.assertEqual(["e1"], [peer.entry for peer in self.seen[-1]])
+
+
+class BoundedLogTest(unittest.TestCase):
+    def test_lines_beyond_the_rate_are_counted(self):
+        read_end, write_end = os.pipe()
+        os.set_blocking(read_end, False)
+        clock = ManualClock()
+        with os.fdopen(write_end, "w") as out, contextlib.redirect_stdout(out):
+            handler = BoundedHandler(clock, "info")
+            logger = logbook.Logger("part")
+            with handler.applicationbound():
+                for number in range(BURST_LINES + 50):
+                    logger.info(f"event=n number={number}")
+                clock.advance_ms(1_000)
+                logger.info("event=last")
+            handler.close()
+        with os.fdopen(read_end, "rb") as lines:
+            text = lines.read(1_000_000).decode()
+        self.assertIn("event=suppressed count=", text)
+        self.assertIn("event=last", text)
+        self.assertLessEqual(text.count("\n"), BURST_LINES + 2)
+
+    def test_a_closed_output_does_not_raise(self):
+        with contextlib.redirect_stdout(io.StringIO()):
+            handler = BoundedHandler(ManualClock(), "info")
+            with handler.applicationbound():
+                logbook.Logger("part").info("event=x")
+            handler.close()
+
+
+class MetricsTest(unittest.TestCase):
+    def test_text_has_counters_and_quantiles(self):
+        metrics = GatewayMetrics()
+        metrics.count("requests", outcome="answered")
+        metrics.observe("first_byte_ms", 20, rule="stream")
+        text = metrics.text()
+        self.assertIn('bergamothill_requests{outcome="answered"} 1', text)
+        self.assertIn('bergamothill_first_byte_ms{rule="stream",quantile="0.5"} 20', text)
+        self.assertIn('bergamothill_first_byte_ms_count{rule="stream"} 1', text)
