--- a/bergamothill/connection/callerhttp.py
+++ b/bergamothill/connection/callerhttp.py
@@ -231,6 +231,11 @@
 
     # Answering.
 
+    def reject(self, status: int) -> None:
+        """Answer a request whose extent or meaning is in doubt, and close."""
+        self._keeps_alive = False
+        self.answer(status, [], b"")
+
     def answer(self, status: int, headers: list[Header], body: bytes) -> None:
         """Send a whole answer.
 
--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -160,7 +160,7 @@
             request = decode_request(raw)
         except InvalidRequestError as error:
             _log.info("request_invalid", error=error.message)
-            connection.answer(400, [], b"")
+            connection.reject(400)
             return
         now_ms = self._clock.now_ms()
         admission = self._config.admit(request.host, request.path, request.key, now_ms)
--- /dev/null
+++ b/tests/gatewayworld.py
@@ -0,0 +1,205 @@
+"""A gateway on the loopback interface with scripted backend servers, for tests."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import threading
+from collections.abc import Callable
+from functools import partial
+
+from bergamothill.clock import SystemClock
+from bergamothill.connection.callerhttp import CallerConnection
+from bergamothill.platform.settings import load_node_settings
+from bergamothill.process.beliefs import ConfigBelief
+from bergamothill.process.gateway import Gateway
+from bergamothill.process.gatewaymetrics import GatewayMetrics
+from tests.builders import backend, fleet, routing_config
+
+HOST = "127.0.0.1"
+TIMEOUT_S = 10
+
+
+class ScriptedServer:
+    """Server whose answer to each connection is a function of the request's bytes.
+
+    :param script: takes the connection and the request's head and body
+    """
+
+    def __init__(self, script: Callable[[socket.socket, bytes], None]) -> None:
+        self.requests: list[bytes] = []
+        self.left = threading.Event()
+        self._script = script
+        self._listener = socket.create_server((HOST, 0))
+        self.address = f"{HOST}:{self._listener.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self) -> None:
+        self._listener.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        connection.settimeout(TIMEOUT_S)
+        with connection:
+            request = read_message(connection)
+            if not request:
+                return
+            self.requests.append(request)
+            self._script(connection, request)
+            try:
+                if connection.recv(1) == b"":
+                    self.left.set()
+            except OSError:
+                self.left.set()
+
+
+def read_message(connection: socket.socket) -> bytes:
+    """Read one message with a length or without a body."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        piece = connection.recv(65_536)
+        if not piece:
+            return data
+        data += piece
+    head, _, body = data.partition(b"\r\n\r\n")
+    length = 0
+    for line in head.split(b"\r\n"):
+        if line.lower().startswith(b"content-length:"):
+            length = int(line.partition(b":")[2])
+    while len(body) < length:
+        body += connection.recv(65_536)
+    return head + b"\r\n\r\n" + body
+
+
+def answer(
+    body: bytes = b"done",
+    *,
+    status: bytes = b"200 OK",
+    headers: bytes = b"X-Server-Signature: sig\r\n",
+    request_id: bytes = b"r1",
+    framing: bytes | None = None,
+) -> bytes:
+    """Encode a server's answer."""
+    length = b"Content-Length: %d\r\n" % len(body) if framing is None else framing
+    return b"HTTP/1.1 %s\r\nX-Request-Id: %s\r\n%s%s\r\n%s" % (
+        status,
+        request_id,
+        headers,
+        length,
+        body,
+    )
+
+
+def chunk(piece: bytes) -> bytes:
+    """Encode a chunk."""
+    return b"%x\r\n%s\r\n" % (len(piece), piece)
+
+
+STREAM_HEAD = answer(b"", framing=b"Transfer-Encoding: chunked\r\n")
+
+
+def event(number: int) -> bytes:
+    """Return one event of a stream."""
+    return b"id: %d\ndata: t%d\n\n" % (number, number)
+
+
+def request(
+    path: bytes = b"/book/2f",
+    *,
+    method: bytes = b"POST",
+    body: bytes = b"{}",
+    headers: bytes = b"",
+    key: bytes = b"key-1",
+) -> bytes:
+    """Encode a caller's request."""
+    return (
+        b"%s %s HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: r1\r\n"
+        b"X-Deadline-Milliseconds: 3000\r\nAuthorization: Bearer %s\r\n%s"
+        b"Content-Length: %d\r\n\r\n%s" % (method, path, key, headers, len(body), body)
+    )
+
+
+PROMPT_HEADERS = b"X-Model: m1\r\nX-Token-Counts: 30,9\r\nX-Prompt-Prefix: a:10,b:10,c:10\r\n"
+
+
+class GatewayWorld:
+    """A gateway in a thread of its own.
+
+    :param settings_path: path of a settings file
+    :param engines: scripted model engines
+    :param plain: scripted servers of the plain service
+    """
+
+    def __init__(
+        self,
+        settings_path: str,
+        engines: list[ScriptedServer] = (),
+        plain: list[ScriptedServer] = (),
+    ) -> None:
+        self.clock = SystemClock()
+        bounds = load_node_settings(settings_path).bounds
+        now_ms = self.clock.now_ms()
+        self.config = ConfigBelief(bounds.key_revocation_ms, is_strict=False)
+        self.config.take(routing_config(), 1, now_ms)
+        servers = [backend(f"s{n}", address=s.address) for n, s in enumerate(engines)]
+        servers += [
+            backend(f"p{n}", address=s.address, service="bookings", weights={})
+            for n, s in enumerate(plain)
+        ]
+        self.fleet = fleet(*servers)
+        self.metrics = GatewayMetrics()
+        self.gateway = Gateway(self.clock, bounds, self.config, self.fleet, self.metrics)
+        self._loop = asyncio.new_event_loop()
+        started = threading.Event()
+        self._thread = threading.Thread(target=self._run, args=(started,), daemon=True)
+        self._thread.start()
+        started.wait(TIMEOUT_S)
+
+    def _run(self, started: threading.Event) -> None:
+        asyncio.set_event_loop(self._loop)
+        factory = partial(CallerConnection, self.gateway, self.clock, lambda *_: None)
+        server = self._loop.run_until_complete(self._loop.create_server(factory, HOST, 0))
+        self.port = server.sockets[0].getsockname()[1]
+        self._watch = self._loop.create_task(self.gateway.watch_silence())
+        started.set()
+        self._loop.run_forever()
+        server.close()
+        self._watch.cancel()
+        self._loop.run_until_complete(asyncio.gather(self._watch, return_exceptions=True))
+
+    def connect(self) -> socket.socket:
+        """Open a caller's connection."""
+        return socket.create_connection((HOST, self.port), timeout=TIMEOUT_S)
+
+    def exchange(self, data: bytes) -> bytes:
+        """Send bytes and return all that comes until the connection is closed or idle."""
+        with self.connect() as connection:
+            connection.sendall(data)
+            return read_message(connection)
+
+    def in_progress(self) -> int:
+        """Return the number of requests in progress."""
+        return self.gateway.in_progress
+
+    def close(self) -> None:
+        """Stop the gateway."""
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join(TIMEOUT_S)
+
+
+def read_all(connection: socket.socket) -> bytes:
+    """Read until the connection ends; a reset counts as the end."""
+    data = b""
+    try:
+        while piece := connection.recv(65_536):
+            data += piece
+    except ConnectionResetError:
+        data += b"<reset>"
+    return data
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,291 @@
+"""Tests of forwarding over real sockets: callers, gateway and scripted servers."""
+
+import tempfile
+import time
+import unittest
+from pathlib import Path
+
+from tests.builders import NODE_SETTINGS, await_true
+from tests.gatewayworld import (
+    PROMPT_HEADERS,
+    STREAM_HEAD,
+    GatewayWorld,
+    ScriptedServer,
+    answer,
+    chunk,
+    event,
+    read_all,
+    read_message,
+    request,
+)
+
+
+def replies(data):
+    return lambda connection, _request: connection.sendall(data)
+
+
+def resets(data=b""):
+    def script(connection, _request):
+        connection.sendall(data)
+        time.sleep(0.05)
+        connection.shutdown(2)
+
+    return script
+
+
+class GatewayCase(unittest.TestCase):
+    def world(self, engines=(), plain=()):
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        path = Path(folder) / "node.toml"
+        path.write_text(NODE_SETTINGS, encoding="utf-8")
+        self.engines = [ScriptedServer(script) for script in engines]
+        self.plain = [ScriptedServer(script) for script in plain]
+        for server in (*self.engines, *self.plain):
+            self.addCleanup(server.close)
+        world = GatewayWorld(str(path), self.engines, self.plain)
+        self.addCleanup(world.close)
+        return world
+
+    def sent(self):
+        return [r for server in (*self.engines, *self.plain) for r in server.requests]
+
+
+class PlainTest(GatewayCase):
+    def test_answer_and_request_are_handed_on_unchanged(self):
+        world = self.world(plain=[replies(answer(b"booked"))])
+        found = world.exchange(request(headers=b"X-Own: 1\r\n", body=b'{"a": 1}'))
+        self.assertTrue(found.startswith(b"HTTP/1.1 200 OK\r\n"), found)
+        self.assertIn(b"X-Server-Signature: sig", found)
+        self.assertTrue(found.endswith(b"\r\n\r\nbooked"))
+        (sent,) = self.sent()
+        self.assertTrue(sent.startswith(b"POST /book/2f HTTP/1.1\r\n"))
+        self.assertTrue(sent.endswith(b'\r\n\r\n{"a": 1}'))
+        for field in (b"X-Own: 1", b"X-Tenant: kowhai", b"X-Expected-Instance: p0"):
+            self.assertIn(field, sent)
+        self.assertNotIn(b"key-1", sent)
+
+    def test_what_is_the_system_s_to_set_is_dropped(self):
+        world = self.world(plain=[replies(answer())])
+        forged = b"".join(
+            b"%s: forged\r\n" % name
+            for name in (b"X-Tenant", b"x-cache-salt", b"X-Hold", b"Kv-From", b"X-Kv-Backup",
+                         b"X-Pin-Milliseconds", b"X-Expected-Instance", b"X-Request-Urgency")
+        )  # fmt: skip
+        world.exchange(
+            request(headers=forged + b"Connection: x-request-id, x-other\r\nX-Other: 1\r\n")
+        )
+        (sent,) = self.sent()
+        self.assertNotIn(b"forged", sent)
+        self.assertNotIn(b"X-Other", sent)
+        self.assertIn(b"X-Request-Id: r1", sent)
+
+    def test_chunked_bodies(self):
+        world = self.world(plain=[replies(answer())])
+        head = request(body=b"").replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+        world.exchange(head + chunk(b"ab") + chunk(b"cd") + b"0\r\n\r\n")
+        (sent,) = self.sent()
+        self.assertTrue(sent.endswith(b"Connection: close\r\n\r\nabcd"), sent)
+
+    def test_kept_connections_answer_in_order(self):
+        world = self.world(plain=[replies(answer(b"one"))])
+        with world.connect() as connection:
+            connection.sendall(request() + request())
+            first = read_message(connection)
+            rest = first.partition(b"one")[2] or read_message(connection)
+            self.assertIn(b"one", first)
+            self.assertIn(b"200 OK", rest)
+
+    def test_a_lost_answer_of_an_unsafe_request_is_no_refusal(self):
+        world = self.world(plain=[resets(), resets()])
+        self.assertIn(b" 502 ", world.exchange(request()))
+        self.assertEqual(1, len(self.sent()))
+
+    def test_a_safe_request_is_tried_elsewhere(self):
+        world = self.world(plain=[resets(), replies(answer())])
+        found = [world.exchange(request(b"/book/open/2f", method=b"GET")) for _ in range(2)]
+        self.assertTrue(all(b" 200 " in answer for answer in found), found)
+
+    def test_a_refused_unsafe_request_is_tried_elsewhere(self):
+        refusal = answer(status=b"503 Busy", headers=b"X-Not-Executed: 1\r\n")
+        world = self.world(plain=[replies(refusal), replies(answer())])
+        self.assertIn(b" 200 ", world.exchange(request()))
+        self.assertEqual(2, len(self.sent()))
+
+    def test_refused_by_all_is_refused_with_a_time_to_come_back(self):
+        refusal = answer(status=b"503 Busy", headers=b"X-Not-Executed: 1\r\n")
+        world = self.world(plain=[replies(refusal)])
+        found = world.exchange(request())
+        self.assertIn(b" 503 ", found)
+        self.assertIn(b"Retry-After: 0.", found)
+
+    def test_a_foreign_or_unsigned_success_reaches_nobody(self):
+        for bad in (answer(request_id=b"r2"), answer(headers=b"")):
+            world = self.world(plain=[replies(bad)])
+            self.assertIn(b" 502 ", world.exchange(request()))
+
+    def test_bytes_after_an_answer_reach_nobody(self):
+        world = self.world(plain=[replies(answer(b"one") + answer(b"two"))])
+        with world.connect() as connection:
+            connection.sendall(request(headers=b"Connection: close\r\n"))
+            self.assertNotIn(b"two", read_all(connection))
+
+    def test_an_answer_without_a_length_ends_with_its_connection(self):
+        def script(connection, _request):
+            connection.sendall(answer(b"whole", framing=b""))
+            connection.shutdown(1)
+
+        world = self.world(plain=[script])
+        self.assertTrue(world.exchange(request()).endswith(b"Content-Length: 5\r\n\r\nwhole"))
+
+    def test_a_short_answer_does_not_look_whole(self):
+        world = self.world(plain=[resets(answer(b"half", framing=b"Content-Length: 9\r\n"))])
+        found = world.exchange(request())
+        self.assertIn(b" 502 ", found)
+        self.assertNotIn(b"half", found)
+
+    def test_an_answer_before_the_end_of_the_route_s_time_or_504(self):
+        world = self.world(plain=[lambda *_: time.sleep(4)])
+        started = time.monotonic()
+        self.assertIn(b" 504 ", world.exchange(request()))
+        self.assertGreaterEqual(time.monotonic() - started, 1.9)
+
+    def test_a_caller_that_leaves_cancels_its_request(self):
+        world = self.world(plain=[lambda *_: None])
+        connection = world.connect()
+        connection.sendall(request())
+        await_true(lambda: self.sent())
+        connection.close()
+        self.assertTrue(self.plain[0].left.wait(10))
+        await_true(lambda: world.in_progress() == 0)
+
+    def test_keys_and_routes(self):
+        world = self.world(plain=[replies(answer())])
+        self.assertIn(b" 401 ", world.exchange(request(key=b"other")))
+        self.assertIn(b" 404 ", world.exchange(request(b"/none/")))
+        self.assertEqual([], self.sent())
+
+
+class FramingTest(GatewayCase):
+    def refused(self, data, status):
+        world = self.world(plain=[replies(answer())])
+        with world.connect() as connection:
+            connection.sendall(data)
+            found = read_all(connection)
+        self.assertTrue(found.startswith(b"HTTP/1.1 %d " % status), found)
+        self.assertEqual([], self.sent())
+
+    def test_two_framings(self):
+        self.refused(request(headers=b"Transfer-Encoding: chunked\r\n"), 400)
+
+    def test_two_lengths(self):
+        self.refused(request(headers=b"Content-Length: 9\r\n"), 400)
+
+    def test_a_transfer_coding_that_is_not_known(self):
+        self.refused(request(body=b"").replace(b"Content-Length: 0", b"Transfer-Encoding: x"), 400)
+
+    def test_a_folded_header_field(self):
+        self.refused(request(headers=b"X-A: 1\r\n 2\r\n"), 400)
+
+    def test_white_space_before_a_colon(self):
+        self.refused(request(headers=b"X-A : 1\r\n"), 400)
+
+    def test_trailer_fields(self):
+        head = request(body=b"").replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+        self.refused(head + chunk(b"ab") + b"0\r\nX-A: 1\r\n\r\n", 400)
+
+    def test_two_hosts(self):
+        self.refused(request(headers=b"Host: other.example\r\n"), 400)
+
+    def test_a_large_head(self):
+        self.refused(request(headers=b"X-A: %s\r\n" % (b"a" * 5_000)), 431)
+
+    def test_a_large_body(self):
+        self.refused(request(body=b"a" * 10_001), 413)
+
+    def test_a_large_chunked_body(self):
+        head = request(body=b"").replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+        self.refused(head + chunk(b"a" * 10_001), 413)
+
+    def test_bytes_that_are_no_request(self):
+        self.refused(b"\x16\x03\x01 nonsense\r\n\r\n", 400)
+
+
+class StreamTest(GatewayCase):
+    def prompt(self, headers=b""):
+        return request(b"/quote/2f", headers=PROMPT_HEADERS + headers + b"Connection: close\r\n")
+
+    def ask(self, world):
+        with world.connect() as connection:
+            connection.sendall(self.prompt())
+            return read_all(connection)
+
+    def test_events_are_handed_on_as_they_come(self):
+        def script(connection, _request):
+            connection.sendall(STREAM_HEAD + chunk(event(1)))
+            time.sleep(0.2)
+            connection.sendall(chunk(event(2)) + b"0\r\n\r\n")
+
+        found = self.ask(self.world(engines=[script]))
+        self.assertIn(chunk(event(1)) + chunk(event(2)) + b"0\r\n\r\n", found)
+
+    def test_terms_of_a_prompt(self):
+        world = self.world(engines=[replies(STREAM_HEAD + chunk(event(1)) + b"0\r\n\r\n")])
+        self.ask(world)
+        (sent,) = self.sent()
+        for field in (
+            b"X-Expected-Version: 1",
+            b"X-Cache-Salt: m1~1",
+            b"X-Request-Urgency: 5",
+            b"X-Model: m1",
+            b"X-Prompt-Prefix: a:10,b:10,c:10",
+        ):
+            self.assertIn(field, sent)
+
+    def test_a_broken_stream_goes_on_elsewhere_without_a_gap(self):
+        def first(connection, _request):
+            connection.sendall(STREAM_HEAD + chunk(event(1) + b"id: 2\nda"))
+            time.sleep(0.05)
+            connection.shutdown(2)
+
+        def second(connection, sent):
+            start = 2 if b"Last-Event-Id: 1\r\n" in sent else 1
+            events = b"".join(chunk(event(n)) for n in range(start, 4))
+            connection.sendall(STREAM_HEAD + events + b"0\r\n\r\n")
+
+        def either(connection, sent):
+            (second if b"Last-Event-Id" in sent else first)(connection, sent)
+
+        found = self.ask(self.world(engines=[either, either]))
+        body = found.partition(b"\r\n\r\n")[2]
+        expected = b"".join(chunk(event(n)) for n in (1, 2, 3)) + b"0\r\n\r\n"
+        self.assertEqual(expected, body)
+        self.assertEqual(2, len(self.sent()))
+
+    def test_a_stream_that_cannot_be_finished_does_not_look_whole(self):
+        world = self.world(engines=[resets(STREAM_HEAD + chunk(event(1)))])
+        found = self.ask(world)
+        self.assertIn(event(1), found)
+        self.assertNotIn(b"\r\n0\r\n\r\n", found)
+        self.assertNotIn(b"HTTP/1.1 5", found)
+
+    def test_the_time_limit_in_mid_stream_adds_no_second_answer(self):
+        def script(connection, _request):
+            connection.sendall(STREAM_HEAD + chunk(event(1)))
+            for number in range(2, 60):
+                time.sleep(0.1)
+                connection.sendall(chunk(event(number)))
+
+        found = self.ask(self.world(engines=[script]))
+        self.assertEqual(1, found.count(b"HTTP/1.1"))
+        self.assertNotIn(b"\r\n0\r\n\r\n", found)
+
+    def test_an_engine_that_falls_silent_is_left(self):
+        def script(connection, sent):
+            if b"Last-Event-Id" not in sent:
+                connection.sendall(STREAM_HEAD + chunk(event(1)))
+                time.sleep(3)
+                return
+            connection.sendall(STREAM_HEAD + chunk(event(2)) + b"0\r\n\r\n")
+
+        found = self.ask(self.world(engines=[script, script]))
+        self.assertTrue(found.endswith(chunk(event(1)) + chunk(event(2)) + b"0\r\n\r\n"), found)
