--- a/bergamothill/process/fleet.py
+++ b/bergamothill/process/fleet.py
@@ -53,6 +53,12 @@
 SUSPECT_SILENCE_MS = 600
 """An engine with requests sends events every few ten ms, and pauses 300 ms for new weights."""
 
+STALL_SILENCE_MS = 1_000
+"""Waiting reads of events return within 700 ms, and 80 ms is an event's usual delay."""
+
+SEVERAL_STREAMS = 3
+SEVERAL_STREAMS_SHARE = 0.6
+
 OLD_WEIGHTS_FREE_MS = 1_100
 """Old weights cost nothing for 1.5 s after a version was named; it is read up to 400 ms later."""
 
@@ -68,7 +74,9 @@
     :param in_progress: requests that this entry instance has there
     :param tokens: prompt tokens of those
     :param unread_tokens: tokens that it has yet to read for those that have no first token
+    :param streaming: those of them whose answers have begun
     :param heard_ms: when bytes last came from it, or when it last had nothing to send us
+    :param is_reachable: whether the connection for its events holds, or was never opened
     :param rests_until_ms: not used before, unless nothing else is left
     :param failures: failures in a row
     :param is_gone: seen to have left, by its own answer
@@ -80,7 +88,9 @@
     in_progress: int = 0
     tokens: int = 0
     unread_tokens: int = 0
+    streaming: int = 0
     heard_ms: int = 0
+    is_reachable: bool = True
     rests_until_ms: int = 0
     failures: int = 0
     is_gone: bool = False
@@ -227,6 +237,38 @@
             if belief.entry.address == address:
                 belief.heard_ms = now_ms
 
+    def set_reachable(self, address: str, is_reachable: bool) -> None:
+        """Note that the connection for a server's events is lost or back."""
+        for belief in self._beliefs.values():
+            if belief.entry.address == address:
+                belief.is_reachable = is_reachable
+
+    def stream_began(self, server: ServerId) -> None:
+        """Note that the answer of a request has begun."""
+        belief = self._beliefs.get(server)
+        if belief is not None:
+            belief.streaming += 1
+
+    def stream_ended(self, server: ServerId) -> None:
+        """Note that an answer that had begun is over."""
+        belief = self._beliefs.get(server)
+        if belief is not None:
+            belief.streaming = max(0, belief.streaming - 1)
+
+    def has_stalled(self, server: ServerId, now_ms: int) -> bool:
+        """Tell whether a server has been silent for so long that its streams go on elsewhere."""
+        silence_ms = self.silence_ms(server, now_ms)
+        return silence_ms >= STALL_SILENCE_MS * self._evidence(server)
+
+    def _evidence(self, server: ServerId) -> float:
+        """Return the share of a bound on silence that tells enough.
+
+        Several streams that pause together tell sooner than one.
+        """
+        belief = self._beliefs.get(server)
+        several = belief is not None and belief.streaming >= SEVERAL_STREAMS
+        return SEVERAL_STREAMS_SHARE if several else 1.0
+
     def silence_ms(self, server: ServerId, now_ms: int) -> int:
         """Return how long a server with requests of ours has sent nothing at all."""
         belief = self._beliefs.get(server)
@@ -370,7 +412,9 @@
         return tokens <= share * traits.memory_tokens
 
     def _is_silent(self, belief: ServerBelief, now_ms: int) -> bool:
-        return self.silence_ms(belief.entry.server, now_ms) >= SUSPECT_SILENCE_MS
+        server = belief.entry.server
+        bound_ms = SUSPECT_SILENCE_MS * self._evidence(server)
+        return not belief.is_reachable or self.silence_ms(server, now_ms) >= bound_ms
 
     def _plain_cost(self, belief: ServerBelief) -> tuple[float, str]:
         other_zone = OTHER_ZONE_COST if belief.entry.zone != self._zone else 0.0
--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -41,9 +41,6 @@
 STALE_RETRY_MS = 300
 SILENCE_CHECK_MS = 100
 
-STALL_SILENCE_MS = 1_000
-"""Waiting reads of events return within 700 ms, and 80 ms is an event's usual delay."""
-
 UNKNOWN_INSTANCES = 16
 """Entry instances that the retry slack is divided by until their number is known."""
 
@@ -247,6 +244,7 @@
         self._task: asyncio.Task[ExchangeResult] | None = None
         self._server = ServerId("")
         self._is_stalled = False
+        self._is_streaming = False
         self._forwarding = Forwarding(
             request,
             route,
@@ -271,6 +269,9 @@
         self._forwarding.stream_started = self._relay.stream_started
 
     def _note_bytes(self) -> None:
+        if not self._is_streaming:
+            self._is_streaming = True
+            self._fleet.stream_began(self._server)
         self._fleet.heard(self._server, self._clock.now_ms())
 
     def _note_read(self) -> None:
@@ -324,6 +325,9 @@
             result = await self._exchange(send)
         finally:
             self._note_read()
+            if self._is_streaming:
+                self._is_streaming = False
+                self._fleet.stream_ended(server)
             self._fleet.ended(server, tokens)
             keeper.room_changed()
         now_ms = self._clock.now_ms()
@@ -363,7 +367,7 @@
         """Give the attempt up if its server has fallen silent and another can go on."""
         if self._task is None or not self._route.may_repeat or self._service.engine is None:
             return
-        if self._fleet.silence_ms(self._server, now_ms) >= STALL_SILENCE_MS:
+        if self._fleet.has_stalled(self._server, now_ms):
             self._is_stalled = True
             self._task.cancel()
 
--- a/bergamothill/process/keptlistener.py
+++ b/bergamothill/process/keptlistener.py
@@ -27,9 +27,17 @@
     :param index: index to keep
     :param clock: source of time
     :param on_reply: told the address of each engine or store that answered
+    :param on_link: told when the connection to an address is lost (False) or back (True)
     """
 
-    def __init__(self, index: KeptIndex, clock: Clock, on_reply: Callable[[str], None]) -> None:
+    def __init__(
+        self,
+        index: KeptIndex,
+        clock: Clock,
+        on_reply: Callable[[str], None],
+        on_link: Callable[[str, bool], None],
+    ) -> None:
+        self._on_link = on_link
         self._index = index
         self._clock = clock
         self._on_reply = on_reply
@@ -62,11 +70,13 @@
                 except BergamothillError as error:
                     if is_linked is not False:
                         _log.info("source_lost", address=address, reason=error.message)
+                        self._on_link(address, False)
                     is_linked = False
                     await asyncio.sleep(seconds(FAULT_PAUSE_MS))
                 else:
                     if is_linked is False:
                         _log.info("source_back", address=address)
+                        self._on_link(address, True)
                     is_linked = True
         finally:
             connection.close()
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -81,7 +81,7 @@
         self._config = ConfigBelief(bounds.key_revocation_ms, is_strict=bounds.is_revocation_strict)
         self._kept = KeptIndex()
         self._planner = ContextPlanner(self._kept)
-        self._listener = KeptListener(self._kept, clock, self._note_source)
+        self._listener = KeptListener(self._kept, clock, self._note_source, self._note_source_link)
         peer_loads = PeerLoads()
         self._fleet = Fleet(settings.zone, bounds.weights_due_ms, self._planner, peer_loads)
         self._exchange = LoadExchange(
@@ -300,6 +300,9 @@
     def _note_source(self, address: str) -> None:
         self._fleet.heard_at(address, self._clock.now_ms())
 
+    def _note_source_link(self, address: str, is_linked: bool) -> None:
+        self._fleet.set_reachable(address, is_linked)
+
     def _note_unreadable(self, entry: KeyValueEntry, error: ProtocolError) -> None:
         if entry.key not in self._unreadable:
             self._unreadable.add(entry.key)
