--- a/bergamothill/process/beliefs.py
+++ b/bergamothill/process/beliefs.py
@@ -55,6 +55,14 @@
         self.table: RouteTable | None = None
         self.revision = 0
         self._confirmed_ms: int | None = None
+        self.set_bound(revocation_ms, is_strict=is_strict)
+
+    def set_bound(self, revocation_ms: int, *, is_strict: bool) -> None:
+        """Set how long keys are trusted.
+
+        :param revocation_ms: time after which a removed key admits nothing
+        :param is_strict: keys count only while the configuration is known to be that fresh
+        """
         self._bound_ms = max(1, revocation_ms - REVOCATION_MARGIN_MS)
         self._is_strict = is_strict
 
--- a/bergamothill/process/daemon.py
+++ b/bergamothill/process/daemon.py
@@ -53,7 +53,7 @@
         print(f"{arguments.settings}: ok")
         return EXIT_OK
     if isinstance(settings, NodeSettings):
-        return _serve_on_platform(settings)
+        return _serve_on_platform(settings, arguments.settings)
     return _serve(settings)
 
 
@@ -61,11 +61,11 @@
     return load_node_settings(path) if is_node_settings(path) else load_settings(path)
 
 
-def _serve_on_platform(settings: NodeSettings) -> int:
+def _serve_on_platform(settings: NodeSettings, path: str) -> int:
     # The two forms share few modules; each loads only its own, since memory is priced.
     from bergamothill.process.platformnode import serve
 
-    serve(settings)
+    serve(settings, path)
     return EXIT_OK
 
 
--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -80,6 +80,11 @@
         self._draining = False
         self._instances = UNKNOWN_INSTANCES
 
+    def set_bounds(self, bounds: DeploymentBounds) -> None:
+        """Take over bounds that a reload changed."""
+        self._bounds = bounds
+        self._shares.clear()
+
     def set_instances(self, instances: int) -> None:
         """Set the number of entry instances that share the retry slack.
 
@@ -170,6 +175,7 @@
         try:
             await run.drive()
         except asyncio.CancelledError:
+            run.note_open_attempt()
             run.log("caller_left", 0)
             raise
         finally:
@@ -241,6 +247,7 @@
         self._first_ms: int | None = None
         self._unread: tuple[ServerId, int] | None = None
         self._trail: list[str] = []
+        self._open: tuple[ServerId, int] | None = None
         self._task: asyncio.Task[ExchangeResult] | None = None
         self._server = ServerId("")
         self._is_stalled = False
@@ -290,9 +297,17 @@
                         self._attempt(step) if isinstance(step, Send) else self._wait(step)
                     )
         except TimeoutError:
+            self.note_open_attempt()
             step = self._forwarding.expired(self._clock.now_ms())
         self._end(step)
 
+    def note_open_attempt(self) -> None:
+        """Add an attempt that was given up to what the log shows."""
+        if self._open is not None:
+            server, started_ms = self._open
+            self._trail.append(f"{server}:given_up:0:{self._clock.now_ms() - started_ms}ms")
+            self._open = None
+
     async def _wait(self, hold: Hold) -> ForwardStep:
         """Wait in the line for room at the engines."""
         keeper = self._gateway.line(self._service.name)
@@ -316,6 +331,7 @@
         relay, server = self._relay, send.server.server
         relay.begin_attempt()
         started_ms = self._clock.now_ms()
+        self._open = (server, started_ms)
         tokens = self._request.prompt_tokens
         self._unread = (server, send.terms.unread_tokens)
         self._fleet.started(server, tokens, send.terms.unread_tokens, started_ms)
@@ -330,6 +346,7 @@
                 self._fleet.stream_ended(server)
             self._fleet.ended(server, tokens)
             keeper.room_changed()
+        self._open = None
         now_ms = self._clock.now_ms()
         outcome = self._outcome(result.end)
         status = relay.head.status if relay.head is not None else 0
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -24,6 +24,7 @@
     decode_goal,
 )
 from bergamothill.platform.servers import SERVER_PREFIX, decode_server
+from bergamothill.platform.settings import load_node_settings
 from bergamothill.platform.store import PlatformKeyValueService
 from bergamothill.process.beliefs import ConfigBelief
 from bergamothill.process.boundedlog import install_bounded_log
@@ -70,10 +71,12 @@
     """One entry instance.
 
     :param settings: checked settings
+    :param settings_path: file that they came from
     :param clock: source of time
     """
 
-    def __init__(self, settings: NodeSettings, clock: Clock) -> None:
+    def __init__(self, settings: NodeSettings, settings_path: str, clock: Clock) -> None:
+        self._settings_path = settings_path
         bounds = settings.bounds
         self._settings = settings
         self._clock = clock
@@ -311,7 +314,21 @@
     # Planned stop.
 
     def _reload(self) -> None:
-        _log.info("reload", detail="settings take effect at a restart")
+        """Take over bounds from the settings file; addresses change with a restart only."""
+        try:
+            settings = load_node_settings(self._settings_path)
+        except ExceptionGroup as group:
+            faults = "; ".join(str(fault) for fault in group.exceptions)
+            _log.warning("reload_refused", faults=faults)
+            return
+        changed = settings != self._settings
+        if settings.bounds != self._settings.bounds:
+            self._gateway.set_bounds(settings.bounds)
+            self._config.set_bound(
+                settings.bounds.key_revocation_ms, is_strict=settings.bounds.is_revocation_strict
+            )
+        self._settings = settings
+        _log.info("reload", changed=changed)
 
     async def _drain(self, callers: asyncio.Server) -> None:
         started_ms = self._clock.now_ms()
@@ -336,14 +353,15 @@
     """Keep no account of the connections of checks."""
 
 
-def serve(settings: NodeSettings) -> None:
+def serve(settings: NodeSettings, settings_path: str) -> None:
     """Run an entry instance until it is told to stop.
 
     :param settings: checked settings
+    :param settings_path: file that they came from
     """
     clock = SystemClock()
     handler = install_bounded_log(clock, "info")
     _log.info("started", entry=settings.entry, zone=settings.zone, caller=settings.caller_address)
-    asyncio.run(PlatformNode(settings, clock).run())
+    asyncio.run(PlatformNode(settings, settings_path, clock).run())
     _log.info("stopped", entry=settings.entry)
     handler.close()
