Wait after an outage only for servers that the list has not shown since

The entry vanished 0.2 s after the first list that followed a cut of the entry instance from the store; the grace for lapsed entries took it for one of these. The grace also ended only with a later read of the list. Ruled out: a late read (age 8 ms), a lost watch (reads come each 0.9 s). Change: the grace is for servers missing since the first list after the return, and ends by the clock. tests.test_fleet has both, red before.

--- a/bergamothill/process/fleet.py
+++ b/bergamothill/process/fleet.py
@@ -80,7 +80,8 @@
     :param rests_until_ms: not used before, unless nothing else is left
     :param failures: failures in a row
     :param is_gone: seen to have left, by its own answer
-    :param missing_since_ms: when the list lost it; None while it is listed
+    :param listed_ms: when a list that shows it was last asked for
+    :param gone_ms: from when on it counts as gone since the list lost it; None while it is listed
     :param weights: weight versions seen in answers, which may be newer than the list
     """
 
@@ -94,9 +95,15 @@
     rests_until_ms: int = 0
     failures: int = 0
     is_gone: bool = False
-    missing_since_ms: int | None = None
+    listed_ms: int = 0
+    gone_ms: int | None = None
     weights: dict[ModelName, int] | None = None
 
+    def is_usable(self, now_ms: int) -> bool:
+        """Tell whether the server may get new work."""
+        is_listed = self.gone_ms is None or now_ms < self.gone_ms
+        return is_listed and not self.entry.is_leaving and not self.is_gone
+
     def weight_version(self, model: ModelName) -> int | None:
         """Return the newest version that the server is known to have."""
         listed = self.entry.weights.get(model)
@@ -128,14 +135,15 @@
         self._weights_due_ms = weights_due_ms
         self._beliefs: dict[ServerId, ServerBelief] = {}
         self._by_service: dict[ServiceName, list[ServerBelief]] = {}
-        self._grace_until_ms = 0
+        self._has_returned = False
+        self._returned_ms = 0
         self.goals: dict[ModelName, WeightGoal] = {}
         self._named_ms: dict[ModelName, int] = {}
         self.listed_ms: int | None = None
 
-    def store_returned(self, now_ms: int) -> None:
-        """Keep servers that the list lost until the entries that lapsed are back."""
-        self._grace_until_ms = now_ms + RETURN_GRACE_MS
+    def store_returned(self) -> None:
+        """Keep servers that the next list lacks until the entries that lapsed are back."""
+        self._has_returned = True
 
     def apply_list(self, entries: Iterable[BackendServer], sent_ms: int, now_ms: int) -> list[str]:
         """Take over the list of servers.
@@ -146,30 +154,24 @@
         :returns: what changed, for the log
         """
         self.listed_ms = sent_ms
+        if self._has_returned:
+            self._has_returned, self._returned_ms = False, sent_ms
         listed = {entry.server: entry for entry in entries}
         changes = []
         for server, entry in listed.items():
-            changes += self._take_entry(server, entry)
+            changes += self._take_entry(server, entry, sent_ms)
         for server, belief in list(self._beliefs.items()):
-            if server in listed:
-                continue
-            if belief.missing_since_ms is None:
-                belief.missing_since_ms = now_ms
-                changes.append(f"{server}:missing")
-            if now_ms >= self._grace_until_ms or belief.entry.is_leaving:
-                if belief.in_progress == 0:
-                    del self._beliefs[server]
-                belief.is_gone = True
+            if server not in listed:
+                changes += self._miss_entry(server, belief, now_ms)
         self._index()
         return changes
 
-    def _take_entry(self, server: ServerId, entry: BackendServer) -> list[str]:
+    def _take_entry(self, server: ServerId, entry: BackendServer, sent_ms: int) -> list[str]:
         belief = self._beliefs.get(server)
         if belief is None or belief.entry.started_wall_ms != entry.started_wall_ms:
-            self._beliefs[server] = ServerBelief(entry)
+            self._beliefs[server] = ServerBelief(entry, listed_ms=sent_ms)
             return [f"{server}:{'new' if belief is None else 'restarted'}"]
-        if belief.missing_since_ms is not None:
-            belief.missing_since_ms, belief.is_gone = None, False
+        belief.listed_ms, belief.gone_ms = sent_ms, None
         changes = []
         if entry.is_leaving and not belief.entry.is_leaving:
             changes.append(f"{server}:leaving")
@@ -180,6 +182,21 @@
         belief.entry = entry
         return changes
 
+    def _miss_entry(self, server: ServerId, belief: ServerBelief, now_ms: int) -> list[str]:
+        """Take that the list does not show a server.
+
+        Its entry may have lapsed in an outage of the key-value service, and come back, only if it
+        has not been listed since the service returned.
+        """
+        changes = []
+        if belief.gone_ms is None:
+            may_return = belief.listed_ms < self._returned_ms and not belief.entry.is_leaving
+            belief.gone_ms = self._returned_ms + RETURN_GRACE_MS if may_return else now_ms
+            changes.append(f"{server}:missing")
+        if now_ms >= belief.gone_ms and belief.in_progress == 0:
+            del self._beliefs[server]
+        return changes
+
     def _index(self) -> None:
         self._by_service = {}
         engines = (b.entry for b in self._beliefs.values() if b.entry.weights and not b.is_gone)
@@ -191,13 +208,9 @@
         """Return what is believed of a server."""
         return self._beliefs.get(server)
 
-    def usable(self, service: ServiceName) -> list[ServerBelief]:
+    def usable(self, service: ServiceName, now_ms: int) -> list[ServerBelief]:
         """Return the servers of a service that may get new work."""
-        return [
-            belief
-            for belief in self._by_service.get(service, ())
-            if not belief.entry.is_leaving and not belief.is_gone
-        ]
+        return [b for b in self._by_service.get(service, ()) if b.is_usable(now_ms)]
 
     def name_weights(self, goal: WeightGoal, now_ms: int) -> bool:
         """Take over a version that the operator named.
@@ -218,7 +231,7 @@
             SwapEngine(b.entry.server, b.entry.started_wall_ms, b.entry.address, model, version)
             for beliefs in self._by_service.values()
             for b in beliefs
-            if not b.entry.is_leaving and not b.is_gone
+            if not b.entry.is_leaving and not b.is_gone and b.gone_ms is None
             for model in b.entry.weights
             if (version := b.weight_version(model)) is not None
         )
@@ -374,7 +387,7 @@
 
         Implements :class:`~bergamothill.request.forwarding.ServerChooser`.
         """
-        usable = self.usable(service.name)
+        usable = self.usable(service.name, now_ms)
         if not usable:
             return None
         candidates = [b for b in usable if b.entry.server not in avoided]
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -142,8 +142,8 @@
         loop.add_signal_handler(signal.SIGINT, stopped.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         followers = [
-            self._follower(OPERATOR_PREFIX, self._take_operator),
-            self._follower(SERVER_PREFIX, self._take_servers),
+            self._follower(OPERATOR_PREFIX, self._take_operator, self._note_link),
+            self._follower(SERVER_PREFIX, self._take_servers, self._note_list_link),
         ]
         for follower in followers:
             follower.start()
@@ -171,14 +171,19 @@
             task.cancel()
         swaps.join(timeout=seconds(EXIT_MARGIN_MS // 2))
 
-    def _follower(self, prefix: str, take: Callable[[Snapshot], None]) -> StoreFollower:
+    def _follower(
+        self,
+        prefix: str,
+        take: Callable[[Snapshot], None],
+        note_link: Callable[[bool], None],
+    ) -> StoreFollower:
         call = self._loop.call_soon_threadsafe
         return StoreFollower(
             self._kvs,
             self._clock,
             prefix,
             on_snapshot=lambda snapshot: call(take, snapshot),
-            on_link=lambda is_linked: call(self._note_link, is_linked),
+            on_link=lambda is_linked: call(note_link, is_linked),
         )
 
     def _registry(self) -> Registry:
@@ -232,8 +237,11 @@
 
     def _note_link(self, is_linked: bool) -> None:
         self._metrics.count("store_link", state="back" if is_linked else "lost")
+
+    def _note_list_link(self, is_linked: bool) -> None:
+        self._note_link(is_linked)
         if is_linked:
-            self._fleet.store_returned(self._clock.now_ms())
+            self._fleet.store_returned()
 
     def _take_operator(self, snapshot: Snapshot) -> None:
         for entry in snapshot.entries:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -43,16 +43,22 @@
 
     def test_entries_that_lapsed_in_an_outage_are_waited_for(self):
         beliefs = fleet(backend("s1"))
-        beliefs.store_returned(1_000)
+        beliefs.store_returned()
         beliefs.apply_list([], 1_000, 1_000)
-        self.assertEqual("s1", chosen(beliefs, 1_100))
         later_ms = 1_000 + RETURN_GRACE_MS
-        beliefs.apply_list([], later_ms, later_ms)
+        self.assertEqual("s1", chosen(beliefs, later_ms - 1))
         self.assertIsNone(chosen(beliefs, later_ms))
 
+    def test_a_server_that_was_listed_since_the_return_is_not_waited_for(self):
+        beliefs = fleet(backend("s1"), backend("s2"))
+        beliefs.store_returned()
+        beliefs.apply_list([backend("s1"), backend("s2")], 1_000, 1_020)
+        beliefs.apply_list([backend("s2")], 1_900, 1_910)
+        self.assertEqual("s2", chosen(beliefs, 1_910))
+
     def test_a_leaving_server_is_not_waited_for(self):
         beliefs = fleet(backend("s1", is_leaving=True))
-        beliefs.store_returned(1_000)
+        beliefs.store_returned()
         beliefs.apply_list([], 1_000, 1_000)
         self.assertIsNone(chosen(beliefs, 1_100))
 
