Let those come first in the line that can still be answered in time

Change: among equally urgent requests those that can still be in time go first. Load: slightly more than the engines' memory carries, for long.

--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -312,15 +312,18 @@
         """Wait in the line for room at the engines."""
         keeper = self._gateway.line(self._service.name)
         arrived_ms = self._request.raw.arrived_ms
-        waiting = WaitingRequest(hold.urgency, arrived_ms, hold.tokens, hold.leaves_ms)
+        waiting = WaitingRequest(
+            hold.urgency, arrived_ms, hold.tokens, hold.timely_until_ms, hold.leaves_ms
+        )
         started_ms = self._clock.now_ms()
         step: ForwardStep = hold
         if keeper.line.join(waiting, started_ms):
             try:
                 while isinstance(step, Hold) and self._clock.now_ms() < hold.leaves_ms:
                     await keeper.wait_turn(waiting)
-                    if keeper.line.head() is waiting:
-                        step = self._forwarding.retry(self._clock.now_ms())
+                    now_ms = self._clock.now_ms()
+                    if keeper.line.head(now_ms) is waiting:
+                        step = self._forwarding.retry(now_ms)
             finally:
                 keeper.leave(waiting)
         now_ms = self._clock.now_ms()
--- a/bergamothill/process/linekeeper.py
+++ b/bergamothill/process/linekeeper.py
@@ -44,6 +44,6 @@
 
     def room_changed(self) -> None:
         """Let the first in the line try."""
-        head = self.line.head()
+        head = self.line.head(self._clock.now_ms())
         if head is not None and id(head) in self._turns:
             self._turns[id(head)].set()
--- a/bergamothill/request/forwarding.py
+++ b/bergamothill/request/forwarding.py
@@ -48,7 +48,10 @@
 the longest pause that is on time, whichever is longest."""
 
 FIRST_EVENT_MS = 300
-"""Time that an engine with room takes up to the first event."""
+"""Time that an engine with room takes up to the first event, at most."""
+
+USUAL_FIRST_EVENT_MS = 150
+"""Time that it takes as a rule."""
 
 LEAST_URGENT = 9
 RANKS_PER_BRAND_RANK = 3
@@ -112,11 +115,13 @@
 
     :param urgency: place in the line; 0 comes first
     :param tokens: memory that is needed
+    :param timely_until_ms: until when the objective can still be met
     :param leaves_ms: when waiting is of no use any more
     """
 
     urgency: int
     tokens: int
+    timely_until_ms: int
     leaves_ms: int
 
 
@@ -238,10 +243,13 @@
     def _hold(self, now_ms: int, last_event_id: str) -> ForwardStep:
         self._held_event_id = last_event_id
         request = self._request
-        leaves_ms = request.raw.arrived_ms + _silence_ms(self._route) - FIRST_EVENT_MS
+        route = self._route
+        start_ms, target_ms = request.raw.arrived_ms, route.target_ms
         if self.stream_started:
-            leaves_ms = now_ms + _silence_ms(self._route) - FIRST_EVENT_MS
-        return Hold(self._urgency, request.prompt_tokens, min(leaves_ms, self.due_ms))
+            start_ms, target_ms = now_ms, route.event_gap_ms
+        leaves_ms = min(start_ms + _silence_ms(route) - FIRST_EVENT_MS, self.due_ms)
+        timely_until_ms = start_ms + target_ms - USUAL_FIRST_EVENT_MS
+        return Hold(self._urgency, request.prompt_tokens, timely_until_ms, leaves_ms)
 
     def _again(self, now_ms: int, last_event_id: str, *, is_repeat: bool) -> ForwardStep:
         if len(self.attempts.servers) >= MAX_SENDS:
--- a/bergamothill/request/waitingline.py
+++ b/bergamothill/request/waitingline.py
@@ -6,9 +6,8 @@
 
 from __future__ import annotations
 
-import heapq
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 __all__ = ["WaitingLine", "WaitingRequest"]
 
@@ -19,32 +18,42 @@
 """Admissions in the window below which the rate says nothing."""
 
 
-@dataclass(order=True, slots=True)
+@dataclass(slots=True, eq=False)
 class WaitingRequest:
     """A request that waits.
 
     :param urgency: 0 comes first
     :param arrived_ms: when it arrived
     :param tokens: memory that it needs at an engine
+    :param timely_until_ms: until when an engine can still answer it within its objective
     :param leaves_ms: when its caller gives up if nothing was sent to it
     """
 
     urgency: int
     arrived_ms: int
-    tokens: int = field(compare=False)
-    leaves_ms: int = field(compare=False)
-    is_over: bool = field(default=False, compare=False)
+    tokens: int
+    timely_until_ms: int
+    leaves_ms: int
+
+    def place(self, now_ms: int) -> tuple[int, bool, int]:
+        """Return the request's place in the line; lower comes first."""
+        return (self.urgency, now_ms > self.timely_until_ms, self.arrived_ms)
 
 
 class WaitingLine:
-    """Line of one service at one entry instance, by urgency and arrival."""
+    """Line of one service at one entry instance.
+
+    Urgency comes first. Among equals those that can still be answered within their objective come
+    before those that are late anyway; each group is served in order of arrival. First come, first
+    served alone would make all of them late once the line is as long as the objective.
+    """
 
     def __init__(self) -> None:
-        self._heap: list[WaitingRequest] = []
+        self._waiting: list[WaitingRequest] = []
         self._admitted: deque[tuple[int, int]] = deque()
 
     def __len__(self) -> int:
-        return sum(not request.is_over for request in self._heap)
+        return len(self._waiting)
 
     def join(self, request: WaitingRequest, now_ms: int) -> bool:
         """Let a request wait.
@@ -53,23 +62,17 @@
         """
         if now_ms + self._expected_wait_ms(request, now_ms) >= request.leaves_ms:
             return False
-        heapq.heappush(self._heap, request)
+        self._waiting.append(request)
         return True
 
-    def head(self) -> WaitingRequest | None:
+    def head(self, now_ms: int) -> WaitingRequest | None:
         """Return the request that comes next; it stays in the line."""
-        while self._heap and self._heap[0].is_over:
-            heapq.heappop(self._heap)
-        return self._heap[0] if self._heap else None
+        return min(self._waiting, key=lambda request: request.place(now_ms), default=None)
 
     def leave(self, request: WaitingRequest) -> None:
         """Take a request out of the line."""
-        request.is_over = True
-
-    def is_behind(self, urgency: int) -> bool:
-        """Tell whether a new request of this urgency has to wait behind others."""
-        head = self.head()
-        return head is not None and head.urgency <= urgency
+        if request in self._waiting:
+            self._waiting.remove(request)
 
     def admitted(self, tokens: int, now_ms: int) -> None:
         """Count a request that was sent to an engine."""
@@ -84,6 +87,7 @@
         self._drop_old(now_ms)
         if len(self._admitted) < LEAST_ADMISSIONS:
             return 0.0
-        before = sum(r.tokens for r in self._heap if not r.is_over and r < request)
+        place = request.place(now_ms)
+        before = sum(r.tokens for r in self._waiting if r.place(now_ms) < place)
         rate = sum(tokens for _, tokens in self._admitted) / RATE_WINDOW_MS
         return before / rate if rate > 0 else 0.0
--- a/tests/test_waitingline.py
+++ b/tests/test_waitingline.py
@@ -14,8 +14,8 @@
 LLM = routing_config().services["llm"]
 
 
-def waiting(urgency=0, arrived_ms=0, tokens=1_000, leaves_ms=2_000):
-    return WaitingRequest(urgency, arrived_ms, tokens, leaves_ms)
+def waiting(urgency=0, arrived_ms=0, tokens=1_000, timely_until_ms=10**9, leaves_ms=2_000):
+    return WaitingRequest(urgency, arrived_ms, tokens, timely_until_ms, leaves_ms)
 
 
 class LineTest(unittest.TestCase):
@@ -25,11 +25,22 @@
         for request in (late, early, urgent):
             self.assertTrue(line.join(request, 20))
         order = []
-        while (head := line.head()) is not None:
+        while (head := line.head(20)) is not None:
             order.append(head)
             line.leave(head)
         self.assertEqual([urgent, early, late], order)
 
+    def test_who_is_late_anyway_comes_after_those_who_are_not(self):
+        line = WaitingLine()
+        late, timely = waiting(arrived_ms=1, timely_until_ms=400), waiting(arrived_ms=300)
+        line.join(late, 300)
+        line.join(timely, 300)
+        self.assertIs(late, line.head(400))
+        self.assertIs(timely, line.head(401))
+        line.join(waiting(urgency=1, arrived_ms=300), 401)
+        line.leave(timely)
+        self.assertIs(late, line.head(401))
+
     def test_who_cannot_get_in_before_leaving_is_told_at_once(self):
         line = WaitingLine()
         for now_ms in range(0, 2_000, 100):
