--- a/bergamothill/platform/config.py
+++ b/bergamothill/platform/config.py
@@ -124,7 +124,6 @@
         link_mbps=fields.number("linkMbps", 0),
         models=tuple(ModelName(name) for name in models),
         event_listeners=fields.integer("maxConcurrent", 0),
-        copies_runs=fields.flag("backups", False),
     )
 
 
--- a/bergamothill/platform/requests.py
+++ b/bergamothill/platform/requests.py
@@ -143,10 +143,6 @@
         fields.append(("X-Kv-Until", terms.fetch_until_ms))
     if any(terms.save_to):
         fields.append(("X-Kv-Save-Target", _addresses(terms.save_to)))
-    if terms.copy_to:
-        fields.append(("X-Kv-Backup", terms.copy_to))
-    if terms.copied_from:
-        fields.append(("Kv-From", terms.copied_from))
     if terms.last_event_id:
         fields.append(("Last-Event-Id", terms.last_event_id))
     return fields
--- a/bergamothill/process/fleet.py
+++ b/bergamothill/process/fleet.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from bergamothill.ids import ModelName, ServerId, ServiceName, ZoneName
 from bergamothill.process.backends import BackendServer
@@ -483,43 +483,12 @@
             fetch_from=plan.fetch_from,
             save_to=self._planner.saves(request, salt, now_ms),
             fetch_until_ms=plan.fetch_until_ms,
-            copy_to=self._copy_target(belief, candidates, traits),
             unread_tokens=plan.read_tokens,
             held_tokens=plan.held_tokens,
             fetched_tokens=plan.fetched_tokens,
         )
         return (belief.entry, terms)
 
-    def _copy_target(
-        self, chosen: ServerBelief, candidates: list[ServerBelief], traits: EngineTraits
-    ) -> str:
-        """Return the engine that a run is copied to; in reach of this zone, if there is one."""
-        others = [b for b in candidates if b is not chosen]
-        if not traits.copies_runs or not others:
-            return ""
-
-        def rank(belief: ServerBelief) -> tuple[bool, int]:
-            load = belief.tokens + self._peer_loads.at(belief.entry.server).tokens
-            return (belief.entry.zone != self._zone, load)
-
-        return min(others, key=rank).entry.address
-
-    def holder_of_copy(
-        self, address: str, terms: ForwardTerms, now_ms: int
-    ) -> tuple[BackendServer, ForwardTerms] | None:
-        """Return the engine that holds a copy of a run, and the terms to go on with it."""
-        for belief in self._beliefs.values():
-            entry = belief.entry
-            if entry.address != address or not belief.is_usable(now_ms):
-                continue
-            if terms.weight_version not in {belief.weight_version(m) for m in entry.weights}:
-                return None
-            return (
-                entry,
-                replace(terms, server=entry.server, copy_to="", fetch_from=(), save_to=()),
-            )
-        return None
-
     def _first_token_ms(
         self,
         belief: ServerBelief,
--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -253,7 +253,6 @@
         self._task: asyncio.Task[ExchangeResult] | None = None
         self._server = ServerId("")
         self._is_stalled = False
-        self._has_copy = False
         self._is_streaming = False
         self._forwarding = Forwarding(
             request,
@@ -368,7 +367,6 @@
         """Carry out an attempt; one at a server that fell silent is given up."""
         self._is_stalled = False
         self._server = send.server.server
-        self._has_copy = bool(send.terms.copy_to)
         task = asyncio.ensure_future(
             exchange(
                 send.server.address,
@@ -389,9 +387,7 @@
 
     def check_silence(self, now_ms: int) -> None:
         """Give the attempt up if its server has fallen silent and another can go on."""
-        if self._task is None or self._service.engine is None:
-            return
-        if not self._route.may_repeat and not self._has_copy:
+        if self._task is None or not self._route.may_repeat or self._service.engine is None:
             return
         if self._fleet.has_stalled(self._server, now_ms):
             self._is_stalled = True
--- a/bergamothill/request/callerrequest.py
+++ b/bergamothill/request/callerrequest.py
@@ -94,8 +94,6 @@
     :param fetch_until_ms: instant after which a fetch is discarded, on the servers' clock; 0 for
         none
     :param last_event_id: event after which the stream goes on; empty for its start
-    :param copy_to: address of the engine that the run is copied to while it goes on; empty for none
-    :param copied_from: engine that holds a copy of the run, and the run's request; empty for none
     :param unread_tokens: tokens that the server is expected to read; not sent
     :param held_tokens: tokens that it is expected to hold; not sent
     :param fetched_tokens: tokens that it is expected to fetch; not sent
@@ -111,8 +109,6 @@
     save_to: tuple[str, ...] = ()
     fetch_until_ms: int = 0
     last_event_id: str = ""
-    copy_to: str = ""
-    copied_from: str = ""
     unread_tokens: int = 0
     held_tokens: int = 0
     fetched_tokens: int = 0
--- a/bergamothill/request/forwarding.py
+++ b/bergamothill/request/forwarding.py
@@ -146,22 +146,10 @@
     ) -> tuple[BackendServer, ForwardTerms] | NoRoom | None:
         """Return a server and the terms for it, or None when there is none.
 
-        A stream that may not be repeated is copied to a second engine where engines can do it.
-
         :param urgency: 0 comes first; the less urgent, the more room has to be left
         :param avoided: servers that failed the request already; used only when nothing else is left
         """
 
-    def holder_of_copy(
-        self, address: str, terms: ForwardTerms, now_ms: int
-    ) -> tuple[BackendServer, ForwardTerms] | None:
-        """Return the engine at an address, and terms on which it goes on with a copied run.
-
-        :param address: engine that the run was copied to
-        :param terms: terms of the run
-        :returns: None when the engine has left or has other weights
-        """
-
 
 class Forwarding:
     """One request on its way.
@@ -211,15 +199,11 @@
     def not_connected(self, send: Send, now_ms: int) -> ForwardStep:
         """Take that no byte was sent; another server costs nothing."""
         self.attempts.failed(send.attempt, _NOT_RUN)
-        if send.terms.copied_from:
-            return self._give_up(now_ms, Reason.BROKEN)
         return self._again(now_ms, send.terms.last_event_id, is_repeat=False)
 
     def refused(self, send: Send, now_ms: int) -> ForwardStep:
         """Take that the server did not run the request."""
         self.attempts.failed(send.attempt, _NOT_RUN)
-        if send.terms.copied_from:
-            return self._give_up(now_ms, Reason.BROKEN)
         return self._again(now_ms, send.terms.last_event_id, is_repeat=True)
 
     def broken(self, send: Send, now_ms: int, *, last_event_id: str) -> ForwardStep:
@@ -229,8 +213,6 @@
         """
         self.attempts.failed(send.attempt, _UNKNOWN)
         self._runs += 1
-        if not self._route.may_repeat and send.terms.copy_to and not send.terms.copied_from:
-            return self._from_copy(send, now_ms, last_event_id)
         if not self._route.may_repeat or self._runs >= self._route.most_servers:
             return self._give_up(now_ms, Reason.BROKEN)
         if self.stream_started and not last_event_id:
@@ -287,25 +269,6 @@
         if isinstance(chosen, NoRoom):
             return self._hold(now_ms, last_event_id)
         server, terms = chosen
-        if self._route.may_repeat:
-            terms.copy_to = ""
-        return self._begin(server, terms, now_ms, last_event_id)
-
-    def _from_copy(self, send: Send, now_ms: int, last_event_id: str) -> ForwardStep:
-        """Go on with the run at the engine that it was copied to.
-
-        That counts as the same run, so it is open to streams that may not be repeated.
-        """
-        found = self._chooser.holder_of_copy(send.terms.copy_to, send.terms, now_ms)
-        if found is None or not self._share.try_spend(now_ms):
-            return self._give_up(now_ms, Reason.BROKEN)
-        server, terms = found
-        terms.copied_from = f"{send.terms.copy_to}/{self._request.request_id}"
-        return self._begin(server, terms, now_ms, last_event_id)
-
-    def _begin(
-        self, server: BackendServer, terms: ForwardTerms, now_ms: int, last_event_id: str
-    ) -> Send:
         terms.time_left_ms = self._leaves_ms - now_ms
         terms.last_event_id = last_event_id
         if self._service.engine is not None:
--- a/bergamothill/version/routetable.py
+++ b/bergamothill/version/routetable.py
@@ -91,7 +91,6 @@
     :param link_mbps: bandwidth of an engine's link
     :param models: models that they serve
     :param event_listeners: waiting reads of cache events that a server admits
-    :param copies_runs: an engine can copy a run to another one while it goes on
     """
 
     slots: int
@@ -100,7 +99,6 @@
     link_mbps: float
     models: tuple[ModelName, ...]
     event_listeners: int
-    copies_runs: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -15,7 +15,7 @@
     Send,
 )
 from bergamothill.request.retryshare import RetryShare
-from tests.builders import backend, caller_request, operator_config, routing_config
+from tests.builders import backend, caller_request, routing_config
 
 
 class Chooser:
@@ -29,16 +29,7 @@
         if self.answer is not None:
             return self.answer
         fresh = [s for s in self.servers if s.server not in avoided] or list(self.servers)
-        terms = ForwardTerms(fresh[0].server, 0, copy_to=self.copy_to) if fresh else None
-        return (fresh[0], terms) if fresh else None
-
-    copy_to = ""
-
-    def holder_of_copy(self, address, terms, now_ms):
-        for server in self.servers:
-            if server.address == address:
-                return (server, ForwardTerms(server.server, 0))
-        return None
+        return (fresh[0], ForwardTerms(fresh[0].server, 0)) if fresh else None
 
 
 class ForwardingTest(unittest.TestCase):
@@ -156,57 +147,3 @@
         run = self.forwarding()
         self.chooser.answer = NoRoom()
         self.assertEqual(2_400 - 300, run.begin(0).leaves_ms)
-
-
-class CopiedRunTest(unittest.TestCase):
-    """Streams that may not be repeated, at engines that copy their runs."""
-
-    def copied(self, copy_to="10.0.0.2:80"):
-        routes = operator_config()["routes"]
-        routes[0]["resumable"] = False
-        config = routing_config(routes=routes)
-        chooser = Chooser(backend("s1"), backend("s2"))
-        chooser.copy_to = copy_to
-        share = RetryShare(1.0, 10, 10_000)
-        brand, service = config.brands["key-1"], config.services["llm"]
-        request = caller_request()
-        return Forwarding(request, config.routes[0], service, brand, chooser, share, 0.5)
-
-    def test_goes_on_from_the_copy_after_the_last_event(self):
-        run = self.copied()
-        first = run.begin(0)
-        run.stream_started = True
-        step = run.broken(first, 50, last_event_id="7")
-        self.assertEqual("s2", step.server.server)
-        self.assertEqual(
-            ("10.0.0.2:80/r1", "7"), (step.terms.copied_from, step.terms.last_event_id)
-        )
-
-    def test_a_copy_that_is_not_there_ends_it_without_a_second_run(self):
-        run = self.copied()
-        step = run.refused(run.broken(run.begin(0), 50, last_event_id=""), 60)
-        self.assertEqual(502, step.status)
-
-    def test_a_copy_is_used_once(self):
-        run = self.copied()
-        step = run.broken(run.broken(run.begin(0), 50, last_event_id=""), 60, last_event_id="")
-        self.assertEqual(502, step.status)
-
-    def test_an_engine_that_left_holds_no_copy(self):
-        run = self.copied(copy_to="10.0.0.9:80")
-        self.assertEqual(502, run.broken(run.begin(0), 50, last_event_id="").status)
-
-    def test_a_refused_first_attempt_goes_elsewhere_as_usual(self):
-        run = self.copied()
-        step = run.refused(run.begin(0), 50)
-        self.assertEqual("", step.terms.copied_from)
-
-    def test_streams_that_may_be_repeated_are_not_copied(self):
-        config = routing_config()
-        chooser = Chooser(backend("s1"))
-        chooser.copy_to = "10.0.0.2:80"
-        share = RetryShare(1.0, 10, 10_000)
-        service = config.services["llm"]
-        request = caller_request()
-        run = Forwarding(request, config.routes[0], service, None, chooser, share, 0.5)
-        self.assertEqual("", run.begin(0).terms.copy_to)
