Count each weight version's time from its own naming

Ruled out: stale lists (the requests had been held back until that moment). Change: the time an engine's weights are outdated counts from the first newer version. Test red before.

Also: a store is named for held parts in front of long prompts only (factor 1).

--- a/bergamothill/process/fleet.py
+++ b/bergamothill/process/fleet.py
@@ -13,7 +13,7 @@
 from bergamothill.process.backends import BackendServer
 from bergamothill.process.loadreport import PeerLoads, ServerLoad
 from bergamothill.request.callerrequest import CallerRequest, ForwardTerms
-from bergamothill.request.contextplan import ContextPlan, ContextPlanner
+from bergamothill.request.contextplan import READ_TOKENS_PER_MS, ContextPlan, ContextPlanner
 from bergamothill.request.forwarding import NoRoom
 from bergamothill.version.keptnamespace import namespace
 from bergamothill.version.routetable import Brand, EngineTraits, Service
@@ -34,9 +34,6 @@
 OTHER_ZONE_COST = 1.0
 """Requests in progress that a server of the own zone may have more than one of another zone."""
 
-READ_TOKENS_PER_MS = 100.0
-"""Reading speed of an engine, for estimates that are only compared with each other."""
-
 MEMORY_SHARE = 0.95
 """Part of an engine's memory that requests in progress may fill; answers need the rest."""
 
@@ -138,7 +135,7 @@
         self._has_returned = False
         self._returned_ms = 0
         self.goals: dict[ModelName, WeightGoal] = {}
-        self._named_ms: dict[ModelName, int] = {}
+        self._named: dict[ModelName, list[tuple[int, int]]] = {}
         self.listed_ms: int | None = None
 
     def store_returned(self) -> None:
@@ -222,9 +219,21 @@
             return False
         self.goals[goal.model] = goal
         # The first one read was named before this process started.
-        self._named_ms[goal.model] = now_ms if known is not None else now_ms - self._weights_due_ms
+        named_ms = now_ms if known is not None else now_ms - self._weights_due_ms
+        self._named.setdefault(goal.model, []).append((goal.version, named_ms))
         return True
 
+    def _outdated_ms(self, belief: ServerBelief, model: ModelName, now_ms: int) -> int:
+        """Return since when a newer version than a server's has been named; 0 for none.
+
+        Each version counts from its own naming: a further one does not extend the time of those
+        before it.
+        """
+        version = belief.weight_version(model)
+        newer = (named_ms for goal, named_ms in self._named.get(model, ()) if goal > version)
+        first_ms = min(newer, default=now_ms)
+        return now_ms - first_ms
+
     def engines(self) -> tuple[SwapEngine, ...]:
         """Return the engines that are listed and not leaving, one entry for each model."""
         return tuple(
@@ -443,17 +452,13 @@
         load; near the bound only they may.
         """
         known = [b for b in candidates if b.weight_version(model) is not None]
-        goal = self.goals.get(model)
-        if goal is None:
-            return known
-        new = [b for b in known if b.weight_version(model) >= goal.version]
-        age_ms = now_ms - self._named_ms[model]
-        if age_ms < OLD_WEIGHTS_FREE_MS:
-            return known
-        if age_ms >= self._weights_due_ms - QUEUE_MARGIN_MS:
-            return new
-        carries_load = 2 * len(new) >= len(known) or age_ms >= self._weights_due_ms // 2
-        return new if new and carries_load else known
+        outdated_ms = {b.entry.server: self._outdated_ms(b, model, now_ms) for b in known}
+        due_ms = self._weights_due_ms - QUEUE_MARGIN_MS
+        usable = [b for b in known if outdated_ms[b.entry.server] < due_ms]
+        new = [b for b in usable if outdated_ms[b.entry.server] < OLD_WEIGHTS_FREE_MS]
+        oldest_ms = max(outdated_ms.values(), default=0)
+        carries_load = 2 * len(new) >= len(known) or oldest_ms >= self._weights_due_ms // 2
+        return new if new and carries_load else usable
 
     def _place(
         self,
--- a/bergamothill/request/contextplan.py
+++ b/bergamothill/request/contextplan.py
@@ -12,11 +12,17 @@
 from bergamothill.version.keptindex import KeptIndex, PartKey
 from bergamothill.version.routetable import EngineTraits, KeptStore
 
-__all__ = ["FETCH_LIFE_MS", "ContextPlan", "ContextPlanner"]
+__all__ = ["FETCH_LIFE_MS", "READ_TOKENS_PER_MS", "ContextPlan", "ContextPlanner"]
 
 OTHER_ZONE_FACTOR = 2.0
 """Transfers between zones take twice as long."""
 
+READ_TOKENS_PER_MS = 100.0
+"""Reading speed of an engine, for estimates that are only compared with each other."""
+
+INSURANCE_FACTOR = 1.0
+"""Reading has to take this many times as long as fetching."""
+
 FETCH_LIFE_MS = 1_500
 """A fetch that takes longer than this is slower than reading the prompt again."""
 
@@ -94,15 +100,14 @@
         fetch_ms = 0.0
         sources = [""] * len(request.parts)
         until_ms = 0
+        behind = sum(part.tokens for part in request.parts[:-1])
         for number, part in enumerate(request.parts[:-1]):
             key = PartKey(salt, part.name)
             is_held = self._index.tokens_at(engine, key) >= part.tokens
             source = self._store_source(zone, traits, key, part.tokens, now_ms)
             if source is None and not is_held:
                 source = self._engine_source(engine, zone, traits, key, part.tokens, now_ms)
-            if source is not None:
-                # Named for a held part too: the engine may have dropped it, and fetches it only
-                # in that case.
+            if source is not None and (not is_held or _is_insured(behind, source[1])):
                 sources[number] = source[0]
                 offset_ms = self._index.source(source[0]).clock_offset_ms
                 until_ms = now_ms + offset_ms + FETCH_LIFE_MS
@@ -113,6 +118,7 @@
                 fetch_ms += source[1]
             else:
                 break
+            behind -= part.tokens
         return ContextPlan(
             held_tokens=held,
             fetched_tokens=fetched,
@@ -196,6 +202,18 @@
         return max(sound, key=lambda store: _home_score(key, store), default=None)
 
 
+def _is_insured(tokens: int, fetch_ms: float) -> bool:
+    """Tell whether a source is named for a part although the engine seems to hold it.
+
+    The engine may have dropped the part, and would read it and all behind it again. But transfers
+    wait for each other, which delays short prompts more than reading them again.
+
+    :param tokens: shared tokens from this part on
+    :param fetch_ms: expected duration of a fetch of the part
+    """
+    return tokens / READ_TOKENS_PER_MS >= INSURANCE_FACTOR * fetch_ms
+
+
 def _transfer_ms(size_bytes: int, link_mbps: float, crosses_zones: bool) -> float:
     if link_mbps <= 0:
         return math.inf
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -161,6 +161,13 @@
         self.assertIsNotNone(chosen(self.beliefs, 13_000))
         self.assertIsNone(chosen(self.beliefs, 14_000))
 
+    def test_a_further_version_does_not_make_overdue_weights_good_again(self):
+        self.assertIsNone(chosen(self.beliefs, 15_900))
+        self.beliefs.name_weights(WeightGoal("m1", 3), 16_000)
+        self.assertIsNone(chosen(self.beliefs, 16_100))
+        self.beliefs.swapped("s1", "m1", 2)
+        self.assertEqual("s1", chosen(self.beliefs, 16_200))
+
     def test_a_version_named_before_the_start_is_due_at_once(self):
         beliefs = fleet(backend("s1"))
         beliefs.name_weights(WeightGoal("m1", 2), 0)
--- a/tests/test_keptcontext.py
+++ b/tests/test_keptcontext.py
@@ -1,6 +1,7 @@
 """Tests of what is known of kept context, and of the plans made with it."""
 
 import unittest
+from dataclasses import replace
 
 from bergamothill.connection.pollconnection import PollReply
 from bergamothill.errors import ProtocolError
@@ -100,12 +101,21 @@
         self.index.source(STORE).apply(batch(("a", 500)), 0, 0)
         self.assertEqual((), self.plan(now_ms=CERTAINTY_MS).fetch_from)
 
-    def test_a_store_is_named_for_a_held_part_too_in_case_the_engine_dropped_it(self):
-        self.index.source(ENGINE).apply(batch(("a", 500)), 0, 0)
-        self.index.source(STORE).apply(batch(("a", 500), ("b", 2_000)), 0, 0)
+    def test_a_store_is_named_for_a_long_held_part_in_case_the_engine_dropped_it(self):
+        parts = (("a", 500), ("b", 2_000))
+        self.index.source(ENGINE).apply(batch(*parts), 0, 0)
+        self.index.source(STORE).apply(batch(*parts), 0, 0)
         plan = self.plan()
         self.assertEqual((STORE, STORE, ""), plan.fetch_from)
-        self.assertEqual((500, 2_000), (plan.held_tokens, plan.fetched_tokens))
+        self.assertEqual((2_500, 0), (plan.held_tokens, plan.fetched_tokens))
+
+    def test_a_short_prompt_does_not_wait_for_a_slow_store(self):
+        store = replace(routing_config().stores[0], first_byte_ms=30.0)
+        self.planner.set_stores((store,))
+        parts = (("a", 500), ("b", 2_000))
+        self.index.source(ENGINE).apply(batch(*parts), 0, 0)
+        self.index.source(STORE).apply(batch(*parts), 0, 0)
+        self.assertEqual((), self.plan().fetch_from)
 
     def test_another_engine_is_a_source_too(self):
         self.index.source(ENGINE).apply(batch(("a", 500)), 0, 0)
