--- a/bergamothill/connection/kvs_http.py
+++ b/bergamothill/connection/kvs_http.py
@@ -17,7 +17,7 @@
 )
 from bergamothill.ids import LeaseId
 
-__all__ = ["HttpKeyValueService"]
+__all__ = ["HttpKeyValueService", "decode_entry"]
 
 CALL_TIMEOUT_MS = 1_000
 WATCH_SLACK_MS = 1_000
@@ -148,10 +148,20 @@
         return value
 
     def _entry(self, item: Any, step: str) -> KeyValueEntry:
-        try:
-            value = base64.b64decode(item["value"], validate=True)
-            return KeyValueEntry(str(item["key"]), value, int(item["mod_revision"]))
-        except (KeyError, TypeError, ValueError) as error:
-            raise ProtocolError(
-                f"bad entry: {error!r}", step=step, peer=self._client.peer
-            ) from error
+        return decode_entry(item, "mod_revision", step=step, peer=self._client.peer)
+
+
+def decode_entry(item: Any, revision_field: str, *, step: str, peer: str) -> KeyValueEntry:
+    """Decode an entry whose value is base64 text.
+
+    :param item: decoded JSON
+    :param revision_field: field that holds the revision of the last change
+    :param step: step for the error
+    :param peer: peer for the error
+    :raises ProtocolError: it is no entry
+    """
+    try:
+        value = base64.b64decode(item["value"], validate=True)
+        return KeyValueEntry(str(item["key"]), value, int(item[revision_field]))
+    except (KeyError, TypeError, ValueError) as error:
+        raise ProtocolError(f"bad entry: {error!r}", step=step, peer=peer) from error
--- a/bergamothill/platform/store.py
+++ b/bergamothill/platform/store.py
@@ -10,6 +10,7 @@
 
 from bergamothill.connection.http import HttpClient, HttpReply, decode_json
 from bergamothill.connection.kvs import KeyValueEntry, KeyValueService
+from bergamothill.connection.kvs_http import decode_entry
 from bergamothill.errors import (
     ConflictError,
     LeaseLostError,
@@ -182,10 +183,4 @@
         return value
 
     def _entry(self, item: Any, step: str) -> KeyValueEntry:
-        try:
-            value = base64.b64decode(item["value"], validate=True)
-            return KeyValueEntry(str(item["key"]), value, int(item["revision"]))
-        except (KeyError, TypeError, ValueError) as error:
-            raise ProtocolError(
-                f"bad entry: {error!r}", step=step, peer=self._client.peer
-            ) from error
+        return decode_entry(item, "revision", step=step, peer=self._client.peer)
