--- a/bergamothill/version/routetable.py
+++ b/bergamothill/version/routetable.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -220,17 +219,6 @@
         """
         return self.config.brands.get(key)
 
-    @property
-    def models(self) -> frozenset[ModelName]:
-        """Models that some service of the configuration serves."""
-        engines = (service.engine for service in self.config.services.values())
-        return frozenset(model for engine in engines if engine for model in engine.models)
-
 
 def _longest_prefix_first(route: Route) -> int:
     return -len(route.prefix)
-
-
-def engine_services(services: Iterable[Service]) -> tuple[Service, ...]:
-    """Return the services whose servers are model engines."""
-    return tuple(service for service in services if service.engine is not None)
