Order turns: mark anew after a removal without reply, and after a restart

`OrderTurn.rest` kept the mark for held when its removal got no reply. The mark named the machine only. A successor that was killed while it waited found its own mark after the restart and did not wait.

Ruled out: the lease (its own proof holds; orders were permitted by it).

Change: a removal clears the noted fencing number first, so that the next order marks anew under a new revision, which a late removal does not match. The mark carries a random token of the process's start.

Conclusion: the rule on orders of two holders holds under restarts and lost replies; the price is a wait of one turn after a restart of the holder.

--- a/bergamothill/process/orderturn.py
+++ b/bergamothill/process/orderturn.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import secrets
 import threading
 from contextlib import suppress
 
@@ -20,6 +21,8 @@
 
 __all__ = ["OrderTurn"]
 
+TOKEN_BYTES = 16
+
 TURN_MARGIN_MS = 150
 """Added to a turn for the way of an order that was sent just before a lease ended."""
 
@@ -29,7 +32,7 @@
 
     :param kvs: key-value service
     :param key: key of the mark
-    :param holder: this entry instance, with a name for this start of its process
+    :param holder: this entry instance
     :param lease: lease on the duty
     :param turn_ms: least time between the orders of two holders
     """
@@ -44,7 +47,8 @@
     ) -> None:
         self._kvs = kvs
         self._key = key
-        self._holder = holder
+        # An earlier start of this instance may have died while it waited for a predecessor's turn.
+        self._value = cbor2.dumps([holder, secrets.token_hex(TOKEN_BYTES)])
         self._lease = lease
         self._turn_ms = turn_ms + TURN_MARGIN_MS
         self._marked_fencing = 0
@@ -83,25 +87,18 @@
             is_due = now_ms - max(self._last_order_ms, self._waits_until_ms) >= self._turn_ms
             if self._revision == ABSENT or not is_due:
                 return
+            # Without a reply the mark may be gone, or go later: the next order marks anew.
+            self._marked_fencing = 0
             # A conflict tells that a successor has taken the mark over.
             with suppress(ConflictError):
                 self._kvs.delete_if(self._key, expected=self._revision)
             self._revision = ABSENT
-            self._marked_fencing = 0
 
     def _mark(self, now_ms: int, must_wait: bool) -> None:
         found = self._kvs.get(self._key)
-        is_foreign = found is not None and _holder_of(found.value) != self._holder
+        is_foreign = found is not None and found.value != self._value
         expected = ABSENT if found is None else found.mod_revision
         if is_foreign and must_wait:
             # A predecessor's last order was sent before its lease ended, so before now.
             self._waits_until_ms = now_ms + self._turn_ms
-        value = cbor2.dumps(str(self._holder))
-        self._revision = self._kvs.put_if(self._key, value, expected=expected).mod_revision
-
-
-def _holder_of(value: bytes) -> str:
-    try:
-        return str(cbor2.loads(value))
-    except (ValueError, cbor2.CBORDecodeError):
-        return ""
+        self._revision = self._kvs.put_if(self._key, self._value, expected=expected).mod_revision
--- /dev/null
+++ b/tests/proof/proof_orderturn.py
@@ -0,0 +1,202 @@
+"""Proof that the orders of two holders of a duty never come within one turn of each other."""
+
+from __future__ import annotations
+
+from hypothesis import strategies as st
+from hypothesis.stateful import initialize, rule
+
+from bergamothill.clock import ManualClock
+from bergamothill.errors import BergamothillError
+from bergamothill.process.lease import DutyLease
+from bergamothill.process.leasemachine import LeaseTimes
+from bergamothill.process.orderturn import TURN_MARGIN_MS, OrderTurn
+from tests.builders import FaultyKeyValueService, WriteFault
+from tests.proof.harness import Proof, ProofMachine
+from tests.proof.require import require
+
+TURN_MS = 3_000
+TIMES = LeaseTimes(ttl_ms=1_500, margin_ms=300, settle_ms=0)
+HOLDERS = ("a", "b", "c")
+MARK_KEY = "duty-orders/weights"
+SETTLED_MS = 20_000
+
+holders = st.sampled_from(HOLDERS)
+faults = st.sampled_from([*[WriteFault.NONE] * 4, *WriteFault])
+
+
+class SlowService(FaultyKeyValueService):
+    """Key-value service whose next write takes long, or whose caller freezes meanwhile."""
+
+    def __init__(self, clock: ManualClock) -> None:
+        super().__init__(clock)
+        self.world = clock
+        self.write_ms = 0
+        self.faulty_write = 0
+
+    def _write(self, work):
+        write_ms, self.write_ms = self.write_ms, 0
+        self.world.advance_ms(write_ms)
+        if self.fault is WriteFault.NONE:
+            return super()._write(work)
+        self.faulty_write -= 1
+        if self.faulty_write == 0:
+            return super()._write(work)
+        fault, self.fault = self.fault, WriteFault.NONE
+        try:
+            return super()._write(work)
+        finally:
+            self.fault = fault
+
+
+class ImpatientTurn(OrderTurn):
+    """Double that sends orders as soon as the lease is held."""
+
+    def open(self, now_ms, *, must_wait):
+        super().open(now_ms, must_wait=False)
+
+
+class Candidate:
+    """One start of an entry instance's process that wants the duty."""
+
+    def __init__(self, name, kvs, clock, turn_class) -> None:
+        self.name = name
+        self.lease = DutyLease(kvs, clock, "weights", name, times=TIMES)
+        self.turn = turn_class(kvs, MARK_KEY, name, self.lease, TURN_MS)
+
+
+class OrderTurnProof(ProofMachine):
+    """Three entry instances, one failing key-value service, one engine."""
+
+    @initialize()
+    def begin(self):
+        self.clock = ManualClock()
+        self.clock.advance_ms(SETTLED_MS)
+        self.kvs = SlowService(self.clock)
+        self.turn_class = OrderTurn if self.mechanism_enabled else ImpatientTurn
+        self.candidates = {name: self.new(name) for name in HOLDERS}
+        self.last_order_ms = {}
+
+    def new(self, name):
+        return Candidate(name, self.kvs, self.clock, self.turn_class)
+
+    def work(self, name, way_ms):
+        """Tick the lease and send an order if one is permitted."""
+        candidate = self.candidates[name]
+        try:
+            if not candidate.lease.tick():
+                return False
+            candidate.turn.open(self.clock.now_ms(), must_wait=True)
+            candidate.lease.permit(refuses_old_numbers=True)
+        except BergamothillError:
+            return False
+        self.arrives(name, self.clock.now_ms() + way_ms)
+        candidate.turn.ordered(self.clock.now_ms())
+        return True
+
+    def arrives(self, name, at_ms):
+        for other, last_ms in self.last_order_ms.items():
+            require(
+                other == name or at_ms - last_ms >= TURN_MS,
+                f"order of {name} {at_ms - last_ms} ms after one of {other}",
+            )
+        self.last_order_ms[name] = max(at_ms, self.last_order_ms.get(name, 0))
+
+    def with_fault(self, fault, number):
+        self.kvs.fault, self.kvs.faulty_write = fault, number
+
+    @rule(name=holders, way_ms=st.integers(0, TURN_MARGIN_MS))
+    def orders(self, name, way_ms):
+        self.operation()
+        self.work(name, way_ms)
+
+    @rule(name=holders, fault=faults, number=st.integers(1, 3))
+    def orders_with_a_fault(self, name, fault, number):
+        self.fault()
+        self.with_fault(fault, number)
+        self.work(name, 0)
+        self.with_fault(WriteFault.NONE, 0)
+
+    @rule(name=holders, pause_ms=st.sampled_from([50, 400, 1_100, 1_400, 5_000]))
+    def freezes_in_a_write(self, name, pause_ms):
+        self.fault()
+        self.kvs.write_ms = pause_ms
+        self.work(name, 0)
+        self.kvs.write_ms = 0
+
+    @rule(name=holders, fault=faults)
+    def rests(self, name, fault):
+        self.fault() if fault is not WriteFault.NONE else self.operation()
+        self.with_fault(fault, 1)
+        try:
+            self.candidates[name].turn.rest(self.clock.now_ms())
+        except BergamothillError:
+            return
+        finally:
+            self.with_fault(WriteFault.NONE, 0)
+
+    @rule(index=st.integers(0, 5))
+    def late_write_lands(self, index):
+        self.fault()
+        if index < len(self.kvs.late_writes):
+            self.kvs.land_late_write(index)
+
+    @rule(name=holders)
+    def is_killed_and_starts_again(self, name):
+        self.fault()
+        self.candidates[name] = self.new(name)
+
+    @rule(name=holders)
+    def gives_up(self, name):
+        self.operation()
+        self.candidates[name].lease.release()
+
+    @rule(passed_ms=st.sampled_from([20, 100, 500, 1_500, 3_200]))
+    def time_passes(self, passed_ms):
+        self.operation()
+        self.clock.advance_ms(passed_ms)
+
+    @rule(first=holders, second=holders, rest_fault=faults)
+    def holder_rests_and_hands_over(self, first, second, rest_fault):
+        """A holder orders, rests, orders once more, and another takes over."""
+        self.fault()
+        if not self.work(first, 0):
+            return
+        self.pass_held(first, TURN_MS + 2 * TURN_MARGIN_MS)
+        self.rests(first, rest_fault)
+        self.work(first, TURN_MARGIN_MS)
+        while self.kvs.late_writes:
+            self.kvs.land_late_write()
+        self.candidates[first].lease.release()
+        self.work(second, 0)
+
+    @rule(first=holders, second=holders, pause_ms=st.sampled_from([100, 1_600, 2_000]))
+    def successor_is_killed_while_it_waits(self, first, second, pause_ms):
+        self.fault()
+        self.work(first, 0)
+        self.clock.advance_ms(TIMES.ttl_ms)
+        self.work(second, 0)
+        self.candidates[second] = self.new(second)
+        self.clock.advance_ms(pause_ms)
+        self.work(second, 0)
+
+    def pass_held(self, name, duration_ms):
+        """Let time pass while a holder keeps its lease."""
+        end_ms = self.clock.now_ms() + duration_ms
+        while self.clock.now_ms() < end_ms:
+            self.clock.advance_ms(400)
+            self.candidates[name].lease.tick()
+
+    @rule()
+    def all_is_calm(self):
+        """Without faults somebody orders within a lease, a turn and the ticks."""
+        self.operation()
+        self.kvs.late_writes.clear()
+        end_ms = self.clock.now_ms() + 2 * TIMES.ttl_ms + TURN_MS + 2 * TURN_MARGIN_MS
+        while self.clock.now_ms() < end_ms:
+            if any([self.work(name, 0) for name in HOLDERS]):
+                return
+            self.clock.advance_ms(200)
+        require(False, "nobody may send orders although nothing fails")
+
+
+PROOFS = (Proof(slug="order-turns", machine=OrderTurnProof),)
--- a/tests/test_weightswap.py
+++ b/tests/test_weightswap.py
@@ -3,7 +3,7 @@
 import unittest
 
 from bergamothill.clock import ManualClock
-from bergamothill.errors import UnavailableError
+from bergamothill.errors import PeerTimeoutError, UnavailableError
 from bergamothill.process.lease import DutyLease
 from bergamothill.process.leasemachine import LeaseTimes
 from bergamothill.process.orderturn import TURN_MARGIN_MS, OrderTurn
@@ -17,7 +17,7 @@
     SwapOutcome,
     WeightSwap,
 )
-from tests.builders import FaultyKeyValueService
+from tests.builders import FaultyKeyValueService, WriteFault
 
 GOAL = {"m1": WeightGoal("m1", 2)}
 TURN_MS = 3_000
@@ -159,6 +159,36 @@
         successor.tick()
         its_turn.open(self.clock.now_ms(), must_wait=True)
 
+    def test_a_successor_that_restarts_while_it_waits_goes_on_waiting(self):
+        lease, turn = self.holder("entry-1")
+        lease.tick()
+        turn.open(self.clock.now_ms(), must_wait=True)
+        for _ in range(2):
+            self.clock.advance_ms(1_500)
+            successor, its_turn = self.holder("entry-2")
+            self.assertTrue(successor.tick())
+            with self.assertRaises(UnavailableError):
+                its_turn.open(self.clock.now_ms(), must_wait=True)
+
+    def test_an_order_after_a_removal_without_reply_is_marked_anew(self):
+        for fault in (WriteFault.LOST_REPLY, WriteFault.LATE):
+            with self.subTest(fault):
+                self.setUp()
+                lease, turn = self.holder("entry-1")
+                lease.tick()
+                turn.open(self.clock.now_ms(), must_wait=True)
+                for _ in range(8):
+                    self.clock.advance_ms(400)
+                    lease.tick()
+                self.kvs.fault = fault
+                with self.assertRaises(PeerTimeoutError):
+                    turn.rest(self.clock.now_ms())
+                self.kvs.fault = WriteFault.NONE
+                turn.open(self.clock.now_ms(), must_wait=True)
+                while self.kvs.late_writes:
+                    self.kvs.land_late_write()
+                self.assertIsNotNone(self.kvs.peek("mark"))
+
     def test_engines_that_check_fencing_numbers_need_no_turns(self):
         lease, turn = self.holder("entry-1")
         lease.tick()
