--- a/tests/proof/proof_orderturn.py
+++ b/tests/proof/proof_orderturn.py
@@ -193,7 +193,7 @@
         self.kvs.late_writes.clear()
         end_ms = self.clock.now_ms() + 2 * TIMES.ttl_ms + TURN_MS + 2 * TURN_MARGIN_MS
         while self.clock.now_ms() < end_ms:
-            if any([self.work(name, 0) for name in HOLDERS]):
+            if any(self.work(name, 0) for name in HOLDERS):
                 return
             self.clock.advance_ms(200)
         require(False, "nobody may send orders although nothing fails")
--- /dev/null
+++ b/tests/proof/proof_retryshare.py
@@ -0,0 +1,108 @@
+"""Proof that all entry instances together stay within a service's retry budget."""
+
+from __future__ import annotations
+
+import random
+
+from hypothesis import strategies as st
+from hypothesis.stateful import initialize, rule
+
+from bergamothill.request.retryshare import RetryShare
+from tests.proof.harness import Proof, ProofMachine
+from tests.proof.require import require
+
+RATIO = 0.2
+WINDOW_MS = 10_000
+SLACK = 12
+INSTANCES = 4
+
+instances = st.integers(0, INSTANCES - 1)
+
+
+class GenerousShare(RetryShare):
+    """Double that spends without a look at its share."""
+
+    def try_spend(self, now_ms):
+        return True
+
+
+class RetryShareProof(ProofMachine):
+    """Four entry instances; requests and failures fall on them unevenly.
+
+    Oracle: in each span of a window, no more repeats than the slack and the ratio of the requests
+    in that span, the one before it or the one half a window before it, whichever has most.
+    """
+
+    @initialize()
+    def begin(self):
+        self.now_ms = 0
+        self.requests = []
+        self.repeats = []
+        self.shares = [self.new_share() for _ in range(INSTANCES)]
+
+    def new_share(self):
+        share = RetryShare if self.mechanism_enabled else GenerousShare
+        return share(RATIO, SLACK / INSTANCES, WINDOW_MS)
+
+    def arrives(self, instance):
+        self.requests.append(self.now_ms)
+        self.shares[instance].arrived(self.now_ms)
+
+    def repeat(self, instance):
+        if not self.shares[instance].try_spend(self.now_ms):
+            return False
+        self.repeats.append(self.now_ms)
+        repeats = sum(at_ms >= self.now_ms - WINDOW_MS for at_ms in self.repeats)
+        ends_ms = (self.now_ms - part * WINDOW_MS // 2 for part in range(3))
+        requests = max(
+            sum(end_ms - WINDOW_MS <= at_ms <= end_ms for at_ms in self.requests)
+            for end_ms in ends_ms
+        )
+        require(
+            repeats <= RATIO * requests + SLACK,
+            f"{repeats} repeats of {requests} requests in a window",
+        )
+        return True
+
+    @rule(instance=instances, count=st.integers(1, 20))
+    def requests_arrive(self, instance, count):
+        self.operation()
+        for _ in range(count):
+            self.arrives(instance)
+
+    @rule(instance=instances, count=st.integers(1, 30))
+    def answers_are_lost(self, instance, count):
+        self.fault()
+        for _ in range(count):
+            self.repeat(instance)
+
+    @rule(seed=st.integers(0, 1_000), fail_share=st.sampled_from([0.1, 0.5, 1.0]))
+    def all_fail_for_a_while(self, seed, fail_share):
+        self.fault()
+        rng = random.Random(seed)
+        for _ in range(40):
+            self.now_ms += rng.randrange(200)
+            instance = rng.randrange(INSTANCES)
+            self.arrives(instance)
+            while rng.random() < fail_share and self.repeat(instance):
+                pass
+
+    @rule(instance=instances)
+    def first_failure_after_calm(self, instance):
+        """A share that was not used for a window lets a busy instance repeat."""
+        self.operation()
+        self.now_ms += WINDOW_MS + 1
+        for _ in range(5):
+            self.arrives(instance)
+        require(self.repeat(instance), "no repeat although none was sent for a window")
+
+    @rule(passed_ms=st.sampled_from([1, 100, 3_000, WINDOW_MS - 1, WINDOW_MS, WINDOW_MS + 1]))
+    def time_passes(self, passed_ms):
+        self.operation()
+        self.now_ms += passed_ms
+        start_ms = self.now_ms - 2 * WINDOW_MS
+        self.requests = [at_ms for at_ms in self.requests if at_ms >= start_ms]
+        self.repeats = [at_ms for at_ms in self.repeats if at_ms >= start_ms]
+
+
+PROOFS = (Proof(slug="retry-shares", machine=RetryShareProof),)
