A version that is named while the process runs is not due at once

Cause: `Fleet.name_weights` took the first goal it ever saw for one from before its start, so that all old weights were due at once.

Ruled out: the swaps (three at a time, 300 ms each, as planned), the store.

--- a/bergamothill/process/fleet.py
+++ b/bergamothill/process/fleet.py
@@ -168,17 +168,17 @@
         """Return the servers of a service that may get new work."""
         return [b for b in self._by_service.get(service, ()) if b.is_usable(now_ms)]
 
-    def name_weights(self, goal: WeightGoal, now_ms: int) -> bool:
+    def name_weights(self, goal: WeightGoal, now_ms: int, *, is_first_read: bool) -> bool:
         """Take over a version that the operator named.
 
+        :param is_first_read: it may have been named before this process started
         :returns: whether it is newer than the one known
         """
         known = self.goals.get(goal.model)
         if known is not None and goal.version <= known.version:
             return False
         self.goals[goal.model] = goal
-        # The first one read was named before this process started.
-        named_ms = now_ms if known is not None else now_ms - self._weights_due_ms
+        named_ms = now_ms - self._weights_due_ms if is_first_read else now_ms
         self._named.setdefault(goal.model, []).append((goal.version, named_ms))
         return True
 
--- a/bergamothill/process/operatorview.py
+++ b/bergamothill/process/operatorview.py
@@ -21,7 +21,7 @@
     :param config: belief that takes the configuration
     :param on_config: told of a configuration that is newly in force, with the entry it came from
         and when that was asked for
-    :param on_goal: told of each goal in each snapshot
+    :param on_goal: told of each goal in each snapshot, and whether that is the first one
     :param on_unreadable: told of entries that cannot be read
     """
 
@@ -29,13 +29,14 @@
         self,
         config: ConfigBelief,
         on_config: Callable[[RoutingConfig, KeyValueEntry, int], None],
-        on_goal: Callable[[WeightGoal], None],
+        on_goal: Callable[[WeightGoal, bool], None],
         on_unreadable: Callable[[KeyValueEntry, ProtocolError], None],
     ) -> None:
         self._config = config
         self._on_config = on_config
         self._on_goal = on_goal
         self._on_unreadable = on_unreadable
+        self._is_first_read = True
 
     def take(self, snapshot: Snapshot) -> None:
         """Take a snapshot over.
@@ -47,10 +48,11 @@
                 self._take_entry(entry, snapshot.sent_ms)
             except ProtocolError as error:
                 self._on_unreadable(entry, error)
+        self._is_first_read = False
 
     def _take_entry(self, entry: KeyValueEntry, sent_ms: int) -> None:
         if entry.key.startswith(VERSION_PREFIX):
-            self._on_goal(decode_goal(entry.value))
+            self._on_goal(decode_goal(entry.value), self._is_first_read)
         elif entry.key == CONFIG_KEY and entry.mod_revision == self._config.revision:
             self._config.confirm(entry.mod_revision, sent_ms)
         elif entry.key == CONFIG_KEY:
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -256,9 +256,15 @@
             age_ms=self._clock.now_ms() - sent_ms,
         )
 
-    def _take_goal(self, goal: WeightGoal) -> None:
-        if self._fleet.name_weights(goal, self._clock.now_ms()):
-            _log.info("weights_named", model=goal.model, version=goal.version)
+    def _take_goal(self, goal: WeightGoal, is_first_read: bool) -> None:
+        now_ms = self._clock.now_ms()
+        if self._fleet.name_weights(goal, now_ms, is_first_read=is_first_read):
+            _log.info(
+                "weights_named",
+                model=goal.model,
+                version=goal.version,
+                is_first_read=is_first_read,
+            )
             self._publish_engines()
             self._swaps.wake()
 
--- a/tests/proof/proof_admission.py
+++ b/tests/proof/proof_admission.py
@@ -69,7 +69,7 @@
         self.view = OperatorView(
             belief,
             lambda config, entry, sent_ms: self.versions.append(config.version),
-            lambda goal: None,
+            lambda goal, is_first_read: None,
             lambda entry, error: require(False, f"unreadable: {error}"),
         )
         self.follower = StoreFollower(
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -154,8 +154,8 @@
 class WeightsTest(unittest.TestCase):
     def setUp(self):
         self.beliefs = fleet(backend("s1"), backend("s2"))
-        self.beliefs.name_weights(WeightGoal("m1", 1), 0)
-        self.beliefs.name_weights(WeightGoal("m1", 2), 10_000)
+        self.beliefs.name_weights(WeightGoal("m1", 1), 0, is_first_read=True)
+        self.beliefs.name_weights(WeightGoal("m1", 2), 10_000, is_first_read=False)
 
     def test_terms_pin_the_version_and_its_namespace(self):
         _, terms = choose(self.beliefs, 10_000)
@@ -175,16 +175,21 @@
 
     def test_a_further_version_does_not_make_overdue_weights_good_again(self):
         self.assertIsNone(chosen(self.beliefs, 15_900))
-        self.beliefs.name_weights(WeightGoal("m1", 3), 16_000)
+        self.beliefs.name_weights(WeightGoal("m1", 3), 16_000, is_first_read=False)
         self.assertIsNone(chosen(self.beliefs, 16_100))
         self.beliefs.swapped("s1", "m1", 2)
         self.assertEqual("s1", chosen(self.beliefs, 16_200))
 
     def test_a_version_named_before_the_start_is_due_at_once(self):
         beliefs = fleet(backend("s1"))
-        beliefs.name_weights(WeightGoal("m1", 2), 0)
+        beliefs.name_weights(WeightGoal("m1", 2), 0, is_first_read=True)
         self.assertIsNone(chosen(beliefs, 0))
 
+    def test_the_first_version_that_is_named_while_it_runs_is_not_due_at_once(self):
+        beliefs = fleet(backend("s1"))
+        beliefs.name_weights(WeightGoal("m1", 2), 10_000, is_first_read=False)
+        self.assertEqual("s1", chosen(beliefs, 10_000))
+
     def test_a_refusal_of_the_version_tells_that_the_server_has_moved_on(self):
         self.beliefs.has_other_weights("s1", "m1", 1)
         self.assertEqual(2, self.beliefs.belief("s1").weight_version("m1"))
--- /dev/null
+++ b/tests/test_operatorview.py
@@ -0,0 +1,54 @@
+"""Tests of what is read out of the operator's entries."""
+
+import json
+import unittest
+
+from bergamothill.connection.kvs import KeyValueEntry
+from bergamothill.platform.config import CONFIG_KEY, VERSION_PREFIX
+from bergamothill.process.beliefs import ConfigBelief
+from bergamothill.process.operatorview import OperatorView
+from bergamothill.process.storefollower import Snapshot
+from tests.builders import operator_config
+
+
+def entry(key, value, revision=1):
+    return KeyValueEntry(key, json.dumps(value).encode(), revision)
+
+
+GOAL = entry(f"{VERSION_PREFIX}m1", {"model": "m1", "version": 2}, 9)
+CONFIG = entry(CONFIG_KEY, operator_config(), 8)
+
+
+class OperatorViewTest(unittest.TestCase):
+    def setUp(self):
+        self.goals, self.configs, self.unreadable = [], [], []
+        self.belief = ConfigBelief(5_000, is_strict=True)
+        self.view = OperatorView(
+            self.belief,
+            lambda config, entry, sent_ms: self.configs.append(config.version),
+            lambda goal, is_first_read: self.goals.append((goal.version, is_first_read)),
+            lambda entry, error: self.unreadable.append(entry.key),
+        )
+
+    def take(self, *entries, sent_ms=0):
+        self.view.take(Snapshot(entries, sent_ms))
+
+    def test_a_goal_in_the_first_snapshot_may_be_old(self):
+        self.take(GOAL)
+        self.assertEqual([(2, True)], self.goals)
+
+    def test_a_goal_that_an_earlier_snapshot_lacked_is_new(self):
+        self.take(CONFIG)
+        self.take(CONFIG, GOAL)
+        self.assertEqual([(2, False)], self.goals)
+
+    def test_a_configuration_is_taken_once_and_confirmed_after(self):
+        self.take(CONFIG)
+        self.take(CONFIG, sent_ms=3_000)
+        self.assertEqual([7], self.configs)
+        self.assertEqual(0, self.belief.age_ms(3_000))
+
+    def test_an_unreadable_entry_leaves_the_others_alone(self):
+        self.take(entry(CONFIG_KEY, [], 8), GOAL)
+        self.assertEqual([CONFIG_KEY], self.unreadable)
+        self.assertEqual(1, len(self.goals))
