Notice a restored service whose revision is the one last seen; turns by engine

Cause: the watch compares the service's revision with the one last seen. A service that is emptied, written back and then restored from a later backup can stand at exactly that revision; the watch saw no change, confirmed the head in force, and read the head only once in 30 s. The bound is 6 s. Ruled out: the write-back itself (restores at other revisions hold).

Order turns: the rule is about the orders of two holders to one engine. The mark names the engines, so that a successor waits only with those that its predecessor may have ordered; it hands their names on.

--- a/bergamothill/process/swapduty.py
+++ b/bergamothill/process/swapduty.py
@@ -10,7 +10,7 @@
 
 from bergamothill.clock import Clock, seconds
 from bergamothill.errors import BergamothillError, LeaseLostError, UnavailableError
-from bergamothill.ids import EntryInstanceId, FencingNumber, ModelName
+from bergamothill.ids import EntryInstanceId, FencingNumber, ModelName, ServerId
 from bergamothill.logs import EventLog
 from bergamothill.process.lease import DutyLease
 from bergamothill.process.orderturn import OrderTurn
@@ -121,9 +121,26 @@
         if self._machine.is_idle:
             self._turn.rest(self._clock.now_ms())
             return False
-        list(pool.map(self._carry_out, effects))
+        list(pool.map(self._carry_out, self._permitted(effects)))
         return True
 
+    def _permitted(self, effects: tuple[SwapEffect, ...]) -> list[SwapEffect]:
+        """Return the effects without orders to engines that a predecessor may still order."""
+        orders = [effect for effect in effects if isinstance(effect, OrderSwap)]
+        now_ms = self._clock.now_ms()
+        permitted: frozenset[ServerId] = frozenset()
+        if orders:
+            servers = (order.engine.server for order in orders)
+            try:
+                permitted = self._turn.open(servers, now_ms, must_wait=not self._checks_fencing)
+            except BergamothillError as error:
+                _log.info("order_not_marked", step=error.step, reason=error.message)
+        held_back = [order for order in orders if order.engine.server not in permitted]
+        for order in held_back:
+            _log.info("order_held_back", server=order.engine.server, version=order.version)
+            self._machine.ordered(order, SwapOutcome.HELD_BACK, now_ms)
+        return [effect for effect in effects if effect not in held_back]
+
     def _carry_out(self, effect: SwapEffect) -> None:
         try:
             self._perform(effect)
@@ -145,7 +162,6 @@
     @_perform.register
     def _(self, effect: OrderSwap) -> None:
         try:
-            self._turn.open(self._clock.now_ms(), must_wait=not self._checks_fencing)
             permit = self._lease.permit(refuses_old_numbers=True)
         except (LeaseLostError, UnavailableError):
             self._machine.ordered(effect, SwapOutcome.NOT_SENT, self._clock.now_ms())
--- a/bergamothill/version/weightswap.py
+++ b/bergamothill/version/weightswap.py
@@ -55,6 +55,9 @@
     REFUSED = "refused"
     """The engine will not carry it out as it stands."""
 
+    HELD_BACK = "held_back"
+    """A previous holder of the duty may still order the engine."""
+
     NOT_SENT = "not_sent"
     UNKNOWN = "unknown"
 
@@ -242,7 +245,7 @@
             return
         if outcome is SwapOutcome.ALREADY_HOLDS:
             self._finish(swap)
-        elif outcome is SwapOutcome.REFUSED:
+        elif outcome in (SwapOutcome.REFUSED, SwapOutcome.HELD_BACK):
             del self._swaps[order.engine.server]
             self._rests_until_ms[order.engine.server] = now_ms + REFUSED_REST_MS
         elif outcome in (SwapOutcome.BUSY, SwapOutcome.NOT_SENT, SwapOutcome.UNKNOWN):
--- a/tests/test_watcher.py
+++ b/tests/test_watcher.py
@@ -12,6 +12,8 @@
 from bergamothill.version.revision import ConfigurationWriter
 from bergamothill.version.watcher import ConfigurationWatcher
 
+IN_FORCE_MS = 6_000
+
 
 class SwitchedKeyValueService(MemoryKeyValueService):
     """Service that can be down for some clients."""
@@ -161,6 +163,21 @@
         snapshot = ConfigurationWriter(self.kvs, self.clock).read()
         self.assertEqual(snapshot.configuration.defaults.warm_time_ms, 5)
 
+    def test_service_restored_at_the_revision_last_seen_is_written_back_within_the_bound(self):
+        self.add("a0")
+        empty = self.kvs.snapshot()
+        self.accept(5)
+        first = self.kvs.snapshot()
+        self.accept(6)
+        self.step(2)
+        self.kvs.restore(empty)
+        self.step(2)
+        self.assertEqual(first.revision, self.kvs.snapshot().revision)
+        self.kvs.restore(first)
+        self.step(IN_FORCE_MS // 1_000)
+        snapshot = ConfigurationWriter(self.kvs, self.clock).read()
+        self.assertEqual(snapshot.configuration.defaults.warm_time_ms, 6)
+
     def test_restored_service_that_went_another_way_is_refused(self):
         watcher = self.add("a0")
         self.accept(5)
