Old weights take what new ones have no room for

Cause: once half of the engines have new weights the others get nothing, also while all new ones are full; a request then waits or is refused although an old engine would serve it at four fifths of its worth.

--- a/bergamothill/process/fleet.py
+++ b/bergamothill/process/fleet.py
@@ -373,13 +373,14 @@
             belief = min(candidates, key=self._plain_cost)
             terms = ForwardTerms(belief.entry.server, 0, brand=terms_brand)
             return (belief.entry, terms)
-        candidates = self._with_due_weights(candidates, request.model, now_ms)
-        if not candidates:
+        preferred, usable = self._with_due_weights(candidates, request.model, now_ms)
+        if not usable:
             return None
-        roomy = [b for b in candidates if self._has_room(b, service.engine, request, urgency)]
-        if not roomy:
-            return NoRoom()
-        return self._place(roomy, service.engine, request, brand, now_ms)
+        for group in (preferred, usable):
+            roomy = [b for b in group if self._has_room(b, service.engine, request, urgency)]
+            if roomy:
+                return self._place(roomy, service.engine, request, brand, now_ms)
+        return NoRoom()
 
     def _has_room(
         self, belief: ServerBelief, traits: EngineTraits, request: CallerRequest, urgency: int
@@ -404,11 +405,11 @@
 
     def _with_due_weights(
         self, candidates: list[ServerBelief], model: ModelName, now_ms: int
-    ) -> list[ServerBelief]:
-        """Return the engines whose weights may still begin a request.
+    ) -> tuple[list[ServerBelief], list[ServerBelief]]:
+        """Return the engines that should begin a request by their weights, and those that may.
 
-        Right after a version is named all may; later the new ones go first once they can carry the
-        load; near the bound only they may.
+        Right after a version is named all should; later the new ones once they can carry the load,
+        and old ones take what the new ones have no room for; near the bound only new ones may.
         """
         known = [b for b in candidates if b.weight_version(model) is not None]
         outdated_ms = {b.entry.server: self._outdated_ms(b, model, now_ms) for b in known}
@@ -417,7 +418,7 @@
         new = [b for b in usable if outdated_ms[b.entry.server] < OLD_WEIGHTS_FREE_MS]
         oldest_ms = max(outdated_ms.values(), default=0)
         carries_load = 2 * len(new) >= len(known) or oldest_ms >= self._weights_due_ms // 2
-        return new if new and carries_load else usable
+        return (new if new and carries_load else usable), usable
 
     def _place(
         self,
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -169,6 +169,14 @@
         self.assertEqual("s1", chosen(self.beliefs, 10_100))
         self.assertEqual("s2", chosen(self.beliefs, late_ms))
 
+    def test_old_weights_take_what_new_ones_have_no_room_for(self):
+        self.beliefs.swapped("s2", "m1", 2)
+        late_ms = 10_000 + OLD_WEIGHTS_FREE_MS
+        self.beliefs.started("s2", 99_000, 0, late_ms)
+        self.assertEqual("s1", chosen(self.beliefs, late_ms))
+        self.beliefs.heard("s2", 14_000)
+        self.assertIsInstance(choose(self.beliefs, 14_000), NoRoom)
+
     def test_near_the_bound_old_weights_begin_nothing(self):
         self.assertIsNotNone(chosen(self.beliefs, 13_000))
         self.assertIsNone(chosen(self.beliefs, 14_000))
