Avoid sources of kept context that are held up, learned from first tokens

Cause: an estimate of a fetch counts size and link rate.

Change: `FetchDelays` takes the least excess over the last three first tokens of a source, less the usual error of expectations; a source is used while it takes at most three times the reading and 100 ms; engines that hold a part count as sources beside the stores.

--- a/bergamothill/process/fleet.py
+++ b/bergamothill/process/fleet.py
@@ -332,6 +332,16 @@
             belief.weights = {}
         belief.weights[model] = max(version, belief.weights.get(model, 0))
 
+    def first_token(self, terms: ForwardTerms, took_ms: int, now_ms: int) -> None:
+        """Note when the first token of a prompt came.
+
+        :param terms: terms that it was sent on
+        :param took_ms: time since it was sent
+        """
+        if terms.weight_version is not None:
+            expected_ms = terms.expected_first_ms
+            self._planner.delays.first_token(terms.fetch_from, took_ms, expected_ms, now_ms)
+
     def own_loads(self) -> dict[ServerId, ServerLoad]:
         """Return the requests of this entry instance, for its peers."""
         return {
@@ -438,7 +448,7 @@
             cost = (self._first_token_ms(belief, traits, request, plan), entry.server)
             if best is None or cost < best[:2]:
                 best = (*cost, belief, plan, salt)
-        _, _, belief, plan, salt = best
+        first_ms, _, belief, plan, salt = best
         terms = ForwardTerms(
             belief.entry.server,
             0,
@@ -451,6 +461,7 @@
             unread_tokens=plan.read_tokens,
             held_tokens=plan.held_tokens,
             fetched_tokens=plan.fetched_tokens,
+            expected_first_ms=first_ms,
         )
         return (belief.entry, terms)
 
--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -21,7 +21,7 @@
 from bergamothill.process.linekeeper import LineKeeper
 from bergamothill.process.nodesettings import DeploymentBounds
 from bergamothill.request.answerrelay import AnswerRelay, AttemptVerdict
-from bergamothill.request.callerrequest import CallerRequest, RawRequest
+from bergamothill.request.callerrequest import CallerRequest, ForwardTerms, RawRequest
 from bergamothill.request.forwarding import (
     BreakOff,
     Deliver,
@@ -254,6 +254,8 @@
         self._server = ServerId("")
         self._is_stalled = False
         self._is_streaming = False
+        self._terms: ForwardTerms | None = None
+        self._sent_ms = 0
         self._forwarding = Forwarding(
             request,
             route,
@@ -278,10 +280,12 @@
         self._forwarding.stream_started = self._relay.stream_started
 
     def _note_bytes(self) -> None:
+        now_ms = self._clock.now_ms()
         if not self._is_streaming:
             self._is_streaming = True
             self._fleet.stream_began(self._server)
-        self._fleet.heard(self._server, self._clock.now_ms())
+            self._fleet.first_token(self._terms, now_ms - self._sent_ms, now_ms)
+        self._fleet.heard(self._server, now_ms)
 
     def _note_read(self) -> None:
         if self._unread is not None:
@@ -337,6 +341,7 @@
         relay.begin_attempt()
         started_ms = self._clock.now_ms()
         self._open = (server, started_ms)
+        self._terms, self._sent_ms = send.terms, started_ms
         tokens = self._request.prompt_tokens
         self._unread = (server, send.terms.unread_tokens)
         self._fleet.started(server, tokens, send.terms.unread_tokens, started_ms)
--- a/bergamothill/request/callerrequest.py
+++ b/bergamothill/request/callerrequest.py
@@ -97,6 +97,7 @@
     :param unread_tokens: tokens that the server is expected to read; not sent
     :param held_tokens: tokens that it is expected to hold; not sent
     :param fetched_tokens: tokens that it is expected to fetch; not sent
+    :param expected_first_ms: when its first token is expected; not sent
     """
 
     server: ServerId
@@ -112,6 +113,7 @@
     unread_tokens: int = 0
     held_tokens: int = 0
     fetched_tokens: int = 0
+    expected_first_ms: float = 0.0
 
 
 @dataclass(slots=True)
--- a/bergamothill/request/contextplan.py
+++ b/bergamothill/request/contextplan.py
@@ -9,6 +9,7 @@
 
 from bergamothill.ids import ZoneName
 from bergamothill.request.callerrequest import CallerRequest
+from bergamothill.request.fetchdelay import FetchDelays
 from bergamothill.version.keptindex import KeptIndex, PartKey
 from bergamothill.version.routetable import EngineTraits, KeptStore
 
@@ -23,6 +24,12 @@
 INSURANCE_FACTOR = 1.0
 """Reading has to take this many times as long as fetching."""
 
+READING_WEIGHT = 3.0
+"""Reading takes an engine's time, for which others wait; a fetch may take so many times as long."""
+
+LONGER_FETCH_MS = 100
+"""And this much more: a third of the tightest objective, so that short parts are fetched, too."""
+
 FETCH_LIFE_MS = 1_500
 """A fetch that takes longer than this is slower than reading the prompt again."""
 
@@ -63,6 +70,7 @@
 
     def __init__(self, index: KeptIndex) -> None:
         self._index = index
+        self.delays = FetchDelays()
         self._stores: tuple[KeptStore, ...] = ()
         self._zones: dict[str, ZoneName] = {}
         self._saving: dict[PartKey, int] = {}
@@ -70,6 +78,7 @@
     def set_stores(self, stores: tuple[KeptStore, ...]) -> None:
         """Set the stores of the configuration in force."""
         self._stores = stores
+        self._keep_delays()
 
     def set_engines(self, zones: Mapping[str, ZoneName]) -> None:
         """Set the engines that context may be fetched from.
@@ -77,6 +86,10 @@
         :param zones: zone of each, by address
         """
         self._zones = dict(zones)
+        self._keep_delays()
+
+    def _keep_delays(self) -> None:
+        self.delays.keep([*self._zones, *(store.address for store in self._stores)])
 
     def plan(
         self,
@@ -105,8 +118,12 @@
             key = PartKey(salt, part.name)
             is_held = self._index.tokens_at(engine, key) >= part.tokens
             source = self._store_source(zone, traits, key, part.tokens, now_ms)
-            if source is None and not is_held:
-                source = self._engine_source(engine, zone, traits, key, part.tokens, now_ms)
+            if not is_held:
+                other = self._engine_source(engine, zone, traits, key, part.tokens, now_ms)
+                if other is not None and (source is None or other[1] < source[1]):
+                    source = other
+            if source is not None and not _is_worthwhile(behind, source[1]):
+                source = None
             if source is not None and (not is_held or _is_insured(behind, source[1])):
                 sources[number] = source[0]
                 offset_ms = self._index.source(source[0]).clock_offset_ms
@@ -138,17 +155,20 @@
     ) -> tuple[str, float] | None:
         """Return the quickest store that surely has a part, and how long a fetch takes."""
         found = (
-            (store.address, store.first_byte_ms + self._transfer_ms(store, zone, traits, tokens))
+            (store.address, self._fetch_ms(store, zone, traits, tokens, now_ms))
             for store in self._stores
             if self._surely_has(store.address, key, tokens, now_ms)
         )
         return min(found, key=lambda source: source[1], default=None)
 
-    def _transfer_ms(
-        self, store: KeptStore, zone: ZoneName, traits: EngineTraits, tokens: int
+    def _fetch_ms(
+        self, store: KeptStore, zone: ZoneName, traits: EngineTraits, tokens: int, now_ms: int
     ) -> float:
         link_mbps = min(store.link_mbps, traits.link_mbps)
-        return _transfer_ms(tokens * traits.token_bytes, link_mbps, store.zone != zone)
+        size_bytes = tokens * traits.token_bytes
+        transfer_ms = _transfer_ms(size_bytes, link_mbps, store.zone != zone)
+        delay_ms = self.delays.expected(store.address, now_ms)
+        return store.first_byte_ms + transfer_ms + delay_ms
 
     def _engine_source(
         self,
@@ -162,7 +182,11 @@
         """Return the quickest other engine that has a part, and how long a fetch takes."""
         size_bytes = tokens * traits.token_bytes
         found = (
-            (address, _transfer_ms(size_bytes, traits.link_mbps, other_zone != zone))
+            (
+                address,
+                _transfer_ms(size_bytes, traits.link_mbps, other_zone != zone)
+                + self.delays.expected(address, now_ms),
+            )
             for address, other_zone in self._zones.items()
             if address != engine and self._surely_has(address, key, tokens, now_ms)
         )
@@ -202,6 +226,15 @@
         return max(sound, key=lambda store: _home_score(key, store), default=None)
 
 
+def _is_worthwhile(tokens: int, fetch_ms: float) -> bool:
+    """Tell whether fetching a part is better than reading it and all behind it.
+
+    :param tokens: shared tokens from this part on
+    :param fetch_ms: expected duration of a fetch of the part
+    """
+    return fetch_ms <= READING_WEIGHT * tokens / READ_TOKENS_PER_MS + LONGER_FETCH_MS
+
+
 def _is_insured(tokens: int, fetch_ms: float) -> bool:
     """Tell whether a source is named for a part although the engine seems to hold it.
 
--- /dev/null
+++ b/tests/test_fetchdelay.py
@@ -0,0 +1,89 @@
+"""Tests of what first tokens tell of the sources of kept context."""
+
+import unittest
+
+from bergamothill.request.contextplan import ContextPlanner
+from bergamothill.request.fetchdelay import SAMPLE_LIFE_MS, SAMPLES, FetchDelays
+from bergamothill.version.keptindex import EventBatch, HoldingEvent, KeptIndex, PartKey
+from tests.builders import caller_request, routing_config
+
+ENGINE = "10.0.0.1:80"
+OTHER = "10.0.0.2:80"
+SALT = "m1~1"
+CONFIG = routing_config()
+STORE = CONFIG.stores[0].address
+TRAITS = next(s.engine for s in CONFIG.services.values() if s.engine is not None)
+
+
+class FetchDelaysTest(unittest.TestCase):
+    def setUp(self):
+        self.delays = FetchDelays()
+
+    def fetched(self, *took_ms, now_ms=0):
+        for number, value in enumerate(took_ms):
+            self.delays.first_token((STORE, ""), value, 50.0, now_ms + number)
+
+    def test_a_source_counts_as_held_up_after_several_late_fetches_in_a_row(self):
+        self.fetched(450, 350)
+        self.assertEqual(0.0, self.delays.expected(STORE, 10))
+        self.fetched(550, now_ms=10)
+        self.assertEqual(300.0, self.delays.expected(STORE, 20))
+
+    def test_one_fetch_in_time_clears_it(self):
+        self.fetched(450, 450, 450, 50)
+        self.assertEqual(0.0, self.delays.expected(STORE, 10))
+
+    def test_it_is_tried_again_after_a_while(self):
+        self.fetched(*[450] * SAMPLES)
+        self.assertEqual(0.0, self.delays.expected(STORE, SAMPLE_LIFE_MS + SAMPLES))
+
+    def test_what_delays_prompts_without_a_fetch_is_not_put_down_to_a_source(self):
+        for number in range(100):
+            self.delays.first_token((), 250, 50.0, number)
+        self.fetched(*[250] * SAMPLES, now_ms=100)
+        self.assertLess(self.delays.expected(STORE, 110), 1.0)
+
+    def test_sources_that_left_are_forgotten(self):
+        self.fetched(*[450] * SAMPLES)
+        self.delays.keep([OTHER])
+        self.assertEqual(0.0, self.delays.expected(STORE, 5))
+
+
+class PlanTest(unittest.TestCase):
+    def setUp(self):
+        self.index = KeptIndex()
+        self.planner = ContextPlanner(self.index)
+        self.planner.set_stores(CONFIG.stores)
+        self.planner.set_engines({ENGINE: "zone-a", OTHER: "zone-a"})
+        self.request = caller_request()
+
+    def hold(self, address):
+        events = tuple(
+            HoldingEvent(PartKey(SALT, part.name), part.tokens) for part in self.request.parts
+        )
+        self.index.source(address).apply(EventBatch(1, 5, False, events, 0), 0, 0)
+
+    def sources(self):
+        plan = self.planner.plan(ENGINE, "zone-a", TRAITS, self.request, SALT, 10)
+        return {source for source in plan.fetch_from if source}
+
+    def hold_up(self, address, took_ms=2_000):
+        for _ in range(SAMPLES):
+            self.planner.delays.first_token((address,), took_ms, 50.0, 5)
+
+    def test_another_source_is_taken_while_one_is_held_up(self):
+        self.hold(STORE)
+        self.assertEqual({STORE}, self.sources())
+        self.hold(OTHER)
+        self.hold_up(STORE)
+        self.assertEqual({OTHER}, self.sources())
+
+    def test_a_prompt_is_read_while_all_sources_are_held_up(self):
+        self.hold(STORE)
+        self.hold_up(STORE)
+        self.assertEqual(set(), self.sources())
+
+    def test_a_short_delay_is_cheaper_than_reading(self):
+        self.hold(STORE)
+        self.hold_up(STORE, took_ms=120)
+        self.assertEqual({STORE}, self.sources())
