Wait for the duty's key to change instead of reading it each 500 ms

Change: they wait for the key to change (up to 3 s a call) and read it then; where the service cannot tell, they read as before. A holder's end shows at once.

--- a/bergamothill/process/lease.py
+++ b/bergamothill/process/lease.py
@@ -71,6 +71,17 @@
     def __init__(self, kvs: KeyValueService, duty: DutyName) -> None:
         self._kvs = kvs
         self._key = duty_key(duty)
+        self.seen_revision = ABSENT
+        """Revision of the duty's key when it was last read."""
+
+    def wait_change(self, timeout_ms: int) -> bool:
+        """Wait until the duty's key changes after it was last read.
+
+        :param timeout_ms: longest wait, in milliseconds
+        :returns: False when the service cannot tell, since its history is gone
+        """
+        after = self.seen_revision
+        return self._kvs.wait_change(self._key, after=after, timeout_ms=timeout_ms) != 0
 
     @singledispatchmethod
     def perform(self, effect: LeaseEffect) -> LeaseEvent:
@@ -87,6 +98,7 @@
             entry = self._kvs.get(self._key)
         except BergamothillError:
             return ReadFailed()
+        self.seen_revision = ABSENT if entry is None else entry.mod_revision
         if entry is None:
             return HolderRead(None, ABSENT)
         return HolderRead(_decode(entry.value), entry.mod_revision)
@@ -193,6 +205,16 @@
             self._drive(effect)
             return self._report()
 
+    def wait_change(self, timeout_ms: int) -> bool:
+        """Wait until another holder's key may have changed.
+
+        :param timeout_ms: longest wait, in milliseconds
+        :returns: False when it did not wait: there is no other holder, or the service cannot tell
+        """
+        if self.is_held or self._performer.seen_revision == ABSENT:
+            return False
+        return self._performer.wait_change(timeout_ms)
+
     def release(self) -> None:
         """Stop holding the duty and let the next holder in at once."""
         with self._lock:
--- a/bergamothill/process/swapduty.py
+++ b/bergamothill/process/swapduty.py
@@ -30,6 +30,9 @@
 IDLE_TICK_MS = 500  # three in the life of a lease, so that a holder that died is replaced soon
 BUSY_TICK_MS = 40
 
+VACANCY_WAIT_MS = 3_000
+"""Two lives of the lease: a watch that has gone silent is noticed soon after."""
+
 _log = EventLog("weights")
 
 
@@ -86,15 +89,17 @@
         """Hold the duty while it falls to this entry instance, until stopped."""
         with ThreadPoolExecutor(thread_name_prefix="weights") as pool:
             while not self._stopped:
+                is_busy = has_waited = False
                 try:
                     is_busy = self._tick(pool)
+                    has_waited = self._lease.wait_change(VACANCY_WAIT_MS)
                 except BergamothillError as error:
                     _log.warning(
                         "swap_failed", step=error.step, peer=error.peer, reason=error.message
                     )
-                    is_busy = False
-                self._wake.wait(seconds(BUSY_TICK_MS if is_busy else IDLE_TICK_MS))
-                self._wake.clear()
+                if not has_waited:
+                    self._wake.wait(seconds(BUSY_TICK_MS if is_busy else IDLE_TICK_MS))
+                    self._wake.clear()
         self._lease.release()
 
     def stop(self) -> None:
--- /dev/null
+++ b/scripts/ablate.py
@@ -0,0 +1,145 @@
+"""Write a copy of this checkout in which one mechanism is off, or a baseline takes its place.
+
+The copies are played like the checkout itself; ``docs/POLICY.md`` holds the results.
+"""
+
+from __future__ import annotations
+
+import argparse
+import shutil
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+LEFT_OUT = (".git", ".venv", "journal", "__pycache__", ".hypothesis")
+
+FLEET = "bergamothill/process/fleet.py"
+PLAN = "bergamothill/request/contextplan.py"
+GATEWAY = "bergamothill/process/gateway.py"
+COST = "        return queue_ms + read_ms + plan.fetch_ms + memory_ms + batch_ms\n"
+TARGETS = '        targets = [""] * len(request.parts)\n'
+
+
+@dataclass(frozen=True, slots=True)
+class Replacement:
+    """A piece of a module that is replaced.
+
+    :param path: module, from the root
+    :param old: text that stands there exactly once
+    :param new: text in its place
+    """
+
+    path: str
+    old: str
+    new: str
+
+
+ABLATIONS: dict[str, tuple[Replacement, ...]] = {
+    "no-fetch": (
+        Replacement(
+            PLAN,
+            "            if is_held:\n                held += part.tokens\n",
+            '            source = None\n            sources[number] = ""\n'
+            "            if is_held:\n                held += part.tokens\n",
+        ),
+    ),
+    "no-saves": (Replacement(PLAN, TARGETS, "        return ()\n" + TARGETS),),
+    "no-insurance": (Replacement(PLAN, "INSURANCE_FACTOR = 1.0\n", "INSURANCE_FACTOR = 1e9\n"),),
+    "no-fetch-delays": (
+        Replacement(
+            "bergamothill/request/fetchdelay.py",
+            "        return min(recent) if len(recent) == SAMPLES else 0.0\n",
+            "        return 0.0\n",
+        ),
+    ),
+    "no-peer-loads": (
+        Replacement(
+            "bergamothill/process/loadreport.py",
+            "        return self._totals.get(server) or ServerLoad()\n",
+            "        return ServerLoad()\n",
+        ),
+    ),
+    "no-line": (
+        Replacement(
+            GATEWAY,
+            "        if keeper.line.join(waiting, started_ms):\n",
+            "        if False:\n",
+        ),
+    ),
+    "no-room-check": (
+        Replacement(
+            FLEET,
+            "        return tokens <= share * traits.memory_tokens\n",
+            "        return True\n",
+        ),
+    ),
+    "no-room-by-urgency": (
+        Replacement(FLEET, "MEMORY_SHARE_PER_URGENCY = 0.035\n", "MEMORY_SHARE_PER_URGENCY = 0\n"),
+    ),
+    "no-silence-check": (
+        Replacement(
+            FLEET,
+            "        return silence_ms >= STALL_SILENCE_MS * self._evidence(server)\n",
+            "        return False\n",
+        ),
+    ),
+    "no-rests": (
+        Replacement(
+            FLEET,
+            "        awake = [b for b in candidates if b.rests_until_ms <= now_ms]\n",
+            "        awake = candidates\n",
+        ),
+    ),
+    "least-loaded": (
+        Replacement(FLEET, COST, "        return float(belief.in_progress + others.in_progress)\n"),
+    ),
+    "sticky": (
+        Replacement(
+            FLEET,
+            COST,
+            "        session = request.parts[-2].name if len(request.parts) > 1 else request.key\n"
+            '        return float(zlib.crc32(f"{session}|{belief.entry.server}".encode()))\n',
+        ),
+        Replacement(
+            FLEET,
+            "from collections.abc import Iterable\n",
+            "import zlib\nfrom collections.abc import Iterable\n",
+        ),
+    ),
+    "random": (
+        Replacement(FLEET, COST, "        return random.random()\n"),
+        Replacement(
+            FLEET,
+            "from collections.abc import Iterable\n",
+            "import random\nfrom collections.abc import Iterable\n",
+        ),
+    ),
+}
+"""By name; the last three are baselines that choose engines in another way."""
+
+
+def apply(replacement: Replacement, root: Path) -> None:
+    """Replace a piece of a module.
+
+    :raises ValueError: the text does not stand there exactly once
+    """
+    path = root / replacement.path
+    text = path.read_text()
+    if text.count(replacement.old) != 1:
+        raise ValueError(f"{replacement.path} does not hold once: {replacement.old!r}")
+    path.write_text(text.replace(replacement.old, replacement.new))
+
+
+def main() -> None:
+    """Parse the command line and write the copy."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("name", choices=sorted(ABLATIONS))
+    parser.add_argument("target", type=Path, help="directory to write the copy to")
+    arguments = parser.parse_args()
+    shutil.copytree(ROOT, arguments.target, ignore=shutil.ignore_patterns(*LEFT_OUT))
+    for replacement in ABLATIONS[arguments.name]:
+        apply(replacement, arguments.target)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -75,6 +75,22 @@
         self.assertTrue(self.first.tick())
         self.assertEqual(self.kvs.get(duty_key(DUTY)).mod_revision, self.first.fencing)
 
+    def test_who_does_not_hold_the_duty_waits_for_its_key_to_change(self):
+        self.assertFalse(self.second.wait_change(0))
+        self.first.tick()
+        self.second.tick()
+        self.assertFalse(self.first.wait_change(0))
+        waits = []
+        self.kvs.wait_change = lambda key, *, after, timeout_ms: waits.append((key, after)) or after
+        self.assertTrue(self.second.wait_change(0))
+        self.assertEqual([(duty_key(DUTY), self.kvs.peek(duty_key(DUTY)).mod_revision)], waits)
+
+    def test_a_watch_without_history_is_no_wait(self):
+        self.first.tick()
+        self.second.tick()
+        self.kvs.wait_change = lambda key, *, after, timeout_ms: 0
+        self.assertFalse(self.second.wait_change(0))
+
     def test_an_unreadable_holder_is_left_alone(self):
         self.kvs.put_if(duty_key(DUTY), b"\xff", expected=ABSENT)
         self.assertFalse(self.first.tick())
