Log why an engine was chosen; placement of prompts in a module of its own

Change: each attempt shows the expected first token at the chosen engine and at the one that came second. Run: test_fleet, test_gateway, test_ablate, test_platform_names, all passed.

--- a/bergamothill/process/fleet.py
+++ b/bergamothill/process/fleet.py
@@ -10,12 +10,12 @@
 
 from bergamothill.ids import ModelName, ServerId, ServiceName, ZoneName
 from bergamothill.process.backends import BackendServer
+from bergamothill.process.engineplacer import EnginePlacer
 from bergamothill.process.loadreport import PeerLoads, ServerLoad
 from bergamothill.process.serverbelief import ServerBelief
 from bergamothill.request.callerrequest import CallerRequest, ForwardTerms
-from bergamothill.request.contextplan import READ_TOKENS_PER_MS, ContextPlan, ContextPlanner
+from bergamothill.request.contextplan import ContextPlanner
 from bergamothill.request.forwarding import NoRoom
-from bergamothill.version.keptnamespace import namespace
 from bergamothill.version.routetable import Brand, EngineTraits, Service
 from bergamothill.version.weightgoal import WeightGoal
 from bergamothill.version.weightswap import SwapEngine
@@ -40,13 +40,6 @@
 MEMORY_SHARE_PER_URGENCY = 0.035
 """Room left for each step of urgency that a request stands behind the most urgent ones."""
 
-MEMORY_MS = 20.0
-"""Weight of a full memory against delays: context that is kept is lost to requests in progress."""
-
-BATCH_MS_PER_RUN = 0.5
-"""Delay that each request in progress adds to the batch of another."""
-
-
 SUSPECT_SILENCE_MS = 600
 """An engine with requests sends events every few ten ms, and pauses 300 ms for new weights."""
 
@@ -82,6 +75,7 @@
         self._zone = zone
         self._peer_loads = peer_loads
         self._planner = planner
+        self._placer = EnginePlacer(planner, peer_loads)
         self._weights_due_ms = weights_due_ms
         self._beliefs: dict[ServerId, ServerBelief] = {}
         self._by_service: dict[ServiceName, list[ServerBelief]] = {}
@@ -389,7 +383,7 @@
         for group in (preferred, usable):
             roomy = [b for b in group if self._has_room(b, service.engine, request, urgency)]
             if roomy:
-                return self._place(roomy, service.engine, request, brand, now_ms)
+                return self._placer.place(roomy, service.engine, request, brand, now_ms)
         return NoRoom()
 
     def _has_room(
@@ -429,53 +423,3 @@
         oldest_ms = max(outdated_ms.values(), default=0)
         carries_load = 2 * len(new) >= len(known) or oldest_ms >= self._weights_due_ms // 2
         return (new if new and carries_load else usable), usable
-
-    def _place(
-        self,
-        candidates: list[ServerBelief],
-        traits: EngineTraits,
-        request: CallerRequest,
-        brand: Brand | None,
-        now_ms: int,
-    ) -> tuple[BackendServer, ForwardTerms]:
-        """Return the engine with the earliest expected first token, and what it fetches."""
-        best: tuple[float, str, ServerBelief, ContextPlan, str] | None = None
-        for belief in candidates:
-            entry = belief.entry
-            version = belief.weight_version(request.model)
-            salt = namespace(request.model, version, brand)
-            plan = self._planner.plan(entry.address, entry.zone, traits, request, salt, now_ms)
-            cost = (self._first_token_ms(belief, traits, request, plan), entry.server)
-            if best is None or cost < best[:2]:
-                best = (*cost, belief, plan, salt)
-        first_ms, _, belief, plan, salt = best
-        terms = ForwardTerms(
-            belief.entry.server,
-            0,
-            brand=brand.name if brand is not None else None,
-            weight_version=belief.weight_version(request.model),
-            cache_salt=salt,
-            fetch_from=plan.fetch_from,
-            save_to=self._planner.saves(request, salt, now_ms),
-            fetch_until_ms=plan.fetch_until_ms,
-            unread_tokens=plan.read_tokens,
-            held_tokens=plan.held_tokens,
-            fetched_tokens=plan.fetched_tokens,
-            expected_first_ms=first_ms,
-        )
-        return (belief.entry, terms)
-
-    def _first_token_ms(
-        self,
-        belief: ServerBelief,
-        traits: EngineTraits,
-        request: CallerRequest,
-        plan: ContextPlan,
-    ) -> float:
-        others = self._peer_loads.at(belief.entry.server)
-        queue_ms = (belief.unread_tokens + others.unread_tokens) / READ_TOKENS_PER_MS
-        read_ms = plan.read_tokens / READ_TOKENS_PER_MS
-        tokens = belief.tokens + others.tokens + request.prompt_tokens
-        memory_ms = MEMORY_MS * tokens / max(1, traits.memory_tokens)
-        batch_ms = BATCH_MS_PER_RUN * (belief.in_progress + others.in_progress)
-        return queue_ms + read_ms + plan.fetch_ms + memory_ms + batch_ms
--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -223,6 +223,15 @@
         connection.answer(status, headers, b"")
 
 
+def _reasons(terms: ForwardTerms) -> str:
+    """Return why a server was chosen, for the log."""
+    context = f"{terms.held_tokens}+{terms.fetched_tokens}+{terms.unread_tokens}"
+    reasons = f"w{terms.weight_version}:{context}:first{terms.expected_first_ms:.0f}ms"
+    if terms.runner_up:
+        reasons += f"<{terms.runner_up}:{terms.runner_up_first_ms:.0f}ms"
+    return reasons
+
+
 _STATUS_BY_VERDICT = {Verdict.UNKNOWN_ROUTE: 404, Verdict.UNKNOWN_KEY: 401}
 
 
@@ -360,10 +369,8 @@
         now_ms = self._clock.now_ms()
         outcome = self._outcome(result.end)
         status = relay.head.status if relay.head is not None else 0
-        terms = send.terms
-        context = f"{terms.held_tokens}+{terms.fetched_tokens}+{terms.unread_tokens}"
         self._trail.append(
-            f"{server}:{outcome}:{status}:{now_ms - started_ms}ms:w{terms.weight_version}:{context}"
+            f"{server}:{outcome}:{status}:{now_ms - started_ms}ms:{_reasons(send.terms)}"
             + (f":{result.detail}" if result.detail else "")
         )
         return self._conclude(outcome, send, now_ms)
--- a/bergamothill/request/callerrequest.py
+++ b/bergamothill/request/callerrequest.py
@@ -98,6 +98,8 @@
     :param held_tokens: tokens that it is expected to hold; not sent
     :param fetched_tokens: tokens that it is expected to fetch; not sent
     :param expected_first_ms: when its first token is expected; not sent
+    :param runner_up: server that came second; empty when there was no other; not sent
+    :param runner_up_first_ms: when the first token was expected there; not sent
     """
 
     server: ServerId
@@ -114,6 +116,8 @@
     held_tokens: int = 0
     fetched_tokens: int = 0
     expected_first_ms: float = 0.0
+    runner_up: ServerId = ServerId("")
+    runner_up_first_ms: float = 0.0
 
 
 @dataclass(slots=True)
--- a/scripts/ablate.py
+++ b/scripts/ablate.py
@@ -14,6 +14,7 @@
 LEFT_OUT = (".git", ".venv", "journal", "__pycache__", ".hypothesis")
 
 FLEET = "bergamothill/process/fleet.py"
+PLACER = "bergamothill/process/engineplacer.py"
 PLAN = "bergamothill/request/contextplan.py"
 GATEWAY = "bergamothill/process/gateway.py"
 COST = "        return queue_ms + read_ms + plan.fetch_ms + memory_ms + batch_ms\n"
@@ -91,27 +92,29 @@
         ),
     ),
     "least-loaded": (
-        Replacement(FLEET, COST, "        return float(belief.in_progress + others.in_progress)\n"),
+        Replacement(
+            PLACER, COST, "        return float(belief.in_progress + others.in_progress)\n"
+        ),
     ),
     "sticky": (
         Replacement(
-            FLEET,
+            PLACER,
             COST,
             "        session = request.parts[-2].name if len(request.parts) > 1 else request.key\n"
             '        return float(zlib.crc32(f"{session}|{belief.entry.server}".encode()))\n',
         ),
         Replacement(
-            FLEET,
-            "from collections.abc import Iterable\n",
-            "import zlib\nfrom collections.abc import Iterable\n",
+            PLACER,
+            "from dataclasses import dataclass\n",
+            "import zlib\nfrom dataclasses import dataclass\n",
         ),
     ),
     "random": (
-        Replacement(FLEET, COST, "        return random.random()\n"),
+        Replacement(PLACER, COST, "        return random.random()\n"),
         Replacement(
-            FLEET,
-            "from collections.abc import Iterable\n",
-            "import random\nfrom collections.abc import Iterable\n",
+            PLACER,
+            "from dataclasses import dataclass\n",
+            "import random\nfrom dataclasses import dataclass\n",
         ),
     ),
 }
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -151,6 +151,19 @@
         self.assertEqual("s1", chosen(fleet(backend("s1")), prompt_tokens=99_000))
 
 
+class ReasonsTest(unittest.TestCase):
+    def test_terms_tell_what_the_choice_was_made_by(self):
+        beliefs = fleet(backend("s1"), backend("s2"))
+        beliefs.started("s1", 1_000, 10_000, 0)
+        _, terms = choose(beliefs)
+        self.assertEqual(("s2", "s1"), (terms.server, terms.runner_up))
+        self.assertLess(terms.expected_first_ms, terms.runner_up_first_ms)
+
+    def test_the_only_engine_has_no_runner_up(self):
+        _, terms = choose(fleet(backend("s1")))
+        self.assertEqual("", terms.runner_up)
+
+
 class WeightsTest(unittest.TestCase):
     def setUp(self):
         self.beliefs = fleet(backend("s1"), backend("s2"))
