--- /dev/null
+++ b/tests/test_platform_node.py
@@ -0,0 +1,148 @@
+"""Tests of an entry instance's planned stop, and of when a forwarded request is written."""
+
+import asyncio
+import tempfile
+import unittest
+from pathlib import Path
+from unittest import mock
+
+from bergamothill.clock import ManualClock
+from bergamothill.connection.backendhttp import ExchangeEnd, exchange
+from bergamothill.platform.settings import load_node_settings
+from bergamothill.process import platformnode
+from bergamothill.process.platformnode import LEAST_NOTICE_MS, PlatformNode
+from tests.builders import NODE_SETTINGS
+
+GRACE_MS = 8_000
+
+
+class Listener:
+    """Listening socket; notes when it was closed."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.closed_ms = None
+
+    def close(self):
+        if self.closed_ms is None:
+            self.closed_ms = self.clock.now_ms()
+
+
+class KeptConnection:
+    """Caller's connection that becomes idle at an instant."""
+
+    def __init__(self, clock, connections, idle_ms):
+        self.clock, self.connections, self.idle_ms = clock, connections, idle_ms
+        self.asked_ms = []
+        connections.add(self)
+
+    def close_if_idle(self):
+        self.asked_ms.append(self.clock.now_ms())
+        if self.clock.now_ms() >= self.idle_ms:
+            self.connections.discard(self)
+
+
+class StopTest(unittest.TestCase):
+    def setUp(self):
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        path = Path(directory.name, "node.toml")
+        path.write_text(NODE_SETTINGS)
+        self.clock = ManualClock(0)
+        self.node = PlatformNode(load_node_settings(str(path)), str(path), self.clock)
+        self.listener = Listener(self.clock)
+
+    def drain(self):
+        async def sleep(duration_s):
+            self.clock.advance_ms(int(duration_s * 1_000))
+
+        with mock.patch.object(platformnode.asyncio, "sleep", sleep):
+            asyncio.run(self.node._drain(self.listener))
+        return self.clock.now_ms()
+
+    def test_new_connections_are_taken_until_the_balancer_has_noticed(self):
+        KeptConnection(self.clock, self.node._connections, idle_ms=5_000)
+        self.drain()
+        self.assertGreaterEqual(self.listener.closed_ms, LEAST_NOTICE_MS)
+        self.assertLess(self.listener.closed_ms, LEAST_NOTICE_MS + 100)
+
+    def test_no_connection_is_closed_before_that(self):
+        connection = KeptConnection(self.clock, self.node._connections, idle_ms=0)
+        self.drain()
+        self.assertGreaterEqual(min(connection.asked_ms), LEAST_NOTICE_MS)
+
+    def test_the_stop_ends_with_the_last_connection(self):
+        KeptConnection(self.clock, self.node._connections, idle_ms=5_000)
+        self.assertLess(self.drain(), 5_200)
+
+    def test_the_stop_ends_before_the_kill_whatever_is_open(self):
+        KeptConnection(self.clock, self.node._connections, idle_ms=99_000)
+        self.assertLess(self.drain(), GRACE_MS)
+
+    def test_a_stopping_instance_is_not_ready(self):
+        self.node._config.table = self.node._fleet.listed_ms = 0
+        self.drain()
+        self.assertFalse(self.node.is_ready())
+
+
+class Transport:
+    """Notes what is done to a connection."""
+
+    def __init__(self):
+        self.calls = []
+
+    def write(self, data):
+        self.calls.append("write")
+
+    def abort(self):
+        self.calls.append("abort")
+
+
+class ExchangeTest(unittest.TestCase):
+    """A request that is given up while its connection opens must not reach the server."""
+
+    def run_exchange(self, *, opens, connect_timeout_ms=10_000, cancel=False):
+        transport = Transport()
+
+        async def main():
+            loop = asyncio.get_running_loop()
+            opened = asyncio.Event()
+
+            protocols = []
+
+            async def create_connection(make, host, port):
+                protocols.append(make())
+                await opened.wait()
+                loop.call_soon(protocols[0].connection_lost, None)
+                return transport, protocols[0]
+
+            with mock.patch.object(loop, "create_connection", create_connection):
+                task = asyncio.ensure_future(
+                    exchange("h:1", b"x", mock.Mock(), connect_timeout_ms=connect_timeout_ms)
+                )
+                await asyncio.sleep(0)
+                if opens:
+                    # The loop makes the connection before the task that waits for it goes on.
+                    protocols[0].connection_made(transport)
+                    opened.set()
+                if cancel:
+                    task.cancel()
+                return await asyncio.gather(task, return_exceptions=True)
+
+        (result,) = asyncio.run(main())
+        return result, transport.calls
+
+    def test_written_once_the_connection_is_open(self):
+        result, calls = self.run_exchange(opens=True)
+        self.assertEqual(["write", "abort"], calls)
+        self.assertIs(ExchangeEnd.BROKEN, result.end)
+
+    def test_a_connection_that_opens_too_late_carries_nothing(self):
+        result, calls = self.run_exchange(opens=False, connect_timeout_ms=1)
+        self.assertIs(ExchangeEnd.NOT_CONNECTED, result.end)
+        self.assertEqual([], calls)
+
+    def test_a_request_that_is_cancelled_as_its_connection_opens_is_not_written(self):
+        result, calls = self.run_exchange(opens=True, cancel=True)
+        self.assertIsInstance(result, asyncio.CancelledError)
+        self.assertNotIn("write", calls)
