Answers to HEAD end with their head

Change: the exchange ends with the head; the caller's answer names no length. Test: test_gateway...head_has_no_body (two requests on one connection).

--- a/bergamothill/connection/backendhttp.py
+++ b/bergamothill/connection/backendhttp.py
@@ -60,7 +60,12 @@
 
 
 async def exchange(
-    address: str, request: bytes, sink: ExchangeSink, *, connect_timeout_ms: int
+    address: str,
+    request: bytes,
+    sink: ExchangeSink,
+    *,
+    connect_timeout_ms: int,
+    is_head: bool = False,
 ) -> ExchangeResult:
     """Send one request on a new connection and hand on its answer.
 
@@ -70,11 +75,12 @@
     :param request: encoded request
     :param sink: receives the answer
     :param connect_timeout_ms: longest time to open the connection
+    :param is_head: the request's method is HEAD, so that its answer has no body
     """
     loop = asyncio.get_running_loop()
     host, _, port = address.rpartition(":")
     done: asyncio.Future[ExchangeResult] = loop.create_future()
-    protocol = _BackendConnection(sink, done)
+    protocol = _BackendConnection(sink, done, is_head=is_head)
     try:
         async with asyncio.timeout(seconds(connect_timeout_ms)):
             transport, _ = await loop.create_connection(lambda: protocol, host, int(port))
@@ -93,8 +99,11 @@
 class _BackendConnection(asyncio.Protocol):
     """Connection of one exchange."""
 
-    def __init__(self, sink: ExchangeSink, done: asyncio.Future[ExchangeResult]) -> None:
+    def __init__(
+        self, sink: ExchangeSink, done: asyncio.Future[ExchangeResult], *, is_head: bool
+    ) -> None:
         self._sink = sink
+        self._is_head = is_head
         self._done = done
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[Header] = []
@@ -153,6 +162,8 @@
         self._ends_with_connection = not names & {b"content-length", b"transfer-encoding"}
         if self._sink.on_head(status, self._headers) is None:
             self._finish(ExchangeEnd.STOPPED, "")
+        elif self._is_head:
+            self._finish(ExchangeEnd.COMPLETE, "")
 
     def on_body(self, piece: bytes) -> None:
         """Hand on a piece of the body."""
--- a/bergamothill/connection/callerhttp.py
+++ b/bergamothill/connection/callerhttp.py
@@ -79,6 +79,7 @@
         self._keeps_alive = True
         self._answer_started = False
         self._answer_chunked = False
+        self._is_head = False
         self._is_closed = False
         self._timer: asyncio.TimerHandle | None = None
         self._on_room: Callable[[bool], None] | None = None
@@ -202,6 +203,7 @@
 
     def _begin_next(self) -> None:
         raw, self._keeps_alive = self._waiting.popleft()
+        self._is_head = raw.method == b"HEAD"
         self._waiting_bytes = 0
         self._answer_started = False
         self._cancel_timer()
@@ -247,7 +249,8 @@
             return
         self._settle_keep_alive()
         lines = self._head(status, headers)
-        lines.append(b"Content-Length: %d\r\n\r\n" % len(body))
+        # An answer to HEAD has no body; the length of the one that GET would get is not known.
+        lines.append(b"\r\n" if self._is_head else b"Content-Length: %d\r\n\r\n" % len(body))
         self._transport.write(b"\r\n".join(lines) + body)
         self._end_answer()
 
--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -385,6 +385,7 @@
                 encode_forward(self._request, send.terms),
                 self._relay,
                 connect_timeout_ms=CONNECT_TIMEOUT_MS,
+                is_head=self._request.raw.method == b"HEAD",
             )
         )
         self._task = task
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -86,6 +86,19 @@
         (sent,) = self.sent()
         self.assertTrue(sent.endswith(b"Connection: close\r\n\r\nabcd"), sent)
 
+    def test_an_answer_to_head_has_no_body_whatever_its_length_says(self):
+        head = answer(b"", framing=b"Content-Length: 500\r\n")
+        world = self.world(plain=[replies(head)])
+        with world.connect() as connection:
+            open_path = b"/book/open/2f"
+            connection.sendall(request(open_path, method=b"HEAD", body=b""))
+            first = read_message(connection)
+            connection.sendall(request(open_path, method=b"HEAD", body=b""))
+            second = read_message(connection)
+        for found in (first, second):
+            self.assertIn(b" 200 ", found)
+            self.assertTrue(found.endswith(b"\r\n\r\n"))
+
     def test_kept_connections_answer_in_order(self):
         world = self.world(plain=[replies(answer(b"one"))])
         with world.connect() as connection:
