Hold a request only while it can still be in time, then say when to come back

A prompt was held for up to 2.1 s, until its caller would leave; most of that time it was late already, took room from prompts that were not, and was often refused in the end.

Change: a request that has not begun is held until its objective can no longer be met, then refused as not run with its time to come back. A stream that goes on at another engine is held as before.

Changed check: the test that a request is held as long as its caller waits is replaced by three on what is held now, and for how long.

--- a/bergamothill/request/forwarding.py
+++ b/bergamothill/request/forwarding.py
@@ -244,11 +244,14 @@
         self._held_event_id = last_event_id
         request = self._request
         route = self._route
-        start_ms, target_ms = request.raw.arrived_ms, route.target_ms
         if self.stream_started:
-            start_ms, target_ms = now_ms, route.event_gap_ms
-        leaves_ms = min(start_ms + _silence_ms(route) - FIRST_EVENT_MS, self.due_ms)
-        timely_until_ms = start_ms + target_ms - USUAL_FIRST_EVENT_MS
+            timely_until_ms = now_ms + route.event_gap_ms - USUAL_FIRST_EVENT_MS
+            leaves_ms = now_ms + _silence_ms(route) - FIRST_EVENT_MS
+        else:
+            # A request that is late anyway takes room from one that is not; it may come back.
+            timely_until_ms = request.raw.arrived_ms + route.target_ms - USUAL_FIRST_EVENT_MS
+            leaves_ms = max(now_ms, timely_until_ms)
+        leaves_ms = min(leaves_ms, self.due_ms)
         return Hold(self._urgency, request.prompt_tokens, timely_until_ms, leaves_ms)
 
     def _again(self, now_ms: int, last_event_id: str, *, is_repeat: bool) -> ForwardStep:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -5,6 +5,8 @@
 from bergamothill.process.backends import BackendServer
 from bergamothill.request.callerrequest import ForwardTerms
 from bergamothill.request.forwarding import (
+    FIRST_EVENT_MS,
+    USUAL_FIRST_EVENT_MS,
     BreakOff,
     Deliver,
     Finish,
@@ -143,7 +145,23 @@
         self.chooser.answer = None
         self.assertEqual("7", run.retry(60).terms.last_event_id)
 
-    def test_a_request_is_held_no_longer_than_its_caller_waits_for_an_event(self):
+    def test_a_request_is_held_while_it_can_still_be_in_time(self):
+        run = self.forwarding(arrived_ms=1_000)
+        self.chooser.answer = NoRoom()
+        hold = run.begin(1_100)
+        self.assertEqual(1_000 + 600 - USUAL_FIRST_EVENT_MS, hold.leaves_ms)
+        self.assertEqual(hold.timely_until_ms, hold.leaves_ms)
+
+    def test_a_request_that_is_late_already_is_told_at_once(self):
+        run = self.forwarding()
+        first = run.begin(0)
+        self.chooser.answer = NoRoom()
+        self.assertEqual(5_000, run.refused(first, 5_000).leaves_ms)
+
+    def test_a_stream_that_goes_on_is_held_while_its_caller_waits_for_an_event(self):
         run = self.forwarding()
+        first = run.begin(0)
+        run.stream_started = True
         self.chooser.answer = NoRoom()
-        self.assertEqual(2_400 - 300, run.begin(0).leaves_ms)
+        hold = run.broken(first, 1_000, last_event_id="7")
+        self.assertEqual(1_000 + 2_400 - FIRST_EVENT_MS, hold.leaves_ms)
