Order turns: a holder that regains the duty still names what it ordered before

Cause: on a new fencing number the list of named engines was emptied, also when the holder was the same. Its next mark named only the new batch, and a successor ordered the earlier engines within the turn. Change: the names are dropped only when the mark is taken away, a turn after the last order. Names too many only make a successor wait. Test: test_weightswap...still_names_what_it_ordered_before (red before).

--- a/bergamothill/process/orderturn.py
+++ b/bergamothill/process/orderturn.py
@@ -73,8 +73,6 @@
         wanted = frozenset(servers)
         with self._lock:
             fencing = self._lease.fencing
-            if self._marked_fencing != fencing:
-                self._marked = set()
             if self._marked_fencing != fencing or not wanted <= self._marked:
                 self._mark(wanted, now_ms, must_wait)
                 self._marked_fencing = fencing
@@ -98,6 +96,7 @@
                 return
             # Without a reply the mark may be gone, or go later: the next order marks anew.
             self._marked_fencing = FencingNumber(0)
+            self._marked = set()
             # A conflict tells that a successor has taken the mark over.
             with suppress(ConflictError):
                 self._kvs.delete_if(self._key, expected=self._revision)
--- a/tests/test_weightswap.py
+++ b/tests/test_weightswap.py
@@ -157,6 +157,18 @@
             self.assertTrue(successor.tick())
             self.assertEqual([], self.opened(its_turn, "s1"))
 
+    def test_a_holder_that_came_back_still_names_what_it_ordered_before(self):
+        lease, turn = self.holder("entry-1")
+        lease.tick()
+        self.opened(turn, "s1")
+        lease.release()
+        lease.tick()
+        self.opened(turn, "s2")
+        lease.release()
+        successor, its_turn = self.holder("entry-2")
+        self.assertTrue(successor.tick())
+        self.assertEqual([], self.opened(its_turn, "s1", "s2"))
+
     def test_a_mark_that_cannot_be_read_holds_every_order_back(self):
         self.kvs.put_if("mark", b"?", expected=0)
         lease, turn = self.holder("entry-1")
