Keep waiting for lapsed entries when the wait ran out without a read

Cause (leaving-backends, violations=1 after 54,142 operations: "does not use s1, which is sound"): an instance that stood still while the wait for lapsed entries ran out woke into the next outage; it had read no list since, and dropped servers that were sound. Change: when the service is lost, servers that may return are kept unless a list read after the end of their wait still lacked them. Test: test_fleet...ran_out_without_a_read (red before); one more that servers which left in calm stay gone.

--- a/bergamothill/process/fleet.py
+++ b/bergamothill/process/fleet.py
@@ -89,12 +89,20 @@
         """Keep servers that the next list lacks until the entries that lapsed are back."""
         self._has_returned = True
 
-    def store_lost(self, now_ms: int) -> None:
-        """Keep servers whose entries had no time to come back since the last outage."""
+    def store_lost(self) -> None:
+        """Keep servers whose entries had no time to come back since the last outage.
+
+        Their wait may have run out without a read, while this process stood still.
+        """
         for belief in self._beliefs.values():
-            if belief.gone_ms is not None and now_ms < belief.gone_ms:
+            is_awaited = belief.gone_ms is not None and self._may_return(belief)
+            if is_awaited and self.listed_ms < belief.gone_ms:
                 belief.gone_ms = None
 
+    def _may_return(self, belief: ServerBelief) -> bool:
+        """Tell whether an entry that is missing may have lapsed in an outage."""
+        return belief.listed_ms < self._returned_ms and not belief.entry.is_leaving
+
     def apply_list(self, entries: Iterable[BackendServer], sent_ms: int, now_ms: int) -> list[str]:
         """Take over the list of servers.
 
@@ -140,8 +148,8 @@
         """
         changes = []
         if belief.gone_ms is None:
-            may_return = belief.listed_ms < self._returned_ms and not belief.entry.is_leaving
-            belief.gone_ms = self._returned_ms + RETURN_GRACE_MS if may_return else now_ms
+            grace_ends_ms = self._returned_ms + RETURN_GRACE_MS
+            belief.gone_ms = grace_ends_ms if self._may_return(belief) else now_ms
             changes.append(f"{server}:missing")
         if now_ms >= belief.gone_ms and belief.in_progress == 0:
             del self._beliefs[server]
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -242,7 +242,7 @@
         if is_linked:
             self._fleet.store_returned()
         else:
-            self._fleet.store_lost(self._clock.now_ms())
+            self._fleet.store_lost()
 
     def _apply_config(self, config: RoutingConfig, entry: KeyValueEntry, sent_ms: int) -> None:
         self._planner.set_stores(config.stores)
--- a/tests/proof/proof_backends.py
+++ b/tests/proof/proof_backends.py
@@ -112,7 +112,7 @@
     def read(self, node):
         if self.is_down:
             if node.is_linked:
-                node.fleet.store_lost(self.now_ms)
+                node.fleet.store_lost()
             node.is_linked = False
             node.next_read_ms = self.now_ms + RETRY_INTERVAL_MS
             return
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -54,13 +54,28 @@
         beliefs.apply_list([backend("s1")], 500, 500)
         beliefs.store_returned()
         beliefs.apply_list([], 1_000, 1_000)
-        beliefs.store_lost(1_500)
+        beliefs.store_lost()
         self.assertEqual("s1", chosen(beliefs, 9_000))
         beliefs.store_returned()
         beliefs.apply_list([], 9_500, 9_500)
         self.assertEqual("s1", chosen(beliefs, 9_500 + RETURN_GRACE_MS - 1))
         self.assertIsNone(chosen(beliefs, 9_500 + RETURN_GRACE_MS))
 
+    def test_a_wait_that_ran_out_without_a_read_goes_on_in_the_next_outage(self):
+        beliefs = fleet(backend("s1"), backend("s2"))
+        beliefs.apply_list([backend("s1")], 500, 500)
+        beliefs.store_returned()
+        beliefs.apply_list([], 1_000, 1_000)
+        self.assertIsNone(chosen(beliefs, 5_000))
+        beliefs.store_lost()
+        self.assertEqual("s1", chosen(beliefs, 5_000))
+
+    def test_a_server_that_left_before_an_outage_stays_gone(self):
+        beliefs = fleet(backend("s1"), backend("s2"))
+        beliefs.apply_list([backend("s2")], 500, 510)
+        beliefs.store_lost()
+        self.assertEqual("s2", chosen(beliefs, 600))
+
     def test_a_server_that_was_listed_since_the_return_is_not_waited_for(self):
         beliefs = fleet(backend("s1"), backend("s2"))
         beliefs.store_returned()
