Read JSON objects of the platform in one place; remove what nothing calls

- `Fields.from_json` replaces four copies of "decode or raise" (configuration, weight goal, server entry, events), `read_fields` two copies of "ask a server for an object" (an engine's state, a store's list).
- Gone: write-buffer hooks of `CallerConnection` that nobody set, its `_answer_chunked`, `AnswerHead.is_leaving`, `PeerLoads.senders`.

Behaviour is unchanged but for two labels of errors: an unreadable weight goal names its own step, and a failed list of a store names the client's peer; neither is logged. That a stream to a caller who reads slowly is buffered without a bound was so before; the hooks only looked like an answer to it.

--- a/bergamothill/connection/callerhttp.py
+++ b/bergamothill/connection/callerhttp.py
@@ -22,9 +22,6 @@
 MAX_PIPELINED_BYTES = 262_144
 """Bytes of further requests that are kept while one is in progress."""
 
-HIGH_WATER_BYTES = 262_144
-"""Unsent bytes of answers from which on a stream's source is not read."""
-
 _REASONS = {
     200: b"OK",
     400: b"Bad Request",
@@ -78,11 +75,9 @@
         self._stop: Callable[[], None] | None = None
         self._keeps_alive = True
         self._answer_started = False
-        self._answer_chunked = False
         self._is_head = False
         self._is_closed = False
         self._timer: asyncio.TimerHandle | None = None
-        self._on_room: Callable[[bool], None] | None = None
         self._reset_message()
 
     # Life of the connection.
@@ -90,7 +85,6 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take over a new connection."""
         self._transport = transport
-        transport.set_write_buffer_limits(high=HIGH_WATER_BYTES)
         self._register(self, True)
         self._await_request(self._handler.limits().header_timeout_ms)
 
@@ -281,20 +275,6 @@
         if self._transport is not None and not self._is_closed:
             self._transport.abort()
 
-    def when_full(self, on_room: Callable[[bool], None] | None) -> None:
-        """Set what is told when the caller reads too slowly (False) and again (True)."""
-        self._on_room = on_room
-
-    def pause_writing(self) -> None:
-        """Note that the caller does not read."""
-        if self._on_room is not None:
-            self._on_room(False)
-
-    def resume_writing(self) -> None:
-        """Note that the caller reads again."""
-        if self._on_room is not None:
-            self._on_room(True)
-
     def _settle_keep_alive(self) -> None:
         if self._handler.is_draining():
             self._keeps_alive = False
@@ -308,7 +288,6 @@
 
     def _end_answer(self) -> None:
         self._stop = None
-        self._on_room = None
         self._answer_started = False
         if not self._keeps_alive:
             self._transport.close()
--- a/bergamothill/platform/config.py
+++ b/bergamothill/platform/config.py
@@ -2,9 +2,6 @@
 
 from __future__ import annotations
 
-import json
-from typing import Any
-
 from bergamothill.errors import ProtocolError
 from bergamothill.ids import BrandName, ModelName, ServiceName, ZoneName
 from bergamothill.platform.reading import Fields
@@ -41,7 +38,7 @@
     :param encoded: value of :data:`CONFIG_KEY`
     :raises ProtocolError: it is not a configuration
     """
-    top = Fields(_json(encoded), step=_STEP)
+    top = Fields.from_json(encoded, step=_STEP)
     services: dict[ServiceName, Service] = {}
     stores: list[KeptStore] = []
     for row in top.rows("services"):
@@ -67,17 +64,10 @@
     :param encoded: value of a key below :data:`VERSION_PREFIX`
     :raises ProtocolError: it names no version
     """
-    fields = Fields(_json(encoded), step="version.decode")
+    fields = Fields.from_json(encoded, step="version.decode")
     return WeightGoal(ModelName(fields.text("model")), fields.integer("version"))
 
 
-def _json(encoded: bytes) -> Any:
-    try:
-        return json.loads(encoded)
-    except ValueError as error:
-        raise ProtocolError(f"not JSON: {error}", step=_STEP) from error
-
-
 def _route(fields: Fields) -> Route:
     kind = fields.text("kind")
     if kind not in _RULES:
--- a/bergamothill/platform/engines.py
+++ b/bergamothill/platform/engines.py
@@ -4,10 +4,10 @@
 
 import json
 
-from bergamothill.connection.http import HttpClient, decode_json
-from bergamothill.errors import BergamothillError, PeerUnreachableError, ProtocolError
+from bergamothill.connection.http import HttpClient
+from bergamothill.errors import BergamothillError, PeerUnreachableError
 from bergamothill.ids import EntryInstanceId, FencingNumber, ModelName
-from bergamothill.platform.reading import Fields
+from bergamothill.platform.reading import Fields, read_fields
 from bergamothill.version.weightswap import (
     EngineState,
     OrderSwap,
@@ -39,18 +39,13 @@
     :raises BergamothillError: it gave none
     """
     step = "engine.state"
-    client = HttpClient(engine.server, engine.address)
-    reply = client.request(
-        "GET",
+    fields = read_fields(
+        HttpClient(engine.server, engine.address),
         "/report",
         step=step,
         timeout_ms=ASK_TIMEOUT_MS,
         headers={"X-Expected-Instance": engine.server},
-        fresh=True,
     )
-    if reply.status != 200:
-        raise ProtocolError(f"status {reply.status}", step=step, peer=engine.server)
-    fields = Fields(decode_json(reply, step=step, peer=engine.server), step=step)
     rows = (Fields(row, step=step) for row in fields.rows("models"))
     return EngineState(
         weights={ModelName(row.text("name")): row.integer("version") for row in rows},
--- a/bergamothill/platform/keptcontext.py
+++ b/bergamothill/platform/keptcontext.py
@@ -4,10 +4,10 @@
 
 import json
 
-from bergamothill.connection.http import HttpClient, decode_json
+from bergamothill.connection.http import HttpClient
 from bergamothill.connection.pollconnection import PollReply
 from bergamothill.errors import ConflictError, ProtocolError
-from bergamothill.platform.reading import Fields
+from bergamothill.platform.reading import Fields, read_fields
 from bergamothill.version.keptindex import EventBatch, HoldingEvent, PartKey
 from bergamothill.version.keptsweep import StoreListing
 
@@ -38,11 +38,7 @@
     """
     if reply.status != 200:
         raise ProtocolError(f"status {reply.status}", step=_STEP)
-    try:
-        values = json.loads(reply.body)
-    except ValueError as error:
-        raise ProtocolError(f"not JSON: {error}", step=_STEP) from error
-    fields = Fields(values, step=_STEP)
+    fields = Fields.from_json(reply.body, step=_STEP)
     try:
         events = tuple(_event(row) for row in fields.rows("events"))
     except (IndexError, TypeError, ValueError) as error:
@@ -70,10 +66,7 @@
     """
     step = "kept.list"
     client = HttpClient("kept-context store", address)
-    reply = client.request("GET", "/kv-list", step=step, timeout_ms=CALL_TIMEOUT_MS, fresh=True)
-    if reply.status != 200:
-        raise ProtocolError(f"status {reply.status}", step=step, peer=address)
-    fields = Fields(decode_json(reply, step=step, peer=address), step=step)
+    fields = read_fields(client, "/kv-list", step=step, timeout_ms=CALL_TIMEOUT_MS)
     # "held" has the complete parts; those being written, or broken off, stand apart.
     rows = [*fields.rows("held"), *fields.rows("incompleteParts")]
     try:
--- a/bergamothill/platform/reading.py
+++ b/bergamothill/platform/reading.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import json
 from collections.abc import Mapping
 from typing import Any
 
+from bergamothill.connection.http import HttpClient, decode_json
 from bergamothill.errors import ProtocolError
 
-__all__ = ["Fields"]
+__all__ = ["Fields", "read_fields"]
 
 
 class Fields:
@@ -24,6 +26,19 @@
         self._values = values
         self._step = step
 
+    @classmethod
+    def from_json(cls, encoded: bytes, *, step: str) -> Fields:
+        """Decode a JSON object.
+
+        :param encoded: its text
+        :param step: step for errors
+        :raises ProtocolError: it is no JSON object
+        """
+        try:
+            return cls(json.loads(encoded), step=step)
+        except ValueError as error:
+            raise ProtocolError(f"not JSON: {error}", step=step) from error
+
     def text(self, name: str, default: str | None = None) -> str:
         """Return a text field."""
         return self._typed(name, str, default)
@@ -67,3 +82,28 @@
     def _fault(self, name: str) -> ProtocolError:
         found = self._values.get(name)
         return ProtocolError(f"field {name}: {found!r:.80}", step=self._step)
+
+
+def read_fields(
+    client: HttpClient,
+    path: str,
+    *,
+    step: str,
+    timeout_ms: int,
+    headers: Mapping[str, str] | None = None,
+) -> Fields:
+    """Read an object from a backend server.
+
+    :param client: client of the server
+    :param path: path to read
+    :param step: step for errors
+    :param timeout_ms: longest duration of the call
+    :param headers: header fields of the request
+    :raises BergamothillError: the server gave no object
+    """
+    reply = client.request(
+        "GET", path, step=step, timeout_ms=timeout_ms, headers=headers, fresh=True
+    )
+    if reply.status != 200:
+        raise ProtocolError(f"status {reply.status}", step=step, peer=client.peer)
+    return Fields(decode_json(reply, step=step, peer=client.peer), step=step)
--- a/bergamothill/platform/requests.py
+++ b/bergamothill/platform/requests.py
@@ -171,7 +171,6 @@
         is_not_run=b"x-not-executed" in first or status == 421,
         weight_version=int(versions) if versions.isdecimal() else None,
         instance=_text(first.get(b"x-instance-id")),
-        is_leaving=b"close" in first.get(b"connection", b"").lower(),
         headers=[(n, v) for n, v in headers if n.lower() not in dropped],
     )
 
--- a/bergamothill/platform/servers.py
+++ b/bergamothill/platform/servers.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import json
-
 from bergamothill.errors import ProtocolError
 from bergamothill.ids import ModelName, ServerId, ServiceName, ZoneName
 from bergamothill.platform.reading import Fields
@@ -24,11 +22,7 @@
     :param encoded: its value
     :raises ProtocolError: another writer's entry, which names no server
     """
-    try:
-        values = json.loads(encoded)
-    except ValueError as error:
-        raise ProtocolError(f"not JSON: {error}", step=_STEP) from error
-    fields = Fields(values, step=_STEP)
+    fields = Fields.from_json(encoded, step=_STEP)
     state = fields.text("state")
     if state not in _STATES:
         raise ProtocolError(f"no such state: {state!r:.40}", step=_STEP)
--- a/bergamothill/process/loadreport.py
+++ b/bergamothill/process/loadreport.py
@@ -104,11 +104,6 @@
                 del self._taken_ms[entry], self._reports[entry]
         self._totals = _sum(self._reports.values())
 
-    @property
-    def senders(self) -> int:
-        """Number of other entry instances that reported lately."""
-        return len(self._reports)
-
     def at(self, server: ServerId) -> ServerLoad:
         """Return the load that the others have at a server."""
         return self._totals.get(server) or ServerLoad()
--- a/bergamothill/request/callerrequest.py
+++ b/bergamothill/request/callerrequest.py
@@ -130,7 +130,6 @@
     :param is_not_run: states that the request was not run
     :param weight_version: weights that it was made with; None when it names none
     :param instance: id of the server that answered; empty when it names none
-    :param is_leaving: the server is about to close its connections
     :param headers: header fields that are handed on
     """
 
@@ -140,5 +139,4 @@
     is_not_run: bool
     weight_version: int | None
     instance: str
-    is_leaving: bool
     headers: list[Header]
