Find the sources of kept context in one way for stores and engines

The search among stores and the one among engines were copies with small variations, and handed (address, duration) pairs about that were read by index. Both are generators of `_Source` now; one `min` picks among them, with stores first on ties as before.

--- a/bergamothill/request/contextplan.py
+++ b/bergamothill/request/contextplan.py
@@ -4,7 +4,7 @@
 
 import hashlib
 import math
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from bergamothill.ids import ZoneName
@@ -62,6 +62,32 @@
     fetch_until_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class _Place:
+    """An engine that a prompt may run on.
+
+    :param engine: its address
+    :param zone: its zone
+    :param traits: traits of its service
+    """
+
+    engine: str
+    zone: ZoneName
+    traits: EngineTraits
+
+
+@dataclass(frozen=True, slots=True)
+class _Source:
+    """Where a part may be fetched from.
+
+    :param address: engine or store
+    :param fetch_ms: expected duration of the fetch
+    """
+
+    address: str
+    fetch_ms: float
+
+
 class ContextPlanner:
     """Knows what is kept where.
 
@@ -109,6 +135,7 @@
         :param zone: its zone
         :param traits: traits of its service
         """
+        place = _Place(engine, zone, traits)
         held = fetched = 0
         fetch_ms = 0.0
         sources = [""] * len(request.parts)
@@ -117,22 +144,20 @@
         for number, part in enumerate(request.parts[:-1]):
             key = PartKey(salt, part.name)
             is_held = self._index.tokens_at(engine, key) >= part.tokens
-            source = self._store_source(zone, traits, key, part.tokens, now_ms)
-            if not is_held:
-                other = self._engine_source(engine, zone, traits, key, part.tokens, now_ms)
-                if other is not None and (source is None or other[1] < source[1]):
-                    source = other
-            if source is not None and not _is_worthwhile(behind, source[1]):
+            source = self._quickest_source(
+                place, key, part.tokens, now_ms, with_engines=not is_held
+            )
+            if source is not None and not _is_worthwhile(behind, source.fetch_ms):
                 source = None
-            if source is not None and (not is_held or _is_insured(behind, source[1])):
-                sources[number] = source[0]
-                offset_ms = self._index.source(source[0]).clock_offset_ms
+            if source is not None and (not is_held or _is_insured(behind, source.fetch_ms)):
+                sources[number] = source.address
+                offset_ms = self._index.source(source.address).clock_offset_ms
                 until_ms = now_ms + offset_ms + FETCH_LIFE_MS
             if is_held:
                 held += part.tokens
             elif source is not None:
                 fetched += part.tokens
-                fetch_ms += source[1]
+                fetch_ms += source.fetch_ms
             else:
                 break
             behind -= part.tokens
@@ -145,52 +170,36 @@
             fetch_until_ms=until_ms,
         )
 
-    def _store_source(
-        self,
-        zone: ZoneName,
-        traits: EngineTraits,
-        key: PartKey,
-        tokens: int,
-        now_ms: int,
-    ) -> tuple[str, float] | None:
-        """Return the quickest store that surely has a part, and how long a fetch takes."""
-        found = (
-            (store.address, self._fetch_ms(store, zone, traits, tokens, now_ms))
-            for store in self._stores
-            if self._surely_has(store.address, key, tokens, now_ms)
-        )
-        return min(found, key=lambda source: source[1], default=None)
-
-    def _fetch_ms(
-        self, store: KeptStore, zone: ZoneName, traits: EngineTraits, tokens: int, now_ms: int
-    ) -> float:
-        link_mbps = min(store.link_mbps, traits.link_mbps)
-        size_bytes = tokens * traits.token_bytes
-        transfer_ms = _transfer_ms(size_bytes, link_mbps, store.zone != zone)
-        delay_ms = self.delays.expected(store.address, now_ms)
-        return store.first_byte_ms + transfer_ms + delay_ms
-
-    def _engine_source(
-        self,
-        engine: str,
-        zone: ZoneName,
-        traits: EngineTraits,
-        key: PartKey,
-        tokens: int,
-        now_ms: int,
-    ) -> tuple[str, float] | None:
-        """Return the quickest other engine that has a part, and how long a fetch takes."""
-        size_bytes = tokens * traits.token_bytes
-        found = (
-            (
-                address,
-                _transfer_ms(size_bytes, traits.link_mbps, other_zone != zone)
-                + self.delays.expected(address, now_ms),
-            )
-            for address, other_zone in self._zones.items()
-            if address != engine and self._surely_has(address, key, tokens, now_ms)
-        )
-        return min(found, key=lambda source: source[1], default=None)
+    def _quickest_source(
+        self, place: _Place, key: PartKey, tokens: int, now_ms: int, *, with_engines: bool
+    ) -> _Source | None:
+        """Return where a part comes from soonest among those that surely have it, if any."""
+        sources = list(self._store_sources(place, key, tokens, now_ms))
+        if with_engines:
+            sources += self._engine_sources(place, key, tokens, now_ms)
+        return min(sources, key=lambda source: source.fetch_ms, default=None)
+
+    def _store_sources(
+        self, place: _Place, key: PartKey, tokens: int, now_ms: int
+    ) -> Iterable[_Source]:
+        size_bytes = tokens * place.traits.token_bytes
+        for store in self._stores:
+            if self._surely_has(store.address, key, tokens, now_ms):
+                link_mbps = min(store.link_mbps, place.traits.link_mbps)
+                transfer_ms = _transfer_ms(size_bytes, link_mbps, store.zone != place.zone)
+                yield self._source(store.address, store.first_byte_ms + transfer_ms, now_ms)
+
+    def _engine_sources(
+        self, place: _Place, key: PartKey, tokens: int, now_ms: int
+    ) -> Iterable[_Source]:
+        size_bytes = tokens * place.traits.token_bytes
+        for address, zone in self._zones.items():
+            if address != place.engine and self._surely_has(address, key, tokens, now_ms):
+                transfer_ms = _transfer_ms(size_bytes, place.traits.link_mbps, zone != place.zone)
+                yield self._source(address, transfer_ms, now_ms)
+
+    def _source(self, address: str, fetch_ms: float, now_ms: int) -> _Source:
+        return _Source(address, fetch_ms + self.delays.expected(address, now_ms))
 
     def _surely_has(self, address: str, key: PartKey, tokens: int, now_ms: int) -> bool:
         has_all = self._index.tokens_at(address, key) >= tokens
