One opening of connections to backend servers; plain dataclasses for three values

- `connection/opening` replaces two copies of "split the address, connect within a time-out" and two constants of 300 ms (forwarding, events).
- `Admission`, `Peer` and `PollReply` had written-out constructors and slots; they are frozen dataclasses like the project's other values.

Behaviour is unchanged; no test was changed.

--- a/bergamothill/connection/backendhttp.py
+++ b/bergamothill/connection/backendhttp.py
@@ -13,7 +13,7 @@
 
 import httptools
 
-from bergamothill.clock import seconds
+from bergamothill.connection.opening import CONNECT_TIMEOUT_MS, open_connection
 from bergamothill.request.callerrequest import AnswerHead, Header
 
 __all__ = ["ExchangeEnd", "ExchangeResult", "ExchangeSink", "exchange"]
@@ -64,7 +64,7 @@
     request: bytes,
     sink: ExchangeSink,
     *,
-    connect_timeout_ms: int,
+    connect_timeout_ms: int = CONNECT_TIMEOUT_MS,
     is_head: bool = False,
 ) -> ExchangeResult:
     """Send one request on a new connection and hand on its answer.
@@ -77,13 +77,10 @@
     :param connect_timeout_ms: longest time to open the connection
     :param is_head: the request's method is HEAD, so that its answer has no body
     """
-    loop = asyncio.get_running_loop()
-    host, _, port = address.rpartition(":")
-    done: asyncio.Future[ExchangeResult] = loop.create_future()
+    done: asyncio.Future[ExchangeResult] = asyncio.get_running_loop().create_future()
     protocol = _BackendConnection(sink, done, is_head=is_head)
     try:
-        async with asyncio.timeout(seconds(connect_timeout_ms)):
-            transport, _ = await loop.create_connection(lambda: protocol, host, int(port))
+        transport = await open_connection(address, protocol, timeout_ms=connect_timeout_ms)
     except TimeoutError:
         return ExchangeResult(ExchangeEnd.NOT_CONNECTED, "connect timeout")
     except OSError as error:
--- a/bergamothill/connection/pollconnection.py
+++ b/bergamothill/connection/pollconnection.py
@@ -6,17 +6,18 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 
 import httptools
 
 from bergamothill.clock import seconds
+from bergamothill.connection.opening import open_connection
 from bergamothill.errors import PeerTimeoutError, PeerUnreachableError
 
 __all__ = ["PollConnection", "PollReply"]
 
-CONNECT_TIMEOUT_MS = 300
-
 
+@dataclass(frozen=True, slots=True)
 class PollReply:
     """Reply to a read.
 
@@ -24,11 +25,8 @@
     :param body: whole body
     """
 
-    __slots__ = ("body", "status")
-
-    def __init__(self, status: int, body: bytes) -> None:
-        self.status = status
-        self.body = body
+    status: int
+    body: bytes
 
 
 class PollConnection:
@@ -75,12 +73,10 @@
     async def _connected(self, step: str) -> _Replies:
         if self._protocol is not None and not self._protocol.is_ending:
             return self._protocol
-        host, _, port = self._address.rpartition(":")
-        loop = asyncio.get_running_loop()
+        protocol = _Replies()
         try:
-            async with asyncio.timeout(seconds(CONNECT_TIMEOUT_MS)):
-                _, protocol = await loop.create_connection(_Replies, host, int(port))
-        except (OSError, TimeoutError) as error:
+            await open_connection(self._address, protocol)
+        except OSError as error:
             raise PeerUnreachableError(repr(error), step=step, peer=self._peer) from error
         self._protocol = protocol
         return protocol
--- a/bergamothill/process/beliefs.py
+++ b/bergamothill/process/beliefs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from enum import Enum
 
 from bergamothill.version.routetable import Brand, CallerLimits, Route, RouteTable, RoutingConfig
@@ -22,6 +23,7 @@
     UNKNOWN_KEY = "unknown_key"
 
 
+@dataclass(frozen=True, slots=True)
 class Admission:
     """Verdict on a request, with what it was judged by.
 
@@ -32,16 +34,11 @@
     :param age_ms: time since the configuration was last known to be the newest
     """
 
-    __slots__ = ("age_ms", "brand", "route", "verdict", "version")
-
-    def __init__(
-        self, verdict: Verdict, route: Route | None, brand: Brand | None, version: int, age_ms: int
-    ) -> None:
-        self.verdict = verdict
-        self.route = route
-        self.brand = brand
-        self.version = version
-        self.age_ms = age_ms
+    verdict: Verdict
+    route: Route | None
+    brand: Brand | None
+    version: int
+    age_ms: int
 
 
 class ConfigBelief:
--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -37,7 +37,6 @@
 
 __all__ = ["Gateway"]
 
-CONNECT_TIMEOUT_MS = 300  # zones are a few ms apart; a lost opening packet is sent again after 1 s
 STALE_RETRY_MS = 300
 SILENCE_CHECK_MS = 100
 
@@ -384,7 +383,6 @@
                 send.server.address,
                 encode_forward(self._request, send.terms),
                 self._relay,
-                connect_timeout_ms=CONNECT_TIMEOUT_MS,
                 is_head=self._request.raw.method == b"HEAD",
             )
         )
--- a/bergamothill/process/registry.py
+++ b/bergamothill/process/registry.py
@@ -7,6 +7,7 @@
 
 import threading
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import cbor2
 
@@ -25,6 +26,7 @@
 _log = EventLog("registry")
 
 
+@dataclass(frozen=True, slots=True)
 class Peer:
     """Another entry instance.
 
@@ -33,12 +35,9 @@
     :param port: port for datagrams
     """
 
-    __slots__ = ("entry", "host", "port")
-
-    def __init__(self, entry: EntryInstanceId, host: str, port: int) -> None:
-        self.entry = entry
-        self.host = host
-        self.port = port
+    entry: EntryInstanceId
+    host: str
+    port: int
 
 
 class Registry:
