End the wait for lapsed server entries with a read, not with the clock

Cause: entries come back up to 2 s after an outage of the key-value service, the wait ended 2.3 s after the first read, and polls are 0.9 s apart.

Change: a server that is missing counts as gone once a read that was sent 2.1 s or more after the return does not show it; without such a read after 2.85 s, so that leaving servers are out of use before they must be.

--- a/bergamothill/process/serverpool.py
+++ b/bergamothill/process/serverpool.py
@@ -29,9 +29,15 @@
 FAILURE_BACKOFF_MIN_MS = 500
 FAILURE_BACKOFF_MAX_MS = 4_000
 
-REREGISTRATION_GRACE_MS = 2_300
+REREGISTRATION_MS = 2_100
 """Servers register again within two seconds after an outage of the key-value service."""
 
+REREGISTRATION_GRACE_MS = 2_850
+"""Longest wait for entries that expired in an outage, if no later read of the list ends it.
+
+Three polls of the list fit in; leaving servers may be used for three seconds after an outage.
+"""
+
 OTHER_ZONE_PENALTY = 1.0
 """Number of requests in progress that weighs as much as being in another zone."""
 
@@ -88,6 +94,7 @@
         self._by_service: dict[ServiceName, list[ObservedServer]] = {}
         self._is_first_list_after_outage = False
         self._recovery_read_ms = 0
+        self._grace_ends_ms = 0
         self.targets: dict[ModelName, WeightTarget] = {}
         self._target_history: dict[ModelName, list[tuple[int, int]]] = {}
         self.listed_ms: int | None = None
@@ -121,13 +128,14 @@
         self.listed_ms = sent_ms
         if self._is_first_list_after_outage:
             self._is_first_list_after_outage, self._recovery_read_ms = False, sent_ms
+            self._grace_ends_ms = now_ms + REREGISTRATION_GRACE_MS
         listed = {entry.server: entry for entry in entries}
         changes = []
         for server, entry in listed.items():
             changes += self._apply_entry(server, entry, sent_ms)
         for server, state in list(self._observed.items()):
             if server not in listed:
-                changes += self._handle_missing_entry(server, state, now_ms)
+                changes += self._handle_missing_entry(server, state, sent_ms, now_ms)
         self._rebuild_index()
         return changes
 
@@ -148,18 +156,21 @@
         return changes
 
     def _handle_missing_entry(
-        self, server: ServerId, state: ObservedServer, now_ms: int
+        self, server: ServerId, state: ObservedServer, sent_ms: int, now_ms: int
     ) -> list[str]:
         """Handle a known server that is missing from the list.
 
         It gets a grace period only if it has not been listed since the key-value service recovered:
-        only then can its entry have expired in the outage and still return.
+        only then can its entry have expired in the outage and still return. A read that was sent
+        when all servers had to be registered again ends the grace period.
         """
         changes = []
         if state.gone_after_ms is None:
-            grace_ends_ms = self._recovery_read_ms + REREGISTRATION_GRACE_MS
-            state.gone_after_ms = grace_ends_ms if self._may_reregister(state) else now_ms
+            state.gone_after_ms = self._grace_ends_ms
             changes.append(f"{server}:missing")
+        is_awaited = sent_ms < self._recovery_read_ms + REREGISTRATION_MS
+        if not (is_awaited and self._may_reregister(state)):
+            state.gone_after_ms = min(state.gone_after_ms, now_ms)
         if now_ms >= state.gone_after_ms and state.in_progress == 0:
             del self._observed[server]
         return changes
--- a/tests/test_serverpool.py
+++ b/tests/test_serverpool.py
@@ -49,6 +49,22 @@
         self.assertEqual("s1", chosen(pool, later_ms - 1))
         self.assertIsNone(chosen(pool, later_ms))
 
+    def test_a_wait_for_lapsed_entries_does_not_end_before_the_read_that_decides(self):
+        pool = server_pool(backend("s1"))
+        pool.kvs_recovered()
+        for read_ms in (1_000, 1_900, 2_800):
+            pool.apply_list([], read_ms, read_ms)
+        self.assertEqual("s1", chosen(pool, 3_650))  # registered again at 2,900, unread as yet
+        pool.apply_list([backend("s1")], 3_700, 3_700)
+        self.assertEqual("s1", chosen(pool, 3_850))
+
+    def test_a_read_after_the_time_to_register_again_ends_the_wait(self):
+        pool = server_pool(backend("s1"))
+        pool.kvs_recovered()
+        pool.apply_list([], 1_000, 1_000)
+        pool.apply_list([], 3_100, 3_110)
+        self.assertIsNone(chosen(pool, 3_110))
+
     def test_a_second_outage_does_not_end_the_wait_for_lapsed_entries(self):
         pool = server_pool(backend("s1"), backend("s2"))
         pool.apply_list([backend("s1")], 500, 500)
