--- /dev/null
+++ b/bergamothill/process/requestrun.py
@@ -0,0 +1,323 @@
+"""Forwards one admitted request to backend servers on the event loop.
+
+:class:`~bergamothill.request.forwarding.Forwarding` decides each step; this module performs it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from functools import singledispatchmethod
+
+from bergamothill.clock import Clock, ms_to_seconds
+from bergamothill.connection.backendhttp import ExchangeEnd, ExchangeResult, exchange
+from bergamothill.connection.callerhttp import CallerConnection
+from bergamothill.ids import ServerId
+from bergamothill.logs import EventLog
+from bergamothill.platform.headers import decode_answer, encode_forward
+from bergamothill.process.admissionqueue import AdmissionQueue
+from bergamothill.process.configstate import Admission
+from bergamothill.process.gatewaymetrics import GatewayMetrics
+from bergamothill.process.serverpool import ServerPool
+from bergamothill.request.answerrelay import AnswerRelay, AttemptVerdict
+from bergamothill.request.callerrequest import CallerRequest, ForwardTerms
+from bergamothill.request.forwarding import (
+    AbortStream,
+    Deliver,
+    Finish,
+    Forwarding,
+    ForwardStep,
+    Send,
+    WaitForMemory,
+)
+from bergamothill.request.requestqueue import QueuedRequest
+from bergamothill.request.windowedbudget import WindowedRetryBudget
+from bergamothill.version.routetable import RetryPolicy, Route, Service
+
+__all__ = ["RequestRun"]
+
+_log = EventLog("gateway")
+
+
+class RequestRun:
+    """Processing of one admitted request, from its first attempt to its final answer.
+
+    :param clock: source of time
+    :param server_pool: observed state of the backend servers
+    :param metrics: counters and histograms
+    :param queue: requests that wait for capacity of the same service
+    :param retry_budget: retry budget of the service
+    :param connection: connection of the caller
+    :param request: caller's request
+    :param admission: decision that admitted the request
+    :param service: service to forward to
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        server_pool: ServerPool,
+        metrics: GatewayMetrics,
+        queue: AdmissionQueue,
+        retry_budget: WindowedRetryBudget,
+        connection: CallerConnection,
+        request: CallerRequest,
+        admission: Admission,
+        service: Service,
+    ) -> None:
+        route: Route = admission.route
+        self._clock = clock
+        self._server_pool = server_pool
+        self._metrics = metrics
+        self._queue = queue
+        self._connection = connection
+        self._request = request
+        self._admission = admission
+        self._route = route
+        self._service = service
+        self._first_byte_ms: int | None = None
+        self._pending_prefill: tuple[ServerId, int] | None = None
+        self._attempt_log: list[str] = []
+        self._open_attempt: tuple[ServerId, int] | None = None
+        self._exchange_task: asyncio.Task[ExchangeResult] | None = None
+        self._current_server = ServerId("")
+        self._is_stalled = False
+        self._is_streaming = False
+        self._terms: ForwardTerms | None = None
+        self._sent_ms = 0
+        self._forwarding = Forwarding(
+            request,
+            route,
+            service,
+            admission.brand,
+            server_pool,
+            retry_budget,
+            random.random(),
+        )
+        self._relay = AnswerRelay(
+            connection,
+            request.request_id,
+            is_stream=route.retry_policy is RetryPolicy.STREAM,
+            decode=decode_answer,
+            on_first=self._on_first_byte,
+            on_bytes=self._on_server_bytes,
+        )
+
+    def _on_first_byte(self) -> None:
+        self._first_byte_ms = self._clock.now_ms()
+        self._clear_pending_prefill()
+        self._forwarding.stream_started = self._relay.stream_started
+
+    def _on_server_bytes(self) -> None:
+        now_ms = self._clock.now_ms()
+        if not self._is_streaming:
+            self._is_streaming = True
+            self._server_pool.stream_began(self._current_server)
+            self._server_pool.record_first_token(self._terms, now_ms - self._sent_ms, now_ms)
+        self._server_pool.record_bytes(self._current_server, now_ms)
+
+    def _clear_pending_prefill(self) -> None:
+        if self._pending_prefill is not None:
+            self._server_pool.prompt_prefilled(*self._pending_prefill)
+            self._pending_prefill = None
+
+    async def execute(self) -> None:
+        """Carry out the forwarding steps of the request until its final one."""
+        step = self._forwarding.begin(self._clock.now_ms())
+        remaining_s = ms_to_seconds(self._forwarding.due_ms - self._clock.now_ms())
+        try:
+            async with asyncio.timeout(max(0.0, remaining_s)):
+                while isinstance(step, Send | WaitForMemory):
+                    step = await (
+                        self._attempt(step)
+                        if isinstance(step, Send)
+                        else self._wait_for_capacity(step)
+                    )
+        except TimeoutError:
+            self.record_abandoned_attempt()
+            step = self._forwarding.on_expired(self._clock.now_ms())
+        self._apply_final_step(step)
+
+    def record_abandoned_attempt(self) -> None:
+        """Add the attempt in progress, if any, to the attempt log as given up."""
+        if self._open_attempt is not None:
+            server, started_ms = self._open_attempt
+            self._attempt_log.append(f"{server}:given_up:0:{self._clock.now_ms() - started_ms}ms")
+            self._open_attempt = None
+
+    async def _wait_for_capacity(self, wait: WaitForMemory) -> ForwardStep:
+        """Wait in the admission queue for capacity at the engines."""
+        queue = self._queue
+        arrived_ms = self._request.raw.arrived_ms
+        waiting = QueuedRequest(
+            wait.urgency, arrived_ms, wait.tokens, wait.on_time_until_ms, wait.give_up_ms
+        )
+        started_ms = self._clock.now_ms()
+        step: ForwardStep = wait
+        if queue.requests.enqueue(waiting, started_ms):
+            try:
+                while isinstance(step, WaitForMemory) and self._clock.now_ms() < wait.give_up_ms:
+                    await queue.wait_for_turn(waiting)
+                    now_ms = self._clock.now_ms()
+                    if queue.requests.peek(now_ms) is waiting:
+                        step = self._forwarding.retry(now_ms)
+            finally:
+                queue.leave(waiting)
+        now_ms = self._clock.now_ms()
+        self._attempt_log.append(f"held:{now_ms - started_ms}ms:line{len(queue.requests)}")
+        return self._forwarding.on_full(now_ms) if isinstance(step, WaitForMemory) else step
+
+    async def _attempt(self, send: Send) -> ForwardStep:
+        relay, server = self._relay, send.server.server
+        relay.begin_attempt()
+        started_ms = self._clock.now_ms()
+        self._open_attempt = (server, started_ms)
+        self._terms, self._sent_ms = send.terms, started_ms
+        tokens = self._request.prompt_tokens
+        self._pending_prefill = (server, send.terms.pending_prefill_tokens)
+        self._server_pool.request_started(
+            server, tokens, send.terms.pending_prefill_tokens, started_ms
+        )
+        self._queue.requests.record_admission(tokens, started_ms)
+        try:
+            result = await self._exchange(send)
+        finally:
+            self._clear_pending_prefill()
+            if self._is_streaming:
+                self._is_streaming = False
+                self._server_pool.stream_ended(server)
+            self._server_pool.request_ended(server, tokens)
+            self._queue.wake_head()
+        self._open_attempt = None
+        now_ms = self._clock.now_ms()
+        outcome = self._attempt_outcome(result.end)
+        status = relay.head.status if relay.head is not None else 0
+        self._attempt_log.append(
+            f"{server}:{outcome}:{status}:{now_ms - started_ms}ms:{_placement_summary(send.terms)}"
+            + (f":{result.detail}" if result.detail else "")
+        )
+        return self._next_step(outcome, send, now_ms)
+
+    async def _exchange(self, send: Send) -> ExchangeResult:
+        """Send one request to a server; a stalled answer counts as a broken connection."""
+        self._is_stalled = False
+        self._current_server = send.server.server
+        task = asyncio.ensure_future(
+            exchange(
+                send.server.address,
+                encode_forward(self._request, send.terms),
+                self._relay,
+                is_head=self._request.raw.method == b"HEAD",
+            )
+        )
+        self._exchange_task = task
+        try:
+            return await task
+        except asyncio.CancelledError:
+            if not self._is_stalled or asyncio.current_task().cancelling():
+                raise
+            return ExchangeResult(ExchangeEnd.BROKEN, "server is silent")
+        finally:
+            self._exchange_task = None
+
+    def check_for_stall(self, now_ms: int) -> None:
+        """Cancel the attempt if its engine has stalled and the route allows a retry."""
+        if self._exchange_task is None or not self._route.may_retry or self._service.engine is None:
+            return
+        if self._server_pool.has_stalled(self._current_server, now_ms):
+            self._is_stalled = True
+            self._exchange_task.cancel()
+
+    def _attempt_outcome(self, end: ExchangeEnd) -> str:
+        """Classify an attempt by the head of its answer, then by how the answer ended."""
+        relay = self._relay
+        if end is ExchangeEnd.NOT_CONNECTED:
+            return "not_connected"
+        if relay.verdict is AttemptVerdict.NOT_RUN:
+            return "refused"
+        if end is not ExchangeEnd.COMPLETE or not relay.is_whole:
+            return "broken"
+        return "success" if relay.verdict is AttemptVerdict.SUCCESS else "failure"
+
+    def _next_step(self, outcome: str, send: Send, now_ms: int) -> ForwardStep:
+        server_pool, forwarding, relay = self._server_pool, self._forwarding, self._relay
+        server = send.server.server
+        if outcome == "not_connected":
+            server_pool.request_failed(server, now_ms)
+            return forwarding.on_not_connected(send, now_ms)
+        if outcome == "refused":
+            self._handle_refusal(send, now_ms)
+            return forwarding.on_refused(send, now_ms)
+        if outcome == "broken":
+            server_pool.request_failed(server, now_ms)
+            return forwarding.on_answer_lost(send, now_ms, last_event_id=relay.last_event_id)
+        server_pool.request_succeeded(server, self._request.model, relay.head.weight_version)
+        if outcome == "failure" and relay.head.status >= 500:
+            return forwarding.on_failure(send, now_ms)
+        return Deliver()
+
+    def _handle_refusal(self, send: Send, now_ms: int) -> None:
+        server, model = send.server.server, self._request.model
+        if self._relay.head.status != 421:
+            self._server_pool.request_rejected(server, now_ms)
+            return
+        answering_instance = self._relay.head.instance
+        if answering_instance and answering_instance != server:
+            self._server_pool.mark_replaced(server)
+        elif model is not None and send.terms.weight_version is not None:
+            self._server_pool.record_weight_mismatch(server, model, send.terms.weight_version)
+
+    @singledispatchmethod
+    def _apply_final_step(self, step: ForwardStep) -> None:
+        raise TypeError(f"not a final step: {step!r}")
+
+    @_apply_final_step.register
+    def _(self, step: Deliver) -> None:
+        self._relay.deliver()
+        self.log("answered", self._relay.head.status)
+
+    @_apply_final_step.register
+    def _(self, step: Finish) -> None:
+        headers = []
+        if step.retry_after_ms is not None:
+            headers.append((b"Retry-After", b"%.3f" % ms_to_seconds(step.retry_after_ms)))
+        self._connection.send_response(step.status, headers, b"")
+        self.log(step.reason.value, step.status)
+
+    @_apply_final_step.register
+    def _(self, step: AbortStream) -> None:
+        self._connection.abort_response()
+        self.log("broken_off_" + step.reason.value, 0)
+
+    def log(self, outcome: str, status: int) -> None:
+        """Log the outcome of the request and update the metrics."""
+        now_ms = self._clock.now_ms()
+        arrived_ms = self._request.raw.arrived_ms
+        first_ms = None if self._first_byte_ms is None else self._first_byte_ms - arrived_ms
+        _log.info(
+            "request",
+            request=self._request.request_id,
+            outcome=outcome,
+            status=status,
+            route=self._route.name,
+            service=self._service.name,
+            brand=self._admission.brand.name if self._admission.brand else "-",
+            config=self._admission.version,
+            config_age_ms=self._admission.age_ms,
+            first_ms=first_ms,
+            total_ms=now_ms - arrived_ms,
+            parts=",".join(f"{part.name}:{part.tokens}" for part in self._request.parts),
+            attempts=";".join(self._attempt_log),
+        )
+        self._metrics.count("requests", outcome=outcome, rule=self._route.retry_policy.value)
+        if first_ms is not None:
+            self._metrics.observe("first_byte_ms", first_ms, rule=self._route.retry_policy.value)
+
+
+def _placement_summary(terms: ForwardTerms) -> str:
+    """Summarize the terms on which a server was chosen, for the log."""
+    token_counts = f"{terms.held_tokens}+{terms.fetched_tokens}+{terms.pending_prefill_tokens}"
+    summary = f"w{terms.weight_version}:{token_counts}:first{terms.expected_first_ms:.0f}ms"
+    if terms.runner_up:
+        summary += f"<{terms.runner_up}:{terms.runner_up_first_ms:.0f}ms"
+    return summary
