--- a/bergamothill/connection/backendhttp.py
+++ b/bergamothill/connection/backendhttp.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
@@ -28,8 +29,14 @@
     NOT_CONNECTED = "not_connected"
     """The connection was not opened; no byte of the request was sent."""
 
+    NOT_SENT = "not_sent"
+    """The connection was opened, but no byte of the request was sent, as it was not wanted."""
+
     BROKEN = "broken"
-    """The connection closed early, or the server sent a malformed response."""
+    """The connection closed early."""
+
+    MALFORMED = "malformed"
+    """The server sent bytes that are no valid response."""
 
     COMPLETE = "complete"
     """The complete response was received."""
@@ -65,6 +72,7 @@
     request: bytes,
     sink: ExchangeSink,
     *,
+    may_send: Callable[[], bool],
     connect_timeout_ms: int = CONNECT_TIMEOUT_MS,
     is_head: bool = False,
 ) -> ExchangeResult:
@@ -75,6 +83,7 @@
     :param address: ``host:port``
     :param request: encoded request
     :param sink: receives the response
+    :param may_send: tells, once connected, whether the request may still be sent
     :param connect_timeout_ms: maximum time to open the connection, in milliseconds
     :param is_head: the request's method is HEAD, so the response has no body
     """
@@ -87,6 +96,9 @@
     except OSError as error:
         return ExchangeResult(ExchangeEnd.NOT_CONNECTED, str(error))
     # Write only once connected, so that a connect timeout implies that no request was sent.
+    if not may_send():
+        transport.abort()
+        return ExchangeResult(ExchangeEnd.NOT_SENT, "server accepts no more requests")
     transport.write(request)
     try:
         return await done
@@ -118,12 +130,12 @@
         if not self._head_received:
             self._head_bytes += len(data)
             if self._head_bytes > MAX_RESPONSE_HEAD_BYTES:
-                self._finish(ExchangeEnd.BROKEN, "response head is too large")
+                self._finish(ExchangeEnd.MALFORMED, "response head is too large")
                 return
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self._finish(ExchangeEnd.BROKEN, f"malformed response: {error}")
+            self._finish(ExchangeEnd.MALFORMED, f"malformed response: {error}")
 
     def eof_received(self) -> bool:
         """Record that the server closed its side of the connection."""
--- a/bergamothill/connection/kvs_memory.py
+++ b/bergamothill/connection/kvs_memory.py
@@ -80,6 +80,11 @@
         self._changes: deque[_Change] = deque(maxlen=MAX_LOGGED_CHANGES)
         self._condition = threading.Condition()
 
+    @property
+    def revision(self) -> int:
+        """Current revision."""
+        return self._revision
+
     def get(self, key: str) -> KeyValueEntry | None:
         """Read one key."""
         with self._condition:
--- a/bergamothill/connection/pollconnection.py
+++ b/bergamothill/connection/pollconnection.py
@@ -6,7 +6,8 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
 import httptools
 
@@ -23,10 +24,12 @@
 
     :param status: HTTP status
     :param body: complete body
+    :param headers: header fields by lowercase name
     """
 
     status: int
     body: bytes
+    headers: Mapping[bytes, bytes] = field(default_factory=dict)
 
 
 class PollConnection:
@@ -91,6 +94,7 @@
         self._pending: asyncio.Future[PollReply] | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._body: list[bytes] = []
+        self._headers: dict[bytes, bytes] = {}
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport
@@ -108,6 +112,10 @@
 
     def on_message_begin(self) -> None:
         self._body = []
+        self._headers = {}
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._headers.setdefault(name.lower(), value)
 
     def on_body(self, piece: bytes) -> None:
         self._body.append(piece)
@@ -118,7 +126,8 @@
         if pending is None:
             self.must_close = True  # an unsolicited reply
         elif not pending.done():
-            pending.set_result(PollReply(self._parser.get_status_code(), b"".join(self._body)))
+            status = self._parser.get_status_code()
+            pending.set_result(PollReply(status, b"".join(self._body), self._headers))
 
     async def exchange(self, request: bytes) -> PollReply:
         self._pending = asyncio.get_running_loop().create_future()
--- a/bergamothill/errors.py
+++ b/bergamothill/errors.py
@@ -21,6 +21,7 @@
     "SettingsError",
     "StaleConfigurationError",
     "StoreFullError",
+    "StoreRestoredError",
     "StreamBrokenError",
     "UnavailableError",
     "WeightVersionError",
@@ -147,6 +148,12 @@
         )
 
 
+class StoreRestoredError(PeerTimeoutError):
+    """The key-value service was restored from an older copy before or during the call."""
+
+    code = "store_restored"
+
+
 class ProtocolError(BergamothillError):
     """The peer sent a reply that its protocol does not allow."""
 
--- a/bergamothill/platform/cachedcontext.py
+++ b/bergamothill/platform/cachedcontext.py
@@ -8,10 +8,17 @@
 from bergamothill.connection.pollconnection import PollReply
 from bergamothill.errors import ConflictError, ProtocolError
 from bergamothill.platform.fields import Fields, read_fields
+from bergamothill.platform.headers import says_leaving
 from bergamothill.version.cacheindex import EventBatch, PartEvent, PartKey
 from bergamothill.version.cachesweep import StoreListing
 
-__all__ = ["decode_events", "encode_event_poll", "free_parts", "list_stored_parts"]
+__all__ = [
+    "decode_events",
+    "encode_event_poll",
+    "free_parts",
+    "is_source_leaving",
+    "list_stored_parts",
+]
 
 CALL_TIMEOUT_MS = 800
 
@@ -30,6 +37,11 @@
     ).encode()
 
 
+def is_source_leaving(reply: PollReply) -> bool:
+    """Return whether the engine or store that sent a reply says that it is leaving."""
+    return says_leaving(reply.headers.get(b"server-leaving"))
+
+
 def decode_events(reply: PollReply) -> EventBatch:
     """Decode the reply to a request for events.
 
--- a/bergamothill/platform/headers.py
+++ b/bergamothill/platform/headers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from bergamothill.errors import InvalidRequestError
 from bergamothill.ids import ModelName, RequestId
 from bergamothill.request.callerrequest import (
@@ -13,7 +15,10 @@
     ResponseHead,
 )
 
-__all__ = ["decode_answer", "decode_request", "encode_forward"]
+__all__ = ["decode_answer", "decode_request", "encode_forward", "says_leaving"]
+
+MS_PER_S = 1_000
+MAX_PAUSE_DIGITS = 20
 
 _STEP = "request.decode"
 
@@ -179,9 +184,26 @@
         weight_version=int(versions) if versions.isdecimal() else None,
         instance=_decode_text(first_values.get(b"x-instance-id")),
         headers=[(n, v) for n, v in headers if n.lower() not in dropped],
+        is_leaving=says_leaving(first_values.get(b"server-leaving")),
+        quiet_ms=_parse_pause(first_values.get(b"retry-after")) if status == 503 else None,
     )
 
 
+def says_leaving(value: bytes | None) -> bool:
+    """Return whether a value of the field ``Server-Leaving`` says that the server is leaving."""
+    return value is not None and value.strip() == b"1"
+
+
+def _parse_pause(value: bytes | None) -> int | None:
+    """Return the milliseconds of a pause given in seconds; None if it is missing or malformed."""
+    text = _decode_text(value)
+    whole, point, fraction = text.partition(".")
+    is_number = whole.isdecimal() and (not point or fraction.isdecimal()) and text.isascii()
+    if not is_number or len(text) > MAX_PAUSE_DIGITS:
+        return None
+    return math.ceil(float(text) * MS_PER_S) or None
+
+
 def _decode_text(value: bytes | None) -> str:
     return "" if value is None else value.decode("latin-1").strip()
 
--- a/bergamothill/platform/kvs.py
+++ b/bergamothill/platform/kvs.py
@@ -5,12 +5,14 @@
 import base64
 import json
 from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, replace
 from typing import Any
 from urllib.parse import urlencode
 
 from bergamothill.connection.http import HttpClient, HttpReply, decode_json
-from bergamothill.connection.kvs import KeyValueEntry, KeyValueService
+from bergamothill.connection.kvs import ABSENT, KeyValueEntry, KeyValueService
 from bergamothill.connection.kvs_http import decode_entry
+from bergamothill.connection.storeera import StoreEra, qualify_revision
 from bergamothill.errors import (
     ConflictError,
     LeaseLostError,
@@ -25,8 +27,22 @@
 
 CALL_TIMEOUT_MS = 800  # two consecutive calls fit into 2 s, the shortest time limit in the settings
 WATCH_SLACK_MS = 1_000
+MAX_ERA_DIGITS = 4  # a qualified revision then fits into the 53 bits of a JSON number
 
 _JSON_HEADERS = {"Content-Type": "application/json"}
+_ERA_HEADER = "store-era"  # rises by one each time the service is restored from an older copy
+
+
+@dataclass(frozen=True, slots=True)
+class _StoreReply:
+    """Reply with the era of the service in which the call was handled."""
+
+    http: HttpReply
+    era: int
+
+    @property
+    def status(self) -> int:
+        return self.http.status
 
 
 class PlatformKeyValueService(KeyValueService):
@@ -36,6 +52,9 @@
     request on a reused one. If the first copy succeeded, the second copy of a write would fail with
     a conflict, and that of a grant would create a second lease.
 
+    Revisions and lease ids are qualified with the era of the reply, see
+    :mod:`~bergamothill.connection.storeera`.
+
     :param client: client of the service's address
     :param timeout_ms: timeout of a call
     """
@@ -43,13 +62,14 @@
     def __init__(self, client: HttpClient, *, timeout_ms: int = CALL_TIMEOUT_MS) -> None:
         self._client = client
         self._timeout_ms = timeout_ms
+        self.era = StoreEra(client.peer)
 
     def get(self, key: str) -> KeyValueEntry | None:
         """Read one key with a linearizable read."""
         reply = self._call("GET", "/kv-key", "kvs.get", query={"key": key}, allowed=(200, 404))
         if reply.status == 404:
             return None
-        return self._decode_entry(self._decode_object(reply, "kvs.get"), "kvs.get")
+        return self._decode_entry(self._decode_object(reply, "kvs.get"), reply.era, "kvs.get")
 
     def scan(self, prefix: str) -> tuple[KeyValueEntry, ...]:
         """Read all keys with a prefix page by page; the entries need not form a snapshot."""
@@ -61,7 +81,7 @@
         """Write a key if it is still at the expected revision."""
         write = {"key": key, "value": base64.b64encode(value).decode()}
         if lease_id is not None:
-            write["lease"] = int(lease_id)
+            write["lease"] = self.era.unqualify_lease(lease_id, "kvs.put")
         revision = self._transact(key, expected, writes=[write], lease_id=lease_id)
         return KeyValueEntry(key, value, revision)
 
@@ -74,22 +94,34 @@
         reply = self._call(
             "POST", "/kv-lease", "kvs.grant", body={"ttlMs": ttl_ms}, new_connection=True
         )
-        return LeaseId(str(self._decode_integer(reply, "lease", "kvs.grant")))
+        return self.era.qualify_lease(reply.era, self._decode_integer(reply, "lease", "kvs.grant"))
 
     def renew_lease(self, lease_id: LeaseId) -> None:
         """Restart the lease's time to live."""
-        reply = self._call("POST", f"/kv-keep/{lease_id}", "kvs.renew", allowed=(200, 404))
-        if reply.status == 404:
-            raise self._lease_lost_error(lease_id, "kvs.renew")
+        step, sent_era = "kvs.renew", self.era.current
+        number = self.era.unqualify_lease(lease_id, step)
+        reply = self._call("POST", f"/kv-keep/{number}", step, allowed=(200, 404))
+        if reply.status == 404 or reply.era != sent_era:
+            raise self._lease_lost_error(lease_id, step)
 
     def revoke_lease(self, lease_id: LeaseId) -> None:
-        """Revoke the lease and delete its keys."""
-        path = f"/kv-lease-end/{lease_id}"
-        self._call("DELETE", path, "kvs.revoke", allowed=(200, 204, 404))
+        """Revoke the lease and delete its keys; a lease of an earlier era has ended already."""
+        try:
+            number = self.era.unqualify_lease(lease_id, "kvs.revoke")
+        except LeaseLostError:
+            return
+        self._call("DELETE", f"/kv-lease-end/{number}", "kvs.revoke", allowed=(200, 204, 404))
 
     def wait_for_change(self, prefix: str, *, after: int, timeout_ms: int) -> int:
-        """Wait until a key below the prefix changes; return 0 if the history was compacted."""
-        query = {"prefix": prefix, "after": after, "waitMs": timeout_ms}
+        """Wait until a key below the prefix changes; return 0 if the history is not available.
+
+        The history after a revision of an earlier era is never available.
+        """
+        try:
+            revision = self.era.unqualify_revision(after, "kvs.watch")
+        except ConflictError:
+            return 0
+        query = {"prefix": prefix, "after": revision, "waitMs": timeout_ms}
         reply = self._call(
             "GET",
             "/kv-watch",
@@ -98,14 +130,18 @@
             allowed=(200, 410),
             timeout_ms=timeout_ms + WATCH_SLACK_MS,
         )
-        return 0 if reply.status == 410 else self._decode_integer(reply, "currentRev", "kvs.watch")
+        if reply.status == 410:
+            return 0
+        return qualify_revision(reply.era, self._decode_integer(reply, "currentRev", "kvs.watch"))
 
     def _scan_pages(self, prefix: str) -> Iterator[KeyValueEntry]:
-        query = {"prefix": prefix}
+        query, step, first_era = {"prefix": prefix}, "kvs.scan", None
         while True:
-            reply = self._call("GET", "/kv-range", "kvs.scan", query=query)
-            page = self._decode_object(reply, "kvs.scan")
-            entries = [self._decode_entry(item, "kvs.scan") for item in page.get("items", [])]
+            reply = self._call("GET", "/kv-range", step, query=query)
+            first_era = reply.era if first_era is None else first_era
+            self.era.check_same(first_era, reply.era, step)
+            page = self._decode_object(reply, step)
+            entries = [self._decode_entry(i, reply.era, step) for i in page.get("items", [])]
             yield from entries
             if not page.get("hasMore") or not entries:
                 return
@@ -120,10 +156,10 @@
         deletes: list[str] | None = None,
         lease_id: LeaseId | None = None,
     ) -> int:
-        step = "kvs.put"
+        step, sent_era = "kvs.put", self.era.current
         body = {
             # Condition: the revision that the key must have, 0 if it must not exist.
-            "expected": [{"key": key, "revision": expected}],
+            "expected": [{"key": key, "revision": self.era.unqualify_revision(expected, step)}],
             "writes": writes or [],
             "drop": deletes or [],
         }
@@ -136,7 +172,9 @@
             raise ConflictError(
                 f"key {key} is not at the expected revision", step=step, peer=self._client.peer
             )
-        return self._decode_integer(reply, "revision", step)
+        if expected != ABSENT or lease_id is not None:
+            self.era.check_same(sent_era, reply.era, step)
+        return qualify_revision(reply.era, self._decode_integer(reply, "revision", step))
 
     def _call(
         self,
@@ -149,7 +187,7 @@
         new_connection: bool = False,
         allowed: tuple[int, ...] = (200,),
         timeout_ms: int | None = None,
-    ) -> HttpReply:
+    ) -> _StoreReply:
         encoded = None if body is None else json.dumps(body).encode()
         reply = self._client.request(
             method,
@@ -160,9 +198,20 @@
             headers=_JSON_HEADERS,
             new_connection=new_connection,
         )
+        era = self.era.observe(self._decode_era(reply, step), step)
         if reply.status not in allowed:
             raise self._status_error(reply, step)
-        return reply
+        return _StoreReply(reply, era)
+
+    def _decode_era(self, reply: HttpReply, step: str) -> int | None:
+        text = reply.headers.get(_ERA_HEADER)
+        if text is None:
+            return None
+        if not text.isdecimal() or len(text) > MAX_ERA_DIGITS:
+            raise ProtocolError(
+                f"era is not a whole number: {text!r:.40}", step=step, peer=self._client.peer
+            )
+        return int(text)
 
     def _status_error(self, reply: HttpReply, step: str) -> Exception:
         text = f"status {reply.status}: {reply.body[:200].decode('utf-8', 'replace')}"
@@ -177,13 +226,13 @@
     def _lease_lost_error(self, lease_id: LeaseId | None, step: str) -> LeaseLostError:
         return LeaseLostError(f"lease {lease_id} has ended", step=step, peer=self._client.peer)
 
-    def _decode_object(self, reply: HttpReply, step: str) -> Mapping[str, Any]:
-        value = decode_json(reply, step=step, peer=self._client.peer)
+    def _decode_object(self, reply: _StoreReply, step: str) -> Mapping[str, Any]:
+        value = decode_json(reply.http, step=step, peer=self._client.peer)
         if not isinstance(value, Mapping):
             raise ProtocolError("reply is not a JSON object", step=step, peer=self._client.peer)
         return value
 
-    def _decode_integer(self, reply: HttpReply, name: str, step: str) -> int:
+    def _decode_integer(self, reply: _StoreReply, name: str, step: str) -> int:
         value = self._decode_object(reply, step).get(name)
         if not isinstance(value, int):
             raise ProtocolError(
@@ -191,5 +240,6 @@
             )
         return value
 
-    def _decode_entry(self, item: Any, step: str) -> KeyValueEntry:
-        return decode_entry(item, "revision", step=step, peer=self._client.peer)
+    def _decode_entry(self, item: Any, era: int, step: str) -> KeyValueEntry:
+        entry = decode_entry(item, "revision", step=step, peer=self._client.peer)
+        return replace(entry, mod_revision=qualify_revision(era, entry.mod_revision))
--- a/bergamothill/platform/settings.py
+++ b/bergamothill/platform/settings.py
@@ -45,6 +45,7 @@
         readiness_address=reader.address("listenAddresses.readyAddress"),
         peer_port=reader.first_port("internalPortRange"),
         store_address=reader.address("platform.address"),
+        heartbeat_interval_ms=reader.integer("heartbeatIntervalMs", 1_200),
         min_lease_ms=reader.integer("platform.ttlMinMs", 1_000),
         memory_mb=reader.integer("limits.memoryMb", 256),
         descriptors=reader.integer("limits.fileDescriptors", 1_024),
--- a/bergamothill/process/cacheeventlistener.py
+++ b/bergamothill/process/cacheeventlistener.py
@@ -9,7 +9,11 @@
 from bergamothill.connection.pollconnection import PollConnection
 from bergamothill.errors import BergamothillError
 from bergamothill.logs import EventLog
-from bergamothill.platform.cachedcontext import decode_events, encode_event_poll
+from bergamothill.platform.cachedcontext import (
+    decode_events,
+    encode_event_poll,
+    is_source_leaving,
+)
 from bergamothill.version.cacheindex import CacheIndex
 
 __all__ = ["CacheEventListener"]
@@ -26,7 +30,8 @@
 
     :param index: index of cached context to update
     :param clock: source of time
-    :param on_reply: called with the address of an engine or store after each reply
+    :param on_reply: called after each reply with the address of the engine or store, and with
+        whether it says that it is leaving
     :param on_connection_change: called with an address when its connection is lost (False) or
         restored (True)
     """
@@ -35,7 +40,7 @@
         self,
         index: CacheIndex,
         clock: Clock,
-        on_reply: Callable[[str], None],
+        on_reply: Callable[[str, bool], None],
         on_connection_change: Callable[[str, bool], None],
     ) -> None:
         self._on_connection_change = on_connection_change
@@ -89,7 +94,7 @@
         reply = await connection.read(
             head, step="kept.events", timeout_ms=LONG_POLL_MS + REPLY_MARGIN_MS
         )
-        self._on_reply(address)
+        self._on_reply(address, is_source_leaving(reply))
         epoch = source.epoch
         batch = decode_events(reply)
         has_gap = source.apply(batch, sent_ms, self._clock.now_ms())
--- a/bergamothill/process/configstate.py
+++ b/bergamothill/process/configstate.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from bergamothill.connection.storeera import REWRITE_MS
 from bergamothill.version.routetable import Brand, CallerLimits, Route, RouteTable, RoutingConfig
 
 __all__ = ["Admission", "ConfigState", "Verdict"]
@@ -52,6 +53,7 @@
         self.table: RouteTable | None = None
         self.revision = 0
         self._confirmed_ms: int | None = None
+        self._distrusted_until_ms = 0
         self.set_revocation_bound(revocation_ms, is_strict=is_strict)
 
     def set_revocation_bound(self, revocation_ms: int, *, is_strict: bool) -> None:
@@ -73,21 +75,36 @@
         """Limits on callers."""
         return CallerLimits() if self.table is None else self.table.config.limits
 
+    def record_restore(self, now_ms: int) -> None:
+        """Record that the key-value service was restored from an older copy.
+
+        Until the operator has written its changes again, a read that returns the configuration in
+        force does not show that no newer one was accepted before.
+
+        :param now_ms: current time, in milliseconds
+        """
+        self._distrusted_until_ms = now_ms + REWRITE_MS
+
     def confirm(self, revision: int, sent_ms: int) -> None:
         """Record a linearizable read that returned the revision already in force.
 
         :param revision: revision that was read
         :param sent_ms: time at which the read was sent; its result includes all earlier writes
         """
-        if revision >= self.revision:
+        if revision >= self.revision and sent_ms >= self._distrusted_until_ms:
             self._confirmed_ms = max(sent_ms, self._confirmed_ms or sent_ms)
 
     def apply(self, config: RoutingConfig, revision: int, sent_ms: int) -> bool:
         """Put a configuration into force unless the same or a newer version is in force.
 
+        An older version comes from a service that was restored from an older copy; it does not
+        confirm the version in force.
+
         :returns: whether the configuration is newly in force
         """
-        if self.table is not None and config.version <= self.version:
+        if self.table is not None and config.version < self.version:
+            return False
+        if self.table is not None and config.version == self.version:
             self.revision = max(revision, self.revision)
             self.confirm(revision, sent_ms)
             return False
--- a/bergamothill/process/lease.py
+++ b/bergamothill/process/lease.py
@@ -14,10 +14,12 @@
 from bergamothill.ids import DutyName, EntryInstanceId, FencingNumber
 from bergamothill.logs import EventLog
 from bergamothill.process.leasemachine import (
+    DeleteHolder,
     Granted,
     GrantFailed,
     GrantLease,
     HolderConflict,
+    HolderDeleted,
     HolderRead,
     HolderRecord,
     HolderToken,
@@ -124,6 +126,14 @@
         except BergamothillError:
             return HolderWriteFailed()
 
+    @perform.register
+    def _(self, effect: DeleteHolder) -> LeaseEvent:
+        try:
+            self._kvs.delete_if(self._key, expected=effect.mod_revision)
+        except BergamothillError as error:
+            _log.info("holder_delete_failed", key=self._key, reason=error.message)
+        return HolderDeleted()
+
     @perform.register
     def _(self, effect: RenewLease) -> LeaseEvent:
         try:
@@ -216,6 +226,11 @@
             return False
         return self._performer.wait_for_change(timeout_ms)
 
+    def handle_restore(self) -> None:
+        """Give up the duty because the key-value service was restored and has lost all leases."""
+        with self._state_lock:
+            self._machine.step(LeaseExpired(), self._clock.now_ms())
+
     def release(self) -> None:
         """Give up the duty and revoke the lease, so that the next holder can acquire it at once."""
         with self._state_lock:
--- a/bergamothill/process/leasemachine.py
+++ b/bergamothill/process/leasemachine.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
@@ -22,10 +23,12 @@
     "LEASE_MARGIN_MS",
     "LEASE_TTL_MS",
     "ORDER_TTL_MS",
+    "DeleteHolder",
     "GrantFailed",
     "GrantLease",
     "Granted",
     "HolderConflict",
+    "HolderDeleted",
     "HolderRead",
     "HolderRecord",
     "HolderToken",
@@ -53,6 +56,7 @@
 LEASE_MARGIN_MS = 2_000
 RENEWALS_PER_TTL = 3
 HOLDER_WRITE_ATTEMPTS = 3
+MAX_ABANDONED_TOKENS = 16
 
 ORDER_TTL_MS = 5_000
 """Validity of an order; an engine ignores it afterwards."""
@@ -147,6 +151,11 @@
     """The write got no reply; it may have taken effect or may still do so."""
 
 
+@dataclass(frozen=True, slots=True)
+class HolderDeleted:
+    """The duty's key was deleted, or the attempt failed and is repeated after the next read."""
+
+
 @dataclass(frozen=True, slots=True)
 class Renewed:
     """The lease was renewed."""
@@ -159,7 +168,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaseExpired:
-    """The key-value service reported that the lease has expired."""
+    """The lease has expired, or the key-value service was restored and has lost it."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -175,6 +184,7 @@
     | HolderWritten
     | HolderConflict
     | HolderWriteFailed
+    | HolderDeleted
     | Renewed
     | RenewFailed
     | LeaseExpired
@@ -205,6 +215,16 @@
     lease_id: LeaseId
 
 
+@dataclass(frozen=True, slots=True)
+class DeleteHolder:
+    """Delete the duty's key, which an abandoned acquisition of this instance left behind.
+
+    :param mod_revision: modification revision that the key must have
+    """
+
+    mod_revision: int
+
+
 @dataclass(frozen=True, slots=True)
 class RenewLease:
     """Renew the lease."""
@@ -219,7 +239,7 @@
     lease_id: LeaseId
 
 
-LeaseEffect = ReadHolder | GrantLease | WriteHolder | RenewLease | RevokeLease
+LeaseEffect = ReadHolder | GrantLease | WriteHolder | DeleteHolder | RenewLease | RevokeLease
 
 
 class LeaseMachine:
@@ -251,6 +271,9 @@
         self._request_sent_ms = 0
         self._ttl_start_ms = 0
         self._failed_writes = 0
+        # A key written with the lease of an earlier era of the service may be attached to the lease
+        # of another instance, which keeps it alive.
+        self._abandoned: deque[HolderToken] = deque(maxlen=MAX_ABANDONED_TOKENS)
 
     def is_held(self, now_ms: int) -> bool:
         """Return whether the lease is held and not within the safety margin of its expiry.
@@ -300,7 +323,10 @@
             return GrantLease(self.times.ttl_ms)
         if event.record is not None and event.record.token == self._record.token:
             return self._become_holder(event.mod_revision, now_ms)
-        return self._reset_and_revoke()
+        effect = self._reset_and_revoke()
+        if effect is None and event.record is not None and event.record.token in self._abandoned:
+            return DeleteHolder(event.mod_revision)
+        return effect
 
     @_handle_event.register
     def _(self, event: ReadFailed, now_ms: int) -> LeaseEffect | None:
@@ -339,6 +365,10 @@
             return self._reset_and_revoke()
         return WriteHolder(self._record, self._lease_id)
 
+    @_handle_event.register
+    def _(self, event: HolderDeleted, now_ms: int) -> LeaseEffect | None:
+        return None
+
     @_handle_event.register
     def _(self, event: Renewed, now_ms: int) -> LeaseEffect | None:
         if self.state is LeaseState.HELD:
@@ -377,6 +407,8 @@
     def _reset(self) -> None:
         self.state = LeaseState.FREE
         self._lease_id = None
+        if self._record.token:
+            self._abandoned.append(self._record.token)
         self._record = HolderRecord(self._holder, HolderToken(""))
 
 
--- a/bergamothill/process/nodesettings.py
+++ b/bergamothill/process/nodesettings.py
@@ -50,6 +50,7 @@
     :param readiness_address: ``host:port`` to listen on for readiness checks of the load balancer
     :param peer_port: port to listen on for the other entry instances
     :param store_address: ``host:port`` of the key-value service
+    :param heartbeat_interval_ms: time between two signs of life of a backend server
     :param min_lease_ms: minimum lease TTL that the key-value service grants
     :param memory_mb: memory limit of the process
     :param descriptors: limit on open file descriptors
@@ -63,6 +64,7 @@
     readiness_address: str
     peer_port: int
     store_address: str
+    heartbeat_interval_ms: int
     min_lease_ms: int
     memory_mb: int
     descriptors: int
--- a/bergamothill/process/observedserver.py
+++ b/bergamothill/process/observedserver.py
@@ -27,6 +27,8 @@
     :param listed_ms: time at which the last list that contains it was requested
     :param gone_after_ms: time from which on it counts as gone, set once it is missing from the
         list; None while it is listed
+    :param leaving_answers: number of answers in which it said that it is leaving
+    :param quiet_until_ms: end of the pause that it asked this entry instance for
     :param weights: weight versions seen in answers, which may be newer than those listed
     """
 
@@ -42,12 +44,29 @@
     is_replaced: bool = False
     listed_ms: int = 0
     gone_after_ms: int | None = None
+    leaving_answers: int = 0
+    quiet_until_ms: int = 0
     weights: dict[ModelName, int] | None = None
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the list or an answer told that the server is leaving."""
+        return self.entry.is_leaving or self.leaving_answers > 0
+
+    def is_present(self, now_ms: int) -> bool:
+        """Return whether the server is there and not leaving."""
+        is_listed = self.gone_after_ms is None or now_ms < self.gone_after_ms
+        return is_listed and not self.is_leaving and not self.is_replaced
+
     def is_usable(self, now_ms: int) -> bool:
         """Return whether the server may get new work."""
-        is_listed = self.gone_after_ms is None or now_ms < self.gone_after_ms
-        return is_listed and not self.entry.is_leaving and not self.is_replaced
+        return self.is_present(now_ms) and now_ms >= self.quiet_until_ms
+
+    def record_version(self, model: ModelName, version: int) -> None:
+        """Record a weight version that the server was seen to have; it never goes back."""
+        if self.weights is None:
+            self.weights = {}
+        self.weights[model] = max(version, self.weights.get(model, 0))
 
     def weight_version(self, model: ModelName) -> int | None:
         """Return the newest weight version that the server is known to have; None if unknown."""
--- a/bergamothill/process/ordergap.py
+++ b/bergamothill/process/ordergap.py
@@ -5,6 +5,10 @@
 service, and it deletes the marker once the gap has passed since its last order. A new holder that
 finds the marker of a previous holder waits for the gap before it sends orders to the engines listed
 there; other engines get its orders at once.
+
+A key-value service that was restored from an older copy has lost the leases and may have lost the
+marker. A second key therefore records the newest era of the service in which a holder has waited
+until no earlier holder can still send orders, and for the gap after that.
 """
 
 from __future__ import annotations
@@ -17,11 +21,13 @@
 import cbor2
 
 from bergamothill.connection.kvs import ABSENT, KeyValueService
+from bergamothill.connection.storeera import era_of
 from bergamothill.errors import ConflictError
 from bergamothill.ids import EntryInstanceId, FencingNumber, ServerId
+from bergamothill.logs import EventLog
 from bergamothill.process.lease import DutyLease
 
-__all__ = ["OrderGapGuard"]
+__all__ = ["OrderGapGuard", "read_settled_era"]
 
 TOKEN_BYTES = 16
 
@@ -29,6 +35,21 @@
 """Added to the gap for the network delay of an order sent just before a lease expired."""
 
 
+_log = EventLog("orders")
+
+
+def read_settled_era(kvs: KeyValueService, marker_key: str) -> int:
+    """Return the newest era of the service in which a holder has ended its wait; 0 for none.
+
+    What was lost by the restoration that began this era has been written again.
+
+    :param kvs: key-value service
+    :param marker_key: key of the marker of the duty
+    """
+    entry = kvs.get(_era_key(marker_key))
+    return 0 if entry is None else _decode_era(entry.value)
+
+
 class OrderGapGuard:
     """Maintains the marker and decides which engines may get orders of a duty; thread-safe.
 
@@ -37,6 +58,7 @@
     :param holder: this entry instance
     :param lease: lease on the duty
     :param gap_ms: minimum time between the orders of two holders to one engine
+    :param lease_ttl_ms: time after its last renewal for which a holder may act on its lease
     """
 
     def __init__(
@@ -46,6 +68,7 @@
         holder: EntryInstanceId,
         lease: DutyLease,
         gap_ms: int,
+        lease_ttl_ms: int,
     ) -> None:
         self._kvs = kvs
         self._key = key
@@ -54,6 +77,10 @@
         self._marker_owner = f"{holder}/{secrets.token_hex(TOKEN_BYTES)}"
         self._lease = lease
         self._min_gap_ms = gap_ms + ORDER_GAP_MARGIN_MS
+        self._restore_wait_ms = lease_ttl_ms + self._min_gap_ms
+        self._settled_era = 0
+        self._settling_era = 0
+        self._settled_from_ms = 0
         self._marker_fencing = FencingNumber(0)
         self._marker_revision = ABSENT
         self._marked_servers: set[ServerId] = set()
@@ -75,6 +102,8 @@
         targets = frozenset(servers)
         with self._lock:
             fencing = self._lease.fencing
+            if must_wait and not self._is_era_settled(era_of(fencing), now_ms):
+                return frozenset()
             if self._marker_fencing != fencing or not targets <= self._marked_servers:
                 self._write_marker(targets, now_ms, must_wait)
                 self._marker_fencing = fencing
@@ -84,6 +113,42 @@
         blocked_until_ms = self._blocked_until_ms.get(server, 0)
         return now_ms >= max(blocked_until_ms, self._all_blocked_until_ms)
 
+    def settle_era(self, now_ms: int) -> bool:
+        """Start or end the wait after a restoration, so that it is over before orders are due.
+
+        :param now_ms: current time, in milliseconds
+        :returns: whether orders need not wait for holders of earlier eras
+        """
+        with self._lock:
+            return self._is_era_settled(era_of(self._lease.fencing), now_ms)
+
+    def _is_era_settled(self, era: int, now_ms: int) -> bool:
+        if era <= self._settled_era:
+            return True
+        if era != self._settling_era:
+            if read_settled_era(self._kvs, self._key) >= era:
+                self._settled_era = era
+                return True
+            self._settling_era = era
+            self._settled_from_ms = now_ms + self._restore_wait_ms
+            _log.info("orders_wait_after_restore", era=era, wait_ms=self._restore_wait_ms)
+        if now_ms < self._settled_from_ms:
+            return False
+        self._write_settled_era(era)
+        self._settled_era = era
+        _log.info("era_settled", era=era)
+        return True
+
+    def _write_settled_era(self, era: int) -> None:
+        key = _era_key(self._key)
+        entry = self._kvs.get(key)
+        if entry is not None and _decode_era(entry.value) >= era:
+            return
+        expected = ABSENT if entry is None else entry.mod_revision
+        # A conflict means that another holder has waited, too.
+        with suppress(ConflictError):
+            self._kvs.put_if(key, cbor2.dumps(era), expected=expected)
+
     def record_order(self, now_ms: int) -> None:
         """Record that an order was sent and its exchange has ended."""
         with self._lock:
@@ -131,3 +196,16 @@
             return
         if owner != self._marker_owner:
             self._blocked_until_ms.update(dict.fromkeys(marked_servers, until_ms))
+
+
+def _era_key(marker_key: str) -> str:
+    return f"{marker_key}/era"
+
+
+def _decode_era(value: bytes) -> int:
+    """Decode the settled era; an unreadable one counts as none, so that the wait starts anew."""
+    try:
+        era = cbor2.loads(value)
+    except (ValueError, cbor2.CBORDecodeError):
+        return 0
+    return era if isinstance(era, int) else 0
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -30,7 +30,7 @@
 from bergamothill.process.loadreport import PeerLoads
 from bergamothill.process.nodesettings import NodeSettings
 from bergamothill.process.operatorview import OperatorView
-from bergamothill.process.ordergap import OrderGapGuard
+from bergamothill.process.ordergap import OrderGapGuard, read_settled_era
 from bergamothill.process.prefixfollower import PrefixFollower, Snapshot
 from bergamothill.process.ratelimitedlog import install_rate_limited_log
 from bergamothill.process.readiness import ReadinessHandler
@@ -52,6 +52,9 @@
 LEASE_MARGIN_DIVISOR = 5
 LISTEN_BACKLOG = 1_024
 
+ENTRY_LIFE_HEARTBEATS = 4
+"""Entries of servers expire after three heartbeat intervals of silence; one more for the delay."""
+
 READINESS_NOTICE_MS = 3_000
 """The load balancer checks every second and removes an instance after two failed checks."""
 
@@ -88,7 +91,11 @@
         )
         peer_loads = PeerLoads()
         self._server_pool = ServerPool(
-            settings.zone, bounds.weights_due_ms, self._planner, peer_loads
+            settings.zone,
+            bounds.weights_due_ms,
+            self._planner,
+            peer_loads,
+            ENTRY_LIFE_HEARTBEATS * settings.heartbeat_interval_ms,
         )
         self._exchange = LoadExchange(
             settings.entry, clock, self._server_pool, peer_loads, self._on_load_report
@@ -108,7 +115,9 @@
         # The order marker enforces the gap between holders, so the lease needs no settle time.
         times = LeaseTimes(ttl_ms=ttl_ms, margin_ms=ttl_ms // LEASE_MARGIN_DIVISOR, settle_ms=0)
         lease = DutyLease(self._kvs, self._clock, SWAP_DUTY, holder, times=times)
-        order_gap = OrderGapGuard(self._kvs, ORDER_MARKER_KEY, holder, lease, bounds.order_gap_ms)
+        order_gap = OrderGapGuard(
+            self._kvs, ORDER_MARKER_KEY, holder, lease, bounds.order_gap_ms, ttl_ms
+        )
         return SwapDuty(
             lease,
             order_gap,
@@ -146,17 +155,21 @@
         loop.add_signal_handler(signal.SIGTERM, stop_requested.set)
         loop.add_signal_handler(signal.SIGINT, stop_requested.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
-        followers = [
+        followers = self._followers = [
             self._make_follower(
-                OPERATOR_PREFIX, self._operator.apply, self._count_kvs_connection_change
+                OPERATOR_PREFIX,
+                self._operator.apply,
+                self._count_kvs_connection_change,
+                self._check_first_era,
             ),
             self._make_follower(
                 SERVER_PREFIX, self._apply_server_list, self._on_server_list_connection_change
             ),
         ]
+        registry = self._registry = self._make_registry()
+        self._kvs.era.add_listener(self._on_kvs_restored)
         for follower in followers:
             follower.start()
-        registry = self._make_registry()
         threading.Thread(target=registry.run, name="registry", daemon=True).start()
         reports = loop.create_task(
             self._exchange.run(self._settings.ip_address, self._settings.peer_port)
@@ -185,6 +198,7 @@
         prefix: str,
         apply_snapshot: Callable[[Snapshot], None],
         on_connection_change: Callable[[bool], None],
+        before_first_read: Callable[[], None] | None = None,
     ) -> PrefixFollower:
         call_in_loop = self._loop.call_soon_threadsafe
         return PrefixFollower(
@@ -195,8 +209,31 @@
             on_connection_change=lambda is_connected: call_in_loop(
                 on_connection_change, is_connected
             ),
+            before_first_read=before_first_read,
         )
 
+    def _check_first_era(self) -> None:
+        """Distrust the first reads if the service was restored shortly before this process began.
+
+        Runs in a follower's thread; raises an error if the service cannot be read.
+        """
+        settled_era = read_settled_era(self._kvs, ORDER_MARKER_KEY)
+        era = self._kvs.era.current
+        _log.info("first_era", era=era, settled_era=settled_era)
+        if settled_era < era:
+            now_ms = self._clock.now_ms()
+            self._loop.call_soon_threadsafe(self._config.record_restore, now_ms)
+
+    def _on_kvs_restored(self, era: int) -> None:
+        """React to a restoration of the service; runs in the thread that saw the new era."""
+        now_ms = self._clock.now_ms()
+        self._swaps.handle_restore()
+        self._loop.call_soon_threadsafe(self._config.record_restore, now_ms)
+        self._loop.call_soon_threadsafe(self._server_pool.kvs_restored, now_ms)
+        self._registry.handle_restore()
+        for follower in self._followers:
+            follower.wake()
+
     def _make_registry(self) -> Registry:
         settings = self._settings
         own = Peer(settings.entry, settings.ip_address, settings.peer_port)
@@ -306,8 +343,9 @@
         engine_addresses = (engine.address for engine in self._swap_view[1])
         self._listener.follow([*store_addresses, *engine_addresses])
 
-    def _on_source_reply(self, address: str) -> None:
-        self._server_pool.record_bytes_from(address, self._clock.now_ms())
+    def _on_source_reply(self, address: str, is_leaving: bool) -> None:
+        now_ms = self._clock.now_ms()
+        self._server_pool.record_reply_from(address, now_ms, is_leaving=is_leaving)
 
     def _on_source_connection_change(self, address: str, is_connected: bool) -> None:
         self._server_pool.set_reachable(address, is_connected)
--- a/bergamothill/process/prefixfollower.py
+++ b/bergamothill/process/prefixfollower.py
@@ -47,6 +47,8 @@
     :param on_snapshot: called with each snapshot, in a background thread
     :param on_connection_change: called when the connection to the service is lost (False) or
         restored (True)
+    :param before_first_read: called in the background thread before the first snapshot, again
+        until it raises no error
     """
 
     def __init__(
@@ -56,12 +58,14 @@
         prefix: str,
         on_snapshot: Callable[[Snapshot], None],
         on_connection_change: Callable[[bool], None],
+        before_first_read: Callable[[], None] | None = None,
     ) -> None:
         self._kvs = kvs
         self._clock = clock
         self._prefix = prefix
         self._on_snapshot = on_snapshot
         self._on_connection_change = on_connection_change
+        self._before_first_read = before_first_read
         self._is_connected: bool | None = None
         self._newest_revision = 0
         self._wake = threading.Event()
@@ -72,6 +76,10 @@
         for target in (self._poll_loop, self._watch_loop):
             threading.Thread(target=target, name=f"follow {self._prefix}", daemon=True).start()
 
+    def wake(self) -> None:
+        """Read the prefix again at once."""
+        self._wake.set()
+
     def stop(self) -> None:
         """Stop the background threads."""
         self._stopped.set()
@@ -88,6 +96,9 @@
     def _read(self) -> bool:
         sent_ms = self._clock.now_ms()
         try:
+            if self._before_first_read is not None:
+                self._before_first_read()
+                self._before_first_read = None
             entries = self._kvs.scan(self._prefix)
         except BergamothillError as error:
             self._set_connected(False, str(error))
--- a/bergamothill/process/registry.py
+++ b/bergamothill/process/registry.py
@@ -62,11 +62,14 @@
         self._on_peers = on_peers
         self._lease_id: LeaseId | None = None
         self._last_failure = ""
-        self._stopped = threading.Event()
+        self._known_peers: dict[EntryInstanceId, Peer] = {}
+        self._restored_ms: int | None = None
+        self._wake = threading.Event()
+        self._is_stopped = False
 
     def run(self) -> None:
         """Register and read the peers until stopped, then deregister."""
-        while not self._stopped.is_set():
+        while not self._is_stopped:
             try:
                 self._register_and_read_peers()
                 self._last_failure = ""
@@ -74,12 +77,22 @@
                 if error.message != self._last_failure:
                     _log.info("registry_failed", step=error.step, reason=error.message)
                 self._last_failure = error.message
-            self._stopped.wait(ms_to_seconds(RENEWAL_INTERVAL_MS))
+            self._wake.wait(ms_to_seconds(RENEWAL_INTERVAL_MS))
+            self._wake.clear()
         self._deregister()
 
     def stop(self) -> None:
         """Stop :meth:`run`, which then deregisters this entry instance."""
-        self._stopped.set()
+        self._is_stopped = True
+        self._wake.set()
+
+    def handle_restore(self) -> None:
+        """Register again at once, as the service was restored and has lost all leases.
+
+        Peers that are missing now keep their place for the time to live of a registration.
+        """
+        self._restored_ms = self._clock.now_ms()
+        self._wake.set()
 
     def _register_and_read_peers(self) -> None:
         try:
@@ -100,7 +113,15 @@
         if not is_listed:
             # The registration of an earlier start has expired, and the key with it; register again.
             self._lease_id = None
-        self._on_peers(tuple(peers))
+        self._publish(peers)
+
+    def _publish(self, listed: list[Peer]) -> None:
+        known = {peer.entry: peer for peer in listed}
+        restored_ms = self._restored_ms
+        if restored_ms is not None and self._clock.now_ms() - restored_ms < LEASE_TTL_MS:
+            known = {**self._known_peers, **known}
+        self._known_peers = known
+        self._on_peers(tuple(known.values()))
 
     def _ensure_registered(self) -> None:
         if self._lease_id is not None:
--- a/bergamothill/process/requestrun.py
+++ b/bergamothill/process/requestrun.py
@@ -20,7 +20,7 @@
 from bergamothill.process.gatewaymetrics import GatewayMetrics
 from bergamothill.process.serverpool import ServerPool
 from bergamothill.request.answerrelay import AnswerRelay, AttemptVerdict
-from bergamothill.request.callerrequest import CallerRequest, ForwardTerms
+from bergamothill.request.callerrequest import CallerRequest, ForwardTerms, ResponseHead
 from bergamothill.request.forwarding import (
     AbortStream,
     Deliver,
@@ -84,6 +84,8 @@
         self._is_stalled = False
         self._is_streaming = False
         self._terms: ForwardTerms | None = None
+        self._send: Send | None = None
+        self._said_leaving = False
         self._sent_ms = 0
         self._forwarding = Forwarding(
             request,
@@ -101,6 +103,7 @@
             decode=decode_answer,
             on_first=self._on_first_byte,
             on_bytes=self._on_server_bytes,
+            on_own_head=self._on_own_head,
         )
 
     def _on_first_byte(self) -> None:
@@ -116,6 +119,40 @@
             self._server_pool.record_first_token(self._terms, now_ms - self._sent_ms, now_ms)
         self._server_pool.record_bytes(self._current_server, now_ms)
 
+    def _on_own_head(self, head: ResponseHead) -> None:
+        """Learn from the head of an answer that its server is leaving."""
+        server = self._send.server
+        is_other_instance = head.status == 421 and head.instance != server.server
+        if not head.is_leaving or is_other_instance:
+            return
+        self._said_leaving = True
+        if self._server_pool.record_leaving(server):
+            _log.info(
+                "server_leaving",
+                server=server.server,
+                request=self._request.request_id,
+                status=head.status,
+            )
+
+    def _record_pause(self, end: ExchangeEnd, now_ms: int) -> None:
+        """Record a pause that the server asked for, and withdraw what a malformed answer said."""
+        head, server = self._relay.head, self._send.server
+        if end is ExchangeEnd.MALFORMED:
+            if self._said_leaving and not self._relay.stream_started:
+                self._server_pool.withdraw_leaving(server)
+                _log.info("server_leaving_withdrawn", server=server.server)
+            return
+        is_own = self._relay.verdict in (AttemptVerdict.NOT_RUN, AttemptVerdict.FAILURE)
+        if head is None or head.quiet_ms is None or not is_own:
+            return
+        self._server_pool.record_quiet(server, head.quiet_ms, now_ms)
+        _log.info(
+            "server_asks_for_quiet",
+            server=server.server,
+            request=self._request.request_id,
+            quiet_ms=head.quiet_ms,
+        )
+
     def _clear_pending_prefill(self) -> None:
         if self._pending_prefill is not None:
             self._server_pool.prompt_prefilled(*self._pending_prefill)
@@ -170,6 +207,7 @@
     async def _attempt(self, send: Send) -> ForwardStep:
         relay, server = self._relay, send.server.server
         relay.begin_attempt()
+        self._send, self._said_leaving = send, False
         started_ms = self._clock.now_ms()
         self._open_attempt = (server, started_ms)
         self._terms, self._sent_ms = send.terms, started_ms
@@ -190,6 +228,7 @@
             self._queue.wake_head()
         self._open_attempt = None
         now_ms = self._clock.now_ms()
+        self._record_pause(result.end, now_ms)
         outcome = self._attempt_outcome(result.end)
         status = relay.head.status if relay.head is not None else 0
         self._attempt_log.append(
@@ -207,6 +246,7 @@
                 send.server.address,
                 encode_forward(self._request, send.terms),
                 self._relay,
+                may_send=lambda: self._server_pool.may_send_to(send.server, self._clock.now_ms()),
                 is_head=self._request.raw.method == b"HEAD",
             )
         )
@@ -233,6 +273,8 @@
         relay = self._relay
         if end is ExchangeEnd.NOT_CONNECTED:
             return "not_connected"
+        if end is ExchangeEnd.NOT_SENT:
+            return "not_sent"
         if relay.verdict is AttemptVerdict.NOT_RUN:
             return "refused"
         if end is not ExchangeEnd.COMPLETE or not relay.is_whole:
@@ -245,6 +287,8 @@
         if outcome == "not_connected":
             server_pool.request_failed(server, now_ms)
             return forwarding.on_not_connected(send, now_ms)
+        if outcome == "not_sent":
+            return forwarding.on_not_connected(send, now_ms)
         if outcome == "refused":
             self._handle_refusal(send, now_ms)
             return forwarding.on_refused(send, now_ms)
--- a/bergamothill/process/serverpool.py
+++ b/bergamothill/process/serverpool.py
@@ -7,37 +7,30 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-
-from bergamothill.ids import ModelName, ServerId, ServiceName, ZoneName
+from bergamothill.ids import ModelName, ServerId, ZoneName
+from bergamothill.logs import EventLog
 from bergamothill.process.backends import BackendServer
 from bergamothill.process.engineselector import EngineSelector
 from bergamothill.process.loadreport import PeerLoads, ServerLoad
 from bergamothill.process.observedserver import ObservedServer
+from bergamothill.process.serverlist import ServerList
 from bergamothill.request.callerrequest import CallerRequest, ForwardTerms
 from bergamothill.request.contextplan import ContextPlanner
-from bergamothill.request.forwarding import NoFreeMemory
+from bergamothill.request.forwarding import AllQuiet, NoFreeMemory
 from bergamothill.version.routetable import Brand, EngineTraits, Service
 from bergamothill.version.weightswap import SwapEngine
 from bergamothill.version.weighttarget import WeightTarget
 
 __all__ = ["ServerPool"]
 
+_log = EventLog("gateway")
+
 REJECTION_BACKOFF_MS = 120
 """Backoff for a server that is full or busy with an order: about the duration of one batch."""
 
 FAILURE_BACKOFF_MIN_MS = 500
 FAILURE_BACKOFF_MAX_MS = 4_000
 
-REREGISTRATION_MS = 2_100
-"""Servers register again within two seconds after an outage of the key-value service."""
-
-REREGISTRATION_GRACE_MS = 2_850
-"""Longest wait for entries that expired in an outage, if no later read of the list ends it.
-
-Three polls of the list fit in; leaving servers may be used for three seconds after an outage.
-"""
-
 OTHER_ZONE_PENALTY = 1.0
 """Number of requests in progress that weighs as much as being in another zone."""
 
@@ -69,13 +62,14 @@
 """Time for which a request may be queued at an engine before it starts."""
 
 
-class ServerPool:
+class ServerPool(ServerList):
     """State of all backend servers, as observed by this entry instance.
 
     :param zone: availability zone of this entry instance
     :param weights_due_ms: time in which engines must move to a new weight target
     :param planner: plans from where engines fetch cached context
     :param peer_loads: load that the other entry instances put on the servers
+    :param entry_expiry_ms: time without a sign of life after which a server's entry is removed
     """
 
     def __init__(
@@ -84,113 +78,23 @@
         weights_due_ms: int,
         planner: ContextPlanner,
         peer_loads: PeerLoads,
+        entry_expiry_ms: int,
     ) -> None:
+        super().__init__(entry_expiry_ms)
         self._zone = zone
         self._peer_loads = peer_loads
         self._planner = planner
         self._selector = EngineSelector(planner, peer_loads)
         self._weights_due_ms = weights_due_ms
-        self._observed: dict[ServerId, ObservedServer] = {}
-        self._by_service: dict[ServiceName, list[ObservedServer]] = {}
-        self._is_first_list_after_outage = False
-        self._recovery_read_ms = 0
-        self._grace_ends_ms = 0
         self.targets: dict[ModelName, WeightTarget] = {}
         self._target_history: dict[ModelName, list[tuple[int, int]]] = {}
-        self.listed_ms: int | None = None
-
-    def kvs_recovered(self) -> None:
-        """Note that the key-value service is back: the next list starts the grace period."""
-        self._is_first_list_after_outage = True
-
-    def kvs_connection_lost(self) -> None:
-        """Keep servers that had no time to register again since the previous outage.
-
-        Their grace period may have ended without a read of the list while this process was paused.
-        """
-        for state in self._observed.values():
-            may_reregister = state.gone_after_ms is not None and self._may_reregister(state)
-            if may_reregister and self.listed_ms < state.gone_after_ms:
-                state.gone_after_ms = None
-
-    def _may_reregister(self, state: ObservedServer) -> bool:
-        """Return whether a missing entry may have expired in an outage and may return."""
-        return state.listed_ms < self._recovery_read_ms and not state.entry.is_leaving
-
-    def apply_list(self, entries: Iterable[BackendServer], sent_ms: int, now_ms: int) -> list[str]:
-        """Apply a newly read list of servers.
-
-        :param entries: entries that could be decoded
-        :param sent_ms: time at which the read of the list was sent
-        :param now_ms: current time, in milliseconds
-        :returns: changes, for the log
-        """
-        self.listed_ms = sent_ms
-        if self._is_first_list_after_outage:
-            self._is_first_list_after_outage, self._recovery_read_ms = False, sent_ms
-            self._grace_ends_ms = now_ms + REREGISTRATION_GRACE_MS
-        listed = {entry.server: entry for entry in entries}
-        changes = []
-        for server, entry in listed.items():
-            changes += self._apply_entry(server, entry, sent_ms)
-        for server, state in list(self._observed.items()):
-            if server not in listed:
-                changes += self._handle_missing_entry(server, state, sent_ms, now_ms)
-        self._rebuild_index()
-        return changes
-
-    def _apply_entry(self, server: ServerId, entry: BackendServer, sent_ms: int) -> list[str]:
-        state = self._observed.get(server)
-        if state is None or state.entry.started_wall_ms != entry.started_wall_ms:
-            self._observed[server] = ObservedServer(entry, listed_ms=sent_ms)
-            return [f"{server}:{'new' if state is None else 'restarted'}"]
-        state.listed_ms, state.gone_after_ms = sent_ms, None
-        changes = []
-        if entry.is_leaving and not state.entry.is_leaving:
-            changes.append(f"{server}:leaving")
-        if entry.weights != state.entry.weights:
-            changes.append(f"{server}:weights")
-        if state.entry.is_leaving and not entry.is_leaving:
-            return changes  # leaving is final for an incarnation; this older entry was read late
-        state.entry = entry
-        return changes
-
-    def _handle_missing_entry(
-        self, server: ServerId, state: ObservedServer, sent_ms: int, now_ms: int
-    ) -> list[str]:
-        """Handle a known server that is missing from the list.
-
-        It gets a grace period only if it has not been listed since the key-value service recovered:
-        only then can its entry have expired in the outage and still return. A read that was sent
-        when all servers had to be registered again ends the grace period.
-        """
-        changes = []
-        if state.gone_after_ms is None:
-            state.gone_after_ms = self._grace_ends_ms
-            changes.append(f"{server}:missing")
-        is_awaited = sent_ms < self._recovery_read_ms + REREGISTRATION_MS
-        if not (is_awaited and self._may_reregister(state)):
-            state.gone_after_ms = min(state.gone_after_ms, now_ms)
-        if now_ms >= state.gone_after_ms and state.in_progress == 0:
-            del self._observed[server]
-        return changes
 
     def _rebuild_index(self) -> None:
-        self._by_service = {}
+        super()._rebuild_index()
         engines = (
             b.entry for b in self._observed.values() if b.entry.weights and not b.is_replaced
         )
         self._planner.set_engines({entry.address: entry.zone for entry in engines})
-        for state in self._observed.values():
-            self._by_service.setdefault(state.entry.service, []).append(state)
-
-    def server_state(self, server: ServerId) -> ObservedServer | None:
-        """Return the observed state of a server, or None if it is unknown."""
-        return self._observed.get(server)
-
-    def usable(self, service: ServiceName, now_ms: int) -> list[ObservedServer]:
-        """Return the servers of a service that may get new requests."""
-        return [b for b in self._by_service.get(service, ()) if b.is_usable(now_ms)]
 
     def set_weight_target(self, target: WeightTarget, now_ms: int, *, is_first_read: bool) -> bool:
         """Apply a weight version that the operator set as the target.
@@ -227,7 +131,7 @@
             SwapEngine(b.entry.server, b.entry.started_wall_ms, b.entry.address, model, version)
             for states in self._by_service.values()
             for b in states
-            if not b.entry.is_leaving and not b.is_replaced and b.gone_after_ms is None
+            if not b.is_leaving and not b.is_replaced and b.gone_after_ms is None
             for model in b.entry.weights
             if (version := b.weight_version(model)) is not None
         )
@@ -240,11 +144,17 @@
         if state is not None:
             state.last_received_ms = now_ms
 
-    def record_bytes_from(self, address: str, now_ms: int) -> None:
-        """Record that bytes were received from the server at an address."""
+    def record_reply_from(self, address: str, now_ms: int, *, is_leaving: bool) -> None:
+        """Record a reply of the server at an address to a read of its cache events.
+
+        :param is_leaving: whether the server says that it is leaving
+        """
         for state in self._observed.values():
             if state.entry.address == address:
                 state.last_received_ms = now_ms
+                if is_leaving and not state.is_leaving:
+                    self.record_leaving(state.entry)
+                    _log.info("server_leaving", server=state.entry.server, request="-")
 
     def set_reachable(self, address: str, is_reachable: bool) -> None:
         """Record that the event connection to the server at an address was lost or restored."""
@@ -325,7 +235,7 @@
             return
         state.failures = 0
         if model is not None and version is not None:
-            self._record_version(state, model, version)
+            state.record_version(model, version)
 
     def request_rejected(self, server: ServerId, now_ms: int) -> None:
         """Record that a server rejected a request because it is full or changing its weights."""
@@ -355,18 +265,13 @@
         state = self._observed.get(server)
         target = self.targets.get(model)
         if state is not None and target is not None and target.version > expected:
-            self._record_version(state, model, target.version)
+            state.record_version(model, target.version)
 
     def record_weight_swap(self, server: ServerId, model: ModelName, version: int) -> None:
         """Record that a server has switched to new weights."""
         state = self._observed.get(server)
         if state is not None:
-            self._record_version(state, model, version)
-
-    def _record_version(self, state: ObservedServer, model: ModelName, version: int) -> None:
-        if state.weights is None:
-            state.weights = {}
-        state.weights[model] = max(version, state.weights.get(model, 0))
+            state.record_version(model, version)
 
     def record_first_token(self, terms: ForwardTerms, took_ms: int, now_ms: int) -> None:
         """Record the time to the first token of an answer.
@@ -396,14 +301,15 @@
         avoided: tuple[str, ...],
         urgency: int,
         now_ms: int,
-    ) -> tuple[BackendServer, ForwardTerms] | NoFreeMemory | None:
+    ) -> tuple[BackendServer, ForwardTerms] | NoFreeMemory | AllQuiet | None:
         """Choose a server for a request and the terms to forward it under.
 
         Implements :class:`~bergamothill.request.forwarding.ServerChooser`.
         """
         usable = self.usable(service.name, now_ms)
         if not usable:
-            return None
+            quiet_until_ms = self.quiet_until_ms(service.name, now_ms)
+            return None if quiet_until_ms is None else AllQuiet(quiet_until_ms)
         candidates = [b for b in usable if b.entry.server not in avoided]
         candidates = candidates or usable
         if service.engine is not None:
--- a/bergamothill/process/swapduty.py
+++ b/bergamothill/process/swapduty.py
@@ -107,6 +107,11 @@
         self._stopped = True
         self._wake.set()
 
+    def handle_restore(self) -> None:
+        """Give up the duty because the key-value service was restored from an older copy."""
+        self._lease.handle_restore()
+        self._wake.set()
+
     @property
     def is_held(self) -> bool:
         """Whether this entry instance holds the duty."""
@@ -121,6 +126,7 @@
         if not self._lease.tick():
             self._machine = WeightSwap()
             return False
+        self._order_gap.settle_era(self._clock.now_ms())
         targets, engines = self._view()
         effects = self._machine.plan(targets, engines, self._clock.now_ms())
         if self._machine.is_idle:
--- a/bergamothill/request/answerrelay.py
+++ b/bergamothill/request/answerrelay.py
@@ -53,6 +53,7 @@
     :param decode: decodes the head of an answer
     :param on_first: called before the first bytes are sent to the caller
     :param on_bytes: called when body bytes arrive from the server
+    :param on_own_head: called with the head of an answer that belongs to the request
     """
 
     def __init__(
@@ -64,8 +65,10 @@
         decode: Callable[[int, list[Header]], ResponseHead],
         on_first: Callable[[], None],
         on_bytes: Callable[[], None],
+        on_own_head: Callable[[ResponseHead], None],
     ) -> None:
         self._on_bytes = on_bytes
+        self._on_own_head = on_own_head
         self.stream_started = False
         self._caller = caller
         self._request_id = request_id
@@ -98,6 +101,11 @@
         """Handle the head of an answer; return None to stop the exchange."""
         head = self.head = self._decode(status, headers)
         self.verdict = self._classify(head)
+        # A refusal may come without an id, as the server has not read the request.
+        is_refused = self.verdict is AttemptVerdict.NOT_RUN
+        is_own_refusal = is_refused and head.request_id in ("", self._request_id)
+        if is_own_refusal or self.verdict in (AttemptVerdict.SUCCESS, AttemptVerdict.FAILURE):
+            self._on_own_head(head)
         if self.verdict in (AttemptVerdict.NOT_RUN, AttemptVerdict.UNVERIFIED):
             return None
         return head
--- a/bergamothill/request/callerrequest.py
+++ b/bergamothill/request/callerrequest.py
@@ -131,6 +131,9 @@
     :param weight_version: weight version that produced the answer; None if missing
     :param instance: id of the server that answered; empty if missing
     :param headers: header fields to forward to the caller
+    :param is_leaving: whether the server says that it is leaving
+    :param quiet_ms: time for which the server wants no requests from this instance; None if it did
+        not ask for a pause
     """
 
     status: int
@@ -140,3 +143,5 @@
     weight_version: int | None
     instance: str
     headers: list[Header]
+    is_leaving: bool = False
+    quiet_ms: int | None = None
--- a/bergamothill/request/forwarding.py
+++ b/bergamothill/request/forwarding.py
@@ -19,6 +19,7 @@
 
 __all__ = [
     "AbortStream",
+    "AllQuiet",
     "Deliver",
     "Finish",
     "Forwarding",
@@ -69,6 +70,7 @@
     BROKEN = "answer_lost"
     EXPIRED = "expired"
     FULL = "engines_full"
+    QUIET = "servers_ask_for_quiet"
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,6 +136,16 @@
     """Result of a choice: no server that could run the request has enough free memory."""
 
 
+@dataclass(frozen=True, slots=True)
+class AllQuiet:
+    """Result of a choice: all servers that could run the request asked for a pause.
+
+    :param until_ms: time at which the first of them may be used again
+    """
+
+    until_ms: int
+
+
 class ServerChooser(Protocol):
     """Chooses among the servers of a service."""
 
@@ -145,11 +157,11 @@
         avoided: tuple[str, ...],
         urgency: int,
         now_ms: int,
-    ) -> tuple[BackendServer, ForwardTerms] | NoFreeMemory | None:
+    ) -> tuple[BackendServer, ForwardTerms] | NoFreeMemory | AllQuiet | None:
         """Return a server and the terms for it.
 
         Returns None if no server can run the request, ``NoFreeMemory`` if none of those that may be
-        chosen has enough free memory.
+        chosen has enough free memory, ``AllQuiet`` if all of them asked for a pause.
 
         :param urgency: 0 comes first; less urgent requests must leave more memory free
         :param avoided: servers that already failed the request; chosen only as a last resort
@@ -277,6 +289,8 @@
         )
         if chosen is None:
             return self._give_up(now_ms, Reason.NO_SERVER)
+        if isinstance(chosen, AllQuiet):
+            return self._give_up(now_ms, Reason.QUIET, wait_ms=chosen.until_ms - now_ms)
         if isinstance(chosen, NoFreeMemory):
             return self._wait_for_memory(now_ms, last_event_id)
         server, terms = chosen
@@ -288,12 +302,15 @@
         self.attempts.mark_sending(attempt)
         return Send(server, terms, attempt)
 
-    def _give_up(self, now_ms: int, reason: Reason) -> ForwardStep:
+    def _give_up(
+        self, now_ms: int, reason: Reason, *, wait_ms: int = MIN_RETRY_AFTER_MS
+    ) -> ForwardStep:
         if self.stream_started:
             return AbortStream(reason)
         if self.attempts.execution() is Execution.NOT_RUN:
-            wait_ms = MIN_RETRY_AFTER_MS + int(self._jitter * RETRY_AFTER_JITTER_MS)
-            return Finish(503, wait_ms, reason)
+            shortest_ms = max(MIN_RETRY_AFTER_MS, wait_ms)
+            retry_after_ms = shortest_ms + int(self._jitter * RETRY_AFTER_JITTER_MS)
+            return Finish(503, retry_after_ms, reason)
         return Finish(504 if reason is Reason.EXPIRED else 502, None, reason)
 
 
--- a/scripts/ablate.py
+++ b/scripts/ablate.py
@@ -16,7 +16,7 @@
 SERVER_POOL = "bergamothill/process/serverpool.py"
 SELECTOR = "bergamothill/process/engineselector.py"
 PLAN = "bergamothill/request/contextplan.py"
-GATEWAY = "bergamothill/process/gateway.py"
+REQUEST_RUN = "bergamothill/process/requestrun.py"
 COST_LINE = "        return queue_ms + prefill_ms + plan.fetch_ms + memory_penalty_ms + batch_ms\n"
 TARGETS_LINE = '        targets = [""] * len(request.parts)\n'
 
@@ -64,7 +64,7 @@
     ),
     "no-line": (
         Replacement(
-            GATEWAY,
+            REQUEST_RUN,
             "        if queue.requests.enqueue(waiting, started_ms):\n",
             "        if False:\n",
         ),
--- a/standins/platformstore.py
+++ b/standins/platformstore.py
@@ -7,6 +7,7 @@
 - ``late_writes``: number of writes to apply late, with the connection reset at once
 - ``late_effect_ms``: delay until such a write is applied (default 2000)
 - ``compacted``: watches fail with 410, as if their start revision had been compacted
+- ``era_header``: value of the header with the era instead of the true one
 """
 
 from __future__ import annotations
@@ -21,7 +22,7 @@
 
 from bergamothill.clock import SystemClock
 from bergamothill.connection.kvs import KeyValueEntry
-from bergamothill.connection.kvs_memory import MemoryKeyValueService
+from bergamothill.connection.kvs_memory import KeyValueSnapshot, MemoryKeyValueService
 from bergamothill.errors import ConflictError, LeaseLostError
 from bergamothill.ids import LeaseId
 from standins.base import DropConnection, StandIn, json_response
@@ -38,6 +39,7 @@
         self.service = MemoryKeyValueService(SystemClock())
         self._leases: dict[int, LeaseId] = {}
         self._lock = threading.Lock()
+        self.era = 1
         self.route("/kv-key", self._handle_get, ["GET"])
         self.route("/kv-range", self._handle_range, ["GET"])
         self.route("/kv-watch", self._handle_watch, ["GET"])
@@ -52,7 +54,21 @@
                 return json_response({"error": "busy"}, 503)
             if self.faults.get("limited"):
                 return json_response({"error": "too many calls"}, 429)
-        return super()._dispatch(request)
+        response = super()._dispatch(request)
+        response.headers["Store-Era"] = self.faults.get("era_header", str(self.era))
+        return response
+
+    def restore(self, copy: KeyValueSnapshot) -> None:
+        """Replace the state with an older copy; all leases end and their numbers are reused.
+
+        :param copy: state to restore
+        """
+        with self._lock:
+            leased = {key for lease in copy.leases for key in lease.keys}
+            kept = tuple(entry for entry in copy.entries if entry.key not in leased)
+            self._leases.clear()
+            self.era += 1
+            self.service.restore(KeyValueSnapshot(copy.revision, kept, ()))
 
     def _handle_get(self, request: Request) -> Response:
         entry = self.service.get(request.args["key"])
@@ -73,6 +89,8 @@
         if self.faults.get("compacted"):
             return json_response({"error": "history is gone"}, 410)
         after, wait_ms = int(request.args["after"]), int(request.args["waitMs"])
+        if after > self.service.revision:
+            return json_response({"error": "no such revision"}, 410)
         revision = self.service.wait_for_change(
             request.args["prefix"], after=after, timeout_ms=wait_ms
         )
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -3,14 +3,24 @@
 from __future__ import annotations
 
 import json
+import sys
 import time
 from collections.abc import Callable
+from dataclasses import replace
 from enum import Enum
 from typing import Any
 
 from bergamothill.clock import Clock
-from bergamothill.connection.kvs_memory import MemoryKeyValueService
-from bergamothill.errors import BergamothillError, PeerTimeoutError, PeerUnreachableError
+from bergamothill.connection.kvs import ABSENT, KeyValueEntry, KeyValueService
+from bergamothill.connection.kvs_memory import KeyValueSnapshot, MemoryKeyValueService
+from bergamothill.connection.storeera import StoreEra, qualify_revision
+from bergamothill.errors import (
+    BergamothillError,
+    LeaseLostError,
+    PeerTimeoutError,
+    PeerUnreachableError,
+)
+from bergamothill.ids import LeaseId
 from bergamothill.platform.config import decode_config
 from bergamothill.process.backends import BackendServer
 from bergamothill.process.loadreport import PeerLoads
@@ -134,6 +144,104 @@
         return result
 
 
+class RestorableStore(FaultyKeyValueService):
+    """Key-value service that can be restored from an older copy, without its clients' view.
+
+    Revisions and lease numbers are given out again in each era. Late writes outlive restorations.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        super().__init__(clock)
+        self.era = 1
+
+    def restore_copy(self, copy: KeyValueSnapshot) -> None:
+        """Restore an older copy without the leases and their keys, and begin the next era."""
+        leased = {key for lease in copy.leases for key in lease.keys}
+        kept = tuple(entry for entry in copy.entries if entry.key not in leased)
+        self.restore(KeyValueSnapshot(copy.revision, kept, ()))
+        self._last_lease_number = 0
+        self.era += 1
+
+
+class StoreClient(KeyValueService):
+    """Client of a restorable store, with the checks that the client of the platform makes."""
+
+    def __init__(self, store: RestorableStore) -> None:
+        self.store = store
+        self.era = StoreEra("store")
+        self.era.observe(store.era, "test")
+
+    def get(self, key):
+        entry = self.store.get(key)
+        return self._qualify(entry, self._reply("kvs.get"))
+
+    def scan(self, prefix):
+        entries = self.store.scan(prefix)
+        era = self._reply("kvs.scan")
+        return tuple(self._qualify(entry, era) for entry in entries)
+
+    def put_if(self, key, value, *, expected, lease_id=None):
+        sent_era = self.era.current
+        revision = self.era.unqualify_revision(expected, "kvs.put")
+        lease = None if lease_id is None else self._store_lease(lease_id, "kvs.put")
+        entry = self._call("kvs.put", self.store.put_if, key, value, revision, lease)
+        era = self.era.current
+        if expected != ABSENT or lease_id is not None:
+            self.era.check_same(sent_era, era, "kvs.put")
+        return self._qualify(entry, era)
+
+    def delete_if(self, key, *, expected):
+        sent_era = self.era.current
+        revision = self.era.unqualify_revision(expected, "kvs.put")
+        self._call("kvs.put", self.store.delete_if, key, None, revision, None)
+        self.era.check_same(sent_era, self.era.current, "kvs.put")
+
+    def grant_lease(self, ttl_ms):
+        number = int(self.store.grant_lease(ttl_ms).removeprefix("lease-"))
+        return self.era.qualify_lease(self._reply("kvs.grant"), number)
+
+    def renew_lease(self, lease_id):
+        sent_era = self.era.current
+        lease = self._store_lease(lease_id, "kvs.renew")
+        try:
+            self.store.renew_lease(lease)
+        except LeaseLostError:
+            self._reply("kvs.renew")
+            raise
+        if self._reply("kvs.renew") != sent_era:
+            raise LeaseLostError("restored", step="kvs.renew")
+
+    def revoke_lease(self, lease_id):
+        try:
+            lease = self._store_lease(lease_id, "kvs.revoke")
+        except LeaseLostError:
+            return
+        self.store.revoke_lease(lease)
+        self._reply("kvs.revoke")
+
+    def wait_for_change(self, prefix, *, after, timeout_ms):
+        raise NotImplementedError
+
+    def _call(self, step, operation, key, value, revision, lease):
+        arguments = {"expected": revision} | ({} if lease is None else {"lease_id": lease})
+        try:
+            return operation(key, *([] if value is None else [value]), **arguments)
+        finally:
+            if not isinstance(sys.exception(), PeerTimeoutError | PeerUnreachableError):
+                self._reply(step)
+
+    def _store_lease(self, lease_id, step):
+        return LeaseId(f"lease-{self.era.unqualify_lease(lease_id, step)}")
+
+    def _reply(self, step: str) -> int:
+        return self.era.observe(self.store.era, step)
+
+    def _qualify(self, entry: KeyValueEntry | None, era: int) -> KeyValueEntry | None:
+        if entry is None:
+            return None
+        return replace(entry, mod_revision=qualify_revision(era, entry.mod_revision))
+
+
 # Test data for deployments on the users' platform.
 
 NODE_SETTINGS = """
@@ -315,6 +423,7 @@
         "weights_due_ms": 6_000,
         "planner": planner,
         "peer_loads": PeerLoads(),
+        "entry_expiry_ms": 4_800,
         **changes,
     }
     built = pool_class(**values)
--- a/tests/proof/proof_forwarding.py
+++ b/tests/proof/proof_forwarding.py
@@ -252,6 +252,7 @@
             decode=decode_answer,
             on_first=lambda: None,
             on_bytes=lambda: None,
+            on_own_head=lambda head: None,
         )
         self.attempt()
 
--- a/tests/proof/proof_orderturn.py
+++ b/tests/proof/proof_orderturn.py
@@ -63,7 +63,7 @@
     def __init__(self, name, kvs, clock, guard_class) -> None:
         self.name = name
         self.lease = DutyLease(kvs, clock, "weights", name, times=TIMES)
-        self.order_gap = guard_class(kvs, MARK_KEY, name, self.lease, ORDER_GAP_MS)
+        self.order_gap = guard_class(kvs, MARK_KEY, name, self.lease, ORDER_GAP_MS, TIMES.ttl_ms)
 
 
 class OrderTurnProof(ProofMachine):
--- a/tests/test_answerrelay.py
+++ b/tests/test_answerrelay.py
@@ -39,6 +39,7 @@
             decode=decode_answer,
             on_first=lambda: None,
             on_bytes=lambda: None,
+            on_own_head=lambda head: None,
         )
 
     def test_whole_events_only(self):
--- a/tests/test_configstate.py
+++ b/tests/test_configstate.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from bergamothill.connection.storeera import REWRITE_MS, qualify_revision
 from bergamothill.process.configstate import REVOCATION_MARGIN_MS, ConfigState, Verdict
 from tests.builders import operator_config, routing_config
 
@@ -48,6 +49,38 @@
         self.config_state.confirm(10, 1_000)
         self.assertEqual(0, self.config_state.age_ms(4_000))
 
+    def test_an_older_copy_of_the_service_neither_replaces_nor_confirms_a_configuration(self):
+        self.config_state.apply(routing_config(version=9), 20, 1_000)
+        self.config_state.record_restore(1_500)
+        after_ms = 1_500 + REWRITE_MS
+        self.assertFalse(self.config_state.apply(routing_config(version=8), 1_000, after_ms))
+        self.assertEqual(9, self.config_state.version)
+        self.assertEqual(after_ms - 1_000, self.config_state.age_ms(after_ms))
+
+    def test_a_newer_configuration_at_a_lower_revision_comes_into_force(self):
+        self.config_state.apply(routing_config(version=9), qualify_revision(1, 500), 1_000)
+        self.config_state.record_restore(1_500)
+        newer = routing_config(version=11, tenants=[{"name": "kowhai", "apiKeys": ["key-9"]}])
+        self.assertTrue(self.config_state.apply(newer, qualify_revision(2, 300), 1_600))
+        self.assertIs(Verdict.UNKNOWN_KEY, self.verdict(now_ms=1_600))
+
+    def test_after_a_restoration_reads_confirm_only_once_the_operator_has_written_again(self):
+        self.config_state.apply(routing_config(), qualify_revision(1, 10), 1_000)
+        self.config_state.record_restore(1_500)
+        restored = qualify_revision(2, 8)
+        self.config_state.apply(routing_config(), restored, 1_500 + REWRITE_MS - 1)
+        self.assertEqual(4_000, self.config_state.age_ms(5_000))
+        self.config_state.confirm(restored, 1_500 + REWRITE_MS)
+        self.assertEqual(3_500 - REWRITE_MS, self.config_state.age_ms(5_000))
+
+    def test_a_key_that_was_revoked_just_before_a_restoration_is_not_admitted_for_longer(self):
+        """The revocation was accepted at 1,400, never read here, and is lost for a while."""
+        self.config_state.apply(routing_config(), qualify_revision(1, 10), 1_000)
+        self.config_state.record_restore(1_500)
+        for read_ms in range(1_500, 1_500 + REWRITE_MS, 300):
+            self.config_state.apply(routing_config(), qualify_revision(2, 10), read_ms)
+        self.assertIs(Verdict.STALE_KEYS, self.verdict(now_ms=1_000 + LAST_MS))
+
     def test_a_stale_configuration_does_not_deny_an_unknown_route(self):
         self.assertIs(Verdict.STALE_KEYS, self.verdict(path="/none/", now_ms=LAST_MS))
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1,6 +1,8 @@
 """Tests of forwarding over real sockets: callers, gateway and scripted servers."""
 
+import re
 import tempfile
+import threading
 import time
 import unittest
 from pathlib import Path
@@ -9,6 +11,7 @@
 from tests.gatewayworld import (
     PROMPT_HEADERS,
     STREAM_HEAD,
+    TIMEOUT_S,
     GatewayWorld,
     ScriptedServer,
     answer,
@@ -225,6 +228,84 @@
         self.assert_rejected(b"\x16\x03\x01 nonsense\r\n\r\n", 400)
 
 
+LEAVING = b"X-Server-Signature: sig\r\nServer-Leaving: 1\r\n"
+NOT_RUN = b"X-Not-Executed: 1\r\n"
+
+
+def busy(retry_after, headers=NOT_RUN):
+    """Return a refusal that asks for a pause."""
+    return answer(b"", status=b"503 Busy", headers=headers + b"Retry-After: %s\r\n" % retry_after)
+
+
+class ServerSaysTest(GatewayCase):
+    """Servers say in their answers that they are leaving, or that they want a pause."""
+
+    def paths(self):
+        return [len(server.requests) for server in self.plain]
+
+    def test_a_server_that_says_it_is_leaving_gets_nothing_more(self):
+        world = self.world(plain=[replies(answer(headers=LEAVING)), replies(answer())])
+        for _ in range(4):
+            self.assertTrue(world.exchange(request()).startswith(b"HTTP/1.1 200"))
+        self.assertEqual([1, 3], self.paths())
+
+    def test_leaving_in_the_head_of_a_refusal_is_believed(self):
+        refusal = answer(b"", status=b"503 Leaving", headers=LEAVING + NOT_RUN)
+        world = self.world(plain=[replies(refusal), replies(answer())])
+        for _ in range(3):
+            self.assertTrue(world.exchange(request()).startswith(b"HTTP/1.1 200"))
+        self.assertEqual([1, 3], self.paths())
+
+    def test_another_server_at_the_address_does_not_speak_for_the_expected_one(self):
+        other = answer(
+            b"", status=b"421 Other", headers=LEAVING + b"X-Instance-Id: p9\r\n" + NOT_RUN
+        )
+        world = self.world(plain=[replies(other), replies(answer())])
+        world.exchange(request())
+        self.assertEqual(0, world.server_pool.server_state("p0").leaving_answers)
+
+    def test_an_answer_to_another_request_says_nothing(self):
+        stray = answer(headers=LEAVING, request_id=b"r9")
+        world = self.world(plain=[replies(stray)])
+        world.exchange(request())
+        self.assertEqual(0, world.server_pool.server_state("p0").leaving_answers)
+
+    def test_a_malformed_answer_changes_nothing_lasting(self):
+        garbled = answer(headers=LEAVING, framing=b"Transfer-Encoding: chunked\r\n") + b"zz\r\n"
+        world = self.world(plain=[replies(garbled)])
+        world.exchange(request())
+        self.assertEqual(0, world.server_pool.server_state("p0").leaving_answers)
+
+    def test_a_server_that_asks_for_quiet_is_left_alone_and_others_take_the_work(self):
+        world = self.world(plain=[replies(busy(b"62.5")), replies(answer())])
+        for _ in range(4):
+            self.assertTrue(world.exchange(request()).startswith(b"HTTP/1.1 200"))
+        self.assertEqual([1, 4], self.paths())
+
+    def test_when_all_ask_for_quiet_callers_are_refused_at_once_with_the_time_left(self):
+        world = self.world(plain=[replies(busy(b"62.5")), replies(busy(b"99"))])
+        world.exchange(request())
+        found = world.exchange(request())
+        self.assertTrue(found.startswith(b"HTTP/1.1 503"), found)
+        retry_after_s = float(re.search(rb"Retry-After: ([0-9.]+)", found)[1])
+        self.assertTrue(0 < retry_after_s <= 62.5 + 0.35, retry_after_s)
+        self.assertEqual([1, 1], self.paths())
+
+    def test_a_pause_in_a_failure_that_ran_is_kept_and_the_failure_delivered(self):
+        ran = busy(b"60", headers=b"X-Server-Signature: sig\r\n")
+        world = self.world(plain=[replies(ran)])
+        self.assertIn(b"X-Server-Signature", world.exchange(request()))
+        self.assertTrue(world.exchange(request()).startswith(b"HTTP/1.1 503"))
+        self.assertEqual([1], self.paths())
+
+    def test_a_malformed_pause_is_an_ordinary_refusal(self):
+        for text in (b"soon", b"-1", b"inf", b"nan", b"1e9", b"0"):
+            with self.subTest(text):
+                world = self.world(plain=[replies(busy(text))])
+                world.exchange(request())
+                self.assertEqual(0, world.server_pool.server_state("p0").quiet_until_ms)
+
+
 class StreamTest(GatewayCase):
     def prompt(self, headers=b""):
         return request(b"/quote/2f", headers=PROMPT_HEADERS + headers + b"Connection: close\r\n")
@@ -234,6 +315,26 @@
             connection.sendall(self.prompt())
             return read_all(connection)
 
+    def test_an_engine_that_says_it_is_leaving_is_left_out_while_its_stream_goes_on(self):
+        head = answer(b"", headers=LEAVING, framing=b"Transfer-Encoding: chunked\r\n")
+        resumed = threading.Event()
+
+        def stream(connection, _request):
+            connection.sendall(head + chunk(event(1)))
+            resumed.wait(TIMEOUT_S)
+            connection.sendall(chunk(event(2)) + chunk(b""))
+
+        world = self.world(engines=[stream])
+        with world.connect() as connection:
+            connection.sendall(self.prompt())
+            received = connection.recv(65_536)
+            while b"t1" not in received:
+                received += connection.recv(65_536)
+            self.assertTrue(self.ask(world).startswith(b"HTTP/1.1 503"))
+            resumed.set()
+            self.assertIn(b"t2", received + read_all(connection))
+        self.assertEqual(1, len(self.sent()))
+
     def test_events_are_forwarded_as_they_arrive(self):
         def script(connection, _request):
             connection.sendall(STREAM_HEAD + chunk(event(1)))
--- a/tests/test_platform_kvs.py
+++ b/tests/test_platform_kvs.py
@@ -12,6 +12,8 @@
     OverloadedError,
     PeerTimeoutError,
     PeerUnreachableError,
+    ProtocolError,
+    StoreRestoredError,
     UnavailableError,
 )
 from bergamothill.platform.kvs import PlatformKeyValueService
@@ -100,6 +102,75 @@
             kvs.get("a")
 
 
+class RestoreTest(StoreTestCase):
+    """The service comes back from an older copy: revisions and leases are given out again."""
+
+    def test_revisions_after_a_restoration_are_higher(self):
+        copy = self.standin.service.snapshot()
+        lost = self.kvs.put_if("a/1", b"x", expected=ABSENT)
+        self.standin.restore(copy)
+        self.assertIsNone(self.kvs.get("a/1"))
+        again = self.kvs.put_if("a/1", b"x", expected=ABSENT)
+        self.assertGreater(again.mod_revision, lost.mod_revision)
+        self.assertEqual(again, self.kvs.get("a/1"))
+        self.assertEqual((again,), self.kvs.scan("a/"))
+
+    def test_a_revision_that_was_given_out_again_does_not_meet_a_condition(self):
+        copy = self.standin.service.snapshot()
+        lost = self.kvs.put_if("a/1", b"x", expected=ABSENT)
+        self.standin.restore(copy)
+        other = PlatformKeyValueService(self.client)
+        other.put_if("a/1", b"of another writer", expected=ABSENT)
+        self.kvs.get("a/1")
+        with self.assertRaises(ConflictError):
+            self.kvs.put_if("a/1", b"y", expected=lost.mod_revision)
+        with self.assertRaises(ConflictError):
+            self.kvs.delete_if("a/1", expected=lost.mod_revision)
+        self.assertEqual(b"of another writer", self.kvs.get("a/1").value)
+
+    def test_a_write_that_meets_a_restoration_underway_is_reported_as_unknown(self):
+        copy = self.standin.service.snapshot()
+        lease = self.kvs.grant_lease(60_000)
+        self.standin.restore(copy)
+        self.standin.service.grant_lease(60_000)
+        with self.assertRaises((StoreRestoredError, LeaseLostError)):
+            self.kvs.put_if("a/1", b"x", expected=ABSENT, lease_id=lease)
+
+    def test_a_lease_number_that_was_given_out_again_is_not_renewed_or_ended(self):
+        copy = self.standin.service.snapshot()
+        lease = self.kvs.grant_lease(60_000)
+        self.standin.restore(copy)
+        other = PlatformKeyValueService(self.client)
+        other.put_if("a/2", b"x", expected=ABSENT, lease_id=other.grant_lease(60_000))
+        with self.assertRaises(LeaseLostError):
+            self.kvs.renew_lease(lease)
+        self.kvs.revoke_lease(lease)
+        self.assertIsNotNone(other.get("a/2"))
+
+    def test_a_late_reply_of_the_earlier_era_is_dropped(self):
+        self.standin.restore(self.standin.service.snapshot())
+        self.kvs.get("a/1")
+        self.standin.faults.replace({"era_header": "1"})
+        with self.assertRaises(StoreRestoredError):
+            self.kvs.get("a/1")
+
+    def test_a_malformed_era_is_a_protocol_error(self):
+        for text in ("", "x", "-1", "99999"):
+            self.standin.faults.replace({"era_header": text})
+            with self.subTest(text), self.assertRaises(ProtocolError):
+                self.kvs.get("a/1")
+
+    def test_a_watch_from_a_lost_revision_reports_that_the_history_is_gone(self):
+        copy = self.standin.service.snapshot()
+        lost = self.kvs.put_if("a/1", b"x", expected=ABSENT)
+        self.standin.restore(copy)
+        # The first watch gets 410 from the service, the second is not sent.
+        for _ in range(2):
+            self.assertEqual(
+                0, self.kvs.wait_for_change("a/", after=lost.mod_revision, timeout_ms=9)
+            )
+
+
 class FollowerTest(StoreTestCase):
     def follow(self):
         snapshots, link_states = [], []
@@ -120,6 +191,17 @@
         self.kvs.put_if("a/1", b"x", expected=ABSENT)
         await_true(lambda: snapshots[-1].entries)
 
+    def test_follows_a_service_that_was_restored(self):
+        copy = self.standin.service.snapshot()
+        for number in range(3):
+            self.kvs.put_if(f"a/{number}", b"x", expected=ABSENT)
+        snapshots, _ = self.follow()
+        await_true(lambda: snapshots)
+        self.standin.restore(copy)
+        await_true(lambda: not snapshots[-1].entries)
+        self.kvs.put_if("a/1", b"again", expected=ABSENT)
+        await_true(lambda: snapshots[-1].entries)
+
     def test_reports_loss_and_recovery_of_the_service(self):
         _, link_states = self.follow()
         await_true(lambda: link_states == [True])
--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -101,7 +101,7 @@
 class ExchangeTest(unittest.TestCase):
     """A request that is abandoned while its connection is opening must not reach the server."""
 
-    def run_exchange(self, *, opens, connect_timeout_ms=10_000, cancel=False):
+    def run_exchange(self, *, opens, connect_timeout_ms=10_000, cancel=False, may_send=True):
         transport = Transport()
 
         async def main():
@@ -118,7 +118,13 @@
 
             with mock.patch.object(loop, "create_connection", create_connection):
                 task = asyncio.ensure_future(
-                    exchange("h:1", b"x", mock.Mock(), connect_timeout_ms=connect_timeout_ms)
+                    exchange(
+                        "h:1",
+                        b"x",
+                        mock.Mock(),
+                        may_send=lambda: may_send,
+                        connect_timeout_ms=connect_timeout_ms,
+                    )
                 )
                 await asyncio.sleep(0)
                 if opens:
@@ -137,6 +143,11 @@
         self.assertEqual(["write", "abort"], calls)
         self.assertIs(ExchangeEnd.BROKEN, result.end)
 
+    def test_nothing_is_written_to_a_server_that_left_while_the_connection_was_opening(self):
+        result, calls = self.run_exchange(opens=True, may_send=False)
+        self.assertIs(ExchangeEnd.NOT_SENT, result.end)
+        self.assertEqual(["abort"], calls)
+
     def test_nothing_is_written_after_a_connect_timeout(self):
         result, calls = self.run_exchange(opens=False, connect_timeout_ms=1)
         self.assertIs(ExchangeEnd.NOT_CONNECTED, result.end)
--- a/tests/test_serverpool.py
+++ b/tests/test_serverpool.py
@@ -2,13 +2,11 @@
 
 import unittest
 
+from bergamothill.connection.storeera import REWRITE_MS
 from bergamothill.process.loadreport import LoadReport, PeerLoads, ServerLoad
-from bergamothill.process.serverpool import (
-    OLD_WEIGHTS_GRACE_MS,
-    REREGISTRATION_GRACE_MS,
-    SUSPECT_SILENCE_MS,
-)
-from bergamothill.request.forwarding import NoFreeMemory
+from bergamothill.process.serverlist import MAX_QUIET_MS, REREGISTRATION_GRACE_MS
+from bergamothill.process.serverpool import OLD_WEIGHTS_GRACE_MS, SUSPECT_SILENCE_MS
+from bergamothill.request.forwarding import AllQuiet, NoFreeMemory
 from bergamothill.version.weighttarget import WeightTarget
 from tests.builders import backend, caller_request, routing_config, server_pool
 
@@ -123,6 +121,137 @@
         self.assertIsNone(chosen(server_pool(backend("s1", weights={}))))
 
 
+class RestoreTest(unittest.TestCase):
+    """The list comes from a service that was restored from an older copy."""
+
+    EXPIRY_MS = 4_800
+
+    def test_servers_that_registered_after_the_copy_get_time_to_register_again(self):
+        pool = server_pool(backend("s1"), backend("s2"))
+        pool.kvs_restored(1_000)
+        pool.apply_list([backend("s1")], 1_050, 1_060)
+        self.assertEqual(2, len(pool.usable("llm", 1_060)))
+        pool.apply_list([backend("s1")], 1_000 + REWRITE_MS, 3_200)
+        self.assertEqual(1, len(pool.usable("llm", 3_200)))
+
+    def test_a_list_of_before_the_restoration_does_not_end_that_time(self):
+        pool = server_pool(backend("s1"), backend("s2"))
+        pool.kvs_restored(1_000)
+        pool.apply_list([backend("s1"), backend("s2")], 990, 1_010)
+        pool.apply_list([backend("s1")], 1_050, 1_060)
+        self.assertEqual(2, len(pool.usable("llm", 1_060)))
+
+    def test_a_server_that_left_after_the_copy_does_not_come_back(self):
+        for is_leaving in (True, False):
+            with self.subTest(is_leaving=is_leaving):
+                pool = server_pool(backend("s1"), backend("s2"))
+                if is_leaving:
+                    pool.apply_list([backend("s1", is_leaving=True), backend("s2")], 400, 400)
+                pool.apply_list([backend("s2")], 500, 500)
+                pool.kvs_restored(1_000)
+                for read_ms in (1_050, 3_000, 1_000 + self.EXPIRY_MS - 1):
+                    pool.apply_list([backend("s1"), backend("s2")], read_ms, read_ms)
+                    self.assertEqual("s2", chosen(pool, read_ms))
+
+    def test_a_server_that_is_listed_beyond_the_life_of_an_entry_has_registered_again(self):
+        pool = server_pool(backend("s1"))
+        pool.apply_list([], 500, 500)
+        pool.kvs_restored(1_000)
+        later_ms = 1_000 + self.EXPIRY_MS
+        pool.apply_list([backend("s1")], later_ms, later_ms)
+        self.assertEqual("s1", chosen(pool, later_ms))
+        pool.kvs_restored(9_000)
+        pool.apply_list([backend("s1")], 9_050, 9_050)
+        self.assertEqual("s1", chosen(pool, 9_050))
+
+    def test_an_earlier_incarnation_does_not_replace_the_current_one(self):
+        pool = server_pool(backend("s1", started_wall_ms=5))
+        pool.record_leaving(backend("s1", started_wall_ms=5))
+        pool.kvs_restored(1_000)
+        pool.apply_list([backend("s1", started_wall_ms=3)], 1_050, 1_050)
+        self.assertIsNone(chosen(pool, 1_050))
+        pool.apply_list([backend("s1", started_wall_ms=5)], 1_950, 1_950)
+        self.assertIsNone(chosen(pool, 1_950))
+
+    def test_older_weights_in_the_copy_are_not_believed(self):
+        pool = server_pool(backend("s1", weights={"m1": 4}))
+        pool.kvs_restored(1_000)
+        pool.apply_list([backend("s1", weights={"m1": 3})], 1_050, 1_050)
+        self.assertEqual(4, pool.server_state("s1").weight_version("m1"))
+
+
+class AnswersTest(unittest.TestCase):
+    """What servers say of themselves in their answers."""
+
+    def test_a_server_that_says_it_is_leaving_gets_no_more_requests(self):
+        pool = server_pool(backend("s1"), backend("s2"))
+        self.assertTrue(pool.record_leaving(backend("s1")))
+        self.assertFalse(pool.record_leaving(backend("s1")))
+        self.assertEqual("s2", chosen(pool))
+        self.assertFalse(pool.may_send_to(backend("s1"), 0))
+        self.assertEqual(["s2"], [engine.server for engine in pool.engines()])
+
+    def test_leaving_outlasts_lists_that_do_not_know_it_and_a_lapse_of_the_entry(self):
+        pool = server_pool(backend("s1"), backend("s2"))
+        pool.record_leaving(backend("s1"))
+        for listed in ([backend("s1"), backend("s2")], [backend("s2")], [backend("s1")]):
+            pool.apply_list(listed, 100, 100)
+            self.assertNotEqual("s1", chosen(pool, 100))
+
+    def test_leaving_holds_for_the_incarnation_that_answered(self):
+        pool = server_pool(backend("s1"))
+        pool.apply_list([backend("s1", started_wall_ms=2)], 100, 100)
+        self.assertFalse(pool.record_leaving(backend("s1")))
+        self.assertEqual("s1", chosen(pool, 100))
+
+    def test_a_malformed_answer_takes_back_only_what_it_said(self):
+        pool = server_pool(backend("s1"))
+        pool.record_leaving(backend("s1"))
+        pool.withdraw_leaving(backend("s1"))
+        self.assertEqual("s1", chosen(pool))
+        pool.record_leaving(backend("s1"))
+        pool.record_leaving(backend("s1"))
+        pool.withdraw_leaving(backend("s1"))
+        self.assertIsNone(chosen(pool))
+
+    def test_a_source_of_events_that_says_it_is_leaving(self):
+        pool = server_pool(backend("s1"), backend("s2"))
+        pool.record_reply_from(backend("s1").address, 10, is_leaving=True)
+        self.assertEqual("s2", chosen(pool, 10))
+
+    def test_a_server_that_asks_for_quiet_gets_no_requests_for_so_long(self):
+        pool = server_pool(backend("s1"), backend("s2"))
+        pool.record_quiet(backend("s1"), 1_500, 1_000)
+        self.assertEqual("s2", chosen(pool, 2_499, avoided=("s2",)))
+        self.assertFalse(pool.may_send_to(backend("s1"), 2_499))
+        self.assertEqual("s1", chosen(pool, 2_500, avoided=("s2",)))
+
+    def test_a_shorter_pause_does_not_end_a_longer_one(self):
+        pool = server_pool(backend("s1"))
+        pool.record_quiet(backend("s1"), 5_000, 1_000)
+        pool.record_quiet(backend("s1"), 100, 1_100)
+        self.assertEqual(AllQuiet(6_000), choose(pool, 1_300))
+
+    def test_an_absurd_pause_is_bounded(self):
+        pool = server_pool(backend("s1"))
+        pool.record_quiet(backend("s1"), 10**15, 0)
+        self.assertEqual("s1", chosen(pool, MAX_QUIET_MS))
+
+    def test_when_all_ask_for_quiet_the_first_end_is_told(self):
+        pool = server_pool(backend("s1"), backend("s2"), backend("s3", is_leaving=True))
+        pool.record_quiet(backend("s3"), 100, 0)
+        pool.record_quiet(backend("s1"), 900, 0)
+        pool.record_quiet(backend("s2"), 700, 0)
+        self.assertEqual(AllQuiet(700), choose(pool, 10))
+        self.assertEqual("s2", chosen(pool, 700))
+
+    def test_a_restarted_server_asked_for_nothing(self):
+        pool = server_pool(backend("s1"))
+        pool.record_quiet(backend("s1"), 9_000, 0)
+        pool.apply_list([backend("s1", started_wall_ms=2)], 100, 100)
+        self.assertEqual("s1", chosen(pool, 100))
+
+
 class ChoiceTest(unittest.TestCase):
     def test_a_server_in_backoff_is_chosen_only_if_no_other_is_left(self):
         pool = server_pool(backend("s1"), backend("s2"))
--- a/tests/test_weightswap.py
+++ b/tests/test_weightswap.py
@@ -3,6 +3,8 @@
 import unittest
 
 from bergamothill.clock import ManualClock
+from bergamothill.connection.kvs import ABSENT
+from bergamothill.connection.kvs_memory import KeyValueSnapshot
 from bergamothill.errors import PeerTimeoutError
 from bergamothill.process.lease import DutyLease
 from bergamothill.process.leasemachine import LeaseTimes
@@ -17,7 +19,7 @@
     WeightSwap,
 )
 from bergamothill.version.weighttarget import WeightTarget
-from tests.builders import FaultyKeyValueService, WriteFault
+from tests.builders import FaultyKeyValueService, RestorableStore, StoreClient, WriteFault
 
 TARGET = {"m1": WeightTarget("m1", 2)}
 ORDER_GAP_MS = 3_000
@@ -122,9 +124,13 @@
         self.kvs = FaultyKeyValueService(self.clock)
         self.times = LeaseTimes(ttl_ms=1_500, margin_ms=300, settle_ms=0)
 
+    def client(self):
+        return self.kvs
+
     def holder(self, name):
-        lease = DutyLease(self.kvs, self.clock, "weights", name, times=self.times)
-        return lease, OrderGapGuard(self.kvs, "mark", name, lease, ORDER_GAP_MS)
+        client = self.client()
+        lease = DutyLease(client, self.clock, "weights", name, times=self.times)
+        return lease, OrderGapGuard(client, "mark", name, lease, ORDER_GAP_MS, self.times.ttl_ms)
 
     def allowed_servers(self, order_gap, *servers, must_wait=True):
         return sorted(order_gap.begin_orders(servers, self.clock.now_ms(), must_wait=must_wait))
@@ -227,3 +233,81 @@
         successor, successor_turn = self.holder("entry-2")
         successor.tick()
         self.assertEqual(["s1"], self.allowed_servers(successor_turn, "s1", must_wait=False))
+
+
+class RestoreTest(OrderTurnTest):
+    """Holders after the service was restored, and all that holds without a restoration."""
+
+    def setUp(self):
+        super().setUp()
+        self.kvs = RestorableStore(self.clock)
+        self.settle()[0].release()
+
+    def client(self):
+        return StoreClient(self.kvs)
+
+    def settle(self):
+        """Let a first holder wait until the era is settled."""
+        lease, order_gap = self.holder("entry-0")
+        self.assertTrue(lease.tick())
+        self.assertFalse(order_gap.settle_era(self.clock.now_ms()))
+        for _ in range(10):
+            self.clock.advance_ms(500)
+            lease.tick()
+        self.assertTrue(order_gap.settle_era(self.clock.now_ms()))
+        return lease, order_gap
+
+    def test_a_holder_of_a_new_era_waits_for_a_holder_that_has_not_noticed_it(self):
+        first, first_gap = self.holder("entry-1")
+        self.assertTrue(first.tick())
+        copy = self.kvs.snapshot()
+        self.assertEqual(["s1"], self.allowed_servers(first_gap, "s1"))
+        self.clock.advance_ms(100)
+        first.tick()
+        self.kvs.restore_copy(copy)
+        second, second_gap = self.holder("entry-2")
+        self.assertTrue(second.tick())
+        self.assertTrue(first.is_held)
+        last_order_ms = self.clock.now_ms() + self.times.ttl_ms
+        while self.clock.now_ms() < last_order_ms + ORDER_GAP_MS + ORDER_GAP_MARGIN_MS:
+            self.assertEqual([], self.allowed_servers(second_gap, "s1"))
+            self.clock.advance_ms(400)
+            self.assertTrue(second.tick())
+        self.assertEqual(["s1"], self.allowed_servers(second_gap, "s1"))
+        self.assertGreater(second.fencing, first.fencing)
+
+    def test_a_settled_era_needs_no_wait(self):
+        second, second_gap = self.holder("entry-2")
+        self.assertTrue(second.tick())
+        self.assertEqual(["s1"], self.allowed_servers(second_gap, "s1"))
+
+    def test_a_restoration_that_loses_the_record_of_an_era_makes_holders_wait_again(self):
+        copy = KeyValueSnapshot(1, (), ())
+        lease, _ = self.holder("entry-1")
+        lease.tick()
+        self.kvs.restore_copy(copy)
+        lease.handle_restore()
+        second, second_gap = self.holder("entry-2")
+        self.assertTrue(second.tick())
+        self.assertEqual([], self.allowed_servers(second_gap, "s1"))
+
+    def test_a_restored_service_ends_the_lease_at_once(self):
+        lease, _ = self.holder("entry-1")
+        lease.tick()
+        self.kvs.restore_copy(self.kvs.snapshot())
+        lease.handle_restore()
+        self.assertFalse(lease.is_held)
+        self.assertTrue(lease.tick() or lease.tick())
+
+    def test_a_key_left_behind_under_the_lease_of_another_instance_is_removed(self):
+        copy = self.kvs.snapshot()
+        lease, _ = self.holder("entry-1")
+        lease.tick()
+        late_write = self.kvs.get("duty/weights").value
+        self.kvs.restore_copy(copy)
+        lease.handle_restore()
+        foreign = self.kvs.grant_lease(60_000)
+        self.kvs.put_if("duty/weights", late_write, expected=ABSENT, lease_id=foreign)
+        self.assertFalse(lease.tick())
+        self.assertIsNone(self.kvs.get("duty/weights"))
+        self.assertTrue(lease.tick())
