Proofs for restorations, leaving answers and pauses; keep pauses over a lapse

Departures keep the pause now.

Also: the wait for the operator starts anew when the restored service goes away again, and the wait of a new holder must pass within one holding of the lease.

--- a/bergamothill/process/configstate.py
+++ b/bergamothill/process/configstate.py
@@ -54,6 +54,7 @@
         self.revision = 0
         self._confirmed_ms: int | None = None
         self._distrusted_until_ms = 0
+        self._is_distrusted = False
         self.set_revocation_bound(revocation_ms, is_strict=is_strict)
 
     def set_revocation_bound(self, revocation_ms: int, *, is_strict: bool) -> None:
@@ -83,15 +84,29 @@
 
         :param now_ms: current time, in milliseconds
         """
+        self._is_distrusted = True
         self._distrusted_until_ms = now_ms + REWRITE_MS
 
+    def record_reconnection(self, now_ms: int) -> None:
+        """Record that the key-value service is available again.
+
+        If it went away before the operator can have written again, the wait starts anew.
+
+        :param now_ms: current time, in milliseconds
+        """
+        if self._is_distrusted:
+            self._distrusted_until_ms = now_ms + REWRITE_MS
+
     def confirm(self, revision: int, sent_ms: int) -> None:
         """Record a linearizable read that returned the revision already in force.
 
         :param revision: revision that was read
         :param sent_ms: time at which the read was sent; its result includes all earlier writes
         """
-        if revision >= self.revision and sent_ms >= self._distrusted_until_ms:
+        if sent_ms < self._distrusted_until_ms:
+            return
+        self._is_distrusted = False
+        if revision >= self.revision:
             self._confirmed_ms = max(sent_ms, self._confirmed_ms or sent_ms)
 
     def apply(self, config: RoutingConfig, revision: int, sent_ms: int) -> bool:
--- a/bergamothill/process/departures.py
+++ b/bergamothill/process/departures.py
@@ -25,10 +25,12 @@
 
     :param had_left: whether it was known to be leaving; otherwise its entry was missing
     :param restore_count: number of restorations of the service seen before
+    :param quiet_until_ms: end of the pause that it had asked for
     """
 
     had_left: bool
     restore_count: int
+    quiet_until_ms: int
 
 
 class Departures:
@@ -53,16 +55,33 @@
         incarnation = state.entry.incarnation
         known = self._departed.get(incarnation)
         if known is None:
-            self._departed[incarnation] = _Departure(state.is_leaving, self._restore_count)
-        elif state.is_leaving:
-            self._departed[incarnation] = replace(known, had_left=True)
+            known = _Departure(state.is_leaving, self._restore_count, state.quiet_until_ms)
+        had_left = known.had_left or state.is_leaving
+        quiet_until_ms = max(known.quiet_until_ms, state.quiet_until_ms)
+        self._departed[incarnation] = replace(
+            known, had_left=had_left, quiet_until_ms=quiet_until_ms
+        )
         while len(self._departed) > MAX_DEPARTURES:
             self._departed.popitem(last=False)
 
-    def has_left(self, entry: BackendServer) -> bool:
-        """Return whether an incarnation is known to be leaving."""
+    def forget(self, entry: BackendServer) -> None:
+        """Forget that an incarnation was gone, as it is listed again; leaving stays final."""
         departure = self._departed.get(entry.incarnation)
-        return departure is not None and departure.had_left
+        if departure is not None and not departure.had_left:
+            del self._departed[entry.incarnation]
+
+    def return_state(self, entry: BackendServer, listed_ms: int) -> ObservedServer:
+        """Return the state of a server that is listed, with what its incarnation said before.
+
+        :param entry: its entry
+        :param listed_ms: time at which the read that returned the entry was sent
+        """
+        departure = self._departed.get(entry.incarnation)
+        if departure is None:
+            return ObservedServer(entry, listed_ms=listed_ms)
+        self.forget(entry)
+        entry = replace(entry, is_leaving=entry.is_leaving or departure.had_left)
+        return ObservedServer(entry, listed_ms=listed_ms, quiet_until_ms=departure.quiet_until_ms)
 
     def is_outdated(self, entry: BackendServer, current_start_ms: int, sent_ms: int) -> bool:
         """Return whether an entry may be one that only the older copy still has.
@@ -76,6 +95,4 @@
         is_restored_since = departure is None or departure.restore_count < self._restore_count
         if is_restored_since and sent_ms < self._copy_expires_ms:
             return departure is not None or entry.started_wall_ms < current_start_ms
-        if departure is not None and not departure.had_left:
-            del self._departed[entry.incarnation]  # the server itself has registered again
         return False
--- a/bergamothill/process/ordergap.py
+++ b/bergamothill/process/ordergap.py
@@ -79,7 +79,7 @@
         self._min_gap_ms = gap_ms + ORDER_GAP_MARGIN_MS
         self._restore_wait_ms = lease_ttl_ms + self._min_gap_ms
         self._settled_era = 0
-        self._settling_era = 0
+        self._settling_fencing = FencingNumber(0)
         self._settled_from_ms = 0
         self._marker_fencing = FencingNumber(0)
         self._marker_revision = ABSENT
@@ -102,7 +102,7 @@
         targets = frozenset(servers)
         with self._lock:
             fencing = self._lease.fencing
-            if must_wait and not self._is_era_settled(era_of(fencing), now_ms):
+            if must_wait and not self._is_era_settled(fencing, now_ms):
                 return frozenset()
             if self._marker_fencing != fencing or not targets <= self._marked_servers:
                 self._write_marker(targets, now_ms, must_wait)
@@ -120,16 +120,18 @@
         :returns: whether orders need not wait for holders of earlier eras
         """
         with self._lock:
-            return self._is_era_settled(era_of(self._lease.fencing), now_ms)
+            return self._is_era_settled(self._lease.fencing, now_ms)
 
-    def _is_era_settled(self, era: int, now_ms: int) -> bool:
+    def _is_era_settled(self, fencing: FencingNumber, now_ms: int) -> bool:
+        era = era_of(fencing)
         if era <= self._settled_era:
             return True
-        if era != self._settling_era:
+        # The wait starts anew with each holder, so that the service is available while it lasts.
+        if fencing != self._settling_fencing:
             if read_settled_era(self._kvs, self._key) >= era:
                 self._settled_era = era
                 return True
-            self._settling_era = era
+            self._settling_fencing = fencing
             self._settled_from_ms = now_ms + self._restore_wait_ms
             _log.info("orders_wait_after_restore", era=era, wait_ms=self._restore_wait_ms)
         if now_ms < self._settled_from_ms:
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -159,7 +159,7 @@
             self._make_follower(
                 OPERATOR_PREFIX,
                 self._operator.apply,
-                self._count_kvs_connection_change,
+                self._on_operator_connection_change,
                 self._check_first_era,
             ),
             self._make_follower(
@@ -286,6 +286,11 @@
     def _count_kvs_connection_change(self, is_connected: bool) -> None:
         self._metrics.count("store_link", state="back" if is_connected else "lost")
 
+    def _on_operator_connection_change(self, is_connected: bool) -> None:
+        self._count_kvs_connection_change(is_connected)
+        if is_connected:
+            self._config.record_reconnection(self._clock.now_ms())
+
     def _on_server_list_connection_change(self, is_connected: bool) -> None:
         self._count_kvs_connection_change(is_connected)
         if is_connected:
--- a/bergamothill/process/serverlist.py
+++ b/bergamothill/process/serverlist.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import replace
 
 from bergamothill.connection.storeera import REWRITE_MS
 from bergamothill.ids import ServerId, ServiceName
@@ -107,11 +106,10 @@
         if state is None or state.entry.started_wall_ms != entry.started_wall_ms:
             if state is not None:
                 self._departures.record(state)
-            is_leaving = entry.is_leaving or self._departures.has_left(entry)
-            entry = replace(entry, is_leaving=is_leaving)
-            self._observed[server] = ObservedServer(entry, listed_ms=sent_ms)
+            self._observed[server] = self._departures.return_state(entry, sent_ms)
             return [f"{server}:{'new' if state is None else 'restarted'}"]
         state.listed_ms, state.gone_after_ms = sent_ms, None
+        self._departures.forget(entry)
         changes = []
         if entry.is_leaving and not state.entry.is_leaving:
             changes.append(f"{server}:leaving")
--- a/tests/proof/proof_admission.py
+++ b/tests/proof/proof_admission.py
@@ -92,15 +92,28 @@
 
     @initialize()
     def begin(self):
-        self.clock = ManualClock()
+        self.clock = self.new_clock()
         self.clock.advance_ms(1_000)
-        self.kvs = SlowReads(self.clock)
+        self.kvs = self.new_store()
         self.version = 1
         self.history = []
         self.written = []
         self.write(set(KEYS))
+        self.begin_world()
         self.nodes = {name: self.new_node() for name in NODES}
 
+    def new_clock(self):
+        return ManualClock()
+
+    def new_store(self):
+        return SlowReads(self.clock)
+
+    def begin_world(self):
+        """Set up what a subclass adds."""
+
+    def before_calm(self):
+        """Let pass what a subclass adds."""
+
     def new_node(self):
         config_state = ConfigState if self.mechanism_enabled else self.double
         return Node(self.kvs, self.clock, config_state(REVOCATION_MS, is_strict=True))
@@ -198,6 +211,7 @@
         """Check that without faults the newest configuration is in force after one read."""
         self.operation()
         self.kvs.is_down = False
+        self.before_calm()
         for name, node in self.nodes.items():
             node.read()
             node.apply_inbox()
--- a/tests/proof/proof_backends.py
+++ b/tests/proof/proof_backends.py
@@ -76,6 +76,8 @@
 class BackendsProof(ProofMachine):
     """Two entry instances, three servers and a key-value service with outages."""
 
+    double = IgnoresLeaving
+
     @initialize()
     def begin(self):
         self.now_ms = 10_000
@@ -83,11 +85,22 @@
         self.outage_ended_ms = 0
         self.lag_ms = 0
         self.servers = {name: Server(name) for name in SERVERS}
+        self.begin_world()
         self.nodes = {name: self.new_node() for name in NODES}
         self.pass_ms(STABLE_MS)
 
+    def begin_world(self):
+        """Set up what a subclass adds."""
+
+    def listed_entries(self):
+        """Return the entries in the list."""
+        return [server.entry() for server in self.servers.values() if server.is_listed]
+
+    def note_list(self, node, listed):
+        """Record what a subclass adds to the knowledge of a node."""
+
     def new_node(self):
-        pool_class = ServerPool if self.mechanism_enabled else IgnoresLeaving
+        pool_class = ServerPool if self.mechanism_enabled else self.double
         return Node(server_pool(pool_class=pool_class), self.now_ms)
 
     def pass_ms(self, duration_ms):
@@ -120,10 +133,11 @@
             node.server_pool.kvs_recovered()
         node.is_linked = True
         node.next_read_ms = self.now_ms + POLL_INTERVAL_MS
-        listed = [server.entry() for server in self.servers.values() if server.is_listed]
+        listed = self.listed_entries()
         node.server_pool.apply_list(listed, self.now_ms - self.lag_ms, self.now_ms)
         node.known |= {entry.incarnation for entry in listed}
         node.seen_leaving |= {entry.incarnation for entry in listed if entry.is_leaving}
+        self.note_list(node, listed)
 
     def check(self, node):
         if node.is_frozen:
--- a/tests/proof/proof_orderturn.py
+++ b/tests/proof/proof_orderturn.py
@@ -73,11 +73,25 @@
     def begin(self):
         self.clock = ManualClock()
         self.clock.advance_ms(SETTLED_MS)
-        self.kvs = SlowService(self.clock)
-        self.guard_class = OrderGapGuard if self.mechanism_enabled else NoWaitGapGuard
+        self.kvs = self.new_store()
+        self.guard_class = self.guard()
+        self.begin_world()
         self.candidates = {name: self.new_candidate(name) for name in HOLDERS}
         self.last_order_ms = {}
 
+    def new_store(self):
+        return SlowService(self.clock)
+
+    def guard(self):
+        return OrderGapGuard if self.mechanism_enabled else NoWaitGapGuard
+
+    def begin_world(self):
+        """Set up what a subclass adds."""
+
+    def calm_ms(self):
+        """Return the time within which a candidate may send orders if nothing fails."""
+        return 2 * TIMES.ttl_ms + ORDER_GAP_MS + 2 * ORDER_GAP_MARGIN_MS
+
     def new_candidate(self, name):
         return Candidate(name, self.kvs, self.clock, self.guard_class)
 
@@ -197,7 +211,7 @@
         """Check that without faults a candidate may send orders within the lease and gap times."""
         self.operation()
         self.kvs.late_writes.clear()
-        end_ms = self.clock.now_ms() + 2 * TIMES.ttl_ms + ORDER_GAP_MS + 2 * ORDER_GAP_MARGIN_MS
+        end_ms = self.clock.now_ms() + self.calm_ms()
         while self.clock.now_ms() < end_ms:
             if any(self.send_orders(name, 0) for name in HOLDERS):
                 return
--- a/tests/test_configstate.py
+++ b/tests/test_configstate.py
@@ -73,6 +73,16 @@
         self.config_state.confirm(restored, 1_500 + REWRITE_MS)
         self.assertEqual(3_500 - REWRITE_MS, self.config_state.age_ms(5_000))
 
+    def test_the_wait_for_the_operator_starts_anew_after_a_further_outage(self):
+        self.config_state.record_restore(1_500)
+        self.config_state.record_reconnection(6_000)
+        self.config_state.confirm(10, 6_000 + REWRITE_MS - 1)
+        self.assertEqual(8_000, self.config_state.age_ms(8_000))
+        self.config_state.confirm(10, 6_000 + REWRITE_MS)
+        self.config_state.record_reconnection(9_000)
+        self.config_state.confirm(10, 9_000)
+        self.assertEqual(0, self.config_state.age_ms(9_000))
+
     def test_a_key_that_was_revoked_just_before_a_restoration_is_not_admitted_for_longer(self):
         """The revocation was accepted at 1,400, never read here, and is lost for a while."""
         self.config_state.apply(routing_config(), qualify_revision(1, 10), 1_000)
--- a/tests/test_proof_platform.py
+++ b/tests/test_proof_platform.py
@@ -6,10 +6,12 @@
 
 from tests.proof import (
     proof_admission,
+    proof_answers,
     proof_backends,
     proof_forwarding,
     proof_kept,
     proof_orderturn,
+    proof_restore,
     proof_retryshare,
     proof_swaps,
 )
@@ -17,10 +19,12 @@
 
 MODULES = (
     proof_admission,
+    proof_answers,
     proof_backends,
     proof_forwarding,
     proof_kept,
     proof_orderturn,
+    proof_restore,
     proof_retryshare,
     proof_swaps,
 )
--- a/tests/test_serverpool.py
+++ b/tests/test_serverpool.py
@@ -245,6 +245,13 @@
         self.assertEqual(AllQuiet(700), choose(pool, 10))
         self.assertEqual("s2", chosen(pool, 700))
 
+    def test_a_pause_outlasts_a_lapse_of_the_entry(self):
+        pool = server_pool(backend("s1"))
+        pool.record_quiet(backend("s1"), 5_000, 0)
+        pool.apply_list([], 100, 100)
+        pool.apply_list([backend("s1")], 200, 200)
+        self.assertEqual(AllQuiet(5_000), choose(pool, 300))
+
     def test_a_restarted_server_asked_for_nothing(self):
         pool = server_pool(backend("s1"))
         pool.record_quiet(backend("s1"), 9_000, 0)
