Mend the findings by reading; read the store as often as the bounds demand

- Each row of 'Found by reading' in docs/FINDINGS.md with a test that was red before: image keys, infinite numbers, the instance count, tables that were never pruned, value size and step of a delete, two proofs that showed less than they claim.
Dead code is removed.
- The interval between reads of the store was half of 2 s on every deployment.
The wait for lapsed entries follows the stability window instead of a constant of 2.85 s, which holds for 3 s.

--- a/bergamothill/platform/cachedcontext.py
+++ b/bergamothill/platform/cachedcontext.py
@@ -53,7 +53,7 @@
     fields = Fields.from_json(reply.body, step=_STEP)
     try:
         events = tuple(_decode_event(row) for row in fields.rows("events"))
-    except (IndexError, TypeError, ValueError) as error:
+    except (IndexError, OverflowError, TypeError, ValueError) as error:
         raise ProtocolError(f"malformed event: {error!r}", step=_STEP) from error
     return EventBatch(
         epoch=fields.integer("epoch"),
--- a/bergamothill/platform/fields.py
+++ b/bergamothill/platform/fields.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Mapping
 from typing import Any
 
@@ -51,11 +52,17 @@
         return value
 
     def number(self, name: str, default: float | None = None) -> float:
-        """Return a numeric field."""
+        """Return a numeric field; infinity and not-a-number are invalid."""
         value = self._checked_value(name, (int, float), default)
         if isinstance(value, bool):
             raise self._field_error(name)
-        return float(value)
+        try:
+            number = float(value)
+        except OverflowError as error:
+            raise self._field_error(name) from error
+        if not math.isfinite(number):
+            raise self._field_error(name)
+        return number
 
     def flag(self, name: str, default: bool | None = None) -> bool:
         """Return a boolean field."""
--- a/bergamothill/platform/kvs.py
+++ b/bergamothill/platform/kvs.py
@@ -10,11 +10,12 @@
 from urllib.parse import urlencode
 
 from bergamothill.connection.http import HttpClient, HttpReply, decode_json
-from bergamothill.connection.kvs import ABSENT, KeyValueEntry, KeyValueService
+from bergamothill.connection.kvs import ABSENT, MAX_VALUE_BYTES, KeyValueEntry, KeyValueService
 from bergamothill.connection.kvs_http import decode_entry
 from bergamothill.connection.storeera import StoreEra, qualify_revision
 from bergamothill.errors import (
     ConflictError,
+    InvalidRequestError,
     LeaseLostError,
     OverloadedError,
     PeerTimeoutError,
@@ -79,15 +80,17 @@
         self, key: str, value: bytes, *, expected: int, lease_id: LeaseId | None = None
     ) -> KeyValueEntry:
         """Write a key if it is still at the expected revision."""
+        if len(value) > MAX_VALUE_BYTES:
+            raise InvalidRequestError(f"value of {len(value)} bytes is too large", step="kvs.put")
         write = {"key": key, "value": base64.b64encode(value).decode()}
         if lease_id is not None:
             write["lease"] = self.era.unqualify_lease(lease_id, "kvs.put")
-        revision = self._transact(key, expected, writes=[write], lease_id=lease_id)
+        revision = self._transact(key, expected, "kvs.put", writes=[write], lease_id=lease_id)
         return KeyValueEntry(key, value, revision)
 
     def delete_if(self, key: str, *, expected: int) -> None:
         """Delete a key if it is still at the expected revision."""
-        self._transact(key, expected, deletes=[key])
+        self._transact(key, expected, "kvs.delete", deletes=[key])
 
     def grant_lease(self, ttl_ms: int) -> LeaseId:
         """Create a lease."""
@@ -151,12 +154,13 @@
         self,
         key: str,
         expected: int,
+        step: str,
         *,
         writes: list[dict[str, Any]] | None = None,
         deletes: list[str] | None = None,
         lease_id: LeaseId | None = None,
     ) -> int:
-        step, sent_era = "kvs.put", self.era.current
+        sent_era = self.era.current
         body = {
             # Condition: the revision that the key must have, 0 if it must not exist.
             "expected": [{"key": key, "revision": self.era.unqualify_revision(expected, step)}],
--- a/bergamothill/platform/settings.py
+++ b/bergamothill/platform/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import tomllib
 from collections.abc import Callable, Mapping
 from pathlib import Path
@@ -57,6 +58,8 @@
 
 def _read_bounds(reader: _SettingsReader) -> DeploymentBounds:
     return DeploymentBounds(
+        config_apply_ms=reader.integer("bounds.configApplyMs", 2_000),
+        stability_window_ms=reader.integer("bounds.stabilityWindowMs", 3_000),
         drain_notice_ms=reader.integer("bounds.drainTimeoutMs", 2_000),
         stop_grace_ms=int(reader.number("bounds.gracePeriodS", 8) * MS_PER_S),
         key_revocation_ms=reader.integer("bounds.revokeMs", 5_000),
@@ -97,7 +100,7 @@
         return self._checked_value(key, lambda v: isinstance(v, bool), "true or false", default)
 
     def first_port(self, key: str) -> int:
-        value = self._checked_value(key, _is_port_range, "list of first and last port", [])
+        value = self._checked_value(key, _is_port_range, "list of first and last port", "")
         return value[0] if value else 0
 
     def raise_faults(self) -> None:
@@ -138,4 +141,5 @@
 
 
 def _is_number(value: Any) -> bool:
-    return isinstance(value, int | float) and not isinstance(value, bool) and value >= 0
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    return is_number and math.isfinite(value) and value >= 0
--- a/bergamothill/process/admissionqueue.py
+++ b/bergamothill/process/admissionqueue.py
@@ -5,11 +5,13 @@
 import asyncio
 
 from bergamothill.clock import Clock, ms_to_seconds
+from bergamothill.process.loadexchange import REPORT_INTERVAL_MS
 from bergamothill.request.requestqueue import QueuedRequest, RequestQueue
 
 __all__ = ["AdmissionQueue"]
 
-HALF_REPORT_INTERVAL_MS = 25  # half of REPORT_INTERVAL_MS in loadexchange.py
+MAX_WAIT_MS = 2 * REPORT_INTERVAL_MS
+"""Longest wait without a wakeup; a load report may be lost."""
 
 
 class AdmissionQueue:
@@ -31,7 +33,7 @@
         wakeup = self._wakeups.setdefault(id(request), asyncio.Event())
         wakeup.clear()
         try:
-            async with asyncio.timeout(ms_to_seconds(4 * HALF_REPORT_INTERVAL_MS)):
+            async with asyncio.timeout(ms_to_seconds(MAX_WAIT_MS)):
                 await wakeup.wait()
         except TimeoutError:
             pass  # a peer may have freed capacity, but its load report can have been lost
--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -65,14 +65,14 @@
         self._runs: set[RequestRun] = set()
         self._queues: dict[ServiceName, AdmissionQueue] = {}
         self._draining = False
-        self._instance_count = ASSUMED_INSTANCES
+        self._known_instances = 0
 
     def set_bounds(self, bounds: DeploymentBounds) -> None:
         """Apply the bounds of reloaded settings."""
         self._bounds = bounds
         for budget in self._retry_budgets.values():
             budget.ratio = bounds.retry_ratio
-            budget.slack = bounds.retry_slack / self._instance_count
+            budget.slack = bounds.retry_slack / self._instance_count()
 
     def set_instance_count(self, instance_count: int) -> None:
         """Set the number of entry instances that share the retry slack.
@@ -81,11 +81,12 @@
 
         :param instance_count: registered entry instances, including this one
         """
-        expected_count = instance_count + UNSEEN_INSTANCES
-        known_count = 0 if self._instance_count == ASSUMED_INSTANCES else self._instance_count
-        self._instance_count = max(known_count, expected_count)
+        self._known_instances = max(self._known_instances, instance_count + UNSEEN_INSTANCES)
         for budget in self._retry_budgets.values():
-            budget.slack = self._bounds.retry_slack / self._instance_count
+            budget.slack = self._bounds.retry_slack / self._instance_count()
+
+    def _instance_count(self) -> int:
+        return self._known_instances or ASSUMED_INSTANCES
 
     @property
     def in_progress(self) -> int:
@@ -141,7 +142,7 @@
         budget = self._retry_budgets.get(service)
         if budget is None:
             bounds = self._bounds
-            slack = bounds.retry_slack / self._instance_count
+            slack = bounds.retry_slack / self._instance_count()
             budget = WindowedRetryBudget(bounds.retry_ratio, slack, bounds.retry_window_ms)
             self._retry_budgets[service] = budget
         return budget
--- a/bergamothill/process/membership.py
+++ b/bergamothill/process/membership.py
@@ -125,12 +125,6 @@
         live += [p.peer for p in self._peers.values() if self._is_live(p, self.zone)]
         return tuple(sorted(live))
 
-    def remote_zone_peers(self) -> tuple[EntryInstanceId, ...]:
-        """Return the entry instances of other zones, except those known to be dead or gone."""
-        excluded = (PeerStatus.DEAD, PeerStatus.LEFT)
-        others = (p for p in self._peers.values() if p.zone != self.zone)
-        return tuple(sorted(p.peer for p in others if p.status not in excluded))
-
     def peers(self) -> tuple[PeerView, ...]:
         """Return all known peers, sorted by name."""
         return tuple(self._view(self._peers[name]) for name in sorted(self._peers))
--- a/bergamothill/process/nodesettings.py
+++ b/bergamothill/process/nodesettings.py
@@ -13,6 +13,9 @@
 class DeploymentBounds:
     """Bounds that the deployment guarantees to its users.
 
+    :param config_apply_ms: time in which every entry instance applies a configuration
+    :param stability_window_ms: time after an outage of the key-value service from which on the
+        bounds hold again
     :param drain_notice_ms: time for which a leaving server may still get requests
     :param stop_grace_ms: time between the stop signal and the kill signal
     :param key_revocation_ms: time after which a revoked key is rejected by every entry instance
@@ -26,6 +29,8 @@
     :param reuse_window_ms: time in which cached context is expected to be used again
     """
 
+    config_apply_ms: int
+    stability_window_ms: int
     drain_notice_ms: int
     stop_grace_ms: int
     key_revocation_ms: int
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -31,7 +31,7 @@
 from bergamothill.process.nodesettings import NodeSettings
 from bergamothill.process.operatorview import OperatorView
 from bergamothill.process.ordergap import OrderGapGuard, read_settled_era
-from bergamothill.process.prefixfollower import PrefixFollower, Snapshot
+from bergamothill.process.prefixfollower import PrefixFollower, Snapshot, poll_interval_ms
 from bergamothill.process.ratelimitedlog import install_rate_limited_log
 from bergamothill.process.readiness import ReadinessHandler
 from bergamothill.process.registry import Peer, Registry
@@ -95,7 +95,8 @@
             bounds.weights_due_ms,
             self._planner,
             peer_loads,
-            ENTRY_LIFE_HEARTBEATS * settings.heartbeat_interval_ms,
+            entry_expiry_ms=ENTRY_LIFE_HEARTBEATS * settings.heartbeat_interval_ms,
+            stability_window_ms=bounds.stability_window_ms,
         )
         self._exchange = LoadExchange(
             settings.entry, clock, self._server_pool, peer_loads, self._on_load_report
@@ -200,11 +201,12 @@
         on_connection_change: Callable[[bool], None],
         before_first_read: Callable[[], None] | None = None,
     ) -> PrefixFollower:
-        call_in_loop = self._loop.call_soon_threadsafe
+        call_in_loop, bounds = self._loop.call_soon_threadsafe, self._settings.bounds
         return PrefixFollower(
             self._kvs,
             self._clock,
             prefix,
+            poll_interval_ms(min(bounds.config_apply_ms, bounds.drain_notice_ms)),
             on_snapshot=lambda snapshot: call_in_loop(apply_snapshot, snapshot),
             on_connection_change=lambda is_connected: call_in_loop(
                 on_connection_change, is_connected
--- a/bergamothill/process/prefixfollower.py
+++ b/bergamothill/process/prefixfollower.py
@@ -16,9 +16,11 @@
 from bergamothill.errors import BergamothillError
 from bergamothill.logs import EventLog
 
-__all__ = ["Snapshot", "PrefixFollower"]
+__all__ = ["PrefixFollower", "Snapshot", "poll_interval_ms"]
 
-POLL_INTERVAL_MS = 900  # half of 2 s, the shortest time to apply a change, less one request
+POLLS_PER_BOUND = 2
+READ_MARGIN_MS = 100
+MIN_POLL_INTERVAL_MS = 200
 RETRY_INTERVAL_MS = 150
 WATCH_TIMEOUT_MS = 15_000
 WATCH_RETRY_INTERVAL_MS = 1_000
@@ -38,12 +40,21 @@
     sent_ms: int
 
 
+def poll_interval_ms(bound_ms: int) -> int:
+    """Return how often to read a prefix whose changes must be known in time without a watch.
+
+    :param bound_ms: time within which a change must be known
+    """
+    return max(MIN_POLL_INTERVAL_MS, bound_ms // POLLS_PER_BOUND - READ_MARGIN_MS)
+
+
 class PrefixFollower:
     """Polls and watches a prefix in background threads.
 
     :param kvs: key-value service
     :param clock: source of time
     :param prefix: prefix to follow
+    :param interval_ms: time between two reads
     :param on_snapshot: called with each snapshot, in a background thread
     :param on_connection_change: called when the connection to the service is lost (False) or
         restored (True)
@@ -56,6 +67,7 @@
         kvs: KeyValueService,
         clock: Clock,
         prefix: str,
+        interval_ms: int,
         on_snapshot: Callable[[Snapshot], None],
         on_connection_change: Callable[[bool], None],
         before_first_read: Callable[[], None] | None = None,
@@ -63,6 +75,7 @@
         self._kvs = kvs
         self._clock = clock
         self._prefix = prefix
+        self._interval_ms = interval_ms
         self._on_snapshot = on_snapshot
         self._on_connection_change = on_connection_change
         self._before_first_read = before_first_read
@@ -88,7 +101,7 @@
     def _poll_loop(self) -> None:
         while not self._stopped.is_set():
             started_ms = self._clock.now_ms()
-            interval_ms = POLL_INTERVAL_MS if self._read() else RETRY_INTERVAL_MS
+            interval_ms = self._interval_ms if self._read() else RETRY_INTERVAL_MS
             elapsed_ms = self._clock.now_ms() - started_ms
             self._wake.wait(ms_to_seconds(max(20, interval_ms - elapsed_ms)))
             self._wake.clear()
--- a/bergamothill/process/serverlist.py
+++ b/bergamothill/process/serverlist.py
@@ -13,13 +13,10 @@
 from bergamothill.process.departures import Departures
 from bergamothill.process.observedserver import ObservedServer
 
-__all__ = ["REREGISTRATION_GRACE_MS", "ServerList"]
+__all__ = ["ServerList"]
 
-REREGISTRATION_GRACE_MS = 2_850
-"""Longest wait for entries that expired in an outage, if no later read of the list ends it.
-
-Three polls of the list fit in; leaving servers may be used for three seconds after an outage.
-"""
+RECOVERY_NOTICE_MS = 150
+"""Time in which the end of an outage is noticed."""
 
 MAX_QUIET_MS = 600_000
 """Longest pause that a server can ask for; bounds absurd values."""
@@ -29,9 +26,13 @@
     """All servers that are listed, or were so lately that their requests are still running.
 
     :param entry_expiry_ms: time without a sign of life after which a server's entry is removed
+    :param stability_window_ms: time after an outage of the key-value service from which on servers
+        that left must be out of use again
     """
 
-    def __init__(self, entry_expiry_ms: int) -> None:
+    def __init__(self, entry_expiry_ms: int, stability_window_ms: int) -> None:
+        # Longest wait for entries that expired in an outage, if no later read ends it.
+        self.reregistration_grace_ms = stability_window_ms - RECOVERY_NOTICE_MS
         self._observed: dict[ServerId, ObservedServer] = {}
         self._by_service: dict[ServiceName, list[ObservedServer]] = {}
         self._departures = Departures(entry_expiry_ms)
@@ -67,7 +68,7 @@
 
     def _begin_grace(self, read_ms: int, now_ms: int) -> None:
         self._recovery_read_ms = read_ms
-        self._grace_ends_ms = now_ms + REREGISTRATION_GRACE_MS
+        self._grace_ends_ms = now_ms + self.reregistration_grace_ms
 
     def _may_reregister(self, state: ObservedServer) -> bool:
         """Return whether a missing entry may have expired in an outage and may return."""
--- a/bergamothill/process/serverpoll.py
+++ b/bergamothill/process/serverpoll.py
@@ -35,7 +35,6 @@
 MAX_SYNC_PEERS = 2
 SYNC_TIMEOUT_MS = 400
 MAX_SUMMARY_ENGINES = 8
-STEP = "servers.poll"
 
 _log = EventLog("servers")
 
--- a/bergamothill/process/serverpool.py
+++ b/bergamothill/process/serverpool.py
@@ -69,7 +69,8 @@
     :param weights_due_ms: time in which engines must move to a new weight target
     :param planner: plans from where engines fetch cached context
     :param peer_loads: load that the other entry instances put on the servers
-    :param entry_expiry_ms: time without a sign of life after which a server's entry is removed
+    :param entry_expiry_ms: see :class:`~bergamothill.process.serverlist.ServerList`
+    :param stability_window_ms: likewise
     """
 
     def __init__(
@@ -78,9 +79,11 @@
         weights_due_ms: int,
         planner: ContextPlanner,
         peer_loads: PeerLoads,
+        *,
         entry_expiry_ms: int,
+        stability_window_ms: int,
     ) -> None:
-        super().__init__(entry_expiry_ms)
+        super().__init__(entry_expiry_ms, stability_window_ms)
         self._zone = zone
         self._peer_loads = peer_loads
         self._planner = planner
--- a/bergamothill/request/attemptlog.py
+++ b/bergamothill/request/attemptlog.py
@@ -82,10 +82,6 @@
             return Execution.NOT_RUN
         return Execution.UNKNOWN
 
-    def can_try_elsewhere(self) -> bool:
-        """Return whether another attempt is safe, that is, cannot run the request twice."""
-        return self.execution() is Execution.NOT_RUN
-
     def with_final_execution(self, error: BergamothillError) -> BergamothillError:
         """Set the execution of the error to that of the whole request.
 
--- a/bergamothill/request/cachehints.py
+++ b/bergamothill/request/cachehints.py
@@ -89,12 +89,6 @@
             else:
                 self._add(KeptHint(_short_key(event.key), server))
 
-    def forget_server(self, server: ServerId) -> None:
-        """Remove all hints for an engine that left or lost its cache."""
-        stale = [key for key, owner in self._servers.items() if owner == server]
-        for key in stale:
-            del self._servers[key]
-
     def cached_blocks(self, block_keys: Sequence[str]) -> dict[ServerId, int]:
         """Return how many leading blocks of a prompt each engine probably has cached.
 
--- a/bergamothill/request/inference.py
+++ b/bergamothill/request/inference.py
@@ -16,7 +16,6 @@
     NotFoundError,
     ProtocolError,
     StreamBrokenError,
-    UnavailableError,
     WeightVersionError,
 )
 from bergamothill.ids import ServerId, StreamId, WeightVersion
@@ -345,12 +344,3 @@
         except WeightVersionError:
             self._stream.phase = StreamPhase.OPEN
             raise
-
-
-def nothing_available(reason: str, retry_after_ms: int) -> UnavailableError:
-    """Return the error for a run that no backend server can take.
-
-    :param reason: human-readable reason
-    :param retry_after_ms: delay before a retry, in milliseconds
-    """
-    return UnavailableError(reason, step="route", retry_after_ms=retry_after_ms)
--- a/bergamothill/request/limits.py
+++ b/bergamothill/request/limits.py
@@ -21,7 +21,6 @@
     "RequestClass",
     "ShareLoan",
     "Ticket",
-    "class_of",
     "concurrent_share",
 ]
 
@@ -52,14 +51,6 @@
     BATCH = "batch"
 
 
-def class_of(priority: int) -> RequestClass:
-    """Return the class of a priority.
-
-    :param priority: lower runs first
-    """
-    return RequestClass.BATCH if priority >= BATCH_PRIORITY else RequestClass.INTERACTIVE
-
-
 def concurrent_share(limits: Limits, members: int) -> int:
     """Return how many requests of a brand may be in progress at one entry instance.
 
--- a/bergamothill/request/stream.py
+++ b/bergamothill/request/stream.py
@@ -37,11 +37,6 @@
         self.failure = ""
         self._buffered: dict[int, StreamEvent] = {}
 
-    @property
-    def has_gap(self) -> bool:
-        """Whether events are buffered because an earlier one is missing."""
-        return bool(self._buffered)
-
     def receive(self, event: StreamEvent) -> tuple[StreamEvent, ...]:
         """Handle an event from the engine.
 
--- a/bergamothill/version/block.py
+++ b/bergamothill/version/block.py
@@ -162,7 +162,8 @@
     url = image.get("url")
     if not isinstance(url, str):
         raise _malformed_error("image_url has no url string")
-    digest = hashlib.sha256(url.encode("utf-8", "surrogatepass"))
+    encoded_url = url.encode("utf-8", "surrogatepass")
+    digest = hashlib.sha256(_LENGTH_PREFIX.pack(len(encoded_url)) + encoded_url)
     options = {name: value for name, value in image.items() if name != "url"}
     if options:
         digest.update(json.dumps(options, sort_keys=True).encode())
--- a/bergamothill/version/cachesweep.py
+++ b/bergamothill/version/cachesweep.py
@@ -105,6 +105,8 @@
             self._settled_since_ms = now_ms
         if not versions or now_ms - self._settled_since_ms < self._settle_ms:
             return ()
+        stores = tuple(stores)
+        self._attempted_ms = {a: ms for a, ms in self._attempted_ms.items() if a in stores}
         tasks = []
         for address in stores:
             attempted_ms = self._attempted_ms.get(address)
--- a/bergamothill/version/change.py
+++ b/bergamothill/version/change.py
@@ -40,11 +40,6 @@
 
 STEP = "configuration.change"
 
-EXCEPTION_NAMES = frozenset(
-    {"warm_time_ms", "answer_timeout_ms", "weights", "limits", "objectives"}
-)
-"""Defaults that a brand may override."""
-
 C = TypeVar("C")
 
 
--- a/bergamothill/version/record.py
+++ b/bergamothill/version/record.py
@@ -93,10 +93,6 @@
     page: str = ""
     retired: tuple[str, ...] = ()
 
-    def find_recent(self, change_id: ChangeId) -> AcceptedChange | None:
-        """Return a recent change by its id; None when it is not among the recent ones."""
-        return next((change for change in self.recent if change.change_id == change_id), None)
-
     def lineage_at(self, revision: Revision) -> str | None:
         """Return the lineage of an earlier revision; None when the head does not contain it."""
         if revision == 0:
--- a/bergamothill/version/weightswap.py
+++ b/bergamothill/version/weightswap.py
@@ -191,6 +191,12 @@
                 (engine.server, engine.started_wall_ms) not in listed or is_timed_out or is_outdated
             ):
                 del self._swaps[server]
+        servers = {server for server, _ in listed}
+        self._backoff_until_ms = {
+            server: until_ms
+            for server, until_ms in self._backoff_until_ms.items()
+            if server in servers
+        }
         self._finished_versions = {
             key: v for key, v in self._finished_versions.items() if key in listed
         }
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -180,13 +180,7 @@
             print_step("starting 2 availability zones, 4 entry instances, 4 engines, 2 stores")
             shape = DeploymentShape(engine_options=ENGINE_OPTIONS)
             deployment = Deployment.start(group, shape)
-            for show in (
-                show_returning,
-                show_booking,
-                show_configuration,
-                show_burn,
-                show_planned_stop,
-            ):
+            for show in SHOWS:
                 figures.update(show(deployment))
         except Exception as error:
             for path in sorted(group.folder.glob("*.log")):
--- a/scripts/slopenode.py
+++ b/scripts/slopenode.py
@@ -32,7 +32,7 @@
 HEADER_BYTES = 66
 """Ethernet, IP and TCP headers of one segment."""
 
-BYTES_PER_KIB = 1_024
+BYTES_PER_MB = 1_000_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -184,7 +184,7 @@
     """Return the resident memory of this process in MB."""
     with open("/proc/self/statm", encoding="ascii") as file:
         pages = int(file.read().split()[1])
-    return pages * resource.getpagesize() / BYTES_PER_KIB / BYTES_PER_KIB
+    return pages * resource.getpagesize() / BYTES_PER_MB
 
 
 if __name__ == "__main__":
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -424,6 +424,7 @@
         "planner": planner,
         "peer_loads": PeerLoads(),
         "entry_expiry_ms": 4_800,
+        "stability_window_ms": 3_000,
         **changes,
     }
     built = pool_class(**values)
--- a/tests/proof/proof_admission.py
+++ b/tests/proof/proof_admission.py
@@ -12,11 +12,12 @@
 from bergamothill.platform.config import CONFIG_KEY, OPERATOR_PREFIX
 from bergamothill.process.configstate import ConfigState, Verdict
 from bergamothill.process.operatorview import OperatorView
-from bergamothill.process.prefixfollower import POLL_INTERVAL_MS, PrefixFollower
+from bergamothill.process.prefixfollower import PrefixFollower, poll_interval_ms
 from tests.builders import FaultyKeyValueService, operator_config
 from tests.proof.harness import Proof, ProofMachine
 from tests.proof.require import require
 
+POLL_INTERVAL_MS = poll_interval_ms(2_000)
 REVOCATION_MS = 5_000
 TRANSIT_MS = 200
 KEYS = ("key-1", "key-2", "key-3")
@@ -73,7 +74,12 @@
             lambda entry, error: require(False, f"entry could not be decoded: {error}"),
         )
         self.follower = PrefixFollower(
-            kvs, clock, OPERATOR_PREFIX, self.inbox.append, lambda is_linked: None
+            kvs,
+            clock,
+            OPERATOR_PREFIX,
+            POLL_INTERVAL_MS,
+            self.inbox.append,
+            lambda is_linked: None,
         )
 
     def read(self):
--- a/tests/proof/proof_backends.py
+++ b/tests/proof/proof_backends.py
@@ -7,12 +7,13 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import initialize, rule
 
-from bergamothill.process.prefixfollower import POLL_INTERVAL_MS, RETRY_INTERVAL_MS
+from bergamothill.process.prefixfollower import RETRY_INTERVAL_MS, poll_interval_ms
 from bergamothill.process.serverpool import ServerPool
 from tests.builders import backend, server_pool
 from tests.proof.harness import Proof, ProofMachine
 from tests.proof.require import require
 
+POLL_INTERVAL_MS = poll_interval_ms(2_000)
 STEP_MS = 50
 DRAIN_MS = 2_000
 STABLE_MS = 3_000
--- a/tests/proof/proof_kept.py
+++ b/tests/proof/proof_kept.py
@@ -148,6 +148,13 @@
         self.events_are_read(5, False)
         source = self.index.source(STORE)
         require(source.is_certain(self.now_ms), "a responsive store is not trusted")
+        plan = self.planner.plan(ENGINE, "zone-a", TRAITS, REQUEST, SALT, self.now_ms)
+        missed = [
+            part.name
+            for part, address in zip(REQUEST.parts, plan.fetch_from, strict=False)
+            if part.name in self.store.whole and address != STORE
+        ]
+        require(not missed, f"does not find {missed}, which the store has whole")
 
 
 class UnsettledSweep(CacheSweep):
--- a/tests/proof/proof_swaps.py
+++ b/tests/proof/proof_swaps.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from hypothesis import strategies as st
 from hypothesis.stateful import initialize, precondition, rule
 
@@ -23,6 +25,7 @@
 REPORT_LAG_MS = 200
 CALM_MS = 20_000
 ENGINES = ("e1", "e2", "e3", "e4", "e5")
+UNCONDITIONAL = -1
 engines = st.sampled_from(ENGINES)
 
 
@@ -33,6 +36,15 @@
         super()._start_swaps(target, [*engines, *[e for e in engines for _ in range(3)]], now_ms)
 
 
+class RepeatableWeightSwap(WeightSwap):
+    """Test double whose orders take effect whatever orders came before them."""
+
+    def _effects(self, now_ms):
+        for effect in super()._effects(now_ms):
+            is_order = isinstance(effect, OrderSwap)
+            yield replace(effect, orders_accepted=UNCONDITIONAL) if is_order else effect
+
+
 class Engine:
     """True state of an engine."""
 
@@ -61,7 +73,7 @@
         return past[-1] if past else self.history[0][1]
 
     def order(self, version, expected, now_ms):
-        if self.is_busy(now_ms) or expected != self.orders:
+        if self.is_busy(now_ms) or expected not in (self.orders, UNCONDITIONAL):
             return SwapOutcome.BUSY
         if self.version == version:
             return SwapOutcome.ALREADY_HOLDS
@@ -73,6 +85,8 @@
 class SwapsProof(ProofMachine):
     """Five engines with lost orders and replies, changing lease holders and new versions."""
 
+    double = UnlimitedWeightSwap
+
     @initialize()
     def begin(self):
         self.now_ms = 10_000
@@ -83,7 +97,7 @@
         self.step_engines()
 
     def replace_holder(self):
-        self.swap = WeightSwap() if self.mechanism_enabled else UnlimitedWeightSwap()
+        self.swap = WeightSwap() if self.mechanism_enabled else self.double()
         self.undisturbed_since_ms = self.now_ms
 
     def step_engines(self):
@@ -192,4 +206,13 @@
         require(versions == {self.target}, f"engines have {versions}, the target is {self.target}")
 
 
-PROOFS = (Proof(slug="weight-swaps", machine=SwapsProof),)
+class RepeatedOrdersProof(SwapsProof):
+    """The same environment; the mechanism is the count of accepted orders in each order."""
+
+    double = RepeatableWeightSwap
+
+
+PROOFS = (
+    Proof(slug="weight-swaps", machine=SwapsProof),
+    Proof(slug="repeated-swap-orders", machine=RepeatedOrdersProof),
+)
--- a/tests/test_block.py
+++ b/tests/test_block.py
@@ -63,6 +63,14 @@
     def test_different_images_have_different_keys(self):
         self.assertNotEqual(chain([image("data:,x")]).keys, chain([image("data:,y")]).keys)
 
+    def test_url_and_options_of_an_image_are_told_apart(self):
+        def keys(image_url):
+            part = {"type": "image_url", "image_url": image_url}
+            return chain([{"role": "user", "content": [part]}])
+
+        with_options = keys({"url": "a", "detail": "low"})
+        self.assertNotEqual(with_options, keys({"url": 'a{"detail": "low"}'}))
+
     def test_message_boundaries_are_encoded(self):
         joined = chain([user("ab")]).prompt_tokens
         split = chain([user("a"), user("b")]).prompt_tokens
--- a/tests/test_cachedcontext.py
+++ b/tests/test_cachedcontext.py
@@ -169,6 +169,13 @@
         sweep.done(task)
         self.assertEqual((), self.plan(sweep, 2, 99_000))
 
+    def test_a_store_that_is_gone_is_forgotten(self):
+        sweep = CacheSweep(6_500)
+        self.plan(sweep, 2, 0)
+        self.assertTrue(self.plan(sweep, 2, 7_000))
+        sweep.plan({"m1": WeightTarget("m1", 2)}, [SwapEngine("s1", 1, ENGINE, "m1", 2)], (), 7_100)
+        self.assertEqual({}, sweep._attempted_ms)
+
     def test_engine_with_old_weights_restarts_the_delay(self):
         sweep = CacheSweep(6_500)
         self.plan(sweep, 2, 0)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -181,6 +181,17 @@
         self.assertEqual([], self.sent())
 
 
+class InstanceCountTest(GatewayCase):
+    def test_the_number_of_instances_never_falls(self):
+        gateway = self.world().gateway
+        shares = []
+        for peers in (14, 2, 15, 2):
+            gateway.set_instance_count(peers)
+            shares.append(gateway.retry_budget("bookings").slack)
+        self.assertEqual(sorted(shares, reverse=True), shares)
+        self.assertEqual(shares[2], shares[3])
+
+
 class FramingTest(GatewayCase):
     def assert_rejected(self, data, status):
         world = self.world(plain=[replies(answer())])
--- a/tests/test_platform_config.py
+++ b/tests/test_platform_config.py
@@ -54,6 +54,14 @@
         with self.assertRaises(ProtocolError):
             routing_config(routes=routes)
 
+    def test_numbers_that_are_not_finite_are_protocol_errors(self):
+        for text in ("Infinity", "-Infinity", "NaN", "1" + 400 * "0"):
+            encoded = json.dumps(operator_config()).replace(
+                '"timeoutMs": ', f'"timeoutMs": {text}, "x": ', 1
+            )
+            with self.subTest(text[:20]), self.assertRaises(ProtocolError):
+                decode_config(encoded.encode())
+
     def test_decodes_a_weight_goal(self):
         target = decode_target(b'{"model": "m1", "version": 3}')
         self.assertEqual(("m1", 3), (target.model, target.version))
@@ -125,6 +133,20 @@
         )
         self.assertEqual(0, main(["--check", path]))
 
+    def test_infinite_numbers_and_a_missing_port_range_are_faults(self):
+        infinite = NODE_SETTINGS.replace("revokeMs = 5000", "revokeMs = inf")
+        infinite = infinite.replace("budgetWindowS = 10", "budgetWindowS = nan")
+        missing = "\n".join(
+            line for line in NODE_SETTINGS.splitlines() if "internalPortRange" not in line
+        )
+        for text, keys in (
+            (infinite, {"bounds.revokeMs", "bounds.budgetWindowS"}),
+            (missing, {"internalPortRange"}),
+        ):
+            with self.assertRaises(ExceptionGroup) as caught:
+                load_node_settings(self.path(text))
+            self.assertEqual(keys, {fault.key for fault in caught.exception.exceptions})
+
     def test_all_faults_are_reported_together(self):
         text = NODE_SETTINGS.replace('"127.0.0.1:18005"', '"here"').replace("5000", '"soon"')
         with self.assertRaises(ExceptionGroup) as context:
--- a/tests/test_platform_kvs.py
+++ b/tests/test_platform_kvs.py
@@ -5,9 +5,10 @@
 
 from bergamothill.clock import SystemClock
 from bergamothill.connection.http import HttpClient
-from bergamothill.connection.kvs import ABSENT
+from bergamothill.connection.kvs import ABSENT, MAX_VALUE_BYTES
 from bergamothill.errors import (
     ConflictError,
+    InvalidRequestError,
     LeaseLostError,
     OverloadedError,
     PeerTimeoutError,
@@ -17,7 +18,7 @@
     UnavailableError,
 )
 from bergamothill.platform.kvs import PlatformKeyValueService
-from bergamothill.process.prefixfollower import PrefixFollower
+from bergamothill.process.prefixfollower import PrefixFollower, poll_interval_ms
 from standins.base import HOST, Handler, Server
 from standins.platformstore import PlatformStoreStandIn
 from tests.builders import WAIT_LIMIT_S, await_true
@@ -54,6 +55,16 @@
         keys = [entry.key for entry in self.kvs.scan("a/")]
         self.assertEqual([f"a/{number}" for number in range(8)], keys)
 
+    def test_a_value_that_is_too_large_is_not_sent(self):
+        with self.assertRaises(InvalidRequestError):
+            self.kvs.put_if("a/1", b"x" * (MAX_VALUE_BYTES + 1), expected=ABSENT)
+        self.assertIsNone(self.kvs.get("a/1"))
+
+    def test_a_failed_delete_names_its_step(self):
+        with self.assertRaises(ConflictError) as caught:
+            self.kvs.delete_if("a/1", expected=7)
+        self.assertEqual("kvs.delete", caught.exception.step)
+
     def test_leases(self):
         lease = self.kvs.grant_lease(60_000)
         self.kvs.put_if("a/1", b"x", expected=ABSENT, lease_id=lease)
@@ -171,13 +182,22 @@
             )
 
 
+POLL_INTERVAL_MS = poll_interval_ms(2_000)
+
+
 class FollowerTest(StoreTestCase):
+    def test_two_reads_fit_into_the_time_in_which_a_change_must_be_known(self):
+        for bound_ms in (1_000, 2_000, 3_000, 4_000):
+            self.assertLess(2 * poll_interval_ms(bound_ms), bound_ms)
+        self.assertEqual(900, poll_interval_ms(2_000))
+
     def follow(self):
         snapshots, link_states = [], []
         follower = PrefixFollower(
             self.kvs,
             SystemClock(),
             "a/",
+            POLL_INTERVAL_MS,
             on_snapshot=snapshots.append,
             on_connection_change=link_states.append,
         )
--- a/tests/test_serverpool.py
+++ b/tests/test_serverpool.py
@@ -4,13 +4,14 @@
 
 from bergamothill.connection.storeera import REWRITE_MS
 from bergamothill.process.loadreport import LoadReport, PeerLoads, ServerLoad
-from bergamothill.process.serverlist import MAX_QUIET_MS, REREGISTRATION_GRACE_MS
+from bergamothill.process.serverlist import MAX_QUIET_MS, RECOVERY_NOTICE_MS
 from bergamothill.process.serverpool import OLD_WEIGHTS_GRACE_MS, SUSPECT_SILENCE_MS
 from bergamothill.request.forwarding import AllQuiet, NoFreeMemory
 from bergamothill.version.weighttarget import WeightTarget
 from tests.builders import backend, caller_request, routing_config, server_pool
 
 LLM = routing_config().services["llm"]
+REREGISTRATION_GRACE_MS = 3_000 - RECOVERY_NOTICE_MS
 BOOKINGS = routing_config().services["bookings"]
 
 
--- a/tests/test_weightswap.py
+++ b/tests/test_weightswap.py
@@ -96,8 +96,17 @@
 
     def test_a_swap_that_is_not_observed_times_out(self):
         self.swap.handle_outcome(self.first_order(), SwapOutcome.ACCEPTED, 110)
-        self.plan(100 + SWAP_TIMEOUT_MS)
-        self.assertFalse(self.swap.is_idle)
+        for now_ms, is_ordered_again in ((99 + SWAP_TIMEOUT_MS, False), (400_000, True)):
+            self.plan(now_ms)
+            self.swap.handle_state(self.engines[0], state(orders=1))
+            orders = [e for e in self.plan(now_ms + 1) if isinstance(e, OrderSwap)]
+            self.assertEqual(is_ordered_again, self.engines[0] in [e.engine for e in orders])
+
+    def test_the_backoff_of_an_engine_that_left_is_forgotten(self):
+        self.swap.handle_outcome(self.first_order(), SwapOutcome.REFUSED, 110)
+        self.assertEqual(["s0"], list(self.swap._backoff_until_ms))
+        self.plan(120, self.engines[1:])
+        self.assertEqual([], list(self.swap._backoff_until_ms))
 
     def test_an_engine_that_left_is_forgotten(self):
         self.plan(100, self.engines[:1])
