--- a/scripts/proof.py
+++ b/scripts/proof.py
@@ -38,11 +38,12 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--operations", type=int, default=OPERATIONS)
+    parser.add_argument("--jobs", type=int, default=WORKERS, help="processes to use")
     parser.add_argument("points", nargs="*")
     arguments = parser.parse_args()
     slugs = arguments.points or sorted(find_proofs())
     failed = False
-    with ProcessPoolExecutor(max_workers=WORKERS) as pool:
+    with ProcessPoolExecutor(max_workers=arguments.jobs) as pool:
         futures = [
             pool.submit(run_proof_by_slug, slug, arguments.operations, arguments.seed)
             for slug in slugs
