Believe a pause only from a server's own answer to the request

A refusal with another request's id says nothing of its server, but a pause in it was kept. Test red before. record_settled_era stands beside read_settled_era, so that the proof calls it.

--- a/bergamothill/process/ordergap.py
+++ b/bergamothill/process/ordergap.py
@@ -27,7 +27,7 @@
 from bergamothill.logs import EventLog
 from bergamothill.process.lease import DutyLease
 
-__all__ = ["OrderGapGuard", "read_settled_era"]
+__all__ = ["OrderGapGuard", "read_settled_era", "record_settled_era"]
 
 TOKEN_BYTES = 16
 
@@ -50,6 +50,22 @@
     return 0 if entry is None else _decode_era(entry.value)
 
 
+def record_settled_era(kvs: KeyValueService, marker_key: str, era: int) -> None:
+    """Record that a holder has ended its wait in an era.
+
+    :param kvs: key-value service
+    :param marker_key: key of the marker of the duty
+    """
+    key = _era_key(marker_key)
+    entry = kvs.get(key)
+    if entry is not None and _decode_era(entry.value) >= era:
+        return
+    expected = ABSENT if entry is None else entry.mod_revision
+    # A conflict means that another holder has waited, too.
+    with suppress(ConflictError):
+        kvs.put_if(key, cbor2.dumps(era), expected=expected)
+
+
 class OrderGapGuard:
     """Maintains the marker and decides which engines may get orders of a duty; thread-safe.
 
@@ -136,21 +152,11 @@
             _log.info("orders_wait_after_restore", era=era, wait_ms=self._restore_wait_ms)
         if now_ms < self._settled_from_ms:
             return False
-        self._write_settled_era(era)
+        record_settled_era(self._kvs, self._key, era)
         self._settled_era = era
         _log.info("era_settled", era=era)
         return True
 
-    def _write_settled_era(self, era: int) -> None:
-        key = _era_key(self._key)
-        entry = self._kvs.get(key)
-        if entry is not None and _decode_era(entry.value) >= era:
-            return
-        expected = ABSENT if entry is None else entry.mod_revision
-        # A conflict means that another holder has waited, too.
-        with suppress(ConflictError):
-            self._kvs.put_if(key, cbor2.dumps(era), expected=expected)
-
     def record_order(self, now_ms: int) -> None:
         """Record that an order was sent and its exchange has ended."""
         with self._lock:
--- a/bergamothill/process/requestrun.py
+++ b/bergamothill/process/requestrun.py
@@ -85,6 +85,7 @@
         self._is_streaming = False
         self._terms: ForwardTerms | None = None
         self._send: Send | None = None
+        self._own_head: ResponseHead | None = None
         self._said_leaving = False
         self._sent_ms = 0
         self._forwarding = Forwarding(
@@ -121,6 +122,7 @@
 
     def _on_own_head(self, head: ResponseHead) -> None:
         """Learn from the head of an answer that its server is leaving."""
+        self._own_head = head
         server = self._send.server
         is_other_instance = head.status == 421 and head.instance != server.server
         if not head.is_leaving or is_other_instance:
@@ -136,14 +138,13 @@
 
     def _record_pause(self, end: ExchangeEnd, now_ms: int) -> None:
         """Record a pause that the server asked for, and withdraw what a malformed answer said."""
-        head, server = self._relay.head, self._send.server
+        head, server = self._own_head, self._send.server
         if end is ExchangeEnd.MALFORMED:
             if self._said_leaving and not self._relay.stream_started:
                 self._server_pool.withdraw_leaving(server)
                 _log.info("server_leaving_withdrawn", server=server.server)
             return
-        is_own = self._relay.verdict in (AttemptVerdict.NOT_RUN, AttemptVerdict.FAILURE)
-        if head is None or head.quiet_ms is None or not is_own:
+        if head is None or head.quiet_ms is None:
             return
         self._server_pool.record_quiet(server, head.quiet_ms, now_ms)
         _log.info(
@@ -207,7 +208,7 @@
     async def _attempt(self, send: Send) -> ForwardStep:
         relay, server = self._relay, send.server.server
         relay.begin_attempt()
-        self._send, self._said_leaving = send, False
+        self._send, self._own_head, self._said_leaving = send, None, False
         started_ms = self._clock.now_ms()
         self._open_attempt = (server, started_ms)
         self._terms, self._sent_ms = send.terms, started_ms
--- a/tests/proof/proof_restore.py
+++ b/tests/proof/proof_restore.py
@@ -8,7 +8,12 @@
 from bergamothill.clock import ManualClock
 from bergamothill.connection.storeera import REWRITE_MS
 from bergamothill.process.configstate import ConfigState
-from bergamothill.process.ordergap import ORDER_GAP_MARGIN_MS, OrderGapGuard, read_settled_era
+from bergamothill.process.ordergap import (
+    ORDER_GAP_MARGIN_MS,
+    OrderGapGuard,
+    read_settled_era,
+    record_settled_era,
+)
 from tests.builders import RestorableStore, StoreClient
 from tests.proof import proof_admission, proof_backends, proof_orderturn
 from tests.proof.harness import Proof
@@ -172,10 +177,7 @@
             self.settle()
 
     def settle(self):
-        guard = OrderGapGuard.__new__(OrderGapGuard)
-        guard._kvs, guard._key = StoreClient(self.kvs), MARK_KEY
-        if read_settled_era(guard._kvs, MARK_KEY) < self.kvs.era:
-            guard._write_settled_era(self.kvs.era)
+        record_settled_era(StoreClient(self.kvs), MARK_KEY, self.kvs.era)
 
     def write(self, keys):
         self.rewrite_due_ms = None
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -281,6 +281,14 @@
         world.exchange(request())
         self.assertEqual(0, world.server_pool.server_state("p0").leaving_answers)
 
+    def test_a_refusal_of_another_request_asks_for_no_pause(self):
+        stray = answer(
+            b"", status=b"503 Busy", headers=NOT_RUN + b"Retry-After: 60\r\n", request_id=b"r9"
+        )
+        world = self.world(plain=[replies(stray)])
+        world.exchange(request())
+        self.assertEqual(0, world.server_pool.server_state("p0").quiet_until_ms)
+
     def test_a_malformed_answer_changes_nothing_lasting(self):
         garbled = answer(headers=LEAVING, framing=b"Transfer-Encoding: chunked\r\n") + b"zz\r\n"
         world = self.world(plain=[replies(garbled)])
