Notice an era that rises between the check of a lease and its write

Cause: found by reading. The era that a write was sent in was read after its lease had been checked, so a restoration seen by another thread in between let a lease number of the earlier era pass as one of the new era. Test red before. The duty wakes after a restoration only where it was held.

--- a/bergamothill/platform/kvs.py
+++ b/bergamothill/platform/kvs.py
@@ -82,15 +82,20 @@
         """Write a key if it is still at the expected revision."""
         if len(value) > MAX_VALUE_BYTES:
             raise InvalidRequestError(f"value of {len(value)} bytes is too large", step="kvs.put")
+        # Known before the lease and the revision are checked: if the era changes in between, the
+        # reply is from another one.
+        sent_era = self.era.current
         write = {"key": key, "value": base64.b64encode(value).decode()}
         if lease_id is not None:
             write["lease"] = self.era.unqualify_lease(lease_id, "kvs.put")
-        revision = self._transact(key, expected, "kvs.put", writes=[write], lease_id=lease_id)
+        revision = self._transact(
+            key, expected, "kvs.put", sent_era, writes=[write], lease_id=lease_id
+        )
         return KeyValueEntry(key, value, revision)
 
     def delete_if(self, key: str, *, expected: int) -> None:
         """Delete a key if it is still at the expected revision."""
-        self._transact(key, expected, "kvs.delete", deletes=[key])
+        self._transact(key, expected, "kvs.delete", self.era.current, deletes=[key])
 
     def grant_lease(self, ttl_ms: int) -> LeaseId:
         """Create a lease."""
@@ -155,12 +160,12 @@
         key: str,
         expected: int,
         step: str,
+        sent_era: int,
         *,
         writes: list[dict[str, Any]] | None = None,
         deletes: list[str] | None = None,
         lease_id: LeaseId | None = None,
     ) -> int:
-        sent_era = self.era.current
         body = {
             # Condition: the revision that the key must have, 0 if it must not exist.
             "expected": [{"key": key, "revision": self.era.unqualify_revision(expected, step)}],
--- a/bergamothill/process/swapduty.py
+++ b/bergamothill/process/swapduty.py
@@ -109,8 +109,10 @@
 
     def handle_restore(self) -> None:
         """Give up the duty because the key-value service was restored from an older copy."""
+        was_held = self._lease.is_held
         self._lease.handle_restore()
-        self._wake.set()
+        if was_held:
+            self._wake.set()
 
     @property
     def is_held(self) -> bool:
--- a/tests/test_platform_kvs.py
+++ b/tests/test_platform_kvs.py
@@ -158,6 +158,23 @@
         self.kvs.revoke_lease(lease)
         self.assertIsNotNone(other.get("a/2"))
 
+    def test_an_era_that_rises_between_the_check_of_a_lease_and_the_call_is_noticed(self):
+        copy = self.standin.service.snapshot()
+        lease = self.kvs.grant_lease(60_000)
+        other = PlatformKeyValueService(self.client)
+        unqualify_lease = self.kvs.era.unqualify_lease
+
+        def restore_after_the_check(lease_id, step):
+            number = unqualify_lease(lease_id, step)
+            self.standin.restore(copy)
+            other.grant_lease(60_000)
+            self.kvs.get("a/2")  # a call of another thread sees the new era
+            return number
+
+        self.kvs.era.unqualify_lease = restore_after_the_check
+        with self.assertRaises(StoreRestoredError):
+            self.kvs.put_if("a/1", b"x", expected=ABSENT, lease_id=lease)
+
     def test_a_late_reply_of_the_earlier_era_is_dropped(self):
         self.standin.restore(self.standin.service.snapshot())
         self.kvs.get("a/1")
