Leave sources of cache events alone that admit no further reader

A source admits maxConcurrent readers of its events (16); each further instance got 429, took the source for lost, so that it avoided that engine, and tried again after 250 ms. None were counted at eight instances, so polls that events end early, which were suspected before, are ruled out. 195 instances would try 50,000 times a second, which is also most of the work of the processes there.

Change: 429 is an error of its own; the connection is closed and the source tried again after 15 to 45 s. The source is not unreachable. Its replies no longer show that an engine lives while a prompt waits for its first token, so such a prompt moves on after 1.7 s of silence instead of 1 s.

test_cachedcontext asked for ProtocolError on 429; it asks for OverloadedError there and for ProtocolError on 500 now. Three of the four new tests of the listener were red before.

--- a/bergamothill/platform/cachedcontext.py
+++ b/bergamothill/platform/cachedcontext.py
@@ -6,7 +6,7 @@
 
 from bergamothill.connection.http import HttpClient
 from bergamothill.connection.pollconnection import PollReply
-from bergamothill.errors import ConflictError, ProtocolError
+from bergamothill.errors import ConflictError, OverloadedError, ProtocolError
 from bergamothill.platform.fields import Fields, read_fields
 from bergamothill.platform.headers import says_leaving
 from bergamothill.version.cacheindex import EventBatch, PartEvent, PartKey
@@ -46,8 +46,11 @@
     """Decode the reply to a request for events.
 
     :param reply: reply of an engine or store
+    :raises OverloadedError: as many callers as allowed are reading the events already
     :raises ProtocolError: the reply does not contain valid events
     """
+    if reply.status == 429:
+        raise OverloadedError("too many readers of the events", step=_STEP)
     if reply.status != 200:
         raise ProtocolError(f"unexpected status {reply.status}", step=_STEP)
     fields = Fields.from_json(reply.body, step=_STEP)
--- a/bergamothill/process/cacheeventlistener.py
+++ b/bergamothill/process/cacheeventlistener.py
@@ -1,13 +1,18 @@
-"""Follows the cache events of engines and stores, one task for each, and updates the index."""
+"""Follows the cache events of engines and stores, one task for each, and updates the index.
+
+A source admits a limited number of readers. With more entry instances than that, some know less of
+what it has cached; they do not take it for unreachable.
+"""
 
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Callable, Iterable
 
 from bergamothill.clock import Clock, ms_to_seconds
 from bergamothill.connection.pollconnection import PollConnection
-from bergamothill.errors import BergamothillError
+from bergamothill.errors import BergamothillError, OverloadedError
 from bergamothill.logs import EventLog
 from bergamothill.platform.cachedcontext import (
     decode_events,
@@ -22,6 +27,12 @@
 REPLY_MARGIN_MS = 500
 RECONNECT_DELAY_MS = 250
 
+FULL_SOURCE_RETRY_MS = 30_000
+"""Mean delay before a source that has as many readers as it admits is tried again.
+
+Each try costs a request at the source. A place becomes free only when another entry instance stops.
+"""
+
 _log = EventLog("kept")
 
 
@@ -32,6 +43,7 @@
     :param clock: source of time
     :param on_reply: called after each reply with the address of the engine or store, and with
         whether it says that it is leaving
+    :param on_full: called with an address that admits no further reader
     :param on_connection_change: called with an address when its connection is lost (False) or
         restored (True)
     """
@@ -41,8 +53,10 @@
         index: CacheIndex,
         clock: Clock,
         on_reply: Callable[[str, bool], None],
+        on_full: Callable[[str], None],
         on_connection_change: Callable[[str, bool], None],
     ) -> None:
+        self._on_full = on_full
         self._on_connection_change = on_connection_change
         self._index = index
         self._clock = clock
@@ -73,6 +87,15 @@
             while True:
                 try:
                     await self._read_events(connection, address)
+                except OverloadedError:
+                    connection.close()
+                    delay_ms = FULL_SOURCE_RETRY_MS * (0.5 + random.random())
+                    _log.info("source_full", address=address, retry_ms=int(delay_ms))
+                    if is_connected is False:
+                        self._on_connection_change(address, True)
+                    is_connected = None
+                    self._on_full(address)
+                    await asyncio.sleep(ms_to_seconds(delay_ms))
                 except BergamothillError as error:
                     if is_connected is not False:
                         _log.info("source_lost", address=address, reason=error.message)
--- a/bergamothill/process/observedserver.py
+++ b/bergamothill/process/observedserver.py
@@ -20,6 +20,8 @@
     :param pending_prefill_tokens: tokens left to prefill for the requests without a first token
     :param streaming: number of these requests whose answers have begun
     :param last_received_ms: time at which it last sent bytes, or last had no reason to send any
+    :param has_event_reader: whether this entry instance reads its cache events, so that a server
+        that works is never silent for long
     :param is_reachable: False while its event connection, once opened, is lost
     :param backoff_until_ms: end of its backoff; used earlier only if no other server is left
     :param failures: number of consecutive failures
@@ -38,6 +40,7 @@
     pending_prefill_tokens: int = 0
     streaming: int = 0
     last_received_ms: int = 0
+    has_event_reader: bool = True
     is_reachable: bool = True
     backoff_until_ms: int = 0
     failures: int = 0
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -87,7 +87,11 @@
         self._cache_index = CacheIndex()
         self._planner = ContextPlanner(self._cache_index)
         self._listener = CacheEventListener(
-            self._cache_index, clock, self._on_source_reply, self._on_source_connection_change
+            self._cache_index,
+            clock,
+            self._on_source_reply,
+            self._on_source_full,
+            self._on_source_connection_change,
         )
         peer_loads = PeerLoads()
         self._server_pool = ServerPool(
@@ -354,6 +358,9 @@
         now_ms = self._clock.now_ms()
         self._server_pool.record_reply_from(address, now_ms, is_leaving=is_leaving)
 
+    def _on_source_full(self, address: str) -> None:
+        self._server_pool.record_events_unread(address)
+
     def _on_source_connection_change(self, address: str, is_connected: bool) -> None:
         self._server_pool.set_reachable(address, is_connected)
 
--- a/bergamothill/process/serverpool.py
+++ b/bergamothill/process/serverpool.py
@@ -52,6 +52,13 @@
 Long polls for events return within 700 ms, and events are usually delayed by 80 ms.
 """
 
+UNREAD_STALL_SILENCE_MS = 1_700
+"""The same for prompts that wait for their first token at an engine whose events are not read here.
+
+Callers disconnect after two seconds of silence at the earliest, and the first event at another engine
+takes up to 300 ms.
+"""
+
 CORROBORATING_STREAMS = 3
 CORROBORATED_SILENCE_FACTOR = 0.6
 
@@ -155,10 +162,17 @@
         for state in self._observed.values():
             if state.entry.address == address:
                 state.last_received_ms = now_ms
+                state.has_event_reader = True
                 if is_leaving and not state.is_leaving:
                     self.record_leaving(state.entry)
                     _log.info("server_leaving", server=state.entry.server, request="-")
 
+    def record_events_unread(self, address: str) -> None:
+        """Record that the server at an address admits no further reader of its cache events."""
+        for state in self._observed.values():
+            if state.entry.address == address:
+                state.has_event_reader = False
+
     def set_reachable(self, address: str, is_reachable: bool) -> None:
         """Record that the event connection to the server at an address was lost or restored."""
         for state in self._observed.values():
@@ -180,8 +194,15 @@
     def has_stalled(self, server: ServerId, now_ms: int) -> bool:
         """Return whether a server has been silent so long that its streams resume elsewhere."""
         silence_ms = self.silence_ms(server, now_ms)
+        if self._may_be_silent(server):
+            return silence_ms >= UNREAD_STALL_SILENCE_MS
         return silence_ms >= STALL_SILENCE_MS * self._silence_factor(server)
 
+    def _may_be_silent(self, server: ServerId) -> bool:
+        """Return whether a server sends nothing here before the first token of a prompt."""
+        state = self._observed.get(server)
+        return state is not None and not state.has_event_reader and state.streaming == 0
+
     def _silence_factor(self, server: ServerId) -> float:
         """Return the fraction of a silence timeout that is sufficient evidence of a stall.
 
@@ -351,6 +372,8 @@
     def _is_silent(self, state: ObservedServer, now_ms: int) -> bool:
         server = state.entry.server
         bound_ms = SUSPECT_SILENCE_MS * self._silence_factor(server)
+        if self._may_be_silent(server):
+            bound_ms = UNREAD_STALL_SILENCE_MS
         return not state.is_reachable or self.silence_ms(server, now_ms) >= bound_ms
 
     def _cost_by_request_count(self, state: ObservedServer) -> tuple[float, str]:
--- a/tests/test_cachedcontext.py
+++ b/tests/test_cachedcontext.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 from bergamothill.connection.pollconnection import PollReply
-from bergamothill.errors import ProtocolError
+from bergamothill.errors import OverloadedError, ProtocolError
 from bergamothill.platform.cachedcontext import decode_events
 from bergamothill.request.contextplan import SAVE_TIMEOUT_MS, ContextPlanner
 from bergamothill.version.cacheindex import (
@@ -59,6 +59,10 @@
             with self.subTest(body), self.assertRaises(ProtocolError):
                 decode_events(PollReply(200, body))
         with self.assertRaises(ProtocolError):
+            decode_events(PollReply(500, b"{}"))
+
+    def test_a_source_with_too_many_readers_is_told_from_a_broken_one(self):
+        with self.assertRaises(OverloadedError):
             decode_events(PollReply(429, b"{}"))
 
 
--- /dev/null
+++ b/tests/test_cacheeventlistener.py
@@ -0,0 +1,91 @@
+"""Tests of following cache events: sources that are full, lost and back."""
+
+import asyncio
+import json
+import unittest
+from unittest import mock
+
+from bergamothill.clock import ManualClock
+from bergamothill.connection.pollconnection import PollReply
+from bergamothill.errors import PeerUnreachableError
+from bergamothill.process import cacheeventlistener
+from bergamothill.process.cacheeventlistener import (
+    FULL_SOURCE_RETRY_MS,
+    RECONNECT_DELAY_MS,
+    CacheEventListener,
+)
+from bergamothill.version.cacheindex import CacheIndex
+
+ADDRESS = "10.0.0.1:80"
+EVENTS = PollReply(200, json.dumps({"epoch": 1, "next": 0, "lost": False, "events": []}).encode())
+FULL = PollReply(429, b"{}")
+LOST = PeerUnreachableError("refused", step="kept.events")
+
+
+class ScriptedPolls:
+    """Connection whose reads give scripted replies; the last one stops the listener."""
+
+    def __init__(self, replies):
+        self.replies = list(replies)
+        self.closed = 0
+
+    async def read(self, request, *, step, timeout_ms):
+        if not self.replies:
+            raise asyncio.CancelledError
+        reply = self.replies.pop(0)
+        if isinstance(reply, Exception):
+            raise reply
+        return reply
+
+    def close(self):
+        self.closed += 1
+
+
+class ListenerTest(unittest.TestCase):
+    def listen(self, *replies):
+        """Run the listener over the replies; return the delays in ms and the changes it told."""
+        delays_ms, changes, self.full = [], [], []
+        self.connection = ScriptedPolls(replies)
+
+        async def sleep(duration_s):
+            delays_ms.append(duration_s * 1_000)
+
+        async def main():
+            listener = CacheEventListener(
+                CacheIndex(),
+                ManualClock(0),
+                lambda address, is_leaving: None,
+                self.full.append,
+                lambda address, is_connected: changes.append(is_connected),
+            )
+            await listener._listen(ADDRESS)
+
+        with (
+            mock.patch.object(cacheeventlistener, "PollConnection", lambda *_: self.connection),
+            mock.patch.object(cacheeventlistener.asyncio, "sleep", sleep),
+            self.assertRaises(asyncio.CancelledError),
+        ):
+            asyncio.run(main())
+        return delays_ms, changes
+
+    def test_a_source_with_all_the_readers_it_admits_is_left_alone_and_not_taken_for_lost(self):
+        delays_ms, changes = self.listen(EVENTS, FULL, FULL)
+        self.assertEqual([], changes)
+        self.assertEqual(2, len(delays_ms))
+        for delay_ms in delays_ms:
+            self.assertGreaterEqual(delay_ms, FULL_SOURCE_RETRY_MS / 2)
+        self.assertGreaterEqual(self.connection.closed, 2)
+        self.assertEqual([ADDRESS, ADDRESS], self.full)
+
+    def test_delays_are_spread(self):
+        delays_ms, _ = self.listen(FULL, FULL, FULL, FULL)
+        self.assertEqual(4, len(set(delays_ms)))
+
+    def test_a_source_that_is_full_after_it_was_lost_is_back(self):
+        _, changes = self.listen(LOST, FULL)
+        self.assertEqual([False, True], changes)
+
+    def test_a_lost_source_is_tried_again_soon(self):
+        delays_ms, changes = self.listen(EVENTS, LOST, LOST, EVENTS)
+        self.assertEqual([RECONNECT_DELAY_MS] * 2, delays_ms)
+        self.assertEqual([False, True], changes)
--- a/tests/test_serverpool.py
+++ b/tests/test_serverpool.py
@@ -5,7 +5,11 @@
 from bergamothill.connection.storeera import REWRITE_MS
 from bergamothill.process.loadreport import LoadReport, PeerLoads, ServerLoad
 from bergamothill.process.serverlist import MAX_QUIET_MS, RECOVERY_NOTICE_MS
-from bergamothill.process.serverpool import OLD_WEIGHTS_GRACE_MS, SUSPECT_SILENCE_MS
+from bergamothill.process.serverpool import (
+    OLD_WEIGHTS_GRACE_MS,
+    SUSPECT_SILENCE_MS,
+    UNREAD_STALL_SILENCE_MS,
+)
 from bergamothill.request.forwarding import AllQuiet, NoFreeMemory
 from bergamothill.version.weighttarget import WeightTarget
 from tests.builders import backend, caller_request, routing_config, server_pool
@@ -287,6 +291,20 @@
         ]
         self.assertEqual("s2", chosen(server_pool(*servers), service=BOOKINGS, model=None))
 
+    def test_an_engine_whose_events_are_not_read_may_keep_a_prompt_waiting(self):
+        pool = server_pool(backend("s1"), backend("s2"))
+        pool.record_events_unread(backend("s1").address)
+        pool.request_started("s1", 10, 10, 0)
+        pool.request_started("s2", 90, 90, 0)
+        self.assertFalse(pool.has_stalled("s1", 1_500))
+        self.assertTrue(pool.has_stalled("s2", 1_500))
+        self.assertTrue(pool.has_stalled("s1", UNREAD_STALL_SILENCE_MS))
+        pool.stream_began("s1")
+        self.assertTrue(pool.has_stalled("s1", 1_500))
+        pool.stream_ended("s1")
+        pool.record_reply_from(backend("s1").address, 100, is_leaving=False)
+        self.assertTrue(pool.has_stalled("s1", 1_500))
+
     def test_a_silent_engine_is_avoided(self):
         pool = server_pool(backend("s1"), backend("s2"))
         pool.request_started("s1", 10, 10, 0)
