--- a/bergamothill/process/serverpool.py
+++ b/bergamothill/process/serverpool.py
@@ -55,8 +55,8 @@
 UNREAD_STALL_SILENCE_MS = 1_700
 """The same for prompts that wait for their first token at an engine whose events are not read here.
 
-Callers disconnect after two seconds of silence at the earliest, and the first event at another engine
-takes up to 300 ms.
+Callers disconnect after two seconds of silence at the earliest, and the first event at another
+engine takes up to 300 ms.
 """
 
 CORROBORATING_STREAMS = 3
