--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -28,7 +28,7 @@
 from bergamothill.process.leasemachine import LeaseTimes
 from bergamothill.process.loadexchange import LoadExchange
 from bergamothill.process.loadreport import PeerLoads
-from bergamothill.process.nodesettings import NodeSettings
+from bergamothill.process.nodesettings import DeploymentBounds, NodeSettings
 from bergamothill.process.operatorview import OperatorView
 from bergamothill.process.ordergap import OrderGapGuard, read_settled_era
 from bergamothill.process.prefixfollower import PrefixFollower, Snapshot, poll_interval_ms
@@ -109,6 +109,7 @@
         self._connections: set[CallerConnection] = set()
         self._draining = False
         self._unreadable_keys: set[str] = set()
+        self._followers: list[PrefixFollower] = []
         client = HttpClient("key-value service", settings.store_address)
         self._kvs = PlatformKeyValueService(client)
         self._swap_view: tuple[Mapping[ModelName, WeightTarget], tuple[SwapEngine, ...]] = ({}, ())
@@ -205,12 +206,12 @@
         on_connection_change: Callable[[bool], None],
         before_first_read: Callable[[], None] | None = None,
     ) -> PrefixFollower:
-        call_in_loop, bounds = self._loop.call_soon_threadsafe, self._settings.bounds
+        call_in_loop = self._loop.call_soon_threadsafe
         return PrefixFollower(
             self._kvs,
             self._clock,
             prefix,
-            poll_interval_ms(min(bounds.config_apply_ms, bounds.drain_notice_ms)),
+            _store_poll_interval_ms(self._settings.bounds),
             on_snapshot=lambda snapshot: call_in_loop(apply_snapshot, snapshot),
             on_connection_change=lambda is_connected: call_in_loop(
                 on_connection_change, is_connected
@@ -381,6 +382,9 @@
             return
         changed = settings != self._settings
         if settings.bounds != self._settings.bounds:
+            for follower in self._followers:
+                follower.interval_ms = _store_poll_interval_ms(settings.bounds)
+            self._server_pool.set_stability_window(settings.bounds.stability_window_ms)
             self._gateway.set_bounds(settings.bounds)
             self._config.set_revocation_bound(
                 settings.bounds.key_revocation_ms, is_strict=settings.bounds.is_revocation_strict
@@ -409,6 +413,10 @@
         _log.info("stop_ends", in_progress=self._gateway.in_progress)
 
 
+def _store_poll_interval_ms(bounds: DeploymentBounds) -> int:
+    return poll_interval_ms(min(bounds.config_apply_ms, bounds.drain_notice_ms))
+
+
 def _ignore_connection(_connection: CallerConnection, _is_open: bool) -> None:
     """Do not track connections of readiness checks and metrics scrapes."""
 
--- a/bergamothill/process/prefixfollower.py
+++ b/bergamothill/process/prefixfollower.py
@@ -75,7 +75,7 @@
         self._kvs = kvs
         self._clock = clock
         self._prefix = prefix
-        self._interval_ms = interval_ms
+        self.interval_ms = interval_ms
         self._on_snapshot = on_snapshot
         self._on_connection_change = on_connection_change
         self._before_first_read = before_first_read
@@ -101,7 +101,7 @@
     def _poll_loop(self) -> None:
         while not self._stopped.is_set():
             started_ms = self._clock.now_ms()
-            interval_ms = self._interval_ms if self._read() else RETRY_INTERVAL_MS
+            interval_ms = self.interval_ms if self._read() else RETRY_INTERVAL_MS
             elapsed_ms = self._clock.now_ms() - started_ms
             self._wake.wait(ms_to_seconds(max(20, interval_ms - elapsed_ms)))
             self._wake.clear()
--- a/bergamothill/process/serverlist.py
+++ b/bergamothill/process/serverlist.py
@@ -31,8 +31,7 @@
     """
 
     def __init__(self, entry_expiry_ms: int, stability_window_ms: int) -> None:
-        # Longest wait for entries that expired in an outage, if no later read ends it.
-        self.reregistration_grace_ms = stability_window_ms - RECOVERY_NOTICE_MS
+        self.set_stability_window(stability_window_ms)
         self._observed: dict[ServerId, ObservedServer] = {}
         self._by_service: dict[ServiceName, list[ObservedServer]] = {}
         self._departures = Departures(entry_expiry_ms)
@@ -41,6 +40,11 @@
         self._grace_ends_ms = 0
         self.listed_ms: int | None = None
 
+    def set_stability_window(self, stability_window_ms: int) -> None:
+        """Set the time after an outage from which on servers that left must be out of use."""
+        # Longest wait for entries that expired in an outage, if no later read ends it.
+        self._reregistration_grace_ms = stability_window_ms - RECOVERY_NOTICE_MS
+
     def kvs_recovered(self) -> None:
         """Note that the key-value service is back: the next list starts the grace period."""
         self._is_first_list_after_outage = True
@@ -68,7 +72,7 @@
 
     def _begin_grace(self, read_ms: int, now_ms: int) -> None:
         self._recovery_read_ms = read_ms
-        self._grace_ends_ms = now_ms + self.reregistration_grace_ms
+        self._grace_ends_ms = now_ms + self._reregistration_grace_ms
 
     def _may_reregister(self, state: ObservedServer) -> bool:
         """Return whether a missing entry may have expired in an outage and may return."""
--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -98,6 +98,18 @@
         self.calls.append("abort")
 
 
+class ReloadTest(unittest.TestCase):
+    def test_changed_bounds_change_how_often_the_store_is_read(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder, "node.toml")
+            path.write_text(NODE_SETTINGS)
+            node = PlatformNode(load_node_settings(str(path)), str(path), ManualClock(0))
+            node._followers = [mock.Mock(interval_ms=900)]
+            path.write_text(NODE_SETTINGS.replace("[bounds]", "[bounds]\nconfigApplyMs = 1000"))
+            node._reload()
+        self.assertEqual(400, node._followers[0].interval_ms)
+
+
 class ExchangeTest(unittest.TestCase):
     """A request that is abandoned while its connection is opening must not reach the server."""
 
