--- a/tests/proof/proof_admission.py
+++ b/tests/proof/proof_admission.py
@@ -63,7 +63,14 @@
 class Node:
     """One process of an entry instance: the production follower, view and configuration state."""
 
-    def __init__(self, kvs, clock, config_state):
+    def __init__(
+        self,
+        kvs,
+        clock,
+        config_state,
+        on_connection_change=lambda is_connected: None,
+        before_first_read=None,
+    ):
         self.config_state = config_state
         self.inbox = []
         self.versions = []
@@ -79,7 +86,8 @@
             OPERATOR_PREFIX,
             POLL_INTERVAL_MS,
             self.inbox.append,
-            lambda is_linked: None,
+            on_connection_change,
+            before_first_read,
         )
 
     def read(self):
--- a/tests/proof/proof_restore.py
+++ b/tests/proof/proof_restore.py
@@ -73,7 +73,8 @@
         return sent
 
     def calm_ms(self):
-        return super().calm_ms() + TIMES_TTL_MS + proof_orderturn.ORDER_GAP_MS + ORDER_GAP_MARGIN_MS
+        wait_ms = proof_orderturn.TIMES.ttl_ms + proof_orderturn.ORDER_GAP_MS + ORDER_GAP_MARGIN_MS
+        return super().calm_ms() + wait_ms
 
     @rule()
     def a_copy_is_made(self):
@@ -98,9 +99,6 @@
             self.send_orders(second, 0)
 
 
-TIMES_TTL_MS = proof_orderturn.TIMES.ttl_ms
-
-
 class RestorableReads(proof_admission.SlowReads, RestorableStore):
     """Store with slow reads that may come back from a copy."""
 
@@ -146,11 +144,8 @@
 
     def new_node(self):
         client = StoreClient(self.kvs)
-        config_state = ConfigState if self.mechanism_enabled else self.double
-        node = proof_admission.Node(
-            client, self.clock, config_state(proof_admission.REVOCATION_MS, is_strict=True)
-        )
-        state = node.config_state
+        state_class = ConfigState if self.mechanism_enabled else self.double
+        state = state_class(proof_admission.REVOCATION_MS, is_strict=True)
         client.era.add_listener(lambda era: state.record_restore(self.clock.now_ms()))
 
         def check_first_era():
@@ -161,9 +156,13 @@
             if is_connected:
                 state.record_reconnection(self.clock.now_ms())
 
-        node.follower._before_first_read = check_first_era
-        node.follower._on_connection_change = on_connection_change
-        return node
+        return proof_admission.Node(
+            client,
+            self.clock,
+            state,
+            on_connection_change=on_connection_change,
+            before_first_read=check_first_era,
+        )
 
     def operator_acts(self):
         """Write the newest configuration again when it is due, and settle an old era."""
