--- a/tests/proof/proof_backends.py
+++ b/tests/proof/proof_backends.py
@@ -68,6 +68,8 @@
         self.started_ms = now_ms
         self.next_read_ms = now_ms
         self.is_linked = None
+        self.recovered_ms = now_ms
+        self.last_listed = set()
         self.is_frozen = False
         self.resumed_ms = -STABLE_MS
         self.seen_leaving = set()
@@ -132,6 +134,7 @@
             return
         if node.is_linked is False:
             node.server_pool.kvs_recovered()
+            node.recovered_ms = self.now_ms
         node.is_linked = True
         node.next_read_ms = self.now_ms + POLL_INTERVAL_MS
         listed = self.listed_entries()
