Count the time to register again from the first reply after an outage

The time in which servers register again after an outage counted from when the first successful read was sent; with a slow reply that is before the service came back, so a server that registered again after 1.85 s was dropped. It counts from the reply now.

--- a/bergamothill/process/serverlist.py
+++ b/bergamothill/process/serverlist.py
@@ -37,6 +37,7 @@
         self._departures = Departures(entry_expiry_ms)
         self._is_first_list_after_outage = False
         self._recovery_read_ms = 0
+        self._recovered_ms = 0
         self._grace_ends_ms = 0
         self.listed_ms: int | None = None
 
@@ -71,7 +72,7 @@
         self._departures.record_restore(now_ms)
 
     def _begin_grace(self, read_ms: int, now_ms: int) -> None:
-        self._recovery_read_ms = read_ms
+        self._recovery_read_ms, self._recovered_ms = read_ms, now_ms
         self._grace_ends_ms = now_ms + self._reregistration_grace_ms
 
     def _may_reregister(self, state: ObservedServer) -> bool:
@@ -141,7 +142,7 @@
         if state.gone_after_ms is None:
             state.gone_after_ms = self._grace_ends_ms
             changes.append(f"{server}:missing")
-        is_awaited = sent_ms < self._recovery_read_ms + REWRITE_MS
+        is_awaited = sent_ms < self._recovered_ms + REWRITE_MS
         if not (is_awaited and self._may_reregister(state)):
             state.gone_after_ms = min(state.gone_after_ms, now_ms)
         if now_ms >= state.gone_after_ms:
--- a/tests/test_serverpool.py
+++ b/tests/test_serverpool.py
@@ -61,6 +61,15 @@
         pool.apply_list([backend("s1")], 3_700, 3_700)
         self.assertEqual("s1", chosen(pool, 3_850))
 
+    def test_the_time_to_register_again_counts_from_the_first_reply_not_from_its_request(self):
+        pool = server_pool(backend("s1"))
+        pool.kvs_recovered()
+        pool.apply_list([], 1_000, 1_400)  # the service came back in between
+        pool.apply_list([], 3_200, 3_200)
+        self.assertEqual("s1", chosen(pool, 3_200))
+        pool.apply_list([], 3_500, 3_500)
+        self.assertIsNone(chosen(pool, 3_500))
+
     def test_a_read_after_the_time_to_register_again_ends_the_wait(self):
         pool = server_pool(backend("s1"))
         pool.kvs_recovered()
