List a deployment of the tests that did not start once, and show the log next time

The log of the process went with its folder, so the cause is not known; the error carries exit code and log now, shown with a settings file that cannot be read.

--- a/scripts/processes.py
+++ b/scripts/processes.py
@@ -21,6 +21,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 STOP_TIMEOUT_S = 15
+LOG_TAIL_CHARS = 2_000
 READY_TIMEOUT_S = 20
 POLL_INTERVAL_S = 0.02
 CALL_TIMEOUT_MS = 5_000
@@ -141,6 +142,7 @@
     def __init__(self, settings_path: Path, listen_address: str, log_path: Path | None) -> None:
         command = [sys.executable, "-m", "bergamothill.process.daemon", str(settings_path)]
         super().__init__(command, log_path)
+        self._log_path = log_path
         self.address = listen_address
         self.client = HttpClient(settings_path.stem, listen_address)
 
@@ -160,7 +162,15 @@
             if self.process.poll() is not None:
                 break
             time.sleep(POLL_INTERVAL_S)
-        raise TimeoutError(f"{self.client.peer} did not become ready")
+        raise TimeoutError(
+            f"{self.client.peer} did not become ready, exit code {self.process.poll()}: "
+            f"{self._log_tail()}"
+        )
+
+    def _log_tail(self) -> str:
+        if self._log_path is None:
+            return "no log"
+        return self._log_path.read_text(encoding="utf-8", errors="replace")[-LOG_TAIL_CHARS:]
 
 
 class ProcessGroup:
