Drop load reports without load from two senders

Cause: the total of a server is dropped once it is zero, also while another sender's report still lists the server with a load of zero; dropping that report then found no total. Entry instances list only servers with requests in progress, so this needs a report that another build or a fault made; it ended the task that sends load reports. A missing total now counts as zero. The new test failed before with the same KeyError and passes now.

--- a/bergamothill/process/loadreport.py
+++ b/bergamothill/process/loadreport.py
@@ -124,7 +124,7 @@
 
     def _remove_from_totals(self, report: LoadReport) -> None:
         for server, load in report.loads.items():
-            total = self._totals[server]
+            total = self._totals.setdefault(server, ServerLoad())
             total.subtract(load)
             if total == ServerLoad():
                 del self._totals[server]
--- a/tests/test_loadexchange.py
+++ b/tests/test_loadexchange.py
@@ -83,6 +83,15 @@
                     expected.add(known.loads.get(server, ServerLoad()))
                 self.assertEqual(expected, loads.load_on(server))
 
+    def test_a_report_without_load_from_two_senders_can_be_replaced(self):
+        loads = PeerLoads()
+        idle = {"s1": ServerLoad()}
+        loads.add_report(LoadReport("e1", 1, idle), 0)
+        loads.add_report(LoadReport("e2", 1, idle), 0)
+        loads.add_report(LoadReport("e1", 2, {}), 0)
+        loads.add_report(LoadReport("e2", 2, {}), 0)
+        self.assertEqual(ServerLoad(), loads.load_on("s1"))
+
     def test_a_report_expires_after_its_ttl(self):
         loads = PeerLoads()
         loads.add_report(self.report(), 0)
