--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -123,6 +123,13 @@
             connection.sendall(request(headers=b"Connection: close\r\n"))
             self.assertNotIn(b"two", read_all(connection))
 
+    def test_a_large_body_that_arrives_with_its_head_does_not_count_as_head(self):
+        world = self.world(plain=[replies(answer(b"x" * 1_000_000))])
+        for _ in range(5):
+            found = world.exchange(request())
+            self.assertTrue(found.startswith(b"HTTP/1.1 200 "), found[:80])
+            self.assertTrue(found.endswith(b"\r\n\r\n" + b"x" * 1_000_000))
+
     def test_an_answer_without_a_length_ends_when_its_connection_closes(self):
         def script(connection, _request):
             connection.sendall(answer(b"whole", framing=b""))
