Bound the size of an unfinished event of a stream

What callers saw: no further event until they gave up or the time limit ended the stream, 3 s in the tests, instead of a resumption at another engine.

Cause: the splitter kept the bytes of an event that had not ended without a limit, copied all of them and searched all of them for the end again at each read.

An unfinished event of more than 256 KiB now makes the answer malformed, and the search begins where the last one ended. This also covers bytes without end after the last event of a stream that has neither a length nor chunks, and the stream resumes where the route allows it.

--- a/bergamothill/connection/ssesplitter.py
+++ b/bergamothill/connection/ssesplitter.py
@@ -4,8 +4,14 @@
 
 import re
 
-__all__ = ["EventSplitter"]
+from bergamothill.errors import ProtocolError
 
+__all__ = ["MAX_EVENT_BYTES", "EventSplitter"]
+
+MAX_EVENT_BYTES = 262_144
+"""Largest unfinished event that is buffered."""
+
+_MAX_EVENT_END_BYTES = 4
 _EVENT_END = re.compile(rb"\r?\n\r?\n|\r\r")
 _ID_LINE = re.compile(rb"(?:^|[\r\n])id:[ ]?([^\r\n]*)")
 
@@ -17,7 +23,7 @@
         self.last_event_id = ""
         """Id of the last complete event that had one."""
 
-        self._partial = b""
+        self._partial = bytearray()
 
     @property
     def has_partial_event(self) -> bool:
@@ -29,23 +35,32 @@
 
         :param chunk: next bytes of the stream
         :returns: bytes of the complete events; empty if there is none
+        :raises ProtocolError: the event that has begun is too large
         """
-        buffer = self._partial + chunk if self._partial else chunk
-        end = _last_event_end(buffer)
-        if end == 0:
-            self._partial = buffer
-            return b""
-        self._partial = buffer[end:]
-        events = buffer[:end]
+        if not self._partial and chunk.endswith(b"\n\n"):
+            events = chunk
+        else:
+            events = self._take_events(chunk)
         for match in _ID_LINE.finditer(events):
             self.last_event_id = match.group(1).decode("latin-1").strip()
         return events
 
+    def _take_events(self, chunk: bytes) -> bytes:
+        partial = self._partial
+        search_start = max(0, len(partial) - _MAX_EVENT_END_BYTES + 1)
+        partial += chunk
+        end = _last_event_end(partial, search_start)
+        if len(partial) - end > MAX_EVENT_BYTES:
+            raise ProtocolError("event is too large", step="forward.body")
+        events = bytes(partial[:end])
+        del partial[:end]
+        return events
+
 
-def _last_event_end(buffer: bytes) -> int:
+def _last_event_end(buffer: bytearray, start: int) -> int:
     if buffer.endswith(b"\n\n"):
         return len(buffer)
     end = 0
-    for match in _EVENT_END.finditer(buffer):
+    for match in _EVENT_END.finditer(buffer, start):
         end = match.end()
     return end
--- a/bergamothill/request/answerrelay.py
+++ b/bergamothill/request/answerrelay.py
@@ -130,7 +130,7 @@
     def on_body(self, piece: bytes) -> None:
         """Handle the next bytes of the body.
 
-        :raises ProtocolError: the body is too large
+        :raises ProtocolError: the body, or an event of it, is too large
         """
         self._on_bytes()
         if not self._is_stream or self.verdict is not AttemptVerdict.SUCCESS:
--- a/tests/test_answerrelay.py
+++ b/tests/test_answerrelay.py
@@ -1,11 +1,13 @@
 """Tests of the answer relay and of the event stream splitter."""
 
+import time
 import unittest
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from bergamothill.connection.ssesplitter import EventSplitter
+from bergamothill.connection.ssesplitter import MAX_EVENT_BYTES, EventSplitter
+from bergamothill.errors import ProtocolError
 from bergamothill.platform.headers import decode_answer
 from bergamothill.request.answerrelay import AnswerRelay, AttemptVerdict
 from bergamothill.request.bufferbudget import BufferBudget
@@ -115,3 +117,11 @@
         self.assertEqual(stream, out)
         self.assertEqual(str(len(payloads)), splitter.last_event_id)
         self.assertFalse(splitter.has_partial_event)
+
+    def test_an_event_that_arrives_byte_by_byte_takes_linear_time(self):
+        splitter, started_s = EventSplitter(), time.process_time()
+        for _ in range(MAX_EVENT_BYTES):
+            splitter.feed(b"x")
+        self.assertLess(time.process_time() - started_s, 2)
+        with self.assertRaises(ProtocolError):
+            splitter.feed(b"x")
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -7,10 +7,14 @@
 from bergamothill.process import gateway
 from bergamothill.request.bodybuffer import MAX_BODY_BYTES
 from tests.gatewayworld import (
+    PROMPT_HEADERS,
+    STREAM_HEAD,
     EndlessAnswer,
     GatewayCase,
     answer,
     chunk,
+    event,
+    read_all,
     replies,
     request,
 )
@@ -109,3 +113,56 @@
         self.assertEqual([b"HTTP/1.1 502"] * 6, [one[:12] for one in found])
         self.assertLess(endless.sent_bytes, 6 * KERNEL_BUFFER_BYTES)
         self.assertEqual(0, world.gateway.buffered_bytes)
+
+
+class EndlessStreamTest(EndlessAnswerCase):
+    def ask(self, world):
+        with world.connect() as connection:
+            connection.sendall(
+                request(b"/quote/2f", headers=PROMPT_HEADERS + b"Connection: close\r\n")
+            )
+            return read_all(connection)
+
+    def assert_event_lost(self, first, block):
+        endless = EndlessAnswer(first, block)
+        self.running = self.world(engines=[endless])
+        started_s = time.monotonic()
+        found = self.ask(self.running)
+        self.assertLess(time.monotonic() - started_s, MAX_DURATION_S)
+        self.assert_ended_early(endless, "s0")
+        return found
+
+    def test_a_first_event(self):
+        found = self.assert_event_lost(STREAM_HEAD + chunk(b"data: "), chunk(BLOCK))
+        self.assertTrue(found.startswith(b"HTTP/1.1 502 "), found[:80])
+
+    def test_a_later_event_ends_the_stream_as_broken(self):
+        first = STREAM_HEAD + chunk(event(1) + b"data: ")
+        found = self.assert_event_lost(first, chunk(BLOCK))
+        self.assertIn(event(1), found)
+        self.assertNotIn(b"\r\n0\r\n\r\n", found)
+
+    def test_an_event_of_many_lines(self):
+        self.assert_event_lost(STREAM_HEAD, chunk(b"data: x\n" * 8_000))
+
+    def test_bytes_after_the_last_event_of_a_stream_without_a_length(self):
+        first = answer(b"", framing=b"") + event(1)
+        found = self.assert_event_lost(first, BLOCK)
+        self.assertNotIn(b"xxxx", found)
+
+    def test_the_body_of_a_failure(self):
+        head = answer(b"", status=b"500 Broken", framing=b"")
+        found = self.assert_event_lost(head, BLOCK)
+        self.assertTrue(found.startswith(b"HTTP/1.1 502 "), found[:80])
+
+    def test_a_stream_resumes_elsewhere_after_an_endless_event(self):
+        endless = EndlessAnswer(STREAM_HEAD + chunk(event(1)), chunk(BLOCK))
+
+        def either(connection, sent):
+            if b"Last-Event-Id: 1" not in sent:
+                endless(connection, sent)
+                return
+            connection.sendall(STREAM_HEAD + chunk(event(2)) + b"0\r\n\r\n")
+
+        found = self.ask(self.world(engines=[either, either]))
+        self.assertTrue(found.endswith(chunk(event(1)) + chunk(event(2)) + b"0\r\n\r\n"), found)
