Bound chunk headers and trailers without end

What callers saw: nothing until the route's timeout, then 504. The parser kept a trailer value without end in memory; chunk sizes, chunk extensions and trailers without end kept the connection and a core busy.

Cause: only the head of a response had a limit; after it nothing but body bytes was counted.

All bytes that are not body count as framing now, with one limit of 64 KiB plus eight bytes for each byte of the body, so that a body in chunks of one byte (five bytes of framing each) stays whole. The limit on the head is a part of it.

--- a/bergamothill/connection/backendhttp.py
+++ b/bergamothill/connection/backendhttp.py
@@ -21,7 +21,11 @@
 
 __all__ = ["ExchangeEnd", "ExchangeResult", "ExchangeSink", "exchange"]
 
-MAX_RESPONSE_HEAD_BYTES = 65_536
+MAX_FRAMING_BYTES = 65_536
+"""Maximum size of the heads, chunk headers and trailers of a response with an empty body."""
+
+MAX_FRAMING_RATIO = 8
+"""Framing allowed for each byte of the body; a chunk of one byte has five bytes of framing."""
 
 
 class ExchangeEnd(Enum):
@@ -121,7 +125,7 @@
         self._done = done
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[Header] = []
-        self._head_bytes = 0
+        self._framing_bytes = 0
         self._head_received = False
         self._is_informational = False
         self._body_ends_at_close = False
@@ -136,10 +140,10 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._finish(ExchangeEnd.MALFORMED, f"malformed response: {error}")
             return
-        if not self._head_received:
-            self._head_bytes += len(data)
-            if self._head_bytes > MAX_RESPONSE_HEAD_BYTES:
-                self._finish(ExchangeEnd.MALFORMED, "response head is too large")
+        self._framing_bytes += len(data)
+        if self._framing_bytes > MAX_FRAMING_BYTES:
+            part = "framing" if self._head_received else "head"
+            self._finish(ExchangeEnd.MALFORMED, f"response {part} is too large")
 
     def eof_received(self) -> bool:
         """Record that the server closed its side of the connection."""
@@ -183,6 +187,7 @@
         """Pass bytes of the body to the sink."""
         if self._done.done():
             return
+        self._framing_bytes -= (1 + MAX_FRAMING_RATIO) * len(piece)
         try:
             self._sink.on_body(piece)
         except ProtocolError as error:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -90,6 +90,24 @@
     def test_the_body_of_a_failure(self):
         self.assert_lost(answer(b"", status=b"500 Broken", framing=CHUNKED), chunk(BLOCK))
 
+    def test_a_chunk_extension(self):
+        self.assert_lost(answer(b"", framing=CHUNKED) + b"1;", BLOCK)
+
+    def test_a_chunk_size(self):
+        self.assert_lost(answer(b"", framing=CHUNKED), b"0" * BLOCK_BYTES)
+
+    def test_a_trailer_value(self):
+        self.assert_lost(answer(b"", framing=CHUNKED) + b"0\r\nX-Trailer: ", BLOCK)
+
+    def test_trailers(self):
+        first = answer(b"", framing=CHUNKED) + b"0\r\n"
+        self.assert_lost(first, b"X-Trailer: value\r\n" * 4_000)
+
+    def test_a_body_in_chunks_of_one_byte_is_whole(self):
+        chunks = b"".join([chunk(b"x")] * 50_000 + [chunk(b"")])
+        world = self.world(plain=[replies(answer(b"", framing=CHUNKED) + chunks)])
+        self.assertTrue(world.exchange(request()).endswith(b"\r\n\r\n" + b"x" * 50_000))
+
     def test_bytes_after_a_complete_answer_are_dropped_with_their_connection(self):
         endless = EndlessAnswer(answer(b"whole"), BLOCK)
         world = self.world(plain=[endless])
