--- a/bergamothill/connection/backendhttp.py
+++ b/bergamothill/connection/backendhttp.py
@@ -16,11 +16,16 @@
 import httptools
 
 from bergamothill.connection.opening import CONNECT_TIMEOUT_MS, open_connection
+from bergamothill.errors import ProtocolError
 from bergamothill.request.callerrequest import Header, ResponseHead
 
 __all__ = ["ExchangeEnd", "ExchangeResult", "ExchangeSink", "exchange"]
 
-MAX_RESPONSE_HEAD_BYTES = 65_536
+MAX_FRAMING_BYTES = 65_536
+"""Maximum size of the heads, chunk headers and trailers of a response with an empty body."""
+
+MAX_FRAMING_RATIO = 8
+"""Framing allowed for each byte of the body; a chunk of one byte has five bytes of framing."""
 
 
 class ExchangeEnd(Enum):
@@ -64,7 +69,10 @@
         """Handle the response head; return None to stop the exchange."""
 
     def on_body(self, piece: bytes) -> None:
-        """Handle the next bytes of the body."""
+        """Handle the next bytes of the body.
+
+        :raises ProtocolError: the response is malformed; ends the exchange
+        """
 
 
 async def exchange(
@@ -117,7 +125,7 @@
         self._done = done
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[Header] = []
-        self._head_bytes = 0
+        self._framing_bytes = 0
         self._head_received = False
         self._is_informational = False
         self._body_ends_at_close = False
@@ -127,15 +135,15 @@
         """Parse received bytes of the response."""
         if self._done.done():
             return
-        if not self._head_received:
-            self._head_bytes += len(data)
-            if self._head_bytes > MAX_RESPONSE_HEAD_BYTES:
-                self._finish(ExchangeEnd.MALFORMED, "response head is too large")
-                return
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._finish(ExchangeEnd.MALFORMED, f"malformed response: {error}")
+            return
+        self._framing_bytes += len(data)
+        if self._framing_bytes > MAX_FRAMING_BYTES:
+            part = "framing" if self._head_received else "head"
+            self._finish(ExchangeEnd.MALFORMED, f"response {part} is too large")
 
     def eof_received(self) -> bool:
         """Record that the server closed its side of the connection."""
@@ -177,8 +185,13 @@
 
     def on_body(self, piece: bytes) -> None:
         """Pass bytes of the body to the sink."""
-        if not self._done.done():
+        if self._done.done():
+            return
+        self._framing_bytes -= (1 + MAX_FRAMING_RATIO) * len(piece)
+        try:
             self._sink.on_body(piece)
+        except ProtocolError as error:
+            self._finish(ExchangeEnd.MALFORMED, error.message)
 
     def on_message_complete(self) -> None:
         """Finish the exchange at the end of its response."""
