--- /dev/null
+++ b/scripts/drainsoak.py
@@ -0,0 +1,256 @@
+"""Stop entry instances under load and list requests that were read but not wholly answered.
+
+Usage: ``python -m scripts.drainsoak --layout kowhai-mend --seed 1 --rounds 2``. The exit code is 1
+if there is a violation.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import random
+import shutil
+import signal
+import sys
+from collections import Counter
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from scripts.callerload import Balancer, CallerHabit, CallerRecord, Ending, now_ms, run_caller
+from scripts.platformfleet import LAYOUTS, EntryNode, FleetShape, PlatformFleet
+from scripts.processes import ProcessGroup
+
+__all__ = ["Stop", "StopJudge", "Violation", "main", "run_soak"]
+
+LOSS_SLACK_MS = 200
+LATEST_EXCUSED_MS = 3_000
+EXCUSED_SHARE_OF_GRACE = 1 / 6
+AFTER_GRACE_MS = 1_000
+SETTLE_S = 2.0
+CALLERS_PER_HABIT = 6
+EXIT_VIOLATION = 1
+
+
+@dataclass(frozen=True)
+class Stop:
+    """One SIGTERM.
+
+    :param node: name of the entry instance
+    :param signalled_ms: when it got the signal
+    :param exited_ms: when its process had ended
+    :param was_killed: whether it had to be killed
+    """
+
+    node: str
+    signalled_ms: float
+    exited_ms: float
+    was_killed: bool
+
+
+@dataclass(frozen=True)
+class Violation:
+    """A request that was read but not wholly answered.
+
+    :param record: request as its caller saw it
+    :param stop: signal around which it was lost
+    :param server: what the servers know of it; None if none has seen it
+    """
+
+    record: CallerRecord
+    stop: Stop
+    server: dict[str, Any] | None
+
+    def __str__(self) -> str:
+        """Return one line with times relative to the signal."""
+        record, start = self.record, self.stop.signalled_ms
+        return (
+            f"no whole answer around SIGTERM to {self.stop.node}: id {record.request} "
+            f"{record.kind.name}/{record.kind.kind} {record.habit.value} "
+            f"sent {record.sent_ms - start:+.0f} ms, {record.ending.value} "
+            f"{record.ended_ms - start:+.0f} ms, status {record.status}, "
+            f"{record.received} bytes, exit {self.stop.exited_ms - start:+.0f} ms, "
+            f"server {self._server_times()}"
+        )
+
+    def _server_times(self) -> str:
+        if self.server is None:
+            return "not reached"
+        times = [self.server["begun_ms"], self.server["ended_ms"]]
+        shown = ["-" if at is None else f"{at - self.stop.signalled_ms:+.0f}" for at in times]
+        return f"{self.server['outcome']} {shown[0]}..{shown[1]} ms"
+
+
+class StopJudge:
+    """Applies the rule for requests around a SIGTERM.
+
+    :param grace_ms: time from SIGTERM to SIGKILL
+    """
+
+    def __init__(self, grace_ms: float) -> None:
+        self._grace_ms = grace_ms
+
+    def violations(
+        self, records: list[CallerRecord], stops: list[Stop], seen: dict[str, dict[str, Any]]
+    ) -> list[Violation]:
+        """Return the requests that break the rule.
+
+        :param records: all requests
+        :param stops: all signals
+        :param seen: what the servers know, by request id
+        """
+        found = []
+        for record in records:
+            if record.ending not in (Ending.CLOSED, Ending.RESET) or not record.sent_ms:
+                continue
+            for stop in stops:
+                server = seen.get(record.request)
+                if self._is_around(record, stop) and not self._is_excused(record, stop, server):
+                    found.append(Violation(record, stop, server))
+        return found
+
+    def _is_around(self, record: CallerRecord, stop: Stop) -> bool:
+        end_ms = stop.signalled_ms + self._grace_ms + AFTER_GRACE_MS
+        return record.node == stop.node and stop.signalled_ms <= record.ended_ms <= end_ms
+
+    def _is_excused(self, record: CallerRecord, stop: Stop, server: dict[str, Any] | None) -> bool:
+        if server is None:
+            return record.ended_ms - record.sent_ms <= LOSS_SLACK_MS
+        last_part_ms = stop.signalled_ms + self._grace_ms * (1 - EXCUSED_SHARE_OF_GRACE)
+        was_at_work = server["ended_ms"] is None or server["ended_ms"] >= last_part_ms
+        return record.sent_ms - stop.signalled_ms <= LATEST_EXCUSED_MS and was_at_work
+
+
+class Soak:
+    """One run of stops under load.
+
+    :param fleet: running deployment
+    :param draw: source of randomness
+    """
+
+    def __init__(self, fleet: PlatformFleet, draw: random.Random) -> None:
+        self._fleet = fleet
+        self._draw = draw
+        self.records: list[CallerRecord] = []
+        self.stops: list[Stop] = []
+
+    async def run(self, rounds: int, callers_per_habit: int) -> None:
+        """Stop instances for a number of rounds while callers send requests."""
+        balancer = Balancer(lambda: self._fleet.nodes)
+        stopped = asyncio.Event()
+        checks = asyncio.ensure_future(balancer.run())
+        callers = [
+            asyncio.ensure_future(
+                run_caller(
+                    habit,
+                    list(self._fleet.shape.kinds),
+                    balancer,
+                    random.Random(self._draw.random()),
+                    self.records,
+                    stopped,
+                )
+            )
+            for habit in CallerHabit
+            for _ in range(callers_per_habit)
+        ]
+        await asyncio.sleep(SETTLE_S)
+        for _ in range(rounds):
+            await self._round()
+            await asyncio.sleep(SETTLE_S)
+        stopped.set()
+        await asyncio.wait(callers)
+        checks.cancel()
+
+    async def _round(self) -> None:
+        count = self._draw.choice((1, 1, 2, 3))
+        numbers = self._draw.sample(range(len(self._fleet.nodes)), count)
+        store_fault = self._draw.choice(({}, {"silent": True}, {"outage": True}))
+        tasks = [asyncio.ensure_future(self._disturb_store(store_fault))]
+        for number in numbers:
+            tasks.append(asyncio.ensure_future(self._stop(number)))
+            await asyncio.sleep(self._draw.choice((0.0, 0.3, 1.5)))
+        await asyncio.gather(*tasks)
+
+    async def _disturb_store(self, faults: dict[str, bool]) -> None:
+        await asyncio.sleep(self._draw.uniform(0, 1.5))
+        store = self._fleet.store
+        await asyncio.to_thread(lambda: store.set_faults(**faults))
+        await asyncio.sleep(self._draw.uniform(0.5, 4))
+        await asyncio.to_thread(store.set_faults)
+        await asyncio.to_thread(self._fleet.write_config)
+
+    async def _stop(self, number: int) -> None:
+        node = self._fleet.nodes[number]
+        await asyncio.sleep(self._draw.uniform(0, 1))
+        if self._draw.random() < 0.5:
+            node.signal(signal.SIGHUP)
+        signalled_ms = now_ms()
+        node.terminate()
+        if self._draw.random() < 0.5:
+            await asyncio.sleep(self._draw.uniform(0, 3))
+            node.signal(signal.SIGHUP)
+        was_killed = await self._wait_for_exit(node, signalled_ms)
+        self.stops.append(Stop(node.name, signalled_ms, now_ms(), was_killed))
+        await asyncio.sleep(0.5)
+        self._fleet.nodes[number] = self._fleet.start_node(number)
+
+    async def _wait_for_exit(self, node: EntryNode, signalled_ms: float) -> bool:
+        while node.process.poll() is None:
+            if now_ms() - signalled_ms >= self._fleet.shape.grace_s * 1_000:
+                await asyncio.to_thread(node.kill)
+                return True
+            await asyncio.sleep(0.01)
+        return False
+
+
+def run_soak(
+    shape: FleetShape, seed: int, rounds: int, callers_per_habit: int, logs: Path | None = None
+) -> tuple[Soak, list[Violation]]:
+    """Start a deployment, stop its instances under load, and judge.
+
+    :param shape: layout of the deployment
+    :param seed: seed of all draws
+    :param rounds: rounds of stops
+    :param callers_per_habit: callers of each habit
+    :param logs: folder for the logs of the instances; None discards them
+    """
+    with ProcessGroup() as group:
+        fleet = PlatformFleet.start(group, shape)
+        soak = Soak(fleet, random.Random(seed))
+        asyncio.run(soak.run(rounds, callers_per_habit))
+        seen = fleet.seen()
+        if logs is not None:
+            shutil.copytree(group.folder, logs, dirs_exist_ok=True)
+    return soak, StopJudge(shape.grace_s * 1_000).violations(soak.records, soak.stops, seen)
+
+
+def main(argv: list[str]) -> int:
+    """Run one soak and print its result.
+
+    :param argv: command-line arguments
+    :returns: 1 if there is a violation
+    """
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--layout", choices=sorted(LAYOUTS), default="kowhai-mend")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--rounds", type=int, default=2)
+    parser.add_argument("--callers", type=int, default=CALLERS_PER_HABIT)
+    parser.add_argument("--logs", type=Path)
+    options = parser.parse_args(argv)
+    soak, violations = run_soak(
+        LAYOUTS[options.layout], options.seed, options.rounds, options.callers, options.logs
+    )
+    for violation in violations:
+        print(violation)
+    endings = Counter(record.ending.value for record in soak.records)
+    print(
+        f"drainsoak layout={options.layout} seed={options.seed} stops={len(soak.stops)} "
+        f"killed={sum(stop.was_killed for stop in soak.stops)} requests={len(soak.records)} "
+        + " ".join(f"{name}={count}" for name, count in sorted(endings.items()))
+        + f" violations={len(violations)}"
+    )
+    return EXIT_VIOLATION if violations else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/scripts/processes.py
+++ b/scripts/processes.py
@@ -48,14 +48,21 @@
 
     :param command: program and arguments
     :param log_path: file for its standard error; None discards it
+    :param has_log_on_stdout: whether its standard output goes to the file too
     """
 
-    def __init__(self, command: Sequence[str], log_path: Path | None = None) -> None:
+    def __init__(
+        self,
+        command: Sequence[str],
+        log_path: Path | None = None,
+        *,
+        has_log_on_stdout: bool = False,
+    ) -> None:
         self._log = open(log_path, "ab") if log_path else None  # noqa: SIM115 - closed in stop
         self.process = subprocess.Popen(
             command,
             cwd=ROOT,
-            stdout=subprocess.PIPE,
+            stdout=self._log if has_log_on_stdout else subprocess.PIPE,
             stderr=self._log or subprocess.DEVNULL,
             text=True,
         )
@@ -96,7 +103,8 @@
             except subprocess.TimeoutExpired:
                 self.process.kill()
                 self.process.wait()
-        self.process.stdout.close()
+        if self.process.stdout is not None:
+            self.process.stdout.close()
         if self._log:
             self._log.close()
 
@@ -137,24 +145,33 @@
     :param settings_path: its settings file
     :param listen_address: ``host:port`` for callers
     :param log_path: file for its log
+    :param has_log_on_stdout: whether it writes its log to standard output
     """
 
-    def __init__(self, settings_path: Path, listen_address: str, log_path: Path | None) -> None:
+    def __init__(
+        self,
+        settings_path: Path,
+        listen_address: str,
+        log_path: Path | None,
+        *,
+        has_log_on_stdout: bool = False,
+    ) -> None:
         command = [sys.executable, "-m", "bergamothill.process.daemon", str(settings_path)]
-        super().__init__(command, log_path)
+        super().__init__(command, log_path, has_log_on_stdout=has_log_on_stdout)
         self._log_path = log_path
         self.address = listen_address
         self.client = HttpClient(settings_path.stem, listen_address)
 
-    def wait_ready(self) -> None:
+    def wait_ready(self, path: str = "/readyz") -> None:
         """Wait until the readiness check of the instance succeeds.
 
+        :param path: path of the check
         :raises TimeoutError: it did not become ready in time, or the process exited
         """
         deadline = time.monotonic() + READY_TIMEOUT_S
         while time.monotonic() < deadline:
             try:
-                reply = self.client.request("GET", "/readyz", step="ready", timeout_ms=1_000)
+                reply = self.client.request("GET", path, step="ready", timeout_ms=1_000)
             except BergamothillError:
                 reply = None
             if reply is not None and reply.status == 200:
