Refuse streams that a stopping instance may have to cut

Cause: the listener closes before three seconds, but a kept connection whose stream began before the signal was never told to close, because the head of its answer had gone out. When that stream ended during the drain, the next request on the connection was accepted at any time, and a long stream was cut at the end of the grace period.

From the end of the notice on, a stream whose deadline lies after the end of the drain gets 503 with Retry-After before any server has seen it. Other answers are sent as a whole and are still accepted.

--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -15,6 +15,7 @@
 from bergamothill.platform.headers import decode_request
 from bergamothill.process.admissionqueue import AdmissionQueue
 from bergamothill.process.configstate import Admission, ConfigState, Verdict
+from bergamothill.process.drainperiod import DrainPeriod
 from bergamothill.process.gatewaymetrics import GatewayMetrics
 from bergamothill.process.nodesettings import DeploymentBounds
 from bergamothill.process.requestrun import RequestRun
@@ -68,7 +69,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._runs: set[RequestRun] = set()
         self._queues: dict[ServiceName, AdmissionQueue] = {}
-        self._draining = False
+        self._drain: DrainPeriod | None = None
         self._known_instances = 0
 
     def set_bounds(self, bounds: DeploymentBounds) -> None:
@@ -97,9 +98,12 @@
         """Number of requests in progress."""
         return len(self._tasks)
 
-    def start_drain(self) -> None:
-        """Start closing connections after their current answer."""
-        self._draining = True
+    def start_drain(self, period: DrainPeriod) -> None:
+        """Start closing connections after their current answer.
+
+        :param period: time that is left
+        """
+        self._drain = period
 
     def limits(self) -> CallerLimits:
         """Return the caller limits in force."""
@@ -107,7 +111,7 @@
 
     def is_draining(self) -> bool:
         """Return whether connections are to be closed after their current answer."""
-        return self._draining
+        return self._drain is not None
 
     def start(self, connection: CallerConnection, request: RawRequest) -> Callable[[], None]:
         """Start handling a request in the background; return the function that cancels it."""
@@ -188,6 +192,11 @@
             admission,
             service,
         )
+        if self._drain is not None and self._drain.is_too_late(
+            admission.route, run.due_ms, self._clock.now_ms()
+        ):
+            run.refuse()
+            return
         self._runs.add(run)
         try:
             await run.execute()
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -22,6 +22,7 @@
 from bergamothill.platform.settings import load_node_settings
 from bergamothill.process.cacheeventlistener import CacheEventListener
 from bergamothill.process.configstate import ConfigState
+from bergamothill.process.drainperiod import DrainPeriod
 from bergamothill.process.gateway import Gateway
 from bergamothill.process.gatewaymetrics import GatewayMetrics
 from bergamothill.process.lease import DutyLease
@@ -405,14 +406,15 @@
         started_ms = self._clock.now_ms()
         _log.info("stop_begins", in_progress=self._gateway.in_progress)
         self._draining = True
-        self._gateway.start_drain()
-        deadline_ms = started_ms + self._settings.bounds.stop_grace_ms - EXIT_MARGIN_MS
-        notice_ends_ms = started_ms + min(
-            READINESS_NOTICE_MS, self._settings.bounds.stop_grace_ms // 2
+        grace_ms = self._settings.bounds.stop_grace_ms
+        period = DrainPeriod(
+            notice_ends_ms=started_ms + min(READINESS_NOTICE_MS, grace_ms // 2),
+            ends_ms=started_ms + grace_ms - EXIT_MARGIN_MS,
         )
-        while self._clock.now_ms() < deadline_ms:
+        self._gateway.start_drain(period)
+        while self._clock.now_ms() < period.ends_ms:
             now_ms = self._clock.now_ms()
-            if now_ms >= notice_ends_ms:
+            if now_ms >= period.notice_ends_ms:
                 caller_server.close()
                 for connection in list(self._connections):
                     connection.close_if_idle()
--- a/bergamothill/process/requestrun.py
+++ b/bergamothill/process/requestrun.py
@@ -177,6 +177,15 @@
             step = self._forwarding.on_expired(self._clock.now_ms())
         self._apply_final_step(step)
 
+    @property
+    def due_ms(self) -> int:
+        """Time by which the caller gets a final answer."""
+        return self._forwarding.due_ms
+
+    def refuse(self) -> None:
+        """Refuse the request unsent, as this instance is stopping."""
+        self._apply_final_step(self._forwarding.on_stopping(self._clock.now_ms()))
+
     def record_abandoned_attempt(self) -> None:
         """Add the attempt in progress, if any, to the attempt log as given up."""
         if self._open_attempt is not None:
--- a/bergamothill/request/forwarding.py
+++ b/bergamothill/request/forwarding.py
@@ -71,6 +71,7 @@
     EXPIRED = "expired"
     FULL = "engines_full"
     QUIET = "servers_ask_for_quiet"
+    STOPPING = "instance_stopping"
 
 
 @dataclass(frozen=True, slots=True)
@@ -251,6 +252,10 @@
         """Handle the expiry of the deadline."""
         return self._give_up(now_ms, Reason.EXPIRED)
 
+    def on_stopping(self, now_ms: int) -> ForwardStep:
+        """Give up, because this instance is stopping."""
+        return self._give_up(now_ms, Reason.STOPPING)
+
     def retry(self, now_ms: int) -> ForwardStep:
         """Try again to find a server with free memory."""
         return self._send(now_ms, self._resume_event_id)
--- /dev/null
+++ b/tests/test_stop_processes.py
@@ -0,0 +1,70 @@
+"""Tests of callers' requests around SIGTERM, with entry instances as separate processes."""
+
+import socket
+import unittest
+
+from scripts.callerload import CallerHabit, CallerRecord, encode_request
+from scripts.platformfleet import FleetShape, PlatformFleet, RequestKind
+from scripts.processes import ProcessGroup
+from tests.gatewayworld import read_all
+
+GRACE_S = 4
+TIMEOUT_S = 10
+
+SHORT_STREAM = RequestKind("short", "streaming", 25, 10, 100, 12_000, 600)
+LONG_STREAM = RequestKind("long", "streaming", 60, 10, 100, 12_000, 600)
+
+SHAPE = FleetShape(
+    zones=("zone-a",),
+    nodes=4,
+    engines=1,
+    plain_servers=1,
+    kinds=(SHORT_STREAM, LONG_STREAM),
+    grace_s=GRACE_S,
+)
+
+
+def encoded(kind, request):
+    return encode_request(CallerRecord(request, kind, CallerHabit.KEEPS, ""))
+
+
+def read_until(connection, mark):
+    data = b""
+    while mark not in data:
+        received = connection.recv(65_536)
+        if not received:
+            raise AssertionError(f"closed before {mark!r}: {data[-200:]!r}")
+        data += received
+    return data
+
+
+def statuses(data):
+    return [int(part[:3]) for part in data.split(b"HTTP/1.1 ")[1:]]
+
+
+class StopTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        group = ProcessGroup()
+        cls.addClassCleanup(group.__exit__)
+        cls.nodes = PlatformFleet.start(group, SHAPE).nodes
+
+    def connect(self, receive_buffer=None):
+        self.node = self.nodes.pop()
+        connection = self.enterContext(socket.socket())
+        if receive_buffer is not None:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+        connection.settimeout(TIMEOUT_S)
+        connection.connect(self.node.caller_address)
+        return connection
+
+    def test_a_stream_asked_for_on_a_kept_connection_during_the_stop_is_not_cut(self):
+        connection = self.connect()
+        connection.sendall(encoded(SHORT_STREAM, "a1"))
+        read_until(connection, b"id: 1\n")
+        self.node.terminate()
+        read_until(connection, b"0\r\n\r\n")
+        connection.sendall(encoded(LONG_STREAM, "a2"))
+        second = read_all(connection)
+        self.assertEqual([503], statuses(second), second[-200:])
+        self.assertIn(b"Connection: close", second)
