Answer pipelined requests before a stopping instance closes

Cause: while draining, each response announced the close of the connection, also when further requests had been received on it; these were dropped when the response was complete.

The test failed before: "Lists differ: [200, 200] != [200]".

The close is now announced by the response behind which nothing has been received, so a caller that gets it has no earlier request open.

--- a/bergamothill/connection/callerhttp.py
+++ b/bergamothill/connection/callerhttp.py
@@ -281,7 +281,8 @@
             self._transport.abort()
 
     def _update_keep_alive(self) -> None:
-        if self._handler.is_draining():
+        # Requests received already are answered first, as a response announces the close.
+        if self._handler.is_draining() and not self._queued and not self._receiving_request:
             self._keep_alive = False
 
     def _response_head(self, status: int, headers: list[Header]) -> list[bytes]:
--- a/tests/test_stop_processes.py
+++ b/tests/test_stop_processes.py
@@ -1,6 +1,7 @@
 """Tests of callers' requests around SIGTERM, with entry instances as separate processes."""
 
 import socket
+import time
 import unittest
 
 from scripts.callerload import CallerHabit, CallerRecord, encode_request
@@ -13,13 +14,14 @@
 
 SHORT_STREAM = RequestKind("short", "streaming", 25, 10, 100, 12_000, 600)
 LONG_STREAM = RequestKind("long", "streaming", 60, 10, 100, 12_000, 600)
+ORDER = RequestKind("order", "unsafe", 0, 200, 0, 2_500, 400)
 
 SHAPE = FleetShape(
     zones=("zone-a",),
     nodes=4,
     engines=1,
     plain_servers=1,
-    kinds=(SHORT_STREAM, LONG_STREAM),
+    kinds=(SHORT_STREAM, LONG_STREAM, ORDER),
     grace_s=GRACE_S,
 )
 
@@ -68,3 +70,12 @@
         second = read_all(connection)
         self.assertEqual([503], statuses(second), second[-200:])
         self.assertIn(b"Connection: close", second)
+
+    def test_pipelined_requests_are_answered_before_a_stopping_instance_closes(self):
+        connection = self.connect()
+        self.node.terminate()
+        time.sleep(0.1)
+        connection.sendall(encoded(ORDER, "b1") + encoded(ORDER, "b2"))
+        answers = read_all(connection)
+        self.assertEqual([200, 200], statuses(answers), answers[-200:])
+        self.assertEqual(1, answers.count(b"Connection: close"))
