Answer requests that are still unanswered at the end of a drain

Cause: at the end of the drain the process exited, and the tasks of its requests were cancelled as if their callers had left.

At the end of the drain each request gets its final answer: 503 if it cannot have run, else 502. Only streams that have begun are cut, as no complete answer is left for them.

--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -105,6 +105,11 @@
         """
         self._drain = period
 
+    def end_drain(self) -> None:
+        """Give a final answer to all requests in progress; streams that have begun are cut."""
+        for run in list(self._runs):
+            run.stop()
+
     def limits(self) -> CallerLimits:
         """Return the caller limits in force."""
         return self._config.limits
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -68,7 +68,11 @@
 EXIT_MARGIN_MS = 700
 """Time reserved before the kill signal to close connections and write the log."""
 
+FINAL_ANSWER_MS = 150
+"""Part of that time in which requests that have no answer yet get one."""
+
 DRAIN_POLL_INTERVAL_MS = 50
+FINAL_ANSWER_POLL_INTERVAL_MS = 10
 
 _log = EventLog("node")
 
@@ -422,6 +426,9 @@
                     break
             await asyncio.sleep(ms_to_seconds(DRAIN_POLL_INTERVAL_MS))
         _log.info("stop_ends", in_progress=self._gateway.in_progress)
+        self._gateway.end_drain()
+        while self._gateway.in_progress and self._clock.now_ms() < period.ends_ms + FINAL_ANSWER_MS:
+            await asyncio.sleep(ms_to_seconds(FINAL_ANSWER_POLL_INTERVAL_MS))
 
 
 def _store_poll_interval_ms(bounds: DeploymentBounds) -> int:
--- a/bergamothill/process/requestrun.py
+++ b/bergamothill/process/requestrun.py
@@ -83,6 +83,7 @@
         self._exchange_task: asyncio.Task[ExchangeResult] | None = None
         self._current_server = ServerId("")
         self._is_stalled = False
+        self._is_stopping = False
         self._is_streaming = False
         self._terms: ForwardTerms | None = None
         self._send: Send | None = None
@@ -174,9 +175,14 @@
                     )
         except TimeoutError:
             self.record_abandoned_attempt()
-            step = self._forwarding.on_expired(self._clock.now_ms())
+            step = self._on_timeout(self._clock.now_ms())
         self._apply_final_step(step)
 
+    def _on_timeout(self, now_ms: int) -> ForwardStep:
+        if self._is_stopping:
+            return self._forwarding.on_stopping(now_ms)
+        return self._forwarding.on_expired(now_ms)
+
     @property
     def due_ms(self) -> int:
         """Time by which the caller gets a final answer."""
@@ -277,8 +283,16 @@
         The clock of the event loop, unlike that of the deadline, stops while the machine is
         suspended.
         """
-        is_due = now_ms >= self._forwarding.due_ms
-        if is_due and self._timeout is not None and not self._timeout.expired():
+        if now_ms >= self._forwarding.due_ms:
+            self._expire()
+
+    def stop(self) -> None:
+        """End the request with a final answer, as this instance is about to exit."""
+        self._is_stopping = True
+        self._expire()
+
+    def _expire(self) -> None:
+        if self._timeout is not None and not self._timeout.expired():
             self._timeout.reschedule(asyncio.get_running_loop().time())
 
     def check_for_stall(self, now_ms: int) -> None:
--- a/tests/test_stop_processes.py
+++ b/tests/test_stop_processes.py
@@ -15,13 +15,14 @@
 SHORT_STREAM = RequestKind("short", "streaming", 25, 10, 100, 12_000, 600)
 LONG_STREAM = RequestKind("long", "streaming", 60, 10, 100, 12_000, 600)
 ORDER = RequestKind("order", "unsafe", 0, 200, 0, 2_500, 400)
+SLOW_ORDER = RequestKind("slow-order", "unsafe", 0, 9_000, 0, 12_000, 400)
 
 SHAPE = FleetShape(
     zones=("zone-a",),
     nodes=4,
     engines=1,
     plain_servers=1,
-    kinds=(SHORT_STREAM, LONG_STREAM, ORDER),
+    kinds=(SHORT_STREAM, LONG_STREAM, ORDER, SLOW_ORDER),
     grace_s=GRACE_S,
 )
 
@@ -79,3 +80,11 @@
         answers = read_all(connection)
         self.assertEqual([200, 200], statuses(answers), answers[-200:])
         self.assertEqual(1, answers.count(b"Connection: close"))
+
+    def test_a_request_that_outlasts_the_stop_gets_an_answer(self):
+        connection = self.connect()
+        connection.sendall(encoded(SLOW_ORDER, "c1"))
+        time.sleep(0.2)
+        self.node.terminate()
+        answer = read_all(connection)
+        self.assertEqual([502], statuses(answer), answer[-200:])
