--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -15,6 +15,7 @@
 from bergamothill.platform.headers import decode_request
 from bergamothill.process.admissionqueue import AdmissionQueue
 from bergamothill.process.configstate import Admission, ConfigState, Verdict
+from bergamothill.process.drainperiod import DrainPeriod
 from bergamothill.process.gatewaymetrics import GatewayMetrics
 from bergamothill.process.nodesettings import DeploymentBounds
 from bergamothill.process.requestrun import RequestRun
@@ -73,7 +74,7 @@
         self._runs: set[RequestRun] = set()
         self._queues: dict[ServiceName, AdmissionQueue] = {}
         self._buffer_budget = BufferBudget(MAX_BUFFERED_BYTES)
-        self._draining = False
+        self._drain: DrainPeriod | None = None
         self._known_instances = 0
 
     def set_bounds(self, bounds: DeploymentBounds) -> None:
@@ -107,9 +108,17 @@
         """Memory reserved for the bodies of unfinished answers."""
         return self._buffer_budget.reserved_bytes
 
-    def start_drain(self) -> None:
-        """Start closing connections after their current answer."""
-        self._draining = True
+    def start_drain(self, period: DrainPeriod) -> None:
+        """Start closing connections after their current answer.
+
+        :param period: time that is left
+        """
+        self._drain = period
+
+    def end_drain(self) -> None:
+        """Give a final answer to all requests in progress; streams that have begun are cut."""
+        for run in list(self._runs):
+            run.stop()
 
     def limits(self) -> CallerLimits:
         """Return the caller limits in force."""
@@ -117,7 +126,7 @@
 
     def is_draining(self) -> bool:
         """Return whether connections are to be closed after their current answer."""
-        return self._draining
+        return self._drain is not None
 
     def start(self, connection: CallerConnection, request: RawRequest) -> Callable[[], None]:
         """Start handling a request in the background; return the function that cancels it."""
@@ -199,6 +208,11 @@
             service,
             self._buffer_budget,
         )
+        if self._drain is not None and self._drain.is_too_late(
+            admission.route, run.due_ms, self._clock.now_ms()
+        ):
+            run.refuse()
+            return
         self._runs.add(run)
         try:
             await run.execute()
--- a/bergamothill/process/requestrun.py
+++ b/bergamothill/process/requestrun.py
@@ -86,6 +86,7 @@
         self._exchange_task: asyncio.Task[ExchangeResult] | None = None
         self._current_server = ServerId("")
         self._is_stalled = False
+        self._is_stopping = False
         self._is_streaming = False
         self._terms: ForwardTerms | None = None
         self._send: Send | None = None
@@ -184,9 +185,23 @@
                     )
         except TimeoutError:
             self.record_abandoned_attempt()
-            step = self._forwarding.on_expired(self._clock.now_ms())
+            step = self._on_timeout(self._clock.now_ms())
         self._apply_final_step(step)
 
+    def _on_timeout(self, now_ms: int) -> ForwardStep:
+        if self._is_stopping:
+            return self._forwarding.on_stopping(now_ms)
+        return self._forwarding.on_expired(now_ms)
+
+    @property
+    def due_ms(self) -> int:
+        """Time by which the caller gets a final answer."""
+        return self._forwarding.due_ms
+
+    def refuse(self) -> None:
+        """Refuse the request unsent, as this instance is stopping."""
+        self._apply_final_step(self._forwarding.on_stopping(self._clock.now_ms()))
+
     def record_abandoned_attempt(self) -> None:
         """Add the attempt in progress, if any, to the attempt log as given up."""
         if self._open_attempt is not None:
@@ -278,8 +293,16 @@
         The clock of the event loop, unlike that of the deadline, stops while the machine is
         suspended.
         """
-        is_due = now_ms >= self._forwarding.due_ms
-        if is_due and self._timeout is not None and not self._timeout.expired():
+        if now_ms >= self._forwarding.due_ms:
+            self._expire()
+
+    def stop(self) -> None:
+        """End the request with a final answer, as this instance is about to exit."""
+        self._is_stopping = True
+        self._expire()
+
+    def _expire(self) -> None:
+        if self._timeout is not None and not self._timeout.expired():
             self._timeout.reschedule(asyncio.get_running_loop().time())
 
     def check_for_stall(self, now_ms: int) -> None:
