Test: a prompt part that crashes each engine it runs on

The test runs three bergamothilld processes with six engine stand-ins. An engine that begins an answer on the part resets its connections and is back a second later under a new id.

--- /dev/null
+++ b/standins/platformengine.py
@@ -0,0 +1,206 @@
+"""Stand-in for a model engine of the users' platform, registered in the store stand-in.
+
+An engine that begins an answer on a crashing part ends as a process does: all of its connections
+are reset, and it refuses new ones until it is back under a new id.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import socket
+import threading
+import time
+from dataclasses import dataclass
+
+from bergamothill.connection.kvs import ABSENT, KeyValueService
+from standins.base import HOST, reset_connection
+
+__all__ = ["EngineArrival", "PlatformEngineStandIn"]
+
+CRASH_DELAY_S = 0.05
+EVENT_INTERVAL_S = 0.03
+EVENTS_POLL_S = 0.5
+MAX_HEAD_BYTES = 65_536
+
+
+@dataclass(frozen=True, slots=True)
+class EngineArrival:
+    """Request that reached an engine.
+
+    :param request_id: id of the request
+    :param parts: names of the parts of its prompt
+    :param at_s: monotonic time of its arrival
+    """
+
+    request_id: str
+    parts: tuple[str, ...]
+    at_s: float
+
+
+class PlatformEngineStandIn:
+    """One engine, through all of its incarnations.
+
+    :param kvs: service in which it registers
+    :param name: prefix of its ids
+    :param crashing_parts: names of the parts that end it
+    :param service: service that it belongs to
+    :param model: model that it serves
+    :param zone: availability zone
+    :param down_s: time from a crash to the next start
+    :param events: number of events of an answer
+    """
+
+    def __init__(
+        self,
+        kvs: KeyValueService,
+        name: str,
+        *,
+        crashing_parts: frozenset[str] = frozenset(),
+        service: str = "llm",
+        model: str = "m1",
+        zone: str = "zone-a",
+        down_s: float = 1.0,
+        events: int = 12,
+    ) -> None:
+        self.arrivals: list[EngineArrival] = []
+        self.crashes_s: list[float] = []
+        self._kvs = kvs
+        self._name = name
+        self._crashing_parts = crashing_parts
+        self._entry = {"service": service, "zone": zone, "version": "v1", "slots": 64}
+        self._model = model
+        self._down_s = down_s
+        self._events = events
+        self._lock = threading.Lock()
+        self._starts = 0
+        self._is_stopped = False
+        self._listener: socket.socket | None = None
+        self._connections: set[socket.socket] = set()
+        self._server = ""
+
+    def start(self) -> None:
+        """Start a new incarnation and register it."""
+        with self._lock:
+            if self._is_stopped:
+                return
+            self._starts += 1
+            self._server = f"{self._name}-{self._starts}"
+            self._listener = socket.create_server((HOST, 0), backlog=512)
+            threading.Thread(target=self._accept, args=(self._listener,), daemon=True).start()
+            entry = self._entry | {
+                "address": f"{HOST}:{self._listener.getsockname()[1]}",
+                "state": "ready",
+                "born": time.time_ns() // 1_000_000,
+                "models": [{"name": self._model, "version": 1, "adapters": []}],
+                "sequenceNumber": 1,
+            }
+            key = f"servers/{self._server}"
+            self._kvs.put_if(key, json.dumps(entry).encode(), expected=ABSENT)
+
+    def stop(self) -> None:
+        """Stop for good."""
+        self._is_stopped = True
+        self._end()
+
+    def _crash(self) -> None:
+        if self._end():
+            self.crashes_s.append(time.monotonic())
+            timer = threading.Timer(self._down_s, self.start)
+            timer.daemon = True
+            timer.start()
+
+    def _end(self) -> bool:
+        with self._lock:
+            listener, self._listener = self._listener, None
+            if listener is None:
+                return False
+            listener.shutdown(socket.SHUT_RDWR)
+            listener.close()
+            for connection in self._connections:
+                with contextlib.suppress(OSError):  # closed by its peer
+                    reset_connection(connection)
+            key = f"servers/{self._server}"
+            entry = self._kvs.get(key)
+            if entry is not None:
+                self._kvs.delete_if(key, expected=entry.mod_revision)
+            return True
+
+    def _accept(self, listener: socket.socket) -> None:
+        server = self._server
+        while True:
+            try:
+                connection, _ = listener.accept()
+            except OSError:
+                return
+            with self._lock:
+                if listener is not self._listener:
+                    connection.close()
+                    return
+                self._connections.add(connection)
+            arguments = (connection, listener, server)
+            threading.Thread(target=self._serve, args=arguments, daemon=True).start()
+
+    def _serve(self, connection: socket.socket, listener: socket.socket, server: str) -> None:
+        try:
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            path, headers = _read_head(connection)
+            if path.startswith("/kv-events"):
+                self._send_events(connection)
+            elif path:
+                self._answer(connection, listener, server, headers)
+        except OSError:
+            pass  # the peer left, or this incarnation has ended
+        finally:
+            with self._lock:
+                self._connections.discard(connection)
+                connection.close()
+
+    def _send_events(self, connection: socket.socket) -> None:
+        time.sleep(EVENTS_POLL_S)
+        events = {"epoch": self._starts, "next": 0, "lost": False, "events": []}
+        body = json.dumps(events).encode()
+        head = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n" % len(body)
+        connection.sendall(head + body)
+
+    def _answer(
+        self,
+        connection: socket.socket,
+        listener: socket.socket,
+        server: str,
+        headers: dict[str, str],
+    ) -> None:
+        prefix = headers.get("x-prompt-prefix", "")
+        parts = tuple(entry.partition(":")[0] for entry in prefix.split(",") if entry)
+        request_id = headers.get("x-request-id", "")
+        self.arrivals.append(EngineArrival(request_id, parts, time.monotonic()))
+        time.sleep(CRASH_DELAY_S)
+        if listener is not self._listener:
+            return
+        if self._crashing_parts.intersection(parts[:-1]):
+            self._crash()
+            return
+        connection.sendall(
+            b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Server-Signature: sig\r\n"
+            b"X-Weight-Versions: 1\r\nTransfer-Encoding: chunked\r\n"
+            + f"X-Request-Id: {request_id}\r\nX-Instance-Id: {server}\r\n\r\n".encode()
+        )
+        first = int(headers.get("last-event-id", "0"))
+        for number in range(first + 1, self._events + 1):
+            event = b"id: %d\ndata: t%d\n\n" % (number, number)
+            connection.sendall(b"%x\r\n%s\r\n" % (len(event), event))
+            time.sleep(EVENT_INTERVAL_S)
+        connection.sendall(b"0\r\n\r\n")
+
+
+def _read_head(connection: socket.socket) -> tuple[str, dict[str, str]]:
+    """Read a request head; the path is empty if the peer closed the connection before its end."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        received = connection.recv(MAX_HEAD_BYTES)
+        if not received or len(data) > MAX_HEAD_BYTES:
+            return "", {}
+        data += received
+    lines = data.partition(b"\r\n\r\n")[0].decode("latin-1").split("\r\n")
+    pairs = (line.partition(":") for line in lines[1:])
+    return lines[0].split(" ")[1], {name.lower(): value.strip() for name, _, value in pairs}
--- /dev/null
+++ b/tests/platformworld.py
@@ -0,0 +1,247 @@
+"""Entry instances as processes, with engine stand-ins on the platform's store, for tests."""
+
+from __future__ import annotations
+
+import json
+import os
+import random
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import unittest
+from dataclasses import dataclass
+from pathlib import Path
+
+from bergamothill.connection.kvs import ABSENT
+from scripts.processes import ROOT
+from standins.base import HOST, Handler, Server
+from standins.platformengine import EngineArrival, PlatformEngineStandIn
+from standins.platformstore import PlatformStoreStandIn
+from tests.builders import NODE_SETTINGS, await_true, operator_config
+from tests.gatewayworld import TIMEOUT_S, read_all
+
+CALLER_PORT = 18_005
+READY_PORT = 18_002
+PEER_DISCOVERY_S = 3.0
+"""Time in which running instances read the registration of a new one."""
+
+CRASHING_PART = "bad0"
+SHARED_PARTS = ("a1", "b2")
+STOP_TIMEOUT_S = 10
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """What a caller got for one request.
+
+    :param request_id: id of the request
+    :param parts: names of the parts of its prompt
+    :param sent_s: monotonic time at which it was sent
+    :param status: HTTP status; 0 without an answer
+    :param answer: everything received
+    """
+
+    request_id: str
+    parts: tuple[str, ...]
+    sent_s: float
+    status: int
+    answer: bytes
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether an event of the answer was received."""
+        return self.status == 200 and b"data: " in self.answer
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether the complete answer was received."""
+        return self.has_begun and self.answer.endswith(b"0\r\n\r\n")
+
+
+class NodeProcess:
+    """One ``bergamothilld`` on a loopback address of its own.
+
+    :param name: name of the instance
+    :param host: its IP address
+    :param store_address: address of the store stand-in
+    :param folder: folder for its settings and log
+    """
+
+    def __init__(self, name: str, host: str, store_address: str, folder: Path) -> None:
+        self.host = host
+        self.log_path = folder / f"{name}.log"
+        self._settings_path = folder / f"{name}.toml"
+        settings = NODE_SETTINGS.replace("front-a-1", name).replace("127.0.0.1:18007", "STORE")
+        settings = settings.replace(HOST, host).replace("STORE", store_address)
+        self._settings_path.write_text(settings, encoding="utf-8")
+        self._process: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> None:
+        """Start the process."""
+        command = [sys.executable, "-m", "bergamothill.process.daemon", str(self._settings_path)]
+        with open(self.log_path, "ab") as log:
+            self._process = subprocess.Popen(command, cwd=ROOT, stdout=log, stderr=log)
+
+    def kill(self) -> None:
+        """End the process without notice."""
+        if self._process is not None:
+            self._process.kill()
+            self._process.wait(STOP_TIMEOUT_S)
+            self._process = None
+
+    def is_ready(self) -> bool:
+        """Return whether the readiness check succeeds."""
+        try:
+            with socket.create_connection((self.host, READY_PORT), timeout=1) as connection:
+                connection.sendall(b"GET /readiness HTTP/1.1\r\nHost: h\r\n\r\n")
+                return b" 200 " in connection.recv(200)
+        except OSError:
+            return False
+
+    def log_lines(self, text: str) -> list[str]:
+        """Return the log lines that contain a text."""
+        lines = self.log_path.read_text(encoding="utf-8", errors="replace").splitlines()
+        return [line for line in lines if text in line]
+
+
+class PlatformWorld:
+    """Store, engines, entry instances and callers.
+
+    :param folder: folder for settings and logs
+    :param entries: number of entry instances
+    :param engines: number of engines
+    """
+
+    def __init__(self, folder: Path, *, entries: int = 3, engines: int = 6) -> None:
+        self.store = PlatformStoreStandIn()
+        self._server = Server(HOST, 0, self.store, Handler)
+        threading.Thread(target=self._server.serve_forever, args=(0.02,), daemon=True).start()
+        kvs = self.store.service
+        config = operator_config()
+        asked = config["routes"][0] | {"name": "ask", "prefix": "/ask/", "maxAttempts": 1}
+        config["routes"].append(asked | {"resumable": False})
+        kvs.put_if("op/config", json.dumps(config).encode(), expected=ABSENT)
+        target = {"model": "m1", "version": 1}
+        kvs.put_if("op/version/m1", json.dumps(target).encode(), expected=ABSENT)
+        crashing = frozenset((CRASHING_PART,))
+        self.engines = [
+            PlatformEngineStandIn(kvs, f"e{n}", crashing_parts=crashing) for n in range(engines)
+        ]
+        # Addresses of its own, as each instance has a metrics port that is not configurable.
+        network = f"127.{random.randint(1, 250)}.{os.getpid() % 250 + 1}"
+        address = f"{HOST}:{self._server.server_port}"
+        self.nodes = [
+            NodeProcess(f"n{n}", f"{network}.{n + 1}", address, folder) for n in range(entries)
+        ]
+        self.outcomes: list[Outcome] = []
+        self._callers: list[threading.Thread] = []
+        self._numbers = iter(range(1_000_000))
+
+    def start(self) -> None:
+        """Start all engines and instances, and wait until the instances know each other."""
+        for engine in self.engines:
+            engine.start()
+        self.start_nodes()
+        time.sleep(PEER_DISCOVERY_S)
+
+    def start_nodes(self) -> None:
+        """Start all instances and wait until they are ready."""
+        for node in self.nodes:
+            node.start()
+        await_true(lambda: all(node.is_ready() for node in self.nodes))
+
+    def close(self) -> None:
+        """Stop everything."""
+        for thread in self._callers:
+            thread.join(TIMEOUT_S)
+        for node in self.nodes:
+            node.kill()
+        for engine in self.engines:
+            engine.stop()
+        self._server.shutdown()
+        self._server.server_close()
+
+    def ask(self, parts: tuple[str, ...], *, route: str = "quote") -> Outcome:
+        """Send a request, whose last part is its own, and return what the caller got.
+
+        :param parts: shared parts of the prompt
+        :param route: route of the request
+        """
+        number = next(self._numbers)
+        node = self.nodes[number % len(self.nodes)]
+        request_id, names = f"r{number}", (*parts, f"f{number:x}")
+        prefix = ",".join(f"{name}:20" for name in names)
+        sent_s = time.monotonic()
+        data = (
+            f"POST /{route}/{number:x} HTTP/1.1\r\nHost: desk.example\r\nConnection: close\r\n"
+            f"X-Request-Id: {request_id}\r\nAuthorization: Bearer key-1\r\nX-Model: m1\r\n"
+            f"X-Token-Counts: {20 * len(names)},12\r\nX-Prompt-Prefix: {prefix}\r\n"
+            "X-Deadline-Milliseconds: 8000\r\nContent-Length: 2\r\n\r\n{}"
+        ).encode()
+        try:
+            with socket.create_connection((node.host, CALLER_PORT), TIMEOUT_S) as connection:
+                connection.sendall(data)
+                answer = read_all(connection)
+        except OSError:
+            answer = b""
+        status = int(answer[9:12]) if answer.startswith(b"HTTP/1.1 ") else 0
+        outcome = Outcome(request_id, names, sent_s, status, answer)
+        self.outcomes.append(outcome)
+        return outcome
+
+    def ask_in_thread(self, parts: tuple[str, ...], *, route: str = "quote") -> None:
+        """Send a request from a thread of its own."""
+        thread = threading.Thread(target=self.ask, args=(parts,), kwargs={"route": route})
+        thread.start()
+        self._callers.append(thread)
+
+    def run_traffic(self, duration_s: float, *, sound_gap_s: float, crashing_gap_s: float) -> None:
+        """Send sound requests, and others that share a crashing part, at a steady rate.
+
+        :param duration_s: how long to send
+        :param sound_gap_s: time between two sound requests
+        :param crashing_gap_s: time between two requests with the crashing part; 0 for none
+        """
+        started_s = time.monotonic()
+        next_sound_s = next_crashing_s = started_s
+        crashing = 0
+        while (now_s := time.monotonic()) < started_s + duration_s:
+            if now_s >= next_sound_s:
+                next_sound_s += sound_gap_s
+                self.ask_in_thread(SHARED_PARTS, route=random.choice(("quote", "ask")))
+            if crashing_gap_s and now_s >= next_crashing_s:
+                next_crashing_s += crashing_gap_s
+                crashing += 1
+                shared = (SHARED_PARTS[0], CRASHING_PART, f"c{crashing:x}")
+                self.ask_in_thread(shared, route=("quote", "ask")[crashing % 2])
+            time.sleep(0.005)
+
+    def finish_traffic(self) -> None:
+        """Wait for the callers of all requests."""
+        for thread in self._callers:
+            thread.join(TIMEOUT_S)
+        self._callers.clear()
+
+    def crashes_s(self) -> list[float]:
+        """Return the times at which engines crashed, in order."""
+        return sorted(at_s for engine in self.engines for at_s in engine.crashes_s)
+
+    def crashing_arrivals(self) -> list[EngineArrival]:
+        """Return the requests with the crashing part that reached engines."""
+        arrivals = (arrival for engine in self.engines for arrival in engine.arrivals)
+        return [arrival for arrival in arrivals if CRASHING_PART in arrival.parts]
+
+
+class PlatformWorldCase(unittest.TestCase):
+    """Test case whose tests share one deployment."""
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        """Start the deployment."""
+        folder = cls.enterClassContext(tempfile.TemporaryDirectory())
+        cls.world = PlatformWorld(Path(folder))
+        cls.addClassCleanup(cls.world.close)
+        cls.world.start()
