--- /dev/null
+++ b/tests/test_quarantinereport.py
@@ -0,0 +1,114 @@
+"""Tests of the CBOR form of quarantine reports and of stored verdicts."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bergamothill.connection.datagrams import MAX_DATAGRAM_BYTES
+from bergamothill.errors import ProtocolError
+from bergamothill.process.loadreport import LoadReport, ServerLoad, decode_report, encode_report
+from bergamothill.process.quarantinereport import (
+    MAX_VERDICT_BYTES,
+    decode_quarantine_report,
+    decode_verdicts,
+    encode_quarantine_report,
+    encode_verdicts,
+    is_quarantine_report,
+)
+from bergamothill.request.crashevidence import CrashReport, PartId, ServerIncarnation
+from bergamothill.request.partquarantine import (
+    PeerTrial,
+    QuarantineReport,
+    ReportedCrash,
+    Verdict,
+)
+
+WALL_MS = 1_700_000_000_000
+
+
+def parts(*names):
+    return frozenset(PartId("m1", name) for name in names)
+
+
+def crash(number=1, age_ms=100, suspects=("a", "b")):
+    server = ServerIncarnation("s1", 1_700_000_000_000)
+    report = CrashReport("e1", number, f"r{number}", server, parts(*suspects), True)
+    return ReportedCrash(report, age_ms, parts("a"), parts("b"), False)
+
+
+def report(**changes):
+    values = {
+        "entry": "e1",
+        "sequence_number": 7,
+        "crashes": (crash(),),
+        "trials": (PeerTrial(parts("b"), "s2"), PeerTrial(parts("c"), None)),
+        "verdicts": (Verdict(parts("d", "e"), 40),),
+        **changes,
+    }
+    return QuarantineReport(**values)
+
+
+class DatagramTest(unittest.TestCase):
+    def test_round_trip(self):
+        self.assertEqual(report(), decode_quarantine_report(encode_quarantine_report(report())))
+
+    def test_the_two_kinds_of_datagrams_are_not_confused(self):
+        load = encode_report(LoadReport("quarantine", 1, {"s1": ServerLoad(1, 2, 3)}))
+        self.assertFalse(is_quarantine_report(load))
+        encoded = encode_quarantine_report(report())
+        self.assertTrue(is_quarantine_report(encoded))
+        with self.assertRaises(ProtocolError):  # as a build without quarantine reads it
+            decode_report(encoded)
+
+    @given(st.binary(max_size=60))
+    def test_invalid_datagrams_raise_only_protocol_errors(self, tail):
+        encoded = encode_quarantine_report(report(crashes=()))
+        for datagram in (tail, encoded[:12] + tail, encoded[: len(encoded) - len(tail)] + tail):
+            try:
+                decode_quarantine_report(datagram)
+            except ProtocolError:
+                continue
+
+    def test_a_report_that_is_too_large_keeps_the_verdicts_and_the_newest_crashes(self):
+        crashes = [crash(n, age_ms=n, suspects=(f"{n:x}" * 60,)) for n in range(1_000)]
+        encoded = encode_quarantine_report(report(crashes=tuple(crashes)))
+        self.assertLessEqual(len(encoded), MAX_DATAGRAM_BYTES)
+        found = decode_quarantine_report(encoded)
+        self.assertEqual(report().verdicts, found.verdicts)
+        self.assertEqual(0, min(item.age_ms for item in found.crashes))
+        self.assertEqual(len(found.crashes) - 1, max(item.age_ms for item in found.crashes))
+
+    def test_verdicts_alone_are_cut_to_the_size_of_a_datagram(self):
+        verdicts = tuple(Verdict(parts(f"{n}" * 50), n) for n in range(2_000))
+        encoded = encode_quarantine_report(report(crashes=(), verdicts=verdicts))
+        self.assertLessEqual(len(encoded), MAX_DATAGRAM_BYTES)
+        self.assertEqual(verdicts[0], decode_quarantine_report(encoded).verdicts[0])
+
+    def test_trials_of_parts_with_long_names_are_cut_to_the_size_of_a_datagram(self):
+        trials = tuple(PeerTrial(parts(f"{n}" * 2_000), None) for n in range(100))
+        encoded = encode_quarantine_report(report(trials=trials))
+        self.assertLessEqual(len(encoded), MAX_DATAGRAM_BYTES)
+
+
+class StoredVerdictsTest(unittest.TestCase):
+    def test_idle_time_goes_on_while_stored(self):
+        encoded = encode_verdicts([Verdict(parts("a"), 40)], WALL_MS)
+        self.assertEqual((Verdict(parts("a"), 1_040),), decode_verdicts(encoded, WALL_MS + 1_000))
+
+    def test_a_reader_whose_clock_is_behind_takes_a_verdict_as_just_used(self):
+        encoded = encode_verdicts([Verdict(parts("a"), 0)], WALL_MS)
+        self.assertEqual((Verdict(parts("a"), 0),), decode_verdicts(encoded, WALL_MS - 9_000))
+
+    def test_the_stored_value_is_bounded(self):
+        verdicts = [Verdict(parts(f"{n}" * 100), n) for n in range(9_000)]
+        encoded = encode_verdicts(verdicts, WALL_MS)
+        self.assertLessEqual(len(encoded), MAX_VERDICT_BYTES)
+        self.assertIn(verdicts[0], decode_verdicts(encoded, WALL_MS))
+
+    @given(st.binary(max_size=60))
+    def test_invalid_values_raise_only_protocol_errors(self, encoded):
+        try:
+            decode_verdicts(encoded, WALL_MS)
+        except ProtocolError:
+            return
