--- a/bergamothill/request/crashevidence.py
+++ b/bergamothill/request/crashevidence.py
@@ -1,13 +1,36 @@
-"""Reports of requests that broke off, as evidence against parts of their prompts; no I/O."""
+"""Reports of requests that broke off, as evidence against parts of their prompts; no I/O.
+
+What is known of a report only grows, so peers merge it by union: order, loss and repetition do no
+harm.
+"""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections.abc import Iterable
+from dataclasses import dataclass, field
 from typing import NewType
 
 from bergamothill.ids import EntryInstanceId, ModelName, RequestId, ServerId
 
-__all__ = ["CrashReport", "PartId", "RunNumber", "ServerIncarnation"]
+__all__ = [
+    "Crash",
+    "CrashEvidence",
+    "CrashReport",
+    "PartId",
+    "ReportedCrash",
+    "RunNumber",
+    "ServerIncarnation",
+]
+
+REPORT_TTL_MS = 600_000
+MAX_REPORTS = 512
+MAX_SHARED = 256
+MAX_SHARED_CHARACTERS = 40_000
+
+SETTLED_SHARE_MS = 10_000
+"""Time for which peers are told of a report that no longer leaves any part under suspicion."""
+
+EXPIRY_INTERVAL_MS = 1_000
 
 RunNumber = NewType("RunNumber", int)
 """Number of a run, unique among all runs of entry instances of one name."""
@@ -38,7 +61,7 @@
     :param request_id: caller's id of the request
     :param server: server that ran it
     :param suspects: parts of the prompt but for the last
-    :param is_trial: whether the run was a trial
+    :param tried: suspects for which the run was a trial
     """
 
     entry: EntryInstanceId
@@ -46,4 +69,308 @@
     request_id: RequestId
     server: ServerIncarnation
     suspects: frozenset[PartId]
-    is_trial: bool
+    tried: frozenset[PartId]
+
+
+@dataclass(frozen=True, slots=True)
+class ReportedCrash:
+    """Crash report with all that is known about it.
+
+    :param report: crash report
+    :param age_ms: time since the break
+    :param known_sound: suspects with which an answer succeeded, but not as in ``cleared``
+    :param cleared: suspects with which an answer succeeded that began after the break
+    :param is_void: the server was seen alive after the break
+    """
+
+    report: CrashReport
+    age_ms: int
+    known_sound: frozenset[PartId] = frozenset()
+    cleared: frozenset[PartId] = frozenset()
+    is_void: bool = False
+
+
+@dataclass(slots=True)
+class Crash:
+    """A crash report as known here.
+
+    :param broke_ms: time of the break
+    :param known_ms: time at which the report became known here
+    :param known_order: position of that among the events here
+    :param told_ms: time at which this instance last had something to add to what its peers know
+    """
+
+    report: CrashReport
+    broke_ms: int
+    known_ms: int
+    known_order: int
+    told_ms: int | None
+    known_sound: set[PartId] = field(default_factory=set)
+    cleared: set[PartId] = field(default_factory=set)
+    is_void: bool = False
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether no part is under suspicion because of this report."""
+        return self.is_void or self.report.suspects <= self.known_sound | self.cleared
+
+    def row(self, now_ms: int) -> ReportedCrash:
+        """Return the report for peers."""
+        return ReportedCrash(
+            self.report,
+            now_ms - self.broke_ms,
+            frozenset(self.known_sound),
+            frozenset(self.cleared),
+            self.is_void,
+        )
+
+    def has_more_than(self, row: ReportedCrash) -> bool:
+        """Return whether more is known here than a peer reported."""
+        return (
+            self.is_void > row.is_void
+            or not self.known_sound <= row.known_sound
+            or not self.cleared <= row.cleared
+        )
+
+
+_ReportKey = tuple[EntryInstanceId, RunNumber]
+
+
+class CrashEvidence:
+    """Crash reports of all entry instances, indexed by suspected part.
+
+    :param entry: this entry instance
+    """
+
+    def __init__(self, entry: EntryInstanceId) -> None:
+        self._entry = entry
+        self._crashes: dict[_ReportKey, Crash] = {}
+        self._by_part: dict[PartId, dict[_ReportKey, Crash]] = {}
+        self._verdicts: tuple[frozenset[PartId], ...] = ()
+        self._against: dict[PartId, tuple[Crash, ...]] = {}
+        self._explained: dict[ServerIncarnation, tuple[frozenset[PartId], ...]] | None = None
+        self._expired_ms = 0
+        self.order = 0
+        """Number of reports that became known so far."""
+
+    def add(self, report: CrashReport, known_sound: Iterable[PartId], now_ms: int) -> bool:
+        """Add a report of this instance, unless an earlier one of the same crash covers it."""
+        if any(_covers(crash, report) for crash in self._with_first_suspect(report)):
+            return False
+        self._insert(report, now_ms, now_ms, told_ms=now_ms).known_sound.update(known_sound)
+        self._forget_results()
+        return True
+
+    def merge(self, row: ReportedCrash, now_ms: int) -> bool:
+        """Merge a report from a peer; return whether something is new."""
+        key = (row.report.entry, row.report.run)
+        crash = self._crashes.get(key)
+        broke_ms = now_ms - max(0, row.age_ms)
+        if now_ms - broke_ms > REPORT_TTL_MS or not row.report.suspects:
+            return False
+        is_new = crash is None
+        if is_new:
+            crash = self._insert(row.report, broke_ms, now_ms, told_ms=None)
+        elif crash.has_more_than(row):
+            crash.told_ms = now_ms
+        crash.broke_ms = min(crash.broke_ms, broke_ms)
+        is_more = (
+            row.is_void > crash.is_void
+            or not row.known_sound <= crash.known_sound
+            or not row.cleared <= crash.cleared
+        )
+        if not (is_new or is_more):
+            return False
+        crash.known_sound |= row.known_sound
+        crash.cleared |= row.cleared
+        crash.is_void |= row.is_void
+        self._forget_results()
+        return True
+
+    def mark_sound(self, part: PartId, now_ms: int) -> bool:
+        """Record that an answer with a part succeeded; return whether this is new."""
+        is_new = False
+        for crash in self._by_part.get(part, {}).values():
+            if part not in crash.known_sound:
+                crash.known_sound.add(part)
+                crash.told_ms = now_ms
+                is_new = True
+        if is_new:
+            self._forget_results()
+        return is_new
+
+    def clear(self, part: PartId, began_order: int, now_ms: int) -> bool:
+        """Clear a part of the reports that were known when a successful run began."""
+        is_new = False
+        for crash in self._by_part.get(part, {}).values():
+            if part not in crash.cleared and crash.known_order <= began_order:
+                crash.cleared.add(part)
+                crash.told_ms = now_ms
+                is_new = True
+        if is_new:
+            self._forget_results()
+        return is_new
+
+    def void(self, server: ServerIncarnation, sent_ms: int, now_ms: int) -> bool:
+        """Void the reports on a server that answered a request sent after they were known."""
+        is_new = False
+        for crash in self._crashes.values():
+            if crash.report.server == server and not crash.is_void and crash.known_ms < sent_ms:
+                crash.is_void = True
+                crash.told_ms = now_ms
+                is_new = True
+        if is_new:
+            self._forget_results()
+        return is_new
+
+    def explain_by(self, verdicts: Iterable[frozenset[PartId]]) -> None:
+        """Set the verdicts; a crash under convicted parts is no evidence against other parts."""
+        self._verdicts = tuple(verdicts)
+        self._forget_results()
+
+    def against(self, part: PartId) -> tuple[Crash, ...]:
+        """Return the crashes that speak against a part."""
+        crashes = self._by_part.get(part)
+        if crashes is None:
+            return ()
+        result = self._against.get(part)
+        if result is None:
+            result = tuple(
+                crash
+                for crash in crashes.values()
+                if not crash.is_void
+                and part not in crash.cleared
+                and not self._is_explained(crash, part)
+            )
+            self._against[part] = result
+        return result
+
+    def is_known_sound(self, part: PartId) -> bool:
+        """Return whether a report says that an answer with the part succeeded."""
+        return any(part in crash.known_sound for crash in self._by_part.get(part, {}).values())
+
+    def parts(self) -> list[PartId]:
+        """Return all parts in reports."""
+        return list(self._by_part)
+
+    def __len__(self) -> int:
+        """Return the number of reports."""
+        return len(self._crashes)
+
+    def rows(self, now_ms: int) -> tuple[ReportedCrash, ...]:
+        """Return the reports that peers should get, the most important first.
+
+        These are the reports of this instance, those it has something to add to, and all those
+        against a part that has more than one crash against it, as their senders may have ended.
+        """
+        self._expire(now_ms)
+        shared = [crash for crash in self._crashes.values() if self._is_shared(crash, now_ms)]
+        shared.sort(key=lambda crash: (-self._weight(crash), -crash.broke_ms))
+        rows: list[ReportedCrash] = []
+        characters = 0
+        for crash in shared[:MAX_SHARED]:
+            characters += _size(crash)
+            if characters > MAX_SHARED_CHARACTERS:
+                break
+            rows.append(crash.row(now_ms))
+        return tuple(rows)
+
+    def _is_shared(self, crash: Crash, now_ms: int) -> bool:
+        if crash.told_ms is not None and now_ms - crash.told_ms <= SETTLED_SHARE_MS:
+            return True
+        if crash.is_settled:
+            return False
+        return crash.report.entry == self._entry or self._weight(crash) > 1
+
+    def _weight(self, crash: Crash) -> int:
+        """Return the most crashes that are known against a part of a report."""
+        return max(
+            (
+                len({other.report.server for other in self.against(part)})
+                for part in crash.report.suspects
+                if part not in crash.known_sound
+            ),
+            default=0,
+        )
+
+    def _with_first_suspect(self, report: CrashReport) -> Iterable[Crash]:
+        return self._by_part.get(min(report.suspects), {}).values()
+
+    def _is_explained(self, crash: Crash, part: PartId) -> bool:
+        verdicts = self._explanations().get(crash.report.server, ())
+        return any(part not in verdict for verdict in verdicts)
+
+    def _explanations(self) -> dict[ServerIncarnation, tuple[frozenset[PartId], ...]]:
+        if self._explained is None:
+            self._explained = {}
+            for crash in self._crashes.values() if self._verdicts else ():
+                server = crash.report.server
+                verdicts = tuple(v for v in self._verdicts if v <= crash.report.suspects)
+                if verdicts and not crash.is_void:
+                    self._explained[server] = self._explained.get(server, ()) + verdicts
+        return self._explained
+
+    def _insert(
+        self, report: CrashReport, broke_ms: int, now_ms: int, *, told_ms: int | None
+    ) -> Crash:
+        self._expire(now_ms)
+        if len(self._crashes) >= MAX_REPORTS:
+            self._evict_one()
+        self.order += 1
+        crash = Crash(report, broke_ms, now_ms, self.order, told_ms)
+        key = (report.entry, report.run)
+        self._crashes[key] = crash
+        for part in report.suspects:
+            self._by_part.setdefault(part, {})[key] = crash
+        return crash
+
+    def _evict_one(self) -> None:
+        """Drop the oldest of the reports that matter least."""
+        key = min(
+            self._crashes,
+            key=lambda key: (
+                not self._crashes[key].is_settled,
+                self._weight(self._crashes[key]) > 1,
+                self._crashes[key].broke_ms,
+            ),
+        )
+        self._remove(key)
+
+    def _expire(self, now_ms: int) -> None:
+        if now_ms - self._expired_ms < EXPIRY_INTERVAL_MS:
+            return
+        self._expired_ms = now_ms
+        for key, crash in list(self._crashes.items()):
+            if now_ms - crash.broke_ms > REPORT_TTL_MS:
+                self._remove(key)
+
+    def _remove(self, key: _ReportKey) -> None:
+        crash = self._crashes.pop(key)
+        for part in crash.report.suspects:
+            reports = self._by_part[part]
+            del reports[key]
+            if not reports:
+                del self._by_part[part]
+        self._forget_results()
+
+    def _forget_results(self) -> None:
+        self._against.clear()
+        self._explained = None
+
+
+def _covers(crash: Crash, report: CrashReport) -> bool:
+    known = crash.report
+    return (
+        known.entry == report.entry
+        and known.server == report.server
+        and known.suspects >= report.suspects
+        and known.tried >= report.tried
+        and not crash.is_void
+    )
+
+
+def _size(crash: Crash) -> int:
+    """Return about the size of a report in bytes."""
+    names = sum(len(part.name.encode()) + len(part.model) + 8 for part in crash.report.suspects)
+    # The suspects may be repeated among the tried, sound and cleared ones.
+    return 100 + len(crash.report.request_id) + 4 * names
--- a/bergamothill/request/partquarantine.py
+++ b/bergamothill/request/partquarantine.py
@@ -13,14 +13,22 @@
 from bergamothill.ids import EntryInstanceId, ModelName, RequestId, ServerId
 from bergamothill.request.callerrequest import PromptPart
 from bergamothill.request.crashevidence import (
+    CrashEvidence,
     CrashReport,
     PartId,
+    ReportedCrash,
     RunNumber,
     ServerIncarnation,
 )
+from bergamothill.request.quarantinereport import QuarantineReport, Verdict
+from bergamothill.request.soundparts import SoundParts
+from bergamothill.request.trialslots import PeerTrial, TrialSlots
+from bergamothill.request.verdictset import VerdictSet, find_verdict
 
 __all__ = [
     "AwaitTrial",
+    "CrashReport",
+    "PartId",
     "PartQuarantine",
     "PeerTrial",
     "Quarantined",
@@ -28,16 +36,40 @@
     "QuarantineVerdict",
     "ReportedCrash",
     "RunEnd",
+    "RunNumber",
+    "ServerIncarnation",
     "Trial",
     "Unsuspected",
     "Verdict",
 ]
 
+SUSPECT_AT = 1
+"""Crashed servers that make a part suspect."""
+
+SUSPECT_SOUND_AT = 3
+"""Separate crashes that make a part suspect with which answers succeeded lately."""
+
+LONE_TRIAL_AT = 2
+"""Crashed servers from which on a trial needs a server without another one."""
+
+SAME_CAUSE_MS = 500
+"""Servers that crash within this time of each other may share a cause, as an outage of a zone."""
+
+CONFIRM_MS = 300
+"""Time to learn that a server is alive, before its crash may convict."""
+
+WELL_BEGUN_MS = 200
+"""Length of an answer from which on its parts are known to be sound."""
+
+WAIT_FOR_CONFIRMATION_MS = 100
+
 
 class RunEnd(Enum):
     """How the run of a request at a server ended."""
 
     COMPLETE = "complete"
+    """A whole, successful answer."""
+
     CRASHED = "crashed"
     """The server closed or reset the connection before the end of the answer."""
 
@@ -85,69 +117,15 @@
 QuarantineVerdict = Unsuspected | Trial | AwaitTrial | Quarantined
 
 
-@dataclass(frozen=True, slots=True)
-class Verdict:
-    """Parts that crash servers when a prompt has all of them; most often a single one.
-
-    :param parts: convicted parts
-    :param idle_ms: time since the last request with these parts
-    """
-
+@dataclass(slots=True)
+class _Run:
+    request_id: RequestId
+    server: ServerIncarnation
     parts: frozenset[PartId]
-    idle_ms: int
-
-
-@dataclass(frozen=True, slots=True)
-class ReportedCrash:
-    """Crash report with all that is known about it; merged by union.
-
-    :param report: crash report
-    :param age_ms: time since the break
-    :param known_sound: suspects of the report with which an answer succeeded before it
-    :param cleared: suspects with which an answer succeeded after it
-    :param is_void: the server was seen alive after the break
-    """
-
-    report: CrashReport
-    age_ms: int
-    known_sound: frozenset[PartId]
-    cleared: frozenset[PartId]
-    is_void: bool
-
-
-@dataclass(frozen=True, slots=True)
-class PeerTrial:
-    """Trial that is running, or that a request waits for.
-
-    :param parts: suspected parts
-    :param server: server that runs it; None while the request waits
-    """
-
-    parts: frozenset[PartId]
-    server: ServerId | None
-
-
-@dataclass(frozen=True, slots=True)
-class QuarantineReport:
-    """Snapshot that an entry instance sends to its peers.
-
-    :param entry: sender
-    :param sequence_number: increases with each report; initially the sender's wall-clock time
-    :param crashes: crash reports
-    :param trials: the sender's trials
-    :param verdicts: convicted parts
-    """
-
-    entry: EntryInstanceId
-    sequence_number: int
-    crashes: tuple[ReportedCrash, ...] = ()
-    trials: tuple[PeerTrial, ...] = ()
-    verdicts: tuple[Verdict, ...] = ()
-
-    @property
-    def is_empty(self) -> bool:
-        """Whether there is nothing to tell."""
-        return not (self.crashes or self.trials or self.verdicts)
+    tried: frozenset[PartId]
+    began_order: int
+    first_event_ms: int | None = None
+    is_sound: bool = False
 
 
 class PartQuarantine:
@@ -160,6 +138,12 @@
     def __init__(self, entry: EntryInstanceId, started_wall_ms: int) -> None:
         self._entry = entry
         self._sequence_number = started_wall_ms
+        self._next_run = started_wall_ms * 1_000
+        self._runs: dict[RunNumber, _Run] = {}
+        self._sound = SoundParts()
+        self._evidence = CrashEvidence(entry)
+        self._slots = TrialSlots(entry)
+        self._verdicts = VerdictSet()
         self.report_revision = 0
         """Increases when peers should get a report at once."""
 
@@ -173,7 +157,23 @@
 
         :param parts: all parts of the prompt; the last one is never suspected
         """
-        return Unsuspected()
+        shared = _shared_parts(model, parts)
+        if not shared:
+            return Unsuspected()
+        convicted = self._convicted(shared, now_ms)
+        if convicted is not None:
+            return Quarantined(convicted)
+        suspects = frozenset(part for part in shared if self._is_suspect(part, now_ms))
+        if not suspects:
+            return Unsuspected()
+        if self._slots.claim(suspects, now_ms):
+            self.report_revision += 1
+        if self._verdict_on(suspects, shared, now_ms, known_before_ms=now_ms) is not None:
+            return AwaitTrial(WAIT_FOR_CONFIRMATION_MS)
+        wait_ms = self._slots.wait_ms(suspects, now_ms)
+        if wait_ms:
+            return AwaitTrial(wait_ms)
+        return Trial(suspects, any(self._crash_count(p) >= LONE_TRIAL_AT for p in suspects))
 
     def begin_run(
         self,
@@ -191,40 +191,176 @@
 
         :param trial: result of the check, if it was a trial
         """
-        return RunNumber(0)
+        number = RunNumber(self._next_run)
+        self._next_run += 1
+        tried = trial.parts if trial is not None else frozenset()
+        shared = _shared_parts(model, parts)
+        self._runs[number] = _Run(request_id, server, shared, tried, self._evidence.order)
+        if trial is not None:
+            self._slots.begin(number, tried, server.server, now_ms)
+            self.report_revision += 1
+        return number
 
     def record_event(self, run: RunNumber, now_ms: int) -> None:
         """Record that an event of the answer arrived."""
+        state = self._runs.get(run)
+        if state is None or state.is_sound:
+            return
+        if state.first_event_ms is None:
+            state.first_event_ms = now_ms
+        elif now_ms - state.first_event_ms >= WELL_BEGUN_MS:
+            self._record_sound(run, state, now_ms)
 
     def end_run(self, run: RunNumber, end: RunEnd, now_ms: int) -> None:
         """Record the end of a run."""
+        state = self._runs.pop(run, None)
+        if state is None:
+            return
+        if end is RunEnd.COMPLETE and not state.is_sound:
+            self._record_sound(run, state, now_ms)
+        has_changed = self._slots.end(run)
+        if end is RunEnd.CRASHED and state.parts and not _is_well_begun(state, now_ms):
+            has_changed |= self._add_crash(run, state, now_ms)
+        self.report_revision += has_changed
 
     def record_alive(self, server: ServerIncarnation, sent_ms: int, now_ms: int) -> None:
         """Record that a server answered a request.
 
         :param sent_ms: time at which the request was sent
         """
+        self.report_revision += self._evidence.void(server, sent_ms, now_ms)
 
     def servers_under_trial(self, now_ms: int) -> frozenset[ServerId]:
         """Return the servers that run a trial of any entry instance."""
-        return frozenset()
+        return self._slots.servers(now_ms)
 
     def may_send(self, model: ModelName, parts: Sequence[PromptPart], now_ms: int) -> bool:
         """Return False if the parts have been convicted."""
-        return True
+        shared = _shared_parts(model, parts)
+        return not shared or self._convicted(shared, now_ms) is None
 
     def merge(self, report: QuarantineReport, now_ms: int) -> bool:
         """Merge the report of a peer; return whether waiting requests should ask again."""
-        return False
+        if report.entry == self._entry:
+            return False
+        is_new = self._slots.set_peer(report.entry, report.sequence_number, report.trials, now_ms)
+        for row in report.crashes:
+            is_new |= self._evidence.merge(row, now_ms)
+            for part in row.report.suspects:
+                if self._sound.contains(part, now_ms):
+                    self.report_revision += self._evidence.mark_sound(part, now_ms)
+        return self._merge_verdicts(report.verdicts, now_ms) or is_new
 
     def report(self, now_ms: int) -> QuarantineReport:
         """Return a snapshot for the peers."""
-        return QuarantineReport(self._entry, self._sequence_number)
+        for part in self._evidence.parts():
+            self._convicted(frozenset({part}), now_ms)
+        self._sequence_number += 1
+        return QuarantineReport(
+            self._entry,
+            self._sequence_number,
+            self._evidence.rows(now_ms),
+            self._slots.own(now_ms),
+            self._verdicts.rows(now_ms),
+        )
 
     def verdicts(self, now_ms: int) -> tuple[Verdict, ...]:
         """Return the verdicts in force, for the store."""
-        return ()
+        return self._verdicts.rows(now_ms)
 
     def add_verdicts(self, verdicts: Iterable[Verdict], now_ms: int) -> bool:
         """Add verdicts from the store; return whether any is new."""
-        return False
+        revision = self.verdict_revision
+        is_new = self._merge_verdicts(verdicts, now_ms)
+        self.verdict_revision = revision
+        return is_new
+
+    def _merge_verdicts(self, verdicts: Iterable[Verdict], now_ms: int) -> bool:
+        added = [self._add_verdict(v.parts, now_ms - v.idle_ms, now_ms) for v in verdicts]
+        return any(added)
+
+    def _add_verdict(self, parts: frozenset[PartId], used_ms: int, now_ms: int) -> bool:
+        is_new = self._verdicts.add(parts, used_ms, now_ms)
+        if is_new:
+            self._evidence.explain_by(self._verdicts.parts())
+            self.report_revision += 1
+            self.verdict_revision += 1
+        return is_new
+
+    def _convicted(self, shared: frozenset[PartId], now_ms: int) -> frozenset[PartId] | None:
+        """Return the verdict on a request, after adding any that the evidence justifies by now."""
+        known = self._verdicts.find(shared, now_ms)
+        if known is not None:
+            return known
+        for part in shared:
+            verdict = self._verdict_on({part}, None, now_ms, known_before_ms=now_ms - CONFIRM_MS)
+            if verdict is not None:
+                self._add_verdict(verdict, now_ms, now_ms)
+        return self._verdicts.find(shared, now_ms)
+
+    def _verdict_on(
+        self,
+        suspects: Iterable[PartId],
+        shared: frozenset[PartId] | None,
+        now_ms: int,
+        *,
+        known_before_ms: int,
+    ) -> frozenset[PartId] | None:
+        """Return the first verdict on any of the parts, if limited to ``shared`` one within it."""
+        for part in suspects:
+            crashes = self._evidence.against(part)
+            if not crashes:
+                continue
+            concerned = {other for crash in crashes for other in crash.report.suspects}
+            sound = {other for other in concerned if self._is_sound(other, now_ms)}
+            verdict = find_verdict(self._evidence, part, sound, known_before_ms)
+            if verdict is not None and (shared is None or verdict <= shared):
+                return verdict
+        return None
+
+    def _is_sound(self, part: PartId, now_ms: int) -> bool:
+        return self._sound.contains(part, now_ms) or self._evidence.is_known_sound(part)
+
+    def _is_suspect(self, part: PartId, now_ms: int) -> bool:
+        if not self._evidence.against(part):
+            return False
+        if not self._is_sound(part, now_ms):
+            return self._crash_count(part) >= SUSPECT_AT
+        return self._separate_crash_count(part) >= SUSPECT_SOUND_AT
+
+    def _crash_count(self, part: PartId) -> int:
+        return len({crash.report.server for crash in self._evidence.against(part)})
+
+    def _separate_crash_count(self, part: PartId) -> int:
+        count, last_ms = 0, None
+        for broke_ms in sorted(crash.broke_ms for crash in self._evidence.against(part)):
+            if last_ms is None or broke_ms - last_ms > SAME_CAUSE_MS:
+                count += 1
+            last_ms = broke_ms
+        return count
+
+    def _add_crash(self, run: RunNumber, state: _Run, now_ms: int) -> bool:
+        known_sound = {part for part in state.parts if self._sound.contains(part, now_ms)}
+        report = CrashReport(
+            self._entry, run, state.request_id, state.server, state.parts, state.tried
+        )
+        return self._evidence.add(report, known_sound, now_ms)
+
+    def _record_sound(self, run: RunNumber, state: _Run, now_ms: int) -> None:
+        state.is_sound = True
+        has_changed = self._slots.end(run)
+        for part in state.parts:
+            self._sound.record(part, now_ms)
+            has_changed |= self._evidence.mark_sound(part, now_ms)
+            has_changed |= self._evidence.clear(part, state.began_order, now_ms)
+        self.report_revision += has_changed
+
+
+def _shared_parts(model: ModelName, parts: Sequence[PromptPart]) -> frozenset[PartId]:
+    """Return the parts of a prompt that other requests may share: all but the last."""
+    return frozenset(PartId(model, part.name) for part in parts[:-1])
+
+
+def _is_well_begun(state: _Run, now_ms: int) -> bool:
+    first_ms = state.first_event_ms
+    return state.is_sound or (first_ms is not None and now_ms - first_ms >= WELL_BEGUN_MS)
--- /dev/null
+++ b/bergamothill/request/quarantinereport.py
@@ -0,0 +1,46 @@
+"""Snapshot in which entry instances tell peers of crashes, trials and verdicts."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from bergamothill.ids import EntryInstanceId
+from bergamothill.request.crashevidence import PartId, ReportedCrash
+from bergamothill.request.trialslots import PeerTrial
+
+__all__ = ["QuarantineReport", "Verdict"]
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """Parts that crash servers when a prompt has all of them; most often a single one.
+
+    :param parts: convicted parts
+    :param idle_ms: time since the last request with these parts
+    """
+
+    parts: frozenset[PartId]
+    idle_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class QuarantineReport:
+    """Snapshot of what one entry instance knows.
+
+    :param entry: sender
+    :param sequence_number: increases with each report; initially the sender's wall-clock time
+    :param crashes: crash reports
+    :param trials: the sender's trials and claims
+    :param verdicts: convicted parts
+    """
+
+    entry: EntryInstanceId
+    sequence_number: int
+    crashes: tuple[ReportedCrash, ...] = ()
+    trials: tuple[PeerTrial, ...] = ()
+    verdicts: tuple[Verdict, ...] = ()
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether there is nothing to tell."""
+        return not (self.crashes or self.trials or self.verdicts)
