--- a/bergamothill/process/quarantinereport.py
+++ b/bergamothill/process/quarantinecodec.py
@@ -113,7 +113,7 @@
         report.request_id,
         [report.server.server, report.server.started_wall_ms],
         table.references(report.suspects),
-        report.is_trial,
+        table.references(report.tried),
         crash.age_ms,
         table.references(crash.known_sound),
         table.references(crash.cleared),
@@ -145,7 +145,7 @@
 
 
 def _decode_crash(row: Any, reader: _PartReader) -> ReportedCrash:
-    entry, run, request_id, (server, started_wall_ms), suspects, is_trial, *rest = row
+    entry, run, request_id, (server, started_wall_ms), suspects, tried, *rest = row
     age_ms, known_sound, cleared, is_void, *_ = rest
     return ReportedCrash(
         CrashReport(
@@ -154,7 +154,7 @@
             RequestId(str(request_id)),
             ServerIncarnation(ServerId(str(server)), int(started_wall_ms)),
             reader.parts(suspects),
-            bool(is_trial),
+            reader.parts(tried),
         ),
         max(0, int(age_ms)),
         reader.parts(known_sound),
--- a/tests/test_quarantinereport.py
+++ b/tests/test_quarantinecodec.py
@@ -8,7 +8,7 @@
 from bergamothill.connection.datagrams import MAX_DATAGRAM_BYTES
 from bergamothill.errors import ProtocolError
 from bergamothill.process.loadreport import LoadReport, ServerLoad, decode_report, encode_report
-from bergamothill.process.quarantinereport import (
+from bergamothill.process.quarantinecodec import (
     MAX_VERDICT_BYTES,
     decode_quarantine_report,
     decode_verdicts,
@@ -33,7 +33,7 @@
 
 def crash(number=1, age_ms=100, suspects=("a", "b")):
     server = ServerIncarnation("s1", 1_700_000_000_000)
-    report = CrashReport("e1", number, f"r{number}", server, parts(*suspects), True)
+    report = CrashReport("e1", number, f"r{number}", server, parts(*suspects), parts(*suspects[:1]))
     return ReportedCrash(report, age_ms, parts("a"), parts("b"), False)
 
 
