Quarantine reports between entry instances, on the socket of the load reports

Sent at once on a change, repeated every 100 ms for 500 ms, then every 400 ms (2 ms for each peer in large deployments, below the 1 s for which a report of trials lives) while there is anything to tell. Load reports are sent and read as before.

--- a/bergamothill/process/loadexchange.py
+++ b/bergamothill/process/loadexchange.py
@@ -52,6 +52,23 @@
         self._sequence_number = time.time_ns()
         self._last_sent_ms = 0
         self._last_loads: dict = {}
+        self._is_other_kind: Callable[[bytes], bool] = _is_never
+        self._on_other_kind: Callable[[bytes], None] = _ignore
+
+    def set_other_kind(
+        self, is_kind: Callable[[bytes], bool], on_datagram: Callable[[bytes], None]
+    ) -> None:
+        """Let datagrams of another kind share the socket.
+
+        :param is_kind: tells them from load reports
+        :param on_datagram: called with each of them
+        """
+        self._is_other_kind = is_kind
+        self._on_other_kind = on_datagram
+
+    def send_to_peers(self, datagram: bytes) -> None:
+        """Send a datagram to all known peers."""
+        self._datagrams.send(datagram, [(peer.host, peer.port) for peer in self._peers.values()])
 
     @property
     def instance_count(self) -> int:
@@ -93,9 +110,12 @@
         self._sequence_number += 1
         self._last_sent_ms, self._last_loads = now_ms, loads
         report = encode_report(LoadReport(self._entry, self._sequence_number, loads))
-        self._datagrams.send(report, [(peer.host, peer.port) for peer in self._peers.values()])
+        self.send_to_peers(report)
 
     def _on_datagram(self, datagram: bytes) -> None:
+        if self._is_other_kind(datagram):
+            self._on_other_kind(datagram)
+            return
         try:
             report = decode_report(datagram)
         except ProtocolError as error:
@@ -103,3 +123,11 @@
             return
         self._loads.add_report(report, self._clock.now_ms())
         self._on_report()
+
+
+def _is_never(_datagram: bytes) -> bool:
+    return False
+
+
+def _ignore(_datagram: bytes) -> None:
+    return
--- /dev/null
+++ b/bergamothill/process/quarantineexchange.py
@@ -0,0 +1,83 @@
+"""Exchanges quarantine reports with the other entry instances, on the event loop."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from bergamothill.clock import Clock, ms_to_seconds
+from bergamothill.errors import ProtocolError
+from bergamothill.logs import EventLog
+from bergamothill.process.loadexchange import LoadExchange
+from bergamothill.process.quarantinecodec import (
+    decode_quarantine_report,
+    encode_quarantine_report,
+    is_quarantine_report,
+)
+from bergamothill.process.reportschedule import BURST_INTERVAL_MS, ReportSchedule
+from bergamothill.request.partquarantine import PartQuarantine, QuarantineReport
+
+__all__ = ["QuarantineExchange"]
+
+_log = EventLog("peers")
+
+
+class QuarantineExchange:
+    """Sends this entry instance's quarantine reports and receives those of the others.
+
+    :param clock: source of time
+    :param quarantine: source of the reports
+    :param load_exchange: its socket carries the reports
+    :param on_report: called with each received report
+    :param on_check: called at least every 100 ms
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        quarantine: PartQuarantine,
+        load_exchange: LoadExchange,
+        on_report: Callable[[QuarantineReport], None],
+        on_check: Callable[[], None],
+    ) -> None:
+        self._clock = clock
+        self._quarantine = quarantine
+        self._load_exchange = load_exchange
+        self._on_report = on_report
+        self._on_check = on_check
+        self._schedule = ReportSchedule()
+        self._wake = asyncio.Event()
+        load_exchange.set_other_kind(is_quarantine_report, self._on_datagram)
+
+    def wake(self) -> None:
+        """Send what changed at once, together with other changes of this moment."""
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Send reports until cancelled."""
+        while True:
+            try:
+                async with asyncio.timeout(ms_to_seconds(BURST_INTERVAL_MS)):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+            self._wake.clear()
+            self._send_if_due()
+            self._on_check()
+
+    def _send_if_due(self) -> None:
+        now_ms = self._clock.now_ms()
+        peer_count = self._load_exchange.instance_count - 1
+        if not self._schedule.is_due(self._quarantine.report_revision, peer_count, now_ms):
+            return
+        report = self._quarantine.report(now_ms)
+        if peer_count and not report.is_empty:
+            self._load_exchange.send_to_peers(encode_quarantine_report(report))
+
+    def _on_datagram(self, datagram: bytes) -> None:
+        try:
+            report = decode_quarantine_report(datagram)
+        except ProtocolError as error:
+            _log.info("report_unreadable", reason=error.message)
+            return
+        self._on_report(report)
--- /dev/null
+++ b/bergamothill/process/reportschedule.py
@@ -0,0 +1,41 @@
+"""When an entry instance sends its next quarantine report; no I/O and no clock."""
+
+from __future__ import annotations
+
+__all__ = ["ReportSchedule"]
+
+BURST_INTERVAL_MS = 100
+BURST_MS = 500
+KEEPALIVE_MS = 400
+KEEPALIVE_PER_PEER_MS = 2  # a report of trials lives for 1 s at its receivers
+
+
+class ReportSchedule:
+    """Sends a change at once and repeats it, as datagrams get lost; then sends now and then."""
+
+    def __init__(self) -> None:
+        self._revision = 0
+        self._changed_ms: int | None = None
+        self._sent_ms: int | None = None
+
+    def is_due(self, revision: int, peer_count: int, now_ms: int) -> bool:
+        """Return whether a report is due, and record that it is then sent.
+
+        :param revision: number that grows with each change that peers should learn at once
+        :param peer_count: number of peers
+        """
+        if revision != self._revision:
+            self._revision = revision
+            self._changed_ms = self._sent_ms = now_ms
+            return True
+        if self._sent_ms is not None and now_ms - self._sent_ms < self._interval_ms(
+            peer_count, now_ms
+        ):
+            return False
+        self._sent_ms = now_ms
+        return True
+
+    def _interval_ms(self, peer_count: int, now_ms: int) -> int:
+        if self._changed_ms is not None and now_ms - self._changed_ms <= BURST_MS:
+            return BURST_INTERVAL_MS
+        return max(KEEPALIVE_MS, KEEPALIVE_PER_PEER_MS * peer_count)
