Prompt parts that crash servers are no longer sent to one server after another

Cause: an instance chose a server for each prompt without regard to what had become of earlier prompts with the same parts, and repeated a run that broke off with its connection at the next server.

Each prompt with shared parts is now checked by the quarantine before it is sent, repeated or resumed, and after each wait. A run reports how it ended before the next step is chosen: crashed only if the server closed or reset the connection, not for stalls, refusals, malformed answers, deadlines and callers that left. Suspected parts run as trials on the engine with the fewest requests in progress; other prompts avoid it if others have room. Convicted parts are refused with 503, Retry-After and a JSON body that names the part (502 if the request ran before), also when the connection to the server is already open. An instance is ready once it has read the stored verdicts, and reads them again after a pause of its own before it sends prompts. Plain services and prompts without shared parts are not checked.

--- a/bergamothill/connection/backendhttp.py
+++ b/bergamothill/connection/backendhttp.py
@@ -51,10 +51,12 @@
 
     :param end: how it ended
     :param detail: description of a failure, for the log
+    :param was_closed: whether the server closed or reset the connection
     """
 
     end: ExchangeEnd
     detail: str = ""
+    was_closed: bool = False
 
 
 class ExchangeSink(Protocol):
@@ -145,9 +147,11 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Finish the exchange; closing the connection may mark the end of the body."""
         if self._body_ends_at_close and self._eof_received and exc is None:
-            self._finish(ExchangeEnd.COMPLETE, "")
+            self._finish(ExchangeEnd.COMPLETE, "", was_closed=True)
         else:
-            self._finish(ExchangeEnd.BROKEN, str(exc) if exc else "connection closed")
+            was_closed = exc is None or isinstance(exc, ConnectionError)
+            detail = str(exc) if exc else "connection closed"
+            self._finish(ExchangeEnd.BROKEN, detail, was_closed=was_closed)
 
     def on_message_begin(self) -> None:
         """Reset the state for a response; informational responses may precede the final one."""
@@ -185,6 +189,6 @@
         if not self._is_informational:
             self._finish(ExchangeEnd.COMPLETE, "")
 
-    def _finish(self, end: ExchangeEnd, detail: str) -> None:
+    def _finish(self, end: ExchangeEnd, detail: str, *, was_closed: bool = False) -> None:
         if not self._done.done():
-            self._done.set_result(ExchangeResult(end, detail))
+            self._done.set_result(ExchangeResult(end, detail, was_closed))
--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -17,6 +17,7 @@
 from bergamothill.process.configstate import Admission, ConfigState, Verdict
 from bergamothill.process.gatewaymetrics import GatewayMetrics
 from bergamothill.process.nodesettings import DeploymentBounds
+from bergamothill.process.quarantinegate import QuarantineGate
 from bergamothill.process.requestrun import RequestRun
 from bergamothill.process.serverpool import ServerPool
 from bergamothill.request.callerrequest import CallerRequest, RawRequest
@@ -48,6 +49,7 @@
     :param config: configuration in force
     :param server_pool: observed state of the backend servers
     :param metrics: counters and histograms
+    :param gate: quarantine of prompt parts
     """
 
     def __init__(
@@ -57,6 +59,7 @@
         config: ConfigState,
         server_pool: ServerPool,
         metrics: GatewayMetrics,
+        gate: QuarantineGate,
     ) -> None:
         self._clock = clock
         self._started_ms = clock.now_ms()
@@ -64,6 +67,7 @@
         self._config = config
         self._server_pool = server_pool
         self._metrics = metrics
+        self._gate = gate
         self._retry_budgets: dict[ServiceName, WindowedRetryBudget] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._runs: set[RequestRun] = set()
@@ -183,6 +187,7 @@
             self._metrics,
             self.admission_queue(service.name),
             self.retry_budget(service.name),
+            self._gate,
             connection,
             request,
             admission,
--- /dev/null
+++ b/bergamothill/process/nodequarantine.py
@@ -0,0 +1,71 @@
+"""Quarantine of prompt parts in an entry instance: its gate, its exchange and its store."""
+
+from __future__ import annotations
+
+import asyncio
+import threading
+
+from bergamothill.clock import Clock
+from bergamothill.connection.kvs import KeyValueService
+from bergamothill.ids import EntryInstanceId
+from bergamothill.process.gatewaymetrics import GatewayMetrics
+from bergamothill.process.loadexchange import LoadExchange
+from bergamothill.process.quarantineexchange import QuarantineExchange
+from bergamothill.process.quarantinegate import QuarantineGate
+from bergamothill.process.verdictstore import VerdictStore
+from bergamothill.request.partquarantine import PartQuarantine, Verdict
+
+__all__ = ["NodeQuarantine"]
+
+
+class NodeQuarantine:
+    """Connects the quarantine with the peers and the key-value service.
+
+    :param entry: this entry instance
+    :param clock: source of time
+    :param metrics: counters and histograms
+    :param load_exchange: its socket carries the reports
+    """
+
+    def __init__(
+        self,
+        entry: EntryInstanceId,
+        clock: Clock,
+        metrics: GatewayMetrics,
+        load_exchange: LoadExchange,
+    ) -> None:
+        quarantine = PartQuarantine(entry, clock.wall_ms())
+        self.gate = QuarantineGate(clock, quarantine, metrics)
+        self._clock = clock
+        self._exchange = QuarantineExchange(
+            clock, quarantine, load_exchange, self.gate.merge, self.gate.record_check
+        )
+        self._store: VerdictStore | None = None
+
+    async def run(self, kvs: KeyValueService) -> None:
+        """Exchange reports and keep the verdicts stored until cancelled.
+
+        :param kvs: key-value service
+        """
+        loop = asyncio.get_running_loop()
+
+        def on_read(verdicts: tuple[Verdict, ...]) -> None:
+            loop.call_soon_threadsafe(self.gate.add_stored_verdicts, verdicts)
+
+        store = self._store = VerdictStore(kvs, self._clock, on_read)
+        gate = self.gate
+        gate.on_change = self._exchange.wake
+        gate.on_pause = store.request_read
+        gate.on_verdicts = lambda verdicts, delay_ms: store.record(verdicts, delay_ms=delay_ms)
+        threading.Thread(target=store.run, name="verdicts", daemon=True).start()
+        await self._exchange.run()
+
+    def stop(self) -> None:
+        """Stop the thread that reads and writes verdicts."""
+        if self._store is not None:
+            self._store.stop()
+
+    def handle_restore(self) -> None:
+        """React to a restoration of the key-value service; callable from any thread."""
+        if self._store is not None:
+            self._store.handle_restore()
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -28,6 +28,7 @@
 from bergamothill.process.leasemachine import LeaseTimes
 from bergamothill.process.loadexchange import LoadExchange
 from bergamothill.process.loadreport import PeerLoads
+from bergamothill.process.nodequarantine import NodeQuarantine
 from bergamothill.process.nodesettings import DeploymentBounds, NodeSettings
 from bergamothill.process.operatorview import OperatorView
 from bergamothill.process.ordergap import OrderGapGuard, read_settled_era
@@ -112,7 +113,16 @@
         self._exchange = LoadExchange(
             settings.entry, clock, self._server_pool, peer_loads, self._on_load_report
         )
-        self._gateway = Gateway(clock, bounds, self._config, self._server_pool, self._metrics)
+        self._quarantine = NodeQuarantine(settings.entry, clock, self._metrics, self._exchange)
+        self._server_pool.servers_under_trial = self._quarantine.gate.servers_under_trial
+        self._gateway = Gateway(
+            clock,
+            bounds,
+            self._config,
+            self._server_pool,
+            self._metrics,
+            self._quarantine.gate,
+        )
         self._connections: set[CallerConnection] = set()
         self._draining = False
         self._unreadable_keys: set[str] = set()
@@ -189,6 +199,7 @@
         )
         tasks = [
             reports,
+            loop.create_task(self._quarantine.run(self._kvs)),
             loop.create_task(self._gateway.watch_for_stalls()),
             loop.create_task(self._make_sweep_duty().run()),
         ]
@@ -202,6 +213,7 @@
             follower.stop()
         self._listener.stop()
         registry.stop()
+        self._quarantine.stop()
         for task in tasks:
             task.cancel()
         swaps.join(timeout=ms_to_seconds(EXIT_MARGIN_MS // 2))
@@ -245,6 +257,7 @@
         self._loop.call_soon_threadsafe(self._config.record_restore, now_ms)
         self._loop.call_soon_threadsafe(self._server_pool.kvs_restored, now_ms)
         self._registry.handle_restore()
+        self._quarantine.handle_restore()
         for follower in self._followers:
             follower.wake()
 
@@ -293,6 +306,7 @@
         """Return whether this instance can serve callers."""
         now_ms = self._clock.now_ms()
         has_state = self._config.table is not None and self._server_pool.listed_ms is not None
+        has_state = has_state and self._quarantine.gate.has_read
         return has_state and not self._draining and self._config.is_config_fresh(now_ms)
 
     # Observed state.
--- /dev/null
+++ b/bergamothill/process/promptruns.py
@@ -0,0 +1,67 @@
+"""Steps of a request that concern the quarantine of prompt parts."""
+
+from __future__ import annotations
+
+import json
+
+from bergamothill.clock import Clock
+from bergamothill.connection.backendhttp import ExchangeEnd, ExchangeResult
+from bergamothill.process.quarantinegate import QuarantineGate
+from bergamothill.request.callerrequest import Header
+from bergamothill.request.forwarding import Finish, Forwarding, ForwardStep, Reason, WaitForTrial
+from bergamothill.request.partquarantine import RunEnd
+
+__all__ = ["classify_run_end", "encode_refusal", "wait_for_trial"]
+
+
+async def wait_for_trial(
+    gate: QuarantineGate, forwarding: Forwarding, clock: Clock, wait: WaitForTrial
+) -> ForwardStep:
+    """Wait until the suspected parts of a request may be tried, are cleared or are convicted.
+
+    :returns: the next step
+    """
+    give_up_ms = wait.give_up_ms
+    while (left_ms := give_up_ms - clock.now_ms()) > 0:
+        await gate.wait_for_change(min(wait.retry_ms, left_ms))
+        step = forwarding.retry(clock.now_ms())
+        if not isinstance(step, WaitForTrial):
+            return step
+        wait = step
+    return forwarding.on_trial_unavailable(clock.now_ms())
+
+
+def classify_run_end(outcome: str, result: ExchangeResult, *, has_begun: bool) -> RunEnd:
+    """Return what the end of an attempt tells about the parts of its prompt.
+
+    An answer that ends with its connection is whole only if something of it has arrived.
+
+    :param outcome: outcome of the attempt
+    :param result: how the exchange ended
+    :param has_begun: whether bytes of the answer arrived
+    """
+    is_whole = outcome == "success" and (has_begun or not result.was_closed)
+    if is_whole:
+        return RunEnd.COMPLETE
+    is_lost = result.end in (ExchangeEnd.BROKEN, ExchangeEnd.COMPLETE) and result.was_closed
+    return RunEnd.CRASHED if is_lost and outcome in ("broken", "success") else RunEnd.OTHER
+
+
+def encode_refusal(step: Finish) -> tuple[list[Header], bytes]:
+    """Return the header fields and the body of an answer without a server.
+
+    :param step: final step of the request
+    """
+    if step.reason is not Reason.QUARANTINED:
+        return [], b""
+    names = sorted(part.name for part in step.parts)
+    error = {
+        "type": "prompt_part_quarantined",
+        "message": (
+            "Servers crashed when they began an answer on this part of the prompt. "
+            "Send the request without it."
+        ),
+        "part": names[0] if len(names) == 1 else names,
+    }
+    body = json.dumps({"error": error}).encode()
+    return [(b"Content-Type", b"application/json")], body
--- a/bergamothill/process/requestrun.py
+++ b/bergamothill/process/requestrun.py
@@ -18,6 +18,8 @@
 from bergamothill.process.admissionqueue import AdmissionQueue
 from bergamothill.process.configstate import Admission
 from bergamothill.process.gatewaymetrics import GatewayMetrics
+from bergamothill.process.promptruns import classify_run_end, encode_refusal, wait_for_trial
+from bergamothill.process.quarantinegate import PromptRun, QuarantineGate
 from bergamothill.process.serverpool import ServerPool
 from bergamothill.request.answerrelay import AnswerRelay, AttemptVerdict
 from bergamothill.request.callerrequest import CallerRequest, ForwardTerms, ResponseHead
@@ -29,7 +31,9 @@
     ForwardStep,
     Send,
     WaitForMemory,
+    WaitForTrial,
 )
+from bergamothill.request.partquarantine import RunEnd
 from bergamothill.request.requestqueue import QueuedRequest
 from bergamothill.request.windowedbudget import WindowedRetryBudget
 from bergamothill.version.routetable import RetryPolicy, Route, Service
@@ -47,6 +51,7 @@
     :param metrics: counters and histograms
     :param queue: requests that wait for capacity of the same service
     :param retry_budget: retry budget of the service
+    :param gate: quarantine of prompt parts
     :param connection: connection of the caller
     :param request: caller's request
     :param admission: decision that admitted the request
@@ -60,6 +65,7 @@
         metrics: GatewayMetrics,
         queue: AdmissionQueue,
         retry_budget: WindowedRetryBudget,
+        gate: QuarantineGate,
         connection: CallerConnection,
         request: CallerRequest,
         admission: Admission,
@@ -70,6 +76,8 @@
         self._server_pool = server_pool
         self._metrics = metrics
         self._queue = queue
+        self._gate = gate
+        self._prompt_run: PromptRun | None = None
         self._connection = connection
         self._request = request
         self._admission = admission
@@ -97,6 +105,7 @@
             server_pool,
             retry_budget,
             random.random(),
+            gate,
         )
         self._relay = AnswerRelay(
             connection,
@@ -119,6 +128,8 @@
             self._is_streaming = True
             self._server_pool.stream_began(self._current_server)
             self._server_pool.record_first_token(self._terms, now_ms - self._sent_ms, now_ms)
+        if self._prompt_run is not None and self._relay.verdict is AttemptVerdict.SUCCESS:
+            self._prompt_run.record_event(now_ms)
         self._server_pool.record_bytes(self._current_server, now_ms)
 
     def _on_own_head(self, head: ResponseHead) -> None:
@@ -126,6 +137,8 @@
         self._own_head = head
         server = self._send.server
         is_other_instance = head.status == 421 and head.instance != server.server
+        if self._prompt_run is not None and not is_other_instance:
+            self._prompt_run.record_alive(self._clock.now_ms())
         if not head.is_leaving or is_other_instance:
             return
         self._said_leaving = True
@@ -166,12 +179,8 @@
         remaining_s = ms_to_seconds(self._forwarding.due_ms - self._clock.now_ms())
         try:
             async with asyncio.timeout(max(0.0, remaining_s)) as self._timeout:
-                while isinstance(step, Send | WaitForMemory):
-                    step = await (
-                        self._attempt(step)
-                        if isinstance(step, Send)
-                        else self._wait_for_capacity(step)
-                    )
+                while isinstance(step, Send | WaitForMemory | WaitForTrial):
+                    step = await self._perform(step)
         except TimeoutError:
             self.record_abandoned_attempt()
             step = self._forwarding.on_expired(self._clock.now_ms())
@@ -184,7 +193,23 @@
             self._attempt_log.append(f"{server}:given_up:0:{self._clock.now_ms() - started_ms}ms")
             self._open_attempt = None
 
-    async def _wait_for_capacity(self, wait: WaitForMemory) -> ForwardStep:
+    @singledispatchmethod
+    async def _perform(self, step: ForwardStep) -> ForwardStep:
+        raise TypeError(f"not a step to perform: {step!r}")
+
+    @_perform.register
+    async def _(self, step: Send) -> ForwardStep:
+        return await self._attempt(step)
+
+    @_perform.register
+    async def _(self, step: WaitForTrial) -> ForwardStep:
+        started_ms = self._clock.now_ms()
+        next_step = await wait_for_trial(self._gate, self._forwarding, self._clock, step)
+        self._attempt_log.append(f"awaited_trial:{self._clock.now_ms() - started_ms}ms")
+        return next_step
+
+    @_perform.register
+    async def _(self, wait: WaitForMemory) -> ForwardStep:
         """Wait in the admission queue for capacity at the engines."""
         queue = self._queue
         arrived_ms = self._request.raw.arrived_ms
@@ -219,9 +244,15 @@
             server, tokens, send.terms.pending_prefill_tokens, started_ms
         )
         self._queue.requests.record_admission(tokens, started_ms)
+        if self._request.parts and self._service.engine is not None:
+            self._prompt_run = self._gate.begin_run(self._request, send, started_ms)
         try:
             result = await self._exchange(send)
+        except BaseException:
+            self._end_prompt_run(RunEnd.OTHER)
+            raise
         finally:
+            has_begun = self._is_streaming
             self._clear_pending_prefill()
             if self._is_streaming:
                 self._is_streaming = False
@@ -232,6 +263,8 @@
         now_ms = self._clock.now_ms()
         self._record_pause(result.end, now_ms)
         outcome = self._attempt_outcome(result.end)
+        # Before the next step is chosen, so that no crash is repeated blindly.
+        self._end_prompt_run(classify_run_end(outcome, result, has_begun=has_begun))
         status = relay.head.status if relay.head is not None else 0
         self._attempt_log.append(
             f"{server}:{outcome}:{status}:{now_ms - started_ms}ms:{_placement_summary(send.terms)}"
@@ -239,6 +272,17 @@
         )
         return self._next_step(outcome, send, now_ms)
 
+    def _end_prompt_run(self, end: RunEnd) -> None:
+        prompt_run, self._prompt_run = self._prompt_run, None
+        if prompt_run is not None:
+            prompt_run.end(end, self._clock.now_ms())
+
+    def _may_send(self, send: Send) -> bool:
+        now_ms = self._clock.now_ms()
+        if self._prompt_run is not None and not self._gate.may_send(self._request, now_ms):
+            return False
+        return self._server_pool.may_send_to(send.server, now_ms)
+
     async def _exchange(self, send: Send) -> ExchangeResult:
         """Send one request to a server; a stalled answer counts as a broken connection."""
         self._is_stalled = False
@@ -248,7 +292,7 @@
                 send.server.address,
                 encode_forward(self._request, send.terms),
                 self._relay,
-                may_send=lambda: self._server_pool.may_send_to(send.server, self._clock.now_ms()),
+                may_send=lambda: self._may_send(send),
                 is_head=self._request.raw.method == b"HEAD",
             )
         )
@@ -334,10 +378,13 @@
 
     @_apply_final_step.register
     def _(self, step: Finish) -> None:
-        headers = []
+        headers, body = encode_refusal(step)
         if step.retry_after_ms is not None:
             headers.append((b"Retry-After", b"%.3f" % ms_to_seconds(step.retry_after_ms)))
-        self._connection.send_response(step.status, headers, b"")
+        if step.parts:
+            self._attempt_log.append("quarantined:" + ",".join(sorted(p.name for p in step.parts)))
+        is_head = self._request.raw.method == b"HEAD"
+        self._connection.send_response(step.status, headers, b"" if is_head else body)
         self.log(step.reason.value, step.status)
 
     @_apply_final_step.register
--- a/bergamothill/process/serverpool.py
+++ b/bergamothill/process/serverpool.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from bergamothill.ids import ModelName, ServerId, ZoneName
 from bergamothill.logs import EventLog
 from bergamothill.process.backends import BackendServer
@@ -14,6 +16,7 @@
 from bergamothill.process.loadreport import PeerLoads, ServerLoad
 from bergamothill.process.observedserver import ObservedServer
 from bergamothill.process.serverlist import ServerList
+from bergamothill.process.trialplacement import TrialPlacement
 from bergamothill.request.callerrequest import CallerRequest, ForwardTerms
 from bergamothill.request.contextplan import ContextPlanner
 from bergamothill.request.forwarding import AllQuiet, NoFreeMemory
@@ -112,6 +115,8 @@
         self.targets: dict[ModelName, WeightTarget] = {}
         self._target_histories: dict[ModelName, TargetHistory] = {}
         self._checked_ms: int | None = None
+        self.servers_under_trial: Callable[[int], frozenset[ServerId]] = lambda _now_ms: frozenset()
+        """Returns the servers that try a prompt part that may crash them."""
 
     def _rebuild_index(self) -> None:
         super()._rebuild_index()
@@ -359,6 +364,38 @@
 
         Implements :class:`~bergamothill.request.forwarding.ServerChooser`.
         """
+        placement = TrialPlacement(self.servers_under_trial(now_ms), self._peer_loads)
+        return self._choose(service, request, brand, avoided, urgency, now_ms, placement.avoid)
+
+    def choose_for_trial(
+        self,
+        service: Service,
+        request: CallerRequest,
+        brand: Brand | None,
+        avoided: tuple[str, ...],
+        urgency: int,
+        now_ms: int,
+        *,
+        needs_lone_server: bool,
+    ) -> tuple[BackendServer, ForwardTerms] | NoFreeMemory | AllQuiet | None:
+        """Choose the server with the fewest requests in progress, without another trial.
+
+        Implements :class:`~bergamothill.request.forwarding.ServerChooser`.
+        """
+        placement = TrialPlacement(self.servers_under_trial(now_ms), self._peer_loads)
+        select = placement.select_lone if needs_lone_server else placement.select
+        return self._choose(service, request, brand, avoided, urgency, now_ms, select)
+
+    def _choose(
+        self,
+        service: Service,
+        request: CallerRequest,
+        brand: Brand | None,
+        avoided: tuple[str, ...],
+        urgency: int,
+        now_ms: int,
+        select: Callable[[list[ObservedServer]], list[ObservedServer]],
+    ) -> tuple[BackendServer, ForwardTerms] | NoFreeMemory | AllQuiet | None:
         usable = self.usable(service.name, now_ms)
         if not usable:
             quiet_until_ms = self.quiet_until_ms(service.name, now_ms)
@@ -386,6 +423,7 @@
         preferred = self._preferred_by_weights(candidates, request.model, now_ms)
         for group in (preferred, candidates):
             with_room = [b for b in group if self._has_room(b, service.engine, request, urgency)]
+            with_room = select(with_room)
             if with_room:
                 entry, terms = self._selector.place(
                     with_room, service.engine, request, brand, now_ms
--- /dev/null
+++ b/bergamothill/process/trialplacement.py
@@ -0,0 +1,47 @@
+"""Which engines may run a prompt while some of them try suspected prompt parts; no I/O."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from bergamothill.ids import ServerId
+from bergamothill.process.loadreport import PeerLoads
+from bergamothill.process.observedserver import ObservedServer
+
+__all__ = ["TrialPlacement"]
+
+
+@dataclass(frozen=True, slots=True)
+class TrialPlacement:
+    """Selects among engines that have room.
+
+    :param under_trial: servers on which a trial is running
+    :param peer_loads: loads reported by the other entry instances
+    """
+
+    under_trial: frozenset[ServerId]
+    peer_loads: PeerLoads
+
+    def avoid(self, servers: list[ObservedServer]) -> list[ObservedServer]:
+        """Return the servers without a trial, or all if each has one."""
+        return self.select_free(servers) or servers if self.under_trial else servers
+
+    def select(self, servers: list[ObservedServer]) -> list[ObservedServer]:
+        """Return the servers on which a trial puts the fewest other requests at risk."""
+        return self._least_loaded(self.avoid(servers))
+
+    def select_lone(self, servers: list[ObservedServer]) -> list[ObservedServer]:
+        """Return the same, but no server on which another trial is running."""
+        return self._least_loaded(self.select_free(servers))
+
+    def select_free(self, servers: list[ObservedServer]) -> list[ObservedServer]:
+        """Return the servers without a trial."""
+        return [state for state in servers if state.entry.server not in self.under_trial]
+
+    def _least_loaded(self, servers: list[ObservedServer]) -> list[ObservedServer]:
+        counts = {state.entry.server: self._in_progress(state) for state in servers}
+        fewest = min(counts.values(), default=0)
+        return [state for state in servers if counts[state.entry.server] == fewest]
+
+    def _in_progress(self, state: ObservedServer) -> int:
+        return state.in_progress + self.peer_loads.load_on(state.entry.server).in_progress
--- a/bergamothill/request/forwarding.py
+++ b/bergamothill/request/forwarding.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from typing import Protocol
 
@@ -14,6 +14,14 @@
 from bergamothill.process.backends import BackendServer
 from bergamothill.request.attemptlog import Attempt, AttemptLog
 from bergamothill.request.callerrequest import CallerRequest, ForwardTerms
+from bergamothill.request.crashevidence import PartId
+from bergamothill.request.partquarantine import (
+    AwaitTrial,
+    Quarantined,
+    QuarantineVerdict,
+    Trial,
+    Unsuspected,
+)
 from bergamothill.request.windowedbudget import WindowedRetryBudget
 from bergamothill.version.routetable import Brand, Route, Service
 
@@ -28,7 +36,9 @@
     "NoFreeMemory",
     "Reason",
     "Send",
+    "PartScreen",
     "ServerChooser",
+    "WaitForTrial",
 ]
 
 MAX_FORWARD_ATTEMPTS = 6
@@ -40,6 +50,9 @@
 RETRY_AFTER_JITTER_MS = 350
 """Range of the random addition to Retry-After; keeps callers from retrying all at once."""
 
+QUARANTINE_RETRY_AFTER_MS = 30_000
+"""Retry-After of a refusal because of a part that crashes servers; it will be refused for long."""
+
 MIN_TIME_LEFT_MS = 5
 """Remaining time below which no attempt is made, since no server can answer that fast."""
 
@@ -56,6 +69,9 @@
 TYPICAL_FIRST_EVENT_MS = 150
 """Typical time to the first event at an engine with free memory."""
 
+MIN_TRIAL_WAIT_MS = 300
+"""Longer than a trial that succeeds takes, for repeats of requests that missed their objective."""
+
 LOWEST_URGENCY = 9
 ROUTE_RANKS = 3
 """Number of route ranks; the brand's rank takes precedence over the route's."""
@@ -71,6 +87,8 @@
     EXPIRED = "expired"
     FULL = "engines_full"
     QUIET = "servers_ask_for_quiet"
+    AWAITS_TRIAL = "part_under_trial"
+    QUARANTINED = "part_quarantined"
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,11 +98,13 @@
     :param server: server to send it to
     :param terms: values to set in the forwarded request
     :param attempt: entry in the attempt log
+    :param trial: parts of the prompt that are tried; None if none is under suspicion
     """
 
     server: BackendServer
     terms: ForwardTerms
     attempt: Attempt
+    trial: Trial | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,11 +119,13 @@
     :param status: HTTP status; 503 guarantees that the request has not run and never will
     :param retry_after_ms: delay before a retry, in milliseconds; None if a retry may not help
     :param reason: why there is no answer from a server
+    :param parts: parts of the prompt that are the reason, if they are
     """
 
     status: int
     retry_after_ms: int | None
     reason: Reason
+    parts: frozenset[PartId] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -129,7 +151,19 @@
     give_up_ms: int
 
 
-ForwardStep = Send | Deliver | Finish | AbortStream | WaitForMemory
+@dataclass(frozen=True, slots=True)
+class WaitForTrial:
+    """Wait until suspected parts may be tried, then call :meth:`Forwarding.retry`.
+
+    :param retry_ms: time after which to ask again
+    :param give_up_ms: time after which waiting no longer helps
+    """
+
+    retry_ms: int
+    give_up_ms: int
+
+
+ForwardStep = Send | Deliver | Finish | AbortStream | WaitForMemory | WaitForTrial
 
 
 class NoFreeMemory:
@@ -167,6 +201,29 @@
         :param avoided: servers that already failed the request; chosen only as a last resort
         """
 
+    def choose_for_trial(
+        self,
+        service: Service,
+        request: CallerRequest,
+        brand: Brand | None,
+        avoided: tuple[str, ...],
+        urgency: int,
+        now_ms: int,
+        *,
+        needs_lone_server: bool,
+    ) -> tuple[BackendServer, ForwardTerms] | NoFreeMemory | AllQuiet | None:
+        """Choose a server where few requests would go down with this one.
+
+        :param needs_lone_server: no other trial may run there
+        """
+
+
+class PartScreen(Protocol):
+    """Tells whether a prompt may be sent, by what is known of its parts."""
+
+    def check(self, request: CallerRequest, now_ms: int) -> QuarantineVerdict:
+        """Return whether a prompt may be sent."""
+
 
 class Forwarding:
     """State machine of one forwarded request.
@@ -178,6 +235,7 @@
     :param chooser: chooses servers
     :param retry_budget: retry budget of the service
     :param jitter: random number in [0, 1) that spreads the retries of refused callers
+    :param screen: screens the parts of prompts; None to send all
     """
 
     def __init__(
@@ -189,6 +247,7 @@
         chooser: ServerChooser,
         retry_budget: WindowedRetryBudget,
         jitter: float,
+        screen: PartScreen | None = None,
     ) -> None:
         self.attempts = AttemptLog()
         self.stream_started = False
@@ -199,6 +258,9 @@
         self._chooser = chooser
         self._retry_budget = retry_budget
         self._jitter = jitter
+        has_shared_parts = service.engine is not None and request.model is not None
+        has_shared_parts &= len(request.parts) > 1
+        self._screen = screen if has_shared_parts else None
         self._run_count = 0
         self._urgency = _urgency(route, brand)
         self._resume_event_id = ""
@@ -252,15 +314,30 @@
         return self._give_up(now_ms, Reason.EXPIRED)
 
     def retry(self, now_ms: int) -> ForwardStep:
-        """Try again to find a server with free memory."""
+        """Try again to find a server with free memory, or to begin a trial."""
         return self._send(now_ms, self._resume_event_id)
 
     def on_full(self, now_ms: int) -> ForwardStep:
         """Give up, because waiting for free memory no longer helps."""
         return self._give_up(now_ms, Reason.FULL)
 
+    def on_trial_unavailable(self, now_ms: int) -> ForwardStep:
+        """Give up, because waiting for a trial no longer helps."""
+        return self._give_up(now_ms, Reason.AWAITS_TRIAL)
+
     def _wait_for_memory(self, now_ms: int, last_event_id: str) -> ForwardStep:
         self._resume_event_id = last_event_id
+        on_time_until_ms, give_up_ms = self._wait_limits_ms(now_ms)
+        tokens = self._request.prompt_tokens
+        return WaitForMemory(self._urgency, tokens, on_time_until_ms, give_up_ms)
+
+    def _wait_for_trial(self, wait: AwaitTrial, now_ms: int, last_event_id: str) -> ForwardStep:
+        self._resume_event_id = last_event_id
+        give_up_ms = max(self._wait_limits_ms(now_ms)[1], now_ms + MIN_TRIAL_WAIT_MS)
+        return WaitForTrial(wait.retry_ms, min(give_up_ms, self.due_ms))
+
+    def _wait_limits_ms(self, now_ms: int) -> tuple[int, int]:
+        """Return until when the objective can be met, and until when waiting helps."""
         request = self._request
         route = self._route
         if self.stream_started:
@@ -271,12 +348,14 @@
             # meet theirs, so it is refused and may be retried.
             on_time_until_ms = request.raw.arrived_ms + route.target_ms - TYPICAL_FIRST_EVENT_MS
             give_up_ms = max(now_ms, on_time_until_ms)
-        give_up_ms = min(give_up_ms, self.due_ms)
-        return WaitForMemory(self._urgency, request.prompt_tokens, on_time_until_ms, give_up_ms)
+        return (on_time_until_ms, min(give_up_ms, self.due_ms))
 
     def _next_attempt(self, now_ms: int, last_event_id: str, *, is_repeat: bool) -> ForwardStep:
         if len(self.attempts.servers) >= MAX_FORWARD_ATTEMPTS:
             return self._give_up(now_ms, Reason.REFUSED)
+        verdict = self._check_parts(now_ms) if is_repeat else None
+        if isinstance(verdict, Quarantined):
+            return self._refuse_parts(verdict, now_ms)
         if is_repeat and not self._retry_budget.try_spend(now_ms):
             return self._give_up(now_ms, Reason.BUDGET)
         return self._send(now_ms, last_event_id)
@@ -284,9 +363,13 @@
     def _send(self, now_ms: int, last_event_id: str) -> ForwardStep:
         if self.due_ms - now_ms < MIN_TIME_LEFT_MS:
             return self._give_up(now_ms, Reason.EXPIRED)
-        chosen = self._chooser.choose(
-            self._service, self._request, self._brand, self.attempts.servers, self._urgency, now_ms
-        )
+        verdict = self._check_parts(now_ms)
+        if isinstance(verdict, Quarantined):
+            return self._refuse_parts(verdict, now_ms)
+        if isinstance(verdict, AwaitTrial):
+            return self._wait_for_trial(verdict, now_ms, last_event_id)
+        trial = verdict if isinstance(verdict, Trial) else None
+        chosen = self._choose(trial, now_ms)
         if chosen is None:
             return self._give_up(now_ms, Reason.NO_SERVER)
         if isinstance(chosen, AllQuiet):
@@ -300,7 +383,23 @@
             terms.urgency = self._urgency
         attempt = self.attempts.begin(server.server)
         self.attempts.mark_sending(attempt)
-        return Send(server, terms, attempt)
+        return Send(server, terms, attempt, trial)
+
+    def _check_parts(self, now_ms: int) -> QuarantineVerdict:
+        return Unsuspected() if self._screen is None else self._screen.check(self._request, now_ms)
+
+    def _choose(
+        self, trial: Trial | None, now_ms: int
+    ) -> tuple[BackendServer, ForwardTerms] | NoFreeMemory | AllQuiet | None:
+        service, request, brand = self._service, self._request, self._brand
+        arguments = (service, request, brand, self.attempts.servers, self._urgency, now_ms)
+        if trial is None:
+            return self._chooser.choose(*arguments)
+        return self._chooser.choose_for_trial(*arguments, needs_lone_server=trial.needs_lone_server)
+
+    def _refuse_parts(self, verdict: Quarantined, now_ms: int) -> ForwardStep:
+        step = self._give_up(now_ms, Reason.QUARANTINED, wait_ms=QUARANTINE_RETRY_AFTER_MS)
+        return replace(step, parts=verdict.parts) if isinstance(step, Finish) else step
 
     def _give_up(
         self, now_ms: int, reason: Reason, *, wait_ms: int = MIN_RETRY_AFTER_MS
--- a/bergamothill/request/partquarantine.py
+++ b/bergamothill/request/partquarantine.py
@@ -163,7 +163,7 @@
         convicted = self._convicted(shared, now_ms)
         if convicted is not None:
             return Quarantined(convicted)
-        suspects = frozenset(part for part in shared if self._is_suspect(part, now_ms))
+        suspects = self.suspects(model, parts, now_ms)
         if not suspects:
             return Unsuspected()
         if self._slots.claim(suspects, now_ms):
@@ -230,6 +230,13 @@
         """
         self.report_revision += self._evidence.void(server, sent_ms, now_ms)
 
+    def suspects(
+        self, model: ModelName, parts: Sequence[PromptPart], now_ms: int
+    ) -> frozenset[PartId]:
+        """Return the parts of a prompt that are under suspicion."""
+        shared = _shared_parts(model, parts)
+        return frozenset(part for part in shared if self._is_suspect(part, now_ms))
+
     def servers_under_trial(self, now_ms: int) -> frozenset[ServerId]:
         """Return the servers that run a trial of any entry instance."""
         return self._slots.servers(now_ms)
--- a/tests/gatewayworld.py
+++ b/tests/gatewayworld.py
@@ -18,6 +18,8 @@
 from bergamothill.process.configstate import ConfigState
 from bergamothill.process.gateway import Gateway
 from bergamothill.process.gatewaymetrics import GatewayMetrics
+from bergamothill.process.quarantinegate import QuarantineGate
+from bergamothill.request.partquarantine import PartQuarantine
 from tests.builders import NODE_SETTINGS, backend, routing_config, server_pool
 
 HOST = "127.0.0.1"
@@ -176,7 +178,11 @@
         ]
         self.server_pool = server_pool(*servers)
         self.metrics = GatewayMetrics()
-        self.gateway = Gateway(self.clock, bounds, self.config, self.server_pool, self.metrics)
+        quarantine = PartQuarantine("front-a-1", self.clock.wall_ms())
+        gate = QuarantineGate(self.clock, quarantine, self.metrics)
+        self.gateway = Gateway(
+            self.clock, bounds, self.config, self.server_pool, self.metrics, gate
+        )
         self.clock.advance_ms(age_ms)
         self.config.apply(routing_config(), 1, self.clock.now_ms())
         self._loop = asyncio.new_event_loop()
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -1,11 +1,15 @@
 """Tests of the state machine of a forwarded request."""
 
 import unittest
+from unittest import mock
 
 from bergamothill.process.backends import BackendServer
-from bergamothill.request.callerrequest import ForwardTerms
+from bergamothill.request.callerrequest import ForwardTerms, PromptPart
+from bergamothill.request.crashevidence import PartId
 from bergamothill.request.forwarding import (
     MAX_FIRST_EVENT_MS,
+    MIN_TRIAL_WAIT_MS,
+    QUARANTINE_RETRY_AFTER_MS,
     TYPICAL_FIRST_EVENT_MS,
     AbortStream,
     Deliver,
@@ -15,7 +19,9 @@
     Reason,
     Send,
     WaitForMemory,
+    WaitForTrial,
 )
+from bergamothill.request.partquarantine import AwaitTrial, Quarantined, Trial, Unsuspected
 from bergamothill.request.windowedbudget import WindowedRetryBudget
 from tests.builders import backend, caller_request, routing_config
 
@@ -26,6 +32,7 @@
     def __init__(self, *servers: BackendServer) -> None:
         self.servers = servers
         self.answer = None
+        self.needs_lone_server = None
 
     def choose(self, service, request, brand, avoided, urgency, now_ms):
         if self.answer is not None:
@@ -33,6 +40,22 @@
         fresh = [s for s in self.servers if s.server not in avoided] or list(self.servers)
         return (fresh[0], ForwardTerms(fresh[0].server, 0)) if fresh else None
 
+    def choose_for_trial(self, *arguments, needs_lone_server):
+        self.needs_lone_server = needs_lone_server
+        return self.choose(*arguments)
+
+
+class Screen:
+    """Returns the verdict that a test sets."""
+
+    def __init__(self, verdict) -> None:
+        self.verdict = verdict
+        self.checks = 0
+
+    def check(self, request, now_ms):
+        self.checks += 1
+        return self.verdict
+
 
 class RetryBudgetTest(unittest.TestCase):
     def spend_all(self, budget, now_ms):
@@ -54,8 +77,8 @@
         self.assertEqual(8, self.spend_all(budget, 5_000))
 
 
-class ForwardingTest(unittest.TestCase):
-    def forwarding(self, route=0, chooser=None, ratio=1.0, **changes):
+class ForwardingCase(unittest.TestCase):
+    def forwarding(self, route=0, chooser=None, ratio=1.0, screen=None, **changes):
         config = routing_config()
         route = config.routes[route]
         service = config.services[route.shares[0].service]
@@ -63,8 +86,10 @@
         share = WindowedRetryBudget(ratio, 10, 10_000, started_ms=-10_001)
         brand = config.brands["key-1"]
         request = caller_request(**changes)
-        return Forwarding(request, route, service, brand, self.chooser, share, 0.5)
+        return Forwarding(request, route, service, brand, self.chooser, share, 0.5, screen)
+
 
+class ForwardingTest(ForwardingCase):
     def test_terms_carry_the_time_that_is_left(self):
         step = self.forwarding(caller_timeout_ms=3_000).begin(1_000)
         self.assertEqual(2_000, step.terms.time_left_ms)
@@ -185,3 +210,87 @@
         self.chooser.answer = NoFreeMemory()
         wait = run.on_answer_lost(first, 1_000, last_event_id="7")
         self.assertEqual(1_000 + 2_400 - MAX_FIRST_EVENT_MS, wait.give_up_ms)
+
+
+PARTS = frozenset({PartId("m1", "a")})
+
+
+class SuspectedPartsTest(ForwardingCase):
+    def test_a_prompt_with_a_quarantined_part_is_refused_at_once_as_not_run(self):
+        screen = Screen(Quarantined(PARTS))
+        step = self.forwarding(screen=screen).begin(0)
+        self.assertEqual((503, Reason.QUARANTINED), (step.status, step.reason))
+        self.assertEqual(PARTS, step.parts)
+        self.assertGreaterEqual(step.retry_after_ms, QUARANTINE_RETRY_AFTER_MS)
+
+    def test_a_broken_run_is_not_repeated_with_a_quarantined_part_nor_called_not_run(self):
+        screen = Screen(Unsuspected())
+        run = self.forwarding(screen=screen)
+        first = run.begin(0)
+        screen.verdict = Quarantined(PARTS)
+        step = run.on_answer_lost(first, 10, last_event_id="")
+        self.assertEqual((502, Reason.QUARANTINED), (step.status, step.reason))
+
+    def test_a_refused_repeat_costs_no_budget(self):
+        screen = Screen(Unsuspected())
+        run = self.forwarding(screen=screen)
+        run._retry_budget = mock.Mock()
+        first = run.begin(0)
+        screen.verdict = Quarantined(PARTS)
+        run.on_answer_lost(first, 10, last_event_id="")
+        run._retry_budget.try_spend.assert_not_called()
+
+    def test_a_stream_is_not_resumed_with_a_quarantined_part(self):
+        screen = Screen(Unsuspected())
+        run = self.forwarding(screen=screen)
+        first = run.begin(0)
+        run.stream_started = True
+        screen.verdict = Quarantined(PARTS)
+        step = run.on_answer_lost(first, 50, last_event_id="7")
+        self.assertEqual(AbortStream(Reason.QUARANTINED), step)
+
+    def test_a_prompt_that_was_not_written_as_its_part_was_convicted_is_refused(self):
+        screen = Screen(Unsuspected())
+        run = self.forwarding(screen=screen)
+        first = run.begin(0)
+        screen.verdict = Quarantined(PARTS)
+        step = run.on_not_connected(first, 10)
+        self.assertEqual((503, Reason.QUARANTINED), (step.status, step.reason))
+
+    def test_a_trial_is_placed_as_such(self):
+        for needs_lone_server in (False, True):
+            trial = Trial(PARTS, needs_lone_server)
+            step = self.forwarding(screen=Screen(trial)).begin(0)
+            self.assertIs(trial, step.trial)
+            self.assertIs(needs_lone_server, self.chooser.needs_lone_server)
+
+    def test_a_prompt_that_waits_for_a_trial_asks_again_from_where_it_stood(self):
+        screen = Screen(Unsuspected())
+        run = self.forwarding(screen=screen)
+        first = run.begin(0)
+        run.stream_started = True
+        screen.verdict = AwaitTrial(30)
+        wait = run.on_answer_lost(first, 50, last_event_id="7")
+        self.assertEqual(30, wait.retry_ms)
+        screen.verdict = Trial(PARTS, False)
+        self.assertEqual("7", run.retry(60).terms.last_event_id)
+
+    def test_a_prompt_waits_for_a_trial_while_it_can_be_in_time_or_briefly(self):
+        run = self.forwarding(screen=Screen(AwaitTrial(30)))
+        self.assertEqual(600 - TYPICAL_FIRST_EVENT_MS, run.begin(0).give_up_ms)
+        self.assertEqual(5_000 + MIN_TRIAL_WAIT_MS, run.retry(5_000).give_up_ms)
+        self.assertEqual(12_000, run.retry(11_900).give_up_ms)
+
+    def test_a_prompt_that_waited_in_vain_is_refused_as_not_run(self):
+        run = self.forwarding(screen=Screen(AwaitTrial(30)))
+        self.assertIsInstance(run.begin(0), WaitForTrial)
+        step = run.on_trial_unavailable(500)
+        self.assertEqual((503, Reason.AWAITS_TRIAL), (step.status, step.reason))
+
+    def test_requests_without_shared_parts_are_not_screened(self):
+        screen = Screen(Quarantined(PARTS))
+        plain = self.forwarding(route=1, screen=screen)
+        own = self.forwarding(screen=screen, parts=(PromptPart("a", 3_000),))
+        for run in (plain, own):
+            self.assertIsInstance(run.begin(0), Send)
+        self.assertEqual(0, screen.checks)
--- /dev/null
+++ b/tests/test_trialplacement.py
@@ -0,0 +1,52 @@
+"""Tests of the placement of prompts while suspected prompt parts are tried."""
+
+import unittest
+
+from bergamothill.request.forwarding import NoFreeMemory
+from tests.builders import backend, caller_request, routing_config, server_pool
+
+LLM = routing_config().services["llm"]
+
+
+class TrialPlacementTest(unittest.TestCase):
+    def setUp(self):
+        self.pool = server_pool(backend("s1"), backend("s2"), backend("s3"))
+        self.under_trial = set()
+        self.pool.servers_under_trial = lambda now_ms: frozenset(self.under_trial)
+
+    def run_requests(self, server, count, tokens=10):
+        for _ in range(count):
+            self.pool.request_started(server, tokens, 0, 0)
+
+    def chosen(self, **trial):
+        arguments = (LLM, caller_request(), None, (), 0, 0)
+        choose = self.pool.choose_for_trial if trial else self.pool.choose
+        chosen = choose(*arguments, **trial)
+        return chosen if isinstance(chosen, NoFreeMemory) else chosen[0].server
+
+    def test_a_trial_runs_where_the_fewest_requests_are_in_progress(self):
+        self.run_requests("s1", 3)
+        self.run_requests("s2", 2, tokens=20_000)
+        self.run_requests("s3", 4)
+        self.assertEqual("s2", self.chosen(needs_lone_server=False))
+
+    def test_other_prompts_avoid_servers_under_trial_if_others_have_room(self):
+        self.run_requests("s1", 1, tokens=10_000)
+        self.run_requests("s2", 1, tokens=10_000)
+        self.under_trial = {"s3"}
+        self.assertNotEqual("s3", self.chosen())
+        self.run_requests("s1", 1, tokens=90_000)
+        self.run_requests("s2", 1, tokens=90_000)
+        self.assertEqual("s3", self.chosen())
+
+    def test_a_trial_avoids_servers_under_trial(self):
+        self.run_requests("s2", 1)
+        self.run_requests("s3", 1)
+        self.under_trial = {"s1", "s3"}
+        self.assertEqual("s2", self.chosen(needs_lone_server=True))
+        self.assertEqual("s2", self.chosen(needs_lone_server=False))
+
+    def test_only_a_trial_that_needs_a_server_without_another_waits_for_one(self):
+        self.under_trial = {"s1", "s2", "s3"}
+        self.assertIsInstance(self.chosen(needs_lone_server=True), NoFreeMemory)
+        self.assertIn(self.chosen(needs_lone_server=False), self.under_trial)
