Do not deliver a stream that ends with its connection before any event

What callers saw: a 200 with an empty body, or a resumed stream that ended as complete without its rest, when a server closed the connection in good order right after the head of a stream that has neither a length nor chunks.

Cause: such a body is complete when its connection ends, and a stream was whole unless it ended inside an event. A stream that ends before its first event did not end inside one.

An answer to a streaming route that is ended by the end of its connection now needs an event in this attempt, or it is handled as a broken answer. A chunked or counted stream without events stays whole, since its server said so. The other tests of the file hold before and after: a body that ends in good order is whole, one that is reset is not, and a stream may end at an event but not inside one.

--- a/bergamothill/connection/backendhttp.py
+++ b/bergamothill/connection/backendhttp.py
@@ -56,10 +56,12 @@
 
     :param end: how it ended
     :param detail: description of a failure, for the log
+    :param ended_by_close: the body of a complete response ended with the connection
     """
 
     end: ExchangeEnd
     detail: str = ""
+    ended_by_close: bool = False
 
 
 class ExchangeSink(Protocol):
@@ -153,7 +155,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Finish the exchange; closing the connection may mark the end of the body."""
         if self._body_ends_at_close and self._eof_received and exc is None:
-            self._finish(ExchangeEnd.COMPLETE, "")
+            self._finish(ExchangeEnd.COMPLETE, "", ended_by_close=True)
         else:
             self._finish(ExchangeEnd.BROKEN, str(exc) if exc else "connection closed")
 
@@ -198,6 +200,6 @@
         if not self._is_informational:
             self._finish(ExchangeEnd.COMPLETE, "")
 
-    def _finish(self, end: ExchangeEnd, detail: str) -> None:
+    def _finish(self, end: ExchangeEnd, detail: str, *, ended_by_close: bool = False) -> None:
         if not self._done.done():
-            self._done.set_result(ExchangeResult(end, detail))
+            self._done.set_result(ExchangeResult(end, detail, ended_by_close))
--- a/bergamothill/process/requestrun.py
+++ b/bergamothill/process/requestrun.py
@@ -241,7 +241,7 @@
         self._open_attempt = None
         now_ms = self._clock.now_ms()
         self._record_pause(result.end, now_ms)
-        outcome = self._attempt_outcome(result.end)
+        outcome = self._attempt_outcome(result)
         status = relay.head.status if relay.head is not None else 0
         self._attempt_log.append(
             f"{server}:{outcome}:{status}:{now_ms - started_ms}ms:{_placement_summary(send.terms)}"
@@ -290,9 +290,9 @@
             self._is_stalled = True
             self._exchange_task.cancel()
 
-    def _attempt_outcome(self, end: ExchangeEnd) -> str:
+    def _attempt_outcome(self, result: ExchangeResult) -> str:
         """Classify an attempt by the head of its answer, then by how the answer ended."""
-        relay = self._relay
+        relay, end = self._relay, result.end
         if end is ExchangeEnd.NOT_CONNECTED:
             return "not_connected"
         if end is ExchangeEnd.NOT_SENT:
@@ -301,6 +301,8 @@
             return "refused"
         if end is not ExchangeEnd.COMPLETE or not relay.is_whole:
             return "broken"
+        if result.ended_by_close and relay.lacks_events:
+            return "broken"
         return "success" if relay.verdict is AttemptVerdict.SUCCESS else "failure"
 
     def _next_step(self, outcome: str, send: Send, now_ms: int) -> ForwardStep:
--- a/bergamothill/request/answerrelay.py
+++ b/bergamothill/request/answerrelay.py
@@ -89,6 +89,7 @@
         self._splitter = EventSplitter()
         self._splitter.last_event_id = last_event_id
         self.discard_body()
+        self._has_event = False
         self.head: ResponseHead | None = None
         self.verdict = AttemptVerdict.NONE
 
@@ -106,6 +107,11 @@
         """Whether the body received so far ends at an event boundary."""
         return not self._splitter.has_partial_event
 
+    @property
+    def lacks_events(self) -> bool:
+        """Whether the answer is a stream of which no event was received in this attempt."""
+        return self._is_stream and self.verdict is AttemptVerdict.SUCCESS and not self._has_event
+
     def on_head(self, status: int, headers: list[Header]) -> ResponseHead | None:
         """Handle the head of an answer; return None to stop the exchange."""
         head = self.head = self._decode(status, headers)
@@ -139,6 +145,7 @@
         events = self._splitter.feed(piece)
         if not events:
             return
+        self._has_event = True
         if self.stream_started:
             self._caller.send_chunk(events)
             return
