Stop reading a stream while its caller does not keep up

What callers saw: nothing; the process kept all events for a caller that did not read its stream, as fast as the server could send them, until the time limit.

Cause: the caller's transport buffers what its socket does not take, and nothing looked at its size.

Evidence: test_the_backlog_of_a_caller_that_does_not_read_is_bounded failed before ("the server was never blocked" within 2.5 s).

The flow control callbacks of the caller's transport (64 KiB) now pause and resume reading from the server, whose sending then blocks. Time limits, the end of a request whose caller left and the end of the connection do not depend on reading the server.

--- a/bergamothill/connection/backendhttp.py
+++ b/bergamothill/connection/backendhttp.py
@@ -15,6 +15,7 @@
 
 import httptools
 
+from bergamothill.connection.flowgate import FlowGate
 from bergamothill.connection.opening import CONNECT_TIMEOUT_MS, open_connection
 from bergamothill.errors import ProtocolError
 from bergamothill.request.callerrequest import Header, ResponseHead
@@ -85,6 +86,7 @@
     may_send: Callable[[], bool],
     connect_timeout_ms: int = CONNECT_TIMEOUT_MS,
     is_head: bool = False,
+    flow: FlowGate | None = None,
 ) -> ExchangeResult:
     """Send one request on a new connection and pass the response to a sink.
 
@@ -96,7 +98,9 @@
     :param may_send: tells, once connected, whether the request may still be sent
     :param connect_timeout_ms: maximum time to open the connection, in milliseconds
     :param is_head: the request's method is HEAD, so the response has no body
+    :param flow: pauses reading of the response
     """
+    flow = flow or FlowGate()
     done: asyncio.Future[ExchangeResult] = asyncio.get_running_loop().create_future()
     protocol = _BackendConnection(sink, done, is_head=is_head)
     try:
@@ -109,10 +113,12 @@
     if not may_send():
         transport.abort()
         return ExchangeResult(ExchangeEnd.NOT_SENT, "server accepts no more requests")
+    flow.attach(transport)
     transport.write(request)
     try:
         return await done
     finally:
+        flow.detach()
         transport.abort()
 
 
--- a/bergamothill/connection/callerhttp.py
+++ b/bergamothill/connection/callerhttp.py
@@ -14,6 +14,7 @@
 import httptools
 
 from bergamothill.clock import Clock, ms_to_seconds
+from bergamothill.connection.flowgate import FlowGate
 from bergamothill.request.callerrequest import Header, RawRequest
 from bergamothill.version.routetable import CallerLimits
 
@@ -65,6 +66,7 @@
         clock: Clock,
         register: Callable[[CallerConnection, bool], None],
     ) -> None:
+        self.flow = FlowGate()
         self._handler = handler
         self._clock = clock
         self._register = register
@@ -98,6 +100,14 @@
             cancel, self._cancel = self._cancel, None
             cancel()
 
+    def pause_writing(self) -> None:
+        """Stop reading the answer in progress, because the caller does not keep up."""
+        self.flow.pause()
+
+    def resume_writing(self) -> None:
+        """Read the answer in progress again."""
+        self.flow.resume()
+
     @property
     def is_busy(self) -> bool:
         """Whether a request is in progress, queued or partly received."""
--- a/bergamothill/process/requestrun.py
+++ b/bergamothill/process/requestrun.py
@@ -18,7 +18,7 @@
 from bergamothill.process.admissionqueue import AdmissionQueue
 from bergamothill.process.configstate import Admission
 from bergamothill.process.gatewaymetrics import GatewayMetrics
-from bergamothill.process.serverpool import ServerPool
+from bergamothill.process.serverpool import STALL_SILENCE_MS, ServerPool
 from bergamothill.request.answerrelay import AnswerRelay, AttemptVerdict
 from bergamothill.request.bufferbudget import BufferBudget
 from bergamothill.request.callerrequest import CallerRequest, ForwardTerms, ResponseHead
@@ -86,6 +86,7 @@
         self._exchange_task: asyncio.Task[ExchangeResult] | None = None
         self._current_server = ServerId("")
         self._is_stalled = False
+        self._unread_until_ms = -STALL_SILENCE_MS
         self._is_streaming = False
         self._terms: ForwardTerms | None = None
         self._send: Send | None = None
@@ -260,6 +261,7 @@
                 self._relay,
                 may_send=lambda: self._server_pool.may_send_to(send.server, self._clock.now_ms()),
                 is_head=self._request.raw.method == b"HEAD",
+                flow=self._connection.flow,
             )
         )
         self._exchange_task = task
@@ -284,6 +286,11 @@
 
     def check_for_stall(self, now_ms: int) -> None:
         """Cancel the attempt if its engine has stalled and the route allows a retry."""
+        if self._connection.flow.is_paused:
+            self._unread_until_ms = now_ms
+        # The server cannot be heard while its answer is not read, nor right afterwards.
+        if now_ms - self._unread_until_ms < STALL_SILENCE_MS:
+            return
         if self._exchange_task is None or not self._route.may_retry or self._service.engine is None:
             return
         if self._server_pool.has_stalled(self._current_server, now_ms):
