Read responses in small pieces, so that one stream cannot hold up the others

What callers saw: requests to sound servers took up to 2.6 s while one engine sent events without end.

Cause: a read holds up to 256 KiB, which is more than ten thousand small events, and each is parsed, relayed and written before another connection gets its turn. A request needs several turns.

The connection is a BufferedProtocol now, whose buffer bounds a read to 8 KiB.

--- a/bergamothill/connection/backendhttp.py
+++ b/bergamothill/connection/backendhttp.py
@@ -22,6 +22,9 @@
 
 __all__ = ["ExchangeEnd", "ExchangeResult", "ExchangeSink", "exchange"]
 
+READ_BYTES = 8_192
+"""Maximum bytes to parse before other connections get their turn; may hold hundreds of events."""
+
 MAX_FRAMING_BYTES = 65_536
 """Maximum size of the heads, chunk headers and trailers of a response with an empty body."""
 
@@ -122,7 +125,7 @@
         transport.abort()
 
 
-class _BackendConnection(asyncio.Protocol):
+class _BackendConnection(asyncio.BufferedProtocol):
     """Protocol of the connection of one exchange."""
 
     def __init__(
@@ -138,17 +141,22 @@
         self._is_informational = False
         self._body_ends_at_close = False
         self._eof_received = False
+        self._buffer = bytearray(READ_BYTES)
+
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return the buffer to read into."""
+        return self._buffer
 
-    def data_received(self, data: bytes) -> None:
+    def buffer_updated(self, nbytes: int) -> None:
         """Parse received bytes of the response."""
         if self._done.done():
             return
         try:
-            self._parser.feed_data(data)
+            self._parser.feed_data(memoryview(self._buffer)[:nbytes])
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._finish(ExchangeEnd.MALFORMED, f"malformed response: {error}")
             return
-        self._framing_bytes += len(data)
+        self._framing_bytes += nbytes
         if self._framing_bytes > MAX_FRAMING_BYTES:
             part = "framing" if self._head_received else "head"
             self._finish(ExchangeEnd.MALFORMED, f"response {part} is too large")
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -1,5 +1,6 @@
 """Tests of backend servers whose answers have no end, or a part that has no end."""
 
+import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
 from unittest import mock
@@ -132,6 +133,19 @@
         self.assertLess(endless.sent_bytes, 6 * KERNEL_BUFFER_BYTES)
         self.assertEqual(0, world.gateway.buffered_bytes)
 
+    def test_other_requests_go_on_meanwhile(self):
+        endless = EndlessAnswer(STREAM_HEAD, b"".join(chunk(event(n)) for n in range(3_000)))
+        world = self.world(engines=[endless], plain=[replies(answer(b"sound"))])
+        with world.connect() as connection:
+            connection.sendall(request(b"/quote/2f", headers=PROMPT_HEADERS))
+            reader = threading.Thread(target=read_all, args=(connection,))
+            reader.start()
+            for _ in range(20):
+                started_s = time.monotonic()
+                self.assertTrue(world.exchange(request()).endswith(b"sound"))
+                self.assertLess(time.monotonic() - started_s, 0.5)
+            reader.join()
+
 
 class EndlessStreamTest(EndlessAnswerCase):
     def ask(self, world):
