--- a/bergamothill/connection/backendhttp.py
+++ b/bergamothill/connection/backendhttp.py
@@ -15,12 +15,16 @@
 
 import httptools
 
+from bergamothill.connection.flowgate import FlowGate
 from bergamothill.connection.opening import CONNECT_TIMEOUT_MS, open_connection
 from bergamothill.errors import ProtocolError
 from bergamothill.request.callerrequest import Header, ResponseHead
 
 __all__ = ["ExchangeEnd", "ExchangeResult", "ExchangeSink", "exchange"]
 
+READ_BYTES = 8_192
+"""Maximum bytes to parse before other connections get their turn; may hold hundreds of events."""
+
 MAX_FRAMING_BYTES = 65_536
 """Maximum size of the heads, chunk headers and trailers of a response with an empty body."""
 
@@ -85,6 +89,7 @@
     may_send: Callable[[], bool],
     connect_timeout_ms: int = CONNECT_TIMEOUT_MS,
     is_head: bool = False,
+    flow: FlowGate | None = None,
 ) -> ExchangeResult:
     """Send one request on a new connection and pass the response to a sink.
 
@@ -96,7 +101,9 @@
     :param may_send: tells, once connected, whether the request may still be sent
     :param connect_timeout_ms: maximum time to open the connection, in milliseconds
     :param is_head: the request's method is HEAD, so the response has no body
+    :param flow: pauses reading of the response
     """
+    flow = flow or FlowGate()
     done: asyncio.Future[ExchangeResult] = asyncio.get_running_loop().create_future()
     protocol = _BackendConnection(sink, done, is_head=is_head)
     try:
@@ -109,14 +116,16 @@
     if not may_send():
         transport.abort()
         return ExchangeResult(ExchangeEnd.NOT_SENT, "server accepts no more requests")
+    flow.attach(transport)
     transport.write(request)
     try:
         return await done
     finally:
+        flow.detach()
         transport.abort()
 
 
-class _BackendConnection(asyncio.Protocol):
+class _BackendConnection(asyncio.BufferedProtocol):
     """Protocol of the connection of one exchange."""
 
     def __init__(
@@ -132,17 +141,22 @@
         self._is_informational = False
         self._body_ends_at_close = False
         self._eof_received = False
+        self._buffer = bytearray(READ_BYTES)
+
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return the buffer to read into."""
+        return self._buffer
 
-    def data_received(self, data: bytes) -> None:
+    def buffer_updated(self, nbytes: int) -> None:
         """Parse received bytes of the response."""
         if self._done.done():
             return
         try:
-            self._parser.feed_data(data)
+            self._parser.feed_data(memoryview(self._buffer)[:nbytes])
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._finish(ExchangeEnd.MALFORMED, f"malformed response: {error}")
             return
-        self._framing_bytes += len(data)
+        self._framing_bytes += nbytes
         if self._framing_bytes > MAX_FRAMING_BYTES:
             part = "framing" if self._head_received else "head"
             self._finish(ExchangeEnd.MALFORMED, f"response {part} is too large")
--- a/bergamothill/process/requestrun.py
+++ b/bergamothill/process/requestrun.py
@@ -20,7 +20,7 @@
 from bergamothill.process.gatewaymetrics import GatewayMetrics
 from bergamothill.process.promptruns import classify_run_end, encode_refusal, wait_for_trial
 from bergamothill.process.quarantinegate import PromptRun, QuarantineGate
-from bergamothill.process.serverpool import ServerPool
+from bergamothill.process.serverpool import STALL_SILENCE_MS, ServerPool
 from bergamothill.request.answerrelay import AnswerRelay, AttemptVerdict
 from bergamothill.request.bufferbudget import BufferBudget
 from bergamothill.request.callerrequest import CallerRequest, ForwardTerms, ResponseHead
@@ -95,6 +95,7 @@
         self._current_server = ServerId("")
         self._is_stalled = False
         self._is_stopping = False
+        self._unread_until_ms = -STALL_SILENCE_MS
         self._is_streaming = False
         self._terms: ForwardTerms | None = None
         self._send: Send | None = None
@@ -287,7 +288,7 @@
         self._open_attempt = None
         now_ms = self._clock.now_ms()
         self._record_pause(result.end, now_ms)
-        outcome = self._attempt_outcome(result.end)
+        outcome = self._attempt_outcome(result)
         # Before the next step is chosen, so that no crash is repeated blindly.
         self._end_prompt_run(classify_run_end(outcome, result, has_begun=has_begun))
         status = relay.head.status if relay.head is not None else 0
@@ -319,6 +320,7 @@
                 self._relay,
                 may_send=lambda: self._may_send(send),
                 is_head=self._request.raw.method == b"HEAD",
+                flow=self._connection.flow,
             )
         )
         self._exchange_task = task
@@ -351,15 +353,20 @@
 
     def check_for_stall(self, now_ms: int) -> None:
         """Cancel the attempt if its engine has stalled and the route allows a retry."""
+        if self._connection.flow.is_paused:
+            self._unread_until_ms = now_ms
+        # The server cannot be heard while its answer is not read, nor right afterwards.
+        if now_ms - self._unread_until_ms < STALL_SILENCE_MS:
+            return
         if self._exchange_task is None or not self._route.may_retry or self._service.engine is None:
             return
         if self._server_pool.has_stalled(self._current_server, now_ms):
             self._is_stalled = True
             self._exchange_task.cancel()
 
-    def _attempt_outcome(self, end: ExchangeEnd) -> str:
+    def _attempt_outcome(self, result: ExchangeResult) -> str:
         """Classify an attempt by the head of its answer, then by how the answer ended."""
-        relay = self._relay
+        relay, end = self._relay, result.end
         if end is ExchangeEnd.NOT_CONNECTED:
             return "not_connected"
         if end is ExchangeEnd.NOT_SENT:
@@ -368,6 +375,8 @@
             return "refused"
         if end is not ExchangeEnd.COMPLETE or not relay.is_whole:
             return "broken"
+        if result.was_closed and relay.lacks_events:
+            return "broken"
         return "success" if relay.verdict is AttemptVerdict.SUCCESS else "failure"
 
     def _next_step(self, outcome: str, send: Send, now_ms: int) -> ForwardStep:
