Check the size of a response head after parsing it

What callers saw: a successful answer of more than 64 KiB could become a 502, also of an unsafe request that had run.

Cause: the bytes of each read counted as head until the head had been parsed, so a read that contained the head and much of the body exceeded the limit of the head.

The test failed before: "<ExchangeEnd.COMPLETE> is not <ExchangeEnd.MALFORMED> : response head is too large".

The limit is checked after the bytes were parsed, and only while the head is incomplete; one read bounds what exceeds it.

--- a/bergamothill/connection/backendhttp.py
+++ b/bergamothill/connection/backendhttp.py
@@ -129,13 +129,13 @@
             return
         if not self._head_received:
             self._head_bytes += len(data)
-            if self._head_bytes > MAX_RESPONSE_HEAD_BYTES:
-                self._finish(ExchangeEnd.MALFORMED, "response head is too large")
-                return
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._finish(ExchangeEnd.MALFORMED, f"malformed response: {error}")
+        # Checked after parsing, as one read may contain the whole head and much of the body.
+        if not self._head_received and self._head_bytes > MAX_RESPONSE_HEAD_BYTES:
+            self._finish(ExchangeEnd.MALFORMED, "response head is too large")
 
     def eof_received(self) -> bool:
         """Record that the server closed its side of the connection."""
--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -8,6 +8,7 @@
 from unittest import mock
 
 from bergamothill.clock import ManualClock
+from bergamothill.connection import backendhttp
 from bergamothill.connection.backendhttp import ExchangeEnd, exchange
 from bergamothill.connection.kvs import KeyValueEntry
 from bergamothill.platform.config import TARGET_PREFIX
@@ -17,6 +18,7 @@
 from bergamothill.process.prefixfollower import Snapshot
 from bergamothill.version.weighttarget import WeightTarget
 from tests.builders import NODE_SETTINGS, backend, caller_request, routing_config
+from tests.gatewayworld import answer
 
 GRACE_MS = 8_000
 
@@ -243,6 +245,16 @@
         self.assertEqual(["write", "abort"], calls)
         self.assertIs(ExchangeEnd.BROKEN, result.end)
 
+    def test_a_large_body_in_one_read_is_not_taken_for_a_large_head(self):
+        async def main():
+            done = asyncio.get_running_loop().create_future()
+            protocol = backendhttp._BackendConnection(mock.Mock(), done, is_head=False)
+            protocol.data_received(answer(b"x" * 100_000))
+            return await done
+
+        result = asyncio.run(main())
+        self.assertIs(ExchangeEnd.COMPLETE, result.end, result.detail)
+
     def test_nothing_is_written_to_a_server_that_left_while_the_connection_was_opening(self):
         result, calls = self.run_exchange(opens=True, may_send=False)
         self.assertIs(ExchangeEnd.NOT_SENT, result.end)
