Let callers read the last response before closing their connection

Cause: after a response that announced the close, the socket was closed at once. A socket that is closed with unread bytes, or receives more, is reset, and the reset discards what is left in its send buffer.

The sending side is closed first, and what still arrives is read and discarded until the caller closes or two seconds after the response has been written.

--- a/bergamothill/connection/callerhttp.py
+++ b/bergamothill/connection/callerhttp.py
@@ -22,6 +22,9 @@
 MAX_PIPELINED_BYTES = 262_144
 """Maximum size of pipelined requests that are buffered while one is in progress."""
 
+LINGER_TIMEOUT_MS = 2_000
+"""Maximum time to wait for the caller to close, once the last response has been written."""
+
 _REASONS = {
     200: b"OK",
     400: b"Bad Request",
@@ -77,6 +80,7 @@
         self._response_started = False
         self._is_head_request = False
         self._is_closed = False
+        self._is_lingering = False
         self._timer: asyncio.TimerHandle | None = None
         self._reset_request()
 
@@ -100,8 +104,9 @@
 
     @property
     def is_busy(self) -> bool:
-        """Whether a request is in progress, queued or partly received."""
-        return self._cancel is not None or self._receiving_request or bool(self._queued)
+        """Whether a request is in progress, queued or partly received, or a response not read."""
+        is_receiving = self._receiving_request or bool(self._queued)
+        return self._cancel is not None or is_receiving or self._is_lingering
 
     def close_if_idle(self) -> None:
         """Close the connection unless it is busy."""
@@ -296,12 +301,23 @@
         self._cancel = None
         self._response_started = False
         if not self._keep_alive:
-            self._transport.close()
+            self._linger()
         elif self._queued:
             self._start_next()
         elif not self._receiving_request:
             self._start_request_timer(self._handler.limits().idle_timeout_ms)
 
+    def _linger(self) -> None:
+        """Close the connection once the caller has, or after a timeout.
+
+        Closing a socket that has received unread bytes, or receives more, resets the connection,
+        and the reset discards what the caller has not read of the response.
+        """
+        self._is_lingering = True
+        self._queued.clear()
+        self._transport.write_eof()
+        self._start_request_timer(LINGER_TIMEOUT_MS)
+
     # Timeouts.
 
     def _start_request_timer(self, timeout_ms: int) -> None:
@@ -315,11 +331,19 @@
             self._timer = None
 
     def _on_timeout(self) -> None:
-        if self._receiving_request and not self._head_received:
+        if self._is_lingering:
+            self._end_linger()
+        elif self._receiving_request and not self._head_received:
             self._reject_unparsed(408)
         elif not self.is_busy and self._transport is not None:
             self._transport.close()
 
+    def _end_linger(self) -> None:
+        if self._transport.get_write_buffer_size():
+            self._start_request_timer(LINGER_TIMEOUT_MS)
+        else:
+            self._transport.close()
+
 
 def _cancel_nothing() -> None:
     """Cancel callback of a request that is still being started."""
--- a/tests/test_stop_processes.py
+++ b/tests/test_stop_processes.py
@@ -16,13 +16,14 @@
 LONG_STREAM = RequestKind("long", "streaming", 60, 10, 100, 12_000, 600)
 ORDER = RequestKind("order", "unsafe", 0, 200, 0, 2_500, 400)
 SLOW_ORDER = RequestKind("slow-order", "unsafe", 0, 9_000, 0, 12_000, 400)
+LARGE_ORDER = RequestKind("large-order", "unsafe", 0, 400, 0, 12_000, 400, size=4_000_000)
 
 SHAPE = FleetShape(
     zones=("zone-a",),
     nodes=4,
     engines=1,
     plain_servers=1,
-    kinds=(SHORT_STREAM, LONG_STREAM, ORDER, SLOW_ORDER),
+    kinds=(SHORT_STREAM, LONG_STREAM, ORDER, SLOW_ORDER, LARGE_ORDER),
     grace_s=GRACE_S,
 )
 
@@ -88,3 +89,13 @@
         self.node.terminate()
         answer = read_all(connection)
         self.assertEqual([502], statuses(answer), answer[-200:])
+
+    def test_an_answer_is_not_lost_to_bytes_that_arrive_while_it_is_sent(self):
+        connection = self.connect(receive_buffer=4_096)
+        connection.sendall(encoded(LARGE_ORDER, "d1"))
+        self.node.terminate()
+        time.sleep(1)
+        connection.sendall(b"\r\n")
+        time.sleep(0.2)
+        received = read_all(connection)
+        self.assertEqual(LARGE_ORDER.size, received.count(b"x"), received[-20:])
