--- a/scripts/callerload.py
+++ b/scripts/callerload.py
@@ -71,6 +71,7 @@
     :param habit: habit of the caller
     :param node: name of the entry instance
     :param slowness: factor on the time between the events of its answer
+    :param behind: request before it on the connection that had no whole answer when it was sent
     :param sent_ms: when its last byte was sent
     :param ended_ms: when it ended
     :param ending: how it ended
@@ -83,6 +84,7 @@
     habit: CallerHabit
     node: str
     slowness: int = 1
+    behind: CallerRecord | None = field(default=None, repr=False)
     sent_ms: float = 0.0
     ended_ms: float = 0.0
     ending: Ending = Ending.GIVEN_UP
@@ -168,6 +170,7 @@
         """Send a request, in pieces of a given size if it is not 0."""
         loop = asyncio.get_running_loop()
         encoded = encode_request(record)
+        record.behind = self._waiting[-1] if self._waiting else None
         self._waiting.append(record)
         step = piece_bytes or len(encoded)
         for start in range(0, len(encoded), step):
--- a/scripts/drainsoak.py
+++ b/scripts/drainsoak.py
@@ -14,6 +14,7 @@
 import sys
 from collections import Counter
 from dataclasses import dataclass
+from enum import Enum
 from pathlib import Path
 from typing import Any
 
@@ -21,7 +22,7 @@
 from scripts.platformfleet import LAYOUTS, EntryNode, FleetShape, PlatformFleet
 from scripts.processes import ProcessGroup
 
-__all__ = ["Stop", "StopJudge", "Violation", "main", "run_soak"]
+__all__ = ["Finding", "Stop", "StopJudge", "Verdict", "main", "run_soak"]
 
 LOSS_SLACK_MS = 200
 LATEST_EXCUSED_MS = 3_000
@@ -48,24 +49,41 @@
     was_killed: bool
 
 
+class Verdict(Enum):
+    """What the rule says of a request without a whole answer around a SIGTERM."""
+
+    VIOLATION = "violations"
+    CUT_AT_END = "cut_at_end"
+    """Sent early enough, and its server was at work to the end of the grace period."""
+
+    CROSSED = "crossed"
+    """Crossed the close of its connection and was not sent to a server."""
+
+    BEHIND_CUT = "behind_cut"
+    """Pipelined behind a stream that was cut at the end; HTTP has no place for an answer."""
+
+
 @dataclass(frozen=True)
-class Violation:
-    """A request that was read but not wholly answered.
+class Finding:
+    """A request that was not wholly answered.
 
     :param record: request as its caller saw it
     :param stop: signal around which it was lost
     :param server: what the servers know of it; None if none has seen it
+    :param verdict: what the rule says
     """
 
     record: CallerRecord
     stop: Stop
     server: dict[str, Any] | None
+    verdict: Verdict
 
     def __str__(self) -> str:
         """Return one line with times relative to the signal."""
         record, start = self.record, self.stop.signalled_ms
         return (
-            f"no whole answer around SIGTERM to {self.stop.node}: id {record.request} "
+            f"{self.verdict.value}: no whole answer around SIGTERM to {self.stop.node}: "
+            f"id {record.request} "
             f"{record.kind.name}/{record.kind.kind} {record.habit.value} "
             f"sent {record.sent_ms - start:+.0f} ms, {record.ending.value} "
             f"{record.ended_ms - start:+.0f} ms, status {record.status}, "
@@ -90,10 +108,10 @@
     def __init__(self, grace_ms: float) -> None:
         self._grace_ms = grace_ms
 
-    def violations(
+    def findings(
         self, records: list[CallerRecord], stops: list[Stop], seen: dict[str, dict[str, Any]]
-    ) -> list[Violation]:
-        """Return the requests that break the rule.
+    ) -> list[Finding]:
+        """Return the requests without a whole answer around a signal.
 
         :param records: all requests
         :param stops: all signals
@@ -104,23 +122,40 @@
             if record.ending not in (Ending.CLOSED, Ending.RESET) or not record.sent_ms:
                 continue
             for stop in stops:
-                server = seen.get(record.request)
-                if self._is_around(record, stop) and not self._is_excused(record, stop, server):
-                    found.append(Violation(record, stop, server))
+                if self._is_around(record, stop):
+                    verdict = self._verdict(record, stop, seen)
+                    found.append(Finding(record, stop, seen.get(record.request), verdict))
         return found
 
     def _is_around(self, record: CallerRecord, stop: Stop) -> bool:
         end_ms = stop.signalled_ms + self._grace_ms + AFTER_GRACE_MS
         return record.node == stop.node and stop.signalled_ms <= record.ended_ms <= end_ms
 
-    def _is_excused(self, record: CallerRecord, stop: Stop, server: dict[str, Any] | None) -> bool:
-        if server is None:
-            return record.ended_ms - record.sent_ms <= LOSS_SLACK_MS
+    def _verdict(
+        self, record: CallerRecord, stop: Stop, seen: dict[str, dict[str, Any]]
+    ) -> Verdict:
+        server = seen.get(record.request)
+        if server is not None:
+            is_cut = self._is_excused_cut(record, stop, server)
+            return Verdict.CUT_AT_END if is_cut else Verdict.VIOLATION
+        if record.ended_ms - record.sent_ms <= LOSS_SLACK_MS:
+            return Verdict.CROSSED
+        before = record.behind
+        if before is not None and before.ending is record.ending:
+            return _behind(self._verdict(before, stop, seen))
+        return Verdict.VIOLATION
+
+    def _is_excused_cut(self, record: CallerRecord, stop: Stop, server: dict[str, Any]) -> bool:
         last_part_ms = stop.signalled_ms + self._grace_ms * (1 - EXCUSED_SHARE_OF_GRACE)
         was_at_work = server["ended_ms"] is None or server["ended_ms"] >= last_part_ms
         return record.sent_ms - stop.signalled_ms <= LATEST_EXCUSED_MS and was_at_work
 
 
+def _behind(before: Verdict) -> Verdict:
+    is_cut = before in (Verdict.CUT_AT_END, Verdict.BEHIND_CUT)
+    return Verdict.BEHIND_CUT if is_cut else Verdict.VIOLATION
+
+
 class Soak:
     """One run of stops under load.
 
@@ -205,7 +240,7 @@
 
 def run_soak(
     shape: FleetShape, seed: int, rounds: int, callers_per_habit: int, logs: Path | None = None
-) -> tuple[Soak, list[Violation]]:
+) -> tuple[Soak, list[Finding]]:
     """Start a deployment, stop its instances under load, and judge.
 
     :param shape: layout of the deployment
@@ -221,7 +256,7 @@
         seen = fleet.seen()
         if logs is not None:
             shutil.copytree(group.folder, logs, dirs_exist_ok=True)
-    return soak, StopJudge(shape.grace_s * 1_000).violations(soak.records, soak.stops, seen)
+    return soak, StopJudge(shape.grace_s * 1_000).findings(soak.records, soak.stops, seen)
 
 
 def main(argv: list[str]) -> int:
@@ -235,21 +270,25 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--rounds", type=int, default=2)
     parser.add_argument("--callers", type=int, default=CALLERS_PER_HABIT)
-    parser.add_argument("--logs", type=Path)
+    parser.add_argument("--logs", type=Path, help="folder for the logs of the instances")
+    parser.add_argument("--verbose", action="store_true", help="print what is excused too")
     options = parser.parse_args(argv)
-    soak, violations = run_soak(
+    soak, findings = run_soak(
         LAYOUTS[options.layout], options.seed, options.rounds, options.callers, options.logs
     )
-    for violation in violations:
-        print(violation)
+    for finding in findings:
+        if options.verbose or finding.verdict is Verdict.VIOLATION:
+            print(finding)
+    verdicts = Counter(finding.verdict for finding in findings)
     endings = Counter(record.ending.value for record in soak.records)
     print(
         f"drainsoak layout={options.layout} seed={options.seed} stops={len(soak.stops)} "
         f"killed={sum(stop.was_killed for stop in soak.stops)} requests={len(soak.records)} "
         + " ".join(f"{name}={count}" for name, count in sorted(endings.items()))
-        + f" violations={len(violations)}"
+        + " "
+        + " ".join(f"{verdict.value}={verdicts[verdict]}" for verdict in Verdict)
     )
-    return EXIT_VIOLATION if violations else 0
+    return EXIT_VIOLATION if verdicts[Verdict.VIOLATION] else 0
 
 
 if __name__ == "__main__":
