Start no request whose answer could not be sent yet

What callers saw: 504 for a pipelined request whose server had answered at once, if the answers before it had not been read. The request held a slot of its server for the whole time.

Cause: the next request of a connection started as soon as the answer before it was in the buffer of the connection. Since reading stops while the caller does not keep up, its own answer could not be read.

Evidence: test_no_request_is_sent_while_the_answer_before_it_is_not_read failed before ("20 != 19": one request was sent and not answered with 200).

The next request waits until the backlog is below the transport's low-water mark.

--- a/bergamothill/connection/callerhttp.py
+++ b/bergamothill/connection/callerhttp.py
@@ -105,8 +105,10 @@
         self.flow.pause()
 
     def resume_writing(self) -> None:
-        """Read the answer in progress again."""
+        """Read the answer in progress again, or start the next request."""
         self.flow.resume()
+        if self._cancel is None and not self._transport.is_closing():
+            self._continue()
 
     @property
     def is_busy(self) -> bool:
@@ -124,7 +126,7 @@
         """Parse received bytes; reject requests that are malformed or too large."""
         if self._is_closed or not self._keep_alive:
             return
-        if self._cancel is not None:
+        if self._cancel is not None or self.flow.is_paused:
             self._queued_bytes += len(data)
             if self._queued_bytes > MAX_PIPELINED_BYTES:
                 self._reject_unparsed(413)
@@ -202,7 +204,7 @@
         keep_alive = self._parser.should_keep_alive()
         self._reset_request()
         self._queued.append((raw, keep_alive))
-        if self._cancel is None:
+        if self._cancel is None and not self.flow.is_paused:
             self._start_next()
 
     def _start_next(self) -> None:
@@ -306,7 +308,12 @@
         self._response_started = False
         if not self._keep_alive:
             self._transport.close()
-        elif self._queued:
+        elif not self.flow.is_paused:
+            self._continue()
+
+    def _continue(self) -> None:
+        """Start the next request, or wait for it."""
+        if self._queued:
             self._start_next()
         elif not self._receiving_request:
             self._start_request_timer(self._handler.limits().idle_timeout_ms)
--- a/tests/test_slow_callers.py
+++ b/tests/test_slow_callers.py
@@ -13,9 +13,11 @@
     TIMEOUT_S,
     EndlessAnswer,
     GatewayCase,
+    answer,
     chunk,
     event,
     read_all,
+    replies,
     request,
 )
 
@@ -93,3 +95,14 @@
         self.assertEqual(EVENTS - 1, found.count(LARGE_EVENT))
         self.assertTrue(found.endswith(b"\r\n0\r\n\r\n"))
         self.assertEqual(1, len(self.sent()))
+
+
+class SlowPlainTest(SlowCallerCase):
+    def test_no_request_is_sent_while_the_answer_before_it_is_not_read(self):
+        world = self.world(plain=[replies(answer(b"x" * 200_000))])
+        connection = self.connect_slowly(world)
+        connection.sendall(request() * 59 + request(headers=b"Connection: close\r\n"))
+        time.sleep(2.2)
+        found = read_all(connection)
+        self.assertEqual(60, found.count(b"HTTP/1.1 "))
+        self.assertEqual(len(self.sent()), found.count(b"HTTP/1.1 200 "))
