Give up answers that their caller does not read

What callers saw: nothing; the connection of a caller that never reads its answer stayed open, with the answer in memory, for as long as the caller wanted.

Cause: closing a connection waits until its buffer has been sent, without a limit, and so did the end of an answer on a kept connection. The time limits cover requests in progress only.

Evidence: test_an_answer_that_is_not_read_is_given_up failed before (the whole answer of 8 MB arrived after the wait; the kept connection timed out).

From the end of an answer on, nothing is added to what is left in the buffer. A caller that reads slowly gets its whole answer, as test_an_answer_that_is_read_slowly_is_sent_to_its_end shows.

--- a/bergamothill/connection/callerhttp.py
+++ b/bergamothill/connection/callerhttp.py
@@ -14,6 +14,7 @@
 import httptools
 
 from bergamothill.clock import Clock, ms_to_seconds
+from bergamothill.connection.backlogwatch import BacklogWatch
 from bergamothill.connection.flowgate import FlowGate
 from bergamothill.request.callerrequest import Header, RawRequest
 from bergamothill.version.routetable import CallerLimits
@@ -67,6 +68,7 @@
         register: Callable[[CallerConnection, bool], None],
     ) -> None:
         self.flow = FlowGate()
+        self._backlog_watch = BacklogWatch()
         self._handler = handler
         self._clock = clock
         self._register = register
@@ -94,6 +96,7 @@
         """Cancel the request in progress, because the caller has disconnected."""
         self._is_closed = True
         self._cancel_timer()
+        self._backlog_watch.cancel()
         self._register(self, False)
         self._queued.clear()
         if self._cancel is not None:
@@ -108,6 +111,7 @@
         """Read the answer in progress again, or start the next request."""
         self.flow.resume()
         if self._cancel is None and not self._transport.is_closing():
+            self._backlog_watch.cancel()
             self._continue()
 
     @property
@@ -118,7 +122,13 @@
     def close_if_idle(self) -> None:
         """Close the connection unless it is busy."""
         if not self.is_busy and self._transport is not None:
+            self._close()
+
+    def _close(self) -> None:
+        """Close the connection once its backlog has been sent."""
+        if not self._transport.is_closing():
             self._transport.close()
+            self._backlog_watch.start(self._transport)
 
     # Parsing requests.
 
@@ -307,8 +317,10 @@
         self._cancel = None
         self._response_started = False
         if not self._keep_alive:
-            self._transport.close()
-        elif not self.flow.is_paused:
+            self._close()
+        elif self.flow.is_paused:
+            self._backlog_watch.start(self._transport)
+        else:
             self._continue()
 
     def _continue(self) -> None:
@@ -334,7 +346,7 @@
         if self._receiving_request and not self._head_received:
             self._reject_unparsed(408)
         elif not self.is_busy and self._transport is not None:
-            self._transport.close()
+            self._close()
 
 
 def _cancel_nothing() -> None:
--- a/tests/test_slow_callers.py
+++ b/tests/test_slow_callers.py
@@ -4,7 +4,9 @@
 import socket
 import threading
 import time
+from unittest import mock
 
+from bergamothill.connection import backlogwatch
 from tests.builders import await_true
 from tests.gatewayworld import (
     HOST,
@@ -26,6 +28,7 @@
 LARGE_EVENT = b"data: %s\n\n" % (b"x" * 20_000)
 
 EVENTS = 800
+LARGE_BODY = b"x" * 8_000_000
 
 BLOCKED_S = 0.5
 """Time without a byte sent after which a server counts as blocked."""
@@ -98,6 +101,35 @@
 
 
 class SlowPlainTest(SlowCallerCase):
+    def ask_slowly(self, headers=b""):
+        """Request a large answer on a slow connection, and give it time to get stuck."""
+        self.enterContext(mock.patch.object(backlogwatch, "BACKLOG_CHECK_MS", 1_000))
+        world = self.world(plain=[replies(answer(LARGE_BODY))])
+        connection = self.connect_slowly(world)
+        connection.sendall(request(headers=headers))
+        return connection
+
+    def test_an_answer_that_is_not_read_is_given_up(self):
+        for headers in (b"", b"Connection: close\r\n"):
+            with self.subTest(headers):
+                connection = self.ask_slowly(headers)
+                time.sleep(2.5)
+                found = read_all(connection)
+                self.assertLess(len(found), len(LARGE_BODY))
+
+    def test_an_answer_that_is_read_slowly_is_sent_to_its_end(self):
+        for headers in (b"", b"Connection: close\r\n"):
+            with self.subTest(headers):
+                connection = self.ask_slowly(headers)
+                found = connection.recv(65_536)
+                whole = len(found.partition(b"\r\n\r\n")[0]) + 4 + len(LARGE_BODY)
+                received = len(found)
+                while received < whole:
+                    time.sleep(0.001)
+                    piece = connection.recv(65_536)
+                    self.assertTrue(piece)
+                    received += len(piece)
+
     def test_no_request_is_sent_while_the_answer_before_it_is_not_read(self):
         world = self.world(plain=[replies(answer(b"x" * 200_000))])
         connection = self.connect_slowly(world)
