Abort instead of rejecting a malformed request behind queued ones

A malformed request behind them got its 400 at once, in the place of the first queued one, which its caller would have taken it for.

Evidence: the new test failed before ("HTTP/1.1 400" was found). The connection is aborted now, as it is while a request is in progress.

--- a/bergamothill/connection/callerhttp.py
+++ b/bergamothill/connection/callerhttp.py
@@ -242,10 +242,10 @@
     def _reject_unparsed(self, status: int) -> None:
         """Reject a request that is malformed, too large or late, and close the connection.
 
-        If another request is in progress, the connection is aborted without a response.
+        If another request is in progress or queued, the connection is aborted without a response.
         """
         self._keep_alive = False
-        if self._cancel is None and not self._response_started:
+        if self._cancel is None and not self._queued and not self._response_started:
             self.send_response(status, [], b"")
         elif self._transport is not None:
             self._transport.abort()
--- a/tests/test_slow_callers.py
+++ b/tests/test_slow_callers.py
@@ -138,3 +138,11 @@
         found = read_all(connection)
         self.assertEqual(60, found.count(b"HTTP/1.1 "))
         self.assertEqual(len(self.sent()), found.count(b"HTTP/1.1 200 "))
+
+    def test_a_malformed_request_behind_others_that_wait_is_not_answered_in_their_place(self):
+        world = self.world(plain=[replies(answer(b"x" * 200_000))])
+        connection = self.connect_slowly(world)
+        connection.sendall(request() * 60)
+        time.sleep(0.7)
+        connection.sendall(b"malformed\r\n\r\n")
+        self.assertNotIn(b"HTTP/1.1 400 ", read_all(connection))
