Bound the replies to polls of cache events

What was seen: the process kept whatever a server sent in reply to a poll for the 1.2 s of its time limit, as fast as it came, and bytes after a reply for as long as the connection stayed open.

Cause: neither the head nor the body of a reply had a limit, and bytes for which no poll waited were parsed and kept as a reply.

A reply may have 4 MiB in all, counted in bytes received, so that framing counts too. Beyond it, and for bytes that no poll waits for, the connection is closed, and the source counts as lost and is tried again.

--- a/bergamothill/connection/pollconnection.py
+++ b/bergamothill/connection/pollconnection.py
@@ -17,6 +17,9 @@
 
 __all__ = ["PollConnection", "PollReply"]
 
+MAX_REPLY_BYTES = 4_194_304
+"""Largest reply, head and framing included."""
+
 
 @dataclass(frozen=True, slots=True)
 class PollReply:
@@ -95,6 +98,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._body: list[bytes] = []
         self._headers: dict[bytes, bytes] = {}
+        self._received_bytes = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport
@@ -104,6 +108,13 @@
         self._fail(exc or ConnectionResetError("connection closed"))
 
     def data_received(self, data: bytes) -> None:
+        self._received_bytes += len(data)
+        if self._pending is None:
+            self._give_up("unsolicited bytes")
+            return
+        if self._received_bytes > MAX_REPLY_BYTES:
+            self._give_up("reply is too large")
+            return
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -130,6 +141,7 @@
             pending.set_result(PollReply(status, b"".join(self._body), self._headers))
 
     async def exchange(self, request: bytes) -> PollReply:
+        self._received_bytes = 0
         self._pending = asyncio.get_running_loop().create_future()
         self._transport.write(request)
         return await self._pending
@@ -138,6 +150,11 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _give_up(self, reason: str) -> None:
+        self.must_close = True
+        self._fail(ConnectionAbortedError(reason))
+        self.abort()
+
     def _fail(self, error: BaseException) -> None:
         pending, self._pending = self._pending, None
         if pending is not None and not pending.done():
