Do not take an informational reply to a poll for the reply

What was seen: a 1xx reply counted as the answer to a poll, so that the source counted as lost, and the reply proper came when no poll waited for it.

Evidence: test_an_informational_reply_is_not_the_reply failed before ("(200, b'whole') != (103, b'')"), and informational replies without end were not given up but taken for a reply.

Informational replies are skipped now. They count toward the size of the reply.

--- a/bergamothill/connection/pollconnection.py
+++ b/bergamothill/connection/pollconnection.py
@@ -132,6 +132,8 @@
         self._body.append(piece)
 
     def on_message_complete(self) -> None:
+        if 100 <= self._parser.get_status_code() < 200:
+            return
         self.must_close |= not self._parser.should_keep_alive()
         pending, self._pending = self._pending, None
         if pending is None:
--- a/tests/test_pollconnection.py
+++ b/tests/test_pollconnection.py
@@ -8,7 +8,7 @@
 from bergamothill.connection import pollconnection
 from bergamothill.connection.pollconnection import PollConnection
 from bergamothill.errors import PeerTimeoutError
-from tests.gatewayworld import EndlessAnswer, ScriptedServer, answer
+from tests.gatewayworld import EndlessAnswer, ScriptedServer, answer, replies
 
 REQUEST = b"GET /events HTTP/1.1\r\nHost: a\r\n\r\n"
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -54,6 +54,9 @@
     def test_endless_fields(self):
         self.assert_given_up(b"HTTP/1.1 200 OK\r\n", b"X-Field: value\r\n" * 4_000)
 
+    def test_endless_informational_replies(self):
+        self.assert_given_up(b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 1_000)
+
     def test_an_endless_body(self):
         self.assert_given_up(b"HTTP/1.1 200 OK\r\n\r\n", BLOCK)
 
@@ -71,3 +74,9 @@
         reply = self.read(self.server(endless), pause_s=0.5)
         self.assertEqual(b"whole", reply.body)
         self.assertTrue(endless.was_closed.is_set())
+
+    def test_an_informational_reply_is_not_the_reply(self):
+        early = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+        reply = self.read(self.server(replies(early + answer(b"whole"))))
+        self.assertEqual((200, b"whole"), (reply.status, reply.body))
+        self.assertNotIn(b"link", reply.headers)
