Bound the replies that the HTTP client collects

What was seen: the client kept the body of a reply without a limit, for the whole time limit of the call (0.5 to 2 s), and of a failure in place of a stream for as long as the peer sent, since only silence ends a stream. This is the client of the key-value service, of engines, stores and services.

A collected body may have 16 MiB. Beyond it the connection is closed and the outcome is unknown, as after a time-out.

--- a/bergamothill/connection/http.py
+++ b/bergamothill/connection/http.py
@@ -20,6 +20,9 @@
 CONNECT_TIMEOUT_MS = 1_000
 MAX_IDLE_HANDLES = 32
 
+MAX_REPLY_BYTES = 16_777_216
+"""Largest body that is collected; libcurl bounds the size of heads and trailers."""
+
 _NOT_SENT_CODES = frozenset({pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST})
 
 
@@ -79,7 +82,7 @@
     def __init__(self, on_chunk: Callable[[bytes], None] | None) -> None:
         self.status = 0
         self.headers: dict[str, str] = {}
-        self.chunks: list[bytes] = []
+        self.body = bytearray()
         self.callback_error: BaseException | None = None
         self._on_chunk = on_chunk
 
@@ -95,8 +98,8 @@
 
     def on_body_chunk(self, chunk: bytes) -> int | None:
         if self._on_chunk is None or self.status != 200:
-            self.chunks.append(chunk)
-            return None
+            self.body += chunk
+            return -1 if len(self.body) > MAX_REPLY_BYTES else None
         try:
             self._on_chunk(chunk)
         except BaseException as error:  # noqa: BLE001 - a pycurl callback must not raise
@@ -146,7 +149,7 @@
         curl = self._prepare(method, path, body, headers, new_connection, collector)
         curl.setopt(pycurl.TIMEOUT_MS, max(1, timeout_ms))
         self._perform(curl, collector, step, new_connection)
-        return HttpReply(collector.status, collector.headers, b"".join(collector.chunks))
+        return HttpReply(collector.status, collector.headers, bytes(collector.body))
 
     def request_json(
         self, method: str, path: str, *, step: str, timeout_ms: int, body: Any = None
@@ -184,7 +187,7 @@
         curl = self._prepare(method, path, body, headers, True, collector)
         perform = partial(STREAM_HUB.perform, idle_timeout_ms=idle_timeout_ms)
         self._perform(curl, collector, step, True, perform)
-        return HttpReply(collector.status, collector.headers, b"".join(collector.chunks))
+        return HttpReply(collector.status, collector.headers, bytes(collector.body))
 
     def close(self) -> None:
         """Close the pooled connections."""
@@ -240,6 +243,8 @@
             curl.close()
             if collector.callback_error is not None:
                 raise collector.callback_error from None
+            if len(collector.body) > MAX_REPLY_BYTES:
+                raise PeerTimeoutError("reply is too large", step=step, peer=self.peer) from None
             raise self._error(error, step, sent) from None
         self._release_handle(curl, new_connection)
 
