Treat JSON that is nested too deeply as malformed

What was seen: a reply or stored entry that begins with some thousand brackets raised RecursionError, which no caller of the decoders expects: it ended the task that follows the cache events of a server for good, and an entry of the server list could fail the whole read.

The consequences are by reading, they were not run.

The decoders of replies, failures, stream events and stored objects raise ProtocolError for it now, as the decoder of chat requests has done already.

--- a/bergamothill/connection/errorreply.py
+++ b/bergamothill/connection/errorreply.py
@@ -43,7 +43,7 @@
         error_class = _CLASSES_BY_CODE[body["code"]]
         message = str(body.get("message", ""))
         retry_after_ms = body.get("retry_after_ms")
-    except (ValueError, KeyError, TypeError, AttributeError):
+    except (ValueError, RecursionError, KeyError, TypeError, AttributeError):
         raise ProtocolError(
             f"status {reply.status} without an error code in the body",
             step=step,
--- a/bergamothill/connection/http.py
+++ b/bergamothill/connection/http.py
@@ -72,7 +72,7 @@
     """
     try:
         return json.loads(reply.body)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise ProtocolError(f"reply is not valid JSON: {error}", step=step, peer=peer) from error
 
 
--- a/bergamothill/connection/httpengine.py
+++ b/bergamothill/connection/httpengine.py
@@ -51,7 +51,7 @@
         for sse_event in self._parser.feed(chunk):
             try:
                 event = wire.decode_event(sse_event)
-            except (ValueError, KeyError, TypeError, AttributeError) as error:
+            except (ValueError, RecursionError, KeyError, TypeError, AttributeError) as error:
                 raise ProtocolError(
                     f"malformed stream event: {error!r}",
                     step=self._step,
--- a/bergamothill/platform/fields.py
+++ b/bergamothill/platform/fields.py
@@ -37,7 +37,7 @@
         """
         try:
             return cls(json.loads(encoded), step=step)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise ProtocolError(f"invalid JSON: {error}", step=step) from error
 
     def text(self, name: str, default: str | None = None) -> str:
