--- a/bergamothill/connection/callerhttp.py
+++ b/bergamothill/connection/callerhttp.py
@@ -14,6 +14,7 @@
 import httptools
 
 from bergamothill.clock import Clock, ms_to_seconds
+from bergamothill.connection.backlogwatch import BacklogWatch
 from bergamothill.connection.flowgate import FlowGate
 from bergamothill.request.callerrequest import Header, RawRequest
 from bergamothill.version.routetable import CallerLimits
@@ -70,6 +71,7 @@
         register: Callable[[CallerConnection, bool], None],
     ) -> None:
         self.flow = FlowGate()
+        self._backlog_watch = BacklogWatch()
         self._handler = handler
         self._clock = clock
         self._register = register
@@ -98,6 +100,7 @@
         """Cancel the request in progress, because the caller has disconnected."""
         self._is_closed = True
         self._cancel_timer()
+        self._backlog_watch.cancel()
         self._register(self, False)
         self._queued.clear()
         if self._cancel is not None:
@@ -109,8 +112,11 @@
         self.flow.pause()
 
     def resume_writing(self) -> None:
-        """Read the answer in progress again."""
+        """Read the answer in progress again, or start the next request."""
         self.flow.resume()
+        if self._cancel is None and not self._is_lingering and not self._transport.is_closing():
+            self._backlog_watch.cancel()
+            self._continue()
 
     @property
     def is_busy(self) -> bool:
@@ -121,7 +127,13 @@
     def close_if_idle(self) -> None:
         """Close the connection unless it is busy."""
         if not self.is_busy and self._transport is not None:
+            self._close()
+
+    def _close(self) -> None:
+        """Close the connection once its backlog has been sent."""
+        if not self._transport.is_closing():
             self._transport.close()
+            self._backlog_watch.start(self._transport)
 
     # Parsing requests.
 
@@ -129,7 +141,7 @@
         """Parse received bytes; reject requests that are malformed or too large."""
         if self._is_closed or not self._keep_alive:
             return
-        if self._cancel is not None:
+        if self._cancel is not None or self.flow.is_paused:
             self._queued_bytes += len(data)
             if self._queued_bytes > MAX_PIPELINED_BYTES:
                 self._reject_unparsed(413)
@@ -207,7 +219,7 @@
         keep_alive = self._parser.should_keep_alive()
         self._reset_request()
         self._queued.append((raw, keep_alive))
-        if self._cancel is None:
+        if self._cancel is None and not self.flow.is_paused:
             self._start_next()
 
     def _start_next(self) -> None:
@@ -235,10 +247,10 @@
     def _reject_unparsed(self, status: int) -> None:
         """Reject a request that is malformed, too large or late, and close the connection.
 
-        If another request is in progress, the connection is aborted without a response.
+        If another request is in progress or queued, the connection is aborted without a response.
         """
         self._keep_alive = False
-        if self._cancel is None and not self._response_started:
+        if self._cancel is None and not self._queued and not self._response_started:
             self.send_response(status, [], b"")
         elif self._transport is not None:
             self._transport.abort()
@@ -312,7 +324,14 @@
         self._response_started = False
         if not self._keep_alive:
             self._linger()
-        elif self._queued:
+        elif self.flow.is_paused:
+            self._backlog_watch.start(self._transport)
+        else:
+            self._continue()
+
+    def _continue(self) -> None:
+        """Start the next request, or wait for it."""
+        if self._queued:
             self._start_next()
         elif not self._receiving_request:
             self._start_request_timer(self._handler.limits().idle_timeout_ms)
@@ -326,6 +345,7 @@
         self._is_lingering = True
         self._queued.clear()
         self._transport.write_eof()
+        self._backlog_watch.start(self._transport)
         self._start_request_timer(LINGER_TIMEOUT_MS)
 
     # Timeouts.
@@ -346,7 +366,7 @@
         elif self._receiving_request and not self._head_received:
             self._reject_unparsed(408)
         elif not self.is_busy and self._transport is not None:
-            self._transport.close()
+            self._close()
 
     def _end_linger(self) -> None:
         if self._transport.get_write_buffer_size():
--- a/tests/test_slow_callers.py
+++ b/tests/test_slow_callers.py
@@ -4,7 +4,9 @@
 import socket
 import threading
 import time
+from unittest import mock
 
+from bergamothill.connection import backlogwatch
 from tests.builders import await_true
 from tests.gatewayworld import (
     HOST,
@@ -13,9 +15,11 @@
     TIMEOUT_S,
     EndlessAnswer,
     GatewayCase,
+    answer,
     chunk,
     event,
     read_all,
+    replies,
     request,
 )
 
@@ -24,6 +28,7 @@
 LARGE_EVENT = b"data: %s\n\n" % (b"x" * 20_000)
 
 EVENTS = 800
+LARGE_BODY = b"x" * 8_000_000
 
 BLOCKED_S = 0.5
 """Time without a byte sent after which a server counts as blocked."""
@@ -93,3 +98,51 @@
         self.assertEqual(EVENTS - 1, found.count(LARGE_EVENT))
         self.assertTrue(found.endswith(b"\r\n0\r\n\r\n"))
         self.assertEqual(1, len(self.sent()))
+
+
+class SlowPlainTest(SlowCallerCase):
+    def ask_slowly(self, headers=b""):
+        """Request a large answer on a slow connection, and give it time to get stuck."""
+        self.enterContext(mock.patch.object(backlogwatch, "BACKLOG_CHECK_MS", 1_000))
+        world = self.world(plain=[replies(answer(LARGE_BODY))])
+        connection = self.connect_slowly(world)
+        connection.sendall(request(headers=headers))
+        return connection
+
+    def test_an_answer_that_is_not_read_is_given_up(self):
+        for headers in (b"", b"Connection: close\r\n"):
+            with self.subTest(headers):
+                connection = self.ask_slowly(headers)
+                time.sleep(2.5)
+                found = read_all(connection)
+                self.assertLess(len(found), len(LARGE_BODY))
+
+    def test_an_answer_that_is_read_slowly_is_sent_to_its_end(self):
+        for headers in (b"", b"Connection: close\r\n"):
+            with self.subTest(headers):
+                connection = self.ask_slowly(headers)
+                found = connection.recv(65_536)
+                whole = len(found.partition(b"\r\n\r\n")[0]) + 4 + len(LARGE_BODY)
+                received = len(found)
+                while received < whole:
+                    time.sleep(0.001)
+                    piece = connection.recv(65_536)
+                    self.assertTrue(piece)
+                    received += len(piece)
+
+    def test_no_request_is_sent_while_the_answer_before_it_is_not_read(self):
+        world = self.world(plain=[replies(answer(b"x" * 200_000))])
+        connection = self.connect_slowly(world)
+        connection.sendall(request() * 59 + request(headers=b"Connection: close\r\n"))
+        time.sleep(2.2)
+        found = read_all(connection)
+        self.assertEqual(60, found.count(b"HTTP/1.1 "))
+        self.assertEqual(len(self.sent()), found.count(b"HTTP/1.1 200 "))
+
+    def test_a_malformed_request_behind_others_that_wait_is_not_answered_in_their_place(self):
+        world = self.world(plain=[replies(answer(b"x" * 200_000))])
+        connection = self.connect_slowly(world)
+        connection.sendall(request() * 60)
+        time.sleep(0.7)
+        connection.sendall(b"malformed\r\n\r\n")
+        self.assertNotIn(b"HTTP/1.1 400 ", read_all(connection))
