Answer connections that are opened as a draining instance closes its listener

Cause: closing a listening socket resets the connections in its queue. Those that had been accepted in the same iteration of the event loop were not yet registered either, so an instance without others ended its drain at once. After a pause of the process the timer of the drain runs before the queue is read.

Evidence: the test stops the process from 0.3 s before to 0.2 s after the time at which the listener closes.

The queue is accepted before the socket is closed, and the drain ends one poll interval later at the earliest. A connection that completes between the last accept and the close is still reset.

--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -10,6 +10,7 @@
 
 from bergamothill.clock import Clock, SystemClock, ms_to_seconds
 from bergamothill.connection.callerhttp import CallerConnection
+from bergamothill.connection.callerlistener import CallerListener
 from bergamothill.connection.http import HttpClient
 from bergamothill.connection.kvs import KeyValueEntry
 from bergamothill.errors import ProtocolError
@@ -51,7 +52,6 @@
 SWAP_DUTY = DutyName("weights")
 ORDER_MARKER_KEY = "duty-orders/weights"
 LEASE_MARGIN_DIVISOR = 5
-LISTEN_BACKLOG = 1_024
 
 ENTRY_LIFE_HEARTBEATS = 4
 """Entries of servers expire after three heartbeat intervals of silence; one more for the delay."""
@@ -199,10 +199,10 @@
         ]
         swaps = threading.Thread(target=self._swaps.run, name="swaps", daemon=True)
         swaps.start()
-        servers = await self._listen(loop)
+        listeners = await self._listen()
         await stop_requested.wait()
         self._swaps.stop()
-        await self._drain(servers[-1])
+        await self._drain(listeners[-1])
         for follower in followers:
             follower.stop()
         self._listener.stop()
@@ -267,23 +267,21 @@
         self._exchange.set_peers(peers)
         self._gateway.set_instance_count(self._exchange.instance_count)
 
-    async def _listen(self, loop: asyncio.AbstractEventLoop) -> list[asyncio.Server]:
+    async def _listen(self) -> list[CallerListener]:
         settings = self._settings
         readiness = ReadinessHandler(self.is_ready, self._metrics.text)
         metrics_address = f"{settings.ip_address}:{METRICS_PORT}"
-        servers = []
+        listeners = []
         for address, handler, on_connection in (
             (settings.readiness_address, readiness, _ignore_connection),
             (metrics_address, readiness, _ignore_connection),
             (settings.caller_address, self._gateway, self._track_connection),
         ):
-            host, _, port = address.rpartition(":")
-            factory: Callable[[], CallerConnection] = partial(
-                CallerConnection, handler, self._clock, on_connection
-            )
-            server = await loop.create_server(factory, host, int(port), backlog=LISTEN_BACKLOG)
-            servers.append(server)
-        return servers
+            factory = partial(CallerConnection, handler, self._clock, on_connection)
+            listener = CallerListener(address, factory)
+            await listener.start()
+            listeners.append(listener)
+        return listeners
 
     def _on_load_report(self) -> None:
         self._gateway.capacity_changed()
@@ -406,7 +404,7 @@
         self._settings = settings
         _log.info("reload", changed=changed)
 
-    async def _drain(self, caller_server: asyncio.Server) -> None:
+    async def _drain(self, caller_listener: CallerListener) -> None:
         started_ms = self._clock.now_ms()
         _log.info("stop_begins", in_progress=self._gateway.in_progress)
         self._draining = True
@@ -416,15 +414,16 @@
             ends_ms=started_ms + grace_ms - EXIT_MARGIN_MS,
         )
         self._gateway.start_drain(period)
+        while self._clock.now_ms() < period.notice_ends_ms:
+            await asyncio.sleep(ms_to_seconds(DRAIN_POLL_INTERVAL_MS))
+        caller_listener.close()
         while self._clock.now_ms() < period.ends_ms:
-            now_ms = self._clock.now_ms()
-            if now_ms >= period.notice_ends_ms:
-                caller_server.close()
-                for connection in list(self._connections):
-                    connection.close_if_idle()
-                if not self._connections and not self._gateway.in_progress:
-                    break
+            # Connections that were accepted as the listener closed are registered meanwhile.
             await asyncio.sleep(ms_to_seconds(DRAIN_POLL_INTERVAL_MS))
+            for connection in list(self._connections):
+                connection.close_if_idle()
+            if not self._connections and not self._gateway.in_progress:
+                break
         _log.info("stop_ends", in_progress=self._gateway.in_progress)
         self._gateway.end_drain()
         while self._gateway.in_progress and self._clock.now_ms() < period.ends_ms + FINAL_ANSWER_MS:
--- a/tests/test_stop_processes.py
+++ b/tests/test_stop_processes.py
@@ -1,5 +1,6 @@
 """Tests of callers' requests around SIGTERM, with entry instances as separate processes."""
 
+import signal
 import socket
 import time
 import unittest
@@ -10,6 +11,7 @@
 from tests.gatewayworld import read_all
 
 GRACE_S = 4
+NOTICE_S = GRACE_S / 2
 TIMEOUT_S = 10
 
 SHORT_STREAM = RequestKind("short", "streaming", 25, 10, 100, 12_000, 600)
@@ -20,7 +22,7 @@
 
 SHAPE = FleetShape(
     zones=("zone-a",),
-    nodes=4,
+    nodes=5,
     engines=1,
     plain_servers=1,
     kinds=(SHORT_STREAM, LONG_STREAM, ORDER, SLOW_ORDER, LARGE_ORDER),
@@ -90,6 +92,17 @@
         answer = read_all(connection)
         self.assertEqual([502], statuses(answer), answer[-200:])
 
+    def test_a_request_that_arrives_as_the_listener_closes_is_answered(self):
+        self.node = self.nodes.pop()
+        self.node.terminate()
+        time.sleep(NOTICE_S - 0.3)
+        self.node.signal(signal.SIGSTOP)
+        with socket.create_connection(self.node.caller_address, TIMEOUT_S) as connection:
+            connection.sendall(encoded(ORDER, "e1"))
+            time.sleep(0.5)
+            self.node.signal(signal.SIGCONT)
+            self.assertEqual([200], statuses(read_all(connection)))
+
     def test_an_answer_is_not_lost_to_bytes_that_arrive_while_it_is_sent(self):
         connection = self.connect(receive_buffer=4_096)
         connection.sendall(encoded(LARGE_ORDER, "d1"))
