--- /dev/null
+++ b/tests/test_drainsoak.py
@@ -0,0 +1,55 @@
+"""Tests of the rule that the soak of stops applies."""
+
+import unittest
+
+from scripts.callerload import CallerHabit, CallerRecord, Ending
+from scripts.drainsoak import Stop, StopJudge, Verdict
+from scripts.platformfleet import KOWHAI_MEND
+
+STOP = Stop("n1", signalled_ms=100_000, exited_ms=107_500, was_killed=False)
+
+
+def record(request="r1", **changes):
+    values = {"sent_ms": 101_000, "ended_ms": 107_300, "ending": Ending.CLOSED, **changes}
+    return CallerRecord(request, KOWHAI_MEND.kinds[0], CallerHabit.KEEPS, "n1", **values)
+
+
+def at_server(ended_ms):
+    return {"begun_ms": 101_010, "ended_ms": ended_ms, "outcome": "left"}
+
+
+class StopJudgeTest(unittest.TestCase):
+    def verdicts(self, *records, seen=None):
+        findings = StopJudge(8_000).findings(list(records), [STOP], seen or {})
+        return [finding.verdict for finding in findings]
+
+    def test_whole_answers_and_ends_outside_the_stop_are_no_findings(self):
+        self.assertEqual([], self.verdicts(record(ending=Ending.WHOLE)))
+        self.assertEqual([], self.verdicts(record(ended_ms=99_999)))
+        self.assertEqual([], self.verdicts(record(ended_ms=109_001)))
+
+    def test_a_request_that_was_not_wholly_sent_is_no_finding(self):
+        self.assertEqual([], self.verdicts(record(sent_ms=0.0)))
+
+    def test_a_cut_is_allowed_while_the_server_works_in_the_last_sixth(self):
+        for ended_ms, verdict in ((106_700, Verdict.CUT_AT_END), (106_600, Verdict.VIOLATION)):
+            with self.subTest(ended_ms=ended_ms):
+                self.assertEqual(
+                    [verdict], self.verdicts(record(), seen={"r1": at_server(ended_ms)})
+                )
+
+    def test_a_cut_of_a_request_sent_after_three_seconds_is_a_violation(self):
+        late = record(sent_ms=103_001)
+        self.assertEqual([Verdict.VIOLATION], self.verdicts(late, seen={"r1": at_server(107_300)}))
+
+    def test_a_request_that_crosses_the_close_is_allowed_for_the_slack(self):
+        self.assertEqual([Verdict.CROSSED], self.verdicts(record(sent_ms=107_100)))
+        self.assertEqual([Verdict.VIOLATION], self.verdicts(record(sent_ms=107_099)))
+
+    def test_a_request_behind_a_stream_is_allowed_if_the_cut_is(self):
+        first = record("r1")
+        behind = record("r2", behind=first)
+        allowed = self.verdicts(first, behind, seen={"r1": at_server(107_300)})
+        self.assertEqual([Verdict.CUT_AT_END, Verdict.BEHIND_CUT], allowed)
+        early = self.verdicts(first, behind, seen={"r1": at_server(102_000)})
+        self.assertEqual([Verdict.VIOLATION, Verdict.VIOLATION], early)
--- a/tests/test_stop_processes.py
+++ b/tests/test_stop_processes.py
@@ -84,13 +84,13 @@
         self.assertEqual([200, 200], statuses(answers), answers[-200:])
         self.assertEqual(1, answers.count(b"Connection: close"))
 
-    def test_a_request_that_outlasts_the_stop_gets_an_answer(self):
+    def test_requests_that_outlast_the_stop_get_answers(self):
         connection = self.connect()
-        connection.sendall(encoded(SLOW_ORDER, "c1"))
+        connection.sendall(encoded(SLOW_ORDER, "c1") + encoded(ORDER, "c2"))
         time.sleep(0.2)
         self.node.terminate()
         answer = read_all(connection)
-        self.assertEqual([502], statuses(answer), answer[-200:])
+        self.assertEqual([502, 503], statuses(answer), answer[-200:])
 
     def test_a_request_that_arrives_as_the_listener_closes_is_answered(self):
         self.node = self.nodes.pop()
