--- a/scripts/drainsoak.py
+++ b/scripts/drainsoak.py
@@ -56,11 +56,14 @@
     CUT_AT_END = "cut_at_end"
     """Sent early enough, and its server was at work to the end of the grace period."""
 
+    TIMED_OUT = "timed_out"
+    """Ended at its time limit."""
+
     CROSSED = "crossed"
     """Crossed the close of its connection and was not sent to a server."""
 
     BEHIND_CUT = "behind_cut"
-    """Pipelined behind a stream that was cut at the end; HTTP has no place for an answer."""
+    """Pipelined behind a stream that was cut as allowed; HTTP has no place for an answer."""
 
 
 @dataclass(frozen=True)
@@ -134,6 +137,8 @@
     def _verdict(
         self, record: CallerRecord, stop: Stop, seen: dict[str, dict[str, Any]]
     ) -> Verdict:
+        if record.ended_ms - record.sent_ms >= record.kind.timeout_ms:
+            return Verdict.TIMED_OUT
         server = seen.get(record.request)
         if server is not None:
             is_cut = self._is_excused_cut(record, stop, server)
@@ -152,7 +157,7 @@
 
 
 def _behind(before: Verdict) -> Verdict:
-    is_cut = before in (Verdict.CUT_AT_END, Verdict.BEHIND_CUT)
+    is_cut = before in (Verdict.CUT_AT_END, Verdict.BEHIND_CUT, Verdict.TIMED_OUT)
     return Verdict.BEHIND_CUT if is_cut else Verdict.VIOLATION
 
 
--- a/scripts/platformfleet.py
+++ b/scripts/platformfleet.py
@@ -29,6 +29,7 @@
 API_KEY = "key-1"
 CALLER_PORT = 8005
 READINESS_PORT = 8002
+STORE_TIMEOUT_MS = 5_000
 MS_PER_S = 1_000
 
 
@@ -161,7 +162,8 @@
         :param shape: layout
         """
         store = group.add(StandInProcess("platformstore"))
-        kvs = PlatformKeyValueService(HttpClient("key-value service", store.address))
+        client = HttpClient("key-value service", store.address)
+        kvs = PlatformKeyValueService(client, timeout_ms=STORE_TIMEOUT_MS)
         names = [f"llm-{i}" for i in range(shape.engines)]
         names += [f"plain-{i}" for i in range(shape.plain_servers)]
         servers = {
--- a/tests/test_drainsoak.py
+++ b/tests/test_drainsoak.py
@@ -42,6 +42,12 @@
         late = record(sent_ms=103_001)
         self.assertEqual([Verdict.VIOLATION], self.verdicts(late, seen={"r1": at_server(107_300)}))
 
+    def test_a_stream_may_end_at_its_time_limit(self):
+        for ended_ms, verdict in ((102_000, Verdict.TIMED_OUT), (101_999, Verdict.VIOLATION)):
+            with self.subTest(ended_ms=ended_ms):
+                stream = record(sent_ms=90_000, ended_ms=ended_ms)
+                self.assertEqual([verdict], self.verdicts(stream, seen={"r1": at_server(ended_ms)}))
+
     def test_a_request_that_crosses_the_close_is_allowed_for_the_slack(self):
         self.assertEqual([Verdict.CROSSED], self.verdicts(record(sent_ms=107_100)))
         self.assertEqual([Verdict.VIOLATION], self.verdicts(record(sent_ms=107_099)))
