--- a/scripts/drainsoak.py
+++ b/scripts/drainsoak.py
@@ -31,6 +31,7 @@
 SETTLE_S = 2.0
 CALLERS_PER_HABIT = 6
 EXIT_VIOLATION = 1
+EXIT_INTERRUPTED = 2
 
 
 @dataclass(frozen=True)
@@ -278,6 +279,8 @@
     parser.add_argument("--logs", type=Path, help="folder for the logs of the instances")
     parser.add_argument("--verbose", action="store_true", help="print what is excused too")
     options = parser.parse_args(argv)
+    # The processes of the deployment are stopped on the way out.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_INTERRUPTED))
     soak, findings = run_soak(
         LAYOUTS[options.layout], options.seed, options.rounds, options.callers, options.logs
     )
