--- a/scripts/drainsoak.py
+++ b/scripts/drainsoak.py
@@ -31,6 +31,7 @@
 SETTLE_S = 2.0
 CALLERS_PER_HABIT = 6
 EXIT_VIOLATION = 1
+EXIT_INTERRUPTED = 2
 
 
 @dataclass(frozen=True)
@@ -56,11 +57,14 @@
     CUT_AT_END = "cut_at_end"
     """Sent early enough, and its server was at work to the end of the grace period."""
 
+    TIMED_OUT = "timed_out"
+    """Ended at its time limit."""
+
     CROSSED = "crossed"
     """Crossed the close of its connection and was not sent to a server."""
 
     BEHIND_CUT = "behind_cut"
-    """Pipelined behind a stream that was cut at the end; HTTP has no place for an answer."""
+    """Pipelined behind a stream that was cut as allowed; HTTP has no place for an answer."""
 
 
 @dataclass(frozen=True)
@@ -134,6 +138,8 @@
     def _verdict(
         self, record: CallerRecord, stop: Stop, seen: dict[str, dict[str, Any]]
     ) -> Verdict:
+        if record.ended_ms - record.sent_ms >= record.kind.timeout_ms:
+            return Verdict.TIMED_OUT
         server = seen.get(record.request)
         if server is not None:
             is_cut = self._is_excused_cut(record, stop, server)
@@ -152,7 +158,7 @@
 
 
 def _behind(before: Verdict) -> Verdict:
-    is_cut = before in (Verdict.CUT_AT_END, Verdict.BEHIND_CUT)
+    is_cut = before in (Verdict.CUT_AT_END, Verdict.BEHIND_CUT, Verdict.TIMED_OUT)
     return Verdict.BEHIND_CUT if is_cut else Verdict.VIOLATION
 
 
@@ -273,6 +279,8 @@
     parser.add_argument("--logs", type=Path, help="folder for the logs of the instances")
     parser.add_argument("--verbose", action="store_true", help="print what is excused too")
     options = parser.parse_args(argv)
+    # The processes of the deployment are stopped on the way out.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_INTERRUPTED))
     soak, findings = run_soak(
         LAYOUTS[options.layout], options.seed, options.rounds, options.callers, options.logs
     )
