--- a/tests/platformworld.py
+++ b/tests/platformworld.py
@@ -5,6 +5,7 @@
 import json
 import os
 import random
+import signal
 import socket
 import subprocess
 import sys
@@ -12,6 +13,7 @@
 import threading
 import time
 import unittest
+from collections.abc import Sequence
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -28,7 +30,8 @@
 PEER_DISCOVERY_S = 3.0
 """Time in which running instances read the registration of a new one."""
 
-CRASHING_PART = "bad0"
+CRASHING_PARTS = ("bad0", "bad1", "bad2", "bad3")
+CRASHING_PART = CRASHING_PARTS[0]
 SHARED_PARTS = ("a1", "b2")
 STOP_TIMEOUT_S = 10
 
@@ -92,6 +95,14 @@
             self._process.wait(STOP_TIMEOUT_S)
             self._process = None
 
+    def pause(self) -> None:
+        """Stop the process from running."""
+        self._process.send_signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let the process run again."""
+        self._process.send_signal(signal.SIGCONT)
+
     def is_ready(self) -> bool:
         """Return whether the readiness check succeeds."""
         try:
@@ -126,7 +137,7 @@
         kvs.put_if("op/config", json.dumps(config).encode(), expected=ABSENT)
         target = {"model": "m1", "version": 1}
         kvs.put_if("op/version/m1", json.dumps(target).encode(), expected=ABSENT)
-        crashing = frozenset((CRASHING_PART,))
+        crashing = frozenset(CRASHING_PARTS)
         self.engines = [
             PlatformEngineStandIn(kvs, f"e{n}", crashing_parts=crashing) for n in range(engines)
         ]
@@ -164,14 +175,17 @@
         self._server.shutdown()
         self._server.server_close()
 
-    def ask(self, parts: tuple[str, ...], *, route: str = "quote") -> Outcome:
+    def ask(
+        self, parts: tuple[str, ...], *, route: str = "quote", node: int | None = None
+    ) -> Outcome:
         """Send a request, whose last part is its own, and return what the caller got.
 
         :param parts: shared parts of the prompt
         :param route: route of the request
+        :param node: number of the instance to send it to; by default each in turn
         """
         number = next(self._numbers)
-        node = self.nodes[number % len(self.nodes)]
+        node = self.nodes[number % len(self.nodes) if node is None else node]
         request_id, names = f"r{number}", (*parts, f"f{number:x}")
         prefix = ",".join(f"{name}:20" for name in names)
         sent_s = time.monotonic()
@@ -192,9 +206,12 @@
         self.outcomes.append(outcome)
         return outcome
 
-    def ask_in_thread(self, parts: tuple[str, ...], *, route: str = "quote") -> None:
+    def ask_in_thread(
+        self, parts: tuple[str, ...], *, route: str = "quote", node: int | None = None
+    ) -> None:
         """Send a request from a thread of its own."""
-        thread = threading.Thread(target=self.ask, args=(parts,), kwargs={"route": route})
+        options = {"route": route, "node": node}
+        thread = threading.Thread(target=self.ask, args=(parts,), kwargs=options)
         thread.start()
         self._callers.append(thread)
 
@@ -225,14 +242,27 @@
             thread.join(TIMEOUT_S)
         self._callers.clear()
 
+    def convict(self, part: str, nodes: Sequence[int]) -> None:
+        """Send requests with a crashing part until some instances refuse them.
+
+        :param part: name of the part
+        :param nodes: numbers of these instances
+        """
+
+        def are_refused() -> bool:
+            outcomes = [self.ask((part,), node=number) for number in nodes]
+            return all(b"prompt_part_quarantined" in o.answer and o.status == 503 for o in outcomes)
+
+        await_true(are_refused)
+
     def crashes_s(self) -> list[float]:
         """Return the times at which engines crashed, in order."""
         return sorted(at_s for engine in self.engines for at_s in engine.crashes_s)
 
-    def crashing_arrivals(self) -> list[EngineArrival]:
-        """Return the requests with the crashing part that reached engines."""
+    def arrivals_of(self, part: str) -> list[EngineArrival]:
+        """Return the requests with a part that reached engines."""
         arrivals = (arrival for engine in self.engines for arrival in engine.arrivals)
-        return [arrival for arrival in arrivals if CRASHING_PART in arrival.parts]
+        return [arrival for arrival in arrivals if part in arrival.parts]
 
 
 class PlatformWorldCase(unittest.TestCase):
