Quarantine: verdicts name the reports they rest on (interface: ReportId, Verdict.reports)

An instance that was cut off from its peers can take the crashes of another part for those of a sound one. Its verdict now names the reports; whoever knows all of them decides by the evidence of all instances.

--- a/bergamothill/request/crashevidence.py
+++ b/bergamothill/request/crashevidence.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
-from typing import NewType
+from typing import NewType, TypeVar
 
 from bergamothill.ids import EntryInstanceId, ModelName, RequestId, ServerId
 
@@ -17,12 +17,15 @@
     "CrashEvidence",
     "CrashReport",
     "PartId",
+    "ReportId",
     "ReportedCrash",
     "RunNumber",
     "ServerIncarnation",
 ]
 
-REPORT_TTL_MS = 600_000
+REPORT_TTL_MS = 900_000
+"""Longer than a verdict lasts unused, so that one that has been refuted does not come back."""
+
 MAX_REPORTS = 512
 MAX_SHARED = 256
 MAX_SHARED_CHARACTERS = 40_000
@@ -52,20 +55,30 @@
     started_wall_ms: int
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class ReportId:
+    """Id of a crash report.
+
+    :param entry: entry instance that sent the request
+    :param run: number of the run
+    """
+
+    entry: EntryInstanceId
+    run: RunNumber
+
+
 @dataclass(frozen=True, slots=True)
 class CrashReport:
     """One run that broke off because the server closed or reset the connection.
 
-    :param entry: entry instance that sent the request
-    :param run: number of the run
+    :param report_id: id of the report
     :param request_id: caller's id of the request
     :param server: server that ran it
     :param suspects: parts of the prompt but for the last
     :param tried: suspects for which the run was a trial
     """
 
-    entry: EntryInstanceId
-    run: RunNumber
+    report_id: ReportId
     request_id: RequestId
     server: ServerIncarnation
     suspects: frozenset[PartId]
@@ -133,7 +146,7 @@
         )
 
 
-_ReportKey = tuple[EntryInstanceId, RunNumber]
+_IndexKey = TypeVar("_IndexKey")
 
 
 class CrashEvidence:
@@ -144,12 +157,16 @@
 
     def __init__(self, entry: EntryInstanceId) -> None:
         self._entry = entry
-        self._crashes: dict[_ReportKey, Crash] = {}
-        self._by_part: dict[PartId, dict[_ReportKey, Crash]] = {}
+        self._crashes: dict[ReportId, Crash] = {}
+        self._by_part: dict[PartId, dict[ReportId, Crash]] = {}
+        self._by_server: dict[ServerIncarnation, dict[ReportId, Crash]] = {}
         self._verdicts: tuple[frozenset[PartId], ...] = ()
         self._against: dict[PartId, tuple[Crash, ...]] = {}
         self._explained: dict[ServerIncarnation, tuple[frozenset[PartId], ...]] | None = None
         self._expired_ms = 0
+        self.revision = 0
+        """Increases with each change."""
+
         self.order = 0
         """Number of reports that became known so far."""
 
@@ -163,7 +180,7 @@
 
     def merge(self, row: ReportedCrash, now_ms: int) -> bool:
         """Merge a report from a peer; return whether something is new."""
-        key = (row.report.entry, row.report.run)
+        key = row.report.report_id
         crash = self._crashes.get(key)
         broke_ms = now_ms - max(0, row.age_ms)
         if now_ms - broke_ms > REPORT_TTL_MS or not row.report.suspects:
@@ -214,8 +231,8 @@
     def void(self, server: ServerIncarnation, sent_ms: int, now_ms: int) -> bool:
         """Void the reports on a server that answered a request sent after they were known."""
         is_new = False
-        for crash in self._crashes.values():
-            if crash.report.server == server and not crash.is_void and crash.known_ms < sent_ms:
+        for crash in self._by_server.get(server, {}).values():
+            if not crash.is_void and crash.known_ms < sent_ms:
                 crash.is_void = True
                 crash.told_ms = now_ms
                 is_new = True
@@ -225,8 +242,11 @@
 
     def explain_by(self, verdicts: Iterable[frozenset[PartId]]) -> None:
         """Set the verdicts; a crash under convicted parts is no evidence against other parts."""
-        self._verdicts = tuple(verdicts)
-        self._forget_results()
+        verdicts = tuple(verdicts)
+        if verdicts != self._verdicts:
+            self._verdicts = verdicts
+            self._against.clear()
+            self._explained = None
 
     def against(self, part: PartId) -> tuple[Crash, ...]:
         """Return the crashes that speak against a part."""
@@ -236,15 +256,27 @@
         result = self._against.get(part)
         if result is None:
             result = tuple(
-                crash
-                for crash in crashes.values()
-                if not crash.is_void
-                and part not in crash.cleared
-                and not self._is_explained(crash, part)
+                crash for crash in self.all_against(part) if not self._is_explained(crash, part)
             )
             self._against[part] = result
         return result
 
+    def all_against(self, part: PartId) -> tuple[Crash, ...]:
+        """Return the crashes that speak against a part, also if a verdict explains them."""
+        crashes = self._by_part.get(part, {}).values()
+        return tuple(c for c in crashes if not c.is_void and part not in c.cleared)
+
+    def is_clean_trial(self, crash: Crash, part: PartId) -> bool:
+        """Return whether a crash came in a trial of the part, without a trial of others there."""
+        return part in crash.report.tried and all(
+            other.is_settled or not other.report.tried or part in other.report.suspects
+            for other in self._by_server.get(crash.report.server, {}).values()
+        )
+
+    def knows(self, reports: Iterable[ReportId]) -> bool:
+        """Return whether all these reports are known."""
+        return all(report in self._crashes for report in reports)
+
     def is_known_sound(self, part: PartId) -> bool:
         """Return whether a report says that an answer with the part succeeded."""
         return any(part in crash.known_sound for crash in self._by_part.get(part, {}).values())
@@ -280,7 +312,7 @@
             return True
         if crash.is_settled:
             return False
-        return crash.report.entry == self._entry or self._weight(crash) > 1
+        return crash.report.report_id.entry == self._entry or self._weight(crash) > 1
 
     def _weight(self, crash: Crash) -> int:
         """Return the most crashes that are known against a part of a report."""
@@ -318,8 +350,9 @@
             self._evict_one()
         self.order += 1
         crash = Crash(report, broke_ms, now_ms, self.order, told_ms)
-        key = (report.entry, report.run)
+        key = report.report_id
         self._crashes[key] = crash
+        self._by_server.setdefault(report.server, {})[key] = crash
         for part in report.suspects:
             self._by_part.setdefault(part, {})[key] = crash
         return crash
@@ -344,24 +377,29 @@
             if now_ms - crash.broke_ms > REPORT_TTL_MS:
                 self._remove(key)
 
-    def _remove(self, key: _ReportKey) -> None:
+    def _remove(self, key: ReportId) -> None:
         crash = self._crashes.pop(key)
+        _discard(self._by_server, crash.report.server, key)
         for part in crash.report.suspects:
-            reports = self._by_part[part]
-            del reports[key]
-            if not reports:
-                del self._by_part[part]
+            _discard(self._by_part, part, key)
         self._forget_results()
 
     def _forget_results(self) -> None:
+        self.revision += 1
         self._against.clear()
         self._explained = None
 
 
+def _discard(index: dict[_IndexKey, dict[ReportId, Crash]], by: _IndexKey, key: ReportId) -> None:
+    del index[by][key]
+    if not index[by]:
+        del index[by]
+
+
 def _covers(crash: Crash, report: CrashReport) -> bool:
     known = crash.report
     return (
-        known.entry == report.entry
+        known.report_id.entry == report.report_id.entry
         and known.server == report.server
         and known.suspects >= report.suspects
         and known.tried >= report.tried
--- a/bergamothill/request/partquarantine.py
+++ b/bergamothill/request/partquarantine.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 from enum import Enum
 
@@ -17,6 +17,7 @@
     CrashReport,
     PartId,
     ReportedCrash,
+    ReportId,
     RunNumber,
     ServerIncarnation,
 )
@@ -34,6 +35,7 @@
     "Quarantined",
     "QuarantineReport",
     "QuarantineVerdict",
+    "ReportId",
     "ReportedCrash",
     "RunEnd",
     "RunNumber",
@@ -83,10 +85,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Trial:
-    """The request may be sent as the only one with these parts.
+    """The request may be sent as the only one with these parts, best to a server without a trial.
 
     :param parts: suspected parts of the request
-    :param needs_lone_server: the server must not run another trial
+    :param needs_lone_server: no server that runs another trial will do
     """
 
     parts: frozenset[PartId]
@@ -144,6 +146,7 @@
         self._evidence = CrashEvidence(entry)
         self._slots = TrialSlots(entry)
         self._verdicts = VerdictSet()
+        self._reviewed_revision: int | None = None
         self.report_revision = 0
         """Increases when peers should get a report at once."""
 
@@ -168,7 +171,7 @@
             return Unsuspected()
         if self._slots.claim(suspects, now_ms):
             self.report_revision += 1
-        if self._verdict_on(suspects, shared, now_ms, known_before_ms=now_ms) is not None:
+        if self._awaits_confirmation(suspects, shared, now_ms):
             return AwaitTrial(WAIT_FOR_CONFIRMATION_MS)
         wait_ms = self._slots.wait_ms(suspects, now_ms)
         if wait_ms:
@@ -276,47 +279,54 @@
         return is_new
 
     def _merge_verdicts(self, verdicts: Iterable[Verdict], now_ms: int) -> bool:
-        added = [self._add_verdict(v.parts, now_ms - v.idle_ms, now_ms) for v in verdicts]
+        added = [self._add_verdict(verdict, now_ms) for verdict in verdicts]
         return any(added)
 
-    def _add_verdict(self, parts: frozenset[PartId], used_ms: int, now_ms: int) -> bool:
-        is_new = self._verdicts.add(parts, used_ms, now_ms)
+    def _add_verdict(self, verdict: Verdict, now_ms: int) -> bool:
+        is_new = self._verdicts.add(verdict, now_ms)
         if is_new:
-            self._evidence.explain_by(self._verdicts.parts())
+            self._reviewed_revision = None
             self.report_revision += 1
             self.verdict_revision += 1
         return is_new
 
+    def _review_verdicts(self, now_ms: int) -> None:
+        """Compare the verdicts with the evidence if that has changed."""
+        if self._reviewed_revision != self._evidence.revision:
+            self._reviewed_revision = self._evidence.revision
+            self._verdicts.review(self._evidence, self._is_sound_at(now_ms), now_ms)
+            self._evidence.explain_by(self._verdicts.in_force())
+
     def _convicted(self, shared: frozenset[PartId], now_ms: int) -> frozenset[PartId] | None:
         """Return the verdict on a request, after adding any that the evidence justifies by now."""
+        self._review_verdicts(now_ms)
         known = self._verdicts.find(shared, now_ms)
         if known is not None:
             return known
         for part in shared:
-            verdict = self._verdict_on({part}, None, now_ms, known_before_ms=now_ms - CONFIRM_MS)
-            if verdict is not None:
-                self._add_verdict(verdict, now_ms, now_ms)
+            parts = self._justified(part, now_ms, now_ms - CONFIRM_MS)
+            if parts is not None:
+                crashes = self._evidence.against(part)
+                reports = frozenset(crash.report.report_id for crash in crashes)
+                self._add_verdict(Verdict(parts, 0, reports), now_ms)
+        self._review_verdicts(now_ms)
         return self._verdicts.find(shared, now_ms)
 
-    def _verdict_on(
-        self,
-        suspects: Iterable[PartId],
-        shared: frozenset[PartId] | None,
-        now_ms: int,
-        *,
-        known_before_ms: int,
+    def _justified(
+        self, part: PartId, now_ms: int, known_before_ms: int
     ) -> frozenset[PartId] | None:
-        """Return the first verdict on any of the parts, if limited to ``shared`` one within it."""
-        for part in suspects:
-            crashes = self._evidence.against(part)
-            if not crashes:
-                continue
-            concerned = {other for crash in crashes for other in crash.report.suspects}
-            sound = {other for other in concerned if self._is_sound(other, now_ms)}
-            verdict = find_verdict(self._evidence, part, sound, known_before_ms)
-            if verdict is not None and (shared is None or verdict <= shared):
-                return verdict
-        return None
+        if not self._evidence.against(part):
+            return None
+        return find_verdict(self._evidence, part, self._is_sound_at(now_ms), known_before_ms)
+
+    def _awaits_confirmation(
+        self, suspects: frozenset[PartId], shared: frozenset[PartId], now_ms: int
+    ) -> bool:
+        verdicts = (self._justified(part, now_ms, now_ms) for part in suspects)
+        return any(verdict is not None and verdict <= shared for verdict in verdicts)
+
+    def _is_sound_at(self, now_ms: int) -> Callable[[PartId], bool]:
+        return lambda part: self._is_sound(part, now_ms)
 
     def _is_sound(self, part: PartId, now_ms: int) -> bool:
         return self._sound.contains(part, now_ms) or self._evidence.is_known_sound(part)
@@ -341,9 +351,8 @@
 
     def _add_crash(self, run: RunNumber, state: _Run, now_ms: int) -> bool:
         known_sound = {part for part in state.parts if self._sound.contains(part, now_ms)}
-        report = CrashReport(
-            self._entry, run, state.request_id, state.server, state.parts, state.tried
-        )
+        report_id = ReportId(self._entry, run)
+        report = CrashReport(report_id, state.request_id, state.server, state.parts, state.tried)
         return self._evidence.add(report, known_sound, now_ms)
 
     def _record_sound(self, run: RunNumber, state: _Run, now_ms: int) -> None:
--- a/bergamothill/request/verdictset.py
+++ b/bergamothill/request/verdictset.py
@@ -2,16 +2,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable
 from dataclasses import dataclass
 
-from bergamothill.request.crashevidence import CrashEvidence, PartId
+from bergamothill.request.crashevidence import Crash, CrashEvidence, PartId, ReportId
 from bergamothill.request.quarantinereport import Verdict
 
 __all__ = ["VerdictSet", "find_verdict"]
 
 IDLE_TTL_MS = 600_000
 MAX_VERDICTS = 128
+MAX_REPORTS_NAMED = 8
 
 CONVICT_AT = 3
 """Crashed servers that convict a part."""
@@ -27,56 +28,68 @@
 DISTINCT_AT = 2
 """Crashes under one part but not another that tell the two apart."""
 
+IsSound = Callable[[PartId], bool]
+
 
 @dataclass(slots=True)
 class _Known:
-    verdict: frozenset[PartId]
     used_ms: int
+    reports: frozenset[ReportId]
+    in_force: bool = True
 
 
 class VerdictSet:
-    """Verdicts in force at one entry instance."""
+    """Verdicts known to one entry instance."""
 
     def __init__(self) -> None:
         self._known: dict[frozenset[PartId], _Known] = {}
 
     def find(self, parts: frozenset[PartId], now_ms: int) -> frozenset[PartId] | None:
-        """Return a verdict on a request with these parts, if any, and record its use."""
-        for known in self._known.values():
-            if known.verdict <= parts and now_ms - known.used_ms <= IDLE_TTL_MS:
+        """Return a verdict in force on a request with these parts, if any; record its use."""
+        for verdict, known in self._known.items():
+            is_recent = now_ms - known.used_ms <= IDLE_TTL_MS
+            if verdict <= parts and known.in_force and is_recent:
                 known.used_ms = now_ms
-                return known.verdict
+                return verdict
         return None
 
-    def add(self, parts: frozenset[PartId], used_ms: int, now_ms: int) -> bool:
-        """Add a verdict; return whether it is new.
-
-        :param used_ms: time of the last request with these parts
-        """
+    def add(self, verdict: Verdict, now_ms: int) -> bool:
+        """Add a verdict; return whether it is new."""
         self._expire(now_ms)
-        known = self._known.get(parts)
+        used_ms = now_ms - max(0, verdict.idle_ms)
+        known = self._known.get(verdict.parts)
         if known is not None:
-            known.used_ms = max(known.used_ms, used_ms)
+            if known.in_force:
+                known.used_ms = max(known.used_ms, used_ms)
             return False
-        is_outdated = now_ms - used_ms > IDLE_TTL_MS
-        if is_outdated or not parts or any(verdict < parts for verdict in self._known):
+        if not verdict.parts or now_ms - used_ms > IDLE_TTL_MS:
             return False
-        for verdict in [verdict for verdict in self._known if parts < verdict]:
-            del self._known[verdict]
         if len(self._known) >= MAX_VERDICTS:
             del self._known[min(self._known, key=lambda key: self._known[key].used_ms)]
-        self._known[parts] = _Known(parts, used_ms)
+        reports = frozenset(sorted(verdict.reports)[:MAX_REPORTS_NAMED])
+        self._known[verdict.parts] = _Known(used_ms, reports)
         return True
 
-    def parts(self) -> tuple[frozenset[PartId], ...]:
-        """Return the parts of each verdict."""
-        return tuple(self._known)
+    def review(self, evidence: CrashEvidence, is_sound: IsSound, known_before_ms: int) -> None:
+        """Put verdicts in force, or out of it where all their reports are known and refuted."""
+        for verdict, known in self._known.items():
+            known.in_force = not evidence.knows(known.reports) or any(
+                found is not None and found <= verdict
+                for part in verdict
+                for found in [find_verdict(evidence, part, is_sound, known_before_ms, review=True)]
+            )
+
+    def in_force(self) -> tuple[frozenset[PartId], ...]:
+        """Return the parts of each verdict in force."""
+        return tuple(verdict for verdict, known in self._known.items() if known.in_force)
 
     def rows(self, now_ms: int) -> tuple[Verdict, ...]:
-        """Return the verdicts for peers and the store."""
+        """Return the verdicts in force, for peers and the store."""
         self._expire(now_ms)
         return tuple(
-            Verdict(known.verdict, max(0, now_ms - known.used_ms)) for known in self._known.values()
+            Verdict(verdict, max(0, now_ms - known.used_ms), known.reports)
+            for verdict, known in self._known.items()
+            if known.in_force
         )
 
     def _expire(self, now_ms: int) -> None:
@@ -86,28 +99,42 @@
 
 
 def find_verdict(
-    evidence: CrashEvidence, part: PartId, sound: Iterable[PartId], known_before_ms: int
+    evidence: CrashEvidence,
+    part: PartId,
+    is_sound: IsSound,
+    known_before_ms: int,
+    *,
+    review: bool = False,
 ) -> frozenset[PartId] | None:
     """Return the verdict that the evidence against a part justifies, if any.
 
     Parts that the crashes do not tell apart are convicted together: a prompt with all of them
     crashes servers, whichever of them is the cause.
 
-    :param sound: parts with which answers succeeded lately, so that they need more evidence
+    :param is_sound: whether an answer with a part succeeded lately; it then needs more evidence
     :param known_before_ms: reports that became known later are not yet counted
+    :param review: also count the crashes that verdicts explain
     """
-    crashes = [c for c in evidence.against(part) if c.known_ms <= known_before_ms]
-    servers = {crash.report.server for crash in crashes}
-    needed = CONVICT_SOUND_AT if part in sound else CONVICT_AT
-    tried_on = {crash.report.server for crash in crashes if part in crash.report.tried}
-    requests = {crash.report.request_id or crash.report.run for crash in crashes}
+    against = evidence.all_against if review else evidence.against
+    crashes = [crash for crash in against(part) if crash.known_ms <= known_before_ms]
+    if len(crashes) < CONVICT_AT:
+        return None
+    servers = _servers(crashes)
+    part_is_sound = is_sound(part)
+    needed = CONVICT_SOUND_AT if part_is_sound else CONVICT_AT
+    tried_on = _servers([crash for crash in crashes if evidence.is_clean_trial(crash, part)])
+    requests = {crash.report.request_id or crash.report.report_id for crash in crashes}
     if len(servers) < needed or len(tried_on) < MIN_TRIALS or len(requests) < MIN_REQUESTS:
         return None
     companions = {other for crash in crashes for other in crash.report.suspects} - {part}
     inseparable = {
         other
         for other in companions
-        if (part in sound or other not in sound)
-        and len(servers - {c.report.server for c in evidence.against(other)}) < DISTINCT_AT
+        if (part_is_sound or not is_sound(other))
+        and len(servers - _servers(against(other))) < DISTINCT_AT
     }
     return frozenset({part} | inseparable)
+
+
+def _servers(crashes: list[Crash] | tuple[Crash, ...]) -> set:
+    return {crash.report.server for crash in crashes}
