--- a/bergamothill/request/partquarantine.py
+++ b/bergamothill/request/partquarantine.py
@@ -256,8 +256,8 @@
 
     def report(self, now_ms: int) -> QuarantineReport:
         """Return a snapshot for the peers."""
-        for part in self._evidence.parts():
-            self._convicted(frozenset({part}), now_ms)
+        self._review_verdicts(now_ms)
+        self._convict(now_ms)
         self._sequence_number += 1
         return QuarantineReport(
             self._entry,
@@ -303,14 +303,20 @@
         known = self._verdicts.find(shared, now_ms)
         if known is not None:
             return known
-        for part in shared:
-            parts = self._justified(part, now_ms, now_ms - CONFIRM_MS)
-            if parts is not None:
+        if any(self._justified(part, now_ms, now_ms - CONFIRM_MS) for part in shared):
+            self._convict(now_ms)
+        return self._verdicts.find(shared, now_ms)
+
+    def _convict(self, now_ms: int) -> None:
+        """Reach verdicts on the parts with most crashes first; they may explain those of others."""
+        parts = sorted(self._evidence.parts(), key=lambda part: (-self._crash_count(part), part))
+        for part in parts:
+            convicted = self._justified(part, now_ms, now_ms - CONFIRM_MS)
+            if convicted is not None:
                 crashes = self._evidence.against(part)
                 reports = frozenset(crash.report.report_id for crash in crashes)
-                self._add_verdict(Verdict(parts, 0, reports), now_ms)
-        self._review_verdicts(now_ms)
-        return self._verdicts.find(shared, now_ms)
+                self._add_verdict(Verdict(convicted, 0, reports), now_ms)
+                self._review_verdicts(now_ms)
 
     def _justified(
         self, part: PartId, now_ms: int, known_before_ms: int
