--- a/bergamothill/process/quarantinecodec.py
+++ b/bergamothill/process/quarantinecodec.py
@@ -14,7 +14,13 @@
 from bergamothill.connection.datagrams import MAX_DATAGRAM_BYTES
 from bergamothill.errors import ProtocolError
 from bergamothill.ids import EntryInstanceId, ModelName, RequestId, ServerId
-from bergamothill.request.crashevidence import CrashReport, PartId, RunNumber, ServerIncarnation
+from bergamothill.request.crashevidence import (
+    CrashReport,
+    PartId,
+    ReportId,
+    RunNumber,
+    ServerIncarnation,
+)
 from bergamothill.request.partquarantine import (
     PeerTrial,
     QuarantineReport,
@@ -100,7 +106,7 @@
     table = _PartTable()
     crashes = [_crash_row(crash, table) for crash in report.crashes]
     trials = [[table.references(t.parts), t.server] for t in report.trials]
-    verdicts = [[table.references(v.parts), v.idle_ms] for v in report.verdicts]
+    verdicts = [_verdict_row(v, v.idle_ms, table) for v in report.verdicts]
     header = [KIND, report.entry, report.sequence_number, table.rows()]
     return cbor2.dumps([*header, crashes, trials, verdicts])
 
@@ -108,8 +114,7 @@
 def _crash_row(crash: ReportedCrash, table: _PartTable) -> list[Any]:
     report = crash.report
     return [
-        report.entry,
-        report.run,
+        _report_row(report.report_id),
         report.request_id,
         [report.server.server, report.server.started_wall_ms],
         table.references(report.suspects),
@@ -121,8 +126,17 @@
     ]
 
 
+def _verdict_row(verdict: Verdict, time_ms: int, table: _PartTable) -> list[Any]:
+    reports = [_report_row(report_id) for report_id in sorted(verdict.reports)]
+    return [table.references(verdict.parts), time_ms, reports]
+
+
+def _report_row(report_id: ReportId) -> list[Any]:
+    return [report_id.entry, report_id.run]
+
+
 def decode_quarantine_report(datagram: bytes) -> QuarantineReport:
-    """Decode a report; items that a newer build appends to a crash are ignored.
+    """Decode a report; what a newer build appends to a crash or a verdict is ignored.
 
     :param datagram: content of a datagram
     :raises ProtocolError: it is not a valid report
@@ -135,22 +149,18 @@
             int(sequence_number),
             tuple(_decode_crash(row, reader) for row in _bounded(crashes)),
             tuple(_decode_trial(row, reader) for row in _bounded(trials)),
-            tuple(
-                Verdict(reader.parts(references), max(0, int(idle_ms)))
-                for references, idle_ms in _bounded(verdicts)
-            ),
+            tuple(_decode_verdict(row, reader, 0) for row in _bounded(verdicts)),
         )
     except _CONTENT_ERRORS as error:
         raise ProtocolError(f"not a quarantine report: {error}", step=_STEP) from error
 
 
 def _decode_crash(row: Any, reader: _PartReader) -> ReportedCrash:
-    entry, run, request_id, (server, started_wall_ms), suspects, tried, *rest = row
+    report_id, request_id, (server, started_wall_ms), suspects, tried, *rest = row
     age_ms, known_sound, cleared, is_void, *_ = rest
     return ReportedCrash(
         CrashReport(
-            EntryInstanceId(str(entry)),
-            RunNumber(int(run)),
+            _decode_report_id(report_id),
             RequestId(str(request_id)),
             ServerIncarnation(ServerId(str(server)), int(started_wall_ms)),
             reader.parts(suspects),
@@ -168,6 +178,19 @@
     return PeerTrial(reader.parts(references), None if server is None else ServerId(str(server)))
 
 
+def _decode_verdict(row: Any, reader: _PartReader, wall_ms: int) -> Verdict:
+    """Decode a verdict with its idle time, or with the time of its last use before ``wall_ms``."""
+    references, time_ms, reports, *_ = row
+    idle_ms = wall_ms - int(time_ms) if wall_ms else int(time_ms)
+    report_ids = frozenset(_decode_report_id(report) for report in _bounded(reports))
+    return Verdict(reader.parts(references), max(0, idle_ms), report_ids)
+
+
+def _decode_report_id(row: Any) -> ReportId:
+    entry, run = row
+    return ReportId(EntryInstanceId(str(entry)), RunNumber(int(run)))
+
+
 def encode_verdicts(verdicts: Iterable[Verdict], wall_ms: int) -> bytes:
     """Encode verdicts for the key-value service, without the oldest if they are too large.
 
@@ -177,7 +200,7 @@
     kept = sorted(verdicts, key=lambda verdict: verdict.idle_ms)[:MAX_ROWS]
     while True:
         table = _PartTable()
-        rows = [[table.references(v.parts), wall_ms - v.idle_ms] for v in kept]
+        rows = [_verdict_row(v, wall_ms - v.idle_ms, table) for v in kept]
         encoded = cbor2.dumps([table.rows(), rows])
         if len(encoded) <= MAX_VERDICT_BYTES:
             return encoded
@@ -194,10 +217,7 @@
     try:
         part_rows, rows = cbor2.loads(encoded)
         reader = _PartReader(part_rows)
-        return tuple(
-            Verdict(reader.parts(references), max(0, wall_ms - int(used_wall_ms)))
-            for references, used_wall_ms in _bounded(rows)
-        )
+        return tuple(_decode_verdict(row, reader, wall_ms) for row in _bounded(rows))
     except _CONTENT_ERRORS as error:
         raise ProtocolError(f"not a list of verdicts: {error}", step=_STEP) from error
 
--- a/bergamothill/process/verdictstore.py
+++ b/bergamothill/process/verdictstore.py
@@ -8,13 +8,14 @@
 
 import threading
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
 from bergamothill.clock import Clock, ms_to_seconds
 from bergamothill.connection.kvs import ABSENT, KeyValueEntry, KeyValueService
 from bergamothill.errors import BergamothillError, ConflictError, ProtocolError
 from bergamothill.logs import EventLog
 from bergamothill.process.quarantinecodec import decode_verdicts, encode_verdicts
-from bergamothill.request.crashevidence import PartId
+from bergamothill.request.crashevidence import PartId, ReportId
 from bergamothill.request.partquarantine import Verdict
 
 __all__ = ["VERDICTS_KEY", "VerdictStore"]
@@ -32,6 +33,17 @@
 _log = EventLog("quarantine")
 
 
+@dataclass(frozen=True, slots=True)
+class _Use:
+    """Last use of a verdict, and some of the reports that it rests on."""
+
+    last_wall_ms: int
+    reports: frozenset[ReportId]
+
+
+_Uses = dict[frozenset[PartId], _Use]
+
+
 class VerdictStore:
     """Reads and writes the stored verdicts; :meth:`run` is to be called in a separate thread.
 
@@ -51,9 +63,9 @@
         self._on_read = on_read
         self._lock = threading.Lock()
         self._is_read_requested = True
-        self._own: dict[frozenset[PartId], int] = {}
+        self._own: _Uses = {}
         self._write_due_ms: int | None = None
-        self._stored: dict[frozenset[PartId], int] = {}
+        self._stored: _Uses = {}
         self._last_failure = ""
         self._wake = threading.Event()
         self._is_stopped = False
@@ -92,7 +104,7 @@
         """
         now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
         with self._lock:
-            self._own = {verdict.parts: wall_ms - verdict.idle_ms for verdict in verdicts}
+            self._own = _uses(verdicts, wall_ms)
             if not self._must_write():
                 return
             due_ms = now_ms + delay_ms
@@ -117,8 +129,9 @@
 
     def _must_write(self) -> bool:
         return any(
-            used_wall_ms - self._stored.get(parts, 0) >= REFRESH_MS
-            for parts, used_wall_ms in self._own.items()
+            parts not in self._stored
+            or use.last_wall_ms - self._stored[parts].last_wall_ms >= REFRESH_MS
+            for parts, use in self._own.items()
         )
 
     def _read_if_requested(self) -> None:
@@ -154,12 +167,12 @@
             self._write_due_ms = None
         return IDLE_WAIT_MS
 
-    def _put(self, merged: dict[frozenset[PartId], int], expected: int) -> None:
+    def _put(self, merged: _Uses, expected: int) -> None:
         wall_ms = self._clock.wall_ms()
         verdicts = [
-            Verdict(parts, max(0, wall_ms - used_wall_ms))
-            for parts, used_wall_ms in merged.items()
-            if wall_ms - used_wall_ms <= STORED_TTL_MS
+            Verdict(parts, max(0, wall_ms - use.last_wall_ms), use.reports)
+            for parts, use in merged.items()
+            if wall_ms - use.last_wall_ms <= STORED_TTL_MS
         ]
         self._kvs.put_if(VERDICTS_KEY, encode_verdicts(verdicts, wall_ms), expected=expected)
         with self._lock:
@@ -175,15 +188,19 @@
             _log.warning("entry_unreadable", key=VERDICTS_KEY, error=error.message)
             verdicts = ()
         with self._lock:
-            self._stored = {verdict.parts: wall_ms - verdict.idle_ms for verdict in verdicts}
+            self._stored = _uses(verdicts, wall_ms)
         return verdicts
 
 
-def _merge(
-    stored: dict[frozenset[PartId], int], own: dict[frozenset[PartId], int]
-) -> dict[frozenset[PartId], int]:
+def _uses(verdicts: Iterable[Verdict], wall_ms: int) -> _Uses:
+    return {v.parts: _Use(wall_ms - v.idle_ms, v.reports) for v in verdicts}
+
+
+def _merge(stored: _Uses, own: _Uses) -> _Uses:
     """Return the union, each with the time of its latest use."""
     merged = dict(stored)
-    for parts, used_wall_ms in own.items():
-        merged[parts] = max(used_wall_ms, merged.get(parts, 0))
+    for parts, use in own.items():
+        known = stored.get(parts, use)
+        last_wall_ms = max(use.last_wall_ms, known.last_wall_ms)
+        merged[parts] = _Use(last_wall_ms, known.reports)
     return merged
