Quarantine: a verdict carries its crash reports (interface: Verdict.reports)

A verdict that an instance without contact to its peers wrote to the store was taken over by instances that could refute it but did not know its reports. Verdict.reports holds up to eight CrashReports; a codec has to carry them.

--- a/bergamothill/request/crashevidence.py
+++ b/bergamothill/request/crashevidence.py
@@ -273,9 +273,9 @@
             for other in self._by_server.get(crash.report.server, {}).values()
         )
 
-    def knows(self, reports: Iterable[ReportId]) -> bool:
+    def knows(self, reports: Iterable[CrashReport]) -> bool:
         """Return whether all these reports are known."""
-        return all(report in self._crashes for report in reports)
+        return all(report.report_id in self._crashes for report in reports)
 
     def is_known_sound(self, part: PartId) -> bool:
         """Return whether a report says that an answer with the part succeeded."""
--- a/bergamothill/request/partquarantine.py
+++ b/bergamothill/request/partquarantine.py
@@ -286,6 +286,8 @@
         is_new = self._verdicts.add(verdict, now_ms)
         if is_new:
             self._reviewed_revision = None
+            for report in verdict.reports:
+                self._evidence.merge(ReportedCrash(report, age_ms=0), now_ms)
             self.report_revision += 1
             self.verdict_revision += 1
         return is_new
@@ -311,16 +313,12 @@
         """Reach verdicts on the parts with most crashes first; they may explain those of others."""
         parts = sorted(self._evidence.parts(), key=lambda part: (-self._crash_count(part), part))
         for part in parts:
-            convicted = self._justified(part, now_ms, now_ms - CONFIRM_MS)
-            if convicted is not None:
-                crashes = self._evidence.against(part)
-                reports = frozenset(crash.report.report_id for crash in crashes)
-                self._add_verdict(Verdict(convicted, 0, reports), now_ms)
+            verdict = self._justified(part, now_ms, now_ms - CONFIRM_MS)
+            if verdict is not None:
+                self._add_verdict(verdict, now_ms)
                 self._review_verdicts(now_ms)
 
-    def _justified(
-        self, part: PartId, now_ms: int, known_before_ms: int
-    ) -> frozenset[PartId] | None:
+    def _justified(self, part: PartId, now_ms: int, known_before_ms: int) -> Verdict | None:
         if not self._evidence.against(part):
             return None
         return find_verdict(self._evidence, part, self._is_sound_at(now_ms), known_before_ms)
@@ -329,7 +327,7 @@
         self, suspects: frozenset[PartId], shared: frozenset[PartId], now_ms: int
     ) -> bool:
         verdicts = (self._justified(part, now_ms, now_ms) for part in suspects)
-        return any(verdict is not None and verdict <= shared for verdict in verdicts)
+        return any(verdict is not None and verdict.parts <= shared for verdict in verdicts)
 
     def _is_sound_at(self, now_ms: int) -> Callable[[PartId], bool]:
         return lambda part: self._is_sound(part, now_ms)
--- a/bergamothill/request/quarantinereport.py
+++ b/bergamothill/request/quarantinereport.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from bergamothill.ids import EntryInstanceId
-from bergamothill.request.crashevidence import PartId, ReportedCrash, ReportId
+from bergamothill.request.crashevidence import CrashReport, PartId, ReportedCrash
 from bergamothill.request.trialslots import PeerTrial
 
 __all__ = ["QuarantineReport", "Verdict"]
@@ -17,12 +17,12 @@
 
     :param parts: convicted parts
     :param idle_ms: time since the last request with these parts
-    :param reports: some of the reports it rests on; where these are known, the evidence decides
+    :param reports: crash reports it rests on, at most eight
     """
 
     parts: frozenset[PartId]
     idle_ms: int
-    reports: frozenset[ReportId] = frozenset()
+    reports: frozenset[CrashReport] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
--- a/bergamothill/request/verdictset.py
+++ b/bergamothill/request/verdictset.py
@@ -2,10 +2,18 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 
-from bergamothill.request.crashevidence import Crash, CrashEvidence, PartId, ReportId
+from bergamothill.ids import RequestId
+from bergamothill.request.crashevidence import (
+    Crash,
+    CrashEvidence,
+    CrashReport,
+    PartId,
+    ReportId,
+    ServerIncarnation,
+)
 from bergamothill.request.quarantinereport import Verdict
 
 __all__ = ["VerdictSet", "find_verdict"]
@@ -34,7 +42,7 @@
 @dataclass(slots=True)
 class _Known:
     used_ms: int
-    reports: frozenset[ReportId]
+    reports: frozenset[CrashReport]
     in_force: bool = True
 
 
@@ -66,18 +74,17 @@
             return False
         if len(self._known) >= MAX_VERDICTS:
             del self._known[min(self._known, key=lambda key: self._known[key].used_ms)]
-        reports = frozenset(sorted(verdict.reports)[:MAX_REPORTS_NAMED])
-        self._known[verdict.parts] = _Known(used_ms, reports)
+        self._known[verdict.parts] = _Known(used_ms, verdict.reports)
         return True
 
-    def review(self, evidence: CrashEvidence, is_sound: IsSound, known_before_ms: int) -> None:
-        """Put verdicts in force, or out of it where all their reports are known and refuted."""
+    def review(self, evidence: CrashEvidence, is_sound: IsSound, now_ms: int) -> None:
+        """Put verdicts in force, or out of it if what else is known refutes their reports."""
         for verdict, known in self._known.items():
-            known.in_force = not evidence.knows(known.reports) or any(
-                found is not None and found <= verdict
-                for part in verdict
-                for found in [find_verdict(evidence, part, is_sound, known_before_ms, review=True)]
-            )
+            if known.reports and evidence.knows(known.reports):
+                known.in_force = any(
+                    _is_sufficient(evidence, evidence.all_against(part), part, is_sound(part))
+                    for part in verdict
+                )
 
     def in_force(self) -> tuple[frozenset[PartId], ...]:
         """Return the parts of each verdict in force."""
@@ -99,13 +106,8 @@
 
 
 def find_verdict(
-    evidence: CrashEvidence,
-    part: PartId,
-    is_sound: IsSound,
-    known_before_ms: int,
-    *,
-    review: bool = False,
-) -> frozenset[PartId] | None:
+    evidence: CrashEvidence, part: PartId, is_sound: IsSound, known_before_ms: int
+) -> Verdict | None:
     """Return the verdict that the evidence against a part justifies, if any.
 
     Parts that the crashes do not tell apart are convicted together: a prompt with all of them
@@ -113,28 +115,50 @@
 
     :param is_sound: whether an answer with a part succeeded lately; it then needs more evidence
     :param known_before_ms: reports that became known later are not yet counted
-    :param review: also count the crashes that verdicts explain
     """
-    against = evidence.all_against if review else evidence.against
-    crashes = [crash for crash in against(part) if crash.known_ms <= known_before_ms]
-    if len(crashes) < CONVICT_AT:
-        return None
-    servers = _servers(crashes)
+    crashes = [crash for crash in evidence.against(part) if crash.known_ms <= known_before_ms]
     part_is_sound = is_sound(part)
-    needed = CONVICT_SOUND_AT if part_is_sound else CONVICT_AT
-    tried_on = _servers([crash for crash in crashes if evidence.is_clean_trial(crash, part)])
-    requests = {crash.report.request_id or crash.report.report_id for crash in crashes}
-    if len(servers) < needed or len(tried_on) < MIN_TRIALS or len(requests) < MIN_REQUESTS:
+    if not _is_sufficient(evidence, crashes, part, part_is_sound):
         return None
+    servers = _servers(crashes)
     companions = {other for crash in crashes for other in crash.report.suspects} - {part}
     inseparable = {
         other
         for other in companions
         if (part_is_sound or not is_sound(other))
-        and len(servers - _servers(against(other))) < DISTINCT_AT
+        and len(servers - _servers(evidence.against(other))) < DISTINCT_AT
     }
-    return frozenset({part} | inseparable)
+    return Verdict(frozenset({part} | inseparable), 0, _strongest_reports(evidence, crashes, part))
+
+
+def _is_sufficient(
+    evidence: CrashEvidence, crashes: Sequence[Crash], part: PartId, is_sound: bool
+) -> bool:
+    needed = CONVICT_SOUND_AT if is_sound else CONVICT_AT
+    if len(crashes) < needed or len(_servers(crashes)) < needed:
+        return False
+    tried_on = _servers([crash for crash in crashes if evidence.is_clean_trial(crash, part)])
+    requests = {_request_key(crash.report) for crash in crashes}
+    return len(tried_on) >= MIN_TRIALS and len(requests) >= MIN_REQUESTS
+
+
+def _strongest_reports(
+    evidence: CrashEvidence, crashes: Sequence[Crash], part: PartId
+) -> frozenset[CrashReport]:
+    """Return enough of the reports to justify the verdict elsewhere: one a server, trials first."""
+    by_server: dict[ServerIncarnation, CrashReport] = {}
+    for crash in sorted(crashes, key=lambda c: (not evidence.is_clean_trial(c, part), c.broke_ms)):
+        by_server.setdefault(crash.report.server, crash.report)
+    named = list(by_server.values())[:MAX_REPORTS_NAMED]
+    requests = {_request_key(report) for report in named}
+    if len(requests) < MIN_REQUESTS:
+        named[-1] = next(c.report for c in crashes if _request_key(c.report) not in requests)
+    return frozenset(named)
+
+
+def _request_key(report: CrashReport) -> RequestId | ReportId:
+    return report.request_id or report.report_id
 
 
-def _servers(crashes: list[Crash] | tuple[Crash, ...]) -> set:
+def _servers(crashes: Iterable[Crash]) -> set[ServerIncarnation]:
     return {crash.report.server for crash in crashes}
