--- a/bergamothill/process/quarantinecodec.py
+++ b/bergamothill/process/quarantinecodec.py
@@ -47,33 +47,77 @@
 _DATAGRAM_PREFIX = b"\x87" + cbor2.dumps(KIND)
 
 
-class _PartTable:
-    """Numbers the parts of a message, so that each name is sent once."""
+class _Writer:
+    """Numbers the parts and crash reports of a message, so that each is sent once."""
 
     def __init__(self) -> None:
-        self._numbers: dict[PartId, int] = {}
+        self._parts: dict[PartId, int] = {}
+        self._reports: dict[CrashReport, int] = {}
 
-    def references(self, parts: Iterable[PartId]) -> list[int]:
+    def parts(self, parts: Iterable[PartId]) -> list[int]:
         """Return the numbers of parts."""
-        return [self._numbers.setdefault(part, len(self._numbers)) for part in sorted(parts)]
-
-    def rows(self) -> list[list[str]]:
-        """Return the model and the name of each part."""
-        return [[part.model, part.name] for part in self._numbers]
-
-
-class _PartReader:
-    """Resolves the numbers of parts in a received message."""
-
-    def __init__(self, rows: Any) -> None:
-        self._parts = [PartId(ModelName(str(m)), str(name)) for m, name in _bounded(rows)]
-
-    def parts(self, references: Any) -> frozenset[PartId]:
+        return [self._parts.setdefault(part, len(self._parts)) for part in sorted(parts)]
+
+    def report(self, report: CrashReport) -> int:
+        """Return the number of a crash report."""
+        return self._reports.setdefault(report, len(self._reports))
+
+    def verdict(self, verdict: Verdict, time_ms: int) -> list[Any]:
+        """Return the row of a verdict, with its idle time or the time of its last use."""
+        reports = sorted(verdict.reports, key=lambda report: report.report_id)
+        return [self.parts(verdict.parts), time_ms, [self.report(report) for report in reports]]
+
+    def tables(self) -> list[Any]:
+        """Return the rows of all parts and reports that were numbered."""
+        reports = [self._report_row(report) for report in self._reports]  # numbers more parts
+        return [[[part.model, part.name] for part in self._parts], reports]
+
+    def _report_row(self, report: CrashReport) -> list[Any]:
+        return [
+            report.report_id.entry,
+            report.report_id.run,
+            report.request_id,
+            report.server.server,
+            report.server.started_wall_ms,
+            self.parts(report.suspects),
+            self.parts(report.tried),
+        ]
+
+
+class _Reader:
+    """Resolves the numbers of parts and crash reports in a received message."""
+
+    def __init__(self, part_rows: Any, report_rows: Any) -> None:
+        self._parts = [PartId(ModelName(str(m)), str(name)) for m, name in _bounded(part_rows)]
+        self._reports = [self._decode_report(row) for row in _bounded(report_rows)]
+
+    def parts(self, numbers: Any) -> frozenset[PartId]:
         """Return the parts with these numbers."""
-        numbers = [int(number) for number in _bounded(references)]
-        if min(numbers, default=0) < 0:
-            raise ValueError("negative reference")
-        return frozenset(self._parts[number] for number in numbers)
+        return frozenset(self._parts[_checked(number)] for number in _bounded(numbers))
+
+    def report(self, number: Any) -> CrashReport:
+        """Return the crash report with a number."""
+        return self._reports[_checked(number)]
+
+    def verdict(self, row: Any, *, wall_ms: int | None = None) -> Verdict:
+        """Decode a verdict.
+
+        :param wall_ms: current wall-clock time if the row has the time of the last use
+        """
+        parts, time_ms, reports, *_ = row
+        idle_ms = int(time_ms) if wall_ms is None else wall_ms - int(time_ms)
+        reports = frozenset(self.report(number) for number in _bounded(reports))
+        return Verdict(self.parts(parts), max(0, idle_ms), reports)
+
+    def _decode_report(self, row: Any) -> CrashReport:
+        entry, run, request_id, server, started_wall_ms, suspects, tried, *_ = row
+        return CrashReport(
+            ReportId(EntryInstanceId(str(entry)), RunNumber(int(run))),
+            RequestId(str(request_id)),
+            ServerIncarnation(ServerId(str(server)), int(started_wall_ms)),
+            self.parts(suspects),
+            self.parts(tried),
+        )
 
 
 def is_quarantine_report(datagram: bytes) -> bool:
@@ -103,69 +147,50 @@
 
 
 def _encode_whole(report: QuarantineReport) -> bytes:
-    table = _PartTable()
-    crashes = [_crash_row(crash, table) for crash in report.crashes]
-    trials = [[table.references(t.parts), t.server] for t in report.trials]
-    verdicts = [_verdict_row(v, v.idle_ms, table) for v in report.verdicts]
-    header = [KIND, report.entry, report.sequence_number, table.rows()]
-    return cbor2.dumps([*header, crashes, trials, verdicts])
+    writer = _Writer()
+    crashes = [_crash_row(crash, writer) for crash in report.crashes]
+    trials = [[writer.parts(trial.parts), trial.server] for trial in report.trials]
+    verdicts = [writer.verdict(verdict, verdict.idle_ms) for verdict in report.verdicts]
+    head = [KIND, report.entry, report.sequence_number]
+    return cbor2.dumps([*head, writer.tables(), crashes, trials, verdicts])
 
 
-def _crash_row(crash: ReportedCrash, table: _PartTable) -> list[Any]:
-    report = crash.report
+def _crash_row(crash: ReportedCrash, writer: _Writer) -> list[Any]:
     return [
-        _report_row(report.report_id),
-        report.request_id,
-        [report.server.server, report.server.started_wall_ms],
-        table.references(report.suspects),
-        table.references(report.tried),
+        writer.report(crash.report),
         crash.age_ms,
-        table.references(crash.known_sound),
-        table.references(crash.cleared),
+        writer.parts(crash.known_sound),
+        writer.parts(crash.cleared),
         crash.is_void,
     ]
 
 
-def _verdict_row(verdict: Verdict, time_ms: int, table: _PartTable) -> list[Any]:
-    reports = [_report_row(report_id) for report_id in sorted(verdict.reports)]
-    return [table.references(verdict.parts), time_ms, reports]
-
-
-def _report_row(report_id: ReportId) -> list[Any]:
-    return [report_id.entry, report_id.run]
-
-
 def decode_quarantine_report(datagram: bytes) -> QuarantineReport:
-    """Decode a report; what a newer build appends to a crash or a verdict is ignored.
+    """Decode a report; what a newer build appends to a row is ignored.
 
     :param datagram: content of a datagram
     :raises ProtocolError: it is not a valid report
     """
     try:
-        _, entry, sequence_number, part_rows, crashes, trials, verdicts = cbor2.loads(datagram)
-        reader = _PartReader(part_rows)
+        _, entry, sequence_number, (parts, reports), crashes, trials, verdicts = cbor2.loads(
+            datagram
+        )
+        reader = _Reader(parts, reports)
         return QuarantineReport(
             EntryInstanceId(str(entry)),
             int(sequence_number),
             tuple(_decode_crash(row, reader) for row in _bounded(crashes)),
             tuple(_decode_trial(row, reader) for row in _bounded(trials)),
-            tuple(_decode_verdict(row, reader, 0) for row in _bounded(verdicts)),
+            tuple(reader.verdict(row) for row in _bounded(verdicts)),
         )
     except _CONTENT_ERRORS as error:
         raise ProtocolError(f"not a quarantine report: {error}", step=_STEP) from error
 
 
-def _decode_crash(row: Any, reader: _PartReader) -> ReportedCrash:
-    report_id, request_id, (server, started_wall_ms), suspects, tried, *rest = row
-    age_ms, known_sound, cleared, is_void, *_ = rest
+def _decode_crash(row: Any, reader: _Reader) -> ReportedCrash:
+    report, age_ms, known_sound, cleared, is_void, *_ = row
     return ReportedCrash(
-        CrashReport(
-            _decode_report_id(report_id),
-            RequestId(str(request_id)),
-            ServerIncarnation(ServerId(str(server)), int(started_wall_ms)),
-            reader.parts(suspects),
-            reader.parts(tried),
-        ),
+        reader.report(report),
         max(0, int(age_ms)),
         reader.parts(known_sound),
         reader.parts(cleared),
@@ -173,22 +198,9 @@
     )
 
 
-def _decode_trial(row: Any, reader: _PartReader) -> PeerTrial:
-    references, server = row
-    return PeerTrial(reader.parts(references), None if server is None else ServerId(str(server)))
-
-
-def _decode_verdict(row: Any, reader: _PartReader, wall_ms: int) -> Verdict:
-    """Decode a verdict with its idle time, or with the time of its last use before ``wall_ms``."""
-    references, time_ms, reports, *_ = row
-    idle_ms = wall_ms - int(time_ms) if wall_ms else int(time_ms)
-    report_ids = frozenset(_decode_report_id(report) for report in _bounded(reports))
-    return Verdict(reader.parts(references), max(0, idle_ms), report_ids)
-
-
-def _decode_report_id(row: Any) -> ReportId:
-    entry, run = row
-    return ReportId(EntryInstanceId(str(entry)), RunNumber(int(run)))
+def _decode_trial(row: Any, reader: _Reader) -> PeerTrial:
+    parts, server, *_ = row
+    return PeerTrial(reader.parts(parts), None if server is None else ServerId(str(server)))
 
 
 def encode_verdicts(verdicts: Iterable[Verdict], wall_ms: int) -> bytes:
@@ -199,9 +211,9 @@
     """
     kept = sorted(verdicts, key=lambda verdict: verdict.idle_ms)[:MAX_ROWS]
     while True:
-        table = _PartTable()
-        rows = [_verdict_row(v, wall_ms - v.idle_ms, table) for v in kept]
-        encoded = cbor2.dumps([table.rows(), rows])
+        writer = _Writer()
+        rows = [writer.verdict(verdict, wall_ms - verdict.idle_ms) for verdict in kept]
+        encoded = cbor2.dumps([writer.tables(), rows])
         if len(encoded) <= MAX_VERDICT_BYTES:
             return encoded
         kept = kept[: len(kept) // 2]
@@ -215,9 +227,9 @@
     :raises ProtocolError: the value holds no valid verdicts
     """
     try:
-        part_rows, rows = cbor2.loads(encoded)
-        reader = _PartReader(part_rows)
-        return tuple(_decode_verdict(row, reader, wall_ms) for row in _bounded(rows))
+        (parts, reports), rows = cbor2.loads(encoded)
+        reader = _Reader(parts, reports)
+        return tuple(reader.verdict(row, wall_ms=wall_ms) for row in _bounded(rows))
     except _CONTENT_ERRORS as error:
         raise ProtocolError(f"not a list of verdicts: {error}", step=_STEP) from error
 
@@ -226,3 +238,9 @@
     if not isinstance(rows, list) or len(rows) > MAX_ROWS:
         raise ValueError(f"not a list of at most {MAX_ROWS} items")
     return rows
+
+
+def _checked(number: Any) -> int:
+    if not isinstance(number, int) or number < 0:
+        raise ValueError("not a number of a part or report")
+    return number
--- a/bergamothill/process/verdictstore.py
+++ b/bergamothill/process/verdictstore.py
@@ -15,7 +15,7 @@
 from bergamothill.errors import BergamothillError, ConflictError, ProtocolError
 from bergamothill.logs import EventLog
 from bergamothill.process.quarantinecodec import decode_verdicts, encode_verdicts
-from bergamothill.request.crashevidence import PartId, ReportId
+from bergamothill.request.crashevidence import CrashReport, PartId
 from bergamothill.request.partquarantine import Verdict
 
 __all__ = ["VERDICTS_KEY", "VerdictStore"]
@@ -35,10 +35,10 @@
 
 @dataclass(frozen=True, slots=True)
 class _Use:
-    """Last use of a verdict, and some of the reports that it rests on."""
+    """Last use of a verdict, and the crash reports that it rests on."""
 
     last_wall_ms: int
-    reports: frozenset[ReportId]
+    reports: frozenset[CrashReport]
 
 
 _Uses = dict[frozenset[PartId], _Use]
--- a/tests/test_crashingparts.py
+++ b/tests/test_crashingparts.py
@@ -84,6 +84,7 @@
             paused.resume()
         self.world.finish_traffic()
         self.assertEqual(503, self.world.outcomes[-1].status)
+        await_true(paused.is_ready)  # its configuration may have become outdated
         self.assert_refused(part, sent)
 
     def test_a_verdict_is_stored_again_after_the_store_lost_it(self):
--- a/tests/test_promptruns.py
+++ b/tests/test_promptruns.py
@@ -6,7 +6,7 @@
 
 from bergamothill.connection.backendhttp import ExchangeEnd, ExchangeResult
 from bergamothill.process.promptruns import classify_run_end
-from bergamothill.request.crashevidence import PartId, ReportId
+from bergamothill.request.crashevidence import PartId
 from bergamothill.request.partquarantine import RunEnd, Verdict
 from tests.builders import await_true
 from tests.gatewayworld import (
@@ -26,9 +26,7 @@
 PROMPT = request(b"/quote/2f", headers=PROMPT_HEADERS)
 CLOSE_DELIMITED_HEAD = answer(b"", framing=b"Connection: close\r\n")
 WHOLE_STREAM = STREAM_HEAD + chunk(event(1)) + b"0\r\n\r\n"
-VERDICT = Verdict(
-    frozenset({PartId("m1", "a"), PartId("m1", "b")}), 0, frozenset({ReportId("e9", 1)})
-)
+VERDICT = Verdict(frozenset({PartId("m1", "a"), PartId("m1", "b")}), 0)
 
 
 class RunEndTest(unittest.TestCase):
--- a/tests/test_quarantinecodec.py
+++ b/tests/test_quarantinecodec.py
@@ -31,12 +31,14 @@
     return frozenset(PartId("m1", name) for name in names)
 
 
-def crash(number=1, age_ms=100, suspects=("a", "b")):
+def crash_report(number=1, suspects=("a", "b")):
     server = ServerIncarnation("s1", 1_700_000_000_000)
-    report = CrashReport(
-        ReportId("e1", number), f"r{number}", server, parts(*suspects), parts(*suspects[:1])
-    )
-    return ReportedCrash(report, age_ms, parts("a"), parts("b"), False)
+    report_id, tried = ReportId("e1", number), parts(*suspects[:1])
+    return CrashReport(report_id, f"r{number}", server, parts(*suspects), tried)
+
+
+def crash(number=1, age_ms=100, suspects=("a", "b")):
+    return ReportedCrash(crash_report(number, suspects), age_ms, parts("a"), parts("b"), False)
 
 
 def report(**changes):
@@ -45,7 +47,7 @@
         "sequence_number": 7,
         "crashes": (crash(),),
         "trials": (PeerTrial(parts("b"), "s2"), PeerTrial(parts("c"), None)),
-        "verdicts": (Verdict(parts("d", "e"), 40, frozenset({ReportId("e1", 3)})),),
+        "verdicts": (Verdict(parts("d", "e"), 40, frozenset({crash_report(), crash_report(3)})),),
         **changes,
     }
     return QuarantineReport(**values)
@@ -95,7 +97,7 @@
 
 class StoredVerdictsTest(unittest.TestCase):
     def test_idle_time_goes_on_while_stored(self):
-        reports = frozenset({ReportId("e1", 3), ReportId("e2", 5)})
+        reports = frozenset({crash_report(3), crash_report(5)})
         encoded = encode_verdicts([Verdict(parts("a"), 40, reports)], WALL_MS)
         self.assertEqual(
             (Verdict(parts("a"), 1_040, reports),), decode_verdicts(encoded, WALL_MS + 1_000)
--- a/tests/test_quarantineexchange.py
+++ b/tests/test_quarantineexchange.py
@@ -10,14 +10,14 @@
 from bergamothill.process.quarantineexchange import QuarantineExchange
 from bergamothill.process.registry import Peer
 from bergamothill.process.reportschedule import ReportSchedule
-from bergamothill.request.crashevidence import PartId, ReportId
+from bergamothill.request.crashevidence import PartId
 from bergamothill.request.partquarantine import PartQuarantine, Verdict
 from scripts.processes import free_ports
 from tests.builders import server_pool
 
 HOST = "127.0.0.1"
 LIMIT_S = 5
-VERDICT = Verdict(frozenset({PartId("m1", "a")}), 0, frozenset({ReportId("e9", 1)}))
+VERDICT = Verdict(frozenset({PartId("m1", "a")}), 0)
 
 
 class ReportScheduleTest(unittest.TestCase):
