--- a/tests/test_requestrun.py
+++ b/tests/test_requestrun.py
@@ -1,4 +1,4 @@
-"""Tests of requests in progress while the machine is suspended."""
+"""Tests of requests in progress while the machine is suspended, or its drain ends."""
 
 import re
 import time
@@ -8,9 +8,13 @@
 from tests.builders import await_true
 from tests.gatewayworld import (
     PROMPT_HEADERS,
+    STREAM_HEAD,
     TIMEOUT_S,
     GatewayCase,
     answer,
+    chunk,
+    event,
+    read_all,
     read_message,
     replies,
     request,
@@ -58,3 +62,36 @@
         self.assertIn(b" 503 ", found)
         self.assertIn(b"Retry-After: ", found)
         self.assertEqual((0, []), (len(waiting), self.sent()))
+
+
+class EndOfDrainTest(GatewayCase):
+    """The drain of the instance ends while a request is in progress."""
+
+    def end_drain(self, world):
+        world._loop.call_soon_threadsafe(world.gateway.end_drain)
+
+    def test_a_request_in_the_queue_gets_503_at_the_end_of_the_drain(self):
+        self.enterContext(mock.patch.object(admissionqueue, "MAX_WAIT_MS", 60_000))
+        world = self.world(engines=[replies(answer())])
+        world.server_pool.request_started("s0", 95_000, 0, world.clock.now_ms())
+        waiting = world.gateway.admission_queue("llm").requests
+        with world.connect() as connection:
+            connection.sendall(request(b"/quote/2f", headers=PROMPT_HEADERS))
+            await_true(lambda: len(waiting))
+            self.end_drain(world)
+            self.assertIn(b" 503 ", read_message(connection))
+        self.assertEqual([], self.sent())
+
+    def test_a_stream_that_has_begun_is_not_terminated_normally_at_the_end_of_the_drain(self):
+        def script(connection, _request):
+            connection.sendall(STREAM_HEAD + chunk(event(1)))
+
+        world = self.world(engines=[script])
+        with world.connect() as connection:
+            connection.sendall(request(b"/quote/2f", headers=PROMPT_HEADERS))
+            received = b""
+            while b"t1" not in received:
+                received += connection.recv(65_536)
+            self.end_drain(world)
+            received += read_all(connection)
+        self.assertTrue(received.endswith(chunk(event(1))), received)
