Bound the size of an unfinished event of an engine's stream

The parser of events kept an event without end without a limit, and copied and split it at each read.

--- a/bergamothill/connection/sse.py
+++ b/bergamothill/connection/sse.py
@@ -4,6 +4,9 @@
 
 from dataclasses import dataclass
 
+from bergamothill.connection.ssesplitter import MAX_EVENT_BYTES
+from bergamothill.errors import Execution, ProtocolError
+
 __all__ = ["SseEvent", "SseParser", "encode_sse"]
 
 _EVENT_END = b"\n\n"
@@ -34,12 +37,15 @@
 
         :param chunk: next bytes of the stream
         :returns: complete events in order; comments are dropped
+        :raises ProtocolError: the event that has begun is too large
         """
         buffer = self._partial + chunk if self._partial else chunk
         if b"\r" in buffer:
             buffer = _normalize_line_endings(buffer)
         blocks = buffer.split(_EVENT_END)
         self._partial = blocks.pop()
+        if len(self._partial) > MAX_EVENT_BYTES:
+            raise ProtocolError("event is too large", step="sse", execution=Execution.UNKNOWN)
         events = []
         for block in blocks:
             event = _parse_block(block.decode("utf-8", "replace"))
