End an engine's stream at its final event

What was seen: a run whose engine went on sending after END or ERROR did not return, and the further events were delivered, since only silence ends a stream.

Events behind the final one are not delivered, and bytes that arrive after it end the transfer, whose outcome is that of the final event.

--- a/bergamothill/connection/httpengine.py
+++ b/bergamothill/connection/httpengine.py
@@ -48,6 +48,10 @@
         self._parser = SseParser()
 
     def feed(self, chunk: bytes) -> None:
+        if self.finished:
+            raise PeerTimeoutError(
+                "the stream goes on after its final event", step=self._step, peer=self._peer
+            )
         for sse_event in self._parser.feed(chunk):
             try:
                 event = wire.decode_event(sse_event)
@@ -59,6 +63,8 @@
                     execution=Execution.UNKNOWN,
                 ) from error
             self._deliver(event)
+            if self.finished:
+                return
 
     def _deliver(self, event: StreamEvent) -> None:
         if event.kind in FINAL_EVENT_KINDS:
