Bound chunk headers and trailers of requests

What was seen: a caller could keep a connection and a core busy with a chunk size, extension or trailer without end, and the parser kept the trailer in memory; no timer runs once the head has been read.

Evidence: test_a_chunk_extension, test_a_chunk_size and test_a_trailer failed before ("OSError not raised" within 2 s). The other tests of the file hold before and after.

Framing of a body may have 16 KiB and eight bytes for each byte of the body; beyond it the request gets 400.

--- a/bergamothill/connection/callerhttp.py
+++ b/bergamothill/connection/callerhttp.py
@@ -24,6 +24,12 @@
 MAX_PIPELINED_BYTES = 262_144
 """Maximum size of pipelined requests that are buffered while one is in progress."""
 
+MAX_BODY_FRAMING_BYTES = 16_384
+"""Maximum size of the chunk headers of a request with an empty body."""
+
+MAX_BODY_FRAMING_RATIO = 8
+"""Framing allowed for each byte of a body; a chunk of one byte has five bytes of framing."""
+
 _REASONS = {
     200: b"OK",
     400: b"Bad Request",
@@ -143,7 +149,9 @@
                 return
         if not self._receiving_request and self._cancel is None:
             self._arrived_ms = self._clock.now_ms()
-        if not self._head_received:
+        if self._head_received:
+            self._body_framing_bytes += len(data)
+        else:
             self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
@@ -154,6 +162,8 @@
         else:
             if not self._head_received and self._head_bytes > self._handler.limits().header_bytes:
                 self._reject_unparsed(431)
+            elif self._body_framing_bytes > MAX_BODY_FRAMING_BYTES:
+                self._reject_unparsed(400)
 
     def on_message_begin(self) -> None:
         """Start parsing a request."""
@@ -197,6 +207,7 @@
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
         self._body_bytes += len(body)
+        self._body_framing_bytes -= (1 + MAX_BODY_FRAMING_RATIO) * len(body)
         if self._body_bytes > self._handler.limits().body_bytes:
             self._error_status = 413
             raise ValueError("request body is too large")
@@ -236,6 +247,7 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._head_bytes = 0
+        self._body_framing_bytes = 0
         self._error_status = 0
         self._arrived_ms = 0
 
