Do not forward bytes that are no events

What callers saw: bytes of a faulty engine that are no events, as part of its stream, as soon as they held two newlines in a row, until the time limit.

Cause: the splitter looked only for the ends of events and took anything between two ends for one.

Evidence: test_random_bytes_are_not_forwarded_as_events failed before ("3.02 not less than 1.5", the time limit of the request) and passes now.

What is forwarded must consist of the lines of events: empty, with a field name before a colon (comments have an empty one), or one of the four names without a value. Anything else makes the answer malformed.

--- a/bergamothill/connection/ssesplitter.py
+++ b/bergamothill/connection/ssesplitter.py
@@ -13,6 +13,9 @@
 
 _MAX_EVENT_END_BYTES = 4
 _EVENT_END = re.compile(rb"\r?\n\r?\n|\r\r")
+_EVENTS = re.compile(
+    rb"(?:\xef\xbb\xbf)?(?:(?:[A-Za-z0-9_-]*+:[^\r\n]*+|data|event|id|retry)?(?:\r\n|\r|\n))*+"
+)
 _ID_LINE = re.compile(rb"(?:^|[\r\n])id:[ ]?([^\r\n]*)")
 
 
@@ -35,12 +38,14 @@
 
         :param chunk: next bytes of the stream
         :returns: bytes of the complete events; empty if there is none
-        :raises ProtocolError: the event that has begun is too large
+        :raises ProtocolError: the bytes are no events, or the event that has begun is too large
         """
         if not self._partial and chunk.endswith(b"\n\n"):
             events = chunk
         else:
             events = self._take_events(chunk)
+        if not _EVENTS.fullmatch(events):
+            raise ProtocolError("bytes are no events", step="forward.body")
         for match in _ID_LINE.finditer(events):
             self.last_event_id = match.group(1).decode("latin-1").strip()
         return events
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -1,5 +1,6 @@
 """Tests of backend servers whose answers have no end, or a part that has no end."""
 
+import random
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -182,6 +183,13 @@
         found = self.assert_event_lost(first, BLOCK)
         self.assertNotIn(b"xxxx", found)
 
+    def test_random_bytes_are_not_forwarded_as_events(self):
+        noise = random.Random(1).randbytes(BLOCK_BYTES).replace(b"\x00\x00", b"\n\n") + b"\n\n"
+        for first in (answer(b"", framing=b""), answer(b"", framing=b"") + event(1)):
+            with self.subTest(first):
+                found = self.assert_event_lost(first, noise)
+                self.assertNotIn(noise[:20], found)
+
     def test_the_body_of_a_failure(self):
         head = answer(b"", status=b"500 Broken", framing=b"")
         found = self.assert_event_lost(head, BLOCK)
