--- a/bergamothill/connection/backlogwatch.py
+++ b/bergamothill/connection/backlogwatch.py
@@ -5,12 +5,15 @@
 import asyncio
 
 from bergamothill.clock import ms_to_seconds
+from bergamothill.logs import EventLog
 
 __all__ = ["BacklogWatch"]
 
 BACKLOG_CHECK_MS = 30_000
 """Time in which some of the backlog must be read."""
 
+_log = EventLog("gateway")
+
 
 class BacklogWatch:
     """Watches the bytes that a connection has still to send; nothing is added to them meanwhile."""
@@ -34,7 +37,9 @@
             self._timer = None
 
     def _check(self, transport: asyncio.WriteTransport, previous_bytes: int) -> None:
-        if transport.get_write_buffer_size() >= previous_bytes:
+        left_bytes = transport.get_write_buffer_size()
+        if left_bytes >= previous_bytes:
+            _log.info("answer_not_read", left_bytes=left_bytes)
             transport.abort()
         else:
             self.start(transport)
