--- a/bergamothill/process/requestrun.py
+++ b/bergamothill/process/requestrun.py
@@ -243,10 +243,13 @@
         now_ms = self._clock.now_ms()
         self._record_pause(result.end, now_ms)
         outcome = self._attempt_outcome(result)
+        detail = result.detail
+        if outcome == "broken" and result.end is ExchangeEnd.COMPLETE:
+            detail = "ended before any event" if relay.is_whole else "ended inside an event"
         status = relay.head.status if relay.head is not None else 0
         self._attempt_log.append(
             f"{server}:{outcome}:{status}:{now_ms - started_ms}ms:{_placement_summary(send.terms)}"
-            + (f":{result.detail}" if result.detail else "")
+            + (f":{detail}" if detail else "")
         )
         return self._next_step(outcome, send, now_ms)
 
