--- a/bergamothill/process/requestrun.py
+++ b/bergamothill/process/requestrun.py
@@ -291,10 +291,13 @@
         outcome = self._attempt_outcome(result)
         # Before the next step is chosen, so that no crash is repeated blindly.
         self._end_prompt_run(classify_run_end(outcome, result, has_begun=has_begun))
+        detail = result.detail
+        if outcome == "broken" and result.end is ExchangeEnd.COMPLETE:
+            detail = "ended before any event" if relay.is_whole else "ended inside an event"
         status = relay.head.status if relay.head is not None else 0
         self._attempt_log.append(
             f"{server}:{outcome}:{status}:{now_ms - started_ms}ms:{_placement_summary(send.terms)}"
-            + (f":{result.detail}" if result.detail else "")
+            + (f":{detail}" if detail else "")
         )
         return self._next_step(outcome, send, now_ms)
 
