Quarantine: no prompt is refused only because the instance catches up after a pause

It now decides by what it knows after 250 ms, and waiting prompts ask again as soon as the verdicts are read.

--- a/bergamothill/process/quarantinegate.py
+++ b/bergamothill/process/quarantinegate.py
@@ -34,8 +34,11 @@
 CATCH_UP_MIN_MS = 100
 """Time to process the reports of peers that arrived in a pause."""
 
-CATCH_UP_MAX_MS = 500
-"""Time after which an instance that cannot read the verdicts decides by what it knows."""
+CATCH_UP_MAX_MS = 250
+"""Time after which an instance that cannot read the verdicts decides by what it knows.
+
+Shorter than any request waits for a trial, so that none is refused for this alone.
+"""
 
 CATCH_UP_POLL_MS = 50
 
@@ -149,6 +152,7 @@
         self._has_read = self._has_read_since_pause = True
         self._quarantine.add_verdicts(verdicts, self._clock.now_ms())
         self._publish("store", 0)
+        self._wake_waiting()
 
     @property
     def has_read(self) -> bool:
