--- a/bergamothill/process/quarantinegate.py
+++ b/bergamothill/process/quarantinegate.py
@@ -199,6 +199,8 @@
         for parts in verdicts - self._verdicts:
             _log.warning("part_quarantined", parts=_names(parts), source=source)
             self._metrics.count("part_decisions", decision="part_quarantined")
+        for parts in self._verdicts - verdicts:
+            _log.info("part_released", parts=_names(parts))
         has_new = bool(verdicts - self._verdicts)
         self._verdicts = verdicts
         if has_new:
