Quarantine: the evidence of trials outlasts a restart of all instances (interface: verdicts)

verdicts() also returns rows that their reports do not justify yet; they are not in force. To write the store: read it, add_verdicts() what it holds, then replace it by verdicts(). Claims are announced for longer after more crashes.

--- a/bergamothill/request/crashevidence.py
+++ b/bergamothill/request/crashevidence.py
@@ -162,6 +162,7 @@
         self._by_server: dict[ServerIncarnation, dict[ReportId, Crash]] = {}
         self._verdicts: tuple[frozenset[PartId], ...] = ()
         self._against: dict[PartId, tuple[Crash, ...]] = {}
+        self._servers_against: dict[PartId, frozenset[ServerIncarnation]] = {}
         self._explained: dict[ServerIncarnation, tuple[frozenset[PartId], ...]] | None = None
         self._expired_ms = 0
         self.revision = 0
@@ -246,6 +247,7 @@
         if verdicts != self._verdicts:
             self._verdicts = verdicts
             self._against.clear()
+            self._servers_against.clear()
             self._explained = None
 
     def against(self, part: PartId) -> tuple[Crash, ...]:
@@ -261,6 +263,16 @@
             self._against[part] = result
         return result
 
+    def servers_against(self, part: PartId) -> frozenset[ServerIncarnation]:
+        """Return the servers whose crashes speak against a part."""
+        if part not in self._by_part:
+            return frozenset()
+        servers = self._servers_against.get(part)
+        if servers is None:
+            servers = frozenset(crash.report.server for crash in self.against(part))
+            self._servers_against[part] = servers
+        return servers
+
     def all_against(self, part: PartId) -> tuple[Crash, ...]:
         """Return the crashes that speak against a part, also if a verdict explains them."""
         crashes = self._by_part.get(part, {}).values()
@@ -281,6 +293,11 @@
         """Return whether a report says that an answer with the part succeeded."""
         return any(part in crash.known_sound for crash in self._by_part.get(part, {}).values())
 
+    def suspects_on(self, server: ServerIncarnation) -> set[PartId]:
+        """Return the suspects of all reports on a server."""
+        crashes = self._by_server.get(server, {}).values()
+        return {part for crash in crashes for part in crash.report.suspects}
+
     def parts(self) -> list[PartId]:
         """Return all parts in reports."""
         return list(self._by_part)
@@ -318,7 +335,7 @@
         """Return the most crashes that are known against a part of a report."""
         return max(
             (
-                len({other.report.server for other in self.against(part)})
+                len(self.servers_against(part))
                 for part in crash.report.suspects
                 if part not in crash.known_sound
             ),
@@ -387,6 +404,7 @@
     def _forget_results(self) -> None:
         self.revision += 1
         self._against.clear()
+        self._servers_against.clear()
         self._explained = None
 
 
--- a/bergamothill/request/partquarantine.py
+++ b/bergamothill/request/partquarantine.py
@@ -24,7 +24,13 @@
 from bergamothill.request.quarantinereport import QuarantineReport, Verdict
 from bergamothill.request.soundparts import SoundParts
 from bergamothill.request.trialslots import PeerTrial, TrialSlots
-from bergamothill.request.verdictset import VerdictSet, find_verdict
+from bergamothill.request.verdictset import (
+    CONVICT_AT,
+    VerdictSet,
+    find_suspicion,
+    find_verdict,
+    is_sufficient,
+)
 
 __all__ = [
     "AwaitTrial",
@@ -64,6 +70,7 @@
 """Length of an answer from which on its parts are known to be sound."""
 
 WAIT_FOR_CONFIRMATION_MS = 100
+MAX_STORED_SUSPICIONS = 32
 
 
 class RunEnd(Enum):
@@ -173,10 +180,11 @@
             self.report_revision += 1
         if self._awaits_confirmation(suspects, shared, now_ms):
             return AwaitTrial(WAIT_FOR_CONFIRMATION_MS)
-        wait_ms = self._slots.wait_ms(suspects, now_ms)
+        crash_count = max(self._crash_count(part) for part in suspects)
+        wait_ms = self._slots.wait_ms(suspects, crash_count, now_ms)
         if wait_ms:
             return AwaitTrial(wait_ms)
-        return Trial(suspects, any(self._crash_count(p) >= LONE_TRIAL_AT for p in suspects))
+        return Trial(suspects, crash_count >= LONE_TRIAL_AT)
 
     def begin_run(
         self,
@@ -231,7 +239,10 @@
 
         :param sent_ms: time at which the request was sent
         """
-        self.report_revision += self._evidence.void(server, sent_ms, now_ms)
+        stored = self._stored_suspects(self._evidence.suspects_on(server), now_ms)
+        if self._evidence.void(server, sent_ms, now_ms):
+            self.report_revision += 1
+            self.verdict_revision += stored != self._stored_suspects(stored, now_ms)
 
     def servers_under_trial(self, now_ms: int) -> frozenset[ServerId]:
         """Return the servers that run a trial of any entry instance."""
@@ -248,10 +259,11 @@
             return False
         is_new = self._slots.set_peer(report.entry, report.sequence_number, report.trials, now_ms)
         for row in report.crashes:
-            is_new |= self._evidence.merge(row, now_ms)
-            for part in row.report.suspects:
-                if self._sound.contains(part, now_ms):
-                    self.report_revision += self._evidence.mark_sound(part, now_ms)
+            if self._evidence.merge(row, now_ms):
+                is_new = True
+                for part in row.report.suspects:
+                    if self._sound.contains(part, now_ms):
+                        self.report_revision += self._evidence.mark_sound(part, now_ms)
         return self._merge_verdicts(report.verdicts, now_ms) or is_new
 
     def report(self, now_ms: int) -> QuarantineReport:
@@ -268,11 +280,22 @@
         )
 
     def verdicts(self, now_ms: int) -> tuple[Verdict, ...]:
-        """Return the verdicts in force, for the store."""
-        return self._verdicts.rows(now_ms)
+        """Return the verdicts for the store, those in force and those not yet justified.
+
+        The latter keep the evidence of trials, so that it outlasts a restart of all instances.
+        """
+        self._review_verdicts(now_ms)
+        verdicts = self._verdicts.rows(now_ms)
+        convicted = {
+            part for verdict in verdicts if len(verdict.parts) == 1 for part in verdict.parts
+        }
+        suspects = sorted(self._stored_suspects(self._evidence.parts(), now_ms) - convicted)
+        return verdicts + tuple(
+            find_suspicion(self._evidence, part) for part in suspects[:MAX_STORED_SUSPICIONS]
+        )
 
     def add_verdicts(self, verdicts: Iterable[Verdict], now_ms: int) -> bool:
-        """Add verdicts from the store; return whether any is new."""
+        """Add verdicts from the store; return whether any tells something new."""
         revision = self.verdict_revision
         is_new = self._merge_verdicts(verdicts, now_ms)
         self.verdict_revision = revision
@@ -283,14 +306,18 @@
         return any(added)
 
     def _add_verdict(self, verdict: Verdict, now_ms: int) -> bool:
-        is_new = self._verdicts.add(verdict, now_ms)
-        if is_new:
-            self._reviewed_revision = None
-            for report in verdict.reports:
-                self._evidence.merge(ReportedCrash(report, age_ms=0), now_ms)
-            self.report_revision += 1
-            self.verdict_revision += 1
-        return is_new
+        """Add a verdict and its reports; return whether either is new."""
+        rows = [ReportedCrash(report, age_ms=0) for report in verdict.reports]
+        merged = [self._evidence.merge(row, now_ms) for row in rows]
+        is_justified = not rows or any(
+            is_sufficient(self._evidence, part, self._is_sound_at(now_ms)) for part in verdict.parts
+        )
+        if not (is_justified and self._verdicts.add(verdict, now_ms)):
+            return any(merged)
+        self._reviewed_revision = None
+        self.report_revision += 1
+        self.verdict_revision += 1
+        return True
 
     def _review_verdicts(self, now_ms: int) -> None:
         """Compare the verdicts with the evidence if that has changed."""
@@ -311,7 +338,8 @@
 
     def _convict(self, now_ms: int) -> None:
         """Reach verdicts on the parts with most crashes first; they may explain those of others."""
-        parts = sorted(self._evidence.parts(), key=lambda part: (-self._crash_count(part), part))
+        parts = [part for part in self._evidence.parts() if self._crash_count(part) >= CONVICT_AT]
+        parts.sort(key=lambda part: (-self._crash_count(part), part))
         for part in parts:
             verdict = self._justified(part, now_ms, now_ms - CONFIRM_MS)
             if verdict is not None:
@@ -319,7 +347,7 @@
                 self._review_verdicts(now_ms)
 
     def _justified(self, part: PartId, now_ms: int, known_before_ms: int) -> Verdict | None:
-        if not self._evidence.against(part):
+        if self._crash_count(part) < CONVICT_AT:
             return None
         return find_verdict(self._evidence, part, self._is_sound_at(now_ms), known_before_ms)
 
@@ -343,7 +371,7 @@
         return self._separate_crash_count(part) >= SUSPECT_SOUND_AT
 
     def _crash_count(self, part: PartId) -> int:
-        return len({crash.report.server for crash in self._evidence.against(part)})
+        return len(self._evidence.servers_against(part))
 
     def _separate_crash_count(self, part: PartId) -> int:
         count, last_ms = 0, None
@@ -357,16 +385,30 @@
         known_sound = {part for part in state.parts if self._sound.contains(part, now_ms)}
         report_id = ReportId(self._entry, run)
         report = CrashReport(report_id, state.request_id, state.server, state.parts, state.tried)
-        return self._evidence.add(report, known_sound, now_ms)
+        is_new = self._evidence.add(report, known_sound, now_ms)
+        self.verdict_revision += bool(self._stored_suspects(state.tried, now_ms))
+        return is_new
+
+    def _stored_suspects(self, parts: Iterable[PartId], now_ms: int) -> set[PartId]:
+        """Return the parts of which the store should know: those that failed in a trial, too."""
+        return {
+            part
+            for part in parts
+            if self._crash_count(part) >= LONE_TRIAL_AT
+            and any(part in crash.report.tried for crash in self._evidence.against(part))
+            and not self._is_sound(part, now_ms)
+        }
 
     def _record_sound(self, run: RunNumber, state: _Run, now_ms: int) -> None:
         state.is_sound = True
         has_changed = self._slots.end(run)
+        stored = self._stored_suspects(state.parts, now_ms)
         for part in state.parts:
             self._sound.record(part, now_ms)
             has_changed |= self._evidence.mark_sound(part, now_ms)
             has_changed |= self._evidence.clear(part, state.began_order, now_ms)
         self.report_revision += has_changed
+        self.verdict_revision += stored != self._stored_suspects(stored, now_ms)
 
 
 def _shared_parts(model: ModelName, parts: Sequence[PromptPart]) -> frozenset[PartId]:
--- a/bergamothill/request/trialslots.py
+++ b/bergamothill/request/trialslots.py
@@ -18,6 +18,8 @@
 SETTLE_MS = 30
 """Time for which a claim is announced before its trial begins; longer than a datagram takes."""
 
+MAX_SETTLE_MS = 240
+
 CLAIM_TTL_MS = 250
 """Time after which a claim lapses unless its request asks again."""
 
@@ -87,14 +89,17 @@
             self._claims[parts] = _Claim(now_ms, now_ms)
         return True
 
-    def wait_ms(self, parts: frozenset[PartId], now_ms: int) -> int:
-        """Return the time after which to ask again; 0 if the trial may begin."""
+    def wait_ms(self, parts: frozenset[PartId], crash_count: int, now_ms: int) -> int:
+        """Return the time after which to ask again; 0 if the trial may begin.
+
+        :param crash_count: crashes so far; each doubles the time for which the claim is announced
+        """
         claim = self._claims.get(parts)
         if claim is None:
             return POLL_MS
         if self.is_running(parts, now_ms):
             return POLL_MS
-        settled_ms = claim.first_ms + SETTLE_MS
+        settled_ms = claim.first_ms + min(MAX_SETTLE_MS, SETTLE_MS << (crash_count - 1))
         if now_ms < settled_ms:
             return settled_ms - now_ms
         rank = _rank(self._entry, parts)
--- a/bergamothill/request/verdictset.py
+++ b/bergamothill/request/verdictset.py
@@ -16,7 +16,7 @@
 )
 from bergamothill.request.quarantinereport import Verdict
 
-__all__ = ["VerdictSet", "find_verdict"]
+__all__ = ["CONVICT_AT", "VerdictSet", "find_suspicion", "find_verdict", "is_sufficient"]
 
 IDLE_TTL_MS = 600_000
 MAX_VERDICTS = 128
@@ -81,10 +81,7 @@
         """Put verdicts in force, or out of it if what else is known refutes their reports."""
         for verdict, known in self._known.items():
             if known.reports and evidence.knows(known.reports):
-                known.in_force = any(
-                    _is_sufficient(evidence, evidence.all_against(part), part, is_sound(part))
-                    for part in verdict
-                )
+                known.in_force = any(is_sufficient(evidence, part, is_sound) for part in verdict)
 
     def in_force(self) -> tuple[frozenset[PartId], ...]:
         """Return the parts of each verdict in force."""
@@ -126,11 +123,21 @@
         other
         for other in companions
         if (part_is_sound or not is_sound(other))
-        and len(servers - _servers(evidence.against(other))) < DISTINCT_AT
+        and len(servers - evidence.servers_against(other)) < DISTINCT_AT
     }
     return Verdict(frozenset({part} | inseparable), 0, _strongest_reports(evidence, crashes, part))
 
 
+def find_suspicion(evidence: CrashEvidence, part: PartId) -> Verdict:
+    """Return a verdict on a part with the reports that there are; it may not be justified yet."""
+    return Verdict(frozenset({part}), 0, _strongest_reports(evidence, evidence.against(part), part))
+
+
+def is_sufficient(evidence: CrashEvidence, part: PartId, is_sound: IsSound) -> bool:
+    """Return whether the evidence against a part justifies a verdict, with all that is known."""
+    return _is_sufficient(evidence, evidence.all_against(part), part, is_sound(part))
+
+
 def _is_sufficient(
     evidence: CrashEvidence, crashes: Sequence[Crash], part: PartId, is_sound: bool
 ) -> bool:
@@ -151,8 +158,9 @@
         by_server.setdefault(crash.report.server, crash.report)
     named = list(by_server.values())[:MAX_REPORTS_NAMED]
     requests = {_request_key(report) for report in named}
-    if len(requests) < MIN_REQUESTS:
-        named[-1] = next(c.report for c in crashes if _request_key(c.report) not in requests)
+    others = [c.report for c in crashes if _request_key(c.report) not in requests]
+    if len(requests) < MIN_REQUESTS and others:
+        named[-1] = others[0]
     return frozenset(named)
 
 
