Quarantine: reports kept in the store are no verdict by themselves

Together with later crashes they passed for a verdict on one of two parts that the crashes do not tell apart. They come as a Verdict on no parts now.

--- a/bergamothill/request/verdictset.py
+++ b/bergamothill/request/verdictset.py
@@ -129,8 +129,8 @@
 
 
 def find_suspicion(evidence: CrashEvidence, part: PartId) -> Verdict:
-    """Return a verdict on a part with the reports that there are; it may not be justified yet."""
-    return Verdict(frozenset({part}), 0, _strongest_reports(evidence, evidence.against(part), part))
+    """Return the reports against a part as a verdict on no parts, which is never in force."""
+    return Verdict(frozenset(), 0, _strongest_reports(evidence, evidence.against(part), part))
 
 
 def is_sufficient(evidence: CrashEvidence, part: PartId, is_sound: IsSound) -> bool:
