--- a/bergamothill/request/crashevidence.py
+++ b/bergamothill/request/crashevidence.py
@@ -312,7 +312,7 @@
         These are the reports of this instance, those it has something to add to, and all those
         against a part that has more than one crash against it, as their senders may have ended.
         """
-        self._expire(now_ms)
+        self.expire(now_ms)
         shared = [crash for crash in self._crashes.values() if self._is_shared(crash, now_ms)]
         shared.sort(key=lambda crash: (-self._weight(crash), -crash.broke_ms))
         rows: list[ReportedCrash] = []
@@ -362,9 +362,9 @@
     def _insert(
         self, report: CrashReport, broke_ms: int, now_ms: int, *, told_ms: int | None
     ) -> Crash:
-        self._expire(now_ms)
+        self.expire(now_ms)
         if len(self._crashes) >= MAX_REPORTS:
-            self._evict_one()
+            self._evict()
         self.order += 1
         crash = Crash(report, broke_ms, now_ms, self.order, told_ms)
         key = report.report_id
@@ -374,9 +374,9 @@
             self._by_part.setdefault(part, {})[key] = crash
         return crash
 
-    def _evict_one(self) -> None:
-        """Drop the oldest of the reports that matter least."""
-        key = min(
+    def _evict(self) -> None:
+        """Drop a quarter of the reports, those that matter least and of these the oldest."""
+        keys = sorted(
             self._crashes,
             key=lambda key: (
                 not self._crashes[key].is_settled,
@@ -384,9 +384,11 @@
                 self._crashes[key].broke_ms,
             ),
         )
-        self._remove(key)
+        for key in keys[: MAX_REPORTS // 4]:
+            self._remove(key)
 
-    def _expire(self, now_ms: int) -> None:
+    def expire(self, now_ms: int) -> None:
+        """Drop expired reports."""
         if now_ms - self._expired_ms < EXPIRY_INTERVAL_MS:
             return
         self._expired_ms = now_ms
--- a/bergamothill/request/partquarantine.py
+++ b/bergamothill/request/partquarantine.py
@@ -285,6 +285,7 @@
         The latter keep the evidence of trials, so that it outlasts a restart of all instances.
         """
         self._review_verdicts(now_ms)
+        self._convict(now_ms)
         verdicts = self._verdicts.rows(now_ms)
         convicted = {
             part for verdict in verdicts if len(verdict.parts) == 1 for part in verdict.parts
@@ -321,6 +322,7 @@
 
     def _review_verdicts(self, now_ms: int) -> None:
         """Compare the verdicts with the evidence if that has changed."""
+        self._evidence.expire(now_ms)
         if self._reviewed_revision != self._evidence.revision:
             self._reviewed_revision = self._evidence.revision
             self._verdicts.review(self._evidence, self._is_sound_at(now_ms), now_ms)
