--- a/bergamothill/request/partquarantine.py
+++ b/bergamothill/request/partquarantine.py
@@ -308,10 +308,17 @@
 
     def _add_verdict(self, verdict: Verdict, now_ms: int) -> bool:
         """Add a verdict and its reports; return whether either is new."""
-        rows = [ReportedCrash(report, age_ms=0) for report in verdict.reports]
-        merged = [self._evidence.merge(row, now_ms) for row in rows]
-        is_justified = not rows or any(
-            is_sufficient(self._evidence, part, self._is_sound_at(now_ms)) for part in verdict.parts
+        merged = [
+            self._evidence.merge(ReportedCrash(report, age_ms=0), now_ms)
+            for report in verdict.reports
+        ]
+        is_justified = (
+            not verdict.reports
+            or self._verdicts.knows(verdict.parts)
+            or any(
+                is_sufficient(self._evidence, part, self._is_sound_at(now_ms))
+                for part in verdict.parts
+            )
         )
         if not (is_justified and self._verdicts.add(verdict, now_ms)):
             return any(merged)
--- a/bergamothill/request/verdictset.py
+++ b/bergamothill/request/verdictset.py
@@ -77,6 +77,10 @@
         self._known[verdict.parts] = _Known(used_ms, verdict.reports)
         return True
 
+    def knows(self, parts: frozenset[PartId]) -> bool:
+        """Return whether there is a verdict on exactly these parts, in force or not."""
+        return parts in self._known
+
     def review(self, evidence: CrashEvidence, is_sound: IsSound, now_ms: int) -> None:
         """Put verdicts in force, or out of it if what else is known refutes their reports."""
         for verdict, known in self._known.items():
