Stored verdicts are merged with what an instance knows before they are written

Follows the state machine: what is stored also has the crash reports of trials that justify no verdict yet, so that these outlast a restart of all instances. The store's thread reads, lets the event loop merge, and writes what that returns if something is missing, or if this instance changed its mind by its own evidence. What expired while stored is not read.

--- a/bergamothill/process/nodequarantine.py
+++ b/bergamothill/process/nodequarantine.py
@@ -5,8 +5,9 @@
 import asyncio
 import threading
 
-from bergamothill.clock import Clock
+from bergamothill.clock import Clock, ms_to_seconds
 from bergamothill.connection.kvs import KeyValueService
+from bergamothill.errors import UnavailableError
 from bergamothill.ids import EntryInstanceId
 from bergamothill.process.gatewaymetrics import GatewayMetrics
 from bergamothill.process.loadexchange import LoadExchange
@@ -17,6 +18,8 @@
 
 __all__ = ["NodeQuarantine"]
 
+MERGE_TIMEOUT_MS = 2_000
+
 
 class NodeQuarantine:
     """Connects the quarantine with the peers and the key-value service.
@@ -49,10 +52,17 @@
         """
         loop = asyncio.get_running_loop()
 
-        def on_read(verdicts: tuple[Verdict, ...]) -> None:
-            loop.call_soon_threadsafe(self.gate.add_stored_verdicts, verdicts)
+        async def add_stored(verdicts: tuple[Verdict, ...]) -> tuple[Verdict, ...]:
+            return self.gate.add_stored_verdicts(verdicts)
+
+        def merge(verdicts: tuple[Verdict, ...]) -> tuple[Verdict, ...]:
+            future = asyncio.run_coroutine_threadsafe(add_stored(verdicts), loop)
+            try:
+                return future.result(ms_to_seconds(MERGE_TIMEOUT_MS))
+            except TimeoutError:
+                raise UnavailableError("the event loop is busy", step="quarantine.merge") from None
 
-        store = self._store = VerdictStore(kvs, self._clock, on_read)
+        store = self._store = VerdictStore(kvs, self._clock, merge)
         gate = self.gate
         gate.on_change = self._exchange.wake
         gate.on_pause = store.request_read
--- a/bergamothill/process/quarantinegate.py
+++ b/bergamothill/process/quarantinegate.py
@@ -70,7 +70,7 @@
         self._clock = clock
         self._quarantine = quarantine
         self._metrics = metrics
-        self._report_revision = quarantine.report_revision
+        self._revisions = (quarantine.report_revision, quarantine.verdict_revision)
         self._verdicts: frozenset[frozenset[PartId]] = frozenset()
         self._changed = asyncio.Event()
         self._checked_ms: int | None = None
@@ -147,12 +147,13 @@
         delay_ms = PEER_WRITE_DELAY_MS + random.randrange(PEER_WRITE_DELAY_MS)
         self._publish("peer", delay_ms)
 
-    def add_stored_verdicts(self, verdicts: Iterable[Verdict]) -> None:
-        """Add the verdicts that were read from the store."""
+    def add_stored_verdicts(self, verdicts: Iterable[Verdict]) -> tuple[Verdict, ...]:
+        """Add the verdicts that were read from the store; return those to be stored."""
         self._has_read = self._has_read_since_pause = True
         self._quarantine.add_verdicts(verdicts, self._clock.now_ms())
         self._publish("store", 0)
         self._wake_waiting()
+        return self._quarantine.verdicts(self._clock.now_ms())
 
     @property
     def has_read(self) -> bool:
@@ -166,7 +167,7 @@
         self._checked_ms = now_ms
         self._publish("evidence", 0)
         if now_ms - self._stored_ms >= STORE_CHECK_INTERVAL_MS and self._verdicts:
-            self._publish_verdicts(PEER_WRITE_DELAY_MS)
+            self._store(self._quarantine.verdicts(now_ms), PEER_WRITE_DELAY_MS)
 
     def servers_under_trial(self, now_ms: int) -> frozenset[ServerId]:
         """Return the servers on which a trial is running."""
@@ -191,26 +192,30 @@
 
     def _publish(self, source: str, delay_ms: int) -> None:
         """Tell peers, the store and waiting requests what has changed."""
-        if self._quarantine.report_revision == self._report_revision:
+        quarantine = self._quarantine
+        if (quarantine.report_revision, quarantine.verdict_revision) == self._revisions:
             return
-        self._report_revision = self._quarantine.report_revision
-        now_ms = self._clock.now_ms()
-        verdicts = frozenset(verdict.parts for verdict in self._quarantine.verdicts(now_ms))
+        verdicts = quarantine.verdicts(self._clock.now_ms())
+        revisions = (quarantine.report_revision, quarantine.verdict_revision)
+        must_store = revisions[1] != self._revisions[1]
+        self._revisions = revisions
+        self._log_verdicts(frozenset(v.parts for v in verdicts if v.parts), source)
+        if must_store:
+            self._store(verdicts, delay_ms)
+        self._wake_waiting()
+        self.on_change()
+
+    def _log_verdicts(self, verdicts: frozenset[frozenset[PartId]], source: str) -> None:
         for parts in verdicts - self._verdicts:
             _log.warning("part_quarantined", parts=_names(parts), source=source)
             self._metrics.count("part_decisions", decision="part_quarantined")
         for parts in self._verdicts - verdicts:
             _log.info("part_released", parts=_names(parts))
-        has_new = bool(verdicts - self._verdicts)
         self._verdicts = verdicts
-        if has_new:
-            self._publish_verdicts(delay_ms)
-        self._wake_waiting()
-        self.on_change()
 
-    def _publish_verdicts(self, delay_ms: int) -> None:
+    def _store(self, verdicts: tuple[Verdict, ...], delay_ms: int) -> None:
         self._stored_ms = self._clock.now_ms()
-        self.on_verdicts(self._quarantine.verdicts(self._stored_ms), delay_ms)
+        self.on_verdicts(verdicts, delay_ms)
 
     def _wake_waiting(self) -> None:
         changed, self._changed = self._changed, asyncio.Event()
--- a/bergamothill/process/verdictstore.py
+++ b/bergamothill/process/verdictstore.py
@@ -8,7 +8,6 @@
 
 import threading
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 
 from bergamothill.clock import Clock, ms_to_seconds
 from bergamothill.connection.kvs import ABSENT, KeyValueEntry, KeyValueService
@@ -33,39 +32,30 @@
 _log = EventLog("quarantine")
 
 
-@dataclass(frozen=True, slots=True)
-class _Use:
-    """Last use of a verdict, and the crash reports that it rests on."""
-
-    last_wall_ms: int
-    reports: frozenset[CrashReport]
-
-
-_Uses = dict[frozenset[PartId], _Use]
-
-
 class VerdictStore:
     """Reads and writes the stored verdicts; :meth:`run` is to be called in a separate thread.
 
     :param kvs: key-value service
     :param clock: source of time
-    :param on_read: called with the stored verdicts after each read that was requested
+    :param merge: called after each read with the stored verdicts, in the same thread; adds them to
+        those known here and returns what is to be stored
     """
 
     def __init__(
         self,
         kvs: KeyValueService,
         clock: Clock,
-        on_read: Callable[[tuple[Verdict, ...]], None],
+        merge: Callable[[tuple[Verdict, ...]], tuple[Verdict, ...]],
     ) -> None:
         self._kvs = kvs
         self._clock = clock
-        self._on_read = on_read
+        self._merge = merge
         self._lock = threading.Lock()
         self._is_read_requested = True
-        self._own: _Uses = {}
         self._write_due_ms: int | None = None
-        self._stored: _Uses = {}
+        self._must_replace = False
+        self._stored: tuple[Verdict, ...] = ()
+        self._stored_wall_ms = 0
         self._last_failure = ""
         self._wake = threading.Event()
         self._is_stopped = False
@@ -91,23 +81,24 @@
     def handle_restore(self) -> None:
         """Read again, and write what is missing, as the service was restored from an old copy."""
         with self._lock:
-            self._stored = {}
+            self._stored = ()
             self._is_read_requested = True
-            if self._own:
-                self._write_due_ms = self._clock.now_ms()
+            self._write_due_ms = self._clock.now_ms()
         self._wake.set()
 
-    def record(self, verdicts: Iterable[Verdict], *, delay_ms: int) -> None:
-        """Record the verdicts in force, to be written if the service lacks one.
+    def record(self, verdicts: tuple[Verdict, ...], *, delay_ms: int) -> None:
+        """Write the verdicts known here, if the service lacks any.
 
-        :param delay_ms: time in which another entry instance may write them first
+        :param verdicts: these verdicts
+        :param delay_ms: time in which another entry instance may write them first; 0 if they
+            changed by evidence of this instance, which then also replaces what is outdated
         """
-        now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
         with self._lock:
-            self._own = _uses(verdicts, wall_ms)
-            if not self._must_write():
+            must_replace = delay_ms == 0 and _content(verdicts) != _content(self._stored)
+            if not (must_replace or self._is_lacking(verdicts)):
                 return
-            due_ms = now_ms + delay_ms
+            self._must_replace |= must_replace
+            due_ms = self._clock.now_ms() + delay_ms
             if self._write_due_ms is None or due_ms < self._write_due_ms:
                 self._write_due_ms = due_ms
         self._wake.set()
@@ -127,11 +118,16 @@
             self._last_failure = error.message
             return RETRY_MS
 
-    def _must_write(self) -> bool:
+    def _is_lacking(self, verdicts: Iterable[Verdict]) -> bool:
+        """Return whether the service lacks a verdict, a crash report, or a recent use."""
+        passed_ms = self._clock.wall_ms() - self._stored_wall_ms
+        idle_ms = {verdict.parts: verdict.idle_ms + passed_ms for verdict in self._stored}
+        reports = frozenset(report for verdict in self._stored for report in verdict.reports)
         return any(
-            parts not in self._stored
-            or use.last_wall_ms - self._stored[parts].last_wall_ms >= REFRESH_MS
-            for parts, use in self._own.items()
+            idle_ms.get(verdict.parts, REFRESH_MS) - verdict.idle_ms >= REFRESH_MS
+            if verdict.parts
+            else not verdict.reports <= reports
+            for verdict in verdicts
         )
 
     def _read_if_requested(self) -> None:
@@ -141,12 +137,12 @@
             return
         try:
             verdicts = self._decode(self._kvs.get(VERDICTS_KEY))
+            self._merge(verdicts)
         except BergamothillError:
             with self._lock:
                 self._is_read_requested = True
             raise
         _log.info("verdicts_read", count=len(verdicts))
-        self._on_read(verdicts)
 
     def _write_if_due(self) -> int:
         with self._lock:
@@ -157,26 +153,22 @@
             if wait_ms > 0:
                 return wait_ms
         entry = self._kvs.get(VERDICTS_KEY)
-        self._decode(entry)
+        verdicts = self._merge(self._decode(entry))
         with self._lock:
-            merged = _merge(self._stored, self._own)
-            is_needed = self._must_write()
-        if is_needed:
-            self._put(merged, ABSENT if entry is None else entry.mod_revision)
+            must_replace = self._must_replace and _content(verdicts) != _content(self._stored)
+            must_write = must_replace or self._is_lacking(verdicts)
+        if must_write:
+            self._put(verdicts, ABSENT if entry is None else entry.mod_revision)
         with self._lock:
-            self._write_due_ms = None
-        return IDLE_WAIT_MS
+            if self._write_due_ms == due_ms:
+                self._write_due_ms, self._must_replace = None, False
+        return IDLE_WAIT_MS if self._write_due_ms is None else 0
 
-    def _put(self, merged: _Uses, expected: int) -> None:
+    def _put(self, verdicts: tuple[Verdict, ...], expected: int) -> None:
         wall_ms = self._clock.wall_ms()
-        verdicts = [
-            Verdict(parts, max(0, wall_ms - use.last_wall_ms), use.reports)
-            for parts, use in merged.items()
-            if wall_ms - use.last_wall_ms <= STORED_TTL_MS
-        ]
         self._kvs.put_if(VERDICTS_KEY, encode_verdicts(verdicts, wall_ms), expected=expected)
         with self._lock:
-            self._stored = merged
+            self._stored, self._stored_wall_ms = verdicts, wall_ms
         _log.info("verdicts_written", count=len(verdicts))
 
     def _decode(self, entry: KeyValueEntry | None) -> tuple[Verdict, ...]:
@@ -188,19 +180,9 @@
             _log.warning("entry_unreadable", key=VERDICTS_KEY, error=error.message)
             verdicts = ()
         with self._lock:
-            self._stored = _uses(verdicts, wall_ms)
-        return verdicts
-
-
-def _uses(verdicts: Iterable[Verdict], wall_ms: int) -> _Uses:
-    return {v.parts: _Use(wall_ms - v.idle_ms, v.reports) for v in verdicts}
+            self._stored, self._stored_wall_ms = verdicts, wall_ms
+        return tuple(verdict for verdict in verdicts if verdict.idle_ms <= STORED_TTL_MS)
 
 
-def _merge(stored: _Uses, own: _Uses) -> _Uses:
-    """Return the union, each with the time of its latest use."""
-    merged = dict(stored)
-    for parts, use in own.items():
-        known = stored.get(parts, use)
-        last_wall_ms = max(use.last_wall_ms, known.last_wall_ms)
-        merged[parts] = _Use(last_wall_ms, known.reports)
-    return merged
+def _content(verdicts: Iterable[Verdict]) -> set[tuple[frozenset[PartId], frozenset[CrashReport]]]:
+    return {(verdict.parts, verdict.reports) for verdict in verdicts}
--- a/tests/test_verdictstore.py
+++ b/tests/test_verdictstore.py
@@ -4,9 +4,10 @@
 
 from bergamothill.clock import ManualClock
 from bergamothill.connection.kvs import ABSENT
+from bergamothill.errors import UnavailableError
 from bergamothill.process.quarantinecodec import decode_verdicts, encode_verdicts
 from bergamothill.process.verdictstore import REFRESH_MS, VERDICTS_KEY, VerdictStore
-from bergamothill.request.crashevidence import PartId
+from bergamothill.request.crashevidence import CrashReport, PartId, ReportId, ServerIncarnation
 from bergamothill.request.partquarantine import Verdict
 from tests.builders import RestorableStore, StoreClient, WriteFault
 
@@ -17,16 +18,38 @@
     return frozenset(PartId("m1", name) for name in names)
 
 
+class KnownVerdicts:
+    """Verdicts known to one instance."""
+
+    def __init__(self):
+        self.by_parts = {}
+        self.reads = []
+
+    def add(self, *verdicts):
+        for verdict in verdicts:
+            self.by_parts[(verdict.parts, verdict.reports)] = verdict
+
+    def rows(self):
+        return tuple(self.by_parts.values())
+
+    def merge(self, verdicts):
+        self.reads.append(verdicts)
+        for verdict in verdicts:
+            self.by_parts.setdefault((verdict.parts, verdict.reports), verdict)
+        return self.rows()
+
+
 class VerdictStoreTest(unittest.TestCase):
     def setUp(self):
         self.clock = ManualClock(1_000_000)
         self.kvs = RestorableStore(self.clock)
-        self.reads = []
         self.store = self.new_store()
+        self.reads = self.store.known.reads
 
     def new_store(self):
-        client = StoreClient(self.kvs)
-        store = VerdictStore(client, self.clock, self.reads.append)
+        client, known = StoreClient(self.kvs), KnownVerdicts()
+        store = VerdictStore(client, self.clock, known.merge)
+        store.known = known
         client.era.add_listener(lambda era: store.handle_restore())
         return store
 
@@ -39,9 +62,10 @@
         verdicts = () if entry is None else decode_verdicts(entry.value, self.clock.wall_ms())
         return {verdict.parts: verdict.idle_ms for verdict in verdicts}
 
-    def record(self, *names, store=None, delay_ms=0, idle_ms=0):
-        verdicts = [Verdict(parts(name), idle_ms) for name in names]
-        (store or self.store).record(verdicts, delay_ms=delay_ms)
+    def record(self, *names, store=None, delay_ms=0):
+        store = store or self.store
+        store.known.add(*(Verdict(parts(name), 0) for name in names))
+        store.record(store.known.rows(), delay_ms=delay_ms)
 
     def test_the_verdicts_are_read_at_the_start_and_not_again_without_need(self):
         value = encode_verdicts([Verdict(parts("a"), 0)], self.clock.wall_ms())
@@ -132,10 +156,42 @@
         self.run_steps()
         self.assertEqual({parts("a")}, set(self.stored()))
 
-    def test_expired_verdicts_are_dropped_with_the_next_write(self):
+    def test_what_expired_while_stored_is_not_read(self):
         self.record("a")
         self.run_steps()
         self.clock.advance_ms(3 * REFRESH_MS)
-        self.record("b")
+        other = self.new_store()
+        self.run_steps(other)
+        self.assertEqual([()], other.known.reads)
+
+    def test_what_this_instance_no_longer_suspects_is_replaced(self):
+        self.record("a")
         self.run_steps()
-        self.assertEqual({parts("b")}, set(self.stored()))
+        self.store._merge = lambda verdicts: ()
+        self.store.record((), delay_ms=0)
+        self.run_steps()
+        self.assertEqual({}, self.stored())
+
+    def test_reports_that_are_no_verdict_yet_are_stored_and_read(self):
+        report = CrashReport(
+            ReportId("e1", 1), "r1", ServerIncarnation("s1", 1), parts("a"), parts("a")
+        )
+        suspicion = Verdict(frozenset(), 0, frozenset({report}))
+        self.store.known.add(suspicion)
+        self.store.record((suspicion,), delay_ms=2_000)
+        self.run_steps()
+        other = self.new_store()
+        self.run_steps(other, steps=1)
+        self.assertEqual(frozenset({report}), other.known.reads[0][0].reports)
+
+    def test_a_busy_event_loop_only_delays_the_read(self):
+        merge = self.store._merge
+
+        def fail(verdicts):
+            raise UnavailableError("busy", step="quarantine.merge")
+
+        self.store._merge = fail
+        self.run_steps()
+        self.store._merge = merge
+        self.run_steps()
+        self.assertEqual([()], self.reads)
