--- a/bergamothill/request/crashevidence.py
+++ b/bergamothill/request/crashevidence.py
@@ -162,6 +162,7 @@
         self._by_server: dict[ServerIncarnation, dict[ReportId, Crash]] = {}
         self._verdicts: tuple[frozenset[PartId], ...] = ()
         self._against: dict[PartId, tuple[Crash, ...]] = {}
+        self._servers_against: dict[PartId, frozenset[ServerIncarnation]] = {}
         self._explained: dict[ServerIncarnation, tuple[frozenset[PartId], ...]] | None = None
         self._expired_ms = 0
         self.revision = 0
@@ -246,6 +247,7 @@
         if verdicts != self._verdicts:
             self._verdicts = verdicts
             self._against.clear()
+            self._servers_against.clear()
             self._explained = None
 
     def against(self, part: PartId) -> tuple[Crash, ...]:
@@ -261,6 +263,16 @@
             self._against[part] = result
         return result
 
+    def servers_against(self, part: PartId) -> frozenset[ServerIncarnation]:
+        """Return the servers whose crashes speak against a part."""
+        if part not in self._by_part:
+            return frozenset()
+        servers = self._servers_against.get(part)
+        if servers is None:
+            servers = frozenset(crash.report.server for crash in self.against(part))
+            self._servers_against[part] = servers
+        return servers
+
     def all_against(self, part: PartId) -> tuple[Crash, ...]:
         """Return the crashes that speak against a part, also if a verdict explains them."""
         crashes = self._by_part.get(part, {}).values()
@@ -281,6 +293,11 @@
         """Return whether a report says that an answer with the part succeeded."""
         return any(part in crash.known_sound for crash in self._by_part.get(part, {}).values())
 
+    def suspects_on(self, server: ServerIncarnation) -> set[PartId]:
+        """Return the suspects of all reports on a server."""
+        crashes = self._by_server.get(server, {}).values()
+        return {part for crash in crashes for part in crash.report.suspects}
+
     def parts(self) -> list[PartId]:
         """Return all parts in reports."""
         return list(self._by_part)
@@ -295,7 +312,7 @@
         These are the reports of this instance, those it has something to add to, and all those
         against a part that has more than one crash against it, as their senders may have ended.
         """
-        self._expire(now_ms)
+        self.expire(now_ms)
         shared = [crash for crash in self._crashes.values() if self._is_shared(crash, now_ms)]
         shared.sort(key=lambda crash: (-self._weight(crash), -crash.broke_ms))
         rows: list[ReportedCrash] = []
@@ -318,7 +335,7 @@
         """Return the most crashes that are known against a part of a report."""
         return max(
             (
-                len({other.report.server for other in self.against(part)})
+                len(self.servers_against(part))
                 for part in crash.report.suspects
                 if part not in crash.known_sound
             ),
@@ -345,9 +362,9 @@
     def _insert(
         self, report: CrashReport, broke_ms: int, now_ms: int, *, told_ms: int | None
     ) -> Crash:
-        self._expire(now_ms)
+        self.expire(now_ms)
         if len(self._crashes) >= MAX_REPORTS:
-            self._evict_one()
+            self._evict()
         self.order += 1
         crash = Crash(report, broke_ms, now_ms, self.order, told_ms)
         key = report.report_id
@@ -357,9 +374,9 @@
             self._by_part.setdefault(part, {})[key] = crash
         return crash
 
-    def _evict_one(self) -> None:
-        """Drop the oldest of the reports that matter least."""
-        key = min(
+    def _evict(self) -> None:
+        """Drop a quarter of the reports, those that matter least and of these the oldest."""
+        keys = sorted(
             self._crashes,
             key=lambda key: (
                 not self._crashes[key].is_settled,
@@ -367,9 +384,11 @@
                 self._crashes[key].broke_ms,
             ),
         )
-        self._remove(key)
+        for key in keys[: MAX_REPORTS // 4]:
+            self._remove(key)
 
-    def _expire(self, now_ms: int) -> None:
+    def expire(self, now_ms: int) -> None:
+        """Drop expired reports."""
         if now_ms - self._expired_ms < EXPIRY_INTERVAL_MS:
             return
         self._expired_ms = now_ms
@@ -387,6 +406,7 @@
     def _forget_results(self) -> None:
         self.revision += 1
         self._against.clear()
+        self._servers_against.clear()
         self._explained = None
 
 
--- a/bergamothill/request/verdictset.py
+++ b/bergamothill/request/verdictset.py
@@ -16,7 +16,7 @@
 )
 from bergamothill.request.quarantinereport import Verdict
 
-__all__ = ["VerdictSet", "find_verdict"]
+__all__ = ["CONVICT_AT", "VerdictSet", "find_suspicion", "find_verdict", "is_sufficient"]
 
 IDLE_TTL_MS = 600_000
 MAX_VERDICTS = 128
@@ -77,14 +77,15 @@
         self._known[verdict.parts] = _Known(used_ms, verdict.reports)
         return True
 
+    def knows(self, parts: frozenset[PartId]) -> bool:
+        """Return whether there is a verdict on exactly these parts, in force or not."""
+        return parts in self._known
+
     def review(self, evidence: CrashEvidence, is_sound: IsSound, now_ms: int) -> None:
         """Put verdicts in force, or out of it if what else is known refutes their reports."""
         for verdict, known in self._known.items():
             if known.reports and evidence.knows(known.reports):
-                known.in_force = any(
-                    _is_sufficient(evidence, evidence.all_against(part), part, is_sound(part))
-                    for part in verdict
-                )
+                known.in_force = any(is_sufficient(evidence, part, is_sound) for part in verdict)
 
     def in_force(self) -> tuple[frozenset[PartId], ...]:
         """Return the parts of each verdict in force."""
@@ -126,11 +127,21 @@
         other
         for other in companions
         if (part_is_sound or not is_sound(other))
-        and len(servers - _servers(evidence.against(other))) < DISTINCT_AT
+        and len(servers - evidence.servers_against(other)) < DISTINCT_AT
     }
     return Verdict(frozenset({part} | inseparable), 0, _strongest_reports(evidence, crashes, part))
 
 
+def find_suspicion(evidence: CrashEvidence, part: PartId) -> Verdict:
+    """Return the reports against a part as a verdict on no parts, which is never in force."""
+    return Verdict(frozenset(), 0, _strongest_reports(evidence, evidence.against(part), part))
+
+
+def is_sufficient(evidence: CrashEvidence, part: PartId, is_sound: IsSound) -> bool:
+    """Return whether the evidence against a part justifies a verdict, with all that is known."""
+    return _is_sufficient(evidence, evidence.all_against(part), part, is_sound(part))
+
+
 def _is_sufficient(
     evidence: CrashEvidence, crashes: Sequence[Crash], part: PartId, is_sound: bool
 ) -> bool:
@@ -151,8 +162,9 @@
         by_server.setdefault(crash.report.server, crash.report)
     named = list(by_server.values())[:MAX_REPORTS_NAMED]
     requests = {_request_key(report) for report in named}
-    if len(requests) < MIN_REQUESTS:
-        named[-1] = next(c.report for c in crashes if _request_key(c.report) not in requests)
+    others = [c.report for c in crashes if _request_key(c.report) not in requests]
+    if len(requests) < MIN_REQUESTS and others:
+        named[-1] = others[0]
     return frozenset(named)
 
 
