Take no answer of a restarted server for a sign that it had not crashed

Found by review. Callers would see engines end one after the other, with no part ever convicted. Cause: an answer to a request sent after a crash report was known voided the report. A server may start again under the id that it had, and an instance whose list still names the earlier process sends to it; its answer voided the true report, at all instances. A refusal need not even come from that server. Now only an answer counts that is no refusal, to a request sent within 1 s after the break: a server that crashed is back after some seconds.

--- a/bergamothill/process/requestrun.py
+++ b/bergamothill/process/requestrun.py
@@ -143,7 +143,8 @@
         self._own_head = head
         server = self._send.server
         is_other_instance = head.status == 421 and head.instance != server.server
-        if self._prompt_run is not None and not is_other_instance:
+        # A refusal need not come from the expected instance.
+        if self._prompt_run is not None and not head.is_not_executed:
             self._prompt_run.record_alive(self._clock.now_ms())
         if not head.is_leaving or is_other_instance:
             return
--- a/bergamothill/request/crashevidence.py
+++ b/bergamothill/request/crashevidence.py
@@ -35,6 +35,9 @@
 
 EXPIRY_INTERVAL_MS = 1_000
 
+MIN_RESTART_MS = 1_000
+"""A server that crashed may answer under the same id again, but no sooner than this."""
+
 RunNumber = NewType("RunNumber", int)
 """Number of a run, unique among all runs of entry instances of one name."""
 
@@ -230,10 +233,11 @@
         return is_new
 
     def void(self, server: ServerIncarnation, sent_ms: int, now_ms: int) -> bool:
-        """Void the reports on a server that answered a request sent after they were known."""
+        """Void the reports on a server that answered a request sent soon after they were known."""
         is_new = False
         for crash in self._by_server.get(server, {}).values():
-            if not crash.is_void and crash.known_ms < sent_ms:
+            is_same_process = sent_ms - crash.broke_ms <= MIN_RESTART_MS
+            if not crash.is_void and crash.known_ms < sent_ms and is_same_process:
                 crash.is_void = True
                 crash.told_ms = now_ms
                 is_new = True
--- /dev/null
+++ b/tests/test_crashingrequests.py
@@ -0,0 +1,61 @@
+"""Tests of prompt parts that crash servers in ways that hide it."""
+
+import unittest
+
+from bergamothill.request.callerrequest import PromptPart
+from bergamothill.request.partquarantine import (
+    AwaitTrial,
+    PartQuarantine,
+    RunEnd,
+    ServerIncarnation,
+    Trial,
+    Unsuspected,
+)
+
+MODEL = "llm"
+
+
+def _parts(*names):
+    return tuple(PromptPart(name, 100) for name in names)
+
+
+class CrashingRequests:
+    """Requests with one part that crashes each server it is sent to."""
+
+    def __init__(self, quarantine):
+        self.quarantine = quarantine
+        self.now_ms = 1_000
+        self.sent = 0
+
+    def send(self, server, *, model=MODEL, companions=()):
+        """Send one request, after any wait; return whether it was sent."""
+        quarantine = self.quarantine
+        parts = _parts(*companions, "part", f"last{self.now_ms}")
+        for _ in range(20):
+            verdict = quarantine.check(model, parts, self.now_ms)
+            if not isinstance(verdict, AwaitTrial):
+                break
+            self.now_ms += verdict.retry_ms
+        if not isinstance(verdict, Trial | Unsuspected):
+            return False
+        trial = verdict if isinstance(verdict, Trial) else None
+        run = quarantine.begin_run(
+            f"r{self.now_ms}", server, model, parts, self.now_ms, trial=trial
+        )
+        self.now_ms += 80
+        quarantine.end_run(run, RunEnd.CRASHED, self.now_ms)
+        self.sent += 1
+        return True
+
+
+class CrashingRequestsTest(unittest.TestCase):
+    def test_answer_of_a_process_restarted_under_the_same_id_voids_no_crash(self):
+        requests = CrashingRequests(PartQuarantine("entry", 1))
+        for number in range(20):
+            server = ServerIncarnation(f"s{number % 5}", number // 5)
+            if requests.send(server):
+                # Sent with the list that still names the earlier process.
+                sent_ms = requests.now_ms + 2_000
+                requests.quarantine.record_alive(server, sent_ms, sent_ms + 10)
+            requests.now_ms += 3_000
+        self.assertLessEqual(requests.sent, 5)
