Count crashes in quick succession under a part that was sound

A part with which answers had succeeded is suspected after three separate crashes; the 500 ms within which crashes count as one were counted from the previous crash, so a series of crashes less than that apart counted as one for ever. They count from the first crash of a group now. The new test failed before (40 of 40 requests sent).

--- a/bergamothill/request/partquarantine.py
+++ b/bergamothill/request/partquarantine.py
@@ -390,11 +390,11 @@
         return len(self._evidence.servers_against(part))
 
     def _separate_crash_count(self, part: PartId) -> int:
-        count, last_ms = 0, None
+        count, first_ms = 0, None
         for broke_ms in sorted(crash.broke_ms for crash in self._evidence.against(part)):
-            if last_ms is None or broke_ms - last_ms > SAME_CAUSE_MS:
+            if first_ms is None or broke_ms - first_ms > SAME_CAUSE_MS:
                 count += 1
-            last_ms = broke_ms
+                first_ms = broke_ms
         return count
 
     def _add_crash(self, run: RunNumber, state: _Run, now_ms: int) -> bool:
--- a/tests/test_crashingrequests.py
+++ b/tests/test_crashingrequests.py
@@ -59,3 +59,14 @@
                 requests.quarantine.record_alive(server, sent_ms, sent_ms + 10)
             requests.now_ms += 3_000
         self.assertLessEqual(requests.sent, 5)
+
+    def test_rapid_crashes_convict_a_part_that_was_sound(self):
+        quarantine = PartQuarantine("entry", 1)
+        server = ServerIncarnation("s", 1)
+        run = quarantine.begin_run("r", server, MODEL, _parts("part", "l"), 500, trial=None)
+        quarantine.end_run(run, RunEnd.COMPLETE, 600)
+        requests = CrashingRequests(quarantine)
+        for number in range(40):
+            requests.send(ServerIncarnation(f"s{number}", 1))
+            requests.now_ms += 320
+        self.assertLessEqual(requests.sent, 8)
