Tell peers of further crash reports beside one with very many parts

Found by review. A report that did not fit into a datagram ended the list of reports, so a prompt with hundreds of parts under suspicion, which comes first, kept all evidence from the peers: each instance then needed crashes of its own. Reports that do not fit are passed over now. The new test failed before (no report shared).

--- a/bergamothill/request/crashevidence.py
+++ b/bergamothill/request/crashevidence.py
@@ -322,10 +322,10 @@
         rows: list[ReportedCrash] = []
         characters = 0
         for crash in shared[:MAX_SHARED]:
-            characters += _size(crash)
-            if characters > MAX_SHARED_CHARACTERS:
-                break
-            rows.append(crash.row(now_ms))
+            size = _size(crash)
+            if characters + size <= MAX_SHARED_CHARACTERS:
+                characters += size
+                rows.append(crash.row(now_ms))
         return tuple(rows)
 
     def _is_shared(self, crash: Crash, now_ms: int) -> bool:
--- a/tests/test_crashingrequests.py
+++ b/tests/test_crashingrequests.py
@@ -70,3 +70,12 @@
             requests.send(ServerIncarnation(f"s{number}", 1))
             requests.now_ms += 320
         self.assertLessEqual(requests.sent, 8)
+
+    def test_crash_of_a_prompt_with_many_parts_does_not_hide_other_reports(self):
+        requests = CrashingRequests(PartQuarantine("entry", 1))
+        for number in range(2):
+            companions = tuple(f"{part:012x}" for part in range(500))
+            requests.send(ServerIncarnation(f"s{number}", 1), companions=companions)
+            requests.now_ms += 1_000
+        requests.send(ServerIncarnation("s9", 1), model="other")
+        self.assertTrue(requests.quarantine.report(requests.now_ms).crashes)
