Check the deadline of weights again when the connection to an engine is open

A prompt's engine is chosen before the connection opens; on a process that stands still or a connection that opens late, the prompt was written after the deadline by which its weights had to be replaced. The state of the engine was checked again before writing, its weights were not. The new test failed before: the prompt was sent, and the caller got its server's failure instead of 503.

--- a/bergamothill/process/requestrun.py
+++ b/bergamothill/process/requestrun.py
@@ -311,7 +311,9 @@
         now_ms = self._clock.now_ms()
         if self._prompt_run is not None and not self._gate.may_send(self._request, now_ms):
             return False
-        return self._server_pool.may_send_to(send.server, now_ms)
+        if send.terms.weight_version is None:
+            return self._server_pool.may_send_to(send.server, now_ms)
+        return self._server_pool.may_send_prompt_to(send.server, self._request.model, now_ms)
 
     async def _exchange(self, send: Send) -> ExchangeResult:
         """Send one request to a server; a stalled answer counts as a broken connection."""
--- a/bergamothill/process/serverpool.py
+++ b/bergamothill/process/serverpool.py
@@ -402,7 +402,7 @@
             return None if quiet_until_ms is None else AllQuiet(quiet_until_ms)
         is_prompt = service.engine is not None and request.model is not None
         if is_prompt:
-            usable = self._allowed_by_weights(usable, request.model, now_ms)
+            usable = [b for b in usable if self._may_run_on_weights(b, request.model, now_ms)]
             if not usable:
                 return None
         candidates = [b for b in usable if b.entry.server not in avoided]
@@ -456,23 +456,24 @@
         in_progress = state.in_progress + self._peer_loads.load_on(state.entry.server).in_progress
         return (in_progress + other_zone, state.entry.server)
 
-    def _allowed_by_weights(
-        self, usable: list[ObservedServer], model: ModelName, now_ms: int
-    ) -> list[ObservedServer]:
-        """Return the engines whose weight version a new request may run on.
+    def may_send_prompt_to(self, server: BackendServer, model: ModelName, now_ms: int) -> bool:
+        """Return whether a prompt may still be sent to an engine that was chosen earlier."""
+        is_usable = self.may_send_to(server, now_ms)
+        return is_usable and self._may_run_on_weights(self._observed[server.server], model, now_ms)
+
+    def _may_run_on_weights(self, state: ObservedServer, model: ModelName, now_ms: int) -> bool:
+        """Return whether a new request may run on the weight version of an engine.
 
         Once the deadline for new weights may be near, only engines that have them are allowed. The
         deadline binds instances that have been in touch for the stability window, so that one that
         reads a target late still has a moment in which the engines are swapped.
         """
-        due_ms = self.weights_due_ms - QUEUE_MARGIN_MS
+        if state.weight_version(model) is None:
+            return False
+        outdated = self._outdated(state, model, now_ms)
         catch_up_ms = max(0, self._stability_window_ms - QUEUE_MARGIN_MS) // 2
-
-        def is_allowed(state: ObservedServer) -> bool:
-            outdated = self._outdated(state, model, now_ms)
-            return outdated.max_age_ms < due_ms or outdated.since_read_ms < catch_up_ms
-
-        return [b for b in usable if b.weight_version(model) is not None and is_allowed(b)]
+        is_due = outdated.max_age_ms >= self.weights_due_ms - QUEUE_MARGIN_MS
+        return not is_due or outdated.since_read_ms < catch_up_ms
 
     def _preferred_by_weights(
         self, candidates: list[ObservedServer], model: ModelName, now_ms: int
--- a/tests/test_requestrun.py
+++ b/tests/test_requestrun.py
@@ -4,7 +4,9 @@
 import time
 from unittest import mock
 
+from bergamothill.connection import backendhttp
 from bergamothill.process import admissionqueue, gateway
+from bergamothill.version.weighttarget import WeightTarget
 from tests.builders import await_true
 from tests.gatewayworld import (
     PROMPT_HEADERS,
@@ -95,3 +97,28 @@
             self.end_drain(world)
             received += read_all(connection)
         self.assertTrue(received.endswith(chunk(event(1))), received)
+
+
+class WeightDeadlineTest(GatewayCase):
+    """A prompt is chosen for an engine whose weights fall due before the prompt is sent."""
+
+    def test_a_prompt_is_not_sent_on_weights_that_fell_due_while_its_connection_opened(self):
+        world = self.world(engines=[replies(answer())])
+        now_ms = world.clock.now_ms()
+        for version in (1, 2):
+            target = WeightTarget("m1", version)
+            world.server_pool.set_weight_target(target, now_ms, set_after_ms=now_ms)
+        open_connection = backendhttp.open_connection
+
+        async def open_slowly(*args, **options):
+            opened = await open_connection(*args, **options)
+            world.clock.advance_ms(4_500)
+            return opened
+
+        self.enterContext(mock.patch.object(backendhttp, "open_connection", open_slowly))
+        prompt = request(
+            b"/quote/2f", headers=PROMPT_HEADERS + b"X-Deadline-Milliseconds: 9000\r\n"
+        )
+        found = world.exchange(prompt.replace(b"X-Deadline-Milliseconds: 3000\r\n", b""))
+        self.assertIn(b" 503 ", found)
+        self.assertEqual([], [r for r in self.sent() if b"/quote/" in r])
