Do not take an engine for stalled whose only answer here is not read

Found by review. Reading an answer pauses while its caller does not keep up, and an engine whose events other instances read is then not heard at all. A further request to it counted as stalled at once and was sent elsewhere. Answers that are not read no longer count as reason to hear a server; its silence counts anew once they are read again.

--- a/bergamothill/process/observedserver.py
+++ b/bergamothill/process/observedserver.py
@@ -19,6 +19,8 @@
     :param tokens: prompt tokens of these requests
     :param pending_prefill_tokens: tokens left to prefill for the requests without a first token
     :param streaming: number of these requests whose answers have begun
+    :param unread: number of these requests whose answers are not read, as their callers do not keep
+        up
     :param last_received_ms: time at which it last sent bytes, last had no reason to send any, or
         this process last resumed from a pause
     :param has_event_reader: whether this entry instance reads its cache events, so that a server
@@ -40,6 +42,7 @@
     tokens: int = 0
     pending_prefill_tokens: int = 0
     streaming: int = 0
+    unread: int = 0
     last_received_ms: int = 0
     has_event_reader: bool = True
     is_reachable: bool = True
@@ -66,6 +69,16 @@
         """Return whether the server may get new work."""
         return self.is_present(now_ms) and now_ms >= self.quiet_until_ms
 
+    @property
+    def is_heard(self) -> bool:
+        """Whether this entry instance reads an answer of the server."""
+        return self.in_progress > self.unread
+
+    def record_unread(self, change: int, now_ms: int) -> None:
+        """Add to the number of answers that are not read; its silence counts anew."""
+        self.unread = max(0, self.unread + change)
+        self.last_received_ms = max(self.last_received_ms, now_ms)
+
     def record_version(self, model: ModelName, version: int) -> None:
         """Record a weight version that the server was seen to have; it never goes back."""
         if self.weights is None:
--- a/bergamothill/process/requestrun.py
+++ b/bergamothill/process/requestrun.py
@@ -20,7 +20,7 @@
 from bergamothill.process.gatewaymetrics import GatewayMetrics
 from bergamothill.process.promptruns import classify_run_end, encode_refusal, wait_for_trial
 from bergamothill.process.quarantinegate import PromptRun, QuarantineGate
-from bergamothill.process.serverpool import STALL_SILENCE_MS, ServerPool
+from bergamothill.process.serverpool import ServerPool
 from bergamothill.request.answerrelay import AnswerRelay, AttemptVerdict
 from bergamothill.request.bufferbudget import BufferBudget
 from bergamothill.request.callerrequest import CallerRequest, ForwardTerms, ResponseHead
@@ -95,7 +95,7 @@
         self._current_server = ServerId("")
         self._is_stalled = False
         self._is_stopping = False
-        self._unread_until_ms = -STALL_SILENCE_MS
+        self._is_unread = False
         self._is_streaming = False
         self._terms: ForwardTerms | None = None
         self._send: Send | None = None
@@ -284,6 +284,7 @@
             if self._is_streaming:
                 self._is_streaming = False
                 self._server_pool.stream_ended(server)
+            self._set_unread(False, self._clock.now_ms())
             self._server_pool.request_ended(server, tokens)
             self._queue.wake_head()
         self._open_attempt = None
@@ -359,17 +360,21 @@
 
     def check_for_stall(self, now_ms: int) -> None:
         """Cancel the attempt if its engine has stalled and the route allows a retry."""
-        if self._connection.flow.is_paused:
-            self._unread_until_ms = now_ms
-        # The server cannot be heard while its answer is not read, nor right afterwards.
-        if now_ms - self._unread_until_ms < STALL_SILENCE_MS:
-            return
         if self._exchange_task is None or not self._route.may_retry or self._service.engine is None:
             return
+        # The server cannot be heard while its answer is not read.
+        self._set_unread(self._connection.flow.is_paused, now_ms)
+        if self._is_unread:
+            return
         if self._server_pool.has_stalled(self._current_server, now_ms):
             self._is_stalled = True
             self._exchange_task.cancel()
 
+    def _set_unread(self, is_unread: bool, now_ms: int) -> None:
+        if is_unread != self._is_unread:
+            self._is_unread = is_unread
+            self._server_pool.record_unread(self._current_server, 1 if is_unread else -1, now_ms)
+
     def _attempt_outcome(self, result: ExchangeResult) -> str:
         """Classify an attempt by the head of its answer, then by how the answer ended."""
         relay, end = self._relay, result.end
--- a/bergamothill/process/serverpool.py
+++ b/bergamothill/process/serverpool.py
@@ -207,6 +207,11 @@
         if state is not None:
             state.streaming = max(0, state.streaming - 1)
 
+    def record_unread(self, server: ServerId, change: int, now_ms: int) -> None:
+        """Add to the number of answers of a server that are not read."""
+        if (state := self._observed.get(server)) is not None:
+            state.record_unread(change, now_ms)
+
     def record_check(self, now_ms: int) -> None:
         """Record a periodic check for stalls; silence counts anew from the end of a pause."""
         if self._has_paused(now_ms):
@@ -242,10 +247,10 @@
     def silence_ms(self, server: ServerId, now_ms: int) -> int:
         """Return how long a server has sent nothing.
 
-        :returns: 0 if it has no requests of this instance, or if this process has just paused
+        :returns: 0 if it has no answers to be read here, or if this process has just paused
         """
         state = self._observed.get(server)
-        if state is None or state.in_progress == 0 or self._has_paused(now_ms):
+        if state is None or not state.is_heard or self._has_paused(now_ms):
             return 0
         return now_ms - state.last_received_ms
 
@@ -259,7 +264,7 @@
         """
         state = self._observed.get(server)
         if state is not None:
-            if state.in_progress == 0:
+            if not state.is_heard:
                 state.last_received_ms = max(state.last_received_ms, now_ms)
             state.in_progress += 1
             state.tokens += tokens
--- a/tests/test_serverpool.py
+++ b/tests/test_serverpool.py
@@ -7,6 +7,7 @@
 from bergamothill.process.serverpool import (
     CORROBORATING_STREAMS,
     OLD_WEIGHTS_GRACE_MS,
+    STALL_SILENCE_MS,
     SUSPECT_SILENCE_MS,
     UNREAD_STALL_SILENCE_MS,
 )
@@ -29,6 +30,30 @@
     return None if choice is None else choice[0].server
 
 
+class UnreadAnswerTest(unittest.TestCase):
+    """An engine whose events are read by other instances sends an answer that is not read here."""
+
+    def setUp(self):
+        self.pool = server_pool(backend("s1"))
+        self.pool.record_events_unread(backend("s1").address)
+        self.pool.request_started("s1", 100, 100, 0)
+        self.pool.stream_began("s1")
+        self.pool.record_bytes("s1", 100)
+
+    def test_a_further_request_is_not_taken_for_stalled_at_once(self):
+        self.pool.record_unread("s1", 1, 200)
+        self.assertFalse(self.pool.has_stalled("s1", 2_000))
+        self.pool.request_started("s1", 100, 100, 2_000)
+        self.assertFalse(self.pool.has_stalled("s1", 2_000 + STALL_SILENCE_MS - 1))
+        self.assertTrue(self.pool.has_stalled("s1", 2_000 + STALL_SILENCE_MS))
+
+    def test_silence_counts_anew_once_the_answer_is_read_again(self):
+        self.pool.record_unread("s1", 1, 200)
+        self.pool.record_unread("s1", -1, 2_000)
+        self.assertFalse(self.pool.has_stalled("s1", 2_000 + STALL_SILENCE_MS - 1))
+        self.assertTrue(self.pool.has_stalled("s1", 2_000 + STALL_SILENCE_MS))
+
+
 class AnswersTest(unittest.TestCase):
     """What servers say of themselves in their answers."""
 
