Verdicts are not written by all instances at once

All instances reach a verdict by the same evidence within some 100 ms. They now start their writes within 3 ms for each known instance, and write only if the service lacks the verdict or has what does not hold here, not for another choice of crash reports.

--- a/bergamothill/process/nodequarantine.py
+++ b/bergamothill/process/nodequarantine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import threading
 
 from bergamothill.clock import Clock, ms_to_seconds
@@ -19,6 +20,7 @@
 __all__ = ["NodeQuarantine"]
 
 MERGE_TIMEOUT_MS = 2_000
+WRITE_SPREAD_PER_INSTANCE_MS = 3
 
 
 class NodeQuarantine:
@@ -66,10 +68,16 @@
         gate = self.gate
         gate.on_change = self._exchange.wake
         gate.on_pause = store.request_read
-        gate.on_verdicts = lambda verdicts, delay_ms: store.record(verdicts, delay_ms=delay_ms)
+        gate.on_verdicts = self._record_verdicts
         threading.Thread(target=store.run, name="verdicts", daemon=True).start()
         await self._exchange.run()
 
+    def _record_verdicts(self, verdicts: tuple[Verdict, ...], delay_ms: int) -> None:
+        # All instances reach a verdict by the same evidence at about the same time.
+        spread_ms = random.randrange(WRITE_SPREAD_PER_INSTANCE_MS * self._exchange.instance_count)
+        is_own = delay_ms == 0
+        self._store.record(verdicts, delay_ms=delay_ms + spread_ms, is_own=is_own)
+
     def stop(self) -> None:
         """Stop the thread that reads and writes verdicts."""
         if self._store is not None:
--- a/bergamothill/process/quarantineexchange.py
+++ b/bergamothill/process/quarantineexchange.py
@@ -49,6 +49,11 @@
         self._wake = asyncio.Event()
         load_exchange.set_other_kind(is_quarantine_report, self._on_datagram)
 
+    @property
+    def instance_count(self) -> int:
+        """Number of known entry instances, including this one."""
+        return self._load_exchange.instance_count
+
     def wake(self) -> None:
         """Send what changed at once, together with other changes of this moment."""
         self._wake.set()
@@ -67,7 +72,7 @@
 
     def _send_if_due(self) -> None:
         now_ms = self._clock.now_ms()
-        peer_count = self._load_exchange.instance_count - 1
+        peer_count = self.instance_count - 1
         if not self._schedule.is_due(self._quarantine.report_revision, peer_count, now_ms):
             return
         report = self._quarantine.report(now_ms)
--- a/bergamothill/process/verdictstore.py
+++ b/bergamothill/process/verdictstore.py
@@ -14,7 +14,7 @@
 from bergamothill.errors import BergamothillError, ConflictError, ProtocolError
 from bergamothill.logs import EventLog
 from bergamothill.process.quarantinecodec import decode_verdicts, encode_verdicts
-from bergamothill.request.crashevidence import CrashReport, PartId
+from bergamothill.request.crashevidence import CrashReport
 from bergamothill.request.partquarantine import Verdict
 
 __all__ = ["VERDICTS_KEY", "VerdictStore"]
@@ -86,15 +86,16 @@
             self._write_due_ms = self._clock.now_ms()
         self._wake.set()
 
-    def record(self, verdicts: tuple[Verdict, ...], *, delay_ms: int) -> None:
+    def record(self, verdicts: tuple[Verdict, ...], *, delay_ms: int, is_own: bool) -> None:
         """Write the verdicts known here, if the service lacks any.
 
         :param verdicts: these verdicts
-        :param delay_ms: time in which another entry instance may write them first; 0 if they
-            changed by evidence of this instance, which then also replaces what is outdated
+        :param delay_ms: time in which another entry instance may write them first
+        :param is_own: whether they changed by evidence of this instance, which then also removes
+            what it knows to be outdated
         """
         with self._lock:
-            must_replace = delay_ms == 0 and _content(verdicts) != _content(self._stored)
+            must_replace = is_own and self._is_outdated(verdicts)
             if not (must_replace or self._is_lacking(verdicts)):
                 return
             self._must_replace |= must_replace
@@ -122,7 +123,7 @@
         """Return whether the service lacks a verdict, a crash report, or a recent use."""
         passed_ms = self._clock.wall_ms() - self._stored_wall_ms
         idle_ms = {verdict.parts: verdict.idle_ms + passed_ms for verdict in self._stored}
-        reports = frozenset(report for verdict in self._stored for report in verdict.reports)
+        reports = _reports(self._stored)
         return any(
             idle_ms.get(verdict.parts, REFRESH_MS) - verdict.idle_ms >= REFRESH_MS
             if verdict.parts
@@ -130,6 +131,15 @@
             for verdict in verdicts
         )
 
+    def _is_outdated(self, verdicts: Iterable[Verdict]) -> bool:
+        """Return whether the service has a verdict or a crash report that does not hold here."""
+        parts = {verdict.parts for verdict in verdicts}
+        reports = _reports(verdicts)
+        return any(
+            verdict.parts not in parts if verdict.parts else not verdict.reports <= reports
+            for verdict in self._stored
+        )
+
     def _read_if_requested(self) -> None:
         with self._lock:
             is_requested, self._is_read_requested = self._is_read_requested, False
@@ -155,7 +165,7 @@
         entry = self._kvs.get(VERDICTS_KEY)
         verdicts = self._merge(self._decode(entry))
         with self._lock:
-            must_replace = self._must_replace and _content(verdicts) != _content(self._stored)
+            must_replace = self._must_replace and self._is_outdated(verdicts)
             must_write = must_replace or self._is_lacking(verdicts)
         if must_write:
             self._put(verdicts, ABSENT if entry is None else entry.mod_revision)
@@ -184,5 +194,5 @@
         return tuple(verdict for verdict in verdicts if verdict.idle_ms <= STORED_TTL_MS)
 
 
-def _content(verdicts: Iterable[Verdict]) -> set[tuple[frozenset[PartId], frozenset[CrashReport]]]:
-    return {(verdict.parts, verdict.reports) for verdict in verdicts}
+def _reports(verdicts: Iterable[Verdict]) -> frozenset[CrashReport]:
+    return frozenset(report for verdict in verdicts for report in verdict.reports)
--- a/tests/test_verdictstore.py
+++ b/tests/test_verdictstore.py
@@ -65,7 +65,7 @@
     def record(self, *names, store=None, delay_ms=0):
         store = store or self.store
         store.known.add(*(Verdict(parts(name), 0) for name in names))
-        store.record(store.known.rows(), delay_ms=delay_ms)
+        store.record(store.known.rows(), delay_ms=delay_ms, is_own=delay_ms == 0)
 
     def test_the_verdicts_are_read_at_the_start_and_not_again_without_need(self):
         value = encode_verdicts([Verdict(parts("a"), 0)], self.clock.wall_ms())
@@ -168,17 +168,29 @@
         self.record("a")
         self.run_steps()
         self.store._merge = lambda verdicts: ()
-        self.store.record((), delay_ms=0)
+        self.store.record((), delay_ms=0, is_own=True)
         self.run_steps()
         self.assertEqual({}, self.stored())
 
+    def test_instances_that_know_different_reports_of_a_verdict_do_not_write_in_turn(self):
+        self.record("a")
+        self.run_steps()
+        revision = self.kvs.peek(VERDICTS_KEY).mod_revision
+        server = ServerIncarnation("s1", 1)
+        report = CrashReport(ReportId("e1", 1), "r1", server, parts("a"), parts("a"))
+        verdict = Verdict(parts("a"), 0, frozenset({report}))
+        self.store._merge = lambda verdicts: (verdict,)
+        self.store.record((verdict,), delay_ms=0, is_own=True)
+        self.run_steps()
+        self.assertEqual(revision, self.kvs.peek(VERDICTS_KEY).mod_revision)
+
     def test_reports_that_are_no_verdict_yet_are_stored_and_read(self):
         report = CrashReport(
             ReportId("e1", 1), "r1", ServerIncarnation("s1", 1), parts("a"), parts("a")
         )
         suspicion = Verdict(frozenset(), 0, frozenset({report}))
         self.store.known.add(suspicion)
-        self.store.record((suspicion,), delay_ms=2_000)
+        self.store.record((suspicion,), delay_ms=2_000, is_own=False)
         self.run_steps()
         other = self.new_store()
         self.run_steps(other, steps=1)
