Quarantine: a part with a common companion of two crashing parts is not convicted alone

A part is now convicted alone only if two servers crashed without another suspect of two crashes in the request; else with the companion it shares most crashes with. Without any report a check returns at once.

--- a/bergamothill/request/partquarantine.py
+++ b/bergamothill/request/partquarantine.py
@@ -167,7 +167,7 @@
 
         :param parts: all parts of the prompt; the last one is never suspected
         """
-        shared = _shared_parts(model, parts)
+        shared = _shared_parts(model, parts) if self._has_anything() else frozenset()
         if not shared:
             return Unsuspected()
         convicted = self._convicted(shared, now_ms)
@@ -250,7 +250,7 @@
 
     def may_send(self, model: ModelName, parts: Sequence[PromptPart], now_ms: int) -> bool:
         """Return False if the parts have been convicted."""
-        shared = _shared_parts(model, parts)
+        shared = _shared_parts(model, parts) if self._has_anything() else frozenset()
         return not shared or self._convicted(shared, now_ms) is None
 
     def merge(self, report: QuarantineReport, now_ms: int) -> bool:
@@ -302,6 +302,9 @@
         self.verdict_revision = revision
         return is_new
 
+    def _has_anything(self) -> bool:
+        return len(self._evidence) > 0 or len(self._verdicts) > 0
+
     def _merge_verdicts(self, verdicts: Iterable[Verdict], now_ms: int) -> bool:
         added = [self._add_verdict(verdict, now_ms) for verdict in verdicts]
         return any(added)
--- a/bergamothill/request/verdictset.py
+++ b/bergamothill/request/verdictset.py
@@ -34,7 +34,7 @@
 MIN_REQUESTS = 2
 
 DISTINCT_AT = 2
-"""Crashes under one part but not another that tell the two apart."""
+"""Crashes without any other suspect of as many crashes that convict a part alone."""
 
 IsSound = Callable[[PartId], bool]
 
@@ -52,6 +52,10 @@
     def __init__(self) -> None:
         self._known: dict[frozenset[PartId], _Known] = {}
 
+    def __len__(self) -> int:
+        """Return the number of verdicts, in force or not."""
+        return len(self._known)
+
     def find(self, parts: frozenset[PartId], now_ms: int) -> frozenset[PartId] | None:
         """Return a verdict in force on a request with these parts, if any; record its use."""
         for verdict, known in self._known.items():
@@ -121,15 +125,25 @@
     part_is_sound = is_sound(part)
     if not _is_sufficient(evidence, crashes, part, part_is_sound):
         return None
-    servers = _servers(crashes)
-    companions = {other for crash in crashes for other in crash.report.suspects} - {part}
+    companions = {
+        other
+        for crash in crashes
+        for other in crash.report.suspects - {part}
+        if (part_is_sound or not is_sound(other))
+        and len(evidence.servers_against(other)) >= DISTINCT_AT
+    }
+    alone = [crash for crash in crashes if companions.isdisjoint(crash.report.suspects)]
+    if len(_servers(alone)) >= DISTINCT_AT or not companions:
+        return Verdict(frozenset({part}), 0, _strongest_reports(evidence, crashes, part))
+    joint = max((_with(crashes, other) for other in sorted(companions)), key=_server_count)
+    if not _is_sufficient(evidence, joint, part, part_is_sound):
+        return None
     inseparable = {
         other
         for other in companions
-        if (part_is_sound or not is_sound(other))
-        and len(servers - evidence.servers_against(other)) < DISTINCT_AT
+        if len(_servers(joint) - _servers(_with(joint, other))) < DISTINCT_AT
     }
-    return Verdict(frozenset({part} | inseparable), 0, _strongest_reports(evidence, crashes, part))
+    return Verdict(frozenset({part} | inseparable), 0, _strongest_reports(evidence, joint, part))
 
 
 def find_suspicion(evidence: CrashEvidence, part: PartId) -> Verdict:
@@ -172,5 +186,13 @@
     return report.request_id or report.report_id
 
 
+def _with(crashes: Iterable[Crash], part: PartId) -> list[Crash]:
+    return [crash for crash in crashes if part in crash.report.suspects]
+
+
+def _server_count(crashes: Iterable[Crash]) -> int:
+    return len(_servers(crashes))
+
+
 def _servers(crashes: Iterable[Crash]) -> set[ServerIncarnation]:
     return {crash.report.server for crash in crashes}
