--- a/bergamothill/request/verdictset.py
+++ b/bergamothill/request/verdictset.py
@@ -29,12 +29,15 @@
 """Crashed servers that convict a part with which answers succeeded lately."""
 
 MIN_TRIALS = 2
-"""Crashed servers on which the part was on trial; others may share one cause, as a zone's."""
+"""Crashed servers on which the part was on trial; others may share one cause, as a zone's.
+
+To convict a part alone, none of these requests may have another suspect of several crashes.
+"""
 
 MIN_REQUESTS = 2
 
 DISTINCT_AT = 2
-"""Crashes without any other suspect of as many crashes that convict a part alone."""
+"""Crashes of a suspect that may be the cause of those of its companions."""
 
 IsSound = Callable[[PartId], bool]
 
@@ -133,7 +136,7 @@
         and len(evidence.servers_against(other)) >= DISTINCT_AT
     }
     alone = [crash for crash in crashes if companions.isdisjoint(crash.report.suspects)]
-    if len(_servers(alone)) >= DISTINCT_AT or not companions:
+    if _trial_count(evidence, alone, part) >= MIN_TRIALS:
         return Verdict(frozenset({part}), 0, _strongest_reports(evidence, crashes, part))
     joint = max((_with(crashes, other) for other in sorted(companions)), key=_server_count)
     if not _is_sufficient(evidence, joint, part, part_is_sound):
@@ -162,9 +165,14 @@
     needed = CONVICT_SOUND_AT if is_sound else CONVICT_AT
     if len(crashes) < needed or len(_servers(crashes)) < needed:
         return False
-    tried_on = _servers([crash for crash in crashes if evidence.is_clean_trial(crash, part)])
     requests = {_request_key(crash.report) for crash in crashes}
-    return len(tried_on) >= MIN_TRIALS and len(requests) >= MIN_REQUESTS
+    trial_count = _trial_count(evidence, crashes, part)
+    return trial_count >= MIN_TRIALS and len(requests) >= MIN_REQUESTS
+
+
+def _trial_count(evidence: CrashEvidence, crashes: Iterable[Crash], part: PartId) -> int:
+    """Return the number of servers that crashed under a trial of the part and of no other."""
+    return _server_count([crash for crash in crashes if evidence.is_clean_trial(crash, part)])
 
 
 def _strongest_reports(
