--- a/bergamothill/request/verdictset.py
+++ b/bergamothill/request/verdictset.py
@@ -36,7 +36,7 @@
 
 MIN_REQUESTS = 2
 
-DISTINCT_AT = 2
+LIKELY_CAUSE_AT = 2
 """Crashes of a suspect that may be the cause of those of its companions."""
 
 IsSound = Callable[[PartId], bool]
@@ -133,7 +133,7 @@
         for crash in crashes
         for other in crash.report.suspects - {part}
         if (part_is_sound or not is_sound(other))
-        and len(evidence.servers_against(other)) >= DISTINCT_AT
+        and len(evidence.servers_against(other)) >= LIKELY_CAUSE_AT
     }
     alone = [crash for crash in crashes if companions.isdisjoint(crash.report.suspects)]
     if _trial_count(evidence, alone, part) >= MIN_TRIALS:
@@ -144,7 +144,7 @@
     inseparable = {
         other
         for other in companions
-        if len(_servers(joint) - _servers(_with(joint, other))) < DISTINCT_AT
+        if len(_servers(joint) - _servers(_with(joint, other))) < LIKELY_CAUSE_AT
     }
     return Verdict(frozenset({part} | inseparable), 0, _strongest_reports(evidence, joint, part))
 
