Clear no part by an answer that ended with its connection

Found by review. A server that crashes in a stream without a length, right behind an event, ends its connection like one that has finished; its parts counted as sound, everywhere, and their earlier crashes as cleared. The expectation COMPLETE in test_promptruns was wrong: it let a crash clear the part that caused it; it is OTHER now.

--- a/bergamothill/process/promptruns.py
+++ b/bergamothill/process/promptruns.py
@@ -34,15 +34,17 @@
 def classify_run_end(outcome: str, result: ExchangeResult, *, has_begun: bool) -> RunEnd:
     """Return what the end of an attempt tells about the parts of its prompt.
 
-    An answer that ends with its connection is whole only if something of it has arrived.
+    An answer that ends with its connection at an event boundary may be whole, or the server may
+    have crashed there.
 
     :param outcome: outcome of the attempt
     :param result: how the exchange ended
     :param has_begun: whether bytes of the answer arrived
     """
-    is_whole = outcome == "success" and (has_begun or not result.was_closed)
-    if is_whole:
+    if outcome == "success" and not result.was_closed:
         return RunEnd.COMPLETE
+    if outcome == "success" and has_begun:
+        return RunEnd.OTHER
     is_lost = result.end in (ExchangeEnd.BROKEN, ExchangeEnd.COMPLETE) and result.was_closed
     return RunEnd.CRASHED if is_lost and outcome in ("broken", "success") else RunEnd.OTHER
 
--- a/bergamothill/process/requestrun.py
+++ b/bergamothill/process/requestrun.py
@@ -134,7 +134,8 @@
             self._is_streaming = True
             self._server_pool.stream_began(self._current_server)
             self._server_pool.record_first_token(self._terms, now_ms - self._sent_ms, now_ms)
-        if self._prompt_run is not None and self._relay.verdict is AttemptVerdict.SUCCESS:
+        is_success = self._relay.verdict is AttemptVerdict.SUCCESS
+        if self._prompt_run is not None and is_success and not self._relay.lacks_events:
             self._prompt_run.record_event(now_ms)
         self._server_pool.record_bytes(self._current_server, now_ms)
 
--- a/tests/test_promptruns.py
+++ b/tests/test_promptruns.py
@@ -48,9 +48,9 @@
             with self.subTest(outcome=outcome, end=end):
                 self.assertIs(RunEnd.OTHER, self.end(outcome, end))
 
-    def test_an_answer_that_ends_with_its_connection_must_have_begun_at_an_event_boundary(self):
+    def test_an_answer_that_ends_with_its_connection_clears_no_part_of_its_prompt(self):
         closed = {"end": ExchangeEnd.COMPLETE, "was_closed": True}
-        self.assertIs(RunEnd.COMPLETE, self.end("success", **closed))
+        self.assertIs(RunEnd.OTHER, self.end("success", **closed))
         self.assertIs(RunEnd.CRASHED, self.end("success", **closed, has_begun=False))
         self.assertIs(RunEnd.CRASHED, self.end("broken", **closed))
 
