Let a trial that finds no server of its own wait apart from the queue for memory

Found by review. A trial that needs a server without other trials joined the queue for engine memory when there was none; at its head it held up requests for which memory was free. The new test failed before (WaitForMemory instead of WaitForTrial).

--- a/bergamothill/request/forwarding.py
+++ b/bergamothill/request/forwarding.py
@@ -72,6 +72,9 @@
 MIN_TRIAL_WAIT_MS = 300
 """Longer than a trial that succeeds takes, for repeats of requests that missed their objective."""
 
+LONE_SERVER_POLL_MS = 50
+"""Interval at which a trial asks for a server without other trials."""
+
 LOWEST_URGENCY = 9
 ROUTE_RANKS = 3
 """Number of route ranks; the brand's rank takes precedence over the route's."""
@@ -380,6 +383,8 @@
         if isinstance(chosen, AllQuiet):
             return self._give_up(now_ms, Reason.QUIET, wait_ms=chosen.until_ms - now_ms)
         if isinstance(chosen, NoFreeMemory):
+            if trial is not None and trial.needs_lone_server:
+                return self._wait_for_trial(AwaitTrial(LONE_SERVER_POLL_MS), now_ms, last_event_id)
             return self._wait_for_memory(now_ms, last_event_id)
         server, terms = chosen
         terms.time_left_ms = self._give_up_ms - now_ms
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -264,6 +264,11 @@
             self.assertIs(trial, step.trial)
             self.assertIs(needs_lone_server, self.chooser.needs_lone_server)
 
+    def test_a_trial_without_a_server_of_its_own_does_not_join_the_queue_for_memory(self):
+        run = self.forwarding(screen=Screen(Trial(PARTS, True)))
+        self.chooser.answer = NoFreeMemory()
+        self.assertIsInstance(run.begin(0), WaitForTrial)
+
     def test_a_prompt_that_waits_for_a_trial_asks_again_from_where_it_stood(self):
         screen = Screen(Unsuspected())
         run = self.forwarding(screen=screen)
