Time out a request head that stalls behind another request

A request whose head began to arrive while another one was in progress had no timer, neither when it began nor when the other was answered, so the connection stayed for good, and a stopping instance waited for it until the end of the drain. The timer of the head starts once the response before it has been sent. The new test failed before (no answer in 4 s).

--- a/bergamothill/connection/callerhttp.py
+++ b/bergamothill/connection/callerhttp.py
@@ -347,6 +347,8 @@
             self._start_next()
         elif not self._receiving_request:
             self._start_request_timer(self._handler.limits().idle_timeout_ms)
+        elif not self._head_received:
+            self._start_request_timer(self._handler.limits().header_timeout_ms)
 
     def _linger(self) -> None:
         """Close the connection once the caller has, or after a timeout.
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -130,6 +130,18 @@
             self.assertTrue(found.startswith(b"HTTP/1.1 200 "), found[:80])
             self.assertTrue(found.endswith(b"\r\n\r\n" + b"x" * 1_000_000))
 
+    def test_a_request_head_that_stalls_behind_another_request_times_out(self):
+        def answer_late(connection, _request):
+            time.sleep(0.1)
+            connection.sendall(answer())
+
+        world = self.world(plain=[answer_late])
+        with world.connect() as connection:
+            connection.sendall(request() + request()[:20])
+            self.assertIn(b" 200 ", read_message(connection))
+            connection.settimeout(4)
+            self.assertIn(b" 408 ", read_message(connection))
+
     def test_an_answer_without_a_length_ends_when_its_connection_closes(self):
         def script(connection, _request):
             connection.sendall(answer(b"whole", framing=b""))
