Deliver events that follow the final one of an engine's stream, up to 64 KiB

Events may arrive out of order, and the stream is put in order by its reader, so that an answer whose last token and END had been swapped broke off: test_entry_processes...test_repeated_and_swapped_events_are_put_right failed in the whole suite on ((True, ...) != (False, ...), last word missing).

They are delivered again, and 64 KiB after the chunk with the final event the transfer ends with the outcome of that event.

--- a/bergamothill/connection/httpengine.py
+++ b/bergamothill/connection/httpengine.py
@@ -32,6 +32,10 @@
 CONTROL_TIMEOUT_MS = 2_000
 REPLY_MARGIN_MS = 1_000
 JSON_HEADERS = {"Content-Type": "application/json"}
+
+MAX_BYTES_AFTER_FINAL = 65_536
+"""Events may arrive out of order, so that some may follow the final one."""
+
 FINAL_EVENT_KINDS = frozenset({EventKind.END, EventKind.ERROR})
 
 Decoded = TypeVar("Decoded")
@@ -42,6 +46,7 @@
 
     def __init__(self, on_event: OnEvent, step: str, peer: str) -> None:
         self.finished = False
+        self._bytes_after_final = 0
         self._on_event = on_event
         self._step = step
         self._peer = peer
@@ -49,6 +54,8 @@
 
     def feed(self, chunk: bytes) -> None:
         if self.finished:
+            self._bytes_after_final += len(chunk)
+        if self._bytes_after_final > MAX_BYTES_AFTER_FINAL:
             raise PeerTimeoutError(
                 "the stream goes on after its final event", step=self._step, peer=self._peer
             )
@@ -63,8 +70,6 @@
                     execution=Execution.UNKNOWN,
                 ) from error
             self._deliver(event)
-            if self.finished:
-                return
 
     def _deliver(self, event: StreamEvent) -> None:
         if event.kind in FINAL_EVENT_KINDS:
