Bound what a lingering connection discards

A request with a part without end is rejected, and since the lingering close its connection was read on for up to 2 s, as fast as the caller sent, instead of being cut off. What is read meanwhile is bounded now; beyond 1 MiB the connection is aborted.

--- a/bergamothill/connection/callerhttp.py
+++ b/bergamothill/connection/callerhttp.py
@@ -27,6 +27,9 @@
 LINGER_TIMEOUT_MS = 2_000
 """Maximum time to wait for the caller to close, once the last response has been written."""
 
+MAX_DISCARDED_BYTES = 1_048_576
+"""Maximum bytes that are read and discarded meanwhile."""
+
 MAX_BODY_FRAMING_BYTES = 16_384
 """Maximum size of the chunk headers of a request with an empty body."""
 
@@ -91,6 +94,7 @@
         self._is_head_request = False
         self._is_closed = False
         self._is_lingering = False
+        self._discarded_bytes = 0
         self._timer: asyncio.TimerHandle | None = None
         self._reset_request()
 
@@ -145,6 +149,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; reject requests that are malformed or too large."""
+        if self._is_lingering:
+            self._discard(len(data))
         if self._is_closed or not self._keep_alive:
             return
         if self._cancel is not None or self.flow.is_paused:
@@ -382,6 +388,12 @@
         elif not self.is_busy and self._transport is not None:
             self._close()
 
+    def _discard(self, size_bytes: int) -> None:
+        """Count bytes that a lingering connection received; abort it if they do not end."""
+        self._discarded_bytes += size_bytes
+        if self._discarded_bytes > MAX_DISCARDED_BYTES:
+            self._transport.abort()
+
     def _end_linger(self) -> None:
         if self._transport.get_write_buffer_size():
             self._start_request_timer(LINGER_TIMEOUT_MS)
