Move the silence of backend servers to a module of its own

No behaviour changes: the methods and constants are moved as they were; one ablation names the new file.

Measured: tests.test_ablate and tests.test_serverpool pass.

--- a/bergamothill/process/serverpool.py
+++ b/bergamothill/process/serverpool.py
@@ -10,12 +10,11 @@
 from collections.abc import Callable
 
 from bergamothill.ids import ModelName, ServerId, ZoneName
-from bergamothill.logs import EventLog
 from bergamothill.process.backends import BackendServer
 from bergamothill.process.engineselector import EngineSelector
 from bergamothill.process.loadreport import PeerLoads, ServerLoad
 from bergamothill.process.observedserver import ObservedServer
-from bergamothill.process.serverlist import ServerList
+from bergamothill.process.serversilence import ServerSilence
 from bergamothill.process.trialplacement import TrialPlacement
 from bergamothill.request.callerrequest import CallerRequest, ForwardTerms
 from bergamothill.request.contextplan import ContextPlanner
@@ -31,8 +30,6 @@
 
 __all__ = ["ServerPool"]
 
-_log = EventLog("gateway")
-
 REJECTION_BACKOFF_MS = 120
 """Backoff for a server that is full or busy with an order: about the duration of one batch."""
 
@@ -48,34 +45,6 @@
 MEMORY_SHARE_PER_URGENCY = 0.035
 """Share of memory kept free per urgency level below the most urgent one."""
 
-SUSPECT_SILENCE_MS = 600
-"""Silence after which an engine is avoided.
-
-A busy engine sends events every few tens of ms, and pauses for 300 ms to load new weights.
-"""
-
-STALL_SILENCE_MS = 1_000
-"""Silence after which streams resume elsewhere.
-
-Long polls for events return within 700 ms, and events are usually delayed by 80 ms.
-"""
-
-UNREAD_STALL_SILENCE_MS = 1_700
-"""The same for prompts that wait for their first token at an engine whose events are not read here.
-
-Callers disconnect after two seconds of silence at the earliest, and the first event at another
-engine takes up to 300 ms.
-"""
-
-CORROBORATING_STREAMS = 3
-CORROBORATED_SILENCE_FACTOR = 0.6
-
-MIN_PAUSE_MS = 500
-"""Time without a check for stalls that shows a pause of this process.
-
-Together with the usual time between two events it is below the shortest silence of a stall.
-"""
-
 OLD_WEIGHTS_GRACE_MS = 1_100
 """Old weights carry no penalty until 1.5 s after a new target, which is read up to 400 ms late."""
 
@@ -83,7 +52,7 @@
 """Time for which a request may be queued at an engine before it starts."""
 
 
-class ServerPool(ServerList):
+class ServerPool(ServerSilence):
     """State of all backend servers, as observed by this entry instance.
 
     :param zone: availability zone of this entry instance
@@ -114,7 +83,6 @@
         self.weights_due_ms = weights_due_ms
         self.targets: dict[ModelName, WeightTarget] = {}
         self._target_histories: dict[ModelName, TargetHistory] = {}
-        self._checked_ms: int | None = None
         self.servers_under_trial: Callable[[int], frozenset[ServerId]] = lambda _now_ms: frozenset()
         """Returns the servers that try a prompt part that may crash them."""
 
@@ -164,96 +132,6 @@
 
     # Observations from requests.
 
-    def record_bytes(self, server: ServerId, now_ms: int) -> None:
-        """Record that bytes were received from a server."""
-        state = self._observed.get(server)
-        if state is not None:
-            state.last_received_ms = now_ms
-
-    def record_reply_from(self, address: str, now_ms: int, *, is_leaving: bool) -> None:
-        """Record a reply of the server at an address to a read of its cache events.
-
-        :param is_leaving: whether the server says that it is leaving
-        """
-        for state in self._observed.values():
-            if state.entry.address == address:
-                state.last_received_ms = now_ms
-                state.has_event_reader = True
-                if is_leaving and not state.is_leaving:
-                    self.record_leaving(state.entry)
-                    _log.info("server_leaving", server=state.entry.server, request="-")
-
-    def record_events_unread(self, address: str) -> None:
-        """Record that the server at an address admits no further reader of its cache events."""
-        for state in self._observed.values():
-            if state.entry.address == address:
-                state.has_event_reader = False
-
-    def set_reachable(self, address: str, is_reachable: bool) -> None:
-        """Record that the event connection to the server at an address was lost or restored."""
-        for state in self._observed.values():
-            if state.entry.address == address:
-                state.is_reachable = is_reachable
-
-    def stream_began(self, server: ServerId) -> None:
-        """Record that the answer to a request has begun."""
-        state = self._observed.get(server)
-        if state is not None:
-            state.streaming += 1
-
-    def stream_ended(self, server: ServerId) -> None:
-        """Record that an answer that had begun has ended."""
-        state = self._observed.get(server)
-        if state is not None:
-            state.streaming = max(0, state.streaming - 1)
-
-    def record_unread(self, server: ServerId, change: int, now_ms: int) -> None:
-        """Add to the number of answers of a server that are not read."""
-        if (state := self._observed.get(server)) is not None:
-            state.record_unread(change, now_ms)
-
-    def record_check(self, now_ms: int) -> None:
-        """Record a periodic check for stalls; silence counts anew from the end of a pause."""
-        if self._has_paused(now_ms):
-            for state in self._observed.values():
-                state.last_received_ms = max(state.last_received_ms, now_ms)
-        self._checked_ms = now_ms
-
-    def _has_paused(self, now_ms: int) -> bool:
-        """Return whether this process has paused since the last check for stalls."""
-        return self._checked_ms is not None and now_ms - self._checked_ms >= MIN_PAUSE_MS
-
-    def has_stalled(self, server: ServerId, now_ms: int) -> bool:
-        """Return whether a server has been silent so long that its streams resume elsewhere."""
-        silence_ms = self.silence_ms(server, now_ms)
-        if self._may_be_silent(server):
-            return silence_ms >= UNREAD_STALL_SILENCE_MS
-        return silence_ms >= STALL_SILENCE_MS * self._silence_factor(server)
-
-    def _may_be_silent(self, server: ServerId) -> bool:
-        """Return whether a server sends nothing here before the first token of a prompt."""
-        state = self._observed.get(server)
-        return state is not None and not state.has_event_reader and state.streaming == 0
-
-    def _silence_factor(self, server: ServerId) -> float:
-        """Return the fraction of a silence timeout that is sufficient evidence of a stall.
-
-        Several streams that pause together are earlier evidence than a single one.
-        """
-        state = self._observed.get(server)
-        is_corroborated = state is not None and state.streaming >= CORROBORATING_STREAMS
-        return CORROBORATED_SILENCE_FACTOR if is_corroborated else 1.0
-
-    def silence_ms(self, server: ServerId, now_ms: int) -> int:
-        """Return how long a server has sent nothing.
-
-        :returns: 0 if it has no answers to be read here, or if this process has just paused
-        """
-        state = self._observed.get(server)
-        if state is None or not state.is_heard or self._has_paused(now_ms):
-            return 0
-        return now_ms - state.last_received_ms
-
     def request_started(
         self, server: ServerId, tokens: int, pending_prefill_tokens: int, now_ms: int
     ) -> None:
@@ -449,13 +327,6 @@
         tokens = state.tokens + peer_load.tokens + request.prompt_tokens
         return tokens <= share * traits.memory_tokens
 
-    def _is_silent(self, state: ObservedServer, now_ms: int) -> bool:
-        server = state.entry.server
-        bound_ms = SUSPECT_SILENCE_MS * self._silence_factor(server)
-        if self._may_be_silent(server):
-            bound_ms = UNREAD_STALL_SILENCE_MS
-        return not state.is_reachable or self.silence_ms(server, now_ms) >= bound_ms
-
     def _cost_by_request_count(self, state: ObservedServer) -> tuple[float, str]:
         other_zone = OTHER_ZONE_PENALTY if state.entry.zone != self._zone else 0.0
         in_progress = state.in_progress + self._peer_loads.load_on(state.entry.server).in_progress
--- a/scripts/ablate.py
+++ b/scripts/ablate.py
@@ -14,6 +14,7 @@
 EXCLUDED_PATTERNS = (".git", ".venv", "journal", "__pycache__", ".hypothesis")
 
 SERVER_POOL = "bergamothill/process/serverpool.py"
+SERVER_SILENCE = "bergamothill/process/serversilence.py"
 SELECTOR = "bergamothill/process/engineselector.py"
 PLAN = "bergamothill/request/contextplan.py"
 REQUEST_RUN = "bergamothill/process/requestrun.py"
@@ -83,7 +84,7 @@
     ),
     "no-silence-check": (
         Replacement(
-            SERVER_POOL,
+            SERVER_SILENCE,
             "        return silence_ms >= STALL_SILENCE_MS * self._silence_factor(server)\n",
             "        return False\n",
         ),
--- a/tests/test_serverpool.py
+++ b/tests/test_serverpool.py
@@ -4,9 +4,9 @@
 
 from bergamothill.process.loadreport import LoadReport, PeerLoads, ServerLoad
 from bergamothill.process.serverlist import MAX_QUIET_MS, RECOVERY_NOTICE_MS
-from bergamothill.process.serverpool import (
+from bergamothill.process.serverpool import OLD_WEIGHTS_GRACE_MS
+from bergamothill.process.serversilence import (
     CORROBORATING_STREAMS,
-    OLD_WEIGHTS_GRACE_MS,
     STALL_SILENCE_MS,
     SUSPECT_SILENCE_MS,
     UNREAD_STALL_SILENCE_MS,
