Read the limits that servers name, and log each change of them

Answers that name Server-Limit are decoded into a limit; values that are no rate (nan, negative, not finite) name one that cannot be read, the lowest of several holds. The limit belongs to an incarnation of a server. A lower one holds at once; a higher one, or none, only by the answer to a request that was sent after the last answer with the limit had arrived. Each change is one log line with the share of this instance by the instances it knows.

Requests are still sent as before: nothing asks for the share yet.

--- a/bergamothill/platform/headers.py
+++ b/bergamothill/platform/headers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import re
 
 from bergamothill.errors import InvalidRequestError
 from bergamothill.ids import ModelName, RequestId
@@ -12,6 +13,7 @@
     Header,
     PromptPart,
     RawRequest,
+    RequestLimit,
     ResponseHead,
 )
 
@@ -19,6 +21,9 @@
 
 MS_PER_S = 1_000
 MAX_PAUSE_DIGITS = 20
+MAX_LIMIT_CHARACTERS = 40
+
+_LIMIT_PATTERN = re.compile(r"[0-9]+(\.[0-9]*)?([eE][+-]?[0-9]+)?|\.[0-9]+([eE][+-]?[0-9]+)?")
 
 _STEP = "request.decode"
 
@@ -186,6 +191,7 @@
         headers=[(n, v) for n, v in headers if n.lower() not in dropped],
         is_leaving=says_leaving(first_values.get(b"server-leaving")),
         quiet_ms=_parse_pause(first_values.get(b"retry-after")) if status == 503 else None,
+        limit=_parse_limit([v for n, v in headers if n.lower() == b"server-limit"]),
     )
 
 
@@ -204,6 +210,22 @@
     return math.ceil(float(text) * MS_PER_S) or None
 
 
+def _parse_limit(values: list[bytes]) -> RequestLimit | None:
+    """Return the lowest of the limits that an answer names; None if it names none."""
+    if not values:
+        return None
+    texts = (text.strip() for value in values for text in value.decode("latin-1").split(","))
+    limits = [limit for text in texts if (limit := _parse_rate(text)) is not None]
+    return RequestLimit(min(limits, default=None))
+
+
+def _parse_rate(text: str) -> float | None:
+    if len(text) > MAX_LIMIT_CHARACTERS or not _LIMIT_PATTERN.fullmatch(text):
+        return None
+    rate = float(text)
+    return rate if math.isfinite(rate) else None
+
+
 def _decode_text(value: bytes | None) -> str:
     return "" if value is None else value.decode("latin-1").strip()
 
--- a/bergamothill/process/loadexchange.py
+++ b/bergamothill/process/loadexchange.py
@@ -31,7 +31,7 @@
     :param clock: source of time
     :param server_pool: source of this instance's own loads
     :param loads: stores the others' reports
-    :param on_report: called after each received report
+    :param on_report: called with the sender after each received report
     """
 
     def __init__(
@@ -40,7 +40,7 @@
         clock: Clock,
         server_pool: ServerPool,
         loads: PeerLoads,
-        on_report: Callable[[], None],
+        on_report: Callable[[EntryInstanceId], None],
     ) -> None:
         self._on_report = on_report
         self._entry = entry
@@ -122,7 +122,7 @@
             _log.info("report_unreadable", reason=error.message)
             return
         self._loads.add_report(report, self._clock.now_ms())
-        self._on_report()
+        self._on_report(report.entry)
 
 
 def _is_never(_datagram: bytes) -> bool:
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -14,7 +14,7 @@
 from bergamothill.connection.http import HttpClient
 from bergamothill.connection.kvs import KeyValueEntry
 from bergamothill.errors import ProtocolError
-from bergamothill.ids import DutyName, ModelName
+from bergamothill.ids import DutyName, EntryInstanceId, ModelName
 from bergamothill.logs import EventLog
 from bergamothill.platform import engines
 from bergamothill.platform.config import OPERATOR_PREFIX
@@ -26,6 +26,7 @@
 from bergamothill.process.drainperiod import DrainPeriod
 from bergamothill.process.gateway import Gateway
 from bergamothill.process.gatewaymetrics import GatewayMetrics
+from bergamothill.process.instanceroster import InstanceRoster
 from bergamothill.process.lease import DutyLease
 from bergamothill.process.leasemachine import LeaseTimes
 from bergamothill.process.loadexchange import LoadExchange
@@ -38,6 +39,7 @@
 from bergamothill.process.ratelimitedlog import install_rate_limited_log
 from bergamothill.process.readiness import ReadinessHandler
 from bergamothill.process.registry import Peer, Registry
+from bergamothill.process.serverlimits import ServerLimits
 from bergamothill.process.serverpool import ServerPool
 from bergamothill.process.swapduty import SwapDuty
 from bergamothill.process.sweepduty import SweepDuty
@@ -106,11 +108,13 @@
             self._on_source_connection_change,
         )
         peer_loads = PeerLoads()
+        self._roster = InstanceRoster(settings.entry, clock.now_ms())
         self._server_pool = ServerPool(
             settings.zone,
             bounds.weights_due_ms,
             self._planner,
             peer_loads,
+            ServerLimits(self._roster),
             entry_expiry_ms=ENTRY_LIFE_HEARTBEATS * settings.heartbeat_interval_ms,
             stability_window_ms=bounds.stability_window_ms,
             min_entry_life_ms=MIN_ENTRY_LIFE_HEARTBEATS * settings.heartbeat_interval_ms,
@@ -278,6 +282,7 @@
 
     def _apply_peers(self, peers: tuple[Peer, ...]) -> None:
         self._exchange.set_peers(peers)
+        self._roster.set_registered((peer.entry for peer in peers), self._clock.now_ms())
         self._gateway.set_instance_count(self._exchange.instance_count)
 
     async def _listen(self) -> list[CallerListener]:
@@ -296,7 +301,8 @@
             listeners.append(listener)
         return listeners
 
-    def _on_load_report(self) -> None:
+    def _on_load_report(self, sender: EntryInstanceId) -> None:
+        self._roster.record_heard(sender, self._clock.now_ms())
         self._gateway.capacity_changed()
 
     def _track_connection(self, connection: CallerConnection, is_open: bool) -> None:
--- a/bergamothill/process/requestrun.py
+++ b/bergamothill/process/requestrun.py
@@ -20,6 +20,7 @@
 from bergamothill.process.gatewaymetrics import GatewayMetrics
 from bergamothill.process.promptruns import classify_run_end, encode_refusal, wait_for_trial
 from bergamothill.process.quarantinegate import PromptRun, QuarantineGate
+from bergamothill.process.serverlimits import log_limit_change
 from bergamothill.process.serverpool import ServerPool
 from bergamothill.request.answerrelay import AnswerRelay, AttemptVerdict
 from bergamothill.request.bufferbudget import BufferBudget
@@ -147,7 +148,10 @@
         # A refusal need not come from the expected instance.
         if self._prompt_run is not None and not head.is_not_executed:
             self._prompt_run.record_alive(self._clock.now_ms())
-        if not head.is_leaving or is_other_instance:
+        if is_other_instance:
+            return
+        self._record_limit(head)
+        if not head.is_leaving:
             return
         self._said_leaving = True
         if self._server_pool.record_leaving(server):
@@ -158,6 +162,12 @@
                 status=head.status,
             )
 
+    def _record_limit(self, head: ResponseHead) -> None:
+        now_ms, server = self._clock.now_ms(), self._send.server
+        change = self._server_pool.limits.record_answer(server, head.limit, self._sent_ms, now_ms)
+        if change is not None:
+            log_limit_change(change, request=self._request.request_id)
+
     def _record_pause(self, end: ExchangeEnd, now_ms: int) -> None:
         """Record a pause that the server asked for, and withdraw what a malformed answer said."""
         head, server = self._own_head, self._send.server
--- /dev/null
+++ b/bergamothill/process/serverlimits.py
@@ -0,0 +1,245 @@
+"""Limits that servers name for the requests of all entry instances together; no I/O and no clock.
+
+The instances divide a limit without agreement: the first of them by rendezvous hashing may send,
+each an equal share. Few may, as each may send one request at any moment, whatever its share.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from bergamothill.ids import RequestId, ServerId
+from bergamothill.logs import EventLog
+from bergamothill.process.backends import BackendServer
+from bergamothill.process.instanceroster import InstanceRoster
+from bergamothill.process.limitevidence import LimitEvidence, ServerLimit
+from bergamothill.process.limitreport import LimitReport, ReportedLimit
+from bergamothill.process.rendezvous import rendezvous
+from bergamothill.request.callerrequest import RequestLimit
+from bergamothill.request.tokenbucket import TokenBucket
+
+__all__ = ["LimitChange", "ServerLimits", "log_limit_change"]
+
+_log = EventLog("gateway")
+
+EXTRA_SENDERS = 3
+"""Instances that may send to a server beside one for each request a second of its limit."""
+
+MIN_RATE_PER_S = 0.2
+"""Rate at which a server is tried that takes fewer requests, to learn when its limit ends."""
+
+BURST_MS = 500
+"""Time for which an instance may save up its share of a high limit."""
+
+REPORT_DELAY_MS = 1_000
+"""Longest time that a datagram is assumed to take."""
+
+LIFTED_REPORT_MS = 10_000
+"""Time for which peers are told that a limit has ended."""
+
+STALE_AFTER_MS = 60_000
+"""Time without news of a limit after which instances without a share try the server, too."""
+
+MS_PER_S = 1_000
+
+Incarnation = tuple[ServerId, int]
+
+
+@dataclass(frozen=True, slots=True)
+class LimitChange:
+    """Change of the limit of a server, for the log.
+
+    :param server: server
+    :param per_s: requests per second for all entry instances together; None without a limit
+    :param share_per_s: those that this instance may send
+    :param senders: number of instances that may send
+    :param instances: number of instances
+    """
+
+    server: ServerId
+    per_s: float | None
+    share_per_s: float
+    senders: int
+    instances: int
+
+
+class _LimitedServer:
+    """Limit and tokens of one incarnation of a server."""
+
+    def __init__(self, now_ms: int) -> None:
+        self.limit = ServerLimit()
+        self.bucket = TokenBucket(now_ms)
+        self.own: LimitEvidence | None = None
+        self.heard_ms = now_ms
+        self.senders = 0
+        self.divided_by: tuple[int, float | None, bool, bool] | None = None
+
+
+class ServerLimits:
+    """Limits of all servers, and the share of this entry instance in each.
+
+    :param roster: entry instances that share the limits
+    """
+
+    def __init__(self, roster: InstanceRoster) -> None:
+        self._roster = roster
+        self._servers: dict[Incarnation, _LimitedServer] = {}
+        self.report_revision = 0
+        """Increases when peers should get a report at once."""
+
+    # What is known.
+
+    def record_answer(
+        self, server: BackendServer, limit: RequestLimit | None, sent_ms: int, now_ms: int
+    ) -> LimitChange | None:
+        """Record the head of an answer; return the change of the limit, if any.
+
+        :param limit: limit that the answer names; None if it names none
+        :param sent_ms: time before the request was sent
+        """
+        state = self._servers.get(server.incarnation)
+        if state is None and (limit is None or limit.per_s is None):
+            return None
+        if state is None:
+            state = self._servers[server.incarnation] = _LimitedServer(now_ms)
+        state.heard_ms = now_ms
+        if limit is not None and limit.per_s is None:
+            state.limit.confirm(now_ms)
+            return None
+        evidence = LimitEvidence(None if limit is None else limit.per_s, sent_ms, now_ms)
+        has_changed = state.limit.apply(evidence)
+        if state.limit.per_s == evidence.per_s:
+            state.own = evidence
+        if not has_changed:
+            return None
+        self.report_revision += 1
+        return self._change(server.incarnation, state, now_ms)
+
+    def merge(self, report: LimitReport, now_ms: int) -> list[LimitChange]:
+        """Merge the report of a peer; return the changes of limits."""
+        changes = []
+        for row in report.limits:
+            key = (row.server, row.started_wall_ms)
+            state = self._servers.get(key)
+            if state is None:
+                if row.per_s is None:
+                    continue
+                state = self._servers[key] = _LimitedServer(now_ms)
+            state.heard_ms = now_ms
+            evidence = LimitEvidence(
+                row.per_s, now_ms - row.sent_age_ms, now_ms - row.answered_age_ms
+            )
+            if state.limit.apply(evidence, delay_ms=REPORT_DELAY_MS):
+                changes.append(self._change(key, state, now_ms))
+        return changes
+
+    def report(self, now_ms: int) -> LimitReport:
+        """Return what answers to this instance told, for the peers."""
+        rows = []
+        for (server, started_wall_ms), state in self._servers.items():
+            own = state.own
+            if own is None or own.per_s != state.limit.per_s:
+                continue
+            sent_age_ms, answered_age_ms = now_ms - own.sent_ms, now_ms - own.answered_ms
+            if own.per_s is not None or sent_age_ms <= LIFTED_REPORT_MS:
+                row = ReportedLimit(
+                    server, started_wall_ms, own.per_s, sent_age_ms, answered_age_ms
+                )
+                rows.append(row)
+        return LimitReport(self._roster.own, tuple(rows))
+
+    def retain(self, servers: Iterable[BackendServer]) -> None:
+        """Forget all servers but these."""
+        kept = {server.incarnation for server in servers}
+        for key in self._servers.keys() - kept:
+            del self._servers[key]
+
+    def record_check(self, passed_ms: int, now_ms: int) -> None:
+        """Record a periodic check.
+
+        :param passed_ms: time since the one before; a long one shows a pause of this process
+        """
+        self._roster.record_pause(passed_ms, now_ms)
+
+    # What may be sent.
+
+    def limit_per_s(self, server: BackendServer) -> float | None:
+        """Return the limit of a server, for all instances together; None without one."""
+        state = self._servers.get(server.incarnation)
+        return None if state is None else state.limit.per_s
+
+    def try_spend(self, server: BackendServer, now_ms: int) -> bool:
+        """Take the right to send one request to a server, if there is one."""
+        state = self._divided(server, now_ms)
+        return state is None or state.bucket.try_spend(now_ms)
+
+    def wait_ms(self, server: BackendServer, now_ms: int) -> int | None:
+        """Return the time until a request may be sent to a server; None if none may be."""
+        state = self._divided(server, now_ms)
+        return 0 if state is None else state.bucket.wait_ms(now_ms)
+
+    def share_per_s(self, server: BackendServer, now_ms: int) -> float | None:
+        """Return the requests a second that this instance may send; None without a limit."""
+        state = self._divided(server, now_ms)
+        return None if state is None else state.bucket.rate_per_s
+
+    def _divided(self, server: BackendServer, now_ms: int) -> _LimitedServer | None:
+        """Return a server that has a limit, with its tokens up to date; None without a limit."""
+        key = server.incarnation
+        state = self._servers.get(key)
+        if state is None or state.limit.per_s is None:
+            return None
+        self._divide(key, state, now_ms)
+        return state
+
+    def _divide(self, key: Incarnation, state: _LimitedServer, now_ms: int) -> None:
+        """Set the rate of this instance by the limit and the instances that share it."""
+        members = self._roster.members(now_ms)
+        has_joined = self._roster.has_joined(now_ms)
+        is_stale = now_ms - state.heard_ms > STALE_AFTER_MS
+        divided_by = (self._roster.revision, state.limit.per_s, has_joined, is_stale)
+        if divided_by == state.divided_by:
+            return
+        state.divided_by = divided_by
+        limit = state.limit.per_s
+        state.senders = min(len(members), int(limit) + EXTRA_SENDERS)
+        is_sender = self._roster.own in rendezvous(key[0], members)[: state.senders]
+        if not has_joined:
+            rate = 0.0
+        elif is_sender:
+            rate = max(limit, MIN_RATE_PER_S) / state.senders
+        else:
+            rate = MIN_RATE_PER_S / len(members) if is_stale else 0.0
+        saved = min(rate * BURST_MS / MS_PER_S, (limit + EXTRA_SENDERS) / state.senders)
+        state.bucket.set_rate(rate, max(1.0, saved), now_ms)
+        if not rate:
+            state.bucket.empty(now_ms)
+
+    def _change(self, key: Incarnation, state: _LimitedServer, now_ms: int) -> LimitChange:
+        members = self._roster.members(now_ms)
+        if state.limit.per_s is None:
+            return LimitChange(key[0], None, 0.0, 0, len(members))
+        self._divide(key, state, now_ms)
+        rate = state.bucket.rate_per_s
+        return LimitChange(key[0], state.limit.per_s, rate, state.senders, len(members))
+
+
+def log_limit_change(change: LimitChange, *, request: RequestId | None = None) -> None:
+    """Log a change of the limit of a server.
+
+    :param request: request whose answer told it; None if a peer did
+    """
+    request = request or RequestId("-")
+    if change.per_s is None:
+        _log.info("server_limit_lifted", server=change.server, request=request)
+        return
+    _log.info(
+        "server_names_limit",
+        server=change.server,
+        request=request,
+        per_s=f"{change.per_s:g}",
+        share_per_s=f"{change.share_per_s:.3g}",
+        senders=change.senders,
+        instances=change.instances,
+    )
--- a/bergamothill/process/serverpool.py
+++ b/bergamothill/process/serverpool.py
@@ -14,6 +14,7 @@
 from bergamothill.process.engineselector import EngineSelector
 from bergamothill.process.loadreport import PeerLoads, ServerLoad
 from bergamothill.process.observedserver import ObservedServer
+from bergamothill.process.serverlimits import ServerLimits
 from bergamothill.process.serversilence import ServerSilence
 from bergamothill.process.trialplacement import TrialPlacement
 from bergamothill.request.callerrequest import CallerRequest, ForwardTerms
@@ -59,6 +60,7 @@
     :param weights_due_ms: time in which engines must move to a new weight target
     :param planner: plans from where engines fetch cached context
     :param peer_loads: load that the other entry instances put on the servers
+    :param limits: limits that servers name
     :param entry_expiry_ms: see :class:`~bergamothill.process.serverlist.ServerList`
     :param stability_window_ms: likewise
     :param min_entry_life_ms: likewise
@@ -70,6 +72,7 @@
         weights_due_ms: int,
         planner: ContextPlanner,
         peer_loads: PeerLoads,
+        limits: ServerLimits,
         *,
         entry_expiry_ms: int,
         stability_window_ms: int,
@@ -78,6 +81,7 @@
         super().__init__(entry_expiry_ms, stability_window_ms, min_entry_life_ms)
         self._zone = zone
         self._peer_loads = peer_loads
+        self.limits = limits
         self._planner = planner
         self._selector = EngineSelector(planner, peer_loads)
         self.weights_due_ms = weights_due_ms
@@ -92,6 +96,7 @@
             b.entry for b in self._observed.values() if b.entry.weights and not b.is_replaced
         )
         self._planner.set_engines({entry.address: entry.zone for entry in engines})
+        self.limits.retain(state.entry for state in self._observed.values())
 
     def set_weight_target(
         self, target: WeightTarget, now_ms: int, *, set_after_ms: int | None
@@ -224,6 +229,12 @@
             expected_ms = terms.expected_first_ms
             self._planner.delays.record_first_token(terms.fetch_from, took_ms, expected_ms, now_ms)
 
+    def record_check(self, now_ms: int) -> None:
+        """Record a periodic check, the lack of which shows a pause of this process."""
+        if self._checked_ms is not None:
+            self.limits.record_check(now_ms - self._checked_ms, now_ms)
+        super().record_check(now_ms)
+
     def own_loads(self) -> dict[ServerId, ServerLoad]:
         """Return the load of this entry instance on each server, to report to its peers."""
         return {
--- a/bergamothill/request/callerrequest.py
+++ b/bergamothill/request/callerrequest.py
@@ -6,7 +6,15 @@
 
 from bergamothill.ids import BrandName, ModelName, RequestId, ServerId
 
-__all__ = ["ResponseHead", "CallerRequest", "ForwardTerms", "Header", "PromptPart", "RawRequest"]
+__all__ = [
+    "CallerRequest",
+    "ForwardTerms",
+    "Header",
+    "PromptPart",
+    "RawRequest",
+    "RequestLimit",
+    "ResponseHead",
+]
 
 Header = tuple[bytes, bytes]
 """Name and value of a header field as received."""
@@ -123,6 +131,16 @@
     runner_up_first_ms: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class RequestLimit:
+    """Limit that a server names for the requests of all entry instances together.
+
+    :param per_s: requests per second; None if the value could not be read
+    """
+
+    per_s: float | None
+
+
 @dataclass(slots=True)
 class ResponseHead:
     """Decoded head of a backend server's answer.
@@ -148,3 +166,4 @@
     headers: list[Header]
     is_leaving: bool = False
     quiet_ms: int | None = None
+    limit: RequestLimit | None = None
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -25,8 +25,10 @@
 from bergamothill.platform.config import decode_config
 from bergamothill.process.backends import BackendServer
 from bergamothill.process.configstate import ConfigState
+from bergamothill.process.instanceroster import DISCOVERY_MS, InstanceRoster
 from bergamothill.process.loadreport import PeerLoads
 from bergamothill.process.operatorview import OperatorView
+from bergamothill.process.serverlimits import ServerLimits
 from bergamothill.process.serverpool import ServerPool
 from bergamothill.request.auth import key_digest
 from bergamothill.request.callerrequest import CallerRequest, PromptPart, RawRequest
@@ -427,6 +429,7 @@
         "weights_due_ms": 6_000,
         "planner": planner,
         "peer_loads": PeerLoads(),
+        "limits": ServerLimits(InstanceRoster("front-a-1", -DISCOVERY_MS)),
         "entry_expiry_ms": 4_800,
         "stability_window_ms": 3_000,
         "min_entry_life_ms": 0,
--- a/tests/test_quarantineexchange.py
+++ b/tests/test_quarantineexchange.py
@@ -49,7 +49,7 @@
         self.exchanges, tasks = [], []
         for number, peer in enumerate(self.peers):
             pool = server_pool()
-            carrier = LoadExchange(peer.entry, self.clock, pool, self.loads[number], lambda: None)
+            carrier = LoadExchange(peer.entry, self.clock, pool, self.loads[number], lambda _: None)
             carrier.set_peers(tuple(p for p in self.peers if p is not peer))
             merge = self.quarantines[number].merge
             exchange = QuarantineExchange(
