--- a/standins/platformengine.py
+++ b/standins/platformengine.py
@@ -63,6 +63,9 @@
         down_s: float = 1.0,
         events: int = 12,
     ) -> None:
+        self.limit_per_s: float | None = None
+        """Requests a second that it takes from all instances together, as its answers say."""
+
         self.arrivals: list[EngineArrival] = []
         self.crashes_s: list[float] = []
         self._kvs = kvs
@@ -180,10 +183,12 @@
         if self._crashing_parts.intersection(parts[:-1]):
             self._crash()
             return
+        limit_per_s = self.limit_per_s
+        limit = "" if limit_per_s is None else f"Server-Limit: {limit_per_s:g}\r\n"
         connection.sendall(
             b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Server-Signature: sig\r\n"
             b"X-Weight-Versions: 1\r\nTransfer-Encoding: chunked\r\n"
-            + f"X-Request-Id: {request_id}\r\nX-Instance-Id: {server}\r\n\r\n".encode()
+            + f"{limit}X-Request-Id: {request_id}\r\nX-Instance-Id: {server}\r\n\r\n".encode()
         )
         first = int(headers.get("last-event-id", "0"))
         for number in range(first + 1, self._events + 1):
