--- a/bergamothill/process/requestrun.py
+++ b/bergamothill/process/requestrun.py
@@ -36,7 +36,7 @@
     WaitForTrial,
 )
 from bergamothill.request.partquarantine import RunEnd
-from bergamothill.request.requestqueue import QueuedRequest
+from bergamothill.request.requestqueue import NO_LIMIT, QueuedRequest
 from bergamothill.request.windowedbudget import WindowedRetryBudget
 from bergamothill.version.routetable import RetryPolicy, Route, Service
 
@@ -256,7 +256,7 @@
         )
         started_ms = self._clock.now_ms()
         step: ForwardStep = wait
-        if queue.requests.enqueue(waiting, started_ms):
+        if queue.requests.enqueue(waiting, started_ms, wait.rate):
             try:
                 while isinstance(step, WaitForMemory) and self._clock.now_ms() < wait.give_up_ms:
                     await queue.wait_for_turn(waiting)
@@ -267,7 +267,12 @@
                 queue.leave(waiting)
         now_ms = self._clock.now_ms()
         self._attempt_log.append(f"held:{now_ms - started_ms}ms:line{len(queue.requests)}")
-        return self._forwarding.on_full(now_ms) if isinstance(step, WaitForMemory) else step
+        if not isinstance(step, WaitForMemory):
+            return step
+        if step.rate is NO_LIMIT:
+            return self._forwarding.on_full(now_ms)
+        wait_ms = queue.requests.schedule_return(step.rate, now_ms)
+        return self._forwarding.on_limited(now_ms, wait_ms=wait_ms)
 
     async def _attempt(self, send: Send) -> ForwardStep:
         relay, server = self._relay, send.server.server
@@ -309,7 +314,7 @@
             detail = "ended before any event" if relay.is_whole else "ended inside an event"
         status = relay.head.status if relay.head is not None else 0
         self._attempt_log.append(
-            f"{server}:{outcome}:{status}:{now_ms - started_ms}ms:{_placement_summary(send.terms)}"
+            f"{server}:{outcome}:{status}:{now_ms - started_ms}ms:{send.terms.summary()}"
             + (f":{detail}" if detail else "")
         )
         return self._next_step(outcome, send, now_ms)
@@ -321,6 +326,12 @@
 
     def _may_send(self, send: Send) -> bool:
         now_ms = self._clock.now_ms()
+        if not self._is_allowed(send, now_ms):
+            return False
+        limits = self._server_pool.limits
+        return limits.may_send(send.server, send.terms.limit_spent_ms, now_ms)
+
+    def _is_allowed(self, send: Send, now_ms: int) -> bool:
         if self._prompt_run is not None and not self._gate.may_send(self._request, now_ms):
             return False
         if send.terms.weight_version is None:
@@ -479,14 +490,3 @@
         self._metrics.count("requests", outcome=outcome, rule=self._route.retry_policy.value)
         if first_ms is not None:
             self._metrics.observe("first_byte_ms", first_ms, rule=self._route.retry_policy.value)
-
-
-def _placement_summary(terms: ForwardTerms) -> str:
-    """Summarize the terms on which a server was chosen, for the log."""
-    token_counts = f"{terms.held_tokens}+{terms.fetched_tokens}+{terms.pending_prefill_tokens}"
-    outdated = f"@{terms.weights_outdated_ms}ms" if terms.weights_outdated_ms else ""
-    weights = f"w{terms.weight_version}{outdated}"
-    summary = f"{weights}:{token_counts}:first{terms.expected_first_ms:.0f}ms"
-    if terms.runner_up:
-        summary += f"<{terms.runner_up}:{terms.runner_up_first_ms:.0f}ms"
-    return summary
--- a/bergamothill/process/serverlimits.py
+++ b/bergamothill/process/serverlimits.py
@@ -41,6 +41,9 @@
 STALE_AFTER_MS = 60_000
 """Time without news of a limit after which instances without a share try the server, too."""
 
+SPENT_TTL_MS = 1_000
+"""Time for which a counted request may wait for its connection; opening one takes less."""
+
 MS_PER_S = 1_000
 
 Incarnation = tuple[ServerId, int]
@@ -169,10 +172,33 @@
         state = self._servers.get(server.incarnation)
         return None if state is None else state.limit.per_s
 
-    def try_spend(self, server: BackendServer, now_ms: int) -> bool:
-        """Take the right to send one request to a server, if there is one."""
+    @property
+    def has_any(self) -> bool:
+        """Whether any server is known to have named a limit."""
+        return bool(self._servers)
+
+    def spend(self, server: BackendServer, now_ms: int) -> int | None:
+        """Count one request against the limit of a server, for which :meth:`wait_ms` was 0.
+
+        :returns: the current time; None without a limit
+        """
+        state = self._divided(server, now_ms)
+        if state is None:
+            return None
+        state.bucket.try_spend(now_ms)
+        return now_ms
+
+    def may_send(self, server: BackendServer, spent_ms: int | None, now_ms: int) -> bool:
+        """Return whether a request may be sent now; counts it unless that was done lately.
+
+        The limit may have become known, or the share smaller, since the server was chosen.
+
+        :param spent_ms: time at which the request was counted; None if it was not
+        """
         state = self._divided(server, now_ms)
-        return state is None or state.bucket.try_spend(now_ms)
+        if state is None or (spent_ms is not None and now_ms - spent_ms <= SPENT_TTL_MS):
+            return True
+        return state.bucket.try_spend(now_ms)
 
     def wait_ms(self, server: BackendServer, now_ms: int) -> int | None:
         """Return the time until a request may be sent to a server; None if none may be."""
--- a/bergamothill/process/serverpool.py
+++ b/bergamothill/process/serverpool.py
@@ -19,7 +19,7 @@
 from bergamothill.process.trialplacement import TrialPlacement
 from bergamothill.request.callerrequest import CallerRequest, ForwardTerms
 from bergamothill.request.contextplan import ContextPlanner
-from bergamothill.request.forwarding import AllQuiet, NoFreeMemory
+from bergamothill.request.forwarding import AllQuiet, AtLimit, NoFreeMemory, ServerChoice
 from bergamothill.version.routetable import Brand, EngineTraits, Service
 from bergamothill.version.weightswap import SwapEngine
 from bergamothill.version.weighttarget import (
@@ -49,6 +49,8 @@
 OLD_WEIGHTS_GRACE_MS = 1_100
 """Old weights carry no penalty until 1.5 s after a new target, which is read up to 400 ms late."""
 
+MS_PER_S = 1_000
+
 QUEUE_MARGIN_MS = 2_000
 """Time for which a request may be queued at an engine before it starts."""
 
@@ -253,7 +255,7 @@
         avoided: tuple[str, ...],
         urgency: int,
         now_ms: int,
-    ) -> tuple[BackendServer, ForwardTerms] | NoFreeMemory | AllQuiet | None:
+    ) -> ServerChoice:
         """Choose a server for a request and the terms to forward it under.
 
         Implements :class:`~bergamothill.request.forwarding.ServerChooser`.
@@ -271,7 +273,7 @@
         now_ms: int,
         *,
         needs_lone_server: bool,
-    ) -> tuple[BackendServer, ForwardTerms] | NoFreeMemory | AllQuiet | None:
+    ) -> ServerChoice:
         """Choose the server with the fewest requests in progress, without another trial.
 
         Implements :class:`~bergamothill.request.forwarding.ServerChooser`.
@@ -289,7 +291,7 @@
         urgency: int,
         now_ms: int,
         select: Callable[[list[ObservedServer]], list[ObservedServer]],
-    ) -> tuple[BackendServer, ForwardTerms] | NoFreeMemory | AllQuiet | None:
+    ) -> ServerChoice:
         usable = self.usable(service.name, now_ms)
         if not usable:
             quiet_until_ms = self.quiet_until_ms(service.name, now_ms)
@@ -299,6 +301,11 @@
             usable = [b for b in usable if self._may_run_on_weights(b, request.model, now_ms)]
             if not usable:
                 return None
+        if self.limits.has_any:
+            admitting = [b for b in usable if self.limits.wait_ms(b.entry, now_ms) == 0]
+            if not admitting:
+                return self._at_limit(usable, now_ms)
+            usable = admitting
         candidates = [b for b in usable if b.entry.server not in avoided]
         candidates = candidates or usable
         if service.engine is not None:
@@ -313,6 +320,7 @@
         if not is_prompt:
             state = min(candidates, key=self._cost_by_request_count)
             terms = ForwardTerms(state.entry.server, 0, brand=terms_brand)
+            terms.limit_spent_ms = self.limits.spend(state.entry, now_ms)
             return (state.entry, terms)
         preferred = self._preferred_by_weights(candidates, request.model, now_ms)
         for group in (preferred, candidates):
@@ -324,9 +332,17 @@
                 )
                 state = self._observed[entry.server]
                 terms.weights_outdated_ms = self._outdated(state, request.model, now_ms).max_age_ms
+                terms.limit_spent_ms = self.limits.spend(entry, now_ms)
                 return (entry, terms)
         return NoFreeMemory()
 
+    def _at_limit(self, servers: list[ObservedServer], now_ms: int) -> AtLimit:
+        """Return when servers whose limits are used up admit a request of this instance."""
+        waits_ms = [self.limits.wait_ms(b.entry, now_ms) for b in servers]
+        rate_per_s = sum(self.limits.share_per_s(b.entry, now_ms) for b in servers)
+        wait_ms = min((wait_ms for wait_ms in waits_ms if wait_ms is not None), default=None)
+        return AtLimit(wait_ms, 0 if wait_ms is None else round(MS_PER_S / rate_per_s))
+
     def _has_room(
         self, state: ObservedServer, traits: EngineTraits, request: CallerRequest, urgency: int
     ) -> bool:
--- a/bergamothill/request/callerrequest.py
+++ b/bergamothill/request/callerrequest.py
@@ -107,6 +107,8 @@
     :param pending_prefill_tokens: tokens that the server is expected to prefill; not sent
     :param held_tokens: tokens that the server is expected to have cached; not sent
     :param fetched_tokens: tokens that the server is expected to fetch; not sent
+    :param limit_spent_ms: time at which the request was counted against the limit that the server
+        names; None if it named none; not sent
     :param expected_first_ms: expected time to the first token; not sent
     :param runner_up: second-best server; empty if there was no other; not sent
     :param runner_up_first_ms: expected time to the first token at the runner-up; not sent
@@ -126,10 +128,21 @@
     pending_prefill_tokens: int = 0
     held_tokens: int = 0
     fetched_tokens: int = 0
+    limit_spent_ms: int | None = None
     expected_first_ms: float = 0.0
     runner_up: ServerId = ServerId("")
     runner_up_first_ms: float = 0.0
 
+    def summary(self) -> str:
+        """Return on which terms the server was chosen, for the log."""
+        token_counts = f"{self.held_tokens}+{self.fetched_tokens}+{self.pending_prefill_tokens}"
+        outdated = f"@{self.weights_outdated_ms}ms" if self.weights_outdated_ms else ""
+        weights = f"w{self.weight_version}{outdated}"
+        summary = f"{weights}:{token_counts}:first{self.expected_first_ms:.0f}ms"
+        if self.runner_up:
+            summary += f"<{self.runner_up}:{self.runner_up_first_ms:.0f}ms"
+        return summary
+
 
 @dataclass(frozen=True, slots=True)
 class RequestLimit:
--- a/bergamothill/request/forwarding.py
+++ b/bergamothill/request/forwarding.py
@@ -22,12 +22,14 @@
     Trial,
     Unsuspected,
 )
+from bergamothill.request.requestqueue import NO_LIMIT, AdmissionRate
 from bergamothill.request.windowedbudget import WindowedRetryBudget
 from bergamothill.version.routetable import Brand, Route, Service
 
 __all__ = [
     "AbortStream",
     "AllQuiet",
+    "AtLimit",
     "Deliver",
     "Finish",
     "Forwarding",
@@ -37,6 +39,7 @@
     "Reason",
     "Send",
     "PartScreen",
+    "ServerChoice",
     "ServerChooser",
     "WaitForTrial",
 ]
@@ -90,6 +93,7 @@
     EXPIRED = "expired"
     FULL = "engines_full"
     QUIET = "servers_ask_for_quiet"
+    LIMITED = "servers_at_limit"
     STOPPING = "instance_stopping"
     AWAITS_TRIAL = "part_under_trial"
     QUARANTINED = "part_quarantined"
@@ -141,18 +145,20 @@
 
 @dataclass(frozen=True, slots=True)
 class WaitForMemory:
-    """Wait for free engine memory, then call :meth:`Forwarding.retry`.
+    """Wait for free engine memory or for the limits of servers, then call :meth:`Forwarding.retry`.
 
     :param urgency: priority in the queue; 0 comes first
     :param tokens: memory needed, in tokens
     :param on_time_until_ms: time until which the objective can still be met
     :param give_up_ms: time after which waiting no longer helps
+    :param rate: rate at which the limits of the servers admit requests
     """
 
     urgency: int
     tokens: int
     on_time_until_ms: int
     give_up_ms: int
+    rate: AdmissionRate = NO_LIMIT
 
 
 @dataclass(frozen=True, slots=True)
@@ -184,6 +190,21 @@
     until_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class AtLimit:
+    """Result of a choice: all servers that could run the request have a limit that is used up.
+
+    :param wait_ms: time until one of them may get a request of this instance; None if none may
+    :param interval_ms: time between two such requests
+    """
+
+    wait_ms: int | None
+    interval_ms: int
+
+
+ServerChoice = tuple[BackendServer, ForwardTerms] | NoFreeMemory | AllQuiet | AtLimit | None
+
+
 class ServerChooser(Protocol):
     """Chooses among the servers of a service."""
 
@@ -195,11 +216,12 @@
         avoided: tuple[str, ...],
         urgency: int,
         now_ms: int,
-    ) -> tuple[BackendServer, ForwardTerms] | NoFreeMemory | AllQuiet | None:
+    ) -> ServerChoice:
         """Return a server and the terms for it.
 
         Returns None if no server can run the request, ``NoFreeMemory`` if none of those that may be
-        chosen has enough free memory, ``AllQuiet`` if all of them asked for a pause.
+        chosen has enough free memory, ``AllQuiet`` if all of them asked for a pause, ``AtLimit`` if
+        all of them take no more requests for now.
 
         :param urgency: 0 comes first; less urgent requests must leave more memory free
         :param avoided: servers that already failed the request; chosen only as a last resort
@@ -215,7 +237,7 @@
         now_ms: int,
         *,
         needs_lone_server: bool,
-    ) -> tuple[BackendServer, ForwardTerms] | NoFreeMemory | AllQuiet | None:
+    ) -> ServerChoice:
         """Choose a server where few requests would go down with this one.
 
         :param needs_lone_server: no other trial may run there
@@ -329,16 +351,29 @@
         """Give up, because waiting for free memory no longer helps."""
         return self._give_up(now_ms, Reason.FULL)
 
+    def on_limited(self, now_ms: int, *, wait_ms: int) -> ForwardStep:
+        """Give up, because the limits of the servers admit the request too late.
+
+        :param wait_ms: time after which they admit it
+        """
+        return self._give_up(now_ms, Reason.LIMITED, wait_ms=wait_ms)
+
     def on_trial_unavailable(self, now_ms: int) -> ForwardStep:
         """Give up, because waiting for a trial no longer helps."""
         return self._give_up(now_ms, Reason.AWAITS_TRIAL)
 
-    def _wait_for_memory(self, now_ms: int, last_event_id: str) -> ForwardStep:
+    def _wait_for_memory(self, now_ms: int, last_event_id: str) -> WaitForMemory:
         self._resume_event_id = last_event_id
         on_time_until_ms, give_up_ms = self._wait_limits_ms(now_ms)
         tokens = self._request.prompt_tokens
         return WaitForMemory(self._urgency, tokens, on_time_until_ms, give_up_ms)
 
+    def _wait_for_limit(self, limit: AtLimit, now_ms: int, last_event_id: str) -> ForwardStep:
+        if limit.wait_ms is None:
+            return self._give_up(now_ms, Reason.LIMITED)
+        wait = self._wait_for_memory(now_ms, last_event_id)
+        return replace(wait, rate=AdmissionRate(limit.wait_ms, limit.interval_ms))
+
     def _wait_for_trial(self, wait: AwaitTrial, now_ms: int, last_event_id: str) -> ForwardStep:
         self._resume_event_id = last_event_id
         give_up_ms = max(self._wait_limits_ms(now_ms)[1], now_ms + MIN_TRIAL_WAIT_MS)
@@ -382,6 +417,8 @@
             return self._give_up(now_ms, Reason.NO_SERVER)
         if isinstance(chosen, AllQuiet):
             return self._give_up(now_ms, Reason.QUIET, wait_ms=chosen.until_ms - now_ms)
+        if isinstance(chosen, AtLimit):
+            return self._wait_for_limit(chosen, now_ms, last_event_id)
         if isinstance(chosen, NoFreeMemory):
             if trial is not None and trial.needs_lone_server:
                 return self._wait_for_trial(AwaitTrial(LONE_SERVER_POLL_MS), now_ms, last_event_id)
@@ -398,9 +435,7 @@
     def _check_parts(self, now_ms: int) -> QuarantineVerdict:
         return Unsuspected() if self._screen is None else self._screen.check(self._request, now_ms)
 
-    def _choose(
-        self, trial: Trial | None, now_ms: int
-    ) -> tuple[BackendServer, ForwardTerms] | NoFreeMemory | AllQuiet | None:
+    def _choose(self, trial: Trial | None, now_ms: int) -> ServerChoice:
         service, request, brand = self._service, self._request, self._brand
         arguments = (service, request, brand, self.attempts.servers, self._urgency, now_ms)
         if trial is None:
--- a/bergamothill/request/requestqueue.py
+++ b/bergamothill/request/requestqueue.py
@@ -9,7 +9,7 @@
 from collections import deque
 from dataclasses import dataclass
 
-__all__ = ["RequestQueue", "QueuedRequest"]
+__all__ = ["NO_LIMIT", "AdmissionRate", "QueuedRequest", "RequestQueue"]
 
 RATE_WINDOW_MS = 2_000
 """Window over which the admission rate is measured."""
@@ -18,6 +18,25 @@
 """Lowest number of admissions in the window from which a rate is estimated."""
 
 
+MAX_RETURN_MS = 10_000
+"""Longest time after which refused callers are told to return."""
+
+
+@dataclass(frozen=True, slots=True)
+class AdmissionRate:
+    """Rate at which the limits that servers name admit requests.
+
+    :param first_ms: time until the next one
+    :param interval_ms: time between two
+    """
+
+    first_ms: int
+    interval_ms: int
+
+
+NO_LIMIT = AdmissionRate(0, 0)
+
+
 @dataclass(slots=True, eq=False)
 class QueuedRequest:
     """Queued request.
@@ -51,16 +70,18 @@
     def __init__(self) -> None:
         self._waiting: list[QueuedRequest] = []
         self._admitted: deque[tuple[int, int]] = deque()
+        self._next_return_ms = 0
 
     def __len__(self) -> int:
         return len(self._waiting)
 
-    def enqueue(self, request: QueuedRequest, now_ms: int) -> bool:
+    def enqueue(self, request: QueuedRequest, now_ms: int, rate: AdmissionRate = NO_LIMIT) -> bool:
         """Add a request to the queue, unless its caller would give up before its turn.
 
+        :param rate: rate at which requests are admitted, beside what memory allows
         :returns: whether the request was added
         """
-        if now_ms + self._expected_wait_ms(request, now_ms) >= request.give_up_ms:
+        if now_ms + self._expected_wait_ms(request, now_ms, rate) >= request.give_up_ms:
             return False
         self._waiting.append(request)
         return True
@@ -83,11 +104,24 @@
         while self._admitted and self._admitted[0][0] < now_ms - RATE_WINDOW_MS:
             self._admitted.popleft()
 
-    def _expected_wait_ms(self, request: QueuedRequest, now_ms: int) -> float:
+    def schedule_return(self, rate: AdmissionRate, now_ms: int) -> int:
+        """Return after how long a refused caller should return, one at a time at the rate.
+
+        :param rate: rate at which requests are admitted
+        """
+        next_ms = now_ms + rate.first_ms + len(self._waiting) * rate.interval_ms
+        return_ms = min(max(next_ms, self._next_return_ms), now_ms + MAX_RETURN_MS)
+        self._next_return_ms = return_ms + rate.interval_ms
+        return return_ms - now_ms
+
+    def _expected_wait_ms(self, request: QueuedRequest, now_ms: int, rate: AdmissionRate) -> float:
+        sort_key = request.sort_key(now_ms)
+        ahead = [r for r in self._waiting if r.sort_key(now_ms) < sort_key]
+        limited_ms = rate.first_ms + len(ahead) * rate.interval_ms
         self._drop_expired(now_ms)
         if len(self._admitted) < MIN_ADMISSIONS:
-            return 0.0
-        sort_key = request.sort_key(now_ms)
-        tokens_ahead = sum(r.tokens for r in self._waiting if r.sort_key(now_ms) < sort_key)
-        rate = sum(tokens for _, tokens in self._admitted) / RATE_WINDOW_MS
-        return tokens_ahead / rate if rate > 0 else 0.0
+            return limited_ms
+        tokens_per_ms = sum(tokens for _, tokens in self._admitted) / RATE_WINDOW_MS
+        if not tokens_per_ms:
+            return limited_ms
+        return max(limited_ms, sum(r.tokens for r in ahead) / tokens_per_ms)
