--- a/bergamothill/process/instanceroster.py
+++ b/bergamothill/process/instanceroster.py
@@ -14,7 +14,7 @@
 __all__ = ["InstanceRoster"]
 
 DEPARTURE_MS = 6_000
-"""Time for which an instance that is no longer registered nor heard keeps its place."""
+"""Time for which an instance that is no longer registered nor heard keeps its place at least."""
 
 DISCOVERY_MS = 5_000
 """Time in which the others learn of a new instance; two reads of the registrations."""
@@ -23,51 +23,55 @@
 class InstanceRoster:
     """Entry instances known to one of them.
 
+    Without a successful read of the registrations nobody joins or leaves: an instance that is cut
+    off from them keeps its share, and does not take those of instances that it no longer hears.
+
     :param own: this entry instance
-    :param started_ms: time of its start, in milliseconds
     """
 
-    def __init__(self, own: EntryInstanceId, started_ms: int) -> None:
+    def __init__(self, own: EntryInstanceId) -> None:
         self.own = own
         self.revision = 0
         """Increases with each change of the members."""
 
-        self._joins_ms = started_ms + DISCOVERY_MS
+        self._joins_ms: int | None = None
         self._registered: frozenset[EntryInstanceId] = frozenset()
         self._seen_ms: dict[EntryInstanceId, int] = {}
         self._members: frozenset[EntryInstanceId] = frozenset({own})
 
+    @property
+    def members(self) -> frozenset[EntryInstanceId]:
+        """All instances that may be sending, including this one."""
+        return self._members
+
     def set_registered(self, entries: Iterable[EntryInstanceId], now_ms: int) -> None:
-        """Set the other instances that are registered."""
+        """Set the other instances that are registered, as this one is, by a read just made."""
+        if self._joins_ms is None:
+            self._joins_ms = now_ms + DISCOVERY_MS
         before, self._registered = self._registered, frozenset(entries)
         for entry in before - self._registered:
             self._seen_ms[entry] = now_ms
-        self._update(now_ms)
+        for entry, seen_ms in list(self._seen_ms.items()):
+            if now_ms - seen_ms > DEPARTURE_MS:
+                del self._seen_ms[entry]
+        self._update()
 
     def record_heard(self, entry: EntryInstanceId, now_ms: int) -> None:
         """Record a datagram from another instance."""
         self._seen_ms[entry] = now_ms
         if entry not in self._members:
-            self._update(now_ms)
+            self._update()
 
     def record_pause(self, duration_ms: int, now_ms: int) -> None:
         """Join anew after a pause of this process in which its place may have been given away."""
-        if duration_ms >= DEPARTURE_MS:
+        if duration_ms >= DEPARTURE_MS and self._joins_ms is not None:
             self._joins_ms = now_ms + DISCOVERY_MS
 
     def has_joined(self, now_ms: int) -> bool:
         """Return whether all others must know of this instance."""
-        return now_ms >= self._joins_ms
-
-    def members(self, now_ms: int) -> frozenset[EntryInstanceId]:
-        """Return all instances that may be sending, including this one."""
-        self._update(now_ms)
-        return self._members
+        return self._joins_ms is not None and now_ms >= self._joins_ms
 
-    def _update(self, now_ms: int) -> None:
-        for entry, seen_ms in list(self._seen_ms.items()):
-            if now_ms - seen_ms > DEPARTURE_MS:
-                del self._seen_ms[entry]
+    def _update(self) -> None:
         members = self._registered | self._seen_ms.keys() | {self.own}
         if members != self._members:
             self._members = members
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -109,7 +109,7 @@
             self._on_source_connection_change,
         )
         peer_loads = PeerLoads()
-        self._roster = InstanceRoster(settings.entry, clock.now_ms())
+        self._roster = InstanceRoster(settings.entry)
         self._server_pool = ServerPool(
             settings.zone,
             bounds.weights_due_ms,
--- a/bergamothill/process/serverlimits.py
+++ b/bergamothill/process/serverlimits.py
@@ -86,7 +86,7 @@
     """
 
     def __init__(self, roster: InstanceRoster) -> None:
-        self._roster = roster
+        self.roster = roster
         self._servers: dict[Incarnation, _LimitedServer] = {}
         self.report_revision = 0
         """Increases when peers should get a report at once."""
@@ -154,7 +154,7 @@
                     server, started_wall_ms, own.per_s, sent_age_ms, answered_age_ms
                 )
                 rows.append(row)
-        return LimitReport(self._roster.own, tuple(rows))
+        return LimitReport(self.roster.own, tuple(rows))
 
     def retain(self, servers: Iterable[BackendServer]) -> None:
         """Forget all servers but these."""
@@ -167,7 +167,7 @@
 
         :param passed_ms: time since the one before; a long one shows a pause of this process
         """
-        self._roster.record_pause(passed_ms, now_ms)
+        self.roster.record_pause(passed_ms, now_ms)
 
     # What may be sent.
 
@@ -225,16 +225,16 @@
 
     def _divide(self, key: Incarnation, state: _LimitedServer, now_ms: int) -> None:
         """Set the rate of this instance by the limit and the instances that share it."""
-        members = self._roster.members(now_ms)
-        has_joined = self._roster.has_joined(now_ms)
+        members = self.roster.members
+        has_joined = self.roster.has_joined(now_ms)
         is_stale = now_ms - state.heard_ms > STALE_AFTER_MS
-        divided_by = (self._roster.revision, state.limit.per_s, has_joined, is_stale)
+        divided_by = (self.roster.revision, state.limit.per_s, has_joined, is_stale)
         if divided_by == state.divided_by:
             return
         state.divided_by = divided_by
         limit = state.limit.per_s
         state.senders = min(len(members), int(limit) + EXTRA_SENDERS)
-        is_sender = self._roster.own in rendezvous(key[0], members)[: state.senders]
+        is_sender = self.roster.own in rendezvous(key[0], members)[: state.senders]
         if not has_joined:
             rate = 0.0
         elif is_sender:
@@ -247,7 +247,7 @@
             state.bucket.empty(now_ms)
 
     def _change(self, key: Incarnation, state: _LimitedServer, now_ms: int) -> LimitChange:
-        members = self._roster.members(now_ms)
+        members = self.roster.members
         if state.limit.per_s is None:
             return LimitChange(key[0], None, 0.0, 0, len(members))
         self._divide(key, state, now_ms)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -5,7 +5,7 @@
 import json
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 from enum import Enum
 from typing import Any
@@ -416,6 +416,14 @@
     return CallerRequest(**values)
 
 
+def joined_roster(own: str, others: Iterable[str] = (), now_ms: int = 0) -> InstanceRoster:
+    """Return a roster whose instance all others know at a time."""
+    roster = InstanceRoster(own)
+    roster.set_registered(others, now_ms - DISCOVERY_MS)
+    roster.set_registered(others, now_ms)
+    return roster
+
+
 def server_pool(
     *servers: BackendServer,
     index: CacheIndex | None = None,
@@ -429,7 +437,7 @@
         "weights_due_ms": 6_000,
         "planner": planner,
         "peer_loads": PeerLoads(),
-        "limits": ServerLimits(InstanceRoster("front-a-1", -DISCOVERY_MS)),
+        "limits": ServerLimits(joined_roster("front-a-1")),
         "entry_expiry_ms": 4_800,
         "stability_window_ms": 3_000,
         "min_entry_life_ms": 0,
--- a/tests/test_limitexchange.py
+++ b/tests/test_limitexchange.py
@@ -5,7 +5,6 @@
 
 from bergamothill.clock import SystemClock, ms_to_seconds
 from bergamothill.connection.datagrams import DatagramSocket
-from bergamothill.process.instanceroster import DISCOVERY_MS, InstanceRoster
 from bergamothill.process.limitexchange import LimitExchange
 from bergamothill.process.loadexchange import LoadExchange
 from bergamothill.process.loadreport import LoadReport, PeerLoads, ServerLoad, encode_report
@@ -14,7 +13,7 @@
 from bergamothill.request.callerrequest import RequestLimit
 from scripts.processes import free_ports
 from standins.base import HOST
-from tests.builders import backend, server_pool
+from tests.builders import backend, joined_roster, server_pool
 
 LIMIT_S = 5
 SERVER = backend("s1")
@@ -30,8 +29,8 @@
         tasks = []
         for peer in peers:
             others = tuple(p for p in peers if p is not peer)
-            roster = InstanceRoster(peer.entry, self.clock.now_ms() - DISCOVERY_MS)
-            roster.set_registered((p.entry for p in others), self.clock.now_ms())
+            names = [other.entry for other in others]
+            roster = joined_roster(peer.entry, names, self.clock.now_ms())
             limits, loads = ServerLimits(roster), PeerLoads()
             pool = server_pool(limits=limits)
             carrier = LoadExchange(peer.entry, self.clock, pool, loads, lambda _: None)
--- a/tests/test_limitshares.py
+++ b/tests/test_limitshares.py
@@ -18,7 +18,13 @@
 from bergamothill.request.requestqueue import AdmissionRate, QueuedRequest, RequestQueue
 from bergamothill.request.tokenbucket import TokenBucket
 from bergamothill.request.windowedbudget import WindowedRetryBudget
-from tests.builders import backend, caller_request, routing_config, server_pool
+from tests.builders import (
+    backend,
+    caller_request,
+    joined_roster,
+    routing_config,
+    server_pool,
+)
 from tests.gatewayworld import GatewayCase, answer, replies, request
 
 SERVER = backend("s1")
@@ -31,10 +37,8 @@
     return [f"e{number}" for number in range(count)]
 
 
-def limits_of(entry="e0", count=1, *, now_ms=0, started_ms=-DISCOVERY_MS):
-    roster = InstanceRoster(entry, started_ms)
-    roster.set_registered([name for name in entries(count) if name != entry], now_ms)
-    return ServerLimits(roster)
+def limits_of(entry="e0", count=1):
+    return ServerLimits(joined_roster(entry, [name for name in entries(count) if name != entry]))
 
 
 def name_limit(limits, per_s, now_ms=0):
@@ -75,22 +79,30 @@
         self.assertEqual(500, limits.wait_ms(SERVER, 0))
 
     def test_a_new_instance_sends_nothing_until_the_others_know_of_it(self):
-        limits = limits_of(count=1, started_ms=0)
+        limits = ServerLimits(InstanceRoster("e0"))
         name_limit(limits, 2.0)
-        self.assertIsNone(limits.wait_ms(SERVER, DISCOVERY_MS - 1))
-        self.assertEqual(500, limits.wait_ms(SERVER, DISCOVERY_MS))
+        self.assertIsNone(limits.wait_ms(SERVER, 60_000 - 1))
+        limits.roster.set_registered([], 60_000)
+        self.assertIsNone(limits.wait_ms(SERVER, 60_000 + DISCOVERY_MS - 1))
+        self.assertEqual(500, limits.wait_ms(SERVER, 60_000 + DISCOVERY_MS))
 
     def test_an_instance_that_left_keeps_its_share_for_a_while(self):
         limits = limits_of(count=2)
         name_limit(limits, 2.0)
-        limits._roster.set_registered([], 1_000)
-        self.assertEqual(1.0, limits.share_per_s(SERVER, 1_000 + DEPARTURE_MS))
-        self.assertEqual(2.0, limits.share_per_s(SERVER, 1_001 + DEPARTURE_MS))
+        limits.roster.set_registered([], 1_000)
+        for now_ms, share_per_s in ((1_000, 1.0), (1_001, 2.0)):
+            limits.roster.set_registered([], now_ms + DEPARTURE_MS)
+            self.assertEqual(share_per_s, limits.share_per_s(SERVER, now_ms + DEPARTURE_MS))
+
+    def test_an_instance_that_cannot_read_the_registrations_takes_no_share_of_others(self):
+        limits = limits_of(count=2)
+        name_limit(limits, 2.0)
+        self.assertEqual(1.0, limits.share_per_s(SERVER, 100_000))
 
     def test_an_instance_that_is_heard_but_not_registered_has_a_share(self):
         limits = limits_of(count=1)
         name_limit(limits, 2.0)
-        limits._roster.record_heard("e1", 0)
+        limits.roster.record_heard("e1", 0)
         self.assertEqual(1.0, limits.share_per_s(SERVER, 0))
 
     def test_an_instance_that_was_paused_for_long_joins_anew(self):
--- a/tests/test_proof_platform.py
+++ b/tests/test_proof_platform.py
@@ -15,6 +15,7 @@
     proof_orderturn,
     proof_restore,
     proof_retryshare,
+    proof_serverlimits,
     proof_swaps,
     proof_weightdeadline,
 )
@@ -31,6 +32,7 @@
     proof_orderturn,
     proof_restore,
     proof_retryshare,
+    proof_serverlimits,
     proof_swaps,
     proof_weightdeadline,
 )
