Log a fingerprint of each request, and hand the quarantine sets of parts

Each line of a request now has a digest of its method, host, path with query, brand and body; it shows neither body nor key.

The quarantine takes the parts of a request as a set instead of a model and a prompt, so that a part need not be one of a prompt. What is quarantined does not change yet.

--- a/bergamothill/process/quarantinegate.py
+++ b/bergamothill/process/quarantinegate.py
@@ -85,19 +85,19 @@
         """Return whether a prompt may be sent."""
         if self._is_catching_up(now_ms):
             return AwaitTrial(CATCH_UP_POLL_MS)
-        verdict = self._quarantine.check(request.model, request.parts, now_ms)
+        verdict = self._quarantine.check(request.suspects, now_ms)
         self._publish("evidence", 0)
         return verdict
 
     def may_send(self, request: CallerRequest, now_ms: int) -> bool:
         """Return False if parts of a prompt were convicted after it was checked."""
-        return self._quarantine.may_send(request.model, request.parts, now_ms)
+        return self._quarantine.may_send(request.suspects, now_ms)
 
     def begin_run(self, request: CallerRequest, send: Send, now_ms: int) -> PromptRun:
         """Record that a prompt is sent to a server."""
         server = _incarnation(send.server)
         number = self._quarantine.begin_run(
-            request.request_id, server, request.model, request.parts, now_ms, trial=send.trial
+            request.request_id, server, request.suspects, now_ms, trial=send.trial
         )
         run = PromptRun(self, number, request, send, now_ms)
         if send.trial is not None:
@@ -121,7 +121,7 @@
         self._quarantine.end_run(run.number, end, now_ms)
         if end is RunEnd.CRASHED:
             request = run.request
-            suspects = self._quarantine.suspects(request.model, request.parts, now_ms)
+            suspects = self._quarantine.suspects(request.suspects, now_ms)
             if suspects:
                 self._log_run("part_suspected", run, suspects)
         elif end is RunEnd.COMPLETE and trial is not None:
@@ -276,7 +276,7 @@
 
 
 def _names(parts: Iterable[PartId]) -> str:
-    return " ".join(f"{part.model}/{part.name}" for part in sorted(parts)) or "-"
+    return " ".join(str(part) for part in sorted(parts)) or "-"
 
 
 def _do_nothing() -> None:
--- a/bergamothill/process/requestrun.py
+++ b/bergamothill/process/requestrun.py
@@ -25,6 +25,7 @@
 from bergamothill.request.answerrelay import AnswerRelay, AttemptVerdict
 from bergamothill.request.bufferbudget import BufferBudget
 from bergamothill.request.callerrequest import CallerRequest, ForwardTerms, ResponseHead
+from bergamothill.request.fingerprint import request_fingerprint, shared_parts
 from bergamothill.request.forwarding import (
     AbortStream,
     Deliver,
@@ -84,6 +85,10 @@
         self._prompt_run: PromptRun | None = None
         self._connection = connection
         self._request = request
+        brand = None if admission.brand is None else admission.brand.name
+        self._fingerprint = request_fingerprint(request, brand)
+        is_prompt = service.engine is not None
+        request.suspects = shared_parts(request.model, request.parts) if is_prompt else frozenset()
         self._admission = admission
         self._route = route
         self._service = service
@@ -484,6 +489,7 @@
             config_age_ms=self._admission.age_ms,
             first_ms=first_ms,
             total_ms=now_ms - arrived_ms,
+            fingerprint=self._fingerprint,
             parts=",".join(f"{part.name}:{part.tokens}" for part in self._request.parts),
             attempts=";".join(self._attempt_log),
         )
--- a/bergamothill/request/callerrequest.py
+++ b/bergamothill/request/callerrequest.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from bergamothill.ids import BrandName, ModelName, RequestId, ServerId
+from bergamothill.request.crashevidence import PartId
 
 __all__ = [
     "CallerRequest",
@@ -65,6 +66,8 @@
     :param max_output_tokens: maximum number of tokens in the answer
     :param last_event_id: event after which to resume a stream; empty to start from the beginning
     :param forwarded_headers: header fields forwarded unchanged
+    :param suspects: parts that other requests may have in common with it, and that could crash
+        servers; set once the request is admitted
     """
 
     raw: RawRequest
@@ -78,6 +81,7 @@
     max_output_tokens: int = 0
     last_event_id: str = ""
     forwarded_headers: list[Header] = field(default_factory=list)
+    suspects: frozenset[PartId] = frozenset()
 
     @property
     def path(self) -> str:
--- a/bergamothill/request/crashevidence.py
+++ b/bergamothill/request/crashevidence.py
@@ -21,6 +21,7 @@
     "ReportedCrash",
     "RunNumber",
     "ServerIncarnation",
+    "WHOLE_REQUEST",
 ]
 
 REPORT_TTL_MS = 900_000
@@ -38,17 +39,33 @@
 MIN_RESTART_MS = 1_000
 """A server that crashed may answer under the same id again, but no sooner than this."""
 
+WHOLE_REQUEST = ModelName("\n")
+"""Stands for the model of a part that is a request as a whole; no header field can contain it."""
+
 RunNumber = NewType("RunNumber", int)
 """Number of a run, unique among all runs of entry instances of one name."""
 
 
 @dataclass(frozen=True, slots=True, order=True)
 class PartId:
-    """Part of a prompt for a model."""
+    """Part of a request: of its prompt for a model, or the request as a whole.
+
+    :param model: model; :data:`WHOLE_REQUEST` for a whole request
+    :param name: name of the part of the prompt, or fingerprint of the request
+    """
 
     model: ModelName
     name: str
 
+    @property
+    def is_request(self) -> bool:
+        """Whether this is a request as a whole."""
+        return self.model == WHOLE_REQUEST
+
+    def __str__(self) -> str:
+        """Return the part as it is logged."""
+        return f"request/{self.name}" if self.is_request else f"{self.model}/{self.name}"
+
 
 @dataclass(frozen=True, slots=True)
 class ServerIncarnation:
--- a/bergamothill/request/partquarantine.py
+++ b/bergamothill/request/partquarantine.py
@@ -1,17 +1,17 @@
-"""Quarantine of prompt parts that crash servers; a state machine without I/O and clock.
+"""Quarantine of parts of requests that crash servers; a state machine without I/O and clock.
 
-A part that crashes each server that answers a prompt with it is found by the servers that crashed
-under it. Suspected parts run in trials, one at a time; convicted parts are not forwarded.
+A part that crashes each server that runs a request with it is found by the servers that crashed
+under it. It may be a part of a prompt, or the request as a whole. Suspected parts run in trials,
+one at a time; convicted parts are not forwarded.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from enum import Enum
 
-from bergamothill.ids import EntryInstanceId, ModelName, RequestId, ServerId
-from bergamothill.request.callerrequest import PromptPart
+from bergamothill.ids import EntryInstanceId, RequestId, ServerId
 from bergamothill.request.crashevidence import (
     CrashEvidence,
     CrashReport,
@@ -160,20 +160,17 @@
         self.verdict_revision = 0
         """Increases when the verdicts in the store should be written."""
 
-    def check(
-        self, model: ModelName, parts: Sequence[PromptPart], now_ms: int
-    ) -> QuarantineVerdict:
+    def check(self, shared: frozenset[PartId], now_ms: int) -> QuarantineVerdict:
         """Return whether a request may be sent.
 
-        :param parts: all parts of the prompt; the last one is never suspected
+        :param shared: parts of the request that others may have in common with it
         """
-        shared = _shared_parts(model, parts) if self._has_anything() else frozenset()
-        if not shared:
+        if not (shared and self._has_anything()):
             return Unsuspected()
         convicted = self._convicted(shared, now_ms)
         if convicted is not None:
             return Quarantined(convicted)
-        suspects = self.suspects(model, parts, now_ms)
+        suspects = self.suspects(shared, now_ms)
         if not suspects:
             return Unsuspected()
         if self._slots.claim(suspects, now_ms):
@@ -190,8 +187,7 @@
         self,
         request_id: RequestId,
         server: ServerIncarnation,
-        model: ModelName,
-        parts: Sequence[PromptPart],
+        shared: frozenset[PartId],
         now_ms: int,
         *,
         trial: Trial | None,
@@ -205,7 +201,6 @@
         number = RunNumber(self._next_run)
         self._next_run += 1
         tried = trial.parts if trial is not None else frozenset()
-        shared = _shared_parts(model, parts)
         self._runs[number] = _Run(request_id, server, shared, tried, self._evidence.order)
         if trial is not None:
             self._slots.begin(number, tried, server.server, now_ms)
@@ -244,21 +239,17 @@
             self.report_revision += 1
             self.verdict_revision += stored != self._stored_suspects(stored, now_ms)
 
-    def suspects(
-        self, model: ModelName, parts: Sequence[PromptPart], now_ms: int
-    ) -> frozenset[PartId]:
-        """Return the parts of a prompt that are under suspicion."""
-        shared = _shared_parts(model, parts)
+    def suspects(self, shared: frozenset[PartId], now_ms: int) -> frozenset[PartId]:
+        """Return the parts of a request that are under suspicion."""
         return frozenset(part for part in shared if self._is_suspect(part, now_ms))
 
     def servers_under_trial(self, now_ms: int) -> frozenset[ServerId]:
         """Return the servers that run a trial of any entry instance."""
         return self._slots.servers(now_ms)
 
-    def may_send(self, model: ModelName, parts: Sequence[PromptPart], now_ms: int) -> bool:
+    def may_send(self, shared: frozenset[PartId], now_ms: int) -> bool:
         """Return False if the parts have been convicted."""
-        shared = _shared_parts(model, parts) if self._has_anything() else frozenset()
-        return not shared or self._convicted(shared, now_ms) is None
+        return not (shared and self._has_anything()) or self._convicted(shared, now_ms) is None
 
     def merge(self, report: QuarantineReport, now_ms: int) -> bool:
         """Merge the report of a peer; return whether waiting requests should ask again."""
@@ -430,11 +421,6 @@
         self.verdict_revision += stored != self._stored_suspects(stored, now_ms)
 
 
-def _shared_parts(model: ModelName, parts: Sequence[PromptPart]) -> frozenset[PartId]:
-    """Return the parts of a prompt that other requests may share: all but the last."""
-    return frozenset(PartId(model, part.name) for part in parts[:-1])
-
-
 def _is_well_begun(state: _Run, now_ms: int) -> bool:
     first_ms = state.first_event_ms
     return state.is_sound or (first_ms is not None and now_ms - first_ms >= WELL_BEGUN_MS)
--- a/tests/proof/crashingworld.py
+++ b/tests/proof/crashingworld.py
@@ -6,7 +6,6 @@
 import random
 from dataclasses import dataclass, field
 
-from bergamothill.request.callerrequest import PromptPart
 from bergamothill.request.partquarantine import (
     AwaitTrial,
     Quarantined,
@@ -28,7 +27,6 @@
 class Request:
     number: int
     shared: frozenset
-    parts: tuple
     may_repeat: bool
     give_up_ms: int
     waits_since_ms: int | None = None
@@ -223,7 +221,7 @@
             entry.waiting.remove(request)
         if self.now_ms >= request.give_up_ms:
             return
-        verdict = entry.quarantine.check(MODEL, request.parts, self.now_ms)
+        verdict = entry.quarantine.check(request.shared, self.now_ms)
         if isinstance(verdict, Quarantined):
             self.observer.refused(entry, request, verdict)
             return
@@ -268,8 +266,7 @@
         number = entry.quarantine.begin_run(
             f"r{request.number}",
             server.incarnation,
-            MODEL,
-            request.parts,
+            request.shared,
             self.now_ms,
             trial=trial,
         )
@@ -280,7 +277,7 @@
 
     def write_request(self, run, server):
         entry, request = run.entry, run.request
-        if not entry.quarantine.may_send(MODEL, request.parts, self.now_ms):
+        if not entry.quarantine.may_send(request.shared, self.now_ms):
             self.end(run, RunEnd.OTHER)
             self.forward(entry, request)
             return
@@ -386,8 +383,3 @@
                     entry.quarantine.record_alive(server.incarnation, sent_ms, self.now_ms)
 
         return self.at(entry, answer)
-
-
-def prompt(names):
-    """Return prompt parts of these names."""
-    return tuple(PromptPart(name, 10) for name in names)
--- a/tests/proof/proof_crashingparts.py
+++ b/tests/proof/proof_crashingparts.py
@@ -15,7 +15,6 @@
     ZONES,
     Request,
     World,
-    prompt,
 )
 from tests.proof.harness import Proof, ProofMachine
 from tests.proof.require import require
@@ -51,10 +50,10 @@
 class NoQuarantine(PartQuarantine):
     """Test double that forwards everything."""
 
-    def check(self, model, parts, now_ms):
+    def check(self, shared, now_ms):
         return Unsuspected()
 
-    def may_send(self, model, parts, now_ms):
+    def may_send(self, shared, now_ms):
         return True
 
 
@@ -94,10 +93,9 @@
 
     def request(self, names):
         self.number += 1
-        names = (*names, f"own{self.number}")
         give_up_ms = self.world.now_ms + self.rng.choice((300, 1_000, 4_000))
         may_repeat = self.rng.random() < 0.5
-        return Request(self.number, part_ids(names[:-1]), prompt(names), may_repeat, give_up_ms)
+        return Request(self.number, part_ids(names), may_repeat, give_up_ms)
 
     def send_sound(self):
         pool = COMMON if self.rng.random() < 0.8 else RARE
--- a/tests/test_crashingrequests.py
+++ b/tests/test_crashingrequests.py
@@ -2,9 +2,9 @@
 
 import unittest
 
-from bergamothill.request.callerrequest import PromptPart
 from bergamothill.request.partquarantine import (
     AwaitTrial,
+    PartId,
     PartQuarantine,
     RunEnd,
     ServerIncarnation,
@@ -15,8 +15,8 @@
 MODEL = "llm"
 
 
-def _parts(*names):
-    return tuple(PromptPart(name, 100) for name in names)
+def _parts(model, *names):
+    return frozenset(PartId(model, name) for name in names)
 
 
 class CrashingRequests:
@@ -30,18 +30,16 @@
     def send(self, server, *, model=MODEL, companions=()):
         """Send one request, after any wait; return whether it was sent."""
         quarantine = self.quarantine
-        parts = _parts(*companions, "part", f"last{self.now_ms}")
+        parts = _parts(model, *companions, "part")
         for _ in range(20):
-            verdict = quarantine.check(model, parts, self.now_ms)
+            verdict = quarantine.check(parts, self.now_ms)
             if not isinstance(verdict, AwaitTrial):
                 break
             self.now_ms += verdict.retry_ms
         if not isinstance(verdict, Trial | Unsuspected):
             return False
         trial = verdict if isinstance(verdict, Trial) else None
-        run = quarantine.begin_run(
-            f"r{self.now_ms}", server, model, parts, self.now_ms, trial=trial
-        )
+        run = quarantine.begin_run(f"r{self.now_ms}", server, parts, self.now_ms, trial=trial)
         self.now_ms += 80
         quarantine.end_run(run, RunEnd.CRASHED, self.now_ms)
         self.sent += 1
@@ -63,7 +61,7 @@
     def test_rapid_crashes_convict_a_part_that_was_sound(self):
         quarantine = PartQuarantine("entry", 1)
         server = ServerIncarnation("s", 1)
-        run = quarantine.begin_run("r", server, MODEL, _parts("part", "l"), 500, trial=None)
+        run = quarantine.begin_run("r", server, _parts(MODEL, "part"), 500, trial=None)
         quarantine.end_run(run, RunEnd.COMPLETE, 600)
         requests = CrashingRequests(quarantine)
         for number in range(40):
--- a/tests/test_partquarantine.py
+++ b/tests/test_partquarantine.py
@@ -7,6 +7,7 @@
 from bergamothill.ids import EntryInstanceId, ModelName, RequestId, ServerId
 from bergamothill.request.callerrequest import PromptPart
 from bergamothill.request.crashevidence import MAX_REPORTS, MAX_SHARED
+from bergamothill.request.fingerprint import shared_parts
 from bergamothill.request.partquarantine import (
     CONFIRM_MS,
     WELL_BEGUN_MS,
@@ -30,6 +31,10 @@
     return tuple(PromptPart(name, 10) for name in (*shared, "last"))
 
 
+def suspects(*shared: str, model: ModelName = MODEL) -> frozenset[PartId]:
+    return shared_parts(model, prompt(*shared))
+
+
 def part_ids(*names: str) -> frozenset[PartId]:
     return frozenset(PartId(MODEL, name) for name in names)
 
@@ -54,7 +59,7 @@
             receiver.merge(sender.report(self.now_ms), self.now_ms)
 
     def check(self, *shared: str, entry: int = 0):
-        return self.entries[entry].check(MODEL, prompt(*shared), self.now_ms)
+        return self.entries[entry].check(suspects(*shared), self.now_ms)
 
     def check_for_trial(self, *shared: str, entry: int = 0):
         """Ask until the verdict is no longer to wait."""
@@ -70,8 +75,7 @@
         return self.entries[entry].begin_run(
             RequestId(request_id or f"r{next(self.request_ids)}"),
             server or self.server(),
-            MODEL,
-            prompt(*shared),
+            suspects(*shared),
             self.now_ms,
             trial=trial,
         )
@@ -117,7 +121,7 @@
     def test_parts_of_other_models_are_not_suspected(self) -> None:
         fleet = Fleet()
         fleet.crash("a")
-        other = fleet.entries[0].check(ModelName("other"), prompt("a"), fleet.now_ms)
+        other = fleet.entries[0].check(suspects("a", model=ModelName("other")), fleet.now_ms)
         self.assertEqual(Unsuspected(), other)
 
     def test_an_answer_that_went_on_for_long_is_no_evidence(self) -> None:
@@ -220,8 +224,8 @@
         for entry in range(2):
             self.assertEqual(Quarantined(part_ids("a")), fleet.check("b", "a", entry=entry))
             subject = fleet.entries[entry]
-            self.assertFalse(subject.may_send(MODEL, prompt("a"), fleet.now_ms))
-            self.assertTrue(subject.may_send(MODEL, prompt("b"), fleet.now_ms))
+            self.assertFalse(subject.may_send(suspects("a"), fleet.now_ms))
+            self.assertTrue(subject.may_send(suspects("b"), fleet.now_ms))
 
     def test_no_trial_begins_until_the_crashes_are_confirmed(self) -> None:
         fleet = Fleet()
@@ -369,7 +373,7 @@
             rng.shuffle(shuffled)
             for report in shuffled:
                 subject.merge(report, fleet.now_ms)
-            rows.append([subject.check(MODEL, prompt(name), fleet.now_ms) for name in "abcde"])
+            rows.append([subject.check(suspects(name), fleet.now_ms) for name in "abcde"])
         self.assertTrue(all(row == rows[0] for row in rows))
 
     def test_the_number_of_reports_is_bounded(self) -> None:
