--- a/standins/platformengine.py
+++ b/standins/platformengine.py
@@ -1,7 +1,8 @@
 """Stand-in for a model engine of the users' platform, registered in the store stand-in.
 
-An engine that begins an answer on a crashing part ends as a process does: all of its connections
-are reset, and it refuses new ones until it is back under a new id.
+An engine that begins an answer on a crashing part, or runs a request on a crashing path, ends as a
+process does: all of its connections are reset, and it refuses new ones until it is back under a new
+id. With no events in its answers it stands for a server of a plain service.
 """
 
 from __future__ import annotations
@@ -29,11 +30,13 @@
     """Request that reached an engine.
 
     :param request_id: id of the request
+    :param path: its path
     :param parts: names of the parts of its prompt
     :param at_s: monotonic time of its arrival
     """
 
     request_id: str
+    path: str
     parts: tuple[str, ...]
     at_s: float
 
@@ -44,11 +47,12 @@
     :param kvs: service in which it registers
     :param name: prefix of its ids
     :param crashing_parts: names of the parts that end it
+    :param crashing_paths: paths of the requests that end it
     :param service: service that it belongs to
     :param model: model that it serves
     :param zone: availability zone
     :param down_s: time from a crash to the next start
-    :param events: number of events of an answer
+    :param events: number of events of an answer; 0 for a plain answer
     """
 
     def __init__(
@@ -57,6 +61,7 @@
         name: str,
         *,
         crashing_parts: frozenset[str] = frozenset(),
+        crashing_paths: frozenset[str] = frozenset(),
         service: str = "llm",
         model: str = "m1",
         zone: str = "zone-a",
@@ -71,6 +76,7 @@
         self._kvs = kvs
         self._name = name
         self._crashing_parts = crashing_parts
+        self._crashing_paths = crashing_paths
         self._entry = {"service": service, "zone": zone, "version": "v1", "slots": 64}
         self._model = model
         self._down_s = down_s
@@ -95,12 +101,15 @@
                 "address": f"{HOST}:{self._listener.getsockname()[1]}",
                 "state": "ready",
                 "born": time.time_ns() // 1_000_000,
-                "models": [{"name": self._model, "version": 1, "adapters": []}],
+                "models": self._models(),
                 "sequenceNumber": 1,
             }
             key = f"servers/{self._server}"
             self._kvs.put_if(key, json.dumps(entry).encode(), expected=ABSENT)
 
+    def _models(self) -> list[dict[str, object]]:
+        return [{"name": self._model, "version": 1, "adapters": []}] if self._events else []
+
     def stop(self) -> None:
         """Stop for good."""
         self._is_stopped = True
@@ -151,7 +160,7 @@
             if path.startswith("/kv-events"):
                 self._send_events(connection)
             elif path:
-                self._answer(connection, listener, server, headers)
+                self._answer(connection, listener, server, path, headers)
         except OSError:
             pass  # the peer left, or this incarnation has ended
         finally:
@@ -171,24 +180,29 @@
         connection: socket.socket,
         listener: socket.socket,
         server: str,
+        path: str,
         headers: dict[str, str],
     ) -> None:
         prefix = headers.get("x-prompt-prefix", "")
         parts = tuple(entry.partition(":")[0] for entry in prefix.split(",") if entry)
         request_id = headers.get("x-request-id", "")
-        self.arrivals.append(EngineArrival(request_id, parts, time.monotonic()))
+        self.arrivals.append(EngineArrival(request_id, path, parts, time.monotonic()))
         time.sleep(CRASH_DELAY_S)
         if listener is not self._listener:
             return
-        if self._crashing_parts.intersection(parts[:-1]):
+        if path in self._crashing_paths or self._crashing_parts.intersection(parts[:-1]):
             self._crash()
             return
         limit_per_s = self.limit_per_s
         limit = "" if limit_per_s is None else f"Server-Limit: {limit_per_s:g}\r\n"
+        head = b"HTTP/1.1 200 OK\r\nX-Server-Signature: sig\r\n"
+        head += f"{limit}X-Request-Id: {request_id}\r\nX-Instance-Id: {server}\r\n".encode()
+        if not self._events:
+            connection.sendall(head + b"Content-Length: 4\r\n\r\ndone")
+            return
         connection.sendall(
-            b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Server-Signature: sig\r\n"
-            b"X-Weight-Versions: 1\r\nTransfer-Encoding: chunked\r\n"
-            + f"{limit}X-Request-Id: {request_id}\r\nX-Instance-Id: {server}\r\n\r\n".encode()
+            head + b"Content-Type: text/event-stream\r\nX-Weight-Versions: 1\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n"
         )
         first = int(headers.get("last-event-id", "0"))
         for number in range(first + 1, self._events + 1):
--- a/tests/platformworld.py
+++ b/tests/platformworld.py
@@ -13,7 +13,7 @@
 import threading
 import time
 import unittest
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -32,6 +32,7 @@
 
 CRASHING_PARTS = ("bad0", "bad1", "bad2", "bad3")
 CRASHING_PART = CRASHING_PARTS[0]
+CRASHING_PATH = "/poll/bad"
 SHARED_PARTS = ("a1", "b2")
 STOP_TIMEOUT_S = 10
 
@@ -41,6 +42,7 @@
     """What a caller got for one request.
 
     :param request_id: id of the request
+    :param path: its path
     :param parts: names of the parts of its prompt
     :param sent_s: monotonic time at which it was sent
     :param status: HTTP status; 0 without an answer
@@ -48,6 +50,7 @@
     """
 
     request_id: str
+    path: str
     parts: tuple[str, ...]
     sent_s: float
     status: int
@@ -124,9 +127,10 @@
     :param folder: folder for settings and logs
     :param entries: number of entry instances
     :param engines: number of engines
+    :param plain: number of servers of the plain service
     """
 
-    def __init__(self, folder: Path, *, entries: int = 3, engines: int = 6) -> None:
+    def __init__(self, folder: Path, *, entries: int = 3, engines: int = 6, plain: int = 0) -> None:
         self.store = PlatformStoreStandIn()
         self._server = Server(HOST, 0, self.store, Handler)
         threading.Thread(target=self._server.serve_forever, args=(0.02,), daemon=True).start()
@@ -134,6 +138,8 @@
         config = operator_config()
         asked = config["routes"][0] | {"name": "ask", "prefix": "/ask/", "maxAttempts": 1}
         config["routes"].append(asked | {"resumable": False})
+        polled = {"name": "poll", "prefix": "/poll/", "kind": "safe", "maxAttempts": 2}
+        config["routes"].append(config["routes"][1] | polled)
         kvs.put_if("op/config", json.dumps(config).encode(), expected=ABSENT)
         target = {"model": "m1", "version": 1}
         kvs.put_if("op/version/m1", json.dumps(target).encode(), expected=ABSENT)
@@ -141,6 +147,16 @@
         self.engines = [
             PlatformEngineStandIn(kvs, f"e{n}", crashing_parts=crashing) for n in range(engines)
         ]
+        self.plain = [
+            PlatformEngineStandIn(
+                kvs,
+                f"p{n}",
+                crashing_paths=frozenset({CRASHING_PATH}),
+                service="bookings",
+                events=0,
+            )
+            for n in range(plain)
+        ]
         # Addresses of its own, as each instance has a metrics port that is not configurable.
         network = f"127.{random.randint(1, 250)}.{os.getpid() % 250 + 1}"
         address = f"{HOST}:{self._server.server_port}"
@@ -153,8 +169,8 @@
 
     def start(self) -> None:
         """Start all engines and instances, and wait until the instances know each other."""
-        for engine in self.engines:
-            engine.start()
+        for server in (*self.engines, *self.plain):
+            server.start()
         self.start_nodes()
         time.sleep(PEER_DISCOVERY_S)
 
@@ -170,8 +186,8 @@
             thread.join(TIMEOUT_S)
         for node in self.nodes:
             node.kill()
-        for engine in self.engines:
-            engine.stop()
+        for server in (*self.engines, *self.plain):
+            server.stop()
         self._server.shutdown()
         self._server.server_close()
 
@@ -185,14 +201,30 @@
         :param node: number of the instance to send it to; by default each in turn
         """
         number = next(self._numbers)
-        node = self.nodes[number % len(self.nodes) if node is None else node]
         request_id, names = f"r{number}", (*parts, f"f{number:x}")
         prefix = ",".join(f"{name}:20" for name in names)
+        fields = (
+            f"X-Model: m1\r\nX-Token-Counts: {20 * len(names)},12\r\nX-Prompt-Prefix: {prefix}\r\n"
+        )
+        return self._ask(request_id, f"/{route}/{number:x}", names, fields, node)
+
+    def ask_plain(self, path: str, *, node: int | None = None) -> Outcome:
+        """Send a request without a prompt and return what the caller got.
+
+        :param path: path of the request
+        :param node: number of the instance to send it to; by default each in turn
+        """
+        return self._ask(f"r{next(self._numbers)}", path, (), "", node)
+
+    def _ask(
+        self, request_id: str, path: str, names: tuple[str, ...], fields: str, number: int | None
+    ) -> Outcome:
+        turn = int(request_id.removeprefix("r"))
+        node = self.nodes[turn % len(self.nodes) if number is None else number]
         sent_s = time.monotonic()
         data = (
-            f"POST /{route}/{number:x} HTTP/1.1\r\nHost: desk.example\r\nConnection: close\r\n"
-            f"X-Request-Id: {request_id}\r\nAuthorization: Bearer key-1\r\nX-Model: m1\r\n"
-            f"X-Token-Counts: {20 * len(names)},12\r\nX-Prompt-Prefix: {prefix}\r\n"
+            f"POST {path} HTTP/1.1\r\nHost: desk.example\r\nConnection: close\r\n"
+            f"X-Request-Id: {request_id}\r\nAuthorization: Bearer key-1\r\n{fields}"
             "X-Deadline-Milliseconds: 8000\r\nContent-Length: 2\r\n\r\n{}"
         ).encode()
         try:
@@ -202,7 +234,7 @@
         except OSError:
             answer = b""
         status = int(answer[9:12]) if answer.startswith(b"HTTP/1.1 ") else 0
-        outcome = Outcome(request_id, names, sent_s, status, answer)
+        outcome = Outcome(request_id, path, names, sent_s, status, answer)
         self.outcomes.append(outcome)
         return outcome
 
@@ -210,8 +242,14 @@
         self, parts: tuple[str, ...], *, route: str = "quote", node: int | None = None
     ) -> None:
         """Send a request from a thread of its own."""
-        options = {"route": route, "node": node}
-        thread = threading.Thread(target=self.ask, args=(parts,), kwargs=options)
+        self._run_in_thread(self.ask, parts, route=route, node=node)
+
+    def ask_plain_in_thread(self, path: str) -> None:
+        """Send a request without a prompt from a thread of its own."""
+        self._run_in_thread(self.ask_plain, path)
+
+    def _run_in_thread(self, ask: Callable[..., Outcome], *arguments: object, **options) -> None:
+        thread = threading.Thread(target=ask, args=arguments, kwargs=options)
         thread.start()
         self._callers.append(thread)
 
@@ -257,7 +295,8 @@
 
     def crashes_s(self) -> list[float]:
         """Return the times at which engines crashed, in order."""
-        return sorted(at_s for engine in self.engines for at_s in engine.crashes_s)
+        servers = (*self.engines, *self.plain)
+        return sorted(at_s for server in servers for at_s in server.crashes_s)
 
     def arrivals_of(self, part: str) -> list[EngineArrival]:
         """Return the requests with a part that reached engines."""
@@ -266,12 +305,17 @@
 
 
 class PlatformWorldCase(unittest.TestCase):
-    """Test case whose tests share one deployment."""
+    """Test case whose tests share one deployment.
+
+    ``PLAIN`` is the number of servers of its plain service.
+    """
+
+    PLAIN = 0
 
     @classmethod
     def setUpClass(cls) -> None:
         """Start the deployment."""
         folder = cls.enterClassContext(tempfile.TemporaryDirectory())
-        cls.world = PlatformWorld(Path(folder))
+        cls.world = PlatformWorld(Path(folder), plain=cls.PLAIN)
         cls.addClassCleanup(cls.world.close)
         cls.world.start()
