Proof server-limits: check the use of a limit without instances that the store rejects

Two restarted instances were rejected by the store for 25 s, longer than the 24 s that the check lets pass, so that they were not yet allowed a share. The check is to hold without a disturbance; it now ends that one, as it does the others. Bounds and operations are unchanged.

--- a/tests/proof/proof_serverlimits.py
+++ b/tests/proof/proof_serverlimits.py
@@ -113,7 +113,7 @@
         self.has_checked_use = True
         world.loss, world.max_delay_ms, world.store_is_away = 0.0, 5, False
         for instance in world.instances.values():
-            instance.has_demand = True
+            instance.has_demand, instance.lacks_store = True, False
         world.set_limit(server, per_s)
         world.run_for(SETTLED_MS)
         sent_before = server.total
