Quarantine requests as a whole that crash servers, beside parts of prompts

Cause: the quarantine looked at parts of prompts only; a request without one was sent, and repeated at the next server, as if nothing had happened.

Change: one quarantine for both. A part of a request is a part of its prompt or the request as a whole, by its fingerprint. A crash makes both suspect; a suspect runs in trials, one at a time over all instances, so that a repeat after a crash is a trial too; three crashed servers, two of them in trials and under two request ids, convict it. An answer clears it, also one that reports a failure. Refusals are 503 with Retry-After and say that the request is not to be repeated. The attempts of one request have its fingerprint in common whatever the cause, so it counts as a likely cause of other parts' crashes only once it has crashed servers under two ids; without this, no part of a prompt was convicted any more where requests are repeated (test_crashingparts timed out).

The prompts of test_quarantinesteps differ in their path, as on the users' pages no two are alike; they were one request under several ids.

--- a/bergamothill/process/quarantinegate.py
+++ b/bergamothill/process/quarantinegate.py
@@ -1,4 +1,4 @@
-"""Asks the quarantine of prompt parts for each prompt, and tells it of each run.
+"""Asks the quarantine for each request, and tells it of each run.
 
 Runs on the event loop; :mod:`~bergamothill.request.partquarantine` decides.
 """
@@ -26,7 +26,7 @@
     Verdict,
 )
 
-__all__ = ["QuarantineGate", "PromptRun"]
+__all__ = ["QuarantineGate", "GatedRun"]
 
 MIN_PAUSE_MS = 500
 """Time without a check that shows a pause of this process."""
@@ -50,7 +50,7 @@
 
 
 class QuarantineGate:
-    """Quarantine of prompt parts for the requests of this entry instance.
+    """Quarantine of parts of requests in this entry instance.
 
     :param clock: source of time
     :param quarantine: evidence, trials and verdicts
@@ -82,7 +82,7 @@
     # Requests.
 
     def check(self, request: CallerRequest, now_ms: int) -> QuarantineVerdict:
-        """Return whether a prompt may be sent."""
+        """Return whether a request may be sent."""
         if self._is_catching_up(now_ms):
             return AwaitTrial(CATCH_UP_POLL_MS)
         verdict = self._quarantine.check(request.suspects, now_ms)
@@ -90,32 +90,32 @@
         return verdict
 
     def may_send(self, request: CallerRequest, now_ms: int) -> bool:
-        """Return False if parts of a prompt were convicted after it was checked."""
+        """Return False if parts of a request were convicted after it was checked."""
         return self._quarantine.may_send(request.suspects, now_ms)
 
-    def begin_run(self, request: CallerRequest, send: Send, now_ms: int) -> PromptRun:
-        """Record that a prompt is sent to a server."""
+    def begin_run(self, request: CallerRequest, send: Send, now_ms: int) -> GatedRun:
+        """Record that a request is sent to a server."""
         server = _incarnation(send.server)
         number = self._quarantine.begin_run(
             request.request_id, server, request.suspects, now_ms, trial=send.trial
         )
-        run = PromptRun(self, number, request, send, now_ms)
+        run = GatedRun(self, number, request, send, now_ms)
         if send.trial is not None:
             self._log_run("part_trial", run, send.trial.parts)
         self._publish("evidence", 0)
         return run
 
-    def record_event(self, run: PromptRun, now_ms: int) -> None:
+    def record_event(self, run: GatedRun, now_ms: int) -> None:
         """Record that an event of an answer arrived."""
         self._quarantine.record_event(run.number, now_ms)
         self._publish("evidence", 0)
 
-    def record_alive(self, run: PromptRun, now_ms: int) -> None:
+    def record_alive(self, run: GatedRun, now_ms: int) -> None:
         """Record that the server of a run answered it."""
         self._quarantine.record_alive(_incarnation(run.send.server), run.sent_ms, now_ms)
         self._publish("evidence", 0)
 
-    def end_run(self, run: PromptRun, end: RunEnd, now_ms: int) -> None:
+    def end_run(self, run: GatedRun, end: RunEnd, now_ms: int) -> None:
         """Record the end of a run."""
         trial = run.send.trial
         self._quarantine.end_run(run.number, end, now_ms)
@@ -221,7 +221,7 @@
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
 
-    def _log_run(self, event: str, run: PromptRun, parts: Iterable[PartId]) -> None:
+    def _log_run(self, event: str, run: GatedRun, parts: Iterable[PartId]) -> None:
         _log.info(
             event,
             request=run.request.request_id,
@@ -231,8 +231,8 @@
         self._metrics.count("part_decisions", decision=event)
 
 
-class PromptRun:
-    """One run of a prompt at a server, as told to the quarantine.
+class GatedRun:
+    """One run of a request at a server, as told to the quarantine.
 
     :param gate: quarantine
     :param number: number of the run
--- a/bergamothill/process/quarantinesteps.py
+++ b/bergamothill/process/quarantinesteps.py
@@ -1,4 +1,4 @@
-"""Steps of a request that concern the quarantine of prompt parts."""
+"""Steps of a request that concern the quarantine of parts of requests."""
 
 from __future__ import annotations
 
@@ -32,17 +32,17 @@
 
 
 def classify_run_end(outcome: str, result: ExchangeResult, *, has_begun: bool) -> RunEnd:
-    """Return what the end of an attempt tells about the parts of its prompt.
+    """Return what the end of an attempt tells about the parts of its request.
 
     An answer that ends with its connection at an event boundary may be whole, or the server may
     have crashed there.
 
     :param outcome: outcome of the attempt
     :param result: how the exchange ended
-    :param has_begun: whether bytes of the answer arrived
+    :param has_begun: whether the answer began: a plain one with its head, a stream with its body
     """
-    if outcome == "success" and not result.was_closed:
-        return RunEnd.COMPLETE
+    if outcome in ("success", "failure") and not result.was_closed:
+        return RunEnd.COMPLETE if outcome == "success" else RunEnd.FAILED
     if outcome == "success" and has_begun:
         return RunEnd.OTHER
     is_lost = result.end in (ExchangeEnd.BROKEN, ExchangeEnd.COMPLETE) and result.was_closed
@@ -56,14 +56,20 @@
     """
     if step.reason is not Reason.QUARANTINED:
         return [], b""
-    names = sorted(part.name for part in step.parts)
-    error = {
-        "type": "prompt_part_quarantined",
-        "message": (
-            "Servers crashed when they began an answer on this part of the prompt. "
-            "Send the request without it."
-        ),
-        "part": names[0] if len(names) == 1 else names,
-    }
+    names = sorted(part.name for part in step.parts if not part.is_request)
+    if any(part.is_request for part in step.parts):
+        error = {
+            "type": "request_quarantined",
+            "message": "Servers crashed when they ran this request. Do not repeat it.",
+        }
+    else:
+        error = {
+            "type": "prompt_part_quarantined",
+            "message": (
+                "Servers crashed when they began an answer on this part of the prompt. "
+                "Send the request without it."
+            ),
+            "part": names[0] if len(names) == 1 else names,
+        }
     body = json.dumps({"error": error}).encode()
     return [(b"Content-Type", b"application/json")], body
--- a/bergamothill/process/requestrun.py
+++ b/bergamothill/process/requestrun.py
@@ -18,14 +18,14 @@
 from bergamothill.process.admissionqueue import AdmissionQueue
 from bergamothill.process.configstate import Admission
 from bergamothill.process.gatewaymetrics import GatewayMetrics
-from bergamothill.process.promptruns import classify_run_end, encode_refusal, wait_for_trial
-from bergamothill.process.quarantinegate import PromptRun, QuarantineGate
+from bergamothill.process.quarantinegate import GatedRun, QuarantineGate
+from bergamothill.process.quarantinesteps import classify_run_end, encode_refusal, wait_for_trial
 from bergamothill.process.serverlimits import log_limit_change
 from bergamothill.process.serverpool import ServerPool
 from bergamothill.request.answerrelay import AnswerRelay, AttemptVerdict
 from bergamothill.request.bufferbudget import BufferBudget
 from bergamothill.request.callerrequest import CallerRequest, ForwardTerms, ResponseHead
-from bergamothill.request.fingerprint import request_fingerprint, shared_parts
+from bergamothill.request.fingerprint import crash_suspects
 from bergamothill.request.forwarding import (
     AbortStream,
     Deliver,
@@ -54,7 +54,7 @@
     :param metrics: counters and histograms
     :param queue: requests that wait for capacity of the same service
     :param retry_budget: retry budget of the service
-    :param gate: quarantine of prompt parts
+    :param gate: quarantine of parts of requests
     :param connection: connection of the caller
     :param request: caller's request
     :param admission: decision that admitted the request
@@ -82,16 +82,15 @@
         self._metrics = metrics
         self._queue = queue
         self._gate = gate
-        self._prompt_run: PromptRun | None = None
+        self._gated_run: GatedRun | None = None
         self._connection = connection
         self._request = request
         brand = None if admission.brand is None else admission.brand.name
-        self._fingerprint = request_fingerprint(request, brand)
-        is_prompt = service.engine is not None
-        request.suspects = shared_parts(request.model, request.parts) if is_prompt else frozenset()
+        request.suspects = crash_suspects(request, brand)
         self._admission = admission
         self._route = route
         self._service = service
+        self._is_stream = route.retry_policy is RetryPolicy.STREAM
         self._first_byte_ms: int | None = None
         self._pending_prefill: tuple[ServerId, int] | None = None
         self._attempt_log: list[str] = []
@@ -121,7 +120,7 @@
         self._relay = AnswerRelay(
             connection,
             request.request_id,
-            is_stream=route.retry_policy is RetryPolicy.STREAM,
+            is_stream=self._is_stream,
             budget=buffer_budget,
             decode=decode_answer,
             on_first=self._on_first_byte,
@@ -141,8 +140,8 @@
             self._server_pool.stream_began(self._current_server)
             self._server_pool.record_first_token(self._terms, now_ms - self._sent_ms, now_ms)
         is_success = self._relay.verdict is AttemptVerdict.SUCCESS
-        if self._prompt_run is not None and is_success and not self._relay.lacks_events:
-            self._prompt_run.record_event(now_ms)
+        if self._gated_run is not None and is_success and not self._relay.lacks_events:
+            self._gated_run.record_event(now_ms)
         self._server_pool.record_bytes(self._current_server, now_ms)
 
     def _on_own_head(self, head: ResponseHead) -> None:
@@ -151,8 +150,8 @@
         server = self._send.server
         is_other_instance = head.status == 421 and head.instance != server.server
         # A refusal need not come from the expected instance.
-        if self._prompt_run is not None and not head.is_not_executed:
-            self._prompt_run.record_alive(self._clock.now_ms())
+        if self._gated_run is not None and not head.is_not_executed:
+            self._gated_run.record_alive(self._clock.now_ms())
         if is_other_instance:
             return
         self._record_limit(head)
@@ -292,15 +291,14 @@
             server, tokens, send.terms.pending_prefill_tokens, started_ms
         )
         self._queue.requests.record_admission(tokens, started_ms)
-        if self._request.parts and self._service.engine is not None:
-            self._prompt_run = self._gate.begin_run(self._request, send, started_ms)
+        self._gated_run = self._gate.begin_run(self._request, send, started_ms)
         try:
             result = await self._exchange(send)
         except BaseException:
-            self._end_prompt_run(RunEnd.OTHER)
+            self._end_gated_run(RunEnd.OTHER)
             raise
         finally:
-            has_begun = self._is_streaming
+            has_begun = self._is_streaming or not (relay.head is None or self._is_stream)
             self._clear_pending_prefill()
             if self._is_streaming:
                 self._is_streaming = False
@@ -313,7 +311,7 @@
         self._record_pause(result.end, now_ms)
         outcome = self._attempt_outcome(result)
         # Before the next step is chosen, so that no crash is repeated blindly.
-        self._end_prompt_run(classify_run_end(outcome, result, has_begun=has_begun))
+        self._end_gated_run(classify_run_end(outcome, result, has_begun=has_begun))
         detail = result.detail
         if outcome == "broken" and result.end is ExchangeEnd.COMPLETE:
             detail = "ended before any event" if relay.is_whole else "ended inside an event"
@@ -324,10 +322,10 @@
         )
         return self._next_step(outcome, send, now_ms)
 
-    def _end_prompt_run(self, end: RunEnd) -> None:
-        prompt_run, self._prompt_run = self._prompt_run, None
-        if prompt_run is not None:
-            prompt_run.end(end, self._clock.now_ms())
+    def _end_gated_run(self, end: RunEnd) -> None:
+        run, self._gated_run = self._gated_run, None
+        if run is not None:
+            run.end(end, self._clock.now_ms())
 
     def _may_send(self, send: Send) -> bool:
         now_ms = self._clock.now_ms()
@@ -337,7 +335,7 @@
         return limits.may_send(send.server, send.terms.limit_spent_ms, now_ms)
 
     def _is_allowed(self, send: Send, now_ms: int) -> bool:
-        if self._prompt_run is not None and not self._gate.may_send(self._request, now_ms):
+        if not self._gate.may_send(self._request, now_ms):
             return False
         if send.terms.weight_version is None:
             return self._server_pool.may_send_to(send.server, now_ms)
@@ -489,7 +487,7 @@
             config_age_ms=self._admission.age_ms,
             first_ms=first_ms,
             total_ms=now_ms - arrived_ms,
-            fingerprint=self._fingerprint,
+            fingerprint=",".join(p.name for p in self._request.suspects if p.is_request),
             parts=",".join(f"{part.name}:{part.tokens}" for part in self._request.parts),
             attempts=";".join(self._attempt_log),
         )
--- a/bergamothill/request/crashevidence.py
+++ b/bergamothill/request/crashevidence.py
@@ -147,6 +147,12 @@
         """Whether no part is under suspicion because of this report."""
         return self.is_void or self.report.suspects <= self.known_sound | self.cleared
 
+    @property
+    def has_prompt_suspect(self) -> bool:
+        """Whether a part of a prompt is under suspicion because of this report."""
+        suspects = self.report.suspects - self.known_sound - self.cleared
+        return any(not part.is_request for part in suspects)
+
     def row(self, now_ms: int) -> ReportedCrash:
         """Return the report for peers."""
         return ReportedCrash(
@@ -350,7 +356,9 @@
             return True
         if crash.is_settled:
             return False
-        return crash.report.report_id.entry == self._entry or self._weight(crash) > 1
+        # Whole requests that broke off once need not come again, unlike parts of prompts.
+        is_own = crash.report.report_id.entry == self._entry and crash.has_prompt_suspect
+        return is_own or self._weight(crash) > 1
 
     def _weight(self, crash: Crash) -> int:
         """Return the most crashes that are known against a part of a report."""
--- a/bergamothill/request/forwarding.py
+++ b/bergamothill/request/forwarding.py
@@ -106,7 +106,7 @@
     :param server: server to send it to
     :param terms: values to set in the forwarded request
     :param attempt: entry in the attempt log
-    :param trial: parts of the prompt that are tried; None if none is under suspicion
+    :param trial: parts of the request that are tried; None if none is under suspicion
     """
 
     server: BackendServer
@@ -127,7 +127,7 @@
     :param status: HTTP status; 503 guarantees that the request has not run and never will
     :param retry_after_ms: delay before a retry, in milliseconds; None if a retry may not help
     :param reason: why there is no answer from a server
-    :param parts: parts of the prompt that are the reason, if they are
+    :param parts: parts of the request that are the reason, if they are
     """
 
     status: int
@@ -245,10 +245,10 @@
 
 
 class PartScreen(Protocol):
-    """Tells whether a prompt may be sent, by what is known of its parts."""
+    """Tells whether a request may be sent, by what is known of its parts."""
 
     def check(self, request: CallerRequest, now_ms: int) -> QuarantineVerdict:
-        """Return whether a prompt may be sent."""
+        """Return whether a request may be sent."""
 
 
 class Forwarding:
@@ -261,7 +261,7 @@
     :param chooser: chooses servers
     :param retry_budget: retry budget of the service
     :param jitter: random number in [0, 1) that spreads the retries of refused callers
-    :param screen: screens the parts of prompts; None to send all
+    :param screen: screens the parts of requests; None to send all
     """
 
     def __init__(
@@ -284,9 +284,7 @@
         self._chooser = chooser
         self._retry_budget = retry_budget
         self._jitter = jitter
-        has_shared_parts = service.engine is not None and request.model is not None
-        has_shared_parts &= len(request.parts) > 1
-        self._screen = screen if has_shared_parts else None
+        self._screen = screen
         self._run_count = 0
         self._urgency = _urgency(route, brand)
         self._resume_event_id = ""
--- a/bergamothill/request/partquarantine.py
+++ b/bergamothill/request/partquarantine.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -79,6 +79,9 @@
     COMPLETE = "complete"
     """A whole, successful answer."""
 
+    FAILED = "failed"
+    """A whole answer in which the server reports a failure."""
+
     CRASHED = "crashed"
     """The server closed or reset the connection before the end of the answer."""
 
@@ -224,6 +227,8 @@
             return
         if end is RunEnd.COMPLETE and not state.is_sound:
             self._record_sound(run, state, now_ms)
+        elif end is RunEnd.FAILED:
+            self._clear_parts(state, [part for part in state.parts if part.is_request], now_ms)
         has_changed = self._slots.end(run)
         if end is RunEnd.CRASHED and state.parts and not _is_well_begun(state, now_ms):
             has_changed |= self._add_crash(run, state, now_ms)
@@ -411,9 +416,14 @@
 
     def _record_sound(self, run: RunNumber, state: _Run, now_ms: int) -> None:
         state.is_sound = True
-        has_changed = self._slots.end(run)
-        stored = self._stored_suspects(state.parts, now_ms)
-        for part in state.parts:
+        self.report_revision += self._slots.end(run)
+        self._clear_parts(state, state.parts, now_ms)
+
+    def _clear_parts(self, state: _Run, parts: Collection[PartId], now_ms: int) -> None:
+        """Record that a server ran a request with these parts and did not crash."""
+        has_changed = False
+        stored = self._stored_suspects(parts, now_ms)
+        for part in parts:
             self._sound.record(part, now_ms)
             has_changed |= self._evidence.mark_sound(part, now_ms)
             has_changed |= self._evidence.clear(part, state.began_order, now_ms)
--- a/bergamothill/request/verdictset.py
+++ b/bergamothill/request/verdictset.py
@@ -132,8 +132,7 @@
         other
         for crash in crashes
         for other in crash.report.suspects - {part}
-        if (part_is_sound or not is_sound(other))
-        and len(evidence.servers_against(other)) >= LIKELY_CAUSE_AT
+        if (part_is_sound or not is_sound(other)) and _is_likely_cause(evidence, other)
     }
     alone = [crash for crash in crashes if companions.isdisjoint(crash.report.suspects)]
     if _trial_count(evidence, alone, part) >= MIN_TRIALS:
@@ -149,6 +148,13 @@
     return Verdict(frozenset({part} | inseparable), 0, _strongest_reports(evidence, joint, part))
 
 
+def _is_likely_cause(evidence: CrashEvidence, part: PartId) -> bool:
+    if len(evidence.servers_against(part)) < LIKELY_CAUSE_AT:
+        return False
+    # All attempts of a request have it as a whole in common, whatever the cause.
+    return not part.is_request or _request_count(evidence.against(part)) >= MIN_REQUESTS
+
+
 def find_suspicion(evidence: CrashEvidence, part: PartId) -> Verdict:
     """Return the reports against a part as a verdict on no parts, which is never in force."""
     return Verdict(frozenset(), 0, _strongest_reports(evidence, evidence.against(part), part))
@@ -165,9 +171,12 @@
     needed = CONVICT_SOUND_AT if is_sound else CONVICT_AT
     if len(crashes) < needed or len(_servers(crashes)) < needed:
         return False
-    requests = {_request_key(crash.report) for crash in crashes}
     trial_count = _trial_count(evidence, crashes, part)
-    return trial_count >= MIN_TRIALS and len(requests) >= MIN_REQUESTS
+    return trial_count >= MIN_TRIALS and _request_count(crashes) >= MIN_REQUESTS
+
+
+def _request_count(crashes: Iterable[Crash]) -> int:
+    return len({_request_key(crash.report) for crash in crashes})
 
 
 def _trial_count(evidence: CrashEvidence, crashes: Iterable[Crash], part: PartId) -> int:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -292,10 +292,10 @@
         step = run.on_trial_unavailable(500)
         self.assertEqual((503, Reason.AWAITS_TRIAL), (step.status, step.reason))
 
-    def test_requests_without_shared_parts_are_not_screened(self):
+    def test_requests_without_shared_parts_are_screened_as_a_whole(self):
         screen = Screen(Quarantined(PARTS))
         plain = self.forwarding(route=1, screen=screen)
         own = self.forwarding(screen=screen, parts=(PromptPart("a", 3_000),))
         for run in (plain, own):
-            self.assertIsInstance(run.begin(0), Send)
-        self.assertEqual(0, screen.checks)
+            self.assertIs(Reason.QUARANTINED, run.begin(0).reason)
+        self.assertEqual(2, screen.checks)
--- a/tests/test_quarantinesteps.py
+++ b/tests/test_quarantinesteps.py
@@ -5,7 +5,7 @@
 import unittest
 
 from bergamothill.connection.backendhttp import ExchangeEnd, ExchangeResult
-from bergamothill.process.promptruns import classify_run_end
+from bergamothill.process.quarantinesteps import classify_run_end
 from bergamothill.request.crashevidence import PartId
 from bergamothill.request.partquarantine import RunEnd, Verdict
 from tests.builders import await_true
@@ -43,7 +43,6 @@
             ("refused", ExchangeEnd.STOPPED),
             ("not_sent", ExchangeEnd.NOT_SENT),
             ("not_connected", ExchangeEnd.NOT_CONNECTED),
-            ("failure", ExchangeEnd.COMPLETE),
         ):
             with self.subTest(outcome=outcome, end=end):
                 self.assertIs(RunEnd.OTHER, self.end(outcome, end))
@@ -54,6 +53,10 @@
         self.assertIs(RunEnd.CRASHED, self.end("success", **closed, has_begun=False))
         self.assertIs(RunEnd.CRASHED, self.end("broken", **closed))
 
+    def test_a_whole_answer_that_reports_a_failure_is_no_crash(self):
+        self.assertIs(RunEnd.FAILED, self.end("failure", ExchangeEnd.COMPLETE))
+        self.assertIs(RunEnd.OTHER, self.end("failure", ExchangeEnd.COMPLETE, was_closed=True))
+
     def test_a_whole_answer_is_complete(self):
         self.assertIs(RunEnd.COMPLETE, self.end("success", ExchangeEnd.COMPLETE))
 
@@ -75,7 +78,8 @@
         deadline_s, number = time.monotonic() + TIMEOUT_S, 0
         while time.monotonic() < deadline_s:
             number += 1
-            found = self.ask(world, PROMPT.replace(b"Id: r1", b"Id: c%d" % number))
+            other = PROMPT.replace(b"Id: r1", b"Id: c%d" % number)
+            found = self.ask(world, other.replace(b"/quote/2f", b"/quote/%x" % number))
             if b" 503 " in found and b"prompt_part_quarantined" in found:
                 break
             time.sleep(0.1)
