Store all open crash reports, with what settled them

Change: the stored value has verdicts and crash reports with their age and with what is known of them. A report that was stored while open stays stored once it is settled, so that no instance that missed that brings it back; one that was settled at once is never stored. Earlier builds read the reports as a verdict on no parts, as they wrote them; what they wrote is read as reports of which nothing more is known.

The test that cleared parts leave the store is replaced: they stay, settled, and a new instance must not suspect them, also after an instance that had read the open reports has written.

--- a/bergamothill/process/nodequarantine.py
+++ b/bergamothill/process/nodequarantine.py
@@ -15,7 +15,7 @@
 from bergamothill.process.quarantineexchange import QuarantineExchange
 from bergamothill.process.quarantinegate import QuarantineGate
 from bergamothill.process.verdictstore import VerdictStore
-from bergamothill.request.partquarantine import PartQuarantine, Verdict
+from bergamothill.request.partquarantine import PartQuarantine, StoredQuarantine
 
 __all__ = ["NodeQuarantine"]
 
@@ -54,11 +54,11 @@
         """
         loop = asyncio.get_running_loop()
 
-        async def add_stored(verdicts: tuple[Verdict, ...]) -> tuple[Verdict, ...]:
-            return self.gate.add_stored_verdicts(verdicts)
+        async def add_stored(stored: StoredQuarantine) -> StoredQuarantine:
+            return self.gate.add_stored(stored)
 
-        def merge(verdicts: tuple[Verdict, ...]) -> tuple[Verdict, ...]:
-            future = asyncio.run_coroutine_threadsafe(add_stored(verdicts), loop)
+        def merge(stored: StoredQuarantine) -> StoredQuarantine:
+            future = asyncio.run_coroutine_threadsafe(add_stored(stored), loop)
             try:
                 return future.result(ms_to_seconds(MERGE_TIMEOUT_MS))
             except TimeoutError:
@@ -68,15 +68,15 @@
         gate = self.gate
         gate.on_change = self._exchange.wake
         gate.on_pause = store.request_read
-        gate.on_verdicts = self._record_verdicts
+        gate.on_store = self._record_stored
         threading.Thread(target=store.run, name="verdicts", daemon=True).start()
         await self._exchange.run()
 
-    def _record_verdicts(self, verdicts: tuple[Verdict, ...], delay_ms: int) -> None:
+    def _record_stored(self, stored: StoredQuarantine, delay_ms: int) -> None:
         # All instances reach a verdict by the same evidence at about the same time.
         spread_ms = random.randrange(WRITE_SPREAD_PER_INSTANCE_MS * self._exchange.instance_count)
         is_own = delay_ms == 0
-        self._store.record(verdicts, delay_ms=delay_ms + spread_ms, is_own=is_own)
+        self._store.record(stored, delay_ms=delay_ms + spread_ms, is_own=is_own)
 
     def stop(self) -> None:
         """Stop the thread that reads and writes verdicts."""
--- a/bergamothill/process/quarantinecodec.py
+++ b/bergamothill/process/quarantinecodec.py
@@ -25,19 +25,20 @@
     PeerTrial,
     QuarantineReport,
     ReportedCrash,
+    StoredQuarantine,
     Verdict,
 )
 
 __all__ = [
     "decode_quarantine_report",
-    "decode_verdicts",
+    "decode_stored",
     "encode_quarantine_report",
-    "encode_verdicts",
+    "encode_stored",
     "is_quarantine_report",
 ]
 
 KIND = "quarantine"
-MAX_VERDICT_BYTES = 500_000
+MAX_STORED_BYTES = 500_000
 MAX_ROWS = 10_000
 
 _STEP = "quarantine.decode"
@@ -109,6 +110,24 @@
         reports = frozenset(self.report(number) for number in _bounded(reports))
         return Verdict(self.parts(parts), max(0, idle_ms), reports)
 
+    def stored_crashes(self, row: Any, wall_ms: int) -> tuple[ReportedCrash, ...]:
+        """Decode the crash reports of a stored row; earlier builds store only the reports."""
+        _, _, numbers, *details = row
+        reports = [self.report(number) for number in _bounded(numbers)]
+        known = _bounded(details[0]) if details else [[wall_ms, [], [], False]] * len(reports)
+        return tuple(
+            ReportedCrash(
+                report,
+                max(0, wall_ms - int(broke_wall_ms)),
+                self.parts(known_sound),
+                self.parts(cleared),
+                bool(is_void),
+            )
+            for report, (broke_wall_ms, known_sound, cleared, is_void, *_) in zip(
+                reports, known, strict=True
+            )
+        )
+
     def _decode_report(self, row: Any) -> CrashReport:
         entry, run, request_id, server, started_wall_ms, suspects, tried, *_ = row
         return CrashReport(
@@ -203,35 +222,56 @@
     return PeerTrial(reader.parts(parts), None if server is None else ServerId(str(server)))
 
 
-def encode_verdicts(verdicts: Iterable[Verdict], wall_ms: int) -> bytes:
-    """Encode verdicts for the key-value service, without the oldest if they are too large.
+def encode_stored(stored: StoredQuarantine, wall_ms: int) -> bytes:
+    """Encode what the key-value service keeps, without the oldest if it is too large.
 
-    :param verdicts: verdicts to store
-    :param wall_ms: wall-clock time to which their idle time refers
+    :param stored: verdicts and crash reports
+    :param wall_ms: wall-clock time to which their ages refer
     """
-    kept = sorted(verdicts, key=lambda verdict: verdict.idle_ms)[:MAX_ROWS]
+    verdicts = sorted(stored.verdicts, key=lambda verdict: verdict.idle_ms)[:MAX_ROWS]
+    crashes = stored.crashes[:MAX_ROWS]
     while True:
         writer = _Writer()
-        rows = [writer.verdict(verdict, wall_ms - verdict.idle_ms) for verdict in kept]
+        rows = [writer.verdict(verdict, wall_ms - verdict.idle_ms) for verdict in verdicts]
+        if crashes:
+            # Without parts, as the row of a verdict that is not yet justified in earlier builds.
+            rows.append([[], wall_ms, *_stored_crash_columns(crashes, writer, wall_ms)])
         encoded = cbor2.dumps([writer.tables(), rows])
-        if len(encoded) <= MAX_VERDICT_BYTES:
+        if len(encoded) <= MAX_STORED_BYTES:
             return encoded
-        kept = kept[: len(kept) // 2]
+        if crashes:
+            crashes = crashes[: len(crashes) // 2]
+        else:
+            verdicts = verdicts[: len(verdicts) // 2]
+
+
+def _stored_crash_columns(
+    crashes: Iterable[ReportedCrash], writer: _Writer, wall_ms: int
+) -> tuple[list[int], list[Any]]:
+    rows = [_crash_row(crash, writer) for crash in crashes]
+    details = [[wall_ms - age_ms, *known] for _, age_ms, *known in rows]
+    return [number for number, *_ in rows], details
 
 
-def decode_verdicts(encoded: bytes, wall_ms: int) -> tuple[Verdict, ...]:
-    """Decode stored verdicts.
+def decode_stored(encoded: bytes, wall_ms: int) -> StoredQuarantine:
+    """Decode what the key-value service keeps.
 
     :param encoded: value of the key
     :param wall_ms: current wall-clock time
-    :raises ProtocolError: the value holds no valid verdicts
+    :raises ProtocolError: the value is not valid
     """
     try:
         (parts, reports), rows = cbor2.loads(encoded)
         reader = _Reader(parts, reports)
-        return tuple(reader.verdict(row, wall_ms=wall_ms) for row in _bounded(rows))
+        verdicts, crashes = [], []
+        for row in _bounded(rows):
+            if row[0]:
+                verdicts.append(reader.verdict(row, wall_ms=wall_ms))
+            else:
+                crashes += reader.stored_crashes(row, wall_ms)
+        return StoredQuarantine(tuple(verdicts), tuple(crashes))
     except _CONTENT_ERRORS as error:
-        raise ProtocolError(f"not a list of verdicts: {error}", step=_STEP) from error
+        raise ProtocolError(f"not a stored quarantine: {error}", step=_STEP) from error
 
 
 def _bounded(rows: Any) -> list[Any]:
--- a/bergamothill/process/quarantinegate.py
+++ b/bergamothill/process/quarantinegate.py
@@ -23,7 +23,7 @@
     QuarantineReport,
     QuarantineVerdict,
     RunEnd,
-    Verdict,
+    StoredQuarantine,
 )
 
 __all__ = ["QuarantineGate", "GatedRun"]
@@ -61,8 +61,8 @@
         self.on_change: Callable[[], None] = _do_nothing
         """Called when peers should get a report."""
 
-        self.on_verdicts: Callable[[tuple[Verdict, ...], int], None] = _ignore_verdicts
-        """Called with all verdicts to store, and with the time in which others may do so."""
+        self.on_store: Callable[[StoredQuarantine, int], None] = _ignore_stored
+        """Called with all that is to be stored, and with the time in which others may do so."""
 
         self.on_pause: Callable[[], None] = _do_nothing
         """Called after a pause of this process, in which it may have missed verdicts."""
@@ -147,13 +147,13 @@
         delay_ms = PEER_WRITE_DELAY_MS + random.randrange(PEER_WRITE_DELAY_MS)
         self._publish("peer", delay_ms)
 
-    def add_stored_verdicts(self, verdicts: Iterable[Verdict]) -> tuple[Verdict, ...]:
-        """Add the verdicts that were read from the store; return those to be stored."""
+    def add_stored(self, stored: StoredQuarantine) -> StoredQuarantine:
+        """Add what was read from the store; return what is to be stored."""
         self._has_read = self._has_read_since_pause = True
-        self._quarantine.add_verdicts(verdicts, self._clock.now_ms())
+        self._quarantine.add_stored(stored, self._clock.now_ms())
         self._publish("store", 0)
         self._wake_waiting()
-        return self._quarantine.verdicts(self._clock.now_ms())
+        return self._quarantine.to_store(self._clock.now_ms())
 
     @property
     def has_read(self) -> bool:
@@ -167,7 +167,7 @@
         self._checked_ms = now_ms
         self._publish("evidence", 0)
         if now_ms - self._stored_ms >= STORE_CHECK_INTERVAL_MS and self._verdicts:
-            self._store(self._quarantine.verdicts(now_ms), PEER_WRITE_DELAY_MS)
+            self._store(self._quarantine.to_store(now_ms), PEER_WRITE_DELAY_MS)
 
     def servers_under_trial(self, now_ms: int) -> frozenset[ServerId]:
         """Return the servers on which a trial is running."""
@@ -195,13 +195,13 @@
         quarantine = self._quarantine
         if (quarantine.report_revision, quarantine.verdict_revision) == self._revisions:
             return
-        verdicts = quarantine.verdicts(self._clock.now_ms())
+        to_store = quarantine.to_store(self._clock.now_ms())
         revisions = (quarantine.report_revision, quarantine.verdict_revision)
         must_store = revisions[1] != self._revisions[1]
         self._revisions = revisions
-        self._log_verdicts(frozenset(v.parts for v in verdicts if v.parts), source)
+        self._log_verdicts(frozenset(verdict.parts for verdict in to_store.verdicts), source)
         if must_store:
-            self._store(verdicts, delay_ms)
+            self._store(to_store, delay_ms)
         self._wake_waiting()
         self.on_change()
 
@@ -213,9 +213,9 @@
             _log.info("part_released", parts=_names(parts))
         self._verdicts = verdicts
 
-    def _store(self, verdicts: tuple[Verdict, ...], delay_ms: int) -> None:
+    def _store(self, stored: StoredQuarantine, delay_ms: int) -> None:
         self._stored_ms = self._clock.now_ms()
-        self.on_verdicts(verdicts, delay_ms)
+        self.on_store(stored, delay_ms)
 
     def _wake_waiting(self) -> None:
         changed, self._changed = self._changed, asyncio.Event()
@@ -283,5 +283,5 @@
     return
 
 
-def _ignore_verdicts(_verdicts: tuple[Verdict, ...], _delay_ms: int) -> None:
+def _ignore_stored(_stored: StoredQuarantine, _delay_ms: int) -> None:
     return
--- a/bergamothill/process/verdictstore.py
+++ b/bergamothill/process/verdictstore.py
@@ -1,21 +1,21 @@
-"""Keeps the verdicts on prompt parts in the key-value service, for instances that start later.
+"""Keeps verdicts and crash reports in the key-value service, for instances that start later.
 
-The service is called only when a verdict is new or long in use, and when verdicts may have been
-missed: at the start, after a pause of the process and after a restoration of the service.
+The service is called only when one is new or settled or a verdict is long in use, and when they may
+have been missed: at the start, after a pause of the process and after a restoration of the service.
 """
 
 from __future__ import annotations
 
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
+from dataclasses import replace
 
 from bergamothill.clock import Clock, ms_to_seconds
 from bergamothill.connection.kvs import ABSENT, KeyValueEntry, KeyValueService
 from bergamothill.errors import BergamothillError, ConflictError, ProtocolError
 from bergamothill.logs import EventLog
-from bergamothill.process.quarantinecodec import decode_verdicts, encode_verdicts
-from bergamothill.request.crashevidence import CrashReport
-from bergamothill.request.partquarantine import Verdict
+from bergamothill.process.quarantinecodec import decode_stored, encode_stored
+from bergamothill.request.partquarantine import ReportedCrash, StoredQuarantine, Verdict
 
 __all__ = ["VERDICTS_KEY", "VerdictStore"]
 
@@ -37,15 +37,15 @@
 
     :param kvs: key-value service
     :param clock: source of time
-    :param merge: called after each read with the stored verdicts, in the same thread; adds them to
-        those known here and returns what is to be stored
+    :param merge: called after each read with what is stored, in the same thread; adds it to what is
+        known here and returns what is to be stored
     """
 
     def __init__(
         self,
         kvs: KeyValueService,
         clock: Clock,
-        merge: Callable[[tuple[Verdict, ...]], tuple[Verdict, ...]],
+        merge: Callable[[StoredQuarantine], StoredQuarantine],
     ) -> None:
         self._kvs = kvs
         self._clock = clock
@@ -54,7 +54,7 @@
         self._is_read_requested = True
         self._write_due_ms: int | None = None
         self._must_replace = False
-        self._stored: tuple[Verdict, ...] = ()
+        self._stored = StoredQuarantine()
         self._stored_wall_ms = 0
         self._last_failure = ""
         self._wake = threading.Event()
@@ -81,22 +81,22 @@
     def handle_restore(self) -> None:
         """Read again, and write what is missing, as the service was restored from an old copy."""
         with self._lock:
-            self._stored = ()
+            self._stored = StoredQuarantine()
             self._is_read_requested = True
             self._write_due_ms = self._clock.now_ms()
         self._wake.set()
 
-    def record(self, verdicts: tuple[Verdict, ...], *, delay_ms: int, is_own: bool) -> None:
-        """Write the verdicts known here, if the service lacks any.
+    def record(self, known: StoredQuarantine, *, delay_ms: int, is_own: bool) -> None:
+        """Write what is known here, if the service lacks any of it.
 
-        :param verdicts: these verdicts
+        :param known: verdicts and crash reports
         :param delay_ms: time in which another entry instance may write them first
         :param is_own: whether they changed by evidence of this instance, which then also removes
             what it knows to be outdated
         """
         with self._lock:
-            must_replace = is_own and self._is_outdated(verdicts)
-            if not (must_replace or self._is_lacking(verdicts)):
+            must_replace = is_own and self._is_outdated(known)
+            if not (must_replace or self._is_lacking(known)):
                 return
             self._must_replace |= must_replace
             due_ms = self._clock.now_ms() + delay_ms
@@ -119,26 +119,22 @@
             self._last_failure = error.message
             return RETRY_MS
 
-    def _is_lacking(self, verdicts: Iterable[Verdict]) -> bool:
-        """Return whether the service lacks a verdict, a crash report, or a recent use."""
+    def _is_lacking(self, known: StoredQuarantine) -> bool:
+        """Return whether the service lacks a verdict, its recent use, or news of a crash."""
         passed_ms = self._clock.wall_ms() - self._stored_wall_ms
-        idle_ms = {verdict.parts: verdict.idle_ms + passed_ms for verdict in self._stored}
-        reports = _reports(self._stored)
-        return any(
+        idle_ms = {v.parts: v.idle_ms + passed_ms for v in self._stored.verdicts}
+        if any(
             idle_ms.get(verdict.parts, REFRESH_MS) - verdict.idle_ms >= REFRESH_MS
-            if verdict.parts
-            else not verdict.reports <= reports
-            for verdict in verdicts
-        )
-
-    def _is_outdated(self, verdicts: Iterable[Verdict]) -> bool:
-        """Return whether the service has a verdict or a crash report that does not hold here."""
-        parts = {verdict.parts for verdict in verdicts}
-        reports = _reports(verdicts)
-        return any(
-            verdict.parts not in parts if verdict.parts else not verdict.reports <= reports
-            for verdict in self._stored
-        )
+            for verdict in known.verdicts
+        ):
+            return True
+        stored = {row.report.report_id: row for row in self._stored.crashes}
+        return any(_is_news(row, stored.get(row.report.report_id)) for row in known.crashes)
+
+    def _is_outdated(self, known: StoredQuarantine) -> bool:
+        """Return whether the service has a verdict that does not hold here."""
+        parts = {verdict.parts for verdict in known.verdicts}
+        return any(verdict.parts not in parts for verdict in self._stored.verdicts)
 
     def _read_if_requested(self) -> None:
         with self._lock:
@@ -146,13 +142,13 @@
         if not is_requested:
             return
         try:
-            verdicts = self._decode(self._kvs.get(VERDICTS_KEY))
-            self._merge(verdicts)
+            stored = self._decode(self._kvs.get(VERDICTS_KEY))
+            self._merge(stored)
         except BergamothillError:
             with self._lock:
                 self._is_read_requested = True
             raise
-        _log.info("verdicts_read", count=len(verdicts))
+        _log.info("verdicts_read", count=len(stored.verdicts), crashes=len(stored.crashes))
 
     def _write_if_due(self) -> int:
         with self._lock:
@@ -163,36 +159,46 @@
             if wait_ms > 0:
                 return wait_ms
         entry = self._kvs.get(VERDICTS_KEY)
-        verdicts = self._merge(self._decode(entry))
+        known = self._merge(self._decode(entry))
         with self._lock:
-            must_replace = self._must_replace and self._is_outdated(verdicts)
-            must_write = must_replace or self._is_lacking(verdicts)
+            must_replace = self._must_replace and self._is_outdated(known)
+            must_write = must_replace or self._is_lacking(known)
         if must_write:
-            self._put(verdicts, ABSENT if entry is None else entry.mod_revision)
+            self._put(known, ABSENT if entry is None else entry.mod_revision)
         with self._lock:
             if self._write_due_ms == due_ms:
                 self._write_due_ms, self._must_replace = None, False
         return IDLE_WAIT_MS if self._write_due_ms is None else 0
 
-    def _put(self, verdicts: tuple[Verdict, ...], expected: int) -> None:
+    def _put(self, known: StoredQuarantine, expected: int) -> None:
         wall_ms = self._clock.wall_ms()
-        self._kvs.put_if(VERDICTS_KEY, encode_verdicts(verdicts, wall_ms), expected=expected)
+        self._kvs.put_if(VERDICTS_KEY, encode_stored(known, wall_ms), expected=expected)
         with self._lock:
-            self._stored, self._stored_wall_ms = verdicts, wall_ms
-        _log.info("verdicts_written", count=len(verdicts))
+            self._stored, self._stored_wall_ms = known, wall_ms
+        _log.info("verdicts_written", count=len(known.verdicts), crashes=len(known.crashes))
 
-    def _decode(self, entry: KeyValueEntry | None) -> tuple[Verdict, ...]:
+    def _decode(self, entry: KeyValueEntry | None) -> StoredQuarantine:
         """Decode what was read and remember it; an unreadable value counts as none."""
         wall_ms = self._clock.wall_ms()
         try:
-            verdicts = () if entry is None else decode_verdicts(entry.value, wall_ms)
+            stored = StoredQuarantine() if entry is None else decode_stored(entry.value, wall_ms)
         except ProtocolError as error:
             _log.warning("entry_unreadable", key=VERDICTS_KEY, error=error.message)
-            verdicts = ()
+            stored = StoredQuarantine()
         with self._lock:
-            self._stored, self._stored_wall_ms = verdicts, wall_ms
-        return tuple(verdict for verdict in verdicts if verdict.idle_ms <= STORED_TTL_MS)
+            self._stored, self._stored_wall_ms = stored, wall_ms
+        return replace(stored, verdicts=tuple(v for v in stored.verdicts if _is_recent(v)))
+
+
+def _is_recent(verdict: Verdict) -> bool:
+    return verdict.idle_ms <= STORED_TTL_MS
 
 
-def _reports(verdicts: Iterable[Verdict]) -> frozenset[CrashReport]:
-    return frozenset(report for verdict in verdicts for report in verdict.reports)
+def _is_news(row: ReportedCrash, stored: ReportedCrash | None) -> bool:
+    """Return whether the service should get a crash report.
+
+    :param stored: what it has of the report; None if it lacks it
+    """
+    if stored is None:
+        return not row.is_settled
+    return not stored.is_settled and row.has_more_than(stored)
--- a/bergamothill/request/crashevidence.py
+++ b/bergamothill/request/crashevidence.py
@@ -29,6 +29,7 @@
 
 MAX_REPORTS = 512
 MAX_SHARED = 256
+MAX_STORED = 128
 MAX_SHARED_CHARACTERS = 40_000
 
 SETTLED_SHARE_MS = 10_000
@@ -122,6 +123,19 @@
     cleared: frozenset[PartId] = frozenset()
     is_void: bool = False
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether no part is under suspicion because of this report."""
+        return self.is_void or self.report.suspects <= self.known_sound | self.cleared
+
+    def has_more_than(self, other: ReportedCrash) -> bool:
+        """Return whether more is known of the crash than another row of it tells."""
+        return (
+            self.is_void > other.is_void
+            or not self.known_sound <= other.known_sound
+            or not self.cleared <= other.cleared
+        )
+
 
 @dataclass(slots=True)
 class Crash:
@@ -131,6 +145,7 @@
     :param known_ms: time at which the report became known here
     :param known_order: position of that among the events here
     :param told_ms: time at which this instance last had something to add to what its peers know
+    :param is_stored: whether the key-value service may have the report
     """
 
     report: CrashReport
@@ -141,6 +156,7 @@
     known_sound: set[PartId] = field(default_factory=set)
     cleared: set[PartId] = field(default_factory=set)
     is_void: bool = False
+    is_stored: bool = False
 
     @property
     def is_settled(self) -> bool:
@@ -320,11 +336,6 @@
         """Return whether a report says that an answer with the part succeeded."""
         return any(part in crash.known_sound for crash in self._by_part.get(part, {}).values())
 
-    def suspects_on(self, server: ServerIncarnation) -> set[PartId]:
-        """Return the suspects of all reports on a server."""
-        crashes = self._by_server.get(server, {}).values()
-        return {part for crash in crashes for part in crash.report.suspects}
-
     def parts(self) -> list[PartId]:
         """Return all parts in reports."""
         return list(self._by_part)
@@ -351,6 +362,28 @@
                 rows.append(crash.row(now_ms))
         return tuple(rows)
 
+    def rows_to_store(self, now_ms: int) -> tuple[ReportedCrash, ...]:
+        """Return the reports that the key-value service should keep, the most important first.
+
+        These are the open ones, and what settled those that it may have as open ones.
+        """
+        self.expire(now_ms)
+        kept = [
+            crash for crash in self._crashes.values() if crash.is_stored or not crash.is_settled
+        ]
+        kept.sort(key=lambda crash: (crash.is_settled, -self._weight(crash), -crash.broke_ms))
+        for crash in kept[:MAX_STORED]:
+            crash.is_stored = True
+        return tuple(crash.row(now_ms) for crash in kept[:MAX_STORED])
+
+    def merge_stored(self, row: ReportedCrash, now_ms: int) -> bool:
+        """Merge a report that was read from the key-value service."""
+        is_new = self.merge(row, now_ms)
+        crash = self._crashes.get(row.report.report_id)
+        if crash is not None:
+            crash.is_stored = True
+        return is_new
+
     def _is_shared(self, crash: Crash, now_ms: int) -> bool:
         if crash.told_ms is not None and now_ms - crash.told_ms <= SETTLED_SHARE_MS:
             return True
--- a/bergamothill/request/partquarantine.py
+++ b/bergamothill/request/partquarantine.py
@@ -21,13 +21,12 @@
     RunNumber,
     ServerIncarnation,
 )
-from bergamothill.request.quarantinereport import QuarantineReport, Verdict
+from bergamothill.request.quarantinereport import QuarantineReport, StoredQuarantine, Verdict
 from bergamothill.request.soundparts import SoundParts
 from bergamothill.request.trialslots import PeerTrial, TrialSlots
 from bergamothill.request.verdictset import (
     CONVICT_AT,
     VerdictSet,
-    find_suspicion,
     find_verdict,
     is_sufficient,
 )
@@ -46,6 +45,7 @@
     "RunEnd",
     "RunNumber",
     "ServerIncarnation",
+    "StoredQuarantine",
     "Trial",
     "Unsuspected",
     "Verdict",
@@ -70,7 +70,6 @@
 """Length of an answer from which on its parts are known to be sound."""
 
 WAIT_FOR_CONFIRMATION_MS = 100
-MAX_STORED_SUSPICIONS = 32
 
 
 class RunEnd(Enum):
@@ -161,7 +160,7 @@
         """Increases when peers should get a report at once."""
 
         self.verdict_revision = 0
-        """Increases when the verdicts in the store should be written."""
+        """Increases when the store may have to be written."""
 
     def check(self, shared: frozenset[PartId], now_ms: int) -> QuarantineVerdict:
         """Return whether a request may be sent.
@@ -239,10 +238,9 @@
 
         :param sent_ms: time at which the request was sent
         """
-        stored = self._stored_suspects(self._evidence.suspects_on(server), now_ms)
         if self._evidence.void(server, sent_ms, now_ms):
             self.report_revision += 1
-            self.verdict_revision += stored != self._stored_suspects(stored, now_ms)
+            self.verdict_revision += 1
 
     def suspects(self, shared: frozenset[PartId], now_ms: int) -> frozenset[PartId]:
         """Return the parts of a request that are under suspicion."""
@@ -264,11 +262,14 @@
         for row in report.crashes:
             if self._evidence.merge(row, now_ms):
                 is_new = True
-                for part in row.report.suspects:
-                    if self._sound.contains(part, now_ms):
-                        self.report_revision += self._evidence.mark_sound(part, now_ms)
+                self._mark_sound_parts(row, now_ms)
         return self._merge_verdicts(report.verdicts, now_ms) or is_new
 
+    def _mark_sound_parts(self, row: ReportedCrash, now_ms: int) -> None:
+        for part in row.report.suspects:
+            if self._sound.contains(part, now_ms):
+                self.report_revision += self._evidence.mark_sound(part, now_ms)
+
     def report(self, now_ms: int) -> QuarantineReport:
         """Return a snapshot for the peers."""
         self._review_verdicts(now_ms)
@@ -282,26 +283,19 @@
             self._verdicts.rows(now_ms),
         )
 
-    def verdicts(self, now_ms: int) -> tuple[Verdict, ...]:
-        """Return the verdicts for the store, those in force and those not yet justified.
-
-        The latter keep the evidence of trials, so that it outlasts a restart of all instances.
-        """
+    def to_store(self, now_ms: int) -> StoredQuarantine:
+        """Return the verdicts in force and the crashes for the store."""
         self._review_verdicts(now_ms)
         self._convict(now_ms)
-        verdicts = self._verdicts.rows(now_ms)
-        convicted = {
-            part for verdict in verdicts if len(verdict.parts) == 1 for part in verdict.parts
-        }
-        suspects = sorted(self._stored_suspects(self._evidence.parts(), now_ms) - convicted)
-        return verdicts + tuple(
-            find_suspicion(self._evidence, part) for part in suspects[:MAX_STORED_SUSPICIONS]
-        )
+        return StoredQuarantine(self._verdicts.rows(now_ms), self._evidence.rows_to_store(now_ms))
 
-    def add_verdicts(self, verdicts: Iterable[Verdict], now_ms: int) -> bool:
-        """Add verdicts from the store; return whether any tells something new."""
+    def add_stored(self, stored: StoredQuarantine, now_ms: int) -> bool:
+        """Add what was read from the store; return whether it tells something new."""
         revision = self.verdict_revision
-        is_new = self._merge_verdicts(verdicts, now_ms)
+        merged = [self._evidence.merge_stored(row, now_ms) for row in stored.crashes]
+        is_new = self._merge_verdicts(stored.verdicts, now_ms) or any(merged)
+        for row in stored.crashes:
+            self._mark_sound_parts(row, now_ms)
         self.verdict_revision = revision
         return is_new
 
@@ -401,19 +395,9 @@
         report_id = ReportId(self._entry, run)
         report = CrashReport(report_id, state.request_id, state.server, state.parts, state.tried)
         is_new = self._evidence.add(report, known_sound, now_ms)
-        self.verdict_revision += bool(self._stored_suspects(state.tried, now_ms))
+        self.verdict_revision += is_new
         return is_new
 
-    def _stored_suspects(self, parts: Iterable[PartId], now_ms: int) -> set[PartId]:
-        """Return the parts of which the store should know: those that failed in a trial, too."""
-        return {
-            part
-            for part in parts
-            if self._crash_count(part) >= LONE_TRIAL_AT
-            and any(part in crash.report.tried for crash in self._evidence.against(part))
-            and not self._is_sound(part, now_ms)
-        }
-
     def _record_sound(self, run: RunNumber, state: _Run, now_ms: int) -> None:
         state.is_sound = True
         self.report_revision += self._slots.end(run)
@@ -422,13 +406,12 @@
     def _clear_parts(self, state: _Run, parts: Collection[PartId], now_ms: int) -> None:
         """Record that a server ran a request with these parts and did not crash."""
         has_changed = False
-        stored = self._stored_suspects(parts, now_ms)
         for part in parts:
             self._sound.record(part, now_ms)
             has_changed |= self._evidence.mark_sound(part, now_ms)
             has_changed |= self._evidence.clear(part, state.began_order, now_ms)
         self.report_revision += has_changed
-        self.verdict_revision += stored != self._stored_suspects(stored, now_ms)
+        self.verdict_revision += has_changed
 
 
 def _is_well_begun(state: _Run, now_ms: int) -> bool:
--- a/bergamothill/request/quarantinereport.py
+++ b/bergamothill/request/quarantinereport.py
@@ -8,7 +8,7 @@
 from bergamothill.request.crashevidence import CrashReport, PartId, ReportedCrash
 from bergamothill.request.trialslots import PeerTrial
 
-__all__ = ["QuarantineReport", "Verdict"]
+__all__ = ["QuarantineReport", "StoredQuarantine", "Verdict"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,6 +25,18 @@
     reports: frozenset[CrashReport] = frozenset()
 
 
+@dataclass(frozen=True, slots=True)
+class StoredQuarantine:
+    """What the key-value service keeps, so that it outlasts a restart of all instances.
+
+    :param verdicts: convicted parts
+    :param crashes: crash reports with all that is known about them
+    """
+
+    verdicts: tuple[Verdict, ...] = ()
+    crashes: tuple[ReportedCrash, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class QuarantineReport:
     """Snapshot of what one entry instance knows.
--- a/bergamothill/request/verdictset.py
+++ b/bergamothill/request/verdictset.py
@@ -16,7 +16,7 @@
 )
 from bergamothill.request.quarantinereport import Verdict
 
-__all__ = ["CONVICT_AT", "VerdictSet", "find_suspicion", "find_verdict", "is_sufficient"]
+__all__ = ["CONVICT_AT", "VerdictSet", "find_verdict", "is_sufficient"]
 
 IDLE_TTL_MS = 600_000
 MAX_VERDICTS = 128
@@ -155,11 +155,6 @@
     return not part.is_request or _request_count(evidence.against(part)) >= MIN_REQUESTS
 
 
-def find_suspicion(evidence: CrashEvidence, part: PartId) -> Verdict:
-    """Return the reports against a part as a verdict on no parts, which is never in force."""
-    return Verdict(frozenset(), 0, _strongest_reports(evidence, evidence.against(part), part))
-
-
 def is_sufficient(evidence: CrashEvidence, part: PartId, is_sound: IsSound) -> bool:
     """Return whether the evidence against a part justifies a verdict, with all that is known."""
     return _is_sufficient(evidence, evidence.all_against(part), part, is_sound(part))
--- a/tests/proof/crashingworld.py
+++ b/tests/proof/crashingworld.py
@@ -11,6 +11,7 @@
     Quarantined,
     RunEnd,
     ServerIncarnation,
+    StoredQuarantine,
     Trial,
 )
 
@@ -93,7 +94,7 @@
         self._count = 0
         self.loss = 0.0
         self.max_delay_ms = 3
-        self.stored = ()
+        self.stored = StoredQuarantine()
         self.servers = {name: Server(name) for name in SERVERS}
         self.entries = {name: Entry(name) for name in ENTRIES}
         for entry in self.entries.values():
@@ -158,7 +159,7 @@
             action()
 
     def read_store(self, entry):
-        entry.quarantine.add_verdicts(self.stored, self.now_ms)
+        entry.quarantine.add_stored(self.stored, self.now_ms)
 
     def after_action(self, entry):
         """Tell peers of changes, and write verdicts to the store."""
@@ -172,7 +173,7 @@
 
     def write(self, entry):
         self.read_store(entry)
-        self.stored = entry.quarantine.verdicts(self.now_ms)
+        self.stored = entry.quarantine.to_store(self.now_ms)
 
     def exchange_tick(self, entry):
         since_change_ms = self.now_ms - entry.changed_ms
--- a/tests/proof/proof_crashingparts.py
+++ b/tests/proof/proof_crashingparts.py
@@ -311,7 +311,7 @@
         self.world.run_for(10)
 
     def undecided(self):
-        verdicts = self.world.stored
+        verdicts = self.world.stored.verdicts
         singles = {part for v in verdicts if len(v.parts) == 1 for part in v.parts}
         return any(count and part not in singles for part, count in self.crash_count.items())
 
--- a/tests/test_partquarantine.py
+++ b/tests/test_partquarantine.py
@@ -321,9 +321,9 @@
     def test_verdicts_outlast_a_restart_of_all_instances(self) -> None:
         fleet = Fleet()
         fleet.convict("a")
-        stored = fleet.entries[0].verdicts(fleet.now_ms)
+        stored = fleet.entries[0].to_store(fleet.now_ms)
         fleet.entries = [fleet.new_entry(0)]
-        self.assertTrue(fleet.entries[0].add_verdicts(stored, fleet.now_ms))
+        self.assertTrue(fleet.entries[0].add_stored(stored, fleet.now_ms))
         self.assertIsInstance(fleet.check("a"), Quarantined)
 
     def test_crashes_in_trials_outlast_a_restart_of_all_instances(self) -> None:
@@ -332,21 +332,44 @@
         revision = fleet.entries[0].verdict_revision
         fleet.crash_in_trial("a")
         self.assertGreater(fleet.entries[0].verdict_revision, revision)
-        stored = fleet.entries[0].verdicts(fleet.now_ms)
+        stored = fleet.entries[0].to_store(fleet.now_ms)
         fleet.entries = [fleet.new_entry(0)]
-        fleet.entries[0].add_verdicts(stored, fleet.now_ms)
+        fleet.entries[0].add_stored(stored, fleet.now_ms)
         fleet.crash_in_trial("a")
         fleet.now_ms += CONFIRM_MS
         self.assertIsInstance(fleet.check("a"), Quarantined)
 
-    def test_cleared_parts_leave_the_store(self) -> None:
+    def test_crashes_outside_of_trials_outlast_a_restart_of_all_instances(self) -> None:
+        fleet = Fleet()
+        for _ in range(2):
+            revision = fleet.entries[0].verdict_revision
+            fleet.crash("a")
+            self.assertGreater(fleet.entries[0].verdict_revision, revision)
+            stored = fleet.entries[0].to_store(fleet.now_ms)
+            fleet.entries = [fleet.new_entry(0)]
+            fleet.entries[0].add_stored(stored, fleet.now_ms)
+        self.assertEqual(Trial(part_ids("a"), needs_lone_server=True), fleet.check_for_trial("a"))
+
+    def test_cleared_parts_are_no_suspects_after_a_restart_of_all_instances(self) -> None:
         fleet = Fleet()
         fleet.crash("a")
         fleet.crash_in_trial("a")
+        before = fleet.entries[0].to_store(fleet.now_ms)
         revision = fleet.entries[0].verdict_revision
         fleet.answer("a", trial=fleet.check_for_trial("a"))
         self.assertGreater(fleet.entries[0].verdict_revision, revision)
-        self.assertEqual((), fleet.entries[0].verdicts(fleet.now_ms))
+        stored = fleet.entries[0].to_store(fleet.now_ms)
+        cut_off, fleet.entries[0] = fleet.new_entry(1), fleet.new_entry(0)
+        cut_off.add_stored(before, fleet.now_ms)
+        cut_off.add_stored(stored, fleet.now_ms)
+        fleet.entries[0].add_stored(cut_off.to_store(fleet.now_ms), fleet.now_ms)
+        self.assertEqual(Unsuspected(), fleet.check("a"))
+
+    def test_a_crash_that_was_settled_at_once_is_not_stored(self) -> None:
+        fleet = Fleet()
+        fleet.answer("a")
+        fleet.crash("a")
+        self.assertEqual((), fleet.entries[0].to_store(fleet.now_ms).crashes)
 
     def test_a_verdict_lasts_while_requests_come_and_ends_after_long_disuse(self) -> None:
         fleet = Fleet()
--- a/tests/test_quarantinecodec.py
+++ b/tests/test_quarantinecodec.py
@@ -1,7 +1,9 @@
 """Tests of the CBOR form of quarantine reports and of stored verdicts."""
 
 import unittest
+from dataclasses import replace
 
+import cbor2
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -9,11 +11,11 @@
 from bergamothill.errors import ProtocolError
 from bergamothill.process.loadreport import LoadReport, ServerLoad, decode_report, encode_report
 from bergamothill.process.quarantinecodec import (
-    MAX_VERDICT_BYTES,
+    MAX_STORED_BYTES,
     decode_quarantine_report,
-    decode_verdicts,
+    decode_stored,
     encode_quarantine_report,
-    encode_verdicts,
+    encode_stored,
     is_quarantine_report,
 )
 from bergamothill.request.crashevidence import CrashReport, PartId, ReportId, ServerIncarnation
@@ -21,6 +23,7 @@
     PeerTrial,
     QuarantineReport,
     ReportedCrash,
+    StoredQuarantine,
     Verdict,
 )
 
@@ -95,27 +98,47 @@
         self.assertLessEqual(len(encoded), MAX_DATAGRAM_BYTES)
 
 
-class StoredVerdictsTest(unittest.TestCase):
-    def test_idle_time_goes_on_while_stored(self):
-        reports = frozenset({crash_report(3), crash_report(5)})
-        encoded = encode_verdicts([Verdict(parts("a"), 40, reports)], WALL_MS)
-        self.assertEqual(
-            (Verdict(parts("a"), 1_040, reports),), decode_verdicts(encoded, WALL_MS + 1_000)
-        )
+class StoredQuarantineTest(unittest.TestCase):
+    def decode(self, stored, passed_ms=0):
+        return decode_stored(encode_stored(stored, WALL_MS), WALL_MS + passed_ms)
 
-    def test_a_reader_whose_clock_is_behind_takes_a_verdict_as_just_used(self):
-        encoded = encode_verdicts([Verdict(parts("a"), 0)], WALL_MS)
-        self.assertEqual((Verdict(parts("a"), 0),), decode_verdicts(encoded, WALL_MS - 9_000))
+    def test_round_trip(self):
+        verdict = Verdict(parts("a"), 40, frozenset({crash_report(3), crash_report(5)}))
+        void = replace(crash(2), is_void=True)
+        stored = StoredQuarantine((verdict,), (crash(), void))
+        self.assertEqual(stored, self.decode(stored))
+
+    def test_idle_time_and_age_go_on_while_stored(self):
+        found = self.decode(StoredQuarantine((Verdict(parts("a"), 40),), (crash(),)), 1_000)
+        self.assertEqual((1_040, 1_100), (found.verdicts[0].idle_ms, found.crashes[0].age_ms))
+
+    def test_a_reader_whose_clock_is_behind_takes_all_as_new(self):
+        found = self.decode(StoredQuarantine((Verdict(parts("a"), 0),), (crash(),)), -9_000)
+        self.assertEqual((0, 0), (found.verdicts[0].idle_ms, found.crashes[0].age_ms))
 
     def test_the_stored_value_is_bounded(self):
-        verdicts = [Verdict(parts(f"{n}" * 100), n) for n in range(9_000)]
-        encoded = encode_verdicts(verdicts, WALL_MS)
-        self.assertLessEqual(len(encoded), MAX_VERDICT_BYTES)
-        self.assertIn(verdicts[0], decode_verdicts(encoded, WALL_MS))
+        verdicts = tuple(Verdict(parts(f"{n}" * 100), n) for n in range(9_000))
+        crashes = tuple(crash(n, suspects=(f"{n:x}" * 200,)) for n in range(2_000))
+        encoded = encode_stored(StoredQuarantine(verdicts, crashes), WALL_MS)
+        self.assertLessEqual(len(encoded), MAX_STORED_BYTES)
+        self.assertIn(verdicts[0], decode_stored(encoded, WALL_MS).verdicts)
+
+    def test_reports_that_an_earlier_build_stored_are_read(self):
+        report_row = ["e1", 1, "r1", "s1", 1_700_000_000_000, [0, 1], [0]]
+        encoded = cbor2.dumps([[[["m1", "a"], ["m1", "b"]], [report_row]], [[[], WALL_MS, [0]]]])
+        expected = ReportedCrash(crash_report(), age_ms=0)
+        self.assertEqual((expected,), decode_stored(encoded, WALL_MS).crashes)
+
+    def test_an_earlier_build_reads_the_reports_as_a_verdict_on_no_parts(self):
+        encoded = encode_stored(StoredQuarantine((), (crash(),)), WALL_MS)
+        _, ((row_parts, time_ms, reports, *_),) = cbor2.loads(encoded)
+        self.assertEqual(([], WALL_MS, [0]), (row_parts, time_ms, reports))
 
     @given(st.binary(max_size=60))
-    def test_invalid_values_raise_only_protocol_errors(self, encoded):
-        try:
-            decode_verdicts(encoded, WALL_MS)
-        except ProtocolError:
-            return
+    def test_invalid_values_raise_only_protocol_errors(self, tail):
+        encoded = encode_stored(StoredQuarantine((), (crash(),)), WALL_MS)
+        for value in (tail, encoded[:12] + tail, encoded[: len(encoded) - len(tail)] + tail):
+            try:
+                decode_stored(value, WALL_MS)
+            except ProtocolError:
+                continue
--- a/tests/test_quarantineexchange.py
+++ b/tests/test_quarantineexchange.py
@@ -11,7 +11,7 @@
 from bergamothill.process.registry import Peer
 from bergamothill.process.reportschedule import ReportSchedule
 from bergamothill.request.crashevidence import PartId
-from bergamothill.request.partquarantine import PartQuarantine, Verdict
+from bergamothill.request.partquarantine import PartQuarantine, StoredQuarantine, Verdict
 from scripts.processes import free_ports
 from tests.builders import server_pool
 
@@ -76,10 +76,10 @@
                 await asyncio.sleep(0.01)
 
     def verdicts(self, number):
-        return self.quarantines[number].verdicts(self.clock.now_ms())
+        return self.quarantines[number].to_store(self.clock.now_ms()).verdicts
 
     async def test_a_verdict_reaches_the_peer(self):
-        self.quarantines[0].add_verdicts([VERDICT], self.clock.now_ms())
+        self.quarantines[0].add_stored(StoredQuarantine((VERDICT,)), self.clock.now_ms())
         self.exchanges[0].wake()
         await self.await_true(lambda: self.verdicts(1))
         self.assertEqual(VERDICT.parts, self.verdicts(1)[0].parts)
@@ -91,6 +91,6 @@
         to = [(HOST, self.peers[1].port)]
         sender.send(b"\x87\x6aquarantine\xff", to)
         sender.send(encode_report(LoadReport("e9", 1, {"s1": ServerLoad(3, 2, 1)})), to)
-        self.quarantines[0].add_verdicts([VERDICT], self.clock.now_ms())
+        self.quarantines[0].add_stored(StoredQuarantine((VERDICT,)), self.clock.now_ms())
         await self.await_true(lambda: self.verdicts(1))
         await self.await_true(lambda: self.loads[1].load_on("s1").in_progress == 3)
--- a/tests/test_quarantinesteps.py
+++ b/tests/test_quarantinesteps.py
@@ -7,7 +7,7 @@
 from bergamothill.connection.backendhttp import ExchangeEnd, ExchangeResult
 from bergamothill.process.quarantinesteps import classify_run_end
 from bergamothill.request.crashevidence import PartId
-from bergamothill.request.partquarantine import RunEnd, Verdict
+from bergamothill.request.partquarantine import RunEnd, StoredQuarantine, Verdict
 from tests.builders import await_true
 from tests.gatewayworld import (
     PROMPT_HEADERS,
@@ -139,7 +139,7 @@
 
         def convict_while_connecting(send_request, send, now_ms):
             run = begin_run(send_request, send, now_ms)
-            gate.add_stored_verdicts([VERDICT])
+            gate.add_stored(StoredQuarantine((VERDICT,)))
             return run
 
         begin_run, gate.begin_run = gate.begin_run, convict_while_connecting
@@ -150,7 +150,7 @@
         world = self.world(engines=[replies(WHOLE_STREAM)])
         gate = world.gateway._gate
         gate.record_check()
-        gate.on_pause = lambda: gate.add_stored_verdicts([VERDICT])
+        gate.on_pause = lambda: gate.add_stored(StoredQuarantine((VERDICT,)))
         world.clock.advance_ms(4_000)
         self.assertIn(b" 503 ", self.ask(world))
         self.assertEqual([], self.sent())
--- a/tests/test_verdictstore.py
+++ b/tests/test_verdictstore.py
@@ -5,24 +5,35 @@
 from bergamothill.clock import ManualClock
 from bergamothill.connection.kvs import ABSENT
 from bergamothill.errors import UnavailableError
-from bergamothill.process.quarantinecodec import decode_verdicts, encode_verdicts
+from bergamothill.process.quarantinecodec import decode_stored, encode_stored
 from bergamothill.process.verdictstore import REFRESH_MS, VERDICTS_KEY, VerdictStore
 from bergamothill.request.crashevidence import CrashReport, PartId, ReportId, ServerIncarnation
-from bergamothill.request.partquarantine import Verdict
+from bergamothill.request.partquarantine import ReportedCrash, StoredQuarantine, Verdict
 from tests.builders import RestorableStore, StoreClient, WriteFault
 
 STEPS = 5
+NOTHING = StoredQuarantine()
 
 
 def parts(*names):
     return frozenset(PartId("m1", name) for name in names)
 
 
-class KnownVerdicts:
-    """Verdicts known to one instance."""
+def stored_verdicts(*names):
+    return StoredQuarantine(tuple(Verdict(parts(name), 0) for name in names))
+
+
+def crash(number=1, **known):
+    report_id, server = ReportId("e1", number), ServerIncarnation("s1", 1)
+    return ReportedCrash(CrashReport(report_id, "r1", server, parts("a"), parts("a")), 0, **known)
+
+
+class KnownQuarantine:
+    """Verdicts and crashes known to one instance."""
 
     def __init__(self):
         self.by_parts = {}
+        self.crashes = ()
         self.reads = []
 
     def add(self, *verdicts):
@@ -30,11 +41,11 @@
             self.by_parts[(verdict.parts, verdict.reports)] = verdict
 
     def rows(self):
-        return tuple(self.by_parts.values())
+        return StoredQuarantine(tuple(self.by_parts.values()), self.crashes)
 
-    def merge(self, verdicts):
-        self.reads.append(verdicts)
-        for verdict in verdicts:
+    def merge(self, stored):
+        self.reads.append(stored)
+        for verdict in stored.verdicts:
             self.by_parts.setdefault((verdict.parts, verdict.reports), verdict)
         return self.rows()
 
@@ -47,7 +58,7 @@
         self.reads = self.store.known.reads
 
     def new_store(self):
-        client, known = StoreClient(self.kvs), KnownVerdicts()
+        client, known = StoreClient(self.kvs), KnownQuarantine()
         store = VerdictStore(client, self.clock, known.merge)
         store.known = known
         client.era.add_listener(lambda era: store.handle_restore())
@@ -59,7 +70,9 @@
 
     def stored(self):
         entry = self.kvs.peek(VERDICTS_KEY)
-        verdicts = () if entry is None else decode_verdicts(entry.value, self.clock.wall_ms())
+        if entry is None:
+            return {}
+        verdicts = decode_stored(entry.value, self.clock.wall_ms()).verdicts
         return {verdict.parts: verdict.idle_ms for verdict in verdicts}
 
     def record(self, *names, store=None, delay_ms=0):
@@ -68,10 +81,10 @@
         store.record(store.known.rows(), delay_ms=delay_ms, is_own=delay_ms == 0)
 
     def test_the_verdicts_are_read_at_the_start_and_not_again_without_need(self):
-        value = encode_verdicts([Verdict(parts("a"), 0)], self.clock.wall_ms())
+        value = encode_stored(stored_verdicts("a"), self.clock.wall_ms())
         self.kvs.put_if(VERDICTS_KEY, value, expected=ABSENT)
         self.run_steps()
-        self.assertEqual([(Verdict(parts("a"), 0),)], self.reads)
+        self.assertEqual([stored_verdicts("a")], self.reads)
         self.store.request_read()
         self.run_steps()
         self.assertEqual(2, len(self.reads))
@@ -81,7 +94,7 @@
         self.kvs.put_if(VERDICTS_KEY, b"\xff", expected=ABSENT)
         self.store.request_read()
         self.run_steps()
-        self.assertEqual([(), ()], self.reads)
+        self.assertEqual([NOTHING, NOTHING], self.reads)
 
     def test_a_failed_read_is_repeated_until_it_succeeds(self):
         self.kvs.is_down = True
@@ -89,7 +102,7 @@
         self.assertEqual([], self.reads)
         self.kvs.is_down = False
         self.run_steps()
-        self.assertEqual([()], self.reads)
+        self.assertEqual([NOTHING], self.reads)
 
     def test_verdicts_of_two_instances_are_merged(self):
         other = self.new_store()
@@ -102,7 +115,7 @@
     def test_a_conflicting_write_is_made_again(self):
         self.run_steps()
         get = self.kvs.get
-        value = encode_verdicts([Verdict(parts("b"), 0)], self.clock.wall_ms())
+        value = encode_stored(stored_verdicts("b"), self.clock.wall_ms())
 
         def get_before_another_write(key):
             entry, self.kvs.get = get(key), get
@@ -162,13 +175,13 @@
         self.clock.advance_ms(3 * REFRESH_MS)
         other = self.new_store()
         self.run_steps(other)
-        self.assertEqual([()], other.known.reads)
+        self.assertEqual([NOTHING], other.known.reads)
 
     def test_what_this_instance_no_longer_suspects_is_replaced(self):
         self.record("a")
         self.run_steps()
-        self.store._merge = lambda verdicts: ()
-        self.store.record((), delay_ms=0, is_own=True)
+        self.store._merge = lambda stored: NOTHING
+        self.store.record(NOTHING, delay_ms=0, is_own=True)
         self.run_steps()
         self.assertEqual({}, self.stored())
 
@@ -176,34 +189,44 @@
         self.record("a")
         self.run_steps()
         revision = self.kvs.peek(VERDICTS_KEY).mod_revision
-        server = ServerIncarnation("s1", 1)
-        report = CrashReport(ReportId("e1", 1), "r1", server, parts("a"), parts("a"))
-        verdict = Verdict(parts("a"), 0, frozenset({report}))
-        self.store._merge = lambda verdicts: (verdict,)
-        self.store.record((verdict,), delay_ms=0, is_own=True)
+        known = StoredQuarantine((Verdict(parts("a"), 0, frozenset({crash().report})),))
+        self.store._merge = lambda stored: known
+        self.store.record(known, delay_ms=0, is_own=True)
         self.run_steps()
         self.assertEqual(revision, self.kvs.peek(VERDICTS_KEY).mod_revision)
 
-    def test_reports_that_are_no_verdict_yet_are_stored_and_read(self):
-        report = CrashReport(
-            ReportId("e1", 1), "r1", ServerIncarnation("s1", 1), parts("a"), parts("a")
-        )
-        suspicion = Verdict(frozenset(), 0, frozenset({report}))
-        self.store.known.add(suspicion)
-        self.store.record((suspicion,), delay_ms=2_000, is_own=False)
-        self.run_steps()
+    def record_crash(self, row, store=None):
+        store = store or self.store
+        store.known.crashes = (row,)
+        store.record(store.known.rows(), delay_ms=0, is_own=True)
+        self.run_steps(store)
+        entry = self.kvs.peek(VERDICTS_KEY)
+        return () if entry is None else decode_stored(entry.value, self.clock.wall_ms()).crashes
+
+    def test_crashes_that_are_no_verdict_yet_are_stored_and_read(self):
+        self.record_crash(crash())
         other = self.new_store()
         self.run_steps(other, steps=1)
-        self.assertEqual(frozenset({report}), other.known.reads[0][0].reports)
+        self.assertEqual(crash().report, other.known.reads[0].crashes[0].report)
+
+    def test_what_settles_a_stored_crash_is_stored_once(self):
+        self.assertFalse(self.record_crash(crash())[0].is_settled)
+        self.assertTrue(self.record_crash(crash(cleared=parts("a")))[0].is_settled)
+        revision = self.kvs.peek(VERDICTS_KEY).mod_revision
+        self.record_crash(crash(cleared=parts("a"), is_void=True))
+        self.assertEqual(revision, self.kvs.peek(VERDICTS_KEY).mod_revision)
+
+    def test_a_crash_that_is_settled_before_it_is_stored_causes_no_write(self):
+        self.assertEqual((), self.record_crash(crash(is_void=True)))
 
     def test_a_busy_event_loop_only_delays_the_read(self):
         merge = self.store._merge
 
-        def fail(verdicts):
+        def fail(stored):
             raise UnavailableError("busy", step="quarantine.merge")
 
         self.store._merge = fail
         self.run_steps()
         self.store._merge = merge
         self.run_steps()
-        self.assertEqual([()], self.reads)
+        self.assertEqual([NOTHING], self.reads)
