Prepare what is to be stored of the quarantine once for all changes of a moment

A server that crashes ends many requests at once, and each end sorted all crash reports for the store: 121 ms for 20 requests with 400 open reports (trial of the state machine). The gate now notes that a write is due and prepares it with the next check, which each change wakes; and parts in fewer reports than a verdict needs are not looked at for one.

Measured (same trial): 29 ms for the 20 requests, 4 ms for what is stored, once. The tests of the quarantine (59 of them) pass.

--- a/bergamothill/process/quarantinegate.py
+++ b/bergamothill/process/quarantinegate.py
@@ -78,6 +78,7 @@
         self._has_read = False
         self._has_read_since_pause = False
         self._stored_ms = clock.now_ms()
+        self._store_delay_ms: int | None = None
 
     # Requests.
 
@@ -166,8 +167,13 @@
         self._is_catching_up(now_ms)
         self._checked_ms = now_ms
         self._publish("evidence", 0)
-        if now_ms - self._stored_ms >= STORE_CHECK_INTERVAL_MS and self._verdicts:
-            self._store(self._quarantine.to_store(now_ms), PEER_WRITE_DELAY_MS)
+        is_check_due = now_ms - self._stored_ms >= STORE_CHECK_INTERVAL_MS and self._verdicts
+        if is_check_due and self._store_delay_ms is None:
+            self._store_delay_ms = PEER_WRITE_DELAY_MS
+        if self._store_delay_ms is not None:
+            delay_ms, self._store_delay_ms = self._store_delay_ms, None
+            self._stored_ms = now_ms
+            self.on_store(self._quarantine.to_store(now_ms), delay_ms)
 
     def servers_under_trial(self, now_ms: int) -> frozenset[ServerId]:
         """Return the servers on which a trial is running."""
@@ -195,13 +201,13 @@
         quarantine = self._quarantine
         if (quarantine.report_revision, quarantine.verdict_revision) == self._revisions:
             return
-        to_store = quarantine.to_store(self._clock.now_ms())
+        verdicts = quarantine.verdicts(self._clock.now_ms())
         revisions = (quarantine.report_revision, quarantine.verdict_revision)
-        must_store = revisions[1] != self._revisions[1]
+        if revisions[1] != self._revisions[1]:
+            due_ms = delay_ms if self._store_delay_ms is None else self._store_delay_ms
+            self._store_delay_ms = min(delay_ms, due_ms)
         self._revisions = revisions
-        self._log_verdicts(frozenset(verdict.parts for verdict in to_store.verdicts), source)
-        if must_store:
-            self._store(to_store, delay_ms)
+        self._log_verdicts(frozenset(verdict.parts for verdict in verdicts), source)
         self._wake_waiting()
         self.on_change()
 
@@ -213,10 +219,6 @@
             _log.info("part_released", parts=_names(parts))
         self._verdicts = verdicts
 
-    def _store(self, stored: StoredQuarantine, delay_ms: int) -> None:
-        self._stored_ms = self._clock.now_ms()
-        self.on_store(stored, delay_ms)
-
     def _wake_waiting(self) -> None:
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
--- a/bergamothill/request/crashevidence.py
+++ b/bergamothill/request/crashevidence.py
@@ -336,9 +336,9 @@
         """Return whether a report says that an answer with the part succeeded."""
         return any(part in crash.known_sound for crash in self._by_part.get(part, {}).values())
 
-    def parts(self) -> list[PartId]:
-        """Return all parts in reports."""
-        return list(self._by_part)
+    def parts(self, *, min_reports: int) -> list[PartId]:
+        """Return the parts that are in at least so many reports."""
+        return [part for part, reports in self._by_part.items() if len(reports) >= min_reports]
 
     def __len__(self) -> int:
         """Return the number of reports."""
--- a/bergamothill/request/partquarantine.py
+++ b/bergamothill/request/partquarantine.py
@@ -283,11 +283,15 @@
             self._verdicts.rows(now_ms),
         )
 
-    def to_store(self, now_ms: int) -> StoredQuarantine:
-        """Return the verdicts in force and the crashes for the store."""
+    def verdicts(self, now_ms: int) -> tuple[Verdict, ...]:
+        """Return the verdicts in force."""
         self._review_verdicts(now_ms)
         self._convict(now_ms)
-        return StoredQuarantine(self._verdicts.rows(now_ms), self._evidence.rows_to_store(now_ms))
+        return self._verdicts.rows(now_ms)
+
+    def to_store(self, now_ms: int) -> StoredQuarantine:
+        """Return the verdicts in force and the crashes for the store."""
+        return StoredQuarantine(self.verdicts(now_ms), self._evidence.rows_to_store(now_ms))
 
     def add_stored(self, stored: StoredQuarantine, now_ms: int) -> bool:
         """Add what was read from the store; return whether it tells something new."""
@@ -347,7 +351,11 @@
 
     def _convict(self, now_ms: int) -> None:
         """Reach verdicts on the parts with most crashes first; they may explain those of others."""
-        parts = [part for part in self._evidence.parts() if self._crash_count(part) >= CONVICT_AT]
+        parts = [
+            part
+            for part in self._evidence.parts(min_reports=CONVICT_AT)
+            if self._crash_count(part) >= CONVICT_AT
+        ]
         parts.sort(key=lambda part: (-self._crash_count(part), part))
         for part in parts:
             verdict = self._justified(part, now_ms, now_ms - CONFIRM_MS)
