--- a/scripts/ablate.py
+++ b/scripts/ablate.py
@@ -66,7 +66,7 @@
     "no-line": (
         Replacement(
             REQUEST_RUN,
-            "        if queue.requests.enqueue(waiting, started_ms):\n",
+            "        if queue.requests.enqueue(waiting, started_ms, wait.rate):\n",
             "        if False:\n",
         ),
     ),
