--- a/tests/proof/proof_crashingparts.py
+++ b/tests/proof/proof_crashingparts.py
@@ -22,7 +22,6 @@
 CRASHERS = ("x1", "x2")
 COMMON = ("p0", "p1", "p2", "p3")
 RARE = tuple(f"q{number}" for number in range(12))
-CRASHES = 5
 STABILITY_WINDOW_MS = 3_000
 MAX_SENT_AFTER = 3
 CALM_MS = 1_000
@@ -69,13 +68,16 @@
     same goes for crashes that nobody in touch saw, and for the first ones, outside of trials.
     """
 
+    crasher_ids = CRASHER_IDS
+    counted_crashes = 5
+
     @initialize(seed=st.integers(0, 1_000_000))
     def begin(self, seed):
         self.rng = random.Random(seed)
         subject = PartQuarantine if self.mechanism_enabled else NoQuarantine
-        self.crash_count = dict.fromkeys(CRASHER_IDS, 0)
-        self.fifth_ms = {}
-        self.sent_after = dict.fromkeys(CRASHER_IDS, 0)
+        self.crash_count = dict.fromkeys(self.crasher_ids, 0)
+        self.counted_ms = {}
+        self.sent_after = dict.fromkeys(self.crasher_ids, 0)
         self.trial_hits = {}
         self.excused = set()
         self.running_trials = set()
@@ -84,7 +86,7 @@
         self.undecided_restarts = 0
         self.number = 0
         self.crasher_interval_ms = dict.fromkeys(CRASHERS, 1_000)
-        self.world = World(subject, CRASHER_IDS, self, self.rng)
+        self.world = World(subject, self.crasher_ids, self, self.rng)
         self.world.after(SOUND_EVERY_MS, self.sound_traffic)
         for name in CRASHERS:
             self.world.after(300, lambda name=name: self.crasher_traffic(name))
@@ -135,9 +137,9 @@
             self.running_trials.add(run)
         if not self.is_in_touch(run.entry):
             return
-        for part in run.request.shared & CRASHER_IDS:
-            fifth_ms = self.fifth_ms.get(part)
-            if fifth_ms is None or self.world.now_ms <= fifth_ms + STABILITY_WINDOW_MS:
+        for part in run.request.shared & self.crasher_ids:
+            counted_ms = self.counted_ms.get(part)
+            if counted_ms is None or self.world.now_ms <= counted_ms + STABILITY_WINDOW_MS:
                 continue
             self.sent_after[part] += 1
             require(
@@ -148,7 +150,7 @@
 
     def record_hits(self, server, *, may_excuse):
         """Count the trials that a crash of another cause hits; return False if it may not."""
-        tried = {part for run in server.runs for part in run.tried} - CRASHER_IDS
+        tried = {part for run in server.runs for part in run.tried} - self.crasher_ids
         hit_before = {part for part in tried if part in self.trial_hits}
         if hit_before and not may_excuse:
             return False
@@ -159,12 +161,12 @@
     def crashed(self, run):
         self.disturb()
         # To those in touch this one is like a crash of another cause.
-        if not (run.tried & CRASHER_IDS and run.is_open and self.is_in_touch(run.entry)):
+        if not (run.tried & self.crasher_ids and run.is_open and self.is_in_touch(run.entry)):
             self.record_hits(self.world.servers[run.incarnation.server], may_excuse=True)
-        for part in run.request.shared & CRASHER_IDS:
+        for part in run.request.shared & self.crasher_ids:
             self.crash_count[part] += 1
-            if self.crash_count[part] == CRASHES:
-                self.fifth_ms[part] = self.world.now_ms
+            if self.crash_count[part] == self.counted_crashes:
+                self.counted_ms[part] = self.world.now_ms
 
     def answered(self, run):
         for part in run.request.shared:
@@ -173,7 +175,7 @@
 
     def refused(self, entry, request, verdict):
         is_allowed = (
-            not request.shared.isdisjoint(CRASHER_IDS)
+            not request.shared.isdisjoint(self.crasher_ids)
             or not self.is_in_touch(entry)
             or not self.excused.isdisjoint(verdict.parts)
         )
@@ -183,7 +185,7 @@
         )
 
     def waited(self, entry, request):
-        if not request.shared.isdisjoint(CRASHER_IDS) or not self.is_in_touch(entry):
+        if not request.shared.isdisjoint(self.crasher_ids) or not self.is_in_touch(entry):
             return
         now_ms = self.world.now_ms
         if sum(server.alive for server in self.world.servers.values()) < MIN_SERVERS:
