Let the head of a queue for limited servers take the next request that they admit

Cause: waiting requests tried again every 100 ms, and each new request took what had been admitted meanwhile, so that those in the queue starved. Change: the head of the queue wakes when the next one is admitted.

The test plays 40 requests a second against two servers that take 10 each: at least seven tenths of the limits are served, all others get 503 with Retry-After within 0.3 s.

--- a/bergamothill/process/admissionqueue.py
+++ b/bergamothill/process/admissionqueue.py
@@ -6,7 +6,12 @@
 
 from bergamothill.clock import Clock, ms_to_seconds
 from bergamothill.process.loadexchange import REPORT_INTERVAL_MS
-from bergamothill.request.requestqueue import QueuedRequest, RequestQueue
+from bergamothill.request.requestqueue import (
+    NO_LIMIT,
+    AdmissionRate,
+    QueuedRequest,
+    RequestQueue,
+)
 
 __all__ = ["AdmissionQueue"]
 
@@ -25,15 +30,19 @@
         self._clock = clock
         self._wakeups: dict[int, asyncio.Event] = {}
 
-    async def wait_for_turn(self, request: QueuedRequest) -> None:
+    async def wait_for_turn(self, request: QueuedRequest, rate: AdmissionRate) -> None:
         """Wait until a request should be tried again: when it is woken, or after a timeout.
 
         :param request: request in the queue
+        :param rate: rate at which limits admit requests; the head waits for the next one
         """
+        timeout_ms = MAX_WAIT_MS
+        if rate is not NO_LIMIT and self.requests.peek(self._clock.now_ms()) is request:
+            timeout_ms = min(MAX_WAIT_MS, max(1, rate.first_ms))
         wakeup = self._wakeups.setdefault(id(request), asyncio.Event())
         wakeup.clear()
         try:
-            async with asyncio.timeout(ms_to_seconds(MAX_WAIT_MS)):
+            async with asyncio.timeout(ms_to_seconds(timeout_ms)):
                 await wakeup.wait()
         except TimeoutError:
             pass  # a peer may have freed capacity, but its load report can have been lost
--- a/bergamothill/process/requestrun.py
+++ b/bergamothill/process/requestrun.py
@@ -263,7 +263,7 @@
         if queue.requests.enqueue(waiting, started_ms, wait.rate):
             try:
                 while isinstance(step, WaitForMemory) and self._clock.now_ms() < wait.give_up_ms:
-                    await queue.wait_for_turn(waiting)
+                    await queue.wait_for_turn(waiting, step.rate)
                     now_ms = self._clock.now_ms()
                     if queue.requests.peek(now_ms) is waiting:
                         step = self._forwarding.retry(now_ms)
--- a/tests/test_limitshares.py
+++ b/tests/test_limitshares.py
@@ -1,6 +1,8 @@
 """Tests of how the limit of a server is divided among entry instances, and of what they send."""
 
 import itertools
+import threading
+import time
 import unittest
 
 from bergamothill.process.instanceroster import DEPARTURE_MS, DISCOVERY_MS, InstanceRoster
@@ -28,6 +30,8 @@
 from tests.gatewayworld import GatewayCase, answer, replies, request
 
 SERVER = backend("s1")
+MAX_QUEUED_S = 2.0
+MAX_REFUSAL_S = 0.3
 CONFIG = routing_config()
 LLM = CONFIG.services["llm"]
 BOOKINGS = CONFIG.services["bookings"]
@@ -270,3 +274,38 @@
         (line,) = (line for line in refused.split(b"\r\n") if line.startswith(b"Retry-After"))
         self.assertGreaterEqual(float(line.split(b":")[1]), 4.0)
         self.assertEqual(1, len(self.sent()))
+
+
+class OverloadTest(GatewayCase):
+    """Callers ask twice as often as the two servers of a service together take."""
+
+    LIMIT_PER_S = 10
+    CALLS_PER_S = 40
+    DURATION_S = 4.0
+    FIRST_S = 1.0
+
+    def ask(self, world, outcomes, at_s):
+        found = world.exchange(request())
+        outcomes.append((at_s, found.split(b" ")[1], time.monotonic() - at_s, found))
+
+    def test_a_limited_service_serves_its_limits_and_refuses_the_rest_at_once(self):
+        limited = b"X-Server-Signature: sig\r\nServer-Limit: %d\r\n" % self.LIMIT_PER_S
+        world = self.world(plain=[replies(answer(headers=limited)) for _ in range(2)])
+        started_s, outcomes, callers = time.monotonic(), [], []
+        for number in range(int(self.CALLS_PER_S * self.DURATION_S)):
+            at_s = started_s + number / self.CALLS_PER_S
+            time.sleep(max(0.0, at_s - time.monotonic()))
+            caller = threading.Thread(target=self.ask, args=(world, outcomes, time.monotonic()))
+            caller.start()
+            callers.append(caller)
+        for caller in callers:
+            caller.join()
+        later = [outcome for outcome in outcomes if outcome[0] > started_s + self.FIRST_S]
+        served = sum(status == b"200" for _, status, _, _ in later)
+        possible = 2 * self.LIMIT_PER_S * (self.DURATION_S - self.FIRST_S)
+        self.assertGreaterEqual(served, 0.7 * possible)
+        self.assertLessEqual(served, possible + MAX_QUEUED_S * 2 * self.LIMIT_PER_S)
+        refused = [outcome for outcome in later if outcome[1] != b"200"]
+        self.assertEqual({b"503"}, {status for _, status, _, _ in refused})
+        self.assertTrue(all(b"Retry-After: " in found for *_, found in refused))
+        self.assertLess(max(took_s for _, _, took_s, _ in refused), MAX_REFUSAL_S)
