Do not let new requests overtake those that wait for limited servers

Change: while a request waits for limits, others get servers without one only and queue behind it; and a request is queued if its wait leaves a quarter to spare.

--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -80,6 +80,7 @@
         self._buffer_budget = BufferBudget(MAX_BUFFERED_BYTES)
         self._drain: DrainPeriod | None = None
         self._known_instances = 0
+        server_pool.next_limited_request = self._next_limited_request
 
     def set_bounds(self, bounds: DeploymentBounds) -> None:
         """Apply the bounds of reloaded settings."""
@@ -151,6 +152,11 @@
             queue = self._queues[service] = AdmissionQueue(self._clock)
         return queue
 
+    def _next_limited_request(self, service: ServiceName) -> CallerRequest | None:
+        queue = self._queues.get(service)
+        head = None if queue is None else queue.requests.peek(self._clock.now_ms())
+        return None if head is None else head.limited
+
     def capacity_changed(self) -> None:
         """Wake the head of each admission queue after engine capacity changed."""
         for queue in self._queues.values():
--- a/bergamothill/process/requestrun.py
+++ b/bergamothill/process/requestrun.py
@@ -255,9 +255,9 @@
         """Wait in the admission queue for capacity at the engines."""
         queue = self._queue
         arrived_ms = self._request.raw.arrived_ms
-        waiting = QueuedRequest(
-            wait.urgency, arrived_ms, wait.tokens, wait.on_time_until_ms, wait.give_up_ms
-        )
+        times_ms = (wait.on_time_until_ms, wait.give_up_ms)
+        limited = None if wait.rate is NO_LIMIT else self._request
+        waiting = QueuedRequest(wait.urgency, arrived_ms, wait.tokens, *times_ms, limited)
         started_ms = self._clock.now_ms()
         step: ForwardStep = wait
         if queue.requests.enqueue(waiting, started_ms, wait.rate):
--- a/bergamothill/process/serverpool.py
+++ b/bergamothill/process/serverpool.py
@@ -9,7 +9,7 @@
 
 from collections.abc import Callable
 
-from bergamothill.ids import ModelName, ServerId, ZoneName
+from bergamothill.ids import ModelName, ServerId, ServiceName, ZoneName
 from bergamothill.process.backends import BackendServer
 from bergamothill.process.engineselector import EngineSelector
 from bergamothill.process.loadreport import PeerLoads, ServerLoad
@@ -92,6 +92,11 @@
         self.servers_under_trial: Callable[[int], frozenset[ServerId]] = lambda _now_ms: frozenset()
         """Returns the servers that try a prompt part that may crash them."""
 
+        self.next_limited_request: Callable[[ServiceName], CallerRequest | None] = lambda _name: (
+            None
+        )
+        """Returns the first request in the queue of a service that waits for limits."""
+
     def _rebuild_index(self) -> None:
         super()._rebuild_index()
         engines = (
@@ -303,6 +308,9 @@
                 return None
         if self.limits.has_any:
             admitting = [b for b in usable if self.limits.wait_ms(b.entry, now_ms) == 0]
+            next_request = self.next_limited_request(service.name)
+            if next_request is not None and next_request is not request:
+                admitting = [b for b in admitting if self.limits.limit_per_s(b.entry) is None]
             if not admitting:
                 return self._at_limit(usable, now_ms)
             usable = admitting
--- a/bergamothill/request/requestqueue.py
+++ b/bergamothill/request/requestqueue.py
@@ -9,6 +9,8 @@
 from collections import deque
 from dataclasses import dataclass
 
+from bergamothill.request.callerrequest import CallerRequest
+
 __all__ = ["NO_LIMIT", "AdmissionRate", "QueuedRequest", "RequestQueue"]
 
 RATE_WINDOW_MS = 2_000
@@ -18,6 +20,9 @@
 """Lowest number of admissions in the window from which a rate is estimated."""
 
 
+LIMITED_WAIT_MARGIN = 1.25
+"""Factor on the wait for limits: requests queued to the brim would be refused after their wait."""
+
 MAX_RETURN_MS = 10_000
 """Longest time after which refused callers are told to return."""
 
@@ -46,6 +51,7 @@
     :param tokens: engine memory needed, in tokens
     :param on_time_until_ms: time until which an engine can still answer within the objective
     :param give_up_ms: time at which the caller gives up if nothing was sent to it
+    :param limited: the request, if it waits for the limits of servers
     """
 
     urgency: int
@@ -53,6 +59,7 @@
     tokens: int
     on_time_until_ms: int
     give_up_ms: int
+    limited: CallerRequest | None = None
 
     def sort_key(self, now_ms: int) -> tuple[int, bool, int]:
         """Return the sort key in the queue; the lowest comes first."""
@@ -117,7 +124,7 @@
     def _expected_wait_ms(self, request: QueuedRequest, now_ms: int, rate: AdmissionRate) -> float:
         sort_key = request.sort_key(now_ms)
         ahead = [r for r in self._waiting if r.sort_key(now_ms) < sort_key]
-        limited_ms = rate.first_ms + len(ahead) * rate.interval_ms
+        limited_ms = LIMITED_WAIT_MARGIN * (rate.first_ms + len(ahead) * rate.interval_ms)
         self._drop_expired(now_ms)
         if len(self._admitted) < MIN_ADMISSIONS:
             return limited_ms
