A trial beside another part's trial convicts no part that the other prompt has, too

Twice two instances began trials on the same server as it started, one of the part that crashes servers, in a prompt that also had a sound part, and one of that sound part by itself. A trial counted as undisturbed if the other prompt on the crashed server had the part, although that one was a trial of another part. It now counts only if the other was a trial of the same part.

--- a/bergamothill/request/crashevidence.py
+++ b/bergamothill/request/crashevidence.py
@@ -324,7 +324,7 @@
     def is_clean_trial(self, crash: Crash, part: PartId) -> bool:
         """Return whether a crash came in a trial of the part, without a trial of others there."""
         return part in crash.report.tried and all(
-            other.is_settled or not other.report.tried or part in other.report.suspects
+            other.is_settled or not other.report.tried or part in other.report.tried
             for other in self._by_server.get(crash.report.server, {}).values()
         )
 
--- a/tests/test_partquarantine.py
+++ b/tests/test_partquarantine.py
@@ -296,6 +296,21 @@
         fleet.now_ms += CONFIRM_MS
         self.assertIsInstance(fleet.check_for_trial("a"), Trial)
 
+    def test_a_trial_beside_the_trial_of_a_prompt_that_has_the_part_too_does_not_convict(
+        self,
+    ) -> None:
+        fleet = Fleet(2)
+        fleet.crash("bad", entry=1)
+        for _ in range(3):
+            server = fleet.server()
+            trial = Trial(part_ids("bad"), needs_lone_server=False)
+            run = fleet.begin("bad", "a", entry=1, trial=trial, server=server)
+            fleet.crash("a", trial=Trial(part_ids("a"), needs_lone_server=True), server=server)
+            fleet.entries[1].end_run(run, RunEnd.CRASHED, fleet.now_ms)
+            fleet.exchange()
+        fleet.now_ms += CONFIRM_MS
+        self.assertIsInstance(fleet.check_for_trial("a"), Trial)
+
     def test_the_verdict_of_an_instance_that_was_cut_off_is_refuted_by_the_others(self) -> None:
         fleet = Fleet()
         cut_off = fleet.entries[0]
