--- a/tests/proof/crashingworld.py
+++ b/tests/proof/crashingworld.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import heapq
 import random
 from dataclasses import dataclass, field
 
@@ -14,6 +13,7 @@
     StoredQuarantine,
     Trial,
 )
+from tests.proof.eventworld import EventWorld
 
 MODEL = "model"
 ENTRIES = ("e1", "e2", "e3", "e4", "e5")
@@ -76,7 +76,7 @@
     written_revision: int = 0
 
 
-class World:
+class World(EventWorld):
     """Event-driven simulation.
 
     :param new_quarantine: makes the subject of an entry instance
@@ -85,13 +85,10 @@
     """
 
     def __init__(self, new_quarantine, crashers, observer, rng: random.Random):
+        super().__init__(rng)
         self.new_quarantine = new_quarantine
         self.crashers = crashers
         self.observer = observer
-        self.rng = rng
-        self.now_ms = 0
-        self._events = []
-        self._count = 0
         self.loss = 0.0
         self.max_delay_ms = 3
         self.stored = StoredQuarantine()
@@ -101,17 +98,6 @@
             self.start(entry)
         self.after(BACKGROUND_MS, self.background)
 
-    def after(self, delay_ms, action):
-        self._count += 1
-        heapq.heappush(self._events, (self.now_ms + delay_ms, self._count, action))
-
-    def run_for(self, duration_ms):
-        end_ms = self.now_ms + duration_ms
-        while self._events and self._events[0][0] <= end_ms:
-            self.now_ms, _, action = heapq.heappop(self._events)
-            action()
-        self.now_ms = end_ms
-
     # entry instances
 
     def start(self, entry):
--- a/tests/proof/limitworld.py
+++ b/tests/proof/limitworld.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import heapq
 import random
 from collections import deque
 from dataclasses import dataclass, field
@@ -11,8 +10,10 @@
 from bergamothill.process.instanceroster import DISCOVERY_MS, InstanceRoster
 from bergamothill.process.limitexchange import KEEPALIVE_MS, KEEPALIVE_PER_PEER_MS
 from bergamothill.request.callerrequest import RequestLimit
+from tests.proof.eventworld import EventWorld
 
 SERVERS = ("s1", "s2")
+START_MS = 10_000
 WINDOW_MS = 4_000
 STABILITY_WINDOW_MS = 3_000
 TOLD_MS = 500
@@ -72,7 +73,7 @@
         return highest
 
 
-class World:
+class World(EventWorld):
     """Event-driven simulation.
 
     :param new_limits: makes the subject of an entry instance from its roster
@@ -81,12 +82,9 @@
     """
 
     def __init__(self, new_limits, count, on_arrival, rng: random.Random):
+        super().__init__(rng, now_ms=START_MS)
         self.new_limits = new_limits
         self.on_arrival = on_arrival
-        self.rng = rng
-        self.now_ms = 10_000
-        self._events = []
-        self._count = 0
         self.loss = 0.0
         self.max_delay_ms = 5
         self.max_answer_ms = 200
@@ -100,17 +98,6 @@
             self.add_instance(f"e{number}")
         self.run_for(DISCOVERY_MS + REGISTRY_READ_MS)
 
-    def after(self, delay_ms, action):
-        self._count += 1
-        heapq.heappush(self._events, (self.now_ms + delay_ms, self._count, action))
-
-    def run_for(self, duration_ms):
-        end_ms = self.now_ms + duration_ms
-        while self._events and self._events[0][0] <= end_ms:
-            self.now_ms, _, action = heapq.heappop(self._events)
-            action()
-        self.now_ms = end_ms
-
     # entry instances
 
     def add_instance(self, name):
