--- a/bergamothill/process/admissionqueue.py
+++ b/bergamothill/process/admissionqueue.py
@@ -4,8 +4,9 @@
 
 import asyncio
 
-from bergamothill.clock import Clock, ms_to_seconds
+from bergamothill.clock import Clock
 from bergamothill.process.loadexchange import REPORT_INTERVAL_MS
+from bergamothill.process.wakeup import wait_until_set
 from bergamothill.request.requestqueue import (
     NO_LIMIT,
     AdmissionRate,
@@ -41,11 +42,8 @@
             timeout_ms = min(MAX_WAIT_MS, max(1, rate.first_ms))
         wakeup = self._wakeups.setdefault(id(request), asyncio.Event())
         wakeup.clear()
-        try:
-            async with asyncio.timeout(ms_to_seconds(timeout_ms)):
-                await wakeup.wait()
-        except TimeoutError:
-            pass  # a peer may have freed capacity, but its load report can have been lost
+        # After the timeout a peer may have freed capacity, and its load report have been lost.
+        await wait_until_set(wakeup, timeout_ms)
 
     def leave(self, request: QueuedRequest) -> None:
         """Remove a request from the queue and wake the next one."""
--- a/bergamothill/process/limitexchange.py
+++ b/bergamothill/process/limitexchange.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
-from bergamothill.clock import Clock, ms_to_seconds
+from bergamothill.clock import Clock
 from bergamothill.errors import ProtocolError
 from bergamothill.ids import EntryInstanceId
 from bergamothill.logs import EventLog
@@ -17,6 +17,7 @@
 from bergamothill.process.loadexchange import LoadExchange
 from bergamothill.process.reportschedule import BURST_INTERVAL_MS, ReportSchedule
 from bergamothill.process.serverlimits import ServerLimits, log_limit_change
+from bergamothill.process.wakeup import wait_until_set
 
 __all__ = ["LimitExchange"]
 
@@ -57,11 +58,7 @@
     async def run(self) -> None:
         """Send reports until cancelled."""
         while True:
-            try:
-                async with asyncio.timeout(ms_to_seconds(BURST_INTERVAL_MS)):
-                    await self._wake.wait()
-            except TimeoutError:
-                pass
+            await wait_until_set(self._wake, BURST_INTERVAL_MS)
             self._wake.clear()
             self._send_if_due()
 
--- a/bergamothill/process/quarantineexchange.py
+++ b/bergamothill/process/quarantineexchange.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
-from bergamothill.clock import Clock, ms_to_seconds
+from bergamothill.clock import Clock
 from bergamothill.errors import ProtocolError
 from bergamothill.logs import EventLog
 from bergamothill.process.loadexchange import LoadExchange
@@ -15,6 +15,7 @@
     is_quarantine_report,
 )
 from bergamothill.process.reportschedule import BURST_INTERVAL_MS, ReportSchedule
+from bergamothill.process.wakeup import wait_until_set
 from bergamothill.request.partquarantine import PartQuarantine, QuarantineReport
 
 __all__ = ["QuarantineExchange"]
@@ -61,11 +62,7 @@
     async def run(self) -> None:
         """Send reports until cancelled."""
         while True:
-            try:
-                async with asyncio.timeout(ms_to_seconds(BURST_INTERVAL_MS)):
-                    await self._wake.wait()
-            except TimeoutError:
-                pass
+            await wait_until_set(self._wake, BURST_INTERVAL_MS)
             self._wake.clear()
             self._send_if_due()
             self._on_check()
--- a/bergamothill/process/quarantinegate.py
+++ b/bergamothill/process/quarantinegate.py
@@ -9,11 +9,12 @@
 import random
 from collections.abc import Callable, Iterable
 
-from bergamothill.clock import Clock, ms_to_seconds
+from bergamothill.clock import Clock
 from bergamothill.ids import ServerId
 from bergamothill.logs import EventLog
 from bergamothill.process.backends import BackendServer
 from bergamothill.process.gatewaymetrics import GatewayMetrics
+from bergamothill.process.wakeup import wait_until_set
 from bergamothill.request.callerrequest import CallerRequest
 from bergamothill.request.crashevidence import PartId, RunNumber, ServerIncarnation
 from bergamothill.request.forwarding import Send
@@ -131,12 +132,7 @@
 
     async def wait_for_change(self, timeout_ms: int) -> None:
         """Wait until a request that waits for a trial should ask again."""
-        changed = self._changed
-        try:
-            async with asyncio.timeout(ms_to_seconds(timeout_ms)):
-                await changed.wait()
-        except TimeoutError:
-            return
+        await wait_until_set(self._changed, timeout_ms)
 
     # Peers, verdicts in the store, and pauses.
 
