Tell what is known of a crash report in one place

Crash and ReportedCrash had the same is_settled and has_more_than, and merge compared the two a third time. Both take them from one base now. No behaviour changes: the replayed sequence of crashing-parts gives the same lines, and the tests of quarantine, store and codec (73) pass.

--- a/bergamothill/request/crashevidence.py
+++ b/bergamothill/request/crashevidence.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 from dataclasses import dataclass, field
 from typing import NewType, TypeVar
 
@@ -106,8 +106,32 @@
     tried: frozenset[PartId]
 
 
+class _KnownCrash:
+    """What can be told from all that is known of a crash report."""
+
+    __slots__ = ()
+
+    report: CrashReport
+    known_sound: Set[PartId]
+    cleared: Set[PartId]
+    is_void: bool
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether no part is under suspicion because of this report."""
+        return self.is_void or self.report.suspects <= self.known_sound | self.cleared
+
+    def has_more_than(self, other: _KnownCrash) -> bool:
+        """Return whether more is known of the crash than in another account of it."""
+        return (
+            self.is_void > other.is_void
+            or not self.known_sound <= other.known_sound
+            or not self.cleared <= other.cleared
+        )
+
+
 @dataclass(frozen=True, slots=True)
-class ReportedCrash:
+class ReportedCrash(_KnownCrash):
     """Crash report with all that is known about it.
 
     :param report: crash report
@@ -123,22 +147,9 @@
     cleared: frozenset[PartId] = frozenset()
     is_void: bool = False
 
-    @property
-    def is_settled(self) -> bool:
-        """Whether no part is under suspicion because of this report."""
-        return self.is_void or self.report.suspects <= self.known_sound | self.cleared
-
-    def has_more_than(self, other: ReportedCrash) -> bool:
-        """Return whether more is known of the crash than another row of it tells."""
-        return (
-            self.is_void > other.is_void
-            or not self.known_sound <= other.known_sound
-            or not self.cleared <= other.cleared
-        )
-
 
 @dataclass(slots=True)
-class Crash:
+class Crash(_KnownCrash):
     """A crash report as known here.
 
     :param broke_ms: time of the break
@@ -158,11 +169,6 @@
     is_void: bool = False
     is_stored: bool = False
 
-    @property
-    def is_settled(self) -> bool:
-        """Whether no part is under suspicion because of this report."""
-        return self.is_void or self.report.suspects <= self.known_sound | self.cleared
-
     @property
     def has_prompt_suspect(self) -> bool:
         """Whether a part of a prompt is under suspicion because of this report."""
@@ -179,14 +185,6 @@
             self.is_void,
         )
 
-    def has_more_than(self, row: ReportedCrash) -> bool:
-        """Return whether more is known here than a peer reported."""
-        return (
-            self.is_void > row.is_void
-            or not self.known_sound <= row.known_sound
-            or not self.cleared <= row.cleared
-        )
-
 
 _IndexKey = TypeVar("_IndexKey")
 
@@ -234,12 +232,7 @@
         elif crash.has_more_than(row):
             crash.told_ms = now_ms
         crash.broke_ms = min(crash.broke_ms, broke_ms)
-        is_more = (
-            row.is_void > crash.is_void
-            or not row.known_sound <= crash.known_sound
-            or not row.cleared <= crash.cleared
-        )
-        if not (is_new or is_more):
+        if not (is_new or row.has_more_than(crash)):
             return False
         crash.known_sound |= row.known_sound
         crash.cleared |= row.cleared
