--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -54,7 +54,7 @@
     :param config: configuration in force
     :param server_pool: observed state of the backend servers
     :param metrics: counters and histograms
-    :param gate: quarantine of prompt parts
+    :param gate: quarantine of parts of requests
     """
 
     def __init__(
--- a/bergamothill/process/nodequarantine.py
+++ b/bergamothill/process/nodequarantine.py
@@ -1,4 +1,4 @@
-"""Quarantine of prompt parts in an entry instance: its gate, its exchange and its store."""
+"""Quarantine of parts of requests in an entry instance: its gate, its exchange and its store."""
 
 from __future__ import annotations
 
--- a/bergamothill/request/crashevidence.py
+++ b/bergamothill/request/crashevidence.py
@@ -1,4 +1,4 @@
-"""Reports of requests that broke off, as evidence against parts of their prompts; no I/O.
+"""Reports of requests that broke off, as evidence against parts of them; no I/O.
 
 What is known of a report only grows, so peers merge it by union: order, loss and repetition do no
 harm.
@@ -95,7 +95,7 @@
     :param report_id: id of the report
     :param request_id: caller's id of the request
     :param server: server that ran it
-    :param suspects: parts of the prompt but for the last
+    :param suspects: parts of the request that others may have in common with it
     :param tried: suspects for which the run was a trial
     """
 
--- a/bergamothill/request/trialslots.py
+++ b/bergamothill/request/trialslots.py
@@ -1,4 +1,4 @@
-"""Trials of suspected prompt parts, one at a time over all entry instances; no I/O.
+"""Trials of suspected parts of requests, one at a time over all entry instances; no I/O.
 
 An instance announces a claim before it begins a trial. Of several claims the one with the lowest
 rank goes first. Instances that do not hear of each other may run trials at the same time.
