--- a/bergamothill/process/serverpool.py
+++ b/bergamothill/process/serverpool.py
@@ -20,6 +20,7 @@
 from bergamothill.request.callerrequest import CallerRequest, ForwardTerms
 from bergamothill.request.contextplan import ContextPlanner
 from bergamothill.request.forwarding import AllQuiet, AtLimit, NoFreeMemory, ServerChoice
+from bergamothill.request.partquarantine import Trial
 from bergamothill.version.routetable import Brand, EngineTraits, Service
 from bergamothill.version.weightswap import SwapEngine
 from bergamothill.version.weighttarget import (
@@ -90,7 +91,7 @@
         self.targets: dict[ModelName, WeightTarget] = {}
         self._target_histories: dict[ModelName, TargetHistory] = {}
         self.servers_under_trial: Callable[[int], frozenset[ServerId]] = lambda _now_ms: frozenset()
-        """Returns the servers that try a prompt part that may crash them."""
+        """Returns the servers that try a part of a request that may crash them."""
 
         self.next_limited_request: Callable[[ServiceName], CallerRequest | None] = lambda _name: (
             None
@@ -260,43 +261,12 @@
         avoided: tuple[str, ...],
         urgency: int,
         now_ms: int,
+        trial: Trial | None = None,
     ) -> ServerChoice:
         """Choose a server for a request and the terms to forward it under.
 
         Implements :class:`~bergamothill.request.forwarding.ServerChooser`.
         """
-        placement = TrialPlacement(self.servers_under_trial(now_ms), self._peer_loads)
-        return self._choose(service, request, brand, avoided, urgency, now_ms, placement.avoid)
-
-    def choose_for_trial(
-        self,
-        service: Service,
-        request: CallerRequest,
-        brand: Brand | None,
-        avoided: tuple[str, ...],
-        urgency: int,
-        now_ms: int,
-        *,
-        needs_lone_server: bool,
-    ) -> ServerChoice:
-        """Choose the server with the fewest requests in progress, without another trial.
-
-        Implements :class:`~bergamothill.request.forwarding.ServerChooser`.
-        """
-        placement = TrialPlacement(self.servers_under_trial(now_ms), self._peer_loads)
-        select = placement.select_lone if needs_lone_server else placement.select
-        return self._choose(service, request, brand, avoided, urgency, now_ms, select)
-
-    def _choose(
-        self,
-        service: Service,
-        request: CallerRequest,
-        brand: Brand | None,
-        avoided: tuple[str, ...],
-        urgency: int,
-        now_ms: int,
-        select: Callable[[list[ObservedServer]], list[ObservedServer]],
-    ) -> ServerChoice:
         usable = self.usable(service.name, now_ms)
         if not usable:
             quiet_until_ms = self.quiet_until_ms(service.name, now_ms)
@@ -330,10 +300,11 @@
             terms = ForwardTerms(state.entry.server, 0, brand=terms_brand)
             terms.limit_spent_ms = self.limits.spend(state.entry, now_ms)
             return (state.entry, terms)
+        placement = TrialPlacement(self.servers_under_trial(now_ms), self._peer_loads)
         preferred = self._preferred_by_weights(candidates, request.model, now_ms)
         for group in (preferred, candidates):
             with_room = [b for b in group if self._has_room(b, service.engine, request, urgency)]
-            with_room = select(with_room)
+            with_room = placement.select_for(trial, with_room)
             if with_room:
                 entry, terms = self._selector.place(
                     with_room, service.engine, request, brand, now_ms
--- a/bergamothill/process/trialplacement.py
+++ b/bergamothill/process/trialplacement.py
@@ -7,6 +7,7 @@
 from bergamothill.ids import ServerId
 from bergamothill.process.loadreport import PeerLoads
 from bergamothill.process.observedserver import ObservedServer
+from bergamothill.request.partquarantine import Trial
 
 __all__ = ["TrialPlacement"]
 
@@ -22,6 +23,14 @@
     under_trial: frozenset[ServerId]
     peer_loads: PeerLoads
 
+    def select_for(
+        self, trial: Trial | None, servers: list[ObservedServer]
+    ) -> list[ObservedServer]:
+        """Return the servers for a trial, or for a request that is none."""
+        if trial is None:
+            return self.avoid(servers)
+        return self.select_lone(servers) if trial.needs_lone_server else self.select(servers)
+
     def avoid(self, servers: list[ObservedServer]) -> list[ObservedServer]:
         """Return the servers without a trial, or all if each has one."""
         return self.select_free(servers) or servers if self.under_trial else servers
--- a/bergamothill/request/forwarding.py
+++ b/bergamothill/request/forwarding.py
@@ -216,6 +216,7 @@
         avoided: tuple[str, ...],
         urgency: int,
         now_ms: int,
+        trial: Trial | None = None,
     ) -> ServerChoice:
         """Return a server and the terms for it.
 
@@ -225,22 +226,7 @@
 
         :param urgency: 0 comes first; less urgent requests must leave more memory free
         :param avoided: servers that already failed the request; chosen only as a last resort
-        """
-
-    def choose_for_trial(
-        self,
-        service: Service,
-        request: CallerRequest,
-        brand: Brand | None,
-        avoided: tuple[str, ...],
-        urgency: int,
-        now_ms: int,
-        *,
-        needs_lone_server: bool,
-    ) -> ServerChoice:
-        """Choose a server where few requests would go down with this one.
-
-        :param needs_lone_server: no other trial may run there
+        :param trial: trial for which a server is chosen where few requests would go down with it
         """
 
 
@@ -435,10 +421,8 @@
 
     def _choose(self, trial: Trial | None, now_ms: int) -> ServerChoice:
         service, request, brand = self._service, self._request, self._brand
-        arguments = (service, request, brand, self.attempts.servers, self._urgency, now_ms)
-        if trial is None:
-            return self._chooser.choose(*arguments)
-        return self._chooser.choose_for_trial(*arguments, needs_lone_server=trial.needs_lone_server)
+        avoided = self.attempts.servers
+        return self._chooser.choose(service, request, brand, avoided, self._urgency, now_ms, trial)
 
     def _refuse_parts(self, verdict: Quarantined, now_ms: int) -> ForwardStep:
         step = self._give_up(now_ms, Reason.QUARANTINED, wait_ms=QUARANTINE_RETRY_AFTER_MS)
--- a/tests/proof/proof_forwarding.py
+++ b/tests/proof/proof_forwarding.py
@@ -39,7 +39,7 @@
     def __init__(self) -> None:
         self.offer: BackendServer | NoFreeMemory | None = SERVERS[0]
 
-    def choose(self, service, request, brand, avoided, urgency, now_ms):
+    def choose(self, service, request, brand, avoided, urgency, now_ms, trial=None):
         if isinstance(self.offer, BackendServer):
             return self.offer, ForwardTerms(self.offer.server, 0)
         return self.offer
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -34,16 +34,14 @@
         self.answer = None
         self.needs_lone_server = None
 
-    def choose(self, service, request, brand, avoided, urgency, now_ms):
+    def choose(self, service, request, brand, avoided, urgency, now_ms, trial=None):
+        if trial is not None:
+            self.needs_lone_server = trial.needs_lone_server
         if self.answer is not None:
             return self.answer
         fresh = [s for s in self.servers if s.server not in avoided] or list(self.servers)
         return (fresh[0], ForwardTerms(fresh[0].server, 0)) if fresh else None
 
-    def choose_for_trial(self, *arguments, needs_lone_server):
-        self.needs_lone_server = needs_lone_server
-        return self.choose(*arguments)
-
 
 class Screen:
     """Returns the verdict that a test sets."""
--- a/tests/test_trialplacement.py
+++ b/tests/test_trialplacement.py
@@ -3,6 +3,7 @@
 import unittest
 
 from bergamothill.request.forwarding import NoFreeMemory
+from bergamothill.request.partquarantine import Trial
 from tests.builders import backend, caller_request, routing_config, server_pool
 
 LLM = routing_config().services["llm"]
@@ -19,9 +20,8 @@
             self.pool.request_started(server, tokens, 0, 0)
 
     def chosen(self, **trial):
-        arguments = (LLM, caller_request(), None, (), 0, 0)
-        choose = self.pool.choose_for_trial if trial else self.pool.choose
-        chosen = choose(*arguments, **trial)
+        trial = Trial(frozenset(), **trial) if trial else None
+        chosen = self.pool.choose(LLM, caller_request(), None, (), 0, 0, trial)
         return chosen if isinstance(chosen, NoFreeMemory) else chosen[0].server
 
     def test_a_trial_runs_where_the_fewest_requests_are_in_progress(self):
