--- a/tests/test_quarantineexchange.py
+++ b/tests/test_quarantineexchange.py
@@ -1,22 +1,15 @@
 """Tests of the exchange of quarantine reports beside the load reports."""
 
-import asyncio
 import unittest
 
-from bergamothill.clock import SystemClock
-from bergamothill.connection.datagrams import DatagramSocket
-from bergamothill.process.loadexchange import LoadExchange
-from bergamothill.process.loadreport import LoadReport, PeerLoads, ServerLoad, encode_report
+from bergamothill.process.loadreport import LoadReport, ServerLoad, encode_report
 from bergamothill.process.quarantineexchange import QuarantineExchange
-from bergamothill.process.registry import Peer
 from bergamothill.process.reportschedule import ReportSchedule
 from bergamothill.request.crashevidence import PartId
 from bergamothill.request.partquarantine import PartQuarantine, StoredQuarantine, Verdict
-from scripts.processes import free_ports
 from tests.builders import server_pool
+from tests.exchangecase import ExchangeCase
 
-HOST = "127.0.0.1"
-LIMIT_S = 5
 VERDICT = Verdict(frozenset({PartId("m1", "a")}), 0)
 
 
@@ -38,19 +31,13 @@
         self.assertEqual([600, 1_200, 1_800], self.sent_ms([], 2_000, peer_count=300))
 
 
-class ExchangeTest(unittest.IsolatedAsyncioTestCase):
-    """Two instances on the loopback interface."""
-
+class ExchangeTest(ExchangeCase):
     async def asyncSetUp(self):
-        self.clock = SystemClock()
-        self.peers = [Peer(f"e{n}", HOST, port) for n, port in enumerate(free_ports(2), start=1)]
-        self.loads = [PeerLoads() for _ in self.peers]
+        await super().asyncSetUp()
         self.quarantines = [PartQuarantine(peer.entry, self.clock.wall_ms()) for peer in self.peers]
-        self.exchanges, tasks = [], []
+        self.exchanges, runs = [], []
         for number, peer in enumerate(self.peers):
-            pool = server_pool()
-            carrier = LoadExchange(peer.entry, self.clock, pool, self.loads[number], lambda _: None)
-            carrier.set_peers(tuple(p for p in self.peers if p is not peer))
+            carrier = self.carrier(number, server_pool())
             merge = self.quarantines[number].merge
             exchange = QuarantineExchange(
                 self.clock,
@@ -60,20 +47,8 @@
                 lambda: None,
             )
             self.exchanges.append(exchange)
-            tasks += [carrier.run(HOST, peer.port), exchange.run()]
-        self.tasks = [asyncio.create_task(task) for task in tasks]
-        self.addAsyncCleanup(self.stop)
-        await asyncio.sleep(0.05)
-
-    async def stop(self):
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
-
-    async def await_true(self, condition):
-        async with asyncio.timeout(LIMIT_S):
-            while not condition():
-                await asyncio.sleep(0.01)
+            runs += [carrier.run(peer.host, peer.port), exchange.run()]
+        await self.start(*runs)
 
     def verdicts(self, number):
         return self.quarantines[number].to_store(self.clock.now_ms()).verdicts
@@ -85,12 +60,8 @@
         self.assertEqual(VERDICT.parts, self.verdicts(1)[0].parts)
 
     async def test_load_reports_and_unreadable_datagrams_are_handled_beside(self):
-        sender = DatagramSocket(lambda data: None)
-        await sender.open(HOST, 0)
-        self.addCleanup(sender.close)
-        to = [(HOST, self.peers[1].port)]
-        sender.send(b"\x87\x6aquarantine\xff", to)
-        sender.send(encode_report(LoadReport("e9", 1, {"s1": ServerLoad(3, 2, 1)})), to)
+        load = LoadReport("e9", 1, {"s1": ServerLoad(3, 2, 1)})
+        await self.send_raw(1, b"\x87\x6aquarantine\xff", encode_report(load))
         self.quarantines[0].add_stored(StoredQuarantine((VERDICT,)), self.clock.now_ms())
         await self.await_true(lambda: self.verdicts(1))
         await self.await_true(lambda: self.loads[1].load_on("s1").in_progress == 3)
