--- a/tests/test_trialplacement.py
+++ b/tests/test_trialplacement.py
@@ -7,6 +7,7 @@
 from tests.builders import backend, caller_request, routing_config, server_pool
 
 LLM = routing_config().services["llm"]
+BOOKINGS = routing_config().services["bookings"]
 
 
 class TrialPlacementTest(unittest.TestCase):
@@ -46,6 +47,15 @@
         self.assertEqual("s2", self.chosen(needs_lone_server=True))
         self.assertEqual("s2", self.chosen(needs_lone_server=False))
 
+    def test_a_trial_without_a_prompt_avoids_servers_under_trial(self):
+        plain = [backend(f"p{n}", service="bookings", weights={}) for n in (1, 2)]
+        self.pool.apply_list(plain, 0, 0)
+        self.under_trial = {"p1"}
+        request = caller_request(model=None, parts=())
+        trial = Trial(frozenset(), needs_lone_server=True)
+        chosen = self.pool.choose(BOOKINGS, request, None, (), 0, 0, trial)
+        self.assertEqual("p2", chosen[0].server)
+
     def test_only_a_trial_that_needs_a_server_without_another_waits_for_one(self):
         self.under_trial = {"s1", "s2", "s3"}
         self.assertIsInstance(self.chosen(needs_lone_server=True), NoFreeMemory)
