Tests: an answer outlives a silence of its server (known red)

With an engine that sends nothing for 1.4 to 2.6 s and then goes on, all five tests fail at: the caller's connection is closed after event 2, or gets a 502 before the first event, though the engine goes on a moment later. What forbids another attempt is in turn the retry budget, the memory of the other engine, the number of servers that the route allows, and that there is no other engine.

--- /dev/null
+++ b/tests/test_silent_servers.py
@@ -0,0 +1,80 @@
+"""Tests of streams whose engines fall silent for a moment and go on."""
+
+import time
+
+from tests.gatewayworld import (
+    PROMPT_HEADERS,
+    STREAM_HEAD,
+    GatewayCase,
+    chunk,
+    event,
+    read_all,
+    request,
+)
+
+SILENCE_S = 1.4
+EVENTS = 6
+PROMPT = request(b"/quote/2f", headers=PROMPT_HEADERS + b"Connection: close\r\n").replace(
+    b"X-Deadline-Milliseconds: 3000", b"X-Deadline-Milliseconds: 9000"
+)
+
+
+def falls_silent(silence_s=SILENCE_S, *, after=2):
+    """Return the script of an engine that sends nothing for a while and then goes on."""
+
+    def script(connection, data):
+        head = data.partition(b"\r\n\r\n")[0].lower()
+        first = int(head.partition(b"last-event-id: ")[2].partition(b"\r\n")[0] or 0) + 1
+        try:
+            if first > 1 or after:
+                connection.sendall(STREAM_HEAD)
+            for number in range(first, EVENTS + 1):
+                if number == max(first, after + 1):
+                    time.sleep(silence_s)
+                    if first == 1 and not after:
+                        connection.sendall(STREAM_HEAD)
+                connection.sendall(chunk(event(number)))
+            connection.sendall(b"0\r\n\r\n")
+        except OSError:
+            return
+
+    return script
+
+
+class SilentServerTest(GatewayCase):
+    def assert_whole(self, world):
+        with world.connect() as connection:
+            connection.sendall(PROMPT)
+            received = read_all(connection)
+        events = b"".join(chunk(event(number)) for number in range(1, EVENTS + 1))
+        self.assertTrue(received.endswith(b"\r\n\r\n" + events + b"0\r\n\r\n"), received)
+
+    def assert_whole_without_a_retry_budget(self, *, after):
+        world = self.world(engines=[falls_silent(after=after), falls_silent(0)])
+        world.server_pool.request_started("s1", 60_000, 0, world.clock.now_ms())
+        budget = world.gateway.retry_budget("llm")
+        budget.slack = budget.ratio = 0
+        self.assert_whole(world)
+        self.assertEqual(1, len(self.sent()))
+
+    def test_an_answer_outlives_a_silence_of_its_server_without_a_retry_budget(self):
+        self.assert_whole_without_a_retry_budget(after=2)
+
+    def test_a_request_outlives_a_silence_before_its_first_event(self):
+        self.assert_whole_without_a_retry_budget(after=0)
+
+    def test_an_answer_outlives_a_silence_of_its_server_if_no_other_has_memory(self):
+        world = self.world(engines=[falls_silent(2.6), falls_silent(0)])
+        world.server_pool.request_started("s1", 95_000, 0, world.clock.now_ms())
+        self.assert_whole(world)
+        self.assertEqual(1, len(self.sent()))
+
+    def test_an_answer_outlives_silences_of_all_servers_that_may_run_it(self):
+        world = self.world(engines=[falls_silent(2.2), falls_silent(2.2)])
+        self.assert_whole(world)
+        self.assertEqual(2, len(self.sent()))
+
+    def test_an_answer_outlives_a_silence_of_the_only_server(self):
+        world = self.world(engines=[falls_silent()])
+        self.assert_whole(world)
+        self.assertEqual(1, len(self.sent()))
