--- a/bergamothill/process/requestrun.py
+++ b/bergamothill/process/requestrun.py
@@ -99,6 +99,7 @@
         self._exchange_task: asyncio.Task[ExchangeResult] | None = None
         self._current_server = ServerId("")
         self._is_stalled = False
+        self._silence_ms = 0
         self._is_stopping = False
         self._is_unread = False
         self._is_streaming = False
@@ -361,7 +362,7 @@
         except asyncio.CancelledError:
             if not self._is_stalled or asyncio.current_task().cancelling():
                 raise
-            return ExchangeResult(ExchangeEnd.BROKEN, "server is silent")
+            return ExchangeResult(ExchangeEnd.BROKEN, f"silent for {self._silence_ms} ms")
         finally:
             self._exchange_task = None
 
@@ -393,6 +394,7 @@
             return
         if self._server_pool.has_stalled(self._current_server, now_ms):
             self._is_stalled = True
+            self._silence_ms = self._server_pool.silence_ms(self._current_server, now_ms)
             self._exchange_task.cancel()
 
     def _set_unread(self, is_unread: bool, now_ms: int) -> None:
@@ -468,6 +470,18 @@
     @_apply_final_step.register
     def _(self, step: AbortStream) -> None:
         self._connection.abort_response()
+        now_ms = self._clock.now_ms()
+        _log.info(
+            "answer_cut",
+            request=self._request.request_id,
+            reason=step.reason.value,
+            server=self._current_server,
+            silence_ms=self._server_pool.silence_ms(self._current_server, now_ms),
+            runs=self._forwarding.run_count,
+            max_runs=self._route.max_servers,
+            retries_left=self._forwarding.retries_left(now_ms),
+            config=self._admission.version,
+        )
         self.log("broken_off_" + step.reason.value, 0)
 
     def log(self, outcome: str, status: int) -> None:
--- a/bergamothill/request/forwarding.py
+++ b/bergamothill/request/forwarding.py
@@ -271,7 +271,9 @@
         self._retry_budget = retry_budget
         self._jitter = jitter
         self._screen = screen
-        self._run_count = 0
+        self.run_count = 0
+        """Number of ended attempts that may have run the request."""
+
         self._urgency = _urgency(route, brand)
         self._resume_event_id = ""
         arrived_ms = request.raw.arrived_ms
@@ -303,8 +305,8 @@
         :param last_event_id: id of the last event sent to the caller; empty for none
         """
         self.attempts.mark_failed(send.attempt, _ANSWER_LOST_ERROR)
-        self._run_count += 1
-        if not self._route.may_retry or self._run_count >= self._route.max_servers:
+        self.run_count += 1
+        if not self._route.may_retry or self.run_count >= self._route.max_servers:
             return self._give_up(now_ms, Reason.BROKEN)
         if self.stream_started and not last_event_id:
             return self._give_up(now_ms, Reason.BROKEN)
@@ -313,12 +315,16 @@
     def on_failure(self, send: Send, now_ms: int) -> ForwardStep:
         """Handle a failure that the server reported after it ran the request."""
         self.attempts.mark_failed(send.attempt, _ANSWER_LOST_ERROR)
-        self._run_count += 1
-        if not self._route.may_retry or self._run_count >= self._route.max_servers:
+        self.run_count += 1
+        if not self._route.may_retry or self.run_count >= self._route.max_servers:
             return Deliver()
         step = self._next_attempt(now_ms, send.terms.last_event_id, is_repeat=True)
         return step if isinstance(step, Send) else Deliver()
 
+    def retries_left(self, now_ms: int) -> int:
+        """Return how many retries this instance may still send to the service, for the log."""
+        return self._retry_budget.left(now_ms)
+
     def on_expired(self, now_ms: int) -> ForwardStep:
         """Handle the expiry of the deadline."""
         return self._give_up(now_ms, Reason.EXPIRED)
--- a/bergamothill/request/windowedbudget.py
+++ b/bergamothill/request/windowedbudget.py
@@ -38,18 +38,25 @@
         self._requests.append(now_ms)
         _drop_before(self._requests, now_ms - self._window_ms)
 
-    def try_spend(self, now_ms: int) -> bool:
-        """Spend one retry.
+    def left(self, now_ms: int) -> int:
+        """Return the number of retries that may be spent now.
 
         :param now_ms: current time, in milliseconds
-        :returns: False if the share is used up
         """
         _drop_before(self._requests, now_ms - self._window_ms)
         _drop_before(self._retries, now_ms - self._window_ms)
         has_slack = now_ms - self._started_ms > self._window_ms
         slack = self.slack if has_slack else 0.0
         allowed = SAFETY_FACTOR * (self.ratio * len(self._requests) + slack)
-        if len(self._retries) + 1 > allowed:
+        return max(0, int(allowed - len(self._retries)))
+
+    def try_spend(self, now_ms: int) -> bool:
+        """Spend one retry.
+
+        :param now_ms: current time, in milliseconds
+        :returns: False if the share is used up
+        """
+        if not self.left(now_ms):
             return False
         self._retries.append(now_ms)
         return True
