--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -228,7 +228,6 @@
         try:
             await run.execute()
         except asyncio.CancelledError:
-            run.record_abandoned_attempt()
             run.log("caller_left", 0)
             raise
         finally:
--- a/bergamothill/request/answerrelay.py
+++ b/bergamothill/request/answerrelay.py
@@ -16,7 +16,7 @@
 from bergamothill.request.bufferbudget import BufferBudget
 from bergamothill.request.callerrequest import Header, ResponseHead
 
-__all__ = ["AnswerRelay", "AttemptVerdict", "CallerSide"]
+__all__ = ["AnswerListener", "AnswerRelay", "AttemptVerdict", "CallerSide"]
 
 
 class CallerSide(Protocol):
@@ -46,6 +46,19 @@
     """The answer has another request's id, or is a success without a signature."""
 
 
+class AnswerListener:
+    """Learns of the answer of one attempt; by default it ignores all of it."""
+
+    def on_first(self) -> None:
+        """Handle the first bytes of the request's answer, right before they are sent."""
+
+    def on_bytes(self) -> None:
+        """Handle the arrival of bytes of the body from the server."""
+
+    def on_own_head(self, head: ResponseHead) -> None:
+        """Handle the head of an answer that belongs to the request."""
+
+
 class AnswerRelay:
     """Relay of the answer of one request, across all of its attempts.
 
@@ -54,9 +67,6 @@
     :param is_stream: whether the answers of the route are event streams
     :param budget: memory for the bodies of unfinished answers
     :param decode: decodes the head of an answer
-    :param on_first: called before the first bytes are sent to the caller
-    :param on_bytes: called when body bytes arrive from the server
-    :param on_own_head: called with the head of an answer that belongs to the request
     """
 
     def __init__(
@@ -67,24 +77,22 @@
         is_stream: bool,
         budget: BufferBudget,
         decode: Callable[[int, list[Header]], ResponseHead],
-        on_first: Callable[[], None],
-        on_bytes: Callable[[], None],
-        on_own_head: Callable[[ResponseHead], None],
     ) -> None:
-        self._on_bytes = on_bytes
-        self._on_own_head = on_own_head
         self.stream_started = False
         self._caller = caller
         self._request_id = request_id
         self._is_stream = is_stream
         self._decode = decode
-        self._on_first = on_first
         self._splitter = EventSplitter()
         self._body = BodyBuffer(budget)
         self.begin_attempt()
 
-    def begin_attempt(self) -> None:
-        """Discard the unfinished answer of the previous attempt."""
+    def begin_attempt(self, listener: AnswerListener | None = None) -> None:
+        """Discard the unfinished answer of the previous attempt.
+
+        :param listener: learns of the answer of the new attempt
+        """
+        self._listener = listener or AnswerListener()
         last_event_id = self._splitter.last_event_id
         self._splitter = EventSplitter()
         self._splitter.last_event_id = last_event_id
@@ -120,7 +128,7 @@
         is_refused = self.verdict is AttemptVerdict.NOT_RUN
         is_own_refusal = is_refused and head.request_id in ("", self._request_id)
         if is_own_refusal or self.verdict in (AttemptVerdict.SUCCESS, AttemptVerdict.FAILURE):
-            self._on_own_head(head)
+            self._listener.on_own_head(head)
         if self.verdict in (AttemptVerdict.NOT_RUN, AttemptVerdict.UNVERIFIED):
             return None
         return head
@@ -138,7 +146,7 @@
 
         :raises ProtocolError: the body, or an event of it, is too large
         """
-        self._on_bytes()
+        self._listener.on_bytes()
         if not self._is_stream or self.verdict is not AttemptVerdict.SUCCESS:
             self._body.append(piece)
             return
@@ -150,7 +158,7 @@
             self._caller.send_chunk(events)
             return
         self.stream_started = True
-        self._on_first()
+        self._listener.on_first()
         self._caller.start_chunked_response(self.head.status, self.head.headers, events)
 
     def deliver(self) -> None:
@@ -158,5 +166,5 @@
         if self.stream_started:
             self._caller.end_chunked_response()
         else:
-            self._on_first()
+            self._listener.on_first()
             self._caller.send_response(self.head.status, self.head.headers, self._body.content())
--- a/tests/proof/proof_forwarding.py
+++ b/tests/proof/proof_forwarding.py
@@ -252,9 +252,6 @@
             is_stream=True,
             budget=BufferBudget(0),
             decode=decode_answer,
-            on_first=lambda: None,
-            on_bytes=lambda: None,
-            on_own_head=lambda head: None,
         )
         self.attempt()
 
--- a/tests/test_answerrelay.py
+++ b/tests/test_answerrelay.py
@@ -42,9 +42,6 @@
             is_stream=is_stream,
             budget=self.budget,
             decode=decode_answer,
-            on_first=lambda: None,
-            on_bytes=lambda: None,
-            on_own_head=lambda head: None,
         )
 
     def test_whole_events_only(self):
