Move an answer only to a server that has brought its next event

Cause: RequestRun cancelled the attempt as soon as its engine was silent, and only then asked whether the retry budget, the runs that the route allows, the memory of other engines, limits and the quarantine allow another one. Class: something in use is ended on suspicion before its replacement is in hand.

Change: the attempt in progress stays open. Forwarding.begin_move returns the first step of a second attempt beside it, which resumes after the last event that the caller got, or why none can be made now; whichever attempt has the next event first goes on, and the other is closed. ServerPool.choose offers a move no server that has been tried, is silent or in its backoff. A relay writes only while the caller's stream stands where it has brought it. A retry is charged when its server has been chosen. The types of choices of servers have a module of their own (request/serverchoice).

Ruled out: waiting for the engine until the deadline (streams of an engine that is gone would end with their callers).

--- a/bergamothill/connection/backendhttp.py
+++ b/bergamothill/connection/backendhttp.py
@@ -121,7 +121,7 @@
     try:
         return await done
     finally:
-        flow.detach()
+        flow.detach(transport)
         transport.abort()
 
 
--- a/bergamothill/process/requestrun.py
+++ b/bergamothill/process/requestrun.py
@@ -41,6 +41,8 @@
 
 __all__ = ["RequestRun"]
 
+_ANSWERED = (AttemptOutcome.SUCCESS, AttemptOutcome.FAILURE)
+
 _log = EventLog("gateway")
 
 
@@ -89,7 +91,8 @@
         self._service = service
         self._first_byte_ms: int | None = None
         self._timeout: asyncio.Timeout | None = None
-        self._attempt: ServerAttempt | None = None
+        self._leading: ServerAttempt | None = None
+        self._move_refusal = ""
         self._is_stopping = False
         self._forwarding = Forwarding(
             request,
@@ -109,6 +112,7 @@
             budget=buffer_budget,
             decode=decode_answer,
         )
+        self._relays = [self._relay]
         self._context = AttemptContext(
             clock,
             server_pool,
@@ -118,18 +122,32 @@
             is_stream,
             connection.flow,
             self._on_first_byte,
+            self._on_events,
         )
 
     def _on_first_byte(self) -> None:
         self._first_byte_ms = self._clock.now_ms()
         self._forwarding.stream_started = self._relay.stream_started
 
+    def _on_events(self, attempt: ServerAttempt) -> None:
+        """Let the attempt whose events come first go on with the answer, and end the other."""
+        leading = self._leading
+        if attempt is not leading:
+            self._lead(attempt)
+            leading.end_moved()
+        elif attempt.is_moving:
+            attempt.move.cancel()
+
+    def _lead(self, attempt: ServerAttempt) -> None:
+        self._leading, self._relay = attempt, attempt.relay
+
     async def execute(self) -> None:
         """Carry out the forwarding steps of the request until its final one."""
         try:
             await self._execute_steps()
         finally:
-            self._relay.discard_body()
+            for relay in self._relays:
+                relay.discard_body()
 
     async def _execute_steps(self) -> None:
         step = self._forwarding.begin(self._clock.now_ms())
@@ -162,9 +180,32 @@
 
     @_perform.register
     async def _(self, step: Send) -> ForwardStep:
-        attempt = self._attempt = ServerAttempt(self._context, step, self._relay)
-        outcome = await attempt.run()
-        return self._next_step(outcome, step, self._clock.now_ms())
+        return await self._run_attempt(step, self._relay)
+
+    async def _run_attempt(self, send: Send, relay: AnswerRelay) -> ForwardStep:
+        """Run an attempt, and those that move its answer elsewhere; return the next step."""
+        attempt = ServerAttempt(self._context, send, relay)
+        if self._leading is None or self._leading.has_ended:
+            self._lead(attempt)
+        else:
+            self._leading.challenger = attempt
+        try:
+            outcome = await attempt.run()
+            move = attempt.move
+            if outcome is AttemptOutcome.MOVED:
+                self._forwarding.record_lost(attempt.send)
+                return await move
+            if move is None or move.done() or outcome in _ANSWERED:
+                return self._next_step(outcome, attempt, self._clock.now_ms())
+            self._record_unanswered(outcome, attempt, self._clock.now_ms())
+            if attempt is self._leading and attempt.challenger is not None:
+                self._lead(attempt.challenger)
+            return await move
+        except asyncio.CancelledError:
+            self._forwarding.record_lost(attempt.send)
+            raise
+        finally:
+            await _cancel(attempt.move)
 
     @_perform.register
     async def _(self, step: WaitForTrial) -> ForwardStep:
@@ -220,39 +261,102 @@
             self._timeout.reschedule(asyncio.get_running_loop().time())
 
     def check_for_stall(self, now_ms: int) -> None:
-        """Cancel the attempt if its engine has stalled and the route allows a retry."""
-        if self._attempt is not None and self._route.may_retry and self._service.engine is not None:
-            self._attempt.check_for_stall(now_ms)
-
-    def _next_step(self, outcome: AttemptOutcome, send: Send, now_ms: int) -> ForwardStep:
-        server_pool, forwarding, relay = self._server_pool, self._forwarding, self._relay
-        server = send.server.server
-        if outcome is AttemptOutcome.NOT_CONNECTED:
-            server_pool.request_failed(server, now_ms)
-            return forwarding.on_not_connected(send, now_ms)
-        if outcome is AttemptOutcome.NOT_SENT:
+        """Begin to move the answer to another server if its engine has stalled.
+
+        The attempt in progress goes on, since its server may do so at any moment; the one whose
+        next event comes first is kept.
+        """
+        attempt = self._leading
+        if attempt is None or not self._route.may_retry or self._service.engine is None:
+            return
+        if attempt.is_moving or not attempt.has_stalled(now_ms):
+            return
+        last_event_id = self._relay.last_event_id
+        step = self._forwarding.begin_move(now_ms, last_event_id=last_event_id)
+        self._log_move(attempt, step, now_ms)
+        if isinstance(step, Send | WaitForMemory | WaitForTrial):
+            attempt.move = asyncio.get_running_loop().create_task(self._move(attempt, step))
+
+    async def _move(self, stalled: ServerAttempt, step: ForwardStep) -> ForwardStep:
+        """Carry out the steps of a move; return the final one."""
+        relay = self._relay.fork()
+        self._relays.append(relay)
+        while isinstance(step, Send | WaitForMemory | WaitForTrial):
+            if isinstance(step, Send):
+                step = await self._run_attempt(step, relay)
+            else:
+                step = await self._perform(step)
+        if isinstance(step, Deliver):
+            relay.claim_stream()
+            self._relay = relay
+            stalled.end_moved()
+        return step
+
+    def _log_move(self, attempt: ServerAttempt, step: ForwardStep, now_ms: int) -> None:
+        """Log a move, or why none can be made if that has changed."""
+        server = attempt.send.server.server
+        refusal = step.reason.value if isinstance(step, Finish | AbortStream) else ""
+        if refusal and refusal == self._move_refusal:
+            return
+        self._move_refusal = refusal
+        _log.info(
+            "answer_move",
+            request=self._request.request_id,
+            server=server,
+            silence_ms=self._server_pool.silence_ms(server, now_ms),
+            to=step.server.server if isinstance(step, Send) else "-",
+            refusal=refusal or None,
+            runs=self._forwarding.run_count,
+            max_runs=self._route.max_servers,
+            retries_left=self._forwarding.retries_left(now_ms),
+        )
+
+    def _next_step(
+        self, outcome: AttemptOutcome, attempt: ServerAttempt, now_ms: int
+    ) -> ForwardStep:
+        """Return the step that follows from the end of an attempt."""
+        forwarding, relay, send = self._forwarding, attempt.relay, attempt.send
+        if outcome not in _ANSWERED:
+            self._learn_from_failure(outcome, attempt, now_ms)
+        if outcome in (AttemptOutcome.NOT_CONNECTED, AttemptOutcome.NOT_SENT):
             return forwarding.on_not_connected(send, now_ms)
         if outcome is AttemptOutcome.REFUSED:
-            self._handle_refusal(send, now_ms)
             return forwarding.on_refused(send, now_ms)
         if outcome is AttemptOutcome.BROKEN:
-            server_pool.request_failed(server, now_ms)
             return forwarding.on_answer_lost(send, now_ms, last_event_id=relay.last_event_id)
-        server_pool.request_succeeded(server, self._request.model, relay.head.weight_version)
+        model, version = self._request.model, relay.head.weight_version
+        self._server_pool.request_succeeded(send.server.server, model, version)
         if outcome is AttemptOutcome.FAILURE and relay.head.status >= 500:
             return forwarding.on_failure(send, now_ms)
         return Deliver()
 
-    def _handle_refusal(self, send: Send, now_ms: int) -> None:
-        server, model = send.server.server, self._request.model
-        if self._relay.head.status != 421:
+    def _record_unanswered(
+        self, outcome: AttemptOutcome, attempt: ServerAttempt, now_ms: int
+    ) -> None:
+        """Record the end of an attempt beside which another is under way."""
+        self._learn_from_failure(outcome, attempt, now_ms)
+        if outcome is AttemptOutcome.BROKEN:
+            self._forwarding.record_lost(attempt.send)
+        else:
+            self._forwarding.record_refused(attempt.send)
+
+    def _learn_from_failure(
+        self, outcome: AttemptOutcome, attempt: ServerAttempt, now_ms: int
+    ) -> None:
+        if outcome in (AttemptOutcome.NOT_CONNECTED, AttemptOutcome.BROKEN):
+            self._server_pool.request_failed(attempt.send.server.server, now_ms)
+        elif outcome is AttemptOutcome.REFUSED:
+            self._handle_refusal(attempt, now_ms)
+
+    def _handle_refusal(self, attempt: ServerAttempt, now_ms: int) -> None:
+        head, terms = attempt.relay.head, attempt.send.terms
+        server, model = attempt.send.server.server, self._request.model
+        if head.status != 421:
             self._server_pool.request_rejected(server, now_ms)
-            return
-        answering_instance = self._relay.head.instance
-        if answering_instance and answering_instance != server:
+        elif head.instance and head.instance != server:
             self._server_pool.mark_replaced(server)
-        elif model is not None and send.terms.weight_version is not None:
-            self._server_pool.record_weight_mismatch(server, model, send.terms.weight_version)
+        elif model is not None and terms.weight_version is not None:
+            self._server_pool.record_weight_mismatch(server, model, terms.weight_version)
 
     @singledispatchmethod
     def _apply_final_step(self, step: ForwardStep) -> None:
@@ -282,7 +386,7 @@
 
     def _log_cut(self, step: AbortStream) -> None:
         now_ms = self._clock.now_ms()
-        server = ServerId("") if self._attempt is None else self._attempt.send.server.server
+        server = ServerId("") if self._leading is None else self._leading.send.server.server
         _log.info(
             "answer_cut",
             request=self._request.request_id,
@@ -319,3 +423,9 @@
         self._metrics.count("requests", outcome=outcome, rule=self._route.retry_policy.value)
         if first_ms is not None:
             self._metrics.observe("first_byte_ms", first_ms, rule=self._route.retry_policy.value)
+
+
+async def _cancel(task: asyncio.Task[ForwardStep] | None) -> None:
+    if task is not None and not task.done():
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
--- /dev/null
+++ b/bergamothill/process/serverattempt.py
@@ -0,0 +1,307 @@
+"""One attempt of a request at a backend server, on the event loop."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from bergamothill.clock import Clock
+from bergamothill.connection.backendhttp import ExchangeEnd, ExchangeResult, exchange
+from bergamothill.connection.flowgate import FlowGate
+from bergamothill.logs import EventLog
+from bergamothill.platform.headers import encode_forward
+from bergamothill.process.admissionqueue import AdmissionQueue
+from bergamothill.process.quarantinegate import GatedRun, QuarantineGate
+from bergamothill.process.quarantinesteps import classify_run_end
+from bergamothill.process.serverlimits import log_limit_change
+from bergamothill.process.serverpool import ServerPool
+from bergamothill.request.answerrelay import AnswerListener, AnswerRelay, AttemptVerdict
+from bergamothill.request.callerrequest import CallerRequest, ResponseHead
+from bergamothill.request.forwarding import ForwardStep, Send
+from bergamothill.request.partquarantine import RunEnd
+
+__all__ = ["AttemptContext", "AttemptOutcome", "ServerAttempt"]
+
+_log = EventLog("gateway")
+
+
+class AttemptOutcome(Enum):
+    """How an attempt ended."""
+
+    NOT_CONNECTED = "not_connected"
+    NOT_SENT = "not_sent"
+    REFUSED = "refused"
+    BROKEN = "broken"
+    FAILURE = "failure"
+    SUCCESS = "success"
+    MOVED = "moved"
+    """Another attempt went on with the answer."""
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptContext:
+    """What the attempts of one request have in common.
+
+    :param clock: source of time
+    :param server_pool: observed state of the backend servers
+    :param queue: requests that wait for capacity of the same service
+    :param gate: quarantine of parts of requests
+    :param request: caller's request
+    :param is_stream: whether the answers of the route are event streams
+    :param flow: pauses reading while the caller does not keep up
+    :param on_first: called before the first bytes are sent to the caller
+    :param on_events: called with the attempt before events are sent to the caller
+    :param log: descriptions of the attempts that have ended
+    """
+
+    clock: Clock
+    server_pool: ServerPool
+    queue: AdmissionQueue
+    gate: QuarantineGate
+    request: CallerRequest
+    is_stream: bool
+    flow: FlowGate
+    on_first: Callable[[], None]
+    on_events: Callable[[ServerAttempt], None]
+    log: list[str] = field(default_factory=list)
+
+
+class ServerAttempt(AnswerListener):
+    """Sends a request to one server, passes its answer on, and tells what that shows of the server.
+
+    :param context: what the attempts of the request have in common
+    :param send: server and terms
+    :param relay: relay of the answer
+    """
+
+    def __init__(self, context: AttemptContext, send: Send, relay: AnswerRelay) -> None:
+        self.move: asyncio.Task[ForwardStep] | None = None
+        """Attempts at other servers, begun because this one has stalled."""
+
+        self.challenger: ServerAttempt | None = None
+        """Latest of these attempts."""
+
+        self.has_ended = False
+        self.send = send
+        self.relay = relay
+        self._context = context
+        self._clock = context.clock
+        self._server_pool = context.server_pool
+        self._request = context.request
+        self._server = send.server.server
+        self._gated_run: GatedRun | None = None
+        self._exchange_task: asyncio.Task[ExchangeResult] | None = None
+        self._has_pending_prefill = True
+        self._is_moved = False
+        self._is_unread = False
+        self._is_streaming = False
+        self._own_head: ResponseHead | None = None
+        self._said_leaving = False
+        self._sent_ms = 0
+
+    async def run(self) -> AttemptOutcome:
+        """Send the request and wait for the end of the answer."""
+        context, send, server_pool = self._context, self.send, self._server_pool
+        self.relay.begin_attempt(self)
+        started_ms = self._sent_ms = self._clock.now_ms()
+        tokens, prefill_tokens = self._request.prompt_tokens, send.terms.pending_prefill_tokens
+        server_pool.request_started(self._server, tokens, prefill_tokens, started_ms)
+        context.queue.requests.record_admission(tokens, started_ms)
+        self._gated_run = context.gate.begin_run(self._request, send, started_ms)
+        try:
+            result = await self._exchange()
+        except BaseException:
+            self._end_gated_run(RunEnd.OTHER)
+            duration_ms = self._clock.now_ms() - started_ms
+            context.log.append(f"{self._server}:given_up:0:{duration_ms}ms")
+            raise
+        finally:
+            self.has_ended = True
+            head = self.relay.head
+            has_begun = self._is_streaming or not (head is None or context.is_stream)
+            self._clear_pending_prefill()
+            if self._is_streaming:
+                self._is_streaming = False
+                server_pool.stream_ended(self._server)
+            self._set_unread(False, self._clock.now_ms())
+            server_pool.request_ended(self._server, tokens)
+            context.queue.wake_head()
+        self._record_pause(result.end, self._clock.now_ms())
+        outcome = self._classify(result)
+        # Before the next step is chosen, so that no crash is repeated blindly.
+        self._end_gated_run(classify_run_end(outcome.value, result, has_begun=has_begun))
+        self._log_end(outcome, result, started_ms)
+        return outcome
+
+    def _log_end(self, outcome: AttemptOutcome, result: ExchangeResult, started_ms: int) -> None:
+        detail = result.detail
+        if outcome is AttemptOutcome.BROKEN and result.end is ExchangeEnd.COMPLETE:
+            is_whole = self.relay.is_whole
+            detail = "ended before any event" if is_whole else "ended inside an event"
+        status = self.relay.head.status if self.relay.head is not None else 0
+        duration_ms = self._clock.now_ms() - started_ms
+        self._context.log.append(
+            f"{self._server}:{outcome.value}:{status}:{duration_ms}ms:{self.send.terms.summary()}"
+            + (f":{detail}" if detail else "")
+        )
+
+    def _classify(self, result: ExchangeResult) -> AttemptOutcome:
+        """Classify the attempt by the head of its answer, then by how the answer ended."""
+        relay, end = self.relay, result.end
+        if self._is_moved or not relay.may_write:
+            return AttemptOutcome.MOVED
+        if end is ExchangeEnd.NOT_CONNECTED:
+            return AttemptOutcome.NOT_CONNECTED
+        if end is ExchangeEnd.NOT_SENT:
+            return AttemptOutcome.NOT_SENT
+        if relay.verdict is AttemptVerdict.NOT_RUN:
+            return AttemptOutcome.REFUSED
+        if end is not ExchangeEnd.COMPLETE or not relay.is_whole:
+            return AttemptOutcome.BROKEN
+        if result.was_closed and relay.lacks_events:
+            return AttemptOutcome.BROKEN
+        is_success = relay.verdict is AttemptVerdict.SUCCESS
+        return AttemptOutcome.SUCCESS if is_success else AttemptOutcome.FAILURE
+
+    async def _exchange(self) -> ExchangeResult:
+        """Exchange request and answer, unless the answer is moved to another server."""
+        self._exchange_task = asyncio.ensure_future(
+            exchange(
+                self.send.server.address,
+                encode_forward(self._request, self.send.terms),
+                self.relay,
+                may_send=self._may_send,
+                is_head=self._request.raw.method == b"HEAD",
+                flow=self._context.flow,
+            )
+        )
+        try:
+            return await self._exchange_task
+        except asyncio.CancelledError:
+            if not self._is_moved or asyncio.current_task().cancelling():
+                raise
+            silence_ms = self._server_pool.silence_ms(self._server, self._clock.now_ms())
+            return ExchangeResult(ExchangeEnd.BROKEN, f"silent for {silence_ms} ms")
+        finally:
+            self._exchange_task = None
+
+    def _may_send(self) -> bool:
+        send, now_ms = self.send, self._clock.now_ms()
+        if not self._is_allowed(now_ms):
+            return False
+        limits = self._server_pool.limits
+        return limits.may_send(send.server, send.terms.limit_spent_ms, now_ms)
+
+    def _is_allowed(self, now_ms: int) -> bool:
+        server, request = self.send.server, self._request
+        if not self._context.gate.may_send(request, now_ms):
+            return False
+        if self.send.terms.weight_version is None:
+            return self._server_pool.may_send_to(server, now_ms)
+        return self._server_pool.may_send_prompt_to(server, request.model, now_ms)
+
+    @property
+    def is_moving(self) -> bool:
+        """Whether attempts at other servers are under way."""
+        return self.move is not None and not self.move.done()
+
+    def has_stalled(self, now_ms: int) -> bool:
+        """Return whether the engine has been silent so long that another one should be tried."""
+        if self._exchange_task is None:
+            return False
+        # The server cannot be heard while its answer is not read.
+        self._set_unread(self._context.flow.is_paused, now_ms)
+        return not self._is_unread and self._server_pool.has_stalled(self._server, now_ms)
+
+    def end_moved(self) -> None:
+        """End the exchange, as another attempt has gone on with the answer."""
+        if self._exchange_task is not None:
+            self._is_moved = True
+            self._exchange_task.cancel()
+
+    def _set_unread(self, is_unread: bool, now_ms: int) -> None:
+        if is_unread != self._is_unread:
+            self._is_unread = is_unread
+            self._server_pool.record_unread(self._server, 1 if is_unread else -1, now_ms)
+
+    def _clear_pending_prefill(self) -> None:
+        if self._has_pending_prefill:
+            self._has_pending_prefill = False
+            tokens = self.send.terms.pending_prefill_tokens
+            self._server_pool.prompt_prefilled(self._server, tokens)
+
+    def _end_gated_run(self, end: RunEnd) -> None:
+        run, self._gated_run = self._gated_run, None
+        if run is not None:
+            run.end(end, self._clock.now_ms())
+
+    # The answer.
+
+    def on_first(self) -> None:
+        """Record that the prompt has been read."""
+        self._clear_pending_prefill()
+        self._context.on_first()
+
+    def on_events(self) -> None:
+        """Tell that the answer goes on with this attempt."""
+        self._context.on_events(self)
+
+    def on_bytes(self) -> None:
+        """Record that the server was heard."""
+        now_ms = self._clock.now_ms()
+        if not self._is_streaming:
+            self._is_streaming = True
+            self._server_pool.stream_began(self._server)
+            self._server_pool.record_first_token(self.send.terms, now_ms - self._sent_ms, now_ms)
+        is_success = self.relay.verdict is AttemptVerdict.SUCCESS
+        if self._gated_run is not None and is_success and not self.relay.lacks_events:
+            self._gated_run.record_event(now_ms)
+        self._server_pool.record_bytes(self._server, now_ms)
+
+    def on_own_head(self, head: ResponseHead) -> None:
+        """Learn from the head of an answer what the server says of itself."""
+        self._own_head = head
+        server = self.send.server
+        is_other_instance = head.status == 421 and head.instance != server.server
+        # A refusal need not come from the expected instance.
+        if self._gated_run is not None and not head.is_not_executed:
+            self._gated_run.record_alive(self._clock.now_ms())
+        if is_other_instance:
+            return
+        self._record_limit(head)
+        if not head.is_leaving:
+            return
+        self._said_leaving = True
+        if self._server_pool.record_leaving(server):
+            _log.info(
+                "server_leaving",
+                server=server.server,
+                request=self._request.request_id,
+                status=head.status,
+            )
+
+    def _record_limit(self, head: ResponseHead) -> None:
+        now_ms, server = self._clock.now_ms(), self.send.server
+        change = self._server_pool.limits.record_answer(server, head.limit, self._sent_ms, now_ms)
+        if change is not None:
+            log_limit_change(change, request=self._request.request_id)
+
+    def _record_pause(self, end: ExchangeEnd, now_ms: int) -> None:
+        """Record a pause that the server asked for, and withdraw what a malformed answer said."""
+        head, server = self._own_head, self.send.server
+        if end is ExchangeEnd.MALFORMED:
+            if self._said_leaving and not self.relay.stream_started:
+                self._server_pool.withdraw_leaving(server)
+                _log.info("server_leaving_withdrawn", server=server.server)
+            return
+        if head is None or head.quiet_ms is None:
+            return
+        self._server_pool.record_quiet(server, head.quiet_ms, now_ms)
+        _log.info(
+            "server_asks_for_quiet",
+            server=server.server,
+            request=self._request.request_id,
+            quiet_ms=head.quiet_ms,
+        )
--- a/bergamothill/process/serverpool.py
+++ b/bergamothill/process/serverpool.py
@@ -19,8 +19,8 @@
 from bergamothill.process.trialplacement import TrialPlacement
 from bergamothill.request.callerrequest import CallerRequest, ForwardTerms
 from bergamothill.request.contextplan import ContextPlanner
-from bergamothill.request.forwarding import AllQuiet, AtLimit, NoFreeMemory, ServerChoice
 from bergamothill.request.partquarantine import Trial
+from bergamothill.request.serverchoice import AllQuiet, AtLimit, NoFreeMemory, ServerChoice
 from bergamothill.version.routetable import Brand, EngineTraits, Service
 from bergamothill.version.weightswap import SwapEngine
 from bergamothill.version.weighttarget import (
@@ -262,15 +262,21 @@
         urgency: int,
         now_ms: int,
         trial: Trial | None = None,
+        *,
+        is_move: bool = False,
     ) -> ServerChoice:
         """Choose a server for a request and the terms to forward it under.
 
-        Implements :class:`~bergamothill.request.forwarding.ServerChooser`.
+        Implements :class:`~bergamothill.request.serverchoice.ServerChooser`.
         """
         usable = self.usable(service.name, now_ms)
         if not usable:
             quiet_until_ms = self.quiet_until_ms(service.name, now_ms)
             return None if quiet_until_ms is None else AllQuiet(quiet_until_ms)
+        if is_move:
+            usable = [b for b in usable if self._may_take_over(b, avoided, now_ms)]
+            if not usable:
+                return None
         is_prompt = service.engine is not None and request.model is not None
         if is_prompt:
             usable = [b for b in usable if self._may_run_on_weights(b, request.model, now_ms)]
@@ -315,6 +321,12 @@
                 return (entry, terms)
         return NoFreeMemory()
 
+    def _may_take_over(self, state: ObservedServer, avoided: tuple[str, ...], now_ms: int) -> bool:
+        """Return whether an answer that is in progress elsewhere may be moved to a server."""
+        if state.entry.server in avoided or state.backoff_until_ms > now_ms:
+            return False
+        return not self._is_silent(state, now_ms)
+
     def _at_limit(self, servers: list[ObservedServer], now_ms: int) -> AtLimit:
         """Return when servers whose limits are used up admit a request of this instance."""
         waits_ms = [self.limits.wait_ms(b.entry, now_ms) for b in servers]
--- a/bergamothill/request/answerrelay.py
+++ b/bergamothill/request/answerrelay.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
 
@@ -58,9 +59,30 @@
     def on_own_head(self, head: ResponseHead) -> None:
         """Handle the head of an answer that belongs to the request."""
 
+    def on_events(self) -> None:
+        """Handle events of the answer that go on where the caller's stream stands."""
+
+
+@dataclass(slots=True)
+class _CallerStream:
+    """How far the stream to the caller has got.
+
+    :param is_started: whether the head and an event were sent
+    :param last_event_id: id of the last event that was sent
+    :param writes: number of writes so far
+    """
+
+    is_started: bool = False
+    last_event_id: str = ""
+    writes: int = 0
+
 
 class AnswerRelay:
-    """Relay of the answer of one request, across all of its attempts.
+    """Relay of the answer of one request, across successive attempts.
+
+    Attempts that run at the same time have a relay each, see :meth:`fork`. A relay writes only
+    while the caller's stream stands where its attempt began or where it has brought it itself, so
+    that the events of two attempts are never interleaved.
 
     :param caller: connection of the caller
     :param request_id: request id that an answer must have
@@ -78,24 +100,42 @@
         budget: BufferBudget,
         decode: Callable[[int, list[Header]], ResponseHead],
     ) -> None:
-        self.stream_started = False
+        self._stream = _CallerStream()
         self._caller = caller
         self._request_id = request_id
         self._is_stream = is_stream
         self._decode = decode
         self._splitter = EventSplitter()
+        self._budget = budget
         self._body = BodyBuffer(budget)
         self.begin_attempt()
 
+    def fork(self) -> AnswerRelay:
+        """Return a relay for an attempt beside the one in progress."""
+        relay = AnswerRelay(
+            self._caller,
+            self._request_id,
+            is_stream=self._is_stream,
+            budget=self._budget,
+            decode=self._decode,
+        )
+        relay._stream = self._stream
+        return relay
+
+    def claim_stream(self) -> None:
+        """Let no attempt beside this one write any more."""
+        self._stream.writes += 1
+        self._position = self._stream.writes
+
     def begin_attempt(self, listener: AnswerListener | None = None) -> None:
         """Discard the unfinished answer of the previous attempt.
 
         :param listener: learns of the answer of the new attempt
         """
         self._listener = listener or AnswerListener()
-        last_event_id = self._splitter.last_event_id
         self._splitter = EventSplitter()
-        self._splitter.last_event_id = last_event_id
+        self._splitter.last_event_id = self._stream.last_event_id
+        self._position = self._stream.writes
         self.discard_body()
         self._has_event = False
         self.head: ResponseHead | None = None
@@ -108,7 +148,17 @@
     @property
     def last_event_id(self) -> str:
         """Id of the last event sent to the caller; empty if none was sent."""
-        return self._splitter.last_event_id if self.stream_started else ""
+        return self._stream.last_event_id
+
+    @property
+    def stream_started(self) -> bool:
+        """Whether events were sent to the caller."""
+        return self._stream.is_started
+
+    @property
+    def may_write(self) -> bool:
+        """Whether no other attempt has brought the caller's stream further."""
+        return self._position == self._stream.writes
 
     @property
     def is_whole(self) -> bool:
@@ -154,12 +204,19 @@
         if not events:
             return
         self._has_event = True
-        if self.stream_started:
-            self._caller.send_chunk(events)
+        if not self.may_write:
             return
-        self.stream_started = True
-        self._listener.on_first()
-        self._caller.start_chunked_response(self.head.status, self.head.headers, events)
+        self._listener.on_events()
+        stream, is_first = self._stream, not self._stream.is_started
+        stream.is_started = True
+        stream.last_event_id = self._splitter.last_event_id
+        stream.writes += 1
+        self._position = stream.writes
+        if is_first:
+            self._listener.on_first()
+            self._caller.start_chunked_response(self.head.status, self.head.headers, events)
+        else:
+            self._caller.send_chunk(events)
 
     def deliver(self) -> None:
         """Finish the answer to the caller; its body has to be complete."""
--- a/bergamothill/request/forwarding.py
+++ b/bergamothill/request/forwarding.py
@@ -8,7 +8,6 @@
 
 from dataclasses import dataclass, replace
 from enum import Enum
-from typing import Protocol
 
 from bergamothill.errors import BergamothillError, Execution, PeerTimeoutError, UnavailableError
 from bergamothill.process.backends import BackendServer
@@ -23,24 +22,26 @@
     Unsuspected,
 )
 from bergamothill.request.requestqueue import NO_LIMIT, AdmissionRate
+from bergamothill.request.serverchoice import (
+    AllQuiet,
+    AtLimit,
+    NoFreeMemory,
+    PartScreen,
+    ServerChoice,
+    ServerChooser,
+)
 from bergamothill.request.windowedbudget import WindowedRetryBudget
 from bergamothill.version.routetable import Brand, Route, Service
 
 __all__ = [
     "AbortStream",
-    "AllQuiet",
-    "AtLimit",
     "Deliver",
     "Finish",
     "Forwarding",
     "ForwardStep",
     "WaitForMemory",
-    "NoFreeMemory",
     "Reason",
     "Send",
-    "PartScreen",
-    "ServerChoice",
-    "ServerChooser",
     "WaitForTrial",
 ]
 
@@ -176,67 +177,6 @@
 ForwardStep = Send | Deliver | Finish | AbortStream | WaitForMemory | WaitForTrial
 
 
-class NoFreeMemory:
-    """Result of a choice: no server that could run the request has enough free memory."""
-
-
-@dataclass(frozen=True, slots=True)
-class AllQuiet:
-    """Result of a choice: all servers that could run the request asked for a pause.
-
-    :param until_ms: time at which the first of them may be used again
-    """
-
-    until_ms: int
-
-
-@dataclass(frozen=True, slots=True)
-class AtLimit:
-    """Result of a choice: all servers that could run the request have a limit that is used up.
-
-    :param wait_ms: time until one of them may get a request of this instance; None if none may
-    :param interval_ms: time between two such requests
-    """
-
-    wait_ms: int | None
-    interval_ms: int
-
-
-ServerChoice = tuple[BackendServer, ForwardTerms] | NoFreeMemory | AllQuiet | AtLimit | None
-
-
-class ServerChooser(Protocol):
-    """Chooses among the servers of a service."""
-
-    def choose(
-        self,
-        service: Service,
-        request: CallerRequest,
-        brand: Brand | None,
-        avoided: tuple[str, ...],
-        urgency: int,
-        now_ms: int,
-        trial: Trial | None = None,
-    ) -> ServerChoice:
-        """Return a server and the terms for it.
-
-        Returns None if no server can run the request, ``NoFreeMemory`` if none of those that may be
-        chosen has enough free memory, ``AllQuiet`` if all of them asked for a pause, ``AtLimit`` if
-        all of them take no more requests for now.
-
-        :param urgency: 0 comes first; less urgent requests must leave more memory free
-        :param avoided: servers that already failed the request; chosen only as a last resort
-        :param trial: trial for which a server is chosen where few requests would go down with it
-        """
-
-
-class PartScreen(Protocol):
-    """Tells whether a request may be sent, by what is known of its parts."""
-
-    def check(self, request: CallerRequest, now_ms: int) -> QuarantineVerdict:
-        """Return whether a request may be sent."""
-
-
 class Forwarding:
     """State machine of one forwarded request.
 
@@ -271,6 +211,8 @@
         self._retry_budget = retry_budget
         self._jitter = jitter
         self._screen = screen
+        self._in_progress: list[Attempt] = []
+        self._owes_retry = False
         self.run_count = 0
         """Number of ended attempts that may have run the request."""
 
@@ -291,12 +233,12 @@
 
     def on_not_connected(self, send: Send, now_ms: int) -> ForwardStep:
         """Handle a failure to connect; as no byte was sent, the retry budget is not charged."""
-        self.attempts.mark_failed(send.attempt, _REFUSED_ERROR)
+        self.record_refused(send)
         return self._next_attempt(now_ms, send.terms.last_event_id, is_repeat=False)
 
     def on_refused(self, send: Send, now_ms: int) -> ForwardStep:
         """Handle a refusal by the server, which did not run the request."""
-        self.attempts.mark_failed(send.attempt, _REFUSED_ERROR)
+        self.record_refused(send)
         return self._next_attempt(now_ms, send.terms.last_event_id, is_repeat=True)
 
     def on_answer_lost(self, send: Send, now_ms: int, *, last_event_id: str) -> ForwardStep:
@@ -304,19 +246,49 @@
 
         :param last_event_id: id of the last event sent to the caller; empty for none
         """
-        self.attempts.mark_failed(send.attempt, _ANSWER_LOST_ERROR)
-        self.run_count += 1
-        if not self._route.may_retry or self.run_count >= self._route.max_servers:
+        self.record_lost(send)
+        if not self._may_run_again(self.run_count, last_event_id):
             return self._give_up(now_ms, Reason.BROKEN)
-        if self.stream_started and not last_event_id:
+        return self._next_attempt(now_ms, last_event_id, is_repeat=True)
+
+    def begin_move(self, now_ms: int, *, last_event_id: str) -> ForwardStep:
+        """Return the first step of an attempt beside one that is in progress and has stalled.
+
+        A final step tells why none can be made now; it does not end the request.
+
+        :param last_event_id: id of the last event sent to the caller; empty for none
+        """
+        if not self._may_run_again(self.run_count + len(self._in_progress), last_event_id):
             return self._give_up(now_ms, Reason.BROKEN)
         return self._next_attempt(now_ms, last_event_id, is_repeat=True)
 
+    def record_refused(self, send: Send) -> None:
+        """Record that an attempt ended without a run."""
+        self._end_attempt(send, _REFUSED_ERROR)
+
+    def record_lost(self, send: Send) -> None:
+        """Record that an attempt ended, or was given up, and may have run the request."""
+        self._end_attempt(send, _ANSWER_LOST_ERROR)
+        self.run_count += 1
+
+    def _end_attempt(self, send: Send, error: BergamothillError) -> None:
+        self.attempts.mark_failed(send.attempt, error)
+        self._in_progress = [a for a in self._in_progress if a is not send.attempt]
+
+    def _may_run_again(self, runs: int, last_event_id: str) -> bool:
+        """Return whether the route allows a further run.
+
+        :param runs: number of earlier ones
+        :param last_event_id: id of the last event sent to the caller; empty for none
+        """
+        if not self._route.may_retry or runs >= self._route.max_servers:
+            return False
+        return bool(last_event_id) or not self.stream_started
+
     def on_failure(self, send: Send, now_ms: int) -> ForwardStep:
         """Handle a failure that the server reported after it ran the request."""
-        self.attempts.mark_failed(send.attempt, _ANSWER_LOST_ERROR)
-        self.run_count += 1
-        if not self._route.may_retry or self.run_count >= self._route.max_servers:
+        self.record_lost(send)
+        if not self._may_run_again(self.run_count, send.terms.last_event_id):
             return Deliver()
         step = self._next_attempt(now_ms, send.terms.last_event_id, is_repeat=True)
         return step if isinstance(step, Send) else Deliver()
@@ -386,11 +358,7 @@
     def _next_attempt(self, now_ms: int, last_event_id: str, *, is_repeat: bool) -> ForwardStep:
         if len(self.attempts.servers) >= MAX_FORWARD_ATTEMPTS:
             return self._give_up(now_ms, Reason.REFUSED)
-        verdict = self._check_parts(now_ms) if is_repeat else None
-        if isinstance(verdict, Quarantined):
-            return self._refuse_parts(verdict, now_ms)
-        if is_repeat and not self._retry_budget.try_spend(now_ms):
-            return self._give_up(now_ms, Reason.BUDGET)
+        self._owes_retry = is_repeat
         return self._send(now_ms, last_event_id)
 
     def _send(self, now_ms: int, last_event_id: str) -> ForwardStep:
@@ -399,6 +367,8 @@
         verdict = self._check_parts(now_ms)
         if isinstance(verdict, Quarantined):
             return self._refuse_parts(verdict, now_ms)
+        if self._owes_retry and not self.retries_left(now_ms):
+            return self._give_up(now_ms, Reason.BUDGET)
         if isinstance(verdict, AwaitTrial):
             return self._wait_for_trial(verdict, now_ms, last_event_id)
         trial = verdict if isinstance(verdict, Trial) else None
@@ -413,6 +383,9 @@
             if trial is not None and trial.needs_lone_server:
                 return self._wait_for_trial(AwaitTrial(LONE_SERVER_POLL_MS), now_ms, last_event_id)
             return self._wait_for_memory(now_ms, last_event_id)
+        if self._owes_retry:
+            self._owes_retry = False
+            self._retry_budget.try_spend(now_ms)
         server, terms = chosen
         terms.time_left_ms = self._give_up_ms - now_ms
         terms.last_event_id = last_event_id
@@ -420,6 +393,7 @@
             terms.urgency = self._urgency
         attempt = self.attempts.begin(server.server)
         self.attempts.mark_sending(attempt)
+        self._in_progress.append(attempt)
         return Send(server, terms, attempt, trial)
 
     def _check_parts(self, now_ms: int) -> QuarantineVerdict:
@@ -427,8 +401,16 @@
 
     def _choose(self, trial: Trial | None, now_ms: int) -> ServerChoice:
         service, request, brand = self._service, self._request, self._brand
-        avoided = self.attempts.servers
-        return self._chooser.choose(service, request, brand, avoided, self._urgency, now_ms, trial)
+        return self._chooser.choose(
+            service,
+            request,
+            brand,
+            self.attempts.servers,
+            self._urgency,
+            now_ms,
+            trial,
+            is_move=bool(self._in_progress),
+        )
 
     def _refuse_parts(self, verdict: Quarantined, now_ms: int) -> ForwardStep:
         step = self._give_up(now_ms, Reason.QUARANTINED, wait_ms=QUARANTINE_RETRY_AFTER_MS)
--- a/tests/proof/proof_answers.py
+++ b/tests/proof/proof_answers.py
@@ -7,7 +7,7 @@
 
 from bergamothill.process.serverlist import MAX_QUIET_MS
 from bergamothill.process.serverpool import ServerPool
-from bergamothill.request.forwarding import AllQuiet
+from bergamothill.request.serverchoice import AllQuiet
 from tests.builders import backend, caller_request, routing_config, server_pool
 from tests.proof.harness import Proof, ProofMachine
 from tests.proof.require import require
--- a/tests/proof/proof_forwarding.py
+++ b/tests/proof/proof_forwarding.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import copy
+
 from hypothesis import strategies as st
 from hypothesis.stateful import initialize, precondition, rule
 
@@ -17,10 +19,10 @@
     Deliver,
     Finish,
     Forwarding,
-    NoFreeMemory,
     Send,
     WaitForMemory,
 )
+from bergamothill.request.serverchoice import NoFreeMemory
 from bergamothill.request.windowedbudget import WindowedRetryBudget
 from bergamothill.version.routetable import RetryPolicy
 from tests.builders import backend, caller_request, routing_config
@@ -31,6 +33,8 @@
 SERVERS = tuple(backend(f"s{number}") for number in range(5))
 CALLER_TIMEOUT_MS = 3_000
 REQUEST_ID = "r1"
+SIGNED_HEAD = [(b"X-Request-Id", REQUEST_ID.encode()), (b"X-Server-Signature", b"s")]
+MAX_RIVALS = 2
 
 
 class ScriptedChooser:
@@ -39,7 +43,9 @@
     def __init__(self) -> None:
         self.offer: BackendServer | NoFreeMemory | None = SERVERS[0]
 
-    def choose(self, service, request, brand, avoided, urgency, now_ms, trial=None):
+    def choose(
+        self, service, request, brand, avoided, urgency, now_ms, trial=None, *, is_move=False
+    ):
         if isinstance(self.offer, BackendServer):
             return self.offer, ForwardTerms(self.offer.server, 0)
         return self.offer
@@ -236,8 +242,28 @@
     return b"id: %d\ndata: piece %d\n\n" % (number, number)
 
 
+class Rival:
+    """An attempt beside the one in progress, at an engine that resumes after an event.
+
+    :param relay: its relay
+    :param first: number of its first event
+    :param length: number of events of the whole stream
+    """
+
+    def __init__(self, relay, first, length):
+        self.relay = relay
+        self.remaining = b"".join(event(number) for number in range(first, length + 1))
+
+    def send(self, size):
+        """Send the next bytes."""
+        piece, self.remaining = self.remaining[:size], self.remaining[size:]
+        self.relay.on_body(piece)
+
+
 class RelayProof(ProofMachine):
-    """One resumable stream at a time, cut anywhere; engines resume after the last whole event.
+    """One resumable stream at a time, cut anywhere, from up to three engines at the same time.
+
+    Engines resume after the last whole event.
 
     Oracle: the caller has received a prefix of the event sequence, made of whole events only.
     """
@@ -257,6 +283,7 @@
 
     def attempt(self):
         """Start an attempt at an engine that resumes after the last event."""
+        self.rivals = []
         self.relay.begin_attempt()
         if not self.mechanism_enabled:
             last_event_id = self.relay._splitter.last_event_id
@@ -266,6 +293,13 @@
         self.remaining = b"".join(event(number) for number in range(first, self.length + 1))
         self.has_head = False
 
+    def begin_beside(self):
+        """Start an attempt beside the one in progress, or give the earlier one up."""
+        relay = self.relay.fork() if self.mechanism_enabled else copy.copy(self.relay)
+        relay.begin_attempt()
+        relay.on_head(200, SIGNED_HEAD)
+        self.rivals.append(Rival(relay, int(self.relay.last_event_id or 0) + 1, self.length))
+
     def check(self):
         whole = b"".join(event(number) for number in range(1, self.length + 1))
         received = self.caller.received
@@ -316,6 +350,19 @@
         self.relay.on_body(piece)
         self.check()
 
+    @precondition(lambda self: self.has_head and len(self.rivals) < MAX_RIVALS)
+    @rule()
+    def engine_stalls(self):
+        self.fault()
+        self.begin_beside()
+
+    @precondition(lambda self: self.rivals)
+    @rule(number=st.integers(0, MAX_RIVALS - 1), size=st.integers(1, 60))
+    def bytes_come_beside(self, number, size):
+        self.operation()
+        self.rivals[number % len(self.rivals)].send(size)
+        self.check()
+
     @precondition(lambda self: self.has_head)
     @rule()
     def connection_breaks(self):
@@ -329,7 +376,9 @@
         """End the answer of the engine properly, before or after the last event."""
         self.operation()
         is_complete = not self.remaining
-        if self.relay.is_whole and is_complete:
+        if not self.relay.may_write:
+            self.attempt()
+        elif self.relay.is_whole and is_complete:
             self.relay.deliver()
             self.check()
             require(
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -15,13 +15,13 @@
     Deliver,
     Finish,
     Forwarding,
-    NoFreeMemory,
     Reason,
     Send,
     WaitForMemory,
     WaitForTrial,
 )
 from bergamothill.request.partquarantine import AwaitTrial, Quarantined, Trial, Unsuspected
+from bergamothill.request.serverchoice import NoFreeMemory
 from bergamothill.request.windowedbudget import WindowedRetryBudget
 from tests.builders import backend, caller_request, routing_config
 
@@ -34,7 +34,9 @@
         self.answer = None
         self.needs_lone_server = None
 
-    def choose(self, service, request, brand, avoided, urgency, now_ms, trial=None):
+    def choose(
+        self, service, request, brand, avoided, urgency, now_ms, trial=None, *, is_move=False
+    ):
         if trial is not None:
             self.needs_lone_server = trial.needs_lone_server
         if self.answer is not None:
--- a/tests/test_limitshares.py
+++ b/tests/test_limitshares.py
@@ -16,8 +16,9 @@
     ServerLimits,
 )
 from bergamothill.request.callerrequest import RequestLimit
-from bergamothill.request.forwarding import AtLimit, Finish, Forwarding, Reason, WaitForMemory
+from bergamothill.request.forwarding import Finish, Forwarding, Reason, WaitForMemory
 from bergamothill.request.requestqueue import AdmissionRate, QueuedRequest, RequestQueue
+from bergamothill.request.serverchoice import AtLimit
 from bergamothill.request.tokenbucket import TokenBucket
 from bergamothill.request.windowedbudget import WindowedRetryBudget
 from tests.builders import (
--- a/tests/test_requestqueue.py
+++ b/tests/test_requestqueue.py
@@ -7,8 +7,8 @@
 from hypothesis import strategies as st
 
 from bergamothill.process.serverpool import ServerPool
-from bergamothill.request.forwarding import NoFreeMemory
 from bergamothill.request.requestqueue import QueuedRequest, RequestQueue
+from bergamothill.request.serverchoice import NoFreeMemory
 from tests.builders import backend, caller_request, routing_config, server_pool
 
 LLM = routing_config().services["llm"]
--- a/tests/test_serverpool.py
+++ b/tests/test_serverpool.py
@@ -11,7 +11,7 @@
     SUSPECT_SILENCE_MS,
     UNREAD_STALL_SILENCE_MS,
 )
-from bergamothill.request.forwarding import AllQuiet, NoFreeMemory
+from bergamothill.request.serverchoice import AllQuiet, NoFreeMemory
 from bergamothill.version.weightswap import WeightSwap
 from bergamothill.version.weighttarget import WeightTarget
 from tests.builders import backend, caller_request, routing_config, server_pool
--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -5,6 +5,7 @@
 from tests.gatewayworld import (
     PROMPT_HEADERS,
     STREAM_HEAD,
+    TIMEOUT_S,
     GatewayCase,
     chunk,
     event,
@@ -78,3 +79,12 @@
         world = self.world(engines=[falls_silent()])
         self.assert_whole(world)
         self.assertEqual(1, len(self.sent()))
+
+    def test_an_answer_moves_on_if_its_server_stays_silent(self):
+        for after in (0, 2):
+            world = self.world(engines=[falls_silent(8, after=after), falls_silent(0)])
+            started_s = time.monotonic()
+            self.assert_whole(world)
+            self.assertLess(time.monotonic() - started_s, 3)
+            self.assertEqual(2, len(self.sent()))
+            self.assertTrue(self.engines[0].left.wait(TIMEOUT_S))
--- a/tests/test_trialplacement.py
+++ b/tests/test_trialplacement.py
@@ -2,8 +2,8 @@
 
 import unittest
 
-from bergamothill.request.forwarding import NoFreeMemory
 from bergamothill.request.partquarantine import Trial
+from bergamothill.request.serverchoice import NoFreeMemory
 from tests.builders import backend, caller_request, routing_config, server_pool
 
 LLM = routing_config().services["llm"]
