--- a/bergamothill/ids.py
+++ b/bergamothill/ids.py
@@ -20,6 +20,7 @@
     "Revision",
     "ServerId",
     "ServiceName",
+    "SoftwareVersion",
     "StoreId",
     "StreamId",
     "WeightVersion",
@@ -34,6 +35,9 @@
 WeightVersion = NewType("WeightVersion", str)
 ServiceName = NewType("ServiceName", str)
 
+SoftwareVersion = NewType("SoftwareVersion", str)
+"""Version of a backend server's software, not of its weights."""
+
 ServerId = NewType("ServerId", str)
 """A backend server: a model engine or the server of a plain service."""
 
