--- a/tests/builders.py
+++ b/tests/builders.py
@@ -33,6 +33,7 @@
 from bergamothill.request.auth import key_digest
 from bergamothill.request.callerrequest import CallerRequest, PromptPart, RawRequest
 from bergamothill.request.contextplan import ContextPlanner
+from bergamothill.request.streamorigin import StreamKey, StreamOrigin
 from bergamothill.version.cacheindex import CacheIndex
 from bergamothill.version.routetable import RoutingConfig
 from bergamothill.version.weighttarget import WeightTarget
@@ -416,6 +417,20 @@
     return CallerRequest(**values)
 
 
+def stream_origin(request: str = "r1", *, brand: str | None = "a", **changes: Any) -> StreamOrigin:
+    """Return the origin of a stream that began at version ``v1`` on server ``s1``."""
+    values = {
+        "key": StreamKey(brand, request),
+        "service": "llm",
+        "version": "v1",
+        "server": "s1",
+        "started_wall_ms": 1,
+        "begun_wall_ms": 2,
+        **changes,
+    }
+    return StreamOrigin(**values)
+
+
 def joined_roster(own: str, others: Iterable[str] = (), now_ms: int = 0) -> InstanceRoster:
     """Return a roster whose instance all others know at a time."""
     roster = InstanceRoster(own)
