--- a/bergamothill/process/loadexchange.py
+++ b/bergamothill/process/loadexchange.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from bergamothill.clock import Clock, ms_to_seconds
 from bergamothill.connection.datagrams import DatagramSocket
@@ -69,6 +69,19 @@
         """Send a datagram to all known peers."""
         self._datagrams.send(datagram, [(peer.host, peer.port) for peer in self._peers.values()])
 
+    def send_to(
+        self, entries: Iterable[EntryInstanceId], datagram: bytes
+    ) -> tuple[EntryInstanceId, ...]:
+        """Send a datagram to some peers.
+
+        :param entries: entry instances; those whose addresses are not known are left out
+        :param datagram: content of the datagram
+        :returns: the peers to which it was sent
+        """
+        peers = [self._peers[entry] for entry in entries if entry in self._peers]
+        self._datagrams.send(datagram, [(peer.host, peer.port) for peer in peers])
+        return tuple(peer.entry for peer in peers)
+
     @property
     def instance_count(self) -> int:
         """Number of known entry instances, including this one."""
--- a/bergamothill/process/originholders.py
+++ b/bergamothill/process/originholders.py
@@ -31,7 +31,7 @@
 
 
 def _slot(key: StreamKey) -> int:
-    text = f"{key.brand or ''}\0{key.request}".encode(errors="surrogatepass")
+    text = f"{key.brand or ''}\0{key.request}".encode()
     return int.from_bytes(blake2b(text, digest_size=4).digest()) % SLOTS
 
 
--- a/tests/exchangecase.py
+++ b/tests/exchangecase.py
@@ -1,4 +1,4 @@
-"""Test case of exchanges between two entry instances on the loopback interface."""
+"""Test case of exchanges between entry instances on the loopback interface."""
 
 from __future__ import annotations
 
@@ -21,11 +21,15 @@
 
 
 class ExchangeCase(unittest.IsolatedAsyncioTestCase):
-    """Two instances, whose load reports go to ``loads``."""
+    """Instances whose load reports go to ``loads``."""
+
+    INSTANCES = 2
 
     async def asyncSetUp(self) -> None:
         self.clock = SystemClock()
-        self.peers = [Peer(f"e{n}", HOST, port) for n, port in enumerate(free_ports(2))]
+        self.peers = [
+            Peer(f"e{n}", HOST, port) for n, port in enumerate(free_ports(self.INSTANCES))
+        ]
         self.loads = [PeerLoads() for _ in self.peers]
 
     def carrier(self, number: int, pool: ServerPool) -> LoadExchange:
