Stand-ins: engines that fall silent, engines of several software versions, callers that resume

PlatformEngineStandIn gets a version, which its events and arrivals name and which may change at its next start; keeps_id (the same id and address in each incarnation); restart(); fall_silent(), during which it accepts connections and sends nothing, and then goes on where it was. PlatformWorld gets versions= and resume(), which takes a broken stream up with Last-Event-Id and Resumes.

--- a/standins/platformengine.py
+++ b/standins/platformengine.py
@@ -1,8 +1,9 @@
 """Stand-in for a model engine of the users' platform, registered in the store stand-in.
 
 An engine that begins an answer on a crashing part, or runs a request on a crashing path, ends as a
-process does: all of its connections are reset, and it refuses new ones until it is back under a new
-id. With no events in its answers it stands for a server of a plain service.
+process does: all of its connections are reset, and it refuses new ones until it is back, under a
+new id unless it keeps its own. With no events in its answers it stands for a server of a plain
+service.
 """
 
 from __future__ import annotations
@@ -33,12 +34,24 @@
     :param path: its path
     :param parts: names of the parts of its prompt
     :param at_s: monotonic time of its arrival
+    :param last_event_id: last event that its sender has; empty for a new answer
+    :param version: version of the engine's software
     """
 
     request_id: str
     path: str
     parts: tuple[str, ...]
     at_s: float
+    last_event_id: str
+    version: str
+
+
+@dataclass(frozen=True, slots=True)
+class _Incarnation:
+    server: str
+    version: str
+    number: int
+    listener: socket.socket
 
 
 class PlatformEngineStandIn:
@@ -53,6 +66,8 @@
     :param zone: availability zone
     :param down_s: time from a crash to the next start
     :param events: number of events of an answer; 0 for a plain answer
+    :param version: version of its software
+    :param keeps_id: whether all of its incarnations have the same id and address
     """
 
     def __init__(
@@ -67,7 +82,12 @@
         zone: str = "zone-a",
         down_s: float = 1.0,
         events: int = 12,
+        version: str = "v1",
+        keeps_id: bool = False,
     ) -> None:
+        self.version = version
+        """Version of its software from its next start on."""
+
         self.limit_per_s: float | None = None
         """Requests a second that it takes from all instances together, as its answers say."""
 
@@ -77,16 +97,27 @@
         self._name = name
         self._crashing_parts = crashing_parts
         self._crashing_paths = crashing_paths
-        self._entry = {"service": service, "zone": zone, "version": "v1", "slots": 64}
+        self._entry = {"service": service, "zone": zone, "slots": 64}
         self._model = model
         self._down_s = down_s
         self._events = events
         self._lock = threading.Lock()
+        self._keeps_id = keeps_id
         self._starts = 0
+        self._born_ms = 0
+        self._silent_until_s = 0.0
         self._is_stopped = False
-        self._listener: socket.socket | None = None
+        self._incarnation: _Incarnation | None = None
         self._connections: set[socket.socket] = set()
-        self._server = ""
+        # Keeps other processes from the port between two incarnations.
+        self._reserved_port = socket.socket()
+        self._reserved_port.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._reserved_port.bind((HOST, 0))
+
+    @property
+    def server(self) -> str:
+        """Id of its latest incarnation."""
+        return f"{self._name}-{1 if self._keeps_id else self._starts}"
 
     def start(self) -> None:
         """Start a new incarnation and register it."""
@@ -94,17 +125,21 @@
             if self._is_stopped:
                 return
             self._starts += 1
-            self._server = f"{self._name}-{self._starts}"
-            self._listener = socket.create_server((HOST, 0), backlog=512)
-            threading.Thread(target=self._accept, args=(self._listener,), daemon=True).start()
+            self._born_ms = max(self._born_ms + 1, time.time_ns() // 1_000_000)
+            port = self._reserved_port.getsockname()[1] if self._keeps_id else 0
+            listener = socket.create_server((HOST, port), backlog=512)
+            incarnation = _Incarnation(self.server, self.version, self._starts, listener)
+            self._incarnation = incarnation
+            threading.Thread(target=self._accept, args=(incarnation,), daemon=True).start()
             entry = self._entry | {
-                "address": f"{HOST}:{self._listener.getsockname()[1]}",
+                "address": f"{HOST}:{listener.getsockname()[1]}",
+                "version": incarnation.version,
                 "state": "ready",
-                "born": time.time_ns() // 1_000_000,
+                "born": self._born_ms,
                 "models": self._models(),
                 "sequenceNumber": 1,
             }
-            key = f"servers/{self._server}"
+            key = f"servers/{incarnation.server}"
             self._kvs.put_if(key, json.dumps(entry).encode(), expected=ABSENT)
 
     def _models(self) -> list[dict[str, object]]:
@@ -114,6 +149,17 @@
         """Stop for good."""
         self._is_stopped = True
         self._end()
+        with self._lock:
+            self._reserved_port.close()
+
+    def restart(self) -> None:
+        """End the incarnation as a crash does, and start the next one at once."""
+        self._end()
+        self.start()
+
+    def fall_silent(self, duration_s: float) -> None:
+        """Send nothing on any connection for some time, then go on where it was."""
+        self._silent_until_s = time.monotonic() + duration_s
 
     def _crash(self) -> None:
         if self._end():
@@ -124,43 +170,42 @@
 
     def _end(self) -> bool:
         with self._lock:
-            listener, self._listener = self._listener, None
-            if listener is None:
+            incarnation, self._incarnation = self._incarnation, None
+            if incarnation is None:
                 return False
-            listener.shutdown(socket.SHUT_RDWR)
-            listener.close()
+            incarnation.listener.shutdown(socket.SHUT_RDWR)
+            incarnation.listener.close()
             for connection in self._connections:
                 with contextlib.suppress(OSError):  # closed by its peer
                     reset_connection(connection)
-            key = f"servers/{self._server}"
+            key = f"servers/{incarnation.server}"
             entry = self._kvs.get(key)
             if entry is not None:
                 self._kvs.delete_if(key, expected=entry.mod_revision)
             return True
 
-    def _accept(self, listener: socket.socket) -> None:
-        server = self._server
+    def _accept(self, incarnation: _Incarnation) -> None:
         while True:
             try:
-                connection, _ = listener.accept()
+                connection, _ = incarnation.listener.accept()
             except OSError:
                 return
             with self._lock:
-                if listener is not self._listener:
+                if incarnation is not self._incarnation:
                     connection.close()
                     return
                 self._connections.add(connection)
-            arguments = (connection, listener, server)
+            arguments = (connection, incarnation)
             threading.Thread(target=self._serve, args=arguments, daemon=True).start()
 
-    def _serve(self, connection: socket.socket, listener: socket.socket, server: str) -> None:
+    def _serve(self, connection: socket.socket, incarnation: _Incarnation) -> None:
         try:
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             path, headers = _read_head(connection)
             if path.startswith("/kv-events"):
-                self._send_events(connection)
+                self._send_events(connection, incarnation)
             elif path:
-                self._answer(connection, listener, server, path, headers)
+                self._answer(connection, incarnation, path, headers)
         except OSError:
             pass  # the peer left, or this incarnation has ended
         finally:
@@ -168,27 +213,35 @@
                 self._connections.discard(connection)
                 connection.close()
 
-    def _send_events(self, connection: socket.socket) -> None:
+    def _send(self, connection: socket.socket, data: bytes) -> None:
+        while (wait_s := self._silent_until_s - time.monotonic()) > 0:
+            time.sleep(wait_s)
+        connection.sendall(data)
+
+    def _send_events(self, connection: socket.socket, incarnation: _Incarnation) -> None:
         time.sleep(EVENTS_POLL_S)
-        events = {"epoch": self._starts, "next": 0, "lost": False, "events": []}
+        events = {"epoch": incarnation.number, "next": 0, "lost": False, "events": []}
         body = json.dumps(events).encode()
         head = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n" % len(body)
-        connection.sendall(head + body)
+        self._send(connection, head + body)
 
     def _answer(
         self,
         connection: socket.socket,
-        listener: socket.socket,
-        server: str,
+        incarnation: _Incarnation,
         path: str,
         headers: dict[str, str],
     ) -> None:
         prefix = headers.get("x-prompt-prefix", "")
         parts = tuple(entry.partition(":")[0] for entry in prefix.split(",") if entry)
         request_id = headers.get("x-request-id", "")
-        self.arrivals.append(EngineArrival(request_id, path, parts, time.monotonic()))
+        last_event_id = headers.get("last-event-id", "")
+        version = incarnation.version
+        self.arrivals.append(
+            EngineArrival(request_id, path, parts, time.monotonic(), last_event_id, version)
+        )
         time.sleep(CRASH_DELAY_S)
-        if listener is not self._listener:
+        if incarnation is not self._incarnation:
             return
         if path in self._crashing_paths or self._crashing_parts.intersection(parts[:-1]):
             self._crash()
@@ -196,20 +249,20 @@
         limit_per_s = self.limit_per_s
         limit = "" if limit_per_s is None else f"Server-Limit: {limit_per_s:g}\r\n"
         head = b"HTTP/1.1 200 OK\r\nX-Server-Signature: sig\r\n"
-        head += f"{limit}X-Request-Id: {request_id}\r\nX-Instance-Id: {server}\r\n".encode()
+        head += (
+            f"{limit}X-Request-Id: {request_id}\r\nX-Instance-Id: {incarnation.server}\r\n".encode()
+        )
         if not self._events:
-            connection.sendall(head + b"Content-Length: 4\r\n\r\ndone")
+            self._send(connection, head + b"Content-Length: 4\r\n\r\ndone")
             return
-        connection.sendall(
-            head + b"Content-Type: text/event-stream\r\nX-Weight-Versions: 1\r\n"
-            b"Transfer-Encoding: chunked\r\n\r\n"
-        )
-        first = int(headers.get("last-event-id", "0"))
+        head += b"Content-Type: text/event-stream\r\nX-Weight-Versions: 1\r\n"
+        self._send(connection, head + b"Transfer-Encoding: chunked\r\n\r\n")
+        first = int(last_event_id or 0)
         for number in range(first + 1, self._events + 1):
-            event = b"id: %d\ndata: t%d\n\n" % (number, number)
-            connection.sendall(b"%x\r\n%s\r\n" % (len(event), event))
+            event = b"id: %d\ndata: t%d %s\n\n" % (number, number, version.encode())
+            self._send(connection, b"%x\r\n%s\r\n" % (len(event), event))
             time.sleep(EVENT_INTERVAL_S)
-        connection.sendall(b"0\r\n\r\n")
+        self._send(connection, b"0\r\n\r\n")
 
 
 def _read_head(connection: socket.socket) -> tuple[str, dict[str, str]]:
--- a/tests/platformworld.py
+++ b/tests/platformworld.py
@@ -5,6 +5,7 @@
 import json
 import os
 import random
+import re
 import signal
 import socket
 import subprocess
@@ -36,6 +37,8 @@
 SHARED_PARTS = ("a1", "b2")
 STOP_TIMEOUT_S = 10
 
+_EVENT_PATTERN = re.compile(rb"id: (\d+)\ndata: \S+ (\S+)\n\n")
+
 
 @dataclass(frozen=True, slots=True)
 class Outcome:
@@ -47,6 +50,9 @@
     :param sent_s: monotonic time at which it was sent
     :param status: HTTP status; 0 without an answer
     :param answer: everything received
+    :param resumes: id of the request that brought the first event of the stream that this one takes
+        up; empty for a new one
+    :param resumes_after: number of the last event before
     """
 
     request_id: str
@@ -55,6 +61,8 @@
     sent_s: float
     status: int
     answer: bytes
+    resumes: str = ""
+    resumes_after: int = 0
 
     @property
     def has_begun(self) -> bool:
@@ -66,6 +74,21 @@
         """Whether the complete answer was received."""
         return self.has_begun and self.answer.endswith(b"0\r\n\r\n")
 
+    @property
+    def origin(self) -> str:
+        """Id of the request that brought the first event of the stream; empty without one."""
+        return self.resumes or (self.request_id if self.event_numbers else "")
+
+    @property
+    def event_numbers(self) -> list[int]:
+        """Numbers of the events received."""
+        return [int(number) for number, _ in _EVENT_PATTERN.findall(self.answer)]
+
+    @property
+    def versions(self) -> set[str]:
+        """Software versions of the engines whose events were received."""
+        return {version.decode() for _, version in _EVENT_PATTERN.findall(self.answer)}
+
 
 class NodeProcess:
     """One ``bergamothilld`` on a loopback address of its own.
@@ -128,9 +151,18 @@
     :param entries: number of entry instances
     :param engines: number of engines
     :param plain: number of servers of the plain service
+    :param versions: software versions of the engines, given to them in turn
     """
 
-    def __init__(self, folder: Path, *, entries: int = 3, engines: int = 6, plain: int = 0) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        *,
+        entries: int = 3,
+        engines: int = 6,
+        plain: int = 0,
+        versions: Sequence[str] = ("v1",),
+    ) -> None:
         self.store = PlatformStoreStandIn()
         self._server = Server(HOST, 0, self.store, Handler)
         threading.Thread(target=self._server.serve_forever, args=(0.02,), daemon=True).start()
@@ -145,7 +177,10 @@
         kvs.put_if("op/version/m1", json.dumps(target).encode(), expected=ABSENT)
         crashing = frozenset(CRASHING_PARTS)
         self.engines = [
-            PlatformEngineStandIn(kvs, f"e{n}", crashing_parts=crashing) for n in range(engines)
+            PlatformEngineStandIn(
+                kvs, f"e{n}", crashing_parts=crashing, version=versions[n % len(versions)]
+            )
+            for n in range(engines)
         ]
         self.plain = [
             PlatformEngineStandIn(
@@ -201,12 +236,23 @@
         :param node: number of the instance to send it to; by default each in turn
         """
         number = next(self._numbers)
-        request_id, names = f"r{number}", (*parts, f"f{number:x}")
-        prefix = ",".join(f"{name}:20" for name in names)
-        fields = (
-            f"X-Model: m1\r\nX-Token-Counts: {20 * len(names)},12\r\nX-Prompt-Prefix: {prefix}\r\n"
+        names = (*parts, f"f{number:x}")
+        return self._ask(f"r{number}", f"/{route}/{number:x}", names, _prompt_fields(names), node)
+
+    def resume(self, outcome: Outcome, node: int | None = None) -> Outcome:
+        """Take a broken stream up after the last event received; return what the caller got.
+
+        :param outcome: what the caller got for the latest request of the stream
+        :param node: number of the instance to send it to; by default each in turn
+        """
+        last = max(outcome.event_numbers, default=outcome.resumes_after)
+        fields = _prompt_fields(outcome.parts)
+        if outcome.origin:
+            fields += f"Resumes: {outcome.origin}\r\nLast-Event-Id: {last}\r\n"
+        request_id = f"r{next(self._numbers)}"
+        return self._ask(
+            request_id, outcome.path, outcome.parts, fields, node, (outcome.origin, last)
         )
-        return self._ask(request_id, f"/{route}/{number:x}", names, fields, node)
 
     def ask_plain(self, path: str, *, node: int | None = None) -> Outcome:
         """Send a request without a prompt and return what the caller got.
@@ -217,7 +263,13 @@
         return self._ask(f"r{next(self._numbers)}", path, (), "", node)
 
     def _ask(
-        self, request_id: str, path: str, names: tuple[str, ...], fields: str, number: int | None
+        self,
+        request_id: str,
+        path: str,
+        names: tuple[str, ...],
+        fields: str,
+        number: int | None,
+        resumed: tuple[str, int] = ("", 0),
     ) -> Outcome:
         turn = int(request_id.removeprefix("r"))
         node = self.nodes[turn % len(self.nodes) if number is None else number]
@@ -234,7 +286,7 @@
         except OSError:
             answer = b""
         status = int(answer[9:12]) if answer.startswith(b"HTTP/1.1 ") else 0
-        outcome = Outcome(request_id, path, names, sent_s, status, answer)
+        outcome = Outcome(request_id, path, names, sent_s, status, answer, *resumed)
         self.outcomes.append(outcome)
         return outcome
 
@@ -304,6 +356,12 @@
         return [arrival for arrival in arrivals if part in arrival.parts]
 
 
+def _prompt_fields(names: tuple[str, ...]) -> str:
+    prefix = ",".join(f"{name}:20" for name in names)
+    tokens = 20 * len(names)
+    return f"X-Model: m1\r\nX-Token-Counts: {tokens},12\r\nX-Prompt-Prefix: {prefix}\r\n"
+
+
 class PlatformWorldCase(unittest.TestCase):
     """Test case whose tests share one deployment.
 
