Decode the software version of backend servers, and the stream that a request resumes

Nothing read the version of a server's registration, nor the field with which callers name the request that brought the first event of a stream. A registration whose version is missing or no text names no server to use (it was used before). The field is forwarded unchanged; different values of it are refused like those of other singleton fields, and listing it in Connection does not remove it.

--- a/bergamothill/ids.py
+++ b/bergamothill/ids.py
@@ -20,6 +20,7 @@
     "Revision",
     "ServerId",
     "ServiceName",
+    "SoftwareVersion",
     "StoreId",
     "StreamId",
     "WeightVersion",
@@ -37,6 +38,9 @@
 ServerId = NewType("ServerId", str)
 """A backend server: a model engine or the server of a plain service."""
 
+SoftwareVersion = NewType("SoftwareVersion", str)
+"""Version of a backend server's software, not of its weights."""
+
 StoreId = NewType("StoreId", str)
 EntryInstanceId = NewType("EntryInstanceId", str)
 ZoneName = NewType("ZoneName", str)
--- a/bergamothill/platform/headers.py
+++ b/bergamothill/platform/headers.py
@@ -103,6 +103,7 @@
         prompt_tokens=prompt_tokens,
         max_output_tokens=max_output_tokens,
         last_event_id=_decode_text(first_values.get(b"last-event-id")),
+        resumes=RequestId(_decode_text(first_values.get(b"resumes"))),
         forwarded_headers=[(n, v) for n, v in raw.headers if n.lower() not in dropped],
     )
 
@@ -117,6 +118,7 @@
         b"x-prompt-prefix",
         b"x-deadline-milliseconds",
         b"last-event-id",
+        b"resumes",
     )
 )
 
--- a/bergamothill/platform/servers.py
+++ b/bergamothill/platform/servers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from bergamothill.errors import ProtocolError
-from bergamothill.ids import ModelName, ServerId, ServiceName, ZoneName
+from bergamothill.ids import ModelName, ServerId, ServiceName, SoftwareVersion, ZoneName
 from bergamothill.platform.fields import Fields
 from bergamothill.process.backends import BackendServer
 
@@ -34,6 +34,7 @@
         zone=ZoneName(fields.text("zone")),
         slots=max(1, fields.integer("slots")),
         is_leaving=_IS_LEAVING_BY_STATE[state],
+        software_version=SoftwareVersion(fields.text("version")),
         weights=_decode_weights(fields),
     )
 
--- a/bergamothill/process/backends.py
+++ b/bergamothill/process/backends.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from bergamothill.ids import ModelName, ServerId, ServiceName, ZoneName
+from bergamothill.ids import ModelName, ServerId, ServiceName, SoftwareVersion, ZoneName
 
 __all__ = ["BackendServer"]
 
@@ -20,6 +20,7 @@
     :param zone: availability zone
     :param slots: number of requests that it processes concurrently
     :param is_leaving: whether it accepts no new requests and only completes those in progress
+    :param software_version: version of its software
     :param weights: weight version of each model that it serves
     """
 
@@ -30,6 +31,7 @@
     zone: ZoneName
     slots: int
     is_leaving: bool
+    software_version: SoftwareVersion
     weights: dict[ModelName, int] = field(default_factory=dict)
 
     @property
--- a/bergamothill/request/callerrequest.py
+++ b/bergamothill/request/callerrequest.py
@@ -65,6 +65,8 @@
     :param prompt_tokens: length of the prompt in tokens
     :param max_output_tokens: maximum number of tokens in the answer
     :param last_event_id: event after which to resume a stream; empty to start from the beginning
+    :param resumes: id of the request that brought the first event of the stream to resume; empty if
+        not stated
     :param forwarded_headers: header fields forwarded unchanged
     :param suspects: parts that other requests may have in common with it, and that could crash
         servers; set once the request is admitted
@@ -80,6 +82,7 @@
     prompt_tokens: int = 0
     max_output_tokens: int = 0
     last_event_id: str = ""
+    resumes: RequestId = RequestId("")
     forwarded_headers: list[Header] = field(default_factory=list)
     suspects: frozenset[PartId] = frozenset()
 
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -392,6 +392,7 @@
         "zone": "zone-a",
         "slots": 64,
         "is_leaving": False,
+        "software_version": "v1",
         "weights": {"m1": 1},
         **changes,
     }
--- a/tests/proof/limitworld.py
+++ b/tests/proof/limitworld.py
@@ -57,7 +57,7 @@
         self.restart(1)
 
     def restart(self, now_ms):
-        self.entry = BackendServer(self.name, now_ms, "llm", "a:1", "z", 64, False, {})
+        self.entry = BackendServer(self.name, now_ms, "llm", "a:1", "z", 64, False, "v1", {})
 
     def allowed_per_s(self, at_ms):
         """Return the highest limit in the stability window before a time; None if there was none.
--- a/tests/test_platform_config.py
+++ b/tests/test_platform_config.py
@@ -1,4 +1,4 @@
-"""Tests of the platform adapter: decoding of configuration, servers and settings."""
+"""Tests of the platform adapter: decoding of configuration, servers, requests and settings."""
 
 import json
 import tempfile
@@ -8,11 +8,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from bergamothill.errors import ProtocolError, SettingsError
+from bergamothill.errors import InvalidRequestError, ProtocolError, SettingsError
 from bergamothill.platform.config import decode_config, decode_target
+from bergamothill.platform.headers import decode_request, encode_forward
 from bergamothill.platform.servers import decode_server
 from bergamothill.platform.settings import is_node_settings, load_node_settings
 from bergamothill.process.daemon import main
+from bergamothill.request.callerrequest import ForwardTerms, RawRequest
 from bergamothill.version.routetable import RetryPolicy, RouteTable
 from tests.builders import NODE_SETTINGS, operator_config, routing_config, server_entry
 
@@ -93,6 +95,7 @@
         self.assertEqual("i-1", server.server)
         self.assertTrue(server.is_leaving)
         self.assertEqual({"m1": 1}, server.weights)
+        self.assertEqual("v1", server.software_version)
         self.assertEqual(1_700_000_000_000, server.started_wall_ms)
 
     def test_invalid_server_entries_are_rejected(self):
@@ -100,13 +103,18 @@
             {"state": "odd"},
             {"slots": "many"},
             {"service": None},
+            {"version": None},
+            {"version": 1},
             {"address": "nowhere"},
             {"models": [{"name": "m1"}]},
         ):
             with self.subTest(changes), self.assertRaises(ProtocolError):
                 self.decode(**changes)
-        with self.assertRaises(ProtocolError):
-            decode_server("servers/i-1", b"\xff\xfe")
+        unversioned = server_entry()
+        del unversioned["version"]
+        for encoded in (b"\xff\xfe", json.dumps(unversioned).encode()):
+            with self.assertRaises(ProtocolError):
+                decode_server("servers/i-1", encoded)
 
     @settings(max_examples=300, deadline=None)
     @given(st.sampled_from(sorted(server_entry())), JSON_VALUES)
@@ -117,6 +125,30 @@
             return
 
 
+class RequestTest(unittest.TestCase):
+    def test_the_stream_to_resume_is_decoded_and_forwarded_unchanged(self):
+        field = (b"Resumes", b"r0")
+        for headers, expected in (
+            ([], ""),
+            ([(b"Resumes", b"")], ""),
+            ([field], "r0"),
+            ([field, (b"resumes", b"r0")], "r0"),
+            ([(b"Connection", b"resumes"), field], "r0"),
+        ):
+            with self.subTest(headers):
+                request = decode_request(RawRequest(b"POST", b"/quote/1", headers, b"", 0))
+                self.assertEqual(expected, request.resumes)
+                sent = encode_forward(request, ForwardTerms("s1", 100, last_event_id="3"))
+                self.assertEqual(
+                    sum(name != b"Connection" for name, _ in headers),
+                    sent.lower().count(b"\r\nresumes: "),
+                )
+        for other in (b"r1", b""):
+            raw = RawRequest(b"POST", b"/quote/1", [field, (b"resumes", other)], b"", 0)
+            with self.assertRaises(InvalidRequestError):
+                decode_request(raw)
+
+
 class SettingsTest(unittest.TestCase):
     def path(self, text):
         directory = self.enterContext(tempfile.TemporaryDirectory())
