--- a/bergamothill/ids.py
+++ b/bergamothill/ids.py
@@ -41,6 +41,9 @@
 ServerId = NewType("ServerId", str)
 """A backend server: a model engine or the server of a plain service."""
 
+SoftwareVersion = NewType("SoftwareVersion", str)
+"""Version of a backend server's software, not of its weights."""
+
 StoreId = NewType("StoreId", str)
 EntryInstanceId = NewType("EntryInstanceId", str)
 ZoneName = NewType("ZoneName", str)
