--- a/tests/platformworld.py
+++ b/tests/platformworld.py
@@ -365,15 +365,17 @@
 class PlatformWorldCase(unittest.TestCase):
     """Test case whose tests share one deployment.
 
-    ``PLAIN`` is the number of servers of its plain service.
+    ``PLAIN`` is the number of servers of its plain service, ``VERSIONS`` the software versions of
+    its engines in turn.
     """
 
     PLAIN = 0
+    VERSIONS: Sequence[str] = ("v1",)
 
     @classmethod
     def setUpClass(cls) -> None:
         """Start the deployment."""
         folder = cls.enterClassContext(tempfile.TemporaryDirectory())
-        cls.world = PlatformWorld(Path(folder), plain=cls.PLAIN)
+        cls.world = PlatformWorld(Path(folder), plain=cls.PLAIN, versions=cls.VERSIONS)
         cls.addClassCleanup(cls.world.close)
         cls.world.start()
