Do not end a stream as complete after a failure of the next server

Callers saw: a stream that broke off and was resumed at a server that answered with a failure ended with its last chunk, as if it were complete. Cause: on_failure delivers the failure, and delivering after events have been sent ends the chunked answer. Now the connection is closed in mid-stream instead.

test_silent_servers...a_failure_of_the_next_server_does_not_end_a_stream_as_complete: failed at (the answer ends with the last chunk after event 1 of 6), passes now.

--- a/bergamothill/process/requestrun.py
+++ b/bergamothill/process/requestrun.py
@@ -326,7 +326,8 @@
             return forwarding.on_answer_lost(send, now_ms, last_event_id=relay.last_event_id)
         model, version = self._request.model, relay.head.weight_version
         self._server_pool.request_succeeded(send.server.server, model, version)
-        if outcome is AttemptOutcome.FAILURE and relay.head.status >= 500:
+        is_failure = outcome is AttemptOutcome.FAILURE
+        if is_failure and (relay.head.status >= 500 or relay.stream_started):
             return forwarding.on_failure(send, now_ms)
         return Deliver()
 
--- a/bergamothill/request/forwarding.py
+++ b/bergamothill/request/forwarding.py
@@ -288,6 +288,9 @@
     def on_failure(self, send: Send, now_ms: int) -> ForwardStep:
         """Handle a failure that the server reported after it ran the request."""
         self.record_lost(send)
+        if self.stream_started:
+            # A failure cannot follow the events of a stream.
+            return self._give_up(now_ms, Reason.BROKEN)
         if not self._may_run_again(self.run_count, send.terms.last_event_id):
             return Deliver()
         step = self._next_attempt(now_ms, send.terms.last_event_id, is_repeat=True)
--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -7,9 +7,11 @@
     STREAM_HEAD,
     TIMEOUT_S,
     GatewayCase,
+    answer,
     chunk,
     event,
     read_all,
+    replies,
     request,
 )
 
@@ -42,11 +44,23 @@
     return script
 
 
+def breaks_off(connection, _data):
+    """Begin an answer and close the connection."""
+    connection.sendall(STREAM_HEAD)
+    connection.shutdown(2)
+
+
+FAILURE = replies(answer(b"no", status=b"500 Failed"))
+
+
 class SilentServerTest(GatewayCase):
-    def assert_whole(self, world):
+    def ask(self, world):
         with world.connect() as connection:
             connection.sendall(PROMPT)
-            received = read_all(connection)
+            return read_all(connection)
+
+    def assert_whole(self, world):
+        received = self.ask(world)
         events = b"".join(chunk(event(number)) for number in range(1, EVENTS + 1))
         self.assertTrue(received.endswith(b"\r\n\r\n" + events + b"0\r\n\r\n"), received)
 
@@ -88,3 +102,11 @@
             self.assertLess(time.monotonic() - started_s, 3)
             self.assertEqual(2, len(self.sent()))
             self.assertTrue(self.engines[0].left.wait(TIMEOUT_S))
+
+    def test_a_failure_of_the_next_server_does_not_end_a_stream_as_complete(self):
+        def breaks_off_later(connection, _data):
+            connection.sendall(STREAM_HEAD + chunk(event(1)))
+            connection.shutdown(2)
+
+        world = self.world(engines=[breaks_off_later, FAILURE])
+        self.assertTrue(self.ask(world).endswith(chunk(event(1))))
