Let no outcome of a move end the attempt beside it

Cause: a final step of a move was a decision about the whole request.

Change: what remains in progress counts as a run; a failure beside another attempt ends only its own; the first step of a move is chosen in its task; the attempt that answers claims the caller's stream, not the move around it; a failure of the silent server is delivered only if the move brings no answer.

--- a/bergamothill/process/requestrun.py
+++ b/bergamothill/process/requestrun.py
@@ -191,22 +191,48 @@
             self._leading.challenger = attempt
         try:
             outcome = await attempt.run()
-            move = attempt.move
-            if outcome is AttemptOutcome.MOVED:
-                self._forwarding.record_lost(attempt.send)
-                return await move
-            if move is None or move.done() or outcome in _ANSWERED:
-                return self._next_step(outcome, attempt, self._clock.now_ms())
-            self._record_unanswered(outcome, attempt, self._clock.now_ms())
-            if attempt is self._leading and attempt.challenger is not None:
-                self._lead(attempt.challenger)
-            return await move
+            return await self._end_attempt(outcome, attempt)
         except asyncio.CancelledError:
-            self._forwarding.record_lost(attempt.send)
+            self._forwarding.record_lost(send)
             raise
         finally:
             await _cancel(attempt.move)
 
+    async def _end_attempt(self, outcome: AttemptOutcome, attempt: ServerAttempt) -> ForwardStep:
+        """Return the step after an attempt, that of a move of its answer if one is under way."""
+        now_ms = self._clock.now_ms()
+        if outcome is AttemptOutcome.MOVED:
+            self._forwarding.record_lost(attempt.send)
+            return await self._await_move(attempt)
+        status = attempt.relay.head.status if attempt.relay.head is not None else 0
+        is_answered = outcome is AttemptOutcome.SUCCESS or (
+            outcome is AttemptOutcome.FAILURE and status < 500
+        )
+        if is_answered or not attempt.is_moving:
+            return self._next_step(outcome, attempt, now_ms)
+        self._record_unanswered(outcome, attempt, now_ms)
+        if attempt is self._leading and attempt.challenger is not None:
+            self._lead(attempt.challenger)
+        step = await self._await_move(attempt)
+        is_refused = isinstance(step, Finish) and outcome is AttemptOutcome.FAILURE
+        return self._deliver_from(attempt) if is_refused else step
+
+    async def _await_move(self, attempt: ServerAttempt) -> ForwardStep:
+        """Return the final step of a move; the request is given up if there is none any more."""
+        try:
+            if attempt.move is not None:
+                return await attempt.move
+        except asyncio.CancelledError:
+            if asyncio.current_task().cancelling():
+                raise
+        return self._forwarding.give_up(self._clock.now_ms())
+
+    def _deliver_from(self, attempt: ServerAttempt) -> Deliver:
+        """Let the answer of an attempt be the one that the caller gets."""
+        attempt.relay.claim_stream()
+        self._relay = attempt.relay
+        return Deliver()
+
     @_perform.register
     async def _(self, step: WaitForTrial) -> ForwardStep:
         started_ms = self._clock.now_ms()
@@ -271,14 +297,17 @@
             return
         if attempt.is_moving or not attempt.has_stalled(now_ms):
             return
-        last_event_id = self._relay.last_event_id
-        step = self._forwarding.begin_move(now_ms, last_event_id=last_event_id)
-        self._log_move(attempt, step, now_ms)
-        if isinstance(step, Send | WaitForMemory | WaitForTrial):
-            attempt.move = asyncio.get_running_loop().create_task(self._move(attempt, step))
+        attempt.move = asyncio.get_running_loop().create_task(self._move(attempt))
 
-    async def _move(self, stalled: ServerAttempt, step: ForwardStep) -> ForwardStep:
+    async def _move(self, stalled: ServerAttempt) -> ForwardStep:
         """Carry out the steps of a move; return the final one."""
+        now_ms = self._clock.now_ms()
+        last_event_id = self._relay.last_event_id
+        # Chosen in the task, so that none is left over if that is cancelled before it begins.
+        step = self._forwarding.begin_move(now_ms, last_event_id=last_event_id)
+        self._log_move(stalled, step, now_ms)
+        if isinstance(step, Finish | AbortStream):
+            return step
         relay = self._relay.fork()
         self._relays.append(relay)
         while isinstance(step, Send | WaitForMemory | WaitForTrial):
@@ -287,8 +316,6 @@
             else:
                 step = await self._perform(step)
         if isinstance(step, Deliver):
-            relay.claim_stream()
-            self._relay = relay
             stalled.end_moved()
         return step
 
@@ -326,17 +353,22 @@
             return forwarding.on_answer_lost(send, now_ms, last_event_id=relay.last_event_id)
         model, version = self._request.model, relay.head.weight_version
         self._server_pool.request_succeeded(send.server.server, model, version)
-        is_failure = outcome is AttemptOutcome.FAILURE
-        if is_failure and (relay.head.status >= 500 or relay.stream_started):
-            return forwarding.on_failure(send, now_ms)
-        return Deliver()
+        if outcome is AttemptOutcome.SUCCESS:
+            return self._deliver_from(attempt)
+        step = forwarding.on_failure(
+            send,
+            now_ms,
+            last_event_id=relay.last_event_id,
+            is_final=relay.head.status < 500,
+        )
+        return self._deliver_from(attempt) if isinstance(step, Deliver) else step
 
     def _record_unanswered(
         self, outcome: AttemptOutcome, attempt: ServerAttempt, now_ms: int
     ) -> None:
         """Record the end of an attempt beside which another is under way."""
         self._learn_from_failure(outcome, attempt, now_ms)
-        if outcome is AttemptOutcome.BROKEN:
+        if outcome in (AttemptOutcome.BROKEN, AttemptOutcome.FAILURE):
             self._forwarding.record_lost(attempt.send)
         else:
             self._forwarding.record_refused(attempt.send)
--- a/bergamothill/request/forwarding.py
+++ b/bergamothill/request/forwarding.py
@@ -247,10 +247,14 @@
         :param last_event_id: id of the last event sent to the caller; empty for none
         """
         self.record_lost(send)
-        if not self._may_run_again(self.run_count, last_event_id):
-            return self._give_up(now_ms, Reason.BROKEN)
+        if not self._may_run_again(last_event_id):
+            return self.give_up(now_ms)
         return self._next_attempt(now_ms, last_event_id, is_repeat=True)
 
+    def give_up(self, now_ms: int) -> ForwardStep:
+        """Return the final step of a request whose answer was lost."""
+        return self._give_up(now_ms, Reason.BROKEN)
+
     def begin_move(self, now_ms: int, *, last_event_id: str) -> ForwardStep:
         """Return the first step of an attempt beside one that is in progress and has stalled.
 
@@ -258,8 +262,8 @@
 
         :param last_event_id: id of the last event sent to the caller; empty for none
         """
-        if not self._may_run_again(self.run_count + len(self._in_progress), last_event_id):
-            return self._give_up(now_ms, Reason.BROKEN)
+        if not self._may_run_again(last_event_id):
+            return self.give_up(now_ms)
         return self._next_attempt(now_ms, last_event_id, is_repeat=True)
 
     def record_refused(self, send: Send) -> None:
@@ -275,26 +279,32 @@
         self.attempts.mark_failed(send.attempt, error)
         self._in_progress = [a for a in self._in_progress if a is not send.attempt]
 
-    def _may_run_again(self, runs: int, last_event_id: str) -> bool:
+    def _may_run_again(self, last_event_id: str) -> bool:
         """Return whether the route allows a further run.
 
-        :param runs: number of earlier ones
         :param last_event_id: id of the last event sent to the caller; empty for none
         """
+        runs = self.run_count + len(self._in_progress)
         if not self._route.may_retry or runs >= self._route.max_servers:
             return False
         return bool(last_event_id) or not self.stream_started
 
-    def on_failure(self, send: Send, now_ms: int) -> ForwardStep:
-        """Handle a failure that the server reported after it ran the request."""
+    def on_failure(
+        self, send: Send, now_ms: int, *, last_event_id: str = "", is_final: bool = False
+    ) -> ForwardStep:
+        """Handle a failure that the server reported after it ran the request.
+
+        :param last_event_id: id of the last event sent to the caller; empty for none
+        :param is_final: whether no other server would answer otherwise
+        """
         self.record_lost(send)
-        if self.stream_started:
+        if self._in_progress:
+            return self.give_up(now_ms)
+        if is_final or not self._may_run_again(last_event_id):
             # A failure cannot follow the events of a stream.
-            return self._give_up(now_ms, Reason.BROKEN)
-        if not self._may_run_again(self.run_count, send.terms.last_event_id):
-            return Deliver()
-        step = self._next_attempt(now_ms, send.terms.last_event_id, is_repeat=True)
-        return step if isinstance(step, Send) else Deliver()
+            return self.give_up(now_ms) if self.stream_started else Deliver()
+        step = self._next_attempt(now_ms, last_event_id, is_repeat=True)
+        return step if isinstance(step, Send) or self.stream_started else Deliver()
 
     def retries_left(self, now_ms: int) -> int:
         """Return how many retries this instance may still send to the service, for the log."""
--- a/tests/test_silent_servers.py
+++ b/tests/test_silent_servers.py
@@ -103,6 +103,21 @@
             self.assertEqual(2, len(self.sent()))
             self.assertTrue(self.engines[0].left.wait(TIMEOUT_S))
 
+    def test_a_failure_or_break_of_the_second_server_ends_no_answer(self):
+        for second in (FAILURE, breaks_off):
+            world = self.world(engines=[falls_silent(2), second, falls_silent(0)])
+            world.server_pool.request_started("s2", 10, 0, world.clock.now_ms())
+            self.assert_whole(world)
+            self.assertEqual(2, len(self.sent()))
+
+    def test_a_failure_of_the_silent_server_does_not_end_the_second_attempt(self):
+        def fails_late(connection, data):
+            time.sleep(SILENCE_S)
+            FAILURE(connection, data)
+
+        world = self.world(engines=[fails_late, falls_silent(0.8, after=0)])
+        self.assert_whole(world)
+
     def test_a_failure_of_the_next_server_does_not_end_a_stream_as_complete(self):
         def breaks_off_later(connection, _data):
             connection.sendall(STREAM_HEAD + chunk(event(1)))
