--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -3,8 +3,10 @@
 import time
 from unittest import mock
 
+from bergamothill.clock import ms_to_seconds
 from bergamothill.connection.callerhttp import CallerConnection
 from bergamothill.process import gateway, serverattempt
+from bergamothill.process.requestrun import RequestRun
 from bergamothill.process.serverpool import ServerPool
 from bergamothill.request.requestqueue import MIN_ADMISSIONS
 from tests.builders import backend, routing_config
@@ -74,6 +76,16 @@
         statuses = [self.first_bytes(world, request())[9:12] for _ in range(2)]
         self.assertEqual([b"502", b"200"], statuses, servers)
 
+    def test_a_request_gets_504_in_time_after_a_check_of_it_failed(self):
+        world = self.world(plain=[lambda *_: None])
+        self.fail_in("check_for_stall", RequestRun)
+        with world.connect() as connection:
+            connection.settimeout(ANSWER_TIMEOUT_S)
+            connection.sendall(request())
+            time.sleep(2 * ms_to_seconds(gateway.STALL_CHECK_INTERVAL_MS))
+            world.clock.advance_ms(60_000)
+            self.assertIn(b" 504 ", read_message(connection))
+
     def test_a_request_that_may_have_run_is_not_reported_as_not_run(self):
         world = self.world(plain=[replies(answer())])
         self.fail_in("request_succeeded")
