--- a/tests/test_platform_config.py
+++ b/tests/test_platform_config.py
@@ -27,6 +27,18 @@
     max_leaves=12,
 )
 
+INVALID_ADDRESSES = (
+    "nowhere",
+    "127.0.0.1:0",
+    "127.0.0.1:65536",
+    "127.0.0.1:" + 5_000 * "1",
+    "127.0.0.1:٨٠",
+    "a..b:80",
+    "localhost:80",
+    "127.0.0.1.5:80",
+    ":80",
+)
+
 
 class ConfigTest(unittest.TestCase):
     def test_decodes_routes_services_stores_and_keys(self):
@@ -56,6 +68,10 @@
         with self.assertRaises(ProtocolError):
             routing_config(routes=routes)
 
+    def test_text_that_utf_8_does_not_have_is_a_protocol_error(self):
+        with self.assertRaises(ProtocolError):
+            routing_config(tenants=[{"name": "\ud800", "apiKeys": ["key-1"]}])
+
     def test_numbers_that_are_not_finite_are_protocol_errors(self):
         for text in ("Infinity", "-Infinity", "NaN", "1" + 400 * "0"):
             encoded = json.dumps(operator_config()).replace(
@@ -106,6 +122,7 @@
             {"version": None},
             {"version": 1},
             {"address": "nowhere"},
+            *({"address": a} for a in INVALID_ADDRESSES),
             {"models": [{"name": "m1"}]},
         ):
             with self.subTest(changes), self.assertRaises(ProtocolError):
