--- a/bergamothill/process/requestrun.py
+++ b/bergamothill/process/requestrun.py
@@ -197,7 +197,10 @@
             outcome = await attempt.run()
             return await self._end_attempt(outcome, attempt)
         except asyncio.CancelledError:
-            self._forwarding.record_lost(send)
+            if attempt.was_sent:
+                self._forwarding.record_lost(send)
+            else:
+                self._forwarding.record_refused(send)
             raise
         finally:
             await _cancel(attempt.move)
--- a/bergamothill/process/serverattempt.py
+++ b/bergamothill/process/serverattempt.py
@@ -84,6 +84,9 @@
         """Latest of these attempts."""
 
         self.has_ended = False
+        self.was_sent = False
+        """Whether bytes of the request may have reached the server."""
+
         self.send = send
         self.relay = relay
         self._context = context
@@ -152,7 +155,7 @@
     def _classify(self, result: ExchangeResult) -> AttemptOutcome:
         """Classify the attempt by the head of its answer, then by how the answer ended."""
         relay, end = self.relay, result.end
-        if self._is_moved or not relay.may_write:
+        if self._is_moved or (end is ExchangeEnd.COMPLETE and not relay.may_write):
             return AttemptOutcome.MOVED
         if end is ExchangeEnd.NOT_CONNECTED:
             return AttemptOutcome.NOT_CONNECTED
@@ -194,7 +197,8 @@
         if not self._is_allowed(now_ms):
             return False
         limits = self._server_pool.limits
-        return limits.may_send(send.server, send.terms.limit_spent_ms, now_ms)
+        self.was_sent = limits.may_send(send.server, send.terms.limit_spent_ms, now_ms)
+        return self.was_sent
 
     def _is_allowed(self, now_ms: int) -> bool:
         server, request = self.send.server, self._request
@@ -219,7 +223,7 @@
 
     def end_moved(self) -> None:
         """End the exchange, as another attempt has gone on with the answer."""
-        if self._exchange_task is not None:
+        if self._exchange_task is not None and not self._exchange_task.done():
             self._is_moved = True
             self._exchange_task.cancel()
 
--- a/bergamothill/request/forwarding.py
+++ b/bergamothill/request/forwarding.py
@@ -349,7 +349,8 @@
         return WaitForMemory(self._urgency, tokens, on_time_until_ms, give_up_ms)
 
     def _wait_for_limit(self, limit: AtLimit, now_ms: int, last_event_id: str) -> ForwardStep:
-        if limit.wait_ms is None:
+        # A move in the queue would hold back requests that have no server yet.
+        if limit.wait_ms is None or self._in_progress:
             return self._give_up(now_ms, Reason.LIMITED)
         wait = self._wait_for_memory(now_ms, last_event_id)
         return replace(wait, rate=AdmissionRate(limit.wait_ms, limit.interval_ms))
