Tests: an internal error leaves no request without an answer (known red)

An error in the task of a request is only logged (request_crashed); nobody answers or closes the connection, which counts as busy and has no timer, and the deadline of the request has gone with the task.

--- /dev/null
+++ b/tests/test_unanswered_requests.py
@@ -0,0 +1,68 @@
+"""Tests that each request that was read whole is answered or refused."""
+
+from unittest import mock
+
+from bergamothill.process.serverpool import ServerPool
+from tests.gatewayworld import (
+    PROMPT_HEADERS,
+    STREAM_HEAD,
+    GatewayCase,
+    answer,
+    chunk,
+    event,
+    read_all,
+    replies,
+    request,
+)
+
+PROMPT = request(b"/quote/2f", headers=PROMPT_HEADERS)
+ANSWER_TIMEOUT_S = 1.5
+
+
+class UnansweredRequestCase(GatewayCase):
+    def first_bytes(self, world, data):
+        """Send a request and return the first bytes that come back; none if it is closed."""
+        with world.connect() as connection:
+            connection.settimeout(ANSWER_TIMEOUT_S)
+            connection.sendall(data)
+            try:
+                return connection.recv(65_536)
+            except ConnectionResetError:
+                return b"<reset>"
+            except TimeoutError:
+                self.fail("neither answered nor closed")
+
+
+class InternalErrorTest(UnansweredRequestCase):
+    """An error in this process ends the handling of a request."""
+
+    def fail_in(self, method):
+        fault = mock.patch.object(ServerPool, method, side_effect=RuntimeError("fault"))
+        self.enterContext(fault)
+
+    def test_a_request_that_was_not_sent_is_refused(self):
+        world = self.world(plain=[replies(answer())])
+        self.fail_in("choose")
+        found = self.first_bytes(world, request())
+        self.assertTrue(found.startswith(b"HTTP/1.1 503 "), found)
+        self.assertIn(b"Retry-After: ", found)
+
+    def test_a_request_that_may_have_run_is_not_reported_as_not_run(self):
+        world = self.world(plain=[replies(answer())])
+        self.fail_in("request_succeeded")
+        found = self.first_bytes(world, request())
+        self.assertTrue(found.startswith(b"HTTP/1.1 502 "), found)
+
+    def test_a_stream_that_has_begun_is_not_terminated_normally(self):
+        stream = STREAM_HEAD + chunk(event(1)) + chunk(b"")
+        world = self.world(engines=[replies(stream)])
+        self.fail_in("stream_ended")
+        with world.connect() as connection:
+            connection.settimeout(ANSWER_TIMEOUT_S)
+            connection.sendall(PROMPT)
+            try:
+                found = read_all(connection)
+            except TimeoutError:
+                self.fail("neither ended nor closed")
+        self.assertIn(chunk(event(1)), found)
+        self.assertNotIn(b"\r\n0\r\n\r\n", found)
