Tests: a brand whose name is not Latin-1 gets answers (known red)

Seen by callers: from the moment a configuration with such a brand is in force, none of its requests gets an answer or a refusal; nothing reaches a server. encode_forward encodes the field with the brand's name as Latin-1, which raises UnicodeEncodeError in the task of the request.

--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -3,6 +3,7 @@
 from unittest import mock
 
 from bergamothill.process.serverpool import ServerPool
+from tests.builders import routing_config
 from tests.gatewayworld import (
     PROMPT_HEADERS,
     STREAM_HEAD,
@@ -66,3 +67,17 @@
                 self.fail("neither ended nor closed")
         self.assertIn(chunk(event(1)), found)
         self.assertNotIn(b"\r\n0\r\n\r\n", found)
+
+
+class UnusualValueTest(UnansweredRequestCase):
+    """A header field, a registration or the configuration has an unusual value."""
+
+    def assert_answered(self, world, data=None, statuses=(b"200",)):
+        status = self.first_bytes(world, data or request())[9:12]
+        self.assertIn(status, statuses)
+
+    def test_a_brand_whose_name_is_not_latin_comes_into_force(self):
+        world = self.world(plain=[replies(answer())])
+        brands = [{"name": "Rātā", "apiKeys": ["key-1"]}]
+        world.config.apply(routing_config(version=8, tenants=brands), 2, world.clock.now_ms())
+        self.assert_answered(world)
