Tests: a server listed with a port that does not exist takes no requests (known red)

Seen by callers: while such an entry is listed, requests of its service get neither an answer nor a refusal. decode_server accepts any decimal port; connecting to one above 65535 raises OverflowError, which is no OSError, in the task of the request. The request no longer counts, so the server stays the least loaded and is chosen again.

--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -3,7 +3,7 @@
 from unittest import mock
 
 from bergamothill.process.serverpool import ServerPool
-from tests.builders import routing_config
+from tests.builders import backend, routing_config
 from tests.gatewayworld import (
     PROMPT_HEADERS,
     STREAM_HEAD,
@@ -81,3 +81,13 @@
         brands = [{"name": "Rātā", "apiKeys": ["key-1"]}]
         world.config.apply(routing_config(version=8, tenants=brands), 2, world.clock.now_ms())
         self.assert_answered(world)
+
+    def test_a_server_is_listed_with_a_port_that_does_not_exist(self):
+        world = self.world(plain=[replies(answer())])
+        servers = [
+            backend(server, address=address, service="bookings", weights={})
+            for server, address in (("p0", "127.0.0.1:99999"), ("p1", self.plain[0].address))
+        ]
+        now_ms = world.clock.now_ms()
+        world.server_pool.apply_list(servers, now_ms, now_ms)
+        self.assert_answered(world)
