Tests: token counts with many digits leave no request without an answer (known red)

Seen by callers: a request whose X-Token-Counts or X-Prompt-Prefix has more than 4,300 digits gets neither an answer nor a refusal (ValueError of int() in decode_request), nor does one with 400 digits (OverflowError in EngineSelector, as the count is no float). Worse, while the latter waits for memory, the requests of other callers behind it in the queue get none either (OverflowError in RequestQueue).

--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -1,8 +1,10 @@
 """Tests that each request that was read whole is answered or refused."""
 
+import time
 from unittest import mock
 
 from bergamothill.process.serverpool import ServerPool
+from bergamothill.request.requestqueue import MIN_ADMISSIONS
 from tests.builders import backend, routing_config
 from tests.gatewayworld import (
     PROMPT_HEADERS,
@@ -91,3 +93,33 @@
         now_ms = world.clock.now_ms()
         world.server_pool.apply_list(servers, now_ms, now_ms)
         self.assert_answered(world)
+
+    def assert_counts_answered(self, counts=b"30,9", prefix=b"a:10,b:10"):
+        world = self.world(engines=[replies(answer(b""))])
+        config = routing_config(version=8, limits={"maxHeaderBytes": 16_384})
+        world.config.apply(config, 2, world.clock.now_ms())
+        headers = b"X-Model: m1\r\nX-Token-Counts: %s\r\nX-Prompt-Prefix: %s\r\n" % (counts, prefix)
+        self.assert_answered(
+            world, request(b"/quote/2f", headers=headers), (b"400", b"502", b"503")
+        )
+
+    def test_a_token_count_has_hundreds_of_digits(self):
+        self.assert_counts_answered(counts=b"9" * 400 + b",9")
+
+    def test_a_token_count_has_thousands_of_digits(self):
+        self.assert_counts_answered(counts=b"9" * 5_000 + b",9")
+
+    def test_the_length_of_a_prompt_part_has_thousands_of_digits(self):
+        self.assert_counts_answered(prefix=b"a:" + b"9" * 5_000 + b",b:10")
+
+    def test_another_request_in_the_queue_has_a_token_count_of_hundreds_of_digits(self):
+        world = self.world(engines=[replies(answer(b""))])
+        now_ms = world.clock.now_ms()
+        world.server_pool.request_started("s0", 95_000, 0, now_ms)
+        waiting = world.gateway.admission_queue("llm").requests
+        for _ in range(MIN_ADMISSIONS):
+            waiting.record_admission(100, now_ms)
+        with world.connect() as connection:
+            connection.sendall(PROMPT.replace(b": 30,9", b": " + b"9" * 400 + b",9"))
+            time.sleep(0.1)
+            self.assert_answered(world, PROMPT, (b"503",))
