Tests: a request that offers an upgrade of the protocol is answered (known red)

Seen by callers: a whole request with "Connection: Upgrade" and "Upgrade: h2c", as some HTTP clients send by default, is closed without an answer. httptools completes the message, which starts the request, and then raises HttpParserUpgrade; _reject_unparsed finds a request in progress and aborts the connection.

--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -123,3 +123,13 @@
             connection.sendall(PROMPT.replace(b": 30,9", b": " + b"9" * 400 + b",9"))
             time.sleep(0.1)
             self.assert_answered(world, PROMPT, (b"503",))
+
+
+class ConnectionTest(UnansweredRequestCase):
+    """The connection of the caller, rather than its request, meets something unusual."""
+
+    def test_a_request_that_offers_an_upgrade_is_answered(self):
+        world = self.world(plain=[replies(answer())])
+        offer = b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AAMA\r\n"
+        found = self.first_bytes(world, request(headers=offer))
+        self.assertIn(found[9:12], (b"200", b"400"))
