Tests: a request that is followed by malformed bytes is answered (known red)

Seen by callers: a whole request in progress, perhaps at its server already, is closed without an answer as soon as bytes arrive on its connection that are no request. _reject_unparsed aborts the connection if a request is in progress or queued.

On the test fails: no byte before the close.

--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -133,3 +133,8 @@
         offer = b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AAMA\r\n"
         found = self.first_bytes(world, request(headers=offer))
         self.assertIn(found[9:12], (b"200", b"400"))
+
+    def test_a_request_that_is_followed_by_malformed_bytes_is_answered(self):
+        world = self.world(plain=[replies(answer())])
+        found = self.first_bytes(world, request() + b"malformed\r\n\r\n")
+        self.assertEqual(b"200", found[9:12])
