Tests: an idle connection is kept for as long as the limit in force allows (known red)

Seen by callers: beside a change of the configuration that raises idleTimeoutMs, a connection is closed though it has been idle for far less than four fifths of the new limit, so that a request on it gets no answer. The timer of an idle connection keeps the limit that was in force when the last answer ended.

On the test fails: limit 400 ms, then 4,000 ms; after 800 ms the connection is closed.

--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -14,6 +14,7 @@
     chunk,
     event,
     read_all,
+    read_message,
     replies,
     request,
 )
@@ -138,3 +139,15 @@
         world = self.world(plain=[replies(answer())])
         found = self.first_bytes(world, request() + b"malformed\r\n\r\n")
         self.assertEqual(b"200", found[9:12])
+
+    def test_a_connection_may_be_idle_for_as_long_as_the_limit_in_force_allows(self):
+        world = self.world(plain=[replies(answer())])
+        connection = self.enterContext(world.connect())
+        for version, limit_ms, idle_s in ((8, 400, 0), (9, 4_000, 0.8)):
+            limits = {"idleTimeoutMs": limit_ms}
+            config = routing_config(version=version, limits=limits)
+            time.sleep(0.1)
+            world.config.apply(config, version, world.clock.now_ms())
+            time.sleep(idle_s)
+            connection.sendall(request())
+            self.assertEqual(b"200", read_message(connection)[9:12])
