Tests: a source of cache events that was lost is told to be back (known red)

Seen by callers: refusals and second choices while a sound engine stands idle. An engine whose event connection is lost counts as unreachable. If its entry is missing from the list meanwhile (an outage or restoration of the key-value service) and returns within the grace period, its state stays, but the listener follows it anew and no longer knows that it told the loss, so it never tells the return: ServerPool avoids the engine until the connection is lost again.

--- a/tests/test_cacheeventlistener.py
+++ b/tests/test_cacheeventlistener.py
@@ -89,3 +89,26 @@
         delays_ms, changes = self.listen(EVENTS, LOST, LOST, EVENTS)
         self.assertEqual([RECONNECT_DELAY_MS] * 2, delays_ms)
         self.assertEqual([False, True], changes)
+
+    def test_a_source_that_was_lost_is_back_though_it_was_not_followed_meanwhile(self):
+        changes = []
+
+        async def main():
+            listener = CacheEventListener(
+                CacheIndex(),
+                ManualClock(0),
+                lambda address, is_leaving: None,
+                lambda address: None,
+                lambda address, is_connected: changes.append(is_connected),
+            )
+            for replies in ([LOST], [EVENTS]):
+                self.connection = ScriptedPolls(replies)
+                listener.follow([ADDRESS])
+                while self.connection.replies:
+                    await asyncio.sleep(0)
+                await asyncio.sleep(0)
+                listener.follow([])
+
+        with mock.patch.object(cacheeventlistener, "PollConnection", lambda *_: self.connection):
+            asyncio.run(main())
+        self.assertTrue(changes[-1], changes)
