--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -140,6 +140,19 @@
         found = self.first_bytes(world, request() + b"malformed\r\n\r\n")
         self.assertEqual(b"200", found[9:12])
 
+    def test_a_request_that_arrives_while_the_loop_is_busy_outlives_the_timers(self):
+        world = self.world(plain=[replies(answer())])
+        limits = {"headerTimeoutMs": 300, "idleTimeoutMs": 300}
+        world.config.apply(routing_config(version=8, limits=limits), 2, world.clock.now_ms())
+        connection = self.enterContext(world.connect())
+        for size in (0, 40):
+            connection.sendall(request()[:size])
+            time.sleep(0.1)
+            world._loop.call_soon_threadsafe(time.sleep, 0.6)
+            time.sleep(0.4)
+            connection.sendall(request()[size:])
+            self.assertEqual(b"200", read_message(connection)[9:12])
+
     def test_a_connection_may_be_idle_for_as_long_as_the_limit_in_force_allows(self):
         world = self.world(plain=[replies(answer())])
         connection = self.enterContext(world.connect())
