Tests: an error in a periodic check does not end the checks (known red)

Gateway.watch_for_stalls and the other background tasks of PlatformNode.run are neither awaited nor watched. One error in the check of one request ends the checks of all: deadlines that passed in a suspend are no longer noticed, no server counts as stalled any more (without a check every moment looks like a pause), and nothing is logged until the end. No input was found that raises such an error; the test injects one.

On the test fails: no 504 within 1.5 s of a deadline that passed in a suspend. Control with the error left out: 1 passed.

--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -1,11 +1,13 @@
 """Tests that each request that was read whole is answered or refused."""
 
 import time
+from itertools import chain, repeat
 from unittest import mock
 
+from bergamothill.process.requestrun import RequestRun
 from bergamothill.process.serverpool import ServerPool
 from bergamothill.request.requestqueue import MIN_ADMISSIONS
-from tests.builders import backend, routing_config
+from tests.builders import await_true, backend, routing_config
 from tests.gatewayworld import (
     PROMPT_HEADERS,
     STREAM_HEAD,
@@ -71,6 +73,23 @@
         self.assertIn(chunk(event(1)), found)
         self.assertNotIn(b"\r\n0\r\n\r\n", found)
 
+    def test_an_error_in_a_periodic_check_does_not_end_the_checks(self):
+        world = self.world(plain=[lambda *_: None])
+        check = mock.patch.object(
+            RequestRun, "check_for_stall", side_effect=chain([RuntimeError("fault")], repeat(None))
+        )
+        checked = self.enterContext(check)
+        with world.connect() as connection:
+            connection.settimeout(ANSWER_TIMEOUT_S)
+            connection.sendall(request())
+            await_true(lambda: checked.called)
+            world.clock.advance_ms(5_000)
+            try:
+                found = connection.recv(65_536)
+            except TimeoutError:
+                self.fail("not answered at the deadline")
+        self.assertTrue(found.startswith(b"HTTP/1.1 504 "), found)
+
 
 class UnusualValueTest(UnansweredRequestCase):
     """A header field, a registration or the configuration has an unusual value."""
