Answer or close whatever request an internal error ends

Cause: an error in the task of a request was only logged. The connection went on to count as busy, so none of its timers ran; the timeout of the run had ended with the task. The attempt was not counted against its server either, which stayed the least loaded and drew all requests that followed.

Change, at three levels. Until a run exists, nothing can have been sent: 503 with Retry-After. In a run, the attempt log decides as for any other end: 503 if it has not run, else 502, or the stream is cut. Whatever else ends a task without a complete answer closes the connection. An error in an attempt counts as a failure of its server. The log line has the request, the error and its place. Cancellation still passes.

--- a/bergamothill/connection/callerhttp.py
+++ b/bergamothill/connection/callerhttp.py
@@ -325,6 +325,14 @@
         if self._transport is not None and not self._is_closed:
             self._transport.abort()
 
+    def abort_unanswered(self, cancel: Callable[[], None]) -> None:
+        """Abort the connection if a request whose handling has ended got no complete response.
+
+        :param cancel: cancels the handling of that request
+        """
+        if self._cancel == cancel:
+            self.abort_response()
+
     def _update_keep_alive(self) -> None:
         # Requests received already are answered first, as a response announces the close.
         if self._handler.is_draining() and not self._queued and not self._receiving_request:
--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -6,6 +6,7 @@
 import random
 import zlib
 from collections.abc import Callable
+from functools import partial
 
 from bergamothill.clock import Clock, ms_to_seconds
 from bergamothill.connection.callerhttp import CallerConnection
@@ -15,6 +16,7 @@
 from bergamothill.platform.headers import decode_request
 from bergamothill.process.admissionqueue import AdmissionQueue
 from bergamothill.process.configstate import Admission, ConfigState, Verdict
+from bergamothill.process.crashlog import log_crash
 from bergamothill.process.drainperiod import DrainPeriod
 from bergamothill.process.gatewaymetrics import GatewayMetrics
 from bergamothill.process.nodesettings import DeploymentBounds
@@ -22,7 +24,7 @@
 from bergamothill.process.requestrun import RequestRun
 from bergamothill.process.serverpool import ServerPool
 from bergamothill.request.bufferbudget import BufferBudget
-from bergamothill.request.callerrequest import CallerRequest, RawRequest
+from bergamothill.request.callerrequest import CallerRequest, Header, RawRequest
 from bergamothill.request.windowedbudget import WindowedRetryBudget
 from bergamothill.version.routetable import CallerLimits, Service
 
@@ -137,13 +139,14 @@
         """Start handling a request in the background; return the function that cancels it."""
         task = asyncio.get_running_loop().create_task(self._handle_request(connection, request))
         self._tasks.add(task)
-        task.add_done_callback(self._on_task_done)
+        task.add_done_callback(partial(self._on_task_done, connection))
         return task.cancel
 
-    def _on_task_done(self, task: asyncio.Task[None]) -> None:
+    def _on_task_done(self, connection: CallerConnection, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            _log.error("request_crashed", error=repr(task.exception()))
+            log_crash("-", task.exception())
+        connection.abort_unanswered(task.cancel)
 
     def admission_queue(self, service: ServiceName) -> AdmissionQueue:
         """Return the queue of requests that wait for a service."""
@@ -194,19 +197,34 @@
         return budget
 
     async def _handle_request(self, connection: CallerConnection, raw: RawRequest) -> None:
+        request = None
         try:
             request = decode_request(raw)
+            now_ms = self._clock.now_ms()
+            admission = self._config.admit(request.host, request.path, request.key, now_ms)
+            run = self._create_run(connection, request, admission)
         except InvalidRequestError as error:
             _log.info("request_invalid", error=error.message)
             connection.send_error(400)
-            return
-        now_ms = self._clock.now_ms()
-        admission = self._config.admit(request.host, request.path, request.key, now_ms)
+        except Exception as error:  # noqa: BLE001 - the caller needs a final answer
+            log_crash("-" if request is None else request.request_id, error)
+            connection.send_response(503, [_retry_after_header()], b"")
+        else:
+            if run is None:
+                self._reject(connection, request, admission)
+            elif self._is_too_late(run, admission):
+                run.refuse()
+            else:
+                await self._execute(run)
+
+    def _create_run(
+        self, connection: CallerConnection, request: CallerRequest, admission: Admission
+    ) -> RequestRun | None:
+        """Return the run of a request; None if the request is not admitted."""
         service = self._choose_service(admission, request)
         if admission.verdict is not Verdict.ADMITTED or service is None:
-            self._reject(connection, request, admission)
-            return
-        run = RequestRun(
+            return None
+        return RequestRun(
             self._clock,
             self._server_pool,
             self._metrics,
@@ -219,11 +237,13 @@
             service,
             self._buffer_budget,
         )
-        if self._drain is not None and self._drain.is_too_late(
-            admission.route, run.due_ms, self._clock.now_ms()
-        ):
-            run.refuse()
-            return
+
+    def _is_too_late(self, run: RequestRun, admission: Admission) -> bool:
+        """Return whether a drain leaves too little time to start a run."""
+        drain, now_ms = self._drain, self._clock.now_ms()
+        return drain is not None and drain.is_too_late(admission.route, run.due_ms, now_ms)
+
+    async def _execute(self, run: RequestRun) -> None:
         self._runs.add(run)
         try:
             await run.execute()
@@ -257,8 +277,7 @@
         status = _STATUS_BY_VERDICT.get(admission.verdict, 503)
         headers = []
         if status == 503:
-            wait_s = ms_to_seconds(UNAVAILABLE_RETRY_MS + random.randrange(UNAVAILABLE_RETRY_MS))
-            headers.append((b"Retry-After", b"%.3f" % wait_s))
+            headers.append(_retry_after_header())
         _log.info(
             "request_denied",
             request=request.request_id,
@@ -273,4 +292,9 @@
         connection.send_response(status, headers, b"")
 
 
+def _retry_after_header() -> Header:
+    wait_s = ms_to_seconds(UNAVAILABLE_RETRY_MS + random.randrange(UNAVAILABLE_RETRY_MS))
+    return (b"Retry-After", b"%.3f" % wait_s)
+
+
 _STATUS_BY_VERDICT = {Verdict.UNKNOWN_ROUTE: 404, Verdict.UNKNOWN_KEY: 401}
--- a/bergamothill/process/requestrun.py
+++ b/bergamothill/process/requestrun.py
@@ -16,6 +16,7 @@
 from bergamothill.platform.headers import decode_answer
 from bergamothill.process.admissionqueue import AdmissionQueue
 from bergamothill.process.configstate import Admission
+from bergamothill.process.crashlog import log_crash
 from bergamothill.process.gatewaymetrics import GatewayMetrics
 from bergamothill.process.quarantinegate import QuarantineGate
 from bergamothill.process.quarantinesteps import encode_refusal, wait_for_trial
@@ -150,14 +151,17 @@
                 relay.discard_body()
 
     async def _execute_steps(self) -> None:
-        step = self._forwarding.begin(self._clock.now_ms())
         remaining_s = ms_to_seconds(self._forwarding.due_ms - self._clock.now_ms())
         try:
             async with asyncio.timeout(max(0.0, remaining_s)) as self._timeout:
+                step = self._forwarding.begin(self._clock.now_ms())
                 while isinstance(step, Send | WaitForMemory | WaitForTrial):
                     step = await self._perform(step)
         except TimeoutError:
             step = self._on_timeout(self._clock.now_ms())
+        except Exception as error:  # noqa: BLE001 - the caller needs a final answer
+            log_crash(self._request.request_id, error)
+            step = self._forwarding.on_internal_error(self._clock.now_ms())
         self._apply_final_step(step)
 
     def _on_timeout(self, now_ms: int) -> ForwardStep:
--- a/bergamothill/process/serverattempt.py
+++ b/bergamothill/process/serverattempt.py
@@ -112,7 +112,9 @@
         self._gated_run = context.gate.begin_run(self._request, send, started_ms)
         try:
             result = await self._exchange()
-        except BaseException:
+        except BaseException as error:
+            if isinstance(error, Exception):
+                server_pool.request_failed(self._server, self._clock.now_ms())
             self._end_gated_run(RunEnd.OTHER)
             duration_ms = self._clock.now_ms() - started_ms
             context.log.append(f"{self._server}:given_up:0:{duration_ms}ms")
--- a/bergamothill/request/forwarding.py
+++ b/bergamothill/request/forwarding.py
@@ -98,6 +98,7 @@
     STOPPING = "instance_stopping"
     AWAITS_TRIAL = "part_under_trial"
     QUARANTINED = "part_quarantined"
+    INTERNAL_ERROR = "internal_error"
 
 
 @dataclass(frozen=True, slots=True)
@@ -305,6 +306,10 @@
         """Give up, because this instance is stopping."""
         return self._give_up(now_ms, Reason.STOPPING)
 
+    def on_internal_error(self, now_ms: int) -> ForwardStep:
+        """Give up, because this instance failed to process the request."""
+        return self._give_up(now_ms, Reason.INTERNAL_ERROR)
+
     def retry(self, now_ms: int) -> ForwardStep:
         """Try again to find a server with free memory, or to begin a trial."""
         return self._send(now_ms, self._resume_event_id)
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -4,6 +4,8 @@
 from itertools import chain, repeat
 from unittest import mock
 
+from bergamothill.connection.callerhttp import CallerConnection
+from bergamothill.process import gateway, serverattempt
 from bergamothill.process.requestrun import RequestRun
 from bergamothill.process.serverpool import ServerPool
 from bergamothill.request.requestqueue import MIN_ADMISSIONS
@@ -42,16 +44,37 @@
 class InternalErrorTest(UnansweredRequestCase):
     """An error in this process ends the handling of a request."""
 
-    def fail_in(self, method):
-        fault = mock.patch.object(ServerPool, method, side_effect=RuntimeError("fault"))
+    def fail_in(self, method, owner=ServerPool):
+        fault = mock.patch.object(owner, method, side_effect=RuntimeError("fault"))
         self.enterContext(fault)
 
     def test_a_request_that_was_not_sent_is_refused(self):
+        for owner, method in ((gateway, "decode_request"), (ServerPool, "choose")):
+            world = self.world(plain=[replies(answer())])
+            self.fail_in(method, owner)
+            found = self.first_bytes(world, request())
+            self.assertTrue(found.startswith(b"HTTP/1.1 503 "), found)
+            self.assertIn(b"Retry-After: ", found)
+            self.assertEqual([], self.sent())
+
+    def test_a_request_whose_final_answer_fails_is_closed(self):
         world = self.world(plain=[replies(answer())])
-        self.fail_in("choose")
-        found = self.first_bytes(world, request())
-        self.assertTrue(found.startswith(b"HTTP/1.1 503 "), found)
-        self.assertIn(b"Retry-After: ", found)
+        self.fail_in("send_response", CallerConnection)
+        self.assertIn(self.first_bytes(world, request()), (b"", b"<reset>"))
+
+    def test_a_server_whose_attempts_fail_here_is_not_preferred(self):
+        world = self.world(plain=[replies(answer())] * 2)
+        encode, servers = serverattempt.encode_forward, []
+
+        def fail_at_first_server(request, terms):
+            servers.append(terms.server)
+            if terms.server == servers[0]:
+                raise RuntimeError("fault")
+            return encode(request, terms)
+
+        self.enterContext(mock.patch.object(serverattempt, "encode_forward", fail_at_first_server))
+        statuses = [self.first_bytes(world, request())[9:12] for _ in range(2)]
+        self.assertEqual([b"502", b"200"], statuses, servers)
 
     def test_a_request_that_may_have_run_is_not_reported_as_not_run(self):
         world = self.world(plain=[replies(answer())])
