Keep watching the requests in progress after a check of one has failed

Change: an error in a check is logged as stall_check_failed and the watch goes on.

Red before, tests.test_unanswered_requests.InternalErrorTest .test_an_error_in_a_periodic_check_does_not_end_the_checks: "AssertionError: not answered at the deadline". The other background tasks of PlatformNode.run are still unwatched.

--- a/bergamothill/process/crashlog.py
+++ b/bergamothill/process/crashlog.py
@@ -4,7 +4,7 @@
 
 from bergamothill.logs import EventLog
 
-__all__ = ["log_crash"]
+__all__ = ["MAX_ERROR_CHARACTERS", "log_crash"]
 
 MAX_ERROR_CHARACTERS = 300
 
--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -16,7 +16,7 @@
 from bergamothill.platform.headers import decode_request
 from bergamothill.process.admissionqueue import AdmissionQueue
 from bergamothill.process.configstate import Admission, ConfigState, Verdict
-from bergamothill.process.crashlog import log_crash
+from bergamothill.process.crashlog import MAX_ERROR_CHARACTERS, log_crash
 from bergamothill.process.drainperiod import DrainPeriod
 from bergamothill.process.gatewaymetrics import GatewayMetrics
 from bergamothill.process.nodesettings import DeploymentBounds
@@ -181,8 +181,14 @@
             checked_ms = now_ms
             self._server_pool.record_check(now_ms)
             for run in list(self._runs):
-                run.check_deadline(now_ms)
-                run.check_for_stall(now_ms)
+                self._check_run(run, now_ms)
+
+    def _check_run(self, run: RequestRun, now_ms: int) -> None:
+        try:
+            run.check_deadline(now_ms)
+            run.check_for_stall(now_ms)
+        except Exception as error:  # noqa: BLE001 - one failed check must not end the watch
+            _log.error("stall_check_failed", error=repr(error)[:MAX_ERROR_CHARACTERS])
 
     def retry_budget(self, service: ServiceName) -> WindowedRetryBudget:
         """Return this instance's share of a service's retry budget."""
