Encode the fields that the system sets as UTF-8

What callers saw: once a configuration named a brand whose name is not Latin-1, none of the brand's requests reached a server.

Cause: encode_forward encoded the name as Latin-1 (UnicodeEncodeError).

Change: UTF-8 for the fields that the system sets. Last-Event-Id keeps the caller's bytes: it was read as Latin-1, and is written so.

Red before: test_a_brand_whose_name_is_not_latin_comes_into_force, "AssertionError: b'502' not found in (b'200',)"; tests.test_platform_headers, UnicodeEncodeError. Both pass now, with the name's bytes as the server received them.

--- a/bergamothill/platform/headers.py
+++ b/bergamothill/platform/headers.py
@@ -134,7 +134,9 @@
         if is_resumed and name.lower() == b"last-event-id":
             continue
         lines.append(b"%s: %s" % (name, value))
-    lines.extend(f"{name}: {value}".encode("latin-1") for name, value in _forward_fields(terms))
+    lines.extend(f"{name}: {value}".encode() for name, value in _forward_fields(terms))
+    if is_resumed:
+        lines.append(b"Last-Event-Id: " + terms.last_event_id.encode("latin-1"))
     if raw.body or raw.method not in (b"GET", b"HEAD", b"DELETE"):
         lines.append(b"Content-Length: %d" % len(raw.body))
     lines.append(b"Connection: close\r\n\r\n")
@@ -160,8 +162,6 @@
         fields.append(("X-Kv-Until", terms.fetch_until_ms))
     if any(terms.save_to):
         fields.append(("X-Kv-Save-Target", _join_addresses(terms.save_to)))
-    if terms.last_event_id:
-        fields.append(("Last-Event-Id", terms.last_event_id))
     return fields
 
 
--- /dev/null
+++ b/tests/test_platform_headers.py
@@ -0,0 +1,16 @@
+"""Tests of the header fields of requests on the platform."""
+
+import unittest
+
+from bergamothill.platform.headers import decode_request, encode_forward
+from bergamothill.request.callerrequest import ForwardTerms, RawRequest
+
+
+class ForwardTest(unittest.TestCase):
+    def test_an_event_id_is_forwarded_with_the_bytes_of_the_caller(self):
+        raw = RawRequest(b"GET", b"/quote/2f", [(b"Last-Event-Id", b"caf\xe9")], b"", 0)
+        request = decode_request(raw)
+        terms = ForwardTerms("s1", 100, brand="Rātā", last_event_id=request.last_event_id)
+        lines = encode_forward(request, terms).split(b"\r\n")
+        self.assertEqual(1, lines.count(b"Last-Event-Id: caf\xe9"))
+        self.assertEqual(1, lines.count("X-Tenant: Rātā".encode()))
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -126,6 +126,7 @@
         brands = [{"name": "Rātā", "apiKeys": ["key-1"]}]
         world.config.apply(routing_config(version=8, tenants=brands), 2, world.clock.now_ms())
         self.assert_answered(world)
+        self.assertIn("X-Tenant: Rātā\r\n".encode(), self.sent()[0])
 
     def test_a_server_is_listed_with_a_port_that_does_not_exist(self):
         world = self.world(plain=[replies(answer())])
