Use no server whose address does not exist

Cause: the decoder of registrations took any digits for a port and any text for a host. Opening a connection then raised OverflowError or UnicodeError, which the caller of open_connection does not take for a failure to connect, so the request was not sent on to another server.

Change: a registration without an IPv4 address and a port from 1 to 65535 names no server to use (ProtocolError, logged as entry_unreadable). open_connection raises OSError for an address that does not exist, whichever it came from (the addresses of stores come from the configuration).

Red before: tests.test_unanswered_requests, "AssertionError: b'502' not found in (b'200',)" (the test now has a host, too); tests.test_platform_config, 7 of 9 addresses "ProtocolError not raised". All pass now.

--- a/bergamothill/connection/opening.py
+++ b/bergamothill/connection/opening.py
@@ -24,6 +24,10 @@
     """
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
-    async with asyncio.timeout(ms_to_seconds(timeout_ms)):
-        transport, _ = await loop.create_connection(lambda: protocol, host, int(port))
+    try:
+        async with asyncio.timeout(ms_to_seconds(timeout_ms)):
+            transport, _ = await loop.create_connection(lambda: protocol, host, int(port))
+    except (ValueError, OverflowError) as error:
+        # Raised for a host or a port that does not exist; UnicodeError is a ValueError.
+        raise OSError(f"invalid address: {error}") from error
     return transport
--- a/bergamothill/platform/servers.py
+++ b/bergamothill/platform/servers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import ipaddress
+
 from bergamothill.errors import ProtocolError
 from bergamothill.ids import ModelName, ServerId, ServiceName, ZoneName
 from bergamothill.platform.fields import Fields
@@ -10,6 +12,7 @@
 __all__ = ["SERVER_PREFIX", "decode_server"]
 
 SERVER_PREFIX = "servers/"
+MAX_PORT = 65_535
 
 _STEP = "server.decode"
 _IS_LEAVING_BY_STATE = {"ready": False, "draining": True}
@@ -40,11 +43,20 @@
 
 def _checked_address(text: str) -> str:
     host, _, port = text.rpartition(":")
-    if not host or not port.isdecimal():
-        raise ProtocolError(f"address is not host:port: {text!r:.60}", step=_STEP)
+    is_number = port.isascii() and port.isdecimal() and len(port) <= len(str(MAX_PORT))
+    if not _is_ipv4(host) or not is_number or not 0 < int(port) <= MAX_PORT:
+        raise ProtocolError(f"address is not IP:port: {text!r:.60}", step=_STEP)
     return text
 
 
+def _is_ipv4(host: str) -> bool:
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return True
+
+
 def _decode_weights(fields: Fields) -> dict[ModelName, int]:
     # The "version" beside "models" is that of the server's software, not of the weights.
     rows = (Fields(row, step=_STEP) for row in fields.rows("models"))
--- a/tests/test_platform_config.py
+++ b/tests/test_platform_config.py
@@ -25,6 +25,18 @@
     max_leaves=12,
 )
 
+INVALID_ADDRESSES = (
+    "nowhere",
+    "127.0.0.1:0",
+    "127.0.0.1:65536",
+    "127.0.0.1:" + 5_000 * "1",
+    "127.0.0.1:٨٠",
+    "a..b:80",
+    "localhost:80",
+    "127.0.0.1.5:80",
+    ":80",
+)
+
 
 class ConfigTest(unittest.TestCase):
     def test_decodes_routes_services_stores_and_keys(self):
@@ -100,7 +112,7 @@
             {"state": "odd"},
             {"slots": "many"},
             {"service": None},
-            {"address": "nowhere"},
+            *({"address": a} for a in INVALID_ADDRESSES),
             {"models": [{"name": "m1"}]},
         ):
             with self.subTest(changes), self.assertRaises(ProtocolError):
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -128,11 +128,12 @@
         self.assert_answered(world)
         self.assertIn("X-Tenant: Rātā\r\n".encode(), self.sent()[0])
 
-    def test_a_server_is_listed_with_a_port_that_does_not_exist(self):
+    def test_a_server_is_listed_with_a_port_or_host_that_does_not_exist(self):
         world = self.world(plain=[replies(answer())])
+        addresses = ("127.0.0.1:99999", "a..b:80", self.plain[0].address)
         servers = [
-            backend(server, address=address, service="bookings", weights={})
-            for server, address in (("p0", "127.0.0.1:99999"), ("p1", self.plain[0].address))
+            backend(f"p{n}", address=address, service="bookings", weights={})
+            for n, address in enumerate(addresses)
         ]
         now_ms = world.clock.now_ms()
         world.server_pool.apply_list(servers, now_ms, now_ms)
