Take token counts with absurd digits for malformed

What callers saw: a request whose X-Token-Counts or X-Prompt-Prefix has a number of over 4,300 digits (int() raises ValueError) or of over 308 (OverflowError in the choice of an engine) got no answer, and since "Answer or close whatever request an internal error ends" 503. With a count of hundreds of digits in the queue, the same happened to requests of other callers.

Cause: the numbers were not bounded at decoding, unlike X-Deadline-Milliseconds.

Change: one bound of nine digits for all three. A value beyond it is malformed as any other: no counts, no parts, which only prevents reuse of cached context.

Tests: three cases of UnusualValueTest allowed 400, 502 and 503, the ends that a refused count could have. Now that such a request is sent, they demand the server's 200 and that it reached the server. All pass now.

--- a/bergamothill/platform/headers.py
+++ b/bergamothill/platform/headers.py
@@ -20,6 +20,7 @@
 __all__ = ["decode_answer", "decode_request", "encode_forward", "says_leaving"]
 
 MS_PER_S = 1_000
+MAX_COUNT_DIGITS = 9
 MAX_PAUSE_DIGITS = 20
 MAX_LIMIT_CHARACTERS = 40
 
@@ -236,23 +237,28 @@
 
 
 def _parse_milliseconds(value: bytes | None) -> int | None:
-    text = _decode_text(value)
-    return int(text) if text.isdecimal() and len(text) <= 9 else None
+    return _parse_count(_decode_text(value))
+
+
+def _parse_count(text: str) -> int | None:
+    return int(text) if text.isdecimal() and len(text) <= MAX_COUNT_DIGITS else None
 
 
 def _parse_token_counts(value: bytes | None) -> tuple[int, int]:
-    counts = _decode_text(value).split(",")
-    if len(counts) != 2 or not all(c.strip().isdecimal() for c in counts):
+    """Return the tokens of prompt and answer; 0 for a malformed value."""
+    counts = [_parse_count(text.strip()) for text in _decode_text(value).split(",")]
+    if len(counts) != 2 or None in counts:
         return (0, 0)
-    return (int(counts[0]), int(counts[1]))
+    return (counts[0], counts[1])
 
 
 def _parse_prompt_parts(value: bytes | None) -> tuple[PromptPart, ...]:
     """Return the parts of a prompt; none for a malformed value, which only prevents reuse."""
     parts = []
     for entry in _decode_text(value).split(","):
-        name, separator, tokens = entry.strip().partition(":")
-        if not separator or not tokens.isdecimal():
+        name, separator, digits = entry.strip().partition(":")
+        tokens = _parse_count(digits)
+        if not separator or tokens is None:
             return ()
-        parts.append(PromptPart(name, int(tokens)))
+        parts.append(PromptPart(name, tokens))
     return tuple(parts)
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -144,9 +144,8 @@
         config = routing_config(version=8, limits={"maxHeaderBytes": 16_384})
         world.config.apply(config, 2, world.clock.now_ms())
         headers = b"X-Model: m1\r\nX-Token-Counts: %s\r\nX-Prompt-Prefix: %s\r\n" % (counts, prefix)
-        self.assert_answered(
-            world, request(b"/quote/2f", headers=headers), (b"400", b"502", b"503")
-        )
+        self.assert_answered(world, request(b"/quote/2f", headers=headers))
+        self.assertEqual(1, len(self.sent()))
 
     def test_a_token_count_has_hundreds_of_digits(self):
         self.assert_counts_answered(counts=b"9" * 400 + b",9")
