Reject text that UTF-8 does not have when configurations are decoded

Found while looking for other causes of the same class. JSON may hold half of a surrogate pair ("\ud800"), which Python decodes but cannot encode. A brand with such a name passed the decoder; then each of its requests failed in crash_suspects and, by reading, a line of the log with it would have ended the thread that writes the log.

Change: such a text field is a ProtocolError, as one of the wrong type is; the configuration in force stays, and entry_unreadable names the field. Registrations are decoded by the same function.

Red before, tests.test_platform_config: "ProtocolError not raised".

--- a/bergamothill/platform/fields.py
+++ b/bergamothill/platform/fields.py
@@ -41,8 +41,11 @@
             raise ProtocolError(f"invalid JSON: {error}", step=step) from error
 
     def text(self, name: str, default: str | None = None) -> str:
-        """Return a text field."""
-        return self._checked_value(name, str, default)
+        """Return a text field; half of a surrogate pair, which UTF-8 does not have, is invalid."""
+        value = self._checked_value(name, str, default)
+        if not _is_encodable(value):
+            raise self._field_error(name)
+        return value
 
     def integer(self, name: str, default: int | None = None) -> int:
         """Return an integer field."""
@@ -93,6 +96,14 @@
         )
 
 
+def _is_encodable(text: str) -> bool:
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def read_fields(
     client: HttpClient,
     path: str,
--- a/tests/test_platform_config.py
+++ b/tests/test_platform_config.py
@@ -66,6 +66,10 @@
         with self.assertRaises(ProtocolError):
             routing_config(routes=routes)
 
+    def test_text_that_utf_8_does_not_have_is_a_protocol_error(self):
+        with self.assertRaises(ProtocolError):
+            routing_config(tenants=[{"name": "\ud800", "apiKeys": ["key-1"]}])
+
     def test_numbers_that_are_not_finite_are_protocol_errors(self):
         for text in ("Infinity", "-Infinity", "NaN", "1" + 400 * "0"):
             encoded = json.dumps(operator_config()).replace(
