Keep an idle connection for as long as a raised limit allows

What callers saw: after a configuration that raised idleTimeoutMs, a connection that had been idle for less than the new limit was closed at the old one, and a request on it crossed the close.

Cause: the timer of an idle connection ran on the limit in force when the last answer ended.

Change: when the timer ends, the time waited is compared with the limit in force, and the rest is waited for. The same holds for headerTimeoutMs.

Red before: "AssertionError: b'200' != b''" (closed). The test passes now; it also covers a lowered limit, and is renamed for it.

--- a/bergamothill/connection/callerhttp.py
+++ b/bergamothill/connection/callerhttp.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+from operator import attrgetter
 from typing import Protocol
 
 import httptools
@@ -104,7 +105,7 @@
         """Register the connection and wait for its first request."""
         self._transport = transport
         self._register(self, True)
-        self._start_request_timer(self._handler.limits().header_timeout_ms)
+        self._start_request_timer(_HEADER_TIMEOUT_MS)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress, because the caller has disconnected."""
@@ -182,7 +183,7 @@
         self._receiving_request = True
         self._arrived_ms = self._clock.now_ms()
         if self._cancel is None:
-            self._start_request_timer(self._handler.limits().header_timeout_ms)
+            self._start_request_timer(_HEADER_TIMEOUT_MS)
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
@@ -360,9 +361,9 @@
         if self._queued:
             self._start_next()
         elif not self._receiving_request:
-            self._start_request_timer(self._handler.limits().idle_timeout_ms)
+            self._start_request_timer(_IDLE_TIMEOUT_MS)
         elif not self._head_received:
-            self._start_request_timer(self._handler.limits().header_timeout_ms)
+            self._start_request_timer(_HEADER_TIMEOUT_MS)
 
     def _linger(self) -> None:
         """Close the connection once the caller has, or after a timeout.
@@ -374,14 +375,34 @@
         self._queued.clear()
         self._transport.write_eof()
         self._backlog_watch.start(self._transport)
-        self._start_request_timer(LINGER_TIMEOUT_MS)
+        self._arm_timer(ms_to_seconds(LINGER_TIMEOUT_MS), self._end_linger)
 
     # Timeouts.
 
-    def _start_request_timer(self, timeout_ms: int) -> None:
+    def _start_request_timer(self, limit_ms: Callable[[CallerLimits], int]) -> None:
+        """Start waiting for the next part of a request.
+
+        :param limit_ms: returns the limit of the time to wait
+        """
+        started_s = asyncio.get_running_loop().time()
+        delay_s = ms_to_seconds(limit_ms(self._handler.limits()))
+        self._arm_timer(delay_s, self._on_limit_passed, limit_ms, started_s)
+
+    def _on_limit_passed(self, limit_ms: Callable[[CallerLimits], int], started_s: float) -> None:
+        """Go on waiting if the limit has been raised, as the caller may rely on that.
+
+        A limit that was lowered does not end the wait sooner: the caller may not know it yet.
+        """
+        passed_s = asyncio.get_running_loop().time() - started_s
+        left_s = ms_to_seconds(limit_ms(self._handler.limits())) - passed_s
+        if left_s > 0:
+            self._arm_timer(left_s, self._on_limit_passed, limit_ms, started_s)
+        else:
+            self._on_timeout()
+
+    def _arm_timer(self, delay_s: float, callback: Callable[..., None], *args: object) -> None:
         self._cancel_timer()
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(ms_to_seconds(timeout_ms), self._on_timeout)
+        self._timer = asyncio.get_running_loop().call_later(delay_s, callback, *args)
 
     def _cancel_timer(self) -> None:
         if self._timer is not None:
@@ -389,9 +410,7 @@
             self._timer = None
 
     def _on_timeout(self) -> None:
-        if self._is_lingering:
-            self._end_linger()
-        elif self._receiving_request and not self._head_received:
+        if self._receiving_request and not self._head_received:
             self._reject_unparsed(408)
         elif not self.is_busy and self._transport is not None:
             self._close()
@@ -404,11 +423,15 @@
 
     def _end_linger(self) -> None:
         if self._transport.get_write_buffer_size():
-            self._start_request_timer(LINGER_TIMEOUT_MS)
+            self._arm_timer(ms_to_seconds(LINGER_TIMEOUT_MS), self._end_linger)
         else:
             self._transport.close()
 
 
+_HEADER_TIMEOUT_MS = attrgetter("header_timeout_ms")
+_IDLE_TIMEOUT_MS = attrgetter("idle_timeout_ms")
+
+
 def _cancel_nothing() -> None:
     """Cancel callback of a request that is still being started."""
 
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -196,10 +196,10 @@
             connection.sendall(request()[size:])
             self.assertEqual(b"200", read_message(connection)[9:12])
 
-    def test_a_connection_may_be_idle_for_as_long_as_the_limit_in_force_allows(self):
+    def test_a_connection_may_be_idle_for_as_long_as_a_limit_that_the_caller_knows_allows(self):
         world = self.world(plain=[replies(answer())])
         connection = self.enterContext(world.connect())
-        for version, limit_ms, idle_s in ((8, 400, 0), (9, 4_000, 0.8)):
+        for version, limit_ms, idle_s in ((8, 400, 0), (9, 4_000, 0.8), (10, 400, 0.8)):
             limits = {"idleTimeoutMs": limit_ms}
             config = routing_config(version=version, limits=limits)
             time.sleep(0.1)
