Answer the requests that came before one that is refused

What callers saw: a request that had been read whole, and perhaps sent to a server, was reset without an answer if something that this instance refuses followed on its connection: malformed bytes, a head or a body that is too large, or the rest of a request that offers an upgrade of the protocol ("Connection: Upgrade", or CONNECT), which the parser reports after the request itself.

Cause: _reject_unparsed aborted the connection if a request was in progress or queued, so that its refusal would not be taken for the answer to one of them.

Change: reading stops; the requests received are answered, and the last answer says "Connection: close". An offer of an upgrade is ignored (RFC 9110, section 7.8). Where nothing is in progress or queued, the refusal is sent as before.

Red before: test_a_request_that_offers_an_upgrade_is_answered, "b'200' != b''"; test_requests_that_are_followed_by_one_that_is_refused_are_answered, "1 != 0" and "3 != 0" answers for each of three kinds. The latter takes the place of the case for malformed bytes only; the former no longer accepts 400. Both pass now, and tests.test_slow_callers, with its test_a_malformed_request_behind_others_that_wait_is_not_answered_in_their_place unchanged.

--- a/bergamothill/connection/callerhttp.py
+++ b/bergamothill/connection/callerhttp.py
@@ -91,6 +91,7 @@
         self._queued_bytes = 0
         self._cancel: Callable[[], None] | None = None
         self._keep_alive = True
+        self._stops_reading = False
         self._response_started = False
         self._is_head_request = False
         self._is_closed = False
@@ -152,7 +153,7 @@
         """Parse received bytes; reject requests that are malformed or too large."""
         if self._is_lingering:
             self._discard(len(data))
-        if self._is_closed or not self._keep_alive:
+        if self._is_closed or self._stops_reading or not self._keep_alive:
             return
         if self._cancel is not None or self.flow.is_paused:
             self._queued_bytes += len(data)
@@ -168,6 +169,7 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
+            # The offer is ignored, but what follows may be in the other protocol.
             self._reject_unparsed(400)
         except httptools.HttpParserError:
             self._reject_unparsed(self._error_status or 400)
@@ -266,12 +268,18 @@
     def _reject_unparsed(self, status: int) -> None:
         """Reject a request that is malformed, too large or late, and close the connection.
 
-        If another request is in progress or queued, the connection is aborted without a response.
+        Requests that were received before it are answered instead, and the last of these answers
+        closes the connection.
         """
+        self._stops_reading = True
+        if self._queued:
+            last, _ = self._queued.pop()
+            self._queued.append((last, False))
+            return
         self._keep_alive = False
-        if self._cancel is None and not self._queued and not self._response_started:
+        if self._cancel is None and not self._response_started:
             self.send_response(status, [], b"")
-        elif self._transport is not None:
+        elif self._cancel is None:
             self._transport.abort()
 
     # Sending responses.
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -4,7 +4,7 @@
 from itertools import chain, repeat
 from unittest import mock
 
-from bergamothill.connection.callerhttp import CallerConnection
+from bergamothill.connection.callerhttp import MAX_PIPELINED_BYTES, CallerConnection
 from bergamothill.process import gateway, serverattempt
 from bergamothill.process.requestrun import RequestRun
 from bergamothill.process.serverpool import ServerPool
@@ -175,13 +175,24 @@
     def test_a_request_that_offers_an_upgrade_is_answered(self):
         world = self.world(plain=[replies(answer())])
         offer = b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AAMA\r\n"
-        found = self.first_bytes(world, request(headers=offer))
-        self.assertIn(found[9:12], (b"200", b"400"))
-
-    def test_a_request_that_is_followed_by_malformed_bytes_is_answered(self):
-        world = self.world(plain=[replies(answer())])
-        found = self.first_bytes(world, request() + b"malformed\r\n\r\n")
+        found = self.first_bytes(world, request(headers=offer) + b"another protocol")
         self.assertEqual(b"200", found[9:12])
+        found = self.first_bytes(world, b"CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\nanother protocol")
+        self.assertEqual(b"404", found[9:12])
+
+    def test_requests_that_are_followed_by_one_that_is_refused_are_answered(self):
+        world = self.world(plain=[lambda *args: time.sleep(0.2) or replies(answer())(*args)])
+        too_large = request(body=b"x" * (MAX_PIPELINED_BYTES + 1))
+        huge_head = request(headers=b"X-Filler: %s\r\n" % (b"x" * 20_000))
+        for rest in (b"malformed\r\n\r\n", huge_head, too_large):
+            for count in (1, 3):
+                with self.subTest(rest[:20], count=count), world.connect() as connection:
+                    connection.sendall(count * request() + rest)
+                    found = read_all(connection)
+                    self.assertEqual(count, found.count(b"HTTP/1.1 200 OK"))
+                    self.assertEqual(count, found.count(b"HTTP/1.1 "))
+                    self.assertIn(b"Connection: close", found)
+                    self.assertNotIn(b"<reset>", found)
 
     def test_a_request_that_arrives_while_the_loop_is_busy_outlives_the_timers(self):
         world = self.world(plain=[replies(answer())])
