Keep the trials of requests without a prompt apart on servers

Cause: ServerPool.choose applied TrialPlacement only where engines are placed; the branch of requests without a prompt returned before.

Change: the branch selects by the same function. A trial that needs a server without another one waits like that of a prompt if there is none; other requests avoid servers under trial while there are others.

--- a/bergamothill/process/serverpool.py
+++ b/bergamothill/process/serverpool.py
@@ -301,12 +301,15 @@
             earliest_end_ms = min(b.backoff_until_ms for b in candidates)
             candidates = [b for b in candidates if b.backoff_until_ms == earliest_end_ms]
         terms_brand = brand.name if brand is not None else None
+        placement = TrialPlacement(self.servers_under_trial(now_ms), self._peer_loads)
         if not is_prompt:
+            candidates = placement.select_for(trial, candidates)
+            if not candidates:
+                return NoFreeMemory()
             state = min(candidates, key=self._cost_by_request_count)
             terms = ForwardTerms(state.entry.server, 0, brand=terms_brand)
             terms.limit_spent_ms = self.limits.spend(state.entry, now_ms)
             return (state.entry, terms)
-        placement = TrialPlacement(self.servers_under_trial(now_ms), self._peer_loads)
         preferred = self._preferred_by_weights(candidates, request.model, now_ms)
         for group in (preferred, candidates):
             with_room = [b for b in group if self._has_room(b, service.engine, request, urgency)]
--- a/bergamothill/process/trialplacement.py
+++ b/bergamothill/process/trialplacement.py
@@ -1,4 +1,4 @@
-"""Which engines may run a prompt while some of them try suspected prompt parts; no I/O."""
+"""Which servers may run a request while some of them try suspected parts of others; no I/O."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TrialPlacement:
-    """Selects among engines that have room.
+    """Selects among servers that have room.
 
     :param under_trial: servers on which a trial is running
     :param peer_loads: loads reported by the other entry instances
--- a/tests/test_trialplacement.py
+++ b/tests/test_trialplacement.py
@@ -1,4 +1,4 @@
-"""Tests of the placement of prompts while suspected prompt parts are tried."""
+"""Tests of the placement of requests while suspected parts are tried."""
 
 import unittest
 
@@ -56,6 +56,25 @@
         chosen = self.pool.choose(BOOKINGS, request, None, (), 0, 0, trial)
         self.assertEqual("p2", chosen[0].server)
 
+    def test_requests_without_a_prompt_are_placed_like_prompts_beside_a_trial(self):
+        plain = [backend(f"p{n}", service="bookings", weights={}) for n in (1, 2)]
+        self.pool.apply_list(plain, 0, 0)
+        self.run_requests("p2", 3)
+        request = caller_request(model=None, parts=())
+        lone = Trial(frozenset(), needs_lone_server=True)
+        any_server = Trial(frozenset(), needs_lone_server=False)
+        cases = (
+            (set(), {None: "p1", lone: "p1", any_server: "p1"}),
+            ({"p1"}, {None: "p2", lone: "p2", any_server: "p2"}),
+            ({"p1", "p2"}, {None: "p1", lone: None, any_server: "p1"}),
+        )
+        for self.under_trial, expected in cases:
+            for trial, server in expected.items():
+                with self.subTest(under_trial=self.under_trial, trial=trial):
+                    chosen = self.pool.choose(BOOKINGS, request, None, (), 0, 0, trial)
+                    has_none = isinstance(chosen, NoFreeMemory)
+                    self.assertEqual(server, None if has_none else chosen[0].server)
+
     def test_only_a_trial_that_needs_a_server_without_another_waits_for_one(self):
         self.under_trial = {"s1", "s2", "s3"}
         self.assertIsInstance(self.chosen(needs_lone_server=True), NoFreeMemory)
