Convict a part of a prompt only by trials of two requests

Cause: a request that crashes as a whole counts as a likely cause only after crashes under two request ids, but its parts were convicted by two trials under one: with one crash of another cause the two repeats of one request were enough. The two rules must ask for the same, or a request convicts its parts before it can be told from them.

Change: the trials that convict a part of a prompt are at two servers and of two requests, none of which was at all of these servers. Whole requests are convicted as before. The reports named by a verdict keep this.

Measured: the new case of test_crashingrequests failed before ("part" refused at the third crash) and passes; test_crashingrequests, test_partquarantine, test_quarantinecodec, test_verdictstore, test_fingerprint pass.

--- a/bergamothill/request/verdictset.py
+++ b/bergamothill/request/verdictset.py
@@ -35,6 +35,10 @@
 """
 
 MIN_REQUESTS = 2
+"""Requests that convict; of a part of a prompt they have to be trials.
+
+Those of one request alone may have crashed because of the request as a whole.
+"""
 
 LIKELY_CAUSE_AT = 2
 """Crashes of a suspect that may be the cause of those of its companions."""
@@ -135,7 +139,7 @@
         if (part_is_sound or not is_sound(other)) and _is_likely_cause(evidence, other)
     }
     alone = [crash for crash in crashes if companions.isdisjoint(crash.report.suspects)]
-    if _trial_count(evidence, alone, part) >= MIN_TRIALS:
+    if _has_trials(evidence, alone, part):
         return Verdict(frozenset({part}), 0, _strongest_reports(evidence, crashes, part))
     joint = max((_with(crashes, other) for other in sorted(companions)), key=_server_count)
     if not _is_sufficient(evidence, joint, part, part_is_sound):
@@ -166,17 +170,26 @@
     needed = CONVICT_SOUND_AT if is_sound else CONVICT_AT
     if len(crashes) < needed or len(_servers(crashes)) < needed:
         return False
-    trial_count = _trial_count(evidence, crashes, part)
-    return trial_count >= MIN_TRIALS and _request_count(crashes) >= MIN_REQUESTS
+    return _request_count(crashes) >= MIN_REQUESTS and _has_trials(evidence, crashes, part)
 
 
 def _request_count(crashes: Iterable[Crash]) -> int:
     return len({_request_key(crash.report) for crash in crashes})
 
 
-def _trial_count(evidence: CrashEvidence, crashes: Iterable[Crash], part: PartId) -> int:
-    """Return the number of servers that crashed under a trial of the part and of no other."""
-    return _server_count([crash for crash in crashes if evidence.is_clean_trial(crash, part)])
+def _has_trials(evidence: CrashEvidence, crashes: Iterable[Crash], part: PartId) -> bool:
+    """Return whether enough servers crashed under trials of the part and of no other.
+
+    A part of a prompt needs two requests for this, none of which was on all of these servers.
+    """
+    trials = [crash for crash in crashes if evidence.is_clean_trial(crash, part)]
+    servers = _servers(trials)
+    if len(servers) < MIN_TRIALS:
+        return False
+    servers_of: dict[RequestId | ReportId, set[ServerIncarnation]] = {}
+    for crash in trials:
+        servers_of.setdefault(_request_key(crash.report), set()).add(crash.report.server)
+    return part.is_request or servers not in servers_of.values()
 
 
 def _strongest_reports(
@@ -184,11 +197,12 @@
 ) -> frozenset[CrashReport]:
     """Return enough of the reports to justify the verdict elsewhere: one a server, trials first."""
     by_server: dict[ServerIncarnation, CrashReport] = {}
-    for crash in sorted(crashes, key=lambda c: (not evidence.is_clean_trial(c, part), c.broke_ms)):
+    ranked = sorted(crashes, key=lambda c: (not evidence.is_clean_trial(c, part), c.broke_ms))
+    for crash in ranked:
         by_server.setdefault(crash.report.server, crash.report)
     named = list(by_server.values())[:MAX_REPORTS_NAMED]
     requests = {_request_key(report) for report in named}
-    others = [c.report for c in crashes if _request_key(c.report) not in requests]
+    others = [c.report for c in ranked if _request_key(c.report) not in requests]
     if len(requests) < MIN_REQUESTS and others:
         named[-1] = others[0]
     return frozenset(named)
--- a/tests/test_crashingrequests.py
+++ b/tests/test_crashingrequests.py
@@ -22,6 +22,10 @@
     return frozenset(PartId(model, name) for name in names)
 
 
+def _shared(fingerprint, names):
+    return _parts(MODEL, *names) | _parts(WHOLE_REQUEST, fingerprint)
+
+
 class CrashingRequests:
     """Requests with one part that crashes each server it is sent to."""
 
@@ -57,14 +61,19 @@
         self.now_ms = 1_000
         self.servers = 0
 
-    def run(self, fingerprint, *names, end=RunEnd.CRASHED, request_id=""):
-        """Send a request, after any wait, and end it; return what it was sent as."""
-        shared = _parts(MODEL, *names) | _parts(WHOLE_REQUEST, fingerprint)
+    def check(self, fingerprint, *names):
+        """Return the verdict on a request after any wait."""
         for _ in range(20):
-            verdict = self.quarantine.check(shared, self.now_ms)
+            verdict = self.quarantine.check(_shared(fingerprint, names), self.now_ms)
             if not isinstance(verdict, AwaitTrial):
                 break
             self.now_ms += verdict.retry_ms
+        return verdict
+
+    def run(self, fingerprint, *names, end=RunEnd.CRASHED, request_id=""):
+        """Send a request, after any wait, and end it; return what it was sent as."""
+        shared = _shared(fingerprint, names)
+        verdict = self.check(fingerprint, *names)
         if isinstance(verdict, Quarantined):
             return verdict
         self.servers += 1
@@ -110,6 +119,15 @@
                 self.requests.run(f"r{number}", "part", request_id=f"r{number}")
         self.assertEqual(Quarantined(_parts(MODEL, "part")), self.requests.run("r9", "part"))
 
+    def test_repeats_of_a_request_that_crashes_as_a_whole_do_not_convict_its_parts(self):
+        self.requests.run("other", "part")
+        for request_id in ("r", "r", "r", "again"):
+            self.requests.run("bad", "part", request_id=request_id)
+            self.assertNotIsInstance(self.requests.check("new", "part"), Quarantined)
+        bad = _parts(WHOLE_REQUEST, "bad")
+        self.assertLessEqual(bad, self.requests.run("bad", "part").parts)
+        self.assertIsInstance(self.requests.run("new", "part"), Trial | Unsuspected)
+
     def test_a_request_whose_prompt_has_a_sound_part_is_convicted_as_a_whole(self):
         self.requests.run("r0", "part", end=RunEnd.COMPLETE)
         for _ in range(3):
