Begin trials that need a server of their own in turn

Cause: trials with no part in common are no rivals, so nothing keeps two instances from beginning theirs at the same moment. Both wait for a server without a trial, both are woken when one becomes free, and both begin on it before either hears of the other. It crashes, and neither trial convicts, as each had another beside it; then the same again at the next server. Class: a resource that is checked for being free, but claimed only after use has begun.

Change: a trial that needs a server without another one also waits for the claims of peers with a lower rank, whatever their parts, unless a running trial keeps those waiting. What is sent to peers stays as it is.

Measured: the new case of test_partquarantine failed before (two trials at once) and passes.

Not mended: an instance that is cut off from its peers tries requests on servers where others run trials.

--- a/bergamothill/request/partquarantine.py
+++ b/bergamothill/request/partquarantine.py
@@ -180,10 +180,9 @@
         if self._awaits_confirmation(suspects, shared, now_ms):
             return AwaitTrial(WAIT_FOR_CONFIRMATION_MS)
         crash_count = max(self._crash_count(part) for part in suspects)
-        wait_ms = self._slots.wait_ms(suspects, crash_count, now_ms)
-        if wait_ms:
-            return AwaitTrial(wait_ms)
-        return Trial(suspects, crash_count >= LONE_TRIAL_AT)
+        is_lone = crash_count >= LONE_TRIAL_AT
+        wait_ms = self._slots.wait_ms(suspects, crash_count, now_ms, needs_lone_server=is_lone)
+        return AwaitTrial(wait_ms) if wait_ms else Trial(suspects, is_lone)
 
     def begin_run(
         self,
--- a/bergamothill/request/trialslots.py
+++ b/bergamothill/request/trialslots.py
@@ -1,7 +1,9 @@
 """Trials of suspected parts of requests, one at a time over all entry instances; no I/O.
 
 An instance announces a claim before it begins a trial. Of several claims the one with the lowest
-rank goes first. Instances that do not hear of each other may run trials at the same time.
+rank goes first. Trials that need a server without another one begin in turn as well, or two of them
+would begin on the same server before either instance hears of the other. Instances that do not hear
+of each other may run trials at the same time.
 """
 
 from __future__ import annotations
@@ -89,10 +91,18 @@
             self._claims[parts] = _Claim(now_ms, now_ms)
         return True
 
-    def wait_ms(self, parts: frozenset[PartId], crash_count: int, now_ms: int) -> int:
+    def wait_ms(
+        self,
+        parts: frozenset[PartId],
+        crash_count: int,
+        now_ms: int,
+        *,
+        needs_lone_server: bool,
+    ) -> int:
         """Return the time after which to ask again; 0 if the trial may begin.
 
         :param crash_count: crashes so far; each doubles the time for which the claim is announced
+        :param needs_lone_server: whether the trial needs a server without another one
         """
         claim = self._claims.get(parts)
         if claim is None:
@@ -102,18 +112,14 @@
         settled_ms = claim.first_ms + min(MAX_SETTLE_MS, SETTLE_MS << (crash_count - 1))
         if now_ms < settled_ms:
             return settled_ms - now_ms
-        rank = _rank(self._entry, parts)
-        if any(other < rank for other in self._rival_ranks(parts, now_ms)):
-            return POLL_MS
-        return 0
+        rivals = set(self._rival_ranks(parts, now_ms))
+        if needs_lone_server:
+            rivals.update(self._ready_peer_ranks(now_ms))
+        return POLL_MS if any(other < _rank(self._entry, parts) for other in rivals) else 0
 
     def is_running(self, parts: frozenset[PartId], now_ms: int) -> bool:
         """Return whether a trial of any of the parts is running."""
-        return any(
-            not parts.isdisjoint(trial.parts)
-            for trial in self._all_trials(now_ms)
-            if trial.server is not None
-        )
+        return not parts.isdisjoint(self._running_parts(now_ms))
 
     def begin(
         self, run: RunNumber, parts: frozenset[PartId], server: ServerId, now_ms: int
@@ -165,15 +171,32 @@
             if now_ms - snapshot.received_ms < PEER_TRIAL_TTL_MS:
                 yield from snapshot.trials
 
+    def _running_parts(self, now_ms: int) -> set[PartId]:
+        trials = self._all_trials(now_ms)
+        return {part for trial in trials if trial.server is not None for part in trial.parts}
+
     def _rival_ranks(self, parts: frozenset[PartId], now_ms: int) -> Iterator[tuple]:
+        """Yield the ranks of other claims to a trial of any of the parts."""
         for claimed in self._claims:
             if claimed != parts and not parts.isdisjoint(claimed):
                 yield _rank(self._entry, claimed)
+        for entry, claimed in self._peer_claims(now_ms):
+            if not parts.isdisjoint(claimed):
+                yield _rank(entry, claimed)
+
+    def _ready_peer_ranks(self, now_ms: int) -> Iterator[tuple]:
+        """Yield the ranks of the claims of peers that no running trial keeps waiting."""
+        running = self._running_parts(now_ms)
+        for entry, claimed in self._peer_claims(now_ms):
+            if running.isdisjoint(claimed):
+                yield _rank(entry, claimed)
+
+    def _peer_claims(self, now_ms: int) -> Iterator[tuple[EntryInstanceId, frozenset[PartId]]]:
         for entry, snapshot in self._peers.items():
             if now_ms - snapshot.received_ms < PEER_CLAIM_TTL_MS:
                 for trial in snapshot.trials:
-                    if trial.server is None and not parts.isdisjoint(trial.parts):
-                        yield _rank(entry, trial.parts)
+                    if trial.server is None:
+                        yield (entry, trial.parts)
 
     def _expire_claims(self, now_ms: int) -> None:
         for parts, claim in list(self._claims.items()):
--- a/tests/test_partquarantine.py
+++ b/tests/test_partquarantine.py
@@ -20,7 +20,7 @@
     Trial,
     Unsuspected,
 )
-from bergamothill.request.trialslots import PEER_TRIAL_TTL_MS, SETTLE_MS
+from bergamothill.request.trialslots import MAX_SETTLE_MS, PEER_TRIAL_TTL_MS, POLL_MS, SETTLE_MS
 from bergamothill.request.verdictset import IDLE_TTL_MS
 
 MODEL = ModelName("mend-llm")
@@ -216,6 +216,26 @@
         fleet.crash_in_trial("a")
         self.assertEqual(Trial(part_ids("a"), needs_lone_server=True), fleet.check_for_trial("a"))
 
+    def test_two_trials_that_need_servers_of_their_own_do_not_begin_at_the_same_moment(
+        self,
+    ) -> None:
+        fleet = Fleet(2)
+        for part in ("a", "b"):
+            fleet.crash(part)
+            fleet.crash(part)
+        for _ in range(MAX_SETTLE_MS // POLL_MS):
+            waiting = [fleet.check("a", entry=0), fleet.check("b", entry=1)]
+            fleet.exchange()
+            if any(isinstance(verdict, Trial) for verdict in waiting):
+                break
+            fleet.now_ms += POLL_MS
+        trials = [entry for entry, verdict in enumerate(waiting) if isinstance(verdict, Trial)]
+        self.assertEqual(1, len(trials), waiting)
+        first = trials[0]
+        fleet.begin("ab"[first], entry=first, trial=waiting[first])
+        fleet.exchange()
+        self.assertIsInstance(fleet.check("ab"[1 - first], entry=1 - first), Trial)
+
 
 class VerdictTests(unittest.TestCase):
     def test_crashes_in_trials_convict_at_all_instances(self) -> None:
