Proof: streams go on at the version that began them

2 to 300 entry instances in three zones, servers of three versions of two services; rollouts by turns and back, restarts under the same and under new ids, late registrations, the store away and back older, datagrams lost and late, zones cut, instances killed right after a first event. Oracles: no stream with events of two versions; with nothing wrong at least half of the share of new streams goes on.

--- a/tests/test_proof_platform.py
+++ b/tests/test_proof_platform.py
@@ -17,6 +17,7 @@
     proof_restore,
     proof_retryshare,
     proof_serverlimits,
+    proof_streamversions,
     proof_swaps,
     proof_weightdeadline,
 )
@@ -35,6 +36,7 @@
     proof_restore,
     proof_retryshare,
     proof_serverlimits,
+    proof_streamversions,
     proof_swaps,
     proof_weightdeadline,
 )
