--- a/bergamothill/process/cacheeventlistener.py
+++ b/bergamothill/process/cacheeventlistener.py
@@ -62,6 +62,7 @@
         self._clock = clock
         self._on_reply = on_reply
         self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._lost: set[str] = set()
 
     def follow(self, addresses: Iterable[str]) -> None:
         """Set the engines and stores to follow.
@@ -82,7 +83,8 @@
 
     async def _listen(self, address: str) -> None:
         connection = PollConnection("cached context", address)
-        is_connected: bool | None = None
+        # A source may be followed again after its connection was lost.
+        is_connected = False if address in self._lost else None
         try:
             while True:
                 try:
@@ -92,24 +94,31 @@
                     delay_ms = FULL_SOURCE_RETRY_MS * (0.5 + random.random())
                     _log.info("source_full", address=address, retry_ms=int(delay_ms))
                     if is_connected is False:
-                        self._on_connection_change(address, True)
+                        self._tell_connection(address, is_connected=True)
                     is_connected = None
                     self._on_full(address)
                     await asyncio.sleep(ms_to_seconds(delay_ms))
                 except BergamothillError as error:
                     if is_connected is not False:
                         _log.info("source_lost", address=address, reason=error.message)
-                        self._on_connection_change(address, False)
+                        self._tell_connection(address, is_connected=False)
                     is_connected = False
                     await asyncio.sleep(ms_to_seconds(RECONNECT_DELAY_MS))
                 else:
                     if is_connected is False:
                         _log.info("source_back", address=address)
-                        self._on_connection_change(address, True)
+                        self._tell_connection(address, is_connected=True)
                     is_connected = True
         finally:
             connection.close()
 
+    def _tell_connection(self, address: str, *, is_connected: bool) -> None:
+        if is_connected:
+            self._lost.discard(address)
+        else:
+            self._lost.add(address)
+        self._on_connection_change(address, is_connected)
+
     async def _read_events(self, connection: PollConnection, address: str) -> None:
         source = self._index.source(address)
         sent_ms = self._clock.now_ms()
