Keep a failed request in mind when the next incarnation of its server is listed

A request can fail at an incarnation that is not listed yet: it was sent to the one before, under the same id. The sign stayed with that one, so the new one counted as running though it had ended too, and where no event connection shows its end, a third process could get a stream of its version.

--- a/bergamothill/process/softwareversions.py
+++ b/bergamothill/process/softwareversions.py
@@ -93,11 +93,14 @@
         """Apply a newly read list of servers; see :class:`ServerList`."""
         entries = tuple(entries)
         self._history.record(entries, sent_ms)
-        known = {state.entry.incarnation for state in self._observed.values()}
+        known = dict(self._observed)
         changes = super().apply_list(entries, sent_ms, now_ms)
-        for state in self._observed.values():
-            if state.entry.incarnation not in known:
+        for server, state in self._observed.items():
+            before = known.get(server)
+            if before is not state:
                 state.reconnected_ms = now_ms  # may have ended before its connection was opened
+                if before is not None:
+                    state.failed_ms = before.failed_ms  # may have failed at this incarnation
             if state.listed_ms == sent_ms and sent_ms >= self._confirmation_due_ms(state):
                 state.reconnected_ms = state.failed_ms = None
         self._lost_addresses &= {b.entry.address for b in self._observed.values()}
--- a/tests/test_softwareversions.py
+++ b/tests/test_softwareversions.py
@@ -276,6 +276,17 @@
     ("start", 23),
     ("wait", 80),
 ]
+FAILED_BEFORE_IT_WAS_LISTED = [
+    ("wait", 1),
+    ("pause", 5),
+    ("start", 0),
+    ("pause", 6),
+    ("end", 0),
+    ("fail", 0),
+    ("wait", 17),
+    ("start", 0),
+    ("wait", 1),
+]
 SINGLE_FAILURES = [("wait", 60), *3 * [("fail", 0), ("wait", 80)]]
 OLDER_COPY = [
     ("wait", 20),
@@ -303,6 +314,7 @@
     @example(RESTART_BEFORE_REGISTRATION, True)
     @example(RESTART_AFTER_A_WHILE, False)
     @example(RESTARTED_TWICE, True)
+    @example(FAILED_BEFORE_IT_WAS_LISTED, False)
     @example(OLDER_COPY, False)
     def test_no_version_is_confirmed_while_another_process_may_answer(self, actions, is_followed):
         play(actions, is_followed)
