Pass on the first event of a resumed answer though another request failed at its server meanwhile

Found by test_moved_answers beside load, then in 3 of 5 runs: streams that had broken off were cut at the first event of the server they were resumed at, as another request had broken off there since, so its version counted as in doubt.

The bodies of a request are released before its own final answer is written: test_endless_answers found 541,626 bytes reserved right after a 502 (load 17). Known red: short form of stream-versions-unread; a refusal that took 2.6 s beside load.

--- a/bergamothill/process/requestrun.py
+++ b/bergamothill/process/requestrun.py
@@ -160,7 +160,7 @@
             return
         if not forwarding.must_keep_version:
             forwarding.version = self._resumption.record_begin(self._request, self._brand, server)
-        elif not self._server_pool.may_go_on_at(server, forwarding.version, now_ms):
+        elif not self._server_pool.may_pass_on(server, forwarding.version, now_ms):
             raise ProtocolError("software version of the server is in doubt", step="forward.body")
 
     def _lead(self, attempt: ServerAttempt) -> None:
@@ -171,8 +171,11 @@
         try:
             await self._execute_steps()
         finally:
-            for relay in self._relays:
-                relay.discard_body()
+            self._discard_bodies()
+
+    def _discard_bodies(self) -> None:
+        for relay in self._relays:
+            relay.discard_body()
 
     async def _execute_steps(self) -> None:
         remaining_s = ms_to_seconds(self._forwarding.due_ms - self._clock.now_ms())
@@ -318,11 +321,7 @@
             self._timeout.reschedule(asyncio.get_running_loop().time())
 
     def check_for_stall(self, now_ms: int) -> None:
-        """Begin to move the answer to another server if its engine has stalled.
-
-        The attempt in progress goes on, since its server may do so at any moment; the one whose
-        next event comes first is kept.
-        """
+        """Begin a move of the answer if its engine has stalled; the attempt in progress goes on."""
         attempt = self._leading
         if attempt is None or not self._route.may_retry or self._service.engine is None:
             return
@@ -433,6 +432,7 @@
 
     @_apply_final_step.register
     def _(self, step: Finish) -> None:
+        self._discard_bodies()
         headers, body = encode_refusal(step)
         if step.retry_after_ms is not None:
             headers.append((b"Retry-After", b"%.3f" % ms_to_seconds(step.retry_after_ms)))
--- a/bergamothill/process/softwareversions.py
+++ b/bergamothill/process/softwareversions.py
@@ -181,6 +181,19 @@
         """Return whether a stream that began at a version may go on at a server."""
         return self.confirmed_version(server, now_ms) == version
 
+    def may_pass_on(self, server: BackendServer, version: SoftwareVersion, now_ms: int) -> bool:
+        """Return whether the first event of an answer may be passed on.
+
+        Requests that failed meanwhile do not count: the process that was asked still answers.
+
+        :param server: server that was known to run the version when the request was written
+        """
+        state = self._state_of(server)
+        if state is None or self._has_paused(now_ms) or state.reconnected_ms is not None:
+            return False
+        is_same = state.entry.software_version == version
+        return is_same and not state.is_replaced and self._is_reachable(state)
+
     def only_version(self, service: ServiceName, now_ms: int) -> SoftwareVersion | None:
         """Return the version of all streams of a service; see :class:`VersionHistory`."""
         return self._history.only_version(service, now_ms)
