--- a/bergamothill/request/verdictset.py
+++ b/bergamothill/request/verdictset.py
@@ -35,17 +35,15 @@
 """
 
 MIN_REQUESTS = 2
-"""Requests that convict.
+"""Requests that convict; of a part of a prompt they have to be trials.
 
-One with several crashes may crash as a whole. The trials that convict a part of a prompt have to do
-so without it, unless another request with several crashes was on trial, too.
+Those of one request alone may have crashed because of the request as a whole.
 """
 
 LIKELY_CAUSE_AT = 2
 """Crashes of a suspect that may be the cause of those of its companions."""
 
 IsSound = Callable[[PartId], bool]
-_ServersByRequest = dict[RequestId | ReportId, set[ServerIncarnation]]
 
 
 @dataclass(slots=True)
@@ -179,41 +177,19 @@
     return len({_request_key(crash.report) for crash in crashes})
 
 
-def _has_trials(evidence: CrashEvidence, crashes: Sequence[Crash], part: PartId) -> bool:
-    """Return whether enough servers crashed under trials of the part and of no other."""
-    trials = [crash for crash in crashes if evidence.is_clean_trial(crash, part)]
-    if _server_count(trials) < MIN_TRIALS:
-        return False
-    if part.is_request:
-        return True
-    repeated = {
-        request: servers
-        for request, servers in _servers_by_request(crashes).items()
-        if len(servers) >= LIKELY_CAUSE_AT
-    }
-    tried = _servers_by_request(trials)
-    return all(_stands_without(request, tried, repeated) for request in repeated)
-
+def _has_trials(evidence: CrashEvidence, crashes: Iterable[Crash], part: PartId) -> bool:
+    """Return whether enough servers crashed under trials of the part and of no other.
 
-def _stands_without(
-    request: RequestId | ReportId, tried: _ServersByRequest, repeated: _ServersByRequest
-) -> bool:
-    """Return whether the trials convict a part even if one request crashes as a whole.
-
-    :param request: request that is left out
-    :param tried: servers that crashed under trials
-    :param repeated: servers that crashed under requests with several crashes
+    A part of a prompt needs two requests for this, none of which was on all of these servers.
     """
-    others = [other for other in tried if other != request]
-    servers = {server for other in others for server in tried[other]} - repeated[request]
-    return len(servers) >= MIN_TRIALS or any(other in repeated for other in others)
-
-
-def _servers_by_request(crashes: Iterable[Crash]) -> _ServersByRequest:
-    servers: _ServersByRequest = {}
-    for crash in crashes:
-        servers.setdefault(_request_key(crash.report), set()).add(crash.report.server)
-    return servers
+    trials = [crash for crash in crashes if evidence.is_clean_trial(crash, part)]
+    servers = _servers(trials)
+    if len(servers) < MIN_TRIALS:
+        return False
+    servers_of: dict[RequestId | ReportId, set[ServerIncarnation]] = {}
+    for crash in trials:
+        servers_of.setdefault(_request_key(crash.report), set()).add(crash.report.server)
+    return part.is_request or servers not in servers_of.values()
 
 
 def _strongest_reports(
