Decode the datagrams of all kinds in one place

Three exchanges decoded their own datagrams and logged unreadable ones by the same lines that LoadExchange has for load reports. add_kind takes the decoder now, and LoadExchange does both for all kinds.

--- a/bergamothill/process/limitexchange.py
+++ b/bergamothill/process/limitexchange.py
@@ -6,10 +6,9 @@
 from collections.abc import Callable
 
 from bergamothill.clock import Clock
-from bergamothill.errors import ProtocolError
 from bergamothill.ids import EntryInstanceId
-from bergamothill.logs import EventLog
 from bergamothill.process.limitreport import (
+    LimitReport,
     decode_limit_report,
     encode_limit_report,
     is_limit_report,
@@ -27,8 +26,6 @@
 KEEPALIVE_PER_PEER_MS = 8
 """Limits one instance to 125 datagrams per second."""
 
-_log = EventLog("peers")
-
 
 class LimitExchange:
     """Sends this entry instance's reports of limits and receives those of the others.
@@ -53,7 +50,7 @@
         self._schedule = ReportSchedule(KEEPALIVE_MS, KEEPALIVE_PER_PEER_MS)
         self._wake = asyncio.Event()
         limits.on_news = self._wake.set
-        load_exchange.add_kind(is_limit_report, self._on_datagram)
+        load_exchange.add_kind(is_limit_report, decode_limit_report, self._on_limit_report)
 
     async def run(self) -> None:
         """Send reports until cancelled."""
@@ -71,12 +68,7 @@
         if peer_count and report.limits:
             self._load_exchange.send_to_peers(encode_limit_report(report))
 
-    def _on_datagram(self, datagram: bytes) -> None:
-        try:
-            report = decode_limit_report(datagram)
-        except ProtocolError as error:
-            _log.info("report_unreadable", reason=error.message)
-            return
+    def _on_limit_report(self, report: LimitReport) -> None:
         for change in self._limits.merge(report, self._clock.now_ms()):
             log_limit_change(change)
         self._on_report(report.entry)
--- a/bergamothill/process/loadexchange.py
+++ b/bergamothill/process/loadexchange.py
@@ -5,6 +5,8 @@
 import asyncio
 import time
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Any, TypeVar
 
 from bergamothill.clock import Clock, ms_to_seconds
 from bergamothill.connection.datagrams import DatagramSocket
@@ -21,12 +23,20 @@
 INTERVAL_PER_PEER_MS = 4  # limits one instance to 250 datagrams per second
 KEEPALIVE_MS = 400
 
-IsKind = Callable[[bytes], bool]
-OnDatagram = Callable[[bytes], None]
+Report = TypeVar("Report")
 
 _log = EventLog("peers")
 
 
+@dataclass(frozen=True, slots=True)
+class _Kind:
+    """Datagrams of one kind, and what is done with them."""
+
+    is_kind: Callable[[bytes], bool]
+    decode: Callable[[bytes], Any]
+    on_report: Callable[[Any], None]
+
+
 class LoadExchange:
     """Sends this entry instance's load reports and receives those of the others.
 
@@ -55,15 +65,22 @@
         self._sequence_number = time.time_ns()
         self._last_sent_ms = 0
         self._last_loads: dict = {}
-        self._kinds: list[tuple[IsKind, OnDatagram]] = []
+        self._load_reports = _Kind(lambda _datagram: True, decode_report, self._on_load_report)
+        self._kinds: list[_Kind] = []
 
-    def add_kind(self, is_kind: IsKind, on_datagram: OnDatagram) -> None:
+    def add_kind(
+        self,
+        is_kind: Callable[[bytes], bool],
+        decode: Callable[[bytes], Report],
+        on_report: Callable[[Report], None],
+    ) -> None:
         """Let datagrams of another kind share the socket.
 
         :param is_kind: tells them from load reports
-        :param on_datagram: called with each of them
+        :param decode: decodes one of them, or raises ProtocolError
+        :param on_report: called with each that was decoded
         """
-        self._kinds.append((is_kind, on_datagram))
+        self._kinds.append(_Kind(is_kind, decode, on_report))
 
     def send_to_peers(self, datagram: bytes) -> None:
         """Send a datagram to all known peers."""
@@ -125,14 +142,15 @@
         self.send_to_peers(report)
 
     def _on_datagram(self, datagram: bytes) -> None:
-        for is_kind, on_datagram in self._kinds:
-            if is_kind(datagram):
-                on_datagram(datagram)
-                return
+        kinds = (kind for kind in self._kinds if kind.is_kind(datagram))
+        kind = next(kinds, self._load_reports)
         try:
-            report = decode_report(datagram)
+            report = kind.decode(datagram)
         except ProtocolError as error:
             _log.info("report_unreadable", reason=error.message)
             return
+        kind.on_report(report)
+
+    def _on_load_report(self, report: LoadReport) -> None:
         self._loads.add_report(report, self._clock.now_ms())
         self._on_report(report.entry)
--- a/bergamothill/process/originexchange.py
+++ b/bergamothill/process/originexchange.py
@@ -9,7 +9,6 @@
 from itertools import count
 
 from bergamothill.clock import Clock, ms_to_seconds
-from bergamothill.errors import ProtocolError
 from bergamothill.ids import EntryInstanceId
 from bergamothill.logs import EventLog
 from bergamothill.process.instanceroster import InstanceRoster
@@ -80,7 +79,7 @@
         # Replies to an earlier process of this instance must not match.
         self._query_ids = count(clock.wall_ms() << 16)
         self._searches: dict[int, _OpenSearch] = {}
-        load_exchange.add_kind(is_origin_message, self._on_datagram)
+        load_exchange.add_kind(is_origin_message, decode_origin_message, self._on_origin_message)
 
     async def run(self) -> None:
         """Repeat what was told until cancelled."""
@@ -153,12 +152,7 @@
         notice = encode_origin_message(OriginNotice(self._roster.own, origins))
         self._load_exchange.send_to(entries, notice)
 
-    def _on_datagram(self, datagram: bytes) -> None:
-        try:
-            message = decode_origin_message(datagram)
-        except ProtocolError as error:
-            _log.info("report_unreadable", reason=error.message)
-            return
+    def _on_origin_message(self, message: OriginMessage) -> None:
         self._on_message(message)
         self._on_report(message.entry)
 
--- a/bergamothill/process/quarantineexchange.py
+++ b/bergamothill/process/quarantineexchange.py
@@ -6,8 +6,6 @@
 from collections.abc import Callable
 
 from bergamothill.clock import Clock
-from bergamothill.errors import ProtocolError
-from bergamothill.logs import EventLog
 from bergamothill.process.loadexchange import LoadExchange
 from bergamothill.process.quarantinecodec import (
     decode_quarantine_report,
@@ -20,8 +18,6 @@
 
 __all__ = ["QuarantineExchange"]
 
-_log = EventLog("peers")
-
 
 class QuarantineExchange:
     """Sends this entry instance's quarantine reports and receives those of the others.
@@ -44,11 +40,10 @@
         self._clock = clock
         self._quarantine = quarantine
         self._load_exchange = load_exchange
-        self._on_report = on_report
         self._on_check = on_check
         self._schedule = ReportSchedule()
         self._wake = asyncio.Event()
-        load_exchange.add_kind(is_quarantine_report, self._on_datagram)
+        load_exchange.add_kind(is_quarantine_report, decode_quarantine_report, on_report)
 
     @property
     def instance_count(self) -> int:
@@ -75,11 +70,3 @@
         report = self._quarantine.report(now_ms)
         if peer_count and not report.is_empty:
             self._load_exchange.send_to_peers(encode_quarantine_report(report))
-
-    def _on_datagram(self, datagram: bytes) -> None:
-        try:
-            report = decode_quarantine_report(datagram)
-        except ProtocolError as error:
-            _log.info("report_unreadable", reason=error.message)
-            return
-        self._on_report(report)
