Find the servers at an address, and those of a version, by one function each

Five loops picked the servers at an address by hand (three in serversilence, two that the versions of servers added); the log of a resumed stream repeated the selection by version that the choice of a server has; and the checks before the write and before the first event named the same doubts twice.

--- a/bergamothill/process/serverlist.py
+++ b/bergamothill/process/serverlist.py
@@ -177,6 +177,10 @@
         """Return the observed state of a server, or None if it is unknown."""
         return self._observed.get(server)
 
+    def _at_address(self, address: str) -> list[ObservedServer]:
+        """Return the servers that were listed at an address."""
+        return [state for state in self._observed.values() if state.entry.address == address]
+
     def usable(self, service: ServiceName, now_ms: int) -> list[ObservedServer]:
         """Return the servers of a service that may get new requests."""
         return [b for b in self._by_service.get(service, ()) if b.is_usable(now_ms)]
--- a/bergamothill/process/serverpool.py
+++ b/bergamothill/process/serverpool.py
@@ -281,9 +281,10 @@
         if not usable:
             quiet_until_ms = self.quiet_until_ms(service.name, now_ms)
             return None if quiet_until_ms is None else AllQuiet(quiet_until_ms)
-        usable = self._at_version(usable, version, now_ms)
-        if not usable:
-            return None
+        if version is not None:
+            usable = self.select_version(usable, version, now_ms)
+            if not usable:
+                return None
         if is_move:
             usable = [b for b in usable if self._may_take_over(b, avoided, now_ms)]
             if not usable:
--- a/bergamothill/process/serversilence.py
+++ b/bergamothill/process/serversilence.py
@@ -63,25 +63,22 @@
 
         :param is_leaving: whether the server says that it is leaving
         """
-        for state in self._observed.values():
-            if state.entry.address == address:
-                state.last_received_ms = now_ms
-                state.has_event_reader = True
-                if is_leaving and not state.is_leaving:
-                    self.record_leaving(state.entry)
-                    _log.info("server_leaving", server=state.entry.server, request="-")
+        for state in self._at_address(address):
+            state.last_received_ms = now_ms
+            state.has_event_reader = True
+            if is_leaving and not state.is_leaving:
+                self.record_leaving(state.entry)
+                _log.info("server_leaving", server=state.entry.server, request="-")
 
     def record_events_unread(self, address: str) -> None:
         """Record that the server at an address admits no further reader of its cache events."""
-        for state in self._observed.values():
-            if state.entry.address == address:
-                state.has_event_reader = False
+        for state in self._at_address(address):
+            state.has_event_reader = False
 
     def set_reachable(self, address: str, is_reachable: bool) -> None:
         """Record that the event connection to the server at an address was lost or restored."""
-        for state in self._observed.values():
-            if state.entry.address == address:
-                state.is_reachable = is_reachable
+        for state in self._at_address(address):
+            state.is_reachable = is_reachable
 
     def stream_began(self, server: ServerId) -> None:
         """Record that the answer to a request has begun."""
--- a/bergamothill/process/softwareversions.py
+++ b/bergamothill/process/softwareversions.py
@@ -120,16 +120,15 @@
             self._lost_addresses.add(address)
             return
         self._lost_addresses.discard(address)
-        for state in self._observed.values():
-            if state.entry.address == address:
-                state.reconnected_ms = now_ms
+        for state in self._at_address(address):
+            state.reconnected_ms = now_ms
 
     def record_reply_from(self, address: str, now_ms: int, *, is_leaving: bool) -> None:
         """Record a reply of the server at an address to a read of its cache events."""
         if address in self._lost_addresses:
             self.record_connection_change(address, True, now_ms)
-        for state in self._observed.values():
-            if state.entry.address == address and state.is_reachable:
+        for state in self._at_address(address):
+            if state.is_reachable:
                 is_late = now_ms - state.listed_ms > MIN_RESTART_MS
                 if not state.has_event_reader or (is_late and not state.is_followed):
                     state.reconnected_ms = now_ms
@@ -189,29 +188,30 @@
         :param server: server that was known to run the version when the request was written
         """
         state = self._state_of(server)
-        if state is None or self._has_paused(now_ms) or state.reconnected_ms is not None:
+        if state is None or self._has_paused(now_ms) or self._may_be_replaced(state):
             return False
-        is_same = state.entry.software_version == version
-        return is_same and not state.is_replaced and self._is_reachable(state)
+        return state.entry.software_version == version
 
     def only_version(self, service: ServiceName, now_ms: int) -> SoftwareVersion | None:
         """Return the version of all streams of a service; see :class:`VersionHistory`."""
         return self._history.only_version(service, now_ms)
 
-    def _at_version(
-        self, states: list[ObservedServer], version: SoftwareVersion | None, now_ms: int
+    def select_version(
+        self, states: list[ObservedServer], version: SoftwareVersion, now_ms: int
     ) -> list[ObservedServer]:
-        """Return the servers at which a stream of a version may go on; all without a version."""
-        if version is None:
-            return states
+        """Return the servers at which a stream of a version may go on."""
         return [b for b in states if self.may_go_on_at(b.entry, version, now_ms)]
 
     def _is_reachable(self, state: ObservedServer) -> bool:
         return state.is_reachable and state.entry.address not in self._lost_addresses
 
+    def _may_be_replaced(self, state: ObservedServer) -> bool:
+        """Return whether the list or the event connection leaves room for another process."""
+        is_in_doubt = state.is_replaced or state.reconnected_ms is not None
+        return is_in_doubt or not self._is_reachable(state)
+
     def _is_running(self, state: ObservedServer, now_ms: int) -> bool:
-        is_doubted = state.reconnected_ms is not None or state.failed_ms is not None
-        if is_doubted or state.is_replaced or not self._is_reachable(state):
+        if state.failed_ms is not None or self._may_be_replaced(state):
             return False
         if state.has_event_reader or not state.entry.weights:
             return state.is_followed
--- a/bergamothill/process/streamresumption.py
+++ b/bergamothill/process/streamresumption.py
@@ -130,13 +130,9 @@
         version: SoftwareVersion | None,
         known: KnownOrigin | None,
     ) -> None:
-        now_ms = self._clock.now_ms()
-        usable = self._server_pool.usable(service, now_ms)
-        servers = [
-            state
-            for state in usable
-            if version is not None and self._server_pool.may_go_on_at(state.entry, version, now_ms)
-        ]
+        now_ms, pool = self._clock.now_ms(), self._server_pool
+        usable = pool.usable(service, now_ms)
+        servers = [] if version is None else pool.select_version(usable, version, now_ms)
         _log.info(
             "stream_resumed",
             request=request.request_id,
