--- a/bergamothill/process/requestrun.py
+++ b/bergamothill/process/requestrun.py
@@ -238,10 +238,8 @@
         if outcome is AttemptOutcome.MOVED:
             self._forwarding.record_lost(attempt.send)
             return await self._await_move(attempt)
-        status = attempt.relay.head.status if attempt.relay.head is not None else 0
-        is_answered = outcome is AttemptOutcome.SUCCESS or (
-            outcome is AttemptOutcome.FAILURE and status < 500
-        )
+        is_final_failure = outcome is AttemptOutcome.FAILURE and attempt.relay.status < 500
+        is_answered = outcome is AttemptOutcome.SUCCESS or is_final_failure
         if is_answered or not attempt.is_moving:
             return self._next_step(outcome, attempt, now_ms)
         self._record_unanswered(outcome, attempt, now_ms)
@@ -389,7 +387,7 @@
             send,
             now_ms,
             last_event_id=relay.last_event_id,
-            is_final=relay.head.status < 500,
+            is_final=relay.status < 500,
         )
         return self._deliver_from(attempt) if isinstance(step, Deliver) else step
 
@@ -428,7 +426,7 @@
     @_apply_final_step.register
     def _(self, step: Deliver) -> None:
         self._relay.deliver()
-        self.log("answered", self._relay.head.status)
+        self.log("answered", self._relay.status)
 
     @_apply_final_step.register
     def _(self, step: Finish) -> None:
--- a/bergamothill/process/serverattempt.py
+++ b/bergamothill/process/serverattempt.py
@@ -145,11 +145,10 @@
         if outcome is AttemptOutcome.BROKEN and result.end is ExchangeEnd.COMPLETE:
             is_whole = self.relay.is_whole
             detail = "ended before any event" if is_whole else "ended inside an event"
-        status = self.relay.head.status if self.relay.head is not None else 0
         duration_ms = self._clock.now_ms() - started_ms
         self._context.log.append(
-            f"{self._server}:{outcome.value}:{status}:{duration_ms}ms:{self.send.terms.summary()}"
-            + (f":{detail}" if detail else "")
+            f"{self._server}:{outcome.value}:{self.relay.status}:{duration_ms}ms"
+            f":{self.send.terms.summary()}" + (f":{detail}" if detail else "")
         )
 
     def _classify(self, result: ExchangeResult) -> AttemptOutcome:
--- a/bergamothill/request/answerrelay.py
+++ b/bergamothill/request/answerrelay.py
@@ -141,7 +141,9 @@
         self._position = self._stream.writes
         self.discard_body()
         self._has_event = False
-        self._has_written = False
+        self.has_written = False
+        """Whether events of this attempt were sent to the caller."""
+
         self.head: ResponseHead | None = None
         self.verdict = AttemptVerdict.NONE
 
@@ -154,16 +156,16 @@
         """Id of the last event sent to the caller; empty if none was sent."""
         return self._stream.last_event_id
 
+    @property
+    def status(self) -> int:
+        """Status of the answer of this attempt; 0 before its head has come."""
+        return 0 if self.head is None else self.head.status
+
     @property
     def stream_started(self) -> bool:
         """Whether events were sent to the caller."""
         return self._stream.is_started
 
-    @property
-    def has_written(self) -> bool:
-        """Whether events of this attempt were sent to the caller."""
-        return self._has_written
-
     @property
     def may_write(self) -> bool:
         """Whether no other attempt has brought the caller's stream further."""
@@ -216,7 +218,7 @@
         if not self.may_write:
             return
         self._listener.on_events()
-        self._has_written = True
+        self.has_written = True
         stream, is_first = self._stream, not self._stream.is_started
         stream.is_started = True
         stream.last_event_id = self._splitter.last_event_id
