Name the brand of an admission in one place

The gateway, the run of a request and its log each derived the name from a brand that may be missing; the gateway's wrapper around the resolution of a resumed stream only did that. No change of behaviour: test_gateway, test_configstate, test_config_changes, test_unanswered_requests and test_stream_versions pass.

--- a/bergamothill/process/configstate.py
+++ b/bergamothill/process/configstate.py
@@ -6,6 +6,7 @@
 from enum import Enum
 
 from bergamothill.connection.storeera import REWRITE_MS
+from bergamothill.ids import BrandName
 from bergamothill.version.routetable import Brand, CallerLimits, Route, RouteTable, RoutingConfig
 
 __all__ = ["Admission", "ConfigState", "Verdict"]
@@ -41,6 +42,11 @@
     version: int
     age_ms: int
 
+    @property
+    def brand_name(self) -> BrandName | None:
+        """Name of the brand; None on a public route."""
+        return None if self.brand is None else self.brand.name
+
 
 class ConfigState:
     """The configuration in force, and the time at which it was last known to be current.
--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -25,7 +25,6 @@
 from bergamothill.process.serverpool import ServerPool
 from bergamothill.process.streamresumption import (
     OriginDirectory,
-    ResumedStream,
     StreamResumption,
 )
 from bergamothill.request.bufferbudget import BufferBudget
@@ -238,7 +237,13 @@
         service = self._choose_service(admission, request)
         if admission.verdict is not Verdict.ADMITTED or service is None:
             return None
-        resumed = await self._resolve_stream(request, admission, service)
+        resumed = await self._resumption.resolve(
+            request,
+            admission.brand_name,
+            admission.route,
+            service,
+            give_up_ms=request.raw.arrived_ms + admission.route.timeout_ms,
+        )
         if resumed is not None:
             service = self._config.table.config.services.get(resumed.service, service)
         return RequestRun(
@@ -272,13 +277,6 @@
         finally:
             self._runs.discard(run)
 
-    async def _resolve_stream(
-        self, request: CallerRequest, admission: Admission, service: Service
-    ) -> ResumedStream | None:
-        brand = None if admission.brand is None else admission.brand.name
-        give_up_ms = request.raw.arrived_ms + admission.route.timeout_ms
-        return await self._resumption.resolve(request, brand, admission.route, service, give_up_ms)
-
     def _choose_service(self, admission: Admission, request: CallerRequest) -> Service | None:
         """Choose the service of a request by the weights of its route."""
         route = admission.route
--- a/bergamothill/process/requestrun.py
+++ b/bergamothill/process/requestrun.py
@@ -93,8 +93,7 @@
         self._connection = connection
         self._request = request
         self._resumption = resumption
-        self._brand = None if admission.brand is None else admission.brand.name
-        request.suspects = crash_suspects(request, self._brand)
+        request.suspects = crash_suspects(request, admission.brand_name)
         self._admission = admission
         self._route = route
         self._service = service
@@ -159,7 +158,9 @@
         if not self._route.may_retry and not forwarding.resumes_stream:
             return
         if not forwarding.must_keep_version:
-            forwarding.version = self._resumption.record_begin(self._request, self._brand, server)
+            forwarding.version = self._resumption.record_begin(
+                self._request, self._admission.brand_name, server
+            )
         elif not self._server_pool.may_pass_on(server, forwarding.version, now_ms):
             raise ProtocolError("software version of the server is in doubt", step="forward.body")
 
@@ -473,7 +474,7 @@
             status=status,
             route=self._route.name,
             service=self._service.name,
-            brand=self._brand or "-",
+            brand=self._admission.brand_name or "-",
             config=self._admission.version,
             config_age_ms=self._admission.age_ms,
             first_ms=first_ms,
