--- a/tests/proof/proof_forwarding.py
+++ b/tests/proof/proof_forwarding.py
@@ -9,10 +9,8 @@
 
 from bergamothill.connection.ssesplitter import EventSplitter
 from bergamothill.platform.headers import decode_answer
-from bergamothill.process.backends import BackendServer
 from bergamothill.request.answerrelay import AnswerRelay, AttemptVerdict
 from bergamothill.request.bufferbudget import BufferBudget
-from bergamothill.request.callerrequest import ForwardTerms
 from bergamothill.request.forwarding import (
     MAX_FORWARD_ATTEMPTS,
     AbortStream,
@@ -26,6 +24,7 @@
 from bergamothill.request.windowedbudget import WindowedRetryBudget
 from bergamothill.version.routetable import RetryPolicy
 from tests.builders import backend, caller_request, routing_config
+from tests.doubles import ScriptedChooser
 from tests.proof.harness import Proof, ProofMachine
 from tests.proof.require import require
 
@@ -37,30 +36,6 @@
 MAX_RIVALS = 2
 
 
-class ScriptedChooser:
-    """Server selection set by the rules: a server, no capacity, or no server."""
-
-    def __init__(self) -> None:
-        self.offer: BackendServer | NoFreeMemory | None = SERVERS[0]
-
-    def choose(
-        self,
-        service,
-        request,
-        brand,
-        avoided,
-        urgency,
-        now_ms,
-        trial=None,
-        *,
-        is_move=False,
-        version=None,
-    ):
-        if isinstance(self.offer, BackendServer):
-            return self.offer, ForwardTerms(self.offer.server, 0)
-        return self.offer
-
-
 class RetriesLostAnswers(Forwarding):
     """Test double that treats a lost answer as a rejection."""
 
@@ -80,6 +55,7 @@
     def begin(self):
         self.now_ms = 0
         self.chooser = ScriptedChooser()
+        self.chooser.answer = SERVERS[0]
         self.start(0)
 
     def start(self, route):
@@ -152,7 +128,7 @@
     @rule(offer=st.sampled_from([*SERVERS, *SERVERS, NoFreeMemory(), None]))
     def servers_change(self, offer):
         self.operation()
-        self.chooser.offer = offer
+        self.chooser.answer = offer
 
     @rule(passed_ms=st.sampled_from([1, 50, 400, 1_500]))
     def time_passes(self, passed_ms):
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -3,8 +3,7 @@
 import unittest
 from unittest import mock
 
-from bergamothill.process.backends import BackendServer
-from bergamothill.request.callerrequest import ForwardTerms, PromptPart
+from bergamothill.request.callerrequest import PromptPart
 from bergamothill.request.crashevidence import PartId
 from bergamothill.request.forwarding import (
     MAX_FIRST_EVENT_MS,
@@ -24,35 +23,7 @@
 from bergamothill.request.serverchoice import NoFreeMemory
 from bergamothill.request.windowedbudget import WindowedRetryBudget
 from tests.builders import backend, caller_request, routing_config
-
-
-class Chooser:
-    """Returns servers in order, or the answer that a test sets."""
-
-    def __init__(self, *servers: BackendServer) -> None:
-        self.servers = servers
-        self.answer = None
-        self.needs_lone_server = None
-
-    def choose(
-        self,
-        service,
-        request,
-        brand,
-        avoided,
-        urgency,
-        now_ms,
-        trial=None,
-        *,
-        is_move=False,
-        version=None,
-    ):
-        if trial is not None:
-            self.needs_lone_server = trial.needs_lone_server
-        if self.answer is not None:
-            return self.answer
-        fresh = [s for s in self.servers if s.server not in avoided] or list(self.servers)
-        return (fresh[0], ForwardTerms(fresh[0].server, 0)) if fresh else None
+from tests.doubles import ScriptedChooser
 
 
 class Screen:
@@ -92,7 +63,7 @@
         config = routing_config()
         route = config.routes[route]
         service = config.services[route.shares[0].service]
-        self.chooser = chooser or Chooser(backend("s1"), backend("s2"))
+        self.chooser = chooser or ScriptedChooser(backend("s1"), backend("s2"))
         share = WindowedRetryBudget(ratio, 10, 10_000, started_ms=-10_001)
         brand = config.brands["key-1"]
         request = caller_request(**changes)
@@ -105,7 +76,7 @@
         self.assertEqual(2_000, step.terms.time_left_ms)
 
     def test_no_server_is_refused_at_once_as_not_run(self):
-        step = self.forwarding(chooser=Chooser()).begin(0)
+        step = self.forwarding(chooser=ScriptedChooser()).begin(0)
         self.assertEqual((503, Reason.NO_SERVER), (step.status, step.reason))
         self.assertIsNotNone(step.retry_after_ms)
 
--- a/tests/test_limitshares.py
+++ b/tests/test_limitshares.py
@@ -28,6 +28,7 @@
     routing_config,
     server_pool,
 )
+from tests.doubles import ScriptedChooser
 from tests.gatewayworld import GatewayCase, answer, replies, request
 
 SERVER = backend("s1")
@@ -213,13 +214,11 @@
 
 class ForwardingTest(unittest.TestCase):
     def begin(self, choice):
-        class Chooser:
-            def choose(self, *_arguments, **_options):
-                return choice
-
+        chooser = ScriptedChooser()
+        chooser.answer = choice
         budget = WindowedRetryBudget(0.2, 10, 10_000, started_ms=0)
         route = next(route for route in CONFIG.routes if route.name == "quote")
-        return Forwarding(caller_request(), route, LLM, None, Chooser(), budget, 0.0).begin(0)
+        return Forwarding(caller_request(), route, LLM, None, chooser, budget, 0.0).begin(0)
 
     def test_a_request_waits_at_the_rate_that_the_limits_admit(self):
         step = self.begin(AtLimit(200, 500))
