--- a/bergamothill/process/originexchange.py
+++ b/bergamothill/process/originexchange.py
@@ -27,7 +27,6 @@
 from bergamothill.process.originsearch import OriginSearch
 from bergamothill.process.wakeup import wait_until_set
 from bergamothill.request.streamorigin import (
-    MAX_RESUME_MS,
     KnownOrigin,
     StreamKey,
     StreamOrigin,
@@ -91,14 +90,13 @@
                 for notice in self._repeats.take_due(self._clock.now_ms()):
                     self._send_notice(notice.entries, notice.origins)
 
-    def tell(self, origin: StreamOrigin, ttl_ms: int = MAX_RESUME_MS) -> None:
+    def tell(self, origin: StreamOrigin) -> None:
         """Record where a stream began and tell the other holders before returning.
 
         :param origin: where it began
-        :param ttl_ms: time for which it may be taken up
         """
         now_ms = self._clock.now_ms()
-        self._origins.record(origin, now_ms, ttl_ms)
+        self._origins.record(origin, now_ms)
         told = self._other_holders(origin.key) if may_record(origin.key) else ()
         if told:
             self._send_notice(told, (origin,))
--- a/tests/test_originexchange.py
+++ b/tests/test_originexchange.py
@@ -153,7 +153,7 @@
             origin = stream_origin(f"lost-{is_lost}")
             if is_lost:
                 self.lose_next(0, 1)
-            self.exchanges[0].tell(origin, 60_000)
+            self.exchanges[0].tell(origin)
             await self.await_true(lambda origin=origin: all(self.knows(n, origin) for n in (1, 2)))
         self.tasks[0].cancel()
         line, found = await self.find(2, origin.key)
