Name the ended processes when entry instances don't learn their engines

The time-out of wait_engines_known now carries a note with the command and exit code of each process of the group that has ended. The limit and the condition are as before.

--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -161,7 +161,10 @@
             engine.json("POST", "/evict", {})
 
     def wait_engines_known(self) -> None:
-        """Wait until each entry instance has live load reports from all engines of its zone."""
+        """Wait until each entry instance has live load reports from all engines of its zone.
+
+        :raises TimeoutError: they do not in time; a note names the processes that have ended
+        """
         expected = {
             number: {
                 f"engine-{index}"
@@ -182,7 +185,11 @@
                 for number, expected_servers in expected.items()
             )
 
-        wait_until(engines_known, "the entry instances know their engines")
+        try:
+            wait_until(engines_known, "the entry instances know their engines")
+        except TimeoutError as error:
+            error.add_note(f"ended processes: {self.group.ended_members()}")
+            raise
 
     def _start_stand_ins(self) -> None:
         shape, add = self.shape, self.group.add
--- a/scripts/processes.py
+++ b/scripts/processes.py
@@ -215,3 +215,11 @@
         """Add a process to the group and return it."""
         self._members.append(member)
         return member
+
+    def ended_members(self) -> list[str]:
+        """Describe the processes that have ended, each with its command and exit code."""
+        return [
+            f"{' '.join(member.process.args)}: exit code {member.process.returncode}"
+            for member in self._members
+            if member.process.poll() is not None
+        ]
