Name the zone of an entry instance in the key of its registration

Ranking instances within a zone needs the zones of the peers. The zone is in the key, as builds before this one read the value as exactly three items; the key of an instance without a zone is as before. Test: registrations of both forms are read (tests.test_loadexchange).

--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -285,7 +285,7 @@
 
     def _make_registry(self) -> Registry:
         settings = self._settings
-        own = Peer(settings.entry, settings.ip_address, settings.peer_port)
+        own = Peer(settings.entry, settings.ip_address, settings.peer_port, settings.zone)
         return Registry(
             self._kvs,
             self._clock,
--- a/bergamothill/process/registry.py
+++ b/bergamothill/process/registry.py
@@ -14,7 +14,7 @@
 from bergamothill.clock import Clock, ms_to_seconds
 from bergamothill.connection.kvs import ABSENT, KeyValueService
 from bergamothill.errors import BergamothillError, ConflictError, LeaseLostError
-from bergamothill.ids import EntryInstanceId, LeaseId
+from bergamothill.ids import EntryInstanceId, LeaseId, ZoneName
 from bergamothill.logs import EventLog
 
 __all__ = ["Peer", "Registry"]
@@ -33,11 +33,13 @@
     :param entry: name of the entry instance
     :param host: IP address of its machine
     :param port: port on which it receives datagrams
+    :param zone: its availability zone; None if its registration does not name one
     """
 
     entry: EntryInstanceId
     host: str
     port: int
+    zone: ZoneName | None = None
 
 
 class Registry:
@@ -103,7 +105,7 @@
         peers = []
         is_listed = False
         for entry in self._kvs.scan(KEY_PREFIX):
-            peer = _decode_peer(entry.value)
+            peer = _decode_peer(entry.key, entry.value)
             if peer is None:
                 continue
             if peer.entry == self._own.entry:
@@ -128,7 +130,7 @@
             self._kvs.renew_lease(self._lease_id)
             return
         lease_id = self._kvs.grant_lease(LEASE_TTL_MS)
-        key = KEY_PREFIX + self._own.entry
+        key = _registration_key(self._own)
         existing = self._kvs.get(key)
         expected = ABSENT if existing is None else existing.mod_revision
         try:
@@ -150,9 +152,16 @@
             _log.info("registry_leave_failed", step=error.step, reason=error.message)
 
 
-def _decode_peer(value: bytes) -> Peer | None:
+def _registration_key(peer: Peer) -> str:
+    # The zone is in the key, since earlier builds read the value as exactly three items.
+    return KEY_PREFIX + (peer.entry if peer.zone is None else f"{peer.zone}/{peer.entry}")
+
+
+def _decode_peer(key: str, value: bytes) -> Peer | None:
+    zone, separator, _ = key.removeprefix(KEY_PREFIX).rpartition("/")
     try:
         entry, host, port = cbor2.loads(value)
-        return Peer(EntryInstanceId(str(entry)), str(host), int(port))
+        peer_zone = ZoneName(zone) if separator and zone else None
+        return Peer(EntryInstanceId(str(entry)), str(host), int(port), peer_zone)
     except (TypeError, ValueError, cbor2.CBORDecodeError):
         return None
--- a/tests/test_loadexchange.py
+++ b/tests/test_loadexchange.py
@@ -6,11 +6,13 @@
 import threading
 import unittest
 
+import cbor2
 import logbook
 from hypothesis import given
 from hypothesis import strategies as st
 
 from bergamothill.clock import ManualClock
+from bergamothill.connection.kvs import ABSENT
 from bergamothill.errors import ProtocolError
 from bergamothill.process.gatewaymetrics import GatewayMetrics
 from bergamothill.process.loadreport import (
@@ -137,6 +139,14 @@
         first._register_and_read_peers()
         self.assertEqual((), self.seen[-1])
 
+    def test_peers_of_earlier_builds_have_no_zone(self):
+        host = ("10.0.0.1", 7700)
+        self.kvs.put_if("entries/e1", cbor2.dumps(["e1", *host]), expected=ABSENT)
+        named = Peer("e2", *host, zone="zone-a")
+        Registry(self.kvs, self.clock, named, lambda _: None)._register_and_read_peers()
+        self.registry("e3")._register_and_read_peers()
+        self.assertEqual({Peer("e1", *host), named}, set(self.seen[-1]))
+
     def test_an_entry_of_an_earlier_start_is_taken_over(self):
         self.registry("e1")._register_and_read_peers()
         again = self.registry("e1")
