Announce long prompts to all instances when they are sent

Cause: at 33 entry instances a load report is up to 132 ms old, longer than an engine takes to prefill a long prompt.

Engines that hold a part are looked up once for each prompt and not once for each engine.

--- a/bergamothill/process/engineselector.py
+++ b/bergamothill/process/engineselector.py
@@ -7,8 +7,14 @@
 from bergamothill.process.backends import BackendServer
 from bergamothill.process.loadreport import PeerLoads
 from bergamothill.process.observedserver import ObservedServer
+from bergamothill.process.prefillnotice import AnnouncedPrefill
 from bergamothill.request.callerrequest import CallerRequest, ForwardTerms
-from bergamothill.request.contextplan import PREFILL_TOKENS_PER_MS, ContextPlan, ContextPlanner
+from bergamothill.request.contextplan import (
+    PREFILL_TOKENS_PER_MS,
+    ContextPlan,
+    ContextPlanner,
+    PartHolders,
+)
 from bergamothill.version.cachenamespace import namespace
 from bergamothill.version.routetable import Brand, EngineTraits
 
@@ -47,6 +53,8 @@
     def __init__(self, planner: ContextPlanner, peer_loads: PeerLoads) -> None:
         self._planner = planner
         self._peer_loads = peer_loads
+        self.announced = AnnouncedPrefill()
+        """Prompts that the others have announced since their latest load reports."""
 
     def place(
         self,
@@ -57,8 +65,12 @@
         now_ms: int,
     ) -> tuple[BackendServer, ForwardTerms]:
         """Return the engine with the shortest expected time to first token, and the terms."""
+        holders = PartHolders(self._planner, now_ms)
         ranked = sorted(
-            (self._evaluate(state, traits, request, brand, now_ms) for state in candidates),
+            (
+                self._evaluate(state, traits, request, brand, holders, now_ms)
+                for state in candidates
+            ),
             key=lambda candidate: (candidate.first_ms, candidate.state.entry.server),
         )
         best = ranked[0]
@@ -89,13 +101,16 @@
         traits: EngineTraits,
         request: CallerRequest,
         brand: Brand | None,
+        holders: PartHolders,
         now_ms: int,
     ) -> _Candidate:
         """Estimate the time to first token on an engine."""
         entry = state.entry
         salt = namespace(request.model, state.weight_version(request.model), brand)
-        plan = self._planner.plan(entry.address, entry.zone, traits, request, salt, now_ms)
-        first_ms = self._estimate_first_token_ms(state, traits, request, plan)
+        plan = self._planner.plan(
+            entry.address, entry.zone, traits, request, salt, now_ms, holders=holders
+        )
+        first_ms = self._estimate_first_token_ms(state, traits, request, plan, now_ms)
         return _Candidate(first_ms, state, plan, salt)
 
     def _estimate_first_token_ms(
@@ -104,10 +119,12 @@
         traits: EngineTraits,
         request: CallerRequest,
         plan: ContextPlan,
+        now_ms: int,
     ) -> float:
         peer_load = self._peer_loads.load_on(state.entry.server)
+        announced_tokens = self.announced.tokens_at(state.entry.incarnation, now_ms)
         queue_ms = (
-            state.pending_prefill_tokens + peer_load.pending_prefill_tokens
+            state.pending_prefill_tokens + peer_load.pending_prefill_tokens + announced_tokens
         ) / PREFILL_TOKENS_PER_MS
         prefill_ms = plan.prefill_tokens / PREFILL_TOKENS_PER_MS
         tokens = state.tokens + peer_load.tokens + request.prompt_tokens
--- a/bergamothill/process/loadexchange.py
+++ b/bergamothill/process/loadexchange.py
@@ -104,6 +104,11 @@
         """Number of known entry instances, including this one."""
         return len(self._peers) + 1
 
+    @property
+    def interval_ms(self) -> int:
+        """Time between two load reports."""
+        return max(REPORT_INTERVAL_MS, INTERVAL_PER_PEER_MS * len(self._peers))
+
     def set_peers(self, peers: tuple[Peer, ...]) -> None:
         """Set the other entry instances.
 
@@ -123,8 +128,7 @@
         await self._datagrams.open(host, port)
         try:
             while True:
-                interval_ms = max(REPORT_INTERVAL_MS, INTERVAL_PER_PEER_MS * len(self._peers))
-                await asyncio.sleep(ms_to_seconds(interval_ms))
+                await asyncio.sleep(ms_to_seconds(self.interval_ms))
                 self._send_report()
         finally:
             self._datagrams.close()
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -37,6 +37,7 @@
 from bergamothill.process.operatorview import OperatorView
 from bergamothill.process.ordergap import OrderGapGuard, read_settled_era
 from bergamothill.process.originexchange import OriginExchange
+from bergamothill.process.prefillexchange import PrefillExchange
 from bergamothill.process.prefixfollower import PrefixFollower, Snapshot, poll_interval_ms
 from bergamothill.process.ratelimitedlog import install_rate_limited_log
 from bergamothill.process.readiness import ReadinessHandler
@@ -129,6 +130,10 @@
         self._limit_exchange = LimitExchange(
             clock, self._server_pool.limits, self._exchange, self._on_peer_report
         )
+        prefill_exchange = PrefillExchange(
+            clock, self._server_pool.selector.announced, self._exchange
+        )
+        self._server_pool.on_prefill = prefill_exchange.announce
         self._quarantine = NodeQuarantine(settings.entry, clock, self._metrics, self._exchange)
         self._origin_exchange = OriginExchange(
             clock, StreamOrigins(), self._exchange, self._roster, self._on_peer_report
--- a/bergamothill/process/serverpool.py
+++ b/bergamothill/process/serverpool.py
@@ -90,13 +90,16 @@
         self._peer_loads = peer_loads
         self.limits = limits
         self._planner = planner
-        self._selector = EngineSelector(planner, peer_loads)
+        self.selector = EngineSelector(planner, peer_loads)
         self.weights_due_ms = weights_due_ms
         self.targets: dict[ModelName, WeightTarget] = {}
         self._target_histories: dict[ModelName, TargetHistory] = {}
         self.servers_under_trial: Callable[[int], frozenset[ServerId]] = lambda _now_ms: frozenset()
         """Returns the servers that try a part of a request that may crash them."""
 
+        self.on_prefill: Callable[[BackendServer, int], None] = lambda _server, _tokens: None
+        """Called with the server and the tokens to prefill when a prompt is sent."""
+
         self.next_limited_request: Callable[[ServiceName], CallerRequest | None] = lambda _name: (
             None
         )
@@ -164,6 +167,7 @@
             state.in_progress += 1
             state.tokens += tokens
             state.pending_prefill_tokens += pending_prefill_tokens
+            self.on_prefill(state.entry, pending_prefill_tokens)
 
     def prompt_prefilled(self, server: ServerId, pending_prefill_tokens: int) -> None:
         """Record that a server has prefilled a prompt, or will not do so."""
@@ -327,7 +331,7 @@
             with_room = [b for b in group if self._has_room(b, service.engine, request, urgency)]
             with_room = placement.select_for(trial, with_room)
             if with_room:
-                entry, terms = self._selector.place(
+                entry, terms = self.selector.place(
                     with_room, service.engine, request, brand, now_ms
                 )
                 state = self._observed[entry.server]
--- a/bergamothill/request/contextplan.py
+++ b/bergamothill/request/contextplan.py
@@ -13,7 +13,13 @@
 from bergamothill.version.cacheindex import CacheIndex, PartKey
 from bergamothill.version.routetable import CacheStore, EngineTraits
 
-__all__ = ["FETCH_TIMEOUT_MS", "PREFILL_TOKENS_PER_MS", "ContextPlan", "ContextPlanner"]
+__all__ = [
+    "FETCH_TIMEOUT_MS",
+    "PREFILL_TOKENS_PER_MS",
+    "ContextPlan",
+    "ContextPlanner",
+    "PartHolders",
+]
 
 CROSS_ZONE_FACTOR = 2.0
 """Ratio of the transfer time between zones to that within a zone."""
@@ -109,6 +115,26 @@
         return self.wait_ms + source.fetch_ms <= min(self.left_ms, source.left_ms)
 
 
+class PartHolders:
+    """Sources that certainly have the parts of one prompt, looked up once for all its engines.
+
+    :param planner: knows the sources
+    :param now_ms: current time, in milliseconds
+    """
+
+    def __init__(self, planner: ContextPlanner, now_ms: int) -> None:
+        self._planner = planner
+        self._now_ms = now_ms
+        self._engines: dict[PartKey, list[str]] = {}
+
+    def engines_with(self, key: PartKey, tokens: int) -> list[str]:
+        """Return the addresses of the engines that have a part."""
+        addresses = self._engines.get(key)
+        if addresses is None:
+            addresses = self._engines[key] = self._planner.engines_with(key, tokens, self._now_ms)
+        return addresses
+
+
 class ContextPlanner:
     """Plans fetches and saves of prompt parts.
 
@@ -146,6 +172,7 @@
         request: CallerRequest,
         salt: str,
         now_ms: int,
+        holders: PartHolders | None = None,
     ) -> ContextPlan:
         """Return the source of each part of a prompt.
 
@@ -158,8 +185,10 @@
         :param request: request with the prompt
         :param salt: KV cache namespace of the request
         :param now_ms: current time, in milliseconds
+        :param holders: shared by the plans of one prompt for several engines
         """
         candidate = _CandidateEngine(engine, zone, traits)
+        holders = holders or PartHolders(self, now_ms)
         held = fetched = 0
         fetch_ms = 0.0
         sources = [""] * len(request.parts)
@@ -172,7 +201,7 @@
             # Transfers run one after another, so this one starts once those before it have ended.
             timing = _FetchTime(now_ms, fetch_ms, left_ms)
             source = self._quickest_source(
-                candidate, key, part.tokens, timing, with_engines=not is_held
+                candidate, key, part.tokens, timing, None if is_held else holders
             )
             if source is not None and not _is_fetch_worthwhile(remaining_tokens, source.fetch_ms):
                 source = None
@@ -206,16 +235,18 @@
         key: PartKey,
         tokens: int,
         timing: _FetchTime,
-        *,
-        with_engines: bool,
+        holders: PartHolders | None,
     ) -> _Source | None:
         """Return the fastest source among those that certainly have a part, or None.
 
         A source is left out if it may have restarted before the fetch has ended.
+
+        :param holders: other engines that have the part; None to use only stores
         """
         sources = list(self._store_sources(candidate, key, tokens, timing.now_ms))
-        if with_engines:
-            sources += self._engine_sources(candidate, key, tokens, timing.now_ms)
+        if holders is not None:
+            addresses = holders.engines_with(key, tokens)
+            sources += self._engine_sources(candidate, addresses, tokens, timing.now_ms)
         sources = [source for source in sources if timing.is_enough_for(source)]
         return min(sources, key=lambda source: source.fetch_ms, default=None)
 
@@ -229,14 +260,20 @@
                 transfer_ms = _transfer_ms(size_bytes, link_mbps, store.zone != candidate.zone)
                 yield self._source(store.address, store.first_byte_ms + transfer_ms, now_ms)
 
+    def engines_with(self, key: PartKey, tokens: int, now_ms: int) -> list[str]:
+        """Return the addresses of the engines that certainly have a part."""
+        return [a for a in self._zones if self._certainly_has(a, key, tokens, now_ms)]
+
     def _engine_sources(
-        self, candidate: _CandidateEngine, key: PartKey, tokens: int, now_ms: int
+        self, candidate: _CandidateEngine, addresses: list[str], tokens: int, now_ms: int
     ) -> Iterable[_Source]:
         size_bytes = tokens * candidate.traits.token_bytes
-        for address, zone in self._zones.items():
-            if address != candidate.engine and self._certainly_has(address, key, tokens, now_ms):
+        for address in addresses:
+            if address != candidate.engine:
                 transfer_ms = _transfer_ms(
-                    size_bytes, candidate.traits.link_mbps, zone != candidate.zone
+                    size_bytes,
+                    candidate.traits.link_mbps,
+                    self._zones[address] != candidate.zone,
                 )
                 yield self._source(address, transfer_ms, now_ms)
 
