Poll a source of cache events at most every 3 ms for each source

Cause: under load each poll has events and is answered at once.

Change: the time between two polls of a source is 3 ms for each source, at most 250 ms; events that come meanwhile are read together. With 7 sources that is 21 ms.

--- a/bergamothill/process/cacheeventlistener.py
+++ b/bergamothill/process/cacheeventlistener.py
@@ -21,12 +21,18 @@
 )
 from bergamothill.version.cacheindex import CacheIndex
 
-__all__ = ["CacheEventListener"]
+__all__ = ["CacheEventListener", "poll_interval_ms"]
 
 LONG_POLL_MS = 700  # long enough not to count as a probe, short enough to notice a restart
 REPLY_MARGIN_MS = 500
 RECONNECT_DELAY_MS = 250
 
+INTERVAL_PER_SOURCE_MS = 3
+"""Limits an instance to 330 polls a second: under load each reply has events and comes at once."""
+
+MAX_POLL_INTERVAL_MS = 250
+"""Longest time between two polls; a server that answers no polls counts as silent after 600 ms."""
+
 FULL_SOURCE_RETRY_MS = 30_000
 """Mean delay before a source that has as many readers as it admits is tried again.
 
@@ -36,6 +42,14 @@
 _log = EventLog("kept")
 
 
+def poll_interval_ms(source_count: int) -> int:
+    """Return the shortest time between two polls of a source.
+
+    :param source_count: number of engines and stores that are followed
+    """
+    return min(MAX_POLL_INTERVAL_MS, INTERVAL_PER_SOURCE_MS * source_count)
+
+
 class CacheEventListener:
     """Follows the cache events of a changing set of engines and stores.
 
@@ -87,6 +101,7 @@
         is_connected = False if address in self._lost else None
         try:
             while True:
+                polled_ms = self._clock.now_ms()
                 try:
                     await self._read_events(connection, address)
                 except OverloadedError:
@@ -109,9 +124,19 @@
                         _log.info("source_back", address=address)
                         self._tell_connection(address, is_connected=True)
                     is_connected = True
+                    await self._pause(polled_ms)
         finally:
             connection.close()
 
+    async def _pause(self, polled_ms: int) -> None:
+        """Wait until a source may be polled again; events that come meanwhile are read together.
+
+        :param polled_ms: time of the poll before
+        """
+        pause_ms = poll_interval_ms(len(self._tasks)) - (self._clock.now_ms() - polled_ms)
+        if pause_ms > 0:
+            await asyncio.sleep(ms_to_seconds(pause_ms))
+
     def _tell_connection(self, address: str, *, is_connected: bool) -> None:
         if is_connected:
             self._lost.discard(address)
--- a/tests/test_cacheeventlistener.py
+++ b/tests/test_cacheeventlistener.py
@@ -13,7 +13,9 @@
     FULL_SOURCE_RETRY_MS,
     RECONNECT_DELAY_MS,
     CacheEventListener,
+    poll_interval_ms,
 )
+from bergamothill.process.serversilence import STALL_SILENCE_MS
 from bergamothill.version.cacheindex import CacheIndex
 
 ADDRESS = "10.0.0.1:80"
@@ -85,6 +87,10 @@
         _, changes = self.listen(LOST, FULL)
         self.assertEqual([False, True], changes)
 
+    def test_many_sources_are_polled_less_often_but_before_they_count_as_silent(self):
+        self.assertLessEqual(34 * 1_000 / poll_interval_ms(34), 340)
+        self.assertLess(poll_interval_ms(1_000), STALL_SILENCE_MS)
+
     def test_a_lost_source_is_tried_again_soon(self):
         delays_ms, changes = self.listen(EVENTS, LOST, LOST, EVENTS)
         self.assertEqual([RECONNECT_DELAY_MS] * 2, delays_ms)
