--- a/bergamothill/process/dutycontenders.py
+++ b/bergamothill/process/dutycontenders.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from bergamothill.clock import Clock
 from bergamothill.ids import DutyName, EntryInstanceId
 from bergamothill.process.instanceroster import InstanceRoster
 from bergamothill.process.rendezvous import rendezvous
@@ -24,16 +25,18 @@
 
     :param roster: entry instances, and when they were heard
     :param duty: name of the duty
+    :param clock: source of time
     """
 
-    def __init__(self, roster: InstanceRoster, duty: DutyName) -> None:
+    def __init__(self, roster: InstanceRoster, duty: DutyName, clock: Clock) -> None:
         self._roster = roster
         self._duty = duty
+        self._clock = clock
         self._revision = -1
         self._ranked_before: tuple[EntryInstanceId, ...] = ()
         self._live_ms = LIVE_MS
 
-    def may_contend(self, now_ms: int) -> bool:
+    def may_contend(self) -> bool:
         """Return whether fewer live instances than contend are ranked before this one."""
         roster = self._roster
         if roster.revision != self._revision:
@@ -41,7 +44,7 @@
             ranking = rendezvous(self._duty, members)
             self._ranked_before = ranking[: ranking.index(roster.own)]
             self._live_ms = LIVE_MS + LIVE_PER_INSTANCE_MS * len(members)
-        live = 0
+        now_ms, live = self._clock.now_ms(), 0
         for entry in self._ranked_before:
             heard_ms = roster.heard_ms(entry)
             live += heard_ms is not None and now_ms - heard_ms < self._live_ms
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -155,7 +155,6 @@
         self._reads = ReadExchange(
             settings.entry, settings.zone, clock, self._kvs.era, self._exchange, self._metrics
         )
-        self._contenders = DutyContenders(self._roster, SWAP_DUTY)
         self._swap_view: tuple[Mapping[ModelName, WeightTarget], tuple[SwapEngine, ...]] = ({}, ())
         self._swaps = self._make_swap_duty()
 
@@ -177,7 +176,7 @@
             holder,
             enforces_fencing=bounds.engines_check_fencing,
             on_swapped=self._on_swapped,
-            may_contend=lambda: self._contenders.may_contend(self._clock.now_ms()),
+            may_contend=DutyContenders(self._roster, SWAP_DUTY, self._clock).may_contend,
         )
 
     def _make_sweep_duty(self) -> SweepDuty:
@@ -439,8 +438,10 @@
             return
         changed = settings != self._settings
         if settings.bounds != self._settings.bounds:
+            times = _read_times(settings.bounds)
             for follower in self._followers:
-                follower.set_times(_read_times(settings.bounds))
+                follower.interval_ms = times.interval_ms
+                follower.set_shared_times(times)
             self._server_pool.set_stability_window(settings.bounds.stability_window_ms)
             self._server_pool.weights_due_ms = settings.bounds.weights_due_ms
             self._gateway.set_bounds(settings.bounds)
--- a/bergamothill/process/prefixfollower.py
+++ b/bergamothill/process/prefixfollower.py
@@ -92,9 +92,8 @@
         self._wake = threading.Event()
         self._stopped = threading.Event()
 
-    def set_times(self, times: ReadTimes) -> None:
-        """Change the times of the reads."""
-        self.interval_ms = times.interval_ms
+    def set_shared_times(self, times: ReadTimes) -> None:
+        """Change the times by which the reads are shared."""
         if self._share is not None:
             self._share.set_times(times)
 
