--- a/bergamothill/process/readcontent.py
+++ b/bergamothill/process/readcontent.py
@@ -42,14 +42,12 @@
 
 
 def digest_entries(entries: Iterable[KeyValueEntry]) -> bytes:
-    """Return a digest of the keys, revisions and values."""
-    digest = blake2b(digest_size=DIGEST_BYTES)
-    for entry in entries:
+    """Return a digest of the keys, revisions and values, whatever their order."""
+    parts = []
+    for entry in sorted(entries, key=lambda entry: entry.key):
         key = entry.key.encode()
-        digest.update(b"%d %d %d " % (len(key), len(entry.value), entry.mod_revision))
-        digest.update(key)
-        digest.update(entry.value)
-    return digest.digest()
+        parts += [b"%d %d %d " % (len(key), len(entry.value), entry.mod_revision), key, entry.value]
+    return blake2b(b"".join(parts), digest_size=DIGEST_BYTES).digest()
 
 
 def encode_content(entries: Entries, base: Entries) -> tuple[bytes, ...]:
--- a/bergamothill/process/registry.py
+++ b/bergamothill/process/registry.py
@@ -26,8 +26,14 @@
 REGISTRY_PREFIX = "entries/"
 LEASE_TTL_MS = 10_000
 RENEWAL_INTERVAL_MS = 2_500
-RENEWAL_SLACK_MS = 200
-"""A wake-up that is earlier than the renewal by more than this is for a read only."""
+SHARED_RENEWAL_INTERVAL_MS = 3_750
+"""In zones that share reads, renewals are the calls that grow with the number of instances.
+
+A failed one is repeated every 2.5 s, so that there are three attempts in the time to live as well.
+"""
+
+SLACK_MS = 200
+"""A call that is due within this time is made now."""
 
 READ_TIMES = ReadTimes(RENEWAL_INTERVAL_MS, 2 * RENEWAL_INTERVAL_MS)
 """All others must know of a new instance when it begins to share limits, after two reads."""
@@ -79,13 +85,14 @@
         self._restored_ms: int | None = None
         self._registered_ms = 0
         self._renewed_ms: int | None = None
+        self._read_ms: int | None = None
         self._is_unlisted = False
         self._lock = threading.Lock()
         self._wake = threading.Event()
         self._is_stopped = False
         self._share = share
         if share is not None:
-            share.on_read, share.wake = self._apply_shared, self._wake.set
+            share.on_read, share.wake = self._apply_shared, self._read_now
 
     def run(self) -> None:
         """Register and read the peers until stopped, then deregister."""
@@ -112,14 +119,24 @@
         Peers that are missing now keep their place for the time to live of a registration.
         """
         self._restored_ms = self._clock.now_ms()
-        self._renewed_ms = None
+        self._renewed_ms = self._read_ms = None
+        self._wake.set()
+
+    def _read_now(self) -> None:
+        self._read_ms = None
         self._wake.set()
 
+    @property
+    def _renewal_interval_ms(self) -> int:
+        is_sharing = self._share is not None and self._share.is_sharing
+        return SHARED_RENEWAL_INTERVAL_MS if is_sharing else RENEWAL_INTERVAL_MS
+
     def _wait_ms(self) -> int:
-        if self._share is None or self._renewed_ms is None or self._last_failure:
+        renewed_ms, read_ms = self._renewed_ms, self._read_ms
+        if self._last_failure or renewed_ms is None or read_ms is None:
             return RENEWAL_INTERVAL_MS
-        elapsed_ms = self._clock.now_ms() - self._renewed_ms
-        return max(RENEWAL_SLACK_MS, RENEWAL_INTERVAL_MS - elapsed_ms)
+        due_ms = min(renewed_ms + self._renewal_interval_ms, read_ms + RENEWAL_INTERVAL_MS)
+        return max(SLACK_MS, due_ms - self._clock.now_ms())
 
     def _register_and_read_peers(self) -> None:
         try:
@@ -148,15 +165,20 @@
         share = self._share
         if share is None:
             self._apply(self._kvs.scan(REGISTRY_PREFIX), self._clock.now_ms())
-        elif share.should_read():
-            era_before, sent_ms = share.era, self._clock.now_ms()
+            return
+        read_ms, now_ms = self._read_ms, self._clock.now_ms()
+        if read_ms is not None and now_ms - read_ms < RENEWAL_INTERVAL_MS - SLACK_MS:
+            return
+        self._read_ms = now_ms
+        if share.should_read():
+            era_before, sent_ms = share.era, now_ms
             share.record_read(self._kvs.scan(REGISTRY_PREFIX), era_before, sent_ms)
 
     def _is_renewal_due(self) -> bool:
         if self._lease_id is None or self._renewed_ms is None or self._share is None:
             return True
         elapsed_ms = self._clock.now_ms() - self._renewed_ms
-        return elapsed_ms >= RENEWAL_INTERVAL_MS - RENEWAL_SLACK_MS
+        return elapsed_ms >= self._renewal_interval_ms - SLACK_MS
 
     def _apply_shared(self, read: AppliedRead) -> None:
         self._apply(read.entries, read.sent_ms)
--- a/bergamothill/process/sharedreads.py
+++ b/bergamothill/process/sharedreads.py
@@ -50,6 +50,9 @@
 """Time without the content of a newer read after which an instance reads for itself."""
 
 PIECES_PER_QUERY = 16
+MAX_FAILURE_NOTICES = 6
+"""Instances of a zone that tell of failed reads; the others read once no confirmations come."""
+
 CONFIRM_STEP_MS = 300
 """Unchanged content is applied again once it is known to be newer by this much."""
 
@@ -203,9 +206,13 @@
 
     def _tell(self, prefix: str, digest: bytes, now_ms: int) -> None:
         state, role = self._prefixes[prefix], self.role(prefix, now_ms)
+        if role in (ReadRole.ALONE, ReadRole.FOLLOWER):
+            return
         # The readers are asked regularly; others become known by their notices.
         is_news = digest != state.notice or not digest or role is not ReadRole.READER
-        if self.readers.is_sharing and role is not ReadRole.FOLLOWER and is_news:
+        # While the service is away nobody can read, and not all need to tell all others.
+        may_tell = bool(digest) or self._own in self.readers.ranking[:MAX_FAILURE_NOTICES]
+        if is_news and may_tell:
             state.notice = digest
             self._send(self.readers.others, ReadNotice(self._own, prefix, digest))
 
@@ -448,12 +455,16 @@
             and outage_ms >= state.flagged_outage_ms + MIN_OUTAGE_GAP_MS
         )
         applied = self._apply(prefix, read, era, entries, follows_outage)
+        fetch = state.fetch
+        if fetch is not None and not state.order.may_apply(fetch.read, fetch.era):
+            state.fetch = fetch = None
+        if fetch is not None and fetch.read.digest == state.order.digest:
+            state.fetch = None
         if applied is not None and follows_outage:
             state.flagged_outage_ms = outage_ms
         # Content that differs from what is in force shows no working reader until it is fetched.
         if state.order.digest == read.digest:
             self.readers.record_confirmation(prefix, read.source, read.sent_ms, now_ms)
-            state.fetch, state.has_stuck_fetch = None, False
             # Another instance could read, so that the failed reads here were no outage.
             state.has_seen_outage = False
             if self.readers.role(prefix, now_ms) is ReadRole.FOLLOWER:
