Exchange loads by zone

Each instance sent its loads to every other one, so that bytes between zones and datagrams grew with the square of the number of instances. From nine instances on, loads go inside a zone to all (up to eight instances) or to its two relays; relays send the sum of their zone to those of the others. process/zoneloads decides, process/loadexchange sends.

--- a/bergamothill/process/loadexchange.py
+++ b/bergamothill/process/loadexchange.py
@@ -1,4 +1,7 @@
-"""Exchanges load reports with the other entry instances, on the event loop."""
+"""Exchanges loads with the other entry instances, on the event loop.
+
+What is sent to whom is decided by :mod:`bergamothill.process.zoneloads`.
+"""
 
 from __future__ import annotations
 
@@ -11,17 +14,21 @@
 from bergamothill.clock import Clock, ms_to_seconds
 from bergamothill.connection.datagrams import DatagramSocket
 from bergamothill.errors import ProtocolError
-from bergamothill.ids import EntryInstanceId
+from bergamothill.ids import EntryInstanceId, ZoneName
 from bergamothill.logs import EventLog
-from bergamothill.process.loadreport import LoadReport, PeerLoads, decode_report, encode_report
+from bergamothill.process.loadreport import LoadReport, PeerLoads, decode_report
 from bergamothill.process.registry import Peer
 from bergamothill.process.serverpool import ServerPool
+from bergamothill.process.zoneloads import REPORT_INTERVAL_MS, Outgoing, ZoneLoads
+from bergamothill.process.zonereport import (
+    ZoneMessage,
+    ZonePass,
+    decode_zone_message,
+    is_zone_message,
+    read_zone,
+)
 
-__all__ = ["LoadExchange"]
-
-REPORT_INTERVAL_MS = 50  # half the time that an engine needs for the fastest prompt
-INTERVAL_PER_PEER_MS = 4  # limits one instance to 250 datagrams per second
-KEEPALIVE_MS = 400
+__all__ = ["REPORT_INTERVAL_MS", "LoadExchange"]
 
 Report = TypeVar("Report")
 
@@ -45,6 +52,7 @@
     :param server_pool: source of this instance's own loads
     :param loads: stores the others' reports
     :param on_report: called with the sender after each received report
+    :param zone: zone of this entry instance; None if the settings name none
     """
 
     def __init__(
@@ -54,18 +62,15 @@
         server_pool: ServerPool,
         loads: PeerLoads,
         on_report: Callable[[EntryInstanceId], None],
+        zone: ZoneName | None = None,
     ) -> None:
         self._on_report = on_report
-        self._entry = entry
         self._clock = clock
         self._server_pool = server_pool
-        self._loads = loads
+        self._zone_loads = ZoneLoads(entry, zone, loads, time.time_ns())
         self._peers: dict[EntryInstanceId, Peer] = {}
         self._datagrams = DatagramSocket(self._on_datagram)
-        self._sequence_number = time.time_ns()
-        self._last_sent_ms = 0
-        self._last_loads: dict = {}
-        self._load_reports = _Kind(lambda _datagram: True, decode_report, self._on_load_report)
+        self._relays: tuple[EntryInstanceId, ...] = ()
         self._kinds: list[_Kind] = []
 
     def add_kind(
@@ -82,9 +87,12 @@
         """
         self._kinds.append(_Kind(is_kind, decode, on_report))
 
-    def send_to_peers(self, datagram: bytes) -> None:
-        """Send a datagram to all known peers."""
-        self._datagrams.send(datagram, [(peer.host, peer.port) for peer in self._peers.values()])
+    def send_to_peers(self, datagram: bytes, *, is_urgent: bool = True) -> None:
+        """Send a datagram to all known peers; those of other zones may receive it by a relay.
+
+        :param is_urgent: whether it tells something new; other datagrams take fewer bytes
+        """
+        self._send(self._zone_loads.pass_on(datagram, self._clock.now_ms(), is_urgent=is_urgent))
 
     def send_to(
         self, entries: Iterable[EntryInstanceId], datagram: bytes
@@ -113,6 +121,7 @@
         if peers_by_entry.keys() != self._peers.keys():
             _log.info("peers_changed", peers=" ".join(sorted(peers_by_entry)) or "-")
         self._peers = peers_by_entry
+        self._zone_loads.set_peers(peers, self._clock.now_ms())
 
     async def run(self, host: str, port: int) -> None:
         """Send and receive reports until cancelled.
@@ -123,34 +132,50 @@
         await self._datagrams.open(host, port)
         try:
             while True:
-                interval_ms = max(REPORT_INTERVAL_MS, INTERVAL_PER_PEER_MS * len(self._peers))
-                await asyncio.sleep(ms_to_seconds(interval_ms))
-                self._send_report()
+                wait_ms = self._zone_loads.wait_ms(self._clock.now_ms())
+                await asyncio.sleep(ms_to_seconds(wait_ms))
+                self._tick()
         finally:
             self._datagrams.close()
 
-    def _send_report(self) -> None:
+    def _tick(self) -> None:
         now_ms = self._clock.now_ms()
-        self._loads.expire_reports(now_ms)
-        loads = self._server_pool.own_loads()
-        is_keepalive_due = now_ms - self._last_sent_ms >= KEEPALIVE_MS
-        if not self._peers or (loads == self._last_loads and not is_keepalive_due):
-            return
-        self._sequence_number += 1
-        self._last_sent_ms, self._last_loads = now_ms, loads
-        report = encode_report(LoadReport(self._entry, self._sequence_number, loads))
-        self.send_to_peers(report)
+        self._send(self._zone_loads.tick(self._server_pool.own_loads(), now_ms))
+        for entry in self._zone_loads.take_heard(now_ms):
+            self._on_report(entry)
+        relays = self._zone_loads.relays
+        if relays != self._relays:
+            self._relays = relays
+            is_relay = self._zone_loads.is_relay
+            _log.info("zone_relays_changed", relays=" ".join(relays) or "-", is_relay=is_relay)
+
+    def _send(self, outgoing: Iterable[Outgoing]) -> None:
+        for datagram in outgoing:
+            self.send_to(datagram.entries, datagram.datagram)
 
     def _on_datagram(self, datagram: bytes) -> None:
-        kinds = (kind for kind in self._kinds if kind.is_kind(datagram))
-        kind = next(kinds, self._load_reports)
         try:
+            if is_zone_message(datagram):
+                self._on_zone_message(decode_zone_message(datagram), datagram)
+                return
+            kind = next((kind for kind in self._kinds if kind.is_kind(datagram)), None)
+            if kind is None:
+                self._on_load_report(decode_report(datagram), read_zone(datagram))
+                return
             report = kind.decode(datagram)
         except ProtocolError as error:
             _log.info("report_unreadable", reason=error.message)
             return
         kind.on_report(report)
 
-    def _on_load_report(self, report: LoadReport) -> None:
-        self._loads.add_report(report, self._clock.now_ms())
+    def _on_load_report(self, report: LoadReport, zone: ZoneName | None) -> None:
+        self._send(self._zone_loads.on_report(report, zone, self._clock.now_ms()))
         self._on_report(report.entry)
+
+    def _on_zone_message(self, message: ZoneMessage, datagram: bytes) -> None:
+        now_ms = self._clock.now_ms()
+        self._send(self._zone_loads.on_message(message, datagram, now_ms))
+        is_passed = isinstance(message, ZonePass) and not self._zone_loads.is_discarding(now_ms)
+        if is_passed and not is_zone_message(message.datagram):
+            self._on_datagram(message.datagram)
+        self._on_report(message.entry)
--- a/bergamothill/process/loadreport.py
+++ b/bergamothill/process/loadreport.py
@@ -6,20 +6,45 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
+from functools import lru_cache
+from hashlib import blake2b
+from typing import NewType
 
 import cbor2
 
 from bergamothill.errors import ProtocolError
 from bergamothill.ids import EntryInstanceId, ServerId
 
-__all__ = ["LoadReport", "PeerLoads", "ServerLoad", "decode_report", "encode_report"]
+__all__ = [
+    "KeyedLoads",
+    "LoadReport",
+    "MemberKey",
+    "PeerLoads",
+    "ServerKey",
+    "ServerLoad",
+    "decode_report",
+    "encode_report",
+    "keyed_loads",
+    "member_key",
+    "server_key",
+]
 
 REPORT_TTL_MS = 1_000
 """Time after which the sender's requests are assumed to have ended, or its link to be down."""
 
 EXPIRY_INTERVAL_MS = 100
 
+KEY_BYTES = 4
+MAX_KNOWN_KEYS = 8_192
+
+ServerKey = NewType("ServerKey", int)
+"""Hash of the name of a server; two of 1,000 servers share one with a probability of 1 in 8,600."""
+
+MemberKey = NewType("MemberKey", int)
+"""Hash of the name of an entry instance."""
+
 
 @dataclass(slots=True)
 class ServerLoad:
@@ -47,6 +72,30 @@
         self.pending_prefill_tokens -= other.pending_prefill_tokens
 
 
+KeyedLoads = Mapping[ServerKey, ServerLoad]
+
+
+def _key(name: str) -> int:
+    return int.from_bytes(blake2b(name.encode(), digest_size=KEY_BYTES).digest(), "little")
+
+
+@lru_cache(maxsize=MAX_KNOWN_KEYS)
+def server_key(server: ServerId) -> ServerKey:
+    """Return the key that stands for a server in datagrams."""
+    return ServerKey(_key(server))
+
+
+@lru_cache(maxsize=MAX_KNOWN_KEYS)
+def member_key(entry: EntryInstanceId) -> MemberKey:
+    """Return the key that stands for an entry instance in datagrams."""
+    return MemberKey(_key(entry))
+
+
+def keyed_loads(loads: Mapping[ServerId, ServerLoad]) -> KeyedLoads:
+    """Return loads by the keys of their servers."""
+    return {server_key(server): load for server, load in loads.items()}
+
+
 @dataclass(frozen=True, slots=True)
 class LoadReport:
     """Report of one entry instance.
@@ -87,43 +136,97 @@
         raise ProtocolError(f"not a load report: {error}", step="load.decode") from error
 
 
+@dataclass(frozen=True, slots=True)
+class _Reported:
+    sequence_number: int
+    received_ms: int
+    loads: KeyedLoads
+    is_counted: bool
+
+
 class PeerLoads:
-    """Latest load reports of the other entry instances, added up by server."""
+    """Latest loads of the other entry instances, added up by server.
+
+    An instance is counted by its own report or by the sum of a zone that contains it, never by
+    both.
+    """
 
     def __init__(self) -> None:
-        self._reports: dict[EntryInstanceId, LoadReport] = {}
-        self._received_ms: dict[EntryInstanceId, int] = {}
-        self._totals: dict[ServerId, ServerLoad] = {}
+        self._reports: dict[EntryInstanceId, _Reported] = {}
+        self._sums: dict[EntryInstanceId, KeyedLoads] = {}
+        self._covered: frozenset[MemberKey] = frozenset()
+        self._totals: dict[ServerKey, ServerLoad] = {}
         self._expired_ms = 0
 
     def add_report(self, report: LoadReport, now_ms: int) -> None:
-        """Store a report unless a newer one from the same sender is known.
+        """Store a report unless a newer one from the same sender is known."""
+        self.add_loads(report.entry, report.sequence_number, keyed_loads(report.loads), now_ms)
+
+    def add_loads(
+        self, entry: EntryInstanceId, sequence_number: int, loads: KeyedLoads, now_ms: int
+    ) -> None:
+        """Store the loads of an instance unless newer ones are known.
 
         The totals change by what the report changes, so the work does not grow with the number of
         senders.
+
+        :param entry: sender
+        :param sequence_number: increases with each report of the sender
+        :param loads: its loads
         """
-        latest = self._reports.get(report.entry)
-        if latest is not None and report.sequence_number <= latest.sequence_number:
+        latest = self._reports.get(entry)
+        if latest is not None and sequence_number <= latest.sequence_number:
             return
-        if latest is not None:
-            self._remove_from_totals(latest)
-        self._reports[report.entry] = report
-        self._received_ms[report.entry] = now_ms
-        for server, load in report.loads.items():
-            self._totals.setdefault(server, ServerLoad()).add(load)
+        if latest is not None and latest.is_counted:
+            self._subtract(latest.loads)
+        is_counted = member_key(entry) not in self._covered
+        self._reports[entry] = _Reported(sequence_number, now_ms, loads, is_counted)
+        if is_counted:
+            self._add(loads)
         if now_ms - self._expired_ms >= EXPIRY_INTERVAL_MS:
             self.expire_reports(now_ms)
 
+    def set_sums(
+        self, sums: Mapping[EntryInstanceId, KeyedLoads], covered: frozenset[MemberKey]
+    ) -> None:
+        """Set the sums of zones that are counted.
+
+        :param sums: sums by the relay that made them
+        :param covered: instances that they contain, whose own reports are not counted
+        """
+        for relay, loads in list(self._sums.items()):
+            if sums.get(relay) is not loads:
+                self._subtract(self._sums.pop(relay))
+        for relay, loads in sums.items():
+            if relay not in self._sums:
+                self._sums[relay] = loads
+                self._add(loads)
+        if covered != self._covered:
+            self._covered = covered
+            for entry, reported in list(self._reports.items()):
+                self._set_counted(entry, reported, member_key(entry) not in covered)
+
+    def _set_counted(self, entry: EntryInstanceId, reported: _Reported, is_counted: bool) -> None:
+        if is_counted == reported.is_counted:
+            return
+        (self._add if is_counted else self._subtract)(reported.loads)
+        self._reports[entry] = replace(reported, is_counted=is_counted)
+
     def expire_reports(self, now_ms: int) -> None:
         """Drop expired reports."""
         self._expired_ms = now_ms
-        for entry, received_ms in list(self._received_ms.items()):
-            if now_ms - received_ms > REPORT_TTL_MS:
-                del self._received_ms[entry]
-                self._remove_from_totals(self._reports.pop(entry))
+        for entry, reported in list(self._reports.items()):
+            if now_ms - reported.received_ms > REPORT_TTL_MS:
+                del self._reports[entry]
+                if reported.is_counted:
+                    self._subtract(reported.loads)
+
+    def _add(self, loads: KeyedLoads) -> None:
+        for server, load in loads.items():
+            self._totals.setdefault(server, ServerLoad()).add(load)
 
-    def _remove_from_totals(self, report: LoadReport) -> None:
-        for server, load in report.loads.items():
+    def _subtract(self, loads: KeyedLoads) -> None:
+        for server, load in loads.items():
             total = self._totals.setdefault(server, ServerLoad())
             total.subtract(load)
             if total == ServerLoad():
@@ -131,4 +234,4 @@
 
     def load_on(self, server: ServerId) -> ServerLoad:
         """Return the total load of the other entry instances on a server."""
-        return self._totals.get(server) or ServerLoad()
+        return self._totals.get(server_key(server)) or ServerLoad()
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -124,7 +124,12 @@
             heartbeat_interval_ms=settings.heartbeat_interval_ms,
         )
         self._exchange = LoadExchange(
-            settings.entry, clock, self._server_pool, peer_loads, self._on_peer_report
+            settings.entry,
+            clock,
+            self._server_pool,
+            peer_loads,
+            self._on_peer_report,
+            settings.zone,
         )
         self._limit_exchange = LimitExchange(
             clock, self._server_pool.limits, self._exchange, self._on_peer_report
--- a/tests/exchangecase.py
+++ b/tests/exchangecase.py
@@ -48,7 +48,9 @@
     def carrier(self, number: int, pool: ServerPool) -> LoadExchange:
         """Return the load exchange of one instance, which carries other kinds of datagrams."""
         peer = self.peers[number]
-        carrier = LoadExchange(peer.entry, self.clock, pool, self.loads[number], lambda _: None)
+        carrier = LoadExchange(
+            peer.entry, self.clock, pool, self.loads[number], lambda _: None, peer.zone
+        )
         carrier.set_peers(self.others(number))
         return carrier
 
