Keep connections to servers for requests that may be repeated

Where they come from, by reading and by counting on loopback (20 requests each, trial script not kept):

- one for each attempt by design: answered 20, so 1.0; a first server that refuses and a second that answers 21, as the refusing one is in backoff then; an unsafe request that is reset 20;
- connections opened and not used because `may_send` says no once they are open: 39 for 20 arrivals where it says no every second time;
- a move of an answer is an attempt, so one more each;
- each poll of cache events that is rejected with 429 closes its connection and opens another 15 to 45 s later: 10 in 10 mean retry times.
That is (instances - readers) x engines / 30 s.

Ruled out: reuse inside the transport with its own repeat (at-most-once and the budget would not hold); reuse for unsafe requests.

Change: `connection/backendpool` keeps the books (time passed in), `connection/keptconnections` owns the connections, `connection/backendconnection` is the protocol, now for several exchanges in turn. `request/connectionreuse` decides for each attempt: the request may run again, has an id, a further run is within `max_servers`, the retry budget has one left, no trial of the quarantine, no earlier reset of this kind. A kept connection that closes before the first byte, or brings a head that is not the request's own, ends the attempt as `stale`: it counts as a run, its repeat is charged and goes on a new connection, the server is neither backed off nor suspected. If the first send fails no byte was written, and nothing is charged. A kept connection to an unreachable server ends after 300 ms (TCP_USER_TIMEOUT), as connecting does, and is a failure of the server as before.

On only with more than two instances for each zone (registered) and a `connectionLimit` that leaves each instance two connections beside its poll. Otherwise requests are encoded and sent as before.

No measurement of a whole deployment.

--- a/bergamothill/connection/backendhttp.py
+++ b/bergamothill/connection/backendhttp.py
@@ -1,8 +1,8 @@
 """HTTP/1.1 exchange with a backend server on an asyncio event loop.
 
-Each exchange uses a new connection, which is closed afterwards. The transport therefore never
-resends a request that must run at most once, and bytes that a server sends after its response
-cannot be taken for the response to another request.
+An exchange uses a new connection, or a kept one if its request may be repeated. It never sends a
+request a second time: a kept connection that proves to be closed ends the exchange, and the caller
+decides.
 """
 
 from __future__ import annotations
@@ -10,75 +10,70 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
-from enum import Enum
 from typing import Protocol
 
-import httptools
-
+from bergamothill.connection.backendconnection import (
+    BackendConnection,
+    ExchangeEnd,
+    ExchangeResult,
+    ExchangeSink,
+)
+from bergamothill.connection.backendpool import PooledServer
 from bergamothill.connection.flowgate import FlowGate
 from bergamothill.connection.opening import CONNECT_TIMEOUT_MS, open_connection
-from bergamothill.errors import ProtocolError
-from bergamothill.request.callerrequest import Header, ResponseHead
-
-__all__ = ["ExchangeEnd", "ExchangeResult", "ExchangeSink", "exchange"]
-
-READ_BYTES = 8_192
-"""Maximum bytes to parse before other connections get their turn; may hold hundreds of events."""
-
-MAX_FRAMING_BYTES = 65_536
-"""Maximum size of the heads, chunk headers and trailers of a response with an empty body."""
-
-MAX_FRAMING_RATIO = 8
-"""Framing allowed for each byte of the body; a chunk of one byte has five bytes of framing."""
 
+__all__ = [
+    "BackendConnection",
+    "ConnectionKeeper",
+    "ExchangeEnd",
+    "ExchangeResult",
+    "ExchangeSink",
+    "Keeping",
+    "exchange",
+]
 
-class ExchangeEnd(Enum):
-    """How an exchange ended."""
+MAX_REUSING_REQUEST_BYTES = 65_536
+"""Largest request on a kept connection; it fits into the send buffer, so is written at once."""
 
-    NOT_CONNECTED = "not_connected"
-    """The connection was not opened; no byte of the request was sent."""
 
-    NOT_SENT = "not_sent"
-    """The connection was opened, but no byte of the request was sent, as it was not wanted."""
+class ConnectionKeeper(Protocol):
+    """Interface of the connections of this instance, in use and idle."""
 
-    BROKEN = "broken"
-    """The connection closed early."""
+    def take(self, server: PooledServer, request_id: bytes) -> BackendConnection | None:
+        """Return an idle connection that counts as in use from now on."""
 
-    MALFORMED = "malformed"
-    """The server sent bytes that are no valid response."""
+    def record_opening(self, server: PooledServer) -> None:
+        """Record a new connection before it is opened."""
 
-    COMPLETE = "complete"
-    """The complete response was received."""
+    def record_closed(self, server: PooledServer, end: ExchangeEnd | None) -> None:
+        """Record the end of a connection in use, and of its last exchange if it is known."""
 
-    STOPPED = "stopped"
-    """The sink stopped the exchange after the response head."""
+    def keep(self, server: PooledServer, connection: BackendConnection) -> None:
+        """Keep a connection whose exchange has ended, or close it."""
 
 
-@dataclass(slots=True)
-class ExchangeResult:
-    """Outcome of an exchange.
+@dataclass(frozen=True, slots=True)
+class Keeping:
+    """How an exchange uses kept connections.
 
-    :param end: how it ended
-    :param detail: description of a failure, for the log
-    :param was_closed: whether the server closed or reset the connection
+    :param keeper: connections of this instance
+    :param server: server to send to
+    :param request_id: id that the response must have
+    :param may_reuse: whether the request may be sent on a kept connection
+    :param is_sound: tells, after a complete response, whether its connection may be kept
     """
 
-    end: ExchangeEnd
-    detail: str = ""
-    was_closed: bool = False
-
-
-class ExchangeSink(Protocol):
-    """Receives a response as it arrives."""
-
-    def on_head(self, status: int, headers: list[Header]) -> ResponseHead | None:
-        """Handle the response head; return None to stop the exchange."""
-
-    def on_body(self, piece: bytes) -> None:
-        """Handle the next bytes of the body.
+    keeper: ConnectionKeeper
+    server: PooledServer
+    request_id: bytes
+    may_reuse: bool
+    is_sound: Callable[[], bool]
 
-        :raises ProtocolError: the response is malformed; ends the exchange
-        """
+    def take(self, request: bytes) -> BackendConnection | None:
+        """Return a kept connection for a request, if there is one and it may be used."""
+        if not (self.may_reuse and self.request_id) or len(request) > MAX_REUSING_REQUEST_BYTES:
+            return None
+        return self.keeper.take(self.server, self.request_id)
 
 
 async def exchange(
@@ -90,8 +85,9 @@
     connect_timeout_ms: int = CONNECT_TIMEOUT_MS,
     is_head: bool = False,
     flow: FlowGate | None = None,
+    keeping: Keeping | None = None,
 ) -> ExchangeResult:
-    """Send one request on a new connection and pass the response to a sink.
+    """Send one request on one connection and pass the response to a sink.
 
     Cancelling the task closes the connection immediately, which cancels the request at the server.
 
@@ -102,12 +98,57 @@
     :param connect_timeout_ms: maximum time to open the connection, in milliseconds
     :param is_head: the request's method is HEAD, so the response has no body
     :param flow: pauses reading of the response
+    :param keeping: use of kept connections; None for a new connection that is closed afterwards
     """
-    flow = flow or FlowGate()
     done: asyncio.Future[ExchangeResult] = asyncio.get_running_loop().create_future()
-    protocol = _BackendConnection(sink, done, is_head=is_head)
+    if keeping is None:
+        connection = BackendConnection(sink, done, is_head=is_head)
+        return await _exchange_on_new(
+            connection, address, request, may_send, connect_timeout_ms, flow
+        )
+    connection = keeping.take(request)
+    is_reused = connection is not None
+    if is_reused:
+        connection.reuse(sink, done, is_head=is_head, request_id=keeping.request_id)
+    else:
+        connection = BackendConnection(sink, done, is_head=is_head, request_id=keeping.request_id)
+        keeping.keeper.record_opening(keeping.server)
+    end, is_kept = None, False
+    flow = flow or FlowGate()
+    pause_count = flow.pause_count
     try:
-        transport = await open_connection(address, protocol, timeout_ms=connect_timeout_ms)
+        if is_reused:
+            result = await _exchange_on_kept(connection, request, may_send, flow)
+        else:
+            result = await _exchange_on_new(
+                connection, address, request, may_send, connect_timeout_ms, flow, closes=False
+            )
+        end = result.end
+        # Reading was late if it was paused, so that the idle time at the server is not known.
+        was_read = not flow.is_paused and flow.pause_count == pause_count
+        is_kept = was_read and connection.may_be_kept and keeping.is_sound()
+    finally:
+        if is_kept:
+            keeping.keeper.keep(keeping.server, connection)
+        else:
+            connection.abort()
+            keeping.keeper.record_closed(keeping.server, end)
+    return result
+
+
+async def _exchange_on_new(
+    connection: BackendConnection,
+    address: str,
+    request: bytes,
+    may_send: Callable[[], bool],
+    connect_timeout_ms: int,
+    flow: FlowGate | None,
+    *,
+    closes: bool = True,
+) -> ExchangeResult:
+    flow = flow or FlowGate()
+    try:
+        transport = await open_connection(address, connection, timeout_ms=connect_timeout_ms)
     except TimeoutError:
         return ExchangeResult(ExchangeEnd.NOT_CONNECTED, "connect timed out")
     except OSError as error:
@@ -119,103 +160,27 @@
     flow.attach(transport)
     transport.write(request)
     try:
-        return await done
+        return await connection.done
     finally:
         flow.detach(transport)
-        transport.abort()
+        if closes:
+            transport.abort()
 
 
-class _BackendConnection(asyncio.BufferedProtocol):
-    """Protocol of the connection of one exchange."""
-
-    def __init__(
-        self, sink: ExchangeSink, done: asyncio.Future[ExchangeResult], *, is_head: bool
-    ) -> None:
-        self._sink = sink
-        self._is_head_request = is_head
-        self._done = done
-        self._parser = httptools.HttpResponseParser(self)
-        self._headers: list[Header] = []
-        self._framing_bytes = 0
-        self._head_received = False
-        self._is_informational = False
-        self._body_ends_at_close = False
-        self._eof_received = False
-        self._buffer = bytearray(READ_BYTES)
-
-    def get_buffer(self, sizehint: int) -> bytearray:
-        """Return the buffer to read into."""
-        return self._buffer
-
-    def buffer_updated(self, nbytes: int) -> None:
-        """Parse received bytes of the response."""
-        if self._done.done():
-            return
-        try:
-            self._parser.feed_data(memoryview(self._buffer)[:nbytes])
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self._finish(ExchangeEnd.MALFORMED, f"malformed response: {error}")
-            return
-        self._framing_bytes += nbytes
-        if self._framing_bytes > MAX_FRAMING_BYTES:
-            part = "framing" if self._head_received else "head"
-            self._finish(ExchangeEnd.MALFORMED, f"response {part} is too large")
-
-    def eof_received(self) -> bool:
-        """Record that the server closed its side of the connection."""
-        self._eof_received = True
-        return False
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Finish the exchange; closing the connection may mark the end of the body."""
-        if self._body_ends_at_close and self._eof_received and exc is None:
-            self._finish(ExchangeEnd.COMPLETE, "", was_closed=True)
-        else:
-            was_closed = exc is None or isinstance(exc, ConnectionError)
-            detail = str(exc) if exc else "connection closed"
-            self._finish(ExchangeEnd.BROKEN, detail, was_closed=was_closed)
-
-    def on_message_begin(self) -> None:
-        """Reset the state for a response; informational responses may precede the final one."""
-        self._headers = []
-        self._head_received = False
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header field; trailers are ignored."""
-        if not self._head_received:
-            self._headers.append((name, value))
-
-    def on_headers_complete(self) -> None:
-        """Pass the response head to the sink."""
-        if self._done.done():
-            return
-        status = self._parser.get_status_code()
-        self._is_informational = 100 <= status < 200
-        if self._is_informational:
-            return
-        self._head_received = True
-        names = {name.lower() for name, _ in self._headers}
-        self._body_ends_at_close = not names & {b"content-length", b"transfer-encoding"}
-        if self._sink.on_head(status, self._headers) is None:
-            self._finish(ExchangeEnd.STOPPED, "")
-        elif self._is_head_request:
-            self._finish(ExchangeEnd.COMPLETE, "")
-
-    def on_body(self, piece: bytes) -> None:
-        """Pass bytes of the body to the sink."""
-        if self._done.done():
-            return
-        self._framing_bytes -= (1 + MAX_FRAMING_RATIO) * len(piece)
-        try:
-            self._sink.on_body(piece)
-        except ProtocolError as error:
-            self._finish(ExchangeEnd.MALFORMED, error.message)
-
-    def on_message_complete(self) -> None:
-        """Finish the exchange at the end of its response."""
-        if not self._is_informational:
-            self._finish(ExchangeEnd.COMPLETE, "")
-
-    def _finish(self, end: ExchangeEnd, detail: str, *, was_closed: bool = False) -> None:
-        if not self._done.done():
-            self._done.set_result(ExchangeResult(end, detail, was_closed))
+async def _exchange_on_kept(
+    connection: BackendConnection,
+    request: bytes,
+    may_send: Callable[[], bool],
+    flow: FlowGate,
+) -> ExchangeResult:
+    if not may_send():
+        return ExchangeResult(ExchangeEnd.NOT_SENT, "server accepts no more requests")
+    transport = connection.transport
+    flow.attach(transport)
+    transport.write(request)
+    try:
+        if transport.is_closing():  # the first send failed, so no byte was written
+            return ExchangeResult(ExchangeEnd.NOT_SENT, "kept connection was closed")
+        return await connection.done
+    finally:
+        flow.detach(transport)
--- a/bergamothill/connection/flowgate.py
+++ b/bergamothill/connection/flowgate.py
@@ -12,6 +12,7 @@
 
     def __init__(self) -> None:
         self.is_paused = False
+        self.pause_count = 0
         self._sources: set[asyncio.ReadTransport] = set()
 
     def attach(self, source: asyncio.ReadTransport) -> None:
@@ -27,6 +28,7 @@
     def pause(self) -> None:
         """Stop reading."""
         self.is_paused = True
+        self.pause_count += 1
         for source in self._sources:
             source.pause_reading()
 
--- a/bergamothill/platform/headers.py
+++ b/bergamothill/platform/headers.py
@@ -142,8 +142,9 @@
         lines.append(b"Last-Event-Id: " + terms.last_event_id.encode("latin-1"))
     if raw.body or raw.method not in (b"GET", b"HEAD", b"DELETE"):
         lines.append(b"Content-Length: %d" % len(raw.body))
-    lines.append(b"Connection: close\r\n\r\n")
-    return b"\r\n".join(lines) + raw.body
+    if terms.closes_connection:
+        lines.append(b"Connection: close")
+    return b"\r\n".join(lines) + b"\r\n\r\n" + raw.body
 
 
 def _forward_fields(terms: ForwardTerms) -> list[tuple[str, object]]:
--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -9,7 +9,9 @@
 from functools import partial
 
 from bergamothill.clock import Clock, ms_to_seconds
+from bergamothill.connection.backendpool import PooledServer
 from bergamothill.connection.callerhttp import CallerConnection
+from bergamothill.connection.keptconnections import KeptConnections
 from bergamothill.errors import InvalidRequestError
 from bergamothill.ids import ServiceName
 from bergamothill.logs import EventLog
@@ -62,6 +64,7 @@
     :param metrics: counters and histograms
     :param gate: quarantine of parts of requests
     :param directory: where streams began
+    :param connections: connections to backend servers; None to keep none
     """
 
     def __init__(
@@ -73,6 +76,7 @@
         metrics: GatewayMetrics,
         gate: QuarantineGate,
         directory: OriginDirectory,
+        connections: KeptConnections | None = None,
     ) -> None:
         self._resumption = StreamResumption(clock, server_pool, directory)
         self._clock = clock
@@ -82,6 +86,7 @@
         self._server_pool = server_pool
         self._metrics = metrics
         self._gate = gate
+        self._connections = connections or KeptConnections(clock, 0, lambda _event: None)
         self._retry_budgets: dict[ServiceName, WindowedRetryBudget] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._runs: set[RequestRun] = set()
@@ -187,9 +192,17 @@
                 _log.warning("process_paused", duration_ms=now_ms - checked_ms)
             checked_ms = now_ms
             self._server_pool.record_check(now_ms)
+            self._connections.close_outdated(partial(self._is_present, now_ms))
             for run in list(self._runs):
                 self._check_run(run, now_ms)
 
+    def _is_present(self, now_ms: int, server: PooledServer) -> bool:
+        """Return whether an incarnation of a server is there and not leaving."""
+        state = self._server_pool.server_state(server.server)
+        is_same = state is not None and state.entry.started_wall_ms == server.started_wall_ms
+        is_same = is_same and state.entry.address == server.address
+        return is_same and state.is_present(now_ms)
+
     def _check_run(self, run: RequestRun, now_ms: int) -> None:
         try:
             run.check_deadline(now_ms)
@@ -258,6 +271,7 @@
             admission,
             service,
             self._buffer_budget,
+            self._connections,
             self._resumption,
             None if resumed is None else resumed.version,
         )
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -12,6 +12,7 @@
 from bergamothill.connection.callerhttp import CallerConnection
 from bergamothill.connection.callerlistener import CallerListener
 from bergamothill.connection.http import HttpClient
+from bergamothill.connection.keptconnections import KeptConnections, max_idle_connections
 from bergamothill.connection.kvs import KeyValueEntry
 from bergamothill.errors import ProtocolError
 from bergamothill.ids import DutyName, EntryInstanceId, ModelName
@@ -134,6 +135,10 @@
             clock, StreamOrigins(), self._exchange, self._roster, self._on_peer_report
         )
         self._server_pool.servers_under_trial = self._quarantine.gate.servers_under_trial
+        max_idle = max_idle_connections(settings.descriptors, settings.memory_mb)
+        self._kept_connections = KeptConnections(
+            clock, max_idle, lambda kind: self._metrics.count("server_connections", kind=kind)
+        )
         self._gateway = Gateway(
             clock,
             bounds,
@@ -142,6 +147,7 @@
             self._metrics,
             self._quarantine.gate,
             self._origin_exchange,
+            self._kept_connections,
         )
         self._connections: set[CallerConnection] = set()
         self._draining = False
@@ -231,6 +237,7 @@
         await stop_requested.wait()
         self._swaps.stop()
         await self._drain(listeners[-1])
+        self._kept_connections.stop()
         for follower in followers:
             follower.stop()
         self._listener.stop()
@@ -297,6 +304,8 @@
         self._exchange.set_peers(peers)
         self._roster.set_registered((peer.entry for peer in peers), self._clock.now_ms())
         self._gateway.set_instance_count(self._exchange.instance_count)
+        zones = {self._settings.zone, *(peer.zone for peer in peers if peer.zone is not None)}
+        self._kept_connections.share.set_instances(self._exchange.instance_count, zones)
 
     async def _listen(self) -> list[CallerListener]:
         settings = self._settings
@@ -350,6 +359,7 @@
 
     def _apply_config(self, config: RoutingConfig, entry: KeyValueEntry, sent_ms: int) -> None:
         self._planner.set_stores(config.stores)
+        self._kept_connections.share.set_services(config.services.values())
         self._follow_cache_sources()
         _log.info(
             "config_applied",
--- a/bergamothill/process/requestrun.py
+++ b/bergamothill/process/requestrun.py
@@ -11,6 +11,7 @@
 
 from bergamothill.clock import Clock, ms_to_seconds
 from bergamothill.connection.callerhttp import CallerConnection
+from bergamothill.connection.keptconnections import KeptConnections
 from bergamothill.errors import ProtocolError
 from bergamothill.ids import ServerId, SoftwareVersion
 from bergamothill.logs import EventLog
@@ -64,6 +65,7 @@
     :param admission: decision that admitted the request
     :param service: service to forward to
     :param buffer_budget: memory for the bodies of unfinished answers
+    :param connections: connections to backend servers
     :param resumption: where streams began
     :param version: software version at which the stream began that the request resumes, if known
     """
@@ -81,6 +83,7 @@
         admission: Admission,
         service: Service,
         buffer_budget: BufferBudget,
+        connections: KeptConnections,
         resumption: StreamResumption,
         version: SoftwareVersion | None,
     ) -> None:
@@ -129,6 +132,7 @@
             gate,
             request,
             is_stream,
+            connections,
             connection.flow,
             self._on_first_byte,
             self._on_events,
@@ -378,7 +382,7 @@
             return forwarding.on_not_connected(send, now_ms)
         if outcome is AttemptOutcome.REFUSED:
             return forwarding.on_refused(send, now_ms)
-        if outcome is AttemptOutcome.BROKEN:
+        if outcome in (AttemptOutcome.BROKEN, AttemptOutcome.STALE):
             return forwarding.on_answer_lost(send, now_ms, last_event_id=relay.last_event_id)
         model, version = self._request.model, relay.head.weight_version
         self._server_pool.request_succeeded(send.server.server, model, version)
@@ -397,7 +401,7 @@
     ) -> None:
         """Record the end of an attempt beside which another is under way."""
         self._learn_from_failure(outcome, attempt, now_ms)
-        if outcome in (AttemptOutcome.BROKEN, AttemptOutcome.FAILURE):
+        if outcome.may_have_run:
             self._forwarding.record_lost(attempt.send)
         else:
             self._forwarding.record_refused(attempt.send)
--- a/bergamothill/process/serverattempt.py
+++ b/bergamothill/process/serverattempt.py
@@ -8,8 +8,10 @@
 from enum import Enum
 
 from bergamothill.clock import Clock
-from bergamothill.connection.backendhttp import ExchangeEnd, ExchangeResult, exchange
+from bergamothill.connection.backendhttp import ExchangeEnd, ExchangeResult, Keeping, exchange
+from bergamothill.connection.backendpool import PooledServer
 from bergamothill.connection.flowgate import FlowGate
+from bergamothill.connection.keptconnections import KeptConnections
 from bergamothill.logs import EventLog
 from bergamothill.platform.headers import encode_forward
 from bergamothill.process.admissionqueue import AdmissionQueue
@@ -33,12 +35,20 @@
     NOT_CONNECTED = "not_connected"
     NOT_SENT = "not_sent"
     REFUSED = "refused"
+    STALE = "stale"
+    """Sent on a kept connection that closed before the answer began; says nothing of the server."""
+
     BROKEN = "broken"
     FAILURE = "failure"
     SUCCESS = "success"
     MOVED = "moved"
     """Another attempt went on with the answer."""
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the server may have run the request, and its answer was lost or is a failure."""
+        return self in (AttemptOutcome.STALE, AttemptOutcome.BROKEN, AttemptOutcome.FAILURE)
+
 
 @dataclass(frozen=True, slots=True)
 class AttemptContext:
@@ -50,6 +60,7 @@
     :param gate: quarantine of parts of requests
     :param request: caller's request
     :param is_stream: whether the answers of the route are event streams
+    :param connections: connections to backend servers
     :param flow: pauses reading while the caller does not keep up
     :param on_first: called before the first bytes are sent to the caller
     :param on_events: called with the attempt before events are sent to the caller
@@ -62,6 +73,7 @@
     gate: QuarantineGate
     request: CallerRequest
     is_stream: bool
+    connections: KeptConnections
     flow: FlowGate
     on_first: Callable[[], None]
     on_events: Callable[[ServerAttempt], None]
@@ -135,6 +147,7 @@
             context.queue.wake_head()
         self._record_pause(result.end, self._clock.now_ms())
         outcome = self._classify(result)
+        send.attempt.is_stale = outcome is AttemptOutcome.STALE
         # Before the next step is chosen, so that no crash is repeated blindly.
         self._end_gated_run(classify_run_end(outcome.value, result, has_begun=has_begun))
         self._log_end(outcome, result, started_ms)
@@ -160,6 +173,8 @@
             return AttemptOutcome.NOT_CONNECTED
         if end is ExchangeEnd.NOT_SENT:
             return AttemptOutcome.NOT_SENT
+        if end is ExchangeEnd.STALE:
+            return AttemptOutcome.STALE
         if relay.verdict is AttemptVerdict.NOT_RUN:
             return AttemptOutcome.REFUSED
         if end is not ExchangeEnd.COMPLETE or not relay.is_whole:
@@ -171,6 +186,8 @@
 
     async def _exchange(self) -> ExchangeResult:
         """Exchange request and answer, unless the answer is moved to another server."""
+        keeping = self._keeping()
+        self.send.terms.closes_connection = keeping is None
         self._exchange_task = asyncio.ensure_future(
             exchange(
                 self.send.server.address,
@@ -179,6 +196,7 @@
                 may_send=self._may_send,
                 is_head=self._request.raw.method == b"HEAD",
                 flow=self._context.flow,
+                keeping=keeping,
             )
         )
         try:
@@ -191,6 +209,21 @@
         finally:
             self._exchange_task = None
 
+    def _keeping(self) -> Keeping | None:
+        """Return how kept connections are used; None if none is kept to this server."""
+        entry, connections = self.send.server, self._context.connections
+        server = PooledServer(entry.server, entry.started_wall_ms, entry.address, entry.service)
+        if not connections.keeps(server):
+            return None
+        request_id = self._request.request_id.encode("latin-1")
+        may_reuse = self.send.terms.may_reuse_connection
+        return Keeping(connections, server, request_id, may_reuse, self._is_sound)
+
+    def _is_sound(self) -> bool:
+        """Return whether the answer was whole and its server goes on to serve."""
+        is_own = self.relay.verdict in (AttemptVerdict.SUCCESS, AttemptVerdict.FAILURE)
+        return is_own and self.relay.is_whole and not self.relay.head.is_leaving
+
     def _may_send(self) -> bool:
         send, now_ms = self.send, self._clock.now_ms()
         if not self._is_allowed(now_ms):
--- a/bergamothill/request/attemptlog.py
+++ b/bergamothill/request/attemptlog.py
@@ -30,10 +30,12 @@
 
     :param server: backend server
     :param state: known state of the attempt
+    :param is_stale: whether it failed because its kept connection had been closed
     """
 
     server: ServerId
     state: AttemptState = AttemptState.UNSENT
+    is_stale: bool = False
 
 
 class AttemptLog:
@@ -47,6 +49,16 @@
         """Backend servers tried so far, in order."""
         return tuple(attempt.server for attempt in self._attempts)
 
+    @property
+    def avoided(self) -> tuple[ServerId, ...]:
+        """Servers that another attempt should avoid; a closed connection shows no failure."""
+        return tuple(attempt.server for attempt in self._attempts if not attempt.is_stale)
+
+    @property
+    def has_stale(self) -> bool:
+        """Whether an attempt failed because its kept connection had been closed."""
+        return any(attempt.is_stale for attempt in self._attempts)
+
     def begin(self, server: ServerId) -> Attempt:
         """Record a new attempt, before any of its bytes can be sent.
 
--- a/bergamothill/request/callerrequest.py
+++ b/bergamothill/request/callerrequest.py
@@ -118,6 +118,8 @@
         not sent
     :param limit_spent_ms: time at which the request was counted against the limit that the server
         names; None if it named none; not sent
+    :param closes_connection: whether the connection is closed after the answer
+    :param may_reuse_connection: whether it may be sent on a kept connection; not sent
     :param expected_first_ms: expected time to the first token; not sent
     :param runner_up: second-best server; empty if there was no other; not sent
     :param runner_up_first_ms: expected time to the first token at the runner-up; not sent
@@ -139,6 +141,8 @@
     fetched_tokens: int = 0
     software_version: SoftwareVersion | None = None
     limit_spent_ms: int | None = None
+    closes_connection: bool = True
+    may_reuse_connection: bool = False
     expected_first_ms: float = 0.0
     runner_up: ServerId = ServerId("")
     runner_up_first_ms: float = 0.0
--- a/bergamothill/request/forwarding.py
+++ b/bergamothill/request/forwarding.py
@@ -14,6 +14,7 @@
 from bergamothill.process.backends import BackendServer
 from bergamothill.request.attemptlog import Attempt, AttemptLog
 from bergamothill.request.callerrequest import CallerRequest, ForwardTerms
+from bergamothill.request.connectionreuse import may_reuse_connection
 from bergamothill.request.crashevidence import PartId
 from bergamothill.request.partquarantine import (
     AwaitTrial,
@@ -442,6 +443,9 @@
         terms.software_version = self.version if self.must_keep_version else None
         if self._service.engine is not None:
             terms.urgency = self._urgency
+        runs, left = self.run_count + len(self._in_progress), self.retries_left(now_ms)
+        may_reuse = may_reuse_connection(self._route, self._request, self.attempts, runs, left)
+        terms.may_reuse_connection = may_reuse and trial is None
         attempt = self.attempts.begin(server.server)
         self.attempts.mark_sending(attempt)
         self._in_progress.append(attempt)
@@ -456,7 +460,7 @@
             service,
             request,
             brand,
-            self.attempts.servers,
+            self.attempts.avoided,
             self._admission_urgency,
             now_ms,
             trial,
--- a/tests/gatewayworld.py
+++ b/tests/gatewayworld.py
@@ -14,6 +14,7 @@
 
 from bergamothill.clock import Millis, SystemClock
 from bergamothill.connection.callerhttp import CallerConnection
+from bergamothill.connection.keptconnections import KeptConnections
 from bergamothill.platform.settings import load_node_settings
 from bergamothill.process.configstate import ConfigState
 from bergamothill.process.gateway import Gateway
@@ -160,6 +161,7 @@
     :param settings_path: path of a settings file
     :param engines: scripted model engines
     :param plain: scripted backend servers of the plain service
+    :param instances: entry instances of its zone; with few each request has its own connection
     :param age_ms: how long ago the gateway was created; by default longer than the retry window
     """
 
@@ -170,6 +172,7 @@
         plain: list[ScriptedServer] = (),
         *,
         age_ms: int = LONG_RUNNING_MS,
+        instances: int = 1,
     ) -> None:
         self.clock = AdvancingClock()
         bounds = load_node_settings(settings_path).bounds
@@ -186,6 +189,11 @@
         self.metrics = GatewayMetrics()
         quarantine = PartQuarantine("front-a-1", self.clock.wall_ms())
         gate = QuarantineGate(self.clock, quarantine, self.metrics)
+        self.kept = KeptConnections(
+            self.clock, 64, lambda kind: self.metrics.count("server_connections", kind=kind)
+        )
+        self.kept.share.set_instances(instances, {"zone-a"})
+        self.kept.share.set_services(routing_config().services.values())
         self.gateway = Gateway(
             self.clock,
             bounds,
@@ -194,6 +202,7 @@
             self.metrics,
             gate,
             LocalOrigins(self.clock),
+            self.kept,
         )
         self.clock.advance_ms(age_ms)
         self.config.apply(routing_config(), 1, self.clock.now_ms())
--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -248,7 +248,7 @@
     def test_a_large_body_is_not_taken_for_a_large_head(self):
         async def main():
             done = asyncio.get_running_loop().create_future()
-            protocol = backendhttp._BackendConnection(mock.Mock(), done, is_head=False)
+            protocol = backendhttp.BackendConnection(mock.Mock(), done, is_head=False)
             received = memoryview(answer(b"x" * 100_000))
             while received:
                 buffer = protocol.get_buffer(len(received))
