--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -1,122 +1,26 @@
-"""Tests of kept connections to backend servers, over real sockets with scripted servers."""
+"""Tests of when connections to backend servers are kept and used again, over real sockets."""
 
 import asyncio
-import contextlib
-import re
 import socket
-import struct
-import threading
 import time
 from unittest import mock
 
 from bergamothill.connection.backendconnection import BackendConnection
-from tests.builders import await_true, operator_config, routing_config
-from tests.gatewayworld import (
-    LONG_RUNNING_MS,
-    PROMPT_HEADERS,
-    STREAM_HEAD,
-    GatewayCase,
-    answer,
-    chunk,
-    event,
-    read_all,
-    read_message,
-    request,
+from tests.builders import await_true
+from tests.gatewayworld import answer, chunk
+from tests.keptcase import (
+    CHUNKED,
+    KEEPS,
+    UNSAFE,
+    Keeps,
+    KeptCase,
+    good,
+    request_id,
+    resets,
+    sends,
+    streams,
 )
 
-OPEN, UNSAFE, STREAM = b"/book/open/1", b"/book/1", b"/quote/1"
-KEEPS = b"X-Server-Signature: sig\r\nKeep-Alive: timeout=5\r\n"
-CHUNKED = b"Transfer-Encoding: chunked\r\n"
-
-
-def request_id(sent):
-    found = re.search(rb"X-Request-Id: (\w+)", sent)
-    return found[1] if found else b""
-
-
-def good(connection, sent, **changes):
-    """Answer a request under its id, with the id as the body."""
-    own = request_id(sent)
-    connection.sendall(answer(own, request_id=own, headers=KEEPS, **changes))
-
-
-def sends(*pieces, pause_s=0.0, **changes):
-    """Return a step that answers with the given bytes after its own whole answer."""
-
-    def step(connection, sent):
-        good(connection, sent, **changes)
-        time.sleep(pause_s)
-        connection.sendall(b"".join(pieces))
-
-    return step
-
-
-def resets(connection, _sent):
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    connection.close()
-
-
-class Keeps:
-    """Script of a server that serves many requests on a connection, each by its own step.
-
-    :param steps: what it does with the first, second... request of a connection; the last one
-        with all further ones
-    """
-
-    def __init__(self, *steps):
-        self.connections = []
-        self.sent = []
-        self.closed = threading.Semaphore(0)
-        self._steps = steps or (good,)
-
-    def __call__(self, connection, sent):
-        served = []
-        self.connections.append(served)
-        with contextlib.suppress(OSError):
-            while sent:
-                served.append(request_id(sent).decode())
-                self.sent.append(sent)
-                self._steps[min(len(served), len(self._steps)) - 1](connection, sent)
-                sent = read_message(connection)
-        self.closed.release()
-
-
-class KeptCase(GatewayCase):
-    def start(self, *scripts, engines=(), instances=7, age_ms=LONG_RUNNING_MS):
-        self.now = self.world(plain=scripts, engines=engines, instances=instances, age_ms=age_ms)
-        config = operator_config(version=8)
-        config["routes"][2]["trafficSplit"] = [{"service": "bookings", "weight": 1}]
-        self.now.config.apply(routing_config(**config), 2, self.now.clock.now_ms())
-
-    def data(self, own, path=OPEN, *, method=b"POST", headers=b""):
-        field = b"X-Request-Id: %s\r\n" % own.encode() if own else b""
-        data = request(path, method=method, headers=headers)
-        return data.replace(b"X-Request-Id: r1\r\n", field)
-
-    def ask(self, *owns, path=OPEN, **changes):
-        """Send requests with these ids one by one; return the last answer."""
-        for own in owns:
-            found = self.now.exchange(self.data(own, path, **changes))
-            await_true(lambda: self.now.in_progress() == 0)
-        return found
-
-    def assert_own(self, own, found):
-        self.assertTrue(found.startswith(b"HTTP/1.1 200 "), found)
-        self.assertTrue(found.endswith(b"\r\n\r\n" + own.encode()), found)
-
-    def count(self, kind):
-        text = self.now.metrics.text()
-        found = re.search(f'server_connections{{kind="{kind}"}} ([0-9]+)', text)
-        return int(found[1]) if found else 0
-
-    def retries_spent(self):
-        return len(self.now.gateway.retry_budget("bookings")._retries)
-
-    def assert_blameless(self, server="p0"):
-        state = self.now.server_pool.server_state(server)
-        self.assertEqual((0, 0, None), (state.failures, state.backoff_until_ms, state.failed_ms))
-        self.assertNotIn("part_suspected", self.now.metrics.text())
-
 
 class ReuseTest(KeptCase):
     def assert_reused(self, step, **changes):
@@ -170,17 +74,9 @@
         self.assertEqual([["a", "b"]], script.connections)
 
     def test_streams(self):
-        def step(connection, sent):
-            head = STREAM_HEAD.replace(b"Id: r1", b"Id: " + request_id(sent))
-            connection.sendall(head + chunk(event(1)) + b"0\r\n\r\n")
-
-        script = Keeps(step)
+        script = Keeps(streams)
         self.start(engines=[script])
-        for own in ("a", "b"):
-            with self.now.connect() as connection:
-                headers = PROMPT_HEADERS + b"Connection: close\r\n"
-                connection.sendall(self.data(own, STREAM, headers=headers))
-                self.assertIn(event(1), read_all(connection))
+        self.ask_streams("a", "b")
         self.assertEqual([["a", "b"]], script.connections)
 
     def test_an_unsafe_request_gets_a_new_connection_that_is_kept_for_safe_ones(self):
@@ -369,134 +265,3 @@
         self.now.gateway._create_run = spy
         self.ask("a", "b")
         self.assertEqual([["a"], ["b"]], script.connections)
-
-
-class ClosedWithoutNoticeTest(KeptCase):
-    def test_a_safe_request_is_repeated_once_and_charged_and_the_server_not_blamed(self):
-        script = Keeps(good, resets)
-        self.start(script)
-        self.assert_own("b", self.ask("a", "b"))
-        self.assertEqual([["a", "b"], ["b"]], script.connections)
-        self.assertEqual((1, 1), (self.retries_spent(), self.count("stale")))
-        self.assert_blameless()
-
-    def test_it_is_repeated_on_a_new_connection_even_if_others_are_kept(self):
-        started = threading.Barrier(2)
-
-        def together(connection, sent):
-            started.wait(5)
-            good(connection, sent)
-
-        script = Keeps(together, resets)
-        self.start(script)
-        threads = [threading.Thread(target=self.ask, args=(own,)) for own in "ab"]
-        for thread in threads:
-            thread.start()
-        for thread in threads:
-            thread.join()
-        self.assertEqual(2, self.now.kept.idle_count)
-        started.reset()
-        threading.Thread(target=lambda: started.wait(5), daemon=True).start()
-        self.assert_own("c", self.ask("c"))
-        self.assertEqual(["c"], script.connections[2])
-        self.assertEqual(0, sum("c" in served for served in script.connections) - 2)
-
-    def test_a_stream_is_repeated_at_the_same_engine(self):
-        def step(connection, sent):
-            head = STREAM_HEAD.replace(b"Id: r1", b"Id: " + request_id(sent))
-            connection.sendall(head + chunk(event(1)) + b"0\r\n\r\n")
-
-        scripts = [Keeps(step, resets), Keeps(step, resets)]
-        self.start(engines=scripts)
-        for own in ("a", "b"):
-            with self.now.connect() as connection:
-                headers = PROMPT_HEADERS + b"Connection: close\r\n"
-                connection.sendall(self.data(own, STREAM, headers=headers))
-                self.assertIn(event(1), read_all(connection))
-        self.assertEqual([0, 2], sorted(len(script.connections) for script in scripts))
-        for server in ("s0", "s1"):
-            self.assert_blameless(server)
-
-    def test_a_reset_after_the_first_byte_is_a_failure_of_the_server(self):
-        def breaks(connection, _sent):
-            connection.sendall(b"HTTP/1.1 200")
-            time.sleep(0.05)
-            resets(connection, b"")
-
-        self.start(Keeps(good, breaks))
-        self.ask("a", "b")
-        self.assertGreater(self.now.server_pool.server_state("p0").backoff_until_ms, 0)
-
-    def test_an_unsafe_request_is_not_repeated(self):
-        script = Keeps(resets)
-        self.start(script)
-        self.assertIn(b" 502 ", self.ask("a", path=UNSAFE))
-        self.assertEqual([["a"]], script.connections)
-
-
-class LateCopyTest(KeptCase):
-    """A server sends an answer once more, in whole or in part, on a connection in use again."""
-
-    def assert_kept_apart(self, copy, *, rest=True):
-        def step(connection, sent):
-            connection.sendall(copy)
-            if rest:
-                good(connection, sent)
-
-        script = Keeps(good, step)
-        self.start(script)
-        self.assert_own("b", self.ask("a", "b"))
-        self.assertEqual([["a", "b"], ["b"]], script.connections)
-        self.assertEqual(1, self.retries_spent())
-        self.assert_blameless()
-
-    def copy(self, **changes):
-        return answer(b"a", **{"request_id": b"a", "headers": KEEPS, **changes})
-
-    def test_a_whole_copy_before_or_instead_of_the_answer(self):
-        for rest in (True, False):
-            self.assert_kept_apart(self.copy(), rest=rest)
-
-    def test_a_copy_of_a_failure_or_of_a_refusal(self):
-        self.assert_kept_apart(self.copy(status=b"500 Broken"))
-        self.assert_kept_apart(self.copy(status=b"503 Busy", headers=b"X-Not-Executed: 1\r\n"))
-
-    def test_a_copy_without_an_id(self):
-        nameless = self.copy().replace(b"X-Request-Id: a\r\n", b"")
-        self.assert_kept_apart(nameless)
-        self.assert_kept_apart(nameless.replace(b"200 OK", b"421 Other"))
-
-    def test_a_copy_with_two_ids(self):
-        self.assert_kept_apart(self.copy(headers=KEEPS + b"X-Request-Id: b\r\n"))
-
-    def test_the_end_of_a_copy(self):
-        self.assert_kept_apart(self.copy()[-20:])
-
-    def test_the_beginning_of_a_copy_at_any_length(self):
-        # A copy that broke off in its head must not lend the next answer its status or fields.
-        copy = self.copy(status=b"404 None")
-        for length in (9, 12, 13, 17, copy.index(b"Request-Id"), copy.index(b" a\r\n") + 1):
-            with self.subTest(copy[:length]):
-                self.assert_kept_apart(copy[:length])
-
-    def test_a_copy_that_arrives_with_the_answer_in_front_of_it(self):
-        def step(connection, sent):
-            own = request_id(sent)
-            connection.sendall(answer(own, request_id=own, headers=KEEPS) + self.copy())
-
-        script = Keeps(good, step)
-        self.start(script)
-        self.assert_own("b", self.ask("a", "b"))
-        self.assert_own("c", self.ask("c"))
-        self.assertEqual([["a", "b"], ["c"]], script.connections)
-
-    def test_a_copy_inside_a_chunked_answer_breaks_it(self):
-        def step(connection, sent):
-            own = request_id(sent)
-            head = answer(b"", request_id=own, headers=KEEPS, framing=CHUNKED)
-            connection.sendall(head + chunk(b"x") + self.copy())
-
-        script = Keeps(good, step)
-        self.start(script)
-        self.assert_own("b", self.ask("a", "b"))
-        self.assertEqual([["a", "b"], ["b"]], script.connections)
