Send nothing to the servers of zones that the operator evacuates

Operators had no way to empty a zone. The keys op/evacuate/ZONE are read with the operator's prefix; the servers of their zones are excluded where all kinds of attempts choose a server, and again right before the request is written; their engines are no sources of cached context. A copy from which the key-value service was restored ends no evacuation. With all servers evacuated, callers are refused at once.

--- a/bergamothill/platform/config.py
+++ b/bergamothill/platform/config.py
@@ -18,11 +18,20 @@
 )
 from bergamothill.version.weighttarget import WeightTarget
 
-__all__ = ["CONFIG_KEY", "OPERATOR_PREFIX", "TARGET_PREFIX", "decode_config", "decode_target"]
+__all__ = [
+    "CONFIG_KEY",
+    "EVACUATION_PREFIX",
+    "OPERATOR_PREFIX",
+    "TARGET_PREFIX",
+    "decode_config",
+    "decode_evacuation",
+    "decode_target",
+]
 
 OPERATOR_PREFIX = "op/"
 CONFIG_KEY = "op/config"
 TARGET_PREFIX = "op/version/"
+EVACUATION_PREFIX = "op/evacuate/"
 
 _STEP = "config.decode"
 _RETRY_POLICY_BY_KIND = {
@@ -69,6 +78,18 @@
     return WeightTarget(ModelName(fields.text("model")), fields.integer("version"))
 
 
+def decode_evacuation(key: str) -> ZoneName:
+    """Return the zone that a key evacuates, whatever its value.
+
+    :param key: key below :data:`EVACUATION_PREFIX`
+    :raises ProtocolError: the key names no zone
+    """
+    zone = key.removeprefix(EVACUATION_PREFIX)
+    if not zone or "/" in zone:
+        raise ProtocolError(f"key names no zone: {key!r:.80}", step="evacuation.decode")
+    return ZoneName(zone)
+
+
 def _decode_route(fields: Fields) -> Route:
     kind = fields.text("kind")
     if kind not in _RETRY_POLICY_BY_KIND:
--- a/bergamothill/platform/settings.py
+++ b/bergamothill/platform/settings.py
@@ -71,6 +71,7 @@
         weights_due_ms=reader.integer("bounds.versionMs", 6_000),
         engines_check_fencing=reader.flag("bounds.requireFencing", False),
         reuse_window_ms=int(reader.number("bounds.reuseWindowS", 20) * MS_PER_S),
+        evacuation_ms=reader.integer("bounds.evacuationMs", 5_000),
     )
 
 
--- a/bergamothill/process/nodesettings.py
+++ b/bergamothill/process/nodesettings.py
@@ -27,6 +27,7 @@
     :param weights_due_ms: time in which engines must move to a new weight target
     :param engines_check_fencing: whether engines reject orders with an outdated fencing number
     :param reuse_window_ms: time in which cached context is expected to be used again
+    :param evacuation_ms: time after which the servers of an evacuated zone get nothing
     """
 
     config_apply_ms: int
@@ -42,6 +43,7 @@
     weights_due_ms: int
     engines_check_fencing: bool
     reuse_window_ms: int
+    evacuation_ms: int = 5_000
 
 
 @dataclass(frozen=True, slots=True)
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -14,7 +14,7 @@
 from bergamothill.connection.http import HttpClient
 from bergamothill.connection.kvs import KeyValueEntry
 from bergamothill.errors import ProtocolError
-from bergamothill.ids import DutyName, EntryInstanceId, ModelName
+from bergamothill.ids import DutyName, EntryInstanceId, ModelName, ZoneName
 from bergamothill.logs import EventLog
 from bergamothill.platform import engines
 from bergamothill.platform.config import OPERATOR_PREFIX
@@ -24,6 +24,7 @@
 from bergamothill.process.cacheeventlistener import CacheEventListener
 from bergamothill.process.configstate import ConfigState
 from bergamothill.process.drainperiod import DrainPeriod
+from bergamothill.process.evacuation import log_evacuation
 from bergamothill.process.gateway import Gateway
 from bergamothill.process.gatewaymetrics import GatewayMetrics
 from bergamothill.process.instanceroster import InstanceRoster
@@ -99,7 +100,11 @@
         self._metrics = GatewayMetrics()
         self._config = ConfigState(bounds.key_revocation_ms, is_strict=bounds.is_revocation_strict)
         self._operator = OperatorView(
-            self._config, self._apply_config, self._apply_weight_target, self._log_unreadable_entry
+            self._config,
+            self._apply_config,
+            self._apply_weight_target,
+            self._log_unreadable_entry,
+            self._apply_evacuation,
         )
         self._cache_index = CacheIndex()
         self._planner = ContextPlanner(self._cache_index)
@@ -373,6 +378,12 @@
             self._publish_engines()
             self._swaps.wake()
 
+    def _apply_evacuation(self, zones: frozenset[ZoneName], sent_ms: int, is_trusted: bool) -> None:
+        change = self._server_pool.apply_evacuation(zones, sent_ms, is_trusted=is_trusted)
+        if change:
+            log_evacuation(change, self._clock.now_ms() - sent_ms)
+            self._gateway.capacity_changed()
+
     def _apply_server_list(self, snapshot: Snapshot) -> None:
         servers = []
         for entry in snapshot.entries:
@@ -464,7 +475,9 @@
 
 
 def _store_poll_interval_ms(bounds: DeploymentBounds) -> int:
-    return poll_interval_ms(min(bounds.config_apply_ms, bounds.drain_notice_ms))
+    return poll_interval_ms(
+        min(bounds.config_apply_ms, bounds.drain_notice_ms, bounds.evacuation_ms)
+    )
 
 
 def _ignore_connection(_connection: CallerConnection, _is_open: bool) -> None:
--- a/bergamothill/process/serverpool.py
+++ b/bergamothill/process/serverpool.py
@@ -7,11 +7,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from bergamothill.ids import ModelName, ServerId, ServiceName, SoftwareVersion, ZoneName
 from bergamothill.process.backends import BackendServer
 from bergamothill.process.engineselector import EngineSelector
+from bergamothill.process.evacuation import RETRY_AFTER_MS, EvacuatedZones, EvacuationChange
 from bergamothill.process.loadreport import PeerLoads, ServerLoad
 from bergamothill.process.observedserver import ObservedServer
 from bergamothill.process.serverlimits import ServerLimits
@@ -87,6 +88,7 @@
             entry_expiry_ms, stability_window_ms, min_entry_life_ms, heartbeat_interval_ms
         )
         self._zone = zone
+        self.evacuation = EvacuatedZones()
         self._peer_loads = peer_loads
         self.limits = limits
         self._planner = planner
@@ -104,11 +106,43 @@
 
     def _rebuild_index(self) -> None:
         super()._rebuild_index()
+        self._set_fetch_sources()
+        self.limits.retain(state.entry for state in self._observed.values())
+
+    def _set_fetch_sources(self) -> None:
         engines = (
             b.entry for b in self._observed.values() if b.entry.weights and not b.is_replaced
         )
-        self._planner.set_engines({entry.address: entry.zone for entry in engines})
-        self.limits.retain(state.entry for state in self._observed.values())
+        self._planner.set_engines(
+            {e.address: e.zone for e in engines if not self.evacuation.is_evacuated(e.zone)}
+        )
+
+    def apply_evacuation(
+        self, zones: Iterable[ZoneName], sent_ms: int, *, is_trusted: bool
+    ) -> EvacuationChange:
+        """Apply the zones whose servers get nothing; see :meth:`EvacuatedZones.apply`."""
+        change = self.evacuation.apply(zones, sent_ms, is_trusted=is_trusted)
+        if change:
+            self._set_fetch_sources()
+        return change
+
+    def usable(self, service: ServiceName, now_ms: int) -> list[ObservedServer]:
+        """Return the servers of a service that may get new requests."""
+        states = super().usable(service, now_ms)
+        return [b for b in states if not self.evacuation.is_evacuated(b.entry.zone)]
+
+    def may_send_to(self, server: BackendServer, now_ms: int) -> bool:
+        """Return whether a request may still be sent to a server that was chosen earlier."""
+        may_send = super().may_send_to(server, now_ms)
+        zone = self._observed[server.server].entry.zone if may_send else server.zone
+        return may_send and not self.evacuation.is_evacuated(zone)
+
+    def may_fetch_from(self, addresses: Iterable[str]) -> bool:
+        """Return whether an engine may still be told to fetch from these addresses."""
+        if not self.evacuation:
+            return True
+        states = (state for address in addresses for state in self._at_address(address))
+        return not any(self.evacuation.is_evacuated(state.entry.zone) for state in states)
 
     def set_weight_target(
         self, target: WeightTarget, now_ms: int, *, set_after_ms: int | None
@@ -279,6 +313,8 @@
         """
         usable = self.usable(service.name, now_ms)
         if not usable:
+            if super().usable(service.name, now_ms):
+                return AllQuiet(now_ms + RETRY_AFTER_MS, is_evacuated=True)
             quiet_until_ms = self.quiet_until_ms(service.name, now_ms)
             return None if quiet_until_ms is None else AllQuiet(quiet_until_ms)
         if version is not None:
--- a/bergamothill/request/forwarding.py
+++ b/bergamothill/request/forwarding.py
@@ -96,6 +96,7 @@
     EXPIRED = "expired"
     FULL = "engines_full"
     QUIET = "servers_ask_for_quiet"
+    EVACUATED = "zones_evacuated"
     LIMITED = "servers_at_limit"
     STOPPING = "instance_stopping"
     AWAITS_TRIAL = "part_under_trial"
@@ -426,7 +427,8 @@
             is_any = not self.must_keep_version
             return self._give_up(now_ms, Reason.NO_SERVER if is_any else Reason.NO_SUCH_VERSION)
         if isinstance(chosen, AllQuiet):
-            return self._give_up(now_ms, Reason.QUIET, wait_ms=chosen.until_ms - now_ms)
+            reason = Reason.EVACUATED if chosen.is_evacuated else Reason.QUIET
+            return self._give_up(now_ms, reason, wait_ms=chosen.until_ms - now_ms)
         if isinstance(chosen, AtLimit):
             return self._wait_for_limit(chosen, now_ms, last_event_id)
         if isinstance(chosen, NoFreeMemory):
--- a/bergamothill/request/serverchoice.py
+++ b/bergamothill/request/serverchoice.py
@@ -30,9 +30,11 @@
     """Result of a choice: all servers that could run the request asked for a pause.
 
     :param until_ms: time at which the first of them may be used again
+    :param is_evacuated: whether their zones are evacuated instead; the time is then a guess
     """
 
     until_ms: int
+    is_evacuated: bool = False
 
 
 @dataclass(frozen=True, slots=True)
