Divide the rate of cold servers among the entry instances

A server that has just started takes a few requests a second and crashes at many. Its entry and its answers tell for how long it is cold; one that is new, or in whose place another process may answer after a failed request or a lost event connection, is taken for cold too. ServerLimits divides the rate: the first k instances by rendezvous hashing send, k + rate below the bound of one second, and each spaces its requests again when they are written. Instances whose last read of the registrations is old have no share, so that no share is used twice; named limits are divided as before.

The proof found on the way: a new incarnation got the first requests of all senders although they had just sent to it under the old entry (shares are kept by server now); a doubt ended before the new process was warm (it ends by an answer or a newer entry); cold phases and pauses of instances without a recent list.

--- a/bergamothill/platform/config.py
+++ b/bergamothill/platform/config.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from bergamothill.errors import ProtocolError
 from bergamothill.ids import BrandName, ModelName, ServiceName, ZoneName
 from bergamothill.platform.fields import Fields
@@ -33,6 +35,10 @@
 TARGET_PREFIX = "op/version/"
 EVACUATION_PREFIX = "op/evacuate/"
 
+MAX_COLD_START_S = 3_600
+MAX_COLD_PER_S = 1_000_000
+MS_PER_S = 1_000
+
 _STEP = "config.decode"
 _RETRY_POLICY_BY_KIND = {
     "safe": RetryPolicy.IDEMPOTENT,
@@ -128,7 +134,14 @@
     engine = _decode_engine(fields.child("engine")) if fields.has("engine") else None
     # "connectionLimit" applies to each server: the connections of all its callers together.
     limit = fields.integer("connectionLimit", 0)
-    return Service(ServiceName(fields.text("name")), limit, engine)
+    cold_start_s = fields.plausible_number("coldStartS", MAX_COLD_START_S) or 0.0
+    return Service(
+        ServiceName(fields.text("name")),
+        limit,
+        engine,
+        cold_start_ms=math.ceil(cold_start_s * MS_PER_S),
+        cold_per_s=fields.plausible_number("coldPerS", MAX_COLD_PER_S) or 0.0,
+    )
 
 
 def _decode_engine(fields: Fields) -> EngineTraits:
--- a/bergamothill/platform/fields.py
+++ b/bergamothill/platform/fields.py
@@ -9,8 +9,25 @@
 
 from bergamothill.connection.http import HttpClient, decode_json
 from bergamothill.errors import ProtocolError
+from bergamothill.logs import EventLog
 
-__all__ = ["Fields", "read_fields"]
+__all__ = ["Fields", "log_ignored_value", "read_fields"]
+
+MAX_LOGGED_VALUES = 1_000
+
+_log = EventLog("platform")
+_logged_values: set[tuple[str, str]] = set()
+
+
+def log_ignored_value(name: str, value: Any) -> None:
+    """Log a value that is ignored because it is not plausible, once for each value.
+
+    :param name: field or header field
+    """
+    found = (name, f"{value!r:.80}")
+    if found not in _logged_values and len(_logged_values) < MAX_LOGGED_VALUES:
+        _logged_values.add(found)
+        _log.warning("value_ignored", field=name, value=found[1])
 
 
 class Fields:
@@ -67,6 +84,19 @@
             raise self._field_error(name)
         return number
 
+    def plausible_number(self, name: str, most: float) -> float | None:
+        """Return an optional number from 0 to a maximum; None for any other value, which is logged.
+
+        :param most: largest plausible value
+        """
+        value = self._values.get(name)
+        if value is None:
+            return None
+        if type(value) in (int, float) and 0 <= value <= most:
+            return float(value)
+        log_ignored_value(name, value)
+        return None
+
     def flag(self, name: str, default: bool | None = None) -> bool:
         """Return a boolean field."""
         return self._checked_value(name, bool, default)
--- a/bergamothill/platform/headers.py
+++ b/bergamothill/platform/headers.py
@@ -7,6 +7,7 @@
 
 from bergamothill.errors import InvalidRequestError
 from bergamothill.ids import ModelName, RequestId
+from bergamothill.platform.fields import log_ignored_value
 from bergamothill.request.callerrequest import (
     CallerRequest,
     ForwardTerms,
@@ -23,6 +24,7 @@
 MAX_COUNT_DIGITS = 9
 MAX_PAUSE_DIGITS = 20
 MAX_LIMIT_CHARACTERS = 40
+MAX_COLD_MS = 3_600_000
 
 _LIMIT_PATTERN = re.compile(r"[0-9]+(\.[0-9]*)?([eE][+-]?[0-9]+)?|\.[0-9]+([eE][+-]?[0-9]+)?")
 
@@ -195,6 +197,7 @@
         is_leaving=says_leaving(first_values.get(b"server-leaving")),
         quiet_ms=_parse_pause(first_values.get(b"retry-after")) if status == 503 else None,
         limit=_parse_limit([v for n, v in headers if n.lower() == b"server-limit"]),
+        cold_ms=_parse_cold([v for n, v in headers if n.lower() == b"x-cold-milliseconds"]),
     )
 
 
@@ -229,6 +232,17 @@
     return rate if math.isfinite(rate) else None
 
 
+def _parse_cold(values: list[bytes]) -> int | None:
+    """Return the time for which a server will be cold; None if it is missing or implausible."""
+    if not values:
+        return None
+    cold_ms = _parse_milliseconds(values[0])
+    if len(values) == 1 and cold_ms is not None and cold_ms <= MAX_COLD_MS:
+        return cold_ms
+    log_ignored_value("X-Cold-Milliseconds", values)
+    return None
+
+
 def _decode_text(value: bytes | None) -> str:
     return "" if value is None else value.decode("latin-1").strip()
 
--- a/bergamothill/platform/servers.py
+++ b/bergamothill/platform/servers.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import ipaddress
+import math
 
 from bergamothill.errors import ProtocolError
 from bergamothill.ids import ModelName, ServerId, ServiceName, SoftwareVersion, ZoneName
 from bergamothill.platform.fields import Fields
+from bergamothill.platform.headers import MAX_COLD_MS
 from bergamothill.process.backends import BackendServer
 
 __all__ = ["SERVER_PREFIX", "decode_server"]
@@ -18,11 +20,12 @@
 _IS_LEAVING_BY_STATE = {"ready": False, "draining": True}
 
 
-def decode_server(key: str, encoded: bytes) -> BackendServer:
+def decode_server(key: str, encoded: bytes, revision: int = 0) -> BackendServer:
     """Decode the registry entry of a backend server.
 
     :param key: full key of the entry
     :param encoded: its value
+    :param revision: revision at which it was written
     :raises ProtocolError: the entry is not a valid server entry, such as one of another writer
     """
     fields = Fields.from_json(encoded, step=_STEP)
@@ -39,9 +42,16 @@
         is_leaving=_IS_LEAVING_BY_STATE[state],
         software_version=SoftwareVersion(fields.text("version")),
         weights=_decode_weights(fields),
+        cold_remaining_ms=_decode_cold_remaining(fields),
+        revision=revision,
     )
 
 
+def _decode_cold_remaining(fields: Fields) -> int | None:
+    remaining_ms = fields.plausible_number("coldRemainingMs", MAX_COLD_MS)
+    return None if remaining_ms is None else math.ceil(remaining_ms)
+
+
 def _checked_address(text: str) -> str:
     host, _, port = text.rpartition(":")
     is_number = port.isascii() and port.isdecimal() and len(port) <= len(str(MAX_PORT))
--- a/bergamothill/platform/settings.py
+++ b/bergamothill/platform/settings.py
@@ -10,6 +10,7 @@
 
 from bergamothill.errors import SettingsError
 from bergamothill.ids import EntryInstanceId, ZoneName
+from bergamothill.process.coldservers import ColdBounds
 from bergamothill.process.nodesettings import DeploymentBounds, NodeSettings
 from bergamothill.process.settings import MAX_PORT, is_address
 
@@ -71,6 +72,9 @@
         weights_due_ms=reader.integer("bounds.versionMs", 6_000),
         engines_check_fencing=reader.flag("bounds.requireFencing", False),
         reuse_window_ms=int(reader.number("bounds.reuseWindowS", 20) * MS_PER_S),
+        cold=ColdBounds(
+            reader.number("bounds.coldOvershoot", 1.5), reader.number("bounds.coldSlack", 5)
+        ),
         evacuation_ms=reader.integer("bounds.evacuationMs", 5_000),
     )
 
--- a/bergamothill/process/backends.py
+++ b/bergamothill/process/backends.py
@@ -22,6 +22,8 @@
     :param is_leaving: whether it accepts no new requests and only completes those in progress
     :param software_version: version of its software
     :param weights: weight version of each model that it serves
+    :param cold_remaining_ms: time for which it will be cold; None if it does not tell
+    :param revision: revision at which the entry was written, at least every heartbeat interval
     """
 
     server: ServerId
@@ -33,6 +35,8 @@
     is_leaving: bool
     software_version: SoftwareVersion
     weights: dict[ModelName, int] = field(default_factory=dict)
+    cold_remaining_ms: int | None = None
+    revision: int = 0
 
     @property
     def incarnation(self) -> tuple[ServerId, int]:
--- a/bergamothill/process/instanceroster.py
+++ b/bergamothill/process/instanceroster.py
@@ -19,6 +19,9 @@
 DISCOVERY_MS = 5_000
 """Time in which the others learn of a new instance; two reads of the registrations."""
 
+RETURN_MS = 9_000
+"""Time without a read after which others may drop an instance; its registration lasts 10 s."""
+
 
 class InstanceRoster:
     """Entry instances known to one of them.
@@ -35,6 +38,8 @@
         """Increases with each change of the members."""
 
         self._joins_ms: int | None = None
+        self._read_ms = 0
+        self._settles_ms: int | None = None
         self._registered: frozenset[EntryInstanceId] = frozenset()
         self._seen_ms: dict[EntryInstanceId, int] = {}
         self._members: frozenset[EntryInstanceId] = frozenset({own})
@@ -48,6 +53,9 @@
         """Set the other instances that are registered, as this one is, by a read just made."""
         if self._joins_ms is None:
             self._joins_ms = now_ms + DISCOVERY_MS
+        if self._settles_ms is None or now_ms - self._read_ms > RETURN_MS:
+            self._settles_ms = now_ms + DISCOVERY_MS
+        self._read_ms = now_ms
         before, self._registered = self._registered, frozenset(entries)
         for entry in before - self._registered:
             self._seen_ms[entry] = now_ms
@@ -71,6 +79,16 @@
         """Return whether all others must know of this instance."""
         return self._joins_ms is not None and now_ms >= self._joins_ms
 
+    def is_settled(self, now_ms: int) -> bool:
+        """Return whether no other instance can divide what this one counts on.
+
+        Others drop an instance once its registration has lapsed, and one that is new begins after
+        :data:`DISCOVERY_MS`. So an instance whose last read of the registrations is older than that
+        may not count on its place, nor one that has returned until the others know of it.
+        """
+        is_recent = now_ms - self._read_ms <= DISCOVERY_MS
+        return self.has_joined(now_ms) and is_recent and now_ms >= self._settles_ms
+
     def _update(self) -> None:
         members = self._registered | self._seen_ms.keys() | {self.own}
         if members != self._members:
--- a/bergamothill/process/nodesettings.py
+++ b/bergamothill/process/nodesettings.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from bergamothill.ids import EntryInstanceId, ZoneName
+from bergamothill.process.coldservers import ColdBounds
 
 __all__ = ["DeploymentBounds", "NodeSettings"]
 
@@ -27,6 +28,7 @@
     :param weights_due_ms: time in which engines must move to a new weight target
     :param engines_check_fencing: whether engines reject orders with an outdated fencing number
     :param reuse_window_ms: time in which cached context is expected to be used again
+    :param cold: requests that cold servers get
     :param evacuation_ms: time after which the servers of an evacuated zone get nothing
     """
 
@@ -44,6 +46,7 @@
     engines_check_fencing: bool
     reuse_window_ms: int
     evacuation_ms: int = 5_000
+    cold: ColdBounds = ColdBounds()
 
 
 @dataclass(frozen=True, slots=True)
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -22,9 +22,9 @@
 from bergamothill.platform.servers import SERVER_PREFIX, decode_server
 from bergamothill.platform.settings import load_node_settings
 from bergamothill.process.cacheeventlistener import CacheEventListener
+from bergamothill.process.coldservers import ColdServers
 from bergamothill.process.configstate import ConfigState
 from bergamothill.process.drainperiod import DrainPeriod
-from bergamothill.process.evacuation import log_evacuation
 from bergamothill.process.gateway import Gateway
 from bergamothill.process.gatewaymetrics import GatewayMetrics
 from bergamothill.process.instanceroster import InstanceRoster
@@ -128,6 +128,7 @@
             min_entry_life_ms=MIN_ENTRY_LIFE_HEARTBEATS * settings.heartbeat_interval_ms,
             heartbeat_interval_ms=settings.heartbeat_interval_ms,
         )
+        self._server_pool.limits.cold = ColdServers(bounds.cold, clock.wall_ms)
         self._exchange = LoadExchange(
             settings.entry, clock, self._server_pool, peer_loads, self._on_peer_report
         )
@@ -355,6 +356,7 @@
 
     def _apply_config(self, config: RoutingConfig, entry: KeyValueEntry, sent_ms: int) -> None:
         self._planner.set_stores(config.stores)
+        self._server_pool.limits.cold.set_services(config.services)
         self._follow_cache_sources()
         _log.info(
             "config_applied",
@@ -379,16 +381,15 @@
             self._swaps.wake()
 
     def _apply_evacuation(self, zones: frozenset[ZoneName], sent_ms: int, is_trusted: bool) -> None:
-        change = self._server_pool.apply_evacuation(zones, sent_ms, is_trusted=is_trusted)
-        if change:
-            log_evacuation(change, self._clock.now_ms() - sent_ms)
+        now_ms = self._clock.now_ms()
+        if self._server_pool.apply_evacuation(zones, sent_ms, now_ms, is_trusted=is_trusted):
             self._gateway.capacity_changed()
 
     def _apply_server_list(self, snapshot: Snapshot) -> None:
         servers = []
         for entry in snapshot.entries:
             try:
-                servers.append(decode_server(entry.key, entry.value))
+                servers.append(decode_server(entry.key, entry.value, entry.mod_revision))
             except ProtocolError as error:
                 self._log_unreadable_entry(entry, error)
         now_ms = self._clock.now_ms()
@@ -442,6 +443,7 @@
             self._server_pool.set_stability_window(settings.bounds.stability_window_ms)
             self._server_pool.weights_due_ms = settings.bounds.weights_due_ms
             self._gateway.set_bounds(settings.bounds)
+            self._server_pool.limits.cold.bounds = settings.bounds.cold
             self._config.set_revocation_bound(
                 settings.bounds.key_revocation_ms, is_strict=settings.bounds.is_revocation_strict
             )
@@ -475,9 +477,8 @@
 
 
 def _store_poll_interval_ms(bounds: DeploymentBounds) -> int:
-    return poll_interval_ms(
-        min(bounds.config_apply_ms, bounds.drain_notice_ms, bounds.evacuation_ms)
-    )
+    bounds_ms = (bounds.config_apply_ms, bounds.drain_notice_ms, bounds.evacuation_ms)
+    return poll_interval_ms(min(bounds_ms))
 
 
 def _ignore_connection(_connection: CallerConnection, _is_open: bool) -> None:
--- a/bergamothill/process/serverattempt.py
+++ b/bergamothill/process/serverattempt.py
@@ -281,6 +281,8 @@
         if is_other_instance:
             return
         self._record_limit(head)
+        cold, now_ms = self._server_pool.limits.cold, self._clock.now_ms()
+        cold.record_answer(server, head.cold_ms, self._sent_ms, now_ms)
         if not head.is_leaving:
             return
         self._said_leaving = True
--- a/bergamothill/process/serverlimits.py
+++ b/bergamothill/process/serverlimits.py
@@ -12,6 +12,8 @@
 from bergamothill.ids import RequestId, ServerId
 from bergamothill.logs import EventLog
 from bergamothill.process.backends import BackendServer
+from bergamothill.process.coldservers import ColdServers
+from bergamothill.process.coldshare import ColdShare, divide_cold_rate
 from bergamothill.process.instanceroster import InstanceRoster
 from bergamothill.process.limitevidence import LimitEvidence, ServerLimit
 from bergamothill.process.limitreport import LimitReport, ReportedLimit
@@ -88,6 +90,10 @@
     def __init__(self, roster: InstanceRoster) -> None:
         self.roster = roster
         self._servers: dict[Incarnation, _LimitedServer] = {}
+        self.cold = ColdServers()
+        self._cold_shares: dict[ServerId, ColdShare] = {}
+        """By server: what was sent as its process restarted may have reached the new one."""
+
         self.report_revision = 0
         """Increases when peers should get a report at once."""
 
@@ -161,6 +167,8 @@
         kept = {server.incarnation for server in servers}
         for key in self._servers.keys() - kept:
             del self._servers[key]
+        for server in self._cold_shares.keys() - {server for server, _ in kept}:
+            del self._cold_shares[server]
 
     def record_check(self, passed_ms: int, now_ms: int) -> None:
         """Record a periodic check.
@@ -168,6 +176,7 @@
         :param passed_ms: time since the one before; a long one shows a pause of this process
         """
         self.roster.record_pause(passed_ms, now_ms)
+        self.cold.record_check(passed_ms, now_ms)
 
     # What may be sent.
 
@@ -178,8 +187,13 @@
 
     @property
     def has_any(self) -> bool:
-        """Whether any server is known to have named a limit."""
-        return bool(self._servers)
+        """Whether any server is known to have named a limit, or may be cold."""
+        return bool(self._servers) or self.cold.has_any
+
+    def is_limited(self, server: BackendServer, now_ms: int) -> bool:
+        """Return whether a server has a limit now, as it named one or is cold."""
+        is_cold = self.cold.left_ms(server, now_ms) > 0
+        return is_cold or self.limit_per_s(server) is not None
 
     def spend(self, server: BackendServer, now_ms: int) -> int | None:
         """Count one request against the limit of a server, for which :meth:`wait_ms` was 0.
@@ -187,6 +201,9 @@
         :returns: the current time; None without a limit
         """
         state = self._divided(server, now_ms)
+        share = self._cold_share(server, now_ms)
+        if share is not None:
+            share.spend(now_ms)
         if state is None:
             return None
         state.bucket.try_spend(now_ms)
@@ -199,6 +216,8 @@
 
         :param spent_ms: time at which the request was counted; None if it was not
         """
+        if not self._may_write_cold(server, now_ms):
+            return False
         state = self._divided(server, now_ms)
         if state is None or (spent_ms is not None and now_ms - spent_ms <= SPENT_TTL_MS):
             return True
@@ -207,12 +226,49 @@
     def wait_ms(self, server: BackendServer, now_ms: int) -> int | None:
         """Return the time until a request may be sent to a server; None if none may be."""
         state = self._divided(server, now_ms)
-        return 0 if state is None else state.bucket.wait_ms(now_ms)
+        wait_ms = 0 if state is None else state.bucket.wait_ms(now_ms)
+        share = self._cold_share(server, now_ms)
+        if share is None or wait_ms is None:
+            return wait_ms
+        # A server without a share takes requests again when it is warm.
+        left_ms = self.cold.left_ms(server, now_ms)
+        cold_wait_ms = share.wait_ms(now_ms)
+        return max(wait_ms, left_ms if cold_wait_ms is None else min(left_ms, cold_wait_ms))
 
     def share_per_s(self, server: BackendServer, now_ms: int) -> float | None:
         """Return the requests a second that this instance may send; None without a limit."""
         state = self._divided(server, now_ms)
-        return None if state is None else state.bucket.rate_per_s
+        share = self._cold_share(server, now_ms)
+        rates = [] if state is None else [state.bucket.rate_per_s]
+        rates += [] if share is None else [share.rate_per_s]
+        return min(rates, default=None)
+
+    def _cold_share(self, server: BackendServer, now_ms: int) -> ColdShare | None:
+        """Return the share in a server that is cold, up to date; None if it is warm."""
+        if not self.cold.has_any or not self.cold.left_ms(server, now_ms):
+            return None
+        share = self._cold_shares.setdefault(server.server, ColdShare(now_ms))
+        rate_per_s = self.cold.rate_per_s(server)
+        if not self.roster.is_settled(now_ms):
+            share.clear_rate()
+            return share
+        divided_by = (self.roster.revision, rate_per_s, self.cold.bounds)
+        if share.divided_by != divided_by:
+            members, bound = self.roster.members, self.cold.bounds.per_second(rate_per_s)
+            terms = divide_cold_rate(rate_per_s, bound, len(members))
+            rank = rendezvous(server.server, members).index(self.roster.own)
+            share.set_rate(terms, rank, divided_by)
+        return share
+
+    def _may_write_cold(self, server: BackendServer, now_ms: int) -> bool:
+        """Return whether a request may be written to a server, by whether it is cold."""
+        share = self._cold_share(server, now_ms)
+        if share is not None:
+            return share.try_write(now_ms)
+        if self.cold.rate_per_s(server) is not None:
+            share = self._cold_shares.setdefault(server.server, ColdShare(now_ms))
+            share.record_write(now_ms)
+        return True
 
     def _divided(self, server: BackendServer, now_ms: int) -> _LimitedServer | None:
         """Return a server that has a limit, with its tokens up to date; None without a limit."""
--- a/bergamothill/process/serverpool.py
+++ b/bergamothill/process/serverpool.py
@@ -12,7 +12,12 @@
 from bergamothill.ids import ModelName, ServerId, ServiceName, SoftwareVersion, ZoneName
 from bergamothill.process.backends import BackendServer
 from bergamothill.process.engineselector import EngineSelector
-from bergamothill.process.evacuation import RETRY_AFTER_MS, EvacuatedZones, EvacuationChange
+from bergamothill.process.evacuation import (
+    RETRY_AFTER_MS,
+    EvacuatedZones,
+    EvacuationChange,
+    log_evacuation,
+)
 from bergamothill.process.loadreport import PeerLoads, ServerLoad
 from bergamothill.process.observedserver import ObservedServer
 from bergamothill.process.serverlimits import ServerLimits
@@ -104,6 +109,14 @@
         )
         """Returns the first request in the queue of a service that waits for limits."""
 
+    def apply_list(self, entries: Iterable[BackendServer], sent_ms: int, now_ms: int) -> list[str]:
+        """Apply a newly read list of servers; see :class:`ServerList`."""
+        changes = super().apply_list(entries, sent_ms, now_ms)
+        listed = [s.entry for s in self._observed.values() if s.listed_ms == sent_ms]
+        self.limits.cold.record_list(listed, sent_ms, now_ms, self._entry_expiry_ms)
+        self.limits.cold.retain(state.entry for state in self._observed.values())
+        return changes
+
     def _rebuild_index(self) -> None:
         super()._rebuild_index()
         self._set_fetch_sources()
@@ -118,11 +131,12 @@
         )
 
     def apply_evacuation(
-        self, zones: Iterable[ZoneName], sent_ms: int, *, is_trusted: bool
+        self, zones: Iterable[ZoneName], sent_ms: int, now_ms: int, *, is_trusted: bool
     ) -> EvacuationChange:
         """Apply the zones whose servers get nothing; see :meth:`EvacuatedZones.apply`."""
         change = self.evacuation.apply(zones, sent_ms, is_trusted=is_trusted)
         if change:
+            log_evacuation(change, now_ms - sent_ms)
             self._set_fetch_sources()
         return change
 
@@ -236,6 +250,7 @@
         state = self._observed.get(server)
         if state is None:
             return
+        self.limits.cold.record_doubt(state.entry, now_ms)
         state.failed_ms = now_ms
         state.failures += 1
         backoff_ms = min(
@@ -243,6 +258,13 @@
         )
         state.backoff_until_ms = max(state.backoff_until_ms, now_ms + backoff_ms)
 
+    def record_connection_change(self, address: str, is_connected: bool, now_ms: int) -> None:
+        """Record a change of an event connection; see :class:`SoftwareVersions`."""
+        was_lost = address in self._lost_addresses
+        super().record_connection_change(address, is_connected, now_ms)
+        for state in self._at_address(address) if was_lost or not is_connected else ():
+            self.limits.cold.record_doubt(state.entry, now_ms)
+
     def mark_replaced(self, server: ServerId) -> None:
         """Record that another instance answers at the address of a server."""
         state = self._observed.get(server)
@@ -334,7 +356,7 @@
             admitting = [b for b in usable if self.limits.wait_ms(b.entry, now_ms) == 0]
             next_request = self.next_limited_request(service.name)
             if next_request is not None and next_request is not request:
-                admitting = [b for b in admitting if self.limits.limit_per_s(b.entry) is None]
+                admitting = [b for b in admitting if not self.limits.is_limited(b.entry, now_ms)]
             if not admitting:
                 return self._at_limit(usable, now_ms)
             usable = admitting
@@ -383,7 +405,8 @@
         waits_ms = [self.limits.wait_ms(b.entry, now_ms) for b in servers]
         rate_per_s = sum(self.limits.share_per_s(b.entry, now_ms) for b in servers)
         wait_ms = min((wait_ms for wait_ms in waits_ms if wait_ms is not None), default=None)
-        return AtLimit(wait_ms, 0 if wait_ms is None else round(MS_PER_S / rate_per_s))
+        is_admitted = wait_ms is not None and rate_per_s > 0
+        return AtLimit(wait_ms, round(MS_PER_S / rate_per_s) if is_admitted else 0)
 
     def _has_room(
         self, state: ObservedServer, traits: EngineTraits, request: CallerRequest, urgency: int
--- a/bergamothill/request/callerrequest.py
+++ b/bergamothill/request/callerrequest.py
@@ -178,6 +178,7 @@
     :param is_leaving: whether the server says that it is leaving
     :param quiet_ms: time for which the server wants no requests from this instance; None if it did
         not ask for a pause
+    :param cold_ms: time for which the server will be cold; None if it does not tell
     """
 
     status: int
@@ -190,3 +191,4 @@
     is_leaving: bool = False
     quiet_ms: int | None = None
     limit: RequestLimit | None = None
+    cold_ms: int | None = None
--- a/bergamothill/version/routetable.py
+++ b/bergamothill/version/routetable.py
@@ -107,11 +107,15 @@
     :param name: name of the service
     :param max_connections: maximum connections that a server accepts from all callers together
     :param engine: properties of its model engines; None for a plain service
+    :param cold_start_ms: time for which a server is cold after its start
+    :param cold_per_s: requests a second that a cold server takes; 0 if it takes as many as others
     """
 
     name: ServiceName
     max_connections: int
     engine: EngineTraits | None
+    cold_start_ms: int = 0
+    cold_per_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/proof/proof_evacuation.py
+++ b/tests/proof/proof_evacuation.py
@@ -51,7 +51,9 @@
             lambda config, entry, sent_ms: None,
             lambda target, set_after_ms: None,
             lambda entry, error: require(False, f"{entry.key}: {error}"),
-            lambda zones, sent_ms, ok: self.pool.apply_evacuation(zones, sent_ms, is_trusted=ok),
+            lambda zones, sent_ms, ok: self.pool.apply_evacuation(
+                zones, sent_ms, sent_ms, is_trusted=ok
+            ),
         )
         self.follower = PrefixFollower(
             world.kvs,
--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -48,7 +48,9 @@
             lambda config, entry, sent_ms: None,
             lambda target, set_after_ms: None,
             lambda entry, error: invalid.append(entry.key),
-            lambda zones, sent_ms, ok: pool.apply_evacuation(zones, sent_ms, is_trusted=ok),
+            lambda zones, sent_ms, ok: pool.apply_evacuation(
+                zones, sent_ms, sent_ms, is_trusted=ok
+            ),
         )
         view.apply(Snapshot((key_entry("zone-a"), key_entry("")), 0))
         self.assertFalse(pool.may_send_to(backend("s1"), 0))
@@ -62,7 +64,7 @@
         self.pool = server_pool(backend("s1"), backend("s2", zone="zone-b"), index=CacheIndex())
 
     def evacuate(self, *zones):
-        self.pool.apply_evacuation(zones, 100, is_trusted=True)
+        self.pool.apply_evacuation(zones, 100, 100, is_trusted=True)
 
     def choose(self, **kwargs):
         return self.pool.choose(LLM, caller_request(), None, (), 0, 100, **kwargs)
