Keep requests with home regions, and their cached context, in these regions

Routes and tenants may name the regions in which their requests may be served. Servers elsewhere are excluded when one is chosen and again before the request is written; so are sources and targets of cached context. Context left by such requests has its own namespace where requests without home regions could otherwise fetch it into another region. A zone that the settings do not list is in no region.

--- a/bergamothill/ids.py
+++ b/bergamothill/ids.py
@@ -47,6 +47,7 @@
 StoreId = NewType("StoreId", str)
 EntryInstanceId = NewType("EntryInstanceId", str)
 ZoneName = NewType("ZoneName", str)
+RegionName = NewType("RegionName", str)
 
 Incarnation = NewType("Incarnation", int)
 """Increases at each start of an instance or server, so that outdated state is recognized."""
--- a/bergamothill/platform/config.py
+++ b/bergamothill/platform/config.py
@@ -5,8 +5,8 @@
 import math
 
 from bergamothill.errors import ProtocolError
-from bergamothill.ids import BrandName, ModelName, ServiceName, ZoneName
-from bergamothill.platform.fields import Fields
+from bergamothill.ids import BrandName, ModelName, RegionName, ServiceName, ZoneName
+from bergamothill.platform.fields import Fields, log_ignored_value
 from bergamothill.version.routetable import (
     Brand,
     CacheStore,
@@ -114,9 +114,23 @@
         rank=fields.integer("priority", 0),
         is_public=fields.flag("public", False),
         is_resumable=fields.flag("resumable", False),
+        home_regions=_decode_home_regions(fields),
     )
 
 
+def _decode_home_regions(fields: Fields) -> frozenset[RegionName] | None:
+    """Return the regions that a list names; None if there is no list, or an empty one.
+
+    A list that is not one invalidates the configuration, as ignoring it would lift a restriction.
+    """
+    names = fields.rows("allowedRegions") if fields.has("allowedRegions") else []
+    if not names:
+        return None
+    if any(not isinstance(name, str) for name in names):
+        log_ignored_value("allowedRegions", names)
+    return frozenset(RegionName(name) for name in names if isinstance(name, str))
+
+
 def _decode_shares(fields: Fields) -> tuple[ServiceShare, ...]:
     rows = [Fields(row, step=_STEP) for row in fields.rows("trafficSplit")]
     shares = [
@@ -174,7 +188,12 @@
     for row in document.rows("tenants"):
         fields = Fields(row, step=_STEP)
         rank = fields.integer("priority") if fields.has("priority") else None
-        brand = Brand(BrandName(fields.text("name")), rank, fields.flag("isolated", False))
+        brand = Brand(
+            BrandName(fields.text("name")),
+            rank,
+            fields.flag("isolated", False),
+            _decode_home_regions(fields),
+        )
         for key in fields.rows("apiKeys"):
             if isinstance(key, str):
                 brands_by_api_key[key] = brand
--- a/bergamothill/platform/settings.py
+++ b/bergamothill/platform/settings.py
@@ -9,10 +9,12 @@
 from typing import Any
 
 from bergamothill.errors import SettingsError
-from bergamothill.ids import EntryInstanceId, ZoneName
+from bergamothill.ids import EntryInstanceId, RegionName, ZoneName
+from bergamothill.platform.fields import log_ignored_value
 from bergamothill.process.coldservers import ColdBounds
 from bergamothill.process.nodesettings import DeploymentBounds, NodeSettings
 from bergamothill.process.settings import MAX_PORT, is_address
+from bergamothill.version.homes import RegionMap
 
 __all__ = ["SETTINGS_VARIABLE", "is_node_settings", "load_node_settings"]
 
@@ -52,11 +54,31 @@
         memory_mb=reader.integer("limits.memoryMb", 256),
         descriptors=reader.integer("limits.fileDescriptors", 1_024),
         bounds=_read_bounds(reader),
+        regions=RegionMap(_region(reader.value("region")), _read_zones(reader)),
     )
     reader.raise_faults()
     return settings
 
 
+def _region(name: Any) -> RegionName | None:
+    return RegionName(name) if isinstance(name, str) and name else None
+
+
+def _read_zones(reader: _SettingsReader) -> dict[ZoneName, RegionName]:
+    """Read the region of each zone; a zone whose region is not a name belongs to none."""
+    table = reader.value("zones")
+    if table is None:
+        return {}
+    if not isinstance(table, Mapping):
+        log_ignored_value("zones", table)
+        return {}
+    regions = {ZoneName(zone): _region(name) for zone, name in table.items()}
+    for zone, region in regions.items():
+        if region is None:
+            log_ignored_value(f"zones.{zone}", table[zone])
+    return {zone: region for zone, region in regions.items() if region is not None}
+
+
 def _read_bounds(reader: _SettingsReader) -> DeploymentBounds:
     return DeploymentBounds(
         config_apply_ms=reader.integer("bounds.configApplyMs", 2_000),
@@ -101,6 +123,10 @@
     def number(self, key: str, default: float) -> float:
         return self._checked_value(key, _is_number, "non-negative number", default)
 
+    def value(self, key: str) -> Any:
+        """Return a value that is not checked; None if it is missing."""
+        return self._values.get(key)
+
     def flag(self, key: str, default: bool) -> bool:
         return self._checked_value(key, lambda v: isinstance(v, bool), "true or false", default)
 
--- a/bergamothill/process/engineselector.py
+++ b/bergamothill/process/engineselector.py
@@ -93,7 +93,8 @@
     ) -> _Candidate:
         """Estimate the time to first token on an engine."""
         entry = state.entry
-        salt = namespace(request.model, state.weight_version(request.model), brand)
+        homes = self._planner.regions.namespace_of(request.homes)
+        salt = namespace(request.model, state.weight_version(request.model), brand, homes)
         plan = self._planner.plan(entry.address, entry.zone, traits, request, salt, now_ms)
         first_ms = self._estimate_first_token_ms(state, traits, request, plan)
         return _Candidate(first_ms, state, plan, salt)
--- a/bergamothill/process/nodesettings.py
+++ b/bergamothill/process/nodesettings.py
@@ -6,6 +6,7 @@
 
 from bergamothill.ids import EntryInstanceId, ZoneName
 from bergamothill.process.coldservers import ColdBounds
+from bergamothill.version.homes import RegionMap
 
 __all__ = ["DeploymentBounds", "NodeSettings"]
 
@@ -48,6 +49,11 @@
     evacuation_ms: int = 5_000
     cold: ColdBounds = ColdBounds()
 
+    @property
+    def operator_read_ms(self) -> int:
+        """Shortest bound in which what the operator or a leaving server writes must be known."""
+        return min(self.config_apply_ms, self.drain_notice_ms, self.evacuation_ms)
+
 
 @dataclass(frozen=True, slots=True)
 class NodeSettings:
@@ -65,6 +71,7 @@
     :param memory_mb: memory limit of the process
     :param descriptors: limit on open file descriptors
     :param bounds: guaranteed bounds of the deployment
+    :param regions: regions of the availability zones
     """
 
     entry: EntryInstanceId
@@ -79,3 +86,4 @@
     memory_mb: int
     descriptors: int
     bounds: DeploymentBounds
+    regions: RegionMap = RegionMap()
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -107,7 +107,7 @@
             self._apply_evacuation,
         )
         self._cache_index = CacheIndex()
-        self._planner = ContextPlanner(self._cache_index)
+        self._planner = ContextPlanner(self._cache_index, settings.regions)
         self._listener = CacheEventListener(
             self._cache_index,
             clock,
@@ -437,6 +437,7 @@
             _log.warning("reload_refused", faults=faults)
             return
         changed = settings != self._settings
+        self._planner.regions = settings.regions
         if settings.bounds != self._settings.bounds:
             for follower in self._followers:
                 follower.interval_ms = _store_poll_interval_ms(settings.bounds)
@@ -477,8 +478,7 @@
 
 
 def _store_poll_interval_ms(bounds: DeploymentBounds) -> int:
-    bounds_ms = (bounds.config_apply_ms, bounds.drain_notice_ms, bounds.evacuation_ms)
-    return poll_interval_ms(min(bounds_ms))
+    return poll_interval_ms(bounds.operator_read_ms)
 
 
 def _ignore_connection(_connection: CallerConnection, _is_open: bool) -> None:
--- a/bergamothill/process/requestrun.py
+++ b/bergamothill/process/requestrun.py
@@ -41,6 +41,7 @@
 )
 from bergamothill.request.requestqueue import NO_LIMIT, QueuedRequest
 from bergamothill.request.windowedbudget import WindowedRetryBudget
+from bergamothill.version.homes import home_regions
 from bergamothill.version.routetable import RetryPolicy, Route, Service
 
 __all__ = ["RequestRun"]
@@ -93,6 +94,7 @@
         self._connection = connection
         self._request = request
         self._resumption = resumption
+        request.homes = home_regions(route, admission.brand)
         request.suspects = crash_suspects(request, admission.brand_name)
         self._admission = admission
         self._route = route
--- a/bergamothill/process/serverattempt.py
+++ b/bergamothill/process/serverattempt.py
@@ -203,7 +203,7 @@
         server, request = self.send.server, self._request
         if not self._context.gate.may_send(request, now_ms):
             return False
-        if not self._server_pool.may_fetch_from(self.send.terms.fetch_from):
+        if not self._server_pool.may_serve(server, self.send.terms, request.homes):
             return False
         version = self.send.terms.software_version
         if version is not None and not self._server_pool.may_go_on_at(server, version, now_ms):
--- a/bergamothill/process/serverpool.py
+++ b/bergamothill/process/serverpool.py
@@ -27,6 +27,7 @@
 from bergamothill.request.contextplan import ContextPlanner
 from bergamothill.request.partquarantine import Trial
 from bergamothill.request.serverchoice import AllQuiet, AtLimit, NoFreeMemory, ServerChoice
+from bergamothill.version.homes import HomeRegions
 from bergamothill.version.routetable import Brand, EngineTraits, Service
 from bergamothill.version.weightswap import SwapEngine
 from bergamothill.version.weighttarget import (
@@ -145,14 +146,41 @@
         states = super().usable(service, now_ms)
         return [b for b in states if not self.evacuation.is_evacuated(b.entry.zone)]
 
+    def _is_any_evacuated(
+        self, service: ServiceName, homes: HomeRegions | None, now_ms: int
+    ) -> bool:
+        states = super().usable(service, now_ms) if self.evacuation else ()
+        zones = (b.entry.zone for b in states)
+        return any(
+            self.evacuation.is_evacuated(zone) and self._is_home(zone, homes) for zone in zones
+        )
+
+    def _is_home(self, zone: ZoneName, homes: HomeRegions | None) -> bool:
+        return self._planner.regions.is_home(zone, homes)
+
     def may_send_to(self, server: BackendServer, now_ms: int) -> bool:
         """Return whether a request may still be sent to a server that was chosen earlier."""
         may_send = super().may_send_to(server, now_ms)
         zone = self._observed[server.server].entry.zone if may_send else server.zone
         return may_send and not self.evacuation.is_evacuated(zone)
 
-    def may_fetch_from(self, addresses: Iterable[str]) -> bool:
-        """Return whether an engine may still be told to fetch from these addresses."""
+    def may_serve(
+        self, server: BackendServer, terms: ForwardTerms, homes: HomeRegions | None
+    ) -> bool:
+        """Return whether a request may still be sent under terms that were chosen earlier.
+
+        :param homes: regions in which it may be served; None for all
+        """
+        if not self._may_fetch_from(terms.fetch_from):
+            return False
+        if homes is None:
+            return True
+        state = self._state_of(server)
+        addresses = filter(None, (*terms.fetch_from, *terms.save_to))
+        is_home = state is not None and self._is_home(state.entry.zone, homes)
+        return is_home and all(self._planner.is_home(address, homes) for address in addresses)
+
+    def _may_fetch_from(self, addresses: Iterable[str]) -> bool:
         if not self.evacuation:
             return True
         states = (state for address in addresses for state in self._at_address(address))
@@ -333,9 +361,13 @@
 
         :param version: only software version at which the request may run; None for any
         """
-        usable = self.usable(service.name, now_ms)
+        usable = [
+            b
+            for b in self.usable(service.name, now_ms)
+            if self._is_home(b.entry.zone, request.homes)
+        ]
         if not usable:
-            if super().usable(service.name, now_ms):
+            if self._is_any_evacuated(service.name, request.homes, now_ms):
                 return AllQuiet(now_ms + RETRY_AFTER_MS, is_evacuated=True)
             quiet_until_ms = self.quiet_until_ms(service.name, now_ms)
             return None if quiet_until_ms is None else AllQuiet(quiet_until_ms)
--- a/bergamothill/request/callerrequest.py
+++ b/bergamothill/request/callerrequest.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from bergamothill.ids import BrandName, ModelName, RequestId, ServerId, SoftwareVersion
+from bergamothill.ids import BrandName, ModelName, RegionName, RequestId, ServerId, SoftwareVersion
 from bergamothill.request.crashevidence import PartId
 
 __all__ = [
@@ -70,6 +70,7 @@
     :param forwarded_headers: header fields forwarded unchanged
     :param suspects: parts that other requests may have in common with it, and that could crash
         servers; set once the request is admitted
+    :param homes: regions in which it may be served; None for all; set likewise
     """
 
     raw: RawRequest
@@ -85,6 +86,7 @@
     resumes: RequestId = RequestId("")
     forwarded_headers: list[Header] = field(default_factory=list)
     suspects: frozenset[PartId] = frozenset()
+    homes: frozenset[RegionName] | None = None
 
     @property
     def path(self) -> str:
--- a/bergamothill/request/contextplan.py
+++ b/bergamothill/request/contextplan.py
@@ -11,6 +11,7 @@
 from bergamothill.request.callerrequest import CallerRequest
 from bergamothill.request.fetchdelay import FetchDelays
 from bergamothill.version.cacheindex import CacheIndex, PartKey
+from bergamothill.version.homes import HomeRegions, RegionMap
 from bergamothill.version.routetable import CacheStore, EngineTraits
 
 __all__ = ["FETCH_TIMEOUT_MS", "PREFILL_TOKENS_PER_MS", "ContextPlan", "ContextPlanner"]
@@ -70,11 +71,13 @@
     :param engine: address
     :param zone: availability zone
     :param traits: traits of the engine's service
+    :param homes: regions from which parts may be fetched; None for all
     """
 
     engine: str
     zone: ZoneName
     traits: EngineTraits
+    homes: HomeRegions | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,11 +116,13 @@
     """Plans fetches and saves of prompt parts.
 
     :param index: index of the parts that engines and stores have
+    :param regions: regions of the availability zones
     """
 
-    def __init__(self, index: CacheIndex) -> None:
+    def __init__(self, index: CacheIndex, regions: RegionMap | None = None) -> None:
         self._index = index
         self.delays = FetchDelays()
+        self.regions = regions or RegionMap()
         self._stores: tuple[CacheStore, ...] = ()
         self._zones: dict[str, ZoneName] = {}
         self._pending_saves: dict[PartKey, int] = {}
@@ -159,7 +164,7 @@
         :param salt: KV cache namespace of the request
         :param now_ms: current time, in milliseconds
         """
-        candidate = _CandidateEngine(engine, zone, traits)
+        candidate = _CandidateEngine(engine, zone, traits, request.homes)
         held = fetched = 0
         fetch_ms = 0.0
         sources = [""] * len(request.parts)
@@ -217,8 +222,16 @@
         if with_engines:
             sources += self._engine_sources(candidate, key, tokens, timing.now_ms)
         sources = [source for source in sources if timing.is_enough_for(source)]
+        if candidate.homes is not None:
+            sources = [s for s in sources if self.is_home(s.address, candidate.homes)]
         return min(sources, key=lambda source: source.fetch_ms, default=None)
 
+    def is_home(self, address: str, homes: HomeRegions | None) -> bool:
+        """Return whether an engine or store is in one of the home regions of a request."""
+        zones = [self._zones.get(address)]
+        zones += [store.zone for store in self._stores if store.address == address]
+        return homes is None or any(self.regions.is_home(z, homes) for z in zones if z is not None)
+
     def _store_sources(
         self, candidate: _CandidateEngine, key: PartKey, tokens: int, now_ms: int
     ) -> Iterable[_Source]:
@@ -262,7 +275,7 @@
             key = PartKey(salt, part.name)
             if self._pending_saves.get(key, 0) > now_ms or self._is_stored(key):
                 continue
-            store = self._store_for(key, now_ms)
+            store = self._store_for(key, request.homes, now_ms)
             if store is None:
                 continue
             targets[number] = store.address
@@ -276,9 +289,14 @@
     def _is_stored(self, key: PartKey) -> bool:
         return any(self._index.tokens_at(store.address, key) for store in self._stores)
 
-    def _store_for(self, key: PartKey, now_ms: int) -> CacheStore | None:
+    def _store_for(self, key: PartKey, homes: HomeRegions | None, now_ms: int) -> CacheStore | None:
         """Return the store for a part, by rendezvous hashing weighted by capacity."""
-        usable = (s for s in self._stores if self._index.source(s.address).is_certain(now_ms))
+        usable = (
+            store
+            for store in self._stores
+            if self._index.source(store.address).is_certain(now_ms)
+            and self.regions.is_home(store.zone, homes)
+        )
         return max(usable, key=lambda store: _rendezvous_score(key, store), default=None)
 
 
--- a/bergamothill/request/forwarding.py
+++ b/bergamothill/request/forwarding.py
@@ -104,6 +104,7 @@
     INTERNAL_ERROR = "internal_error"
     ORIGIN_UNKNOWN = "stream_origin_unknown"
     NO_SUCH_VERSION = "no_server_of_version"
+    NO_HOME_SERVER = "no_server_in_home_regions"
 
 
 @dataclass(frozen=True, slots=True)
@@ -424,8 +425,9 @@
         trial = verdict if isinstance(verdict, Trial) else None
         chosen = self._choose(trial, now_ms)
         if chosen is None:
+            reason = Reason.NO_SERVER if self._request.homes is None else Reason.NO_HOME_SERVER
             is_any = not self.must_keep_version
-            return self._give_up(now_ms, Reason.NO_SERVER if is_any else Reason.NO_SUCH_VERSION)
+            return self._give_up(now_ms, reason if is_any else Reason.NO_SUCH_VERSION)
         if isinstance(chosen, AllQuiet):
             reason = Reason.EVACUATED if chosen.is_evacuated else Reason.QUIET
             return self._give_up(now_ms, reason, wait_ms=chosen.until_ms - now_ms)
--- a/bergamothill/version/routetable.py
+++ b/bergamothill/version/routetable.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from bergamothill.ids import BrandName, ModelName, ServiceName, ZoneName
+from bergamothill.ids import BrandName, ModelName, RegionName, ServiceName, ZoneName
 
 __all__ = [
     "Brand",
@@ -57,6 +57,7 @@
     :param rank: priority; 0 is the highest
     :param is_public: served without a key
     :param is_resumable: a stream may be resumed at another backend server
+    :param home_regions: regions in which its requests may be served; None for all
     """
 
     name: str
@@ -71,6 +72,7 @@
     rank: int
     is_public: bool
     is_resumable: bool
+    home_regions: frozenset[RegionName] | None = None
 
     @property
     def may_retry(self) -> bool:
@@ -149,11 +151,13 @@
     :param name: name of the brand
     :param rank: priority that overrides that of the route; None for no override
     :param is_isolated: the brand shares no cached context with other brands
+    :param home_regions: regions in which its requests may be served; None for all
     """
 
     name: BrandName
     rank: int | None = None
     is_isolated: bool = False
+    home_regions: frozenset[RegionName] | None = None
 
 
 @dataclass(frozen=True, slots=True)
