--- a/bergamothill/platform/config.py
+++ b/bergamothill/platform/config.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import math
+
 from bergamothill.errors import ProtocolError
-from bergamothill.ids import BrandName, ModelName, ServiceName, ZoneName
-from bergamothill.platform.fields import Fields
+from bergamothill.ids import BrandName, ModelName, RegionName, ServiceName, ZoneName
+from bergamothill.platform.fields import Fields, log_ignored_value
 from bergamothill.version.routetable import (
     Brand,
     CacheStore,
@@ -18,11 +20,24 @@
 )
 from bergamothill.version.weighttarget import WeightTarget
 
-__all__ = ["CONFIG_KEY", "OPERATOR_PREFIX", "TARGET_PREFIX", "decode_config", "decode_target"]
+__all__ = [
+    "CONFIG_KEY",
+    "EVACUATION_PREFIX",
+    "OPERATOR_PREFIX",
+    "TARGET_PREFIX",
+    "decode_config",
+    "decode_evacuation",
+    "decode_target",
+]
 
 OPERATOR_PREFIX = "op/"
 CONFIG_KEY = "op/config"
 TARGET_PREFIX = "op/version/"
+EVACUATION_PREFIX = "op/evacuate/"
+
+MAX_COLD_START_S = 3_600
+MAX_COLD_PER_S = 1_000_000
+MS_PER_S = 1_000
 
 _STEP = "config.decode"
 _RETRY_POLICY_BY_KIND = {
@@ -69,6 +84,18 @@
     return WeightTarget(ModelName(fields.text("model")), fields.integer("version"))
 
 
+def decode_evacuation(key: str) -> ZoneName:
+    """Return the zone that a key evacuates, whatever its value.
+
+    :param key: key below :data:`EVACUATION_PREFIX`
+    :raises ProtocolError: the key names no zone
+    """
+    zone = key.removeprefix(EVACUATION_PREFIX)
+    if not zone or "/" in zone:
+        raise ProtocolError(f"key names no zone: {key!r:.80}", step="evacuation.decode")
+    return ZoneName(zone)
+
+
 def _decode_route(fields: Fields) -> Route:
     kind = fields.text("kind")
     if kind not in _RETRY_POLICY_BY_KIND:
@@ -87,9 +114,23 @@
         rank=fields.integer("priority", 0),
         is_public=fields.flag("public", False),
         is_resumable=fields.flag("resumable", False),
+        home_regions=_decode_home_regions(fields),
     )
 
 
+def _decode_home_regions(fields: Fields) -> frozenset[RegionName] | None:
+    """Return the regions that a list names; None if there is no list, or an empty one.
+
+    A list that is not one invalidates the configuration, as ignoring it would lift a restriction.
+    """
+    names = fields.rows("allowedRegions") if fields.has("allowedRegions") else []
+    if not names:
+        return None
+    if any(not isinstance(name, str) for name in names):
+        log_ignored_value("allowedRegions", names)
+    return frozenset(RegionName(name) for name in names if isinstance(name, str))
+
+
 def _decode_shares(fields: Fields) -> tuple[ServiceShare, ...]:
     rows = [Fields(row, step=_STEP) for row in fields.rows("trafficSplit")]
     shares = [
@@ -107,7 +148,14 @@
     engine = _decode_engine(fields.child("engine")) if fields.has("engine") else None
     # "connectionLimit" applies to each server: the connections of all its callers together.
     limit = fields.integer("connectionLimit", 0)
-    return Service(ServiceName(fields.text("name")), limit, engine)
+    cold_start_s = fields.plausible_number("coldStartS", MAX_COLD_START_S) or 0.0
+    return Service(
+        ServiceName(fields.text("name")),
+        limit,
+        engine,
+        cold_start_ms=math.ceil(cold_start_s * MS_PER_S),
+        cold_per_s=fields.plausible_number("coldPerS", MAX_COLD_PER_S) or 0.0,
+    )
 
 
 def _decode_engine(fields: Fields) -> EngineTraits:
@@ -140,7 +188,12 @@
     for row in document.rows("tenants"):
         fields = Fields(row, step=_STEP)
         rank = fields.integer("priority") if fields.has("priority") else None
-        brand = Brand(BrandName(fields.text("name")), rank, fields.flag("isolated", False))
+        brand = Brand(
+            BrandName(fields.text("name")),
+            rank,
+            fields.flag("isolated", False),
+            _decode_home_regions(fields),
+        )
         for key in fields.rows("apiKeys"):
             if isinstance(key, str):
                 brands_by_api_key[key] = brand
--- a/bergamothill/process/nodesettings.py
+++ b/bergamothill/process/nodesettings.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 
 from bergamothill.ids import EntryInstanceId, ZoneName
+from bergamothill.process.coldservers import ColdBounds
+from bergamothill.version.homes import RegionMap
 
 __all__ = ["DeploymentBounds", "NodeSettings"]
 
@@ -27,6 +29,8 @@
     :param weights_due_ms: time in which engines must move to a new weight target
     :param engines_check_fencing: whether engines reject orders with an outdated fencing number
     :param reuse_window_ms: time in which cached context is expected to be used again
+    :param cold: requests that cold servers get
+    :param evacuation_ms: time after which the servers of an evacuated zone get nothing
     """
 
     config_apply_ms: int
@@ -42,6 +46,13 @@
     weights_due_ms: int
     engines_check_fencing: bool
     reuse_window_ms: int
+    evacuation_ms: int = 5_000
+    cold: ColdBounds = ColdBounds()
+
+    @property
+    def operator_read_ms(self) -> int:
+        """Shortest bound in which what the operator or a leaving server writes must be known."""
+        return min(self.config_apply_ms, self.drain_notice_ms, self.evacuation_ms)
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,6 +71,7 @@
     :param memory_mb: memory limit of the process
     :param descriptors: limit on open file descriptors
     :param bounds: guaranteed bounds of the deployment
+    :param regions: regions of the availability zones
     """
 
     entry: EntryInstanceId
@@ -74,3 +86,4 @@
     memory_mb: int
     descriptors: int
     bounds: DeploymentBounds
+    regions: RegionMap = RegionMap()
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -15,7 +15,7 @@
 from bergamothill.connection.keptconnections import KeptConnections, max_idle_connections
 from bergamothill.connection.kvs import KeyValueEntry
 from bergamothill.errors import ProtocolError
-from bergamothill.ids import DutyName, EntryInstanceId, ModelName
+from bergamothill.ids import DutyName, EntryInstanceId, ModelName, ZoneName
 from bergamothill.logs import EventLog
 from bergamothill.platform import engines
 from bergamothill.platform.config import OPERATOR_PREFIX
@@ -23,6 +23,7 @@
 from bergamothill.platform.servers import SERVER_PREFIX, decode_server
 from bergamothill.platform.settings import load_node_settings
 from bergamothill.process.cacheeventlistener import CacheEventListener
+from bergamothill.process.coldservers import ColdServers
 from bergamothill.process.configstate import ConfigState
 from bergamothill.process.drainperiod import DrainPeriod
 from bergamothill.process.dutycontenders import DutyContenders
@@ -104,10 +105,14 @@
         self._metrics = GatewayMetrics()
         self._config = ConfigState(bounds.key_revocation_ms, is_strict=bounds.is_revocation_strict)
         self._operator = OperatorView(
-            self._config, self._apply_config, self._apply_weight_target, self._log_unreadable_entry
+            self._config,
+            self._apply_config,
+            self._apply_weight_target,
+            self._log_unreadable_entry,
+            self._apply_evacuation,
         )
         self._cache_index = CacheIndex()
-        self._planner = ContextPlanner(self._cache_index)
+        self._planner = ContextPlanner(self._cache_index, settings.regions)
         self._listener = CacheEventListener(
             self._cache_index,
             clock,
@@ -129,6 +134,7 @@
             heartbeat_interval_ms=settings.heartbeat_interval_ms,
         )
         self._server_pool.asks_servers = True
+        self._server_pool.limits.cold = ColdServers(bounds.cold, clock.wall_ms)
         self._exchange = LoadExchange(
             settings.entry,
             clock,
@@ -384,6 +390,7 @@
     def _apply_config(self, config: RoutingConfig, entry: KeyValueEntry, sent_ms: int) -> None:
         self._planner.set_stores(config.stores)
         self._kept_connections.share.set_services(config.services.values())
+        self._server_pool.limits.cold.set_services(config.services)
         self._follow_cache_sources()
         _log.info(
             "config_applied",
@@ -407,11 +414,16 @@
             self._publish_engines()
             self._swaps.wake()
 
+    def _apply_evacuation(self, zones: frozenset[ZoneName], sent_ms: int, is_trusted: bool) -> None:
+        now_ms = self._clock.now_ms()
+        if self._server_pool.apply_evacuation(zones, sent_ms, now_ms, is_trusted=is_trusted):
+            self._gateway.capacity_changed()
+
     def _apply_server_list(self, snapshot: Snapshot) -> None:
         servers = []
         for entry in snapshot.entries:
             try:
-                servers.append(decode_server(entry.key, entry.value))
+                servers.append(decode_server(entry.key, entry.value, entry.mod_revision))
             except ProtocolError as error:
                 self._log_unreadable_entry(entry, error)
         now_ms = self._clock.now_ms()
@@ -459,6 +471,7 @@
             _log.warning("reload_refused", faults=faults)
             return
         changed = settings != self._settings
+        self._planner.regions = settings.regions
         if settings.bounds != self._settings.bounds:
             times = _read_times(settings.bounds)
             for follower in self._followers:
@@ -467,6 +480,7 @@
             self._server_pool.set_stability_window(settings.bounds.stability_window_ms)
             self._server_pool.weights_due_ms = settings.bounds.weights_due_ms
             self._gateway.set_bounds(settings.bounds)
+            self._server_pool.limits.cold.bounds = settings.bounds.cold
             self._config.set_revocation_bound(
                 settings.bounds.key_revocation_ms, is_strict=settings.bounds.is_revocation_strict
             )
@@ -500,7 +514,7 @@
 
 
 def _read_times(bounds: DeploymentBounds) -> ReadTimes:
-    return ReadTimes.of_bound(min(bounds.config_apply_ms, bounds.drain_notice_ms))
+    return ReadTimes.of_bound(bounds.operator_read_ms)
 
 
 def _ignore_connection(_connection: CallerConnection, _is_open: bool) -> None:
--- a/bergamothill/process/serverattempt.py
+++ b/bergamothill/process/serverattempt.py
@@ -247,6 +247,8 @@
         server, request = self.send.server, self._request
         if not self._context.gate.may_send(request, now_ms):
             return False
+        if not self._server_pool.may_serve(server, self.send.terms, request.homes):
+            return False
         version = self.send.terms.software_version
         if version is not None and not self._server_pool.may_go_on_at(server, version, now_ms):
             return False
@@ -323,6 +325,8 @@
         if is_other_instance:
             return
         self._record_limit(head)
+        cold, now_ms = self._server_pool.limits.cold, self._clock.now_ms()
+        cold.record_answer(server, head.cold_ms, self._sent_ms, now_ms)
         if not head.is_leaving:
             return
         self._said_leaving = True
--- a/bergamothill/process/serverpool.py
+++ b/bergamothill/process/serverpool.py
@@ -7,11 +7,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from bergamothill.ids import ModelName, ServerId, ServiceName, SoftwareVersion, ZoneName
 from bergamothill.process.backends import BackendServer
 from bergamothill.process.engineselector import EngineSelector
+from bergamothill.process.evacuation import (
+    RETRY_AFTER_MS,
+    EvacuatedZones,
+    EvacuationChange,
+    log_evacuation,
+)
 from bergamothill.process.loadreport import PeerLoads, ServerLoad
 from bergamothill.process.observedserver import ObservedServer
 from bergamothill.process.serverlimits import ServerLimits
@@ -21,6 +27,7 @@
 from bergamothill.request.contextplan import ContextPlanner
 from bergamothill.request.partquarantine import Trial
 from bergamothill.request.serverchoice import AllQuiet, AtLimit, NoFreeMemory, ServerChoice
+from bergamothill.version.homes import HomeRegions
 from bergamothill.version.routetable import Brand, EngineTraits, Service
 from bergamothill.version.weightswap import SwapEngine
 from bergamothill.version.weighttarget import (
@@ -87,6 +94,7 @@
             entry_expiry_ms, stability_window_ms, min_entry_life_ms, heartbeat_interval_ms
         )
         self._zone = zone
+        self.evacuation = EvacuatedZones()
         self._peer_loads = peer_loads
         self.limits = limits
         self._planner = planner
@@ -105,13 +113,81 @@
         )
         """Returns the first request in the queue of a service that waits for limits."""
 
+    def apply_list(self, entries: Iterable[BackendServer], sent_ms: int, now_ms: int) -> list[str]:
+        """Apply a newly read list of servers; see :class:`ServerList`."""
+        changes = super().apply_list(entries, sent_ms, now_ms)
+        listed = [s.entry for s in self._observed.values() if s.listed_ms == sent_ms]
+        self.limits.cold.record_list(listed, sent_ms, now_ms, self._entry_expiry_ms)
+        self.limits.cold.retain(state.entry for state in self._observed.values())
+        return changes
+
     def _rebuild_index(self) -> None:
         super()._rebuild_index()
+        self._set_fetch_sources()
+        self.limits.retain(state.entry for state in self._observed.values())
+
+    def _set_fetch_sources(self) -> None:
         engines = (
             b.entry for b in self._observed.values() if b.entry.weights and not b.is_replaced
         )
-        self._planner.set_engines({entry.address: entry.zone for entry in engines})
-        self.limits.retain(state.entry for state in self._observed.values())
+        self._planner.set_engines(
+            {e.address: e.zone for e in engines if not self.evacuation.is_evacuated(e.zone)}
+        )
+
+    def apply_evacuation(
+        self, zones: Iterable[ZoneName], sent_ms: int, now_ms: int, *, is_trusted: bool
+    ) -> EvacuationChange:
+        """Apply the zones whose servers get nothing; see :meth:`EvacuatedZones.apply`."""
+        change = self.evacuation.apply(zones, sent_ms, is_trusted=is_trusted)
+        if change:
+            log_evacuation(change, now_ms - sent_ms)
+            self._set_fetch_sources()
+        return change
+
+    def usable(self, service: ServiceName, now_ms: int) -> list[ObservedServer]:
+        """Return the servers of a service that may get new requests."""
+        states = super().usable(service, now_ms)
+        return [b for b in states if not self.evacuation.is_evacuated(b.entry.zone)]
+
+    def _is_any_evacuated(
+        self, service: ServiceName, homes: HomeRegions | None, now_ms: int
+    ) -> bool:
+        states = super().usable(service, now_ms) if self.evacuation else ()
+        zones = (b.entry.zone for b in states)
+        return any(
+            self.evacuation.is_evacuated(zone) and self._is_home(zone, homes) for zone in zones
+        )
+
+    def _is_home(self, zone: ZoneName, homes: HomeRegions | None) -> bool:
+        return self._planner.regions.is_home(zone, homes)
+
+    def may_send_to(self, server: BackendServer, now_ms: int) -> bool:
+        """Return whether a request may still be sent to a server that was chosen earlier."""
+        may_send = super().may_send_to(server, now_ms)
+        zone = self._observed[server.server].entry.zone if may_send else server.zone
+        return may_send and not self.evacuation.is_evacuated(zone)
+
+    def may_serve(
+        self, server: BackendServer, terms: ForwardTerms, homes: HomeRegions | None
+    ) -> bool:
+        """Return whether a request may still be sent under terms that were chosen earlier.
+
+        :param homes: regions in which it may be served; None for all
+        """
+        if not self._may_fetch_from(terms.fetch_from):
+            return False
+        if homes is None:
+            return True
+        state = self._state_of(server)
+        addresses = filter(None, (*terms.fetch_from, *terms.save_to))
+        is_home = state is not None and self._is_home(state.entry.zone, homes)
+        return is_home and all(self._planner.is_home(address, homes) for address in addresses)
+
+    def _may_fetch_from(self, addresses: Iterable[str]) -> bool:
+        if not self.evacuation:
+            return True
+        states = (state for address in addresses for state in self._at_address(address))
+        return not any(self.evacuation.is_evacuated(state.entry.zone) for state in states)
 
     def set_weight_target(
         self, target: WeightTarget, now_ms: int, *, set_after_ms: int | None
@@ -206,6 +282,7 @@
         state = self._observed.get(server)
         if state is None:
             return
+        self.limits.cold.record_doubt(state.entry, now_ms)
         state.failed_ms = now_ms
         state.failures += 1
         backoff_ms = min(
@@ -213,6 +290,13 @@
         )
         state.backoff_until_ms = max(state.backoff_until_ms, now_ms + backoff_ms)
 
+    def record_connection_change(self, address: str, is_connected: bool, now_ms: int) -> None:
+        """Record a change of an event connection; see :class:`SoftwareVersions`."""
+        was_lost = address in self._lost_addresses
+        super().record_connection_change(address, is_connected, now_ms)
+        for state in self._at_address(address) if was_lost or not is_connected else ():
+            self.limits.cold.record_doubt(state.entry, now_ms)
+
     def mark_replaced(self, server: ServerId) -> None:
         """Record that another instance answers at the address of a server."""
         state = self._observed.get(server)
@@ -281,8 +365,14 @@
 
         :param version: only software version at which the request may run; None for any
         """
-        usable = self.usable(service.name, now_ms)
+        usable = [
+            b
+            for b in self.usable(service.name, now_ms)
+            if self._is_home(b.entry.zone, request.homes)
+        ]
         if not usable:
+            if self._is_any_evacuated(service.name, request.homes, now_ms):
+                return AllQuiet(now_ms + RETRY_AFTER_MS, is_evacuated=True)
             quiet_until_ms = self.quiet_until_ms(service.name, now_ms)
             return None if quiet_until_ms is None else AllQuiet(quiet_until_ms)
         if version is not None:
@@ -302,7 +392,7 @@
             admitting = [b for b in usable if self.limits.wait_ms(b.entry, now_ms) == 0]
             next_request = self.next_limited_request(service.name)
             if next_request is not None and next_request is not request:
-                admitting = [b for b in admitting if self.limits.limit_per_s(b.entry) is None]
+                admitting = [b for b in admitting if not self.limits.is_limited(b.entry, now_ms)]
             if not admitting:
                 return self._at_limit(usable, now_ms)
             usable = admitting
@@ -351,7 +441,8 @@
         waits_ms = [self.limits.wait_ms(b.entry, now_ms) for b in servers]
         rate_per_s = sum(self.limits.share_per_s(b.entry, now_ms) for b in servers)
         wait_ms = min((wait_ms for wait_ms in waits_ms if wait_ms is not None), default=None)
-        return AtLimit(wait_ms, 0 if wait_ms is None else round(MS_PER_S / rate_per_s))
+        is_admitted = wait_ms is not None and rate_per_s > 0
+        return AtLimit(wait_ms, round(MS_PER_S / rate_per_s) if is_admitted else 0)
 
     def _has_room(
         self, state: ObservedServer, traits: EngineTraits, request: CallerRequest, urgency: int
--- a/bergamothill/request/forwarding.py
+++ b/bergamothill/request/forwarding.py
@@ -97,6 +97,7 @@
     EXPIRED = "expired"
     FULL = "engines_full"
     QUIET = "servers_ask_for_quiet"
+    EVACUATED = "zones_evacuated"
     LIMITED = "servers_at_limit"
     STOPPING = "instance_stopping"
     AWAITS_TRIAL = "part_under_trial"
@@ -104,6 +105,7 @@
     INTERNAL_ERROR = "internal_error"
     ORIGIN_UNKNOWN = "stream_origin_unknown"
     NO_SUCH_VERSION = "no_server_of_version"
+    NO_HOME_SERVER = "no_server_in_home_regions"
 
 
 @dataclass(frozen=True, slots=True)
@@ -424,11 +426,13 @@
         trial = verdict if isinstance(verdict, Trial) else None
         chosen = self._choose(trial, now_ms)
         if chosen is None:
+            reason = Reason.NO_SERVER if self._request.homes is None else Reason.NO_HOME_SERVER
             is_any = not self.must_keep_version
             self._resume_event_id = last_event_id
-            return self._give_up(now_ms, Reason.NO_SERVER if is_any else Reason.NO_SUCH_VERSION)
+            return self._give_up(now_ms, reason if is_any else Reason.NO_SUCH_VERSION)
         if isinstance(chosen, AllQuiet):
-            return self._give_up(now_ms, Reason.QUIET, wait_ms=chosen.until_ms - now_ms)
+            reason = Reason.EVACUATED if chosen.is_evacuated else Reason.QUIET
+            return self._give_up(now_ms, reason, wait_ms=chosen.until_ms - now_ms)
         if isinstance(chosen, AtLimit):
             return self._wait_for_limit(chosen, now_ms, last_event_id)
         if isinstance(chosen, NoFreeMemory):
--- a/bergamothill/version/routetable.py
+++ b/bergamothill/version/routetable.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from bergamothill.ids import BrandName, ModelName, ServiceName, ZoneName
+from bergamothill.ids import BrandName, ModelName, RegionName, ServiceName, ZoneName
 
 __all__ = [
     "Brand",
@@ -57,6 +57,7 @@
     :param rank: priority; 0 is the highest
     :param is_public: served without a key
     :param is_resumable: a stream may be resumed at another backend server
+    :param home_regions: regions in which its requests may be served; None for all
     """
 
     name: str
@@ -71,6 +72,7 @@
     rank: int
     is_public: bool
     is_resumable: bool
+    home_regions: frozenset[RegionName] | None = None
 
     @property
     def may_retry(self) -> bool:
@@ -107,11 +109,15 @@
     :param name: name of the service
     :param max_connections: maximum connections that a server accepts from all callers together
     :param engine: properties of its model engines; None for a plain service
+    :param cold_start_ms: time for which a server is cold after its start
+    :param cold_per_s: requests a second that a cold server takes; 0 if it takes as many as others
     """
 
     name: ServiceName
     max_connections: int
     engine: EngineTraits | None
+    cold_start_ms: int = 0
+    cold_per_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -145,11 +151,13 @@
     :param name: name of the brand
     :param rank: priority that overrides that of the route; None for no override
     :param is_isolated: the brand shares no cached context with other brands
+    :param home_regions: regions in which its requests may be served; None for all
     """
 
     name: BrandName
     rank: int | None = None
     is_isolated: bool = False
+    home_regions: frozenset[RegionName] | None = None
 
 
 @dataclass(frozen=True, slots=True)
