Learn the speed of servers from their answers

Cause: the time to the first token was estimated with 100 tokens per ms and 0.5 ms for each request in progress, whatever the engine. Engines of one service differ in speed by up to 2.5, and prefill several prompts in parallel.

Change: request/serverspeed fits a model of each service (time for a token, for a request in progress, prefill in turn or in parallel) with the least absolute deviations over its last 128 answers. Each incarnation has the median ratio of its own answers to that model, with two assumed ones at 1. It replaces PREFILL_TOKENS_PER_MS and BATCH_DELAY_MS_PER_REQUEST in the choice of an engine and in the plan of fetches. The time in a slot is learned likewise.

--- a/bergamothill/process/engineselector.py
+++ b/bergamothill/process/engineselector.py
@@ -8,7 +8,8 @@
 from bergamothill.process.loadreport import PeerLoads
 from bergamothill.process.observedserver import ObservedServer
 from bergamothill.request.callerrequest import CallerRequest, ForwardTerms
-from bergamothill.request.contextplan import PREFILL_TOKENS_PER_MS, ContextPlan, ContextPlanner
+from bergamothill.request.contextplan import ContextPlan, ContextPlanner
+from bergamothill.request.serverspeed import PromptWork, ServerSpeeds
 from bergamothill.version.cachenamespace import namespace
 from bergamothill.version.routetable import Brand, EngineTraits
 
@@ -17,9 +18,6 @@
 FULL_MEMORY_PENALTY_MS = 20.0
 """Delay charged for full engine memory, as requests in progress then evict cached context."""
 
-BATCH_DELAY_MS_PER_REQUEST = 0.5
-"""Delay that each request in progress adds for the others in its batch."""
-
 
 @dataclass(frozen=True, slots=True)
 class _Candidate:
@@ -42,9 +40,13 @@
 
     :param planner: plans the sources of cached context
     :param peer_loads: loads reported by the other entry instances
+    :param speeds: estimates of the speed of engines
     """
 
-    def __init__(self, planner: ContextPlanner, peer_loads: PeerLoads) -> None:
+    def __init__(
+        self, planner: ContextPlanner, peer_loads: PeerLoads, speeds: ServerSpeeds
+    ) -> None:
+        self._speeds = speeds
         self._planner = planner
         self._peer_loads = peer_loads
 
@@ -94,8 +96,11 @@
         """Estimate the time to first token on an engine."""
         entry = state.entry
         salt = namespace(request.model, state.weight_version(request.model), brand)
-        plan = self._planner.plan(entry.address, entry.zone, traits, request, salt, now_ms)
-        first_ms = self._estimate_first_token_ms(state, traits, request, plan)
+        tokens_per_ms = self._speeds.tokens_per_ms(entry.service, entry.incarnation, now_ms)
+        plan = self._planner.plan(
+            entry.address, entry.zone, traits, request, salt, now_ms, tokens_per_ms
+        )
+        first_ms = self._estimate_first_token_ms(state, traits, request, plan, now_ms)
         return _Candidate(first_ms, state, plan, salt)
 
     def _estimate_first_token_ms(
@@ -104,13 +109,16 @@
         traits: EngineTraits,
         request: CallerRequest,
         plan: ContextPlan,
+        now_ms: int,
     ) -> float:
-        peer_load = self._peer_loads.load_on(state.entry.server)
-        queue_ms = (
-            state.pending_prefill_tokens + peer_load.pending_prefill_tokens
-        ) / PREFILL_TOKENS_PER_MS
-        prefill_ms = plan.prefill_tokens / PREFILL_TOKENS_PER_MS
+        entry = state.entry
+        peer_load = self._peer_loads.load_on(entry.server)
+        work = PromptWork(
+            plan.prefill_tokens,
+            state.pending_prefill_tokens + peer_load.pending_prefill_tokens,
+            state.in_progress + peer_load.in_progress,
+        )
+        prefill_ms = self._speeds.first_token_ms(entry.service, entry.incarnation, work, now_ms)
         tokens = state.tokens + peer_load.tokens + request.prompt_tokens
         memory_penalty_ms = FULL_MEMORY_PENALTY_MS * tokens / max(1, traits.memory_tokens)
-        batch_ms = BATCH_DELAY_MS_PER_REQUEST * (state.in_progress + peer_load.in_progress)
-        return queue_ms + prefill_ms + plan.fetch_ms + memory_penalty_ms + batch_ms
+        return prefill_ms + plan.fetch_ms + memory_penalty_ms
--- a/bergamothill/process/serverattempt.py
+++ b/bergamothill/process/serverattempt.py
@@ -135,6 +135,11 @@
             context.queue.wake_head()
         self._record_pause(result.end, self._clock.now_ms())
         outcome = self._classify(result)
+        if outcome is AttemptOutcome.SUCCESS:
+            ended_ms = self._clock.now_ms()
+            server_pool.record_service_time(
+                send.server, send.terms, ended_ms - started_ms, ended_ms
+            )
         # Before the next step is chosen, so that no crash is repeated blindly.
         self._end_gated_run(classify_run_end(outcome.value, result, has_begun=has_begun))
         self._log_end(outcome, result, started_ms)
@@ -259,11 +264,15 @@
     def on_bytes(self) -> None:
         """Record that the server was heard."""
         now_ms = self._clock.now_ms()
+        is_success = self.relay.verdict is AttemptVerdict.SUCCESS
         if not self._is_streaming:
             self._is_streaming = True
             self._server_pool.stream_began(self._server)
-            self._server_pool.record_first_token(self.send.terms, now_ms - self._sent_ms, now_ms)
-        is_success = self.relay.verdict is AttemptVerdict.SUCCESS
+            took_ms = now_ms - self._sent_ms
+            self._server_pool.record_first_token(self.send.terms, took_ms, now_ms)
+            if is_success:
+                send = self.send
+                self._server_pool.record_prefill_time(send.server, send.terms, took_ms, now_ms)
         if self._gated_run is not None and is_success and not self.relay.lacks_events:
             self._gated_run.record_event(now_ms)
         self._server_pool.record_bytes(self._server, now_ms)
--- a/bergamothill/process/serverpool.py
+++ b/bergamothill/process/serverpool.py
@@ -21,6 +21,7 @@
 from bergamothill.request.contextplan import ContextPlanner
 from bergamothill.request.partquarantine import Trial
 from bergamothill.request.serverchoice import AllQuiet, AtLimit, NoFreeMemory, ServerChoice
+from bergamothill.request.serverspeed import PromptWork, ServerSpeeds
 from bergamothill.version.routetable import Brand, EngineTraits, Service
 from bergamothill.version.weightswap import SwapEngine
 from bergamothill.version.weighttarget import (
@@ -90,7 +91,8 @@
         self._peer_loads = peer_loads
         self.limits = limits
         self._planner = planner
-        self._selector = EngineSelector(planner, peer_loads)
+        self.speeds = ServerSpeeds()
+        self._selector = EngineSelector(planner, peer_loads, self.speeds)
         self.weights_due_ms = weights_due_ms
         self.targets: dict[ModelName, WeightTarget] = {}
         self._target_histories: dict[ModelName, TargetHistory] = {}
@@ -109,6 +111,7 @@
         )
         self._planner.set_engines({entry.address: entry.zone for entry in engines})
         self.limits.retain(state.entry for state in self._observed.values())
+        self.speeds.retain(state.entry.incarnation for state in self._observed.values())
 
     def set_weight_target(
         self, target: WeightTarget, now_ms: int, *, set_after_ms: int | None
@@ -242,6 +245,30 @@
             expected_ms = terms.expected_first_ms
             self._planner.delays.record_first_token(terms.fetch_from, took_ms, expected_ms, now_ms)
 
+    def record_prefill_time(
+        self, server: BackendServer, terms: ForwardTerms, took_ms: int, now_ms: int
+    ) -> None:
+        """Learn the speed of an engine from the time to the first token of a successful answer."""
+        if terms.weight_version is not None and not any(terms.fetch_from):
+            work = PromptWork(
+                terms.pending_prefill_tokens, terms.beside_prefill_tokens, terms.beside_requests
+            )
+            key = server.incarnation
+            self.speeds.record_first_token(server.service, key, work, took_ms, now_ms)
+
+    def record_service_time(
+        self, server: BackendServer, terms: ForwardTerms, took_ms: int, now_ms: int
+    ) -> None:
+        """Learn the time for which requests occupy a slot from a successful answer."""
+        self.speeds.record_service_time(
+            server.service,
+            server.incarnation,
+            terms.beside_requests,
+            server.slots,
+            took_ms,
+            now_ms,
+        )
+
     def record_check(self, now_ms: int) -> None:
         """Record a periodic check, the lack of which shows a pause of this process."""
         if self._checked_ms is not None:
@@ -320,6 +347,7 @@
                 return NoFreeMemory()
             state = min(candidates, key=self._cost_by_request_count)
             terms = ForwardTerms(state.entry.server, 0, brand=terms_brand)
+            self._set_load_terms(terms, state)
             terms.limit_spent_ms = self.limits.spend(state.entry, now_ms)
             return (state.entry, terms)
         preferred = self._preferred_by_weights(candidates, request.model, now_ms)
@@ -331,11 +359,19 @@
                     with_room, service.engine, request, brand, now_ms
                 )
                 state = self._observed[entry.server]
+                self._set_load_terms(terms, state)
                 terms.weights_outdated_ms = self._outdated(state, request.model, now_ms).max_age_ms
                 terms.limit_spent_ms = self.limits.spend(entry, now_ms)
                 return (entry, terms)
         return NoFreeMemory()
 
+    def _set_load_terms(self, terms: ForwardTerms, state: ObservedServer) -> None:
+        """Note the load that a request finds at a server."""
+        peer_load = self._peer_loads.load_on(state.entry.server)
+        pending_tokens = state.pending_prefill_tokens + peer_load.pending_prefill_tokens
+        terms.beside_prefill_tokens = pending_tokens
+        terms.beside_requests = state.in_progress + peer_load.in_progress
+
     def _may_take_over(self, state: ObservedServer, avoided: tuple[str, ...], now_ms: int) -> bool:
         """Return whether an answer that is in progress elsewhere may be moved to a server."""
         if state.entry.server in avoided or state.backoff_until_ms > now_ms:
--- a/bergamothill/request/callerrequest.py
+++ b/bergamothill/request/callerrequest.py
@@ -118,6 +118,9 @@
         not sent
     :param limit_spent_ms: time at which the request was counted against the limit that the server
         names; None if it named none; not sent
+    :param beside_prefill_tokens: tokens left to prefill of the requests that the server had in
+        progress when it was chosen; not sent
+    :param beside_requests: number of these requests; not sent
     :param expected_first_ms: expected time to the first token; not sent
     :param runner_up: second-best server; empty if there was no other; not sent
     :param runner_up_first_ms: expected time to the first token at the runner-up; not sent
@@ -139,6 +142,8 @@
     fetched_tokens: int = 0
     software_version: SoftwareVersion | None = None
     limit_spent_ms: int | None = None
+    beside_prefill_tokens: int = 0
+    beside_requests: int = 0
     expected_first_ms: float = 0.0
     runner_up: ServerId = ServerId("")
     runner_up_first_ms: float = 0.0
--- a/bergamothill/request/contextplan.py
+++ b/bergamothill/request/contextplan.py
@@ -10,17 +10,15 @@
 from bergamothill.ids import ZoneName
 from bergamothill.request.callerrequest import CallerRequest
 from bergamothill.request.fetchdelay import FetchDelays
+from bergamothill.request.serverspeed import INITIAL_TOKENS_PER_MS
 from bergamothill.version.cacheindex import CacheIndex, PartKey
 from bergamothill.version.routetable import CacheStore, EngineTraits
 
-__all__ = ["FETCH_TIMEOUT_MS", "PREFILL_TOKENS_PER_MS", "ContextPlan", "ContextPlanner"]
+__all__ = ["FETCH_TIMEOUT_MS", "ContextPlan", "ContextPlanner"]
 
 CROSS_ZONE_FACTOR = 2.0
 """Ratio of the transfer time between zones to that within a zone."""
 
-PREFILL_TOKENS_PER_MS = 100.0
-"""Assumed prefill speed of an engine; only used to compare estimates with each other."""
-
 FALLBACK_SOURCE_FACTOR = 1.0
 """Lowest ratio of prefill to fetch time at which a cached part also gets a fallback source."""
 
@@ -146,6 +144,7 @@
         request: CallerRequest,
         salt: str,
         now_ms: int,
+        tokens_per_ms: float = INITIAL_TOKENS_PER_MS,
     ) -> ContextPlan:
         """Return the source of each part of a prompt.
 
@@ -158,6 +157,7 @@
         :param request: request with the prompt
         :param salt: KV cache namespace of the request
         :param now_ms: current time, in milliseconds
+        :param tokens_per_ms: prefill speed of the engine
         """
         candidate = _CandidateEngine(engine, zone, traits)
         held = fetched = 0
@@ -174,10 +174,11 @@
             source = self._quickest_source(
                 candidate, key, part.tokens, timing, with_engines=not is_held
             )
-            if source is not None and not _is_fetch_worthwhile(remaining_tokens, source.fetch_ms):
+            prefill_ms = remaining_tokens / tokens_per_ms
+            if source is not None and not _is_fetch_worthwhile(prefill_ms, source.fetch_ms):
                 source = None
             if source is not None and (
-                not is_held or _needs_fallback_source(remaining_tokens, source.fetch_ms)
+                not is_held or _needs_fallback_source(prefill_ms, source.fetch_ms)
             ):
                 sources[number] = source.address
                 left_ms = min(left_ms, source.left_ms)
@@ -282,25 +283,25 @@
         return max(usable, key=lambda store: _rendezvous_score(key, store), default=None)
 
 
-def _is_fetch_worthwhile(tokens: int, fetch_ms: float) -> bool:
+def _is_fetch_worthwhile(prefill_ms: float, fetch_ms: float) -> bool:
     """Return whether fetching a part is better than prefilling it and all parts after it.
 
-    :param tokens: shared tokens of this part and of all parts after it
+    :param prefill_ms: time to prefill the shared tokens of this part and of all parts after it
     :param fetch_ms: expected duration of the fetch, in milliseconds
     """
-    return fetch_ms <= PREFILL_WEIGHT * tokens / PREFILL_TOKENS_PER_MS + FETCH_ALLOWANCE_MS
+    return fetch_ms <= PREFILL_WEIGHT * prefill_ms + FETCH_ALLOWANCE_MS
 
 
-def _needs_fallback_source(tokens: int, fetch_ms: float) -> bool:
+def _needs_fallback_source(prefill_ms: float, fetch_ms: float) -> bool:
     """Return whether to name a fallback source for a part that the engine seems to have cached.
 
     The engine may have evicted the part, and would then prefill it and all parts after it. But
     transfers run one after another, and the wait delays short prompts more than recomputing them.
 
-    :param tokens: shared tokens of this part and of all parts after it
+    :param prefill_ms: time to prefill the shared tokens of this part and of all parts after it
     :param fetch_ms: expected duration of the fetch, in milliseconds
     """
-    return tokens / PREFILL_TOKENS_PER_MS >= FALLBACK_SOURCE_FACTOR * fetch_ms
+    return prefill_ms >= FALLBACK_SOURCE_FACTOR * fetch_ms
 
 
 def _transfer_ms(size_bytes: int, link_mbps: float, crosses_zones: bool) -> float:
