Let requests wait for a slot instead of being rejected by full servers

Cause: plain servers were chosen by the number of requests known, with ties by id. At 90 instances reports are up to 360 ms old while a call takes 80 ms, so that all instances chose the same server, and a full server rejected calls at the cost of the retry budget. Slots of engines did not count.

Change: process/servercapacity. A plain server takes its slots and the queue places in which a request still meets its objective; beyond these a request waits in the admission queue. A reported load counts the less, the older reports are compared with the time in a slot, and is replaced by its average; servers whose loads differ by less than the error count as equal. An instance that finds the servers full, or is rejected, keeps for 1 s to its share of their places, and to what others leave unused if most of them report. Late calls wait behind those in time until their deadline. Engines take their slots and as many requests as end between two reports. A head that is given up lets the next one try at once, not after up to 100 ms.

--- a/bergamothill/process/admissionqueue.py
+++ b/bergamothill/process/admissionqueue.py
@@ -37,9 +37,11 @@
         :param request: request in the queue
         :param rate: rate at which limits admit requests; the head waits for the next one
         """
-        timeout_ms = MAX_WAIT_MS
-        if rate is not NO_LIMIT and self.requests.peek(self._clock.now_ms()) is request:
-            timeout_ms = min(MAX_WAIT_MS, max(1, rate.first_ms))
+        now_ms = self._clock.now_ms()
+        # A head that is given up lets the next one try at once.
+        timeout_ms = min(MAX_WAIT_MS, max(1, request.give_up_ms - now_ms))
+        if rate is not NO_LIMIT and self.requests.peek(now_ms) is request:
+            timeout_ms = min(timeout_ms, max(1, rate.first_ms))
         wakeup = self._wakeups.setdefault(id(request), asyncio.Event())
         wakeup.clear()
         # After the timeout a peer may have freed capacity, and its load report have been lost.
--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -29,6 +29,7 @@
 )
 from bergamothill.request.bufferbudget import BufferBudget
 from bergamothill.request.callerrequest import CallerRequest, Header, RawRequest
+from bergamothill.request.requestqueue import QueuedRequest
 from bergamothill.request.windowedbudget import WindowedRetryBudget
 from bergamothill.version.routetable import CallerLimits, Service
 
@@ -90,6 +91,7 @@
         self._drain: DrainPeriod | None = None
         self._known_instances = 0
         server_pool.next_limited_request = self._next_limited_request
+        server_pool.next_waiting_request = self._next_waiting_request
 
     def set_bounds(self, bounds: DeploymentBounds) -> None:
         """Apply the bounds of reloaded settings."""
@@ -163,10 +165,17 @@
         return queue
 
     def _next_limited_request(self, service: ServiceName) -> CallerRequest | None:
-        queue = self._queues.get(service)
-        head = None if queue is None else queue.requests.peek(self._clock.now_ms())
+        head = self._queue_head(service)
         return None if head is None else head.limited
 
+    def _next_waiting_request(self, service: ServiceName) -> CallerRequest | None:
+        head = self._queue_head(service)
+        return None if head is None else head.request
+
+    def _queue_head(self, service: ServiceName) -> QueuedRequest | None:
+        queue = self._queues.get(service)
+        return None if queue is None else queue.requests.peek(self._clock.now_ms())
+
     def capacity_changed(self) -> None:
         """Wake the head of each admission queue after engine capacity changed."""
         for queue in self._queues.values():
--- a/bergamothill/process/loadreport.py
+++ b/bergamothill/process/loadreport.py
@@ -129,6 +129,11 @@
             if total == ServerLoad():
                 del self._totals[server]
 
+    @property
+    def reporting(self) -> int:
+        """Number of other entry instances whose latest reports count."""
+        return len(self._reports)
+
     def load_on(self, server: ServerId) -> ServerLoad:
         """Return the total load of the other entry instances on a server."""
         return self._totals.get(server) or ServerLoad()
--- a/bergamothill/process/requestrun.py
+++ b/bergamothill/process/requestrun.py
@@ -281,15 +281,18 @@
         times_ms = (wait.on_time_until_ms, wait.give_up_ms)
         limited = None if wait.rate is NO_LIMIT else self._request
         waiting = QueuedRequest(wait.urgency, arrived_ms, wait.tokens, *times_ms, limited)
+        waiting.request = self._request if limited is None else None
         started_ms = self._clock.now_ms()
         step: ForwardStep = wait
         if queue.requests.enqueue(waiting, started_ms, wait.rate):
             try:
                 while isinstance(step, WaitForMemory) and self._clock.now_ms() < wait.give_up_ms:
-                    await queue.wait_for_turn(waiting, step.rate)
+                    # It may have been held only for others, and come before them.
                     now_ms = self._clock.now_ms()
                     if queue.requests.peek(now_ms) is waiting:
                         step = self._forwarding.retry(now_ms)
+                    if isinstance(step, WaitForMemory):
+                        await queue.wait_for_turn(waiting, step.rate)
             finally:
                 queue.leave(waiting)
         now_ms = self._clock.now_ms()
--- a/bergamothill/process/serverpool.py
+++ b/bergamothill/process/serverpool.py
@@ -14,6 +14,7 @@
 from bergamothill.process.engineselector import EngineSelector
 from bergamothill.process.loadreport import PeerLoads, ServerLoad
 from bergamothill.process.observedserver import ObservedServer
+from bergamothill.process.servercapacity import ServerCapacity
 from bergamothill.process.serverlimits import ServerLimits
 from bergamothill.process.softwareversions import SoftwareVersions
 from bergamothill.process.trialplacement import TrialPlacement
@@ -39,9 +40,6 @@
 FAILURE_BACKOFF_MIN_MS = 500
 FAILURE_BACKOFF_MAX_MS = 4_000
 
-OTHER_ZONE_PENALTY = 1.0
-"""Number of requests in progress that weighs as much as being in another zone."""
-
 MEMORY_SHARE = 0.95
 """Share of an engine's memory that prompts in progress may fill; answers need the rest."""
 
@@ -92,6 +90,7 @@
         self.limits = limits
         self._planner = planner
         self.speeds = ServerSpeeds()
+        self.capacity = ServerCapacity(zone, peer_loads, self.speeds, limits.roster)
         self._selector = EngineSelector(planner, peer_loads, self.speeds)
         self.weights_due_ms = weights_due_ms
         self.targets: dict[ModelName, WeightTarget] = {}
@@ -104,6 +103,11 @@
         )
         """Returns the first request in the queue of a service that waits for limits."""
 
+        self.next_waiting_request: Callable[[ServiceName], CallerRequest | None] = lambda _name: (
+            None
+        )
+        """Returns the same if it waits for capacity."""
+
     def _rebuild_index(self) -> None:
         super()._rebuild_index()
         engines = (
@@ -112,6 +116,7 @@
         self._planner.set_engines({entry.address: entry.zone for entry in engines})
         self.limits.retain(state.entry for state in self._observed.values())
         self.speeds.retain(state.entry.incarnation for state in self._observed.values())
+        self.capacity.retain(self._observed.keys())
 
     def set_weight_target(
         self, target: WeightTarget, now_ms: int, *, set_after_ms: int | None
@@ -199,6 +204,7 @@
         state = self._observed.get(server)
         if state is not None:
             state.backoff_until_ms = max(state.backoff_until_ms, now_ms + REJECTION_BACKOFF_MS)
+            self.capacity.record_rejection(state, now_ms)
 
     def request_failed(self, server: ServerId, now_ms: int) -> None:
         """Record a lost answer or a failed connection."""
@@ -345,7 +351,9 @@
             candidates = placement.select_for(trial, candidates)
             if not candidates:
                 return NoFreeMemory()
-            state = min(candidates, key=self._cost_by_request_count)
+            state = self._choose_plain(candidates, usable, request, trial, now_ms)
+            if state is None:
+                return NoFreeMemory(self.capacity.expected_answer_ms(service.name))
             terms = ForwardTerms(state.entry.server, 0, brand=terms_brand)
             self._set_load_terms(terms, state)
             terms.limit_spent_ms = self.limits.spend(state.entry, now_ms)
@@ -389,6 +397,8 @@
         self, state: ObservedServer, traits: EngineTraits, request: CallerRequest, urgency: int
     ) -> bool:
         """Return whether an engine can run a request without preempting another."""
+        if not self.capacity.has_slot(state, traits):
+            return False
         peer_load = self._peer_loads.load_on(state.entry.server)
         if state.in_progress + peer_load.in_progress == 0:
             return True  # an idle engine has the most room a very long prompt can get
@@ -396,10 +406,20 @@
         tokens = state.tokens + peer_load.tokens + request.prompt_tokens
         return tokens <= share * traits.memory_tokens
 
-    def _cost_by_request_count(self, state: ObservedServer) -> tuple[float, str]:
-        other_zone = OTHER_ZONE_PENALTY if state.entry.zone != self._zone else 0.0
-        in_progress = state.in_progress + self._peer_loads.load_on(state.entry.server).in_progress
-        return (in_progress + other_zone, state.entry.server)
+    def _choose_plain(
+        self,
+        candidates: list[ObservedServer],
+        usable: list[ObservedServer],
+        request: CallerRequest,
+        trial: Trial | None,
+        now_ms: int,
+    ) -> ObservedServer | None:
+        """Return a plain server; None if the request should wait, also for those before it."""
+        if trial is None:
+            first = self.next_waiting_request(candidates[0].entry.service)
+            if first is not None and first is not request:
+                return None
+        return self.capacity.choose_plain(candidates, usable, request, now_ms)
 
     def may_send_prompt_to(self, server: BackendServer, model: ModelName, now_ms: int) -> bool:
         """Return whether a prompt may still be sent to an engine that was chosen earlier."""
--- a/bergamothill/request/callerrequest.py
+++ b/bergamothill/request/callerrequest.py
@@ -70,6 +70,7 @@
     :param forwarded_headers: header fields forwarded unchanged
     :param suspects: parts that other requests may have in common with it, and that could crash
         servers; set once the request is admitted
+    :param objective_ms: time until which the answer meets its objective; set likewise
     """
 
     raw: RawRequest
@@ -85,6 +86,7 @@
     resumes: RequestId = RequestId("")
     forwarded_headers: list[Header] = field(default_factory=list)
     suspects: frozenset[PartId] = frozenset()
+    objective_ms: int | None = None
 
     @property
     def path(self) -> str:
--- a/bergamothill/request/forwarding.py
+++ b/bergamothill/request/forwarding.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, replace
 from enum import Enum
 
@@ -243,6 +244,8 @@
         self.due_ms = min(self._give_up_ms, arrived_ms + route.timeout_ms)
         """Time by which the caller gets a final answer."""
 
+        request.objective_ms = arrived_ms + route.target_ms
+
     @property
     def _admission_urgency(self) -> int:
         """Urgency among requests that wait; streams that have begun can use few servers."""
@@ -372,9 +375,11 @@
         """Give up, because waiting for a trial no longer helps."""
         return self._give_up(now_ms, Reason.AWAITS_TRIAL)
 
-    def _wait_for_memory(self, now_ms: int, last_event_id: str) -> WaitForMemory:
+    def _wait_for_memory(
+        self, now_ms: int, last_event_id: str, answer_ms: float | None = None
+    ) -> WaitForMemory:
         self._resume_event_id = last_event_id
-        on_time_until_ms, give_up_ms = self._wait_limits_ms(now_ms)
+        on_time_until_ms, give_up_ms = self._wait_limits_ms(now_ms, answer_ms)
         tokens = self._request.prompt_tokens
         return WaitForMemory(self._admission_urgency, tokens, on_time_until_ms, give_up_ms)
 
@@ -390,8 +395,11 @@
         give_up_ms = max(self._wait_limits_ms(now_ms)[1], now_ms + MIN_TRIAL_WAIT_MS)
         return WaitForTrial(wait.retry_ms, min(give_up_ms, self.due_ms))
 
-    def _wait_limits_ms(self, now_ms: int) -> tuple[int, int]:
-        """Return until when the objective can be met, and until when waiting helps."""
+    def _wait_limits_ms(self, now_ms: int, answer_ms: float | None = None) -> tuple[int, int]:
+        """Return until when the objective can be met, and until when waiting helps.
+
+        :param answer_ms: time that an answer takes once the request is sent; None if not known
+        """
         request = self._request
         route = self._route
         if self.stream_started:
@@ -400,8 +408,12 @@
         else:
             # A request that has missed its objective would take memory from requests that can still
             # meet theirs, so it is refused and may be retried.
-            on_time_until_ms = request.raw.arrived_ms + route.target_ms - TYPICAL_FIRST_EVENT_MS
+            expected_ms = TYPICAL_FIRST_EVENT_MS if answer_ms is None else math.ceil(answer_ms)
+            on_time_until_ms = request.raw.arrived_ms + route.target_ms - expected_ms
             give_up_ms = max(now_ms, on_time_until_ms)
+            if answer_ms is not None:
+                # A late one waits behind those in time; a repeat of its caller would be among them.
+                give_up_ms = max(now_ms, self.due_ms - expected_ms)
         return (on_time_until_ms, min(give_up_ms, self.due_ms))
 
     def _next_attempt(self, now_ms: int, last_event_id: str, *, is_repeat: bool) -> ForwardStep:
@@ -432,7 +444,7 @@
         if isinstance(chosen, NoFreeMemory):
             if trial is not None and trial.needs_lone_server:
                 return self._wait_for_trial(AwaitTrial(LONE_SERVER_POLL_MS), now_ms, last_event_id)
-            return self._wait_for_memory(now_ms, last_event_id)
+            return self._wait_for_memory(now_ms, last_event_id, chosen.answer_ms)
         if self._owes_retry:
             self._owes_retry = False
             self._retry_budget.try_spend(now_ms)
--- a/bergamothill/request/requestqueue.py
+++ b/bergamothill/request/requestqueue.py
@@ -52,6 +52,7 @@
     :param on_time_until_ms: time until which an engine can still answer within the objective
     :param give_up_ms: time at which the caller gives up if nothing was sent to it
     :param limited: the request, if it waits for the limits of servers
+    :param request: the request, if it waits for capacity
     """
 
     urgency: int
@@ -60,6 +61,7 @@
     on_time_until_ms: int
     give_up_ms: int
     limited: CallerRequest | None = None
+    request: CallerRequest | None = None
 
     def sort_key(self, now_ms: int) -> tuple[int, bool, int]:
         """Return the sort key in the queue; the lowest comes first."""
--- a/bergamothill/request/serverchoice.py
+++ b/bergamothill/request/serverchoice.py
@@ -21,8 +21,14 @@
 ]
 
 
+@dataclass(frozen=True, slots=True)
 class NoFreeMemory:
-    """Result of a choice: no server that could run the request has enough free memory."""
+    """Result of a choice: no server that could run the request has capacity for it now.
+
+    :param answer_ms: time that an answer takes once the request is sent; None if not known
+    """
+
+    answer_ms: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,8 +75,8 @@
         """Return a server and the terms for it.
 
         Returns None if no server can run the request, ``NoFreeMemory`` if none of those that may be
-        chosen has enough free memory, ``AllQuiet`` if all of them asked for a pause, ``AtLimit`` if
-        all of them take no more requests for now.
+        chosen has capacity for it or others wait before it, ``AllQuiet`` if all of them asked for a
+        pause, ``AtLimit`` if all of them take no more requests for now.
 
         :param urgency: 0 comes first; less urgent requests must leave more memory free
         :param avoided: servers that already failed the request; chosen only as a last resort
--- a/tests/capacityload.py
+++ b/tests/capacityload.py
@@ -11,7 +11,9 @@
 import random
 from dataclasses import dataclass, field, replace
 
+from bergamothill.process.instanceroster import InstanceRoster
 from bergamothill.process.loadreport import LoadReport, PeerLoads
+from bergamothill.process.serverlimits import ServerLimits
 from bergamothill.request.callerrequest import PromptPart
 from bergamothill.request.forwarding import Finish, Forwarding, Send, WaitForMemory
 from bergamothill.request.requestqueue import QueuedRequest, RequestQueue
@@ -52,10 +54,10 @@
         self.calls: list[Call] = []
         self.instances: list[Instance] = []
         self._events: list = []
-        self._numbers = itertools.count()
+        self.numbers = itertools.count()
 
     def at(self, time_ms, action):
-        heapq.heappush(self._events, (max(time_ms, self.now_ms), next(self._numbers), action))
+        heapq.heappush(self._events, (max(time_ms, self.now_ms), next(self.numbers), action))
 
     def after(self, delay_ms, action):
         self.at(self.now_ms + delay_ms, action)
@@ -88,7 +90,7 @@
         self.queue_places = queue_places
         self.running = 0
         self.waiting: list = []
-        self.rejected = 0
+        self.rejected = self.work_done_ms = 0
         self.factor = 1.0
 
     def receive(self, call, on_first, on_end):
@@ -103,7 +105,9 @@
     def _run(self, on_first, on_end):
         self.running += 1
         spread = self.world.random.uniform(0.8, 1.2)
-        self.world.after(round(self.work_ms * self.factor * spread), lambda: end())
+        work_ms = round(self.work_ms * self.factor * spread)
+        self.work_done_ms += work_ms if 10_000 <= self.world.now_ms < 14_500 else 0
+        self.world.after(work_ms, lambda: end())
 
         def end():
             self.running -= 1
@@ -165,16 +169,22 @@
         self.servers = {server.entry.server: server for server in servers}
         self.loads = PeerLoads()
         entries = [server.entry for server in servers]
-        self.pool = server_pool(*entries, peer_loads=self.loads)
+        self.name = f"front-{len(world.instances)}"
+        self.roster = InstanceRoster(self.name)
+        self.pool = server_pool(*entries, peer_loads=self.loads, limits=ServerLimits(self.roster))
+        self.pool.next_waiting_request = self._next_waiting_request
         self.queue = RequestQueue()
         self.budget = WindowedRetryBudget(0.2, 2, 10_000, started_ms=-20_000)
         self.is_dead = self.loses_reports = False
-        self.name = f"front-{len(world.instances)}"
         self._lag_ms, self._report_ms, self._sequence = lag_ms, report_ms, 0
         self._waiting: dict[int, object] = {}
+        self._woken_ms = 0
         if configure is not None:
             configure(self)
         world.instances.append(self)
+        for instance in world.instances:
+            others = [i.name for i in world.instances if i is not instance]
+            instance.roster.set_registered(others, 0)
         world.after(world.random.randrange(report_ms), self._report)
 
     def _report(self):
@@ -193,7 +203,8 @@
 
     def receive_report(self, report):
         self.loads.add_report(report, self.world.now_ms)
-        self.wake()
+        if self.world.now_ms - self._woken_ms >= 20:
+            self.wake()
 
     def submit(self, call):
         now_ms = self.world.now_ms
@@ -203,6 +214,7 @@
         parts = (PromptPart(shared, call.prompt[0]), PromptPart("own", call.prompt[1]))
         request = caller_request(
             arrived_ms=now_ms,
+            request_id=f"r{next(self.world.numbers)}",
             caller_timeout_ms=left_ms,
             model="m1" if is_prompt else None,
             parts=parts if is_prompt else (),
@@ -259,12 +271,17 @@
         waiting = QueuedRequest(
             wait.urgency, now_ms, wait.tokens, wait.on_time_until_ms, wait.give_up_ms
         )
+        waiting.request = request
         if not self.queue.enqueue(waiting, now_ms, wait.rate):
             self._refuse(forwarding.on_full(now_ms), call)
             return
         self._waiting[id(waiting)] = (waiting, forwarding, call, request, now_ms)
         self.world.at(wait.give_up_ms, lambda: self._leave(waiting, self._give_up))
-        self.world.after(100, self.wake)
+        self.wake()
+
+    def _next_waiting_request(self, _service):
+        head = self.queue.peek(round(self.world.now_ms))
+        return None if head is None else head.request
 
     def _give_up(self, forwarding, call, request):
         self._refuse(forwarding.on_full(round(self.world.now_ms)), call)
@@ -278,8 +295,8 @@
             then(forwarding, call, request)
 
     def wake(self):
-        now_ms = round(self.world.now_ms)
-        while not self.is_dead and (head := self.queue.peek(now_ms)) is not None:
+        now_ms = self._woken_ms = round(self.world.now_ms)
+        while (head := self.queue.peek(now_ms)) is not None:
             step = self._waiting[id(head)][1].retry(now_ms)
             if isinstance(step, WaitForMemory):
                 self.world.after(100, self.wake)
