--- a/bergamothill/process/engineselector.py
+++ b/bergamothill/process/engineselector.py
@@ -9,12 +9,8 @@
 from bergamothill.process.observedserver import ObservedServer
 from bergamothill.process.prefillnotice import AnnouncedPrefill
 from bergamothill.request.callerrequest import CallerRequest, ForwardTerms
-from bergamothill.request.contextplan import (
-    PREFILL_TOKENS_PER_MS,
-    ContextPlan,
-    ContextPlanner,
-    PartHolders,
-)
+from bergamothill.request.contextplan import ContextPlan, ContextPlanner, PartHolders
+from bergamothill.request.serverspeed import PromptWork, ServerSpeeds
 from bergamothill.version.cachenamespace import namespace
 from bergamothill.version.routetable import Brand, EngineTraits
 
@@ -23,9 +19,6 @@
 FULL_MEMORY_PENALTY_MS = 20.0
 """Delay charged for full engine memory, as requests in progress then evict cached context."""
 
-BATCH_DELAY_MS_PER_REQUEST = 0.5
-"""Delay that each request in progress adds for the others in its batch."""
-
 
 @dataclass(frozen=True, slots=True)
 class _Candidate:
@@ -48,9 +41,13 @@
 
     :param planner: plans the sources of cached context
     :param peer_loads: loads reported by the other entry instances
+    :param speeds: estimates of the speed of engines
     """
 
-    def __init__(self, planner: ContextPlanner, peer_loads: PeerLoads) -> None:
+    def __init__(
+        self, planner: ContextPlanner, peer_loads: PeerLoads, speeds: ServerSpeeds
+    ) -> None:
+        self._speeds = speeds
         self._planner = planner
         self._peer_loads = peer_loads
         self.announced = AnnouncedPrefill()
@@ -108,8 +105,9 @@
         entry = state.entry
         homes = self._planner.regions.namespace_of(request.homes)
         salt = namespace(request.model, state.weight_version(request.model), brand, homes)
+        tokens_per_ms = self._speeds.tokens_per_ms(entry.service, entry.incarnation, now_ms)
         plan = self._planner.plan(
-            entry.address, entry.zone, traits, request, salt, now_ms, holders=holders
+            entry.address, entry.zone, traits, request, salt, now_ms, tokens_per_ms, holders
         )
         first_ms = self._estimate_first_token_ms(state, traits, request, plan, now_ms)
         return _Candidate(first_ms, state, plan, salt)
@@ -122,13 +120,15 @@
         plan: ContextPlan,
         now_ms: int,
     ) -> float:
-        peer_load = self._peer_loads.load_on(state.entry.server)
-        announced_tokens = self.announced.tokens_at(state.entry.incarnation, now_ms)
-        queue_ms = (
-            state.pending_prefill_tokens + peer_load.pending_prefill_tokens + announced_tokens
-        ) / PREFILL_TOKENS_PER_MS
-        prefill_ms = plan.prefill_tokens / PREFILL_TOKENS_PER_MS
+        entry = state.entry
+        peer_load = self._peer_loads.load_on(entry.server)
+        announced_tokens = self.announced.tokens_at(entry.incarnation, now_ms)
+        work = PromptWork(
+            plan.prefill_tokens,
+            state.pending_prefill_tokens + peer_load.pending_prefill_tokens + announced_tokens,
+            state.in_progress + peer_load.in_progress,
+        )
+        prefill_ms = self._speeds.first_token_ms(entry.service, entry.incarnation, work, now_ms)
         tokens = state.tokens + peer_load.tokens + request.prompt_tokens
         memory_penalty_ms = FULL_MEMORY_PENALTY_MS * tokens / max(1, traits.memory_tokens)
-        batch_ms = BATCH_DELAY_MS_PER_REQUEST * (state.in_progress + peer_load.in_progress)
-        return queue_ms + prefill_ms + plan.fetch_ms + memory_penalty_ms + batch_ms
+        return prefill_ms + plan.fetch_ms + memory_penalty_ms
--- a/bergamothill/process/serverpool.py
+++ b/bergamothill/process/serverpool.py
@@ -20,6 +20,7 @@
 )
 from bergamothill.process.loadreport import PeerLoads, ServerLoad
 from bergamothill.process.observedserver import ObservedServer
+from bergamothill.process.servercapacity import ServerCapacity
 from bergamothill.process.serverlimits import ServerLimits
 from bergamothill.process.softwareversions import SoftwareVersions
 from bergamothill.process.trialplacement import TrialPlacement
@@ -27,6 +28,7 @@
 from bergamothill.request.contextplan import ContextPlanner
 from bergamothill.request.partquarantine import Trial
 from bergamothill.request.serverchoice import AllQuiet, AtLimit, NoFreeMemory, ServerChoice
+from bergamothill.request.serverspeed import PromptWork, ServerSpeeds
 from bergamothill.version.homes import HomeRegions
 from bergamothill.version.routetable import Brand, EngineTraits, Service
 from bergamothill.version.weightswap import SwapEngine
@@ -45,9 +47,6 @@
 FAILURE_BACKOFF_MIN_MS = 500
 FAILURE_BACKOFF_MAX_MS = 4_000
 
-OTHER_ZONE_PENALTY = 1.0
-"""Number of requests in progress that weighs as much as being in another zone."""
-
 MEMORY_SHARE = 0.95
 """Share of an engine's memory that prompts in progress may fill; answers need the rest."""
 
@@ -98,7 +97,9 @@
         self._peer_loads = peer_loads
         self.limits = limits
         self._planner = planner
-        self.selector = EngineSelector(planner, peer_loads)
+        self.speeds = ServerSpeeds()
+        self.capacity = ServerCapacity(zone, peer_loads, self.speeds, limits.roster)
+        self.selector = EngineSelector(planner, peer_loads, self.speeds)
         self.weights_due_ms = weights_due_ms
         self.targets: dict[ModelName, WeightTarget] = {}
         self._target_histories: dict[ModelName, TargetHistory] = {}
@@ -113,6 +114,11 @@
         )
         """Returns the first request in the queue of a service that waits for limits."""
 
+        self.next_waiting_request: Callable[[ServiceName], CallerRequest | None] = lambda _name: (
+            None
+        )
+        """Returns the same if it waits for capacity."""
+
     def apply_list(self, entries: Iterable[BackendServer], sent_ms: int, now_ms: int) -> list[str]:
         """Apply a newly read list of servers; see :class:`ServerList`."""
         changes = super().apply_list(entries, sent_ms, now_ms)
@@ -125,6 +131,8 @@
         super()._rebuild_index()
         self._set_fetch_sources()
         self.limits.retain(state.entry for state in self._observed.values())
+        self.speeds.retain(state.entry.incarnation for state in self._observed.values())
+        self.capacity.retain(self._observed.keys())
 
     def _set_fetch_sources(self) -> None:
         engines = (
@@ -276,6 +284,7 @@
         state = self._observed.get(server)
         if state is not None:
             state.backoff_until_ms = max(state.backoff_until_ms, now_ms + REJECTION_BACKOFF_MS)
+            self.capacity.record_rejection(state, now_ms)
 
     def request_failed(self, server: ServerId, now_ms: int) -> None:
         """Record a lost answer or a failed connection."""
@@ -330,6 +339,30 @@
             expected_ms = terms.expected_first_ms
             self._planner.delays.record_first_token(terms.fetch_from, took_ms, expected_ms, now_ms)
 
+    def record_prefill_time(
+        self, server: BackendServer, terms: ForwardTerms, took_ms: int, now_ms: int
+    ) -> None:
+        """Learn the speed of an engine from the time to the first token of a successful answer."""
+        if terms.weight_version is not None and not any(terms.fetch_from):
+            work = PromptWork(
+                terms.pending_prefill_tokens, terms.beside_prefill_tokens, terms.beside_requests
+            )
+            key = server.incarnation
+            self.speeds.record_first_token(server.service, key, work, took_ms, now_ms)
+
+    def record_service_time(
+        self, server: BackendServer, terms: ForwardTerms, took_ms: int, now_ms: int
+    ) -> None:
+        """Learn the time for which requests occupy a slot from a successful answer."""
+        self.speeds.record_service_time(
+            server.service,
+            server.incarnation,
+            terms.beside_requests,
+            server.slots,
+            took_ms,
+            now_ms,
+        )
+
     def record_check(self, now_ms: int) -> None:
         """Record a periodic check, the lack of which shows a pause of this process."""
         if self._checked_ms is not None:
@@ -412,8 +445,11 @@
             candidates = placement.select_for(trial, candidates)
             if not candidates:
                 return NoFreeMemory()
-            state = min(candidates, key=self._cost_by_request_count)
+            state = self._choose_plain(candidates, usable, request, trial, now_ms)
+            if state is None:
+                return NoFreeMemory(self.capacity.expected_answer_ms(service.name))
             terms = ForwardTerms(state.entry.server, 0, brand=terms_brand)
+            self._set_load_terms(terms, state, now_ms)
             terms.limit_spent_ms = self.limits.spend(state.entry, now_ms)
             return (state.entry, terms)
         preferred = self._preferred_by_weights(candidates, request.model, now_ms)
@@ -425,11 +461,20 @@
                     with_room, service.engine, request, brand, now_ms
                 )
                 state = self._observed[entry.server]
+                self._set_load_terms(terms, state, now_ms)
                 terms.weights_outdated_ms = self._outdated(state, request.model, now_ms).max_age_ms
                 terms.limit_spent_ms = self.limits.spend(entry, now_ms)
                 return (entry, terms)
         return NoFreeMemory()
 
+    def _set_load_terms(self, terms: ForwardTerms, state: ObservedServer, now_ms: int) -> None:
+        """Note the load that a request finds at a server."""
+        peer_load = self._peer_loads.load_on(state.entry.server)
+        pending_tokens = state.pending_prefill_tokens + peer_load.pending_prefill_tokens
+        pending_tokens += self.selector.announced.tokens_at(state.entry.incarnation, now_ms)
+        terms.beside_prefill_tokens = pending_tokens
+        terms.beside_requests = state.in_progress + peer_load.in_progress
+
     def _may_take_over(self, state: ObservedServer, avoided: tuple[str, ...], now_ms: int) -> bool:
         """Return whether an answer that is in progress elsewhere may be moved to a server."""
         if state.entry.server in avoided or state.backoff_until_ms > now_ms:
@@ -448,6 +493,8 @@
         self, state: ObservedServer, traits: EngineTraits, request: CallerRequest, urgency: int
     ) -> bool:
         """Return whether an engine can run a request without preempting another."""
+        if not self.capacity.has_slot(state, traits):
+            return False
         peer_load = self._peer_loads.load_on(state.entry.server)
         if state.in_progress + peer_load.in_progress == 0:
             return True  # an idle engine has the most room a very long prompt can get
@@ -455,10 +502,20 @@
         tokens = state.tokens + peer_load.tokens + request.prompt_tokens
         return tokens <= share * traits.memory_tokens
 
-    def _cost_by_request_count(self, state: ObservedServer) -> tuple[float, str]:
-        other_zone = OTHER_ZONE_PENALTY if state.entry.zone != self._zone else 0.0
-        in_progress = state.in_progress + self._peer_loads.load_on(state.entry.server).in_progress
-        return (in_progress + other_zone, state.entry.server)
+    def _choose_plain(
+        self,
+        candidates: list[ObservedServer],
+        usable: list[ObservedServer],
+        request: CallerRequest,
+        trial: Trial | None,
+        now_ms: int,
+    ) -> ObservedServer | None:
+        """Return a plain server; None if the request should wait, also for those before it."""
+        if trial is None:
+            first = self.next_waiting_request(candidates[0].entry.service)
+            if first is not None and first is not request:
+                return None
+        return self.capacity.choose_plain(candidates, usable, request, now_ms)
 
     def may_send_prompt_to(self, server: BackendServer, model: ModelName, now_ms: int) -> bool:
         """Return whether a prompt may still be sent to an engine that was chosen earlier."""
--- a/bergamothill/request/callerrequest.py
+++ b/bergamothill/request/callerrequest.py
@@ -71,6 +71,7 @@
     :param suspects: parts that other requests may have in common with it, and that could crash
         servers; set once the request is admitted
     :param homes: regions in which it may be served; None for all; set likewise
+    :param objective_ms: time until which the answer meets its objective; set likewise
     """
 
     raw: RawRequest
@@ -87,6 +88,7 @@
     forwarded_headers: list[Header] = field(default_factory=list)
     suspects: frozenset[PartId] = frozenset()
     homes: frozenset[RegionName] | None = None
+    objective_ms: int | None = None
 
     @property
     def path(self) -> str:
@@ -122,6 +124,9 @@
         names; None if it named none; not sent
     :param closes_connection: whether the connection is closed after the answer
     :param may_reuse_connection: whether it may be sent on a kept connection; not sent
+    :param beside_prefill_tokens: tokens left to prefill of the requests that the server had in
+        progress when it was chosen; not sent
+    :param beside_requests: number of these requests; not sent
     :param expected_first_ms: expected time to the first token; not sent
     :param runner_up: second-best server; empty if there was no other; not sent
     :param runner_up_first_ms: expected time to the first token at the runner-up; not sent
@@ -145,6 +150,8 @@
     limit_spent_ms: int | None = None
     closes_connection: bool = True
     may_reuse_connection: bool = False
+    beside_prefill_tokens: int = 0
+    beside_requests: int = 0
     expected_first_ms: float = 0.0
     runner_up: ServerId = ServerId("")
     runner_up_first_ms: float = 0.0
