Shared reads: know an outage of the service that only the readers saw

Cause: an instance that takes over right after an outage has had no failed read itself, so its first list of servers would not have begun the wait for entries that lapsed in the outage; found by reading. And a reader that was rejected alone made all others report a lost connection once.

Change (process/readoutages): a read follows an outage if reads were told to have failed since the read applied before, and if that one is older than the interval. New oracle 4 of the proof.

--- a/bergamothill/process/readorder.py
+++ b/bergamothill/process/readorder.py
@@ -66,6 +66,11 @@
         self._era = 0
         self._latest: dict[EntryInstanceId, SeenRead] = {}
 
+    @property
+    def last_ms(self) -> int | None:
+        """:attr:`sent_ms`; None before the first read was applied."""
+        return None if self.digest is None else self.sent_ms
+
     def may_apply(self, read: SeenRead, era: int) -> bool:
         """Return whether a read is not older than what was applied."""
         if self.digest is None or era > self._era:
--- a/bergamothill/process/sharedreads.py
+++ b/bergamothill/process/sharedreads.py
@@ -31,6 +31,7 @@
     WantedPrefix,
 )
 from bergamothill.process.readorder import AppliedRead, ReadOrder, SeenRead
+from bergamothill.process.readoutages import ReadOutages
 from bergamothill.process.readtimes import ReadTimes
 from bergamothill.process.registry import Peer
 from bergamothill.process.zonereaders import READERS_PER_ZONE, ReadRole, ZoneReaders
@@ -56,9 +57,6 @@
 CONFIRM_STEP_MS = 300
 """Unchanged content is applied again once it is known to be newer by this much."""
 
-MIN_OUTAGE_GAP_MS = 2_000
-"""Both readers report the same outage; reports that are closer count as one."""
-
 ROUNDING_MS = 1
 
 
@@ -98,11 +96,9 @@
     contents: ContentCache = field(default_factory=ContentCache)
     own: _OwnRead | None = None
     is_failing: bool = False
-    has_seen_outage: bool = False
     notice: bytes | None = None
     failed_notice_ms: int = 0
-    outage_ms: int | None = None
-    flagged_outage_ms: int = 0
+    outages: ReadOutages = field(default_factory=ReadOutages)
     told_ms: int = 0
     fetch: _Fetch | None = None
     has_stuck_fetch: bool = False
@@ -180,9 +176,9 @@
         self._number += 1
         digest = digest_entries(entries)
         read = SeenRead(self._own, self._number, digest, sent_ms, now_ms)
-        if state.has_seen_outage:
-            state.outage_ms = sent_ms
-        state.is_failing = state.has_seen_outage = False
+        interval_ms = self.readers.times(prefix).interval_ms
+        follows_outage = state.outages.on_own_read(sent_ms, state.order.last_ms, interval_ms)
+        state.is_failing = False
         self.readers.record_success(prefix, self._own)
         state.has_stuck_fetch, state.fetch = False, None
         if era is not None and era < self.era:
@@ -192,13 +188,15 @@
             state.own = _OwnRead(self._number, era, digest, sent_ms, now_ms)
             state.contents.add(digest, entries)
             self._tell(prefix, digest, now_ms)
-        return self._apply(prefix, read, self.era if era is None else era, entries, False)
+        era = self.era if era is None else era
+        return self._apply(prefix, read, era, entries, follows_outage)
 
     def on_read_failed(self, prefix: str, now_ms: int) -> None:
         """Process the failure of an own read."""
         state = self._prefixes[prefix]
         is_first = not state.is_failing
-        state.is_failing = state.has_seen_outage = True
+        state.is_failing = True
+        state.outages.record_own_failure(now_ms)
         self.readers.record_failure(prefix, self._own, now_ms)
         if is_first or now_ms - state.failed_notice_ms >= QUERY_INTERVAL_MS:
             state.failed_notice_ms = now_ms
@@ -332,7 +330,7 @@
         if state is None or message.entry not in self.readers.ranking:
             return []
         if not message.digest:
-            self.readers.record_failure(message.prefix, message.entry, now_ms)
+            self._record_failure(message.prefix, message.entry, now_ms)
             return []
         self.readers.record_success(message.prefix, message.entry)
         self._heard_ms[message.entry] = now_ms
@@ -343,6 +341,10 @@
             self._query(message.entry, now_ms)
         return []
 
+    def _record_failure(self, prefix: str, entry: EntryInstanceId, now_ms: int) -> None:
+        self._prefixes[prefix].outages.record_failure(now_ms)
+        self.readers.record_failure(prefix, entry, now_ms)
+
     @_on_message.register
     def _(self, message: ReadQuery, now_ms: int) -> list[AppliedRead | None]:
         confirmations = []
@@ -351,7 +353,7 @@
             own = None if state is None else state.own
             if state is None or own is None or own.era != self.era:
                 continue
-            outage_ms = state.outage_ms
+            outage_ms = state.outages.ended_ms
             confirmations.append(
                 Confirmation(
                     wanted.prefix,
@@ -400,7 +402,7 @@
     ) -> AppliedRead | None:
         state = self._prefixes[row.prefix]
         if row.is_failing:
-            self.readers.record_failure(row.prefix, query.entry, now_ms)
+            self._record_failure(row.prefix, query.entry, now_ms)
             return None
         self.readers.record_success(row.prefix, query.entry)
         # The first content is an own read, as what was applied before cannot be compared with it.
@@ -449,24 +451,17 @@
         now_ms: int,
     ) -> AppliedRead | None:
         state = self._prefixes[prefix]
-        follows_outage = (
-            outage_ms is not None
-            and outage_ms > state.order.sent_ms + CONFIRM_STEP_MS
-            and outage_ms >= state.flagged_outage_ms + MIN_OUTAGE_GAP_MS
-        )
+        interval_ms, last_ms = self.readers.times(prefix).interval_ms, state.order.last_ms
+        follows_outage = state.outages.on_told_read(read.sent_ms, outage_ms, last_ms, interval_ms)
         applied = self._apply(prefix, read, era, entries, follows_outage)
         fetch = state.fetch
         if fetch is not None and not state.order.may_apply(fetch.read, fetch.era):
             state.fetch = fetch = None
         if fetch is not None and fetch.read.digest == state.order.digest:
             state.fetch = None
-        if applied is not None and follows_outage:
-            state.flagged_outage_ms = outage_ms
         # Content that differs from what is in force shows no working reader until it is fetched.
         if state.order.digest == read.digest:
             self.readers.record_confirmation(prefix, read.source, read.sent_ms, now_ms)
-            # Another instance could read, so that the failed reads here were no outage.
-            state.has_seen_outage = False
             if self.readers.role(prefix, now_ms) is ReadRole.FOLLOWER:
                 state.is_failing = False
         return applied
--- a/tests/proof/proof_sharedreads.py
+++ b/tests/proof/proof_sharedreads.py
@@ -53,6 +53,8 @@
     Oracle 2: an instance that is in touch with the service knows each change within three seconds,
     whatever happens to the readers and the datagrams.
     Oracle 3: without a disturbance only two instances read.
+    Oracle 4: the first content after an outage of the service is known to follow one, or an own
+    read failed in it.
     """
 
     double = ArrivalReads
@@ -123,8 +125,7 @@
             if instance.is_cut_off or instance.is_rejected:
                 instance.is_cut_off = instance.is_rejected = False
                 instance.connected_ms = world.now_ms
-        if world.is_away:
-            world.is_away, world.back_ms = False, world.now_ms
+        world.come_back()
 
     # faults
 
@@ -193,15 +194,10 @@
     @rule(duration_ms=st.sampled_from((500, 4_000, 12_000)))
     def service_is_away(self, duration_ms):
         self.fault()
-        world = self.world
-
-        def come_back():
-            world.is_away, world.back_ms = False, world.now_ms
-
-        if not world.is_away:
-            world.is_away = True
-            world.after(duration_ms, come_back)
-        world.run_for(10)
+        if not self.world.is_away:
+            self.world.go_away()
+            self.world.after(duration_ms, self.world.come_back)
+        self.world.run_for(10)
 
     @rule()
     def service_is_restored(self):
--- a/tests/proof/readsworld.py
+++ b/tests/proof/readsworld.py
@@ -26,6 +26,9 @@
 REGISTRATION_TTL_MS = 10_000
 KEPT_STATES = 400
 
+NOTICED_OUTAGE_MS = 2_500
+"""Outages in which entries of servers may lapse; a poll and its time-out fit into it."""
+
 
 @dataclass(eq=False)
 class Instance:
@@ -37,6 +40,7 @@
     is_rejected: bool = False
     is_without_peers: bool = False
     connected_ms: int = 0
+    failed_ms: int = 0
     deferred: list = field(default_factory=list)
     was_reading: bool = False
     next_read: object = None
@@ -63,7 +67,7 @@
         super().__init__(rng, now_ms=START_MS)
         self.new_reads = new_reads
         self.loss, self.max_delay_ms, self.repeats = 0.0, 5, 0.0
-        self.is_away, self.back_ms = False, 0
+        self.is_away, self.away_ms, self.back_ms = False, 0, 0
         self.era, self.revision = 1, 10
         self.content = (self.entry("op/config", b"1"),)
         self.states = [(self.now_ms, self.content)]
@@ -76,6 +80,14 @@
 
     # the service
 
+    def go_away(self):
+        if not self.is_away:
+            self.is_away, self.away_ms = True, self.now_ms
+
+    def come_back(self):
+        if self.is_away:
+            self.is_away, self.back_ms = False, self.now_ms
+
     def entry(self, key, value):
         self.revision += 1
         return KeyValueEntry(key, value, qualify_revision(self.era, self.revision))
@@ -201,6 +213,7 @@
         sent_ms = self.now_ms
 
         def fail():
+            instance.failed_ms = self.now_ms
             instance.reads.on_read_failed(PREFIX, self.now_ms)
             self.send_outgoing(instance)
             self.schedule_read(instance, RETRY_MS)
@@ -263,6 +276,15 @@
             f"{instance.name} got content of {applied.source} as read {applied.sent_ms} or later,"
             f" at {self.now_ms}, which it was not",
         )
+        has_missed_outage = (
+            self.back_ms - self.away_ms >= NOTICED_OUTAGE_MS
+            and instance.entries is not None
+            and instance.sent_ms < self.away_ms
+            and applied.sent_ms >= self.back_ms
+            and max(instance.connected_ms, instance.failed_ms) < self.away_ms
+            and not applied.follows_outage
+        )
+        require(not has_missed_outage, f"{instance.name} missed an outage since {self.away_ms}")
         instance.position = position
         instance.entries, instance.sent_ms = applied.entries, applied.sent_ms
 
--- a/tests/test_sharedreads.py
+++ b/tests/test_sharedreads.py
@@ -29,6 +29,7 @@
     is_read_message,
 )
 from bergamothill.process.readorder import AppliedRead
+from bergamothill.process.readoutages import ReadOutages
 from bergamothill.process.readtimes import ReadTimes
 from bergamothill.process.registry import Peer, Registry
 from bergamothill.process.sharedreads import FETCH_TIMEOUT_MS, SharedReads
@@ -314,3 +315,28 @@
     def test_peers_come_from_the_reads_of_others(self):
         self.tell((KeyValueEntry("entries/z/e2", cbor2.dumps(["e2", "10.0.0.2", 7700]), 1),), 0)
         self.assertEqual([(Peer("e2", "10.0.0.2", 7700, "z"),)], self.seen)
+
+
+class ReadOutagesTest(unittest.TestCase):
+    """Guards against servers dropped after an outage that only the readers saw, or kept without."""
+
+    def setUp(self):
+        self.outages = ReadOutages()
+
+    def test_an_outage_that_readers_told_of_is_known_when_the_next_read_succeeds(self):
+        self.outages.record_failure(2_000)
+        self.assertTrue(self.outages.on_own_read(4_000, 1_000, 1_400))
+        self.assertEqual(4_000, self.outages.ended_ms)
+
+    def test_a_reader_that_is_rejected_alone_makes_no_outage(self):
+        self.outages.record_failure(2_000)
+        self.assertFalse(self.outages.on_told_read(2_200, None, 1_000, 1_400))
+        self.assertFalse(self.outages.on_own_read(9_000, 7_000, 1_400))
+
+    def test_readers_that_stopped_make_no_outage(self):
+        self.assertFalse(self.outages.on_own_read(4_000, 1_000, 1_400))
+        self.assertIsNone(self.outages.ended_ms)
+
+    def test_an_outage_told_by_two_readers_counts_once(self):
+        self.assertTrue(self.outages.on_told_read(5_000, 4_900, 1_000, 1_400))
+        self.assertFalse(self.outages.on_told_read(6_900, 5_100, 5_000, 1_400))
