Shared reads: bound the content that a reader sends

Cause: at 20 followers, a configuration of 100 kB is 2 MB from one reader, 3.2 s of a link of 5 Mbit/s, beside the answers to callers (computed). Content is compressed at the fastest level, as that runs on the event loop.

--- a/bergamothill/process/readcontent.py
+++ b/bergamothill/process/readcontent.py
@@ -15,6 +15,7 @@
 __all__ = [
     "MAX_PIECES",
     "NO_BASE",
+    "ContentBudget",
     "ContentCache",
     "Entries",
     "decode_content",
@@ -28,6 +29,9 @@
 NO_BASE = b""
 """Base of content that is told whole."""
 
+COMPRESSION_LEVEL = 1
+"""Content is compressed on the event loop."""
+
 PIECE_BYTES = 8_000
 MAX_PIECES = 64
 """Larger content is not told; each instance then reads it itself."""
@@ -37,6 +41,13 @@
 
 KEPT_ENCODINGS = 4
 
+BUDGET_BYTES_PER_MS = 250
+BUDGET_BURST_BYTES = 250_000
+"""Content sent by one reader; a link of 5 Mbit/s also carries answers to callers.
+
+Receivers that get no content read for themselves.
+"""
+
 MAX_CONTENT_BYTES = 16_000_000
 """Bounds what compressed pieces may expand to."""
 
@@ -64,7 +75,7 @@
         for entry in entries
         if known.get(entry.key) != entry
     ]
-    encoded = zlib.compress(cbor2.dumps([removed, changed]))
+    encoded = zlib.compress(cbor2.dumps([removed, changed]), COMPRESSION_LEVEL)
     pieces = [encoded[at : at + PIECE_BYTES] for at in range(0, len(encoded), PIECE_BYTES)]
     return tuple(pieces) if len(pieces) <= MAX_PIECES else ()
 
@@ -123,3 +134,21 @@
             while len(self._encodings) > KEPT_ENCODINGS:
                 self._encodings.popitem(last=False)
         return pieces or ()
+
+
+class ContentBudget:
+    """Bounds the bytes of content that one instance sends."""
+
+    def __init__(self) -> None:
+        self._left = BUDGET_BURST_BYTES
+        self._filled_ms = 0
+
+    def try_spend(self, size: int, now_ms: int) -> bool:
+        """Return whether that many bytes may be sent now, and count them."""
+        gained = BUDGET_BYTES_PER_MS * max(0, now_ms - self._filled_ms)
+        self._left = min(BUDGET_BURST_BYTES, self._left + gained)
+        self._filled_ms = now_ms
+        if self._left < size:
+            return False
+        self._left -= size
+        return True
--- a/bergamothill/process/sharedreads.py
+++ b/bergamothill/process/sharedreads.py
@@ -16,6 +16,7 @@
 from bergamothill.ids import EntryInstanceId, ZoneName
 from bergamothill.process.readcontent import (
     NO_BASE,
+    ContentBudget,
     ContentCache,
     Entries,
     decode_content,
@@ -126,6 +127,7 @@
 
         self._number = first_number
         self._prefixes: dict[str, _Prefix] = {}
+        self._budget = ContentBudget()
         self._queries: OrderedDict[int, _OpenQuery] = OrderedDict()
         self._heard_ms: dict[EntryInstanceId, int] = {}
         self._queried_ms: dict[EntryInstanceId, int] = {}
@@ -369,10 +371,10 @@
         answer = ReadAnswer(self._own, message.query_id, tuple(confirmations))
         self._send((message.entry,), answer)
         for wanted in message.wanted:
-            self._send_content(message.entry, wanted)
+            self._send_content(message.entry, wanted, now_ms)
         return []
 
-    def _send_content(self, entry: EntryInstanceId, wanted: WantedPrefix) -> None:
+    def _send_content(self, entry: EntryInstanceId, wanted: WantedPrefix, now_ms: int) -> None:
         state = self._prefixes.get(wanted.prefix)
         own = None if state is None else state.own
         if state is None or own is None or own.era != self.era or own.digest == wanted.digest:
@@ -383,6 +385,8 @@
         if wanted.fetched == own.digest:
             indexes = [index for index in wanted.missing if index < len(pieces)]
         for index in list(indexes)[:PIECES_PER_QUERY]:
+            if not self._budget.try_spend(len(pieces[index]), now_ms):
+                return
             place = (own.digest, base, index, len(pieces))
             self._send((entry,), ContentPiece(self._own, wanted.prefix, *place, pieces[index]))
 
