--- a/bergamothill/process/loadreport.py
+++ b/bergamothill/process/loadreport.py
@@ -6,11 +6,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-from dataclasses import dataclass, replace
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
 from functools import lru_cache
 from hashlib import blake2b
-from typing import NewType
+from typing import NewType, Protocol
 
 import cbor2
 
@@ -18,6 +18,7 @@
 from bergamothill.ids import EntryInstanceId, ServerId
 
 __all__ = [
+    "CountedSum",
     "KeyedLoads",
     "LoadReport",
     "MemberKey",
@@ -136,25 +137,33 @@
         raise ProtocolError(f"not a load report: {error}", step="load.decode") from error
 
 
+class CountedSum(Protocol):
+    """Sum of the loads of several instances."""
+
+    @property
+    def loads(self) -> KeyedLoads:
+        """Loads by server, without those of this instance."""
+
+
 @dataclass(frozen=True, slots=True)
 class _Reported:
     sequence_number: int
     received_ms: int
     loads: KeyedLoads
-    is_counted: bool
 
 
 class PeerLoads:
     """Latest loads of the other entry instances, added up by server.
 
     An instance is counted by its own report or by the sum of a zone that contains it, never by
-    both.
+    both. Loads are added up when they are asked for, as most reports are replaced before that.
     """
 
     def __init__(self) -> None:
         self._reports: dict[EntryInstanceId, _Reported] = {}
-        self._sums: dict[EntryInstanceId, KeyedLoads] = {}
+        self._sums: tuple[CountedSum, ...] = ()
         self._covered: frozenset[MemberKey] = frozenset()
+        self._sources: list[KeyedLoads] | None = []
         self._totals: dict[ServerKey, ServerLoad] = {}
         self._expired_ms = 0
 
@@ -167,9 +176,6 @@
     ) -> None:
         """Store the loads of an instance unless newer ones are known.
 
-        The totals change by what the report changes, so the work does not grow with the number of
-        senders.
-
         :param entry: sender
         :param sequence_number: increases with each report of the sender
         :param loads: its loads
@@ -177,40 +183,18 @@
         latest = self._reports.get(entry)
         if latest is not None and sequence_number <= latest.sequence_number:
             return
-        if latest is not None and latest.is_counted:
-            self._subtract(latest.loads)
-        is_counted = member_key(entry) not in self._covered
-        self._reports[entry] = _Reported(sequence_number, now_ms, loads, is_counted)
-        if is_counted:
-            self._add(loads)
+        self._reports[entry] = _Reported(sequence_number, now_ms, loads)
+        self._sources = None
         if now_ms - self._expired_ms >= EXPIRY_INTERVAL_MS:
             self.expire_reports(now_ms)
 
-    def set_sums(
-        self, sums: Mapping[EntryInstanceId, KeyedLoads], covered: frozenset[MemberKey]
-    ) -> None:
+    def set_sums(self, sums: Iterable[CountedSum], covered: frozenset[MemberKey]) -> None:
         """Set the sums of zones that are counted.
 
-        :param sums: sums by the relay that made them
+        :param sums: sums without a common instance
         :param covered: instances that they contain, whose own reports are not counted
         """
-        for relay, loads in list(self._sums.items()):
-            if sums.get(relay) is not loads:
-                self._subtract(self._sums.pop(relay))
-        for relay, loads in sums.items():
-            if relay not in self._sums:
-                self._sums[relay] = loads
-                self._add(loads)
-        if covered != self._covered:
-            self._covered = covered
-            for entry, reported in list(self._reports.items()):
-                self._set_counted(entry, reported, member_key(entry) not in covered)
-
-    def _set_counted(self, entry: EntryInstanceId, reported: _Reported, is_counted: bool) -> None:
-        if is_counted == reported.is_counted:
-            return
-        (self._add if is_counted else self._subtract)(reported.loads)
-        self._reports[entry] = replace(reported, is_counted=is_counted)
+        self._sums, self._covered, self._sources = tuple(sums), covered, None
 
     def expire_reports(self, now_ms: int) -> None:
         """Drop expired reports."""
@@ -218,20 +202,25 @@
         for entry, reported in list(self._reports.items()):
             if now_ms - reported.received_ms > REPORT_TTL_MS:
                 del self._reports[entry]
-                if reported.is_counted:
-                    self._subtract(reported.loads)
-
-    def _add(self, loads: KeyedLoads) -> None:
-        for server, load in loads.items():
-            self._totals.setdefault(server, ServerLoad()).add(load)
-
-    def _subtract(self, loads: KeyedLoads) -> None:
-        for server, load in loads.items():
-            total = self._totals.setdefault(server, ServerLoad())
-            total.subtract(load)
-            if total == ServerLoad():
-                del self._totals[server]
+                self._sources = None
 
     def load_on(self, server: ServerId) -> ServerLoad:
         """Return the total load of the other entry instances on a server."""
-        return self._totals.get(server_key(server)) or ServerLoad()
+        if self._sources is None:
+            reports = self._reports.items()
+            self._sources = [
+                reported.loads
+                for entry, reported in reports
+                if not self._covered or member_key(entry) not in self._covered
+            ]
+            self._sources += [each.loads for each in self._sums]
+            self._totals.clear()
+        key = server_key(server)
+        total = self._totals.get(key)
+        if total is None:
+            total = self._totals[key] = ServerLoad()
+            for loads in self._sources:
+                load = loads.get(key)
+                if load is not None:
+                    total.add(load)
+        return total
--- a/bergamothill/process/zoneloads.py
+++ b/bergamothill/process/zoneloads.py
@@ -95,6 +95,10 @@
     loads: KeyedLoads
 
 
+_Content = tuple[int, dict[MemberKey, int], KeyedLoads]
+"""Age of the oldest part of a sum, sequence number of each, and the loads."""
+
+
 class ZoneLoads:
     """What one instance reports and counts.
 
@@ -116,7 +120,7 @@
         self._loads = loads
         self._sequence_number = sequence_number
         self._roles = ZoneRelays(entry, ZoneName("") if zone is None else zone)
-        self._sums = ZoneSums(loads, self._count_sum)
+        self._sums = ZoneSums(loads, self._own_part)
         self._peers: tuple[EntryInstanceId, ...] = ()
         self._names: dict[MemberKey, EntryInstanceId] = {}
         self._parts: dict[EntryInstanceId, _Part] = {}
@@ -240,22 +244,21 @@
         entries = tuple(entry for entry in entries if entry != message.entry)
         return (Outgoing(message.datagram, entries),) if entries else ()
 
-    def _count_sum(self, zone_sum: ZoneSum, now_ms: int) -> KeyedLoads | None:
-        """Return what a sum adds to this instance's view."""
+    def _own_part(self, zone_sum: ZoneSum, now_ms: int) -> KeyedLoads | None:
+        """Return this instance's part of a sum; None if its own reports tell more."""
         if zone_sum.zone != self._zone:
-            return zone_sum.loads
+            return {}
         fresh = sum(now_ms - part.received_ms <= STALE_MS for part in self._parts.values())
         if len(zone_sum.members) <= fresh + 1:
             return None
-        loads = zone_sum.loads
         own = member_key(self._entry)
         if own not in zone_sum.members or not zone_sum.member_sequences:
-            return loads
+            return {}
         sequence = zone_sum.member_sequences[zone_sum.members.index(own)]
-        for number, _, own_loads in self._own_reports:
+        for number, _, loads in self._own_reports:
             if number & SEQUENCE_MASK == sequence:
-                return _difference(loads, own_loads)
-        return loads  # The part of an earlier process of this instance, which has ended.
+                return loads
+        return {}  # The part of an earlier process of this instance, which has ended.
 
     def take_heard(self, now_ms: int) -> tuple[EntryInstanceId, ...]:
         """Return the instances that are in the sums, once each second."""
@@ -357,20 +360,24 @@
 
     def _zone_sums(self, now_ms: int) -> list[Outgoing]:
         outgoing = []
-        if now_ms >= self._sum_ms:
+        is_sum_due, is_forward_due = now_ms >= self._sum_ms, now_ms >= self._forward_ms
+        sums_own_zone = is_forward_due and not self._roles.all_report
+        if not (is_sum_due or is_forward_due):
+            return outgoing
+        content = self._sum_content(now_ms) if is_sum_due or sums_own_zone else None
+        if is_sum_due:
             self._sum_ms = now_ms + max(SUM_INTERVAL_MS, self._hop_interval_ms)
-            outgoing += self._sum_for_other_zones(now_ms)
-        if now_ms >= self._forward_ms:
+            outgoing += self._sum_for_other_zones(content, now_ms)
+        if is_forward_due:
             self._forward_ms = now_ms + self._hop_interval_ms
-            if not self._roles.all_report:
-                self._add_sum_for_own_zone(now_ms)
+            if sums_own_zone:
+                self._add_sum_for_own_zone(content, now_ms)
             if self._pending or now_ms - self._forwarded_ms >= RELAY_KEEPALIVE_MS:
                 outgoing += self._forward(now_ms)
         return outgoing
 
-    def _sum_for_other_zones(self, now_ms: int) -> list[Outgoing]:
+    def _sum_for_other_zones(self, content: _Content, now_ms: int) -> list[Outgoing]:
         zones = self._roles.other_zones
-        content = self._sum_content(now_ms)
         if not zones or not self._sum_sent.is_due(content[1:], RELAY_KEEPALIVE_MS, now_ms):
             return []
         self._sum_sent = _Sent(content[1:], now_ms)
@@ -380,14 +387,13 @@
         )
         return [Outgoing(sum_bytes, tuple(receivers))]
 
-    def _add_sum_for_own_zone(self, now_ms: int) -> None:
-        content = self._sum_content(now_ms)
+    def _add_sum_for_own_zone(self, content: _Content, now_ms: int) -> None:
         if self._zone_sum_sent.is_due(content[1:], RELAY_KEEPALIVE_MS, now_ms):
             self._zone_sum_sent = _Sent(content[1:], now_ms)
             encoded = encode_zone_message(self._make_sum(content, is_for_own_zone=True))
             self._pending[self._entry] = (now_ms, encoded)
 
-    def _sum_content(self, now_ms: int) -> tuple[int, dict[MemberKey, int], KeyedLoads]:
+    def _sum_content(self, now_ms: int) -> _Content:
         """Return the age of the oldest part, the sequence number of each, and the sum."""
         parts = {self._entry: _Part(0, now_ms, self._own_loads), **self._parts}
         total: dict[ServerKey, ServerLoad] = {}
@@ -398,9 +404,7 @@
         numbers = {member_key(entry): part.sequence_number for entry, part in parts.items()}
         return now_ms - oldest_ms, numbers, total
 
-    def _make_sum(
-        self, content: tuple[int, dict[MemberKey, int], KeyedLoads], *, is_for_own_zone: bool
-    ) -> ZoneSum:
+    def _make_sum(self, content: _Content, *, is_for_own_zone: bool) -> ZoneSum:
         oldest_age_ms, numbers, total = content
         self._sequence_number += 1
         sequences = tuple(number & SEQUENCE_MASK for number in numbers.values())
@@ -461,11 +465,3 @@
         """Return whether content differs from what was sent, or is to be sent again."""
         is_old = self._sent_ms is None or now_ms - self._sent_ms >= keepalive_ms
         return is_old or content != self._content
-
-
-def _difference(loads: KeyedLoads, own: KeyedLoads) -> KeyedLoads:
-    result = dict(loads)
-    for server, load in own.items():
-        if server in result:
-            result[server].subtract(load)
-    return result
--- a/bergamothill/process/zonesums.py
+++ b/bergamothill/process/zonesums.py
@@ -9,36 +9,54 @@
 from bergamothill.process.loadreport import REPORT_TTL_MS, KeyedLoads, MemberKey, PeerLoads
 from bergamothill.process.zonereport import ZoneSum
 
-__all__ = ["ZoneSums"]
+__all__ = ["STALE_MS", "ZoneSums"]
 
 STALE_MS = 300
-"""Age from which the sum of another relay is preferred; unchanged sums are sent each 200 ms."""
+"""Age from which the sum of another relay is preferred; unchanged sums are sent each 100 ms."""
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class _Known:
+    """Latest sum of a relay.
+
+    :param made_ms: time at which the relay sent it
+    :param own: part of this instance, which it does not count; None if the sum is not to be counted
+    """
+
     sum: ZoneSum
     members: frozenset[MemberKey]
     made_ms: int
     expires_ms: int
-    loads: KeyedLoads | None = None
+    own: KeyedLoads | None
+    counted: KeyedLoads | None = None
+
+    @property
+    def loads(self) -> KeyedLoads:
+        """What the sum adds; most are replaced before they are read, so it is made when read."""
+        if self.counted is None:
+            loads = self.sum.loads
+            for server, load in (self.own or {}).items():
+                if server in loads:
+                    loads[server].subtract(load)
+            self.counted = loads
+        return self.counted
 
 
 class ZoneSums:
     """Latest sum of each relay, of which those with different members are counted.
 
     :param loads: adds up what is counted
-    :param count: returns the loads of a sum without those of this instance, or None if its own
-        reports tell more
+    :param own_part: returns the part of this instance in a sum; None if its own reports tell more
+        than the sum
     """
 
     def __init__(
-        self, loads: PeerLoads, count: Callable[[ZoneSum, int], KeyedLoads | None]
+        self, loads: PeerLoads, own_part: Callable[[ZoneSum, int], KeyedLoads | None]
     ) -> None:
         self._loads = loads
-        self._count = count
+        self._own_part = own_part
         self._known: dict[EntryInstanceId, _Known] = {}
-        self._chosen: tuple[EntryInstanceId, ...] = ()
+        self._chosen: dict[EntryInstanceId, _Known] = {}
         self.covered: frozenset[MemberKey] = frozenset()
         """Members of the sums that are counted."""
 
@@ -47,16 +65,23 @@
 
         :param held_ms: time since its relay sent it
         """
-        known = self._known.get(zone_sum.entry)
+        relay = zone_sum.entry
+        known = self._known.get(relay)
         if known is not None and zone_sum.sequence_number <= known.sum.sequence_number:
             return False
-        expires_ms = now_ms - held_ms - zone_sum.oldest_age_ms + REPORT_TTL_MS
+        made_ms = now_ms - held_ms
+        expires_ms = made_ms - zone_sum.oldest_age_ms + REPORT_TTL_MS
         if expires_ms < now_ms:
             return False
-        self._known[zone_sum.entry] = _Known(
-            zone_sum, frozenset(zone_sum.members), now_ms - held_ms, expires_ms
-        )
-        self.choose(now_ms)
+        has_same_members = known is not None and known.sum.members == zone_sum.members
+        members = known.members if has_same_members else frozenset(zone_sum.members)
+        own = self._own_part(zone_sum, now_ms)
+        added = self._known[relay] = _Known(zone_sum, members, made_ms, expires_ms, own)
+        if not has_same_members or (own is None and relay in self._chosen):
+            self.choose(now_ms)
+        elif relay in self._chosen:
+            self._chosen[relay] = added
+            self._loads.set_sums(self._chosen.values(), self.covered)
         return True
 
     def choose(self, now_ms: int) -> None:
@@ -74,20 +99,18 @@
             return is_stale, -len(known.members), relay not in self._chosen, -known.made_ms
 
         covered: dict[ZoneName, frozenset[MemberKey]] = {}
-        chosen: dict[EntryInstanceId, KeyedLoads] = {}
+        chosen: dict[EntryInstanceId, _Known] = {}
         for relay in sorted(self._known, key=rank):
             known = self._known[relay]
             zone = known.sum.zone
-            if not known.members.isdisjoint(covered.get(zone, ())):
+            if known.own is None or not known.members.isdisjoint(covered.get(zone, ())):
                 continue
-            if known.loads is None or relay not in self._chosen:
-                known.loads = self._count(known.sum, now_ms)
-            if known.loads is not None:
-                chosen[relay] = known.loads
-                covered[zone] = covered.get(zone, frozenset()) | known.members
-        self._chosen = tuple(chosen)
-        self.covered = frozenset().union(*covered.values())
-        self._loads.set_sums(chosen, self.covered)
+            chosen[relay] = known
+            covered[zone] = covered.get(zone, frozenset()) | known.members
+        if chosen != self._chosen:
+            self._chosen = chosen
+            self.covered = frozenset().union(*covered.values())
+            self._loads.set_sums(chosen.values(), self.covered)
 
     def relays_of(self, zone: ZoneName, now_ms: int) -> tuple[EntryInstanceId, ...]:
         """Return the relays of a zone whose sums are fresh, the latest first."""
