Send other datagrams of the peers' socket once to each other zone

Reports of limits and of the quarantine went to all peers, and each origin of a stream to all of its holders, twice. From nine instances on, one datagram goes to a relay of each other zone (two while something is new, one in turn otherwise) or to one of the holders there, which passes it on unchanged; instances of builds before this one get the same datagrams from it. The repetition of an origin covers the holders of the own zone and of one other zone, as it is for losses that hit all holders at once. The second relay's sums are sent half as often.

--- a/bergamothill/process/limitexchange.py
+++ b/bergamothill/process/limitexchange.py
@@ -66,7 +66,8 @@
             return
         report = self._limits.report(now_ms)
         if peer_count and report.limits:
-            self._load_exchange.send_to_peers(encode_limit_report(report))
+            is_urgent = self._schedule.is_change(now_ms)
+            self._load_exchange.send_to_peers(encode_limit_report(report), is_urgent=is_urgent)
 
     def _on_limit_report(self, report: LimitReport) -> None:
         for change in self._limits.merge(report, self._clock.now_ms()):
--- a/bergamothill/process/loadexchange.py
+++ b/bergamothill/process/loadexchange.py
@@ -19,7 +19,8 @@
 from bergamothill.process.loadreport import LoadReport, PeerLoads, decode_report
 from bergamothill.process.registry import Peer
 from bergamothill.process.serverpool import ServerPool
-from bergamothill.process.zoneloads import REPORT_INTERVAL_MS, Outgoing, ZoneLoads
+from bergamothill.process.zoneloads import REPORT_INTERVAL_MS, ZoneLoads
+from bergamothill.process.zonepasses import Outgoing
 from bergamothill.process.zonereport import (
     ZoneMessage,
     ZonePass,
@@ -92,7 +93,9 @@
 
         :param is_urgent: whether it tells something new; other datagrams take fewer bytes
         """
-        self._send(self._zone_loads.pass_on(datagram, self._clock.now_ms(), is_urgent=is_urgent))
+        now_ms = self._clock.now_ms()
+        passes = self._zone_loads.passes
+        self._send(passes.to_all(datagram, self._peers, now_ms, is_urgent=is_urgent))
 
     def send_to(
         self, entries: Iterable[EntryInstanceId], datagram: bytes
@@ -107,6 +110,24 @@
         self._datagrams.send(datagram, [(peer.host, peer.port) for peer in peers])
         return tuple(peer.entry for peer in peers)
 
+    def share(
+        self,
+        entries: Iterable[EntryInstanceId],
+        datagram: bytes,
+        turn: int = 0,
+        *,
+        is_repeat: bool = False,
+    ) -> None:
+        """Send a datagram to some peers; those of one other zone may receive it from each other.
+
+        :param entries: entry instances; those whose addresses are not known are left out
+        :param datagram: content of the datagram
+        :param turn: chooses those that pass it on; differs for a repetition
+        :param is_repeat: whether it goes to one other zone only, as all were sent it before
+        """
+        known = [entry for entry in entries if entry in self._peers]
+        self._send(self._zone_loads.passes.to_some(datagram, known, turn, is_repeat=is_repeat))
+
     @property
     def instance_count(self) -> int:
         """Number of known entry instances, including this one."""
--- a/bergamothill/process/originexchange.py
+++ b/bergamothill/process/originexchange.py
@@ -74,6 +74,7 @@
         self._roster = roster
         self._on_report = on_report
         self._repeats = OriginRepeats()
+        self._repeat_turns = count(1)
         self._wake = asyncio.Event()
         # Replies to an earlier process of this instance must not match.
         self._query_ids = count(clock.wall_ms() << 16)
@@ -88,7 +89,7 @@
             while not self._repeats.is_empty:
                 await asyncio.sleep(ms_to_seconds(REPEAT_INTERVAL_MS))
                 for notice in self._repeats.take_due(self._clock.now_ms()):
-                    self._send_notice(notice.entries, notice.origins)
+                    self._send_notice(notice.entries, notice.origins, is_repeat=True)
 
     def tell(self, origin: StreamOrigin) -> None:
         """Record where a stream began and tell the other holders before returning.
@@ -145,10 +146,16 @@
         return tuple(entry for entry in holders(key, self._roster.members) if entry != own)
 
     def _send_notice(
-        self, entries: tuple[EntryInstanceId, ...], origins: tuple[StreamOrigin, ...]
+        self,
+        entries: tuple[EntryInstanceId, ...],
+        origins: tuple[StreamOrigin, ...],
+        *,
+        is_repeat: bool = False,
     ) -> None:
         notice = encode_origin_message(OriginNotice(self._roster.own, origins))
-        self._load_exchange.send_to(entries, notice)
+        # The second time others pass it on, as one of the first may have stopped.
+        turn = next(self._repeat_turns) if is_repeat else 0
+        self._load_exchange.share(entries, notice, turn, is_repeat=is_repeat)
 
     def _on_origin_message(self, message: OriginMessage) -> None:
         self._on_message(message)
--- a/bergamothill/process/quarantineexchange.py
+++ b/bergamothill/process/quarantineexchange.py
@@ -69,4 +69,6 @@
             return
         report = self._quarantine.report(now_ms)
         if peer_count and not report.is_empty:
-            self._load_exchange.send_to_peers(encode_quarantine_report(report))
+            is_urgent = self._schedule.is_change(now_ms)
+            datagram = encode_quarantine_report(report)
+            self._load_exchange.send_to_peers(datagram, is_urgent=is_urgent)
--- a/bergamothill/process/reportschedule.py
+++ b/bergamothill/process/reportschedule.py
@@ -43,7 +43,11 @@
         self._sent_ms = now_ms
         return True
 
+    def is_change(self, now_ms: int) -> bool:
+        """Return whether a report that is sent now tells of a change, or repeats one."""
+        return self._changed_ms is not None and now_ms - self._changed_ms <= BURST_MS
+
     def _interval_ms(self, peer_count: int, now_ms: int) -> int:
-        if self._changed_ms is not None and now_ms - self._changed_ms <= BURST_MS:
+        if self.is_change(now_ms):
             return BURST_INTERVAL_MS
         return max(self._keepalive_ms, self._per_peer_ms * peer_count)
--- a/bergamothill/process/zoneloads.py
+++ b/bergamothill/process/zoneloads.py
@@ -26,9 +26,8 @@
     member_key,
 )
 from bergamothill.process.registry import Peer
+from bergamothill.process.zonepasses import Outgoing, ZonePasses
 from bergamothill.process.zonerelays import (
-    MAX_DIRECT_INSTANCES,
-    RELAYS,
     SILENCE_MS,
     ZoneRelays,
 )
@@ -56,6 +55,9 @@
 MAX_HOP_INTERVAL_MS = 90
 """Three hops, to a relay, between relays and from a relay, take less than 300 ms."""
 
+SECOND_RELAY_FACTOR = 2
+"""The second relay's sums count only when one of the first is lost or late."""
+
 SUM_INTERVAL_MS = 75
 """With the report interval less than that of 33 instances that all report to each other."""
 
@@ -76,18 +78,6 @@
 MAX_NAMES = 4_096
 
 
-@dataclass(frozen=True, slots=True)
-class Outgoing:
-    """Datagram to send.
-
-    :param datagram: content
-    :param entries: receivers
-    """
-
-    datagram: bytes
-    entries: tuple[EntryInstanceId, ...]
-
-
 @dataclass(frozen=True, slots=True)
 class _Part:
     sequence_number: int
@@ -119,9 +109,10 @@
         self._zone = zone
         self._loads = loads
         self._sequence_number = sequence_number
-        self._roles = ZoneRelays(entry, ZoneName("") if zone is None else zone)
+        self._roles = ZoneRelays(entry, zone)
         self._sums = ZoneSums(loads, self._own_part)
         self._peers: tuple[EntryInstanceId, ...] = ()
+        self.passes = ZonePasses(entry, zone, self._roles, self._sums)
         self._names: dict[MemberKey, EntryInstanceId] = {}
         self._parts: dict[EntryInstanceId, _Part] = {}
         self._own_loads: KeyedLoads = {}
@@ -134,7 +125,6 @@
         self._ticked_ms: int | None = None
         self._discard_until_ms = 0
         self._heard_ms = 0
-        self._passes = 0
         self.relays: tuple[EntryInstanceId, ...] = ()
         """Relays of the own zone as of the last tick; empty while all report to each other."""
 
@@ -143,7 +133,7 @@
     @property
     def is_zoned(self) -> bool:
         """Whether loads are exchanged by zone."""
-        return self._zone is not None and len(self._peers) >= MAX_DIRECT_INSTANCES
+        return self._roles.is_zoned
 
     @property
     def is_relay(self) -> bool:
@@ -237,12 +227,7 @@
 
     @_on_message.register
     def _(self, message: ZonePass, _datagram: bytes, _now_ms: int) -> tuple[Outgoing, ...]:
-        entries = () if self._zone is None else self._roles.members_of(self._zone)
-        if message.members:
-            wanted = set(message.members)
-            entries = tuple(entry for entry in entries if member_key(entry) in wanted)
-        entries = tuple(entry for entry in entries if entry != message.entry)
-        return (Outgoing(message.datagram, entries),) if entries else ()
+        return self.passes.on_pass(message)
 
     def _own_part(self, zone_sum: ZoneSum, now_ms: int) -> KeyedLoads | None:
         """Return this instance's part of a sum; None if its own reports tell more."""
@@ -366,7 +351,9 @@
             return outgoing
         content = self._sum_content(now_ms) if is_sum_due or sums_own_zone else None
         if is_sum_due:
-            self._sum_ms = now_ms + max(SUM_INTERVAL_MS, self._hop_interval_ms)
+            interval_ms = max(SUM_INTERVAL_MS, self._hop_interval_ms)
+            is_first = self.relays[0] == self._entry
+            self._sum_ms = now_ms + interval_ms * (1 if is_first else SECOND_RELAY_FACTOR)
             outgoing += self._sum_for_other_zones(content, now_ms)
         if is_forward_due:
             self._forward_ms = now_ms + self._hop_interval_ms
@@ -428,31 +415,6 @@
             return ()
         return (Outgoing(encode_zone_message(ZoneForward(self._entry, sums)), members),)
 
-    def pass_on(self, datagram: bytes, now_ms: int, *, is_urgent: bool) -> list[Outgoing]:
-        """Return how a datagram of another kind reaches all peers.
-
-        :param is_urgent: whether it goes by both relays of each other zone
-        """
-        if not self.is_zoned:
-            return [Outgoing(datagram, self._peers)]
-        direct = [*self._roles.members_of(self._zone), *self._roles.members_of(None)]
-        passed: list[EntryInstanceId] = []
-        self._passes += 1
-        for zone in self._roles.all_other_zones:
-            relays = self._sums.relays_of(zone, now_ms)
-            relays = tuple(relay for relay in relays if self._roles.zone_of(relay) == zone)
-            if not relays:
-                direct += self._roles.members_of(zone)
-            elif is_urgent:
-                passed += relays[:RELAYS]
-            else:
-                passed.append(sorted(relays)[self._passes % len(relays)])
-        outgoing = [Outgoing(datagram, tuple(direct))]
-        if passed:
-            wrapped = encode_zone_message(ZonePass(self._entry, (), datagram))
-            outgoing.append(Outgoing(wrapped, tuple(passed)))
-        return outgoing
-
 
 class _Sent:
     """What was sent last, and when."""
--- /dev/null
+++ b/bergamothill/process/zonepasses.py
@@ -0,0 +1,116 @@
+"""How datagrams of other kinds reach the instances of other zones with few bytes; no I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from bergamothill.ids import EntryInstanceId, ZoneName
+from bergamothill.process.loadreport import member_key
+from bergamothill.process.zonerelays import RELAYS, ZoneRelays
+from bergamothill.process.zonereport import ZonePass, encode_zone_message
+from bergamothill.process.zonesums import ZoneSums
+
+__all__ = ["Outgoing", "ZonePasses"]
+
+
+@dataclass(frozen=True, slots=True)
+class Outgoing:
+    """Datagram to send.
+
+    :param datagram: content
+    :param entries: receivers
+    """
+
+    datagram: bytes
+    entries: tuple[EntryInstanceId, ...]
+
+
+class ZonePasses:
+    """Sends one datagram to another zone, where its receiver passes it on.
+
+    :param entry: this entry instance
+    :param zone: its zone; None if the settings name none
+    :param roles: zones and builds of the peers
+    :param sums: sums, which show the relays that are alive
+    """
+
+    def __init__(
+        self,
+        entry: EntryInstanceId,
+        zone: ZoneName | None,
+        roles: ZoneRelays,
+        sums: ZoneSums,
+    ) -> None:
+        self._entry = entry
+        self._zone = zone
+        self._roles = roles
+        self._sums = sums
+        self._turn = 0
+
+    def to_all(
+        self, datagram: bytes, peers: Iterable[EntryInstanceId], now_ms: int, *, is_urgent: bool
+    ) -> list[Outgoing]:
+        """Return how a datagram reaches all peers.
+
+        :param is_urgent: whether it goes by both relays of each other zone, not by one in turn
+        """
+        if not self._roles.is_zoned:
+            return [Outgoing(datagram, tuple(peers))]
+        direct = [*self._roles.members_of(self._zone), *self._roles.members_of(None)]
+        passed: list[EntryInstanceId] = []
+        self._turn += 1
+        for zone in self._roles.all_other_zones:
+            relays = self._sums.relays_of(zone, now_ms)
+            relays = tuple(relay for relay in relays if self._roles.zone_of(relay) == zone)
+            if not relays:
+                direct += self._roles.members_of(zone)
+            elif is_urgent:
+                passed += relays[:RELAYS]
+            else:
+                passed.append(sorted(relays)[self._turn % len(relays)])
+        outgoing = [Outgoing(datagram, tuple(direct))]
+        if passed:
+            wrapped = encode_zone_message(ZonePass(self._entry, (), datagram))
+            outgoing.append(Outgoing(wrapped, tuple(passed)))
+        return outgoing
+
+    def to_some(
+        self, datagram: bytes, entries: Iterable[EntryInstanceId], turn: int, *, is_repeat: bool
+    ) -> list[Outgoing]:
+        """Return how a datagram reaches some peers.
+
+        To several of another zone one datagram is sent, which the first of them passes on.
+
+        :param turn: chooses the one that passes it on; differs for a repetition
+        :param is_repeat: whether it goes to one other zone only, as all were sent it before
+        """
+        direct: list[EntryInstanceId] = []
+        zones: dict[ZoneName, list[EntryInstanceId]] = {}
+        for entry in entries:
+            zone = self._roles.zone_of(entry) if self._roles.is_zoned else None
+            if zone is None or zone == self._zone:
+                direct.append(entry)
+            else:
+                zones.setdefault(zone, []).append(entry)
+        outgoing = []
+        for number, chosen in enumerate(zones.values()):
+            if is_repeat and number != turn % len(zones):
+                continue
+            first = chosen.pop(turn % len(chosen))
+            if not chosen:
+                direct.append(first)
+                continue
+            members = tuple(member_key(entry) for entry in chosen)
+            wrapped = encode_zone_message(ZonePass(self._entry, members, datagram))
+            outgoing.append(Outgoing(wrapped, (first,)))
+        return [*outgoing, Outgoing(datagram, tuple(direct))]
+
+    def on_pass(self, message: ZonePass) -> tuple[Outgoing, ...]:
+        """Return what this instance passes on inside its zone."""
+        entries = () if self._zone is None else self._roles.members_of(self._zone)
+        if message.members:
+            wanted = set(message.members)
+            entries = tuple(entry for entry in entries if member_key(entry) in wanted)
+        entries = tuple(entry for entry in entries if entry != message.entry)
+        return (Outgoing(message.datagram, entries),) if entries else ()
--- a/bergamothill/process/zonerelays.py
+++ b/bergamothill/process/zonerelays.py
@@ -32,15 +32,16 @@
     """Relays of all zones as one instance sees them.
 
     :param own: this entry instance
-    :param zone: its zone
+    :param zone: its zone; None if the settings name none
     """
 
-    def __init__(self, own: EntryInstanceId, zone: ZoneName) -> None:
+    def __init__(self, own: EntryInstanceId, zone: ZoneName | None) -> None:
         self._own = own
-        self.zone = zone
+        self._has_zone = zone is not None
+        self.zone = zone or ZoneName("")
         self._peers: dict[EntryInstanceId, Peer] = {}
         self._capable_ms: dict[EntryInstanceId, int] = {}
-        self._ranked: dict[ZoneName, tuple[EntryInstanceId, ...]] = {zone: (own,)}
+        self._ranked: dict[ZoneName, tuple[EntryInstanceId, ...]] = {self.zone: (own,)}
         self._alive_ms: dict[EntryInstanceId, int] = {}
         self._heard_ms: dict[EntryInstanceId, int] = {}
         self._watched_ms: dict[EntryInstanceId, int] = {}
@@ -94,6 +95,11 @@
             for entry in times.keys() - known:
                 del times[entry]
 
+    @property
+    def is_zoned(self) -> bool:
+        """Whether loads are exchanged by zone."""
+        return self._has_zone and len(self._peers) >= MAX_DIRECT_INSTANCES
+
     @property
     def all_report(self) -> bool:
         """Whether the instances of the own zone report to each other, not only to relays."""
--- a/scripts/exchangebytes.py
+++ b/scripts/exchangebytes.py
@@ -12,10 +12,15 @@
 from dataclasses import dataclass, field
 
 from bergamothill.process.loadreport import PeerLoads, ServerLoad
-from bergamothill.process.zoneloads import Outgoing, ZoneLoads
+from bergamothill.process.originholders import holders
+from bergamothill.process.originreport import OriginNotice, encode_origin_message
+from bergamothill.process.zoneloads import ZoneLoads
+from bergamothill.process.zonepasses import Outgoing
+from tests.builders import stream_origin
 from tests.proof.zoneworld import FormerBuild, Instance, ZoneWorld
 
 ZONES = 4
+ORIGINS = 500
 FIRST_TOKEN_MS = 200
 DEPLOYMENTS = {
     # Instances: servers and, of each kind, requests a second, prompt tokens and duration in ms.
@@ -87,10 +92,6 @@
     def __init__(self, entry: str, _zone: str, loads: PeerLoads, number: int) -> None:
         super().__init__(entry, loads, number)
 
-    def pass_on(self, datagram: bytes, _now_ms: int, *, is_urgent: bool) -> list[Outgoing]:
-        """Send to all peers, whether urgent or not."""
-        return [Outgoing(datagram, self.peers)]
-
 
 def measure(count: int, subject: type, seconds: int) -> dict[str, float]:
     """Return the bytes between zones and datagrams a second of the loads of a deployment."""
@@ -108,13 +109,41 @@
     for name, is_urgent in (("limits kept", False), ("limits changed", True)):
         world.counted.clear()
         for instance in world.instances.values():
-            world.send(
-                instance, instance.subject.pass_on(b"x" * 65, world.now_ms, is_urgent=is_urgent)
-            )
+            world.pass_to_all(instance, b"x" * 65, is_urgent=is_urgent)
         figures[name] = world.counted["bytes_across"]
+    figures["origin of a stream"] = measure_origins(world, is_former=subject is FormerAll)
     return figures
 
 
+def measure_origins(world: ZoneWorld, *, is_former: bool) -> float:
+    """Return the bytes between zones that tell where one stream began, once and again."""
+    world.counted.clear()
+    instances = list(world.instances.values())
+    for number in range(ORIGINS):
+        sender = instances[number % len(instances)]
+        origin = stream_origin(
+            f"{number:016x}",
+            brand="jepu78",
+            service="mend-llm",
+            server="i-ba5d1638ca",
+            started_wall_ms=10**12,
+            begun_wall_ms=10**12,
+        )
+        notice = encode_origin_message(OriginNotice("front-akl-b-2", (origin,)))
+        entries = [
+            entry
+            for entry in holders(origin.key, frozenset(world.instances))
+            if entry != sender.peer.entry
+        ]
+        for is_repeat in (False, True):
+            outgoing = [Outgoing(notice, tuple(entries))]
+            if not is_former:
+                turn = number if is_repeat else 0
+                outgoing = sender.subject.passes.to_some(notice, entries, turn, is_repeat=is_repeat)
+            world.send(sender, outgoing)
+    return world.counted["bytes_across"] / ORIGINS
+
+
 def main() -> None:
     """Print a line for each number of instances and form."""
     parser = argparse.ArgumentParser(description=__doc__)
--- a/tests/proof/zoneworld.py
+++ b/tests/proof/zoneworld.py
@@ -13,7 +13,8 @@
     encode_report,
 )
 from bergamothill.process.registry import Peer
-from bergamothill.process.zoneloads import Outgoing, ZoneLoads
+from bergamothill.process.zoneloads import ZoneLoads
+from bergamothill.process.zonepasses import Outgoing
 from bergamothill.process.zonereport import (
     ZonePass,
     decode_zone_message,
@@ -222,6 +223,15 @@
 
     # What is true.
 
+    def pass_to_all(self, sender, datagram, *, is_urgent):
+        """Send a datagram of another kind to all peers of an instance."""
+        peers = [name for name in self.instances if name != sender.peer.entry]
+        if isinstance(sender.subject, FormerBuild):
+            self.send(sender, [Outgoing(datagram, peers)])
+            return
+        passes = sender.subject.passes
+        self.send(sender, passes.to_all(datagram, peers, self.now_ms, is_urgent=is_urgent))
+
     def live(self):
         return [each for each in self.instances.values() if each.is_alive and not each.is_frozen]
 
--- a/tests/test_zoneloads.py
+++ b/tests/test_zoneloads.py
@@ -128,21 +128,35 @@
                 with self.subTest(former=former, is_urgent=is_urgent):
                     world = self.world(8, 8, 8, 9, former=former)
                     sender = world.instances["e3-1"]
-                    outgoing = sender.subject.pass_on(b"other", world.now_ms, is_urgent=is_urgent)
                     world.counted.clear()
-                    world.send(sender, outgoing)
+                    world.pass_to_all(sender, b"other", is_urgent=is_urgent)
                     self.assertEqual(across, world.counted["across"])
                     world.run_for(40)
                     received = {len(each.passed) for each in world.live() if each is not sender}
                     self.assertEqual(times, received)
 
+    def test_some_get_a_datagram_once_and_its_repetition_in_one_other_zone(self):
+        """Guards against holders of the origin of a stream that are not told."""
+        world = self.world(3, 3, 3)
+        sender, chosen = world.instances["e0-0"], {"e1-0", "e1-1", "e2-1", "e0-2"}
+        for is_repeat, expected in ((False, chosen), (True, {"e1-0", "e1-1", "e2-1"})):
+            outgoing = sender.subject.passes.to_some(
+                b"other", sorted(chosen), 1, is_repeat=is_repeat
+            )
+            world.send(sender, outgoing)
+            world.run_for(40)
+            reached = [name for name, each in world.instances.items() for _ in each.passed]
+            self.assertEqual(sorted(expected), sorted(reached))
+            for each in world.live():
+                each.passed.clear()
+
     def test_a_relay_that_was_paused_passes_nothing_on(self):
         """Guards against limits and trials that are told anew after seconds."""
         world = self.world(5, 5)
         relay = world.relays("z1")[0]
         world.freeze(relay)
         sender = world.instances["e0-0"]
-        world.send(sender, sender.subject.pass_on(b"other", world.now_ms, is_urgent=True))
+        world.pass_to_all(sender, b"other", is_urgent=True)
         world.run_for(600)
         for each in world.live():
             each.passed.clear()
