Name members and servers of zone sums by a hash

A third of a sum is names that rarely change. Three of four sums now carry a hash of them instead; a receiver takes the names from the latest sum of that relay with the same hash, or drops the sum. New names are sent in full twice. Loads between zones at 33 instances: 100,517 bytes a second before, 73,458 after (scripts.exchangebytes).

--- a/bergamothill/process/loadexchange.py
+++ b/bergamothill/process/loadexchange.py
@@ -196,7 +196,7 @@
     def _on_zone_message(self, message: ZoneMessage, datagram: bytes) -> None:
         now_ms = self._clock.now_ms()
         self._send(self._zone_loads.on_message(message, datagram, now_ms))
-        is_passed = isinstance(message, ZonePass) and not self._zone_loads.is_discarding(now_ms)
-        if is_passed and not is_zone_message(message.datagram):
+        if not isinstance(message, ZonePass):
+            self._on_report(message.entry)
+        elif not (is_zone_message(message.datagram) or self._zone_loads.is_discarding(now_ms)):
             self._on_datagram(message.datagram)
-        self._on_report(message.entry)
--- a/bergamothill/process/zoneloads.py
+++ b/bergamothill/process/zoneloads.py
@@ -41,6 +41,7 @@
     append_zone,
     decode_zone_message,
     encode_zone_message,
+    layout_of,
     pack_loads,
 )
 from bergamothill.process.zonesums import STALE_MS, ZoneSums
@@ -61,6 +62,12 @@
 SUM_INTERVAL_MS = 75
 """With the report interval less than that of 33 instances that all report to each other."""
 
+LAYOUT_REPEATS = 2
+SUMS_PER_LAYOUT = 4
+"""One of so many sums names its members and servers in full, and the first two with new ones."""
+
+SERVER_TTL_MS = 5_000
+
 KEEPALIVE_MS = 200
 RELAY_KEEPALIVE_MS = 100
 """Three of a relay's datagrams in a row may be lost before it is taken for silent."""
@@ -112,11 +119,14 @@
         self._roles = ZoneRelays(entry, zone)
         self._sums = ZoneSums(loads, self._own_part)
         self._peers: tuple[EntryInstanceId, ...] = ()
-        self.passes = ZonePasses(entry, zone, self._roles, self._sums)
+        self.passes = ZonePasses(zone, self._roles, self._sums)
         self._names: dict[MemberKey, EntryInstanceId] = {}
         self._parts: dict[EntryInstanceId, _Part] = {}
         self._own_loads: KeyedLoads = {}
         self._own_reports: deque[tuple[int, int, KeyedLoads]] = deque()
+        self._servers_ms: dict[ServerKey, int] = {}
+        self._sent_layouts: deque[int] = deque(maxlen=LAYOUT_REPEATS)
+        self._sums_sent = 0
         self._pending: dict[EntryInstanceId, tuple[int, bytes]] = {}
         self._direct_ms = self._report_ms = self._sum_ms = self._forward_ms = 0
         self._direct_sent = self._report_sent = self._sum_sent = _Sent()
@@ -176,8 +186,9 @@
         """
         if self.is_discarding(now_ms):
             return ()
-        self._names[member_key(message.entry)] = message.entry
-        self._roles.record_capable(message.entry, now_ms)
+        if message.entry:
+            self._names[member_key(message.entry)] = message.entry
+            self._roles.record_capable(message.entry, now_ms)
         return self._on_message(message, datagram, now_ms)
 
     def is_discarding(self, now_ms: int) -> bool:
@@ -368,7 +379,14 @@
         if not zones or not self._sum_sent.is_due(content[1:], RELAY_KEEPALIVE_MS, now_ms):
             return []
         self._sum_sent = _Sent(content[1:], now_ms)
-        sum_bytes = encode_zone_message(self._make_sum(content, is_for_own_zone=False))
+        zone_sum = self._make_sum(content, is_for_own_zone=False)
+        layouts = self._sent_layouts
+        is_known = len(layouts) == layouts.maxlen and set(layouts) == {zone_sum.layout}
+        self._sums_sent += 1
+        layouts.append(zone_sum.layout)
+        if is_known and self._sums_sent % SUMS_PER_LAYOUT:
+            zone_sum = zone_sum.without_layout
+        sum_bytes = encode_zone_message(zone_sum)
         receivers = itertools.chain.from_iterable(
             self._roles.targets(zone, self.relays, now_ms) for zone in zones
         )
@@ -383,10 +401,17 @@
     def _sum_content(self, now_ms: int) -> _Content:
         """Return the age of the oldest part, the sequence number of each, and the sum."""
         parts = {self._entry: _Part(0, now_ms, self._own_loads), **self._parts}
+        # Servers stay in the sum for a while, so that its layout changes seldom.
         total: dict[ServerKey, ServerLoad] = {}
+        for server, used_ms in list(self._servers_ms.items()):
+            if now_ms - used_ms > SERVER_TTL_MS:
+                del self._servers_ms[server]
+            else:
+                total[server] = ServerLoad()
         for part in parts.values():
             for server, load in part.loads.items():
                 total.setdefault(server, ServerLoad()).add(load)
+                self._servers_ms[server] = now_ms
         oldest_ms = min(part.received_ms for part in parts.values())
         numbers = {member_key(entry): part.sequence_number for entry, part in parts.items()}
         return now_ms - oldest_ms, numbers, total
@@ -394,15 +419,19 @@
     def _make_sum(self, content: _Content, *, is_for_own_zone: bool) -> ZoneSum:
         oldest_age_ms, numbers, total = content
         self._sequence_number += 1
-        sequences = tuple(number & SEQUENCE_MASK for number in numbers.values())
+        members = tuple(sorted(numbers))
+        sequences = tuple(numbers[member] & SEQUENCE_MASK for member in members)
+        servers, columns = pack_loads(dict(sorted(total.items())))
         return ZoneSum(
             self._entry,
             self._zone,
             self._sequence_number,
             oldest_age_ms,
-            tuple(numbers),
+            layout_of(members, servers),
+            members,
             sequences if is_for_own_zone else (),
-            *pack_loads(total),
+            servers,
+            columns,
         )
 
     def _forward(self, now_ms: int) -> tuple[Outgoing, ...]:
--- a/bergamothill/process/zonepasses.py
+++ b/bergamothill/process/zonepasses.py
@@ -13,6 +13,9 @@
 
 __all__ = ["Outgoing", "ZonePasses"]
 
+NO_ENTRY = EntryInstanceId("")
+"""Datagrams that are passed on name their sender themselves."""
+
 
 @dataclass(frozen=True, slots=True)
 class Outgoing:
@@ -29,7 +32,6 @@
 class ZonePasses:
     """Sends one datagram to another zone, where its receiver passes it on.
 
-    :param entry: this entry instance
     :param zone: its zone; None if the settings name none
     :param roles: zones and builds of the peers
     :param sums: sums, which show the relays that are alive
@@ -37,12 +39,10 @@
 
     def __init__(
         self,
-        entry: EntryInstanceId,
         zone: ZoneName | None,
         roles: ZoneRelays,
         sums: ZoneSums,
     ) -> None:
-        self._entry = entry
         self._zone = zone
         self._roles = roles
         self._sums = sums
@@ -71,7 +71,7 @@
                 passed.append(sorted(relays)[self._turn % len(relays)])
         outgoing = [Outgoing(datagram, tuple(direct))]
         if passed:
-            wrapped = encode_zone_message(ZonePass(self._entry, (), datagram))
+            wrapped = encode_zone_message(ZonePass(NO_ENTRY, (), datagram))
             outgoing.append(Outgoing(wrapped, tuple(passed)))
         return outgoing
 
@@ -102,7 +102,7 @@
                 direct.append(first)
                 continue
             members = tuple(member_key(entry) for entry in chosen)
-            wrapped = encode_zone_message(ZonePass(self._entry, members, datagram))
+            wrapped = encode_zone_message(ZonePass(NO_ENTRY, members, datagram))
             outgoing.append(Outgoing(wrapped, (first,)))
         return [*outgoing, Outgoing(datagram, tuple(direct))]
 
@@ -112,5 +112,4 @@
         if message.members:
             wanted = set(message.members)
             entries = tuple(entry for entry in entries if member_key(entry) in wanted)
-        entries = tuple(entry for entry in entries if entry != message.entry)
         return (Outgoing(message.datagram, entries),) if entries else ()
--- a/bergamothill/process/zonereport.py
+++ b/bergamothill/process/zonereport.py
@@ -1,14 +1,16 @@
 """Datagrams in which loads are exchanged by zone; no I/O.
 
-A report or a sum is a full snapshot, so that lost, repeated and reordered datagrams do no harm.
+A report is a full snapshot, so that lost, repeated and reordered datagrams do no harm. So is a sum;
+most name their members and servers only by a hash of both, as the sums before named them in full.
 Servers and members are named by hashes of four bytes, which need no agreement on a numbering.
 """
 
 from __future__ import annotations
 
 import struct
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import lru_cache, singledispatch
+from hashlib import blake2b
 from typing import Any
 
 import cbor2
@@ -34,6 +36,8 @@
     "decode_zone_message",
     "encode_zone_message",
     "is_zone_message",
+    "layout_of",
+    "pack_loads",
     "read_zone",
 ]
 
@@ -77,7 +81,9 @@
     :param zone: zone of the relay
     :param sequence_number: increases with each sum of the relay
     :param oldest_age_ms: age of its oldest part when it was made
-    :param members: instances whose loads it contains
+    :param layout: hash of the members and servers
+    :param members: instances whose loads it contains; empty if they and the servers are those of
+        the latest sum of this relay with the same layout
     :param member_sequences: low 32 bits of the sequence numbers of their reports, in the order of
         the members; empty for other zones
     :param servers: servers, four bytes each
@@ -88,6 +94,7 @@
     zone: ZoneName
     sequence_number: int
     oldest_age_ms: int
+    layout: int
     members: tuple[MemberKey, ...]
     member_sequences: tuple[int, ...]
     servers: bytes
@@ -98,6 +105,24 @@
         """Loads by server; made anew by each call."""
         return _loads(self.servers, self.numbers)
 
+    @property
+    def without_layout(self) -> ZoneSum:
+        """The same sum without what its layout stands for."""
+        return replace(self, members=(), member_sequences=(), servers=b"")
+
+    def with_layout_of(self, known: ZoneSum | None) -> ZoneSum | None:
+        """Return the sum with its members and servers; None if they are not known.
+
+        :param known: latest sum of the same relay
+        """
+        if self.members:
+            return self
+        if known is None or known.layout != self.layout:
+            return None
+        if len(known.numbers) != len(self.numbers):
+            return None
+        return replace(self, members=known.members, servers=known.servers)
+
 
 @dataclass(frozen=True, slots=True)
 class ZoneForward:
@@ -127,7 +152,7 @@
 class ZonePass:
     """Datagram of another kind, to be passed on unchanged inside the zone of the receiver.
 
-    :param entry: sender
+    :param entry: not set, as the datagram names its sender
     :param members: instances that are to receive it beside the receiver; all if there are none
     :param datagram: content
     """
@@ -186,6 +211,7 @@
         message.zone,
         message.sequence_number,
         message.oldest_age_ms,
+        message.layout,
         _pack(message.members),
         _pack(message.member_sequences),
         message.servers,
@@ -228,15 +254,13 @@
         loads = _loads(*_checked_columns(servers, numbers))
         return ZoneReport(entry, ZoneName(str(zone)), int(sequence_number), loads)
     if kind == _SUM:
-        zone, sequence_number, age_ms, members, sequences, servers, numbers, *_ = body
+        zone, sequence_number, age_ms, layout, members, sequences, servers, numbers, *_ = body
         members, sequences = _unpack(members), _unpack(sequences)
-        if not members or (sequences and len(sequences) != len(members)):
+        if sequences and len(sequences) != len(members):
             raise ValueError("members and their reports differ in number")
-        columns = _checked_columns(servers, numbers)
-        zone = ZoneName(str(zone))
-        return ZoneSum(
-            entry, zone, int(sequence_number), _age_ms(age_ms), members, sequences, *columns
-        )
+        columns = _checked_columns(servers, numbers, has_servers=bool(members))
+        head = (ZoneName(str(zone)), int(sequence_number), _age_ms(age_ms), int(layout))
+        return ZoneSum(entry, *head, members, sequences, *columns)
     if kind == _FORWARD:
         return ZoneForward(entry, tuple((_age_ms(held), _bytes(encoded)) for held, encoded in body))
     if kind == _HELLO:
@@ -247,6 +271,12 @@
     raise ValueError(f"unknown kind {kind!r}")
 
 
+def layout_of(members: tuple[MemberKey, ...], servers: bytes) -> int:
+    """Return the hash that stands for the members and servers of a sum."""
+    digest = blake2b(_pack(members) + servers, digest_size=KEY_BYTES).digest()
+    return int.from_bytes(digest, "little")
+
+
 def pack_loads(loads: KeyedLoads) -> tuple[bytes, tuple[int, ...]]:
     """Return loads as the columns of a datagram."""
     numbers = [
@@ -265,9 +295,12 @@
     }
 
 
-def _checked_columns(servers: Any, numbers: Any) -> tuple[bytes, tuple[int, ...]]:
+def _checked_columns(
+    servers: Any, numbers: Any, *, has_servers: bool = True
+) -> tuple[bytes, tuple[int, ...]]:
     servers, numbers = _bytes(servers), tuple(numbers)
-    if len(servers) * ROW_NUMBERS != len(numbers) * KEY_BYTES:
+    rows, rest = divmod(len(numbers), ROW_NUMBERS)
+    if rest or len(servers) != (rows * KEY_BYTES if has_servers else 0):
         raise ValueError("servers and numbers differ in number")
     if numbers and not (set(map(type, numbers)) <= {int} and min(numbers) >= 0):
         raise ValueError("not a count")
--- a/bergamothill/process/zonesums.py
+++ b/bergamothill/process/zonesums.py
@@ -61,7 +61,7 @@
         """Members of the sums that are counted."""
 
     def add(self, zone_sum: ZoneSum, held_ms: int, now_ms: int) -> bool:
-        """Store a sum; return False if it is older than what is known.
+        """Store a sum; return False if it is too old, or its members are not known.
 
         :param held_ms: time since its relay sent it
         """
@@ -69,6 +69,9 @@
         known = self._known.get(relay)
         if known is not None and zone_sum.sequence_number <= known.sum.sequence_number:
             return False
+        zone_sum = zone_sum.with_layout_of(None if known is None else known.sum)
+        if zone_sum is None:
+            return False
         made_ms = now_ms - held_ms
         expires_ms = made_ms - zone_sum.oldest_age_ms + REPORT_TTL_MS
         if expires_ms < now_ms:
--- a/tests/test_zoneloads.py
+++ b/tests/test_zoneloads.py
@@ -31,10 +31,11 @@
 STARTED_MS = 3_000
 MESSAGES = (
     ZoneReport("e1", "z1", 2**63, {7: LOAD}),
-    ZoneSum("e1", "z1", 2**63, 40, (1, 2**32 - 1), (5, 6), b"abcd", (1, 2, 3)),
+    ZoneSum("e1", "z1", 2**63, 40, 9, (1, 2**32 - 1), (5, 6), b"abcd", (1, 2, 3)),
+    ZoneSum("e1", "z1", 2**63, 40, 9, (), (), b"", (1, 2, 3)),
     ZoneForward("e1", ((20, b"x"), (0, b""))),
     ZoneHello("e1", "z1"),
-    ZonePass("e1", (8,), b"\x00"),
+    ZonePass("", (8,), b"\x00"),
 )
 cbor_values = st.recursive(
     st.none() | st.integers() | st.binary(max_size=9) | st.text(max_size=3) | st.floats(),
