--- a/bergamothill/process/zoneloads.py
+++ b/bergamothill/process/zoneloads.py
@@ -26,9 +26,8 @@
     member_key,
 )
 from bergamothill.process.registry import Peer
+from bergamothill.process.zonepasses import Outgoing, ZonePasses
 from bergamothill.process.zonerelays import (
-    MAX_DIRECT_INSTANCES,
-    RELAYS,
     SILENCE_MS,
     ZoneRelays,
 )
@@ -42,6 +41,7 @@
     append_zone,
     decode_zone_message,
     encode_zone_message,
+    layout_of,
     pack_loads,
 )
 from bergamothill.process.zonesums import STALE_MS, ZoneSums
@@ -56,9 +56,18 @@
 MAX_HOP_INTERVAL_MS = 90
 """Three hops, to a relay, between relays and from a relay, take less than 300 ms."""
 
+SECOND_RELAY_FACTOR = 2
+"""The second relay's sums count only when one of the first is lost or late."""
+
 SUM_INTERVAL_MS = 75
 """With the report interval less than that of 33 instances that all report to each other."""
 
+LAYOUT_REPEATS = 2
+SUMS_PER_LAYOUT = 4
+"""One of so many sums names its members and servers in full, and the first two with new ones."""
+
+SERVER_TTL_MS = 5_000
+
 KEEPALIVE_MS = 200
 RELAY_KEEPALIVE_MS = 100
 """Three of a relay's datagrams in a row may be lost before it is taken for silent."""
@@ -76,18 +85,6 @@
 MAX_NAMES = 4_096
 
 
-@dataclass(frozen=True, slots=True)
-class Outgoing:
-    """Datagram to send.
-
-    :param datagram: content
-    :param entries: receivers
-    """
-
-    datagram: bytes
-    entries: tuple[EntryInstanceId, ...]
-
-
 @dataclass(frozen=True, slots=True)
 class _Part:
     sequence_number: int
@@ -95,6 +92,10 @@
     loads: KeyedLoads
 
 
+_Content = tuple[int, dict[MemberKey, int], KeyedLoads]
+"""Age of the oldest part of a sum, sequence number of each, and the loads."""
+
+
 class ZoneLoads:
     """What one instance reports and counts.
 
@@ -115,13 +116,17 @@
         self._zone = zone
         self._loads = loads
         self._sequence_number = sequence_number
-        self._roles = ZoneRelays(entry, ZoneName("") if zone is None else zone)
-        self._sums = ZoneSums(loads, self._count_sum)
+        self._roles = ZoneRelays(entry, zone)
+        self._sums = ZoneSums(loads, self._own_part)
         self._peers: tuple[EntryInstanceId, ...] = ()
+        self.passes = ZonePasses(zone, self._roles, self._sums)
         self._names: dict[MemberKey, EntryInstanceId] = {}
         self._parts: dict[EntryInstanceId, _Part] = {}
         self._own_loads: KeyedLoads = {}
         self._own_reports: deque[tuple[int, int, KeyedLoads]] = deque()
+        self._servers_ms: dict[ServerKey, int] = {}
+        self._sent_layouts: deque[int] = deque(maxlen=LAYOUT_REPEATS)
+        self._sums_sent = 0
         self._pending: dict[EntryInstanceId, tuple[int, bytes]] = {}
         self._direct_ms = self._report_ms = self._sum_ms = self._forward_ms = 0
         self._direct_sent = self._report_sent = self._sum_sent = _Sent()
@@ -130,7 +135,6 @@
         self._ticked_ms: int | None = None
         self._discard_until_ms = 0
         self._heard_ms = 0
-        self._passes = 0
         self.relays: tuple[EntryInstanceId, ...] = ()
         """Relays of the own zone as of the last tick; empty while all report to each other."""
 
@@ -139,7 +143,7 @@
     @property
     def is_zoned(self) -> bool:
         """Whether loads are exchanged by zone."""
-        return self._zone is not None and len(self._peers) >= MAX_DIRECT_INSTANCES
+        return self._roles.is_zoned
 
     @property
     def is_relay(self) -> bool:
@@ -182,8 +186,9 @@
         """
         if self.is_discarding(now_ms):
             return ()
-        self._names[member_key(message.entry)] = message.entry
-        self._roles.record_capable(message.entry, now_ms)
+        if message.entry:
+            self._names[member_key(message.entry)] = message.entry
+            self._roles.record_capable(message.entry, now_ms)
         return self._on_message(message, datagram, now_ms)
 
     def is_discarding(self, now_ms: int) -> bool:
@@ -233,29 +238,23 @@
 
     @_on_message.register
     def _(self, message: ZonePass, _datagram: bytes, _now_ms: int) -> tuple[Outgoing, ...]:
-        entries = () if self._zone is None else self._roles.members_of(self._zone)
-        if message.members:
-            wanted = set(message.members)
-            entries = tuple(entry for entry in entries if member_key(entry) in wanted)
-        entries = tuple(entry for entry in entries if entry != message.entry)
-        return (Outgoing(message.datagram, entries),) if entries else ()
-
-    def _count_sum(self, zone_sum: ZoneSum, now_ms: int) -> KeyedLoads | None:
-        """Return what a sum adds to this instance's view."""
+        return self.passes.on_pass(message)
+
+    def _own_part(self, zone_sum: ZoneSum, now_ms: int) -> KeyedLoads | None:
+        """Return this instance's part of a sum; None if its own reports tell more."""
         if zone_sum.zone != self._zone:
-            return zone_sum.loads
+            return {}
         fresh = sum(now_ms - part.received_ms <= STALE_MS for part in self._parts.values())
         if len(zone_sum.members) <= fresh + 1:
             return None
-        loads = zone_sum.loads
         own = member_key(self._entry)
         if own not in zone_sum.members or not zone_sum.member_sequences:
-            return loads
+            return {}
         sequence = zone_sum.member_sequences[zone_sum.members.index(own)]
-        for number, _, own_loads in self._own_reports:
+        for number, _, loads in self._own_reports:
             if number & SEQUENCE_MASK == sequence:
-                return _difference(loads, own_loads)
-        return loads  # The part of an earlier process of this instance, which has ended.
+                return loads
+        return {}  # The part of an earlier process of this instance, which has ended.
 
     def take_heard(self, now_ms: int) -> tuple[EntryInstanceId, ...]:
         """Return the instances that are in the sums, once each second."""
@@ -357,61 +356,82 @@
 
     def _zone_sums(self, now_ms: int) -> list[Outgoing]:
         outgoing = []
-        if now_ms >= self._sum_ms:
-            self._sum_ms = now_ms + max(SUM_INTERVAL_MS, self._hop_interval_ms)
-            outgoing += self._sum_for_other_zones(now_ms)
-        if now_ms >= self._forward_ms:
+        is_sum_due, is_forward_due = now_ms >= self._sum_ms, now_ms >= self._forward_ms
+        sums_own_zone = is_forward_due and not self._roles.all_report
+        if not (is_sum_due or is_forward_due):
+            return outgoing
+        content = self._sum_content(now_ms) if is_sum_due or sums_own_zone else None
+        if is_sum_due:
+            interval_ms = max(SUM_INTERVAL_MS, self._hop_interval_ms)
+            is_first = self.relays[0] == self._entry
+            self._sum_ms = now_ms + interval_ms * (1 if is_first else SECOND_RELAY_FACTOR)
+            outgoing += self._sum_for_other_zones(content, now_ms)
+        if is_forward_due:
             self._forward_ms = now_ms + self._hop_interval_ms
-            if not self._roles.all_report:
-                self._add_sum_for_own_zone(now_ms)
+            if sums_own_zone:
+                self._add_sum_for_own_zone(content, now_ms)
             if self._pending or now_ms - self._forwarded_ms >= RELAY_KEEPALIVE_MS:
                 outgoing += self._forward(now_ms)
         return outgoing
 
-    def _sum_for_other_zones(self, now_ms: int) -> list[Outgoing]:
+    def _sum_for_other_zones(self, content: _Content, now_ms: int) -> list[Outgoing]:
         zones = self._roles.other_zones
-        content = self._sum_content(now_ms)
         if not zones or not self._sum_sent.is_due(content[1:], RELAY_KEEPALIVE_MS, now_ms):
             return []
         self._sum_sent = _Sent(content[1:], now_ms)
-        sum_bytes = encode_zone_message(self._make_sum(content, is_for_own_zone=False))
+        zone_sum = self._make_sum(content, is_for_own_zone=False)
+        layouts = self._sent_layouts
+        is_known = len(layouts) == layouts.maxlen and set(layouts) == {zone_sum.layout}
+        self._sums_sent += 1
+        layouts.append(zone_sum.layout)
+        if is_known and self._sums_sent % SUMS_PER_LAYOUT:
+            zone_sum = zone_sum.without_layout
+        sum_bytes = encode_zone_message(zone_sum)
         receivers = itertools.chain.from_iterable(
             self._roles.targets(zone, self.relays, now_ms) for zone in zones
         )
         return [Outgoing(sum_bytes, tuple(receivers))]
 
-    def _add_sum_for_own_zone(self, now_ms: int) -> None:
-        content = self._sum_content(now_ms)
+    def _add_sum_for_own_zone(self, content: _Content, now_ms: int) -> None:
         if self._zone_sum_sent.is_due(content[1:], RELAY_KEEPALIVE_MS, now_ms):
             self._zone_sum_sent = _Sent(content[1:], now_ms)
             encoded = encode_zone_message(self._make_sum(content, is_for_own_zone=True))
             self._pending[self._entry] = (now_ms, encoded)
 
-    def _sum_content(self, now_ms: int) -> tuple[int, dict[MemberKey, int], KeyedLoads]:
+    def _sum_content(self, now_ms: int) -> _Content:
         """Return the age of the oldest part, the sequence number of each, and the sum."""
         parts = {self._entry: _Part(0, now_ms, self._own_loads), **self._parts}
+        # Servers stay in the sum for a while, so that its layout changes seldom.
         total: dict[ServerKey, ServerLoad] = {}
+        for server, used_ms in list(self._servers_ms.items()):
+            if now_ms - used_ms > SERVER_TTL_MS:
+                del self._servers_ms[server]
+            else:
+                total[server] = ServerLoad()
         for part in parts.values():
             for server, load in part.loads.items():
                 total.setdefault(server, ServerLoad()).add(load)
+                self._servers_ms[server] = now_ms
         oldest_ms = min(part.received_ms for part in parts.values())
         numbers = {member_key(entry): part.sequence_number for entry, part in parts.items()}
         return now_ms - oldest_ms, numbers, total
 
-    def _make_sum(
-        self, content: tuple[int, dict[MemberKey, int], KeyedLoads], *, is_for_own_zone: bool
-    ) -> ZoneSum:
+    def _make_sum(self, content: _Content, *, is_for_own_zone: bool) -> ZoneSum:
         oldest_age_ms, numbers, total = content
         self._sequence_number += 1
-        sequences = tuple(number & SEQUENCE_MASK for number in numbers.values())
+        members = tuple(sorted(numbers))
+        sequences = tuple(numbers[member] & SEQUENCE_MASK for member in members)
+        servers, columns = pack_loads(dict(sorted(total.items())))
         return ZoneSum(
             self._entry,
             self._zone,
             self._sequence_number,
             oldest_age_ms,
-            tuple(numbers),
+            layout_of(members, servers),
+            members,
             sequences if is_for_own_zone else (),
-            *pack_loads(total),
+            servers,
+            columns,
         )
 
     def _forward(self, now_ms: int) -> tuple[Outgoing, ...]:
@@ -424,31 +444,6 @@
             return ()
         return (Outgoing(encode_zone_message(ZoneForward(self._entry, sums)), members),)
 
-    def pass_on(self, datagram: bytes, now_ms: int, *, is_urgent: bool) -> list[Outgoing]:
-        """Return how a datagram of another kind reaches all peers.
-
-        :param is_urgent: whether it goes by both relays of each other zone
-        """
-        if not self.is_zoned:
-            return [Outgoing(datagram, self._peers)]
-        direct = [*self._roles.members_of(self._zone), *self._roles.members_of(None)]
-        passed: list[EntryInstanceId] = []
-        self._passes += 1
-        for zone in self._roles.all_other_zones:
-            relays = self._sums.relays_of(zone, now_ms)
-            relays = tuple(relay for relay in relays if self._roles.zone_of(relay) == zone)
-            if not relays:
-                direct += self._roles.members_of(zone)
-            elif is_urgent:
-                passed += relays[:RELAYS]
-            else:
-                passed.append(sorted(relays)[self._passes % len(relays)])
-        outgoing = [Outgoing(datagram, tuple(direct))]
-        if passed:
-            wrapped = encode_zone_message(ZonePass(self._entry, (), datagram))
-            outgoing.append(Outgoing(wrapped, tuple(passed)))
-        return outgoing
-
 
 class _Sent:
     """What was sent last, and when."""
@@ -461,11 +456,3 @@
         """Return whether content differs from what was sent, or is to be sent again."""
         is_old = self._sent_ms is None or now_ms - self._sent_ms >= keepalive_ms
         return is_old or content != self._content
-
-
-def _difference(loads: KeyedLoads, own: KeyedLoads) -> KeyedLoads:
-    result = dict(loads)
-    for server, load in own.items():
-        if server in result:
-            result[server].subtract(load)
-    return result
