Keep connections only where more than two instances for each zone are sure

Cause: registrations of earlier builds name no zone. Six instances in three zones, of which one only knows its own zone, counted as six in one zone, so a small deployment kept connections for a while; the same after the instances of a zone had gone, as the number of instances was the most ever seen.

Change: an unknown zone counts as one of its own, and the instances registered now are compared with the zones ever seen. The share still follows from the most instances ever seen.

Tests: tests.test_backendpool, tests.test_platform_node.

--- a/bergamothill/connection/backendpool.py
+++ b/bergamothill/connection/backendpool.py
@@ -8,11 +8,11 @@
 
 import re
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 from typing import Generic, NamedTuple, TypeVar
 
-from bergamothill.ids import ServerId, ServiceName
+from bergamothill.ids import ServerId, ServiceName, ZoneName
 from bergamothill.version.routetable import Service
 
 __all__ = ["BackendPool", "PooledServer", "PoolShare", "idle_limit_ms"]
@@ -84,19 +84,24 @@
 class PoolShare:
     """Share of this entry instance in the connections that servers accept.
 
-    Neither the number of instances nor that of zones ever decreases, so that instances cut off from
-    the registry keep their share.
+    The share never grows, so that instances cut off from the registry keep theirs.
     """
 
     def __init__(self) -> None:
-        self._instances = 0
-        self._zones: set[str] = set()
+        self._max_instances = 0
+        self._has_many_instances = False
+        self._zones: set[ZoneName] = set()
         self._limits: dict[ServiceName, int] = {}
 
-    def set_instances(self, instance_count: int, zones: Iterable[str]) -> None:
-        """Set the number of registered instances, with this one, and the zones they are in."""
-        self._instances = max(self._instances, instance_count)
-        self._zones.update(zones)
+    def set_instances(self, zones: Sequence[ZoneName | None]) -> None:
+        """Set the registered instances, with this one.
+
+        :param zones: zone of each; None if it is not known, so that each may be another one
+        """
+        self._max_instances = max(self._max_instances, len(zones))
+        self._zones.update(zone for zone in zones if zone is not None)
+        zone_count = len(self._zones) + sum(zone is None for zone in zones)
+        self._has_many_instances = len(zones) > SMALL_ZONE_INSTANCES * zone_count
 
     def set_services(self, services: Iterable[Service]) -> None:
         """Set the services, whose servers accept some connections from all callers together."""
@@ -104,9 +109,9 @@
 
     def connections(self, service: ServiceName) -> int:
         """Return how many connections this instance may have to a server; 0 if none is kept."""
-        if self._instances <= SMALL_ZONE_INSTANCES * max(1, len(self._zones)):
+        if not self._has_many_instances:
             return 0
-        instances = self._instances + UNSEEN_INSTANCES
+        instances = self._max_instances + UNSEEN_INSTANCES
         share = self._limits.get(service, 0) // instances - RESERVED_CONNECTIONS
         return share if share >= MIN_CONNECTIONS else 0
 
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -305,8 +305,8 @@
         self._roster.set_registered((peer.entry for peer in peers), self._clock.now_ms())
         self._gateway.set_instance_count(self._exchange.instance_count)
         self._listener.instance_count = self._exchange.instance_count
-        zones = {self._settings.zone, *(peer.zone for peer in peers if peer.zone is not None)}
-        self._kept_connections.share.set_instances(self._exchange.instance_count, zones)
+        zones = [self._settings.zone, *(peer.zone for peer in peers)]
+        self._kept_connections.share.set_instances(zones)
 
     async def _listen(self) -> list[CallerListener]:
         settings = self._settings
--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -10,12 +10,14 @@
 from bergamothill.clock import ManualClock
 from bergamothill.connection import backendhttp
 from bergamothill.connection.backendhttp import ExchangeEnd, exchange
+from bergamothill.connection.backendpool import PooledServer
 from bergamothill.connection.kvs import KeyValueEntry
 from bergamothill.platform.config import TARGET_PREFIX
 from bergamothill.platform.settings import load_node_settings
 from bergamothill.process import platformnode
 from bergamothill.process.platformnode import READINESS_NOTICE_MS, PlatformNode
 from bergamothill.process.prefixfollower import Snapshot
+from bergamothill.process.registry import Peer
 from bergamothill.version.weighttarget import WeightTarget
 from tests.builders import NODE_SETTINGS, backend, caller_request, routing_config
 from tests.gatewayworld import answer
@@ -200,6 +202,25 @@
         self.assertIsNone(pool.choose(service, caller_request(), None, (), 0, 3_000))
 
 
+class KeptConnectionsTest(unittest.TestCase):
+    def keeps(self, peers):
+        """Return whether an instance with these peers keeps connections to plain servers."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder, "node.toml")
+            path.write_text(NODE_SETTINGS)
+            node = PlatformNode(load_node_settings(str(path)), str(path), ManualClock(0))
+        node._apply_config(routing_config(), mock.Mock(), 0)
+        node._apply_peers(tuple(Peer(f"e{n}", "h", 1, zone) for n, zone in enumerate(peers)))
+        return node._kept_connections.keeps(PooledServer("p0", 1, "h:1", "bookings"))
+
+    def test_only_with_more_than_two_instances_for_each_zone_that_is_registered(self):
+        self.assertFalse(self.keeps(["zone-a"]))
+        self.assertTrue(self.keeps(["zone-a"] * 2))
+        self.assertFalse(self.keeps(["zone-a", "zone-b", "zone-b"]))
+        self.assertTrue(self.keeps(["zone-a", "zone-b", "zone-b", "zone-b"]))
+        self.assertFalse(self.keeps(["zone-a", "zone-b", "zone-b", None]))
+
+
 class ExchangeTest(unittest.TestCase):
     """A request that is abandoned while its connection is opening must not reach the server."""
 
