Let streams go on by a record of versions after all entry instances ended

Cause: what is known of a stream's origin is held by instances, so after all of them ended at once nearly every resumption was refused, and callers that name no request waited for 60 s of lists.

Change: the key stream-versions in the key-value service holds the versions that services with engines have had and the services of stream routes; a version is in it before a stream begins there. A resumption whose origin no instance knows goes on if the record, read after it arrived, has settled in the present era and shows one version. Off by default (streams.versionRecord). Also: a resumption without Resumes on a route with several services is refused, as its own id says nothing of the first request's service.

--- a/bergamothill/platform/fields.py
+++ b/bergamothill/platform/fields.py
@@ -79,6 +79,10 @@
         """Return an object field, or an empty object when it is missing."""
         return Fields(self._values.get(name, {}), step=self._step)
 
+    def names(self) -> list[str]:
+        """Return the names of all fields."""
+        return list(self._values)
+
     def has(self, name: str) -> bool:
         """Return whether the field is present and not null."""
         return self._values.get(name) is not None
--- a/bergamothill/platform/settings.py
+++ b/bergamothill/platform/settings.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import math
+import operator
 import tomllib
 from collections.abc import Callable, Mapping
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -12,6 +14,7 @@
 from bergamothill.ids import EntryInstanceId, ZoneName
 from bergamothill.process.nodesettings import DeploymentBounds, NodeSettings
 from bergamothill.process.settings import MAX_PORT, is_address
+from bergamothill.version.versionrecord import RecordUse
 
 __all__ = ["SETTINGS_VARIABLE", "is_node_settings", "load_node_settings"]
 
@@ -19,6 +22,8 @@
 
 MS_PER_S = 1_000
 
+_RECORD_USES = tuple(use.value for use in RecordUse)
+
 
 def is_node_settings(path: str) -> bool:
     """Return whether a file has the platform's layout rather than the product's own.
@@ -51,6 +56,7 @@
         memory_mb=reader.integer("limits.memoryMb", 256),
         descriptors=reader.integer("limits.fileDescriptors", 1_024),
         bounds=_read_bounds(reader),
+        version_record=RecordUse(reader.choice("streams.versionRecord", _RECORD_USES, "off")),
     )
     reader.raise_faults()
     return settings
@@ -99,6 +105,11 @@
     def flag(self, key: str, default: bool) -> bool:
         return self._checked_value(key, lambda v: isinstance(v, bool), "true or false", default)
 
+    def choice(self, key: str, options: tuple[str, ...], default: str) -> str:
+        is_option = partial(operator.contains, options)
+        value = self._checked_value(key, is_option, " or ".join(options), default)
+        return value if value in options else default
+
     def first_port(self, key: str) -> int:
         value = self._checked_value(key, _is_port_range, "list of first and last port", "")
         return value[0] if value else 0
--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -74,7 +74,7 @@
         gate: QuarantineGate,
         directory: OriginDirectory,
     ) -> None:
-        self._resumption = StreamResumption(clock, server_pool, directory)
+        self.resumption = StreamResumption(clock, server_pool, directory)
         self._clock = clock
         self._started_ms = clock.now_ms()
         self._bounds = bounds
@@ -237,7 +237,7 @@
         service = self._choose_service(admission, request)
         if admission.verdict is not Verdict.ADMITTED or service is None:
             return None
-        resumed = await self._resumption.resolve(
+        resumed = await self.resumption.resolve(
             request,
             admission.brand_name,
             admission.route,
@@ -258,7 +258,7 @@
             admission,
             service,
             self._buffer_budget,
-            self._resumption,
+            self.resumption,
             None if resumed is None else resumed.version,
         )
 
--- a/bergamothill/process/nodesettings.py
+++ b/bergamothill/process/nodesettings.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from bergamothill.ids import EntryInstanceId, ZoneName
+from bergamothill.version.versionrecord import RecordUse
 
 __all__ = ["DeploymentBounds", "NodeSettings"]
 
@@ -60,6 +61,7 @@
     :param memory_mb: memory limit of the process
     :param descriptors: limit on open file descriptors
     :param bounds: guaranteed bounds of the deployment
+    :param version_record: use of the record of versions of services
     """
 
     entry: EntryInstanceId
@@ -74,3 +76,4 @@
     memory_mb: int
     descriptors: int
     bounds: DeploymentBounds
+    version_record: RecordUse = RecordUse.OFF
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -34,6 +34,7 @@
 from bergamothill.process.loadreport import PeerLoads
 from bergamothill.process.nodequarantine import NodeQuarantine
 from bergamothill.process.nodesettings import DeploymentBounds, NodeSettings
+from bergamothill.process.nodestreams import NodeStreams
 from bergamothill.process.operatorview import OperatorView
 from bergamothill.process.ordergap import OrderGapGuard, read_settled_era
 from bergamothill.process.originexchange import OriginExchange
@@ -123,7 +124,6 @@
             min_entry_life_ms=MIN_ENTRY_LIFE_HEARTBEATS * settings.heartbeat_interval_ms,
             heartbeat_interval_ms=settings.heartbeat_interval_ms,
         )
-        self._server_pool.asks_servers = True
         self._exchange = LoadExchange(
             settings.entry, clock, self._server_pool, peer_loads, self._on_peer_report
         )
@@ -150,6 +150,14 @@
         self._followers: list[PrefixFollower] = []
         client = HttpClient("key-value service", settings.store_address)
         self._kvs = PlatformKeyValueService(client)
+        self._streams = NodeStreams(
+            settings.version_record,
+            clock,
+            self._kvs,
+            self._server_pool,
+            self._roster,
+            self._gateway,
+        )
         self._swap_view: tuple[Mapping[ModelName, WeightTarget], tuple[SwapEngine, ...]] = ({}, ())
         self._swaps = self._make_swap_duty()
 
@@ -224,6 +232,7 @@
             loop.create_task(self._origin_exchange.run()),
             loop.create_task(self._quarantine.run(self._kvs)),
             loop.create_task(self._gateway.watch_for_stalls()),
+            loop.create_task(self._streams.run()),
             loop.create_task(self._make_sweep_duty().run()),
         ]
         swaps = threading.Thread(target=self._swaps.run, name="swaps", daemon=True)
@@ -279,6 +288,7 @@
         self._swaps.handle_restore()
         self._loop.call_soon_threadsafe(self._config.record_restore, now_ms)
         self._loop.call_soon_threadsafe(self._server_pool.kvs_restored, now_ms)
+        self._loop.call_soon_threadsafe(self._streams.handle_restore)
         self._registry.handle_restore()
         self._quarantine.handle_restore()
         for follower in self._followers:
@@ -351,6 +361,7 @@
 
     def _apply_config(self, config: RoutingConfig, entry: KeyValueEntry, sent_ms: int) -> None:
         self._planner.set_stores(config.stores)
+        self._streams.apply_config(config)
         self._follow_cache_sources()
         _log.info(
             "config_applied",
@@ -381,6 +392,7 @@
                 servers.append(decode_server(entry.key, entry.value))
             except ProtocolError as error:
                 self._log_unreadable_entry(entry, error)
+        self._streams.apply_servers(servers)
         now_ms = self._clock.now_ms()
         changes = self._server_pool.apply_list(servers, snapshot.sent_ms, now_ms)
         self._publish_engines()
--- a/bergamothill/process/serverattempt.py
+++ b/bergamothill/process/serverattempt.py
@@ -217,6 +217,8 @@
         version = self.send.terms.software_version
         if version is not None and not self._server_pool.may_go_on_at(server, version, now_ms):
             return False
+        if self._context.is_stream and not self._server_pool.may_begin_at(server, now_ms):
+            return False
         if self.send.terms.weight_version is None:
             return self._server_pool.may_send_to(server, now_ms)
         return self._server_pool.may_send_prompt_to(server, request.model, now_ms)
--- a/bergamothill/process/softwareversions.py
+++ b/bergamothill/process/softwareversions.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from bergamothill.connection.storeera import REWRITE_MS
 from bergamothill.ids import ServiceName, SoftwareVersion
@@ -104,6 +104,10 @@
         A list alone is then never evidence of what answers at an address.
         """
 
+        self.is_recorded: Callable[[BackendServer], bool] | None = None
+        """Tells whether streams may begin at a server, as its version is in the record that
+        outlives all entry instances; None without such a record."""
+
     def apply_list(self, entries: Iterable[BackendServer], sent_ms: int, now_ms: int) -> list[str]:
         """Apply a newly read list of servers; see :class:`ServerList`."""
         entries = tuple(entries)
@@ -220,6 +224,19 @@
             return False
         return state.is_reachable and not self._is_running(state, now_ms)
 
+    def usable(self, service: ServiceName, now_ms: int) -> list[ObservedServer]:
+        """Return the servers of a service that may get new requests."""
+        usable = super().usable(service, now_ms)
+        if self.is_recorded is None:
+            return usable
+        return [b for b in usable if self.is_recorded(b.entry)]
+
+    def may_begin_at(self, server: BackendServer, now_ms: int) -> bool:
+        """Return whether a stream may begin at a server; with a record its version is known."""
+        if self.is_recorded is None or not server.weights:
+            return True
+        return self.confirmed_version(server, now_ms) is not None
+
     def may_go_on_at(self, server: BackendServer, version: SoftwareVersion, now_ms: int) -> bool:
         """Return whether a stream that began at a version may go on at a server."""
         return self.confirmed_version(server, now_ms) == version
--- a/bergamothill/process/streamresumption.py
+++ b/bergamothill/process/streamresumption.py
@@ -15,7 +15,13 @@
 from bergamothill.request.streamorigin import KnownOrigin, StreamKey, StreamOrigin, StreamOrigins
 from bergamothill.version.routetable import RetryPolicy, Route, Service
 
-__all__ = ["LocalOrigins", "OriginDirectory", "ResumedStream", "StreamResumption"]
+__all__ = [
+    "LocalOrigins",
+    "OriginDirectory",
+    "OriginEvidence",
+    "ResumedStream",
+    "StreamResumption",
+]
 
 _log = EventLog("streams")
 
@@ -30,6 +36,15 @@
         """Return where a stream began; None if this is not known."""
 
 
+class OriginEvidence(Protocol):
+    """What is known of all streams of a route, also if nothing is known of a single one."""
+
+    async def only_origin(
+        self, route: str, give_up_ms: int
+    ) -> tuple[ServiceName, SoftwareVersion] | None:
+        """Return the only service and version at which they began; None if not known."""
+
+
 class LocalOrigins:
     """Directory of a single entry instance.
 
@@ -73,6 +88,9 @@
         self._clock = clock
         self._server_pool = server_pool
         self._directory = directory
+        self.evidence: OriginEvidence | None = None
+        """Asked where streams began whose origin no instance knows."""
+
         self.identity = ServerIdentity(clock, server_pool)
 
     def record_begin(
@@ -114,8 +132,8 @@
     ) -> ResumedStream | None:
         """Return where a stream has to go on; None if the request begins one, or is for no stream.
 
-        Without the id of the request that began it, a stream can go on only if its service has had
-        a single version for longer than a stream lasts.
+        If it is not known where it began, a stream can go on only if its service has had a single
+        version for longer than a stream lasts.
 
         :param service: service chosen for the request if it began a stream
         :param give_up_ms: time after which the answer is of no use
@@ -128,8 +146,12 @@
             known = await self._directory.find(StreamKey(brand, request.resumes), give_up_ms)
             if known is not None and any(known.origin.service == s.service for s in route.shares):
                 name, version = known.origin.service, known.origin.version
-        else:
+        elif self.evidence is None and len({share.service for share in route.shares}) == 1:
+            # With several, the id of this request says nothing of the service of the first one.
             version = self._server_pool.only_version(name, self._clock.now_ms())
+        if known is None and self.evidence is not None:
+            only = await self.evidence.only_origin(route.name, give_up_ms)
+            name, version = (name, None) if only is None else only
         self._log(request, name, version, known)
         return ResumedStream(name, version)
 
--- a/tests/platformworld.py
+++ b/tests/platformworld.py
@@ -108,6 +108,11 @@
         self._settings_path.write_text(settings, encoding="utf-8")
         self._process: subprocess.Popen[bytes] | None = None
 
+    def add_settings(self, text: str) -> None:
+        """Append to the settings, for the next start."""
+        with open(self._settings_path, "a", encoding="utf-8") as settings:
+            settings.write(text)
+
     def start(self) -> None:
         """Start the process."""
         command = [sys.executable, "-m", "bergamothill.process.daemon", str(self._settings_path)]
--- a/tests/proof/proof_streamversions.py
+++ b/tests/proof/proof_streamversions.py
@@ -9,6 +9,7 @@
 
 from tests.proof.harness import Proof, ProofMachine
 from tests.proof.require import require
+from tests.proof.versionrecords import FORGET_MS, SETTLE_MS
 from tests.proof.versionservers import (
     ENGINE_SERVICE,
     SERVERS_PER_SERVICE,
@@ -31,6 +32,7 @@
 GO_ON_MS = 4_000
 MIN_TAKEN_UP = 12
 MIN_SHARE = 0.5
+MIN_RECORD_SHARE = 0.9
 BREAK_INTERVAL_MS = 100
 MIN_INSTANCES_FOR_BREAKS = 6
 SERVER_BREAKS = 4
@@ -52,6 +54,9 @@
     Without an event connection an instance cannot tell whether a server is still the process that
     is listed, so oracle 2 needs one to each engine. Cuts outlast the poll of that connection: a
     shorter one hides that the process has ended.
+
+    Oracle 3: after a quiet time with a single version, at least 0.9 of the streams go on after all
+    instances have ended.
     """
 
     double = {"ignores_version": True}
@@ -63,7 +68,7 @@
     @initialize(seed=st.integers(0, 1_000_000), count=st.sampled_from(COUNTS))
     def begin(self, seed, count):
         options = {} if self.mechanism_enabled else self.double
-        self.has_checked_share = False
+        self.has_checked_share = self.has_checked_record = False
         self.world = World(random.Random(seed), count, self.unread_share, **options)
 
     def instance(self, number):
@@ -133,7 +138,7 @@
         if self.has_checked_share or is_too_large or world.unread_share:
             return
         self.has_checked_share = True
-        self.heal(service, version)
+        self.heal(service, version, VERSIONS[VERSIONS.index(version) - 1])
         streams = [
             world.begin(service, world.rng.choice(world.instances), LONG_STREAM)
             for _ in range(NEW_STREAMS)
@@ -157,14 +162,13 @@
             f" {'; '.join(refused[0].trail if refused else [])}",
         )
 
-    def heal(self, service, version):
-        """End all disturbances; two servers of a service have one version, the others another."""
+    def heal(self, service, version, other):
+        """End all disturbances; two servers of a service have one version, the rest another."""
         world = self.world
         world.cut_zones.clear()
         world.store.is_away = False
         world.loss, world.max_delay_ms, world.kills_at_first_event = 0.0, 5, 0
         world.run_for(HEALING_MS)
-        other = VERSIONS[VERSIONS.index(version) - 1]
         for number, slot in enumerate(self.slots(service)):
             world.restart_server(slot, version if number < 2 else other, 100, keeps_id=True)
         world.run_for(HEALING_MS)
@@ -235,13 +239,15 @@
         absence_ms=st.sampled_from((0, 1_000, 3_000, 17_000, 40_000)),
         changes=st.sampled_from(("none", "some", "all")),
         keeps_id=st.booleans(),
+        quiet_ms=st.sampled_from((0, 0, 0, 60_000)),
     )
     def all_instances_end(
-        self, service, version, down_ms, second_ms, absence_ms, changes, keeps_id
+        self, service, version, down_ms, second_ms, absence_ms, changes, keeps_id, quiet_ms
     ):
         """End all instances at once, perhaps twice, and some or all servers of a service."""
         self.fault()
         world = self.world
+        world.run_for(quiet_ms)
         for instance in world.alive()[:MAX_STREAMS_AT_CRASH]:
             for _ in range(STREAMS_AT_END):
                 world.begin(service, instance, MAX_STREAM)
@@ -257,6 +263,32 @@
         world.run_for(down_ms + max(absence_ms, 1_000))
         world.absence_ms = 0
 
+    @rule(down_ms=st.sampled_from((50, 500, 1_000)), version=versions)
+    def streams_go_on_after_all_instances_end(self, down_ms, version):
+        """Check the share that goes on by the record alone, at servers of a single version."""
+        self.operation()
+        world = self.world
+        is_too_large = len(world.instances) > MAX_INSTANCES_FOR_SHARE
+        if self.has_checked_record or is_too_large or not world.keeps_record:
+            return
+        self.has_checked_record = True
+        self.heal(ENGINE_SERVICE, version, version)
+        world.run_for(FORGET_MS + 2 * SETTLE_MS)
+        streams = [
+            world.begin(ENGINE_SERVICE, world.rng.choice(world.instances), LONG_STREAM)
+            for _ in range(NEW_STREAMS)
+        ]
+        world.run_for(BEGIN_MS)
+        begun = {stream: stream.events for stream in streams if stream.events}
+        self.end_all(down_ms)
+        world.run_for(down_ms + GO_ON_MS)
+        refused = [stream for stream, events in begun.items() if stream.events == events]
+        require(
+            len(refused) <= (1 - MIN_RECORD_SHARE) * len(begun),
+            f"{len(refused)} of {len(begun)} streams did not go on after all instances ended:"
+            f" {'; '.join(refused[0].trail if refused else [])}; {world.record}",
+        )
+
     def end_all(self, down_ms):
         for instance in self.world.alive():
             self.world.kill(instance, down_ms)
--- a/tests/proof/versioninstances.py
+++ b/tests/proof/versioninstances.py
@@ -39,6 +39,8 @@
     reads_store: bool | None = None
     links: dict = field(default_factory=dict)
     lost: set = field(default_factory=set)
+    keeper: object = None
+    is_recording: bool = False
 
     @property
     def is_alive(self):
--- a/tests/proof/versionworld.py
+++ b/tests/proof/versionworld.py
@@ -10,7 +10,8 @@
 from bergamothill.version.routetable import Service
 from tests.builders import caller_request
 from tests.proof.require import require
-from tests.proof.versioninstances import NOTICE_MS, Instance, InstanceWorld
+from tests.proof.versioninstances import NOTICE_MS, Instance
+from tests.proof.versionrecords import RecordWorld
 from tests.proof.versionservers import SERVICES, WALL_OFFSET_MS, Process
 
 MAX_LINK_MS = 15
@@ -60,10 +61,10 @@
     was_identified: bool = False
 
 
-class World(InstanceWorld):
+class World(RecordWorld):
     """Event-driven simulation.
 
-    The parameters are those of :class:`InstanceWorld` and:
+    The parameters are those of :class:`RecordWorld` and:
 
     :param ignores_version: whether the instances let a stream go on at any server
     """
@@ -115,11 +116,18 @@
                 self.run(attempt)
 
         def on_found(search):
-            known = search.known
-            go_on(None if known is None else known.origin.version, search.outcome.value)
+            if search.known is not None:
+                go_on(search.known.origin.version, search.outcome.value)
+            else:
+                by_record()
+
+        def by_record():
+            self.find_by_record(instance, stream.service, lambda found: go_on(found, "record"))
 
         if stream.names_request:
             self.find(instance, stream.key, on_found)
+        elif self.trusts_record:
+            by_record()
         else:
             go_on(instance.pool.only_version(stream.service, self.now_ms), "only version")
 
@@ -136,7 +144,9 @@
 
         def come_back():
             alive = self.alive()
-            if alive and not stream.has_ended:
+            if not alive:
+                self.after(COMES_BACK_MS[0], come_back)
+            elif not stream.has_ended:
                 self.take_up(stream, self.rng.choice(alive))
 
         self.after(self.absence_ms or self.rng.randint(*COMES_BACK_MS), come_back)
@@ -237,7 +247,8 @@
 
     def write(self, attempt, process):
         entry, pool = attempt.entry, attempt.instance.pool
-        if not self.may_go_on(attempt):
+        is_new = attempt.version is None and not self.ignores_version
+        if not self.may_go_on(attempt) or (is_new and not pool.may_begin_at(entry, self.now_ms)):
             self.leave_server(attempt)
             self.run(attempt)
             return
