Restart background parts that ended by an error; not ready after repeated ends

Change: process/supervisor logs the end (part_failed), restarts the part after 500 ms, and makes the instance not ready after three ends of one part within 30 s. Errors of callbacks of the event loop are logged as callback_failed.

--- a/bergamothill/process/cacheeventlistener.py
+++ b/bergamothill/process/cacheeventlistener.py
@@ -8,7 +8,8 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
+from functools import partial
 
 from bergamothill.clock import Clock, ms_to_seconds
 from bergamothill.connection.pollconnection import PollConnection
@@ -33,9 +34,15 @@
 Each try costs a request at the source. A place becomes free only when another entry instance stops.
 """
 
+StartTask = Callable[[str, Callable[[], Awaitable[None]]], asyncio.Task[None]]
+
 _log = EventLog("kept")
 
 
+def _start_task(_name: str, run: Callable[[], Awaitable[None]]) -> asyncio.Task[None]:
+    return asyncio.get_running_loop().create_task(run())
+
+
 class CacheEventListener:
     """Follows the cache events of a changing set of engines and stores.
 
@@ -46,6 +53,7 @@
     :param on_full: called with an address that admits no further reader
     :param on_connection_change: called with an address when its connection is lost (False) or
         restored (True)
+    :param start_task: starts a task, and again after each error
     """
 
     def __init__(
@@ -55,7 +63,9 @@
         on_reply: Callable[[str, bool], None],
         on_full: Callable[[str], None],
         on_connection_change: Callable[[str, bool], None],
+        start_task: StartTask | None = None,
     ) -> None:
+        self._start_task = start_task or _start_task
         self._on_full = on_full
         self._on_connection_change = on_connection_change
         self._index = index
@@ -74,8 +84,7 @@
             self._tasks.pop(address).cancel()
             self._index.forget(address)
         for address in current - set(self._tasks):
-            task = asyncio.get_running_loop().create_task(self._listen(address))
-            self._tasks[address] = task
+            self._tasks[address] = self._start_task("events", partial(self._listen, address))
 
     def stop(self) -> None:
         """Stop following all engines and stores."""
--- a/bergamothill/process/nodequarantine.py
+++ b/bergamothill/process/nodequarantine.py
@@ -14,6 +14,7 @@
 from bergamothill.process.loadexchange import LoadExchange
 from bergamothill.process.quarantineexchange import QuarantineExchange
 from bergamothill.process.quarantinegate import QuarantineGate
+from bergamothill.process.supervisor import Guard
 from bergamothill.process.verdictstore import VerdictStore
 from bergamothill.request.partquarantine import PartQuarantine, StoredQuarantine
 
@@ -47,11 +48,13 @@
         )
         self._store: VerdictStore | None = None
 
-    async def run(self, kvs: KeyValueService) -> None:
+    async def run(self, kvs: KeyValueService, guard: Guard | None = None) -> None:
         """Exchange reports and keep the verdicts stored until cancelled.
 
         :param kvs: key-value service
+        :param guard: restarts the thread that reads and writes verdicts after errors
         """
+        self.stop()
         loop = asyncio.get_running_loop()
 
         async def add_stored(stored: StoredQuarantine) -> StoredQuarantine:
@@ -69,7 +72,8 @@
         gate.on_change = self._exchange.wake
         gate.on_pause = store.request_read
         gate.on_store = self._record_stored
-        threading.Thread(target=store.run, name="verdicts", daemon=True).start()
+        run_store = store.run if guard is None else guard("verdicts", store.run)
+        threading.Thread(target=run_store, name="verdicts", daemon=True).start()
         await self._exchange.run()
 
     def _record_stored(self, stored: StoredQuarantine, delay_ms: int) -> None:
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import signal
-import threading
 from collections.abc import Callable, Mapping
 from functools import partial
 
@@ -44,6 +43,7 @@
 from bergamothill.process.registry import Peer, Registry
 from bergamothill.process.serverlimits import ServerLimits
 from bergamothill.process.serverpool import ServerPool
+from bergamothill.process.supervisor import Supervisor
 from bergamothill.process.swapduty import SwapDuty
 from bergamothill.process.sweepduty import SweepDuty
 from bergamothill.request.contextplan import FETCH_TIMEOUT_MS, ContextPlanner
@@ -104,12 +104,14 @@
         )
         self._cache_index = CacheIndex()
         self._planner = ContextPlanner(self._cache_index)
+        self._supervisor = Supervisor(clock)
         self._listener = CacheEventListener(
             self._cache_index,
             clock,
             self._on_source_reply,
-            self._on_source_full,
+            lambda address: self._server_pool.record_events_unread(address),
             self._on_source_connection_change,
+            self._supervisor.start_task,
         )
         peer_loads = PeerLoads()
         self._roster = InstanceRoster(settings.entry)
@@ -203,6 +205,7 @@
     async def run(self) -> None:
         """Serve until stopped by a signal and drained."""
         loop = self._loop = asyncio.get_running_loop()
+        loop.set_exception_handler(self._supervisor.handle_loop_error)
         stop_requested = asyncio.Event()
         loop.add_signal_handler(signal.SIGTERM, stop_requested.set)
         loop.add_signal_handler(signal.SIGINT, stop_requested.set)
@@ -222,24 +225,23 @@
         self._kvs.era.add_listener(self._on_kvs_restored)
         for follower in followers:
             follower.start()
-        threading.Thread(target=registry.run, name="registry", daemon=True).start()
-        reports = loop.create_task(
-            self._exchange.run(self._settings.ip_address, self._settings.peer_port)
+        self._supervisor.start_thread("registry", registry.run)
+        own_address = (self._settings.ip_address, self._settings.peer_port)
+        parts = (
+            ("reports", partial(self._exchange.run, *own_address)),
+            ("limits", self._limit_exchange.run),
+            ("origins", self._origin_exchange.run),
+            ("quarantine", partial(self._quarantine.run, self._kvs, self._supervisor.guard)),
+            ("stalls", self._gateway.watch_for_stalls),
+            ("streams", self._streams.run),
+            ("sweep", self._make_sweep_duty().run),
         )
-        tasks = [
-            reports,
-            loop.create_task(self._limit_exchange.run()),
-            loop.create_task(self._origin_exchange.run()),
-            loop.create_task(self._quarantine.run(self._kvs)),
-            loop.create_task(self._gateway.watch_for_stalls()),
-            loop.create_task(self._streams.run()),
-            loop.create_task(self._make_sweep_duty().run()),
-        ]
-        swaps = threading.Thread(target=self._swaps.run, name="swaps", daemon=True)
-        swaps.start()
+        tasks = [self._supervisor.start_task(name, run) for name, run in parts]
+        swaps = self._supervisor.start_thread("swaps", self._swaps.run)
         listeners = await self._listen()
         await stop_requested.wait()
         self._swaps.stop()
+        self._supervisor.stop()
         await self._drain(listeners[-1])
         for follower in followers:
             follower.stop()
@@ -268,6 +270,7 @@
                 on_connection_change, is_connected
             ),
             before_first_read=before_first_read,
+            guard=self._supervisor.guard,
         )
 
     def _check_first_era(self) -> None:
@@ -340,7 +343,8 @@
         now_ms = self._clock.now_ms()
         has_state = self._config.table is not None and self._server_pool.listed_ms is not None
         has_state = has_state and self._quarantine.gate.has_read
-        return has_state and not self._draining and self._config.is_config_fresh(now_ms)
+        is_healthy = has_state and self._supervisor.is_healthy()
+        return is_healthy and not self._draining and self._config.is_config_fresh(now_ms)
 
     # Observed state.
 
@@ -416,9 +420,6 @@
         now_ms = self._clock.now_ms()
         self._server_pool.record_reply_from(address, now_ms, is_leaving=is_leaving)
 
-    def _on_source_full(self, address: str) -> None:
-        self._server_pool.record_events_unread(address)
-
     def _on_source_connection_change(self, address: str, is_connected: bool) -> None:
         self._server_pool.record_connection_change(address, is_connected, self._clock.now_ms())
 
--- a/bergamothill/process/prefixfollower.py
+++ b/bergamothill/process/prefixfollower.py
@@ -15,6 +15,7 @@
 from bergamothill.connection.kvs import KeyValueEntry, KeyValueService
 from bergamothill.errors import BergamothillError
 from bergamothill.logs import EventLog
+from bergamothill.process.supervisor import Guard
 
 __all__ = ["PrefixFollower", "Snapshot", "poll_interval_ms"]
 
@@ -60,6 +61,7 @@
         restored (True)
     :param before_first_read: called in the background thread before the first snapshot, again
         until it raises no error
+    :param guard: restarts the background threads after errors
     """
 
     def __init__(
@@ -71,7 +73,9 @@
         on_snapshot: Callable[[Snapshot], None],
         on_connection_change: Callable[[bool], None],
         before_first_read: Callable[[], None] | None = None,
+        guard: Guard | None = None,
     ) -> None:
+        self._guard = guard or (lambda _name, run: run)
         self._kvs = kvs
         self._clock = clock
         self._prefix = prefix
@@ -87,7 +91,8 @@
     def start(self) -> None:
         """Start the background threads."""
         for target in (self._poll_loop, self._watch_loop):
-            threading.Thread(target=target, name=f"follow {self._prefix}", daemon=True).start()
+            run = self._guard(f"follow {self._prefix}{target.__name__}", target)
+            threading.Thread(target=run, name=f"follow {self._prefix}", daemon=True).start()
 
     def wake(self) -> None:
         """Read the prefix again at once."""
