--- a/bergamothill/platform/headers.py
+++ b/bergamothill/platform/headers.py
@@ -189,7 +189,7 @@
         request_id=RequestId(_decode_text(first_values.get(b"x-request-id"))),
         has_server_signature=b"x-server-signature" in first_values,
         is_not_executed=b"x-not-executed" in first_values or status == 421,
-        weight_version=int(versions) if versions.isdecimal() else None,
+        weight_version=_parse_count(versions),
         instance=_decode_text(first_values.get(b"x-instance-id")),
         headers=[(n, v) for n, v in headers if n.lower() not in dropped],
         is_leaving=says_leaving(first_values.get(b"server-leaving")),
--- a/bergamothill/process/loadreport.py
+++ b/bergamothill/process/loadreport.py
@@ -83,7 +83,7 @@
             for server, in_progress, tokens, pending_prefill in rows
         }
         return LoadReport(EntryInstanceId(str(entry)), int(sequence_number), loads)
-    except (TypeError, ValueError, cbor2.CBORDecodeError) as error:
+    except (TypeError, ValueError, OverflowError, cbor2.CBORDecodeError) as error:
         raise ProtocolError(f"not a load report: {error}", step="load.decode") from error
 
 
--- a/bergamothill/process/registry.py
+++ b/bergamothill/process/registry.py
@@ -17,7 +17,7 @@
 from bergamothill.ids import EntryInstanceId, LeaseId, ZoneName
 from bergamothill.logs import EventLog
 
-__all__ = ["Peer", "Registry"]
+__all__ = ["Peer", "Registry", "decode_peer"]
 
 KEY_PREFIX = "entries/"
 LEASE_TTL_MS = 10_000
@@ -105,7 +105,7 @@
         peers = []
         is_listed = False
         for entry in self._kvs.scan(KEY_PREFIX):
-            peer = _decode_peer(entry.key, entry.value)
+            peer = decode_peer(entry.key, entry.value)
             if peer is None:
                 continue
             if peer.entry == self._own.entry:
@@ -157,11 +157,12 @@
     return KEY_PREFIX + (peer.entry if peer.zone is None else f"{peer.zone}/{peer.entry}")
 
 
-def _decode_peer(key: str, value: bytes) -> Peer | None:
+def decode_peer(key: str, value: bytes) -> Peer | None:
+    """Decode the registration of an entry instance; None if it is not a valid one."""
     zone, separator, _ = key.removeprefix(KEY_PREFIX).rpartition("/")
     try:
         entry, host, port = cbor2.loads(value)
         peer_zone = ZoneName(zone) if separator and zone else None
         return Peer(EntryInstanceId(str(entry)), str(host), int(port), peer_zone)
-    except (TypeError, ValueError, cbor2.CBORDecodeError):
+    except (TypeError, ValueError, OverflowError, cbor2.CBORDecodeError):
         return None
