--- a/bergamothill/process/nodesettings.py
+++ b/bergamothill/process/nodesettings.py
@@ -7,6 +7,7 @@
 from bergamothill.ids import EntryInstanceId, ZoneName
 from bergamothill.process.coldservers import ColdBounds
 from bergamothill.version.homes import RegionMap
+from bergamothill.version.versionrecord import RecordUse
 
 __all__ = ["DeploymentBounds", "NodeSettings"]
 
@@ -72,6 +73,7 @@
     :param descriptors: limit on open file descriptors
     :param bounds: guaranteed bounds of the deployment
     :param regions: regions of the availability zones
+    :param version_record: use of the record of versions of services
     """
 
     entry: EntryInstanceId
@@ -87,3 +89,4 @@
     descriptors: int
     bounds: DeploymentBounds
     regions: RegionMap = RegionMap()
+    version_record: RecordUse = RecordUse.OFF
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import signal
-import threading
 from collections.abc import Callable, Mapping
 from functools import partial
 
@@ -37,6 +36,7 @@
 from bergamothill.process.loadreport import PeerLoads
 from bergamothill.process.nodequarantine import NodeQuarantine
 from bergamothill.process.nodesettings import DeploymentBounds, NodeSettings
+from bergamothill.process.nodestreams import NodeStreams
 from bergamothill.process.operatorview import OperatorView
 from bergamothill.process.ordergap import OrderGapGuard, read_settled_era
 from bergamothill.process.originexchange import OriginExchange
@@ -49,6 +49,7 @@
 from bergamothill.process.registry import READ_TIMES, REGISTRY_PREFIX, Peer, Registry
 from bergamothill.process.serverlimits import ServerLimits
 from bergamothill.process.serverpool import ServerPool
+from bergamothill.process.supervisor import Supervisor
 from bergamothill.process.swapduty import SwapDuty
 from bergamothill.process.sweepduty import SweepDuty
 from bergamothill.request.contextplan import FETCH_TIMEOUT_MS, ContextPlanner
@@ -113,12 +114,14 @@
         )
         self._cache_index = CacheIndex()
         self._planner = ContextPlanner(self._cache_index, settings.regions)
+        self._supervisor = Supervisor(clock)
         self._listener = CacheEventListener(
             self._cache_index,
             clock,
             self._on_source_reply,
-            self._on_source_full,
+            lambda address: self._server_pool.record_events_unread(address),
             self._on_source_connection_change,
+            self._supervisor.start_task,
         )
         peer_loads = PeerLoads()
         self._roster = InstanceRoster(settings.entry)
@@ -133,7 +136,6 @@
             min_entry_life_ms=MIN_ENTRY_LIFE_HEARTBEATS * settings.heartbeat_interval_ms,
             heartbeat_interval_ms=settings.heartbeat_interval_ms,
         )
-        self._server_pool.asks_servers = True
         self._server_pool.limits.cold = ColdServers(bounds.cold, clock.wall_ms)
         self._exchange = LoadExchange(
             settings.entry,
@@ -178,6 +180,14 @@
         self._reads = ReadExchange(
             settings.entry, settings.zone, clock, self._kvs.era, self._exchange, self._metrics
         )
+        self._streams = NodeStreams(
+            settings.version_record,
+            clock,
+            self._kvs,
+            self._server_pool,
+            self._roster,
+            self._gateway,
+        )
         self._swap_view: tuple[Mapping[ModelName, WeightTarget], tuple[SwapEngine, ...]] = ({}, ())
         self._swaps = self._make_swap_duty()
 
@@ -224,6 +234,7 @@
     async def run(self) -> None:
         """Serve until stopped by a signal and drained."""
         loop = self._loop = asyncio.get_running_loop()
+        loop.set_exception_handler(self._supervisor.handle_loop_error)
         stop_requested = asyncio.Event()
         loop.add_signal_handler(signal.SIGTERM, stop_requested.set)
         loop.add_signal_handler(signal.SIGINT, stop_requested.set)
@@ -243,24 +254,24 @@
         self._kvs.era.add_listener(self._on_kvs_restored)
         for follower in followers:
             follower.start()
-        threading.Thread(target=registry.run, name="registry", daemon=True).start()
-        reports = loop.create_task(
-            self._exchange.run(self._settings.ip_address, self._settings.peer_port)
+        self._supervisor.start_thread("registry", registry.run)
+        own_address = (self._settings.ip_address, self._settings.peer_port)
+        parts = (
+            ("reports", partial(self._exchange.run, *own_address)),
+            ("limits", self._limit_exchange.run),
+            ("reads", self._reads.run),
+            ("origins", self._origin_exchange.run),
+            ("quarantine", partial(self._quarantine.run, self._kvs, self._supervisor.guard)),
+            ("stalls", self._gateway.watch_for_stalls),
+            ("streams", self._streams.run),
+            ("sweep", self._make_sweep_duty().run),
         )
-        tasks = [
-            reports,
-            loop.create_task(self._limit_exchange.run()),
-            loop.create_task(self._reads.run()),
-            loop.create_task(self._origin_exchange.run()),
-            loop.create_task(self._quarantine.run(self._kvs)),
-            loop.create_task(self._gateway.watch_for_stalls()),
-            loop.create_task(self._make_sweep_duty().run()),
-        ]
-        swaps = threading.Thread(target=self._swaps.run, name="swaps", daemon=True)
-        swaps.start()
+        tasks = [self._supervisor.start_task(name, run) for name, run in parts]
+        swaps = self._supervisor.start_thread("swaps", self._swaps.run)
         listeners = await self._listen()
         await stop_requested.wait()
         self._swaps.stop()
+        self._supervisor.stop()
         await self._drain(listeners[-1])
         self._kept_connections.stop()
         for follower in followers:
@@ -292,6 +303,7 @@
             ),
             before_first_read=before_first_read,
             share=self._reads.share(prefix, times),
+            guard=self._supervisor.guard,
         )
 
     def _check_first_era(self) -> None:
@@ -312,6 +324,7 @@
         self._swaps.handle_restore()
         self._loop.call_soon_threadsafe(self._config.record_restore, now_ms)
         self._loop.call_soon_threadsafe(self._server_pool.kvs_restored, now_ms)
+        self._loop.call_soon_threadsafe(self._streams.handle_restore)
         self._registry.handle_restore()
         self._quarantine.handle_restore()
         for follower in self._followers:
@@ -368,7 +381,8 @@
         now_ms = self._clock.now_ms()
         has_state = self._config.table is not None and self._server_pool.listed_ms is not None
         has_state = has_state and self._quarantine.gate.has_read
-        return has_state and not self._draining and self._config.is_config_fresh(now_ms)
+        is_healthy = has_state and self._supervisor.is_healthy()
+        return is_healthy and not self._draining and self._config.is_config_fresh(now_ms)
 
     # Observed state.
 
@@ -391,6 +405,7 @@
         self._planner.set_stores(config.stores)
         self._kept_connections.share.set_services(config.services.values())
         self._server_pool.limits.cold.set_services(config.services)
+        self._streams.apply_config(config)
         self._follow_cache_sources()
         _log.info(
             "config_applied",
@@ -426,6 +441,7 @@
                 servers.append(decode_server(entry.key, entry.value, entry.mod_revision))
             except ProtocolError as error:
                 self._log_unreadable_entry(entry, error)
+        self._streams.apply_servers(servers)
         now_ms = self._clock.now_ms()
         changes = self._server_pool.apply_list(servers, snapshot.sent_ms, now_ms)
         self._publish_engines()
@@ -449,9 +465,6 @@
         now_ms = self._clock.now_ms()
         self._server_pool.record_reply_from(address, now_ms, is_leaving=is_leaving)
 
-    def _on_source_full(self, address: str) -> None:
-        self._server_pool.record_events_unread(address)
-
     def _on_source_connection_change(self, address: str, is_connected: bool) -> None:
         self._server_pool.record_connection_change(address, is_connected, self._clock.now_ms())
 
--- a/bergamothill/process/prefixfollower.py
+++ b/bergamothill/process/prefixfollower.py
@@ -21,6 +21,7 @@
 from bergamothill.process.prefixshare import PrefixShare
 from bergamothill.process.readorder import AppliedRead
 from bergamothill.process.readtimes import ReadTimes, poll_interval_ms
+from bergamothill.process.supervisor import Guard
 
 __all__ = ["PrefixFollower", "Snapshot", "poll_interval_ms"]
 
@@ -62,6 +63,7 @@
     :param before_first_read: called in the background thread before the first snapshot, again
         until it raises no error
     :param share: shares the reads with other instances; None to read always
+    :param guard: restarts the background threads after errors
     """
 
     def __init__(
@@ -74,7 +76,9 @@
         on_connection_change: Callable[[bool], None],
         before_first_read: Callable[[], None] | None = None,
         share: PrefixShare | None = None,
+        guard: Guard | None = None,
     ) -> None:
+        self._guard = guard or (lambda _name, run: run)
         self._kvs = kvs
         self._clock = clock
         self._prefix = prefix
@@ -100,7 +104,8 @@
     def start(self) -> None:
         """Start the background threads."""
         for target in (self._poll_loop, self._watch_loop):
-            threading.Thread(target=target, name=f"follow {self._prefix}", daemon=True).start()
+            run = self._guard(f"follow {self._prefix}{target.__name__}", target)
+            threading.Thread(target=run, name=f"follow {self._prefix}", daemon=True).start()
 
     def wake(self) -> None:
         """Read the prefix again at once."""
--- a/bergamothill/process/registry.py
+++ b/bergamothill/process/registry.py
@@ -21,7 +21,7 @@
 from bergamothill.process.readorder import AppliedRead
 from bergamothill.process.readtimes import ReadTimes
 
-__all__ = ["READ_TIMES", "REGISTRY_PREFIX", "Peer", "Registry"]
+__all__ = ["READ_TIMES", "REGISTRY_PREFIX", "Peer", "Registry", "decode_peer"]
 
 REGISTRY_PREFIX = "entries/"
 LEASE_TTL_MS = 10_000
@@ -187,7 +187,7 @@
         peers = []
         is_listed = False
         for entry in entries:
-            peer = _decode_peer(entry.key, entry.value)
+            peer = decode_peer(entry.key, entry.value)
             if peer is None:
                 continue
             if peer.entry == self._own.entry:
@@ -239,11 +239,12 @@
     return REGISTRY_PREFIX + (peer.entry if peer.zone is None else f"{peer.zone}/{peer.entry}")
 
 
-def _decode_peer(key: str, value: bytes) -> Peer | None:
+def decode_peer(key: str, value: bytes) -> Peer | None:
+    """Decode the registration of an entry instance; None if it is not a valid one."""
     zone, separator, _ = key.removeprefix(REGISTRY_PREFIX).rpartition("/")
     try:
         entry, host, port = cbor2.loads(value)
         peer_zone = ZoneName(zone) if separator and zone else None
         return Peer(EntryInstanceId(str(entry)), str(host), int(port), peer_zone)
-    except (TypeError, ValueError, cbor2.CBORDecodeError):
+    except (TypeError, ValueError, OverflowError, cbor2.CBORDecodeError):
         return None
