Begin slowly with servers that have started or recovered

A server that returns got its full share at once, which it may not yet carry. It now gets a pace: a rate of all instances together that begins at 3 requests a second, rises while answers are good, and falls when they are slow, rejected or fail. ServerLimits divides it as the rate of a cold server, which stays the upper bound. Instances tell each other the level and its age by datagram; requests that may not be repeated go there last. In force only for services with a cold rate, and for engines where the settings name bounds.coldOvershoot.

--- a/bergamothill/platform/settings.py
+++ b/bergamothill/platform/settings.py
@@ -95,7 +95,9 @@
         engines_check_fencing=reader.flag("bounds.requireFencing", False),
         reuse_window_ms=int(reader.number("bounds.reuseWindowS", 20) * MS_PER_S),
         cold=ColdBounds(
-            reader.number("bounds.coldOvershoot", 1.5), reader.number("bounds.coldSlack", 5)
+            reader.number("bounds.coldOvershoot", 1.5),
+            reader.number("bounds.coldSlack", 5),
+            is_named="coldOvershoot" in (reader.value("bounds") or {}),
         ),
         evacuation_ms=reader.integer("bounds.evacuationMs", 5_000),
     )
--- a/bergamothill/process/coldservers.py
+++ b/bergamothill/process/coldservers.py
@@ -38,10 +38,12 @@
 
     :param overshoot: multiple of the rate that the server takes
     :param slack: requests in addition to that
+    :param is_named: whether the settings name it
     """
 
     overshoot: float = 1.5
     slack: float = 5.0
+    is_named: bool = False
 
     def per_second(self, rate_per_s: float) -> float:
         """Return the bound for a server.
--- a/bergamothill/process/limitexchange.py
+++ b/bergamothill/process/limitexchange.py
@@ -14,6 +14,7 @@
     is_limit_report,
 )
 from bergamothill.process.loadexchange import LoadExchange
+from bergamothill.process.paceexchange import PaceExchange
 from bergamothill.process.reportschedule import BURST_INTERVAL_MS, ReportSchedule
 from bergamothill.process.serverlimits import ServerLimits, log_limit_change
 from bergamothill.process.wakeup import wait_until_set
@@ -49,7 +50,8 @@
         self._on_report = on_report
         self._schedule = ReportSchedule(KEEPALIVE_MS, KEEPALIVE_PER_PEER_MS)
         self._wake = asyncio.Event()
-        limits.on_news = self._wake.set
+        self._paces = PaceExchange(clock, limits, load_exchange, on_report)
+        limits.on_news = limits.pace.on_news = self._wake.set
         load_exchange.add_kind(is_limit_report, decode_limit_report, self._on_limit_report)
 
     async def run(self) -> None:
@@ -58,6 +60,7 @@
             await wait_until_set(self._wake, BURST_INTERVAL_MS)
             self._wake.clear()
             self._send_if_due()
+            self._paces.send_if_due()
 
     def _send_if_due(self) -> None:
         now_ms = self._clock.now_ms()
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -356,7 +356,7 @@
 
     def _apply_config(self, config: RoutingConfig, entry: KeyValueEntry, sent_ms: int) -> None:
         self._planner.set_stores(config.stores)
-        self._server_pool.limits.cold.set_services(config.services)
+        self._server_pool.limits.set_services(config.services)
         self._follow_cache_sources()
         _log.info(
             "config_applied",
--- a/bergamothill/process/requestrun.py
+++ b/bergamothill/process/requestrun.py
@@ -95,6 +95,7 @@
         self._request = request
         self._resumption = resumption
         request.homes = home_regions(route, admission.brand)
+        request.may_repeat = route.may_retry
         request.suspects = crash_suspects(request, admission.brand_name)
         self._admission = admission
         self._route = route
--- a/bergamothill/process/serverlimits.py
+++ b/bergamothill/process/serverlimits.py
@@ -6,10 +6,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+import math
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, replace
 
-from bergamothill.ids import RequestId, ServerId
+from bergamothill.ids import RequestId, ServerId, ServiceName
 from bergamothill.logs import EventLog
 from bergamothill.process.backends import BackendServer
 from bergamothill.process.coldservers import ColdServers
@@ -18,8 +19,10 @@
 from bergamothill.process.limitevidence import LimitEvidence, ServerLimit
 from bergamothill.process.limitreport import LimitReport, ReportedLimit
 from bergamothill.process.rendezvous import rendezvous
+from bergamothill.process.serverpace import ServerPaces
 from bergamothill.request.callerrequest import RequestLimit
 from bergamothill.request.tokenbucket import TokenBucket
+from bergamothill.version.routetable import Service
 
 __all__ = ["LimitChange", "ServerLimits", "log_limit_change"]
 
@@ -46,6 +49,9 @@
 SPENT_TTL_MS = 1_000
 """Time for which a counted request may wait for its connection; opening one takes less."""
 
+PACE_RISES_MS = 200
+"""Time after which an instance without a share in a slow start asks again."""
+
 MS_PER_S = 1_000
 
 Incarnation = tuple[ServerId, int]
@@ -91,9 +97,12 @@
         self.roster = roster
         self._servers: dict[Incarnation, _LimitedServer] = {}
         self.cold = ColdServers()
+        self.pace = ServerPaces()
         self._cold_shares: dict[ServerId, ColdShare] = {}
         """By server: what was sent as its process restarted may have reached the new one."""
 
+        self._ranks: dict[ServerId, tuple[int, int]] = {}
+
         self.report_revision = 0
         """Increases when peers should get a report at once."""
 
@@ -169,6 +178,7 @@
             del self._servers[key]
         for server in self._cold_shares.keys() - {server for server, _ in kept}:
             del self._cold_shares[server]
+        self._ranks = {s: rank for s, rank in self._ranks.items() if s in self._cold_shares}
 
     def record_check(self, passed_ms: int, now_ms: int) -> None:
         """Record a periodic check.
@@ -178,6 +188,11 @@
         self.roster.record_pause(passed_ms, now_ms)
         self.cold.record_check(passed_ms, now_ms)
 
+    def set_services(self, services: Mapping[ServiceName, Service]) -> None:
+        """Set the services, from the configuration in force."""
+        self.cold.set_services(services)
+        self.pace.set_services(services, names_bound=self.cold.bounds.is_named)
+
     # What may be sent.
 
     def limit_per_s(self, server: BackendServer) -> float | None:
@@ -187,13 +202,14 @@
 
     @property
     def has_any(self) -> bool:
-        """Whether any server is known to have named a limit, or may be cold."""
-        return bool(self._servers) or self.cold.has_any
+        """Whether any server is known to have named a limit, may be cold or is in slow start."""
+        return bool(self._servers) or self.cold.has_any or self.pace.has_any
 
     def is_limited(self, server: BackendServer, now_ms: int) -> bool:
-        """Return whether a server has a limit now, as it named one or is cold."""
+        """Return whether a server has a limit now: it named one, is cold or in slow start."""
         is_cold = self.cold.left_ms(server, now_ms) > 0
-        return is_cold or self.limit_per_s(server) is not None
+        is_paced = self.pace.rate_per_s(server, now_ms) is not None
+        return is_cold or is_paced or self.limit_per_s(server) is not None
 
     def spend(self, server: BackendServer, now_ms: int) -> int | None:
         """Count one request against the limit of a server, for which :meth:`wait_ms` was 0.
@@ -230,10 +246,10 @@
         share = self._cold_share(server, now_ms)
         if share is None or wait_ms is None:
             return wait_ms
-        # A server without a share takes requests again when it is warm.
-        left_ms = self.cold.left_ms(server, now_ms)
-        cold_wait_ms = share.wait_ms(now_ms)
-        return max(wait_ms, left_ms if cold_wait_ms is None else min(left_ms, cold_wait_ms))
+        # A server without a share takes requests again when it is warm, or its pace has risen.
+        left_ms = self.cold.left_ms(server, now_ms) or PACE_RISES_MS
+        share_wait_ms = share.wait_ms(now_ms)
+        return max(wait_ms, left_ms if share_wait_ms is None else min(left_ms, share_wait_ms))
 
     def share_per_s(self, server: BackendServer, now_ms: int) -> float | None:
         """Return the requests a second that this instance may send; None without a limit."""
@@ -244,22 +260,37 @@
         return min(rates, default=None)
 
     def _cold_share(self, server: BackendServer, now_ms: int) -> ColdShare | None:
-        """Return the share in a server that is cold, up to date; None if it is warm."""
-        if not self.cold.has_any or not self.cold.left_ms(server, now_ms):
+        """Return the share in a server that is cold or in slow start, up to date; else None."""
+        is_cold = self.cold.has_any and self.cold.left_ms(server, now_ms) > 0
+        pace = self.pace.rate_per_s(server, now_ms)
+        if not is_cold and pace is None:
             return None
         share = self._cold_shares.setdefault(server.server, ColdShare(now_ms))
-        rate_per_s = self.cold.rate_per_s(server)
-        if not self.roster.is_settled(now_ms):
+        if is_cold and not self.roster.is_settled(now_ms):
             share.clear_rate()
             return share
-        divided_by = (self.roster.revision, rate_per_s, self.cold.bounds)
+        # In steps of a tenth, as the rate is divided anew at each.
+        pace = math.inf if pace is None else float(f"{pace:.1e}")
+        most_per_s = self.cold.rate_per_s(server) if is_cold else pace
+        if is_cold:
+            self.pace.hold_below(server, most_per_s, now_ms)
+        divided_by = (self.roster.revision, most_per_s, pace, self.cold.bounds)
         if share.divided_by != divided_by:
-            members, bound = self.roster.members, self.cold.bounds.per_second(rate_per_s)
-            terms = divide_cold_rate(rate_per_s, bound, len(members))
-            rank = rendezvous(server.server, members).index(self.roster.own)
-            share.set_rate(terms, rank, divided_by)
+            # The senders of a cold server must be the same everywhere, whatever the pace.
+            bound = self.cold.bounds.per_second(most_per_s)
+            terms = divide_cold_rate(most_per_s, bound, len(self.roster.members))
+            terms = replace(terms, per_s=min(terms.per_s, pace / terms.senders))
+            share.set_rate(terms, self._rank(server.server), divided_by)
         return share
 
+    def _rank(self, server: ServerId) -> int:
+        """Return the rank of this instance among those that share the rate of a server."""
+        revision, rank = self._ranks.get(server, (-1, 0))
+        if revision != self.roster.revision:
+            rank = rendezvous(server, self.roster.members).index(self.roster.own)
+            self._ranks[server] = (self.roster.revision, rank)
+        return rank
+
     def _may_write_cold(self, server: BackendServer, now_ms: int) -> bool:
         """Return whether a request may be written to a server, by whether it is cold."""
         share = self._cold_share(server, now_ms)
--- a/bergamothill/process/serverpool.py
+++ b/bergamothill/process/serverpool.py
@@ -21,7 +21,7 @@
 from bergamothill.process.loadreport import PeerLoads, ServerLoad
 from bergamothill.process.observedserver import ObservedServer
 from bergamothill.process.serverlimits import ServerLimits
-from bergamothill.process.softwareversions import SoftwareVersions
+from bergamothill.process.serverrecoveries import ServerRecoveries
 from bergamothill.process.trialplacement import TrialPlacement
 from bergamothill.request.callerrequest import CallerRequest, ForwardTerms
 from bergamothill.request.contextplan import ContextPlanner
@@ -63,7 +63,7 @@
 """Time for which a request may be queued at an engine before it starts."""
 
 
-class ServerPool(SoftwareVersions):
+class ServerPool(ServerRecoveries):
     """State of all backend servers, as observed by this entry instance.
 
     :param zone: availability zone of this entry instance
@@ -74,7 +74,7 @@
     :param entry_expiry_ms: see :class:`~bergamothill.process.serverlist.ServerList`
     :param stability_window_ms: likewise
     :param min_entry_life_ms: likewise
-    :param heartbeat_interval_ms: see :class:`SoftwareVersions`
+    :param heartbeat_interval_ms: time in which a server that runs writes its entry
     """
 
     def __init__(
@@ -110,14 +110,6 @@
         )
         """Returns the first request in the queue of a service that waits for limits."""
 
-    def apply_list(self, entries: Iterable[BackendServer], sent_ms: int, now_ms: int) -> list[str]:
-        """Apply a newly read list of servers; see :class:`ServerList`."""
-        changes = super().apply_list(entries, sent_ms, now_ms)
-        listed = [s.entry for s in self._observed.values() if s.listed_ms == sent_ms]
-        self.limits.cold.record_list(listed, sent_ms, now_ms, self._entry_expiry_ms)
-        self.limits.cold.retain(state.entry for state in self._observed.values())
-        return changes
-
     def _rebuild_index(self) -> None:
         super()._rebuild_index()
         self._set_fetch_sources()
@@ -138,6 +130,9 @@
         change = self.evacuation.apply(zones, sent_ms, is_trusted=is_trusted)
         if change:
             log_evacuation(change, now_ms - sent_ms)
+            for state in self._observed.values():
+                if state.entry.zone in change.returned:
+                    self._begin_slowly(state.entry, "evacuation", now_ms)
             self._set_fetch_sources()
         return change
 
@@ -272,26 +267,20 @@
         state = self._observed.get(server)
         if state is not None:
             state.backoff_until_ms = max(state.backoff_until_ms, now_ms + REJECTION_BACKOFF_MS)
+            self._record_rejection(state, now_ms)
 
     def request_failed(self, server: ServerId, now_ms: int) -> None:
         """Record a lost answer or a failed connection."""
         state = self._observed.get(server)
         if state is None:
             return
-        self.limits.cold.record_doubt(state.entry, now_ms)
         state.failed_ms = now_ms
         state.failures += 1
         backoff_ms = min(
             FAILURE_BACKOFF_MAX_MS, FAILURE_BACKOFF_MIN_MS << min(8, state.failures - 1)
         )
         state.backoff_until_ms = max(state.backoff_until_ms, now_ms + backoff_ms)
-
-    def record_connection_change(self, address: str, is_connected: bool, now_ms: int) -> None:
-        """Record a change of an event connection; see :class:`SoftwareVersions`."""
-        was_lost = address in self._lost_addresses
-        super().record_connection_change(address, is_connected, now_ms)
-        for state in self._at_address(address) if was_lost or not is_connected else ():
-            self.limits.cold.record_doubt(state.entry, now_ms)
+        self._record_failure(state, now_ms)
 
     def mark_replaced(self, server: ServerId) -> None:
         """Record that another instance answers at the address of a server."""
@@ -322,6 +311,10 @@
         :param terms: terms under which the request was forwarded
         :param took_ms: time since the request was sent
         """
+        state = self._observed.get(terms.server)
+        if state is not None:
+            size, sent_ms = terms.pending_prefill_tokens, now_ms - took_ms
+            self.limits.pace.record_answer(state.entry, size, took_ms, sent_ms, now_ms)
         if terms.weight_version is not None:
             expected_ms = terms.expected_first_ms
             self._planner.delays.record_first_token(terms.fetch_from, took_ms, expected_ms, now_ms)
@@ -393,7 +386,7 @@
                 return self._at_limit(usable, now_ms)
             usable = admitting
         candidates = [b for b in usable if b.entry.server not in avoided]
-        candidates = candidates or usable
+        candidates = self._of_known_pace(candidates or usable, request)
         if service.engine is not None:
             candidates = [b for b in candidates if not self._is_silent(b, now_ms)] or candidates
         awake = [b for b in candidates if b.backoff_until_ms <= now_ms]
--- a/bergamothill/request/callerrequest.py
+++ b/bergamothill/request/callerrequest.py
@@ -71,6 +71,7 @@
     :param suspects: parts that other requests may have in common with it, and that could crash
         servers; set once the request is admitted
     :param homes: regions in which it may be served; None for all; set likewise
+    :param may_repeat: whether it may be sent again if it may already have run; set likewise
     """
 
     raw: RawRequest
@@ -87,6 +88,7 @@
     forwarded_headers: list[Header] = field(default_factory=list)
     suspects: frozenset[PartId] = frozenset()
     homes: frozenset[RegionName] | None = None
+    may_repeat: bool = True
 
     @property
     def path(self) -> str:
--- a/tests/proof/proof_coldservers.py
+++ b/tests/proof/proof_coldservers.py
@@ -72,6 +72,9 @@
     def read_list(self, instance):
         if not (self.store_is_away or instance.lacks_store or instance.is_cut_off):
             entries = tuple(self.entries.values())
+            for entry in entries:
+                if instance.listed and entry not in instance.listed.values():
+                    instance.limits.pace.begin(entry, "start", self.now_ms, 0, 9)
             cold = instance.limits.cold
             cold.record_list(entries, self.now_ms, self.now_ms, EXPIRY_MS)
             instance.listed = {entry.server: entry for entry in entries}
@@ -94,6 +97,7 @@
                 def answer():
                     limits = instance.limits
                     if limits is not None and not instance.is_cut_off:
+                        limits.pace.record_answer(entry, 0, 50, sent_ms, self.now_ms)
                         limits.cold.record_answer(entry, None, sent_ms, self.now_ms)
 
                 self.after(1 + self.rng.randrange(20), lambda: self.check(server))
