--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -444,7 +444,7 @@
             self._server_pool.set_stability_window(settings.bounds.stability_window_ms)
             self._server_pool.weights_due_ms = settings.bounds.weights_due_ms
             self._gateway.set_bounds(settings.bounds)
-            self._server_pool.limits.cold.bounds = settings.bounds.cold
+            self._server_pool.limits.set_bounds(settings.bounds.cold)
             self._config.set_revocation_bound(
                 settings.bounds.key_revocation_ms, is_strict=settings.bounds.is_revocation_strict
             )
--- a/bergamothill/process/serverlimits.py
+++ b/bergamothill/process/serverlimits.py
@@ -13,7 +13,7 @@
 from bergamothill.ids import RequestId, ServerId, ServiceName
 from bergamothill.logs import EventLog
 from bergamothill.process.backends import BackendServer
-from bergamothill.process.coldservers import ColdServers
+from bergamothill.process.coldservers import ColdBounds, ColdServers
 from bergamothill.process.coldshare import ColdShare, divide_cold_rate
 from bergamothill.process.instanceroster import InstanceRoster
 from bergamothill.process.limitevidence import LimitEvidence, ServerLimit
@@ -98,6 +98,7 @@
         self._servers: dict[Incarnation, _LimitedServer] = {}
         self.cold = ColdServers()
         self.pace = ServerPaces()
+        self._services: Mapping[ServiceName, Service] = {}
         self._cold_shares: dict[ServerId, ColdShare] = {}
         """By server: what was sent as its process restarted may have reached the new one."""
 
@@ -190,9 +191,15 @@
 
     def set_services(self, services: Mapping[ServiceName, Service]) -> None:
         """Set the services, from the configuration in force."""
+        self._services = services
         self.cold.set_services(services)
         self.pace.set_services(services, names_bound=self.cold.bounds.is_named)
 
+    def set_bounds(self, bounds: ColdBounds) -> None:
+        """Set the bounds of cold servers, from the settings."""
+        self.cold.bounds = bounds
+        self.set_services(self._services)
+
     # What may be sent.
 
     def limit_per_s(self, server: BackendServer) -> float | None:
--- a/tests/test_serverpace.py
+++ b/tests/test_serverpace.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 from bergamothill.errors import ProtocolError
+from bergamothill.process.coldservers import ColdBounds
 from bergamothill.process.pacereport import PaceReport, ReportedPace, decode_pace, encode_pace
 from bergamothill.process.serverpace import ServerPaces
 from bergamothill.request.pace import START_PER_S, AdditivePace, GradientPace
@@ -87,6 +88,13 @@
         pace.begin(backend("s1"), "start", 0, 1, 1)
         self.assertFalse(pace.has_any)
 
+    def test_a_reload_that_names_the_bound_lets_engines_begin_slowly(self):
+        limits = server_pool().limits
+        limits.set_services({LLM.name: LLM})
+        limits.set_bounds(ColdBounds(is_named=True))
+        limits.pace.begin(backend("s1"), "start", 0, 0, OTHER_SERVERS)
+        self.assertTrue(limits.pace.has_any)
+
     def test_existing_deployments_have_no_slow_start(self):
         for services, names_bound, has_any in ((LLM, False, False), (LLM, True, True)):
             pace = ServerPaces()
