--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -404,7 +404,7 @@
     def _apply_config(self, config: RoutingConfig, entry: KeyValueEntry, sent_ms: int) -> None:
         self._planner.set_stores(config.stores)
         self._kept_connections.share.set_services(config.services.values())
-        self._server_pool.limits.cold.set_services(config.services)
+        self._server_pool.limits.set_services(config.services)
         self._streams.apply_config(config)
         self._follow_cache_sources()
         _log.info(
@@ -493,7 +493,7 @@
             self._server_pool.set_stability_window(settings.bounds.stability_window_ms)
             self._server_pool.weights_due_ms = settings.bounds.weights_due_ms
             self._gateway.set_bounds(settings.bounds)
-            self._server_pool.limits.cold.bounds = settings.bounds.cold
+            self._server_pool.limits.set_bounds(settings.bounds.cold)
             self._config.set_revocation_bound(
                 settings.bounds.key_revocation_ms, is_strict=settings.bounds.is_revocation_strict
             )
--- a/bergamothill/request/callerrequest.py
+++ b/bergamothill/request/callerrequest.py
@@ -72,6 +72,7 @@
         servers; set once the request is admitted
     :param homes: regions in which it may be served; None for all; set likewise
     :param objective_ms: time until which the answer meets its objective; set likewise
+    :param may_repeat: whether it may be sent again if it may already have run; set likewise
     """
 
     raw: RawRequest
@@ -89,6 +90,7 @@
     suspects: frozenset[PartId] = frozenset()
     homes: frozenset[RegionName] | None = None
     objective_ms: int | None = None
+    may_repeat: bool = True
 
     @property
     def path(self) -> str:
