Divide waiting requests fairly among brands and routes by work

Cause: the queue of a service was ordered by urgency, lateness and arrival, so that a brand that asks for more than there is took the share of the others. A large prompt at the head held up smaller ones that fit, while new small ones passed it without end.

Change: request/fairqueue. Start-time fair queueing by brand, then by route, charged when a request is sent: tokens of prompt and answer, or the average time in a slot of a plain route. Deficit round robin was ruled out: its quantum must be as large as the largest prompt. Urgency comes first as before, but a less urgent kind is served a tenth as well as a more urgent one at least. A request that does not fit lets up to four others try, for the first three quarters of its time; then new ones wait for it as well. The expected wait counts of other flows as much work as the own flow has.

--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -92,6 +92,7 @@
         self._known_instances = 0
         server_pool.next_limited_request = self._next_limited_request
         server_pool.next_waiting_request = self._next_waiting_request
+        server_pool.next_reserving_request = self._next_reserving_request
 
     def set_bounds(self, bounds: DeploymentBounds) -> None:
         """Apply the bounds of reloaded settings."""
@@ -172,9 +173,14 @@
         head = self._queue_head(service)
         return None if head is None else head.request
 
+    def _next_reserving_request(self, service: ServiceName) -> CallerRequest | None:
+        queue, now_ms = self._queues.get(service), self._clock.now_ms()
+        head = None if queue is None else queue.requests.peek(now_ms)
+        return head.request if head and queue.requests.is_reserving(head, now_ms) else None
+
     def _queue_head(self, service: ServiceName) -> QueuedRequest | None:
         queue = self._queues.get(service)
-        return None if queue is None else queue.requests.peek(self._clock.now_ms())
+        return None if queue is None else queue.next_request()
 
     def capacity_changed(self) -> None:
         """Wake the head of each admission queue after engine capacity changed."""
--- a/bergamothill/process/requestrun.py
+++ b/bergamothill/process/requestrun.py
@@ -288,13 +288,14 @@
             try:
                 while isinstance(step, WaitForMemory) and self._clock.now_ms() < wait.give_up_ms:
                     # It may have been held only for others, and come before them.
-                    now_ms = self._clock.now_ms()
-                    if queue.requests.peek(now_ms) is waiting:
-                        step = self._forwarding.retry(now_ms)
+                    if queue.has_turn(waiting):
+                        step = self._forwarding.retry(self._clock.now_ms())
                     if isinstance(step, WaitForMemory):
+                        if self._service.engine is not None and step.rate is NO_LIMIT:
+                            queue.pass_turn(waiting)
                         await queue.wait_for_turn(waiting, step.rate)
             finally:
-                queue.leave(waiting)
+                queue.leave(waiting, is_sent=isinstance(step, Send))
         now_ms = self._clock.now_ms()
         self._context.log.append(f"held:{now_ms - started_ms}ms:line{len(queue.requests)}")
         if not isinstance(step, WaitForMemory):
--- a/bergamothill/process/serverattempt.py
+++ b/bergamothill/process/serverattempt.py
@@ -111,7 +111,8 @@
         started_ms = self._sent_ms = self._clock.now_ms()
         tokens, prefill_tokens = self._request.prompt_tokens, send.terms.pending_prefill_tokens
         server_pool.request_started(self._server, tokens, prefill_tokens, started_ms)
-        context.queue.requests.record_admission(tokens, started_ms)
+        request = self._request
+        context.queue.requests.record_admission(request.work_tokens, started_ms, request.flow)
         self._gated_run = context.gate.begin_run(self._request, send, started_ms)
         try:
             result = await self._exchange()
@@ -137,9 +138,9 @@
         outcome = self._classify(result)
         if outcome is AttemptOutcome.SUCCESS:
             ended_ms = self._clock.now_ms()
-            server_pool.record_service_time(
-                send.server, send.terms, ended_ms - started_ms, ended_ms
-            )
+            took_ms = ended_ms - started_ms
+            slot_ms = server_pool.record_service_time(send.server, send.terms, took_ms, ended_ms)
+            context.queue.requests.record_slot_time(request.flow, slot_ms)
         # Before the next step is chosen, so that no crash is repeated blindly.
         self._end_gated_run(classify_run_end(outcome.value, result, has_begun=has_begun))
         self._log_end(outcome, result, started_ms)
--- a/bergamothill/process/servercapacity.py
+++ b/bergamothill/process/servercapacity.py
@@ -233,6 +233,8 @@
         Old reports are the same at all instances. If each chose the least loaded server by them,
         all would choose the same, so those within the error of the estimate count as equal.
         """
+        if len(self._roster.members) == 1:
+            return min(candidates, key=lambda c: (c.cost, c.state.entry.server)).state
         mean_load = sum(c.load for c in candidates) / len(candidates)
         error = (1 - self._freshness(time)) * math.sqrt(mean_load)
         least = min(c.cost for c in candidates)
--- a/bergamothill/process/serverpool.py
+++ b/bergamothill/process/serverpool.py
@@ -108,6 +108,11 @@
         )
         """Returns the same if it waits for capacity."""
 
+        self.next_reserving_request: Callable[[ServiceName], CallerRequest | None] = lambda _name: (
+            None
+        )
+        """Returns the same if no others may pass it any more."""
+
     def _rebuild_index(self) -> None:
         super()._rebuild_index()
         engines = (
@@ -264,9 +269,12 @@
 
     def record_service_time(
         self, server: BackendServer, terms: ForwardTerms, took_ms: int, now_ms: int
-    ) -> None:
-        """Learn the time for which requests occupy a slot from a successful answer."""
-        self.speeds.record_service_time(
+    ) -> float:
+        """Learn the time for which requests occupy a slot from a successful answer.
+
+        :returns: this time
+        """
+        return self.speeds.record_service_time(
             server.service,
             server.incarnation,
             terms.beside_requests,
@@ -358,6 +366,9 @@
             self._set_load_terms(terms, state)
             terms.limit_spent_ms = self.limits.spend(state.entry, now_ms)
             return (state.entry, terms)
+        first = self.next_reserving_request(service.name)
+        if first is not None and first is not request and version is None and not is_move:
+            return NoFreeMemory()
         preferred = self._preferred_by_weights(candidates, request.model, now_ms)
         for group in (preferred, candidates):
             with_room = [b for b in group if self._has_room(b, service.engine, request, urgency)]
--- a/bergamothill/request/callerrequest.py
+++ b/bergamothill/request/callerrequest.py
@@ -6,6 +6,7 @@
 
 from bergamothill.ids import BrandName, ModelName, RequestId, ServerId, SoftwareVersion
 from bergamothill.request.crashevidence import PartId
+from bergamothill.request.fairqueue import NO_FLOW, Flow
 
 __all__ = [
     "CallerRequest",
@@ -71,6 +72,7 @@
     :param suspects: parts that other requests may have in common with it, and that could crash
         servers; set once the request is admitted
     :param objective_ms: time until which the answer meets its objective; set likewise
+    :param flow: requests with which it shares a part of the capacity; set likewise
     """
 
     raw: RawRequest
@@ -87,6 +89,12 @@
     forwarded_headers: list[Header] = field(default_factory=list)
     suspects: frozenset[PartId] = frozenset()
     objective_ms: int | None = None
+    flow: Flow = NO_FLOW
+
+    @property
+    def work_tokens(self) -> int:
+        """Tokens of the prompt and of the answer; 0 for a plain request."""
+        return 0 if self.model is None else max(1, self.prompt_tokens + self.max_output_tokens)
 
     @property
     def path(self) -> str:
--- a/bergamothill/request/forwarding.py
+++ b/bergamothill/request/forwarding.py
@@ -16,6 +16,7 @@
 from bergamothill.request.attemptlog import Attempt, AttemptLog
 from bergamothill.request.callerrequest import CallerRequest, ForwardTerms
 from bergamothill.request.crashevidence import PartId
+from bergamothill.request.fairqueue import Flow
 from bergamothill.request.partquarantine import (
     AwaitTrial,
     Quarantined,
@@ -245,6 +246,8 @@
         """Time by which the caller gets a final answer."""
 
         request.objective_ms = arrived_ms + route.target_ms
+        brand_name = "" if brand is None else str(brand.name)
+        request.flow = Flow(self._urgency, brand_name, route.name)
 
     @property
     def _admission_urgency(self) -> int:
--- a/bergamothill/request/serverspeed.py
+++ b/bergamothill/request/serverspeed.py
@@ -199,8 +199,8 @@
         slots: int,
         took_ms: float,
         now_ms: int,
-    ) -> None:
-        """Record the duration of a successful request.
+    ) -> float:
+        """Record the duration of a successful request; return the time in a slot.
 
         :param beside_requests: requests in progress at the server when it was sent
         :param slots: requests that the server processes at a time; others wait for a slot
@@ -210,6 +210,7 @@
         self._service_times.pop(service, None)
         server = self._servers.setdefault(incarnation, _Server())
         server.times.append((now_ms, slot_ms))
+        return slot_ms
 
     def service_time(self, service: ServiceName) -> ServiceTime | None:
         """Return the time in a slot at the servers of a service; None if too few were seen."""
--- a/tests/capacityload.py
+++ b/tests/capacityload.py
@@ -11,6 +11,7 @@
 import random
 from dataclasses import dataclass, field, replace
 
+from bergamothill.process.admissionqueue import MAX_PASSED
 from bergamothill.process.instanceroster import InstanceRoster
 from bergamothill.process.loadreport import LoadReport, PeerLoads
 from bergamothill.process.serverlimits import ServerLimits
@@ -173,12 +174,14 @@
         self.roster = InstanceRoster(self.name)
         self.pool = server_pool(*entries, peer_loads=self.loads, limits=ServerLimits(self.roster))
         self.pool.next_waiting_request = self._next_waiting_request
+        self.pool.next_reserving_request = self._next_reserving_request
         self.queue = RequestQueue()
         self.budget = WindowedRetryBudget(0.2, 2, 10_000, started_ms=-20_000)
         self.is_dead = self.loses_reports = False
         self._lag_ms, self._report_ms, self._sequence = lag_ms, report_ms, 0
         self._waiting: dict[int, object] = {}
         self._woken_ms = 0
+        self._has_timer = False
         if configure is not None:
             configure(self)
         world.instances.append(self)
@@ -244,7 +247,7 @@
         terms, sent_ms = send.terms, world.now_ms
         tokens = request.prompt_tokens
         pool.request_started(server, tokens, terms.pending_prefill_tokens, sent_ms)
-        self.queue.record_admission(tokens, sent_ms)
+        self.queue.record_admission(request.work_tokens, round(sent_ms), request.flow)
 
         def on_first():
             pool.prompt_prefilled(server, terms.pending_prefill_tokens)
@@ -261,7 +264,8 @@
                 step = forwarding.on_refused(send, now_ms)
                 self._perform(step, forwarding, call, request)
             else:
-                pool.record_service_time(send.server, terms, now_ms - sent_ms, now_ms)
+                slot_ms = pool.record_service_time(send.server, terms, now_ms - sent_ms, now_ms)
+                self.queue.record_slot_time(request.flow, slot_ms)
             self.wake()
 
         self.servers[server].receive(call, on_first, on_end)
@@ -283,6 +287,11 @@
         head = self.queue.peek(round(self.world.now_ms))
         return None if head is None else head.request
 
+    def _next_reserving_request(self, _service):
+        now_ms = round(self.world.now_ms)
+        head = self.queue.peek(now_ms)
+        return head.request if head and self.queue.is_reserving(head, now_ms) else None
+
     def _give_up(self, forwarding, call, request):
         self._refuse(forwarding.on_full(round(self.world.now_ms)), call)
 
@@ -294,13 +303,26 @@
             call.held_ms += self.world.now_ms - since_ms
             then(forwarding, call, request)
 
+    def _on_timer(self):
+        self._has_timer = False
+        self.wake()
+
     def wake(self):
         now_ms = self._woken_ms = round(self.world.now_ms)
-        while (head := self.queue.peek(now_ms)) is not None:
+        passed = []
+        while (head := self.queue.peek(now_ms, passed)) is not None:
             step = self._waiting[id(head)][1].retry(now_ms)
             if isinstance(step, WaitForMemory):
-                self.world.after(100, self.wake)
+                may_pass = self.service.engine is not None and len(passed) < MAX_PASSED
+                if may_pass and not self.queue.is_reserving(head, now_ms):
+                    passed.append(head)
+                    continue
+                if not self._has_timer:
+                    self._has_timer = True
+                    self.world.after(100, self._on_timer)
                 return
+            if isinstance(step, Send):
+                self.queue.record_sent(head, now_ms)
             self._leave(head, lambda f, c, r, step=step: self._perform(step, f, c, r))
 
     def _refuse(self, step, call):
@@ -325,10 +347,12 @@
     return world, servers
 
 
-def engine_world(count=6, instances=3, tokens_per_ms=85.2, slots=48, seed=1, **options):
+def engine_world(
+    count=6, instances=3, tokens_per_ms=85.2, slots=48, memory_tokens=112_085, **options
+):
     """Return a world of engines and its servers."""
-    world = World(seed)
-    traits = replace(CONFIG.services["llm"].engine, slots=slots, memory_tokens=112_085)
+    world = World()
+    traits = replace(CONFIG.services["llm"].engine, slots=slots, memory_tokens=memory_tokens)
     service = replace(CONFIG.services["llm"], engine=traits)
     servers = [
         EngineServer(world, backend(f"s{n}", slots=slots), tokens_per_ms)
