--- a/bergamothill/request/callerrequest.py
+++ b/bergamothill/request/callerrequest.py
@@ -6,6 +6,7 @@
 
 from bergamothill.ids import BrandName, ModelName, RegionName, RequestId, ServerId, SoftwareVersion
 from bergamothill.request.crashevidence import PartId
+from bergamothill.request.fairqueue import NO_FLOW, Flow
 
 __all__ = [
     "CallerRequest",
@@ -73,6 +74,7 @@
     :param homes: regions in which it may be served; None for all; set likewise
     :param objective_ms: time until which the answer meets its objective; set likewise
     :param may_repeat: whether it may be sent again if it may already have run; set likewise
+    :param flow: requests with which it shares a part of the capacity; set likewise
     """
 
     raw: RawRequest
@@ -91,6 +93,12 @@
     homes: frozenset[RegionName] | None = None
     objective_ms: int | None = None
     may_repeat: bool = True
+    flow: Flow = NO_FLOW
+
+    @property
+    def work_tokens(self) -> int:
+        """Tokens of the prompt and of the answer; 0 for a plain request."""
+        return 0 if self.model is None else max(1, self.prompt_tokens + self.max_output_tokens)
 
     @property
     def path(self) -> str:
--- a/bergamothill/request/forwarding.py
+++ b/bergamothill/request/forwarding.py
@@ -17,6 +17,7 @@
 from bergamothill.request.callerrequest import CallerRequest, ForwardTerms
 from bergamothill.request.connectionreuse import may_reuse_connection
 from bergamothill.request.crashevidence import PartId
+from bergamothill.request.fairqueue import Flow
 from bergamothill.request.partquarantine import (
     AwaitTrial,
     Quarantined,
@@ -248,6 +249,8 @@
         """Time by which the caller gets a final answer."""
 
         request.objective_ms = arrived_ms + route.target_ms
+        brand_name = "" if brand is None else str(brand.name)
+        request.flow = Flow(self._urgency, brand_name, route.name)
 
     @property
     def _admission_urgency(self) -> int:
