--- a/bergamothill/process/loadexchange.py
+++ b/bergamothill/process/loadexchange.py
@@ -123,7 +123,7 @@
         :param entries: entry instances; those whose addresses are not known are left out
         :param datagram: content of the datagram
         :param turn: chooses those that pass it on; differs for a repetition
-        :param is_repeat: whether it goes to one other zone only, as all were sent it before
+        :param is_repeat: whether one of the other zones is enough, as all were sent it before
         """
         known = [entry for entry in entries if entry in self._peers]
         self._send(self._zone_loads.passes.to_some(datagram, known, turn, is_repeat=is_repeat))
--- a/bergamothill/process/zonepasses.py
+++ b/bergamothill/process/zonepasses.py
@@ -83,7 +83,7 @@
         To several of another zone one datagram is sent, which the first of them passes on.
 
         :param turn: chooses the one that passes it on; differs for a repetition
-        :param is_repeat: whether it goes to one other zone only, as all were sent it before
+        :param is_repeat: whether one of the other zones is enough, as all were sent it before
         """
         direct: list[EntryInstanceId] = []
         zones: dict[ZoneName, list[EntryInstanceId]] = {}
@@ -98,7 +98,7 @@
             if is_repeat and number != turn % len(zones):
                 continue
             first = chosen.pop(turn % len(chosen))
-            if not chosen:
+            if is_repeat or not chosen:
                 direct.append(first)
                 continue
             members = tuple(member_key(entry) for entry in chosen)
