Let the instances of a zone read the cache events of its engines first

Cause: a source admits 12 readers.

Change: instances rank the readers of each source alike, those of its zone first, then by rendezvous hashing; the others do not try. Up to as many instances as a source admits nothing changes.

Not measured yet.

--- a/bergamothill/process/cacheeventlistener.py
+++ b/bergamothill/process/cacheeventlistener.py
@@ -47,6 +47,9 @@
 So the tries of all instances together do not grow, and a free place is taken as soon as before.
 """
 
+RANKED_RETRY_MS = 2_000
+"""Mean delay where only as many instances try as a source admits: one of the others is leaving."""
+
 StartTask = Callable[[str, Callable[[], Awaitable[None]]], asyncio.Task[None]]
 
 _log = EventLog("kept")
@@ -95,21 +98,36 @@
         self.instance_count = 1
         """Number of entry instances that may try to read a source."""
 
+        self.has_ranked_readers = False
+        """Whether only as many instances try to read a source as it admits."""
+
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._lost: set[str] = set()
+        self._full: set[str] = set()
 
-    def follow(self, addresses: Iterable[str]) -> None:
+    def follow(self, addresses: Iterable[str], others: Iterable[str] = ()) -> None:
         """Set the engines and stores to follow.
 
         :param addresses: their addresses
+        :param others: addresses of those that other entry instances follow
         """
         current = set(addresses)
+        for address in others:
+            self._on_full(address)
         for address in set(self._tasks) - current:
             self._tasks.pop(address).cancel()
             self._index.forget(address)
+            self._full.discard(address)
         for address in current - set(self._tasks):
             self._tasks[address] = self._start_task("events", partial(self._listen, address))
 
+    def retry_full(self) -> None:
+        """Try the sources again that were full, as others may have stopped reading them."""
+        for address in self._full & self._tasks.keys():
+            self._tasks.pop(address).cancel()
+            self._tasks[address] = self._start_task("events", partial(self._listen, address))
+        self._full.clear()
+
     def stop(self) -> None:
         """Stop following all engines and stores."""
         self.follow(())
@@ -131,7 +149,9 @@
                         self._tell_connection(address, is_connected=True)
                     is_connected = None
                     self._on_full(address)
+                    self._full.add(address)
                     await asyncio.sleep(ms_to_seconds(delay_ms))
+                    self._full.discard(address)
                 except BergamothillError as error:
                     if is_connected is not False:
                         _log.info("source_lost", address=address, reason=error.message)
@@ -157,6 +177,8 @@
             await asyncio.sleep(ms_to_seconds(pause_ms))
 
     def _full_retry_ms(self) -> float:
+        if self.has_ranked_readers:
+            return RANKED_RETRY_MS
         return FULL_SOURCE_RETRY_MS * max(1.0, self.instance_count / FULL_RETRY_INSTANCES)
 
     def _tell_connection(self, address: str, *, is_connected: bool) -> None:
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -49,6 +49,7 @@
 from bergamothill.process.registry import READ_TIMES, REGISTRY_PREFIX, Peer, Registry
 from bergamothill.process.serverlimits import ServerLimits
 from bergamothill.process.serverpool import ServerPool
+from bergamothill.process.sourcereaders import CacheSource, SourceReaders
 from bergamothill.process.supervisor import Supervisor
 from bergamothill.process.swapduty import SwapDuty
 from bergamothill.process.sweepduty import SweepDuty
@@ -125,6 +126,7 @@
         )
         peer_loads = PeerLoads()
         self._roster = InstanceRoster(settings.entry)
+        self._source_readers = SourceReaders(settings.entry, settings.zone)
         self._server_pool = ServerPool(
             settings.zone,
             bounds.weights_due_ms,
@@ -347,6 +349,10 @@
         self._roster.set_registered((peer.entry for peer in peers), self._clock.now_ms())
         self._gateway.set_instance_count(self._exchange.instance_count)
         self._listener.instance_count = self._exchange.instance_count
+        self._listener.has_ranked_readers = bool(peers)
+        if self._source_readers.set_peers(peers):
+            self._follow_cache_sources()
+            self._listener.retry_full()
         zones = [self._settings.zone, *(peer.zone for peer in peers)]
         self._kept_connections.share.set_instances(zones)
 
@@ -456,10 +462,26 @@
         self._follow_cache_sources()
 
     def _follow_cache_sources(self) -> None:
+        sources = self._cache_sources()
+        self._source_readers.retain(sources)
+        own = [s.address for s in sources if self._source_readers.should_read(s)]
+        others = {s.address for s in sources}.difference(own)
+        self._listener.follow(own, others)
+
+    def _cache_sources(self) -> list[CacheSource]:
         table = self._config.table
-        store_addresses = () if table is None else (store.address for store in table.config.stores)
-        engine_addresses = (engine.address for engine in self._swap_view[1])
-        self._listener.follow([*store_addresses, *engine_addresses])
+        if table is None:
+            return [CacheSource(e.address, self._settings.zone, 0) for e in self._swap_view[1]]
+        sources = [
+            CacheSource(s.address, s.zone, s.max_event_listeners) for s in table.config.stores
+        ]
+        for engine in self._swap_view[1]:
+            state = self._server_pool.server_state(engine.server)
+            service = None if state is None else table.config.services.get(state.entry.service)
+            if service is not None and service.engine is not None:
+                max_readers = service.engine.max_event_listeners
+                sources.append(CacheSource(engine.address, state.entry.zone, max_readers))
+        return sources
 
     def _on_source_reply(self, address: str, is_leaving: bool) -> None:
         now_ms = self._clock.now_ms()
