Begin slowly after every backoff, and after a passed trial

A slow start that only one instance has is told by no other, so an instance that was no sender would have waited for good under little load: after 3 s without answers and reports it takes a share whatever its rank. Rejections still begin none, as a full server rejects all the time. 137 tests of the modules touched pass.

--- a/bergamothill/process/serverattempt.py
+++ b/bergamothill/process/serverattempt.py
@@ -138,6 +138,8 @@
         # Before the next step is chosen, so that no crash is repeated blindly.
         self._end_gated_run(classify_run_end(outcome.value, result, has_begun=has_begun))
         self._log_end(outcome, result, started_ms)
+        if send.trial is not None and outcome is AttemptOutcome.SUCCESS:
+            server_pool.trial_passed(send.server, self._clock.now_ms())
         return outcome
 
     def _log_end(self, outcome: AttemptOutcome, result: ExchangeResult, started_ms: int) -> None:
--- a/bergamothill/process/serverlimits.py
+++ b/bergamothill/process/serverlimits.py
@@ -281,13 +281,14 @@
         most_per_s = self.cold.rate_per_s(server) if is_cold else pace
         if is_cold:
             self.pace.hold_below(server, most_per_s, now_ms)
-        divided_by = (self.roster.revision, most_per_s, pace, self.cold.bounds)
+        has_to_try = not is_cold and self.pace.is_unheard(server, now_ms)
+        divided_by = (self.roster.revision, most_per_s, pace, self.cold.bounds, has_to_try)
         if share.divided_by != divided_by:
             # The senders of a cold server must be the same everywhere, whatever the pace.
             bound = self.cold.bounds.per_second(most_per_s)
             terms = divide_cold_rate(most_per_s, bound, len(self.roster.members))
             terms = replace(terms, per_s=min(terms.per_s, pace / terms.senders))
-            share.set_rate(terms, self._rank(server.server), divided_by)
+            share.set_rate(terms, 0 if has_to_try else self._rank(server.server), divided_by)
         return share
 
     def _rank(self, server: ServerId) -> int:
--- a/bergamothill/process/serverpace.py
+++ b/bergamothill/process/serverpace.py
@@ -45,6 +45,9 @@
 """Most by which two instances notice a recovery apart; two reads of the server list."""
 
 OWN_NEWS_MS = 2_000
+UNHEARD_MS = 3_000
+"""Time without answers and reports; a server that answers well is at its full rate by then."""
+
 LATE_MS = 20
 """Time by which any answer may be later than usual."""
 
@@ -67,6 +70,7 @@
     :param own_ms: time of the last answer to this instance
     :param failed_per_s: rate at which it last failed; 0 if it did not
     :param held_ms: time at which another limit last held it back; 0 if none did
+    :param heard_ms: time of the last answer to this instance or report of a peer
     """
 
     began_ms: int
@@ -76,6 +80,7 @@
     own_ms: int = 0
     failed_per_s: float = 0.0
     held_ms: int = 0
+    heard_ms: int = 0
 
 
 class ServerPaces:
@@ -169,6 +174,14 @@
         rate = self._controller.rate_per_s(state.level, state.good_ms, now_ms)
         return min(rate, max(MIN_PER_S, self._ceiling_per_s(server, now_ms)))
 
+    def is_unheard(self, server: BackendServer, now_ms: int) -> bool:
+        """Return whether nobody tells how a server answers, so that this instance has to find out.
+
+        Others have no slow start of a server that only this one found away, and so tell nothing.
+        """
+        state = self._servers.get(server.incarnation)
+        return state is not None and now_ms - max(state.began_ms, state.heard_ms) >= UNHEARD_MS
+
     def hold_below(self, server: BackendServer, most_per_s: float, now_ms: int) -> None:
         """Let the rate rise from another limit that it has reached, once that has ended."""
         state, rate_per_s = self._servers.get(server.incarnation), self.rate_per_s(server, now_ms)
@@ -197,7 +210,7 @@
         if state is None:
             samples.append(took_ms)
             return
-        state.own_ms = now_ms
+        state.own_ms = state.heard_ms = now_ms
         usual_ms = median(samples) if len(samples) >= MIN_SAMPLES else None
         ratio = 1.0 if usual_ms is None else (took_ms - LATE_MS) / max(1.0, usual_ms)
         if ratio > SLOW_RATIO:
@@ -268,6 +281,7 @@
             state = self._servers.get((row.server, row.started_wall_ms))
             if state is None:
                 continue
+            state.heard_ms = now_ms
             self._merge_level(state, row, now_ms)
             if row.good_age_ms is not None:
                 state.good_ms = max(state.good_ms, now_ms - row.good_age_ms)
--- a/bergamothill/process/serverrecoveries.py
+++ b/bergamothill/process/serverrecoveries.py
@@ -15,9 +15,6 @@
 
 __all__ = ["ServerRecoveries"]
 
-FAILURES_OF_OUTAGE = 2
-"""Consecutive failures that are no single lost answer."""
-
 REPEATED_MS = 300
 """Time in which further failures and rejections are of requests sent before the first."""
 
@@ -73,8 +70,13 @@
     def _record_failure(self, state: ObservedServer, now_ms: int) -> None:
         self.limits.cold.record_doubt(state.entry, now_ms)
         self.limits.pace.record_failure(state.entry, now_ms - REPEATED_MS, now_ms)
-        if state.failures >= FAILURES_OF_OUTAGE:
-            self._begin_slowly(state.entry, "backoff", state.backoff_until_ms)
+        self._begin_slowly(state.entry, "backoff", state.backoff_until_ms)
+
+    def trial_passed(self, server: BackendServer, now_ms: int) -> None:
+        """Record that a server has answered a trial, for which others had avoided it."""
+        state = self._state_of(server)
+        if state is not None:
+            self._begin_slowly(state.entry, "trial", now_ms)
 
     def _record_rejection(self, state: ObservedServer, now_ms: int) -> None:
         self.limits.pace.record_rejection(state.entry, now_ms - REPEATED_MS, now_ms)
