--- a/tests/test_fairqueue.py
+++ b/tests/test_fairqueue.py
@@ -1,5 +1,6 @@
 """Tests of the shares of brands, routes and urgencies in the capacity of a service."""
 
+import asyncio
 import unittest
 from collections import Counter
 from dataclasses import replace
@@ -7,8 +8,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from bergamothill.clock import ManualClock
+from bergamothill.process.admissionqueue import AdmissionQueue
 from bergamothill.request.fairqueue import Flow
-from bergamothill.request.requestqueue import QueuedRequest, RequestQueue
+from bergamothill.request.requestqueue import NO_LIMIT, QueuedRequest, RequestQueue
 from bergamothill.version.routetable import Brand
 from tests.builders import caller_request
 from tests.capacityload import PLAIN_ROUTE, STREAM_ROUTE, engine_world, plain_world
@@ -123,6 +126,36 @@
                     self.assertLessEqual(ratio, served[urgent] / offered[urgent] + 1e-9)
 
 
+class TurnTest(unittest.TestCase):
+    """Turns of requests that do not fit for now."""
+
+    def setUp(self):
+        self.clock = ManualClock()
+        self.queue = AdmissionQueue(self.clock)
+        self.large = waiting(A, 0, 12_000, on_time_until_ms=400)
+        self.small = waiting(A, 1, 800)
+        for request in (self.large, self.small):
+            self.queue.requests.enqueue(request, 0)
+
+    def test_others_pass_one_that_does_not_fit_until_its_time_is_short(self):
+        self.assertTrue(self.queue.has_turn(self.large))
+        self.queue.pass_turn(self.large)
+        self.assertTrue(self.queue.has_turn(self.small))
+        self.queue.wake_head()
+        self.assertTrue(self.queue.has_turn(self.large))
+        self.clock.advance_ms(300)
+        self.queue.pass_turn(self.large)
+        self.assertTrue(self.queue.has_turn(self.large))
+
+    def test_all_try_again_after_a_wait_without_a_wakeup(self):
+        """Guards against requests that are never tried again when reports are lost."""
+        for request in (self.large, self.small):
+            self.queue.pass_turn(request)
+        self.assertIsNone(self.queue.next_request())
+        asyncio.run(self.queue.wait_for_turn(self.large, NO_LIMIT))
+        self.assertTrue(self.queue.has_turn(self.large))
+
+
 class InOrder(RequestQueue):
     """Queue without shares."""
 
