Count a kept connection as closed also if its reuse fails

A socket option that cannot be set raised before the books were kept, so the connection counted as in use for good. Found by reading; no test, as the option is set in the same step as the check that the connection is open.

--- a/bergamothill/connection/backendhttp.py
+++ b/bergamothill/connection/backendhttp.py
@@ -108,9 +108,7 @@
         )
     connection = keeping.take(request)
     is_reused = connection is not None
-    if is_reused:
-        connection.reuse(sink, done, is_head=is_head, request_id=keeping.request_id)
-    else:
+    if not is_reused:
         connection = BackendConnection(sink, done, is_head=is_head, request_id=keeping.request_id)
         keeping.keeper.record_opening(keeping.server)
     end, is_kept = None, False
@@ -118,6 +116,7 @@
     pause_count = flow.pause_count
     try:
         if is_reused:
+            connection.reuse(sink, done, is_head=is_head, request_id=keeping.request_id)
             result = await _exchange_on_kept(connection, request, may_send, flow)
         else:
             result = await _exchange_on_new(
