Take events, not bytes, as the progress of a stream

Cause: any byte of an answer counted as a sign of life, so a stream whose engine sent comments or single bytes, or other streams' events, was never moved; a block of comments even cancelled the move.

Change: a stream that has begun stalls after a pause of 1.7 s, four times its own longest one, or four times its route's gap objective, whichever is longest (request/streamprogress). Then an attempt elsewhere begins beside it, as for a silent engine, so a slow but sound stream isn't cut. Comments are passed on while a stream runs, but neither begin nor continue one.

--- a/bergamothill/connection/ssesplitter.py
+++ b/bergamothill/connection/ssesplitter.py
@@ -6,7 +6,7 @@
 
 from bergamothill.errors import ProtocolError
 
-__all__ = ["MAX_EVENT_BYTES", "EventSplitter"]
+__all__ = ["MAX_EVENT_BYTES", "EventSplitter", "has_event"]
 
 MAX_EVENT_BYTES = 262_144
 """Largest unfinished event that is buffered."""
@@ -17,6 +17,12 @@
     rb"(?:\xef\xbb\xbf)?(?:(?:[A-Za-z0-9_-]*+:[^\r\n]*+|data|event|id|retry)?(?:\r\n|\r|\n))*+"
 )
 _ID_LINE = re.compile(rb"(?:^|[\r\n])id:[ ]?([^\r\n]*)")
+_FIELD_LINE = re.compile(rb"(?:^|[\r\n])[^:\r\n]")
+
+
+def has_event(events: bytes) -> bool:
+    """Return whether complete events have a field, and are not comments alone."""
+    return _FIELD_LINE.search(events) is not None
 
 
 class EventSplitter:
--- a/bergamothill/process/requestrun.py
+++ b/bergamothill/process/requestrun.py
@@ -132,6 +132,7 @@
             self._on_first_byte,
             self._on_events,
             resumption.identity if is_stream else None,
+            route.event_gap_ms,
         )
 
     def _on_first_byte(self) -> None:
@@ -159,13 +160,12 @@
         if not self._route.may_retry and not forwarding.resumes_stream:
             return
         if not forwarding.must_keep_version:
-            brand = self._admission.brand_name
             forwarding.version = self._resumption.record_begin(
-                self._request, brand, server, is_identified=is_identified
+                self._request, self._admission.brand_name, server, is_identified=is_identified
             )
-        elif is_identified:
-            return
-        elif not self._server_pool.may_pass_on(server, forwarding.version, now_ms):
+        elif not (
+            is_identified or self._server_pool.may_pass_on(server, forwarding.version, now_ms)
+        ):
             raise ProtocolError("software version of the server is in doubt", step="forward.body")
 
     def _lead(self, attempt: ServerAttempt) -> None:
--- a/bergamothill/process/serverattempt.py
+++ b/bergamothill/process/serverattempt.py
@@ -22,6 +22,7 @@
 from bergamothill.request.callerrequest import CallerRequest, ResponseHead
 from bergamothill.request.forwarding import ForwardStep, Send
 from bergamothill.request.partquarantine import RunEnd
+from bergamothill.request.streamprogress import StreamProgress
 
 __all__ = ["AttemptContext", "AttemptOutcome", "ServerAttempt"]
 
@@ -55,6 +56,7 @@
     :param on_first: called before the first bytes are sent to the caller
     :param on_events: called with the attempt before events are sent to the caller
     :param identity: asks servers who they are before streams are sent to them
+    :param event_gap_ms: time between events that meets the objective of the route
     :param log: descriptions of the attempts that have ended
     """
 
@@ -68,6 +70,7 @@
     on_first: Callable[[], None]
     on_events: Callable[[ServerAttempt], None]
     identity: ServerIdentity | None = None
+    event_gap_ms: int = 0
     log: list[str] = field(default_factory=list)
 
 
@@ -96,6 +99,7 @@
         self.send = send
         self.relay = relay
         self._context = context
+        self._progress = StreamProgress(context.event_gap_ms)
         self._clock = context.clock
         self._server_pool = context.server_pool
         self._request = context.request
@@ -234,6 +238,8 @@
             return False
         # The server cannot be heard while its answer is not read.
         self._set_unread(self._context.flow.is_paused, now_ms)
+        if self._progress.has_stalled(now_ms, is_unread=self._is_unread):
+            return True
         return not self._is_unread and self._server_pool.has_stalled(self._server, now_ms)
 
     def end_moved(self) -> None:
@@ -281,6 +287,10 @@
             self._gated_run.record_event(now_ms)
         self._server_pool.record_bytes(self._server, now_ms)
 
+    def on_progress(self) -> None:
+        """Record that the stream has gone on."""
+        self._progress.record_event(self._clock.now_ms())
+
     def on_own_head(self, head: ResponseHead) -> None:
         """Learn from the head of an answer what the server says of itself."""
         self._own_head = head
--- a/bergamothill/request/answerrelay.py
+++ b/bergamothill/request/answerrelay.py
@@ -11,7 +11,7 @@
 from enum import Enum
 from typing import Protocol
 
-from bergamothill.connection.ssesplitter import EventSplitter
+from bergamothill.connection.ssesplitter import EventSplitter, has_event
 from bergamothill.ids import RequestId
 from bergamothill.request.bodybuffer import BodyBuffer
 from bergamothill.request.bufferbudget import BufferBudget
@@ -56,6 +56,9 @@
     def on_bytes(self) -> None:
         """Handle the arrival of bytes of the body from the server."""
 
+    def on_progress(self) -> None:
+        """Handle events of the answer that are more than comments."""
+
     def on_own_head(self, head: ResponseHead) -> None:
         """Handle the head of an answer that belongs to the request."""
 
@@ -214,7 +217,13 @@
         events = self._splitter.feed(piece)
         if not events:
             return
+        if not has_event(events):
+            # Comments show no progress: they neither begin a stream nor let a stalled one go on.
+            if self.may_write and self._stream.is_started:
+                self._caller.send_chunk(events)
+            return
         self._has_event = True
+        self._listener.on_progress()
         if not self.may_write:
             return
         self._listener.on_events()
