Take no copy of a reply for the reply to the next call on a kept connection

A copy that comes after the next call was sent can't be told by its connection.

Change: connections with input are closed before they are used again; replies of the key-value service have to be for the key or prefix that was asked for.

--- a/bergamothill/connection/http.py
+++ b/bergamothill/connection/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import select
 import threading
 from collections import deque
 from collections.abc import Callable, Mapping
@@ -118,7 +119,7 @@
     def __init__(self, peer: str, address: str) -> None:
         self.peer = peer
         self.address = address
-        self._idle: deque[pycurl.Curl] = deque()
+        self._idle: deque[tuple[pycurl.Curl, int]] = deque()
         self._lock = threading.Lock()
 
     def request(
@@ -194,7 +195,7 @@
         with self._lock:
             idle = list(self._idle)
             self._idle.clear()
-        for curl in idle:
+        for curl, _ in idle:
             curl.close()
 
     def _prepare(
@@ -257,10 +258,15 @@
         return PeerTimeoutError(text, step=step, peer=self.peer)
 
     def _acquire_handle(self) -> pycurl.Curl:
-        with self._lock:
-            if self._idle:
-                return self._idle.pop()
-        return pycurl.Curl()
+        while True:
+            with self._lock:
+                if not self._idle:
+                    return pycurl.Curl()
+                curl, descriptor = self._idle.pop()
+            if not _has_input(descriptor):
+                return curl
+            # libcurl would take a second copy of an earlier reply for the reply to the next call.
+            curl.close()
 
     def _release_handle(self, curl: pycurl.Curl, new_connection: bool) -> None:
         if new_connection:
@@ -269,9 +275,22 @@
         received = curl.getinfo(pycurl.HEADER_SIZE) + curl.getinfo(pycurl.SIZE_DOWNLOAD)
         sent = curl.getinfo(pycurl.REQUEST_SIZE) + curl.getinfo(pycurl.SIZE_UPLOAD)
         CONTROL_TRAFFIC.add(int(received + sent))
+        descriptor = curl.getinfo(pycurl.ACTIVESOCKET)
         curl.reset()
         with self._lock:
             if len(self._idle) < MAX_IDLE_HANDLES:
-                self._idle.append(curl)
+                self._idle.append((curl, descriptor))
                 return
         curl.close()
+
+
+def _has_input(descriptor: int) -> bool:
+    """Return whether bytes, or the end, of a connection have arrived that nobody asked for.
+
+    :param descriptor: socket of an idle connection; -1 if it was closed
+    """
+    if descriptor < 0:
+        return False
+    poll = select.poll()
+    poll.register(descriptor, select.POLLIN)
+    return bool(poll.poll(0))
--- a/bergamothill/platform/kvs.py
+++ b/bergamothill/platform/kvs.py
@@ -70,7 +70,9 @@
         reply = self._call("GET", "/kv-key", "kvs.get", query={"key": key}, allowed=(200, 404))
         if reply.status == 404:
             return None
-        return self._decode_entry(self._decode_object(reply, "kvs.get"), reply.era, "kvs.get")
+        entry = self._decode_entry(self._decode_object(reply, "kvs.get"), reply.era, "kvs.get")
+        # On a connection in use again a late copy of another reply may come first.
+        return self._checked_entry(entry, entry.key == key, "kvs.get")
 
     def scan(self, prefix: str) -> tuple[KeyValueEntry, ...]:
         """Read all keys with a prefix page by page; the entries need not form a snapshot."""
@@ -150,7 +152,8 @@
             self.era.check_same(first_era, reply.era, step)
             page = self._decode_object(reply, step)
             entries = [self._decode_entry(i, reply.era, step) for i in page.get("items", [])]
-            yield from entries
+            for entry in entries:
+                yield self._checked_entry(entry, entry.key.startswith(prefix), step)
             if not page.get("hasMore") or not entries:
                 return
             query["after"] = entries[-1].key
@@ -249,6 +252,12 @@
             )
         return value
 
+    def _checked_entry(self, entry: KeyValueEntry, is_asked_for: bool, step: str) -> KeyValueEntry:
+        if not is_asked_for:
+            text = f"reply to another call: key {entry.key!r:.60}"
+            raise ProtocolError(text, step=step, peer=self._client.peer)
+        return entry
+
     def _decode_entry(self, item: Any, era: int, step: str) -> KeyValueEntry:
         entry = decode_entry(item, "revision", step=step, peer=self._client.peer)
         return replace(entry, mod_revision=qualify_revision(era, entry.mod_revision))
