--- a/tests/test_operator_reports.py
+++ b/tests/test_operator_reports.py
@@ -1,14 +1,13 @@
-"""Tests of report (a) of operators: a second copy of an answer on a connection in use again.
-
-Callers' requests use a new connection each; polls and calls to the key-value service do not.
-"""
+"""Tests of reports of operators of similar systems: (a) copied answers, (b) the listen queue."""
 
 import asyncio
 import base64
 import json
+import socket
 import time
 import unittest
 
+from bergamothill.connection.callerlistener import CallerListener
 from bergamothill.connection.http import HttpClient, HttpReply
 from bergamothill.connection.pollconnection import PollConnection
 from bergamothill.errors import ProtocolError
@@ -108,3 +107,32 @@
         for call in (lambda: self.kvs.get("stream-versions"), lambda: self.kvs.scan("servers/")):
             with self.assertRaisesRegex(ProtocolError, "reply to another call"):
                 call()
+
+
+class ListenQueueTest(unittest.IsolatedAsyncioTestCase):
+    """Report (b): connections that wait in the listen queue as an instance stops."""
+
+    async def test_connections_in_the_listen_queue_are_served_after_the_listener_closed(self):
+        served = asyncio.Event()
+
+        class Answers(asyncio.Protocol):
+            def connection_made(self, transport):
+                self.transport = transport
+
+            def data_received(self, _data):
+                self.transport.write(b"answer")
+                self.transport.close()
+                served.set()
+
+        with socket.socket() as free:
+            free.bind(("127.0.0.1", 0))
+            address = free.getsockname()
+        listener = CallerListener(f"{address[0]}:{address[1]}", Answers)
+        await listener.start()
+        # The loop does not run in between, so that the connection is not accepted yet.
+        with socket.create_connection(address, 2) as connection:
+            connection.sendall(b"request")
+            listener.close()
+            async with asyncio.timeout(2):
+                await served.wait()
+            self.assertEqual(b"answer", connection.recv(100))
