Count the pause of a stream anew after a pause before its first check

Cause: a check with no check before it could not tell a pause of this process, and moved a stream of an engine that was not silent: tests.test_gateway...goes_on_at_its_engine_after_a_pause (1 != 2).

--- a/bergamothill/request/streamprogress.py
+++ b/bergamothill/request/streamprogress.py
@@ -44,7 +44,9 @@
         checked_ms, self._checked_ms = self._checked_ms, now_ms
         if self._latest_ms is None:
             return False
-        if is_unread or (checked_ms is not None and now_ms - checked_ms >= MAX_CHECK_GAP_MS):
+        # The pause may have begun before the first check.
+        seen_ms = self._latest_ms if checked_ms is None else checked_ms
+        if is_unread or now_ms - seen_ms >= MAX_CHECK_GAP_MS:
             self._latest_ms = now_ms
         pause_ms = STALL_FACTOR * max(self._longest_pause_ms, self._event_gap_ms)
         return now_ms - self._latest_ms >= max(MIN_STALL_MS, pause_ms)
