Prefer engines of the own zone where there are four or more

Cause: answers and cached context cross zones at will, which the operators of one deployment pay for most, and the loads of other zones are known later.

Change: an engine of another zone is charged 20 ms where the own zone has at least four.

--- a/bergamothill/process/engineselector.py
+++ b/bergamothill/process/engineselector.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from bergamothill.ids import ZoneName
 from bergamothill.process.backends import BackendServer
 from bergamothill.process.loadreport import PeerLoads
 from bergamothill.process.observedserver import ObservedServer
@@ -19,6 +20,13 @@
 FULL_MEMORY_PENALTY_MS = 20.0
 """Delay charged for full engine memory, as requests in progress then evict cached context."""
 
+OTHER_ZONE_DELAY_MS = 20.0
+"""Delay charged for an engine of another zone: answers and cached context then cross zones, and its
+load is known later. About the error of the estimates, so that callers lose nothing by it."""
+
+MIN_ZONE_ENGINES = 4
+"""Engines of the own zone from which on they are preferred; fewer are busy too often."""
+
 
 @dataclass(frozen=True, slots=True)
 class _Candidate:
@@ -42,11 +50,17 @@
     :param planner: plans the sources of cached context
     :param peer_loads: loads reported by the other entry instances
     :param speeds: estimates of the speed of engines
+    :param zone: availability zone of this entry instance
     """
 
     def __init__(
-        self, planner: ContextPlanner, peer_loads: PeerLoads, speeds: ServerSpeeds
+        self,
+        planner: ContextPlanner,
+        peer_loads: PeerLoads,
+        speeds: ServerSpeeds,
+        zone: ZoneName,
     ) -> None:
+        self._zone = zone
         self._speeds = speeds
         self._planner = planner
         self._peer_loads = peer_loads
@@ -63,13 +77,17 @@
     ) -> tuple[BackendServer, ForwardTerms]:
         """Return the engine with the shortest expected time to first token, and the terms."""
         holders = PartHolders(self._planner, now_ms)
-        ranked = sorted(
-            (
-                self._evaluate(state, traits, request, brand, holders, now_ms)
-                for state in candidates
-            ),
-            key=lambda candidate: (candidate.first_ms, candidate.state.entry.server),
-        )
+        prefers_zone = sum(b.entry.zone == self._zone for b in candidates) >= MIN_ZONE_ENGINES
+        evaluated = [
+            self._evaluate(state, traits, request, brand, holders, now_ms) for state in candidates
+        ]
+
+        def cost(candidate: _Candidate) -> tuple[float, str]:
+            entry = candidate.state.entry
+            is_far = prefers_zone and entry.zone != self._zone
+            return (candidate.first_ms + (OTHER_ZONE_DELAY_MS if is_far else 0.0), entry.server)
+
+        ranked = sorted(evaluated, key=cost)
         best = ranked[0]
         runner_up = ranked[1] if len(ranked) > 1 else None
         entry, plan = best.state.entry, best.plan
--- a/bergamothill/process/serverpool.py
+++ b/bergamothill/process/serverpool.py
@@ -99,7 +99,7 @@
         self._planner = planner
         self.speeds = ServerSpeeds()
         self.capacity = ServerCapacity(zone, peer_loads, self.speeds, limits.roster)
-        self.selector = EngineSelector(planner, peer_loads, self.speeds)
+        self.selector = EngineSelector(planner, peer_loads, self.speeds, zone)
         self.weights_due_ms = weights_due_ms
         self.targets: dict[ModelName, WeightTarget] = {}
         self._target_histories: dict[ModelName, TargetHistory] = {}
--- a/tests/test_prefillnotice.py
+++ b/tests/test_prefillnotice.py
@@ -65,3 +65,23 @@
         self.assertEqual(10_000, announced.tokens_at(("s1", 1), 131))
         self.assertEqual(0, announced.tokens_at(("s1", 2), 131))
         self.assertEqual(0, announced.tokens_at(("s1", 1), 132))
+
+
+class ZoneTest(unittest.TestCase):
+    """Answers that cross zones though engines of the own zone are as good."""
+
+    def chosen(self, own_engines, busy_tokens=0):
+        pool = server_pool(
+            *(backend(f"a{n}", zone="zone-a") for n in range(own_engines)),
+            *(backend(f"Z{n}", zone="zone-z") for n in range(8)),
+        )
+        for number in range(own_engines if busy_tokens else 0):
+            pool.request_started(f"a{number}", busy_tokens, busy_tokens, 0)
+        return pool.choose(LLM, caller_request(), None, (), 0, 0)[0].zone
+
+    def test_engines_of_the_own_zone_are_preferred_where_there_are_enough(self):
+        self.assertEqual("zone-a", self.chosen(4))
+        self.assertEqual("zone-z", self.chosen(3))
+
+    def test_busy_engines_of_the_own_zone_are_not_waited_for(self):
+        self.assertEqual("zone-z", self.chosen(4, busy_tokens=6_000))
