Look up the speed of an engine once for each estimate

Cause: each evaluation of an engine looked its speed up twice and its load once more than before.

Change: one object for the speed of an engine, kept until the model or its samples change; the load of an engine is read once for slots and memory.

--- a/bergamothill/process/engineselector.py
+++ b/bergamothill/process/engineselector.py
@@ -9,7 +9,7 @@
 from bergamothill.process.observedserver import ObservedServer
 from bergamothill.request.callerrequest import CallerRequest, ForwardTerms
 from bergamothill.request.contextplan import ContextPlan, ContextPlanner
-from bergamothill.request.serverspeed import PromptWork, ServerSpeeds
+from bergamothill.request.serverspeed import EngineSpeed, PromptWork, ServerSpeeds
 from bergamothill.version.cachenamespace import namespace
 from bergamothill.version.routetable import Brand, EngineTraits
 
@@ -96,11 +96,11 @@
         """Estimate the time to first token on an engine."""
         entry = state.entry
         salt = namespace(request.model, state.weight_version(request.model), brand)
-        tokens_per_ms = self._speeds.tokens_per_ms(entry.service, entry.incarnation, now_ms)
+        speed = self._speeds.engine(entry.service, entry.incarnation, now_ms)
         plan = self._planner.plan(
-            entry.address, entry.zone, traits, request, salt, now_ms, tokens_per_ms
+            entry.address, entry.zone, traits, request, salt, now_ms, speed.tokens_per_ms
         )
-        first_ms = self._estimate_first_token_ms(state, traits, request, plan, now_ms)
+        first_ms = self._estimate_first_token_ms(state, traits, request, plan, speed)
         return _Candidate(first_ms, state, plan, salt)
 
     def _estimate_first_token_ms(
@@ -109,16 +109,15 @@
         traits: EngineTraits,
         request: CallerRequest,
         plan: ContextPlan,
-        now_ms: int,
+        speed: EngineSpeed,
     ) -> float:
-        entry = state.entry
-        peer_load = self._peer_loads.load_on(entry.server)
+        peer_load = self._peer_loads.load_on(state.entry.server)
         work = PromptWork(
             plan.prefill_tokens,
             state.pending_prefill_tokens + peer_load.pending_prefill_tokens,
             state.in_progress + peer_load.in_progress,
         )
-        prefill_ms = self._speeds.first_token_ms(entry.service, entry.incarnation, work, now_ms)
+        prefill_ms = speed.first_token_ms(work)
         tokens = state.tokens + peer_load.tokens + request.prompt_tokens
         memory_penalty_ms = FULL_MEMORY_PENALTY_MS * tokens / max(1, traits.memory_tokens)
         return prefill_ms + plan.fetch_ms + memory_penalty_ms
--- a/bergamothill/process/servercapacity.py
+++ b/bergamothill/process/servercapacity.py
@@ -110,13 +110,13 @@
 
     # Model engines.
 
-    def has_slot(self, state: ObservedServer, traits: EngineTraits) -> bool:
+    def has_slot(self, state: ObservedServer, traits: EngineTraits, in_progress: int) -> bool:
         """Return whether an engine has a slot for one more request, or soon will have.
 
         The slots that were freed since the last reports are in use again only if they count.
+
+        :param in_progress: requests of all instances that it has in progress
         """
-        in_progress = state.in_progress
-        in_progress += self._peer_loads.load_on(state.entry.server).in_progress
         if traits.slots <= 1 or in_progress < traits.slots:
             return True  # a configuration without slots has 1
         time = self._speeds.service_time(state.entry.service)
--- a/bergamothill/process/serverpool.py
+++ b/bergamothill/process/serverpool.py
@@ -409,11 +409,12 @@
         self, state: ObservedServer, traits: EngineTraits, request: CallerRequest, urgency: int
     ) -> bool:
         """Return whether an engine can run a request without preempting another."""
-        if not self.capacity.has_slot(state, traits):
-            return False
         peer_load = self._peer_loads.load_on(state.entry.server)
-        if state.in_progress + peer_load.in_progress == 0:
+        in_progress = state.in_progress + peer_load.in_progress
+        if in_progress == 0:
             return True  # an idle engine has the most room a very long prompt can get
+        if not self.capacity.has_slot(state, traits, in_progress):
+            return False
         share = MEMORY_SHARE - MEMORY_SHARE_PER_URGENCY * urgency
         tokens = state.tokens + peer_load.tokens + request.prompt_tokens
         return tokens <= share * traits.memory_tokens
--- a/bergamothill/request/serverspeed.py
+++ b/bergamothill/request/serverspeed.py
@@ -13,10 +13,11 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from statistics import median, quantiles
+from typing import NamedTuple
 
 from bergamothill.ids import ServerId, ServiceName
 
-__all__ = ["INITIAL_TOKENS_PER_MS", "PromptWork", "ServerSpeeds", "ServiceTime"]
+__all__ = ["INITIAL_TOKENS_PER_MS", "EngineSpeed", "PromptWork", "ServerSpeeds", "ServiceTime"]
 
 INITIAL_TOKENS_PER_MS = 100.0
 """Prefill speed assumed until enough answers of a service were seen."""
@@ -48,8 +49,7 @@
 Incarnation = tuple[ServerId, int]
 
 
-@dataclass(frozen=True, slots=True)
-class PromptWork:
+class PromptWork(NamedTuple):
     """Work of an engine until the first token of a prompt.
 
     :param tokens: tokens of the prompt to prefill
@@ -120,15 +120,35 @@
         return self.ms_per_token * tokens + self.ms_per_request * (work.beside_requests + 1)
 
 
+class EngineSpeed:
+    """Speed of one engine.
+
+    :param model: model of its service
+    :param factor: how many times as long as the median engine of its service it takes
+    """
+
+    __slots__ = ("_factor", "_model", "tokens_per_ms")
+
+    def __init__(self, model: _PrefillModel, factor: float) -> None:
+        self._model = model
+        self._factor = factor
+        self.tokens_per_ms = 1 / (model.ms_per_token * factor)
+        """Prefill speed."""
+
+    def first_token_ms(self, work: PromptWork) -> float:
+        """Return the expected time to the first token of a prompt, without fetches."""
+        return self._factor * self._model.first_token_ms(work)
+
+
 class _Server:
     """Samples of one incarnation."""
 
     def __init__(self) -> None:
         self.prompts: deque[_Sample] = deque(maxlen=SERVER_SAMPLES)
         self.times: deque[tuple[int, float]] = deque(maxlen=SERVER_SAMPLES)
-        self.factor = 1.0
-        self.factor_until_ms = -1
-        self.factor_revision = -1
+        self.speed = _INITIAL_SPEED
+        self.speed_until_ms = -1
+        self.speed_revision = -1
 
 
 class ServerSpeeds:
@@ -160,34 +180,26 @@
         self._models.setdefault(service, _PrefillModel()).add(sample)
         server = self._servers.setdefault(incarnation, _Server())
         server.prompts.append(sample)
-        server.factor_until_ms = -1
-
-    def first_token_ms(
-        self, service: ServiceName, incarnation: Incarnation, work: PromptWork, now_ms: int
-    ) -> float:
-        """Return the expected time to the first token of a prompt, without fetches."""
-        model = self._models.get(service, _INITIAL_MODEL)
-        return self._factor(model, incarnation, now_ms) * model.first_token_ms(work)
-
-    def tokens_per_ms(self, service: ServiceName, incarnation: Incarnation, now_ms: int) -> float:
-        """Return the prefill speed of an engine."""
-        model = self._models.get(service, _INITIAL_MODEL)
-        return 1 / (model.ms_per_token * self._factor(model, incarnation, now_ms))
+        server.speed_until_ms = -1
 
-    def _factor(self, model: _PrefillModel, incarnation: Incarnation, now_ms: int) -> float:
-        """Return how many times as long as the median server of its service an engine takes."""
+    def engine(self, service: ServiceName, incarnation: Incarnation, now_ms: int) -> EngineSpeed:
+        """Return the speed of an engine."""
+        model = self._models.get(service)
+        if model is None or model.revision == 0:
+            return _INITIAL_SPEED
         server = self._servers.get(incarnation)
-        if server is None or model.revision == 0:
-            return 1.0
-        if server.factor_revision == model.revision and now_ms < server.factor_until_ms:
-            return server.factor
+        if server is None:
+            server = self._servers[incarnation] = _Server()
+        if server.speed_revision == model.revision and now_ms < server.speed_until_ms:
+            return server.speed
         recent = [s for s in server.prompts if now_ms - s.at_ms < SERVER_SAMPLE_TTL_MS]
         ratios = [s.took_ms / max(1.0, model.first_token_ms(s.work)) for s in recent]
-        server.factor = _clamp(median(ratios + [1.0] * ASSUMED_SAMPLES), FACTOR_RANGE)
-        server.factor_until_ms = min((s.at_ms for s in recent), default=now_ms)
-        server.factor_until_ms += SERVER_SAMPLE_TTL_MS
-        server.factor_revision = model.revision
-        return server.factor
+        factor = _clamp(median(ratios + [1.0] * ASSUMED_SAMPLES), FACTOR_RANGE)
+        server.speed = EngineSpeed(model, factor)
+        oldest_ms = min((s.at_ms for s in recent), default=now_ms)
+        server.speed_until_ms = oldest_ms + SERVER_SAMPLE_TTL_MS
+        server.speed_revision = model.revision
+        return server.speed
 
     # Time in a slot.
 
@@ -279,4 +291,4 @@
     return min(bounds[1], max(bounds[0], value))
 
 
-_INITIAL_MODEL = _PrefillModel()
+_INITIAL_SPEED = EngineSpeed(_PrefillModel(), 1.0)
--- a/tests/test_servercapacity.py
+++ b/tests/test_servercapacity.py
@@ -13,7 +13,7 @@
 class NoCapacity(ServerCapacity):
     """Chooses by the number of requests that is known, and holds none."""
 
-    def has_slot(self, state, traits):
+    def has_slot(self, state, traits, in_progress):
         return True
 
     def choose_plain(self, servers, usable, request, now_ms):
--- a/tests/test_serverspeed.py
+++ b/tests/test_serverspeed.py
@@ -29,7 +29,8 @@
             self.speeds.record_first_token("llm", (server, 1), work, took_ms, n)
 
     def first_ms(self, server="s1", now_ms=200):
-        return self.speeds.first_token_ms("llm", (server, 1), PromptWork(2_000, 1_000, 9), now_ms)
+        work = PromptWork(2_000, 1_000, 9)
+        return self.speeds.engine("llm", (server, 1), now_ms).first_token_ms(work)
 
     def test_the_model_is_learned_and_late_answers_do_not_change_it(self):
         self.record(late_every=5)
