--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -6,8 +6,9 @@
 from bergamothill.request.requestqueue import QueuedRequest, RequestQueue, ReturnTime
 from bergamothill.request.serverchoice import NoFreeMemory
 from bergamothill.request.windowedbudget import WindowedRetryBudget
-from tests.builders import caller_request
+from tests.builders import await_true, caller_request
 from tests.capacityload import CONFIG, PLAIN_ROUTE
+from tests.gatewayworld import GatewayCase, answer, read_message, replies, request
 from tests.test_servercapacity import kill_one, lose_reports, run_plain
 
 
@@ -60,6 +61,34 @@
         self.assertEqual(200, self.refuse(1_400, 5_000))
 
 
+class GatewayTest(GatewayCase):
+    """Calls at a plain server that is full of the calls of others, through the whole gateway."""
+
+    def full_world(self):
+        world = self.world(plain=[replies(answer())])
+        for n in range(32):
+            world.server_pool.speeds.record_service_time("bookings", ("p0", 1), 1, 64, 90, n)
+        for _ in range(2_000):
+            world.server_pool.request_started("p0", 0, 0, world.clock.now_ms())
+        return world
+
+    def test_a_call_waits_until_the_server_has_a_place(self):
+        world = self.full_world()
+        with world.connect() as connection:
+            connection.sendall(request())
+            await_true(lambda: len(world.gateway.admission_queue("bookings").requests) == 1)
+            self.assertEqual([], self.sent())
+            for _ in range(2_000):
+                world.server_pool.request_ended("p0", 0)
+            self.assertIn(b" 200 ", read_message(connection))
+
+    def test_a_call_whose_time_ends_is_refused_unsent_and_told_when_to_return(self):
+        found = self.full_world().exchange(request())
+        self.assertIn(b" 503 ", found)
+        self.assertIn(b"Retry-After: 0.", found)
+        self.assertEqual([], self.sent())
+
+
 def spread_at_random(instance):
     """Lets refused callers return after a random time."""
     instance.queue.schedule_full_return = lambda *_: None
