--- a/bergamothill/process/engineselector.py
+++ b/bergamothill/process/engineselector.py
@@ -11,7 +11,7 @@
 from bergamothill.process.prefillnotice import AnnouncedPrefill
 from bergamothill.request.callerrequest import CallerRequest, ForwardTerms
 from bergamothill.request.contextplan import ContextPlan, ContextPlanner, PartHolders
-from bergamothill.request.serverspeed import PromptWork, ServerSpeeds
+from bergamothill.request.serverspeed import EngineSpeed, PromptWork, ServerSpeeds
 from bergamothill.version.cachenamespace import namespace
 from bergamothill.version.routetable import Brand, EngineTraits
 
@@ -123,11 +123,11 @@
         entry = state.entry
         homes = self._planner.regions.namespace_of(request.homes)
         salt = namespace(request.model, state.weight_version(request.model), brand, homes)
-        tokens_per_ms = self._speeds.tokens_per_ms(entry.service, entry.incarnation, now_ms)
+        speed = self._speeds.engine(entry.service, entry.incarnation, now_ms)
         plan = self._planner.plan(
-            entry.address, entry.zone, traits, request, salt, now_ms, tokens_per_ms, holders
+            entry.address, entry.zone, traits, request, salt, now_ms, speed.tokens_per_ms, holders
         )
-        first_ms = self._estimate_first_token_ms(state, traits, request, plan, now_ms)
+        first_ms = self._estimate_first_token_ms(state, traits, request, plan, speed, now_ms)
         return _Candidate(first_ms, state, plan, salt)
 
     def _estimate_first_token_ms(
@@ -136,6 +136,7 @@
         traits: EngineTraits,
         request: CallerRequest,
         plan: ContextPlan,
+        speed: EngineSpeed,
         now_ms: int,
     ) -> float:
         entry = state.entry
@@ -146,7 +147,7 @@
             state.pending_prefill_tokens + peer_load.pending_prefill_tokens + announced_tokens,
             state.in_progress + peer_load.in_progress,
         )
-        prefill_ms = self._speeds.first_token_ms(entry.service, entry.incarnation, work, now_ms)
+        prefill_ms = speed.first_token_ms(work)
         tokens = state.tokens + peer_load.tokens + request.prompt_tokens
         memory_penalty_ms = FULL_MEMORY_PENALTY_MS * tokens / max(1, traits.memory_tokens)
         return prefill_ms + plan.fetch_ms + memory_penalty_ms
