--- a/tests/test_operator_reports.py
+++ b/tests/test_operator_reports.py
@@ -1,4 +1,4 @@
-"""Tests of reports of operators of similar systems: (a) copied answers, (b) the listen queue."""
+"""Tests of reports of operators of similar systems: (a) copied answers, (b) stops."""
 
 import asyncio
 import base64
@@ -7,11 +7,14 @@
 import time
 import unittest
 
+from bergamothill.clock import SystemClock
+from bergamothill.connection.callerhttp import CallerConnection
 from bergamothill.connection.callerlistener import CallerListener
 from bergamothill.connection.http import HttpClient, HttpReply
 from bergamothill.connection.pollconnection import PollConnection
 from bergamothill.errors import ProtocolError
 from bergamothill.platform.kvs import PlatformKeyValueService
+from bergamothill.process.readiness import ReadinessHandler
 from tests.gatewayworld import ScriptedServer, answer
 
 LATE_S = 0.1
@@ -136,3 +139,27 @@
             async with asyncio.timeout(2):
                 await served.wait()
             self.assertEqual(b"answer", connection.recv(100))
+
+
+class HalfReadTest(unittest.IsolatedAsyncioTestCase):
+    """Report (b): half of a request has arrived when an instance closes idle connections."""
+
+    async def test_a_request_of_which_half_was_read_is_answered(self):
+        opened = []
+        handler = ReadinessHandler(lambda: True, lambda: "")
+
+        def on_connection(connection, is_open):
+            if is_open:
+                opened.append(connection)
+
+        server = await asyncio.get_running_loop().create_server(
+            lambda: CallerConnection(handler, SystemClock(), on_connection), "127.0.0.1", 0
+        )
+        self.addCleanup(server.close)
+        reader, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
+        writer.write(b"GET /readiness HTTP/1.1\r\nHos")
+        await asyncio.sleep(LATE_S)
+        opened[0].close_if_idle()
+        writer.write(b"t: h\r\nConnection: close\r\n\r\n")
+        self.assertIn(b" 200 ", await asyncio.wait_for(reader.read(), 2))
+        writer.close()
--- /dev/null
+++ b/tests/test_streamresumption.py
@@ -0,0 +1,59 @@
+"""Tests of where a resumed stream has to go on, by the origin or by evidence of all streams."""
+
+import unittest
+from dataclasses import replace
+
+from bergamothill.clock import ManualClock
+from bergamothill.process.streamresumption import LocalOrigins, StreamResumption
+from bergamothill.version.routetable import ServiceShare
+from tests.builders import backend, caller_request, routing_config, server_pool
+
+CONFIG = routing_config()
+LLM = CONFIG.services["llm"]
+ROUTE = next(route for route in CONFIG.routes if route.shares[0].service == "llm")
+SPLIT = replace(ROUTE, shares=(*ROUTE.shares, ServiceShare("bookings", 1.0)))
+
+
+class Evidence:
+    def __init__(self, only):
+        self.only, self.routes = only, []
+
+    async def only_origin(self, route, _give_up_ms):
+        self.routes.append(route)
+        return self.only
+
+
+class ResolveTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        clock = ManualClock(1_000)
+        pool = server_pool(backend("s1", service="llm", software_version="v1"))
+        pool.only_version = lambda _service, _now_ms: "v1"
+        self.resumption = StreamResumption(clock, pool, LocalOrigins(clock))
+
+    async def resolve(self, route=ROUTE, resumes=""):
+        request = replace(caller_request(), last_event_id="3", resumes=resumes)
+        resumed = await self.resumption.resolve(request, "b1", route, LLM, 9_000)
+        return (resumed.service, resumed.version)
+
+    async def test_without_the_first_request_the_only_version_counts(self):
+        self.assertEqual(("llm", "v1"), await self.resolve())
+
+    async def test_a_route_with_several_services_tells_no_version(self):
+        # The service follows from the id of the first request, which is not named.
+        self.assertEqual(("llm", None), await self.resolve(SPLIT))
+
+    async def test_evidence_counts_if_the_origin_is_not_known(self):
+        self.resumption.evidence = evidence = Evidence(("llm", "v2"))
+        self.assertEqual(("llm", "v2"), await self.resolve(resumes="r1"))
+        self.assertEqual(("llm", "v2"), await self.resolve())
+        self.assertEqual([ROUTE.name] * 2, evidence.routes)
+        evidence.only = None
+        self.assertEqual(("llm", None), await self.resolve())
+
+    async def test_a_known_origin_needs_no_evidence(self):
+        self.resumption.evidence = evidence = Evidence(("llm", "v2"))
+        begun = replace(caller_request(), request_id="r1")
+        entry = backend("s1", service="llm", software_version="v1")
+        self.resumption.record_begin(begun, "b1", entry, is_identified=True)
+        self.assertEqual(("llm", "v1"), await self.resolve(resumes="r1"))
+        self.assertEqual([], evidence.routes)
