--- a/bergamothill/process/zoneloads.py
+++ b/bergamothill/process/zoneloads.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import itertools
 from collections import deque
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -63,8 +62,8 @@
 """With the report interval less than that of 33 instances that all report to each other."""
 
 LAYOUT_REPEATS = 2
-SUMS_PER_LAYOUT = 4
-"""One of so many sums names its members and servers in full, and the first two with new ones."""
+SUMS_PER_LAYOUT = 8
+"""One of so many sums has names in full, and the first two with new names or other receivers."""
 
 SERVER_TTL_MS = 5_000
 
@@ -125,7 +124,9 @@
         self._own_loads: KeyedLoads = {}
         self._own_reports: deque[tuple[int, int, KeyedLoads]] = deque()
         self._servers_ms: dict[ServerKey, int] = {}
-        self._sent_layouts: deque[int] = deque(maxlen=LAYOUT_REPEATS)
+        self._sent_layouts: deque[tuple[int, tuple[EntryInstanceId, ...]]] = deque(
+            maxlen=LAYOUT_REPEATS
+        )
         self._sums_sent = 0
         self._pending: dict[EntryInstanceId, tuple[int, bytes]] = {}
         self._direct_ms = self._report_ms = self._sum_ms = self._forward_ms = 0
@@ -379,18 +380,17 @@
         if not zones or not self._sum_sent.is_due(content[1:], RELAY_KEEPALIVE_MS, now_ms):
             return []
         self._sum_sent = _Sent(content[1:], now_ms)
+        receivers = tuple(
+            relay for zone in zones for relay in self._roles.targets(zone, self.relays, now_ms)
+        )
         zone_sum = self._make_sum(content, is_for_own_zone=False)
-        layouts = self._sent_layouts
-        is_known = len(layouts) == layouts.maxlen and set(layouts) == {zone_sum.layout}
+        is_known = set(self._sent_layouts) == {(zone_sum.layout, receivers)}
+        is_known = is_known and len(self._sent_layouts) == LAYOUT_REPEATS
+        self._sent_layouts.append((zone_sum.layout, receivers))
         self._sums_sent += 1
-        layouts.append(zone_sum.layout)
         if is_known and self._sums_sent % SUMS_PER_LAYOUT:
             zone_sum = zone_sum.without_layout
-        sum_bytes = encode_zone_message(zone_sum)
-        receivers = itertools.chain.from_iterable(
-            self._roles.targets(zone, self.relays, now_ms) for zone in zones
-        )
-        return [Outgoing(sum_bytes, tuple(receivers))]
+        return [Outgoing(encode_zone_message(zone_sum), receivers)]
 
     def _add_sum_for_own_zone(self, content: _Content, now_ms: int) -> None:
         if self._zone_sum_sent.is_due(content[1:], RELAY_KEEPALIVE_MS, now_ms):
@@ -410,8 +410,12 @@
                 total[server] = ServerLoad()
         for part in parts.values():
             for server, load in part.loads.items():
-                total.setdefault(server, ServerLoad()).add(load)
-                self._servers_ms[server] = now_ms
+                known = total.get(server)
+                if known is None:
+                    known = total[server] = ServerLoad()
+                known.add(load)
+        for part in parts.values():
+            self._servers_ms.update(dict.fromkeys(part.loads, now_ms))
         oldest_ms = min(part.received_ms for part in parts.values())
         numbers = {member_key(entry): part.sequence_number for entry, part in parts.items()}
         return now_ms - oldest_ms, numbers, total
