--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -21,7 +21,6 @@
 from bergamothill.platform.kvs import PlatformKeyValueService
 from bergamothill.platform.servers import SERVER_PREFIX, decode_server
 from bergamothill.platform.settings import load_node_settings
-from bergamothill.process.cacheeventlistener import CacheEventListener
 from bergamothill.process.coldservers import ColdServers
 from bergamothill.process.configstate import ConfigState
 from bergamothill.process.drainperiod import DrainPeriod
@@ -34,6 +33,7 @@
 from bergamothill.process.limitexchange import LimitExchange
 from bergamothill.process.loadexchange import LoadExchange
 from bergamothill.process.loadreport import PeerLoads
+from bergamothill.process.nodecontext import NodeContext
 from bergamothill.process.nodequarantine import NodeQuarantine
 from bergamothill.process.nodesettings import DeploymentBounds, NodeSettings
 from bergamothill.process.nodestreams import NodeStreams
@@ -49,7 +49,6 @@
 from bergamothill.process.registry import READ_TIMES, REGISTRY_PREFIX, Peer, Registry
 from bergamothill.process.serverlimits import ServerLimits
 from bergamothill.process.serverpool import ServerPool
-from bergamothill.process.sourcereaders import CacheSource, SourceReaders
 from bergamothill.process.supervisor import Supervisor
 from bergamothill.process.swapduty import SwapDuty
 from bergamothill.process.sweepduty import SweepDuty
@@ -113,20 +112,11 @@
             self._log_unreadable_entry,
             self._apply_evacuation,
         )
-        self._cache_index = CacheIndex()
-        self._planner = ContextPlanner(self._cache_index, settings.regions)
+        cache_index = CacheIndex()
+        self._planner = ContextPlanner(cache_index, settings.regions)
         self._supervisor = Supervisor(clock)
-        self._listener = CacheEventListener(
-            self._cache_index,
-            clock,
-            self._on_source_reply,
-            lambda address: self._server_pool.record_events_unread(address),
-            self._on_source_connection_change,
-            self._supervisor.start_task,
-        )
         peer_loads = PeerLoads()
         self._roster = InstanceRoster(settings.entry)
-        self._source_readers = SourceReaders(settings.entry, settings.zone)
         self._server_pool = ServerPool(
             settings.zone,
             bounds.weights_due_ms,
@@ -139,6 +129,9 @@
             heartbeat_interval_ms=settings.heartbeat_interval_ms,
         )
         self._server_pool.limits.cold = ColdServers(bounds.cold, clock.wall_ms)
+        self._context = NodeContext(
+            settings, clock, cache_index, self._server_pool, self._supervisor
+        )
         self._exchange = LoadExchange(
             settings.entry,
             clock,
@@ -278,7 +271,7 @@
         self._kept_connections.stop()
         for follower in followers:
             follower.stop()
-        self._listener.stop()
+        self._context.stop()
         registry.stop()
         self._quarantine.stop()
         for task in tasks:
@@ -348,11 +341,7 @@
         self._reads.set_peers(peers)
         self._roster.set_registered((peer.entry for peer in peers), self._clock.now_ms())
         self._gateway.set_instance_count(self._exchange.instance_count)
-        self._listener.instance_count = self._exchange.instance_count
-        self._listener.has_ranked_readers = bool(peers)
-        if self._source_readers.set_peers(peers):
-            self._follow_cache_sources()
-            self._listener.retry_full()
+        self._context.set_peers(peers)
         zones = [self._settings.zone, *(peer.zone for peer in peers)]
         self._kept_connections.share.set_instances(zones)
 
@@ -412,7 +401,7 @@
         self._kept_connections.share.set_services(config.services.values())
         self._server_pool.limits.set_services(config.services)
         self._streams.apply_config(config)
-        self._follow_cache_sources()
+        self._context.set_config(config)
         _log.info(
             "config_applied",
             version=config.version,
@@ -459,36 +448,7 @@
     def _publish_engines(self) -> None:
         """Publish an immutable snapshot of the engines to the thread of the swap duty."""
         self._swap_view = (dict(self._server_pool.targets), self._server_pool.engines())
-        self._follow_cache_sources()
-
-    def _follow_cache_sources(self) -> None:
-        sources = self._cache_sources()
-        self._source_readers.retain(sources)
-        own = [s.address for s in sources if self._source_readers.should_read(s)]
-        others = {s.address for s in sources}.difference(own)
-        self._listener.follow(own, others)
-
-    def _cache_sources(self) -> list[CacheSource]:
-        table = self._config.table
-        if table is None:
-            return [CacheSource(e.address, self._settings.zone, 0) for e in self._swap_view[1]]
-        sources = [
-            CacheSource(s.address, s.zone, s.max_event_listeners) for s in table.config.stores
-        ]
-        for engine in self._swap_view[1]:
-            state = self._server_pool.server_state(engine.server)
-            service = None if state is None else table.config.services.get(state.entry.service)
-            if service is not None and service.engine is not None:
-                max_readers = service.engine.max_event_listeners
-                sources.append(CacheSource(engine.address, state.entry.zone, max_readers))
-        return sources
-
-    def _on_source_reply(self, address: str, is_leaving: bool) -> None:
-        now_ms = self._clock.now_ms()
-        self._server_pool.record_reply_from(address, now_ms, is_leaving=is_leaving)
-
-    def _on_source_connection_change(self, address: str, is_connected: bool) -> None:
-        self._server_pool.record_connection_change(address, is_connected, self._clock.now_ms())
+        self._context.set_engines(self._swap_view[1])
 
     def _log_unreadable_entry(self, entry: KeyValueEntry, error: ProtocolError) -> None:
         if entry.key not in self._unreadable_keys:
--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -111,7 +111,7 @@
 
     def setUp(self):
         super().setUp()
-        self.node._listener = mock.Mock()
+        self.node._context.listener = mock.Mock()
         self.node._server_pool.apply_list([backend("s1"), backend("s2")], 0, 0)
 
     def read(self, version):
@@ -209,6 +209,7 @@
             path = Path(folder, "node.toml")
             path.write_text(NODE_SETTINGS)
             node = PlatformNode(load_node_settings(str(path)), str(path), ManualClock(0))
+        node._context = mock.Mock()  # there is no event loop to follow sources on
         node._apply_config(routing_config(), mock.Mock(), 0)
         node._apply_peers(tuple(Peer(f"e{n}", "h", 1, zone) for n, zone in enumerate(peers)))
         return node._kept_connections.keeps(PooledServer("p0", 1, "h:1", "bookings"))
