--- a/bergamothill/request/contextplan.py
+++ b/bergamothill/request/contextplan.py
@@ -121,6 +121,7 @@
         self._planner = planner
         self._now_ms = now_ms
         self._engines: dict[PartKey, list[str]] = {}
+        self._stores: dict[PartKey, list[CacheStore]] = {}
 
     def engines_with(self, key: PartKey, tokens: int) -> list[str]:
         """Return the addresses of the engines that have a part."""
@@ -129,6 +130,13 @@
             addresses = self._engines[key] = self._planner.engines_with(key, tokens, self._now_ms)
         return addresses
 
+    def stores_with(self, key: PartKey, tokens: int) -> list[CacheStore]:
+        """Return the stores that have a part."""
+        stores = self._stores.get(key)
+        if stores is None:
+            stores = self._stores[key] = self._planner.stores_with(key, tokens, self._now_ms)
+        return stores
+
 
 class ContextPlanner:
     """Plans fetches and saves of prompt parts.
@@ -200,7 +208,7 @@
             # Transfers run one after another, so this one starts once those before it have ended.
             timing = _FetchTime(now_ms, fetch_ms, left_ms)
             source = self._quickest_source(
-                candidate, key, part.tokens, timing, None if is_held else holders
+                candidate, key, part.tokens, timing, holders, with_engines=not is_held
             )
             prefill_ms = remaining_tokens / tokens_per_ms
             if source is not None and not _is_fetch_worthwhile(prefill_ms, source.fetch_ms):
@@ -235,16 +243,17 @@
         key: PartKey,
         tokens: int,
         timing: _FetchTime,
-        holders: PartHolders | None,
+        holders: PartHolders,
+        *,
+        with_engines: bool,
     ) -> _Source | None:
         """Return the fastest source among those that certainly have a part, or None.
 
         A source is left out if it may have restarted before the fetch has ended.
-
-        :param holders: other engines that have the part; None to use only stores
         """
-        sources = list(self._store_sources(candidate, key, tokens, timing.now_ms))
-        if holders is not None:
+        stores = holders.stores_with(key, tokens)
+        sources = list(self._store_sources(candidate, stores, tokens, timing.now_ms))
+        if with_engines:
             addresses = holders.engines_with(key, tokens)
             sources += self._engine_sources(candidate, addresses, tokens, timing.now_ms)
         sources = [source for source in sources if timing.is_enough_for(source)]
@@ -258,15 +267,18 @@
         zones += [store.zone for store in self._stores if store.address == address]
         return homes is None or any(self.regions.is_home(z, homes) for z in zones if z is not None)
 
+    def stores_with(self, key: PartKey, tokens: int, now_ms: int) -> list[CacheStore]:
+        """Return the stores that certainly have a part."""
+        return [s for s in self._stores if self._certainly_has(s.address, key, tokens, now_ms)]
+
     def _store_sources(
-        self, candidate: _CandidateEngine, key: PartKey, tokens: int, now_ms: int
+        self, candidate: _CandidateEngine, stores: list[CacheStore], tokens: int, now_ms: int
     ) -> Iterable[_Source]:
         size_bytes = tokens * candidate.traits.token_bytes
-        for store in self._stores:
-            if self._certainly_has(store.address, key, tokens, now_ms):
-                link_mbps = min(store.link_mbps, candidate.traits.link_mbps)
-                transfer_ms = _transfer_ms(size_bytes, link_mbps, store.zone != candidate.zone)
-                yield self._source(store.address, store.first_byte_ms + transfer_ms, now_ms)
+        for store in stores:
+            link_mbps = min(store.link_mbps, candidate.traits.link_mbps)
+            transfer_ms = _transfer_ms(size_bytes, link_mbps, store.zone != candidate.zone)
+            yield self._source(store.address, store.first_byte_ms + transfer_ms, now_ms)
 
     def engines_with(self, key: PartKey, tokens: int, now_ms: int) -> list[str]:
         """Return the addresses of the engines that certainly have a part."""
