--- a/bergamothill/process/requestrun.py
+++ b/bergamothill/process/requestrun.py
@@ -388,7 +388,7 @@
         """Return the step that follows from the end of an attempt."""
         forwarding, relay, send = self._forwarding, attempt.relay, attempt.send
         if outcome not in _ANSWERED:
-            self._learn_from_failure(outcome, attempt, now_ms)
+            attempt.record_failure(outcome, now_ms)
         if outcome in (AttemptOutcome.NOT_CONNECTED, AttemptOutcome.NOT_SENT):
             return forwarding.on_not_connected(send, now_ms)
         if outcome is AttemptOutcome.REFUSED:
@@ -411,30 +411,12 @@
         self, outcome: AttemptOutcome, attempt: ServerAttempt, now_ms: int
     ) -> None:
         """Record the end of an attempt beside which another is under way."""
-        self._learn_from_failure(outcome, attempt, now_ms)
+        attempt.record_failure(outcome, now_ms)
         if outcome.may_have_run:
             self._forwarding.record_lost(attempt.send)
         else:
             self._forwarding.record_refused(attempt.send)
 
-    def _learn_from_failure(
-        self, outcome: AttemptOutcome, attempt: ServerAttempt, now_ms: int
-    ) -> None:
-        if outcome in (AttemptOutcome.NOT_CONNECTED, AttemptOutcome.BROKEN):
-            self._server_pool.request_failed(attempt.send.server.server, now_ms)
-        elif outcome is AttemptOutcome.REFUSED:
-            self._handle_refusal(attempt, now_ms)
-
-    def _handle_refusal(self, attempt: ServerAttempt, now_ms: int) -> None:
-        head, terms = attempt.relay.head, attempt.send.terms
-        server, model = attempt.send.server.server, self._request.model
-        if head.status != 421:
-            self._server_pool.request_rejected(server, now_ms)
-        elif head.instance and head.instance != server:
-            self._server_pool.mark_replaced(server)
-        elif model is not None and terms.weight_version is not None:
-            self._server_pool.record_weight_mismatch(server, model, terms.weight_version)
-
     @singledispatchmethod
     def _apply_final_step(self, step: ForwardStep) -> None:
         raise TypeError(f"not a final step: {step!r}")
--- a/bergamothill/process/serverattempt.py
+++ b/bergamothill/process/serverattempt.py
@@ -307,6 +307,23 @@
         if run is not None:
             run.end(end, self._clock.now_ms())
 
+    def record_failure(self, outcome: AttemptOutcome, now_ms: int) -> None:
+        """Record what an attempt without an answer shows of its server."""
+        if outcome in (AttemptOutcome.NOT_CONNECTED, AttemptOutcome.BROKEN):
+            self._server_pool.request_failed(self._server, now_ms)
+        elif outcome is AttemptOutcome.REFUSED:
+            self._record_refusal(now_ms)
+
+    def _record_refusal(self, now_ms: int) -> None:
+        head, model = self.relay.head, self._request.model
+        version = self.send.terms.weight_version
+        if head.status != 421:
+            self._server_pool.request_rejected(self._server, now_ms)
+        elif head.instance and head.instance != self._server:
+            self._server_pool.mark_replaced(self._server)
+        elif model is not None and version is not None:
+            self._server_pool.record_weight_mismatch(self._server, model, version)
+
     # The answer.
 
     def on_first(self) -> None:
--- a/bergamothill/process/serverpool.py
+++ b/bergamothill/process/serverpool.py
@@ -22,7 +22,7 @@
 from bergamothill.process.observedserver import ObservedServer
 from bergamothill.process.servercapacity import ServerCapacity
 from bergamothill.process.serverlimits import ServerLimits
-from bergamothill.process.serverrecoveries import ServerRecoveries
+from bergamothill.process.serverweights import ServerWeights
 from bergamothill.process.trialplacement import TrialPlacement
 from bergamothill.request.callerrequest import CallerRequest, ForwardTerms
 from bergamothill.request.contextplan import ContextPlanner
@@ -31,13 +31,6 @@
 from bergamothill.request.serverspeed import PromptWork, ServerSpeeds
 from bergamothill.version.homes import HomeRegions
 from bergamothill.version.routetable import Brand, EngineTraits, Service
-from bergamothill.version.weightswap import SwapEngine
-from bergamothill.version.weighttarget import (
-    NOT_OUTDATED,
-    OutdatedTime,
-    TargetHistory,
-    WeightTarget,
-)
 
 __all__ = ["ServerPool"]
 
@@ -53,16 +46,10 @@
 MEMORY_SHARE_PER_URGENCY = 0.035
 """Share of memory kept free per urgency level below the most urgent one."""
 
-OLD_WEIGHTS_GRACE_MS = 1_100
-"""Old weights carry no penalty until 1.5 s after a new target, which is read up to 400 ms late."""
-
 MS_PER_S = 1_000
 
-QUEUE_MARGIN_MS = 2_000
-"""Time for which a request may be queued at an engine before it starts."""
 
-
-class ServerPool(ServerRecoveries):
+class ServerPool(ServerWeights):
     """State of all backend servers, as observed by this entry instance.
 
     :param zone: availability zone of this entry instance
@@ -101,8 +88,6 @@
         self.capacity = ServerCapacity(zone, peer_loads, self.speeds, limits.roster)
         self.selector = EngineSelector(planner, peer_loads, self.speeds, zone)
         self.weights_due_ms = weights_due_ms
-        self.targets: dict[ModelName, WeightTarget] = {}
-        self._target_histories: dict[ModelName, TargetHistory] = {}
         self.servers_under_trial: Callable[[int], frozenset[ServerId]] = lambda _now_ms: frozenset()
         """Returns the servers that try a part of a request that may crash them."""
 
@@ -197,43 +182,6 @@
         states = (state for address in addresses for state in self._at_address(address))
         return not any(self.evacuation.is_evacuated(state.entry.zone) for state in states)
 
-    def set_weight_target(
-        self, target: WeightTarget, now_ms: int, *, set_after_ms: int | None
-    ) -> bool:
-        """Apply a weight version that the operator set as the target.
-
-        :param set_after_ms: time after which it was set; None if it may have been at any time
-        :returns: whether it is newer than the known target
-        """
-        known = self.targets.get(target.model)
-        if known is not None and target.version <= known.version:
-            return False
-        self.targets[target.model] = target
-        history = self._target_histories.setdefault(target.model, TargetHistory())
-        if set_after_ms is None:
-            overdue_ms = now_ms - self.weights_due_ms
-            history.record(target.version, overdue_ms, overdue_ms)
-        else:
-            history.record(target.version, set_after_ms, now_ms)
-        return True
-
-    def _outdated(self, state: ObservedServer, model: ModelName, now_ms: int) -> OutdatedTime:
-        """Return for how long a server's version has been outdated."""
-        history = self._target_histories.get(model)
-        version = state.weight_version(model)
-        return NOT_OUTDATED if history is None else history.outdated(version, now_ms)
-
-    def engines(self) -> tuple[SwapEngine, ...]:
-        """Return the engines that are listed and not leaving, one item for each model."""
-        return tuple(
-            SwapEngine(b.entry.server, b.entry.started_wall_ms, b.entry.address, model, version)
-            for states in self._by_service.values()
-            for b in states
-            if not b.is_leaving and not b.is_replaced and b.gone_after_ms is None
-            for model in b.entry.weights
-            if (version := b.weight_version(model)) is not None
-        )
-
     # Observations from requests.
 
     def request_started(
@@ -306,23 +254,6 @@
         if state is not None:
             state.is_replaced = True
 
-    def record_weight_mismatch(self, server: ServerId, model: ModelName, expected: int) -> None:
-        """Record that a server lacks the expected weights, and so has newer ones.
-
-        Which newer version it has is not known: with several targets in quick succession it need
-        not be the latest one. If no newer target is known, the mismatch shows nothing.
-        """
-        state = self._observed.get(server)
-        target = self.targets.get(model)
-        if state is not None and target is not None and target.version > expected:
-            state.record_version(model, expected + 1)
-
-    def record_weight_swap(self, server: ServerId, model: ModelName, version: int) -> None:
-        """Record that a server has switched to new weights."""
-        state = self._observed.get(server)
-        if state is not None:
-            state.record_version(model, version)
-
     def record_first_token(self, terms: ForwardTerms, took_ms: int, now_ms: int) -> None:
         """Record the time to the first token of an answer.
 
@@ -522,38 +453,3 @@
             if first is not None and first is not request:
                 return None
         return self.capacity.choose_plain(candidates, usable, request, now_ms)
-
-    def may_send_prompt_to(self, server: BackendServer, model: ModelName, now_ms: int) -> bool:
-        """Return whether a prompt may still be sent to an engine that was chosen earlier."""
-        is_usable = self.may_send_to(server, now_ms)
-        return is_usable and self._may_run_on_weights(self._observed[server.server], model, now_ms)
-
-    def _may_run_on_weights(self, state: ObservedServer, model: ModelName, now_ms: int) -> bool:
-        """Return whether a new request may run on the weight version of an engine.
-
-        Once the deadline for new weights may be near, only engines that have them are allowed. The
-        deadline binds instances that have been in touch for the stability window, so that one that
-        reads a target late still has a moment in which the engines are swapped.
-        """
-        if state.weight_version(model) is None:
-            return False
-        outdated = self._outdated(state, model, now_ms)
-        catch_up_ms = max(0, self._stability_window_ms - QUEUE_MARGIN_MS) // 2
-        is_due = outdated.max_age_ms >= self.weights_due_ms - QUEUE_MARGIN_MS
-        return not is_due or outdated.since_read_ms < catch_up_ms
-
-    def _preferred_by_weights(
-        self, candidates: list[ObservedServer], model: ModelName, now_ms: int
-    ) -> list[ObservedServer]:
-        """Return the engines preferred for a new request among those allowed.
-
-        Right after a new target all engines are preferred. Later those with new weights are, once
-        they can carry the load, and the others get what does not fit there.
-        """
-        outdated_ms = {
-            b.entry.server: self._outdated(b, model, now_ms).since_read_ms for b in candidates
-        }
-        new = [b for b in candidates if outdated_ms[b.entry.server] < OLD_WEIGHTS_GRACE_MS]
-        oldest_ms = max(outdated_ms.values(), default=0)
-        carries_load = 2 * len(new) >= len(candidates) or oldest_ms >= self.weights_due_ms // 2
-        return new if new and carries_load else candidates
--- a/scripts/ablate.py
+++ b/scripts/ablate.py
@@ -59,8 +59,29 @@
     "no-peer-loads": (
         Replacement(
             "bergamothill/process/loadreport.py",
-            "        return self._totals.get(server) or ServerLoad()\n",
-            "        return ServerLoad()\n",
+            "            for loads in self._sources:\n",
+            "            for loads in ():\n",
+        ),
+    ),
+    "no-prefill-notices": (
+        Replacement(
+            "bergamothill/process/prefillexchange.py",
+            "        if tokens >= LONG_PROMPT_TOKENS and ",
+            "        if False and ",
+        ),
+    ),
+    "no-shared-reads": (
+        Replacement(
+            "bergamothill/process/zonereaders.py",
+            "        return len(self.ranking) > READERS_PER_ZONE\n",
+            "        return False\n",
+        ),
+    ),
+    "no-kept-connections": (
+        Replacement(
+            "bergamothill/request/connectionreuse.py",
+            "    return run_count + 1 < ",
+            "    return False and run_count + 1 < ",
         ),
     ),
     "no-line": (
--- a/tests/test_serverpool.py
+++ b/tests/test_serverpool.py
@@ -4,13 +4,13 @@
 
 from bergamothill.process.loadreport import LoadReport, PeerLoads, ServerLoad
 from bergamothill.process.serverlist import MAX_QUIET_MS, RECOVERY_NOTICE_MS
-from bergamothill.process.serverpool import OLD_WEIGHTS_GRACE_MS
 from bergamothill.process.serversilence import (
     CORROBORATING_STREAMS,
     STALL_SILENCE_MS,
     SUSPECT_SILENCE_MS,
     UNREAD_STALL_SILENCE_MS,
 )
+from bergamothill.process.serverweights import OLD_WEIGHTS_GRACE_MS
 from bergamothill.request.serverchoice import AllQuiet, NoFreeMemory
 from bergamothill.version.weightswap import WeightSwap
 from bergamothill.version.weighttarget import WeightTarget
