Let machines with fast links relay loads and read for their zone

Cause: relays and readers were chosen by hash alone.

Registrations without it rank last, in hash order.

--- a/bergamothill/platform/settings.py
+++ b/bergamothill/platform/settings.py
@@ -59,6 +59,7 @@
         memory_mb=reader.integer("limits.memoryMb", 256),
         descriptors=reader.integer("limits.fileDescriptors", 1_024),
         bounds=_read_bounds(reader),
+        link_mbps=reader.integer("limits.linkMbps", 0),
         regions=RegionMap(_region(reader.value("region")), _read_zones(reader)),
         version_record=RecordUse(reader.choice("streams.versionRecord", _RECORD_USES, "off")),
     )
--- a/bergamothill/process/loadexchange.py
+++ b/bergamothill/process/loadexchange.py
@@ -54,6 +54,7 @@
     :param loads: stores the others' reports
     :param on_report: called with the sender after each received report
     :param zone: zone of this entry instance; None if the settings name none
+    :param link_mbps: bandwidth of the link of its machine, in Mbit/s; 0 if not known
     """
 
     def __init__(
@@ -64,11 +65,12 @@
         loads: PeerLoads,
         on_report: Callable[[EntryInstanceId], None],
         zone: ZoneName | None = None,
+        link_mbps: int = 0,
     ) -> None:
         self._on_report = on_report
         self._clock = clock
         self._server_pool = server_pool
-        self._zone_loads = ZoneLoads(entry, zone, loads, time.time_ns())
+        self._zone_loads = ZoneLoads(entry, zone, loads, time.time_ns(), link_mbps)
         self._peers: dict[EntryInstanceId, Peer] = {}
         self._datagrams = DatagramSocket(self._on_datagram)
         self._relays: tuple[EntryInstanceId, ...] = ()
--- a/bergamothill/process/nodesettings.py
+++ b/bergamothill/process/nodesettings.py
@@ -72,6 +72,7 @@
     :param memory_mb: memory limit of the process
     :param descriptors: limit on open file descriptors
     :param bounds: guaranteed bounds of the deployment
+    :param link_mbps: bandwidth of the link of the machine, in Mbit/s; 0 if not known
     :param regions: regions of the availability zones
     :param version_record: use of the record of versions of services
     """
@@ -88,5 +89,6 @@
     memory_mb: int
     descriptors: int
     bounds: DeploymentBounds
+    link_mbps: int = 0
     regions: RegionMap = RegionMap()
     version_record: RecordUse = RecordUse.OFF
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -139,6 +139,7 @@
             peer_loads,
             self._on_peer_report,
             settings.zone,
+            settings.link_mbps,
         )
         self._limit_exchange = LimitExchange(
             clock, self._server_pool.limits, self._exchange, self._on_peer_report
@@ -173,7 +174,13 @@
         client = HttpClient("key-value service", settings.store_address)
         self._kvs = PlatformKeyValueService(client)
         self._reads = ReadExchange(
-            settings.entry, settings.zone, clock, self._kvs.era, self._exchange, self._metrics
+            settings.entry,
+            settings.zone,
+            clock,
+            self._kvs.era,
+            self._exchange,
+            self._metrics,
+            settings.link_mbps,
         )
         self._streams = NodeStreams(
             settings.version_record,
@@ -327,7 +334,13 @@
 
     def _make_registry(self) -> Registry:
         settings = self._settings
-        own = Peer(settings.entry, settings.ip_address, settings.peer_port, settings.zone)
+        own = Peer(
+            settings.entry,
+            settings.ip_address,
+            settings.peer_port,
+            settings.zone,
+            settings.link_mbps,
+        )
         return Registry(
             self._kvs,
             self._clock,
--- a/bergamothill/process/readexchange.py
+++ b/bergamothill/process/readexchange.py
@@ -43,6 +43,7 @@
     :param store_era: era of the service as this instance knows it
     :param load_exchange: its socket carries the messages
     :param metrics: counts the reads by their source
+    :param link_mbps: bandwidth of the link of its machine, in Mbit/s; 0 if not known
     """
 
     def __init__(
@@ -53,6 +54,7 @@
         store_era: StoreEra,
         load_exchange: LoadExchange,
         metrics: GatewayMetrics,
+        link_mbps: int = 0,
     ) -> None:
         self._own = own
         self._clock = clock
@@ -60,6 +62,7 @@
         self._load_exchange = load_exchange
         self._metrics = metrics
         self._reads = SharedReads(own, zone, time.time_ns())
+        self._reads.readers.own_link_mbps = link_mbps
         self._shares: dict[str, PrefixShare] = {}
         self._roles: dict[str, ReadRole] = {}
         # A listener of the era may read the state of the prefixes.
--- a/bergamothill/process/registry.py
+++ b/bergamothill/process/registry.py
@@ -49,12 +49,14 @@
     :param host: IP address of its machine
     :param port: port on which it receives datagrams
     :param zone: its availability zone; None if its registration does not name one
+    :param link_mbps: bandwidth of the link of its machine, in Mbit/s; 0 if it is not named
     """
 
     entry: EntryInstanceId
     host: str
     port: int
     zone: ZoneName | None = None
+    link_mbps: int = 0
 
 
 class Registry:
@@ -235,16 +237,21 @@
 
 
 def _registration_key(peer: Peer) -> str:
-    # The zone is in the key, since earlier builds read the value as exactly three items.
-    return REGISTRY_PREFIX + (peer.entry if peer.zone is None else f"{peer.zone}/{peer.entry}")
+    # Zone and link are in the key, since earlier builds read the value as exactly three items.
+    if peer.zone is None:
+        return REGISTRY_PREFIX + peer.entry
+    link = f"/{peer.link_mbps}" if peer.link_mbps else ""
+    return f"{REGISTRY_PREFIX}{peer.zone}{link}/{peer.entry}"
 
 
 def decode_peer(key: str, value: bytes) -> Peer | None:
     """Decode the registration of an entry instance; None if it is not a valid one."""
-    zone, separator, _ = key.removeprefix(REGISTRY_PREFIX).rpartition("/")
+    zone, *rest = key.removeprefix(REGISTRY_PREFIX).split("/")
+    link = rest[0] if len(rest) == 2 else ""
+    link_mbps = int(link) if link.isascii() and link.isdecimal() and len(link) < 10 else 0
     try:
         entry, host, port = cbor2.loads(value)
-        peer_zone = ZoneName(zone) if separator and zone else None
-        return Peer(EntryInstanceId(str(entry)), str(host), int(port), peer_zone)
+        peer_zone = ZoneName(zone) if rest and zone else None
+        return Peer(EntryInstanceId(str(entry)), str(host), int(port), peer_zone, link_mbps)
     except (TypeError, ValueError, OverflowError, cbor2.CBORDecodeError):
         return None
--- a/bergamothill/process/zoneloads.py
+++ b/bergamothill/process/zoneloads.py
@@ -102,6 +102,7 @@
     :param zone: its zone; None if the settings name none, so that it reports to all
     :param loads: adds up the loads of the others
     :param sequence_number: first sequence number, above those of an earlier process
+    :param link_mbps: bandwidth of the link of its machine, in Mbit/s; 0 if not known
     """
 
     def __init__(
@@ -110,12 +111,14 @@
         zone: ZoneName | None,
         loads: PeerLoads,
         sequence_number: int,
+        link_mbps: int = 0,
     ) -> None:
         self._entry = entry
         self._zone = zone
         self._loads = loads
         self._sequence_number = sequence_number
         self._roles = ZoneRelays(entry, zone)
+        self._roles.own_link_mbps = link_mbps
         self._sums = ZoneSums(loads, self._own_part)
         self._peers: tuple[EntryInstanceId, ...] = ()
         self.passes = ZonePasses(zone, self._roles, self._sums)
--- a/bergamothill/process/zonereaders.py
+++ b/bergamothill/process/zonereaders.py
@@ -1,7 +1,8 @@
 """Which instances of a zone read the key-value service, and when others take over; no I/O.
 
-The first two instances of a zone by rendezvous hashing read for all. Any other one reads only while
-it hears of no recent read, so that a silent reader costs time but never correctness.
+The first two instances of a zone, by their links and then by rendezvous hashing, read for all. Any
+other one reads only while it hears of no recent read, so that a silent reader costs time but never
+correctness.
 """
 
 from __future__ import annotations
@@ -11,9 +12,9 @@
 from enum import Enum
 
 from bergamothill.ids import EntryInstanceId, ZoneName
+from bergamothill.process.machineranking import rank_by_link
 from bergamothill.process.readtimes import ReadTimes
 from bergamothill.process.registry import Peer
-from bergamothill.process.rendezvous import rendezvous
 
 __all__ = ["READERS_PER_ZONE", "ReadRole", "ZoneReaders"]
 
@@ -61,6 +62,10 @@
         self._zone = zone
         self._times: dict[str, ReadTimes] = {}
         self._heard: dict[str, _Heard] = {}
+        self._links_mbps: dict[EntryInstanceId, int] = {}
+        self.own_link_mbps = 0
+        """Bandwidth of the link of this instance's machine, as its registration names it."""
+
         self.ranking: tuple[EntryInstanceId, ...] = (own,)
         """Instances of the zone, the readers first."""
 
@@ -82,9 +87,11 @@
 
     def set_peers(self, peers: Iterable[Peer]) -> None:
         """Rank the registered instances of the zone."""
-        members = {self._own, *(peer.entry for peer in peers if peer.zone == self._zone)}
-        if members != set(self.ranking):
-            self.ranking = rendezvous(f"readers/{self._zone}", members)
+        links_mbps = {peer.entry: peer.link_mbps for peer in peers if peer.zone == self._zone}
+        links_mbps[self._own] = self.own_link_mbps
+        if links_mbps != self._links_mbps:
+            self._links_mbps = links_mbps
+            self.ranking = rank_by_link(f"readers/{self._zone}", links_mbps)
             self._ranks = {entry: rank for rank, entry in enumerate(self.ranking)}
 
     @property
--- a/bergamothill/process/zonerelays.py
+++ b/bergamothill/process/zonerelays.py
@@ -1,6 +1,7 @@
 """Which instances relay loads between zones; no I/O and no clock.
 
-Each instance ranks those of a zone by rendezvous hashing. The first two that are not silent relay.
+Each instance ranks those of a zone by their links, then by rendezvous hashing. The first two that
+are not silent relay.
 Views may differ for a while: a third relay costs datagrams, and never counts a load twice.
 """
 
@@ -9,8 +10,8 @@
 from collections.abc import Iterable
 
 from bergamothill.ids import EntryInstanceId, ZoneName
+from bergamothill.process.machineranking import rank_by_link
 from bergamothill.process.registry import Peer
-from bergamothill.process.rendezvous import rendezvous
 
 __all__ = ["MAX_DIRECT_INSTANCES", "RELAYS", "SILENCE_MS", "ZoneRelays"]
 
@@ -47,6 +48,9 @@
         self._watched_ms: dict[EntryInstanceId, int] = {}
         self._probes = 0
 
+        self.own_link_mbps = 0
+        """Bandwidth of the link of this instance's machine, as its registration names it."""
+
         self.direct: tuple[EntryInstanceId, ...] = ()
         """Peers that are told this instance's load by reports of the former form."""
 
@@ -88,13 +92,17 @@
         self.zone_size = size
         self.direct = tuple(direct)
         self._ranked = {
-            zone: rendezvous(f"zone-relays/{zone}", entries) for zone, entries in zones.items()
+            zone: rank_by_link(f"zone-relays/{zone}", {e: self._link_of(e) for e in entries})
+            for zone, entries in zones.items()
         }
         known = {entry for entries in self._ranked.values() for entry in entries}
         for times in (self._alive_ms, self._heard_ms, self._watched_ms):
             for entry in times.keys() - known:
                 del times[entry]
 
+    def _link_of(self, entry: EntryInstanceId) -> int:
+        return self.own_link_mbps if entry == self._own else self._peers[entry].link_mbps
+
     @property
     def is_zoned(self) -> bool:
         """Whether loads are exchanged by zone."""
--- a/tests/test_loadexchange.py
+++ b/tests/test_loadexchange.py
@@ -144,8 +144,10 @@
         self.kvs.put_if("entries/e1", cbor2.dumps(["e1", *host]), expected=ABSENT)
         named = Peer("e2", *host, zone="zone-a")
         Registry(self.kvs, self.clock, named, lambda _: None)._register_and_read_peers()
+        linked = Peer("e4", *host, zone="zone-a", link_mbps=200)
+        Registry(self.kvs, self.clock, linked, lambda _: None)._register_and_read_peers()
         self.registry("e3")._register_and_read_peers()
-        self.assertEqual({Peer("e1", *host), named}, set(self.seen[-1]))
+        self.assertEqual({Peer("e1", *host), named, linked}, set(self.seen[-1]))
 
     def test_an_entry_of_an_earlier_start_is_taken_over(self):
         self.registry("e1")._register_and_read_peers()
