--- a/bergamothill/process/machineranking.py
+++ b/bergamothill/process/machineranking.py
@@ -1,7 +1,7 @@
 """Ranks entry instances for work that they do for others, by the links of their machines; no I/O.
 
-Machines of one deployment differ: what an instance relays to a zone of 22 fills a link of 10 Mbit/s,
-and the requests of its own callers wait behind that.
+Machines of one deployment differ: what an instance relays to a zone of 22 fills a link of 10
+Mbit/s, and the requests of its own callers wait behind that.
 """
 
 from __future__ import annotations
--- /dev/null
+++ b/bergamothill/process/nodedrain.py
@@ -0,0 +1,68 @@
+"""Graceful shutdown of an entry instance on the platform, on the event loop."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Collection
+
+from bergamothill.clock import Clock, ms_to_seconds
+from bergamothill.connection.callerhttp import CallerConnection
+from bergamothill.connection.callerlistener import CallerListener
+from bergamothill.logs import EventLog
+from bergamothill.process.drainperiod import DrainPeriod
+from bergamothill.process.gateway import Gateway
+
+__all__ = ["EXIT_MARGIN_MS", "drain_callers"]
+
+READINESS_NOTICE_MS = 2_800
+"""The load balancer checks every second and removes an instance after two failed checks.
+
+What is taken from three seconds after the signal on must be answered before the kill signal.
+"""
+
+EXIT_MARGIN_MS = 700
+"""Time reserved before the kill signal to close connections and write the log."""
+
+FINAL_ANSWER_MS = 150
+"""Part of that time in which requests that have no answer yet get one."""
+
+DRAIN_POLL_INTERVAL_MS = 50
+FINAL_ANSWER_POLL_INTERVAL_MS = 10
+
+_log = EventLog("node")
+
+
+async def drain_callers(
+    clock: Clock,
+    gateway: Gateway,
+    listener: CallerListener,
+    connections: Collection[CallerConnection],
+    grace_ms: int,
+) -> None:
+    """Serve until the load balancer has noticed, then answer what is in progress and close.
+
+    :param listener: accepts callers' connections
+    :param connections: open connections of callers, as they change
+    :param grace_ms: time until the kill signal
+    """
+    started_ms = clock.now_ms()
+    _log.info("stop_begins", in_progress=gateway.in_progress)
+    period = DrainPeriod(
+        notice_ends_ms=started_ms + min(READINESS_NOTICE_MS, grace_ms // 2),
+        ends_ms=started_ms + grace_ms - EXIT_MARGIN_MS,
+    )
+    gateway.start_drain(period)
+    while clock.now_ms() < period.notice_ends_ms:
+        await asyncio.sleep(ms_to_seconds(DRAIN_POLL_INTERVAL_MS))
+    listener.close()
+    while clock.now_ms() < period.ends_ms:
+        # Connections that were accepted as the listener closed are registered meanwhile.
+        await asyncio.sleep(ms_to_seconds(DRAIN_POLL_INTERVAL_MS))
+        for connection in list(connections):
+            connection.close_if_idle()
+        if not connections and not gateway.in_progress:
+            break
+    _log.info("stop_ends", in_progress=gateway.in_progress)
+    gateway.end_drain()
+    while gateway.in_progress and clock.now_ms() < period.ends_ms + FINAL_ANSWER_MS:
+        await asyncio.sleep(ms_to_seconds(FINAL_ANSWER_POLL_INTERVAL_MS))
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import signal
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from functools import partial
 
 from bergamothill.clock import Clock, SystemClock, ms_to_seconds
@@ -14,31 +14,28 @@
 from bergamothill.connection.keptconnections import KeptConnections, max_idle_connections
 from bergamothill.connection.kvs import KeyValueEntry
 from bergamothill.errors import ProtocolError
-from bergamothill.ids import DutyName, EntryInstanceId, ModelName, ZoneName
+from bergamothill.ids import EntryInstanceId, ZoneName
 from bergamothill.logs import EventLog
-from bergamothill.platform import engines
 from bergamothill.platform.config import OPERATOR_PREFIX
 from bergamothill.platform.kvs import PlatformKeyValueService
 from bergamothill.platform.servers import SERVER_PREFIX, decode_server
 from bergamothill.platform.settings import load_node_settings
 from bergamothill.process.coldservers import ColdServers
 from bergamothill.process.configstate import ConfigState
-from bergamothill.process.drainperiod import DrainPeriod
-from bergamothill.process.dutycontenders import DutyContenders
 from bergamothill.process.gateway import Gateway
 from bergamothill.process.gatewaymetrics import GatewayMetrics
 from bergamothill.process.instanceroster import InstanceRoster
-from bergamothill.process.lease import DutyLease
-from bergamothill.process.leasemachine import LeaseTimes
 from bergamothill.process.limitexchange import LimitExchange
 from bergamothill.process.loadexchange import LoadExchange
 from bergamothill.process.loadreport import PeerLoads
 from bergamothill.process.nodecontext import NodeContext
+from bergamothill.process.nodedrain import EXIT_MARGIN_MS, drain_callers
+from bergamothill.process.nodeduties import ORDER_MARKER_KEY, SwapView, make_swap_duty
 from bergamothill.process.nodequarantine import NodeQuarantine
 from bergamothill.process.nodesettings import DeploymentBounds, NodeSettings
 from bergamothill.process.nodestreams import NodeStreams
 from bergamothill.process.operatorview import OperatorView
-from bergamothill.process.ordergap import OrderGapGuard, read_settled_era
+from bergamothill.process.ordergap import read_settled_era
 from bergamothill.process.originexchange import OriginExchange
 from bergamothill.process.prefillexchange import PrefillExchange
 from bergamothill.process.prefixfollower import PrefixFollower, Snapshot
@@ -50,7 +47,6 @@
 from bergamothill.process.serverlimits import ServerLimits
 from bergamothill.process.serverpool import ServerPool
 from bergamothill.process.supervisor import Supervisor
-from bergamothill.process.swapduty import SwapDuty
 from bergamothill.process.sweepduty import SweepDuty
 from bergamothill.request.contextplan import FETCH_TIMEOUT_MS, ContextPlanner
 from bergamothill.request.streamorigin import StreamOrigins
@@ -62,31 +58,12 @@
 __all__ = ["METRICS_PORT", "PlatformNode"]
 
 METRICS_PORT = 9464
-SWAP_DUTY = DutyName("weights")
-ORDER_MARKER_KEY = "duty-orders/weights"
-LEASE_MARGIN_DIVISOR = 5
-
 ENTRY_LIFE_HEARTBEATS = 4
 """Entries of servers expire after three heartbeat intervals of silence; one more for the delay."""
 
 MIN_ENTRY_LIFE_HEARTBEATS = 2
 """A live server wrote its entry at most one heartbeat interval before a list that contains it."""
 
-READINESS_NOTICE_MS = 2_800
-"""The load balancer checks every second and removes an instance after two failed checks.
-
-What is taken from three seconds after the signal on must be answered before the kill signal.
-"""
-
-EXIT_MARGIN_MS = 700
-"""Time reserved before the kill signal to close connections and write the log."""
-
-FINAL_ANSWER_MS = 150
-"""Part of that time in which requests that have no answer yet get one."""
-
-DRAIN_POLL_INTERVAL_MS = 50
-FINAL_ANSWER_POLL_INTERVAL_MS = 10
-
 _log = EventLog("node")
 
 
@@ -190,28 +167,14 @@
             self._roster,
             self._gateway,
         )
-        self._swap_view: tuple[Mapping[ModelName, WeightTarget], tuple[SwapEngine, ...]] = ({}, ())
-        self._swaps = self._make_swap_duty()
-
-    def _make_swap_duty(self) -> SwapDuty:
-        bounds, holder = self._settings.bounds, self._settings.entry
-        ttl_ms = max(self._settings.min_lease_ms, bounds.order_gap_ms // 2)
-        # The order marker enforces the gap between holders, so the lease needs no settle time.
-        times = LeaseTimes(ttl_ms=ttl_ms, margin_ms=ttl_ms // LEASE_MARGIN_DIVISOR, settle_ms=0)
-        lease = DutyLease(self._kvs, self._clock, SWAP_DUTY, holder, times=times)
-        order_gap = OrderGapGuard(
-            self._kvs, ORDER_MARKER_KEY, holder, lease, bounds.order_gap_ms, ttl_ms
-        )
-        return SwapDuty(
-            lease,
-            order_gap,
-            self._clock,
-            engines,
+        self._swap_view: SwapView = ({}, ())
+        self._swaps = make_swap_duty(
+            settings,
+            self._kvs,
+            clock,
+            self._roster,
             lambda: self._swap_view,
-            holder,
-            enforces_fencing=bounds.engines_check_fencing,
-            on_swapped=self._on_swapped,
-            may_contend=DutyContenders(self._roster, SWAP_DUTY, self._clock).may_contend,
+            self._on_swapped,
         )
 
     def _make_sweep_duty(self) -> SweepDuty:
@@ -496,29 +459,14 @@
         _log.info("reload", changed=changed)
 
     async def _drain(self, caller_listener: CallerListener) -> None:
-        started_ms = self._clock.now_ms()
-        _log.info("stop_begins", in_progress=self._gateway.in_progress)
         self._draining = True
-        grace_ms = self._settings.bounds.stop_grace_ms
-        period = DrainPeriod(
-            notice_ends_ms=started_ms + min(READINESS_NOTICE_MS, grace_ms // 2),
-            ends_ms=started_ms + grace_ms - EXIT_MARGIN_MS,
+        await drain_callers(
+            self._clock,
+            self._gateway,
+            caller_listener,
+            self._connections,
+            self._settings.bounds.stop_grace_ms,
         )
-        self._gateway.start_drain(period)
-        while self._clock.now_ms() < period.notice_ends_ms:
-            await asyncio.sleep(ms_to_seconds(DRAIN_POLL_INTERVAL_MS))
-        caller_listener.close()
-        while self._clock.now_ms() < period.ends_ms:
-            # Connections that were accepted as the listener closed are registered meanwhile.
-            await asyncio.sleep(ms_to_seconds(DRAIN_POLL_INTERVAL_MS))
-            for connection in list(self._connections):
-                connection.close_if_idle()
-            if not self._connections and not self._gateway.in_progress:
-                break
-        _log.info("stop_ends", in_progress=self._gateway.in_progress)
-        self._gateway.end_drain()
-        while self._gateway.in_progress and self._clock.now_ms() < period.ends_ms + FINAL_ANSWER_MS:
-            await asyncio.sleep(ms_to_seconds(FINAL_ANSWER_POLL_INTERVAL_MS))
 
 
 def _read_times(bounds: DeploymentBounds) -> ReadTimes:
--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -14,8 +14,9 @@
 from bergamothill.connection.kvs import KeyValueEntry
 from bergamothill.platform.config import TARGET_PREFIX
 from bergamothill.platform.settings import load_node_settings
-from bergamothill.process import platformnode
-from bergamothill.process.platformnode import READINESS_NOTICE_MS, PlatformNode
+from bergamothill.process import nodedrain
+from bergamothill.process.nodedrain import READINESS_NOTICE_MS
+from bergamothill.process.platformnode import PlatformNode
 from bergamothill.process.prefixfollower import Snapshot
 from bergamothill.process.registry import Peer
 from bergamothill.version.weighttarget import WeightTarget
@@ -70,7 +71,7 @@
         async def sleep(duration_s):
             self.clock.advance_ms(int(duration_s * 1_000))
 
-        with mock.patch.object(platformnode.asyncio, "sleep", sleep):
+        with mock.patch.object(nodedrain.asyncio, "sleep", sleep):
             asyncio.run(self.node._drain(self.listener))
         return self.clock.now_ms()
 
