--- a/review/fleet.py
+++ b/review/fleet.py
@@ -356,13 +356,15 @@
             "X-Server-Signature": f"sig.{self.name}",
         }
 
-    async def answer(self, arrival: Arrival, writer: asyncio.StreamWriter) -> None:
+    async def answer(
+        self, arrival: Arrival, writer: asyncio.StreamWriter, version: int = 1
+    ) -> None:
         """Answer a plain request, or a stream of three events for a model."""
         await asyncio.sleep(0.02)
         if self._model is None:
             writer.write(encode_json("200 OK", {"done": arrival.request}, self.signed(arrival)))
             return
-        fields = self.signed(arrival) | {"X-Weight-Versions": "1"}
+        fields = self.signed(arrival) | {"X-Weight-Versions": str(version)}
         lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
         lines += [f"{name}: {value}" for name, value in fields.items()]
         lines.append("Transfer-Encoding: chunked")
