--- a/review/fleet.py
+++ b/review/fleet.py
@@ -387,16 +387,24 @@
 class Node:
     """One entry instance, started with the command of the deploy file."""
 
+    lease_ms = 3_000
+    """Value of ``leaseMs`` in its settings."""
+
     def __init__(self, number: int, store: Store, folder: Path) -> None:
         network = os.getpid() % 62_500
         self.ip = f"127.{1 + network // 250}.{network % 250}.{10 + number}"
         self.zone = ZONES[number % len(ZONES)]
         self.name = f"front-{self.zone}-{1 + number // len(ZONES)}"
         self._settings = folder / f"{self.name}.toml"
-        self._settings.write_text(self._text(store.address), encoding="utf-8")
+        self._store_address = store.address
+        self.write_settings()
         self._log = folder / f"{self.name}.log"
         self.process: subprocess.Popen[bytes] | None = None
 
+    def write_settings(self) -> None:
+        """Write the settings file."""
+        self._settings.write_text(self._text(self._store_address), encoding="utf-8")
+
     def start(self) -> None:
         """Start the process."""
         paths = [str(ROOT), str(ROOT / "target" / "deps")]
@@ -500,7 +508,7 @@
 budgetWindowS = 10
 retryBudgetSlack = 52
 requireFencing = false
-leaseMs = 3000
+leaseMs = {self.lease_ms}
 versionMs = 6000
 [platform]
 address = "{store_address}"
@@ -568,6 +576,8 @@
 
     async def play() -> None:
         status = 2
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             fleet.store = Store()
             await fleet.store.start()
