Encode the elements of names of cached context

Models with "~" in their name had no version, so their context was never freed.

Names without special characters stay as they were.

--- a/bergamothill/version/homes.py
+++ b/bergamothill/version/homes.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from bergamothill.ids import RegionName, ZoneName
+from bergamothill.version.cachenamespace import encode_name
 from bergamothill.version.routetable import Brand, Route
 
 __all__ = ["HomeRegions", "RegionMap", "home_regions"]
@@ -46,4 +47,4 @@
         """
         if homes is None or homes.issuperset(self.regions.values()):
             return ""
-        return ",".join(sorted(homes))
+        return ",".join(encode_name(region) for region in sorted(homes))
