Name shared context by the set of isolated brands

Cause: all brands that are not isolated had one namespace for each model and weight version. Isolation was a property of the request alone, so what a brand had made before stayed within everybody's reach, and neither a time nor a weight version ended that.

The shared namespace now contains a digest of the set of isolated brands, with or without keys. What lies under the name of a set was made by brands outside it, whichever configurations came before or are restored later; an instance needs only the configuration in force to know the name. Adding a brand or a key changes no name; a change of the set costs one reading of the shared parts.

--- a/bergamothill/platform/config.py
+++ b/bergamothill/platform/config.py
@@ -70,6 +70,7 @@
         services=services,
         stores=tuple(stores),
         brands=_decode_brands_by_api_key(document),
+        isolated=_decode_isolated(document),
         limits=_decode_limits(document.child("limits")),
     )
 
@@ -200,6 +201,13 @@
     return brands_by_api_key
 
 
+def _decode_isolated(document: Fields) -> frozenset[BrandName]:
+    tenants = (Fields(row, step=_STEP) for row in document.rows("tenants"))
+    return frozenset(
+        BrandName(fields.text("name")) for fields in tenants if fields.flag("isolated", False)
+    )
+
+
 def _decode_limits(fields: Fields) -> CallerLimits:
     defaults = CallerLimits()
     return CallerLimits(
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -51,6 +51,7 @@
 from bergamothill.request.contextplan import FETCH_TIMEOUT_MS, ContextPlanner
 from bergamothill.request.streamorigin import StreamOrigins
 from bergamothill.version.cacheindex import CacheIndex
+from bergamothill.version.cachenamespace import BrandIsolation
 from bergamothill.version.routetable import RoutingConfig
 from bergamothill.version.weightswap import SwapEngine
 from bergamothill.version.weighttarget import WeightTarget
@@ -374,6 +375,7 @@
 
     def _apply_config(self, config: RoutingConfig, entry: KeyValueEntry, sent_ms: int) -> None:
         self._planner.set_stores(config.stores)
+        self._server_pool.selector.isolation = BrandIsolation(config.isolated)
         self._kept_connections.share.set_services(config.services.values())
         self._server_pool.limits.set_services(config.services)
         self._streams.apply_config(config)
--- a/bergamothill/request/callerrequest.py
+++ b/bergamothill/request/callerrequest.py
@@ -118,6 +118,7 @@
     :param weights_outdated_ms: longest time for which that version can have been outdated; 0 if it
         is not; not sent
     :param cache_salt: KV cache namespace that the request may use; empty for a plain service
+    :param cache_scope: brands that share this namespace; not sent
     :param fetch_from: for each part of the prompt, address from which the engine may fetch it;
         empty string for none
     :param save_to: for each part of the prompt, address to which the engine saves it; empty
@@ -149,6 +150,7 @@
     weight_version: int | None = None
     weights_outdated_ms: int = 0
     cache_salt: str = ""
+    cache_scope: str = ""
     fetch_from: tuple[str, ...] = ()
     save_to: tuple[str, ...] = ()
     fetch_until_ms: int = 0
--- a/bergamothill/version/cacheindex.py
+++ b/bergamothill/version/cacheindex.py
@@ -20,7 +20,7 @@
 class PartKey:
     """Key of a part of cached context.
 
-    :param salt: namespace of the weight version and, for isolated brands, the brand
+    :param salt: namespace; see :class:`~bergamothill.version.cachenamespace.Namespace`
     :param part: name of the part
     """
 
--- a/bergamothill/version/routetable.py
+++ b/bergamothill/version/routetable.py
@@ -185,6 +185,7 @@
     :param services: services by name
     :param stores: stores of cached context
     :param brands: brands by bearer key
+    :param isolated: names of the isolated brands, including those without a key
     :param limits: limits on requests of callers
     """
 
@@ -193,6 +194,7 @@
     services: dict[ServiceName, Service] = field(default_factory=dict)
     stores: tuple[CacheStore, ...] = ()
     brands: dict[str, Brand] = field(default_factory=dict)
+    isolated: frozenset[BrandName] = frozenset()
     limits: CallerLimits = CallerLimits()
 
 
