Keep swapped weights by model, not by engine alone

The list of an engine's versions had the same key, so that the version of the model named last ended swaps of the others without an order, and replies were matched by server alone. Swaps in progress stay by server, as an engine carries out one order at a time.

tests.test_weightswap.SeveralModelsTest before: the four tests of this commit failed; now passed.

--- a/bergamothill/version/weightswap.py
+++ b/bergamothill/version/weightswap.py
@@ -14,6 +14,7 @@
 from bergamothill.version.weighttarget import WeightTarget
 
 __all__ = [
+    "EngineModel",
     "QueryState",
     "SwapEngineState",
     "OrderSwap",
@@ -86,9 +87,23 @@
     waiting: int
 
 
+@dataclass(frozen=True, slots=True)
+class EngineModel:
+    """One of the models of an engine, which has a weight version of its own.
+
+    :param server: id of the engine
+    :param started_wall_ms: start time of its incarnation, in milliseconds since the epoch
+    :param model: model that it serves
+    """
+
+    server: ServerId
+    started_wall_ms: int
+    model: ModelName
+
+
 @dataclass(frozen=True, slots=True)
 class SwapEngine:
-    """Engine in the instance list.
+    """Engine in the instance list, with one of its models.
 
     :param server: id of the engine
     :param started_wall_ms: start time of its incarnation, in milliseconds since the epoch
@@ -103,6 +118,11 @@
     model: ModelName
     version: int
 
+    @property
+    def key(self) -> EngineModel:
+        """What the version belongs to."""
+        return EngineModel(self.server, self.started_wall_ms, self.model)
+
 
 @dataclass(frozen=True, slots=True)
 class QueryState:
@@ -155,9 +175,11 @@
     def __init__(self, mode: SwapMode = SwapMode.CONTINUE) -> None:
         self._mode = mode
         self._swaps: dict[ServerId, _Swap] = {}
+        """By server, as an engine carries out one order at a time, whatever model it names."""
+
         self._backoff_until_ms: dict[ServerId, int] = {}
         self._deferred_until_ms = 0
-        self._finished_versions: dict[tuple[ServerId, int], int] = {}
+        self._finished_versions: dict[EngineModel, int] = {}
 
     @property
     def is_idle(self) -> bool:
@@ -193,19 +215,17 @@
         targets: Mapping[ModelName, WeightTarget],
         now_ms: int,
     ) -> None:
-        listed = {(engine.server, engine.started_wall_ms): engine.version for engine in engines}
+        listed = {engine.key: engine.version for engine in engines}
         for server, swap in list(self._swaps.items()):
             engine = swap.engine
             target = targets.get(engine.model)
             is_timed_out = now_ms - swap.started_ms >= SWAP_TIMEOUT_MS
             is_outdated = target is None or (target.version != swap.version and not swap.is_ordered)
-            if listed.get((engine.server, engine.started_wall_ms), 0) >= swap.version:
+            if listed.get(engine.key, 0) >= swap.version:
                 self._finish(swap)
-            elif (
-                (engine.server, engine.started_wall_ms) not in listed or is_timed_out or is_outdated
-            ):
+            elif engine.key not in listed or is_timed_out or is_outdated:
                 del self._swaps[server]
-        servers = {server for server, _ in listed}
+        servers = {key.server for key in listed}
         self._backoff_until_ms = {
             server: until_ms
             for server, until_ms in self._backoff_until_ms.items()
@@ -229,8 +249,7 @@
             swaps_in_progress += 1
 
     def _effective_version(self, engine: SwapEngine) -> int:
-        key = (engine.server, engine.started_wall_ms)
-        return max(engine.version, self._finished_versions.get(key, 0))
+        return max(engine.version, self._finished_versions.get(engine.key, 0))
 
     def _effects(self, now_ms: int) -> Iterable[SwapEffect]:
         for swap in self._swaps.values():
@@ -251,7 +270,7 @@
         :param state: reported state; None when the query failed
         :returns: whether its swap is finished
         """
-        swap = self._swaps.get(engine.server)
+        swap = self._swap_of(engine)
         if swap is None:
             return False
         if state is None:
@@ -264,12 +283,16 @@
         swap.state = state
         return False
 
+    def _swap_of(self, engine: SwapEngine) -> _Swap | None:
+        """Return the swap of an engine's model; None if it has ended."""
+        swap = self._swaps.get(engine.server)
+        return swap if swap is not None and swap.engine.key == engine.key else None
+
     def _handle_failed_query(self, swap: _Swap) -> None:
         swap.failed_queries += 1
         if swap.failed_queries >= MAX_FAILED_QUERIES and not swap.is_ordered:
-            server = swap.engine.server
-            del self._swaps[server]
-            self._backoff_until_ms[server] = swap.queried_ms + UNREACHABLE_BACKOFF_MS
+            del self._swaps[swap.engine.server]
+            self._backoff_until_ms[swap.engine.server] = swap.queried_ms + UNREACHABLE_BACKOFF_MS
 
     def handle_outcome(self, order: OrderSwap, outcome: SwapOutcome, now_ms: int) -> None:
         """Process the outcome of an order.
@@ -278,7 +301,7 @@
         :param outcome: its outcome
         :param now_ms: current time, in milliseconds
         """
-        swap = self._swaps.get(order.engine.server)
+        swap = self._swap_of(order.engine)
         if swap is None:
             return
         if outcome is SwapOutcome.ALREADY_HOLDS:
@@ -295,5 +318,5 @@
 
     def _finish(self, swap: _Swap) -> None:
         engine = swap.engine
-        self._finished_versions[(engine.server, engine.started_wall_ms)] = swap.version
+        self._finished_versions[engine.key] = swap.version
         del self._swaps[engine.server]
--- a/tests/test_weightswap.py
+++ b/tests/test_weightswap.py
@@ -155,6 +155,79 @@
         self.assertTrue(self.swap.is_idle)
 
 
+def engine_of(model, name, version=1):
+    return SwapEngine(name, 1, f"{name}:80", model, version)
+
+
+class SeveralModelsTest(unittest.TestCase):
+    """Engines that serve two models each, whose orders are carried out one at a time."""
+
+    LOAD_MS = 300
+
+    def setUp(self):
+        self.swap = WeightSwap()
+        self.versions = {(f"s{n}", model): 1 for n in range(5) for model in ("m0", "m1")}
+        self.loading = {}
+        self.failing = set()
+        self.max_loading = 0
+
+    def listed(self):
+        return [engine_of(model, name, v) for (name, model), v in self.versions.items()]
+
+    def run_until(self, start_ms, end_ms, **targets):
+        """Let the engines carry out all orders; return the orders that were sent."""
+        orders = []
+        named = {model: WeightTarget(model, version) for model, version in targets.items()}
+        for now_ms in range(start_ms, end_ms, 40):
+            for name, (model, version, loaded_ms) in list(self.loading.items()):
+                if loaded_ms <= now_ms:
+                    self.versions[name, model] = version
+                    del self.loading[name]
+            for effect in self.swap.plan(named, self.listed(), now_ms):
+                name, model = effect.engine.server, effect.engine.model
+                if isinstance(effect, QueryState):
+                    weights = {m: v for (n, m), v in self.versions.items() if n == name}
+                    reported = SwapEngineState(weights, name in self.loading, 0, 0, 0)
+                    self.swap.handle_state(effect.engine, reported)
+                    continue
+                orders.append(effect)
+                self.assertNotIn(name, self.loading, "a second order at a busy engine")
+                if (name, model) not in self.failing:
+                    self.loading[name] = (model, effect.version, now_ms + self.LOAD_MS)
+                self.swap.handle_outcome(effect, SwapOutcome.ACCEPTED, now_ms)
+            self.max_loading = max(self.max_loading, len(self.loading))
+        return orders
+
+    def test_new_weights_of_a_second_model_are_ordered_after_those_of_the_first(self):
+        # VERSION: the finished swap of one model counted for all models of its engine, which then
+        # never got an order for another one.
+        self.run_until(100, 3_000, m0=2)
+        orders = self.run_until(3_000, 6_000, m0=2, m1=2)
+        self.assertEqual({"m1"}, {order.engine.model for order in orders})
+        self.assertEqual({2}, set(self.versions.values()))
+
+    def test_a_target_of_another_model_does_not_end_a_swap_without_an_order(self):
+        # The list was kept by engine alone, so that the version of the model named last ended the
+        # swaps of the others.
+        self.versions = {(f"s{n}", m): v for n in range(5) for m, v in (("m0", 1), ("m1", 3))}
+        self.run_until(100, 3_000, m0=2)
+        self.assertEqual({("m0", 2), ("m1", 3)}, {(m, v) for (_, m), v in self.versions.items()})
+
+    def test_an_engine_that_lists_a_model_no_more_gets_no_order_for_it(self):
+        self.run_until(100, 200, m0=2)
+        self.versions = {key: v for key, v in self.versions.items() if key[1] == "m1"}
+        self.loading.clear()
+        self.assertEqual([], self.run_until(200, 1_000, m0=2))
+        self.assertTrue(self.swap.is_idle)
+
+    def test_a_reply_about_another_model_changes_no_swap(self):
+        first = engine_of("m0", "s0")
+        self.swap.plan({"m0": WeightTarget("m0", 2)}, [first], 100)
+        loaded = SwapEngineState({"m0": 1, "m1": 2}, False, 0, 0, 0)
+        self.assertFalse(self.swap.handle_state(engine_of("m1", "s0"), loaded))
+        self.assertFalse(self.swap.is_idle)
+
+
 class OrderTurnTest(unittest.TestCase):
     def setUp(self):
         self.clock = ManualClock(1_000)
