Count loads of all models against the share of engines that load

Callers: longer loads, as a load takes longer the more engines load at once.

The limit was counted for each model by itself, though a load occupies its engine whatever model it is of: with two targets, four of five engines loaded at once. It now holds for the engines of a model, with the loads of their other models. The double of the proof had raised the limit by counting engines four times, which a set of servers does not do; it now has no limit at all.

test_two_targets_at_once_load_on_no_more_engines_than_one before: 4 != 2.

--- a/bergamothill/version/weightswap.py
+++ b/bergamothill/version/weightswap.py
@@ -204,9 +204,7 @@
         """
         engines = tuple(engines)
         self._remove_ended_swaps(engines, targets, now_ms)
-        for model, target in targets.items():
-            model_engines = [engine for engine in engines if engine.model == model]
-            self._start_swaps(target, model_engines, now_ms)
+        self._start_swaps(targets, engines, now_ms)
         return tuple(self._effects(now_ms))
 
     def _remove_ended_swaps(
@@ -235,18 +233,33 @@
             key: v for key, v in self._finished_versions.items() if key in listed
         }
 
-    def _start_swaps(self, target: WeightTarget, engines: list[SwapEngine], now_ms: int) -> None:
-        max_swaps = max(1, int(MAX_LOADING_SHARE * len(engines)))
-        swaps_in_progress = sum(swap.engine.model == target.model for swap in self._swaps.values())
+    def _start_swaps(
+        self,
+        targets: Mapping[ModelName, WeightTarget],
+        engines: tuple[SwapEngine, ...],
+        now_ms: int,
+    ) -> None:
+        servers: dict[ModelName, set[ServerId]] = {}
         for engine in engines:
-            if swaps_in_progress >= max_swaps:
-                return
-            if self._effective_version(engine) >= target.version or engine.server in self._swaps:
-                continue
-            if self._backoff_until_ms.get(engine.server, 0) > now_ms:
+            servers.setdefault(engine.model, set()).add(engine.server)
+        due = [
+            engine
+            for model, target in targets.items()
+            for engine in engines
+            if engine.model == model and self._effective_version(engine) < target.version
+        ]
+        for engine in due:
+            is_backing_off = self._backoff_until_ms.get(engine.server, 0) > now_ms
+            if is_backing_off or engine.server in self._swaps:
                 continue
-            self._swaps[engine.server] = _Swap(engine, target.version, now_ms)
-            swaps_in_progress += 1
+            if self._has_room(servers[engine.model]):
+                version = targets[engine.model].version
+                self._swaps[engine.server] = _Swap(engine, version, now_ms)
+
+    def _has_room(self, servers: set[ServerId]) -> bool:
+        """Return whether one more of a model's engines may load; loads of other models count."""
+        loading = sum(server in servers for server in self._swaps)
+        return loading < max(1, int(MAX_LOADING_SHARE * len(servers)))
 
     def _effective_version(self, engine: SwapEngine) -> int:
         return max(engine.version, self._finished_versions.get(engine.key, 0))
--- a/tests/proof/proof_swaps.py
+++ b/tests/proof/proof_swaps.py
@@ -30,10 +30,10 @@
 
 
 class UnlimitedWeightSwap(WeightSwap):
-    """Test double that raises the limit on concurrent loads by counting each engine four times."""
+    """Test double without a limit on concurrent loads."""
 
-    def _start_swaps(self, target, engines, now_ms):
-        super()._start_swaps(target, [*engines, *[e for e in engines for _ in range(3)]], now_ms)
+    def _has_room(self, servers):
+        return True
 
 
 class RepeatableWeightSwap(WeightSwap):
--- a/tests/test_weightswap.py
+++ b/tests/test_weightswap.py
@@ -206,6 +206,12 @@
         self.assertEqual({"m1"}, {order.engine.model for order in orders})
         self.assertEqual({2}, set(self.versions.values()))
 
+    def test_two_targets_at_once_load_on_no_more_engines_than_one(self):
+        # Two models of the same engines loaded on up to four of five engines.
+        self.run_until(100, 6_000, m0=2, m1=2)
+        self.assertEqual({2}, set(self.versions.values()))
+        self.assertEqual(2, self.max_loading)
+
     def test_a_target_of_another_model_does_not_end_a_swap_without_an_order(self):
         # The list was kept by engine alone, so that the version of the model named last ended the
         # swaps of the others.
