Let weight swaps that fail wait for the others' turn

Callers: requests refused for a model whose engines would have loaded its new weights.

A swap that had timed out, was refused or could not query its engine began anew at the next tick, as engines were gone through in the order of the list: two engines that never finish, or one model that fails on all engines, held the whole share of loads. Engines now get their turn by model, first the one whose latest failure is longest ago, then by engine in the same way.

The two new tests before: s2, s3, s4 were never ordered; m1 stayed at version 1 on all engines.

--- a/bergamothill/version/weightswap.py
+++ b/bergamothill/version/weightswap.py
@@ -180,6 +180,8 @@
         self._backoff_until_ms: dict[ServerId, int] = {}
         self._deferred_until_ms = 0
         self._finished_versions: dict[EngineModel, int] = {}
+        self._failed_ms: dict[EngineModel, int] = {}
+        """Time of the latest failure of a swap since the last one that finished."""
 
     @property
     def is_idle(self) -> bool:
@@ -221,8 +223,10 @@
             is_outdated = target is None or (target.version != swap.version and not swap.is_ordered)
             if listed.get(engine.key, 0) >= swap.version:
                 self._finish(swap)
-            elif engine.key not in listed or is_timed_out or is_outdated:
+            elif engine.key not in listed or is_outdated:
                 del self._swaps[server]
+            elif is_timed_out:
+                self._fail(swap, now_ms)
         servers = {key.server for key in listed}
         self._backoff_until_ms = {
             server: until_ms
@@ -232,6 +236,7 @@
         self._finished_versions = {
             key: v for key, v in self._finished_versions.items() if key in listed
         }
+        self._failed_ms = {key: ms for key, ms in self._failed_ms.items() if key in listed}
 
     def _start_swaps(
         self,
@@ -239,6 +244,10 @@
         engines: tuple[SwapEngine, ...],
         now_ms: int,
     ) -> None:
+        """Start swaps, first those of the model whose latest failure is longest ago.
+
+        A model or an engine whose swaps fail again and again thus keeps no other from its turn.
+        """
         servers: dict[ModelName, set[ServerId]] = {}
         for engine in engines:
             servers.setdefault(engine.model, set()).add(engine.server)
@@ -248,7 +257,7 @@
             for engine in engines
             if engine.model == model and self._effective_version(engine) < target.version
         ]
-        for engine in due:
+        for engine in sorted(due, key=self._turn):
             is_backing_off = self._backoff_until_ms.get(engine.server, 0) > now_ms
             if is_backing_off or engine.server in self._swaps:
                 continue
@@ -256,6 +265,11 @@
                 version = targets[engine.model].version
                 self._swaps[engine.server] = _Swap(engine, version, now_ms)
 
+    def _turn(self, engine: SwapEngine) -> tuple[int, int]:
+        """Return the latest failure of any engine of its model, and that of this engine."""
+        failed_ms = (ms for key, ms in self._failed_ms.items() if key.model == engine.model)
+        return (max(failed_ms, default=0), self._failed_ms.get(engine.key, 0))
+
     def _has_room(self, servers: set[ServerId]) -> bool:
         """Return whether one more of a model's engines may load; loads of other models count."""
         loading = sum(server in servers for server in self._swaps)
@@ -304,7 +318,7 @@
     def _handle_failed_query(self, swap: _Swap) -> None:
         swap.failed_queries += 1
         if swap.failed_queries >= MAX_FAILED_QUERIES and not swap.is_ordered:
-            del self._swaps[swap.engine.server]
+            self._fail(swap, swap.queried_ms)
             self._backoff_until_ms[swap.engine.server] = swap.queried_ms + UNREACHABLE_BACKOFF_MS
 
     def handle_outcome(self, order: OrderSwap, outcome: SwapOutcome, now_ms: int) -> None:
@@ -319,17 +333,24 @@
             return
         if outcome is SwapOutcome.ALREADY_HOLDS:
             self._finish(swap)
-        elif outcome in (SwapOutcome.REFUSED, SwapOutcome.DEFERRED):
+        elif outcome is SwapOutcome.REFUSED:
+            self._fail(swap, now_ms)
+            self._backoff_until_ms[order.engine.server] = now_ms + REFUSED_BACKOFF_MS
+        elif outcome is SwapOutcome.DEFERRED:
             del self._swaps[order.engine.server]
             self._backoff_until_ms[order.engine.server] = now_ms + REFUSED_BACKOFF_MS
-            if outcome is SwapOutcome.DEFERRED:
-                self._deferred_until_ms = now_ms + REFUSED_BACKOFF_MS
+            self._deferred_until_ms = now_ms + REFUSED_BACKOFF_MS
         elif outcome in (SwapOutcome.BUSY, SwapOutcome.NOT_SENT, SwapOutcome.UNKNOWN):
             # The next reported state shows whether the order was accepted. Repeating it is safe:
             # with the same count of accepted orders it can take effect only once.
             swap.is_ordered = False
 
+    def _fail(self, swap: _Swap, now_ms: int) -> None:
+        self._failed_ms[swap.engine.key] = now_ms
+        del self._swaps[swap.engine.server]
+
     def _finish(self, swap: _Swap) -> None:
         engine = swap.engine
         self._finished_versions[engine.key] = swap.version
+        self._failed_ms.pop(engine.key, None)
         del self._swaps[engine.server]
--- a/tests/test_weightswap.py
+++ b/tests/test_weightswap.py
@@ -219,6 +219,19 @@
         self.run_until(100, 3_000, m0=2)
         self.assertEqual({("m0", 2), ("m1", 3)}, {(m, v) for (_, m), v in self.versions.items()})
 
+    def test_a_model_that_fails_to_load_does_not_keep_another_from_loading(self):
+        # The first model's swaps began anew as soon as they had timed out.
+        self.failing = {(f"s{n}", "m0") for n in range(5)}
+        self.run_until(100, 100 + 2 * SWAP_TIMEOUT_MS, m0=2, m1=2)
+        self.assertEqual({2}, {v for (_, m), v in self.versions.items() if m == "m1"})
+
+    def test_engines_that_fail_to_load_do_not_keep_the_others_from_loading(self):
+        # The swaps of the first engines of the list began anew as soon as they had timed out.
+        self.failing = {("s0", "m0"), ("s1", "m0")}
+        self.run_until(100, 100 + 2 * SWAP_TIMEOUT_MS, m0=2)
+        loaded = {name for (name, m), v in self.versions.items() if m == "m0" and v == 2}
+        self.assertEqual({"s2", "s3", "s4"}, loaded)
+
     def test_an_engine_that_lists_a_model_no_more_gets_no_order_for_it(self):
         self.run_until(100, 200, m0=2)
         self.versions = {key: v for key, v in self.versions.items() if key[1] == "m1"}
