--- a/bergamothill/process/serverpool.py
+++ b/bergamothill/process/serverpool.py
@@ -352,7 +352,7 @@
                 return None
         is_prompt = service.engine is not None and request.model is not None
         if is_prompt:
-            usable = [b for b in usable if self._may_run_on_weights(b, request.model, now_ms)]
+            usable = self._with_due_weights(usable, request.model, now_ms)
             if not usable:
                 return None
         if self.limits.has_any:
--- a/bergamothill/process/serverweights.py
+++ b/bergamothill/process/serverweights.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from bergamothill.ids import ModelName, ServerId
+from bergamothill.logs import EventLog
 from bergamothill.process.backends import BackendServer
 from bergamothill.process.observedserver import ObservedServer
 from bergamothill.process.serverrecoveries import ServerRecoveries
@@ -22,6 +23,10 @@
 QUEUE_MARGIN_MS = 2_000
 """Time for which a request may be queued at an engine before it starts."""
 
+OVERDUE_LOG_INTERVAL_MS = 1_000
+
+_log = EventLog("weights")
+
 
 class ServerWeights(ServerRecoveries):
     """Weight targets, and the versions that the engines are known to have.
@@ -44,6 +49,7 @@
         )
         self.targets: dict[ModelName, WeightTarget] = {}
         self._target_histories: dict[ModelName, TargetHistory] = {}
+        self._overdue_logged_ms: dict[ModelName, int] = {}
 
     def set_weight_target(
         self, target: WeightTarget, now_ms: int, *, set_after_ms: int | None
@@ -104,6 +110,31 @@
         is_usable = self.may_send_to(server, now_ms)
         return is_usable and self._may_run_on_weights(self._observed[server.server], model, now_ms)
 
+    def _with_due_weights(
+        self, states: list[ObservedServer], model: ModelName, now_ms: int
+    ) -> list[ObservedServer]:
+        """Return the engines on whose weights a new request may run; log if none is left."""
+        allowed = [b for b in states if self._may_run_on_weights(b, model, now_ms)]
+        if states and not allowed:
+            self._log_overdue(states, model, now_ms)
+        return allowed
+
+    def _log_overdue(self, states: list[ObservedServer], model: ModelName, now_ms: int) -> None:
+        logged_ms = self._overdue_logged_ms.get(model)
+        target = self.targets.get(model)
+        if target is None or (
+            logged_ms is not None and now_ms - logged_ms < OVERDUE_LOG_INTERVAL_MS
+        ):
+            return
+        self._overdue_logged_ms[model] = now_ms
+        _log.warning(
+            "weights_overdue",
+            model=model,
+            version=target.version,
+            servers=len(states),
+            max_age_ms=max(self._outdated(b, model, now_ms).max_age_ms for b in states),
+        )
+
     def _may_run_on_weights(self, state: ObservedServer, model: ModelName, now_ms: int) -> bool:
         """Return whether a new request may run on the weight version of an engine.
 
--- a/bergamothill/process/swapduty.py
+++ b/bergamothill/process/swapduty.py
@@ -163,6 +163,7 @@
             _log.info(
                 "order_held_back",
                 server=order.engine.server,
+                model=order.engine.model,
                 version=order.version,
                 wait_ms=self._order_gap.wait_ms(order.engine.server, now_ms),
             )
@@ -187,9 +188,10 @@
             self._machine.handle_state(effect.engine, None)
             raise
         if self._machine.handle_state(effect.engine, state):
-            version = state.weights[effect.engine.model]
-            _log.info("weights_swapped", server=effect.engine.server, version=version)
-            self._on_swapped(effect.engine, version)
+            engine = effect.engine
+            version = state.weights[engine.model]
+            _log.info("weights_swapped", server=engine.server, model=engine.model, version=version)
+            self._on_swapped(engine, version)
 
     @_perform.register
     def _(self, effect: OrderSwap) -> None:
@@ -206,6 +208,7 @@
         _log.info(
             "weights_ordered",
             server=effect.engine.server,
+            model=effect.engine.model,
             version=effect.version,
             mode=effect.mode.value,
             orders_accepted=effect.orders_accepted,
--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -7,6 +7,8 @@
 from pathlib import Path
 from unittest import mock
 
+import logbook
+
 from bergamothill.clock import ManualClock
 from bergamothill.connection import backendhttp
 from bergamothill.connection.backendhttp import ExchangeEnd, exchange
@@ -148,6 +150,19 @@
         self.run_until(63_000, version=2)
         self.assertEqual(1, self.chosen_version())
 
+    def test_refusals_for_overdue_weights_are_logged_once_a_second(self):
+        # The lines of a refusal did not tell that engines were there, with weights to be replaced.
+        self.read(1)
+        self.run_until(60_000, version=1)
+        self.run_until(66_000, version=2)
+        with logbook.TestHandler() as log:
+            for _ in range(30):
+                self.assertIsNone(self.chosen_version())
+                self.clock.advance_ms(100)
+        lines = [record.message for record in log.records if "weights_overdue" in record.message]
+        self.assertEqual(3, len(lines))
+        self.assertIn("model=m1 version=2 servers=2", lines[0])
+
 
 class ServerListTest(unittest.TestCase):
     def test_an_outage_counts_only_if_entries_can_have_expired_after_two_heartbeats(self):
