Free context of replaced sets of isolated brands in managed stores

Callers: prompts read again that a store could have held, as it was full of parts that no request uses.

The holder of the duty now frees the parts of retired scopes: once a store's events show some, no request of an earlier set can still run, and a read of the configuration that was sent after the listing shows no newer set. The call ends at a time on the store's clock, and an instance fetches nothing from stores for 1.5 s after it applied another set, so that no part is fetched while it is freed. Where strictRevocation is false, an instance may act on a configuration of any age, so that nothing is freed there.

--- a/bergamothill/platform/cachedcontext.py
+++ b/bergamothill/platform/cachedcontext.py
@@ -91,16 +91,19 @@
     return StoreListing(fields.integer("epoch"), keys)
 
 
-def free_parts(address: str, keys: list[PartKey], epoch: int) -> None:
+def free_parts(address: str, keys: list[PartKey], epoch: int, until_ms: int | None = None) -> None:
     """Free parts in a store.
 
     :param address: ``host:port`` of the store
     :param keys: parts that are no longer read
     :param epoch: store epoch in which the parts were listed
-    :raises ConflictError: the store has restarted since then
+    :param until_ms: time on the store's clock after which nothing is freed; None for no limit
+    :raises ConflictError: the store has restarted since then, or that time has passed
     :raises BergamothillError: the call failed
     """
-    body = {"parts": [[key.salt, key.part] for key in keys], "epoch": epoch}
+    body: dict[str, object] = {"parts": [[key.salt, key.part] for key in keys], "epoch": epoch}
+    if until_ms is not None:
+        body["until_ms"] = until_ms
     client = HttpClient("kept-context store", address)
     reply = client.request(
         "POST",
@@ -112,6 +115,8 @@
         new_connection=True,
     )
     if reply.status == 409:
-        raise ConflictError("the store has restarted", step="kept.free", peer=address)
+        raise ConflictError(
+            "the store has restarted or it is too late", step="kept.free", peer=address
+        )
     if reply.status not in (200, 202, 204):
         raise ProtocolError(f"unexpected status {reply.status}", step="kept.free", peer=address)
--- a/bergamothill/process/configstate.py
+++ b/bergamothill/process/configstate.py
@@ -70,7 +70,7 @@
         :param is_strict: reject all keys once the configuration is older than that
         """
         self._max_config_age_ms = max(1, revocation_ms - REVOCATION_MARGIN_MS)
-        self._is_strict = is_strict
+        self.is_strict = is_strict
 
     @property
     def version(self) -> int:
@@ -145,10 +145,14 @@
         """Return the time since the configuration was last known to be current; None if never."""
         return None if self._confirmed_ms is None else now_ms - self._confirmed_ms
 
+    def is_confirmed_since(self, sent_ms: int) -> bool:
+        """Return whether a read sent at some time or later showed the configuration in force."""
+        return self._confirmed_ms is not None and self._confirmed_ms >= sent_ms
+
     def is_config_fresh(self, now_ms: int) -> bool:
         """Return whether the configuration is fresh enough to accept keys."""
         age_ms = self.age_ms(now_ms)
-        return age_ms is not None and (not self._is_strict or age_ms < self._max_config_age_ms)
+        return age_ms is not None and (not self.is_strict or age_ms < self._max_config_age_ms)
 
     def admit(self, host: str, path: str, key: str | None, now_ms: int) -> Admission:
         """Decide whether to admit a request.
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -90,7 +90,7 @@
             self._log_unreadable_entry,
             self._apply_evacuation,
         )
-        cache_index = CacheIndex()
+        self._cache_index = cache_index = CacheIndex()
         self._planner = ContextPlanner(cache_index, settings.regions)
         self._supervisor = Supervisor(clock)
         peer_loads = PeerLoads()
@@ -183,15 +183,11 @@
             self._clock,
             lambda: self._swaps.is_held,
             lambda: self._swap_view,
-            self._managed_stores,
+            self._config,
+            self._cache_index,
             settle_ms=self._settings.bounds.key_revocation_ms + FETCH_TIMEOUT_MS,
         )
 
-    def _managed_stores(self) -> tuple[str, ...]:
-        table = self._config.table
-        stores = () if table is None else table.config.stores
-        return tuple(store.address for store in stores if store.is_managed)
-
     def _on_swapped(self, engine: SwapEngine, version: int) -> None:
         self._loop.call_soon_threadsafe(
             self._server_pool.record_weight_swap, engine.server, engine.model, version
@@ -375,7 +371,8 @@
 
     def _apply_config(self, config: RoutingConfig, entry: KeyValueEntry, sent_ms: int) -> None:
         self._planner.set_stores(config.stores)
-        self._server_pool.selector.isolation = BrandIsolation(config.isolated)
+        self._server_pool.selector.isolation = isolation = BrandIsolation(config.isolated)
+        self._planner.set_isolation(isolation, self._clock.now_ms())
         self._kept_connections.share.set_services(config.services.values())
         self._server_pool.limits.set_services(config.services)
         self._streams.apply_config(config)
