Bound head, framing and size of replies to an instance's own calls

Here: a reply to a poll of cache events, or to the question who a server is, was bounded by 4 MiB in all; fields, trailers and chunks of a few bytes took up to 52 MB of a process of 150 MB (scratch measurement: 54 MB for fields, 52 for trailers, 27 for chunks, 67 MB at rest). Replies to orders, reports and listings were bounded by 16 MiB.

Polls have the framing bound of forwarded answers now, parse 8 KiB at a time and collect the body in one buffer; reports and replies to orders end at 256 KiB, listings at 4 MiB.

--- a/bergamothill/connection/http.py
+++ b/bergamothill/connection/http.py
@@ -22,7 +22,7 @@
 MAX_IDLE_HANDLES = 32
 
 MAX_REPLY_BYTES = 16_777_216
-"""Largest body that is collected; libcurl bounds the size of heads and trailers."""
+"""Largest body that is collected by default; libcurl bounds the size of heads and trailers."""
 
 _NOT_SENT_CODES = frozenset({pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST})
 
@@ -80,12 +80,20 @@
 class _ReplyCollector:
     """Collects one reply; with ``on_chunk``, the body of a status 200 reply is passed to it."""
 
-    def __init__(self, on_chunk: Callable[[bytes], None] | None) -> None:
+    def __init__(
+        self, on_chunk: Callable[[bytes], None] | None, max_body_bytes: int = MAX_REPLY_BYTES
+    ) -> None:
         self.status = 0
         self.headers: dict[str, str] = {}
         self.body = bytearray()
         self.callback_error: BaseException | None = None
         self._on_chunk = on_chunk
+        self._max_body_bytes = max_body_bytes
+
+    @property
+    def is_too_large(self) -> bool:
+        """Whether more was received than is collected."""
+        return len(self.body) > self._max_body_bytes
 
     def on_header_line(self, line: bytes) -> None:
         text = line.decode("latin-1").strip()
@@ -100,7 +108,7 @@
     def on_body_chunk(self, chunk: bytes) -> int | None:
         if self._on_chunk is None or self.status != 200:
             self.body += chunk
-            return -1 if len(self.body) > MAX_REPLY_BYTES else None
+            return -1 if self.is_too_large else None
         try:
             self._on_chunk(chunk)
         except BaseException as error:  # noqa: BLE001 - a pycurl callback must not raise
@@ -132,6 +140,7 @@
         body: bytes | None = None,
         headers: Mapping[str, str] | None = None,
         new_connection: bool = False,
+        max_body_bytes: int = MAX_REPLY_BYTES,
     ) -> HttpReply:
         """Send one request and return the complete reply.
 
@@ -143,10 +152,11 @@
         :param headers: request header fields
         :param new_connection: use a new connection and close it afterwards; otherwise libcurl may
             resend the request on a new connection if a pooled one turns out to be closed
+        :param max_body_bytes: largest body of a reply; the exchange fails beyond it
         :raises PeerUnreachableError: no connection could be opened; nothing was sent
         :raises PeerTimeoutError: the exchange failed afterwards; the outcome is unknown
         """
-        collector = _ReplyCollector(None)
+        collector = _ReplyCollector(None, max_body_bytes)
         curl = self._prepare(method, path, body, headers, new_connection, collector)
         curl.setopt(pycurl.TIMEOUT_MS, max(1, timeout_ms))
         self._perform(curl, collector, step, new_connection)
@@ -244,7 +254,7 @@
             curl.close()
             if collector.callback_error is not None:
                 raise collector.callback_error from None
-            if len(collector.body) > MAX_REPLY_BYTES:
+            if collector.is_too_large:
                 raise PeerTimeoutError("reply is too large", step=step, peer=self.peer) from None
             raise self._error(error, step, sent) from None
         self._release_handle(curl, new_connection)
--- a/bergamothill/connection/pollconnection.py
+++ b/bergamothill/connection/pollconnection.py
@@ -12,6 +12,11 @@
 import httptools
 
 from bergamothill.clock import ms_to_seconds
+from bergamothill.connection.backendconnection import (
+    MAX_FRAMING_BYTES,
+    MAX_FRAMING_RATIO,
+    READ_BYTES,
+)
 from bergamothill.connection.opening import open_connection
 from bergamothill.errors import PeerTimeoutError, PeerUnreachableError
 
@@ -96,9 +101,10 @@
         self._transport: asyncio.Transport | None = None
         self._pending: asyncio.Future[PollReply] | None = None
         self._parser = httptools.HttpResponseParser(self)
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._headers: dict[bytes, bytes] = {}
         self._received_bytes = 0
+        self._framing_bytes = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport
@@ -115,21 +121,31 @@
         if self._received_bytes > MAX_REPLY_BYTES:
             self._give_up("reply is too large")
             return
+        for start in range(0, len(data), READ_BYTES):
+            if not self.must_close:
+                self._parse(data[start : start + READ_BYTES])
+
+    def _parse(self, data: bytes) -> None:
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self.must_close = True
             self._fail(error)
+            return
+        if self._framing_bytes > MAX_FRAMING_BYTES and self._pending is not None:
+            self._give_up("framing of the reply is too large")
 
     def on_message_begin(self) -> None:
-        self._body = []
+        self._body.clear()
         self._headers = {}
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self._headers.setdefault(name.lower(), value)
 
     def on_body(self, piece: bytes) -> None:
-        self._body.append(piece)
+        self._body += piece
+        self._framing_bytes -= (1 + MAX_FRAMING_RATIO) * len(piece)
 
     def on_message_complete(self) -> None:
         if 100 <= self._parser.get_status_code() < 200:
@@ -140,10 +156,10 @@
             self.must_close = True  # an unsolicited reply
         elif not pending.done():
             status = self._parser.get_status_code()
-            pending.set_result(PollReply(status, b"".join(self._body), self._headers))
+            pending.set_result(PollReply(status, bytes(self._body), self._headers))
 
     async def exchange(self, request: bytes) -> PollReply:
-        self._received_bytes = 0
+        self._received_bytes = self._framing_bytes = 0
         self._pending = asyncio.get_running_loop().create_future()
         self._transport.write(request)
         return await self._pending
--- a/bergamothill/platform/cachedcontext.py
+++ b/bergamothill/platform/cachedcontext.py
@@ -7,7 +7,7 @@
 from bergamothill.connection.http import HttpClient
 from bergamothill.connection.pollconnection import PollReply
 from bergamothill.errors import ConflictError, OverloadedError, ProtocolError
-from bergamothill.platform.fields import Fields, read_fields
+from bergamothill.platform.fields import MAX_REPORT_BYTES, Fields, read_fields
 from bergamothill.platform.headers import says_leaving
 from bergamothill.version.cacheindex import EventBatch, PartEvent, PartKey
 from bergamothill.version.cachesweep import StoreListing
@@ -21,6 +21,7 @@
 ]
 
 CALL_TIMEOUT_MS = 800
+MAX_LISTING_BYTES = 4_194_304
 
 _STEP = "kept.events"
 
@@ -81,7 +82,13 @@
     """
     step = "kept.list"
     client = HttpClient("kept-context store", address)
-    fields = read_fields(client, "/kv-list", step=step, timeout_ms=CALL_TIMEOUT_MS)
+    fields = read_fields(
+        client,
+        "/kv-list",
+        step=step,
+        timeout_ms=CALL_TIMEOUT_MS,
+        max_body_bytes=MAX_LISTING_BYTES,
+    )
     # "held" lists complete parts only; parts being written or aborted are listed separately.
     rows = [*fields.rows("held"), *fields.rows("incompleteParts")]
     try:
@@ -113,6 +120,7 @@
         body=json.dumps(body).encode(),
         headers={"Content-Type": "application/json"},
         new_connection=True,
+        max_body_bytes=MAX_REPORT_BYTES,
     )
     if reply.status == 409:
         raise ConflictError(
--- a/bergamothill/platform/engines.py
+++ b/bergamothill/platform/engines.py
@@ -7,7 +7,7 @@
 from bergamothill.connection.http import HttpClient
 from bergamothill.errors import BergamothillError, PeerUnreachableError
 from bergamothill.ids import EntryInstanceId, FencingNumber, ModelName
-from bergamothill.platform.fields import Fields, read_fields
+from bergamothill.platform.fields import MAX_REPORT_BYTES, Fields, read_fields
 from bergamothill.version.weightswap import (
     OrderSwap,
     SwapEngine,
@@ -91,6 +91,7 @@
             body=json.dumps(body).encode(),
             headers={"Content-Type": _JSON_CONTENT_TYPE, "X-Expected-Instance": engine.server},
             new_connection=True,
+            max_body_bytes=MAX_REPORT_BYTES,
         )
     except PeerUnreachableError:
         return SwapOutcome.NOT_SENT
--- a/bergamothill/platform/fields.py
+++ b/bergamothill/platform/fields.py
@@ -11,10 +11,13 @@
 from bergamothill.errors import ProtocolError
 from bergamothill.logs import EventLog
 
-__all__ = ["Fields", "log_ignored_value", "read_fields"]
+__all__ = ["MAX_REPORT_BYTES", "Fields", "log_ignored_value", "read_fields"]
 
 MAX_LOGGED_VALUES = 1_000
 
+MAX_REPORT_BYTES = 262_144
+"""Largest reply of a server about itself or to an order."""
+
 _log = EventLog("platform")
 _logged_values: set[tuple[str, str]] = set()
 
@@ -145,6 +148,7 @@
     step: str,
     timeout_ms: int,
     headers: Mapping[str, str] | None = None,
+    max_body_bytes: int = MAX_REPORT_BYTES,
 ) -> Fields:
     """Read a JSON object from a backend server or store.
 
@@ -153,10 +157,17 @@
     :param step: step named in errors
     :param timeout_ms: timeout of the call
     :param headers: header fields of the request
+    :param max_body_bytes: largest reply
     :raises BergamothillError: the call failed or the reply is not an object
     """
     reply = client.request(
-        "GET", path, step=step, timeout_ms=timeout_ms, headers=headers, new_connection=True
+        "GET",
+        path,
+        step=step,
+        timeout_ms=timeout_ms,
+        headers=headers,
+        new_connection=True,
+        max_body_bytes=max_body_bytes,
     )
     if reply.status != 200:
         raise ProtocolError(f"unexpected status {reply.status}", step=step, peer=client.peer)
