Bound the number of values in JSON from other processes

Replies with more than 300,000 values are rejected before they are decoded; a page of the key-value service has 500 items, a listing of 4 MiB about 300,000 values.

tests.test_reply_memory.test_replies_that_take_far_more_memory_once_they_are_decoded before: 15 of 15 subtests failed (40 to 104 MB of peak, 24 MiB allowed); now passed.

--- a/bergamothill/connection/http.py
+++ b/bergamothill/connection/http.py
@@ -13,6 +13,7 @@
 
 import pycurl
 
+from bergamothill.connection.boundedjson import load_json
 from bergamothill.connection.streamhub import STREAM_HUB
 from bergamothill.errors import PeerTimeoutError, PeerUnreachableError, ProtocolError
 
@@ -72,7 +73,7 @@
     :raises ProtocolError: the body is not valid JSON
     """
     try:
-        return json.loads(reply.body)
+        return load_json(reply.body)
     except (ValueError, RecursionError) as error:
         raise ProtocolError(f"reply is not valid JSON: {error}", step=step, peer=peer) from error
 
--- a/bergamothill/platform/fields.py
+++ b/bergamothill/platform/fields.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import json
 import math
 from collections.abc import Mapping
 from typing import Any
 
+from bergamothill.connection.boundedjson import load_json
 from bergamothill.connection.http import HttpClient, decode_json
 from bergamothill.errors import ProtocolError
 from bergamothill.logs import EventLog
@@ -56,7 +56,7 @@
         :raises ProtocolError: the text is not a JSON object
         """
         try:
-            return cls(json.loads(encoded), step=step)
+            return cls(load_json(encoded), step=step)
         except (ValueError, RecursionError) as error:
             raise ProtocolError(f"invalid JSON: {error}", step=step) from error
 
--- a/tests/test_reply_memory.py
+++ b/tests/test_reply_memory.py
@@ -113,6 +113,13 @@
                 with self.subTest(name, call=call.__name__):
                     self.assert_bounded(script, call)
 
+    def test_replies_that_take_far_more_memory_once_they_are_decoded(self):
+        for element in (b"[]", b"{}", b'"ab"', b"1.5", b"[1]"):
+            body = array(element, 4_000_000)
+            for call in (self.poll, self.read_report, list_stored_parts):
+                with self.subTest(element, call=call.__name__):
+                    self.assert_bounded(complete(body), call)
+
     def test_a_long_listing_is_read(self):
         row = b'["m1~1~alpha","5c1e07a2",8610,"m1"]'
         body = b'{"epoch":1,"next":2,"held":' + array(row, 1_500_000) + b"}"
