Bound the number of header fields of an answer

The report of bytes without end, in a head: fields of five bytes on the wire take about 130 bytes of memory each, so that heads within the 64 KiB that are allowed held 1 MB each, as long as their server was silent (up to its 360 connections, 12 s). An answer with more than 256 fields is malformed now.

--- a/bergamothill/connection/backendconnection.py
+++ b/bergamothill/connection/backendconnection.py
@@ -33,6 +33,9 @@
 MAX_FRAMING_RATIO = 8
 """Framing allowed for each byte of the body; a chunk of one byte has five bytes of framing."""
 
+MAX_FIELDS = 256
+"""Largest number of header fields; a short one takes far more memory than on the wire."""
+
 MAX_CARRIED_REQUESTS = 100
 """Requests after which a connection is closed; it remembers their ids."""
 
@@ -242,10 +245,7 @@
         try:
             self._parser.feed_data(received)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self._has_surplus = True
-            is_stale = self._is_reused and not self._head_received
-            end = ExchangeEnd.STALE if is_stale else ExchangeEnd.MALFORMED
-            self._finish(end, f"malformed response: {error}")
+            self._reject(f"malformed response: {error}")
             return
         self._framing_bytes += nbytes
         if self._framing_bytes > MAX_FRAMING_BYTES:
@@ -254,6 +254,12 @@
         if self.done.done() and not self._ends_with_message():
             self._has_surplus = True
 
+    def _reject(self, detail: str) -> None:
+        """Finish the exchange because of bytes that are no response."""
+        self._has_surplus = True
+        is_stale = self._is_reused and not self._head_received
+        self._finish(ExchangeEnd.STALE if is_stale else ExchangeEnd.MALFORMED, detail)
+
     def _ends_with_message(self) -> bool:
         """Return whether the last read ended with the response; the parser skips line ends."""
         if self._last_piece:
@@ -300,8 +306,12 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header field; trailers are ignored."""
-        if not self._head_received:
-            self._headers.append((name, value))
+        if self._head_received or self.done.done():
+            return
+        self._headers.append((name, value))
+        if len(self._headers) > MAX_FIELDS:
+            self._headers.clear()
+            self._reject("response has too many fields")
 
     def on_headers_complete(self) -> None:
         """Pass the response head to the sink."""
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -3,6 +3,7 @@
 import random
 import threading
 import time
+import tracemalloc
 from concurrent.futures import ThreadPoolExecutor
 from unittest import mock
 
@@ -27,6 +28,9 @@
 KERNEL_BUFFER_BYTES = 40 << 20
 """Allowance for sent bytes that wait in the buffers of a connection."""
 
+MAX_PEAK_BYTES = 24 << 20
+"""A sixth of the smallest memory of a deployment, 150 MB, of which a process at rest takes half."""
+
 MAX_DURATION_S = 1.5
 """Less than the time limit of the requests, which would end an endless answer too."""
 
@@ -69,6 +73,18 @@
     def test_fields(self):
         self.assert_lost(SIGNED_HEAD, b"X-Field: value\r\n" * 4_000)
 
+    def test_short_fields_of_many_answers_at_once(self):
+        # Each field took some 130 bytes of memory for five on the wire, so that heads within their
+        # bound, from a server that then fell silent, filled the memory of the process.
+        fields = b"".join(b"%x:\r\n" % n for n in range(9_000))[:60_000]
+        running = self.world(plain=[EndlessAnswer(SIGNED_HEAD + fields, b"")])
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        with ThreadPoolExecutor(40) as callers:
+            found = list(callers.map(running.exchange, [request()] * 40))
+        self.assertLess(tracemalloc.get_traced_memory()[1], MAX_PEAK_BYTES)
+        self.assertEqual({b"HTTP/1.1 502"}, {one[:12] for one in found})
+
     def test_informational_answers(self):
         self.assert_lost(b"", b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" * 1_000)
 
