Count unfinished events against the memory for unfinished answers

The report of bytes without end, in a body: an event that does not end was bounded by 256 KiB in each stream and by nothing in all, 92 MB for the 360 connections of one server. What is more than 64 KiB in a stream now takes part of the budget that bodies have; a stream that finds none left is broken off like one with too large an event.

tests.test_answerrelay...unfinished_events_share_the_memory before: 33 != 0 streams refused; now passed.

--- a/bergamothill/connection/ssesplitter.py
+++ b/bergamothill/connection/ssesplitter.py
@@ -39,6 +39,11 @@
         """Whether the bytes received so far end in the middle of an event."""
         return bool(self._partial)
 
+    @property
+    def partial_bytes(self) -> int:
+        """Size of the event that has begun."""
+        return len(self._partial)
+
     def feed(self, chunk: bytes) -> bytes:
         """Return the events that the chunk completes, unchanged.
 
--- a/bergamothill/request/answerrelay.py
+++ b/bergamothill/request/answerrelay.py
@@ -12,9 +12,10 @@
 from typing import Protocol
 
 from bergamothill.connection.ssesplitter import EventSplitter, has_event
+from bergamothill.errors import ProtocolError
 from bergamothill.ids import RequestId
 from bergamothill.request.bodybuffer import BodyBuffer
-from bergamothill.request.bufferbudget import BufferBudget
+from bergamothill.request.bufferbudget import BufferBudget, Reservation
 from bergamothill.request.callerrequest import Header, ResponseHead
 
 __all__ = ["AnswerListener", "AnswerRelay", "AttemptVerdict", "CallerSide"]
@@ -114,6 +115,7 @@
         self._splitter = EventSplitter()
         self._budget = budget
         self._body = BodyBuffer(budget)
+        self._partial = Reservation(budget)
         self.begin_attempt()
 
     def fork(self) -> AnswerRelay:
@@ -151,8 +153,9 @@
         self.verdict = AttemptVerdict.NONE
 
     def discard_body(self) -> None:
-        """Release the memory of the buffered body."""
+        """Release the memory of the buffered body, and of the event that has begun."""
         self._body.clear()
+        self._partial.try_resize(0)
 
     @property
     def last_event_id(self) -> str:
@@ -215,6 +218,8 @@
             self._body.append(piece)
             return
         events = self._splitter.feed(piece)
+        if not self._partial.try_resize(self._splitter.partial_bytes):
+            raise ProtocolError("unfinished answers take too much memory", step="forward.body")
         if not events:
             return
         if not has_event(events):
--- a/bergamothill/request/bodybuffer.py
+++ b/bergamothill/request/bodybuffer.py
@@ -3,16 +3,13 @@
 from __future__ import annotations
 
 from bergamothill.errors import ProtocolError
-from bergamothill.request.bufferbudget import BufferBudget
+from bergamothill.request.bufferbudget import BufferBudget, Reservation
 
 __all__ = ["MAX_BODY_BYTES", "BodyBuffer"]
 
 MAX_BODY_BYTES = 8_388_608
 """Largest body of an answer that is not an event stream."""
 
-UNRESERVED_BYTES = 65_536
-"""Size up to which a body needs no budget, so that large bodies cannot keep out ordinary ones."""
-
 
 class BodyBuffer:
     """Body received so far.
@@ -21,9 +18,8 @@
     """
 
     def __init__(self, budget: BufferBudget) -> None:
-        self._budget = budget
+        self._reservation = Reservation(budget)
         self._body = bytearray()
-        self._reserved_bytes = 0
 
     def append(self, piece: bytes) -> None:
         """Append the next bytes.
@@ -31,12 +27,10 @@
         :raises ProtocolError: the body is too large
         """
         size = len(self._body) + len(piece)
-        missing_bytes = max(0, size - UNRESERVED_BYTES) - self._reserved_bytes
         if size > MAX_BODY_BYTES:
             raise ProtocolError("body is too large", step="forward.body")
-        if not self._budget.try_reserve(missing_bytes):
+        if not self._reservation.try_resize(size):
             raise ProtocolError("unfinished bodies take too much memory", step="forward.body")
-        self._reserved_bytes += missing_bytes
         self._body += piece
 
     def content(self) -> bytes:
@@ -45,6 +39,5 @@
 
     def clear(self) -> None:
         """Discard the body and release its part of the budget."""
-        self._budget.release(self._reserved_bytes)
-        self._reserved_bytes = 0
+        self._reservation.try_resize(0)
         self._body = bytearray()
--- a/bergamothill/request/bufferbudget.py
+++ b/bergamothill/request/bufferbudget.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-__all__ = ["BufferBudget"]
+__all__ = ["UNRESERVED_BYTES", "BufferBudget", "Reservation"]
+
+UNRESERVED_BYTES = 65_536
+"""Size up to which a buffer needs no budget, so that large ones cannot keep out ordinary ones."""
 
 
 class BufferBudget:
@@ -25,3 +28,24 @@
     def release(self, size_bytes: int) -> None:
         """Release bytes that were reserved."""
         self.reserved_bytes -= size_bytes
+
+
+class Reservation:
+    """Part of a budget that one buffer takes.
+
+    :param budget: budget of the process
+    """
+
+    def __init__(self, budget: BufferBudget) -> None:
+        self._budget = budget
+        self._reserved_bytes = 0
+
+    def try_resize(self, size_bytes: int) -> bool:
+        """Take what a buffer of some size needs; returns False, unchanged, if that is too much."""
+        missing_bytes = max(0, size_bytes - UNRESERVED_BYTES) - self._reserved_bytes
+        if missing_bytes > 0 and not self._budget.try_reserve(missing_bytes):
+            return False
+        if missing_bytes < 0:
+            self._budget.release(-missing_bytes)
+        self._reserved_bytes += missing_bytes
+        return True
--- a/tests/test_answerrelay.py
+++ b/tests/test_answerrelay.py
@@ -10,7 +10,7 @@
 from bergamothill.errors import ProtocolError
 from bergamothill.platform.headers import decode_answer
 from bergamothill.request.answerrelay import AnswerRelay, AttemptVerdict
-from bergamothill.request.bufferbudget import BufferBudget
+from bergamothill.request.bufferbudget import UNRESERVED_BYTES, BufferBudget
 
 SIGNED = [(b"X-Request-Id", b"r1"), (b"X-Server-Signature", b"s"), (b"Connection", b"close")]
 
@@ -33,9 +33,11 @@
 
 
 class RelayTest(unittest.TestCase):
+    def setUp(self):
+        self.budget = BufferBudget(1_000_000)
+
     def relay(self, is_stream=True):
         self.caller = Caller()
-        self.budget = BufferBudget(1_000_000)
         return AnswerRelay(
             self.caller,
             "r1",
@@ -52,6 +54,24 @@
         self.assertFalse(relay.is_whole)
         self.assertEqual([("start", 200, SIGNED[:2], b"id: 1\ndata: a\n\n")], self.caller.calls)
 
+    def test_unfinished_events_share_the_memory_for_unfinished_answers(self):
+        # Each stream could hold an event of 256 KiB, whatever the others held.
+        relays, refused = [self.relay() for _ in range(40)], 0
+        for relay in relays:
+            relay.on_head(200, SIGNED)
+            try:
+                relay.on_body(b"data: " + b"x" * 200_000)
+            except ProtocolError:
+                refused += 1
+        self.assertEqual(40 - 1_000_000 // (200_006 - UNRESERVED_BYTES), refused)
+        relays[0].on_body(b"\n\n")
+        relay = self.relay()
+        relay.on_head(200, SIGNED)
+        relay.on_body(b"data: " + b"x" * 200_000)
+        for each in (*relays, relay):
+            each.discard_body()
+        self.assertEqual(0, self.budget.reserved_bytes)
+
     def test_a_further_attempt_goes_on_under_the_head_of_the_first(self):
         relay = self.relay()
         relay.on_head(200, SIGNED)
--- a/tests/test_bodybuffer.py
+++ b/tests/test_bodybuffer.py
@@ -3,8 +3,8 @@
 import unittest
 
 from bergamothill.errors import ProtocolError
-from bergamothill.request.bodybuffer import MAX_BODY_BYTES, UNRESERVED_BYTES, BodyBuffer
-from bergamothill.request.bufferbudget import BufferBudget
+from bergamothill.request.bodybuffer import MAX_BODY_BYTES, BodyBuffer
+from bergamothill.request.bufferbudget import UNRESERVED_BYTES, BufferBudget
 
 
 class BodyBufferTest(unittest.TestCase):
