Answer requests whose stream is searched for when a stop ends

Here: a request that takes a stream up counted as no request in progress until its origin was known, so that the end of the drain did not reach it; its connection was closed unanswered when the process exited. The search is ended there now, and the request gets 503, as it has not run.

--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -27,6 +27,7 @@
 from bergamothill.process.serverpool import ServerPool
 from bergamothill.process.streamresumption import (
     OriginDirectory,
+    ResumedStream,
     StreamResumption,
 )
 from bergamothill.request.bufferbudget import BufferBudget
@@ -91,6 +92,9 @@
         self._retry_budgets: dict[ServiceName, WindowedRetryBudget] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._runs: set[RequestRun] = set()
+        self._searches: set[asyncio.Task[ResumedStream | None]] = set()
+        """Searches for where streams began; their requests are no runs yet."""
+
         self._queues: dict[ServiceName, AdmissionQueue] = {}
         self._buffer_budget = BufferBudget(MAX_BUFFERED_BYTES)
         self._drain: DrainPeriod | None = None
@@ -141,6 +145,8 @@
         """Give a final answer to all requests in progress; streams that have begun are cut."""
         for run in list(self._runs):
             run.stop()
+        for search in self._searches:
+            search.cancel()
 
     def limits(self) -> CallerLimits:
         """Return the caller limits in force."""
@@ -265,13 +271,7 @@
         service = self._choose_service(admission, request)
         if admission.verdict is not Verdict.ADMITTED or service is None:
             return None
-        resumed = await self.resumption.resolve(
-            request,
-            admission.brand_name,
-            admission.route,
-            service,
-            give_up_ms=request.raw.arrived_ms + admission.route.timeout_ms,
-        )
+        resumed = await self._find_origin(request, admission, service)
         if resumed is not None:
             service = self._config.table.config.services.get(resumed.service, service)
         return RequestRun(
@@ -291,6 +291,33 @@
             None if resumed is None else resumed.version,
         )
 
+    async def _find_origin(
+        self, request: CallerRequest, admission: Admission, service: Service
+    ) -> ResumedStream | None:
+        """Return where a stream has to go on; see :meth:`StreamResumption.resolve`.
+
+        A search that is cut short by the end of a drain finds nothing.
+        """
+        search = asyncio.ensure_future(
+            self.resumption.resolve(
+                request,
+                admission.brand_name,
+                admission.route,
+                service,
+                give_up_ms=request.raw.arrived_ms + admission.route.timeout_ms,
+            )
+        )
+        self._searches.add(search)
+        try:
+            return await search
+        except asyncio.CancelledError:
+            if asyncio.current_task().cancelling():
+                raise
+            return ResumedStream(service.name, None)
+        finally:
+            self._searches.discard(search)
+            search.cancel()
+
     def _is_too_late(self, run: RequestRun, admission: Admission) -> bool:
         """Return whether a drain leaves too little time to start a run."""
         drain, now_ms = self._drain, self._clock.now_ms()
--- a/tests/test_requestrun.py
+++ b/tests/test_requestrun.py
@@ -1,6 +1,8 @@
 """Tests of requests in progress while the machine is suspended, or its drain ends."""
 
+import asyncio
 import re
+import threading
 import time
 from unittest import mock
 
@@ -84,6 +86,27 @@
             self.assertIn(b" 503 ", read_message(connection))
         self.assertEqual([], self.sent())
 
+    def test_a_request_whose_stream_is_still_searched_for_gets_503_at_the_end(self):
+        # LOST: it counted as no request in progress until its origin was known, and its connection
+        # was closed without an answer.
+        world = self.world(engines=[replies(answer())])
+        searched = threading.Event()
+
+        async def find(_key, _give_up_ms):
+            searched.set()
+            await asyncio.sleep(TIMEOUT_S)
+
+        world.gateway.resumption._directory.find = find
+        headers = PROMPT_HEADERS + b"Last-Event-Id: 3\r\nResumes: r0\r\n"
+        with world.connect() as connection:
+            connection.sendall(request(b"/quote/2f", headers=headers))
+            self.assertTrue(searched.wait(TIMEOUT_S))
+            self.end_drain(world)
+            started_s = time.monotonic()
+            self.assertIn(b" 503 ", read_message(connection))
+            self.assertLess(time.monotonic() - started_s, 1)
+        self.assertEqual([], self.sent())
+
     def test_a_stream_that_has_begun_is_not_terminated_normally_at_the_end_of_the_drain(self):
         def script(connection, _request):
             connection.sendall(STREAM_HEAD + chunk(event(1)))
