Refuse requests late in a stop that may not be answered before its end

Here only streams were refused once the balancer has noticed; plain requests were accepted until the end whatever their time limit, and those that were then still at work got 502: their callers may not repeat them and do not know whether they have run. Requests that waited in a queue were sent as soon as there was room.

From the end of the notice on, a request is taken only if its time limit ends before the drain does; those that wait unsent are refused by the same rule at that moment. Both get 503 with Retry-After at once, and have not run. Before the notice nothing changes.

--- a/bergamothill/process/drainperiod.py
+++ b/bergamothill/process/drainperiod.py
@@ -4,8 +4,6 @@
 
 from dataclasses import dataclass
 
-from bergamothill.version.routetable import RetryPolicy, Route
-
 __all__ = ["DrainPeriod"]
 
 
@@ -14,20 +12,19 @@
     """Time from the stop signal to the last answer.
 
     :param notice_ends_ms: time from which the load balancer sends no new connections
-    :param ends_ms: time at which answers in progress are broken off
+    :param ends_ms: time at which requests in progress get a final answer, and streams are cut
     """
 
     notice_ends_ms: int
     ends_ms: int
 
-    def is_too_late(self, route: Route, due_ms: int, now_ms: int) -> bool:
-        """Return whether a request must be refused, as its answer could be broken off.
+    def is_too_late(self, due_ms: int, now_ms: int) -> bool:
+        """Return whether a request that was not sent yet must be refused.
+
+        Its answer could come after the end, and would then be lost though the request has run.
 
-        :param route: route of the request
         :param due_ms: deadline of its answer
-        :param now_ms: time at which it was received
+        :param now_ms: current time, in milliseconds
         """
-        if now_ms >= self.ends_ms:
-            return True
         is_late = now_ms >= self.notice_ends_ms and due_ms > self.ends_ms
-        return is_late and route.retry_policy is RetryPolicy.STREAM
+        return is_late or now_ms >= self.ends_ms
--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -141,6 +141,13 @@
         """
         self._drain = period
 
+    def end_notice(self) -> None:
+        """Refuse the requests that wait unsent and may not be answered before the drain ends."""
+        now_ms = self._clock.now_ms()
+        for run in list(self._runs):
+            if run.is_unsent and self._drain.is_too_late(run.due_ms, now_ms):
+                run.stop()
+
     def end_drain(self) -> None:
         """Give a final answer to all requests in progress; streams that have begun are cut."""
         for run in list(self._runs):
@@ -259,7 +266,7 @@
         else:
             if run is None:
                 self._reject(connection, request, admission)
-            elif self._is_too_late(run, admission):
+            elif self._is_too_late(run):
                 run.refuse()
             else:
                 await self._execute(run)
@@ -318,10 +325,10 @@
             self._searches.discard(search)
             search.cancel()
 
-    def _is_too_late(self, run: RequestRun, admission: Admission) -> bool:
+    def _is_too_late(self, run: RequestRun) -> bool:
         """Return whether a drain leaves too little time to start a run."""
-        drain, now_ms = self._drain, self._clock.now_ms()
-        return drain is not None and drain.is_too_late(admission.route, run.due_ms, now_ms)
+        drain = self._drain
+        return drain is not None and drain.is_too_late(run.due_ms, self._clock.now_ms())
 
     async def _execute(self, run: RequestRun) -> None:
         self._runs.add(run)
--- a/bergamothill/process/nodedrain.py
+++ b/bergamothill/process/nodedrain.py
@@ -55,6 +55,7 @@
     while clock.now_ms() < period.notice_ends_ms:
         await asyncio.sleep(ms_to_seconds(DRAIN_POLL_INTERVAL_MS))
     listener.close()
+    gateway.end_notice()
     while clock.now_ms() < period.ends_ms:
         # Connections that were accepted as the listener closed are registered meanwhile.
         await asyncio.sleep(ms_to_seconds(DRAIN_POLL_INTERVAL_MS))
--- a/bergamothill/process/requestrun.py
+++ b/bergamothill/process/requestrun.py
@@ -213,6 +213,11 @@
         """Time by which the caller gets a final answer."""
         return self._forwarding.due_ms
 
+    @property
+    def is_unsent(self) -> bool:
+        """Whether no server was chosen for the request yet."""
+        return self._leading is None
+
     def refuse(self) -> None:
         """Refuse the request unsent, as this instance is stopping."""
         self._apply_final_step(self._forwarding.on_stopping(self._clock.now_ms()))
--- a/scripts/drainsoak.py
+++ b/scripts/drainsoak.py
@@ -31,6 +31,7 @@
 SETTLE_S = 2.0
 CALLERS_PER_HABIT = 6
 EXIT_VIOLATION = 1
+STATUS_UNKNOWN_OUTCOME = 502
 EXIT_INTERRUPTED = 2
 
 
@@ -123,7 +124,10 @@
         """
         found = []
         for record in records:
-            if record.ending not in (Ending.CLOSED, Ending.RESET) or not record.sent_ms:
+            if not record.sent_ms:
+                continue
+            if record.ending not in (Ending.CLOSED, Ending.RESET):
+                found += self._taken_too_late(record, stops, seen)
                 continue
             for stop in stops:
                 if self._is_around(record, stop):
@@ -131,6 +135,17 @@
                     found.append(Finding(record, stop, seen.get(record.request), verdict))
         return found
 
+    def _taken_too_late(
+        self, record: CallerRecord, stops: list[Stop], seen: dict[str, dict[str, Any]]
+    ) -> list[Finding]:
+        """Return a request that was passed on so late that its answer was given up."""
+        if record.status != STATUS_UNKNOWN_OUTCOME:
+            return []
+        stop = next((stop for stop in stops if self._is_around(record, stop)), None)
+        if stop is None or record.sent_ms - stop.signalled_ms <= LATEST_EXCUSED_MS:
+            return []
+        return [Finding(record, stop, seen.get(record.request), Verdict.VIOLATION)]
+
     def _is_around(self, record: CallerRecord, stop: Stop) -> bool:
         end_ms = stop.signalled_ms + self._grace_ms + AFTER_GRACE_MS
         return record.node == stop.node and stop.signalled_ms <= record.ended_ms <= end_ms
--- a/scripts/platformfleet.py
+++ b/scripts/platformfleet.py
@@ -107,7 +107,21 @@
     ),
 )
 
-LAYOUTS = {"kowhai-mend": KOWHAI_MEND, "pkma-desk": PKMA_DESK}
+LONG_LIMITS = FleetShape(
+    zones=("zone-a", "zone-b"),
+    nodes=4,
+    engines=2,
+    plain_servers=3,
+    kinds=(
+        RequestKind("draft", "streaming", 30, 300, 60, 12_000, 600),
+        RequestKind("order", "unsafe", 0, 3_000, 0, 12_000, 4_000),
+        RequestKind("lookup", "safe", 0, 1_500, 0, 10_000, 2_000),
+        RequestKind("quick-order", "unsafe", 0, 45, 0, 2_500, 200),
+    ),
+)
+"""Plain answers that take long, and callers that wait for them longer than a stop lasts."""
+
+LAYOUTS = {"kowhai-mend": KOWHAI_MEND, "long-limits": LONG_LIMITS, "pkma-desk": PKMA_DESK}
 
 
 class EntryNode(EntryProcess):
--- a/tests/test_requestrun.py
+++ b/tests/test_requestrun.py
@@ -8,6 +8,7 @@
 
 from bergamothill.connection import backendhttp
 from bergamothill.process import admissionqueue, gateway
+from bergamothill.process.drainperiod import DrainPeriod
 from bergamothill.version.weighttarget import WeightTarget
 from tests.builders import await_true
 from tests.gatewayworld import (
@@ -86,6 +87,26 @@
             self.assertIn(b" 503 ", read_message(connection))
         self.assertEqual([], self.sent())
 
+    def test_a_request_in_the_queue_is_refused_once_its_answer_would_come_too_late(self):
+        # It was sent whenever there was room, and cut at the end of the drain.
+        self.enterContext(mock.patch.object(admissionqueue, "MAX_WAIT_MS", 60_000))
+        world = self.world(engines=[replies(answer())])
+        world.server_pool.request_started("s0", 95_000, 0, world.clock.now_ms())
+        waiting = world.gateway.admission_queue("llm").requests
+        for left_ms, is_refused in ((60_000, False), (1_500, True)):
+            now_ms = world.clock.now_ms()
+            period = DrainPeriod(notice_ends_ms=now_ms, ends_ms=now_ms + left_ms)
+            with world.connect() as connection:
+                connection.sendall(request(b"/quote/2f", headers=PROMPT_HEADERS))
+                await_true(lambda: len(waiting))
+                world._loop.call_soon_threadsafe(world.gateway.start_drain, period)
+                started_s = time.monotonic()
+                world._loop.call_soon_threadsafe(world.gateway.end_notice)
+                self.assertIn(b" 503 ", read_message(connection))
+                self.assertEqual(is_refused, time.monotonic() - started_s < 0.2)
+            world.gateway._drain = None
+        self.assertEqual([], self.sent())
+
     def test_a_request_whose_stream_is_still_searched_for_gets_503_at_the_end(self):
         # LOST: it counted as no request in progress until its origin was known, and its connection
         # was closed without an answer.
