Doubt the versions of all servers after a pause of the process

Told by another operator: during a release, one instance was out of step for a few seconds while servers of a new version joined; streams that had begun there were taken up at it and went on at another version (ORDER). Here: of the servers whose events an instance reads, the version held over a pause of the instance, as the end of a process closes its event connection. A machine that was suspended learns of that end late, if at all, and a server can have started anew under its id in the pause: streams went on there at its earlier version, and new ones were recorded with it.

Each server is now in doubt after a pause, as after a lost event connection, until a list that is read a heartbeat later shows it, or it says who it is when it is asked, which goes before the request.

test_softwareversions...after_a_pause_that_hides_a_restart before: 'v1' is not None.

--- a/bergamothill/process/softwareversions.py
+++ b/bergamothill/process/softwareversions.py
@@ -157,11 +157,13 @@
         super().record_reply_from(address, now_ms, is_leaving=is_leaving)
 
     def record_check(self, now_ms: int) -> None:
-        """Record a periodic check; in a pause, a restart before the first reply remains unseen."""
+        """Record a periodic check; any server may have restarted in a pause.
+
+        The end of an event connection may reach a machine that was suspended long after it woke.
+        """
         if self._has_paused(now_ms):
             for state in self._observed.values():
-                if not state.is_followed:
-                    state.reconnected_ms = now_ms
+                state.reconnected_ms = now_ms
         super().record_check(now_ms)
 
     def _confirmation_due_ms(self, state: ObservedServer) -> int:
--- a/tests/test_softwareversions.py
+++ b/tests/test_softwareversions.py
@@ -325,6 +325,20 @@
     def test_no_version_is_confirmed_while_another_process_may_answer(self, actions, is_followed):
         play(actions, is_followed)
 
+    def test_no_version_is_confirmed_after_a_pause_that_hides_a_restart(self):
+        # ORDER: the end of an event connection reaches a machine that was suspended late, if at
+        # all; the server had started anew under its id, at another version, in the pause.
+        for paused_ms in (1_000, 5_000, 10_000):
+            world = play([("wait", 60)], True)
+            entry, version = world.confirmed()
+            self.assertEqual("v1", version)
+            world.now_ms += paused_ms
+            world.calm_since_ms = world.now_ms
+            world.pool.record_check(world.now_ms)
+            self.assertIsNone(world.pool.confirmed_version(entry, world.now_ms))
+            world.do_wait(30)
+            self.assertEqual((entry, "v1"), world.confirmed())
+
     def test_a_server_is_confirmed_again_after_a_broken_answer(self):
         for is_followed in (True, False):
             world = play(SINGLE_FAILURES, is_followed)
