Take a list that was read after a resumption for the only version

A caller that takes a stream up without naming its first request is served if its service has had a single version; the list behind that could be 2.4 s old, so that a version that had joined since, and had begun the stream, was not in it. The resumption now waits for a list whose read is sent after it arrived, 1.2 s at most, and is refused without one.

test_streamresumption...from_before_the_request before: 'v1' is not None.

--- a/bergamothill/process/softwareversions.py
+++ b/bergamothill/process/softwareversions.py
@@ -46,6 +46,10 @@
         self._first_sent_ms: int | None = None
         self._last_sent_ms = 0
 
+    def has_read_since(self, sent_ms: int) -> bool:
+        """Return whether a list is known whose read was sent at some time or later."""
+        return self._first_sent_ms is not None and self._last_sent_ms >= sent_ms
+
     def record(self, entries: Iterable[BackendServer], sent_ms: int) -> None:
         """Record a list of servers.
 
@@ -255,8 +259,15 @@
             return False
         return state.entry.software_version == version
 
+    def has_list_since(self, sent_ms: int) -> bool:
+        """Return whether a list is known whose read was sent at some time or later."""
+        return self._history.has_read_since(sent_ms)
+
     def only_version(self, service: ServiceName, now_ms: int) -> SoftwareVersion | None:
-        """Return the version of all streams of a service; see :class:`VersionHistory`."""
+        """Return the version of all streams of a service; see :class:`VersionHistory`.
+
+        It holds for streams that began before the read of the latest list was sent.
+        """
         return self._history.only_version(service, now_ms)
 
     def select_version(
--- a/bergamothill/process/streamresumption.py
+++ b/bergamothill/process/streamresumption.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass
 from typing import Protocol
 
-from bergamothill.clock import Clock
+from bergamothill.clock import Clock, ms_to_seconds
 from bergamothill.ids import BrandName, ServiceName, SoftwareVersion
 from bergamothill.logs import EventLog
 from bergamothill.process.backends import BackendServer
@@ -23,6 +24,12 @@
     "StreamResumption",
 ]
 
+LIST_TIMEOUT_MS = 1_200
+"""Longest wait for a list that was read after a resumption arrived; lists are read twice a second
+or more often."""
+
+LIST_CHECK_INTERVAL_MS = 50
+
 _log = EventLog("streams")
 
 
@@ -148,13 +155,28 @@
                 name, version = known.origin.service, known.origin.version
         elif self.evidence is None and len({share.service for share in route.shares}) == 1:
             # With several, the id of this request says nothing of the service of the first one.
-            version = self._server_pool.only_version(name, self._clock.now_ms())
+            version = await self._find_only_version(name, give_up_ms)
         if known is None and self.evidence is not None:
             only = await self.evidence.only_origin(route.name, give_up_ms)
             name, version = (name, None) if only is None else only
         self._log(request, name, version, known)
         return ResumedStream(name, version)
 
+    async def _find_only_version(
+        self, service: ServiceName, give_up_ms: int
+    ) -> SoftwareVersion | None:
+        """Return the only version of a service by a list that is read now; None if not known.
+
+        A version that has joined since an earlier list may have begun the stream.
+        """
+        since_ms = self._clock.now_ms()
+        until_ms = min(give_up_ms, since_ms + LIST_TIMEOUT_MS)
+        while not self._server_pool.has_list_since(since_ms):
+            if self._clock.now_ms() >= until_ms:
+                return None
+            await asyncio.sleep(ms_to_seconds(LIST_CHECK_INTERVAL_MS))
+        return self._server_pool.only_version(service, self._clock.now_ms())
+
     def _log(
         self,
         request: CallerRequest,
--- a/tests/proof/versionworld.py
+++ b/tests/proof/versionworld.py
@@ -6,6 +6,7 @@
 
 from bergamothill.platform.serverreport import OTHER_SERVER
 from bergamothill.process.softwareversions import IDENTITY_MS
+from bergamothill.process.streamresumption import LIST_CHECK_INTERVAL_MS, LIST_TIMEOUT_MS
 from bergamothill.request.streamorigin import StreamKey, StreamOrigin
 from bergamothill.version.routetable import Service
 from tests.builders import caller_request
@@ -129,7 +130,23 @@
         elif self.trusts_record:
             by_record()
         else:
-            go_on(instance.pool.only_version(stream.service, self.now_ms), "only version")
+            self.find_only_version(stream, attempt, go_on)
+
+    def find_only_version(self, stream, attempt, go_on):
+        """Wait for a list that is read from now on; go on at its version, if it is the only one."""
+        pool, since_ms = attempt.instance.pool, self.now_ms
+
+        def check():
+            if stream.attempt is not attempt:
+                return
+            if pool.has_list_since(since_ms):
+                go_on(pool.only_version(stream.service, self.now_ms), "only version")
+            elif self.now_ms - since_ms >= LIST_TIMEOUT_MS:
+                go_on(None, "no list")
+            else:
+                self.after(LIST_CHECK_INTERVAL_MS, check)
+
+        check()
 
     def end_attempt(self, attempt):
         """End an answer before its stream has ended; the caller comes back if it got an event."""
--- a/tests/test_streamresumption.py
+++ b/tests/test_streamresumption.py
@@ -1,9 +1,11 @@
 """Tests of where a resumed stream has to go on, by the origin or by evidence of all streams."""
 
+import asyncio
 import unittest
 from dataclasses import replace
 
 from bergamothill.clock import ManualClock
+from bergamothill.process.softwareversions import LOOKBACK_MS
 from bergamothill.process.streamresumption import LocalOrigins, StreamResumption
 from bergamothill.version.routetable import ServiceShare
 from tests.builders import backend, caller_request, routing_config, server_pool
@@ -28,6 +30,7 @@
         clock = ManualClock(1_000)
         pool = server_pool(backend("s1", service="llm", software_version="v1"))
         pool.only_version = lambda _service, _now_ms: "v1"
+        pool.has_list_since = lambda _sent_ms: True
         self.resumption = StreamResumption(clock, pool, LocalOrigins(clock))
 
     async def resolve(self, route=ROUTE, resumes=""):
@@ -38,6 +41,34 @@
     async def test_without_the_first_request_the_only_version_counts(self):
         self.assertEqual(("llm", "v1"), await self.resolve())
 
+    async def test_a_list_from_before_the_request_does_not_show_the_only_version(self):
+        # ORDER: an instance that was cut off or stood still had a list of up to 2.4 s ago, without
+        # the version that had joined since and had begun the stream.
+        clock = ManualClock(0)
+        pool = server_pool(min_entry_life_ms=2_400)
+        resumption = StreamResumption(clock, pool, LocalOrigins(clock))
+        old = backend("s1", service="llm", software_version="v1")
+        joined = backend("s2", service="llm", software_version="v2")
+        for sent_ms in range(0, LOOKBACK_MS + 1, 400):
+            clock.advance_ms(sent_ms - clock.now_ms())
+            pool.apply_list([old], sent_ms, sent_ms)
+        request = replace(caller_request(), last_event_id="3")
+
+        async def resolve(next_list):
+            clock.advance_ms(1_000)
+            search = asyncio.ensure_future(resumption.resolve(request, "b1", ROUTE, LLM, 900_000))
+            await asyncio.sleep(0.1)
+            clock.advance_ms(300)
+            if next_list is not None:
+                pool.apply_list(next_list, clock.now_ms(), clock.now_ms())
+            else:
+                clock.advance_ms(1_000)
+            return (await search).version
+
+        self.assertEqual("v1", await resolve([old]))
+        self.assertIsNone(await resolve(None))
+        self.assertIsNone(await resolve([old, joined]))
+
     async def test_a_route_with_several_services_tells_no_version(self):
         # The service follows from the id of the first request, which is not named.
         self.assertEqual(("llm", None), await self.resolve(SPLIT))
