Ask servers whose event connections are lost who they are

In a pause the polls of all servers time out, so that all count as unreachable after it, and unreachable servers were not asked who they are: streams that began there in the next moment were not recorded, and none of them could be taken up anywhere.

test_softwareversions...event_connection_is_lost_may_say_who_it_is before: False is not true.

--- a/bergamothill/process/softwareversions.py
+++ b/bergamothill/process/softwareversions.py
@@ -228,7 +228,7 @@
         state = self._state_of(server)
         if state is None or state.is_replaced or not self._names_start(state):
             return False
-        return state.is_reachable and not self._is_running(state, now_ms)
+        return self._has_paused(now_ms) or not self._is_running(state, now_ms)
 
     def usable(self, service: ServiceName, now_ms: int) -> list[ObservedServer]:
         """Return the servers of a service that may get new requests."""
--- a/tests/test_softwareversions.py
+++ b/tests/test_softwareversions.py
@@ -385,6 +385,15 @@
         self.assertTrue(self.may_go_on(500 + IDENTITY_MS - 1))
         self.assertFalse(self.may_go_on(500 + IDENTITY_MS))
 
+    def test_a_server_whose_event_connection_is_lost_may_say_who_it_is(self):
+        # LOST: the polls of all servers time out in a pause; until their connections were open
+        # again, streams that began there were not recorded, and none could be taken up.
+        self.pool.record_connection_change(self.entry.address, False, 500)
+        self.assertFalse(self.may_go_on(510))
+        self.assertTrue(self.pool.may_identify(self.entry, 510))
+        self.pool.record_identity(self.entry, 1, 520)
+        self.assertTrue(self.may_go_on(530))
+
     def test_a_server_that_names_another_start_is_replaced(self):
         self.pool.record_identity(self.entry, 2, 500)
         self.assertFalse(self.may_go_on(501))
