--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -383,6 +383,7 @@
             revision=entry.mod_revision,
             routes=len(config.routes),
             keys=len(config.brands),
+            isolated=len(config.isolated),
             age_ms=self._clock.now_ms() - sent_ms,
         )
 
