--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -305,6 +305,8 @@
 
         A search that is cut short by the end of a drain finds nothing.
         """
+        if not request.last_event_id:
+            return None
         search = asyncio.ensure_future(
             self.resumption.resolve(
                 request,
--- a/bergamothill/process/streamresumption.py
+++ b/bergamothill/process/streamresumption.py
@@ -24,9 +24,9 @@
     "StreamResumption",
 ]
 
-LIST_TIMEOUT_MS = 1_200
-"""Longest wait for a list that was read after a resumption arrived; lists are read twice a second
-or more often."""
+LIST_TIMEOUT_MS = 1_600
+"""Longest wait for a list that was read after a resumption arrived; callers of streams leave after
+two seconds without an event at the earliest."""
 
 LIST_CHECK_INTERVAL_MS = 50
 
