--- a/tests/test_streamresumption.py
+++ b/tests/test_streamresumption.py
@@ -6,7 +6,11 @@
 
 from bergamothill.clock import ManualClock
 from bergamothill.process.softwareversions import LOOKBACK_MS
-from bergamothill.process.streamresumption import LocalOrigins, StreamResumption
+from bergamothill.process.streamresumption import (
+    LIST_TIMEOUT_MS,
+    LocalOrigins,
+    StreamResumption,
+)
 from bergamothill.version.routetable import ServiceShare
 from tests.builders import backend, caller_request, routing_config, server_pool
 
@@ -62,7 +66,7 @@
             if next_list is not None:
                 pool.apply_list(next_list, clock.now_ms(), clock.now_ms())
             else:
-                clock.advance_ms(1_000)
+                clock.advance_ms(LIST_TIMEOUT_MS)
             return (await search).version
 
         self.assertEqual("v1", await resolve([old]))
