Release what a connection has received when it ends

Cause: a connection and its parser refer to each other, so that the fields and the body of a reply that was given up stayed until the next full collection of garbage; a poll is repeated every 250 ms.

--- a/bergamothill/connection/backendconnection.py
+++ b/bergamothill/connection/backendconnection.py
@@ -283,6 +283,8 @@
         is_stale = self._is_reused and was_closed and not self._has_received
         end = ExchangeEnd.STALE if is_stale else ExchangeEnd.BROKEN
         self._finish(end, detail, was_closed=was_closed)
+        # The parser refers to this connection, and keeps what it has received alive.
+        self._parser, self._headers = None, []
 
     def _end_idle(self) -> None:
         on_idle_end, self.on_idle_end = self.on_idle_end, None
--- a/bergamothill/connection/pollconnection.py
+++ b/bergamothill/connection/pollconnection.py
@@ -112,6 +112,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.must_close = True
         self._fail(exc or ConnectionResetError("connection closed"))
+        self._release()
 
     def data_received(self, data: bytes) -> None:
         self._received_bytes += len(data)
@@ -168,6 +169,11 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _release(self) -> None:
+        """Release what was received; the parser refers to this protocol and keeps it alive."""
+        self._parser = None
+        self._body, self._headers = bytearray(), {}
+
     def _give_up(self, reason: str) -> None:
         self.must_close = True
         self._fail(ConnectionAbortedError(reason))
--- a/tests/test_reply_memory.py
+++ b/tests/test_reply_memory.py
@@ -1,6 +1,7 @@
 """Tests of the memory that bytes of a faulty server take, whatever they are made of."""
 
 import asyncio
+import gc
 import itertools
 import tracemalloc
 import unittest
@@ -107,6 +108,21 @@
             with self.subTest(name):
                 self.assert_bounded(script, self.poll)
 
+    def test_replies_that_were_given_up_are_released_at_once(self):
+        # A protocol and its parser refer to each other, so that what they held stayed until the
+        # next full collection of garbage: 1 GB in 10 s, as polls are repeated four times a second.
+        def poll_often(address):
+            for _ in range(39):
+                with self.assertRaises(BergamothillError):
+                    self.poll(address)
+            self.poll(address)
+
+        gc.disable()
+        self.addCleanup(gc.enable)
+        for name in ("fields", "a body"):
+            with self.subTest(name):
+                self.assert_bounded(ENDLESS[name], poll_often)
+
     def test_endless_replies_to_reports_and_listings(self):
         for name, script in ENDLESS.items():
             for call in (self.read_report, list_stored_parts):
