Find the latest failure of each model once for a plan of swaps

It was searched for anew for each engine that is due: engines times failures in each tick of 40 ms. The order of turns stays the same; tests.test_weightswap passes unchanged.

--- a/bergamothill/version/weightswap.py
+++ b/bergamothill/version/weightswap.py
@@ -257,7 +257,14 @@
             for engine in engines
             if engine.model == model and self._effective_version(engine) < target.version
         ]
-        for engine in sorted(due, key=self._turn):
+        model_failed_ms: dict[ModelName, int] = {}
+        for key, failed_ms in self._failed_ms.items():
+            model_failed_ms[key.model] = max(failed_ms, model_failed_ms.get(key.model, 0))
+
+        def turn(engine: SwapEngine) -> tuple[int, int]:
+            return (model_failed_ms.get(engine.model, 0), self._failed_ms.get(engine.key, 0))
+
+        for engine in sorted(due, key=turn):
             is_backing_off = self._backoff_until_ms.get(engine.server, 0) > now_ms
             if is_backing_off or engine.server in self._swaps:
                 continue
@@ -265,11 +272,6 @@
                 version = targets[engine.model].version
                 self._swaps[engine.server] = _Swap(engine, version, now_ms)
 
-    def _turn(self, engine: SwapEngine) -> tuple[int, int]:
-        """Return the latest failure of any engine of its model, and that of this engine."""
-        failed_ms = (ms for key, ms in self._failed_ms.items() if key.model == engine.model)
-        return (max(failed_ms, default=0), self._failed_ms.get(engine.key, 0))
-
     def _has_room(self, servers: set[ServerId]) -> bool:
         """Return whether one more of a model's engines may load; loads of other models count."""
         loading = sum(server in servers for server in self._swaps)
