--- a/tests/test_stop_processes.py
+++ b/tests/test_stop_processes.py
@@ -66,12 +66,17 @@
         connection.connect(self.node.caller_address)
         return connection
 
-    def test_a_stream_asked_for_on_a_kept_connection_during_the_stop_is_not_cut(self):
+    def connect_past_notice(self, request):
+        """Return a connection that a stream has kept open until late in the stop."""
         connection = self.connect()
-        connection.sendall(encoded(SHORT_STREAM, "a1"))
+        connection.sendall(encoded(SHORT_STREAM, request))
         read_until(connection, b"id: 1\n")
         self.node.terminate()
         read_until(connection, b"0\r\n\r\n")
+        return connection
+
+    def test_a_stream_asked_for_on_a_kept_connection_during_the_stop_is_not_cut(self):
+        connection = self.connect_past_notice("a1")
         connection.sendall(encoded(LONG_STREAM, "a2"))
         second = read_all(connection)
         self.assertEqual([503], statuses(second), second[-200:])
@@ -79,11 +84,7 @@
 
     def test_an_order_asked_for_late_in_the_stop_is_refused_and_not_run(self):
         # LOST: it was passed on, and answered 502 at the end of the stop.
-        connection = self.connect()
-        connection.sendall(encoded(SHORT_STREAM, "f1"))
-        read_until(connection, b"id: 1\n")
-        self.node.terminate()
-        read_until(connection, b"0\r\n\r\n")
+        connection = self.connect_past_notice("f1")
         connection.sendall(encoded(SLOW_ORDER, "f2"))
         started_s = time.monotonic()
         found = read_all(connection)
