--- a/bergamothill/version/cachesweep.py
+++ b/bergamothill/version/cachesweep.py
@@ -15,7 +15,7 @@
 from bergamothill.version.weightswap import SwapEngine
 from bergamothill.version.weighttarget import WeightTarget
 
-__all__ = ["CacheSweep", "StoreListing", "SweepTask"]
+__all__ = ["CacheSweep", "StoreListing", "SweepTask", "is_listing_due"]
 
 LISTING_RETRY_DELAY_MS = 5_000
 """Delay before a store whose sweep has not succeeded is listed again."""
@@ -56,6 +56,12 @@
         return False
 
 
+def is_listing_due(attempted_ms: Mapping[str, int], address: str, now_ms: int) -> bool:
+    """Return whether a store may be listed, by the times at which stores were listed last."""
+    last_ms = attempted_ms.get(address)
+    return last_ms is None or now_ms - last_ms >= LISTING_RETRY_DELAY_MS
+
+
 class CacheSweep:
     """Plans the sweeps of managed stores.
 
@@ -109,11 +115,8 @@
         self._attempted_ms = {a: ms for a, ms in self._attempted_ms.items() if a in stores}
         tasks = []
         for address in stores:
-            attempted_ms = self._attempted_ms.get(address)
-            is_backing_off = (
-                attempted_ms is not None and now_ms - attempted_ms < LISTING_RETRY_DELAY_MS
-            )
-            if address not in self._swept_stores and not is_backing_off:
+            is_due = is_listing_due(self._attempted_ms, address, now_ms)
+            if address not in self._swept_stores and is_due:
                 self._attempted_ms[address] = now_ms
                 tasks.append(SweepTask(address, tuple(targets.values())))
         return tuple(tasks)
--- a/bergamothill/version/scopesweep.py
+++ b/bergamothill/version/scopesweep.py
@@ -12,7 +12,7 @@
 
 from bergamothill.version.cacheindex import PartKey
 from bergamothill.version.cachenamespace import BrandIsolation, Namespace
-from bergamothill.version.cachesweep import LISTING_RETRY_DELAY_MS, StoreListing
+from bergamothill.version.cachesweep import StoreListing, is_listing_due
 
 __all__ = ["FREE_TIMEOUT_MS", "FETCH_HOLD_MS", "ScopeSweep", "ScopeTask", "is_retired"]
 
@@ -77,11 +77,8 @@
             self._isolation, self._changed_ms = isolation, now_ms
         if now_ms - self._changed_ms < settle_ms:
             return ()
-        due = [a for a in stores if self._is_due(a, now_ms)]
-        self._attempted_ms = {a: ms for a, ms in self._attempted_ms.items() if a not in due}
+        stores = tuple(stores)
+        due = [a for a in stores if is_listing_due(self._attempted_ms, a, now_ms)]
+        self._attempted_ms = {a: ms for a, ms in self._attempted_ms.items() if a in stores}
         self._attempted_ms |= dict.fromkeys(due, now_ms)
         return tuple(ScopeTask(address, isolation) for address in due if has_retired(address))
-
-    def _is_due(self, address: str, now_ms: int) -> bool:
-        attempted_ms = self._attempted_ms.get(address)
-        return attempted_ms is None or now_ms - attempted_ms >= LISTING_RETRY_DELAY_MS
