Hold the isolated brands of the configuration once, in the planner

The selector and the planner each had a copy, set side by side, and both comparisons of sets went through the attribute. The set compares by value now. The hold after the first configuration stays.

--- a/bergamothill/process/engineselector.py
+++ b/bergamothill/process/engineselector.py
@@ -12,7 +12,7 @@
 from bergamothill.request.callerrequest import CallerRequest, ForwardTerms
 from bergamothill.request.contextplan import ContextPlan, ContextPlanner, PartHolders
 from bergamothill.request.serverspeed import EngineSpeed, PromptWork, ServerSpeeds
-from bergamothill.version.cachenamespace import NO_ISOLATION, namespace
+from bergamothill.version.cachenamespace import namespace
 from bergamothill.version.routetable import Brand, EngineTraits
 
 __all__ = ["EngineSelector"]
@@ -64,9 +64,6 @@
         self._speeds = speeds
         self._planner = planner
         self._peer_loads = peer_loads
-        self.isolation = NO_ISOLATION
-        """Which brands share cached context, by the configuration in force."""
-
         self.announced = AnnouncedPrefill()
         """Prompts that the others have announced since their latest load reports."""
 
@@ -100,7 +97,7 @@
             brand=brand.name if brand is not None else None,
             weight_version=best.state.weight_version(request.model),
             cache_salt=best.salt,
-            cache_scope=self.isolation.scope_of(brand),
+            cache_scope=self._planner.isolation.scope_of(brand),
             fetch_from=plan.fetch_from,
             save_to=self._planner.plan_saves(request, best.salt, now_ms),
             fetch_until_ms=plan.fetch_until_ms,
@@ -127,7 +124,7 @@
         entry = state.entry
         homes = self._planner.regions.namespace_of(request.homes)
         version = state.weight_version(request.model)
-        salt = namespace(request.model, version, brand, homes, self.isolation)
+        salt = namespace(request.model, version, brand, homes, self._planner.isolation)
         speed = self._speeds.engine(entry.service, entry.incarnation, now_ms)
         plan = self._planner.plan(
             entry.address, entry.zone, traits, request, salt, now_ms, speed.tokens_per_ms, holders
--- a/bergamothill/process/serverpool.py
+++ b/bergamothill/process/serverpool.py
@@ -169,7 +169,7 @@
         """
         if not self._may_fetch_from(terms.fetch_from):
             return False
-        if terms.cache_salt and not self.selector.isolation.may_use(terms.cache_scope):
+        if terms.cache_salt and not self._planner.isolation.may_use(terms.cache_scope):
             return False
         if homes is None:
             return True
--- a/bergamothill/request/contextplan.py
+++ b/bergamothill/request/contextplan.py
@@ -12,7 +12,7 @@
 from bergamothill.request.fetchdelay import FetchDelays
 from bergamothill.request.serverspeed import INITIAL_TOKENS_PER_MS
 from bergamothill.version.cacheindex import CacheIndex, PartKey
-from bergamothill.version.cachenamespace import BrandIsolation
+from bergamothill.version.cachenamespace import NO_ISOLATION, BrandIsolation
 from bergamothill.version.homes import HomeRegions, RegionMap
 from bergamothill.version.routetable import CacheStore, EngineTraits
 from bergamothill.version.scopesweep import FETCH_HOLD_MS
@@ -154,17 +154,19 @@
         self._stores: tuple[CacheStore, ...] = ()
         self._zones: dict[str, ZoneName] = {}
         self._pending_saves: dict[PartKey, int] = {}
-        self._isolation: BrandIsolation | None = None
-        self._stores_held_until_ms = 0
+        self.isolation = NO_ISOLATION
+        """Which brands share cached context, by the configuration in force."""
+
+        self._stores_held_until_ms: int | None = None
 
     def set_isolation(self, isolation: BrandIsolation, now_ms: int) -> None:
         """Set the isolated brands; after a change, nothing is fetched from stores for a moment.
 
         What the stores keep under the new shared scope may be about to be freed.
         """
-        if self._isolation is None or self._isolation.isolated != isolation.isolated:
+        if self._stores_held_until_ms is None or isolation != self.isolation:
             self._stores_held_until_ms = now_ms + FETCH_HOLD_MS
-        self._isolation = isolation
+        self.isolation = isolation
 
     def set_stores(self, stores: tuple[CacheStore, ...]) -> None:
         """Set the stores, from the configuration in force."""
@@ -282,7 +284,7 @@
 
     def stores_with(self, key: PartKey, tokens: int, now_ms: int) -> list[CacheStore]:
         """Return the stores that certainly have a part."""
-        if now_ms < self._stores_held_until_ms:
+        if self._stores_held_until_ms is not None and now_ms < self._stores_held_until_ms:
             return []
         return [s for s in self._stores if self._certainly_has(s.address, key, tokens, now_ms)]
 
--- a/bergamothill/version/cachenamespace.py
+++ b/bergamothill/version/cachenamespace.py
@@ -10,7 +10,7 @@
 import hashlib
 import json
 from dataclasses import dataclass
-from functools import lru_cache
+from functools import cached_property, lru_cache
 from urllib.parse import quote, unquote
 
 from bergamothill.ids import BrandName, ModelName
@@ -33,6 +33,7 @@
     return quote(name, safe="").replace(_SEPARATOR, "%7E")
 
 
+@dataclass(frozen=True)
 class BrandIsolation:
     """Which brands share cached context, by the set of isolated brands of a configuration.
 
@@ -42,9 +43,12 @@
     :param isolated: names of the isolated brands, including those without a key
     """
 
-    def __init__(self, isolated: frozenset[BrandName] = frozenset()) -> None:
-        self.isolated = isolated
-        self.shared_scope = _shared_scope(isolated)
+    isolated: frozenset[BrandName] = frozenset()
+
+    @cached_property
+    def shared_scope(self) -> str:
+        """Scope of the context that brands share."""
+        return _shared_scope(self.isolated)
 
     def scope_of(self, brand: Brand | None) -> str:
         """Return the scope of the context that a request may use.
--- a/bergamothill/version/scopesweep.py
+++ b/bergamothill/version/scopesweep.py
@@ -73,7 +73,7 @@
         :param settle_ms: longest time for which a request may use an earlier set
         :param now_ms: current time, in milliseconds
         """
-        if self._isolation is None or self._isolation.isolated != isolation.isolated:
+        if isolation != self._isolation:
             self._isolation, self._changed_ms = isolation, now_ms
         if now_ms - self._changed_ms < settle_ms:
             return ()
