Let streams of servers without event connection go on at their version

Cause: a version counted as confirmed only by an event connection or a report, and plain servers have neither. confirmed_version was None for all of them, so that nothing recorded where a stream began, and no server could take one over. Ruled out: retry budget and limits (nothing was sent), the search among instances (nothing had been told).

Change: the list names the version of a plain server. Only a process under the same id can contradict it, as X-Expected-Instance refuses all others, and that process registers within a heartbeat interval. So where a stream began is recorded as presumed, a resumed request is written at once, and its answer is read once a list, read a heartbeat interval after the writing, shows both servers unreplaced.

--- a/bergamothill/connection/backendhttp.py
+++ b/bergamothill/connection/backendhttp.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -86,6 +86,7 @@
     is_head: bool = False,
     flow: FlowGate | None = None,
     keeping: Keeping | None = None,
+    confirm: Callable[[], Awaitable[bool]] | None = None,
 ) -> ExchangeResult:
     """Send one request on one connection and pass the response to a sink.
 
@@ -99,12 +100,14 @@
     :param is_head: the request's method is HEAD, so the response has no body
     :param flow: pauses reading of the response
     :param keeping: use of kept connections; None for a new connection that is closed afterwards
+    :param confirm: called once the request is written; the response is read after it has returned,
+        and is dropped if it returned False
     """
     done: asyncio.Future[ExchangeResult] = asyncio.get_running_loop().create_future()
     if keeping is None:
         connection = BackendConnection(sink, done, is_head=is_head)
         return await _exchange_on_new(
-            connection, address, request, may_send, connect_timeout_ms, flow
+            connection, address, request, may_send, connect_timeout_ms, flow, confirm
         )
     connection = keeping.take(request)
     is_reused = connection is not None
@@ -117,10 +120,17 @@
     try:
         if is_reused:
             connection.reuse(sink, done, is_head=is_head, request_id=keeping.request_id)
-            result = await _exchange_on_kept(connection, request, may_send, flow)
+            result = await _exchange_on_kept(connection, request, may_send, flow, confirm)
         else:
             result = await _exchange_on_new(
-                connection, address, request, may_send, connect_timeout_ms, flow, closes=False
+                connection,
+                address,
+                request,
+                may_send,
+                connect_timeout_ms,
+                flow,
+                confirm,
+                closes=False,
             )
         end = result.end
         # Reading was late if it was paused, so that the idle time at the server is not known.
@@ -142,6 +152,7 @@
     may_send: Callable[[], bool],
     connect_timeout_ms: int,
     flow: FlowGate | None,
+    confirm: Callable[[], Awaitable[bool]] | None,
     *,
     closes: bool = True,
 ) -> ExchangeResult:
@@ -156,12 +167,10 @@
     if not may_send():
         transport.abort()
         return ExchangeResult(ExchangeEnd.NOT_SENT, "server accepts no more requests")
-    flow.attach(transport)
     transport.write(request)
     try:
-        return await connection.done
+        return await _read_response(connection, transport, flow, confirm)
     finally:
-        flow.detach(transport)
         if closes:
             transport.abort()
 
@@ -171,15 +180,31 @@
     request: bytes,
     may_send: Callable[[], bool],
     flow: FlowGate,
+    confirm: Callable[[], Awaitable[bool]] | None,
 ) -> ExchangeResult:
     if not may_send():
         return ExchangeResult(ExchangeEnd.NOT_SENT, "server accepts no more requests")
     transport = connection.transport
-    flow.attach(transport)
     transport.write(request)
+    if transport.is_closing():  # the first send failed, so no byte was written
+        return ExchangeResult(ExchangeEnd.NOT_SENT, "kept connection was closed")
+    return await _read_response(connection, transport, flow, confirm)
+
+
+async def _read_response(
+    connection: BackendConnection,
+    transport: asyncio.Transport,
+    flow: FlowGate,
+    confirm: Callable[[], Awaitable[bool]] | None,
+) -> ExchangeResult:
+    """Read the response to a request that was written, once the server is confirmed."""
+    if confirm is not None:
+        transport.pause_reading()
+        if not await confirm():
+            return ExchangeResult(ExchangeEnd.BROKEN, "server was not confirmed")
+        transport.resume_reading()
+    flow.attach(transport)
     try:
-        if transport.is_closing():  # the first send failed, so no byte was written
-            return ExchangeResult(ExchangeEnd.NOT_SENT, "kept connection was closed")
         return await connection.done
     finally:
         flow.detach(transport)
--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -295,7 +295,7 @@
             self._buffer_budget,
             self._connections,
             self.resumption,
-            None if resumed is None else resumed.version,
+            resumed,
         )
 
     async def _find_origin(
--- /dev/null
+++ b/bergamothill/process/listconfirmation.py
@@ -0,0 +1,83 @@
+"""Waits for lists that show which server answered, on the event loop.
+
+A server without event connection may have been replaced by another process under its id. That
+process registers within a heartbeat interval, so a list read that much later shows who answered.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from bergamothill.clock import Clock, ms_to_seconds
+from bergamothill.logs import EventLog
+from bergamothill.process.backends import BackendServer
+from bergamothill.process.softwareversions import SoftwareVersions
+from bergamothill.request.streamorigin import StreamOrigin
+
+__all__ = ["ListConfirmation"]
+
+MAX_DELAY_MS = 600
+"""Longest wait for a list once it is due. Callers of streams leave after two seconds without an
+event at the earliest, and heartbeat intervals are 1.2 s."""
+
+CHECK_INTERVAL_MS = 40
+READ_AGAIN_MS = 200
+"""Requests that wait at the same time share a read."""
+
+_log = EventLog("streams")
+
+
+class ListConfirmation:
+    """Confirms servers by lists that are read once they can show a replacement.
+
+    :param clock: source of time
+    :param servers: versions of the servers
+    """
+
+    def __init__(self, clock: Clock, servers: SoftwareVersions) -> None:
+        self._clock = clock
+        self._servers = servers
+        self._asked_ms: int | None = None
+        self.read_list: Callable[[], None] = lambda: None
+        """Lets this instance read the list of servers at once."""
+
+    async def confirm(self, server: BackendServer, origin: StreamOrigin | None) -> bool:
+        """Return whether a request that was just written reached a server, and went on rightly.
+
+        :param server: the incarnation as listed
+        :param origin: where the stream is presumed to have begun that the request resumes; None if
+            that is certain
+        """
+        written_ms = self._clock.now_ms()
+        due_ms = self._servers.confirmation_due_ms(written_ms)
+        is_confirmed = await self._await_list(server, written_ms, due_ms)
+        is_same_origin = origin is None or not self._is_superseded(origin)
+        _log.info(
+            "stream_confirmed" if is_confirmed and is_same_origin else "stream_not_confirmed",
+            server=server.server,
+            version=server.software_version,
+            origin="-" if origin is None else origin.server,
+            same_origin=is_same_origin,
+            took_ms=self._clock.now_ms() - written_ms,
+        )
+        return is_confirmed and is_same_origin
+
+    def _is_superseded(self, origin: StreamOrigin) -> bool:
+        return self._servers.is_superseded(origin.server, origin.started_wall_ms)
+
+    async def _await_list(self, server: BackendServer, written_ms: int, due_ms: int) -> bool:
+        incarnation = (server.server, server.started_wall_ms)
+        while not self._servers.is_listed_since(*incarnation, written_ms):
+            now_ms = self._clock.now_ms()
+            if self._servers.is_superseded(*incarnation) or now_ms >= due_ms + MAX_DELAY_MS:
+                return False
+            if now_ms >= due_ms:
+                self._ask_for_list(now_ms)
+            await asyncio.sleep(ms_to_seconds(CHECK_INTERVAL_MS))
+        return not self._servers.is_superseded(*incarnation)
+
+    def _ask_for_list(self, now_ms: int) -> None:
+        if self._asked_ms is None or now_ms - self._asked_ms >= READ_AGAIN_MS:
+            self._asked_ms = now_ms
+            self.read_list()
--- a/bergamothill/process/originexchange.py
+++ b/bergamothill/process/originexchange.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import singledispatchmethod
 from itertools import count
 
@@ -79,6 +79,9 @@
         # Replies to an earlier process of this instance must not match.
         self._query_ids = count(clock.wall_ms() << 16)
         self._searches: dict[int, _OpenSearch] = {}
+        self.confirms: Callable[[StreamOrigin, int], bool] = lambda _origin, _since_ms: False
+        """Tells whether a presumed origin is certain by now, from when this instance knew it."""
+
         load_exchange.add_kind(is_origin_message, decode_origin_message, self._on_origin_message)
 
     async def run(self) -> None:
@@ -120,7 +123,15 @@
             search.look_up(self._origins, self._clock.now_ms())
         search.give_up()
         _log_search(search, self._clock.now_ms() - started_ms)
-        return search.known
+        known = search.known
+        return self._settle(known) if known is not None and known.source is None else known
+
+    def _settle(self, known: KnownOrigin) -> KnownOrigin:
+        """Return what this instance knows, as certain if that is shown by now."""
+        origin = known.origin
+        if origin.is_presumed and self.confirms(origin, self._clock.now_ms() - known.age_ms):
+            return replace(known, origin=replace(origin, is_presumed=False))
+        return known
 
     async def _ask_holders(self, search: OriginSearch, until_ms: int) -> None:
         query_id = next(self._query_ids)
@@ -175,7 +186,7 @@
     def _(self, message: OriginQuery) -> None:
         now_ms = self._clock.now_ms()
         known = self._origins.find(message.key, now_ms)
-        origin = None if known is None else known.origin
+        origin = None if known is None else self._settle(known).origin
         is_ambiguous = self._origins.is_ambiguous(message.key, now_ms)
         reply = OriginReply(self._roster.own, message.query_id, origin, is_ambiguous)
         self._load_exchange.send_to((message.entry,), encode_origin_message(reply))
--- a/bergamothill/process/originreport.py
+++ b/bergamothill/process/originreport.py
@@ -160,11 +160,12 @@
         origin.server,
         origin.started_wall_ms,
         origin.begun_wall_ms,
+        origin.is_presumed,
     ]
 
 
 def _decode_origin(row: Any) -> StreamOrigin:
-    brand, request, service, version, server, started_wall_ms, begun_wall_ms, *_ = row
+    brand, request, service, version, server, started_wall_ms, begun_wall_ms, *more = row
     return StreamOrigin(
         _decode_key(brand, request),
         ServiceName(_text(service)),
@@ -172,6 +173,7 @@
         ServerId(_text(server)),
         int(started_wall_ms),
         int(begun_wall_ms),
+        is_presumed=bool(more and more[0]),
     )
 
 
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -130,6 +130,7 @@
         self._origin_exchange = OriginExchange(
             clock, StreamOrigins(), self._exchange, self._roster, self._on_peer_report
         )
+        self._origin_exchange.confirms = self._server_pool.confirms
         self._server_pool.servers_under_trial = self._quarantine.gate.servers_under_trial
         max_idle = max_idle_connections(settings.descriptors, settings.memory_mb)
         self._kept_connections = KeptConnections(
@@ -212,6 +213,7 @@
                 SERVER_PREFIX, self._apply_server_list, self._on_server_list_connection_change
             ),
         ]
+        self._gateway.resumption.lists.read_list = followers[-1].read_now
         registry = self._registry = self._make_registry()
         self._kvs.era.add_listener(self._on_kvs_restored)
         for follower in followers:
--- a/bergamothill/process/prefixfollower.py
+++ b/bergamothill/process/prefixfollower.py
@@ -94,6 +94,7 @@
         self._connection_lock = threading.Lock()
         self._newest_revision = 0
         self._wake = threading.Event()
+        self._must_read = threading.Event()
         self._stopped = threading.Event()
 
     def set_shared_times(self, times: ReadTimes) -> None:
@@ -111,6 +112,11 @@
         """Read the prefix again at once."""
         self._wake.set()
 
+    def read_now(self) -> None:
+        """Read the prefix at once, also where another instance reads it."""
+        self._must_read.set()
+        self._wake.set()
+
     def stop(self) -> None:
         """Stop the background threads."""
         self._stopped.set()
@@ -120,7 +126,10 @@
         while not self._stopped.is_set():
             started_ms = self._clock.now_ms()
             interval_ms = self.interval_ms
-            if self._should_read() and not self._read() and not self._is_served():
+            is_asked = self._must_read.is_set()
+            self._must_read.clear()
+            must_read = is_asked or self._should_read()
+            if must_read and not self._read() and not self._is_served():
                 interval_ms = RETRY_INTERVAL_MS
             elapsed_ms = self._clock.now_ms() - started_ms
             self._wake.wait(ms_to_seconds(max(20, interval_ms - elapsed_ms)))
--- a/bergamothill/process/requestrun.py
+++ b/bergamothill/process/requestrun.py
@@ -13,7 +13,7 @@
 from bergamothill.connection.callerhttp import CallerConnection
 from bergamothill.connection.keptconnections import KeptConnections
 from bergamothill.errors import ProtocolError
-from bergamothill.ids import ServerId, SoftwareVersion
+from bergamothill.ids import ServerId
 from bergamothill.logs import EventLog
 from bergamothill.platform.headers import decode_answer
 from bergamothill.process.admissionqueue import AdmissionQueue
@@ -24,7 +24,7 @@
 from bergamothill.process.quarantinesteps import encode_refusal, wait_for_trial
 from bergamothill.process.serverattempt import AttemptContext, AttemptOutcome, ServerAttempt
 from bergamothill.process.serverpool import ServerPool
-from bergamothill.process.streamresumption import StreamResumption
+from bergamothill.process.streamresumption import ResumedStream, StreamResumption
 from bergamothill.request.answerrelay import AnswerRelay
 from bergamothill.request.bufferbudget import BufferBudget
 from bergamothill.request.callerrequest import CallerRequest
@@ -67,7 +67,7 @@
     :param buffer_budget: memory for the bodies of unfinished answers
     :param connections: connections to backend servers
     :param resumption: where streams began
-    :param version: software version at which the stream began that the request resumes, if known
+    :param resumed: where the stream that the request resumes has to go on; None if it begins one
     """
 
     def __init__(
@@ -85,7 +85,7 @@
         buffer_budget: BufferBudget,
         connections: KeptConnections,
         resumption: StreamResumption,
-        version: SoftwareVersion | None,
+        resumed: ResumedStream | None,
     ) -> None:
         route: Route = admission.route
         self._clock = clock
@@ -116,7 +116,7 @@
             retry_budget,
             random.random(),
             gate,
-            version,
+            None if resumed is None else resumed.version,
         )
         is_stream = route.retry_policy is RetryPolicy.STREAM
         self._relay = AnswerRelay(
@@ -138,7 +138,7 @@
             connection.flow,
             self._on_first_byte,
             self._on_events,
-            resumption.identity if is_stream else None,
+            resumption.checks(resumed) if is_stream else None,
             route.event_gap_ms,
         )
 
@@ -164,11 +164,12 @@
         """
         forwarding, now_ms = self._forwarding, self._clock.now_ms()
         server, is_identified = attempt.send.server, attempt.was_identified
+        checks = self._context.checks
         if not self._route.may_retry and not forwarding.resumes_stream:
             return
         if not forwarding.must_keep_version:
             forwarding.version = self._resumption.record_begin(
-                self._request, self._admission.brand_name, server, is_identified=is_identified
+                self._request, self._admission.brand_name, server, checks, is_identified
             )
         elif not (
             is_identified or self._server_pool.may_pass_on(server, forwarding.version, now_ms)
--- a/bergamothill/process/serverattempt.py
+++ b/bergamothill/process/serverattempt.py
@@ -17,9 +17,9 @@
 from bergamothill.process.admissionqueue import AdmissionQueue
 from bergamothill.process.quarantinegate import GatedRun, QuarantineGate
 from bergamothill.process.quarantinesteps import classify_run_end
-from bergamothill.process.serveridentity import ServerIdentity
 from bergamothill.process.serverlimits import log_limit_change
 from bergamothill.process.serverpool import ServerPool
+from bergamothill.process.streamresumption import StreamChecks
 from bergamothill.request.answerrelay import AnswerListener, AnswerRelay, AttemptVerdict
 from bergamothill.request.callerrequest import CallerRequest, ResponseHead
 from bergamothill.request.forwarding import ForwardStep, Send
@@ -66,7 +66,7 @@
     :param flow: pauses reading while the caller does not keep up
     :param on_first: called before the first bytes are sent to the caller
     :param on_events: called with the attempt before events are sent to the caller
-    :param identity: asks servers who they are before streams are sent to them
+    :param checks: checks of the servers that streams are sent to; None for other requests
     :param event_gap_ms: time between events that meets the objective of the route
     :param log: descriptions of the attempts that have ended
     """
@@ -81,7 +81,7 @@
     flow: FlowGate
     on_first: Callable[[], None]
     on_events: Callable[[ServerAttempt], None]
-    identity: ServerIdentity | None = None
+    checks: StreamChecks | None = None
     event_gap_ms: int = 0
     log: list[str] = field(default_factory=list)
 
@@ -217,8 +217,10 @@
 
     async def _send_request(self) -> ExchangeResult:
         """Exchange request and answer, after asking the server who it is where this is in doubt."""
-        if self._context.identity is not None:
-            await self._context.identity.identify(self.send.server)
+        checks, confirm = self._context.checks, None
+        if checks is not None:
+            await checks.identify(self.send.server)
+            confirm = checks.confirmation(self.send.server, self.send.terms.software_version)
         keeping = self._keeping()
         self.send.terms.closes_connection = keeping is None
         return await exchange(
@@ -229,6 +231,7 @@
             is_head=self._request.raw.method == b"HEAD",
             flow=self._context.flow,
             keeping=keeping,
+            confirm=confirm,
         )
 
     def _keeping(self) -> Keeping | None:
--- a/bergamothill/process/softwareversions.py
+++ b/bergamothill/process/softwareversions.py
@@ -9,11 +9,11 @@
 from collections.abc import Callable, Iterable
 
 from bergamothill.connection.storeera import REWRITE_MS
-from bergamothill.ids import ServiceName, SoftwareVersion
+from bergamothill.ids import ServerId, ServiceName, SoftwareVersion
 from bergamothill.process.backends import BackendServer
 from bergamothill.process.observedserver import ObservedServer
 from bergamothill.process.serversilence import ServerSilence
-from bergamothill.request.streamorigin import MAX_RESUME_MS
+from bergamothill.request.streamorigin import MAX_RESUME_MS, StreamOrigin
 
 __all__ = ["IDENTITY_MS", "LOOKBACK_MS", "SoftwareVersions", "VersionHistory"]
 
@@ -76,6 +76,32 @@
         return next(iter(versions)) if now_ms - self._first_sent_ms >= LOOKBACK_MS else None
 
 
+class ListEvidence:
+    """When each incarnation was listed last, for as long as streams may be taken up."""
+
+    def __init__(self) -> None:
+        self._listed_ms: dict[tuple[ServerId, int], int] = {}
+        self._pruned_ms = 0
+
+    def record(self, states: Iterable[ObservedServer], sent_ms: int) -> None:
+        """Record a list that shows all processes that answered a heartbeat interval before.
+
+        :param states: observed servers, some of which may not be listed any more
+        :param sent_ms: time at which its read was sent
+        """
+        for state in states:
+            if state.listed_ms == sent_ms:
+                self._listed_ms[state.entry.incarnation] = sent_ms
+        if sent_ms - self._pruned_ms >= MAX_RESUME_MS:
+            self._pruned_ms = sent_ms
+            oldest_ms = sent_ms - MAX_RESUME_MS
+            self._listed_ms = {k: at for k, at in self._listed_ms.items() if at >= oldest_ms}
+
+    def last_listed_ms(self, server: ServerId, started_wall_ms: int) -> int | None:
+        """Return when the read of the last list with an incarnation was sent; None for never."""
+        return self._listed_ms.get((server, started_wall_ms))
+
+
 class SoftwareVersions(ServerSilence):
     """Software versions of all backend servers, and whether their processes are known to run still.
 
@@ -102,6 +128,7 @@
         self._history = VersionHistory(min_entry_life_ms)
         self._lost_addresses: set[str] = set()
         self._grace_began_ms: int | None = None
+        self._evidence = ListEvidence()
         self.asks_servers = False
         """Whether servers are asked who they are where the list and event connections leave doubt.
 
@@ -127,6 +154,8 @@
             if state.listed_ms == sent_ms and sent_ms >= self._confirmation_due_ms(state):
                 state.reconnected_ms = state.failed_ms = None
         self._lost_addresses &= {b.entry.address for b in self._observed.values()}
+        if sent_ms >= self.confirmation_due_ms(0):
+            self._evidence.record(self._observed.values(), sent_ms)
         return changes
 
     def _begin_grace(self, read_ms: int, now_ms: int) -> None:
@@ -201,6 +230,58 @@
         version = state.entry.software_version
         return version if version == server.software_version else None
 
+    def presumed_version(self, server: BackendServer, now_ms: int) -> SoftwareVersion | None:
+        """Return the version of a server without event connection, by the list alone.
+
+        Another process may have started under its id meanwhile, so what it answers counts only once
+        :meth:`is_listed_since` holds for the time of the answer.
+
+        :param server: the incarnation as listed
+        :returns: None for an engine, and if there is reason to doubt the list
+        """
+        state = self._state_of(server)
+        if state is None or server.weights or self._has_paused(now_ms):
+            return None
+        if state.failed_ms is not None or self._may_be_replaced(state):
+            return None
+        is_recent = now_ms - state.listed_ms <= self._min_entry_life_ms
+        version = state.entry.software_version
+        return version if is_recent and version == server.software_version else None
+
+    def confirmation_due_ms(self, since_ms: int) -> int:
+        """Return when to send a read whose list shows who has answered since some time.
+
+        A process that answered then has registered one heartbeat interval later. After an outage or
+        a restoration of the key-value service its entry may be missing for longer.
+        """
+        due_ms = since_ms + self._heartbeat_interval_ms
+        if self._grace_began_ms is None:
+            return due_ms
+        return max(due_ms, self._grace_began_ms + max(REWRITE_MS, self._heartbeat_interval_ms))
+
+    def is_listed_since(self, server: ServerId, started_wall_ms: int, since_ms: int) -> bool:
+        """Return whether lists show that no other process has answered under an id at some time.
+
+        :param started_wall_ms: start of the incarnation that is expected to have answered
+        :param since_ms: time of the answer, or a later one
+        """
+        last_ms = self._evidence.last_listed_ms(server, started_wall_ms)
+        return last_ms is not None and last_ms >= since_ms + self._heartbeat_interval_ms
+
+    def is_superseded(self, server: ServerId, started_wall_ms: int) -> bool:
+        """Return whether another incarnation is known under the id of a server."""
+        state = self._observed.get(server)
+        if state is None:
+            return False
+        return state.is_replaced or state.entry.started_wall_ms != started_wall_ms
+
+    def confirms(self, origin: StreamOrigin, since_ms: int) -> bool:
+        """Return whether lists show that a stream began where it is presumed to have begun.
+
+        :param since_ms: time of its first event, or a later one
+        """
+        return self.is_listed_since(origin.server, origin.started_wall_ms, since_ms)
+
     def record_identity(self, server: BackendServer, started_wall_ms: int, sent_ms: int) -> None:
         """Record which incarnation a server at the address of a listed one says that it is.
 
@@ -244,8 +325,13 @@
         return self.confirmed_version(server, now_ms) is not None
 
     def may_go_on_at(self, server: BackendServer, version: SoftwareVersion, now_ms: int) -> bool:
-        """Return whether a stream that began at a version may go on at a server."""
-        return self.confirmed_version(server, now_ms) == version
+        """Return whether a stream that began at a version may go on at a server.
+
+        What a server without event connection answers has to be confirmed before it is passed on.
+        """
+        if server.weights:
+            return self.confirmed_version(server, now_ms) == version
+        return self.presumed_version(server, now_ms) == version
 
     def may_pass_on(self, server: BackendServer, version: SoftwareVersion, now_ms: int) -> bool:
         """Return whether the first event of an answer may be passed on.
--- a/bergamothill/process/streamresumption.py
+++ b/bergamothill/process/streamresumption.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -10,6 +11,7 @@
 from bergamothill.ids import BrandName, ServiceName, SoftwareVersion
 from bergamothill.logs import EventLog
 from bergamothill.process.backends import BackendServer
+from bergamothill.process.listconfirmation import ListConfirmation
 from bergamothill.process.serveridentity import ServerIdentity
 from bergamothill.process.serverpool import ServerPool
 from bergamothill.request.callerrequest import CallerRequest
@@ -21,6 +23,7 @@
     "OriginDirectory",
     "OriginEvidence",
     "ResumedStream",
+    "StreamChecks",
     "StreamResumption",
 ]
 
@@ -77,10 +80,43 @@
 
     :param service: service that it began at
     :param version: software version of that service; None if it is not known
+    :param presumed: where it is presumed to have begun; None if that is certain or not known
     """
 
     service: ServiceName
     version: SoftwareVersion | None
+    presumed: StreamOrigin | None = None
+
+
+class StreamChecks:
+    """Checks of the servers that one stream is sent to.
+
+    :param identity: asks engines who they are
+    :param lists: confirms servers without event connection
+    :param presumed: where the stream is presumed to have begun; None if certain or not known
+    """
+
+    def __init__(
+        self, identity: ServerIdentity, lists: ListConfirmation, presumed: StreamOrigin | None
+    ) -> None:
+        self.presumed = presumed
+        self._identity = identity
+        self._lists = lists
+
+    async def identify(self, server: BackendServer) -> None:
+        """Ask a server who it is if this is in doubt."""
+        await self._identity.identify(server)
+
+    def confirmation(
+        self, server: BackendServer, version: SoftwareVersion | None
+    ) -> Callable[[], Awaitable[bool]] | None:
+        """Return what confirms a request that is written to a server; None if nothing has to.
+
+        :param version: only version at which the stream may go on; None if it begins
+        """
+        if version is None or server.weights:
+            return None
+        return lambda: self._lists.confirm(server, self.presumed)
 
 
 class StreamResumption:
@@ -99,34 +135,51 @@
         """Asked where streams began whose origin no instance knows."""
 
         self.identity = ServerIdentity(clock, server_pool)
+        self.lists = ListConfirmation(clock, server_pool)
+
+    def checks(self, resumed: ResumedStream | None) -> StreamChecks:
+        """Return the checks of a stream.
+
+        :param resumed: where it has to go on; None if it begins
+        """
+        presumed = None if resumed is None else resumed.presumed
+        return StreamChecks(self.identity, self.lists, presumed)
 
     def record_begin(
         self,
         request: CallerRequest,
         brand: BrandName | None,
         server: BackendServer,
-        *,
-        is_identified: bool = False,
+        checks: StreamChecks,
+        is_identified: bool,
     ) -> SoftwareVersion | None:
         """Record that a server has brought the first event of a stream.
 
+        :param checks: checks of the stream, which learn where it is presumed to have begun
         :param is_identified: whether the server had said who it is when the request was written
         :returns: version at which the stream may go on; None if it is not known
         """
+        now_ms, is_presumed = self._clock.now_ms(), False
         version = server.software_version
         if not is_identified:
-            version = self._server_pool.confirmed_version(server, self._clock.now_ms())
-        if version is not None and request.request_id:
-            self._directory.tell(
-                StreamOrigin(
-                    StreamKey(brand, request.request_id),
-                    server.service,
-                    version,
-                    server.server,
-                    server.started_wall_ms,
-                    self._clock.wall_ms(),
-                )
-            )
+            version = self._server_pool.confirmed_version(server, now_ms)
+        if version is None:
+            version = self._server_pool.presumed_version(server, now_ms)
+            is_presumed = version is not None
+        if version is None:
+            return None
+        origin = StreamOrigin(
+            StreamKey(brand, request.request_id),
+            server.service,
+            version,
+            server.server,
+            server.started_wall_ms,
+            self._clock.wall_ms(),
+            is_presumed,
+        )
+        checks.presumed = origin if is_presumed else None
+        if request.request_id:
+            self._directory.tell(origin)
         return version
 
     async def resolve(
@@ -147,12 +200,13 @@
         """
         if route.retry_policy is not RetryPolicy.STREAM or not request.last_event_id:
             return None
-        known = None
+        known = presumed = None
         name, version = service.name, None
         if request.resumes:
             known = await self._directory.find(StreamKey(brand, request.resumes), give_up_ms)
-            if known is not None and any(known.origin.service == s.service for s in route.shares):
+            if known is not None and self._may_follow(known.origin, route):
                 name, version = known.origin.service, known.origin.version
+                presumed = known.origin if known.origin.is_presumed else None
         elif self.evidence is None and len({share.service for share in route.shares}) == 1:
             # With several, the id of this request says nothing of the service of the first one.
             version = await self._find_only_version(name, give_up_ms)
@@ -160,7 +214,14 @@
             only = await self.evidence.only_origin(route.name, give_up_ms)
             name, version = (name, None) if only is None else only
         self._log(request, name, version, known)
-        return ResumedStream(name, version)
+        return ResumedStream(name, version, presumed)
+
+    def _may_follow(self, origin: StreamOrigin, route: Route) -> bool:
+        """Return whether a stream may go on by its origin, as far as is known now."""
+        incarnation = (origin.server, origin.started_wall_ms)
+        if origin.is_presumed and self._server_pool.is_superseded(*incarnation):
+            return False
+        return any(origin.service == share.service for share in route.shares)
 
     async def _find_only_version(
         self, service: ServiceName, give_up_ms: int
@@ -195,6 +256,7 @@
             service=service,
             version=version or "-",
             source="-" if known is None else known.source or "own",
+            presumed=known is not None and known.origin.is_presumed,
             age_ms="-" if known is None else known.age_ms,
             servers=len(servers),
             of=len(usable),
--- a/bergamothill/request/streamorigin.py
+++ b/bergamothill/request/streamorigin.py
@@ -55,6 +55,8 @@
     :param server: server that sent the first event
     :param started_wall_ms: start of the server's incarnation
     :param begun_wall_ms: wall-clock time of the first event
+    :param is_presumed: whether another process may have answered under the id of the server, which
+        only a later list of servers shows
     """
 
     key: StreamKey
@@ -63,6 +65,7 @@
     server: ServerId
     started_wall_ms: int
     begun_wall_ms: int
+    is_presumed: bool = False
 
     def agrees_with(self, other: StreamOrigin) -> bool:
         """Return whether a stream of the same key may go on at the same servers."""
@@ -154,6 +157,8 @@
             self._replace(records, known, _Record(origin, now_ms, expires_ms, _size(origin)))
         else:
             known.is_ambiguous |= not known.origin.agrees_with(origin)
+            if known.origin.is_presumed and not origin.is_presumed:
+                known.origin = origin
             known.recorded_ms = now_ms
             known.expires_ms = max(known.expires_ms, expires_ms)
         records.by_request.move_to_end(origin.key.request)
--- a/tests/proof/proof_streamversions.py
+++ b/tests/proof/proof_streamversions.py
@@ -48,12 +48,12 @@
 
     Oracle 1: no stream ever has events of two versions, by the processes that made them. All
     instances may end at once, and the servers of a version with them.
-    Oracle 2: with no disturbance, and two engines of its version, of 12 or more streams taken up
+    Oracle 2: with no disturbance, and two servers of its version, of 12 or more streams taken up
     again the share that goes on is at least half of the share of new streams that begin.
 
-    Without an event connection an instance cannot tell whether a server is still the process that
-    is listed, so oracle 2 needs one to each engine. Cuts outlast the poll of that connection: a
-    shorter one hides that the process has ended.
+    Without an event connection an instance cannot tell whether an engine is still the process that
+    is listed, so oracle 2 needs one to each engine; lists confirm what plain servers answer. Cuts
+    outlast the poll of that connection: a shorter one hides that the process has ended.
 
     Oracle 3: after a quiet time with a single version, at least 0.9 of the streams go on after all
     instances have ended.
@@ -130,10 +130,10 @@
                 world.after((turn + step * len(slots)) * gap_ms, restart)
         world.run_for(10)
 
-    @rule(version=versions)
-    def streams_go_on(self, version):
+    @rule(version=versions, service=services)
+    def streams_go_on(self, version, service):
         self.operation()
-        world, service = self.world, ENGINE_SERVICE
+        world = self.world
         is_too_large = len(world.instances) > MAX_INSTANCES_FOR_SHARE
         if self.has_checked_share or is_too_large or world.unread_share:
             return
--- a/tests/proof/versioninstances.py
+++ b/tests/proof/versioninstances.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from bergamothill.process.instanceroster import DEPARTURE_MS, InstanceRoster
 from bergamothill.process.originexchange import ASK_AGAIN_MS, FIND_TIMEOUT_MS
@@ -271,6 +271,8 @@
         search = OriginSearch(key)
         search.look_up(instance.origins, self.now_ms)
         if search.outcome is not None:
+            if search.known is not None:
+                search.known = self.settle(instance, search.known)
             on_end(search)
             return
         is_over = []
@@ -280,6 +282,8 @@
                 is_over.append(True)
                 search.look_up(instance.origins, self.now_ms)
                 search.give_up()
+                if search.known is not None and search.known.source is None:
+                    search.known = self.settle(instance, search.known)
                 if search.known is not None:
                     instance.origins.record(search.known.origin, self.now_ms)
                 on_end(search)
@@ -300,10 +304,17 @@
         self.after(ASK_AGAIN_MS, self.at(instance, ask_again))
         self.after(FIND_TIMEOUT_MS, self.at(instance, end))
 
+    def settle(self, instance, known):
+        """Return what an instance knows, as certain if its lists show that by now."""
+        since_ms = self.now_ms - known.age_ms
+        if known.origin.is_presumed and instance.pool.confirms(known.origin, since_ms):
+            return replace(known, origin=replace(known.origin, is_presumed=False))
+        return known
+
     def reply(self, peer, instance, search, end):
         known = peer.origins.find(search.key, self.now_ms)
         is_ambiguous = peer.origins.is_ambiguous(search.key, self.now_ms)
-        origin = None if known is None else known.origin
+        origin = None if known is None else self.settle(peer, known).origin
         reply = OriginReply(peer.name, 0, origin, is_ambiguous)
         epoch = instance.epoch
 
--- a/tests/proof/versionworld.py
+++ b/tests/proof/versionworld.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from bergamothill.platform.serverreport import OTHER_SERVER
+from bergamothill.process.listconfirmation import CHECK_INTERVAL_MS, MAX_DELAY_MS
 from bergamothill.process.softwareversions import IDENTITY_MS
 from bergamothill.process.streamresumption import LIST_CHECK_INTERVAL_MS, LIST_TIMEOUT_MS
 from bergamothill.request.streamorigin import StreamKey, StreamOrigin
@@ -60,6 +61,7 @@
     process: Process | None = None
     run: int = 0
     was_identified: bool = False
+    presumed: StreamOrigin | None = None
 
 
 class World(RecordWorld):
@@ -117,10 +119,16 @@
                 self.run(attempt)
 
         def on_found(search):
-            if search.known is not None:
-                go_on(search.known.origin.version, search.outcome.value)
-            else:
+            if search.known is None:
                 by_record()
+                return
+            origin, pool = search.known.origin, instance.pool
+            if origin.is_presumed:
+                attempt.presumed = origin
+                if pool.is_superseded(origin.server, origin.started_wall_ms):
+                    go_on(None, "superseded")
+                    return
+            go_on(origin.version, search.outcome.value)
 
         def by_record():
             self.find_by_record(instance, stream.service, lambda found: go_on(found, "record"))
@@ -280,7 +288,32 @@
         text = f"{attempt.instance.name} sends to {entry.server}@{entry.software_version}"
         self.note(attempt.stream, f"{text} where {process.version} runs")
         delay_ms = 1 + self.rng.randrange(MAX_HEAD_MS)
-        self.after(delay_ms, self.in_run(attempt, lambda: self.receive_head(attempt)))
+        if attempt.version is not None and not entry.weights and not self.ignores_version:
+            self.confirm(attempt, self.now_ms)
+        else:
+            self.after(delay_ms, self.in_run(attempt, lambda: self.receive_head(attempt)))
+
+    def confirm(self, attempt, written_ms):
+        """Read the answer of a plain server once a list shows who has sent it."""
+        entry, pool, origin = attempt.entry, attempt.instance.pool, attempt.presumed
+        incarnation = (entry.server, entry.started_wall_ms)
+        due_ms = pool.confirmation_due_ms(written_ms)
+
+        def check():
+            if pool.is_superseded(*incarnation) or self.now_ms >= due_ms + MAX_DELAY_MS:
+                self.lose_run(attempt)
+            elif not pool.is_listed_since(*incarnation, written_ms):
+                if self.now_ms >= due_ms:
+                    self.read_list(attempt.instance, is_watched=True)
+                self.after(
+                    max(CHECK_INTERVAL_MS, due_ms - self.now_ms), self.in_run(attempt, check)
+                )
+            elif origin and pool.is_superseded(origin.server, origin.started_wall_ms):
+                self.lose_run(attempt)
+            else:
+                self.receive_head(attempt)
+
+        check()
 
     def is_heard(self, attempt):
         is_reachable = self.is_reachable(attempt.instance.zone, attempt.entry.zone)
@@ -321,6 +354,9 @@
         version = entry.software_version
         if not attempt.was_identified:
             version = instance.pool.confirmed_version(entry, self.now_ms)
+        is_presumed = version is None
+        if is_presumed:
+            version = instance.pool.presumed_version(entry, self.now_ms)
         if version is None:
             return
         attempt.version = version
@@ -331,7 +367,9 @@
             entry.server,
             entry.started_wall_ms,
             self.now_ms + WALL_OFFSET_MS,
+            is_presumed,
         )
+        attempt.presumed = origin if is_presumed else None
         self.note(stream, f"{instance.name} tells {version}")
         self.tell(instance, origin)
 
--- a/tests/test_streamresumption.py
+++ b/tests/test_streamresumption.py
@@ -89,6 +89,7 @@
         self.resumption.evidence = evidence = Evidence(("llm", "v2"))
         begun = replace(caller_request(), request_id="r1")
         entry = backend("s1", service="llm", software_version="v1")
-        self.resumption.record_begin(begun, "b1", entry, is_identified=True)
+        checks = self.resumption.checks(None)
+        self.resumption.record_begin(begun, "b1", entry, checks, is_identified=True)
         self.assertEqual(("llm", "v1"), await self.resolve(resumes="r1"))
         self.assertEqual([], evidence.routes)
