Keep the record of versions by default, settled by the history of the key-value service

Cause: only instances know where a stream began, and what outlives them, the record of versions in the key-value service, was off by default and would have settled 65 s after it was begun. Ruled out: the servers (new streams begin), the search among instances (it answers 'unknown' truthfully).

Change: versionRecord = observe is the default. The record is written after the lists it is made from, without any server waiting for it, and counts beside a list that is read when it is used. It settles at once if the history since the first configuration is complete, as no stream began before that. Plain servers of stream routes are recorded too; a service that names no era is never restored.

The test of records in processes replaces a record that is there by now, instead of asking for none.

--- a/bergamothill/connection/kvs.py
+++ b/bergamothill/connection/kvs.py
@@ -12,7 +12,14 @@
 
 from bergamothill.ids import LeaseId
 
-__all__ = ["ABSENT", "KeyValueEntry", "KeyValueService", "MAX_VALUE_BYTES"]
+__all__ = [
+    "ABSENT",
+    "MAX_VALUE_BYTES",
+    "KeyValueChange",
+    "KeyValueEntry",
+    "KeyValueHistory",
+    "KeyValueService",
+]
 
 ABSENT = 0
 """Pass this as ``expected`` to write a key only if it does not exist."""
@@ -34,6 +41,32 @@
     mod_revision: int
 
 
+@dataclass(frozen=True, slots=True)
+class KeyValueChange:
+    """One change of a key.
+
+    :param key: full key
+    :param value: value that was written; None if the key was deleted
+    :param mod_revision: service revision of the change
+    """
+
+    key: str
+    value: bytes | None
+    mod_revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class KeyValueHistory:
+    """All changes below a prefix since a revision.
+
+    :param created_revision: revision of the first change that may be among them
+    :param changes: the changes, in order
+    """
+
+    created_revision: int
+    changes: tuple[KeyValueChange, ...]
+
+
 class KeyValueService(ABC):
     """Client of the key-value service.
 
--- a/bergamothill/connection/kvs_memory.py
+++ b/bergamothill/connection/kvs_memory.py
@@ -10,6 +10,7 @@
 from bergamothill.connection.kvs import (
     ABSENT,
     MAX_VALUE_BYTES,
+    KeyValueChange,
     KeyValueEntry,
     KeyValueService,
 )
@@ -30,12 +31,6 @@
     keys: set[str] = field(default_factory=set)
 
 
-@dataclass(frozen=True, slots=True)
-class _Change:
-    revision: int
-    key: str
-
-
 @dataclass(frozen=True, slots=True)
 class LeaseSnapshot:
     """State of one lease in a snapshot.
@@ -77,7 +72,7 @@
         self._leases: dict[LeaseId, _Lease] = {}
         self._lease_of_key: dict[str, LeaseId] = {}
         self._last_lease_number = 0
-        self._changes: deque[_Change] = deque(maxlen=MAX_LOGGED_CHANGES)
+        self._changes: deque[KeyValueChange] = deque(maxlen=MAX_LOGGED_CHANGES)
         self._condition = threading.Condition()
 
     @property
@@ -108,7 +103,7 @@
             self._check_revision(key, expected, "kvs.put")
             lease = None if lease_id is None else self._live_lease(lease_id, "kvs.put")
             self._detach_lease(key)
-            entry = KeyValueEntry(key, value, self._record_change(key))
+            entry = KeyValueEntry(key, value, self._record_change(key, value))
             self._entries[key] = entry
             if lease is not None and lease_id is not None:
                 lease.keys.add(key)
@@ -160,6 +155,24 @@
                 notified = self._condition.wait(ms_to_seconds(wait_ms))
                 left_ms -= self._clock.now_ms() - started_ms if notified else wait_ms
 
+    def changes_after(self, prefix: str, after: int) -> tuple[KeyValueChange, ...]:
+        """Return the changes below a prefix after a revision, as far as they are logged."""
+        with self._condition:
+            return tuple(
+                change
+                for change in self._changes
+                if change.mod_revision > after and change.key.startswith(prefix)
+            )
+
+    def created_revision(self, key: str) -> int:
+        """Return the revision at which a key was created; 0 if that is not logged any more."""
+        with self._condition:
+            created = 0
+            for change in self._changes:
+                if change.key == key:
+                    created = 0 if change.value is None else created or change.mod_revision
+            return created
+
     def snapshot(self) -> KeyValueSnapshot:
         """Return a snapshot of the current state."""
         with self._condition:
@@ -198,21 +211,21 @@
         if found != expected:
             raise ConflictError(f"key {key} is at revision {found}, expected {expected}", step=step)
 
-    def _record_change(self, key: str) -> int:
+    def _record_change(self, key: str, value: bytes | None = None) -> int:
         self._revision += 1
-        self._changes.append(_Change(self._revision, key))
+        self._changes.append(KeyValueChange(key, value, self._revision))
         self._condition.notify_all()
         return self._revision
 
     def _has_changed(self, prefix: str, after: int) -> bool:
         if after > self._revision:
             return True
-        oldest = self._changes[0].revision if self._changes else self._revision + 1
+        oldest = self._changes[0].mod_revision if self._changes else self._revision + 1
         if after + 1 < oldest:
             return True
         newest_first = reversed(self._changes)
         for change in newest_first:
-            if change.revision <= after:
+            if change.mod_revision <= after:
                 return False
             if change.key.startswith(prefix):
                 return True
--- a/bergamothill/platform/kvs.py
+++ b/bergamothill/platform/kvs.py
@@ -10,7 +10,14 @@
 from urllib.parse import urlencode
 
 from bergamothill.connection.http import HttpClient, HttpReply, decode_json
-from bergamothill.connection.kvs import ABSENT, MAX_VALUE_BYTES, KeyValueEntry, KeyValueService
+from bergamothill.connection.kvs import (
+    ABSENT,
+    MAX_VALUE_BYTES,
+    KeyValueChange,
+    KeyValueEntry,
+    KeyValueHistory,
+    KeyValueService,
+)
 from bergamothill.connection.kvs_http import decode_entry
 from bergamothill.connection.storeera import StoreEra, qualify_revision
 from bergamothill.errors import (
@@ -28,6 +35,7 @@
 
 CALL_TIMEOUT_MS = 800  # two consecutive calls fit into 2 s, the shortest time limit in the settings
 WATCH_SLACK_MS = 1_000
+MAX_HISTORY_CALLS = 8
 MAX_ERA_DIGITS = 4  # a qualified revision then fits into the 53 bits of a JSON number
 
 _JSON_HEADERS = {"Content-Type": "application/json"}
@@ -144,6 +152,42 @@
             return 0
         return qualify_revision(reply.era, self._decode_integer(reply, "currentRev", "kvs.watch"))
 
+    def changes_since_creation(self, prefix: str, key: str) -> KeyValueHistory | None:
+        """Return all changes below a prefix since a key was created.
+
+        :param prefix: prefix of the keys
+        :param key: key whose creation begins the history
+        :returns: None if the key does not exist, or the service does not have all of the history
+        """
+        step = "kvs.history"
+        reply = self._call("GET", "/kv-key", step, query={"key": key}, allowed=(200, 404))
+        if reply.status == 404:
+            return None
+        era, until = reply.era, self._decode_integer(reply, "currentRev", step)
+        created = self._decode_integer(reply, "createdRev", step)
+        changes: list[KeyValueChange] = []
+        after = created - 1
+        for _ in range(MAX_HISTORY_CALLS):
+            query = {"prefix": prefix, "after": after, "waitMs": 1}
+            reply = self._call("GET", "/kv-watch", step, query=query, allowed=(200, 410))
+            if reply.status == 410 or reply.era != era:
+                return None
+            page = self._decode_object(reply, step)
+            changes += [self._decode_change(item, era, step) for item in page.get("events", [])]
+            after = self._decode_integer(reply, "currentRev", step)
+            if after >= until:
+                return KeyValueHistory(qualify_revision(era, created), tuple(changes))
+        return None
+
+    def _decode_change(self, item: Any, era: int, step: str) -> KeyValueChange:
+        if not isinstance(item, Mapping) or not item.get("tombstone"):
+            entry = self._decode_entry(item, era, step)
+            return KeyValueChange(entry.key, entry.value, entry.mod_revision)
+        key, revision = item.get("key"), item.get("revision")
+        if not isinstance(key, str) or not isinstance(revision, int):
+            raise ProtocolError("malformed change", step=step, peer=self._client.peer)
+        return KeyValueChange(key, None, qualify_revision(era, revision))
+
     def _scan_pages(self, prefix: str) -> Iterator[KeyValueEntry]:
         query, step, first_era = {"prefix": prefix}, "kvs.scan", None
         while True:
--- a/bergamothill/platform/settings.py
+++ b/bergamothill/platform/settings.py
@@ -61,7 +61,7 @@
         bounds=_read_bounds(reader),
         link_mbps=reader.integer("limits.linkMbps", 0),
         regions=RegionMap(_region(reader.value("region")), _read_zones(reader)),
-        version_record=RecordUse(reader.choice("streams.versionRecord", _RECORD_USES, "off")),
+        version_record=RecordUse(reader.choice("streams.versionRecord", _RECORD_USES, "observe")),
     )
     reader.raise_faults()
     return settings
--- a/bergamothill/process/listconfirmation.py
+++ b/bergamothill/process/listconfirmation.py
@@ -72,12 +72,14 @@
             now_ms = self._clock.now_ms()
             if self._servers.is_superseded(*incarnation) or now_ms >= due_ms + MAX_DELAY_MS:
                 return False
-            if now_ms >= due_ms:
-                self._ask_for_list(now_ms)
+            # Several lists, as one alone may miss a process that has just registered.
+            self.ask_for_list()
             await asyncio.sleep(ms_to_seconds(CHECK_INTERVAL_MS))
         return not self._servers.is_superseded(*incarnation)
 
-    def _ask_for_list(self, now_ms: int) -> None:
+    def ask_for_list(self) -> None:
+        """Let this instance read the list of servers, unless it was asked to just now."""
+        now_ms = self._clock.now_ms()
         if self._asked_ms is None or now_ms - self._asked_ms >= READ_AGAIN_MS:
             self._asked_ms = now_ms
             self.read_list()
--- a/bergamothill/process/nodesettings.py
+++ b/bergamothill/process/nodesettings.py
@@ -91,4 +91,4 @@
     bounds: DeploymentBounds
     link_mbps: int = 0
     regions: RegionMap = RegionMap()
-    version_record: RecordUse = RecordUse.OFF
+    version_record: RecordUse = RecordUse.OBSERVE
--- a/bergamothill/process/nodestreams.py
+++ b/bergamothill/process/nodestreams.py
@@ -7,6 +7,7 @@
 from bergamothill.process.backends import BackendServer
 from bergamothill.process.gateway import Gateway
 from bergamothill.process.instanceroster import InstanceRoster
+from bergamothill.process.observedorigins import ObservedOrigins
 from bergamothill.process.serverpool import ServerPool
 from bergamothill.process.versionrecorder import VersionRecorder
 from bergamothill.version.routetable import RoutingConfig
@@ -40,8 +41,12 @@
         if use is RecordUse.OFF:
             return
         recorder = self.recorder = VersionRecorder(
-            kvs, lambda: kvs.era.current, clock, roster, gateway.capacity_changed
+            kvs, lambda: kvs.era.current, clock, roster, gateway.capacity_changed, kvs
         )
+        if use is RecordUse.OBSERVE:
+            read_list = gateway.resumption.lists.ask_for_list
+            gateway.resumption.evidence = ObservedOrigins(clock, recorder, server_pool, read_list)
+            return
         server_pool.is_recorded = recorder.may_begin_at
         if use is RecordUse.TRUST:
             gateway.resumption.evidence = recorder
--- a/bergamothill/process/softwareversions.py
+++ b/bergamothill/process/softwareversions.py
@@ -42,7 +42,7 @@
 
     def __init__(self, max_gap_ms: int) -> None:
         self._max_gap_ms = max_gap_ms
-        self._versions: dict[ServiceName, set[SoftwareVersion]] = {}
+        self._versions: dict[ServiceName, dict[SoftwareVersion, int]] = {}
         self._first_sent_ms: int | None = None
         self._last_sent_ms = 0
 
@@ -59,7 +59,12 @@
             self._first_sent_ms = sent_ms
         self._last_sent_ms = sent_ms
         for entry in entries:
-            self._versions.setdefault(entry.service, set()).add(entry.software_version)
+            self._versions.setdefault(entry.service, {})[entry.software_version] = sent_ms
+
+    def versions_since(self, service: ServiceName, since_ms: int) -> frozenset[SoftwareVersion]:
+        """Return the versions of a service in lists whose reads were sent at some time or later."""
+        versions = self._versions.get(service, {})
+        return frozenset(version for version, at_ms in versions.items() if at_ms >= since_ms)
 
     def only_version(self, service: ServiceName, now_ms: int) -> SoftwareVersion | None:
         """Return the version of all servers that a service has had since any stream began.
@@ -70,19 +75,34 @@
 
         :returns: None if several versions were listed, or the reads do not cover that time
         """
-        versions = self._versions.get(service, set())
+        versions = self._versions.get(service, {})
         if len(versions) != 1 or now_ms - self._last_sent_ms > self._max_gap_ms:
             return None
         return next(iter(versions)) if now_ms - self._first_sent_ms >= LOOKBACK_MS else None
 
 
 class ListEvidence:
-    """When each incarnation was listed last, for as long as streams may be taken up."""
+    """When each incarnation was listed last, for as long as streams may be taken up.
+
+    The last entry of a process may be written after its end, over that of its successor. So an
+    incarnation is out once one that started later was listed under its id.
+    """
 
     def __init__(self) -> None:
         self._listed_ms: dict[tuple[ServerId, int], int] = {}
+        self._latest: dict[ServerId, int] = {}
         self._pruned_ms = 0
 
+    def record_incarnations(self, states: Iterable[ObservedServer]) -> None:
+        """Record which incarnations a list has, however soon after an outage it was read."""
+        for state in states:
+            server, started_wall_ms = state.entry.incarnation
+            self._latest[server] = max(started_wall_ms, self._latest.get(server, 0))
+
+    def is_superseded(self, server: ServerId, started_wall_ms: int) -> bool:
+        """Return whether an incarnation that started later was listed under the id of a server."""
+        return self._latest.get(server, 0) > started_wall_ms
+
     def record(self, states: Iterable[ObservedServer], sent_ms: int) -> None:
         """Record a list that shows all processes that answered a heartbeat interval before.
 
@@ -96,6 +116,8 @@
             self._pruned_ms = sent_ms
             oldest_ms = sent_ms - MAX_RESUME_MS
             self._listed_ms = {k: at for k, at in self._listed_ms.items() if at >= oldest_ms}
+            listed = {server for server, _ in self._listed_ms}
+            self._latest = {s: born for s, born in self._latest.items() if s in listed}
 
     def last_listed_ms(self, server: ServerId, started_wall_ms: int) -> int | None:
         """Return when the read of the last list with an incarnation was sent; None for never."""
@@ -154,6 +176,7 @@
             if state.listed_ms == sent_ms and sent_ms >= self._confirmation_due_ms(state):
                 state.reconnected_ms = state.failed_ms = None
         self._lost_addresses &= {b.entry.address for b in self._observed.values()}
+        self._evidence.record_incarnations(self._observed.values())
         if sent_ms >= self.confirmation_due_ms(0):
             self._evidence.record(self._observed.values(), sent_ms)
         return changes
@@ -242,7 +265,7 @@
         state = self._state_of(server)
         if state is None or server.weights or self._has_paused(now_ms):
             return None
-        if state.failed_ms is not None or self._may_be_replaced(state):
+        if state.failed_ms is not None or self.is_superseded(*server.incarnation):
             return None
         is_recent = now_ms - state.listed_ms <= self._min_entry_life_ms
         version = state.entry.software_version
@@ -271,9 +294,9 @@
     def is_superseded(self, server: ServerId, started_wall_ms: int) -> bool:
         """Return whether another incarnation is known under the id of a server."""
         state = self._observed.get(server)
-        if state is None:
-            return False
-        return state.is_replaced or state.entry.started_wall_ms != started_wall_ms
+        if state is not None and state.is_replaced:
+            return True
+        return self._evidence.is_superseded(server, started_wall_ms)
 
     def confirms(self, origin: StreamOrigin, since_ms: int) -> bool:
         """Return whether lists show that a stream began where it is presumed to have begun.
@@ -338,10 +361,13 @@
 
         Requests that failed meanwhile do not count: the process that was asked still answers.
 
-        :param server: server that was known to run the version when the request was written
+        :param server: server that was known to run the version when the request was written, or one
+            without event connection that was confirmed since
         """
         state = self._state_of(server)
-        if state is None or self._has_paused(now_ms) or self._may_be_replaced(state):
+        if state is None or state.is_replaced:
+            return False
+        if server.weights and (self._has_paused(now_ms) or self._may_be_replaced(state)):
             return False
         return state.entry.software_version == version
 
@@ -356,6 +382,10 @@
         """
         return self._history.only_version(service, now_ms)
 
+    def recent_versions(self, service: ServiceName, now_ms: int) -> frozenset[SoftwareVersion]:
+        """Return the versions that a service has had lately, as far as this process has seen."""
+        return self._history.versions_since(service, now_ms - LOOKBACK_MS)
+
     def select_version(
         self, states: list[ObservedServer], version: SoftwareVersion, now_ms: int
     ) -> list[ObservedServer]:
--- a/bergamothill/process/versionrecorder.py
+++ b/bergamothill/process/versionrecorder.py
@@ -19,9 +19,10 @@
 from bergamothill.platform.versionrecord import RECORD_KEY, decode_record, encode_record
 from bergamothill.process.backends import BackendServer
 from bergamothill.process.instanceroster import InstanceRoster
+from bergamothill.process.recordhistory import HistoryReader, items_of_lists, read_past
 from bergamothill.process.rendezvous import rendezvous
 from bergamothill.process.wakeup import wait_until_set
-from bergamothill.version.routetable import RetryPolicy, Route
+from bergamothill.version.routetable import Route
 from bergamothill.version.versionrecord import RecordItem, RecordKeeper
 
 __all__ = ["VersionRecorder"]
@@ -35,6 +36,11 @@
 
 FIND_TIMEOUT_MS = 500
 
+FIRST_ERAS = (0, 1)
+"""Eras of a service that was never restored; the first is that of one that names none."""
+
+MAX_PAST_READS = 5
+
 _log = EventLog("streams")
 
 
@@ -46,6 +52,8 @@
     :param clock: source of time
     :param roster: all entry instances
     :param on_change: called when streams may begin at further versions
+    :param history: reads the changes that came before the record; None to wait until no stream
+        from before can be taken up
     :param delay_per_rank_ms: time that an instance leaves to each one of lower rank
     """
 
@@ -56,6 +64,7 @@
         clock: Clock,
         roster: InstanceRoster,
         on_change: Callable[[], None],
+        history: HistoryReader | None = None,
         delay_per_rank_ms: int = DELAY_PER_RANK_MS,
     ) -> None:
         self._delay_per_rank_ms = delay_per_rank_ms
@@ -66,8 +75,10 @@
         self._on_change = on_change
         self._keeper = RecordKeeper()
         self._wake = asyncio.Event()
-        self._routes: frozenset[RecordItem] = frozenset()
-        self._versions: frozenset[RecordItem] = frozenset()
+        self._routes: tuple[Route, ...] = ()
+        self._servers: tuple[BackendServer, ...] = ()
+        self._history = history
+        self._past_reads_left = MAX_PAST_READS
         self._calls = ThreadPoolExecutor(max_workers=1, thread_name_prefix="stream-versions")
         self._lock = asyncio.Lock()
         self._next_read: asyncio.Task[None] | None = None
@@ -77,25 +88,17 @@
 
     def set_routes(self, routes: Iterable[Route]) -> None:
         """Set the routes in force."""
-        streams = (route for route in routes if route.retry_policy is RetryPolicy.STREAM)
-        self._routes = frozenset(
-            RecordItem.of_route(route.name, share.service)
-            for route in streams
-            for share in route.shares
-        )
+        self._routes = tuple(routes)
         self._apply_list()
 
     def apply_list(self, servers: Iterable[BackendServer]) -> None:
-        """Apply a list of servers; only those with weights have streams that may be taken up."""
-        self._versions = frozenset(
-            RecordItem.of_version(server.service, server.software_version)
-            for server in servers
-            if server.weights
-        )
+        """Apply a list of servers."""
+        self._servers = tuple(servers)
         self._apply_list()
 
     def _apply_list(self) -> None:
-        self._keeper.apply_list(self._routes | self._versions, self._clock.now_ms())
+        items = items_of_lists(self._routes, self._servers)
+        self._keeper.apply_list(items, self._clock.now_ms())
         if self._keeper.must_read:
             self._wake.set()
 
@@ -154,6 +157,8 @@
         keeper, rank = self._keeper, self.rank()
         if keeper.must_read:
             await self._read()
+        if rank == 0:
+            await self._read_past()
         if keeper.next_record(self._clock.now_ms(), is_first=rank == 0) is None:
             return
         await asyncio.sleep(ms_to_seconds(min(MAX_DELAY_MS, rank * self._delay_per_rank_ms)))
@@ -173,6 +178,23 @@
             items=" ".join(f"{i.name}:{i.value}" for i in sorted(record.items)),
         )
 
+    async def _read_past(self) -> None:
+        """Read what came before the record, which is settled then."""
+        is_first_era = self._era() in FIRST_ERAS
+        if self._history is None or not (is_first_era and self._keeper.lacks_past):
+            return
+        if self._past_reads_left == 0:
+            return
+        self._past_reads_left -= 1
+        self.calls += 1
+        history, servers = self._history, self._servers
+        items = await self._call(lambda: read_past(history, servers))
+        _log.info("versions_past_read", is_known=items is not None)
+        if items is None:
+            self._past_reads_left = 0
+        elif self._era() in FIRST_ERAS:
+            self._keeper.apply_past(items)
+
     async def _read(self) -> int:
         """Read the record and return its revision."""
         self.calls += 1
--- a/bergamothill/version/versionrecord.py
+++ b/bergamothill/version/versionrecord.py
@@ -38,6 +38,9 @@
     """
 
     OFF = "off"
+    OBSERVE = "observe"
+    """Write what lists show, and trust it beside them; servers do not wait for the record."""
+
     WRITE = "write"
     TRUST = "trust"
 
@@ -88,10 +91,10 @@
     def only_origin(self, route: str, era: int) -> tuple[ServiceName, SoftwareVersion] | None:
         """Return the service and version at which all streams of a route began, if it is known.
 
-        :param era: current era of the key-value service; 0 if it names none, so that it may have
-            been restored unnoticed
+        :param era: current era of the key-value service; 0 if it names none, as one does that is
+            never restored
         """
-        if not self.is_settled or self.era != era or not era:
+        if not self.is_settled or self.era != era:
             return None
         service = self.only_value("route", route)
         version = None if service is None else self.only_value("service", service)
@@ -120,6 +123,7 @@
         self._confirmed: frozenset[RecordItem] = frozenset()
         self._observed_since_ms = 0
         self._last_list_ms: int | None = None
+        self._past: frozenset[RecordItem] | None = None
 
     @property
     def must_read(self) -> bool:
@@ -158,12 +162,21 @@
         if self._is_valid:
             self._confirmed |= self._current & record.items
 
+    @property
+    def lacks_past(self) -> bool:
+        """Whether the record would be settled if all that came before it were known."""
+        return self._is_valid and not self.record.is_settled and self._past is None
+
+    def apply_past(self, items: Iterable[RecordItem]) -> None:
+        """Apply all that may have begun a stream before the record was begun."""
+        self._past = frozenset(items)
+
     def handle_restore(self) -> None:
         """Read and write again, as the key-value service was restored from an older copy.
 
         What was confirmed stays in use: no record of the new era is settled before it is in it.
         """
-        self.record, self._read_ms = None, None
+        self.record = self._read_ms = self._past = None
 
     def may_begin(self, item: RecordItem, now_ms: int) -> bool:
         """Return whether streams may begin at a version of a service.
@@ -187,6 +200,8 @@
         if not self._is_valid:
             items = self._current if record is None else self._current | record.items
             return VersionRecord(self._era, False, items)
+        if not record.is_settled and self._past is not None:
+            return VersionRecord(record.era, True, record.items | self._current | self._past)
         if not self._current <= record.items:
             return replace(record, items=record.items | self._current)
         if not is_first:
--- a/standins/platformstore.py
+++ b/standins/platformstore.py
@@ -21,7 +21,7 @@
 from werkzeug.wrappers import Request, Response
 
 from bergamothill.clock import SystemClock
-from bergamothill.connection.kvs import KeyValueEntry
+from bergamothill.connection.kvs import KeyValueChange, KeyValueEntry
 from bergamothill.connection.kvs_memory import KeyValueSnapshot, MemoryKeyValueService
 from bergamothill.errors import ConflictError, LeaseLostError
 from bergamothill.ids import LeaseId
@@ -74,7 +74,9 @@
         entry = self.service.get(request.args["key"])
         if entry is None:
             return json_response({"error": "no such key"}, 404)
-        return json_response(_encode_entry(entry))
+        created = self.service.created_revision(entry.key) or entry.mod_revision
+        revisions = {"createdRev": created, "currentRev": self.service.revision}
+        return json_response(_encode_entry(entry) | revisions)
 
     def _handle_range(self, request: Request) -> Response:
         after = request.args.get("after", "")
@@ -91,10 +93,11 @@
         after, wait_ms = int(request.args["after"]), int(request.args["waitMs"])
         if after > self.service.revision:
             return json_response({"error": "no such revision"}, 410)
-        revision = self.service.wait_for_change(
-            request.args["prefix"], after=after, timeout_ms=wait_ms
-        )
-        return json_response({"events": [], "currentRev": revision})
+        prefix = request.args["prefix"]
+        revision = self.service.wait_for_change(prefix, after=after, timeout_ms=wait_ms)
+        changes = self.service.changes_after(prefix, after)
+        events = [_encode_change(change) for change in changes if change.mod_revision <= revision]
+        return json_response({"events": events, "currentRev": revision})
 
     def _handle_transaction(self, request: Request) -> Response:
         body = json.loads(request.get_data())
@@ -148,6 +151,12 @@
     return {"key": entry.key, "value": value, "revision": entry.mod_revision, "lease": 0}
 
 
+def _encode_change(change: KeyValueChange) -> dict[str, Any]:
+    if change.value is None:
+        return {"key": change.key, "revision": change.mod_revision, "tombstone": True}
+    return _encode_entry(KeyValueEntry(change.key, change.value, change.mod_revision))
+
+
 def main() -> None:
     """Parse the command line and serve."""
     parser = argparse.ArgumentParser(description=__doc__)
--- a/tests/proof/proof_streamversions.py
+++ b/tests/proof/proof_streamversions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from typing import ClassVar
 
 from hypothesis import strategies as st
 from hypothesis.stateful import initialize, rule
@@ -62,12 +63,13 @@
     double = {"ignores_version": True}
     """Test double of instances that let a stream go on at any server."""
 
+    options: ClassVar = {}
     unread_share = 0.0
     """Share of the pairs of instances and engines between which no events are read."""
 
     @initialize(seed=st.integers(0, 1_000_000), count=st.sampled_from(COUNTS))
     def begin(self, seed, count):
-        options = {} if self.mechanism_enabled else self.double
+        options = self.options | ({} if self.mechanism_enabled else self.double)
         self.has_checked_share = self.has_checked_record = False
         self.world = World(random.Random(seed), count, self.unread_share, **options)
 
@@ -263,19 +265,21 @@
         world.run_for(down_ms + max(absence_ms, 1_000))
         world.absence_ms = 0
 
-    @rule(down_ms=st.sampled_from((50, 500, 1_000)), version=versions)
-    def streams_go_on_after_all_instances_end(self, down_ms, version):
+    @rule(down_ms=st.sampled_from((50, 500, 1_000)), version=versions, service=services)
+    def streams_go_on_after_all_instances_end(self, down_ms, version, service):
         """Check the share that goes on by the record alone, at servers of a single version."""
         self.operation()
         world = self.world
+        if world.waits_for_record:
+            service = ENGINE_SERVICE
         is_too_large = len(world.instances) > MAX_INSTANCES_FOR_SHARE
         if self.has_checked_record or is_too_large or not world.keeps_record:
             return
         self.has_checked_record = True
-        self.heal(ENGINE_SERVICE, version, version)
+        self.heal(service, version, version)
         world.run_for(FORGET_MS + 2 * SETTLE_MS)
         streams = [
-            world.begin(ENGINE_SERVICE, world.rng.choice(world.instances), LONG_STREAM)
+            world.begin(service, world.rng.choice(world.instances), LONG_STREAM)
             for _ in range(NEW_STREAMS)
         ]
         world.run_for(BEGIN_MS)
@@ -334,8 +338,15 @@
     unread_share = 0.3
 
 
+class ObservedStreamVersionsProof(StreamVersionsProof):
+    """The same world, in which servers do not wait until their version is in the record."""
+
+    options: ClassVar = {"waits_for_record": False}
+
+
 PROOFS = (
     Proof(slug="stream-versions", machine=StreamVersionsProof),
     Proof(slug="stream-versions-found", machine=StreamsFoundProof),
     Proof(slug="stream-versions-unread", machine=UnreadStreamVersionsProof),
+    Proof(slug="stream-versions-observed", machine=ObservedStreamVersionsProof),
 )
--- a/tests/proof/versionrecords.py
+++ b/tests/proof/versionrecords.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+from bergamothill.process.streamresumption import LIST_CHECK_INTERVAL_MS, LIST_TIMEOUT_MS
 from bergamothill.version.versionrecord import RecordItem, RecordKeeper, VersionRecord
 from tests.proof.versioninstances import InstanceWorld
-from tests.proof.versionservers import ENGINE_SERVICE, VERSIONS
+from tests.proof.versionservers import ENGINE_SERVICE, SERVICES, VERSIONS
 
-ROUTE = "quote"
-ROUTE_ITEM = RecordItem.of_route(ROUTE, ENGINE_SERVICE)
+ROUTES = {service: f"to-{service}" for service in SERVICES}
+ROUTE_ITEMS = {RecordItem.of_route(route, service) for service, route in ROUTES.items()}
 SETTLE_MS = 50_000
 """Longer than callers stay away here."""
 
@@ -23,13 +24,18 @@
 
     :param keeps_record: whether versions are in the record before streams begin at them
     :param trusts_record: whether a stream goes on by the record if its origin is not known
+    :param waits_for_record: whether streams begin only at versions that are in the record; without,
+        it counts beside a list that is read when it is used
     """
 
-    def __init__(self, *args, keeps_record=True, trusts_record=True, **options):
+    def __init__(
+        self, *args, keeps_record=True, trusts_record=True, waits_for_record=True, **options
+    ):
         self.keeps_record = keeps_record
         self.trusts_record = trusts_record
-        first = RecordItem.of_version(ENGINE_SERVICE, VERSIONS[0])
-        self.record = VersionRecord(1, True, frozenset({first, ROUTE_ITEM}))
+        self.waits_for_record = waits_for_record
+        first = {RecordItem.of_version(service, VERSIONS[0]) for service in SERVICES}
+        self.record = VersionRecord(1, True, frozenset(first | ROUTE_ITEMS))
         self.record_history = [(0, self.record)]
         self.record_writes = 0
         super().__init__(*args, **options)
@@ -38,7 +44,7 @@
         instance.keeper = keeper = RecordKeeper(settle_ms=SETTLE_MS, forget_ms=FORGET_MS)
         instance.is_recording = False
         super().start(instance)
-        if self.keeps_record:
+        if self.keeps_record and self.waits_for_record:
             instance.pool.is_recorded = lambda entry: (
                 not entry.weights
                 or keeper.may_begin(
@@ -50,12 +56,8 @@
         keeper = instance.keeper
         if instance.era not in (None, era):
             keeper.handle_restore()
-        items = {
-            RecordItem.of_version(entry.service, entry.software_version)
-            for entry in entries
-            if entry.weights
-        }
-        keeper.apply_list(items | {ROUTE_ITEM}, self.now_ms)
+        items = {RecordItem.of_version(entry.service, entry.software_version) for entry in entries}
+        keeper.apply_list(items | ROUTE_ITEMS, self.now_ms)
         super().apply_list(instance, entries, era, sent_ms)
         self.update_record(instance)
 
@@ -122,9 +124,11 @@
 
     def find_by_record(self, instance, service, on_found):
         """Call back with the only version of all streams of a service, by a read sent now."""
-        if not self.trusts_record or service != ENGINE_SERVICE:
+        is_awaited = service == ENGINE_SERVICE or not self.waits_for_record
+        if not self.trusts_record or not is_awaited:
             on_found(None)
             return
+        pool, since_ms = instance.pool, self.now_ms
         is_over = []
 
         def end(version):
@@ -133,8 +137,22 @@
                 on_found(version)
 
         def on_read(record, era):
-            origin = None if record is None else record.only_origin(ROUTE, era)
-            end(None if origin is None else origin[1])
+            origin = None if record is None else record.only_origin(ROUTES[service], era)
+            if origin is None or self.waits_for_record:
+                end(None if origin is None else origin[1])
+                return
+            self.read_list(instance, is_watched=True)
+            check(origin[1])
+
+        def check(version):
+            if pool.has_list_since(since_ms):
+                end(version if pool.recent_versions(service, self.now_ms) <= {version} else None)
+            elif self.now_ms - since_ms >= LIST_TIMEOUT_MS:
+                end(None)
+            else:
+                again = self.at(instance, lambda: check(version))
+                self.after(LIST_CHECK_INTERVAL_MS, again)
 
         self.read_record(instance, on_read)
-        self.after(10 * MAX_CALL_MS, self.at(instance, lambda: end(None)))
+        limit_ms = 10 * MAX_CALL_MS if self.waits_for_record else 2 * LIST_TIMEOUT_MS
+        self.after(limit_ms, self.at(instance, lambda: end(None)))
--- a/tests/proof/versionworld.py
+++ b/tests/proof/versionworld.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from bergamothill.platform.serverreport import OTHER_SERVER
-from bergamothill.process.listconfirmation import CHECK_INTERVAL_MS, MAX_DELAY_MS
+from bergamothill.process.listconfirmation import MAX_DELAY_MS, READ_AGAIN_MS
 from bergamothill.process.softwareversions import IDENTITY_MS
 from bergamothill.process.streamresumption import LIST_CHECK_INTERVAL_MS, LIST_TIMEOUT_MS
 from bergamothill.request.streamorigin import StreamKey, StreamOrigin
@@ -303,11 +303,8 @@
             if pool.is_superseded(*incarnation) or self.now_ms >= due_ms + MAX_DELAY_MS:
                 self.lose_run(attempt)
             elif not pool.is_listed_since(*incarnation, written_ms):
-                if self.now_ms >= due_ms:
-                    self.read_list(attempt.instance, is_watched=True)
-                self.after(
-                    max(CHECK_INTERVAL_MS, due_ms - self.now_ms), self.in_run(attempt, check)
-                )
+                self.read_list(attempt.instance, is_watched=True)
+                self.after(READ_AGAIN_MS, self.in_run(attempt, check))
             elif origin and pool.is_superseded(origin.server, origin.started_wall_ms):
                 self.lose_run(attempt)
             else:
--- a/tests/test_listconfirmation.py
+++ b/tests/test_listconfirmation.py
@@ -101,10 +101,12 @@
         self.clock.advance_ms(2_401)
         self.assertIsNone(self.begin()[0])
 
-    def test_a_server_that_has_just_joined_is_not_presumed(self):
-        self.servers.append(self.plain("s3"))
+    def test_a_server_is_not_presumed_before_it_is_listed(self):
+        joined = self.plain("s3")
+        self.assertIsNone(self.begin(joined)[0])
+        self.servers.append(joined)
         self.read_list()
-        self.assertIsNone(self.begin(self.servers[-1])[0])
+        self.assertEqual("v1", self.begin(joined)[0])
 
 
 class ConfirmationTest(PlainCase):
--- a/tests/test_platform_kvs.py
+++ b/tests/test_platform_kvs.py
@@ -55,6 +55,24 @@
         keys = [entry.key for entry in self.kvs.scan("a/")]
         self.assertEqual([f"a/{number}" for number in range(8)], keys)
 
+    def test_changes_since_the_creation_of_a_key_are_read(self):
+        self.kvs.put_if("a/0", b"before", expected=ABSENT)
+        created = self.kvs.put_if("c", b"1", expected=ABSENT)
+        self.kvs.put_if("a/1", b"x", expected=ABSENT)
+        last = self.kvs.put_if("a/1", b"y", expected=self.kvs.get("a/1").mod_revision)
+        self.kvs.put_if("c", b"2", expected=created.mod_revision)
+        self.kvs.delete_if("a/1", expected=last.mod_revision)
+        history = self.kvs.changes_since_creation("a/", "c")
+        self.assertEqual(created.mod_revision, history.created_revision)
+        changes = [(change.key, change.value) for change in history.changes]
+        self.assertEqual([("a/1", b"x"), ("a/1", b"y"), ("a/1", None)], changes)
+
+    def test_there_is_no_history_without_the_key_or_once_it_was_dropped(self):
+        self.assertIsNone(self.kvs.changes_since_creation("a/", "c"))
+        self.kvs.put_if("c", b"1", expected=ABSENT)
+        self.standin.faults.replace({"compacted": True})
+        self.assertIsNone(self.kvs.changes_since_creation("a/", "c"))
+
     def test_a_value_that_is_too_large_is_not_sent(self):
         with self.assertRaises(InvalidRequestError):
             self.kvs.put_if("a/1", b"x" * (MAX_VALUE_BYTES + 1), expected=ABSENT)
--- a/tests/test_stream_record_processes.py
+++ b/tests/test_stream_record_processes.py
@@ -19,6 +19,9 @@
     """Three instances that trust the record; streams are broken by the end of all of them."""
 
     USE = "trust"
+    IS_SETTLED = True
+    """Whether the record has settled before the instances start; otherwise there is none."""
+
     MAX_TRIES = 8
 
     @classmethod
@@ -28,14 +31,23 @@
         for node in world.nodes:
             node.kill()
             node.add_settings(f'[streams]\nversionRecord = "{cls.USE}"\n')
+        if cls.IS_SETTLED:
+            cls.write_record()
+        world.start_nodes()
+        await_true(lambda: world.ask(SHARED_PARTS).is_whole)
+        cls.tries = cls.break_and_resume()
+
+    @classmethod
+    def write_record(cls):
+        world = cls.world
         versions = sorted(set(cls.VERSIONS))
         era = world.store.era
         record = {"era": era, "settled": True, "services": {"llm": versions}}
         record["routes"] = {name: ["llm"] for name in ("quote", "draft", "ask")}
-        world.store.service.put_if(RECORD_KEY, json.dumps(record).encode(), expected=ABSENT)
-        world.start_nodes()
-        await_true(lambda: world.ask(SHARED_PARTS).is_whole)
-        cls.tries = cls.break_and_resume()
+        service = world.store.service
+        before = service.get(RECORD_KEY)
+        expected = ABSENT if before is None else before.mod_revision
+        service.put_if(RECORD_KEY, json.dumps(record).encode(), expected=expected)
 
     @classmethod
     def break_and_resume(cls):
@@ -75,6 +87,13 @@
         self.assertGreaterEqual(gone_on, MIN_SHARE * len(self.tries))
 
 
+class FirstStartTest(OneVersionTest):
+    """By default the record settles as the first instances start, from the history of the store."""
+
+    USE = "observe"
+    IS_SETTLED = False
+
+
 class TwoVersionsTest(RecordCase):
     VERSIONS = ("v1", "v1.1")
     MAX_TRIES = 2
@@ -84,4 +103,9 @@
         self.assertEqual({503}, statuses)
 
 
+class TwoVersionsFirstStartTest(TwoVersionsTest):
+    USE = "observe"
+    IS_SETTLED = False
+
+
 del PlatformWorldCase, RecordCase
