--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -385,6 +385,7 @@
             routes=len(config.routes),
             keys=len(config.brands),
             isolated=len(config.isolated),
+            shared_scope=self._planner.isolation.shared_scope or "-",
             age_ms=self._clock.now_ms() - sent_ms,
         )
 
--- a/bergamothill/process/requestrun.py
+++ b/bergamothill/process/requestrun.py
@@ -483,6 +483,7 @@
             first_ms=first_ms,
             total_ms=now_ms - arrived_ms,
             software_version=self._forwarding.version or "-",
+            namespace=(self._leading and self._leading.send.terms.cache_salt) or "-",
             fingerprint=",".join(p.name for p in self._request.suspects if p.is_request),
             parts=",".join(f"{part.name}:{part.tokens}" for part in self._request.parts),
             attempts=";".join(self._context.log),
