Confirm streams that go on by the record; want an entry written after the request

The entry has to be written between the writing of the request and the list that confirms it.

Tests of both in test_listconfirmation and test_recordhistory.

--- a/bergamothill/process/listconfirmation.py
+++ b/bergamothill/process/listconfirmation.py
@@ -1,7 +1,8 @@
 """Waits for lists that show which server answered, on the event loop.
 
-A server without event connection may have been replaced by another process under its id. That
-process registers within a heartbeat interval, so a list read that much later shows who answered.
+A server without event connection may have been replaced by another process under its id, and the
+server that began a stream may have been one that no list has shown yet. Such a process registers
+within a heartbeat interval, so a list read that much later shows who answered.
 """
 
 from __future__ import annotations
@@ -13,7 +14,7 @@
 from bergamothill.logs import EventLog
 from bergamothill.process.backends import BackendServer
 from bergamothill.process.softwareversions import SoftwareVersions
-from bergamothill.request.streamorigin import StreamOrigin
+from bergamothill.request.streamorigin import SoleVersion, StreamOrigin
 
 __all__ = ["ListConfirmation"]
 
@@ -42,33 +43,33 @@
         self.read_list: Callable[[], None] = lambda: None
         """Lets this instance read the list of servers at once."""
 
-    async def confirm(self, server: BackendServer, origin: StreamOrigin | None) -> bool:
+    async def confirm(
+        self, server: BackendServer, presumed: StreamOrigin | SoleVersion | None
+    ) -> bool:
         """Return whether a request that was just written reached a server, and went on rightly.
 
         :param server: the incarnation as listed
-        :param origin: where the stream is presumed to have begun that the request resumes; None if
-            that is certain
+        :param presumed: where the stream is presumed to have begun that the request resumes; None
+            if that is certain
         """
         written_ms = self._clock.now_ms()
         due_ms = self._servers.confirmation_due_ms(written_ms)
         is_confirmed = await self._await_list(server, written_ms, due_ms)
-        is_same_origin = origin is None or not self._is_superseded(origin)
+        is_same_origin = not self._servers.contradicts(presumed, self._clock.now_ms())
         _log.info(
             "stream_confirmed" if is_confirmed and is_same_origin else "stream_not_confirmed",
             server=server.server,
             version=server.software_version,
-            origin="-" if origin is None else origin.server,
+            origin=presumed.server if isinstance(presumed, StreamOrigin) else "-",
             same_origin=is_same_origin,
             took_ms=self._clock.now_ms() - written_ms,
         )
         return is_confirmed and is_same_origin
 
-    def _is_superseded(self, origin: StreamOrigin) -> bool:
-        return self._servers.is_superseded(origin.server, origin.started_wall_ms)
-
     async def _await_list(self, server: BackendServer, written_ms: int, due_ms: int) -> bool:
         incarnation = (server.server, server.started_wall_ms)
-        while not self._servers.is_listed_since(*incarnation, written_ms):
+        revision = self._servers.revision_of(server)
+        while not self._has_written(server, revision, written_ms):
             now_ms = self._clock.now_ms()
             if self._servers.is_superseded(*incarnation) or now_ms >= due_ms + MAX_DELAY_MS:
                 return False
@@ -77,6 +78,15 @@
             await asyncio.sleep(ms_to_seconds(CHECK_INTERVAL_MS))
         return not self._servers.is_superseded(*incarnation)
 
+    def _has_written(self, server: BackendServer, revision: int, written_ms: int) -> bool:
+        """Return whether a server was listed late enough, with an entry written meanwhile.
+
+        The entry of a server that has ended may stay, if its successor could not register.
+        """
+        incarnation = (server.server, server.started_wall_ms)
+        is_late = self._servers.is_listed_since(*incarnation, written_ms)
+        return is_late and self._servers.revision_of(server) > revision
+
     def ask_for_list(self) -> None:
         """Let this instance read the list of servers, unless it was asked to just now."""
         now_ms = self._clock.now_ms()
--- a/bergamothill/process/nodestreams.py
+++ b/bergamothill/process/nodestreams.py
@@ -44,8 +44,7 @@
             kvs, lambda: kvs.era.current, clock, roster, gateway.capacity_changed, kvs
         )
         if use is RecordUse.OBSERVE:
-            read_list = gateway.resumption.lists.ask_for_list
-            gateway.resumption.evidence = ObservedOrigins(clock, recorder, server_pool, read_list)
+            gateway.resumption.evidence = ObservedOrigins(clock, recorder, server_pool)
             return
         server_pool.is_recorded = recorder.may_begin_at
         if use is RecordUse.TRUST:
--- a/bergamothill/process/softwareversions.py
+++ b/bergamothill/process/softwareversions.py
@@ -7,13 +7,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from functools import singledispatchmethod
 
 from bergamothill.connection.storeera import REWRITE_MS
 from bergamothill.ids import ServerId, ServiceName, SoftwareVersion
 from bergamothill.process.backends import BackendServer
 from bergamothill.process.observedserver import ObservedServer
 from bergamothill.process.serversilence import ServerSilence
-from bergamothill.request.streamorigin import MAX_RESUME_MS, StreamOrigin
+from bergamothill.request.streamorigin import MAX_RESUME_MS, SoleVersion, StreamOrigin
 
 __all__ = ["IDENTITY_MS", "LOOKBACK_MS", "SoftwareVersions", "VersionHistory"]
 
@@ -271,6 +272,11 @@
         version = state.entry.software_version
         return version if is_recent and version == server.software_version else None
 
+    def revision_of(self, server: BackendServer) -> int:
+        """Return at which revision an incarnation has written its latest entry; 0 if unknown."""
+        state = self._state_of(server)
+        return 0 if state is None else state.entry.revision
+
     def confirmation_due_ms(self, since_ms: int) -> int:
         """Return when to send a read whose list shows who has answered since some time.
 
@@ -298,6 +304,19 @@
             return True
         return self._evidence.is_superseded(server, started_wall_ms)
 
+    @singledispatchmethod
+    def contradicts(self, presumed: StreamOrigin | SoleVersion | None, now_ms: int) -> bool:
+        """Return whether lists speak against what is presumed of the beginning of a stream."""
+        return False
+
+    @contradicts.register
+    def _(self, presumed: StreamOrigin, now_ms: int) -> bool:
+        return self.is_superseded(presumed.server, presumed.started_wall_ms)
+
+    @contradicts.register
+    def _(self, presumed: SoleVersion, now_ms: int) -> bool:
+        return not self.recent_versions(presumed.service, now_ms) <= {presumed.version}
+
     def confirms(self, origin: StreamOrigin, since_ms: int) -> bool:
         """Return whether lists show that a stream began where it is presumed to have begun.
 
--- a/bergamothill/process/streamresumption.py
+++ b/bergamothill/process/streamresumption.py
@@ -15,7 +15,13 @@
 from bergamothill.process.serveridentity import ServerIdentity
 from bergamothill.process.serverpool import ServerPool
 from bergamothill.request.callerrequest import CallerRequest
-from bergamothill.request.streamorigin import KnownOrigin, StreamKey, StreamOrigin, StreamOrigins
+from bergamothill.request.streamorigin import (
+    KnownOrigin,
+    SoleVersion,
+    StreamKey,
+    StreamOrigin,
+    StreamOrigins,
+)
 from bergamothill.version.routetable import RetryPolicy, Route, Service
 
 __all__ = [
@@ -49,6 +55,9 @@
 class OriginEvidence(Protocol):
     """What is known of all streams of a route, also if nothing is known of a single one."""
 
+    is_certain: bool
+    """Whether no list has to confirm it once more."""
+
     async def only_origin(
         self, route: str, give_up_ms: int
     ) -> tuple[ServiceName, SoftwareVersion] | None:
@@ -85,7 +94,7 @@
 
     service: ServiceName
     version: SoftwareVersion | None
-    presumed: StreamOrigin | None = None
+    presumed: StreamOrigin | SoleVersion | None = None
 
 
 class StreamChecks:
@@ -97,7 +106,10 @@
     """
 
     def __init__(
-        self, identity: ServerIdentity, lists: ListConfirmation, presumed: StreamOrigin | None
+        self,
+        identity: ServerIdentity,
+        lists: ListConfirmation,
+        presumed: StreamOrigin | SoleVersion | None,
     ) -> None:
         self.presumed = presumed
         self._identity = identity
@@ -114,7 +126,8 @@
 
         :param version: only version at which the stream may go on; None if it begins
         """
-        if version is None or server.weights:
+        is_certain = bool(server.weights) and self.presumed is None
+        if version is None or is_certain:
             return None
         return lambda: self._lists.confirm(server, self.presumed)
 
@@ -213,7 +226,9 @@
         if known is None and self.evidence is not None:
             only = await self.evidence.only_origin(route.name, give_up_ms)
             name, version = (name, None) if only is None else only
-        self._log(request, name, version, known)
+            if only is not None and not self.evidence.is_certain:
+                presumed = SoleVersion(name, version)
+        self._log(request, name, version, known, presumed)
         return ResumedStream(name, version, presumed)
 
     def _may_follow(self, origin: StreamOrigin, route: Route) -> bool:
@@ -244,6 +259,7 @@
         service: ServiceName,
         version: SoftwareVersion | None,
         known: KnownOrigin | None,
+        presumed: StreamOrigin | SoleVersion | None,
     ) -> None:
         now_ms, pool = self._clock.now_ms(), self._server_pool
         usable = pool.usable(service, now_ms)
@@ -256,7 +272,7 @@
             service=service,
             version=version or "-",
             source="-" if known is None else known.source or "own",
-            presumed=known is not None and known.origin.is_presumed,
+            presumed=presumed is not None,
             age_ms="-" if known is None else known.age_ms,
             servers=len(servers),
             of=len(usable),
--- a/bergamothill/process/versionrecorder.py
+++ b/bergamothill/process/versionrecorder.py
@@ -57,6 +57,9 @@
     :param delay_per_rank_ms: time that an instance leaves to each one of lower rank
     """
 
+    is_certain = True
+    """Where streams wait for the record, it tells of all of them."""
+
     def __init__(
         self,
         kvs: KeyValueService,
--- a/bergamothill/request/streamorigin.py
+++ b/bergamothill/request/streamorigin.py
@@ -17,6 +17,7 @@
 __all__ = [
     "MAX_RESUME_MS",
     "KnownOrigin",
+    "SoleVersion",
     "StreamKey",
     "StreamOrigin",
     "StreamOrigins",
@@ -72,6 +73,14 @@
         return (self.service, self.version) == (other.service, other.version)
 
 
+@dataclass(frozen=True, slots=True)
+class SoleVersion:
+    """Version at which all streams of a service are presumed to have begun."""
+
+    service: ServiceName
+    version: SoftwareVersion
+
+
 @dataclass(frozen=True, slots=True)
 class KnownOrigin:
     """Origin that was found.
--- a/tests/proof/versionrecords.py
+++ b/tests/proof/versionrecords.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from bergamothill.process.streamresumption import LIST_CHECK_INTERVAL_MS, LIST_TIMEOUT_MS
 from bergamothill.version.versionrecord import RecordItem, RecordKeeper, VersionRecord
 from tests.proof.versioninstances import InstanceWorld
 from tests.proof.versionservers import ENGINE_SERVICE, SERVICES, VERSIONS
@@ -128,7 +127,6 @@
         if not self.trusts_record or not is_awaited:
             on_found(None)
             return
-        pool, since_ms = instance.pool, self.now_ms
         is_over = []
 
         def end(version):
@@ -141,18 +139,8 @@
             if origin is None or self.waits_for_record:
                 end(None if origin is None else origin[1])
                 return
-            self.read_list(instance, is_watched=True)
-            check(origin[1])
-
-        def check(version):
-            if pool.has_list_since(since_ms):
-                end(version if pool.recent_versions(service, self.now_ms) <= {version} else None)
-            elif self.now_ms - since_ms >= LIST_TIMEOUT_MS:
-                end(None)
-            else:
-                again = self.at(instance, lambda: check(version))
-                self.after(LIST_CHECK_INTERVAL_MS, again)
+            seen = instance.pool.recent_versions(service, self.now_ms)
+            end(origin[1] if seen <= {origin[1]} else None)
 
         self.read_record(instance, on_read)
-        limit_ms = 10 * MAX_CALL_MS if self.waits_for_record else 2 * LIST_TIMEOUT_MS
-        self.after(limit_ms, self.at(instance, lambda: end(None)))
+        self.after(10 * MAX_CALL_MS, self.at(instance, lambda: end(None)))
--- a/tests/proof/versionworld.py
+++ b/tests/proof/versionworld.py
@@ -8,7 +8,7 @@
 from bergamothill.process.listconfirmation import MAX_DELAY_MS, READ_AGAIN_MS
 from bergamothill.process.softwareversions import IDENTITY_MS
 from bergamothill.process.streamresumption import LIST_CHECK_INTERVAL_MS, LIST_TIMEOUT_MS
-from bergamothill.request.streamorigin import StreamKey, StreamOrigin
+from bergamothill.request.streamorigin import SoleVersion, StreamKey, StreamOrigin
 from bergamothill.version.routetable import Service
 from tests.builders import caller_request
 from tests.proof.require import require
@@ -61,7 +61,7 @@
     process: Process | None = None
     run: int = 0
     was_identified: bool = False
-    presumed: StreamOrigin | None = None
+    presumed: StreamOrigin | SoleVersion | None = None
 
 
 class World(RecordWorld):
@@ -131,7 +131,12 @@
             go_on(origin.version, search.outcome.value)
 
         def by_record():
-            self.find_by_record(instance, stream.service, lambda found: go_on(found, "record"))
+            def on_record(version):
+                if version is not None and not self.waits_for_record:
+                    attempt.presumed = SoleVersion(stream.service, version)
+                go_on(version, "record")
+
+            self.find_by_record(instance, stream.service, on_record)
 
         if stream.names_request:
             self.find(instance, stream.key, on_found)
@@ -288,24 +293,29 @@
         text = f"{attempt.instance.name} sends to {entry.server}@{entry.software_version}"
         self.note(attempt.stream, f"{text} where {process.version} runs")
         delay_ms = 1 + self.rng.randrange(MAX_HEAD_MS)
-        if attempt.version is not None and not entry.weights and not self.ignores_version:
+        is_certain = entry.weights and attempt.presumed is None
+        if attempt.version is not None and not is_certain and not self.ignores_version:
             self.confirm(attempt, self.now_ms)
         else:
             self.after(delay_ms, self.in_run(attempt, lambda: self.receive_head(attempt)))
 
     def confirm(self, attempt, written_ms):
         """Read the answer of a plain server once a list shows who has sent it."""
-        entry, pool, origin = attempt.entry, attempt.instance.pool, attempt.presumed
+        entry, pool = attempt.entry, attempt.instance.pool
         incarnation = (entry.server, entry.started_wall_ms)
         due_ms = pool.confirmation_due_ms(written_ms)
+        revision = pool.revision_of(entry)
 
         def check():
             if pool.is_superseded(*incarnation) or self.now_ms >= due_ms + MAX_DELAY_MS:
                 self.lose_run(attempt)
-            elif not pool.is_listed_since(*incarnation, written_ms):
+            elif not (
+                pool.is_listed_since(*incarnation, written_ms)
+                and pool.revision_of(entry) > revision
+            ):
                 self.read_list(attempt.instance, is_watched=True)
                 self.after(READ_AGAIN_MS, self.in_run(attempt, check))
-            elif origin and pool.is_superseded(origin.server, origin.started_wall_ms):
+            elif pool.contradicts(attempt.presumed, self.now_ms):
                 self.lose_run(attempt)
             else:
                 self.receive_head(attempt)
--- a/tests/test_listconfirmation.py
+++ b/tests/test_listconfirmation.py
@@ -22,7 +22,7 @@
 
 class PlainCase(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
-        self.clock = ManualClock(10_000)
+        self.clock, self.writes = ManualClock(10_000), True
         self.servers = [self.plain("s1"), self.plain("s2")]
         self.pool = server_pool(min_entry_life_ms=2_400, heartbeat_interval_ms=HEARTBEAT_MS)
         self.resumption = StreamResumption(self.clock, self.pool, LocalOrigins(self.clock))
@@ -41,6 +41,8 @@
 
     def read_list(self):
         now_ms = self.clock.now_ms()
+        if self.writes:
+            self.servers = [replace(s, revision=s.revision + 1) for s in self.servers]
         self.pool.apply_list(self.servers, now_ms, now_ms)
 
     def begin(self, server=None):
@@ -119,6 +121,11 @@
     async def test_an_answer_is_dropped_without_a_later_list(self):
         self.assertFalse((await self.confirm(self.begin()[1], reads=False))[0])
 
+    async def test_an_answer_is_dropped_if_the_entry_of_its_server_is_not_written_any_more(self):
+        # ORDER: a process under the id of the listed one that could not register.
+        self.writes = False
+        self.assertFalse((await self.confirm(self.begin()[1]))[0])
+
     async def test_an_answer_is_dropped_if_another_process_had_taken_the_id_of_the_server(self):
         # ORDER: a process of another version under the id of the listed one.
         def change():
--- a/tests/test_recordhistory.py
+++ b/tests/test_recordhistory.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import unittest
+from dataclasses import replace
 
 from bergamothill.clock import ManualClock
 from bergamothill.connection.kvs import ABSENT, KeyValueChange, KeyValueHistory
@@ -11,10 +12,10 @@
 from bergamothill.process.instanceroster import InstanceRoster
 from bergamothill.process.observedorigins import ObservedOrigins
 from bergamothill.process.recordhistory import read_past
-from bergamothill.process.streamresumption import LIST_TIMEOUT_MS
+from bergamothill.process.streamresumption import LocalOrigins, StreamResumption
 from bergamothill.process.versionrecorder import MAX_PAST_READS, VersionRecorder
 from bergamothill.version.versionrecord import RecordItem
-from tests.builders import backend, operator_config, routing_config, server_pool
+from tests.builders import backend, caller_request, operator_config, routing_config, server_pool
 
 V1, V2 = (RecordItem.of_version("llm", version) for version in ("v1", "v2"))
 CREATED = 10
@@ -173,33 +174,42 @@
 class ObservedOriginsTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.clock = ManualClock(1_000)
-        self.pool = server_pool(min_entry_life_ms=2_400)
-        self.only, self.next_list = ("llm", "v1"), [backend("s1", software_version="v1")]
-        self.evidence = ObservedOrigins(self.clock, self, self.pool, self.read_list)
+        self.pool = server_pool(backend("s1", software_version="v1"), heartbeat_interval_ms=1_200)
+        self.only, self.revision = ("llm", "v1"), 0
+        self.evidence = ObservedOrigins(self.clock, self, self.pool)
 
     async def only_origin(self, _route, _give_up_ms):
         return self.only
 
-    def read_list(self):
-        if self.next_list is not None:
-            now_ms = self.clock.now_ms()
-            self.pool.apply_list(self.next_list, now_ms, now_ms)
-
-    async def find(self):
-        search = asyncio.ensure_future(self.evidence.only_origin("quote", 900_000))
-        await asyncio.sleep(0)
-        self.clock.advance_ms(LIST_TIMEOUT_MS)
-        return await search
+    def find(self):
+        return self.evidence.only_origin("quote", 900_000)
 
-    async def test_the_record_counts_beside_a_list_that_is_read_now(self):
+    async def test_the_record_counts_beside_the_lists(self):
         self.assertEqual(("llm", "v1"), await self.find())
+        self.only = None
+        self.assertIsNone(await self.find())
 
     async def test_a_listed_version_that_the_record_lacks_contradicts_it(self):
-        self.next_list.append(backend("s2", software_version="v2"))
+        self.pool.apply_list([backend("s2", software_version="v2")], 1_000, 1_000)
         self.assertIsNone(await self.find())
 
-    async def test_without_a_list_or_a_record_nothing_is_known(self):
-        self.next_list = None
-        self.assertIsNone(await self.find())
-        self.only = None
-        self.assertIsNone(await self.find())
+    async def test_a_version_that_is_listed_once_the_answer_may_be_read_contradicts_it(self):
+        # ORDER: the stream had begun at a process that no list had shown yet.
+        resumption = StreamResumption(self.clock, self.pool, LocalOrigins(self.clock))
+        resumption.evidence = self.evidence
+        route = next(r for r in routing_config().routes if r.name == "quote")
+        service = routing_config().services["llm"]
+        request = caller_request(last_event_id="3", resumes="r0")
+        for joined in ([], [backend("s2", software_version="v2")]):
+            resumed = await resumption.resolve(request, "b1", route, service, 900_000)
+            self.assertEqual("v1", resumed.version)
+            server = backend("s1", software_version="v1")
+            self.revision += 1
+            confirm = resumption.checks(resumed).confirmation(server, "v1")
+            search = asyncio.ensure_future(confirm())
+            await asyncio.sleep(0)
+            self.clock.advance_ms(1_200)
+            now_ms = self.clock.now_ms()
+            written = replace(server, revision=self.revision)
+            self.pool.apply_list([written, *joined], now_ms, now_ms)
+            self.assertEqual(not joined, await search)
--- a/tests/test_streamresumption.py
+++ b/tests/test_streamresumption.py
@@ -21,6 +21,8 @@
 
 
 class Evidence:
+    is_certain = True
+
     def __init__(self, only):
         self.only, self.routes = only, []
 
