Refuse entries of servers with figures or names out of range

Seen here with real processes: with an entry whose slots has 400 digits, 13 of 40 requests got 503, OverflowError in ServerCapacity._evaluate, as the integer does not fit into a float. No process ended. Cause: integers of entries were bounded by nothing. The same bound holds for born, versions of models and the reports of engines; names are bounded, as they go into datagrams and logs.

--- a/bergamothill/platform/engines.py
+++ b/bergamothill/platform/engines.py
@@ -47,12 +47,12 @@
     )
     rows = (Fields(row, step=step) for row in fields.rows("models"))
     return SwapEngineState(
-        weights={ModelName(row.text("name")): row.integer("version") for row in rows},
+        weights={ModelName(row.text("name")): row.bounded_integer("version") for row in rows},
         is_busy=fields.flag("busy", False),
         # Despite its name, "sequenceNumber" counts accepted orders; it does not number messages.
-        orders_accepted=fields.integer("sequenceNumber", 0),
-        running=fields.integer("running", 0),
-        waiting=fields.integer("waiting", 0),
+        orders_accepted=fields.bounded_integer("sequenceNumber", 0),
+        running=fields.bounded_integer("running", 0),
+        waiting=fields.bounded_integer("waiting", 0),
     )
 
 
--- a/bergamothill/platform/fields.py
+++ b/bergamothill/platform/fields.py
@@ -11,10 +11,23 @@
 from bergamothill.errors import ProtocolError
 from bergamothill.logs import EventLog
 
-__all__ = ["MAX_REPORT_BYTES", "Fields", "log_ignored_value", "read_fields"]
+__all__ = [
+    "MAX_INTEGER",
+    "MAX_NAME_CHARS",
+    "MAX_REPORT_BYTES",
+    "Fields",
+    "log_ignored_value",
+    "read_fields",
+]
 
 MAX_LOGGED_VALUES = 1_000
 
+MAX_INTEGER = 2**53 - 1
+"""Largest integer that JSON numbers keep exactly."""
+
+MAX_NAME_CHARS = 512
+"""Longest name in an entry of a server; names are sent on in datagrams and log lines."""
+
 MAX_REPORT_BYTES = 262_144
 """Largest reply of a server about itself or to an order."""
 
@@ -74,6 +87,27 @@
             raise self._field_error(name)
         return value
 
+    def bounded_integer(
+        self, name: str, default: int | None = None, *, most: int = MAX_INTEGER
+    ) -> int:
+        """Return an integer field whose magnitude is at most a bound; another value is invalid.
+
+        Larger ones cannot be calculated with, as they do not fit into a float.
+
+        :param most: largest magnitude
+        """
+        value = self.integer(name, default)
+        if abs(value) > most:
+            raise self._field_error(name)
+        return value
+
+    def name(self, name: str) -> str:
+        """Return a text field of at most :data:`MAX_NAME_CHARS` characters."""
+        value = self.text(name)
+        if len(value) > MAX_NAME_CHARS:
+            raise self._field_error(name)
+        return value
+
     def number(self, name: str, default: float | None = None) -> float:
         """Return a numeric field; infinity and not-a-number are invalid."""
         value = self._checked_value(name, (int, float), default)
@@ -128,8 +162,11 @@
 
     def _field_error(self, name: str) -> ProtocolError:
         found = self._values.get(name)
+        if isinstance(found, int) and abs(found) > MAX_INTEGER:
+            found = "integer of more than 53 bits"  # a longer one may have no decimal text
         return ProtocolError(
-            f"field {name} is missing or has the wrong type: {found!r:.80}", step=self._step
+            f"field {name} is missing, has the wrong type or is out of range: {found!r:.80}",
+            step=self._step,
         )
 
 
--- a/bergamothill/platform/serverreport.py
+++ b/bergamothill/platform/serverreport.py
@@ -43,7 +43,7 @@
         return OTHER_SERVER
     if reply.status != 200:
         raise ProtocolError(f"unexpected status {reply.status}", step=_STEP)
-    start_ms = Fields.from_json(reply.body, step=_STEP).integer("born", NO_START)
+    start_ms = Fields.from_json(reply.body, step=_STEP).bounded_integer("born", NO_START)
     if start_ms < 0:
         raise ProtocolError(f"start is negative: {start_ms}", step=_STEP)
     return start_ms
--- a/bergamothill/platform/servers.py
+++ b/bergamothill/platform/servers.py
@@ -15,6 +15,7 @@
 
 SERVER_PREFIX = "servers/"
 MAX_PORT = 65_535
+MAX_SLOTS = 1_000_000
 
 _STEP = "server.decode"
 _IS_LEAVING_BY_STATE = {"ready": False, "draining": True}
@@ -34,13 +35,13 @@
         raise ProtocolError(f"unknown server state: {state!r:.40}", step=_STEP)
     return BackendServer(
         server=ServerId(key.removeprefix(SERVER_PREFIX)),
-        started_wall_ms=fields.integer("born", 0),
-        service=ServiceName(fields.text("service")),
+        started_wall_ms=fields.bounded_integer("born", 0),
+        service=ServiceName(fields.name("service")),
         address=_checked_address(fields.text("address")),
-        zone=ZoneName(fields.text("zone")),
-        slots=max(1, fields.integer("slots")),
+        zone=ZoneName(fields.name("zone")),
+        slots=max(1, fields.bounded_integer("slots", most=MAX_SLOTS)),
         is_leaving=_IS_LEAVING_BY_STATE[state],
-        software_version=SoftwareVersion(fields.text("version")),
+        software_version=SoftwareVersion(fields.name("version")),
         weights=_decode_weights(fields),
         cold_remaining_ms=_decode_cold_remaining(fields),
         revision=revision,
@@ -71,4 +72,4 @@
 def _decode_weights(fields: Fields) -> dict[ModelName, int]:
     # The "version" beside "models" is that of the server's software, not of the weights.
     rows = (Fields(row, step=_STEP) for row in fields.rows("models"))
-    return {ModelName(row.text("name")): row.integer("version") for row in rows}
+    return {ModelName(row.name("name")): row.bounded_integer("version") for row in rows}
--- a/bergamothill/platform/versionrecord.py
+++ b/bergamothill/platform/versionrecord.py
@@ -41,4 +41,4 @@
             if not all(isinstance(value, str) for value in values):
                 raise ProtocolError(f"values of {kind} {name!r:.40} are not texts", step=_STEP)
             items.update(RecordItem(kind, name, value) for value in values)
-    return VersionRecord(fields.integer("era"), fields.flag("settled"), frozenset(items))
+    return VersionRecord(fields.bounded_integer("era"), fields.flag("settled"), frozenset(items))
