--- a/bergamothill/connection/ssesplitter.py
+++ b/bergamothill/connection/ssesplitter.py
@@ -6,11 +6,13 @@
 
 from bergamothill.errors import ProtocolError
 
-__all__ = ["MAX_EVENT_BYTES", "EventSplitter", "has_event"]
+__all__ = ["MAX_EVENT_BYTES", "EventSplitter", "has_event", "is_later_event"]
 
 MAX_EVENT_BYTES = 262_144
 """Largest unfinished event that is buffered."""
 
+MAX_ID_DIGITS = 18
+
 _MAX_EVENT_END_BYTES = 4
 _EVENT_END = re.compile(rb"\r?\n\r?\n|\r\r")
 _EVENTS = re.compile(
@@ -25,6 +27,15 @@
     return _FIELD_LINE.search(events) is not None
 
 
+def is_later_event(event_id: str, before: str) -> bool:
+    """Return whether an event may follow another one; ids that are no numbers are not compared."""
+    if not (before.isascii() and before.isdecimal() and event_id.isascii()):
+        return True
+    if not event_id.isdecimal() or max(len(event_id), len(before)) > MAX_ID_DIGITS:
+        return True
+    return int(event_id) > int(before)
+
+
 class EventSplitter:
     """Incremental splitter that returns complete events and buffers a partial one."""
 
@@ -32,6 +43,9 @@
         self.last_event_id = ""
         """Id of the last complete event that had one."""
 
+        self.first_event_id = ""
+        """Id of the first one that was fed."""
+
         self._partial = bytearray()
 
     @property
@@ -59,6 +73,7 @@
             raise ProtocolError("bytes are no events", step="forward.body")
         for match in _ID_LINE.finditer(events):
             self.last_event_id = match.group(1).decode("latin-1").strip()
+            self.first_event_id = self.first_event_id or self.last_event_id
         return events
 
     def _take_events(self, chunk: bytes) -> bytes:
--- a/bergamothill/request/answerrelay.py
+++ b/bergamothill/request/answerrelay.py
@@ -11,7 +11,7 @@
 from enum import Enum
 from typing import Protocol
 
-from bergamothill.connection.ssesplitter import EventSplitter, has_event
+from bergamothill.connection.ssesplitter import EventSplitter, has_event, is_later_event
 from bergamothill.errors import ProtocolError
 from bergamothill.ids import RequestId
 from bergamothill.request.bodybuffer import BodyBuffer
@@ -211,13 +211,16 @@
     def on_body(self, piece: bytes) -> None:
         """Handle the next bytes of the body.
 
-        :raises ProtocolError: the body, or an event of it, is too large
+        :raises ProtocolError: the body, or an event of it, is too large, or a resumed stream begins
+            again
         """
         self._listener.on_bytes()
         if not self._is_stream or self.verdict is not AttemptVerdict.SUCCESS:
             self._body.append(piece)
             return
         events = self._splitter.feed(piece)
+        if self._begins_again():
+            raise ProtocolError("resumed stream begins again", step="forward.body")
         if not self._partial.try_resize(self._splitter.partial_bytes):
             raise ProtocolError("unfinished answers take too much memory", step="forward.body")
         if not events:
@@ -244,6 +247,12 @@
         else:
             self._caller.send_chunk(events)
 
+    def _begins_again(self) -> bool:
+        """Return whether the first event of this attempt is one that the caller has already."""
+        sent, first = self._stream.last_event_id, self._splitter.first_event_id
+        is_resumed = bool(sent and first) and not self.has_written
+        return is_resumed and self.may_write and not is_later_event(first, sent)
+
     def deliver(self) -> None:
         """Finish the answer to the caller; its body has to be complete."""
         if self.stream_started:
