Send prompts anew that wait at an engine under a namespace that has gone out of use

By the words of WALL a request uses context when its prompt is read, with no grace. A prompt that was written under the namespace that all brands shared, and waits in its engine's queue while a brand becomes isolated, is read later and finds what that brand had made.

Change: when the set of isolated brands changes, attempts without an answer whose namespace is out of use end and are placed anew, if the request may run again; the server is not blamed for it.

test_brand_isolation.WaitingPromptTest: without the change the first of three fails (one request sent instead of two), now all pass.

--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -155,6 +155,11 @@
         for search in self._searches:
             search.cancel()
 
+    def isolation_changed(self) -> None:
+        """Send prompts anew that wait at servers under a namespace that is out of use."""
+        for run in list(self._runs):
+            run.end_retired()
+
     def limits(self) -> CallerLimits:
         """Return the caller limits in force."""
         return self._config.limits
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -374,6 +374,7 @@
     def _apply_config(self, config: RoutingConfig, entry: KeyValueEntry, sent_ms: int) -> None:
         self._planner.set_stores(config.stores)
         self._planner.set_isolation(BrandIsolation(config.isolated), self._clock.now_ms())
+        self._gateway.isolation_changed()
         self._kept_connections.share.set_services(config.services.values())
         self._server_pool.limits.set_services(config.services)
         self._streams.apply_config(config)
--- a/bergamothill/process/requestrun.py
+++ b/bergamothill/process/requestrun.py
@@ -25,6 +25,7 @@
 from bergamothill.process.serverattempt import AttemptContext, AttemptOutcome, ServerAttempt
 from bergamothill.process.serverpool import ServerPool
 from bergamothill.process.streamresumption import ResumedStream, StreamResumption
+from bergamothill.process.wakeup import cancel_task
 from bergamothill.request.answerrelay import AnswerRelay
 from bergamothill.request.bufferbudget import BufferBudget
 from bergamothill.request.callerrequest import CallerRequest
@@ -248,7 +249,7 @@
                 self._forwarding.record_refused(send)
             raise
         finally:
-            await _cancel(attempt.move)
+            await cancel_task(attempt.move)
 
     async def _end_attempt(self, outcome: AttemptOutcome, attempt: ServerAttempt) -> ForwardStep:
         """Return the step after an attempt, that of a move of its answer if one is under way."""
@@ -340,6 +341,11 @@
         if self._timeout is not None and not self._timeout.expired():
             self._timeout.reschedule(asyncio.get_running_loop().time())
 
+    def end_retired(self) -> None:
+        """Send the request anew if its answer waits and its namespace is out of use."""
+        if self._leading is not None and self._route.may_retry and not self._leading.is_moving:
+            self._leading.end_retired()
+
     def check_for_stall(self, now_ms: int) -> None:
         """Begin a move of the answer if its engine has stalled; the attempt in progress goes on."""
         attempt = self._leading
@@ -491,9 +497,3 @@
         self._metrics.count("requests", outcome=outcome, rule=self._route.retry_policy.value)
         if first_ms is not None:
             self._metrics.observe("first_byte_ms", first_ms, rule=self._route.retry_policy.value)
-
-
-async def _cancel(task: asyncio.Task[ForwardStep] | None) -> None:
-    if task is not None and not task.done():
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
--- a/bergamothill/process/serverattempt.py
+++ b/bergamothill/process/serverattempt.py
@@ -120,6 +120,7 @@
         self._exchange_task: asyncio.Task[ExchangeResult] | None = None
         self._has_pending_prefill = True
         self._is_moved = False
+        self._is_retired = False
         self._is_unread = False
         self._is_streaming = False
         self._own_head: ResponseHead | None = None
@@ -208,8 +209,11 @@
         try:
             return await self._exchange_task
         except asyncio.CancelledError:
-            if not self._is_moved or asyncio.current_task().cancelling():
+            if not (self._is_moved or self._is_retired) or asyncio.current_task().cancelling():
                 raise
+            if self._is_retired:
+                end = ExchangeEnd.BROKEN if self.was_sent else ExchangeEnd.NOT_SENT
+                return ExchangeResult(end, "namespace is out of use")
             silence_ms = self._server_pool.silence_ms(self._server, self._clock.now_ms())
             return ExchangeResult(ExchangeEnd.BROKEN, f"silent for {silence_ms} ms")
         finally:
@@ -294,6 +298,19 @@
             self._is_moved = True
             self._exchange_task.cancel()
 
+    def end_retired(self) -> None:
+        """End the exchange if its answer has not begun and its namespace is out of use.
+
+        The server may have yet to read the prompt, and would find context of brands that share
+        nothing with this one any more.
+        """
+        task, terms = self._exchange_task, self.send.terms
+        if task is None or task.done() or self.relay.head is not None or not terms.cache_salt:
+            return
+        if not self._server_pool.is_namespace_in_use(terms):
+            self._is_retired = True
+            task.cancel()
+
     def _set_unread(self, is_unread: bool, now_ms: int) -> None:
         if is_unread != self._is_unread:
             self._is_unread = is_unread
@@ -312,6 +329,8 @@
 
     def record_failure(self, outcome: AttemptOutcome, now_ms: int) -> None:
         """Record what an attempt without an answer shows of its server."""
+        if self._is_retired:
+            return
         if outcome in (AttemptOutcome.NOT_CONNECTED, AttemptOutcome.BROKEN):
             self._server_pool.request_failed(self._server, now_ms)
         elif outcome is AttemptOutcome.REFUSED:
--- a/bergamothill/process/serverpool.py
+++ b/bergamothill/process/serverpool.py
@@ -169,7 +169,7 @@
         """
         if not self._may_fetch_from(terms.fetch_from):
             return False
-        if terms.cache_salt and not self._planner.isolation.may_use(terms.cache_scope):
+        if not self.is_namespace_in_use(terms):
             return False
         if homes is None:
             return True
@@ -229,6 +229,10 @@
         if model is not None and version is not None:
             state.record_version(model, version)
 
+    def is_namespace_in_use(self, terms: ForwardTerms) -> bool:
+        """Return whether a prompt may still run on the context that its terms name."""
+        return not terms.cache_salt or self._planner.isolation.may_use(terms.cache_scope)
+
     def request_rejected(self, server: ServerId, now_ms: int) -> None:
         """Record that a server rejected a request because it is full or changing its weights."""
         state = self._observed.get(server)
--- a/bergamothill/process/wakeup.py
+++ b/bergamothill/process/wakeup.py
@@ -1,12 +1,13 @@
-"""Waiting for an event with a timeout, on the event loop."""
+"""Waiting for events with a timeout, and for the end of tasks, on the event loop."""
 
 from __future__ import annotations
 
 import asyncio
+from typing import Any
 
 from bergamothill.clock import ms_to_seconds
 
-__all__ = ["wait_until_set"]
+__all__ = ["cancel_task", "wait_until_set"]
 
 
 async def wait_until_set(event: asyncio.Event, timeout_ms: int) -> None:
@@ -20,3 +21,10 @@
             await event.wait()
     except TimeoutError:
         return
+
+
+async def cancel_task(task: asyncio.Task[Any] | None) -> None:
+    """Cancel a task, and wait for its end; None and one that has ended are left alone."""
+    if task is not None and not task.done():
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
--- a/tests/test_brand_isolation.py
+++ b/tests/test_brand_isolation.py
@@ -1,12 +1,25 @@
 """Tests of the separation of cached context when the operator changes which brands are isolated."""
 
 import json
+import re
+import threading
 from unittest import mock
 
 from bergamothill.connection.kvs import KeyValueEntry
 from bergamothill.platform.config import CONFIG_KEY
 from bergamothill.process.prefixfollower import Snapshot
-from tests.builders import backend, caller_request, operator_config
+from bergamothill.version.cachenamespace import BrandIsolation
+from tests.builders import await_true, backend, caller_request, operator_config, routing_config
+from tests.gatewayworld import (
+    PROMPT_HEADERS,
+    STREAM_HEAD,
+    TIMEOUT_S,
+    GatewayCase,
+    chunk,
+    event,
+    read_all,
+    request,
+)
 from tests.test_platform_node import NodeCase
 
 KEYS = {"alpha": "key-a", "bravo": "key-b", "cedar": "key-c"}
@@ -127,3 +140,65 @@
         server, terms = self.choose(self.admitted("alpha"))
         self.apply(tenants())
         self.assertTrue(self.node._server_pool.may_serve(server, terms, None))
+
+
+class WaitingPromptTest(GatewayCase):
+    """Prompts that were written under a namespace that has gone out of use."""
+
+    def play(self, first, *, may_retry=True):
+        """Change the set of isolated brands while an engine works on a prompt.
+
+        :param first: bytes of the engine's first answer before the change
+        :returns: what the caller got, and the namespaces of the requests at the engines
+        """
+        changed = threading.Event()
+
+        def script(connection, _request):
+            if len(self.sent()) > 1:
+                connection.sendall(STREAM_HEAD + chunk(event(1)) + b"0\r\n\r\n")
+                return
+            connection.sendall(first)
+            changed.wait(TIMEOUT_S)
+            if first or not may_retry:
+                rest = b"" if first else STREAM_HEAD + chunk(event(1))
+                connection.sendall(rest + chunk(event(2)) + b"0\r\n\r\n")
+
+        world = self.world(engines=[script, script])
+        config = operator_config(version=8)
+        config["routes"][0]["resumable"] = may_retry
+        world.config.apply(routing_config(**config), 2, world.clock.now_ms())
+        # As of an engine that is busy, whose events arrive.
+        world.server_pool.has_stalled = lambda _server, _now_ms: False
+
+        def change():
+            isolation = BrandIsolation(frozenset({"cedar"}))
+            world.server_pool._planner.set_isolation(isolation, world.clock.now_ms())
+            world.gateway.isolation_changed()
+            world._loop.call_later(0.1, changed.set)
+
+        with world.connect() as connection:
+            data = request(b"/quote/1", headers=PROMPT_HEADERS + b"Connection: close\r\n")
+            connection.sendall(data)
+            await_true(self.sent)
+            if first:
+                connection.recv(1)
+            world._loop.call_soon_threadsafe(change)
+            found = read_all(connection)
+        return found, [re.search(rb"X-Cache-Salt: (\S+)", sent)[1] for sent in self.sent()]
+
+    def test_a_prompt_that_waits_is_sent_anew_under_the_namespace_in_force(self):
+        # WALL: an engine that read the prompt later found what a brand had made that was isolated
+        # by then.
+        found, (before, after) = self.play(b"")
+        self.assertIn(event(1), found)
+        self.assertNotEqual(before, after)
+
+    def test_an_answer_that_has_begun_goes_on(self):
+        found, namespaces = self.play(STREAM_HEAD + chunk(event(1)))
+        self.assertIn(event(2), found)
+        self.assertEqual(1, len(namespaces))
+
+    def test_a_prompt_that_may_not_run_again_is_left_alone(self):
+        found, namespaces = self.play(b"", may_retry=False)
+        self.assertIn(event(2), found)
+        self.assertEqual(1, len(namespaces))
