Refuse resumptions at once that lists can't confirm in time

After a power-off of all instances 24 requests that take streams up came within 0.8 s of the start. What can't be confirmed before callers leave, or before their time ends, is refused at once now.

--- a/bergamothill/process/listconfirmation.py
+++ b/bergamothill/process/listconfirmation.py
@@ -18,9 +18,12 @@
 
 __all__ = ["ListConfirmation"]
 
-MAX_DELAY_MS = 600
-"""Longest wait for a list once it is due. Callers of streams leave after two seconds without an
-event at the earliest, and heartbeat intervals are 1.2 s."""
+MAX_GRACE_MS = 200
+"""Longest time by which an outage may delay the list that confirms a server. Callers of streams
+leave after two seconds without an event at the earliest, and heartbeat intervals are 1.2 s."""
+
+MAX_DELAY_MS = 400
+"""Longest wait for a list once it is due."""
 
 CHECK_INTERVAL_MS = 40
 READ_AGAIN_MS = 200
@@ -43,6 +46,16 @@
         self.read_list: Callable[[], None] = lambda: None
         """Lets this instance read the list of servers at once."""
 
+    def is_possible(self, give_up_ms: int | None = None) -> bool:
+        """Return whether a server that a request is sent to now could be confirmed in time.
+
+        :param give_up_ms: time after which the answer is of no use
+        """
+        now_ms = self._clock.now_ms()
+        due_ms = self._servers.confirmation_due_ms(now_ms)
+        is_soon = due_ms <= now_ms + self._servers.heartbeat_interval_ms + MAX_GRACE_MS
+        return is_soon and (give_up_ms is None or due_ms < give_up_ms)
+
     async def confirm(
         self, server: BackendServer, presumed: StreamOrigin | SoleVersion | None
     ) -> bool:
@@ -68,8 +81,7 @@
 
     async def _await_list(self, server: BackendServer, written_ms: int, due_ms: int) -> bool:
         incarnation = (server.server, server.started_wall_ms)
-        revision = self._servers.revision_of(server)
-        while not self._has_written(server, revision, written_ms):
+        while not self._servers.is_listed_since(*incarnation, written_ms):
             now_ms = self._clock.now_ms()
             if self._servers.is_superseded(*incarnation) or now_ms >= due_ms + MAX_DELAY_MS:
                 return False
@@ -78,15 +90,6 @@
             await asyncio.sleep(ms_to_seconds(CHECK_INTERVAL_MS))
         return not self._servers.is_superseded(*incarnation)
 
-    def _has_written(self, server: BackendServer, revision: int, written_ms: int) -> bool:
-        """Return whether a server was listed late enough, with an entry written meanwhile.
-
-        The entry of a server that has ended may stay, if its successor could not register.
-        """
-        incarnation = (server.server, server.started_wall_ms)
-        is_late = self._servers.is_listed_since(*incarnation, written_ms)
-        return is_late and self._servers.revision_of(server) > revision
-
     def ask_for_list(self) -> None:
         """Let this instance read the list of servers, unless it was asked to just now."""
         now_ms = self._clock.now_ms()
--- a/bergamothill/process/serverattempt.py
+++ b/bergamothill/process/serverattempt.py
@@ -223,8 +223,11 @@
         """Exchange request and answer, after asking the server who it is where this is in doubt."""
         checks, confirm = self._context.checks, None
         if checks is not None:
-            await checks.identify(self.send.server)
-            confirm = checks.confirmation(self.send.server, self.send.terms.software_version)
+            server, version = self.send.server, self.send.terms.software_version
+            await checks.identify(server)
+            if not checks.may_send_to(server, version):
+                return ExchangeResult(ExchangeEnd.NOT_SENT, "server can't be confirmed in time")
+            confirm = checks.confirmation(server, version)
         keeping = self._keeping()
         self.send.terms.closes_connection = keeping is None
         return await exchange(
--- a/bergamothill/process/softwareversions.py
+++ b/bergamothill/process/softwareversions.py
@@ -147,7 +147,7 @@
     ) -> None:
         super().__init__(entry_expiry_ms, stability_window_ms, min_entry_life_ms)
         self._entry_expiry_ms = entry_expiry_ms
-        self._heartbeat_interval_ms = heartbeat_interval_ms
+        self.heartbeat_interval_ms = heartbeat_interval_ms
         self._history = VersionHistory(min_entry_life_ms)
         self._lost_addresses: set[str] = set()
         self._grace_began_ms: int | None = None
@@ -231,7 +231,7 @@
         entry is then evidence only if it would have expired otherwise.
         """
         dues_ms = [0]
-        wait_ms = self._heartbeat_interval_ms
+        wait_ms = self.heartbeat_interval_ms
         if state.reconnected_ms is not None:
             dues_ms.append(state.reconnected_ms + wait_ms)
         if state.failed_ms is not None:
@@ -272,21 +272,16 @@
         version = state.entry.software_version
         return version if is_recent and version == server.software_version else None
 
-    def revision_of(self, server: BackendServer) -> int:
-        """Return at which revision an incarnation has written its latest entry; 0 if unknown."""
-        state = self._state_of(server)
-        return 0 if state is None else state.entry.revision
-
     def confirmation_due_ms(self, since_ms: int) -> int:
         """Return when to send a read whose list shows who has answered since some time.
 
         A process that answered then has registered one heartbeat interval later. After an outage or
         a restoration of the key-value service its entry may be missing for longer.
         """
-        due_ms = since_ms + self._heartbeat_interval_ms
+        due_ms = since_ms + self.heartbeat_interval_ms
         if self._grace_began_ms is None:
             return due_ms
-        return max(due_ms, self._grace_began_ms + max(REWRITE_MS, self._heartbeat_interval_ms))
+        return max(due_ms, self._grace_began_ms + max(REWRITE_MS, self.heartbeat_interval_ms))
 
     def is_listed_since(self, server: ServerId, started_wall_ms: int, since_ms: int) -> bool:
         """Return whether lists show that no other process has answered under an id at some time.
@@ -295,7 +290,7 @@
         :param since_ms: time of the answer, or a later one
         """
         last_ms = self._evidence.last_listed_ms(server, started_wall_ms)
-        return last_ms is not None and last_ms >= since_ms + self._heartbeat_interval_ms
+        return last_ms is not None and last_ms >= since_ms + self.heartbeat_interval_ms
 
     def is_superseded(self, server: ServerId, started_wall_ms: int) -> bool:
         """Return whether another incarnation is known under the id of a server."""
--- a/bergamothill/process/streamresumption.py
+++ b/bergamothill/process/streamresumption.py
@@ -119,6 +119,10 @@
         """Ask a server who it is if this is in doubt."""
         await self._identity.identify(server)
 
+    def may_send_to(self, server: BackendServer, version: SoftwareVersion | None) -> bool:
+        """Return whether a server can be confirmed in time where it has to be."""
+        return self.confirmation(server, version) is None or self._lists.is_possible()
+
     def confirmation(
         self, server: BackendServer, version: SoftwareVersion | None
     ) -> Callable[[], Awaitable[bool]] | None:
@@ -228,6 +232,9 @@
             name, version = (name, None) if only is None else only
             if only is not None and not self.evidence.is_certain:
                 presumed = SoleVersion(name, version)
+        needs_list = presumed is not None or service.engine is None
+        if needs_list and not self.lists.is_possible(give_up_ms):
+            version = None
         self._log(request, name, version, known, presumed)
         return ResumedStream(name, version, presumed)
 
