--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -312,13 +312,15 @@
         """
         if not request.last_event_id:
             return None
+        timeouts_ms = (admission.route.timeout_ms, request.caller_timeout_ms)
+        timeout_ms = min(timeout_ms for timeout_ms in timeouts_ms if timeout_ms is not None)
         search = asyncio.ensure_future(
             self.resumption.resolve(
                 request,
                 admission.brand_name,
                 admission.route,
                 service,
-                give_up_ms=request.raw.arrived_ms + admission.route.timeout_ms,
+                give_up_ms=request.raw.arrived_ms + timeout_ms,
             )
         )
         self._searches.add(search)
--- a/tests/test_requestrun.py
+++ b/tests/test_requestrun.py
@@ -128,6 +128,18 @@
             self.assertLess(time.monotonic() - started_s, 1)
         self.assertEqual([], self.sent())
 
+    def test_a_search_for_the_origin_of_a_stream_ends_with_the_time_of_its_caller(self):
+        # What cannot be answered within it is to be refused at once.
+        world, given_up_ms = self.world(engines=[replies(answer())]), []
+
+        async def find(_key, give_up_ms):
+            given_up_ms.append(give_up_ms)
+
+        world.gateway.resumption._directory.find = find
+        headers = PROMPT_HEADERS + b"Last-Event-Id: 3\r\nResumes: r0\r\n"
+        self.assertIn(b" 503 ", world.exchange(request(b"/quote/2f", headers=headers)))
+        self.assertLessEqual(given_up_ms[0] - world.clock.now_ms(), 3_000)
+
     def test_a_stream_that_has_begun_is_not_terminated_normally_at_the_end_of_the_drain(self):
         def script(connection, _request):
             connection.sendall(STREAM_HEAD + chunk(event(1)))
