--- a/bergamothill/process/softwareversions.py
+++ b/bergamothill/process/softwareversions.py
@@ -257,8 +257,9 @@
     def presumed_version(self, server: BackendServer, now_ms: int) -> SoftwareVersion | None:
         """Return the version of a server without event connection, by the list alone.
 
-        Another process may have started under its id meanwhile, so what it answers counts only once
-        :meth:`is_listed_since` holds for the time of the answer.
+        Another process may have started under its id meanwhile, also if no request to it has
+        failed, so what it answers counts only once :meth:`is_listed_since` holds for the time of
+        the answer.
 
         :param server: the incarnation as listed
         :returns: None for an engine, and if there is reason to doubt the list
@@ -266,7 +267,7 @@
         state = self._state_of(server)
         if state is None or server.weights or self._has_paused(now_ms):
             return None
-        if state.failed_ms is not None or self.is_superseded(*server.incarnation):
+        if self.is_superseded(*server.incarnation):
             return None
         is_recent = now_ms - state.listed_ms <= self._min_entry_life_ms
         version = state.entry.software_version
