Choose servers whose answers take less than the clock's resolution

Callers: a service whose servers answer within a millisecond got 503 (request_crashed, ZeroDivisionError in ServerCapacity._evaluate): the median of its answers is 0 ms, and the load of a server was divided by it.

It depends on the machine's speed: on this x86-64 the scripted servers answer in 0 ms.

test_servercapacity.FastServersTest failed before, passes now.

--- a/bergamothill/process/servercapacity.py
+++ b/bergamothill/process/servercapacity.py
@@ -32,6 +32,9 @@
 REPORT_INTERVAL_PER_PEER_MS = 4
 """Interval of load reports for each peer, see ``process/loadexchange``."""
 
+MIN_SERVICE_MS = 1.0
+"""Shorter answers take 0 ms on the clock."""
+
 INITIAL_SLOT_MS = 100.0
 """Time in a slot that is assumed for the weight of reports until enough answers were seen."""
 
@@ -122,7 +125,7 @@
         time = self._speeds.service_time(state.entry.service)
         if time is None:
             return True
-        freed = traits.slots * self._report_age_ms / max(1.0, time.median_ms)
+        freed = traits.slots * self._report_age_ms / max(MIN_SERVICE_MS, time.median_ms)
         return in_progress < traits.slots + math.ceil(freed)
 
     # Plain servers.
@@ -189,16 +192,17 @@
         load = state.in_progress + freshness * reported + (1 - freshness) * average_load
         if time is None:
             return _Candidate(state, load, math.inf, load + penalty)
-        slot_ms = self._speeds.slot_ms(entry.service, entry.incarnation, now_ms) or time.median_ms
+        median_ms = max(MIN_SERVICE_MS, time.median_ms)
+        slot_ms = self._speeds.slot_ms(entry.service, entry.incarnation, now_ms) or median_ms
         places = math.inf
         if request.objective_ms is not None:
             wait_ms = max(self._reaction_ms, request.objective_ms - now_ms - time.late_ms)
             places = entry.slots * (1 + wait_ms / max(1.0, slot_ms))
-        return _Candidate(state, load, places, load * slot_ms / time.median_ms + penalty)
+        return _Candidate(state, load, places, load * slot_ms / median_ms + penalty)
 
     def _freshness(self, time: ServiceTime | None) -> float:
         """Return the share of the reported requests that have not ended since."""
-        slot_ms = INITIAL_SLOT_MS if time is None else max(1.0, time.median_ms)
+        slot_ms = INITIAL_SLOT_MS if time is None else max(MIN_SERVICE_MS, time.median_ms)
         return math.exp(-self._report_age_ms / slot_ms)
 
     def _may_use_share(self, candidates: list[_Candidate], now_ms: int) -> bool:
--- a/tests/test_servercapacity.py
+++ b/tests/test_servercapacity.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 from bergamothill.process.servercapacity import ServerCapacity
+from tests.builders import backend, caller_request, routing_config, server_pool
 from tests.capacityload import PLAIN_ROUTE, STREAM_ROUTE, engine_world, plain_world
 
 SUKSAWAT = replace(PLAIN_ROUTE, target_ms=385)
@@ -107,6 +108,21 @@
         self.assertGreater(world.good_share("call", 2_000), 0.99)
 
 
+class FastServersTest(unittest.TestCase):
+    def test_servers_that_answer_within_the_resolution_of_the_clock_are_chosen(self):
+        # LOST: the median of such answers is 0 ms, and every request of the service got 503 by a
+        # division by it.
+        pool = server_pool(backend("s1", service="bookings", weights={}))
+        service = routing_config().services["bookings"]
+        request = caller_request(model=None)
+        for now_ms in range(60):
+            server, terms = pool.choose(service, request, None, (), 0, now_ms)
+            pool.request_started(server.server, 0, 0, now_ms)
+            pool.record_service_time(server, terms, 0, now_ms)
+            pool.request_ended(server.server, 0)
+        self.assertEqual("s1", server.server)
+
+
 class EnginesTest(unittest.TestCase):
     """Load: short prompts at two engines with 12 slots each."""
 
