Hold the wait for entries after an outage once; one check of presumed origins

Read-through, no change of behaviour: confirmation_due_ms repeated the grace of _confirmation_due_ms, the search for an origin repeated contradicts, and one of four bounds of service times stood as a figure. 101 tests of the modules concerned pass.

--- a/bergamothill/process/servercapacity.py
+++ b/bergamothill/process/servercapacity.py
@@ -197,7 +197,7 @@
         places = math.inf
         if request.objective_ms is not None:
             wait_ms = max(self._reaction_ms, request.objective_ms - now_ms - time.late_ms)
-            places = entry.slots * (1 + wait_ms / max(1.0, slot_ms))
+            places = entry.slots * (1 + wait_ms / max(MIN_SERVICE_MS, slot_ms))
         return _Candidate(state, load, places, load * slot_ms / median_ms + penalty)
 
     def _freshness(self, time: ServiceTime | None) -> float:
--- a/bergamothill/process/softwareversions.py
+++ b/bergamothill/process/softwareversions.py
@@ -238,9 +238,16 @@
             if not (state.has_event_reader and state.entry.weights):
                 wait_ms = self._entry_expiry_ms
             dues_ms.append(state.failed_ms + wait_ms)
-        if self._grace_began_ms is not None:
-            dues_ms.append(self._grace_began_ms + max(REWRITE_MS, wait_ms))
-        return max(dues_ms)
+        return max(*dues_ms, self._grace_due_ms(wait_ms))
+
+    def _grace_due_ms(self, wait_ms: int) -> int:
+        """Return when a list has all entries again that may be missing since an outage.
+
+        :param wait_ms: time in which a process registers
+        """
+        if self._grace_began_ms is None:
+            return 0
+        return self._grace_began_ms + max(REWRITE_MS, wait_ms)
 
     def confirmed_version(self, server: BackendServer, now_ms: int) -> SoftwareVersion | None:
         """Return the version of a server if no other process can be answering in its place.
@@ -279,10 +286,8 @@
         A process that answered then has registered one heartbeat interval later. After an outage or
         a restoration of the key-value service its entry may be missing for longer.
         """
-        due_ms = since_ms + self.heartbeat_interval_ms
-        if self._grace_began_ms is None:
-            return due_ms
-        return max(due_ms, self._grace_began_ms + max(REWRITE_MS, self.heartbeat_interval_ms))
+        wait_ms = self.heartbeat_interval_ms
+        return max(since_ms + wait_ms, self._grace_due_ms(wait_ms))
 
     def is_listed_since(self, server: ServerId, started_wall_ms: int, since_ms: int) -> bool:
         """Return whether lists show that no other process has answered under an id at some time.
--- a/bergamothill/process/streamresumption.py
+++ b/bergamothill/process/streamresumption.py
@@ -240,8 +240,7 @@
 
     def _may_follow(self, origin: StreamOrigin, route: Route) -> bool:
         """Return whether a stream may go on by its origin, as far as is known now."""
-        incarnation = (origin.server, origin.started_wall_ms)
-        if origin.is_presumed and self._server_pool.is_superseded(*incarnation):
+        if origin.is_presumed and self._server_pool.contradicts(origin, self._clock.now_ms()):
             return False
         return any(origin.service == share.service for share in route.shares)
 
