--- a/standins/platformengine.py
+++ b/standins/platformengine.py
@@ -92,6 +92,15 @@
         self.limit_per_s: float | None = None
         """Requests a second that it takes from all instances together, as its answers say."""
 
+        self.reads_bodies = False
+        """Whether it reads the body of a request before it answers."""
+
+        self.answer_bytes = 4
+        """Size of a plain answer."""
+
+        self.answer_delay_s = 0.0
+        """Time from a request to its answer."""
+
         self.admits_event_readers = True
         self.reports = 0
         """Number of questions who it is."""
@@ -208,7 +217,9 @@
     def _serve(self, connection: socket.socket, incarnation: _Incarnation) -> None:
         try:
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            path, headers = _read_head(connection)
+            path, headers, body_bytes = _read_head(connection)
+            if self.reads_bodies:
+                _skip_body(connection, int(headers.get("content-length", 0)) - body_bytes)
             if path.startswith("/kv-events"):
                 self._send_events(connection, incarnation)
             elif path == "/report":
@@ -272,8 +283,10 @@
         head += (
             f"{limit}X-Request-Id: {request_id}\r\nX-Instance-Id: {incarnation.server}\r\n".encode()
         )
+        time.sleep(self.answer_delay_s)
         if not self._events:
-            self._send(connection, head + b"Content-Length: 4\r\n\r\ndone")
+            body = b"done".ljust(self.answer_bytes, b".")
+            self._send(connection, head + b"Content-Length: %d\r\n\r\n%s" % (len(body), body))
             return
         head += b"Content-Type: text/event-stream\r\nX-Weight-Versions: 1\r\n"
         self._send(connection, head + b"Transfer-Encoding: chunked\r\n\r\n")
@@ -285,14 +298,25 @@
         self._send(connection, b"0\r\n\r\n")
 
 
-def _read_head(connection: socket.socket) -> tuple[str, dict[str, str]]:
-    """Read a request head; the path is empty if the peer closed the connection before its end."""
+def _skip_body(connection: socket.socket, size_bytes: int) -> None:
+    """Read the rest of a body."""
+    while size_bytes > 0 and (received := connection.recv(MAX_HEAD_BYTES)):
+        size_bytes -= len(received)
+
+
+def _read_head(connection: socket.socket) -> tuple[str, dict[str, str], int]:
+    """Read a request head and the beginning of the body, whose size is returned as well.
+
+    The path is empty if the peer closed the connection before the end of the head.
+    """
     data = b""
     while b"\r\n\r\n" not in data:
         received = connection.recv(MAX_HEAD_BYTES)
         if not received or len(data) > MAX_HEAD_BYTES:
-            return "", {}
+            return "", {}, 0
         data += received
-    lines = data.partition(b"\r\n\r\n")[0].decode("latin-1").split("\r\n")
+    head, _, body = data.partition(b"\r\n\r\n")
+    lines = head.decode("latin-1").split("\r\n")
     pairs = (line.partition(":") for line in lines[1:])
-    return lines[0].split(" ")[1], {name.lower(): value.strip() for name, _, value in pairs}
+    headers = {name.lower(): value.strip() for name, _, value in pairs}
+    return lines[0].split(" ")[1], headers, len(body)
--- a/tests/platformworld.py
+++ b/tests/platformworld.py
@@ -108,6 +108,25 @@
         self._settings_path.write_text(settings, encoding="utf-8")
         self._process: subprocess.Popen[bytes] | None = None
 
+    @property
+    def pid(self) -> int:
+        """Id of the running process."""
+        return self._process.pid
+
+    def has_ended(self) -> bool:
+        """Return whether the process has ended by itself."""
+        return self._process.poll() is not None
+
+    def stop(self, timeout_s: float) -> int:
+        """Stop the process with a signal and return its exit code."""
+        self._process.terminate()
+        return self._process.wait(timeout_s)
+
+    def replace_settings(self, old: str, new: str) -> None:
+        """Replace a line of the settings, for the next start."""
+        settings = self._settings_path.read_text(encoding="utf-8")
+        self._settings_path.write_text(settings.replace(old, new), encoding="utf-8")
+
     def add_settings(self, text: str) -> None:
         """Append to the settings, for the next start."""
         with open(self._settings_path, "a", encoding="utf-8") as settings:
@@ -157,6 +176,7 @@
     :param engines: number of engines
     :param plain: number of servers of the plain service
     :param versions: software versions of the engines, given to them in turn
+    :param config: changes of the configuration
     """
 
     def __init__(
@@ -167,12 +187,13 @@
         engines: int = 6,
         plain: int = 0,
         versions: Sequence[str] = ("v1",),
+        config: dict[str, object] | None = None,
     ) -> None:
         self.store = PlatformStoreStandIn()
         self._server = Server(HOST, 0, self.store, Handler)
         threading.Thread(target=self._server.serve_forever, args=(0.02,), daemon=True).start()
         kvs = self.store.service
-        config = operator_config()
+        config = operator_config(**(config or {}))
         asked = config["routes"][0] | {"name": "ask", "prefix": "/ask/", "maxAttempts": 1}
         config["routes"].append(asked | {"resumable": False})
         config["routes"].append(asked | {"name": "draft", "prefix": "/draft/"})
