Judge request heads while they are parsed; release rejected requests

Clients that send heads without end ended a process. Cause: up to 256 kB were read at once and parsed into field objects before the size of the head was looked at (43,000 fields of 6 bytes take 7 MB), and a rejected connection kept them until the end of its linger time of 2 s.

The parser of requests is a class of its own now. It ends at the field that exceeds the limit, and drops what it holds when a request is rejected or the connection ends. All connections read into one buffer of 64 kB.

--- a/bergamothill/connection/callerhttp.py
+++ b/bergamothill/connection/callerhttp.py
@@ -12,11 +12,10 @@
 from operator import attrgetter
 from typing import Protocol
 
-import httptools
-
 from bergamothill.clock import Clock, ms_to_seconds
 from bergamothill.connection.backlogwatch import BacklogWatch
 from bergamothill.connection.flowgate import FlowGate
+from bergamothill.connection.requestparser import RequestParser
 from bergamothill.request.callerrequest import Header, RawRequest
 from bergamothill.version.routetable import CallerLimits
 
@@ -31,11 +30,8 @@
 MAX_DISCARDED_BYTES = 1_048_576
 """Maximum bytes that are read and discarded meanwhile."""
 
-MAX_BODY_FRAMING_BYTES = 16_384
-"""Maximum size of the chunk headers of a request with an empty body."""
-
-MAX_BODY_FRAMING_RATIO = 8
-"""Framing allowed for each byte of a body; a chunk of one byte has five bytes of framing."""
+READ_BYTES = 65_536
+"""Maximum bytes to parse before other connections get their turn."""
 
 _REASONS = {
     200: b"OK",
@@ -56,6 +52,9 @@
 class CallerHandler(Protocol):
     """Handler of the requests of a connection."""
 
+    read_buffer: bytearray
+    """Buffer that the connections of its event loop share, see :data:`READ_BYTES`."""
+
     def limits(self) -> CallerLimits:
         """Return the current limits."""
 
@@ -66,7 +65,7 @@
         """Start handling a request; return a callback that cancels it on disconnect."""
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(asyncio.BufferedProtocol):
     """One connection of a caller.
 
     :param handler: handler of the requests
@@ -85,7 +84,8 @@
         self._handler = handler
         self._clock = clock
         self._register = register
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser = RequestParser(self, handler.limits)
+        self._read_buffer = handler.read_buffer
         self._transport: asyncio.Transport | None = None
         self._queued: deque[tuple[RawRequest, bool]] = deque()
         self._queued_bytes = 0
@@ -98,7 +98,6 @@
         self._is_lingering = False
         self._discarded_bytes = 0
         self._timer: asyncio.TimerHandle | None = None
-        self._reset_request()
 
     # Connection lifecycle.
 
@@ -111,6 +110,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress, because the caller has disconnected."""
         self._is_closed = True
+        self._parser.release()
         self._cancel_timer()
         self._backlog_watch.cancel()
         self._register(self, False)
@@ -133,7 +133,7 @@
     @property
     def is_busy(self) -> bool:
         """Whether a request is in progress, queued or partly received, or a response not read."""
-        is_receiving = self._receiving_request or bool(self._queued)
+        is_receiving = self._parser.is_receiving or bool(self._queued)
         return self._cancel is not None or is_receiving or self._is_lingering
 
     def close_if_idle(self) -> None:
@@ -147,98 +147,41 @@
             self._transport.close()
             self._backlog_watch.start(self._transport)
 
-    # Parsing requests.
+    # Receiving requests.
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return the buffer to read into, which is parsed before anything else is read."""
+        return self._read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Parse received bytes; reject requests that are malformed or too large."""
         if self._is_lingering:
-            self._discard(len(data))
+            self._discard(nbytes)
         if self._is_closed or self._stops_reading or not self._keep_alive:
             return
         if self._cancel is not None or self.flow.is_paused:
-            self._queued_bytes += len(data)
+            self._queued_bytes += nbytes
             if self._queued_bytes > MAX_PIPELINED_BYTES:
                 self._reject_unparsed(413)
                 return
-        if not self._receiving_request and self._cancel is None:
-            self._arrived_ms = self._clock.now_ms()
-        if self._head_received:
-            self._body_framing_bytes += len(data)
-        else:
-            self._head_bytes += len(data)
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            # The offer is ignored, but what follows may be in the other protocol.
-            self._reject_unparsed(400)
-        except httptools.HttpParserError:
-            self._reject_unparsed(self._error_status or 400)
-        else:
-            if not self._head_received and self._head_bytes > self._handler.limits().header_bytes:
-                self._reject_unparsed(431)
-            elif self._body_framing_bytes > MAX_BODY_FRAMING_BYTES:
-                self._reject_unparsed(400)
-
-    def on_message_begin(self) -> None:
-        """Start parsing a request."""
-        self._reset_request()
-        self._receiving_request = True
-        self._arrived_ms = self._clock.now_ms()
+        if status := self._parser.feed(memoryview(self._read_buffer)[:nbytes]):
+            self._reject_unparsed(status)
+
+    def on_request_begin(self) -> int:
+        """Start to wait for the head of a request; return its arrival time."""
         if self._cancel is None:
             self._start_request_timer(_HEADER_TIMEOUT_MS)
+        return self._clock.now_ms()
 
-    def on_url(self, url: bytes) -> None:
-        """Append a part of the request target."""
-        self._request_target += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header field; reject malformed fields and trailers."""
-        if self._head_received:
-            self._error_status = 400
-            raise ValueError("trailer fields are not supported")
-        if not name or name[-1:].isspace() or b"\n" in value or b"\r" in value or b"\0" in value:
-            self._error_status = 400
-            raise ValueError("malformed header field")
-        self._headers.append((name, value))
-
-    def on_headers_complete(self) -> None:
-        """Check the limits of the request head and answer ``Expect: 100-continue``."""
-        self._head_received = True
-        limits = self._handler.limits()
-        size = len(self._request_target) + sum(len(n) + len(v) + 4 for n, v in self._headers)
-        if size > limits.header_bytes:
-            self._error_status = 431
-            raise ValueError("request head is too large")
+    def on_request_head(self, *, expects_continue: bool) -> None:
+        """Answer ``Expect: 100-continue``."""
         self._cancel_timer()
-        for name, value in self._headers:
-            lower = name.lower()
-            if lower == b"content-length" and int(value) > limits.body_bytes:
-                self._error_status = 413
-                raise ValueError("request body is too large")
-            if lower == b"expect" and value.lower() == b"100-continue" and self._cancel is None:
-                self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-
-    def on_body(self, body: bytes) -> None:
-        """Append a part of the body."""
-        self._body_bytes += len(body)
-        self._body_framing_bytes -= (1 + MAX_BODY_FRAMING_RATIO) * len(body)
-        if self._body_bytes > self._handler.limits().body_bytes:
-            self._error_status = 413
-            raise ValueError("request body is too large")
-        self._body.append(body)
-
-    def on_message_complete(self) -> None:
-        """Start handling the request, or queue it until the previous one has been answered."""
-        raw = RawRequest(
-            method=self._parser.get_method(),
-            target=self._request_target,
-            headers=self._headers,
-            body=b"".join(self._body),
-            arrived_ms=self._arrived_ms,
-        )
-        keep_alive = self._parser.should_keep_alive()
-        self._reset_request()
-        self._queued.append((raw, keep_alive))
+        if expects_continue and self._cancel is None:
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_request(self, request: RawRequest, *, keep_alive: bool) -> None:
+        """Start handling a request, or queue it until the previous one has been answered."""
+        self._queued.append((request, keep_alive))
         if self._cancel is None and not self.flow.is_paused:
             self._start_next()
 
@@ -253,18 +196,6 @@
         if self._cancel is not None:
             self._cancel = cancel
 
-    def _reset_request(self) -> None:
-        self._receiving_request = False
-        self._head_received = False
-        self._request_target = b""
-        self._headers: list[Header] = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
-        self._head_bytes = 0
-        self._body_framing_bytes = 0
-        self._error_status = 0
-        self._arrived_ms = 0
-
     def _reject_unparsed(self, status: int) -> None:
         """Reject a request that is malformed, too large or late, and close the connection.
 
@@ -272,6 +203,7 @@
         closes the connection.
         """
         self._stops_reading = True
+        self._parser.release()
         if self._queued:
             last, _ = self._queued.pop()
             self._queued.append((last, False))
@@ -344,7 +276,7 @@
 
     def _update_keep_alive(self) -> None:
         # Requests received already are answered first, as a response announces the close.
-        if self._handler.is_draining() and not self._queued and not self._receiving_request:
+        if self._handler.is_draining() and not self._queued and not self._parser.is_receiving:
             self._keep_alive = False
 
     def _response_head(self, status: int, headers: list[Header]) -> list[bytes]:
@@ -368,9 +300,9 @@
         """Start the next request, or wait for it."""
         if self._queued:
             self._start_next()
-        elif not self._receiving_request:
+        elif not self._parser.is_receiving:
             self._start_request_timer(_IDLE_TIMEOUT_MS)
-        elif not self._head_received:
+        elif not self._parser.head_received:
             self._start_request_timer(_HEADER_TIMEOUT_MS)
 
     def _linger(self) -> None:
@@ -380,6 +312,7 @@
         and the reset discards what the caller has not read of the response.
         """
         self._is_lingering = True
+        self._parser.release()
         self._queued.clear()
         self._transport.write_eof()
         self._backlog_watch.start(self._transport)
@@ -418,7 +351,7 @@
             self._timer = None
 
     def _on_timeout(self) -> None:
-        if self._receiving_request and not self._head_received:
+        if self._parser.is_receiving and not self._parser.head_received:
             self._reject_unparsed(408)
         elif not self.is_busy and self._transport is not None:
             self._close()
--- /dev/null
+++ b/bergamothill/connection/requestparser.py
@@ -0,0 +1,159 @@
+"""Parser of the requests of one connection, which judges them while they arrive.
+
+A request is rejected as soon as its parsed parts exceed a limit, and nothing of it is kept then.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+import httptools
+
+from bergamothill.request.callerrequest import Header, RawRequest
+from bergamothill.version.routetable import CallerLimits
+
+__all__ = ["RequestParser", "RequestSink"]
+
+MAX_BODY_FRAMING_BYTES = 16_384
+"""Maximum size of the chunk headers of a request with an empty body."""
+
+MAX_BODY_FRAMING_RATIO = 8
+"""Framing allowed for each byte of a body; a chunk of one byte has five bytes of framing."""
+
+
+class RequestSink(Protocol):
+    """Receives the requests of a connection."""
+
+    def on_request_begin(self) -> int:
+        """Handle the first byte of a request; return its arrival time in milliseconds."""
+
+    def on_request_head(self, *, expects_continue: bool) -> None:
+        """Handle the end of a request head that is within the limits."""
+
+    def on_request(self, request: RawRequest, *, keep_alive: bool) -> None:
+        """Handle a complete request."""
+
+
+class RequestParser:
+    """Parses requests and checks them against the limits of the configuration.
+
+    :param sink: receives the requests
+    :param limits: returns the limits in force
+    """
+
+    def __init__(self, sink: RequestSink, limits: Callable[[], CallerLimits]) -> None:
+        self._sink = sink
+        self._limits = limits
+        # Refers to this object, until it is released.
+        self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
+        self._reset()
+
+    def _reset(self) -> None:
+        self.is_receiving = False
+        """Whether a request has begun and is not complete."""
+
+        self.head_received = False
+        """Whether its head is complete."""
+
+        self._target = b""
+        self._headers: list[Header] = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._head_bytes = 0
+        self._field_bytes = 0
+        self._framing_bytes = 0
+        self._error_status = 0
+        self._arrived_ms = 0
+
+    def release(self) -> None:
+        """Discard what was received; nothing is parsed from now on."""
+        self._parser = None
+        self._reset()
+
+    def feed(self, data: bytes | memoryview) -> int:
+        """Parse received bytes.
+
+        :param data: next bytes of the connection
+        :returns: status to reject the request with; 0 if it is within the limits so far
+        """
+        if self._parser is None:
+            return 0
+        if self.head_received:
+            self._framing_bytes += len(data)
+        else:
+            self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            # The offer is ignored, but what follows may be in the other protocol.
+            return 400
+        except httptools.HttpParserError:
+            return self._error_status or 400
+        if not self.head_received and self._head_bytes > self._limits().header_bytes:
+            return 431
+        return 400 if self._framing_bytes > MAX_BODY_FRAMING_BYTES else 0
+
+    # Events of the parser.
+
+    def on_message_begin(self) -> None:
+        """Start a request."""
+        self._reset()
+        self.is_receiving = True
+        self._max_header_bytes = self._limits().header_bytes
+        self._arrived_ms = self._sink.on_request_begin()
+
+    def on_url(self, url: bytes) -> None:
+        """Append a part of the request target."""
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Add a header field; reject malformed fields, too many of them, and trailers."""
+        if self.head_received:
+            self._reject(400, "trailer fields are not supported")
+        if not name or name[-1:].isspace() or b"\n" in value or b"\r" in value or b"\0" in value:
+            self._reject(400, "malformed header field")
+        self._field_bytes += len(name) + len(value) + 4
+        if self._field_bytes > self._max_header_bytes:
+            self._reject(431, "request head is too large")
+        self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Check the limits of the request head."""
+        self.head_received = True
+        limits = self._limits()
+        if len(self._target) + self._field_bytes > limits.header_bytes:
+            self._reject(431, "request head is too large")
+        expects_continue = False
+        for name, value in self._headers:
+            lower = name.lower()
+            if lower == b"content-length" and int(value) > limits.body_bytes:
+                self._reject(413, "request body is too large")
+            if lower == b"expect" and value.lower() == b"100-continue":
+                expects_continue = True
+        self._sink.on_request_head(expects_continue=expects_continue)
+
+    def on_body(self, body: bytes) -> None:
+        """Append a part of the body."""
+        self._body_bytes += len(body)
+        self._framing_bytes -= (1 + MAX_BODY_FRAMING_RATIO) * len(body)
+        if self._body_bytes > self._limits().body_bytes:
+            self._reject(413, "request body is too large")
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Pass the request on."""
+        request = RawRequest(
+            method=self._parser.get_method(),
+            target=self._target,
+            headers=self._headers,
+            body=b"".join(self._body),
+            arrived_ms=self._arrived_ms,
+        )
+        keep_alive = self._parser.should_keep_alive()
+        self._reset()
+        self._sink.on_request(request, keep_alive=keep_alive)
+
+    def _reject(self, status: int, reason: str) -> None:
+        self._error_status = status
+        raise ValueError(reason)
--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -10,7 +10,7 @@
 
 from bergamothill.clock import Clock, ms_to_seconds
 from bergamothill.connection.backendpool import PooledServer
-from bergamothill.connection.callerhttp import CallerConnection
+from bergamothill.connection.callerhttp import READ_BYTES, CallerConnection
 from bergamothill.connection.keptconnections import KeptConnections
 from bergamothill.errors import InvalidRequestError
 from bergamothill.ids import ServiceName
@@ -80,6 +80,7 @@
         directory: OriginDirectory,
         connections: KeptConnections | None = None,
     ) -> None:
+        self.read_buffer = bytearray(READ_BYTES)
         self.resumption = StreamResumption(clock, server_pool, directory)
         self._clock = clock
         self._started_ms = clock.now_ms()
--- a/bergamothill/process/readiness.py
+++ b/bergamothill/process/readiness.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
-from bergamothill.connection.callerhttp import CallerConnection
+from bergamothill.connection.callerhttp import READ_BYTES, CallerConnection
 from bergamothill.platform.httppaths import METRICS_PATH, READINESS_PATH
 from bergamothill.request.callerrequest import RawRequest
 from bergamothill.version.routetable import CallerLimits
@@ -21,6 +21,7 @@
     """
 
     def __init__(self, is_ready: Callable[[], bool], metrics: Callable[[], str]) -> None:
+        self.read_buffer = bytearray(READ_BYTES)
         self._is_ready = is_ready
         self._metrics = metrics
 
