Keep request bodies in blocks, and send them on without a copy

Many large bodies at once ended a process. Two of the causes are what a body costs: the pieces that the parser passes on were kept as they came, so that a body in chunks of two bytes took some twenty times its size; and a whole body was joined, encoded once more with the head, and what the server did not take at once was copied into the buffer of its transport.

A body is kept in blocks of 64 kB now, and the connection to the server writes block after block as the transport takes them. Requests with up to one block are encoded and written as before.

--- a/bergamothill/connection/backendconnection.py
+++ b/bergamothill/connection/backendconnection.py
@@ -10,7 +10,8 @@
 import re
 import select
 import socket
-from collections.abc import Callable
+from collections import deque
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
@@ -123,6 +124,10 @@
         self.on_idle_end: Callable[[BackendConnection], None] | None = None
         """Called when the connection is lost or gets bytes while it is idle."""
 
+        self._unsent: deque[bytes] = deque()
+        """Pieces of the request that were not written, as the server does not keep up."""
+
+        self._may_write = True
         self._carried_ids: set[bytes] = set()
         self._is_reused = False
         self._eof_received = False
@@ -173,6 +178,33 @@
         self._tail = b""
         self._buffer = bytearray(READ_BYTES)
 
+    # Sending.
+
+    def send(self, request: Iterable[bytes]) -> None:
+        """Write a request; what the server does not take yet is not copied.
+
+        :param request: encoded request, in pieces
+        """
+        self._unsent.extend(request)
+        self._write_unsent()
+
+    def _write_unsent(self) -> None:
+        while self._unsent and self._may_write and not self.transport.is_closing():
+            self.transport.write(self._unsent.popleft())
+
+    def pause_writing(self) -> None:
+        """Stop writing the request, because the server does not keep up."""
+        self._may_write = False
+
+    def resume_writing(self) -> None:
+        """Go on writing the request."""
+        self._may_write = True
+        self._write_unsent()
+
+    @property
+    def _is_request_written(self) -> bool:
+        return not self._unsent and self.transport.get_write_buffer_size() == 0
+
     # Keeping.
 
     @property
@@ -186,7 +218,7 @@
             and not (self._has_surplus or self._eof_received)
             and self.transport is not None
             and not self.transport.is_closing()
-            and self.transport.get_write_buffer_size() == 0
+            and self._is_request_written
             and len(self._carried_ids) < MAX_CARRIED_REQUESTS
         )
 
@@ -219,6 +251,7 @@
 
     def abort(self) -> None:
         """Close the connection at once."""
+        self._unsent.clear()
         if self.transport is not None:
             self.transport.abort()
 
@@ -285,6 +318,7 @@
         self._finish(end, detail, was_closed=was_closed)
         # The parser refers to this connection, and keeps what it has received alive.
         self._parser, self._headers = None, []
+        self._unsent.clear()
 
     def _end_idle(self) -> None:
         on_idle_end, self.on_idle_end = self.on_idle_end, None
--- a/bergamothill/connection/backendhttp.py
+++ b/bergamothill/connection/backendhttp.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -69,16 +69,18 @@
     may_reuse: bool
     is_sound: Callable[[], bool]
 
-    def take(self, request: bytes) -> BackendConnection | None:
+    def take(self, request: Sequence[bytes]) -> BackendConnection | None:
         """Return a kept connection for a request, if there is one and it may be used."""
-        if not (self.may_reuse and self.request_id) or len(request) > MAX_REUSING_REQUEST_BYTES:
+        if not (self.may_reuse and self.request_id):
+            return None
+        if sum(map(len, request)) > MAX_REUSING_REQUEST_BYTES:
             return None
         return self.keeper.take(self.server, self.request_id)
 
 
 async def exchange(
     address: str,
-    request: bytes,
+    request: Sequence[bytes],
     sink: ExchangeSink,
     *,
     may_send: Callable[[], bool],
@@ -93,7 +95,7 @@
     Cancelling the task closes the connection immediately, which cancels the request at the server.
 
     :param address: ``host:port``
-    :param request: encoded request
+    :param request: encoded request, in pieces
     :param sink: receives the response
     :param may_send: tells, once connected, whether the request may still be sent
     :param connect_timeout_ms: maximum time to open the connection, in milliseconds
@@ -148,7 +150,7 @@
 async def _exchange_on_new(
     connection: BackendConnection,
     address: str,
-    request: bytes,
+    request: Sequence[bytes],
     may_send: Callable[[], bool],
     connect_timeout_ms: int,
     flow: FlowGate | None,
@@ -167,7 +169,7 @@
     if not may_send():
         transport.abort()
         return ExchangeResult(ExchangeEnd.NOT_SENT, "server accepts no more requests")
-    transport.write(request)
+    connection.send(request)
     try:
         return await _read_response(connection, transport, flow, confirm)
     finally:
@@ -177,7 +179,7 @@
 
 async def _exchange_on_kept(
     connection: BackendConnection,
-    request: bytes,
+    request: Sequence[bytes],
     may_send: Callable[[], bool],
     flow: FlowGate,
     confirm: Callable[[], Awaitable[bool]] | None,
@@ -185,7 +187,7 @@
     if not may_send():
         return ExchangeResult(ExchangeEnd.NOT_SENT, "server accepts no more requests")
     transport = connection.transport
-    transport.write(request)
+    connection.send(request)
     if transport.is_closing():  # the first send failed, so no byte was written
         return ExchangeResult(ExchangeEnd.NOT_SENT, "kept connection was closed")
     return await _read_response(connection, transport, flow, confirm)
--- a/bergamothill/connection/requestparser.py
+++ b/bergamothill/connection/requestparser.py
@@ -11,6 +11,7 @@
 import httptools
 
 from bergamothill.request.callerrequest import Header, RawRequest
+from bergamothill.request.requestbody import RequestBody
 from bergamothill.version.routetable import CallerLimits
 
 __all__ = ["RequestParser", "RequestSink"]
@@ -58,8 +59,7 @@
 
         self._target = b""
         self._headers: list[Header] = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = RequestBody()
         self._head_bytes = 0
         self._field_bytes = 0
         self._framing_bytes = 0
@@ -135,9 +135,8 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
-        self._body_bytes += len(body)
         self._framing_bytes -= (1 + MAX_BODY_FRAMING_RATIO) * len(body)
-        if self._body_bytes > self._limits().body_bytes:
+        if len(self._body) + len(body) > self._limits().body_bytes:
             self._reject(413, "request body is too large")
         self._body.append(body)
 
@@ -147,7 +146,7 @@
             method=self._parser.get_method(),
             target=self._target,
             headers=self._headers,
-            body=b"".join(self._body),
+            body=self._body,
             arrived_ms=self._arrived_ms,
         )
         keep_alive = self._parser.should_keep_alive()
--- a/bergamothill/platform/headers.py
+++ b/bergamothill/platform/headers.py
@@ -126,11 +126,12 @@
 )
 
 
-def encode_forward(request: CallerRequest, terms: ForwardTerms) -> bytes:
+def encode_forward(request: CallerRequest, terms: ForwardTerms) -> list[bytes]:
     """Encode the forwarded request to a backend server, head and body.
 
     :param request: caller's request
     :param terms: values of the fields that the system sets
+    :returns: the request in pieces; the blocks of a large body are not copied
     """
     raw = request.raw
     lines = [b"%s %s HTTP/1.1" % (raw.method, raw.target)]
@@ -146,7 +147,9 @@
         lines.append(b"Content-Length: %d" % len(raw.body))
     if terms.closes_connection:
         lines.append(b"Connection: close")
-    return b"\r\n".join(lines) + b"\r\n\r\n" + raw.body
+    head = b"\r\n".join(lines) + b"\r\n\r\n"
+    blocks = raw.body.blocks()
+    return [head, *blocks] if len(blocks) > 1 else [head + b"".join(blocks)]
 
 
 def _forward_fields(terms: ForwardTerms) -> list[tuple[str, object]]:
--- a/bergamothill/request/callerrequest.py
+++ b/bergamothill/request/callerrequest.py
@@ -7,6 +7,7 @@
 from bergamothill.ids import BrandName, ModelName, RegionName, RequestId, ServerId, SoftwareVersion
 from bergamothill.request.crashevidence import PartId
 from bergamothill.request.fairqueue import NO_FLOW, Flow
+from bergamothill.request.requestbody import RequestBody
 
 __all__ = [
     "CallerRequest",
@@ -36,7 +37,7 @@
     method: bytes
     target: bytes
     headers: list[Header]
-    body: bytes
+    body: RequestBody
     arrived_ms: int
 
 
--- a/bergamothill/request/fingerprint.py
+++ b/bergamothill/request/fingerprint.py
@@ -43,10 +43,14 @@
     :param brand: brand of the caller's key; None on a public route
     """
     digest = blake2b(digest_size=DIGEST_BYTES)
+    # Each with its length, so that no byte can move from one field to the next.
     for field in _fields(request, brand):
-        # With its length, so that no byte can move from one field to the next.
         digest.update(len(field).to_bytes(LENGTH_BYTES, "big"))
         digest.update(field)
+    body = request.raw.body
+    digest.update(len(body).to_bytes(LENGTH_BYTES, "big"))
+    for block in body.blocks():
+        digest.update(block)
     return digest.hexdigest()
 
 
@@ -55,4 +59,3 @@
     yield request.host.lower().encode()
     yield request.raw.target
     yield b"" if brand is None else b"brand " + brand.encode()
-    yield request.raw.body
--- a/tests/test_platform_config.py
+++ b/tests/test_platform_config.py
@@ -15,6 +15,7 @@
 from bergamothill.platform.settings import is_node_settings, load_node_settings
 from bergamothill.process.daemon import main
 from bergamothill.request.callerrequest import ForwardTerms, RawRequest
+from bergamothill.request.requestbody import RequestBody
 from bergamothill.version.routetable import RetryPolicy, RouteTable
 from tests.builders import NODE_SETTINGS, operator_config, routing_config, server_entry
 
@@ -153,15 +154,18 @@
             ([(b"Connection", b"resumes"), field], "r0"),
         ):
             with self.subTest(headers):
-                request = decode_request(RawRequest(b"POST", b"/quote/1", headers, b"", 0))
+                request = decode_request(
+                    RawRequest(b"POST", b"/quote/1", headers, RequestBody(), 0)
+                )
                 self.assertEqual(expected, request.resumes)
-                sent = encode_forward(request, ForwardTerms("s1", 100, last_event_id="3"))
+                terms = ForwardTerms("s1", 100, last_event_id="3")
+                sent = b"".join(encode_forward(request, terms))
                 self.assertEqual(
                     sum(name != b"Connection" for name, _ in headers),
                     sent.lower().count(b"\r\nresumes: "),
                 )
         for other in (b"r1", b""):
-            raw = RawRequest(b"POST", b"/quote/1", [field, (b"resumes", other)], b"", 0)
+            raw = RawRequest(b"POST", b"/quote/1", [field, (b"resumes", other)], RequestBody(), 0)
             with self.assertRaises(InvalidRequestError):
                 decode_request(raw)
 
