Account for all memory that is held for callers, and refuse what finds no room

Many large bodies at once, most of them never complete, ended a process. Cause: nothing bounded what all connections hold together; only unfinished answers were counted.

One account, sized by memoryMb, now counts connections, heads by the number of their fields, bodies, pipelined requests, requests in progress and unfinished answers, on the readiness and metrics ports too. A large body that finds no room is refused at its head, or once a further block does: 503 with Retry-After, or 413 (and a log line when the configuration is applied) if it never could be held. A connection that has made no progress for a second yields first, but only while room is missing, so that a slow caller is not cut in calm.

In calm bodies of 4 and 16 MB are served at memoryMb 150 (CalmTest).

--- a/bergamothill/connection/callerhttp.py
+++ b/bergamothill/connection/callerhttp.py
@@ -7,16 +7,21 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections import deque
 from collections.abc import Callable
 from operator import attrgetter
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from bergamothill.clock import Clock, ms_to_seconds
 from bergamothill.connection.backlogwatch import BacklogWatch
+from bergamothill.connection.callerintake import CallerIntake, Refusal
 from bergamothill.connection.flowgate import FlowGate
 from bergamothill.connection.requestparser import RequestParser
 from bergamothill.request.callerrequest import Header, RawRequest
+from bergamothill.request.connectiontable import Phase
+from bergamothill.request.memoryaccount import Holding, Share
+from bergamothill.request.requestbody import BLOCK_BYTES
 from bergamothill.version.routetable import CallerLimits
 
 __all__ = ["CallerConnection", "CallerHandler"]
@@ -27,11 +32,17 @@
 LINGER_TIMEOUT_MS = 2_000
 """Maximum time to wait for the caller to close, once the last response has been written."""
 
-MAX_DISCARDED_BYTES = 1_048_576
-"""Maximum bytes that are read and discarded meanwhile."""
+MIN_DISCARDED_BYTES = 1_048_576
+"""Bytes that are read and discarded meanwhile; more if a body may be larger."""
 
-READ_BYTES = 65_536
-"""Maximum bytes to parse before other connections get their turn."""
+CONNECTION_BYTES = 8_192
+"""Memory of an open connection."""
+
+HANDLING_BYTES = 24_576
+"""Memory of the handling of a request beside the request itself."""
+
+MIN_RETRY_AFTER_MS = 500
+"""Shortest time after which a caller that found no room may come back; at most twice as long."""
 
 _REASONS = {
     200: b"OK",
@@ -52,8 +63,8 @@
 class CallerHandler(Protocol):
     """Handler of the requests of a connection."""
 
-    read_buffer: bytearray
-    """Buffer that the connections of its event loop share, see :data:`READ_BYTES`."""
+    intake: CallerIntake
+    """What the connections share."""
 
     def limits(self) -> CallerLimits:
         """Return the current limits."""
@@ -85,10 +96,13 @@
         self._clock = clock
         self._register = register
         self._parser = RequestParser(self, handler.limits)
-        self._read_buffer = handler.read_buffer
+        self._intake = handler.intake
+        self._holding = Holding(self._intake.account)
         self._transport: asyncio.Transport | None = None
-        self._queued: deque[tuple[RawRequest, bool]] = deque()
+        self._queued: deque[_QueuedRequest] = deque()
         self._queued_bytes = 0
+        self._memory_queued = 0
+        self._memory_in_progress = 0
         self._cancel: Callable[[], None] | None = None
         self._keep_alive = True
         self._stops_reading = False
@@ -105,16 +119,21 @@
         """Register the connection and wait for its first request."""
         self._transport = transport
         self._register(self, True)
+        self._set_phase(Phase.IDLE)
+        if not self._claim_memory():
+            self._intake.record_refusal(Refusal.MEMORY, self._peer())
+            self._release()
+            transport.abort()
+            return
         self._start_request_timer(_HEADER_TIMEOUT_MS)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress, because the caller has disconnected."""
         self._is_closed = True
-        self._parser.release()
         self._cancel_timer()
         self._backlog_watch.cancel()
         self._register(self, False)
-        self._queued.clear()
+        self._release()
         if self._cancel is not None:
             cancel, self._cancel = self._cancel, None
             cancel()
@@ -141,6 +160,47 @@
         if not self.is_busy and self._transport is not None:
             self._close()
 
+    # Memory.
+
+    def give_way(self) -> None:
+        """Release all memory, because another connection needs it more."""
+        if self._parser.is_receiving and self._cancel is None and not self.flow.is_paused:
+            self._reject_unparsed(503, Refusal.STALLED)
+            return
+        self._intake.record_refusal(Refusal.STALLED, self._peer())
+        self._release()
+        self._transport.abort()
+
+    def _release(self) -> None:
+        """Release what the connection holds; nothing more is received."""
+        self._stops_reading = True
+        self._parser.release()
+        self._drop_queued()
+        self._holding.release()
+        self._intake.table.remove(self)
+
+    def _drop_queued(self) -> None:
+        self._queued.clear()
+        self._memory_queued = 0
+
+    def _claim_memory(self) -> bool:
+        """Take or give back memory for what the connection holds; return False without room."""
+        parser = self._parser
+        in_progress = self._memory_queued + self._memory_in_progress
+        size = CONNECTION_BYTES + parser.memory_bytes + in_progress
+        if size == self._holding.size_bytes:
+            return True
+        is_large = parser.body_bytes > BLOCK_BYTES
+        share = Share.LARGE_BODIES if is_large else Share.SMALL
+        return self._intake.make_room(self, self._holding, size, share)
+
+    def _set_phase(self, phase: Phase) -> None:
+        self._intake.table.set_phase(self, phase, self._clock.now_ms())
+
+    def _peer(self) -> str:
+        address = self._transport.get_extra_info("peername")
+        return address[0] if address else ""
+
     def _close(self) -> None:
         """Close the connection once its backlog has been sent."""
         if not self._transport.is_closing():
@@ -151,7 +211,7 @@
 
     def get_buffer(self, sizehint: int) -> bytearray:
         """Return the buffer to read into, which is parsed before anything else is read."""
-        return self._read_buffer
+        return self._intake.read_buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         """Parse received bytes; reject requests that are malformed or too large."""
@@ -164,53 +224,77 @@
             if self._queued_bytes > MAX_PIPELINED_BYTES:
                 self._reject_unparsed(413)
                 return
-        if status := self._parser.feed(memoryview(self._read_buffer)[:nbytes]):
+        blocks = self._parser.body_bytes // BLOCK_BYTES
+        if status := self._parser.feed(memoryview(self._intake.read_buffer)[:nbytes]):
             self._reject_unparsed(status)
+        elif not self._stops_reading:
+            if self._cancel is None and self._parser.body_bytes // BLOCK_BYTES > blocks:
+                self._set_phase(Phase.UPLOADING)
+            if not self._claim_memory():
+                self._reject_unparsed(self._status_without_room(self._parser.body_bytes))
 
     def on_request_begin(self) -> int:
         """Start to wait for the head of a request; return its arrival time."""
         if self._cancel is None:
             self._start_request_timer(_HEADER_TIMEOUT_MS)
+            self._set_phase(Phase.RECEIVING)
         return self._clock.now_ms()
 
-    def on_request_head(self, *, expects_continue: bool) -> None:
-        """Answer ``Expect: 100-continue``."""
+    def on_request_head(self, body_bytes: int, *, expects_continue: bool) -> int:
+        """Refuse a large body for which there is no room; answer ``Expect: 100-continue``."""
         self._cancel_timer()
+        if body_bytes > BLOCK_BYTES and not self._intake.has_room(self, body_bytes):
+            return self._status_without_room(body_bytes)
         if expects_continue and self._cancel is None:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        return 0
 
-    def on_request(self, request: RawRequest, *, keep_alive: bool) -> None:
+    def _status_without_room(self, body_bytes: int) -> int:
+        """Return the status for a request that finds no room now, or never would."""
+        return 413 if body_bytes > self._intake.max_body_bytes else 503
+
+    def on_request(self, request: RawRequest, memory_bytes: int, *, keep_alive: bool) -> None:
         """Start handling a request, or queue it until the previous one has been answered."""
-        self._queued.append((request, keep_alive))
+        self._queued.append(_QueuedRequest(request, memory_bytes, keep_alive))
+        self._memory_queued += memory_bytes
         if self._cancel is None and not self.flow.is_paused:
             self._start_next()
 
     def _start_next(self) -> None:
-        raw, self._keep_alive = self._queued.popleft()
+        raw, memory_bytes, self._keep_alive = self._queued.popleft()
         self._is_head_request = raw.method == b"HEAD"
         self._queued_bytes = 0
         self._response_started = False
         self._cancel_timer()
+        self._memory_queued -= memory_bytes
+        self._memory_in_progress = memory_bytes + HANDLING_BYTES
+        if not self._claim_memory():
+            self._reject_unparsed(503)
+            return
+        self._set_phase(Phase.ANSWERING)
         self._cancel = _cancel_nothing
         cancel = self._handler.start(self, raw)
         if self._cancel is not None:
             self._cancel = cancel
 
-    def _reject_unparsed(self, status: int) -> None:
-        """Reject a request that is malformed, too large or late, and close the connection.
+    def _reject_unparsed(self, status: int, refusal: Refusal | None = None) -> None:
+        """Reject a request that is malformed, too large or late, or finds no room, and close.
 
         Requests that were received before it are answered instead, and the last of these answers
-        closes the connection.
+        closes the connection. Without room they are dropped.
         """
+        self._intake.record_refusal(refusal or _REFUSALS[status], self._peer())
         self._stops_reading = True
         self._parser.release()
+        if status == 503:
+            self._drop_queued()
         if self._queued:
-            last, _ = self._queued.pop()
-            self._queued.append((last, False))
+            self._queued[-1] = self._queued[-1]._replace(keep_alive=False)
             return
         self._keep_alive = False
         if self._cancel is None and not self._response_started:
-            self.send_response(status, [], b"")
+            headers = [_retry_after()] if status == 503 else []
+            self.send_response(status, headers, b"")
         elif self._cancel is None:
             self._transport.abort()
 
@@ -288,10 +372,13 @@
 
     def _finish_response(self) -> None:
         self._cancel = None
+        self._memory_in_progress = 0
         self._response_started = False
         if not self._keep_alive:
             self._linger()
         elif self.flow.is_paused:
+            self._claim_memory()
+            self._set_phase(Phase.SENDING)
             self._backlog_watch.start(self._transport)
         else:
             self._continue()
@@ -300,9 +387,15 @@
         """Start the next request, or wait for it."""
         if self._queued:
             self._start_next()
-        elif not self._parser.is_receiving:
+            return
+        self._claim_memory()
+        if not self._parser.is_receiving:
+            self._set_phase(Phase.IDLE)
             self._start_request_timer(_IDLE_TIMEOUT_MS)
-        elif not self._parser.head_received:
+            return
+        is_large = self._parser.body_bytes > BLOCK_BYTES
+        self._set_phase(Phase.UPLOADING if is_large else Phase.RECEIVING)
+        if not self._parser.head_received:
             self._start_request_timer(_HEADER_TIMEOUT_MS)
 
     def _linger(self) -> None:
@@ -312,8 +405,8 @@
         and the reset discards what the caller has not read of the response.
         """
         self._is_lingering = True
-        self._parser.release()
-        self._queued.clear()
+        self._release()
+        self._set_phase(Phase.CLOSING)
         self._transport.write_eof()
         self._backlog_watch.start(self._transport)
         self._arm_timer(ms_to_seconds(LINGER_TIMEOUT_MS), self._end_linger)
@@ -359,7 +452,7 @@
     def _discard(self, size_bytes: int) -> None:
         """Count bytes that a lingering connection received; abort it if they do not end."""
         self._discarded_bytes += size_bytes
-        if self._discarded_bytes > MAX_DISCARDED_BYTES:
+        if self._discarded_bytes > max(MIN_DISCARDED_BYTES, self._handler.limits().body_bytes):
             self._transport.abort()
 
     def _end_linger(self) -> None:
@@ -369,10 +462,31 @@
             self._transport.close()
 
 
+_REFUSALS = {
+    400: Refusal.MALFORMED,
+    408: Refusal.HEAD_TIMEOUT,
+    413: Refusal.BODY_TOO_LARGE,
+    431: Refusal.HEAD_TOO_LARGE,
+    503: Refusal.MEMORY,
+}
+
 _HEADER_TIMEOUT_MS = attrgetter("header_timeout_ms")
 _IDLE_TIMEOUT_MS = attrgetter("idle_timeout_ms")
 
 
+class _QueuedRequest(NamedTuple):
+    """Request that waits for the answers to those before it."""
+
+    request: RawRequest
+    memory_bytes: int
+    keep_alive: bool
+
+
+def _retry_after() -> Header:
+    wait_ms = MIN_RETRY_AFTER_MS + random.randrange(MIN_RETRY_AFTER_MS)
+    return (b"Retry-After", b"%.3f" % ms_to_seconds(wait_ms))
+
+
 def _cancel_nothing() -> None:
     """Cancel callback of a request that is still being started."""
 
--- /dev/null
+++ b/bergamothill/connection/callerintake.py
@@ -0,0 +1,101 @@
+"""What the connections of callers share: memory, buffers, and the order in which they yield."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from enum import Enum
+from typing import Protocol
+
+from bergamothill.clock import Clock
+from bergamothill.request.connectiontable import ConnectionTable
+from bergamothill.request.memoryaccount import Holding, MemoryAccount, Share, caller_memory_bytes
+
+__all__ = ["CallerIntake", "Refusal", "YieldingConnection"]
+
+READ_BYTES = 65_536
+"""Maximum bytes of a connection to parse before other connections get their turn."""
+
+DEFAULT_MEMORY_MB = 256
+
+RESERVE_BYTES = 1_048_576
+"""Room for the head of a large request, its connection, and a block that is not full."""
+
+
+class Refusal(Enum):
+    """Why a caller was refused before its request was handled."""
+
+    MALFORMED = "malformed"
+    HEAD_TOO_LARGE = "head_too_large"
+    BODY_TOO_LARGE = "body_too_large"
+    HEAD_TIMEOUT = "head_timeout"
+    MEMORY = "memory"
+    """There is no room for it in the account."""
+
+    STALLED = "stalled"
+    """It yielded to another one, as it had made the least progress."""
+
+
+class YieldingConnection(Protocol):
+    """Connection that can give up what it holds."""
+
+    def give_way(self) -> None:
+        """Release all memory at once, and end."""
+
+
+class CallerIntake:
+    """Shared by all connections of an event loop.
+
+    :param clock: source of time
+    :param account: memory that may be held for callers
+    :param on_refusal: called with each refusal and the address of the caller
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        account: MemoryAccount | None = None,
+        on_refusal: Callable[[Refusal, str], None] = lambda _refusal, _peer: None,
+    ) -> None:
+        self.account = account or MemoryAccount(caller_memory_bytes(DEFAULT_MEMORY_MB))
+        self.table: ConnectionTable[YieldingConnection] = ConnectionTable()
+        self.read_buffer = bytearray(READ_BYTES)
+        """Buffer for the bytes of the connection that is being read."""
+
+        self.record_refusal = on_refusal
+        self._clock = clock
+
+    def make_room(
+        self, connection: YieldingConnection, holding: Holding, size_bytes: int, share: Share
+    ) -> bool:
+        """Resize what a connection holds; others yield to it if they have made no progress.
+
+        :returns: whether there was room
+        """
+        is_large = share is Share.LARGE_BODIES
+        while not holding.try_resize(size_bytes, share):
+            yielding = self._next_to_yield(connection, is_large=is_large)
+            if yielding is None:
+                return False
+            yielding.give_way()
+        return True
+
+    @property
+    def max_body_bytes(self) -> int:
+        """Largest body for which there is room while nothing else is held."""
+        return self.account.limit_bytes(Share.LARGE_BODIES) - RESERVE_BYTES
+
+    def has_room(self, connection: YieldingConnection, size_bytes: int) -> bool:
+        """Return whether a large body can be received now, if its caller sends it at once."""
+        if size_bytes > self.max_body_bytes:
+            return False
+        while not self.account.has_room(size_bytes, Share.LARGE_BODIES):
+            yielding = self._next_to_yield(connection, is_large=True)
+            if yielding is None:
+                return False
+            yielding.give_way()
+        return True
+
+    def _next_to_yield(
+        self, connection: YieldingConnection, *, is_large: bool
+    ) -> YieldingConnection | None:
+        return self.table.next_to_yield(connection, self._clock.now_ms(), is_large=is_large)
--- a/bergamothill/connection/requestparser.py
+++ b/bergamothill/connection/requestparser.py
@@ -19,6 +19,12 @@
 MAX_BODY_FRAMING_BYTES = 16_384
 """Maximum size of the chunk headers of a request with an empty body."""
 
+FIELD_BYTES = 256
+"""Memory of a header field beside its text: two strings, their pair, and copies of both."""
+
+REQUEST_BYTES = 1_024
+"""Memory of a request beside its target, fields and body."""
+
 MAX_BODY_FRAMING_RATIO = 8
 """Framing allowed for each byte of a body; a chunk of one byte has five bytes of framing."""
 
@@ -29,11 +35,19 @@
     def on_request_begin(self) -> int:
         """Handle the first byte of a request; return its arrival time in milliseconds."""
 
-    def on_request_head(self, *, expects_continue: bool) -> None:
-        """Handle the end of a request head that is within the limits."""
+    def on_request_head(self, body_bytes: int, *, expects_continue: bool) -> int:
+        """Handle the end of a request head that is within the limits.
 
-    def on_request(self, request: RawRequest, *, keep_alive: bool) -> None:
-        """Handle a complete request."""
+        :param body_bytes: length of the body; 0 if it is not known
+        :param expects_continue: whether the caller waits before it sends the body
+        :returns: status to refuse the request with; 0 to receive the body
+        """
+
+    def on_request(self, request: RawRequest, memory_bytes: int, *, keep_alive: bool) -> None:
+        """Handle a complete request.
+
+        :param memory_bytes: memory that it takes
+        """
 
 
 class RequestParser:
@@ -66,6 +80,22 @@
         self._error_status = 0
         self._arrived_ms = 0
 
+    @property
+    def body_bytes(self) -> int:
+        """Size of the body received so far."""
+        return len(self._body)
+
+    @property
+    def memory_bytes(self) -> int:
+        """Memory that the request received so far takes; 0 if there is none."""
+        if not self.is_receiving:
+            return 0
+        fields = self._field_bytes + FIELD_BYTES * len(self._headers)
+        # Until the head is complete, a part of what was received is kept by the parser as well.
+        unparsed = 0 if self.head_received else self._head_bytes
+        text = len(self._target) + unparsed
+        return REQUEST_BYTES + text + fields + self._body.memory_bytes
+
     def release(self) -> None:
         """Discard what was received; nothing is parsed from now on."""
         self._parser = None
@@ -124,14 +154,18 @@
         limits = self._limits()
         if len(self._target) + self._field_bytes > limits.header_bytes:
             self._reject(431, "request head is too large")
-        expects_continue = False
+        body_bytes, expects_continue = 0, False
         for name, value in self._headers:
             lower = name.lower()
-            if lower == b"content-length" and int(value) > limits.body_bytes:
-                self._reject(413, "request body is too large")
+            if lower == b"content-length":
+                body_bytes = int(value)
+                if body_bytes > limits.body_bytes:
+                    self._reject(413, "request body is too large")
             if lower == b"expect" and value.lower() == b"100-continue":
                 expects_continue = True
-        self._sink.on_request_head(expects_continue=expects_continue)
+        status = self._sink.on_request_head(body_bytes, expects_continue=expects_continue)
+        if status:
+            self._reject(status, "request is refused")
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
@@ -150,8 +184,9 @@
             arrived_ms=self._arrived_ms,
         )
         keep_alive = self._parser.should_keep_alive()
+        memory_bytes = self.memory_bytes
         self._reset()
-        self._sink.on_request(request, keep_alive=keep_alive)
+        self._sink.on_request(request, memory_bytes, keep_alive=keep_alive)
 
     def _reject(self, status: int, reason: str) -> None:
         self._error_status = status
--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -10,7 +10,8 @@
 
 from bergamothill.clock import Clock, ms_to_seconds
 from bergamothill.connection.backendpool import PooledServer
-from bergamothill.connection.callerhttp import READ_BYTES, CallerConnection
+from bergamothill.connection.callerhttp import CallerConnection
+from bergamothill.connection.callerintake import CallerIntake
 from bergamothill.connection.keptconnections import KeptConnections
 from bergamothill.errors import InvalidRequestError
 from bergamothill.ids import ServiceName
@@ -67,6 +68,7 @@
     :param gate: quarantine of parts of requests
     :param directory: where streams began
     :param connections: connections to backend servers; None to keep none
+    :param intake: what the connections of callers share; None for the default limits
     """
 
     def __init__(
@@ -79,8 +81,9 @@
         gate: QuarantineGate,
         directory: OriginDirectory,
         connections: KeptConnections | None = None,
+        intake: CallerIntake | None = None,
     ) -> None:
-        self.read_buffer = bytearray(READ_BYTES)
+        self.intake = intake or CallerIntake(clock)
         self.resumption = StreamResumption(clock, server_pool, directory)
         self._clock = clock
         self._started_ms = clock.now_ms()
@@ -97,7 +100,7 @@
         """Searches for where streams began; their requests are no runs yet."""
 
         self._queues: dict[ServiceName, AdmissionQueue] = {}
-        self._buffer_budget = BufferBudget(MAX_BUFFERED_BYTES)
+        self._buffer_budget = BufferBudget(MAX_BUFFERED_BYTES, self.intake.account)
         self._drain: DrainPeriod | None = None
         self._known_instances = 0
         server_pool.next_limited_request = self._next_limited_request
@@ -173,11 +176,15 @@
         """Start handling a request in the background; return the function that cancels it."""
         task = asyncio.get_running_loop().create_task(self._handle_request(connection, request))
         self._tasks.add(task)
-        task.add_done_callback(partial(self._on_task_done, connection))
+        task.add_done_callback(partial(self._on_task_done, connection, request))
         return task.cancel
 
-    def _on_task_done(self, connection: CallerConnection, task: asyncio.Task[None]) -> None:
+    def _on_task_done(
+        self, connection: CallerConnection, request: RawRequest, task: asyncio.Task[None]
+    ) -> None:
         self._tasks.discard(task)
+        # The traceback of a cancelled task refers to the request until the next garbage collection.
+        request.body.release()
         if not task.cancelled() and task.exception() is not None:
             log_crash("-", task.exception())
         connection.abort_unanswered(task.cancel)
--- a/bergamothill/process/gatewaymetrics.py
+++ b/bergamothill/process/gatewaymetrics.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Callable
 
 from hdrh.histogram import HdrHistogram
 
@@ -19,6 +20,15 @@
     def __init__(self) -> None:
         self._counters: Counter[str] = Counter()
         self._histograms: dict[str, HdrHistogram] = {}
+        self._gauges: dict[str, Callable[[], int]] = {}
+
+    def add_gauge(self, name: str, value: Callable[[], int]) -> None:
+        """Add a value that is read when the metrics are.
+
+        :param name: name of the gauge
+        :param value: returns its value
+        """
+        self._gauges[name] = value
 
     def count(self, name: str, **labels: object) -> None:
         """Add one to a counter.
@@ -44,6 +54,7 @@
     def text(self) -> str:
         """Return all metrics as text, one sample per line."""
         lines = [f"bergamothill_{key} {value}" for key, value in sorted(self._counters.items())]
+        lines.extend(f"bergamothill_{key} {value()}" for key, value in self._gauges.items())
         for key, histogram in sorted(self._histograms.items()):
             name, _, labels = key.partition("{")
             labels = labels.rstrip("}")
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -31,6 +31,7 @@
 from bergamothill.process.nodecontext import NodeContext
 from bergamothill.process.nodedrain import EXIT_MARGIN_MS, drain_callers
 from bergamothill.process.nodeduties import ORDER_MARKER_KEY, SwapView, make_swap_duty
+from bergamothill.process.nodeintakes import NodeIntakes
 from bergamothill.process.nodequarantine import NodeQuarantine
 from bergamothill.process.nodesettings import DeploymentBounds, NodeSettings
 from bergamothill.process.nodestreams import NodeStreams
@@ -136,6 +137,7 @@
         self._kept_connections = KeptConnections(
             clock, max_idle, lambda kind: self._metrics.count("server_connections", kind=kind)
         )
+        self._intakes = NodeIntakes(clock, self._metrics, settings.memory_mb)
         self._gateway = Gateway(
             clock,
             bounds,
@@ -145,6 +147,7 @@
             self._quarantine.gate,
             self._origin_exchange,
             self._kept_connections,
+            self._intakes.callers,
         )
         self._connections: set[CallerConnection] = set()
         self._draining = False
@@ -322,7 +325,7 @@
 
     async def _listen(self) -> list[CallerListener]:
         settings = self._settings
-        readiness = ReadinessHandler(self.is_ready, self._metrics.text)
+        readiness = ReadinessHandler(self.is_ready, self._metrics.text, self._intakes.checks)
         metrics_address = f"{settings.ip_address}:{METRICS_PORT}"
         listeners = []
         for address, handler, on_connection in (
@@ -379,6 +382,7 @@
         self._server_pool.limits.set_services(config.services)
         self._streams.apply_config(config)
         self._context.set_config(config)
+        self._intakes.check_limits(config.limits)
         _log.info(
             "config_applied",
             version=config.version,
@@ -477,7 +481,7 @@
 
 
 def _ignore_connection(_connection: CallerConnection, _is_open: bool) -> None:
-    """Do not track connections of readiness checks and metrics scrapes."""
+    """Do not track readiness checks and metrics scrapes."""
 
 
 def serve(settings: NodeSettings, settings_path: str) -> None:
--- a/bergamothill/process/readiness.py
+++ b/bergamothill/process/readiness.py
@@ -5,7 +5,9 @@
 import asyncio
 from collections.abc import Callable
 
-from bergamothill.connection.callerhttp import READ_BYTES, CallerConnection
+from bergamothill.clock import SystemClock
+from bergamothill.connection.callerhttp import CallerConnection
+from bergamothill.connection.callerintake import CallerIntake
 from bergamothill.platform.httppaths import METRICS_PATH, READINESS_PATH
 from bergamothill.request.callerrequest import RawRequest
 from bergamothill.version.routetable import CallerLimits
@@ -18,10 +20,16 @@
 
     :param is_ready: returns whether this instance can serve callers
     :param metrics: returns the metrics as text
+    :param intake: what the connections share; None for the default limits
     """
 
-    def __init__(self, is_ready: Callable[[], bool], metrics: Callable[[], str]) -> None:
-        self.read_buffer = bytearray(READ_BYTES)
+    def __init__(
+        self,
+        is_ready: Callable[[], bool],
+        metrics: Callable[[], str],
+        intake: CallerIntake | None = None,
+    ) -> None:
+        self.intake = intake or CallerIntake(SystemClock())
         self._is_ready = is_ready
         self._metrics = metrics
 
--- a/bergamothill/request/bufferbudget.py
+++ b/bergamothill/request/bufferbudget.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from bergamothill.request.memoryaccount import MemoryAccount, Share
+
 __all__ = ["UNRESERVED_BYTES", "BufferBudget", "Reservation"]
 
 UNRESERVED_BYTES = 65_536
@@ -12,22 +14,28 @@
     """Bytes that all unfinished answers may hold together.
 
     :param max_bytes: their maximum sum
+    :param account: account of the process from which they are taken; None for one of their own
     """
 
-    def __init__(self, max_bytes: int) -> None:
+    def __init__(self, max_bytes: int, account: MemoryAccount | None = None) -> None:
         self._max_bytes = max_bytes
+        self._account = account
         self.reserved_bytes = 0
 
     def try_reserve(self, size_bytes: int) -> bool:
         """Reserve some bytes; returns False, without reserving any, if they exceed the budget."""
         if self.reserved_bytes + size_bytes > self._max_bytes:
             return False
+        if self._account is not None and not self._account.try_take(size_bytes, Share.ANSWERS):
+            return False
         self.reserved_bytes += size_bytes
         return True
 
     def release(self, size_bytes: int) -> None:
         """Release bytes that were reserved."""
         self.reserved_bytes -= size_bytes
+        if self._account is not None:
+            self._account.release(size_bytes)
 
 
 class Reservation:
--- a/bergamothill/request/requestbody.py
+++ b/bergamothill/request/requestbody.py
@@ -14,12 +14,13 @@
     :param content: its first bytes
     """
 
-    __slots__ = ("_blocks", "_last", "_size_bytes")
+    __slots__ = ("_blocks", "_is_released", "_last", "_size_bytes")
 
     def __init__(self, content: bytes = b"") -> None:
         self._blocks: list[bytes] = []
         self._last: bytes | bytearray = b""
         self._size_bytes = 0
+        self._is_released = False
         if content:
             self.append(content)
 
@@ -45,6 +46,16 @@
             self._blocks.append(bytes(memoryview(self._last)[:BLOCK_BYTES]))
             del self._last[:BLOCK_BYTES]
 
+    def release(self) -> None:
+        """Discard the content; what still refers to the body does not keep its memory."""
+        self._blocks, self._last = [], b""
+        self._is_released = True
+
     def blocks(self) -> list[bytes]:
-        """Return the body in pieces; none is empty."""
+        """Return the body in pieces; none is empty.
+
+        :raises RuntimeError: the body was released
+        """
+        if self._is_released:
+            raise RuntimeError("request body was released")
         return [*self._blocks, bytes(self._last)] if self._last else list(self._blocks)
--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -5,14 +5,16 @@
 """
 
 import functools
+import socket
 import tempfile
 import time
 import unittest
 from collections.abc import Iterator
 from pathlib import Path
 
-from tests.builders import await_true
+from tests.builders import await_true, operator_config
 from tests.clientcrowd import Crowd, ProcessMeter
+from tests.gatewayworld import TIMEOUT_S, read_all
 from tests.platformworld import CALLER_PORT, READY_PORT, PlatformWorld
 
 MEMORY_MB = 150
@@ -62,11 +64,13 @@
 class CrowdCase(unittest.TestCase):
     """Test case with one entry instance and one backend server."""
 
+    CONFIG = {"limits": LIMITS}
+
     def setUp(self) -> None:
         """Start the deployment."""
         folder = self.enterContext(tempfile.TemporaryDirectory())
         self.world = world = PlatformWorld(
-            Path(folder), entries=1, engines=0, plain=1, config={"limits": LIMITS}
+            Path(folder), entries=1, engines=0, plain=1, config=self.CONFIG
         )
         self.addCleanup(world.close)
         self.node = world.nodes[0]
@@ -165,3 +169,41 @@
     def test_answers_that_are_not_read(self):
         self.server.answer_bytes = LARGE_ANSWER_BYTES
         self.play(functools.partial(_pieces, PIPELINED, b"", 0), reads=False)
+
+
+class CalmTest(CrowdCase):
+    """Single requests inside the limits; the configuration grants larger bodies than usual."""
+
+    RAISED_BYTES = 16_777_216
+    TOO_LARGE_BYTES = 120_000_000
+    ROUTES = operator_config()["routes"]
+    ROUTES[1]["timeoutMs"] = 60_000
+    CONFIG = {"limits": LIMITS | {"maxBodyBytes": TOO_LARGE_BYTES}, "routes": ROUTES}
+
+    def upload(self, size, *, pause_s=0.0, is_chunked=False):
+        """Send a body in pieces and return the answer."""
+        head = CHUNKED if is_chunked else LINE + FIELDS + b"Content-Length: %d\r\n\r\n" % size
+        pieces = [b"x" * (size // 4)] * 4
+        if is_chunked:
+            pieces = [b"%x\r\n%s\r\n" % (len(piece), piece) for piece in pieces] + [b"0\r\n\r\n"]
+        with socket.create_connection((self.node.host, CALLER_PORT), TIMEOUT_S) as connection:
+            connection.sendall(head.replace(b"X-Request-Id", b"Connection: close\r\nX-Request-Id"))
+            for piece in pieces:
+                time.sleep(pause_s)
+                connection.sendall(piece)
+            return read_all(connection)
+
+    def test_the_largest_bodies_are_served(self):
+        for changes in ({}, {"is_chunked": True}, {"pause_s": 1.5}):
+            for size in (MAX_BODY_BYTES, self.RAISED_BYTES):
+                with self.subTest(size=size, **changes), ProcessMeter(self.node.pid) as meter:
+                    found = self.upload(size, **changes)
+                    self.assertTrue(found.startswith(b"HTTP/1.1 200 "), found[:200])
+                    self.assertLessEqual(meter.peak_mb, MEMORY_MB)
+
+    def test_what_the_machine_cannot_hold_is_refused_and_logged(self):
+        with socket.create_connection((self.node.host, CALLER_PORT), TIMEOUT_S) as connection:
+            connection.sendall(SIZED.replace(b"%d" % MAX_BODY_BYTES, b"%d" % self.TOO_LARGE_BYTES))
+            self.assertTrue(read_all(connection).startswith(b"HTTP/1.1 413 "))
+        self.assertEqual(1, len(self.node.log_lines("event=body_limit_exceeds_memory")))
+        self.assertTrue(self._is_served())
