Count answers that callers do not read, and do not copy them

Callers that ask for large answers and do not read them ended a process. Cause: an answer left the account once it was complete. It was then joined to its head, and what the caller did not take at once was copied into the buffer of the transport, for as long as 30 s without progress.

Bodies of answers are kept in blocks as those of requests are, and are written one by one as the caller reads; what waits is in the account until it is written. Such a connection yields like one whose upload has stalled when memory is short.

--- a/bergamothill/connection/backendconnection.py
+++ b/bergamothill/connection/backendconnection.py
@@ -10,7 +10,6 @@
 import re
 import select
 import socket
-from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from enum import Enum
@@ -20,6 +19,7 @@
 
 from bergamothill.connection.backendpool import idle_limit_ms
 from bergamothill.connection.opening import CONNECT_TIMEOUT_MS
+from bergamothill.connection.sendqueue import SendQueue
 from bergamothill.errors import ProtocolError
 from bergamothill.request.callerrequest import Header, ResponseHead
 
@@ -124,10 +124,9 @@
         self.on_idle_end: Callable[[BackendConnection], None] | None = None
         """Called when the connection is lost or gets bytes while it is idle."""
 
-        self._unsent: deque[bytes] = deque()
-        """Pieces of the request that were not written, as the server does not keep up."""
+        self._unsent = SendQueue()
+        """Rest of the request, as the server does not keep up."""
 
-        self._may_write = True
         self._carried_ids: set[bytes] = set()
         self._is_reused = False
         self._eof_received = False
@@ -185,21 +184,15 @@
 
         :param request: encoded request, in pieces
         """
-        self._unsent.extend(request)
-        self._write_unsent()
-
-    def _write_unsent(self) -> None:
-        while self._unsent and self._may_write and not self.transport.is_closing():
-            self.transport.write(self._unsent.popleft())
+        self._unsent.send(self.transport, request)
 
     def pause_writing(self) -> None:
         """Stop writing the request, because the server does not keep up."""
-        self._may_write = False
+        self._unsent.pause()
 
     def resume_writing(self) -> None:
         """Go on writing the request."""
-        self._may_write = True
-        self._write_unsent()
+        self._unsent.resume(self.transport)
 
     @property
     def _is_request_written(self) -> bool:
--- a/bergamothill/connection/backlogwatch.py
+++ b/bergamothill/connection/backlogwatch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from bergamothill.clock import ms_to_seconds
 from bergamothill.logs import EventLog
@@ -21,14 +22,18 @@
     def __init__(self) -> None:
         self._timer: asyncio.TimerHandle | None = None
 
-    def start(self, transport: asyncio.WriteTransport) -> None:
-        """Abort the connection if its backlog stops shrinking."""
+    def start(self, transport: asyncio.WriteTransport, left_bytes: Callable[[], int]) -> None:
+        """Abort the connection if its backlog stops shrinking.
+
+        :param transport: transport of the connection
+        :param left_bytes: returns the size of the backlog
+        """
         self.cancel()
-        size_bytes = transport.get_write_buffer_size()
+        size_bytes = left_bytes()
         if size_bytes:
             loop = asyncio.get_running_loop()
             delay_s = ms_to_seconds(BACKLOG_CHECK_MS)
-            self._timer = loop.call_later(delay_s, self._check, transport, size_bytes)
+            self._timer = loop.call_later(delay_s, self._check, transport, left_bytes, size_bytes)
 
     def cancel(self) -> None:
         """Stop watching."""
@@ -36,10 +41,11 @@
             self._timer.cancel()
             self._timer = None
 
-    def _check(self, transport: asyncio.WriteTransport, previous_bytes: int) -> None:
-        left_bytes = transport.get_write_buffer_size()
-        if left_bytes >= previous_bytes:
-            _log.info("answer_not_read", left_bytes=left_bytes)
+    def _check(
+        self, transport: asyncio.WriteTransport, left_bytes: Callable[[], int], before_bytes: int
+    ) -> None:
+        if left_bytes() >= before_bytes:
+            _log.info("answer_not_read", left_bytes=left_bytes())
             transport.abort()
         else:
-            self.start(transport)
+            self.start(transport, left_bytes)
--- a/bergamothill/connection/callerhttp.py
+++ b/bergamothill/connection/callerhttp.py
@@ -7,21 +7,22 @@
 from __future__ import annotations
 
 import asyncio
-import random
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from operator import attrgetter
 from typing import NamedTuple, Protocol
 
 from bergamothill.clock import Clock, ms_to_seconds
 from bergamothill.connection.backlogwatch import BacklogWatch
-from bergamothill.connection.callerintake import CallerIntake, Refusal
+from bergamothill.connection.callerintake import REFUSAL_BY_STATUS, CallerIntake, Refusal
 from bergamothill.connection.flowgate import FlowGate
 from bergamothill.connection.requestparser import RequestParser
+from bergamothill.connection.responseformat import encode_chunk, encode_head, retry_after
+from bergamothill.connection.sendqueue import SendQueue
+from bergamothill.request.blockbody import BLOCK_BYTES
 from bergamothill.request.callerrequest import Header, RawRequest
 from bergamothill.request.connectiontable import Phase
 from bergamothill.request.memoryaccount import Holding, Share
-from bergamothill.request.requestbody import BLOCK_BYTES
 from bergamothill.version.routetable import CallerLimits
 
 __all__ = ["CallerConnection", "CallerHandler"]
@@ -41,24 +42,6 @@
 HANDLING_BYTES = 24_576
 """Memory of the handling of a request beside the request itself."""
 
-MIN_RETRY_AFTER_MS = 500
-"""Shortest time after which a caller that found no room may come back; at most twice as long."""
-
-_REASONS = {
-    200: b"OK",
-    400: b"Bad Request",
-    401: b"Unauthorized",
-    404: b"Not Found",
-    408: b"Request Timeout",
-    413: b"Content Too Large",
-    421: b"Misdirected Request",
-    429: b"Too Many Requests",
-    431: b"Request Header Fields Too Large",
-    502: b"Bad Gateway",
-    503: b"Service Unavailable",
-    504: b"Gateway Timeout",
-}
-
 
 class CallerHandler(Protocol):
     """Handler of the requests of a connection."""
@@ -103,6 +86,9 @@
         self._queued_bytes = 0
         self._memory_queued = 0
         self._memory_in_progress = 0
+        self._unsent = SendQueue()
+        """Rest of a large answer, as the caller does not keep up."""
+
         self._cancel: Callable[[], None] | None = None
         self._keep_alive = True
         self._stops_reading = False
@@ -141,19 +127,29 @@
     def pause_writing(self) -> None:
         """Stop reading the answer in progress, because the caller does not keep up."""
         self.flow.pause()
+        self._unsent.pause()
 
     def resume_writing(self) -> None:
         """Read the answer in progress again, or start the next request."""
         self.flow.resume()
-        if self._cancel is None and not self._is_lingering and not self._transport.is_closing():
-            self._backlog_watch.cancel()
+        self._unsent.resume(self._transport)
+        if self._cancel is not None or self._is_lingering or self._transport.is_closing():
+            return
+        if self.flow.is_paused:
+            self._hold_unsent()
+            return
+        self._backlog_watch.cancel()
+        if self._keep_alive:
             self._continue()
+        else:
+            self._linger()
 
     @property
     def is_busy(self) -> bool:
         """Whether a request is in progress, queued or partly received, or a response not read."""
         is_receiving = self._parser.is_receiving or bool(self._queued)
-        return self._cancel is not None or is_receiving or self._is_lingering
+        is_answering = self._cancel is not None or bool(self._unsent)
+        return is_answering or is_receiving or self._is_lingering
 
     def close_if_idle(self) -> None:
         """Close the connection unless it is busy."""
@@ -176,6 +172,7 @@
         self._stops_reading = True
         self._parser.release()
         self._drop_queued()
+        self._unsent.clear()
         self._holding.release()
         self._intake.table.remove(self)
 
@@ -185,15 +182,17 @@
 
     def _claim_memory(self) -> bool:
         """Take or give back memory for what the connection holds; return False without room."""
-        parser = self._parser
-        in_progress = self._memory_queued + self._memory_in_progress
-        size = CONNECTION_BYTES + parser.memory_bytes + in_progress
+        size = self._needed_bytes()
         if size == self._holding.size_bytes:
             return True
-        is_large = parser.body_bytes > BLOCK_BYTES
+        is_large = self._parser.body_bytes > BLOCK_BYTES
         share = Share.LARGE_BODIES if is_large else Share.SMALL
         return self._intake.make_room(self, self._holding, size, share)
 
+    def _needed_bytes(self) -> int:
+        requests = self._parser.memory_bytes + self._memory_queued + self._memory_in_progress
+        return CONNECTION_BYTES + requests + self._unsent.size_bytes
+
     def _set_phase(self, phase: Phase) -> None:
         self._intake.table.set_phase(self, phase, self._clock.now_ms())
 
@@ -205,7 +204,7 @@
         """Close the connection once its backlog has been sent."""
         if not self._transport.is_closing():
             self._transport.close()
-            self._backlog_watch.start(self._transport)
+            self._backlog_watch.start(self._transport, self._backlog_bytes)
 
     # Receiving requests.
 
@@ -228,14 +227,15 @@
         if status := self._parser.feed(memoryview(self._intake.read_buffer)[:nbytes]):
             self._reject_unparsed(status)
         elif not self._stops_reading:
-            if self._cancel is None and self._parser.body_bytes // BLOCK_BYTES > blocks:
+            has_new_block = self._parser.body_bytes // BLOCK_BYTES > blocks
+            if has_new_block and self._cancel is None and not self._unsent:
                 self._set_phase(Phase.UPLOADING)
             if not self._claim_memory():
                 self._reject_unparsed(self._status_without_room(self._parser.body_bytes))
 
     def on_request_begin(self) -> int:
         """Start to wait for the head of a request; return its arrival time."""
-        if self._cancel is None:
+        if self._cancel is None and not self._unsent:
             self._start_request_timer(_HEADER_TIMEOUT_MS)
             self._set_phase(Phase.RECEIVING)
         return self._clock.now_ms()
@@ -283,7 +283,7 @@
         Requests that were received before it are answered instead, and the last of these answers
         closes the connection. Without room they are dropped.
         """
-        self._intake.record_refusal(refusal or _REFUSALS[status], self._peer())
+        self._intake.record_refusal(refusal or REFUSAL_BY_STATUS[status], self._peer())
         self._stops_reading = True
         self._parser.release()
         if status == 503:
@@ -292,11 +292,13 @@
             self._queued[-1] = self._queued[-1]._replace(keep_alive=False)
             return
         self._keep_alive = False
-        if self._cancel is None and not self._response_started:
-            headers = [_retry_after()] if status == 503 else []
-            self.send_response(status, headers, b"")
-        elif self._cancel is None:
+        if self._cancel is not None or self._unsent:
+            return
+        if self._response_started:
             self._transport.abort()
+        else:
+            headers = [retry_after()] if status == 503 else []
+            self.send_response(status, headers, b"")
 
     # Sending responses.
 
@@ -305,7 +307,7 @@
         self._keep_alive = False
         self.send_response(status, [], b"")
 
-    def send_response(self, status: int, headers: list[Header], body: bytes) -> None:
+    def send_response(self, status: int, headers: list[Header], body: bytes | bytearray) -> None:
         """Send a complete response.
 
         :param status: HTTP status
@@ -315,28 +317,37 @@
         if self._is_closed:
             return
         self._update_keep_alive()
-        lines = self._response_head(status, headers)
-        # A response to HEAD has no body, and the length of the body for GET is unknown.
-        lines.append(
-            b"\r\n" if self._is_head_request else b"Content-Length: %d\r\n\r\n" % len(body)
-        )
-        self._transport.write(b"\r\n".join(lines) + body)
+        self._write_head(status, headers, self._length_field(len(body)), body)
+        self._finish_response()
+
+    def send_blocks(self, status: int, headers: list[Header], blocks: Sequence[bytes]) -> None:
+        """Send a complete response; its parameters are those of :meth:`send_response`.
+
+        :param blocks: complete body; what the caller does not take yet is not copied
+        """
+        if self._is_closed:
+            return
+        self._update_keep_alive()
+        self._write_head(status, headers, self._length_field(sum(map(len, blocks))), b"")
+        self._unsent.send(self._transport, blocks)
         self._finish_response()
 
+    def _length_field(self, size_bytes: int) -> bytes:
+        # A response to HEAD has no body, and the length of the body for GET is unknown.
+        return b"" if self._is_head_request else b"Content-Length: %d" % size_bytes
+
     def start_chunked_response(self, status: int, headers: list[Header], first: bytes) -> None:
         """Send the head of a chunked response and the first bytes of its body."""
         if self._is_closed:
             return
         self._update_keep_alive()
         self._response_started = True
-        lines = self._response_head(status, headers)
-        lines.append(b"Transfer-Encoding: chunked\r\n\r\n")
-        self._transport.write(b"\r\n".join(lines) + _encode_chunk(first))
+        self._write_head(status, headers, b"Transfer-Encoding: chunked", encode_chunk(first))
 
     def send_chunk(self, piece: bytes) -> None:
         """Send the next bytes of a chunked response."""
         if piece and not self._is_closed and not self._transport.is_closing():
-            self._transport.write(_encode_chunk(piece))
+            self._transport.write(encode_chunk(piece))
 
     def end_chunked_response(self) -> None:
         """Finish a chunked response that is complete."""
@@ -363,26 +374,30 @@
         if self._handler.is_draining() and not self._queued and not self._parser.is_receiving:
             self._keep_alive = False
 
-    def _response_head(self, status: int, headers: list[Header]) -> list[bytes]:
-        lines = [b"HTTP/1.1 %d %s" % (status, _REASONS.get(status, b"Status"))]
-        lines.extend(b"%s: %s" % header for header in headers)
-        if not self._keep_alive:
-            lines.append(b"Connection: close")
-        return lines
+    def _write_head(self, status: int, headers: list[Header], framing: bytes, body: bytes) -> None:
+        head = encode_head(status, headers, framing, keep_alive=self._keep_alive)
+        self._transport.write(head + body)
 
     def _finish_response(self) -> None:
         self._cancel = None
         self._memory_in_progress = 0
         self._response_started = False
-        if not self._keep_alive:
+        if not self._unsent and not self._keep_alive:
             self._linger()
         elif self.flow.is_paused:
-            self._claim_memory()
-            self._set_phase(Phase.SENDING)
-            self._backlog_watch.start(self._transport)
+            self._hold_unsent()
+            self._backlog_watch.start(self._transport, self._backlog_bytes)
         else:
             self._continue()
 
+    def _hold_unsent(self) -> None:
+        """Account for an answer that the caller has still to read; it is in memory already."""
+        self._holding.resize(self._needed_bytes())
+        self._set_phase(Phase.SENDING)
+
+    def _backlog_bytes(self) -> int:
+        return self._unsent.size_bytes + self._transport.get_write_buffer_size()
+
     def _continue(self) -> None:
         """Start the next request, or wait for it."""
         if self._queued:
@@ -408,7 +423,7 @@
         self._release()
         self._set_phase(Phase.CLOSING)
         self._transport.write_eof()
-        self._backlog_watch.start(self._transport)
+        self._backlog_watch.start(self._transport, self._backlog_bytes)
         self._arm_timer(ms_to_seconds(LINGER_TIMEOUT_MS), self._end_linger)
 
     # Timeouts.
@@ -462,14 +477,6 @@
             self._transport.close()
 
 
-_REFUSALS = {
-    400: Refusal.MALFORMED,
-    408: Refusal.HEAD_TIMEOUT,
-    413: Refusal.BODY_TOO_LARGE,
-    431: Refusal.HEAD_TOO_LARGE,
-    503: Refusal.MEMORY,
-}
-
 _HEADER_TIMEOUT_MS = attrgetter("header_timeout_ms")
 _IDLE_TIMEOUT_MS = attrgetter("idle_timeout_ms")
 
@@ -482,14 +489,5 @@
     keep_alive: bool
 
 
-def _retry_after() -> Header:
-    wait_ms = MIN_RETRY_AFTER_MS + random.randrange(MIN_RETRY_AFTER_MS)
-    return (b"Retry-After", b"%.3f" % ms_to_seconds(wait_ms))
-
-
 def _cancel_nothing() -> None:
     """Cancel callback of a request that is still being started."""
-
-
-def _encode_chunk(piece: bytes) -> bytes:
-    return b"%x\r\n%s\r\n" % (len(piece), piece) if piece else b""
--- a/bergamothill/connection/callerintake.py
+++ b/bergamothill/connection/callerintake.py
@@ -10,7 +10,7 @@
 from bergamothill.request.connectiontable import ConnectionTable
 from bergamothill.request.memoryaccount import Holding, MemoryAccount, Share, caller_memory_bytes
 
-__all__ = ["CallerIntake", "Refusal", "YieldingConnection"]
+__all__ = ["REFUSAL_BY_STATUS", "CallerIntake", "Refusal", "YieldingConnection"]
 
 READ_BYTES = 65_536
 """Maximum bytes of a connection to parse before other connections get their turn."""
@@ -35,6 +35,16 @@
     """It yielded to another one, as it had made the least progress."""
 
 
+REFUSAL_BY_STATUS = {
+    400: Refusal.MALFORMED,
+    408: Refusal.HEAD_TIMEOUT,
+    413: Refusal.BODY_TOO_LARGE,
+    431: Refusal.HEAD_TOO_LARGE,
+    503: Refusal.MEMORY,
+}
+"""Reason for each status of a request that is refused unparsed."""
+
+
 class YieldingConnection(Protocol):
     """Connection that can give up what it holds."""
 
--- a/bergamothill/connection/requestparser.py
+++ b/bergamothill/connection/requestparser.py
@@ -10,8 +10,8 @@
 
 import httptools
 
+from bergamothill.request.blockbody import BlockBody
 from bergamothill.request.callerrequest import Header, RawRequest
-from bergamothill.request.requestbody import RequestBody
 from bergamothill.version.routetable import CallerLimits
 
 __all__ = ["RequestParser", "RequestSink"]
@@ -73,7 +73,7 @@
 
         self._target = b""
         self._headers: list[Header] = []
-        self._body = RequestBody()
+        self._body = BlockBody()
         self._head_bytes = 0
         self._field_bytes = 0
         self._framing_bytes = 0
--- a/bergamothill/request/answerrelay.py
+++ b/bergamothill/request/answerrelay.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
@@ -14,6 +14,7 @@
 from bergamothill.connection.ssesplitter import EventSplitter, has_event, is_later_event
 from bergamothill.errors import ProtocolError
 from bergamothill.ids import RequestId
+from bergamothill.request.blockbody import BLOCK_BYTES
 from bergamothill.request.bodybuffer import BodyBuffer
 from bergamothill.request.bufferbudget import BufferBudget, Reservation
 from bergamothill.request.callerrequest import Header, ResponseHead
@@ -27,6 +28,9 @@
     def send_response(self, status: int, headers: list[Header], body: bytes) -> None:
         """Send a complete answer."""
 
+    def send_blocks(self, status: int, headers: list[Header], blocks: Sequence[bytes]) -> None:
+        """Send a complete answer whose body is in several blocks."""
+
     def start_chunked_response(self, status: int, headers: list[Header], first: bytes) -> None:
         """Start an answer of unknown length."""
 
@@ -259,4 +263,8 @@
             self._caller.end_chunked_response()
         else:
             self._listener.on_first()
-            self._caller.send_response(self.head.status, self.head.headers, self._body.content())
+            status, headers = self.head.status, self.head.headers
+            if len(self._body) > BLOCK_BYTES:
+                self._caller.send_blocks(status, headers, self._body.blocks())
+            else:
+                self._caller.send_response(status, headers, self._body.content())
--- a/bergamothill/request/blockbody.py
+++ b/bergamothill/request/blockbody.py
@@ -1,14 +1,14 @@
-"""Body of a caller's request, kept in blocks of one size; does no I/O."""
+"""Body of a request or an answer, kept in blocks of one size; does no I/O."""
 
 from __future__ import annotations
 
-__all__ = ["BLOCK_BYTES", "RequestBody"]
+__all__ = ["BLOCK_BYTES", "BlockBody"]
 
 BLOCK_BYTES = 65_536
 """Size of a block; freed blocks of one size leave no gaps in the heap that others cannot fill."""
 
 
-class RequestBody:
+class BlockBody:
     """Body received so far.
 
     :param content: its first bytes
@@ -57,5 +57,5 @@
         :raises RuntimeError: the body was released
         """
         if self._is_released:
-            raise RuntimeError("request body was released")
+            raise RuntimeError("body was released")
         return [*self._blocks, bytes(self._last)] if self._last else list(self._blocks)
--- a/bergamothill/request/callerrequest.py
+++ b/bergamothill/request/callerrequest.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass, field
 
 from bergamothill.ids import BrandName, ModelName, RegionName, RequestId, ServerId, SoftwareVersion
+from bergamothill.request.blockbody import BlockBody
 from bergamothill.request.crashevidence import PartId
 from bergamothill.request.fairqueue import NO_FLOW, Flow
-from bergamothill.request.requestbody import RequestBody
 
 __all__ = [
     "CallerRequest",
@@ -37,7 +37,7 @@
     method: bytes
     target: bytes
     headers: list[Header]
-    body: RequestBody
+    body: BlockBody
     arrived_ms: int
 
 
--- a/bergamothill/request/memoryaccount.py
+++ b/bergamothill/request/memoryaccount.py
@@ -62,6 +62,10 @@
         self.used_bytes += size_bytes
         return True
 
+    def take(self, size_bytes: int) -> None:
+        """Take bytes that are held already, even without room; negative ones are given back."""
+        self.used_bytes += size_bytes
+
     def release(self, size_bytes: int) -> None:
         """Give bytes back that were taken."""
         self.used_bytes -= size_bytes
@@ -87,6 +91,11 @@
         self.size_bytes = size_bytes
         return True
 
+    def resize(self, size_bytes: int) -> None:
+        """Take or give back what a new size needs, even without room."""
+        self._account.take(size_bytes - self.size_bytes)
+        self.size_bytes = size_bytes
+
     def release(self) -> None:
         """Give back all of it."""
         self._account.release(self.size_bytes)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -31,9 +31,9 @@
 from bergamothill.process.serverlimits import ServerLimits
 from bergamothill.process.serverpool import ServerPool
 from bergamothill.request.auth import key_digest
+from bergamothill.request.blockbody import BlockBody
 from bergamothill.request.callerrequest import CallerRequest, PromptPart, RawRequest
 from bergamothill.request.contextplan import ContextPlanner
-from bergamothill.request.requestbody import RequestBody
 from bergamothill.request.streamorigin import StreamKey, StreamOrigin
 from bergamothill.version.cacheindex import CacheIndex
 from bergamothill.version.routetable import RoutingConfig
@@ -403,7 +403,7 @@
 
 def caller_request(**changes: Any) -> CallerRequest:
     """Return a request whose prompt has 3,000 tokens in three parts, two of them shared."""
-    raw = RawRequest(b"POST", b"/quote/2f", [], RequestBody(b"{}"), changes.pop("arrived_ms", 0))
+    raw = RawRequest(b"POST", b"/quote/2f", [], BlockBody(b"{}"), changes.pop("arrived_ms", 0))
     values = {
         "raw": raw,
         "request_id": "r1",
--- a/tests/test_blockbody.py
+++ b/tests/test_blockbody.py
@@ -5,15 +5,15 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from bergamothill.request.requestbody import BLOCK_BYTES, RequestBody
+from bergamothill.request.blockbody import BLOCK_BYTES, BlockBody
 
 PIECES = st.lists(st.integers(0, BLOCK_BYTES), max_size=6)
 
 
-class RequestBodyTest(unittest.TestCase):
+class BlockBodyTest(unittest.TestCase):
     @given(PIECES)
     def test_no_byte_is_lost_or_moved(self, sizes):
-        body, whole = RequestBody(), b""
+        body, whole = BlockBody(), b""
         for number, size in enumerate(sizes):
             piece = bytes([number]) * size
             body.append(piece)
@@ -26,4 +26,4 @@
 
     def test_a_body_in_one_piece_is_not_copied(self):
         piece = b"x" * 1_000
-        self.assertIs(piece, RequestBody(piece).blocks()[0])
+        self.assertIs(piece, BlockBody(piece).blocks()[0])
--- a/tests/test_fingerprint.py
+++ b/tests/test_fingerprint.py
@@ -2,16 +2,16 @@
 
 import unittest
 
+from bergamothill.request.blockbody import BlockBody
 from bergamothill.request.callerrequest import RawRequest
 from bergamothill.request.fingerprint import crash_suspects, request_fingerprint
-from bergamothill.request.requestbody import RequestBody
 from tests.builders import caller_request
 
 
 def fingerprint(brand="kowhai", **changes):
     raw = {"method": b"POST", "target": b"/a/b?c=d", "headers": [], "body": b"{}", "arrived_ms": 0}
     raw |= {name: changes.pop(name) for name in list(changes) if name in raw}
-    raw["body"] = RequestBody(raw["body"])
+    raw["body"] = BlockBody(raw["body"])
     return request_fingerprint(caller_request(raw=RawRequest(**raw), **changes), brand)
 
 
--- a/tests/test_fuzzed_decoders.py
+++ b/tests/test_fuzzed_decoders.py
@@ -39,9 +39,9 @@
     encode_stored,
 )
 from bergamothill.process.registry import decode_peer
+from bergamothill.request.blockbody import BlockBody
 from bergamothill.request.callerrequest import RawRequest
 from bergamothill.request.partquarantine import StoredQuarantine
-from bergamothill.request.requestbody import RequestBody
 from bergamothill.request.streamorigin import StreamKey, StreamOrigin
 from tests import test_quarantinecodec
 from tests.builders import NODE_SETTINGS, operator_config
@@ -214,6 +214,6 @@
     def test_fields_of_requests_and_answers(self, headers, status):
         decode_answer(status, headers)
         try:
-            decode_request(RawRequest(b"POST", b"/quote/1", headers, RequestBody(), 0))
+            decode_request(RawRequest(b"POST", b"/quote/1", headers, BlockBody(), 0))
         except InvalidRequestError:
             return
--- a/tests/test_platform_config.py
+++ b/tests/test_platform_config.py
@@ -14,8 +14,8 @@
 from bergamothill.platform.servers import decode_server
 from bergamothill.platform.settings import is_node_settings, load_node_settings
 from bergamothill.process.daemon import main
+from bergamothill.request.blockbody import BlockBody
 from bergamothill.request.callerrequest import ForwardTerms, RawRequest
-from bergamothill.request.requestbody import RequestBody
 from bergamothill.version.routetable import RetryPolicy, RouteTable
 from tests.builders import NODE_SETTINGS, operator_config, routing_config, server_entry
 
@@ -154,9 +154,7 @@
             ([(b"Connection", b"resumes"), field], "r0"),
         ):
             with self.subTest(headers):
-                request = decode_request(
-                    RawRequest(b"POST", b"/quote/1", headers, RequestBody(), 0)
-                )
+                request = decode_request(RawRequest(b"POST", b"/quote/1", headers, BlockBody(), 0))
                 self.assertEqual(expected, request.resumes)
                 terms = ForwardTerms("s1", 100, last_event_id="3")
                 sent = b"".join(encode_forward(request, terms))
@@ -165,7 +163,7 @@
                     sent.lower().count(b"\r\nresumes: "),
                 )
         for other in (b"r1", b""):
-            raw = RawRequest(b"POST", b"/quote/1", [field, (b"resumes", other)], RequestBody(), 0)
+            raw = RawRequest(b"POST", b"/quote/1", [field, (b"resumes", other)], BlockBody(), 0)
             with self.assertRaises(InvalidRequestError):
                 decode_request(raw)
 
