Bound the connections of callers by the descriptors of the process

Connections that send nothing took more descriptors than the settings grant, on the callers' port and on the readiness port.

Beyond that the connection that is being closed or idle for longest yields, then one that has stalled, and at last the new one is closed.

--- a/bergamothill/connection/callerhttp.py
+++ b/bergamothill/connection/callerhttp.py
@@ -10,13 +10,13 @@
 from collections import deque
 from collections.abc import Callable, Sequence
 from operator import attrgetter
-from typing import NamedTuple, Protocol
+from typing import Protocol
 
 from bergamothill.clock import Clock, ms_to_seconds
 from bergamothill.connection.backlogwatch import BacklogWatch
 from bergamothill.connection.callerintake import REFUSAL_BY_STATUS, CallerIntake, Refusal
 from bergamothill.connection.flowgate import FlowGate
-from bergamothill.connection.requestparser import RequestParser
+from bergamothill.connection.requestparser import ParsedRequest, RequestParser
 from bergamothill.connection.responseformat import encode_chunk, encode_head, retry_after
 from bergamothill.connection.sendqueue import SendQueue
 from bergamothill.request.blockbody import BLOCK_BYTES
@@ -82,7 +82,7 @@
         self._intake = handler.intake
         self._holding = Holding(self._intake.account)
         self._transport: asyncio.Transport | None = None
-        self._queued: deque[_QueuedRequest] = deque()
+        self._queued: deque[ParsedRequest] = deque()
         self._queued_bytes = 0
         self._memory_queued = 0
         self._memory_in_progress = 0
@@ -106,12 +106,12 @@
         self._transport = transport
         self._register(self, True)
         self._set_phase(Phase.IDLE)
-        if not self._claim_memory():
-            self._intake.record_refusal(Refusal.MEMORY, self._peer())
-            self._release()
-            transport.abort()
-            return
-        self._start_request_timer(_HEADER_TIMEOUT_MS)
+        if not self._intake.has_descriptors(self):
+            self._end(Refusal.CONNECTIONS)
+        elif not self._claim_memory():
+            self._end(Refusal.MEMORY)
+        else:
+            self._start_request_timer(_HEADER_TIMEOUT_MS)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress, because the caller has disconnected."""
@@ -158,12 +158,18 @@
 
     # Memory.
 
-    def give_way(self) -> None:
-        """Release all memory, because another connection needs it more."""
+    def give_way(self, refusal: Refusal) -> None:
+        """Release all memory and end, because another connection needs the room more.
+
+        :param refusal: reason to record
+        """
         if self._parser.is_receiving and self._cancel is None and not self.flow.is_paused:
-            self._reject_unparsed(503, Refusal.STALLED)
-            return
-        self._intake.record_refusal(Refusal.STALLED, self._peer())
+            self._reject_unparsed(503, refusal)
+        else:
+            self._end(refusal)
+
+    def _end(self, refusal: Refusal) -> None:
+        self._intake.record_refusal(refusal, self._peer())
         self._release()
         self._transport.abort()
 
@@ -253,10 +259,10 @@
         """Return the status for a request that finds no room now, or never would."""
         return 413 if body_bytes > self._intake.max_body_bytes else 503
 
-    def on_request(self, request: RawRequest, memory_bytes: int, *, keep_alive: bool) -> None:
+    def on_request(self, request: ParsedRequest) -> None:
         """Start handling a request, or queue it until the previous one has been answered."""
-        self._queued.append(_QueuedRequest(request, memory_bytes, keep_alive))
-        self._memory_queued += memory_bytes
+        self._queued.append(request)
+        self._memory_queued += request.memory_bytes
         if self._cancel is None and not self.flow.is_paused:
             self._start_next()
 
@@ -268,10 +274,13 @@
         self._cancel_timer()
         self._memory_queued -= memory_bytes
         self._memory_in_progress = memory_bytes + HANDLING_BYTES
+        self._set_phase(Phase.ANSWERING)
+        if not self._intake.has_descriptors(self):
+            self._reject_unparsed(503, Refusal.CONNECTIONS)
+            return
         if not self._claim_memory():
             self._reject_unparsed(503)
             return
-        self._set_phase(Phase.ANSWERING)
         self._cancel = _cancel_nothing
         cancel = self._handler.start(self, raw)
         if self._cancel is not None:
@@ -481,13 +490,5 @@
 _IDLE_TIMEOUT_MS = attrgetter("idle_timeout_ms")
 
 
-class _QueuedRequest(NamedTuple):
-    """Request that waits for the answers to those before it."""
-
-    request: RawRequest
-    memory_bytes: int
-    keep_alive: bool
-
-
 def _cancel_nothing() -> None:
     """Cancel callback of a request that is still being started."""
--- a/bergamothill/connection/callerintake.py
+++ b/bergamothill/connection/callerintake.py
@@ -17,6 +17,8 @@
 
 DEFAULT_MEMORY_MB = 256
 
+DEFAULT_DESCRIPTORS = 512
+
 RESERVE_BYTES = 1_048_576
 """Room for the head of a large request, its connection, and a block that is not full."""
 
@@ -34,6 +36,9 @@
     STALLED = "stalled"
     """It yielded to another one, as it had made the least progress."""
 
+    CONNECTIONS = "connections"
+    """There are too many connections."""
+
 
 REFUSAL_BY_STATUS = {
     400: Refusal.MALFORMED,
@@ -48,8 +53,11 @@
 class YieldingConnection(Protocol):
     """Connection that can give up what it holds."""
 
-    def give_way(self) -> None:
-        """Release all memory at once, and end."""
+    def give_way(self, refusal: Refusal) -> None:
+        """Release all memory at once, and end.
+
+        :param refusal: reason to record
+        """
 
 
 class CallerIntake:
@@ -58,6 +66,8 @@
     :param clock: source of time
     :param account: memory that may be held for callers
     :param on_refusal: called with each refusal and the address of the caller
+    :param max_descriptors: descriptors for the connections, and for those to the servers that
+        answer their requests
     """
 
     def __init__(
@@ -65,6 +75,7 @@
         clock: Clock,
         account: MemoryAccount | None = None,
         on_refusal: Callable[[Refusal, str], None] = lambda _refusal, _peer: None,
+        max_descriptors: int = DEFAULT_DESCRIPTORS,
     ) -> None:
         self.account = account or MemoryAccount(caller_memory_bytes(DEFAULT_MEMORY_MB))
         self.table: ConnectionTable[YieldingConnection] = ConnectionTable()
@@ -72,8 +83,18 @@
         """Buffer for the bytes of the connection that is being read."""
 
         self.record_refusal = on_refusal
+        self._max_descriptors = max_descriptors
         self._clock = clock
 
+    def has_descriptors(self, connection: YieldingConnection) -> bool:
+        """Return whether a connection may be used; unused ones yield to it if it may not."""
+        while self.table.descriptors > self._max_descriptors:
+            yielding = self.table.next_to_close(connection, self._clock.now_ms())
+            if yielding is None:
+                return False
+            yielding.give_way(Refusal.CONNECTIONS)
+        return True
+
     def make_room(
         self, connection: YieldingConnection, holding: Holding, size_bytes: int, share: Share
     ) -> bool:
@@ -86,7 +107,7 @@
             yielding = self._next_to_yield(connection, is_large=is_large)
             if yielding is None:
                 return False
-            yielding.give_way()
+            yielding.give_way(Refusal.STALLED)
         return True
 
     @property
@@ -102,7 +123,7 @@
             yielding = self._next_to_yield(connection, is_large=True)
             if yielding is None:
                 return False
-            yielding.give_way()
+            yielding.give_way(Refusal.STALLED)
         return True
 
     def _next_to_yield(
--- a/bergamothill/connection/requestparser.py
+++ b/bergamothill/connection/requestparser.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 import httptools
 
@@ -14,7 +14,7 @@
 from bergamothill.request.callerrequest import Header, RawRequest
 from bergamothill.version.routetable import CallerLimits
 
-__all__ = ["RequestParser", "RequestSink"]
+__all__ = ["ParsedRequest", "RequestParser", "RequestSink"]
 
 MAX_BODY_FRAMING_BYTES = 16_384
 """Maximum size of the chunk headers of a request with an empty body."""
@@ -29,6 +29,19 @@
 """Framing allowed for each byte of a body; a chunk of one byte has five bytes of framing."""
 
 
+class ParsedRequest(NamedTuple):
+    """Complete request of a connection.
+
+    :param request: request as read
+    :param memory_bytes: memory that it takes
+    :param keep_alive: whether the caller lets the connection stay open
+    """
+
+    request: RawRequest
+    memory_bytes: int
+    keep_alive: bool
+
+
 class RequestSink(Protocol):
     """Receives the requests of a connection."""
 
@@ -43,11 +56,8 @@
         :returns: status to refuse the request with; 0 to receive the body
         """
 
-    def on_request(self, request: RawRequest, memory_bytes: int, *, keep_alive: bool) -> None:
-        """Handle a complete request.
-
-        :param memory_bytes: memory that it takes
-        """
+    def on_request(self, request: ParsedRequest) -> None:
+        """Handle a complete request."""
 
 
 class RequestParser:
@@ -184,9 +194,9 @@
             arrived_ms=self._arrived_ms,
         )
         keep_alive = self._parser.should_keep_alive()
-        memory_bytes = self.memory_bytes
+        parsed = ParsedRequest(request, self.memory_bytes, keep_alive)
         self._reset()
-        self._sink.on_request(request, memory_bytes, keep_alive=keep_alive)
+        self._sink.on_request(parsed)
 
     def _reject(self, status: int, reason: str) -> None:
         self._error_status = status
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -137,7 +137,7 @@
         self._kept_connections = KeptConnections(
             clock, max_idle, lambda kind: self._metrics.count("server_connections", kind=kind)
         )
-        self._intakes = NodeIntakes(clock, self._metrics, settings.memory_mb)
+        self._intakes = NodeIntakes(clock, self._metrics, settings, max_idle)
         self._gateway = Gateway(
             clock,
             bounds,
--- a/bergamothill/request/connectiontable.py
+++ b/bergamothill/request/connectiontable.py
@@ -45,6 +45,11 @@
         """Return the number of open connections."""
         return len(self._phases)
 
+    @property
+    def descriptors(self) -> int:
+        """Descriptors of the connections, and of those to the servers that answer requests."""
+        return len(self._phases) + len(self._progress_ms[Phase.ANSWERING])
+
     def set_phase(self, connection: Connection, phase: Phase, now_ms: int) -> None:
         """Record a change of what a connection is doing, or progress in it."""
         before = self._phases.get(connection)
@@ -75,6 +80,17 @@
             return stalled
         return self._first([Phase.IDLE], asking, now_ms)
 
+    def next_to_close(self, asking: Connection, now_ms: int) -> Connection | None:
+        """Return the connection that yields its descriptor to another one; None if there is none.
+
+        :param asking: connection that needs a descriptor
+        """
+        unused = self._first([Phase.CLOSING, Phase.IDLE], asking, now_ms)
+        if unused is not None:
+            return unused
+        phases = [Phase.RECEIVING, Phase.UPLOADING, Phase.SENDING]
+        return self._first(phases, asking, now_ms - STALL_MS)
+
     def _first(
         self, phases: Iterable[Phase], asking: Connection, until_ms: int
     ) -> Connection | None:
--- a/tests/test_callerintake.py
+++ b/tests/test_callerintake.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from bergamothill.process.nodeintakes import max_caller_descriptors
 from bergamothill.request.connectiontable import STALL_MS, ConnectionTable, Phase
 from bergamothill.request.memoryaccount import (
     BYTES_PER_MB,
@@ -67,3 +68,23 @@
         self.table.set_phase("busy", Phase.ANSWERING, 0)
         for is_large in (False, True):
             self.assertIsNone(self.next_to_yield(10 * STALL_MS, is_large=is_large))
+
+    def test_unused_connections_yield_their_descriptors_first(self):
+        self.table.set_phase("stalled", Phase.RECEIVING, 0)
+        self.table.set_phase("idle", Phase.IDLE, STALL_MS)
+        self.table.set_phase("closing", Phase.CLOSING, STALL_MS)
+        self.table.set_phase("busy", Phase.ANSWERING, 0)
+        self.table.set_phase("asking", Phase.IDLE, STALL_MS)
+        self.assertEqual(6, self.table.descriptors)
+        closed = []
+        while (found := self.table.next_to_close("asking", STALL_MS)) is not None:
+            closed.append(found)
+            self.table.remove(found)
+        self.assertEqual(["closing", "idle", "stalled"], closed)
+
+    def test_callers_have_descriptors_however_few_there_are(self):
+        for descriptors, idle in ((64, 16), (700, 150), (4_100, 300), (1_048_576, 4_000)):
+            found = max_caller_descriptors(descriptors, idle)
+            self.assertGreater(found, 0)
+            if descriptors >= 700:
+                self.assertLess(found + idle + 200, descriptors)
