Read connections in turns whose bytes cost more than they bring

Clients that send bodies in chunks of two bytes left no processor time to others. Cause: each pass of the event loop parsed 64 kB of every connection that had bytes, 10 ms and more each where chunk headers outweigh the body.

--- a/bergamothill/connection/callerhttp.py
+++ b/bergamothill/connection/callerhttp.py
@@ -10,22 +10,22 @@
 from collections import deque
 from collections.abc import Callable, Sequence
 from operator import attrgetter
-from typing import Protocol
 
 from bergamothill.clock import Clock, ms_to_seconds
 from bergamothill.connection.backlogwatch import BacklogWatch
-from bergamothill.connection.callerintake import REFUSAL_BY_STATUS, CallerIntake, Refusal
+from bergamothill.connection.callerhandler import CallerHandler
+from bergamothill.connection.callerintake import REFUSAL_BY_STATUS, Refusal
 from bergamothill.connection.flowgate import FlowGate
 from bergamothill.connection.requestparser import ParsedRequest, RequestParser
 from bergamothill.connection.responseformat import encode_chunk, encode_head, retry_after
 from bergamothill.connection.sendqueue import SendQueue
 from bergamothill.request.blockbody import BLOCK_BYTES
-from bergamothill.request.callerrequest import Header, RawRequest
+from bergamothill.request.callerrequest import Header
 from bergamothill.request.connectiontable import Phase
 from bergamothill.request.memoryaccount import Holding, Share
 from bergamothill.version.routetable import CallerLimits
 
-__all__ = ["CallerConnection", "CallerHandler"]
+__all__ = ["CallerConnection"]
 
 MAX_PIPELINED_BYTES = 262_144
 """Maximum size of pipelined requests that are buffered while one is in progress."""
@@ -43,22 +43,6 @@
 """Memory of the handling of a request beside the request itself."""
 
 
-class CallerHandler(Protocol):
-    """Handler of the requests of a connection."""
-
-    intake: CallerIntake
-    """What the connections share."""
-
-    def limits(self) -> CallerLimits:
-        """Return the current limits."""
-
-    def is_draining(self) -> bool:
-        """Return whether connections are to be closed after the response in progress."""
-
-    def start(self, connection: CallerConnection, request: RawRequest) -> Callable[[], None]:
-        """Start handling a request; return a callback that cancels it on disconnect."""
-
-
 class CallerConnection(asyncio.BufferedProtocol):
     """One connection of a caller.
 
@@ -92,6 +76,7 @@
         self._cancel: Callable[[], None] | None = None
         self._keep_alive = True
         self._stops_reading = False
+        self._reads_in_turns = False
         self._response_started = False
         self._is_head_request = False
         self._is_closed = False
@@ -214,12 +199,13 @@
 
     # Receiving requests.
 
-    def get_buffer(self, sizehint: int) -> bytearray:
+    def get_buffer(self, sizehint: int) -> bytearray | memoryview:
         """Return the buffer to read into, which is parsed before anything else is read."""
-        return self._intake.read_buffer
+        return self._intake.turn_buffer if self._reads_in_turns else self._intake.read_buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         """Parse received bytes; reject requests that are malformed or too large."""
+        self._reads_in_turns = False
         if self._is_lingering:
             self._discard(nbytes)
         if self._is_closed or self._stops_reading or not self._keep_alive:
@@ -230,6 +216,7 @@
                 self._reject_unparsed(413)
                 return
         blocks = self._parser.body_bytes // BLOCK_BYTES
+        framing_bytes = self._parser.framing_bytes
         if status := self._parser.feed(memoryview(self._intake.read_buffer)[:nbytes]):
             self._reject_unparsed(status)
         elif not self._stops_reading:
@@ -238,6 +225,12 @@
                 self._set_phase(Phase.UPLOADING)
             if not self._claim_memory():
                 self._reject_unparsed(self._status_without_room(self._parser.body_bytes))
+            elif 2 * (self._parser.framing_bytes - framing_bytes) > nbytes:
+                self._wait_for_turn()
+
+    def _wait_for_turn(self) -> None:
+        self._reads_in_turns = True
+        self._intake.turns.wait(self._transport)
 
     def on_request_begin(self) -> int:
         """Start to wait for the head of a request; return its arrival time."""
@@ -478,6 +471,8 @@
         self._discarded_bytes += size_bytes
         if self._discarded_bytes > max(MIN_DISCARDED_BYTES, self._handler.limits().body_bytes):
             self._transport.abort()
+        else:
+            self._wait_for_turn()
 
     def _end_linger(self) -> None:
         if self._transport.get_write_buffer_size():
--- a/bergamothill/connection/callerintake.py
+++ b/bergamothill/connection/callerintake.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from bergamothill.clock import Clock
+from bergamothill.connection.readturns import TURN_BYTES, ReadTurns
 from bergamothill.request.connectiontable import ConnectionTable
 from bergamothill.request.memoryaccount import Holding, MemoryAccount, Share, caller_memory_bytes
 
@@ -82,6 +83,8 @@
         self.read_buffer = bytearray(READ_BYTES)
         """Buffer for the bytes of the connection that is being read."""
 
+        self.turn_buffer = memoryview(self.read_buffer)[:TURN_BYTES]
+        self.turns = ReadTurns()
         self.record_refusal = on_refusal
         self._max_descriptors = max_descriptors
         self._clock = clock
--- a/bergamothill/connection/requestparser.py
+++ b/bergamothill/connection/requestparser.py
@@ -95,6 +95,11 @@
         """Size of the body received so far."""
         return len(self._body)
 
+    @property
+    def framing_bytes(self) -> int:
+        """Size of the chunk headers of the body received so far."""
+        return max(0, self._framing_bytes + MAX_BODY_FRAMING_RATIO * len(self._body))
+
     @property
     def memory_bytes(self) -> int:
         """Memory that the request received so far takes; 0 if there is none."""
