Let a reset after the end of an early answer show that it is a part

A server that answered a long upload at once without a length, ended its side and reset the connection 50 ms later was taken to have given a whole answer. Cause: the end of the stream completed the exchange, whether or not the server had taken the request.

An answer that is delimited by the end of its connection is complete at once only if the request was written and has at most 64 kB. Otherwise the connection stays open until the request was acknowledged and no reset has come for 250 ms. Answers with a length or in chunks are complete as before.

Also: the abort of a transport whose connection had been lost while it closed failed for want of its event loop, and the request ended as internal_error. A lost connection is not aborted any more, and a lost poll connection ends its exchange at once.

--- a/bergamothill/connection/backendconnection.py
+++ b/bergamothill/connection/backendconnection.py
@@ -7,16 +7,21 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
+import os
 import re
 import select
 import socket
-from collections.abc import Callable, Iterable
+import struct
+import termios
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
 
 import httptools
 
+from bergamothill.clock import ms_to_seconds
 from bergamothill.connection.backendpool import idle_limit_ms
 from bergamothill.connection.opening import CONNECT_TIMEOUT_MS
 from bergamothill.connection.sendqueue import SendQueue
@@ -42,6 +47,17 @@
 
 TAIL_BYTES = 6
 
+CERTAINLY_READ_BYTES = 65_536
+"""Size up to which a request counts as read by a server that has ended its answer.
+
+What a server has not read of a larger one may lie in its buffers.
+"""
+
+END_CONFIRM_MS = 250
+"""Time in which a reset may follow, once such a request was taken and its answer has ended."""
+
+END_CHECK_MS = 25
+
 _IDLE_BUFFER = bytearray(64)
 """Buffer of all idle connections; bytes that arrive there only close the connection."""
 
@@ -130,6 +146,7 @@
         self._carried_ids: set[bytes] = set()
         self._is_reused = False
         self._eof_received = False
+        self._is_lost = False
         self._begin(sink, done, is_head=is_head, request_id=request_id)
 
     def reuse(
@@ -147,8 +164,7 @@
         # An unreachable server is told as early as by a connect timeout.
         option = getattr(socket, "TCP_USER_TIMEOUT", None)
         if option is not None:
-            sock = self.transport.get_extra_info("socket")
-            sock.setsockopt(socket.IPPROTO_TCP, option, CONNECT_TIMEOUT_MS)
+            self._socket().setsockopt(socket.IPPROTO_TCP, option, CONNECT_TIMEOUT_MS)
 
     def _begin(
         self,
@@ -160,6 +176,8 @@
     ) -> None:
         self.done = done
         self._sink = sink
+        self._request_bytes = 0
+        self._taken_for_ms = 0
         self._is_head_request = is_head
         self._request_id = request_id
         self._carried_ids.add(request_id)
@@ -179,11 +197,12 @@
 
     # Sending.
 
-    def send(self, request: Iterable[bytes]) -> None:
+    def send(self, request: Sequence[bytes]) -> None:
         """Write a request; what the server does not take yet is not copied.
 
         :param request: encoded request, in pieces
         """
+        self._request_bytes += sum(map(len, request))
         self._unsent.send(self.transport, request)
 
     def pause_writing(self) -> None:
@@ -198,6 +217,16 @@
     def _is_request_written(self) -> bool:
         return not self._unsent and self.transport.get_write_buffer_size() == 0
 
+    @property
+    def _is_request_taken(self) -> bool:
+        """Whether the request was written, and a large one acknowledged by the server's machine."""
+        if not self._is_request_written or self._request_bytes <= CERTAINLY_READ_BYTES:
+            return self._is_request_written
+        return _unacknowledged_bytes(self._socket()) == 0
+
+    def _socket(self) -> socket.socket:
+        return self.transport.get_extra_info("socket")
+
     # Keeping.
 
     @property
@@ -239,13 +268,13 @@
             return False
         readable = select.poll()
         events = select.POLLIN | select.POLLPRI | select.POLLRDHUP
-        readable.register(self.transport.get_extra_info("socket").fileno(), events)
+        readable.register(self._socket().fileno(), events)
         return not readable.poll(0)
 
     def abort(self) -> None:
         """Close the connection at once."""
         self._unsent.clear()
-        if self.transport is not None:
+        if self.transport is not None and not self._is_lost:
             self.transport.abort()
 
     # Events of the transport.
@@ -293,12 +322,39 @@
         return self._tail.endswith(b"\r\n\r\n") and self._tail != b"\r\n\r\n\r\n"
 
     def eof_received(self) -> bool:
-        """Record that the server closed its side of the connection."""
+        """Record that the server closed its side of the connection.
+
+        :returns: whether the connection stays open, as a reset may show that the server has not
+            taken the request and that what it has sent is no complete answer
+        """
         self._eof_received = True
-        return False
+        if self.done.done() or not self._body_ends_at_close:
+            return False
+        if self._is_request_taken and self._request_bytes <= CERTAINLY_READ_BYTES:
+            return False
+        self._await_reset()
+        return True
+
+    def _await_reset(self) -> None:
+        asyncio.get_running_loop().call_later(ms_to_seconds(END_CHECK_MS), self._confirm_end)
+
+    def _confirm_end(self) -> None:
+        """Finish the exchange once the request was taken for some time and no reset has come."""
+        if self.done.done() or self.transport.is_closing():
+            return
+        error = self._socket().getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error:
+            self._finish(ExchangeEnd.BROKEN, os.strerror(error), was_closed=True)
+            return
+        self._taken_for_ms = self._taken_for_ms + END_CHECK_MS if self._is_request_taken else 0
+        if self._taken_for_ms >= END_CONFIRM_MS:
+            self._finish(ExchangeEnd.COMPLETE, "", was_closed=True)
+        else:
+            self._await_reset()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Finish the exchange; closing the connection may mark the end of the body."""
+        self._is_lost = True
         self._end_idle()
         if self._body_ends_at_close and self._eof_received and exc is None:
             self._finish(ExchangeEnd.COMPLETE, "", was_closed=True)
@@ -411,3 +467,12 @@
     def _finish(self, end: ExchangeEnd, detail: str, *, was_closed: bool = False) -> None:
         if not self.done.done():
             self.done.set_result(ExchangeResult(end, detail, was_closed))
+
+
+def _unacknowledged_bytes(sock: socket.socket) -> int:
+    """Return how many written bytes the peer's machine has not acknowledged; 0 if not known."""
+    try:
+        found = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, b"\0" * struct.calcsize("i"))
+    except OSError:
+        return 0
+    return struct.unpack("i", found)[0]
--- a/bergamothill/connection/pollconnection.py
+++ b/bergamothill/connection/pollconnection.py
@@ -111,6 +111,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.must_close = True
+        self._transport = None
         self._fail(exc or ConnectionResetError("connection closed"))
         self._release()
 
@@ -160,6 +161,8 @@
             pending.set_result(PollReply(status, bytes(self._body), self._headers))
 
     async def exchange(self, request: bytes) -> PollReply:
+        if self._transport is None:
+            raise ConnectionResetError("connection closed")
         self._received_bytes = self._framing_bytes = 0
         self._pending = asyncio.get_running_loop().create_future()
         self._transport.write(request)
