Take an answer whose status is no status for malformed

A server in trouble that answered with status 000 was passed on as a final answer. Cause: the parser of answers accepts any three digits and fewer. A status outside of 100 to 599 is malformed now, as other bytes are that are no answer; it counts as a failure of the server.

tests.test_early_answers.StatusTest on: 000, 099, 600, 700 and 999 were passed on, of safe and of unsafe requests (0 and 00 were not); after the change none is.

--- a/bergamothill/connection/backendconnection.py
+++ b/bergamothill/connection/backendconnection.py
@@ -58,6 +58,8 @@
 
 END_CHECK_MS = 25
 
+MIN_STATUS, MAX_STATUS = 100, 599
+
 _IDLE_BUFFER = bytearray(64)
 """Buffer of all idle connections; bytes that arrive there only close the connection."""
 
@@ -403,6 +405,9 @@
         if self.done.done():
             return
         status = self._parser.get_status_code()
+        if not MIN_STATUS <= status <= MAX_STATUS:
+            self._reject(f"{status} is no status")
+            return
         self._is_informational = 100 <= status < 200
         if self._is_reused and not self._is_own_head():
             self._finish(ExchangeEnd.STALE, "response to another request")
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -15,6 +15,7 @@
     answer,
     chunk,
     read_all,
+    replies,
     request,
 )
 
@@ -128,3 +129,21 @@
         connection.connection_lost(None)
         connection.abort()
         transport.abort.assert_not_called()
+
+
+class StatusTest(GatewayCase):
+    def test_a_number_that_is_no_status_is_no_answer(self):
+        for status in (b"000", b"0", b"00", b"099", b"600", b"700", b"999"):
+            for path in (SAFE, UNSAFE):
+                with self.subTest(status, path=path):
+                    world = self.world(plain=[replies(answer(status=status + b" Status"))])
+                    found = world.exchange(request(path))
+                    self.assertTrue(found.startswith(b"HTTP/1.1 502 "), found)
+                    self.assertGreater(world.server_pool.server_state("p0").failures, 0)
+
+    def test_unusual_statuses_are_passed_on(self):
+        for status in (b"207", b"299", b"418", b"451"):
+            with self.subTest(status):
+                world = self.world(plain=[replies(answer(status=status + b" Status"))])
+                found = world.exchange(request())
+                self.assertTrue(found.startswith(b"HTTP/1.1 %s " % status), found)
