Let the kernel hold little for connections that are read in turns

What a process has received and not read counts towards its memory on the platform. A connection that waits for its turn gets a receive buffer of 16 kB.

--- a/bergamothill/connection/callerhttp.py
+++ b/bergamothill/connection/callerhttp.py
@@ -77,6 +77,7 @@
         self._keep_alive = True
         self._stops_reading = False
         self._reads_in_turns = False
+        self._has_small_buffer = False
         self._response_started = False
         self._is_head_request = False
         self._is_closed = False
@@ -230,6 +231,9 @@
 
     def _wait_for_turn(self) -> None:
         self._reads_in_turns = True
+        if not self._has_small_buffer:
+            self._has_small_buffer = True
+            self._intake.turns.limit_buffer(self._transport)
         self._intake.turns.wait(self._transport)
 
     def on_request_begin(self) -> int:
--- a/bergamothill/connection/readturns.py
+++ b/bergamothill/connection/readturns.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
 from collections import deque
 
 __all__ = ["TURN_BYTES", "ReadTurns"]
@@ -20,6 +22,12 @@
     def __init__(self) -> None:
         self._waiting: deque[asyncio.ReadTransport] = deque()
 
+    def limit_buffer(self, transport: asyncio.ReadTransport) -> None:
+        """Let the kernel hold little of what a connection receives until it is read."""
+        with contextlib.suppress(OSError):
+            sock = transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, TURN_BYTES)
+
     def wait(self, transport: asyncio.ReadTransport) -> None:
         """Read no more from a connection until it is its turn."""
         transport.pause_reading()
