Bound the request bodies that the daemon's own form holds

Trial, 60 callers with whole bodies of 4 MB at one entry instance in the product's own form: highest memory 1,307 MB, as each of up to 512 threads reads and decodes its body with some four copies of it.

Bodies are counted as they are read, four times their size, and a request that exceeds requests.max_held_bytes (by default half of the memory of the machine) is refused as overloaded, before any work was done. What was taken is given back when the response ends or the caller leaves.

--- a/bergamothill/process/entry.py
+++ b/bergamothill/process/entry.py
@@ -29,6 +29,7 @@
     ServiceName,
 )
 from bergamothill.logs import EventLog
+from bergamothill.process.bodyaccount import BodyAccount, half_of_memory
 from bergamothill.process.callers import CallerRoutes
 from bergamothill.process.clientpool import ClientPool, engine_client
 from bergamothill.process.drain import DrainBounds
@@ -211,7 +212,8 @@
 
     def _make_routes(self) -> None:
         settings = self._settings
-        frontend = Frontend(settings.max_body_bytes)
+        bodies = BodyAccount(settings.max_held_bytes or half_of_memory())
+        frontend = Frontend(settings.max_body_bytes, bodies)
         dependencies = RouteDependencies(
             clock=self._clock,
             zone=settings.zone,
--- a/bergamothill/process/frontend.py
+++ b/bergamothill/process/frontend.py
@@ -10,6 +10,7 @@
 from werkzeug.exceptions import HTTPException, RequestEntityTooLarge
 from werkzeug.routing import Map, Rule
 from werkzeug.wrappers import Request, Response
+from werkzeug.wsgi import ClosingIterator
 
 from bergamothill.errors import (
     BergamothillError,
@@ -19,6 +20,7 @@
 )
 from bergamothill.ids import RequestId
 from bergamothill.logs import EventLog
+from bergamothill.process.bodyaccount import BodyAccount
 from bergamothill.process.httpserver import OVERLOADED_KEY
 from bergamothill.request.chat import error_body
 
@@ -59,10 +61,12 @@
     answer that is written incrementally.
 
     :param max_body_bytes: maximum size of a request body
+    :param bodies: account of the bodies of all requests; None to count none
     """
 
-    def __init__(self, max_body_bytes: int) -> None:
+    def __init__(self, max_body_bytes: int, bodies: BodyAccount | None = None) -> None:
         self._max_body_bytes = max_body_bytes
+        self._bodies = bodies
         self._url_map = Map()
         self._views: dict[str, View] = {}
         self._always_served: set[str] = set()
@@ -85,6 +89,16 @@
 
     def __call__(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
         """Serve one request (WSGI)."""
+        if self._bodies is None:
+            return self._serve(environ, start_response)
+        body = environ["wsgi.input"] = self._bodies.open(environ["wsgi.input"])
+        try:
+            return ClosingIterator(self._serve(environ, start_response), body.release)
+        except BaseException:
+            body.release()
+            raise
+
+    def _serve(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
         request = Request(environ)
         request.max_content_length = self._max_body_bytes
         request_id = RequestId(f"req-{uuid.uuid4().hex}")
--- a/bergamothill/process/settings.py
+++ b/bergamothill/process/settings.py
@@ -36,6 +36,8 @@
     :param statsd_address: ``host:port`` of the metrics daemon; empty disables metrics
     :param log_level: minimum level to log
     :param max_body_bytes: maximum size of a request body
+    :param max_held_bytes: maximum memory of the bodies of all requests in progress; 0 for half of
+        the memory of the machine
     :param worker_threads: maximum number of concurrent requests
     :param idle_timeout_ms: maximum time without data from a backend server during a stream
     :param drain_notice_ms: time for which new work is accepted after readiness starts to fail
@@ -54,6 +56,7 @@
     statsd_address: str
     log_level: str
     max_body_bytes: int
+    max_held_bytes: int
     worker_threads: int
     idle_timeout_ms: int
     drain_notice_ms: int
@@ -161,6 +164,13 @@
         _int_between(1_024, 268_435_456),
         67_108_864,
     ),
+    SettingKey(
+        "requests.max_held_bytes",
+        "max_held_bytes",
+        "0 to 1099511627776",
+        _int_between(0, 1_099_511_627_776),
+        default=0,
+    ),
     SettingKey(
         "requests.worker_threads",
         "worker_threads",
