Account for what callers send only while it is incomplete or waits

A request that comes in one read was accounted for twice, when it began and when it was started, and its parser was reset three times. Parts of requests and queued requests are accounted for after each read; all else when it is started.

--- a/bergamothill/connection/callerhttp.py
+++ b/bergamothill/connection/callerhttp.py
@@ -16,7 +16,7 @@
 from bergamothill.connection.callerhandler import CallerHandler
 from bergamothill.connection.callerintake import REFUSAL_BY_STATUS, Refusal
 from bergamothill.connection.flowgate import FlowGate
-from bergamothill.connection.requestparser import ParsedRequest, RequestParser
+from bergamothill.connection.requestparser import ParsedRequest, ReceiveProgress, RequestParser
 from bergamothill.connection.responseformat import encode_chunk, encode_head, retry_after
 from bergamothill.connection.sendqueue import SendQueue
 from bergamothill.request.blockbody import BLOCK_BYTES
@@ -76,8 +76,8 @@
         self._cancel: Callable[[], None] | None = None
         self._keep_alive = True
         self._stops_reading = False
+        self._is_released = False
         self._reads_in_turns = False
-        self._has_small_buffer = False
         self._response_started = False
         self._is_head_request = False
         self._is_closed = False
@@ -155,18 +155,20 @@
             self._end(refusal)
 
     def _end(self, refusal: Refusal) -> None:
-        self._intake.record_refusal(refusal, self._peer())
+        self._intake.record_refusal(refusal, self._transport)
         self._release()
         self._transport.abort()
 
     def _release(self) -> None:
         """Release what the connection holds; nothing more is received."""
-        self._stops_reading = True
+        self._intake.table.remove(self)
+        if self._is_released:
+            return
+        self._is_released = self._stops_reading = True
         self._parser.release()
         self._drop_queued()
         self._unsent.clear()
         self._holding.release()
-        self._intake.table.remove(self)
 
     def _drop_queued(self) -> None:
         self._queued.clear()
@@ -188,10 +190,6 @@
     def _set_phase(self, phase: Phase) -> None:
         self._intake.table.set_phase(self, phase, self._clock.now_ms())
 
-    def _peer(self) -> str:
-        address = self._transport.get_extra_info("peername")
-        return address[0] if address else ""
-
     def _close(self) -> None:
         """Close the connection once its backlog has been sent."""
         if not self._transport.is_closing():
@@ -206,7 +204,6 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         """Parse received bytes; reject requests that are malformed or too large."""
-        self._reads_in_turns = False
         if self._is_lingering:
             self._discard(nbytes)
         if self._is_closed or self._stops_reading or not self._keep_alive:
@@ -216,23 +213,33 @@
             if self._queued_bytes > MAX_PIPELINED_BYTES:
                 self._reject_unparsed(413)
                 return
-        blocks = self._parser.body_bytes // BLOCK_BYTES
-        framing_bytes = self._parser.framing_bytes
-        if status := self._parser.feed(memoryview(self._intake.read_buffer)[:nbytes]):
+        parser = self._parser
+        before = parser.progress if parser.is_receiving else None
+        if status := parser.feed(memoryview(self._intake.read_buffer)[:nbytes]):
             self._reject_unparsed(status)
-        elif not self._stops_reading:
-            has_new_block = self._parser.body_bytes // BLOCK_BYTES > blocks
-            if has_new_block and self._cancel is None and not self._unsent:
+        elif (parser.is_receiving or self._queued) and not self._stops_reading:
+            self._hold_part(before, nbytes)
+
+    def _hold_part(self, before: ReceiveProgress | None, nbytes: int) -> None:
+        """Account for a part of a request, and for requests that wait.
+
+        :param before: what was received before the latest bytes; None if they begin the request
+        :param nbytes: number of the latest bytes
+        """
+        progress = self._parser.progress
+        if self._cancel is None and not self._unsent:
+            if before is None:
+                self._set_phase(Phase.RECEIVING)
+            elif progress.body_bytes // BLOCK_BYTES > before.body_bytes // BLOCK_BYTES:
                 self._set_phase(Phase.UPLOADING)
-            if not self._claim_memory():
-                self._reject_unparsed(self._status_without_room(self._parser.body_bytes))
-            elif 2 * (self._parser.framing_bytes - framing_bytes) > nbytes:
-                self._wait_for_turn()
+        if not self._claim_memory():
+            self._reject_unparsed(self._status_without_room(progress.body_bytes))
+        elif before is not None and 2 * (progress.framing_bytes - before.framing_bytes) > nbytes:
+            self._wait_for_turn()
 
     def _wait_for_turn(self) -> None:
-        self._reads_in_turns = True
-        if not self._has_small_buffer:
-            self._has_small_buffer = True
+        if not self._reads_in_turns:
+            self._reads_in_turns = True
             self._intake.turns.limit_buffer(self._transport)
         self._intake.turns.wait(self._transport)
 
@@ -240,7 +247,6 @@
         """Start to wait for the head of a request; return its arrival time."""
         if self._cancel is None and not self._unsent:
             self._start_request_timer(_HEADER_TIMEOUT_MS)
-            self._set_phase(Phase.RECEIVING)
         return self._clock.now_ms()
 
     def on_request_head(self, body_bytes: int, *, expects_continue: bool) -> int:
@@ -271,7 +277,7 @@
         self._cancel_timer()
         self._memory_queued -= memory_bytes
         self._memory_in_progress = memory_bytes + HANDLING_BYTES
-        self._set_phase(Phase.ANSWERING)
+        self._intake.table.set_phase(self, Phase.ANSWERING, raw.arrived_ms)
         if not self._intake.has_descriptors(self):
             self._reject_unparsed(503, Refusal.CONNECTIONS)
             return
@@ -289,7 +295,7 @@
         Requests that were received before it are answered instead, and the last of these answers
         closes the connection. Without room they are dropped.
         """
-        self._intake.record_refusal(refusal or REFUSAL_BY_STATUS[status], self._peer())
+        self._intake.record_refusal(refusal or REFUSAL_BY_STATUS[status], self._transport)
         self._stops_reading = True
         self._parser.release()
         if status == 503:
@@ -313,7 +319,7 @@
         self._keep_alive = False
         self.send_response(status, [], b"")
 
-    def send_response(self, status: int, headers: list[Header], body: bytes | bytearray) -> None:
+    def send_response(self, status: int, headers: list[Header], body: bytes) -> None:
         """Send a complete response.
 
         :param status: HTTP status
--- a/bergamothill/connection/callerintake.py
+++ b/bergamothill/connection/callerintake.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from enum import Enum
 from typing import Protocol
@@ -85,10 +86,19 @@
 
         self.turn_buffer = memoryview(self.read_buffer)[:TURN_BYTES]
         self.turns = ReadTurns()
-        self.record_refusal = on_refusal
+        self._on_refusal = on_refusal
         self._max_descriptors = max_descriptors
         self._clock = clock
 
+    def record_refusal(self, refusal: Refusal, transport: asyncio.BaseTransport) -> None:
+        """Record that a caller was refused.
+
+        :param refusal: reason
+        :param transport: transport of its connection
+        """
+        address = transport.get_extra_info("peername")
+        self._on_refusal(refusal, address[0] if address else "")
+
     def has_descriptors(self, connection: YieldingConnection) -> bool:
         """Return whether a connection may be used; unused ones yield to it if it may not."""
         while self.table.descriptors > self._max_descriptors:
--- a/bergamothill/connection/requestparser.py
+++ b/bergamothill/connection/requestparser.py
@@ -14,7 +14,7 @@
 from bergamothill.request.callerrequest import Header, RawRequest
 from bergamothill.version.routetable import CallerLimits
 
-__all__ = ["ParsedRequest", "RequestParser", "RequestSink"]
+__all__ = ["ParsedRequest", "ReceiveProgress", "RequestParser", "RequestSink"]
 
 MAX_BODY_FRAMING_BYTES = 16_384
 """Maximum size of the chunk headers of a request with an empty body."""
@@ -42,6 +42,17 @@
     keep_alive: bool
 
 
+class ReceiveProgress(NamedTuple):
+    """Progress of a request that is being received.
+
+    :param body_bytes: size of its body so far
+    :param framing_bytes: size of the chunk headers
+    """
+
+    body_bytes: int
+    framing_bytes: int
+
+
 class RequestSink(Protocol):
     """Receives the requests of a connection."""
 
@@ -96,9 +107,11 @@
         return len(self._body)
 
     @property
-    def framing_bytes(self) -> int:
-        """Size of the chunk headers of the body received so far."""
-        return max(0, self._framing_bytes + MAX_BODY_FRAMING_RATIO * len(self._body))
+    def progress(self) -> ReceiveProgress:
+        """What was received of the body so far."""
+        body_bytes = len(self._body)
+        framing_bytes = max(0, self._framing_bytes + MAX_BODY_FRAMING_RATIO * body_bytes)
+        return ReceiveProgress(body_bytes, framing_bytes)
 
     @property
     def memory_bytes(self) -> int:
@@ -114,7 +127,8 @@
     def release(self) -> None:
         """Discard what was received; nothing is parsed from now on."""
         self._parser = None
-        self._reset()
+        if self.is_receiving:
+            self._reset()
 
     def feed(self, data: bytes | memoryview) -> int:
         """Parse received bytes.
@@ -143,8 +157,8 @@
 
     def on_message_begin(self) -> None:
         """Start a request."""
-        self._reset()
         self.is_receiving = True
+        self._head_bytes = 0
         self._max_header_bytes = self._limits().header_bytes
         self._arrived_ms = self._sink.on_request_begin()
 
