Share the loop in which connections give way, and the spread of Retry-After

Three methods of the intake repeated one loop; Holding repeated the bookkeeping of its resize; the gateway had a twin of the field Retry-After with a random addition; the end of a small answer asked twice for its size; the backlog was measured twice; Frontend had a branch for no account that nothing used; a test wrote the reset of tests.keptcase again. Behaviour is the same.

--- a/bergamothill/connection/backendconnection.py
+++ b/bergamothill/connection/backendconnection.py
@@ -332,7 +332,7 @@
         self._eof_received = True
         if self.done.done() or not self._body_ends_at_close:
             return False
-        if self._is_request_taken and self._request_bytes <= CERTAINLY_READ_BYTES:
+        if self._is_request_written and self._request_bytes <= CERTAINLY_READ_BYTES:
             return False
         self._await_reset()
         return True
--- a/bergamothill/connection/backlogwatch.py
+++ b/bergamothill/connection/backlogwatch.py
@@ -44,8 +44,9 @@
     def _check(
         self, transport: asyncio.WriteTransport, left_bytes: Callable[[], int], before_bytes: int
     ) -> None:
-        if left_bytes() >= before_bytes:
-            _log.info("answer_not_read", left_bytes=left_bytes())
+        size_bytes = left_bytes()
+        if size_bytes >= before_bytes:
+            _log.info("answer_not_read", left_bytes=size_bytes)
             transport.abort()
         else:
             self.start(transport, left_bytes)
--- a/bergamothill/connection/callerhttp.py
+++ b/bergamothill/connection/callerhttp.py
@@ -14,10 +14,10 @@
 from bergamothill.clock import Clock, ms_to_seconds
 from bergamothill.connection.backlogwatch import BacklogWatch
 from bergamothill.connection.callerhandler import CallerHandler
-from bergamothill.connection.callerintake import REFUSAL_BY_STATUS, Refusal
+from bergamothill.connection.callerintake import MIN_RETRY_AFTER_MS, REFUSAL_BY_STATUS, Refusal
 from bergamothill.connection.flowgate import FlowGate
 from bergamothill.connection.requestparser import ParsedRequest, ReceiveProgress, RequestParser
-from bergamothill.connection.responseformat import encode_chunk, encode_head, retry_after
+from bergamothill.connection.responseformat import encode_chunk, encode_head, spread_retry_after
 from bergamothill.connection.sendqueue import SendQueue
 from bergamothill.request.blockbody import BLOCK_BYTES
 from bergamothill.request.callerrequest import Header
@@ -309,7 +309,7 @@
         if self._response_started:
             self._transport.abort()
         else:
-            headers = [retry_after()] if status == 503 else []
+            headers = [spread_retry_after(MIN_RETRY_AFTER_MS)] if status == 503 else []
             self.send_response(status, headers, b"")
 
     # Sending responses.
--- a/bergamothill/connection/callerintake.py
+++ b/bergamothill/connection/callerintake.py
@@ -12,11 +12,20 @@
 from bergamothill.request.connectiontable import ConnectionTable
 from bergamothill.request.memoryaccount import Holding, MemoryAccount, Share, caller_memory_bytes
 
-__all__ = ["REFUSAL_BY_STATUS", "CallerIntake", "Refusal", "YieldingConnection"]
+__all__ = [
+    "MIN_RETRY_AFTER_MS",
+    "REFUSAL_BY_STATUS",
+    "CallerIntake",
+    "Refusal",
+    "YieldingConnection",
+]
 
 READ_BYTES = 65_536
 """Maximum bytes of a connection to parse before other connections get their turn."""
 
+MIN_RETRY_AFTER_MS = 500
+"""Shortest time after which a caller that found no room may come back."""
+
 DEFAULT_MEMORY_MB = 256
 
 DEFAULT_DESCRIPTORS = 512
@@ -101,12 +110,11 @@
 
     def has_descriptors(self, connection: YieldingConnection) -> bool:
         """Return whether a connection may be used; unused ones yield to it if it may not."""
-        while self.table.descriptors > self._max_descriptors:
-            yielding = self.table.next_to_close(connection, self._clock.now_ms())
-            if yielding is None:
-                return False
-            yielding.give_way(Refusal.CONNECTIONS)
-        return True
+        return _yield_until(
+            lambda: self.table.descriptors <= self._max_descriptors,
+            lambda: self.table.next_to_close(connection, self._clock.now_ms()),
+            Refusal.CONNECTIONS,
+        )
 
     def make_room(
         self, connection: YieldingConnection, holding: Holding, size_bytes: int, share: Share
@@ -116,12 +124,11 @@
         :returns: whether there was room
         """
         is_large = share is Share.LARGE_BODIES
-        while not holding.try_resize(size_bytes, share):
-            yielding = self._next_to_yield(connection, is_large=is_large)
-            if yielding is None:
-                return False
-            yielding.give_way(Refusal.STALLED)
-        return True
+        return _yield_until(
+            lambda: holding.try_resize(size_bytes, share),
+            lambda: self._next_to_yield(connection, is_large=is_large),
+            Refusal.STALLED,
+        )
 
     @property
     def max_body_bytes(self) -> int:
@@ -130,16 +137,27 @@
 
     def has_room(self, connection: YieldingConnection, size_bytes: int) -> bool:
         """Return whether a large body can be received now, if its caller sends it at once."""
-        if size_bytes > self.max_body_bytes:
-            return False
-        while not self.account.has_room(size_bytes, Share.LARGE_BODIES):
-            yielding = self._next_to_yield(connection, is_large=True)
-            if yielding is None:
-                return False
-            yielding.give_way(Refusal.STALLED)
-        return True
+        return size_bytes <= self.max_body_bytes and _yield_until(
+            lambda: self.account.has_room(size_bytes, Share.LARGE_BODIES),
+            lambda: self._next_to_yield(connection, is_large=True),
+            Refusal.STALLED,
+        )
 
     def _next_to_yield(
         self, connection: YieldingConnection, *, is_large: bool
     ) -> YieldingConnection | None:
         return self.table.next_to_yield(connection, self._clock.now_ms(), is_large=is_large)
+
+
+def _yield_until(
+    has_room: Callable[[], bool],
+    next_to_yield: Callable[[], YieldingConnection | None],
+    refusal: Refusal,
+) -> bool:
+    """Let connections give way until there is room; return False if none is left to do so."""
+    while not has_room():
+        yielding = next_to_yield()
+        if yielding is None:
+            return False
+        yielding.give_way(refusal)
+    return True
--- a/bergamothill/connection/responseformat.py
+++ b/bergamothill/connection/responseformat.py
@@ -7,10 +7,7 @@
 from bergamothill.clock import ms_to_seconds
 from bergamothill.request.callerrequest import Header
 
-__all__ = ["encode_chunk", "encode_head", "retry_after"]
-
-MIN_RETRY_AFTER_MS = 500
-"""Shortest time after which a caller that found no room may come back; at most twice as long."""
+__all__ = ["encode_chunk", "encode_head", "spread_retry_after"]
 
 _REASONS = {
     200: b"OK",
@@ -50,7 +47,10 @@
     return b"%x\r\n%s\r\n" % (len(piece), piece) if piece else b""
 
 
-def retry_after() -> Header:
-    """Return the field that tells a caller without room when to come back."""
-    wait_ms = MIN_RETRY_AFTER_MS + random.randrange(MIN_RETRY_AFTER_MS)
+def spread_retry_after(min_ms: int) -> Header:
+    """Return the field that tells a caller when to come back, spread so that not all come at once.
+
+    :param min_ms: shortest time until then; the longest is nearly twice as long
+    """
+    wait_ms = min_ms + random.randrange(min_ms)
     return (b"Retry-After", b"%.3f" % ms_to_seconds(wait_ms))
--- a/bergamothill/process/frontend.py
+++ b/bergamothill/process/frontend.py
@@ -61,10 +61,10 @@
     answer that is written incrementally.
 
     :param max_body_bytes: maximum size of a request body
-    :param bodies: account of the bodies of all requests; None to count none
+    :param bodies: account of the bodies of all requests
     """
 
-    def __init__(self, max_body_bytes: int, bodies: BodyAccount | None = None) -> None:
+    def __init__(self, max_body_bytes: int, bodies: BodyAccount) -> None:
         self._max_body_bytes = max_body_bytes
         self._bodies = bodies
         self._url_map = Map()
@@ -89,8 +89,6 @@
 
     def __call__(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
         """Serve one request (WSGI)."""
-        if self._bodies is None:
-            return self._serve(environ, start_response)
         body = environ["wsgi.input"] = self._bodies.open(environ["wsgi.input"])
         try:
             return ClosingIterator(self._serve(environ, start_response), body.release)
--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import zlib
 from collections.abc import Callable
 from functools import partial
@@ -13,6 +12,7 @@
 from bergamothill.connection.callerhttp import CallerConnection
 from bergamothill.connection.callerintake import CallerIntake
 from bergamothill.connection.keptconnections import KeptConnections
+from bergamothill.connection.responseformat import spread_retry_after
 from bergamothill.errors import InvalidRequestError
 from bergamothill.ids import ServiceName
 from bergamothill.logs import EventLog
@@ -32,7 +32,7 @@
     StreamResumption,
 )
 from bergamothill.request.bufferbudget import BufferBudget
-from bergamothill.request.callerrequest import CallerRequest, Header, RawRequest
+from bergamothill.request.callerrequest import CallerRequest, RawRequest
 from bergamothill.request.requestqueue import QueuedRequest
 from bergamothill.request.windowedbudget import WindowedRetryBudget
 from bergamothill.version.routetable import CallerLimits, Service
@@ -275,7 +275,7 @@
             connection.send_error(400)
         except Exception as error:  # noqa: BLE001 - the caller needs a final answer
             log_crash("-" if request is None else request.request_id, error)
-            connection.send_response(503, [_retry_after_header()], b"")
+            connection.send_response(503, [spread_retry_after(UNAVAILABLE_RETRY_MS)], b"")
         else:
             if run is None:
                 self._reject(connection, request, admission)
@@ -381,7 +381,7 @@
         status = _STATUS_BY_VERDICT.get(admission.verdict, 503)
         headers = []
         if status == 503:
-            headers.append(_retry_after_header())
+            headers.append(spread_retry_after(UNAVAILABLE_RETRY_MS))
         _log.info(
             "request_denied",
             request=request.request_id,
@@ -396,9 +396,4 @@
         connection.send_response(status, headers, b"")
 
 
-def _retry_after_header() -> Header:
-    wait_s = ms_to_seconds(UNAVAILABLE_RETRY_MS + random.randrange(UNAVAILABLE_RETRY_MS))
-    return (b"Retry-After", b"%.3f" % wait_s)
-
-
 _STATUS_BY_VERDICT = {Verdict.UNKNOWN_ROUTE: 404, Verdict.UNKNOWN_KEY: 401}
--- a/bergamothill/request/memoryaccount.py
+++ b/bergamothill/request/memoryaccount.py
@@ -84,11 +84,9 @@
     def try_resize(self, size_bytes: int, share: Share) -> bool:
         """Take or give back what a new size needs; returns False, unchanged, without room."""
         more_bytes = size_bytes - self.size_bytes
-        if more_bytes > 0 and not self._account.try_take(more_bytes, share):
+        if more_bytes > 0 and not self._account.has_room(more_bytes, share):
             return False
-        if more_bytes < 0:
-            self._account.release(-more_bytes)
-        self.size_bytes = size_bytes
+        self.resize(size_bytes)
         return True
 
     def resize(self, size_bytes: int) -> None:
@@ -98,5 +96,4 @@
 
     def release(self) -> None:
         """Give back all of it."""
-        self._account.release(self.size_bytes)
-        self.size_bytes = 0
+        self.resize(0)
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import socket
-import struct
 import time
 import unittest
 from unittest import mock
@@ -18,6 +17,7 @@
     replies,
     request,
 )
+from tests.keptcase import resets as reset
 
 BODY = b"x" * 4_194_304
 PART = answer(b"", framing=b"") + b"a part"
@@ -34,22 +34,17 @@
     return data
 
 
-def reset(connection):
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    connection.close()
-
-
 def resets(connection):
     connection.sendall(PART)
     time.sleep(RESET_DELAY_S)
-    reset(connection)
+    reset(connection, b"")
 
 
 def ends_and_resets(connection):
     connection.sendall(PART)
     connection.shutdown(socket.SHUT_WR)
     time.sleep(RESET_DELAY_S)
-    reset(connection)
+    reset(connection, b"")
 
 
 def ends_and_closes_unread(connection):
