--- a/bergamothill/connection/backendhttp.py
+++ b/bergamothill/connection/backendhttp.py
@@ -89,6 +89,7 @@
     flow: FlowGate | None = None,
     keeping: Keeping | None = None,
     confirm: Callable[[], Awaitable[bool]] | None = None,
+    on_open: Callable[[], None] = lambda: None,
 ) -> ExchangeResult:
     """Send one request on one connection and pass the response to a sink.
 
@@ -104,12 +105,13 @@
     :param keeping: use of kept connections; None for a new connection that is closed afterwards
     :param confirm: called once the request is written; the response is read after it has returned,
         and is dropped if it returned False
+    :param on_open: called once a new connection is open
     """
     done: asyncio.Future[ExchangeResult] = asyncio.get_running_loop().create_future()
     if keeping is None:
         connection = BackendConnection(sink, done, is_head=is_head)
         return await _exchange_on_new(
-            connection, address, request, may_send, connect_timeout_ms, flow, confirm
+            connection, address, request, may_send, connect_timeout_ms, flow, confirm, on_open
         )
     connection = keeping.take(request)
     is_reused = connection is not None
@@ -132,6 +134,7 @@
                 connect_timeout_ms,
                 flow,
                 confirm,
+                on_open,
                 closes=False,
             )
         end = result.end
@@ -155,6 +158,7 @@
     connect_timeout_ms: int,
     flow: FlowGate | None,
     confirm: Callable[[], Awaitable[bool]] | None,
+    on_open: Callable[[], None],
     *,
     closes: bool = True,
 ) -> ExchangeResult:
@@ -165,6 +169,7 @@
         return ExchangeResult(ExchangeEnd.NOT_CONNECTED, "connect timed out")
     except OSError as error:
         return ExchangeResult(ExchangeEnd.NOT_CONNECTED, str(error))
+    on_open()
     # Write only once connected, so that a connect timeout implies that no request was sent.
     if not may_send():
         transport.abort()
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -41,6 +41,7 @@
 from bergamothill.process.prefillexchange import PrefillExchange
 from bergamothill.process.prefixfollower import PrefixFollower, Snapshot
 from bergamothill.process.ratelimitedlog import install_rate_limited_log
+from bergamothill.process.reachwatch import ReachWatch
 from bergamothill.process.readexchange import ReadExchange
 from bergamothill.process.readiness import ReadinessHandler
 from bergamothill.process.readtimes import ReadTimes
@@ -229,6 +230,7 @@
             ("reads", self._reads.run),
             ("origins", self._origin_exchange.run),
             ("quarantine", partial(self._quarantine.run, self._kvs, self._supervisor.guard)),
+            ("reach", ReachWatch(self._clock, self._server_pool, self._metrics).run),
             ("stalls", self._gateway.watch_for_stalls),
             ("streams", self._streams.run),
             ("sweep", self._make_sweep_duty().run),
--- a/bergamothill/process/serverattempt.py
+++ b/bergamothill/process/serverattempt.py
@@ -123,6 +123,7 @@
         self._is_retired = False
         self._is_unread = False
         self._is_streaming = False
+        self._is_on_new_connection = False
         self._own_head: ResponseHead | None = None
         self._said_leaving = False
         self._sent_ms = 0
@@ -239,8 +240,12 @@
             flow=self._context.flow,
             keeping=keeping,
             confirm=confirm,
+            on_open=self._on_open,
         )
 
+    def _on_open(self) -> None:
+        self._is_on_new_connection = True
+
     def _keeping(self) -> Keeping | None:
         """Return how kept connections are used; None if none is kept to this server."""
         entry, connections = self.send.server, self._context.connections
@@ -383,6 +388,8 @@
     def on_own_head(self, head: ResponseHead) -> None:
         """Learn from the head of an answer what the server says of itself."""
         self._own_head = head
+        if self._is_on_new_connection:
+            self._server_pool.reachability.record_answer(self._clock.now_ms())
         server = self.send.server
         is_other_instance = head.status == 421 and head.instance != server.server
         # A refusal need not come from the expected instance.
--- a/bergamothill/process/serveridentity.py
+++ b/bergamothill/process/serveridentity.py
@@ -72,7 +72,8 @@
             started_wall_ms = decode_start(reply, server.server)
         except (BergamothillError, TimeoutError) as error:
             connection.close()
-            _log.info("server_not_identified", server=server.server, reason=str(error)[:120])
+            _log.info("server_not_identified", server=server.server, reason=repr(error)[:120])
+            self._servers.reachability.record_failure(server.address, self._clock.now_ms())
             return
         self._servers.record_identity(server, started_wall_ms, sent_ms)
         self._keep_connection(server.address, connection)
--- a/bergamothill/process/serverlist.py
+++ b/bergamothill/process/serverlist.py
@@ -173,6 +173,10 @@
         for state in self._observed.values():
             self._by_service.setdefault(state.entry.service, []).append(state)
 
+    def present(self, now_ms: int) -> list[BackendServer]:
+        """Return the servers of all services that are there and not leaving."""
+        return [b.entry for b in self._observed.values() if b.is_present(now_ms)]
+
     def server_state(self, server: ServerId) -> ObservedServer | None:
         """Return the observed state of a server, or None if it is unknown."""
         return self._observed.get(server)
--- a/bergamothill/process/serverpool.py
+++ b/bergamothill/process/serverpool.py
@@ -115,6 +115,7 @@
         self.limits.retain(state.entry for state in self._observed.values())
         self.speeds.retain(state.entry.incarnation for state in self._observed.values())
         self.capacity.retain(self._observed.keys())
+        self.reachability.set_server_count(len(self._observed))
 
     def _set_fetch_sources(self) -> None:
         engines = (
@@ -253,6 +254,7 @@
         )
         state.backoff_until_ms = max(state.backoff_until_ms, now_ms + backoff_ms)
         self._record_failure(state, now_ms)
+        self.reachability.record_failure(state.entry.address, now_ms)
 
     def mark_replaced(self, server: ServerId) -> None:
         """Record that another instance answers at the address of a server."""
--- a/bergamothill/process/serversilence.py
+++ b/bergamothill/process/serversilence.py
@@ -5,6 +5,7 @@
 from bergamothill.ids import ServerId
 from bergamothill.logs import EventLog
 from bergamothill.process.observedserver import ObservedServer
+from bergamothill.process.reachability import Reachability
 from bergamothill.process.serverlist import ServerList
 
 __all__ = ["ServerSilence"]
@@ -51,6 +52,8 @@
     ) -> None:
         super().__init__(entry_expiry_ms, stability_window_ms, min_entry_life_ms)
         self._checked_ms: int | None = None
+        self.reachability = Reachability()
+        """Whether this instance reaches any server."""
 
     def record_bytes(self, server: ServerId, now_ms: int) -> None:
         """Record that bytes were received from a server."""
@@ -75,10 +78,12 @@
         for state in self._at_address(address):
             state.has_event_reader = False
 
-    def set_reachable(self, address: str, is_reachable: bool) -> None:
+    def set_reachable(self, address: str, is_reachable: bool, now_ms: int) -> None:
         """Record that the event connection to the server at an address was lost or restored."""
         for state in self._at_address(address):
             state.is_reachable = is_reachable
+            if not is_reachable:
+                self.reachability.record_failure(address, now_ms)
 
     def stream_began(self, server: ServerId) -> None:
         """Record that the answer to a request has begun."""
@@ -102,7 +107,14 @@
         if self._has_paused(now_ms):
             for state in self._observed.values():
                 state.last_received_ms = max(state.last_received_ms, now_ms)
+            self.reachability.record_pause()
         self._checked_ms = now_ms
+        self._record_silent_servers(now_ms)
+
+    def _record_silent_servers(self, now_ms: int) -> None:
+        for state in self._observed.values():
+            if state.is_heard and now_ms - state.last_received_ms >= SUSPECT_SILENCE_MS:
+                self.reachability.record_failure(state.entry.address, now_ms)
 
     def _has_paused(self, now_ms: int) -> bool:
         """Return whether this process has paused since the last check for stalls."""
--- a/bergamothill/process/softwareversions.py
+++ b/bergamothill/process/softwareversions.py
@@ -191,7 +191,7 @@
 
         An incarnation that was listed in between may have ended before its connection was opened.
         """
-        self.set_reachable(address, is_connected)
+        self.set_reachable(address, is_connected, now_ms)
         if not is_connected:
             self._lost_addresses.add(address)
             return
