Describe how a connection is opened by a Dial

exchange() took address, timeout and a callback as parameters of their own, and connections to other instances need a local address besides. Without change of behaviour. The tests of exchange pass the same address and timeout in a Dial.

--- a/bergamothill/connection/backendhttp.py
+++ b/bergamothill/connection/backendhttp.py
@@ -25,6 +25,7 @@
 __all__ = [
     "BackendConnection",
     "ConnectionKeeper",
+    "Dial",
     "ExchangeEnd",
     "ExchangeResult",
     "ExchangeSink",
@@ -78,41 +79,59 @@
         return self.keeper.take(self.server, self.request_id)
 
 
+@dataclass(frozen=True, slots=True)
+class Dial:
+    """How a new connection is opened.
+
+    :param address: ``host:port``
+    :param timeout_ms: maximum time to open it, in milliseconds
+    :param local_host: IP address of this machine to use; None for any
+    :param on_open: called once it is open
+    """
+
+    address: str
+    timeout_ms: int = CONNECT_TIMEOUT_MS
+    local_host: str | None = None
+    on_open: Callable[[], None] = lambda: None
+
+    async def open(self, protocol: asyncio.Protocol) -> asyncio.Transport:
+        """Open a connection; see :func:`open_connection`."""
+        transport = await open_connection(
+            self.address, protocol, timeout_ms=self.timeout_ms, local_host=self.local_host
+        )
+        self.on_open()
+        return transport
+
+
 async def exchange(
-    address: str,
+    dial: Dial,
     request: Sequence[bytes],
     sink: ExchangeSink,
     *,
     may_send: Callable[[], bool],
-    connect_timeout_ms: int = CONNECT_TIMEOUT_MS,
     is_head: bool = False,
     flow: FlowGate | None = None,
     keeping: Keeping | None = None,
     confirm: Callable[[], Awaitable[bool]] | None = None,
-    on_open: Callable[[], None] = lambda: None,
 ) -> ExchangeResult:
     """Send one request on one connection and pass the response to a sink.
 
     Cancelling the task closes the connection immediately, which cancels the request at the server.
 
-    :param address: ``host:port``
+    :param dial: how a new connection is opened
     :param request: encoded request, in pieces
     :param sink: receives the response
     :param may_send: tells, once connected, whether the request may still be sent
-    :param connect_timeout_ms: maximum time to open the connection, in milliseconds
     :param is_head: the request's method is HEAD, so the response has no body
     :param flow: pauses reading of the response
     :param keeping: use of kept connections; None for a new connection that is closed afterwards
     :param confirm: called once the request is written; the response is read after it has returned,
         and is dropped if it returned False
-    :param on_open: called once a new connection is open
     """
     done: asyncio.Future[ExchangeResult] = asyncio.get_running_loop().create_future()
     if keeping is None:
         connection = BackendConnection(sink, done, is_head=is_head)
-        return await _exchange_on_new(
-            connection, address, request, may_send, connect_timeout_ms, flow, confirm, on_open
-        )
+        return await _exchange_on_new(connection, dial, request, may_send, flow, confirm)
     connection = keeping.take(request)
     is_reused = connection is not None
     if not is_reused:
@@ -127,15 +146,7 @@
             result = await _exchange_on_kept(connection, request, may_send, flow, confirm)
         else:
             result = await _exchange_on_new(
-                connection,
-                address,
-                request,
-                may_send,
-                connect_timeout_ms,
-                flow,
-                confirm,
-                on_open,
-                closes=False,
+                connection, dial, request, may_send, flow, confirm, closes=False
             )
         end = result.end
         # Reading was late if it was paused, so that the idle time at the server is not known.
@@ -152,24 +163,21 @@
 
 async def _exchange_on_new(
     connection: BackendConnection,
-    address: str,
+    dial: Dial,
     request: Sequence[bytes],
     may_send: Callable[[], bool],
-    connect_timeout_ms: int,
     flow: FlowGate | None,
     confirm: Callable[[], Awaitable[bool]] | None,
-    on_open: Callable[[], None],
     *,
     closes: bool = True,
 ) -> ExchangeResult:
     flow = flow or FlowGate()
     try:
-        transport = await open_connection(address, connection, timeout_ms=connect_timeout_ms)
+        transport = await dial.open(connection)
     except TimeoutError:
         return ExchangeResult(ExchangeEnd.NOT_CONNECTED, "connect timed out")
     except OSError as error:
         return ExchangeResult(ExchangeEnd.NOT_CONNECTED, str(error))
-    on_open()
     # Write only once connected, so that a connect timeout implies that no request was sent.
     if not may_send():
         transport.abort()
--- a/bergamothill/process/serverattempt.py
+++ b/bergamothill/process/serverattempt.py
@@ -8,7 +8,13 @@
 from enum import Enum
 
 from bergamothill.clock import Clock
-from bergamothill.connection.backendhttp import ExchangeEnd, ExchangeResult, Keeping, exchange
+from bergamothill.connection.backendhttp import (
+    Dial,
+    ExchangeEnd,
+    ExchangeResult,
+    Keeping,
+    exchange,
+)
 from bergamothill.connection.backendpool import PooledServer
 from bergamothill.connection.flowgate import FlowGate
 from bergamothill.connection.keptconnections import KeptConnections
@@ -232,7 +238,7 @@
         keeping = self._keeping()
         self.send.terms.closes_connection = keeping is None
         return await exchange(
-            self.send.server.address,
+            Dial(self.send.server.address, on_open=self._on_open),
             encode_forward(self._request, self.send.terms),
             self.relay,
             may_send=self._may_send,
@@ -240,7 +246,6 @@
             flow=self._context.flow,
             keeping=keeping,
             confirm=confirm,
-            on_open=self._on_open,
         )
 
     def _on_open(self) -> None:
--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -264,11 +264,10 @@
             with mock.patch.object(loop, "create_connection", create_connection):
                 task = asyncio.ensure_future(
                     exchange(
-                        "h:1",
+                        backendhttp.Dial("h:1", connect_timeout_ms),
                         [b"x"],
                         mock.Mock(),
                         may_send=lambda: may_send,
-                        connect_timeout_ms=connect_timeout_ms,
                     )
                 )
                 await asyncio.sleep(0)
