--- a/scripts/callerload.py
+++ b/scripts/callerload.py
@@ -14,7 +14,15 @@
 
 from scripts.platformfleet import API_KEY, HOST, EntryNode, RequestKind
 
-__all__ = ["Balancer", "CallerHabit", "CallerRecord", "Connection", "Ending", "run_caller"]
+__all__ = [
+    "Balancer",
+    "CallerHabit",
+    "CallerRecord",
+    "Connection",
+    "Ending",
+    "ZoneBalancer",
+    "run_caller",
+]
 
 MISSES_TO_LEAVE = 2
 CHECK_INTERVAL_S = 1.0
@@ -124,6 +132,28 @@
         self._misses[node.name] = 0 if is_ready else self._misses.get(node.name, 0) + 1
 
 
+class ZoneBalancer(Balancer):
+    """Chooses the instance of each new connection of callers of one zone.
+
+    :param nodes: returns the entry instances
+    :param zone: zone of the callers
+    """
+
+    def __init__(self, nodes: Callable[[], list[EntryNode]], zone: str) -> None:
+        super().__init__(nodes)
+        self._zone = zone
+
+    def choose(self, draw: random.Random) -> EntryNode:
+        """Return an instance of the zone, or of another one if the zone has none in rotation."""
+        nodes = self._nodes()
+        own = [node for node in nodes if node.zone == self._zone]
+        ready = [node for node in nodes if self._misses.get(node.name, 0) < MISSES_TO_LEAVE]
+        ready_own = [node for node in own if node in ready]
+        if not ready_own:
+            return draw.choice(ready or nodes)
+        return draw.choice(ready_own if 2 * len(ready_own) >= len(own) else own)
+
+
 async def _is_ready(address: tuple[str, int]) -> bool:
     reader, writer = await asyncio.open_connection(*address)
     try:
--- a/scripts/platformfleet.py
+++ b/scripts/platformfleet.py
@@ -13,6 +13,7 @@
 from bergamothill.connection.kvs import ABSENT
 from bergamothill.platform.kvs import PlatformKeyValueService
 from scripts.processes import EntryProcess, ProcessGroup, StandInProcess
+from standins.links import LinkState
 
 __all__ = [
     "API_KEY",
@@ -129,14 +130,18 @@
 
     :param name: name of the instance
     :param ip_address: its loopback address
+    :param zone: its availability zone
     :param settings_path: its settings file
     :param log_path: file for its log
     """
 
-    def __init__(self, name: str, ip_address: str, settings_path: Path, log_path: Path) -> None:
+    def __init__(
+        self, name: str, ip_address: str, zone: str, settings_path: Path, log_path: Path
+    ) -> None:
         listen_address = f"{ip_address}:{READINESS_PORT}"
         super().__init__(settings_path, listen_address, log_path, has_log_on_stdout=True)
         self.name = name
+        self.zone = zone
         self.caller_address = (ip_address, CALLER_PORT)
         self.readiness_address = (ip_address, READINESS_PORT)
         self.log_path = log_path
@@ -157,6 +162,8 @@
     :param nodes: entry instances
     :param kvs: client of the key-value service
     :param group: group that stops all processes
+    :param links: links between each instance and the servers, by number of the instance; empty if
+        instances reach the servers themselves
     :param version: next version of the configuration
     """
 
@@ -166,14 +173,18 @@
     nodes: list[EntryNode]
     kvs: PlatformKeyValueService
     group: ProcessGroup
+    links: list[StandInProcess]
     version: int = 1
 
     @classmethod
-    def start(cls, group: ProcessGroup, shape: FleetShape) -> PlatformFleet:
+    def start(
+        cls, group: ProcessGroup, shape: FleetShape, *, has_links: bool = False
+    ) -> PlatformFleet:
         """Start all processes and wait until the entry instances are ready.
 
         :param group: group that stops them
         :param shape: layout
+        :param has_links: whether each instance reaches the servers over links that can be cut
         """
         store = group.add(StandInProcess("platformstore"))
         client = HttpClient("key-value service", store.address)
@@ -183,7 +194,11 @@
         servers = {
             name: group.add(StandInProcess("platformserver", "--server", name)) for name in names
         }
-        fleet = cls(shape, store, servers, [], kvs, group)
+        links = [
+            group.add(StandInProcess("links", "--store", store.address))
+            for _ in range(shape.nodes if has_links else 0)
+        ]
+        fleet = cls(shape, store, servers, [], kvs, group, links)
         fleet.write_config()
         for number, (name, server) in enumerate(servers.items()):
             entry = _server_entry(name, server.address, shape.zones[number % len(shape.zones)])
@@ -203,9 +218,16 @@
         zone = self.shape.zones[number % len(self.shape.zones)]
         name = f"front-{zone}-{1 + number // len(self.shape.zones)}"
         path = self.group.folder / f"{name}.toml"
-        path.write_text(self._settings(name, ip_address, zone), encoding="utf-8")
+        path.write_text(self._settings(name, ip_address, zone, number), encoding="utf-8")
         log_path = self.group.folder / f"{name}.log"
-        return self.group.add(EntryNode(name, ip_address, path, log_path))
+        return self.group.add(EntryNode(name, ip_address, zone, path, log_path))
+
+    def set_links(self, number: int, state: LinkState) -> None:
+        """Change how the links between an instance and the servers behave.
+
+        :param number: position of the instance
+        """
+        self.links[number].json("PUT", "/links", {"state": state.value})
 
     def write_config(self) -> None:
         """Write the next version of the configuration."""
@@ -225,7 +247,8 @@
         expected = ABSENT if existing is None else existing.mod_revision
         self.kvs.put_if(key, json.dumps(document).encode(), expected=expected)
 
-    def _settings(self, name: str, ip_address: str, zone: str) -> str:
+    def _settings(self, name: str, ip_address: str, zone: str, number: int) -> str:
+        store = self.links[number] if self.links else self.store
         return f"""\
 nodeName = "{name}"
 zone = "{zone}"
@@ -249,7 +272,7 @@
 leaseMs = 3000
 versionMs = 6000
 [platform]
-address = "{self.store.address}"
+address = "{store.address}"
 ttlMinMs = 1000
 """
 
