--- a/bergamothill/process/serverattempt.py
+++ b/bergamothill/process/serverattempt.py
@@ -8,7 +8,13 @@
 from enum import Enum
 
 from bergamothill.clock import Clock
-from bergamothill.connection.backendhttp import ExchangeEnd, ExchangeResult, Keeping, exchange
+from bergamothill.connection.backendhttp import (
+    Dial,
+    ExchangeEnd,
+    ExchangeResult,
+    Keeping,
+    exchange,
+)
 from bergamothill.connection.backendpool import PooledServer
 from bergamothill.connection.flowgate import FlowGate
 from bergamothill.connection.keptconnections import KeptConnections
@@ -123,6 +129,7 @@
         self._is_retired = False
         self._is_unread = False
         self._is_streaming = False
+        self._is_on_new_connection = False
         self._own_head: ResponseHead | None = None
         self._said_leaving = False
         self._sent_ms = 0
@@ -231,7 +238,7 @@
         keeping = self._keeping()
         self.send.terms.closes_connection = keeping is None
         return await exchange(
-            self.send.server.address,
+            Dial(self.send.server.address, on_open=self._on_open),
             encode_forward(self._request, self.send.terms),
             self.relay,
             may_send=self._may_send,
@@ -241,6 +248,9 @@
             confirm=confirm,
         )
 
+    def _on_open(self) -> None:
+        self._is_on_new_connection = True
+
     def _keeping(self) -> Keeping | None:
         """Return how kept connections are used; None if none is kept to this server."""
         entry, connections = self.send.server, self._context.connections
@@ -383,6 +393,8 @@
     def on_own_head(self, head: ResponseHead) -> None:
         """Learn from the head of an answer what the server says of itself."""
         self._own_head = head
+        if self._is_on_new_connection:
+            self._server_pool.reachability.record_answer(self._clock.now_ms())
         server = self.send.server
         is_other_instance = head.status == 421 and head.instance != server.server
         # A refusal need not come from the expected instance.
