Pass requests on through another instance while no server is reached

Cause: each request learned anew, by its own time-outs at one server after the other, that no server is reached, and the instance had no other way to one. What it observed was kept for each server by itself.

Now an instance whose probes fail asks others whether servers answer them. If one replies that they do, admitted requests go whole to an instance that reaches servers, over TCP at the port that had datagrams only; it admits, limits, places and repeats them like its own, and its answer comes back as the server made it. New requests go at once, those that wait or could not be sent when that is found as well.

--- a/bergamothill/connection/callerintake.py
+++ b/bergamothill/connection/callerintake.py
@@ -96,7 +96,7 @@
         self.turn_buffer = memoryview(self.read_buffer)[:TURN_BYTES]
         self.turns = ReadTurns()
         self._on_refusal = on_refusal
-        self._max_descriptors = max_descriptors
+        self.max_descriptors = max_descriptors
         self._clock = clock
 
     def record_refusal(self, refusal: Refusal, transport: asyncio.BaseTransport) -> None:
@@ -111,7 +111,7 @@
     def has_descriptors(self, connection: YieldingConnection) -> bool:
         """Return whether a connection may be used; unused ones yield to it if it may not."""
         return _yield_until(
-            lambda: self.table.descriptors <= self._max_descriptors,
+            lambda: self.table.descriptors <= self.max_descriptors,
             lambda: self.table.next_to_close(connection, self._clock.now_ms()),
             Refusal.CONNECTIONS,
         )
--- a/bergamothill/platform/config.py
+++ b/bergamothill/platform/config.py
@@ -156,9 +156,20 @@
         engine,
         cold_start_ms=math.ceil(cold_start_s * MS_PER_S),
         cold_per_s=fields.plausible_number("coldPerS", MAX_COLD_PER_S) or 0.0,
+        health_path=_health_path(fields),
     )
 
 
+def _health_path(fields: Fields) -> str:
+    """Return the path of health checks; empty if there is none, or it cannot be asked for."""
+    try:
+        path = fields.text("healthCheckPath", "")
+    except ProtocolError:
+        return ""
+    is_path = path.startswith("/") and path.isascii() and path.isprintable() and " " not in path
+    return path if is_path else ""
+
+
 def _decode_engine(fields: Fields) -> EngineTraits:
     models = (Fields(row, step=_STEP).text("name") for row in fields.rows("models"))
     return EngineTraits(
--- a/bergamothill/platform/headers.py
+++ b/bergamothill/platform/headers.py
@@ -18,7 +18,13 @@
     ResponseHead,
 )
 
-__all__ = ["decode_answer", "decode_request", "encode_forward", "says_leaving"]
+__all__ = [
+    "connection_fields",
+    "decode_answer",
+    "decode_request",
+    "encode_forward",
+    "says_leaving",
+]
 
 MS_PER_S = 1_000
 MAX_COUNT_DIGITS = 9
@@ -76,11 +82,8 @@
     :raises InvalidRequestError: a singleton header field has two different values
     """
     first_values: dict[bytes, bytes] = {}
-    dropped = set(_HOP_BY_HOP_FIELDS)
     for name, value in raw.headers:
         lower_name = name.lower()
-        if lower_name == b"connection":
-            dropped.update(token.strip().lower() for token in value.split(b","))
         if (
             lower_name in first_values
             and lower_name in _SINGLETON_FIELDS
@@ -90,9 +93,7 @@
                 f"conflicting values of header field {lower_name.decode('latin-1')}", step=_STEP
             )
         first_values.setdefault(lower_name, value)
-    # A caller must not remove a field that routing depends on by listing it in Connection.
-    dropped -= _SINGLETON_FIELDS
-    dropped |= _RESERVED_FIELDS
+    dropped = connection_fields(raw.headers) | _RESERVED_FIELDS
     prompt_tokens, max_output_tokens = _parse_token_counts(first_values.get(b"x-token-counts"))
     model = first_values.get(b"x-model")
     return CallerRequest(
@@ -111,6 +112,20 @@
     )
 
 
+def connection_fields(headers: list[Header]) -> frozenset[bytes]:
+    """Return the lowercase names of the fields that concern only the connection of a request.
+
+    A caller cannot remove a field that routing depends on by listing it in Connection.
+
+    :param headers: header fields of the request
+    """
+    fields = set(_HOP_BY_HOP_FIELDS)
+    for name, value in headers:
+        if name.lower() == b"connection":
+            fields.update(token.strip().lower() for token in value.split(b","))
+    return frozenset(fields - _SINGLETON_FIELDS)
+
+
 _SINGLETON_FIELDS = frozenset(
     (
         b"host",
--- a/bergamothill/platform/serverreport.py
+++ b/bergamothill/platform/serverreport.py
@@ -1,4 +1,4 @@
-"""Asking a backend server which incarnation answers at its address."""
+"""Asking a backend server which incarnation answers at its address, or whether any does."""
 
 from __future__ import annotations
 
@@ -7,7 +7,13 @@
 from bergamothill.ids import ServerId
 from bergamothill.platform.fields import Fields
 
-__all__ = ["NO_START", "OTHER_SERVER", "decode_start", "encode_start_query"]
+__all__ = [
+    "NO_START",
+    "OTHER_SERVER",
+    "decode_start",
+    "encode_health_check",
+    "encode_start_query",
+]
 
 NO_START = 0
 """Start of a server whose reports do not name it."""
@@ -29,6 +35,15 @@
     ).encode()
 
 
+def encode_health_check(address: str, path: str) -> bytes:
+    """Encode a health check.
+
+    :param address: ``host:port`` of the server
+    :param path: path of the health checks of its service
+    """
+    return f"GET {path} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n".encode()
+
+
 def decode_start(reply: PollReply, server: ServerId) -> int:
     """Return the start of the incarnation that replied, in milliseconds since the epoch.
 
--- a/bergamothill/process/daemon.py
+++ b/bergamothill/process/daemon.py
@@ -63,7 +63,7 @@
 
 def _serve_on_platform(settings: NodeSettings, path: str) -> int:
     # The two modes share few modules; each imports only its own, because memory use is billed.
-    from bergamothill.process.platformnode import serve
+    from bergamothill.process.nodemain import serve
 
     serve(settings, path)
     return EXIT_OK
--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -14,7 +14,7 @@
 from bergamothill.connection.keptconnections import KeptConnections
 from bergamothill.connection.responseformat import spread_retry_after
 from bergamothill.errors import InvalidRequestError
-from bergamothill.ids import ServiceName
+from bergamothill.ids import EntryInstanceId, ServiceName
 from bergamothill.logs import EventLog
 from bergamothill.platform.headers import decode_request
 from bergamothill.process.admissionqueue import AdmissionQueue
@@ -23,6 +23,8 @@
 from bergamothill.process.drainperiod import DrainPeriod
 from bergamothill.process.gatewaymetrics import GatewayMetrics
 from bergamothill.process.nodesettings import DeploymentBounds
+from bergamothill.process.passedrun import PassContext, PassedRun
+from bergamothill.process.passing import Passing
 from bergamothill.process.quarantinegate import QuarantineGate
 from bergamothill.process.requestrun import RequestRun
 from bergamothill.process.serverpool import ServerPool
@@ -33,6 +35,7 @@
 )
 from bergamothill.request.bufferbudget import BufferBudget
 from bergamothill.request.callerrequest import CallerRequest, RawRequest
+from bergamothill.request.forwarding import Finish
 from bergamothill.request.requestqueue import QueuedRequest
 from bergamothill.request.windowedbudget import WindowedRetryBudget
 from bergamothill.version.routetable import CallerLimits, Service
@@ -95,12 +98,15 @@
         self._connections = connections or KeptConnections(clock, 0, lambda _event: None)
         self._retry_budgets: dict[ServiceName, WindowedRetryBudget] = {}
         self._tasks: set[asyncio.Task[None]] = set()
-        self._runs: set[RequestRun] = set()
+        self._runs: set[RequestRun | PassedRun] = set()
         self._searches: set[asyncio.Task[ResumedStream | None]] = set()
         """Searches for where streams began; their requests are no runs yet."""
 
         self._queues: dict[ServiceName, AdmissionQueue] = {}
         self._buffer_budget = BufferBudget(MAX_BUFFERED_BYTES, self.intake.account)
+        self.passing: Passing | None = None
+        """Passes requests on while this instance reaches no server; None if it cannot."""
+
         self._drain: DrainPeriod | None = None
         self._known_instances = 0
         server_pool.next_limited_request = self._next_limited_request
@@ -159,6 +165,11 @@
         for search in self._searches:
             search.cancel()
 
+    def pass_on_waiting(self) -> None:
+        """Pass on the requests in progress that servers have not begun to answer."""
+        for run in list(self._runs):
+            run.pass_on()
+
     def isolation_changed(self) -> None:
         """Send prompts anew that wait at servers under a namespace that is out of use."""
         for run in list(self._runs):
@@ -172,9 +183,20 @@
         """Return whether connections are to be closed after their current answer."""
         return self._drain is not None
 
-    def start(self, connection: CallerConnection, request: RawRequest) -> Callable[[], None]:
-        """Start handling a request in the background; return the function that cancels it."""
-        task = asyncio.get_running_loop().create_task(self._handle_request(connection, request))
+    def start(
+        self,
+        connection: CallerConnection,
+        request: RawRequest,
+        *,
+        passed_by: EntryInstanceId | None = None,
+    ) -> Callable[[], None]:
+        """Start handling a request in the background; return the function that cancels it.
+
+        :param passed_by: instance that passed it on; None if its caller sent it here
+        """
+        task = asyncio.get_running_loop().create_task(
+            self._handle_request(connection, request, passed_by)
+        )
         self._tasks.add(task)
         task.add_done_callback(partial(self._on_task_done, connection, request))
         return task.cancel
@@ -244,7 +266,7 @@
         is_same = is_same and state.entry.address == server.address
         return is_same and state.is_present(now_ms)
 
-    def _check_run(self, run: RequestRun, now_ms: int) -> None:
+    def _check_run(self, run: RequestRun | PassedRun, now_ms: int) -> None:
         try:
             run.check_deadline(now_ms)
             run.check_for_stall(now_ms)
@@ -263,10 +285,13 @@
             self._retry_budgets[service] = budget
         return budget
 
-    async def _handle_request(self, connection: CallerConnection, raw: RawRequest) -> None:
+    async def _handle_request(
+        self, connection: CallerConnection, raw: RawRequest, passed_by: EntryInstanceId | None
+    ) -> None:
         request = None
         try:
             request = decode_request(raw)
+            request.passed_by = passed_by
             now_ms = self._clock.now_ms()
             admission = self._config.admit(request.host, request.path, request.key, now_ms)
             run = await self._create_run(connection, request, admission)
@@ -279,22 +304,31 @@
         else:
             if run is None:
                 self._reject(connection, request, admission)
-            elif self._is_too_late(run):
-                run.refuse()
-            else:
+                return
+            await self._execute(run)
+            if isinstance(run, RequestRun) and run.passed_step is not None:
+                run = self._create_passed(
+                    connection,
+                    request,
+                    admission,
+                    run.service_name,
+                    may_have_run=run.passed_step.status != 503,
+                )
                 await self._execute(run)
 
     async def _create_run(
         self, connection: CallerConnection, request: CallerRequest, admission: Admission
-    ) -> RequestRun | None:
+    ) -> RequestRun | PassedRun | None:
         """Return the run of a request; None if the request is not admitted."""
         service = self._choose_service(admission, request)
         if admission.verdict is not Verdict.ADMITTED or service is None:
             return None
+        if self._passes_on(request):
+            return self._create_passed(connection, request, admission, service.name)
         resumed = await self._find_origin(request, admission, service)
         if resumed is not None:
             service = self._config.table.config.services.get(resumed.service, service)
-        return RequestRun(
+        run = RequestRun(
             self._clock,
             self._server_pool,
             self._metrics,
@@ -310,6 +344,32 @@
             self.resumption,
             resumed,
         )
+        run.passes_on = partial(self._takes_over, request, service.name)
+        return run
+
+    def _passes_on(self, request: CallerRequest) -> bool:
+        passing = self.passing
+        return passing is not None and passing.is_isolated and not request.passed_by
+
+    def _takes_over(self, request: CallerRequest, service: ServiceName, step: Finish) -> bool:
+        """Return whether another instance is to answer a request that would end unanswered."""
+        if not self._passes_on(request) or not self.passing.takes_over(step):
+            return False
+        now_ms = self._clock.now_ms()
+        return step.status == 503 or self.retry_budget(service).try_spend(now_ms)
+
+    def _create_passed(
+        self,
+        connection: CallerConnection,
+        request: CallerRequest,
+        admission: Admission,
+        service: ServiceName,
+        *,
+        may_have_run: bool = False,
+    ) -> PassedRun:
+        context = PassContext(self._clock, self.passing, self._metrics, self._buffer_budget)
+        budget = self.retry_budget(service)
+        return PassedRun(context, connection, request, admission, budget, may_have_run=may_have_run)
 
     async def _find_origin(
         self, request: CallerRequest, admission: Admission, service: Service
@@ -342,12 +402,15 @@
             self._searches.discard(search)
             search.cancel()
 
-    def _is_too_late(self, run: RequestRun) -> bool:
+    def _is_too_late(self, run: RequestRun | PassedRun) -> bool:
         """Return whether a drain leaves too little time to start a run."""
         drain = self._drain
         return drain is not None and drain.is_too_late(run.due_ms, self._clock.now_ms())
 
-    async def _execute(self, run: RequestRun) -> None:
+    async def _execute(self, run: RequestRun | PassedRun) -> None:
+        if self._is_too_late(run):
+            run.refuse()
+            return
         self._runs.add(run)
         try:
             await run.execute()
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from functools import partial
 
-from bergamothill.clock import Clock, SystemClock, ms_to_seconds
+from bergamothill.clock import Clock, ms_to_seconds
 from bergamothill.connection.callerhttp import CallerConnection
 from bergamothill.connection.callerlistener import CallerListener
 from bergamothill.connection.http import HttpClient
@@ -32,6 +32,7 @@
 from bergamothill.process.nodedrain import EXIT_MARGIN_MS, drain_callers
 from bergamothill.process.nodeduties import ORDER_MARKER_KEY, SwapView, make_swap_duty
 from bergamothill.process.nodeintakes import NodeIntakes
+from bergamothill.process.nodepassing import NodePassing
 from bergamothill.process.nodequarantine import NodeQuarantine
 from bergamothill.process.nodesettings import DeploymentBounds, NodeSettings
 from bergamothill.process.nodestreams import NodeStreams
@@ -40,8 +41,6 @@
 from bergamothill.process.originexchange import OriginExchange
 from bergamothill.process.prefillexchange import PrefillExchange
 from bergamothill.process.prefixfollower import PrefixFollower, Snapshot
-from bergamothill.process.ratelimitedlog import install_rate_limited_log
-from bergamothill.process.reachwatch import ReachWatch
 from bergamothill.process.readexchange import ReadExchange
 from bergamothill.process.readiness import ReadinessHandler
 from bergamothill.process.readtimes import ReadTimes
@@ -150,6 +149,16 @@
             self._kept_connections,
             self._intakes.callers,
         )
+        self._passing = NodePassing(
+            settings,
+            clock,
+            self._server_pool,
+            self._gateway,
+            self._exchange,
+            self._metrics,
+            lambda: self._planner.regions,
+            self._on_peer_report,
+        )
         self._connections: set[CallerConnection] = set()
         self._draining = False
         self._unreadable_keys: set[str] = set()
@@ -230,7 +239,7 @@
             ("reads", self._reads.run),
             ("origins", self._origin_exchange.run),
             ("quarantine", partial(self._quarantine.run, self._kvs, self._supervisor.guard)),
-            ("reach", ReachWatch(self._clock, self._server_pool, self._metrics).run),
+            *self._passing.tasks(),
             ("stalls", self._gateway.watch_for_stalls),
             ("streams", self._streams.run),
             ("sweep", self._make_sweep_duty().run),
@@ -322,6 +331,7 @@
         self._roster.set_registered((peer.entry for peer in peers), self._clock.now_ms())
         self._gateway.set_instance_count(self._exchange.instance_count)
         self._context.set_peers(peers)
+        self._passing.set_peers(peers)
         zones = [self._settings.zone, *(peer.zone for peer in peers)]
         self._kept_connections.share.set_instances(zones)
 
@@ -339,6 +349,7 @@
             listener = CallerListener(address, factory)
             await listener.start()
             listeners.append(listener)
+        await self._passing.listen(self._track_connection)
         return listeners
 
     def _on_peer_report(self, sender: EntryInstanceId) -> None:
@@ -384,6 +395,7 @@
         self._server_pool.limits.set_services(config.services)
         self._streams.apply_config(config)
         self._context.set_config(config)
+        self._passing.set_config(config)
         self._intakes.check_limits(config.limits)
         _log.info(
             "config_applied",
@@ -484,17 +496,3 @@
 
 def _ignore_connection(_connection: CallerConnection, _is_open: bool) -> None:
     """Do not track readiness checks and metrics scrapes."""
-
-
-def serve(settings: NodeSettings, settings_path: str) -> None:
-    """Run an entry instance until it is stopped by a signal.
-
-    :param settings: validated settings
-    :param settings_path: file from which they were loaded
-    """
-    clock = SystemClock()
-    handler = install_rate_limited_log(clock, "info")
-    _log.info("started", entry=settings.entry, zone=settings.zone, caller=settings.caller_address)
-    asyncio.run(PlatformNode(settings, settings_path, clock).run())
-    _log.info("stopped", entry=settings.entry)
-    handler.close()
--- a/bergamothill/process/quarantinesteps.py
+++ b/bergamothill/process/quarantinesteps.py
@@ -4,14 +4,16 @@
 
 import json
 
-from bergamothill.clock import Clock
+from bergamothill.clock import Clock, ms_to_seconds
 from bergamothill.connection.backendhttp import ExchangeEnd, ExchangeResult
+from bergamothill.connection.callerhttp import CallerConnection
+from bergamothill.platform.passing import PASS_REFUSED
 from bergamothill.process.quarantinegate import QuarantineGate
-from bergamothill.request.callerrequest import Header
+from bergamothill.request.callerrequest import CallerRequest, Header
 from bergamothill.request.forwarding import Finish, Forwarding, ForwardStep, Reason, WaitForTrial
 from bergamothill.request.partquarantine import RunEnd
 
-__all__ = ["classify_run_end", "encode_refusal", "wait_for_trial"]
+__all__ = ["classify_run_end", "encode_refusal", "send_refusal", "wait_for_trial"]
 
 
 async def wait_for_trial(
@@ -49,6 +51,22 @@
     return RunEnd.CRASHED if is_lost and outcome in ("broken", "success") else RunEnd.OTHER
 
 
+def send_refusal(connection: CallerConnection, request: CallerRequest, step: Finish) -> None:
+    """Send the answer to a request that no server has answered.
+
+    :param connection: connection of the caller, or of the instance that passed the request on
+    :param request: the request
+    :param step: final step of the request
+    """
+    headers, body = encode_refusal(step)
+    if step.retry_after_ms is not None:
+        headers.append((b"Retry-After", b"%.3f" % ms_to_seconds(step.retry_after_ms)))
+    if request.passed_by is not None and step.reason is Reason.ISOLATED:
+        headers.append((PASS_REFUSED, b"1"))
+    is_head = request.raw.method == b"HEAD"
+    connection.send_response(step.status, headers, b"" if is_head else body)
+
+
 def encode_refusal(step: Finish) -> tuple[list[Header], bytes]:
     """Return the header fields and the body of an answer without a server.
 
--- a/bergamothill/process/reachability.py
+++ b/bergamothill/process/reachability.py
@@ -66,6 +66,11 @@
         """Number of servers whose failures count."""
         return len(self._failed_ms)
 
+    def has_answer_since(self, since_ms: int) -> bool:
+        """Return whether a server has answered since a time, and nothing is suspected."""
+        is_reached = self.state is ReachState.REACHED and self.answered_ms is not None
+        return is_reached and self.answered_ms >= since_ms
+
     def record_answer(self, now_ms: int) -> None:
         """Record that a server answered a request on a connection that was opened for it."""
         self.answered_ms = now_ms
--- a/bergamothill/process/requestrun.py
+++ b/bergamothill/process/requestrun.py
@@ -7,13 +7,14 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from functools import singledispatchmethod
 
 from bergamothill.clock import Clock, ms_to_seconds
 from bergamothill.connection.callerhttp import CallerConnection
 from bergamothill.connection.keptconnections import KeptConnections
 from bergamothill.errors import ProtocolError
-from bergamothill.ids import ServerId
+from bergamothill.ids import ServerId, ServiceName
 from bergamothill.logs import EventLog
 from bergamothill.platform.headers import decode_answer
 from bergamothill.process.admissionqueue import AdmissionQueue
@@ -21,7 +22,8 @@
 from bergamothill.process.crashlog import log_crash
 from bergamothill.process.gatewaymetrics import GatewayMetrics
 from bergamothill.process.quarantinegate import QuarantineGate
-from bergamothill.process.quarantinesteps import encode_refusal, wait_for_trial
+from bergamothill.process.quarantinesteps import send_refusal, wait_for_trial
+from bergamothill.process.requestlog import RequestLog
 from bergamothill.process.serverattempt import AttemptContext, AttemptOutcome, ServerAttempt
 from bergamothill.process.serverpool import ServerPool
 from bergamothill.process.streamresumption import ResumedStream, StreamResumption
@@ -106,8 +108,14 @@
         self._first_byte_ms: int | None = None
         self._timeout: asyncio.Timeout | None = None
         self._leading: ServerAttempt | None = None
-        self._move_refusal = ""
         self._is_stopping = False
+        self._is_passing_on = False
+        self.passes_on: Callable[[Finish], bool] = lambda _step: False
+        """Returns whether another instance is to answer a request that ends unanswered here."""
+
+        self.passed_step: Finish | None = None
+        """Final step that the caller was not told, as another instance is to answer."""
+
         self._forwarding = Forwarding(
             request,
             route,
@@ -119,6 +127,7 @@
             gate,
             None if resumed is None else resumed.version,
         )
+        self._lines = RequestLog(request, route, server_pool, self._forwarding)
         is_stream = route.retry_policy is RetryPolicy.STREAM
         self._relay = AnswerRelay(
             connection,
@@ -203,11 +212,27 @@
         except Exception as error:  # noqa: BLE001 - the caller needs a final answer
             log_crash(self._request.request_id, error)
             step = self._forwarding.on_internal_error(self._clock.now_ms())
-        self._apply_final_step(step)
+        if isinstance(step, Finish) and self._may_pass_on(step) and self.passes_on(step):
+            self.passed_step = step
+        else:
+            self._apply_final_step(step)
+
+    def _may_pass_on(self, step: Finish) -> bool:
+        """Return whether a request may run at a further server after its final step."""
+        return step.status == 503 or self._route.may_retry
+
+    def pass_on(self) -> None:
+        """End attempts that have brought nothing, so that another instance answers."""
+        was_sent = self._leading is not None and self._leading.was_sent
+        if not self._forwarding.stream_started and (self._route.may_retry or not was_sent):
+            self._is_passing_on = True
+            self._expire()
 
     def _on_timeout(self, now_ms: int) -> ForwardStep:
         if self._is_stopping:
             return self._forwarding.on_stopping(now_ms)
+        if self._is_passing_on and now_ms < self._forwarding.due_ms:
+            return self._forwarding.on_isolated(now_ms)
         return self._forwarding.on_expired(now_ms)
 
     @property
@@ -215,6 +240,11 @@
         """Time by which the caller gets a final answer."""
         return self._forwarding.due_ms
 
+    @property
+    def service_name(self) -> ServiceName:
+        """Name of the service that it is forwarded to."""
+        return self._service.name
+
     @property
     def is_unsent(self) -> bool:
         """Whether no server was chosen for the request yet."""
@@ -361,7 +391,8 @@
         last_event_id = self._relay.last_event_id
         # Chosen in the task, so that none is left over if that is cancelled before it begins.
         step = self._forwarding.begin_move(now_ms, last_event_id=last_event_id)
-        self._log_move(stalled, step, now_ms)
+        refusal = step.reason.value if isinstance(step, Finish | AbortStream) else ""
+        self._lines.record_move(stalled, step, refusal, now_ms)
         if isinstance(step, Finish | AbortStream):
             return step
         relay = self._relay.fork()
@@ -375,25 +406,6 @@
             stalled.end_moved()
         return step
 
-    def _log_move(self, attempt: ServerAttempt, step: ForwardStep, now_ms: int) -> None:
-        """Log a move, or why none can be made if that has changed."""
-        server = attempt.send.server.server
-        refusal = step.reason.value if isinstance(step, Finish | AbortStream) else ""
-        if refusal and refusal == self._move_refusal:
-            return
-        self._move_refusal = refusal
-        _log.info(
-            "answer_move",
-            request=self._request.request_id,
-            server=server,
-            silence_ms=self._server_pool.silence_ms(server, now_ms),
-            to=step.server.server if isinstance(step, Send) else "-",
-            refusal=refusal or None,
-            runs=self._forwarding.run_count,
-            max_runs=self._route.max_servers,
-            retries_left=self._forwarding.retries_left(now_ms),
-        )
-
     def _next_step(
         self, outcome: AttemptOutcome, attempt: ServerAttempt, now_ms: int
     ) -> ForwardStep:
@@ -441,36 +453,19 @@
     @_apply_final_step.register
     def _(self, step: Finish) -> None:
         self._discard_bodies()
-        headers, body = encode_refusal(step)
-        if step.retry_after_ms is not None:
-            headers.append((b"Retry-After", b"%.3f" % ms_to_seconds(step.retry_after_ms)))
         if step.parts:
             self._context.log.append("quarantined:" + ",".join(sorted(p.name for p in step.parts)))
-        is_head = self._request.raw.method == b"HEAD"
-        self._connection.send_response(step.status, headers, b"" if is_head else body)
+        send_refusal(self._connection, self._request, step)
         self.log(step.reason.value, step.status)
 
     @_apply_final_step.register
     def _(self, step: AbortStream) -> None:
         self._connection.abort_response()
-        self._log_cut(step)
+        leading = self._leading
+        server = ServerId("") if leading is None else leading.send.server.server
+        self._lines.record_cut(step, server, self._admission, self._clock.now_ms())
         self.log("broken_off_" + step.reason.value, 0)
 
-    def _log_cut(self, step: AbortStream) -> None:
-        now_ms = self._clock.now_ms()
-        server = ServerId("") if self._leading is None else self._leading.send.server.server
-        _log.info(
-            "answer_cut",
-            request=self._request.request_id,
-            reason=step.reason.value,
-            server=server,
-            silence_ms=self._server_pool.silence_ms(server, now_ms),
-            runs=self._forwarding.run_count,
-            max_runs=self._route.max_servers,
-            retries_left=self._forwarding.retries_left(now_ms),
-            config=self._admission.version,
-        )
-
     def log(self, outcome: str, status: int) -> None:
         """Log the outcome of the request and update the metrics."""
         now_ms = self._clock.now_ms()
@@ -493,6 +488,7 @@
             fingerprint=",".join(p.name for p in self._request.suspects if p.is_request),
             parts=",".join(f"{part.name}:{part.tokens}" for part in self._request.parts),
             attempts=";".join(self._context.log),
+            **({"passed_by": self._request.passed_by} if self._request.passed_by else {}),
         )
         self._metrics.count("requests", outcome=outcome, rule=self._route.retry_policy.value)
         if first_ms is not None:
--- a/bergamothill/request/callerrequest.py
+++ b/bergamothill/request/callerrequest.py
@@ -4,7 +4,15 @@
 
 from dataclasses import dataclass, field
 
-from bergamothill.ids import BrandName, ModelName, RegionName, RequestId, ServerId, SoftwareVersion
+from bergamothill.ids import (
+    BrandName,
+    EntryInstanceId,
+    ModelName,
+    RegionName,
+    RequestId,
+    ServerId,
+    SoftwareVersion,
+)
 from bergamothill.request.blockbody import BlockBody
 from bergamothill.request.crashevidence import PartId
 from bergamothill.request.fairqueue import NO_FLOW, Flow
@@ -75,6 +83,8 @@
     :param homes: regions in which it may be served; None for all; set likewise
     :param objective_ms: time until which the answer meets its objective; set likewise
     :param may_repeat: whether it may be sent again if it may already have run; set likewise
+    :param passed_by: instance that passed it on, as it reaches no server; None if its caller sent
+        it here
     :param flow: requests with which it shares a part of the capacity; set likewise
     """
 
@@ -94,6 +104,7 @@
     homes: frozenset[RegionName] | None = None
     objective_ms: int | None = None
     may_repeat: bool = True
+    passed_by: EntryInstanceId | None = None
     flow: Flow = NO_FLOW
 
     @property
--- a/bergamothill/request/forwarding.py
+++ b/bergamothill/request/forwarding.py
@@ -310,6 +310,10 @@
         """Give up, because this instance is stopping."""
         return self._give_up(now_ms, Reason.STOPPING)
 
+    def on_isolated(self, now_ms: int) -> ForwardStep:
+        """Give up, because this instance reaches no server."""
+        return self._give_up(now_ms, Reason.ISOLATED)
+
     def on_internal_error(self, now_ms: int) -> ForwardStep:
         """Give up, because this instance failed to process the request."""
         return self._give_up(now_ms, Reason.INTERNAL_ERROR)
--- a/bergamothill/request/forwardsteps.py
+++ b/bergamothill/request/forwardsteps.py
@@ -29,6 +29,8 @@
     ORIGIN_UNKNOWN = "stream_origin_unknown"
     NO_SUCH_VERSION = "no_server_of_version"
     NO_HOME_SERVER = "no_server_in_home_regions"
+    NO_HELPER = "no_instance_helps"
+    ISOLATED = "instance_isolated"
 
 
 @dataclass(frozen=True, slots=True)
--- a/bergamothill/version/routetable.py
+++ b/bergamothill/version/routetable.py
@@ -111,6 +111,7 @@
     :param engine: properties of its model engines; None for a plain service
     :param cold_start_ms: time for which a server is cold after its start
     :param cold_per_s: requests a second that a cold server takes; 0 if it takes as many as others
+    :param health_path: path of its health checks; empty if it has none
     """
 
     name: ServiceName
@@ -118,6 +119,7 @@
     engine: EngineTraits | None
     cold_start_ms: int = 0
     cold_per_s: float = 0.0
+    health_path: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -36,7 +36,7 @@
 from bergamothill.request.contextplan import ContextPlanner
 from bergamothill.request.streamorigin import StreamKey, StreamOrigin
 from bergamothill.version.cacheindex import CacheIndex
-from bergamothill.version.routetable import RoutingConfig
+from bergamothill.version.routetable import Route, RoutingConfig
 from bergamothill.version.weighttarget import WeightTarget
 
 OPERATOR_KEY = "operator-key"
@@ -384,6 +384,11 @@
     return decode_config(json.dumps(operator_config(**changes)).encode())
 
 
+def route(**changes: Any) -> Route:
+    """Return a route of :func:`routing_config` with changes."""
+    return replace(routing_config().routes[0], **changes)
+
+
 def backend(server: str = "s1", **changes: Any) -> BackendServer:
     """Return a listed backend server; by default an engine with version 1 of model ``m1``."""
     values = {
