Log the requests that were read and never handled

Seen: a request that is pipelined behind a stream, and one whose caller leaves during the search for its origin, had no line at all; so the logs did not tell which requests a stop had cut. Evidence, tests.test_stop_lines before: ...behind_a_stream_that_is_cut_have_a_line: ['a1'], without a2; ...leaves_during_the_search_for_its_origin_has_a_line: []. Both pass now. Change: what a connection drops is logged as request_dropped, also what finds no room when it would start; at most eight lines for a connection, the others are counted. request_invalid names the request.

--- a/bergamothill/connection/callerhandler.py
+++ b/bergamothill/connection/callerhandler.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import TYPE_CHECKING, Protocol
 
 from bergamothill.connection.callerintake import CallerIntake
@@ -29,3 +29,6 @@
 
     def start(self, connection: CallerConnection, request: RawRequest) -> Callable[[], None]:
         """Start handling a request; return a callback that cancels it on disconnect."""
+
+    def record_dropped(self, requests: Sequence[RawRequest]) -> None:
+        """Record requests that were read and will not be started."""
--- a/bergamothill/connection/callerhttp.py
+++ b/bergamothill/connection/callerhttp.py
@@ -171,6 +171,7 @@
         self._holding.release()
 
     def _drop_queued(self) -> None:
+        self._handler.record_dropped([queued.request for queued in self._queued])
         self._queued.clear()
         self._memory_queued = 0
 
@@ -278,11 +279,10 @@
         self._memory_queued -= memory_bytes
         self._memory_in_progress = memory_bytes + HANDLING_BYTES
         self._intake.table.set_phase(self, Phase.ANSWERING, raw.arrived_ms)
-        if not self._intake.has_descriptors(self):
-            self._reject_unparsed(503, Refusal.CONNECTIONS)
-            return
-        if not self._claim_memory():
-            self._reject_unparsed(503)
+        has_descriptors = self._intake.has_descriptors(self)
+        if not has_descriptors or not self._claim_memory():
+            self._handler.record_dropped([raw])
+            self._reject_unparsed(503, None if has_descriptors else Refusal.CONNECTIONS)
             return
         self._cancel = _cancel_nothing
         cancel = self._handler.start(self, raw)
--- a/bergamothill/platform/headers.py
+++ b/bergamothill/platform/headers.py
@@ -111,6 +111,12 @@
     )
 
 
+def decode_request_id(raw: RawRequest) -> RequestId:
+    """Decode the id of a request; empty if it has none."""
+    values = (value for name, value in raw.headers if name.lower() == b"x-request-id")
+    return RequestId(_decode_text(next(values, None)))
+
+
 _SINGLETON_FIELDS = frozenset(
     (
         b"host",
--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from functools import partial
 
 from bergamothill.clock import Clock, ms_to_seconds
@@ -16,7 +16,7 @@
 from bergamothill.errors import InvalidRequestError
 from bergamothill.ids import ServiceName
 from bergamothill.logs import EventLog
-from bergamothill.platform.headers import decode_request
+from bergamothill.platform.headers import decode_request, decode_request_id
 from bergamothill.process.admissionqueue import AdmissionQueue
 from bergamothill.process.configstate import Admission, ConfigState, Verdict
 from bergamothill.process.crashlog import MAX_ERROR_CHARACTERS, log_crash
@@ -49,6 +49,9 @@
 UNSEEN_INSTANCES = 1
 """Allowance for entry instances that have started but are not yet known here."""
 
+MAX_DROPPED_LINES = 8
+"""Maximum lines on the requests that one connection drops together."""
+
 MAX_BUFFERED_BYTES = 33_554_432
 """Maximum memory for the bodies of all unfinished answers that are delivered only as a whole."""
 
@@ -189,6 +192,12 @@
             log_crash("-", task.exception())
         connection.abort_unanswered(task.cancel)
 
+    def record_dropped(self, requests: Sequence[RawRequest]) -> None:
+        """Log requests that were read, and whose connection ended or found no room before them."""
+        unlogged = len(requests[MAX_DROPPED_LINES:])
+        for raw in requests[:MAX_DROPPED_LINES]:
+            _log.info("request_dropped", request=decode_request_id(raw) or "-", unlogged=unlogged)
+
     def admission_queue(self, service: ServiceName) -> AdmissionQueue:
         """Return the queue of requests that wait for a service."""
         queue = self._queues.get(service)
@@ -271,8 +280,11 @@
             admission = self._config.admit(request.host, request.path, request.key, now_ms)
             run = await self._create_run(connection, request, admission)
         except InvalidRequestError as error:
-            _log.info("request_invalid", error=error.message)
+            _log.info("request_invalid", request=decode_request_id(raw), error=error.message)
             connection.send_error(400)
+        except asyncio.CancelledError:
+            self.record_dropped([raw])
+            raise
         except Exception as error:  # noqa: BLE001 - the caller needs a final answer
             log_crash("-" if request is None else request.request_id, error)
             connection.send_response(503, [spread_retry_after(UNAVAILABLE_RETRY_MS)], b"")
--- a/bergamothill/process/readiness.py
+++ b/bergamothill/process/readiness.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from bergamothill.clock import SystemClock
 from bergamothill.connection.callerhttp import CallerConnection
@@ -41,6 +41,9 @@
         """Return False, so that connections for checks stay open during a graceful shutdown."""
         return False
 
+    def record_dropped(self, requests: Sequence[RawRequest]) -> None:
+        """Do not log checks that were dropped."""
+
     def start(self, connection: CallerConnection, request: RawRequest) -> Callable[[], None]:
         """Schedule the answer to a request; return a function that cancels it."""
         handle = asyncio.get_running_loop().call_soon(self._answer, connection, request)
--- a/tests/test_stop_lines.py
+++ b/tests/test_stop_lines.py
@@ -55,6 +55,29 @@
         self.node.process.wait(TIMEOUT_S)
         return sorted(LINE.findall(self.node.log_path.read_text()))
 
+    def test_requests_behind_a_stream_that_is_cut_have_a_line(self):
+        connection = self.connect()
+        connection.sendall(b"".join((encoded(STREAM, "a1"), encoded(ORDER, "a2"))))
+        time.sleep(0.3)
+        self.node.terminate()
+        read_all(connection)
+        self.assertEqual(["a1", "a2"], self.logged())
+
+    def test_a_request_whose_caller_leaves_during_the_search_for_its_origin_has_a_line(self):
+        for peer in self.nodes:
+            peer.signal(signal.SIGSTOP)
+            self.addCleanup(peer.signal, signal.SIGCONT)
+        connection = self.connect()
+        resumed = encoded(STREAM, "b1").replace(
+            b"\r\n\r\n", b"\r\nLast-Event-Id: 3\r\nResumes: b0\r\n\r\n", 1
+        )
+        connection.sendall(resumed)
+        time.sleep(0.05)
+        connection.close()
+        time.sleep(0.5)
+        self.node.terminate()
+        self.assertEqual(["b1"], self.logged())
+
     def test_the_last_requests_have_lines_whatever_was_logged_before(self):
         crowd = self.connect()
         for _ in range(30):
