--- a/bergamothill/platform/headers.py
+++ b/bergamothill/platform/headers.py
@@ -112,6 +112,12 @@
     )
 
 
+def decode_request_id(raw: RawRequest) -> RequestId:
+    """Decode the id of a request; empty if it has none."""
+    values = (value for name, value in raw.headers if name.lower() == b"x-request-id")
+    return RequestId(_decode_text(next(values, None)))
+
+
 def connection_fields(headers: list[Header]) -> frozenset[bytes]:
     """Return the lowercase names of the fields that concern only the connection of a request.
 
