Notice that no server is reached also where few servers are tried

Cause: a lost event connection counted as a failure only when it was lost, not while it could not be restored, and one failing server never raised a suspicion by itself.

Now each failed read of cache events counts, and the failures of one server are suspicious after a second in which no server answered on a new connection.

--- a/bergamothill/process/cacheeventlistener.py
+++ b/bergamothill/process/cacheeventlistener.py
@@ -77,6 +77,7 @@
     :param on_full: called with an address that admits no further reader
     :param on_connection_change: called with an address when its connection is lost (False) or
         restored (True)
+    :param on_failure: called with an address each time that it can't be read
     :param start_task: starts a task, and again after each error
     """
 
@@ -88,9 +89,11 @@
         on_full: Callable[[str], None],
         on_connection_change: Callable[[str, bool], None],
         start_task: StartTask | None = None,
+        on_failure: Callable[[str], None] = lambda _address: None,
     ) -> None:
         self._start_task = start_task or _start_task
         self._on_full = on_full
+        self._on_failure = on_failure
         self._on_connection_change = on_connection_change
         self._index = index
         self._clock = clock
@@ -157,6 +160,7 @@
                         _log.info("source_lost", address=address, reason=error.message)
                         self._tell_connection(address, is_connected=False)
                     is_connected = False
+                    self._on_failure(address)
                     await asyncio.sleep(ms_to_seconds(RECONNECT_DELAY_MS))
                 else:
                     if is_connected is False:
--- a/bergamothill/process/nodecontext.py
+++ b/bergamothill/process/nodecontext.py
@@ -49,6 +49,7 @@
             server_pool.record_events_unread,
             self._on_connection_change,
             supervisor.start_task,
+            self._on_failure,
         )
 
     def set_peers(self, peers: Iterable[Peer]) -> None:
@@ -99,3 +100,6 @@
 
     def _on_connection_change(self, address: str, is_connected: bool) -> None:
         self._server_pool.record_connection_change(address, is_connected, self._clock.now_ms())
+
+    def _on_failure(self, address: str) -> None:
+        self._server_pool.record_unread_source(address, self._clock.now_ms())
--- a/bergamothill/process/reachability.py
+++ b/bergamothill/process/reachability.py
@@ -13,7 +13,10 @@
 __all__ = ["ReachState", "Reachability"]
 
 SUSPICIOUS_SERVERS = 2
-"""Failed servers that raise a suspicion, unless there are fewer servers."""
+"""Failed servers that raise a suspicion at once, unless there are fewer servers."""
+
+PERSISTENT_MS = 1_000
+"""Time after which the failures of one server are suspicious, if no other one answers meanwhile."""
 
 FAILURE_LIFE_MS = 3_000
 """Time for which a failure counts; longer than the back-off of a server that keeps failing."""
@@ -53,6 +56,7 @@
         """When a server last answered on a new connection; None if none has."""
 
         self._failed_ms: dict[str, int] = {}
+        self._failing_since_ms: int | None = None
         self._answered_rounds = 0
         self._next_round_ms = 0
         self._server_count = 0
@@ -74,7 +78,7 @@
     def record_answer(self, now_ms: int) -> None:
         """Record that a server answered a request on a connection that was opened for it."""
         self.answered_ms = now_ms
-        self._failed_ms.clear()
+        self._clear()
         if self.state is ReachState.SUSPECTED:
             self.state = ReachState.REACHED
 
@@ -83,19 +87,31 @@
 
         :param address: its address
         """
+        self._expire(now_ms)
         self._failed_ms[address] = now_ms
+        if self._failing_since_ms is None:
+            self._failing_since_ms = now_ms
         if self.state is not ReachState.REACHED or now_ms < self._next_round_ms:
             return
-        self._expire(now_ms)
-        needed = min(SUSPICIOUS_SERVERS, self._server_count)
-        if needed and len(self._failed_ms) >= needed:
+        if self._server_count and self._is_suspicious(now_ms):
             self.state = ReachState.SUSPECTED
             self.on_suspected()
 
+    def _is_suspicious(self, now_ms: int) -> bool:
+        if len(self._failed_ms) >= min(SUSPICIOUS_SERVERS, self._server_count):
+            return True
+        return now_ms - self._failing_since_ms >= PERSISTENT_MS
+
     def _expire(self, now_ms: int) -> None:
         old = [a for a, at_ms in self._failed_ms.items() if now_ms - at_ms > FAILURE_LIFE_MS]
         for address in old:
             del self._failed_ms[address]
+        if not self._failed_ms:
+            self._failing_since_ms = None
+
+    def _clear(self) -> None:
+        self._failed_ms.clear()
+        self._failing_since_ms = None
 
     def next_round_ms(self, now_ms: int) -> int | None:
         """Return the time until the next round of probes; None if none is needed."""
@@ -122,7 +138,7 @@
             return
         self._next_round_ms = now_ms + CLEARED_INTERVAL_MS
         self._answered_rounds = 0
-        self._failed_ms.clear()
+        self._clear()
         if self.state is ReachState.UNREACHED:
             self._change(ReachState.REACHED, now_ms)
         self.state = ReachState.REACHED
@@ -132,6 +148,6 @@
 
     def record_pause(self) -> None:
         """Discard failures of a time in which this process did not run."""
-        self._failed_ms.clear()
+        self._clear()
         if self.state is ReachState.SUSPECTED:
             self.state = ReachState.REACHED
--- a/bergamothill/process/serversilence.py
+++ b/bergamothill/process/serversilence.py
@@ -78,12 +78,15 @@
         for state in self._at_address(address):
             state.has_event_reader = False
 
-    def set_reachable(self, address: str, is_reachable: bool, now_ms: int) -> None:
+    def set_reachable(self, address: str, is_reachable: bool) -> None:
         """Record that the event connection to the server at an address was lost or restored."""
         for state in self._at_address(address):
             state.is_reachable = is_reachable
-            if not is_reachable:
-                self.reachability.record_failure(address, now_ms)
+
+    def record_unread_source(self, address: str, now_ms: int) -> None:
+        """Record that the cache events of the server or store at an address can't be read."""
+        if self._at_address(address):
+            self.reachability.record_failure(address, now_ms)
 
     def stream_began(self, server: ServerId) -> None:
         """Record that the answer to a request has begun."""
--- a/bergamothill/process/softwareversions.py
+++ b/bergamothill/process/softwareversions.py
@@ -191,7 +191,7 @@
 
         An incarnation that was listed in between may have ended before its connection was opened.
         """
-        self.set_reachable(address, is_connected, now_ms)
+        self.set_reachable(address, is_connected)
         if not is_connected:
             self._lost_addresses.add(address)
             return
