Reject a head that broke off on a new connection too

Callers saw: 200 with the body of another answer, framed as whole, when a server stopped in the middle of a head and a further answer followed on the connection, as from a server that reports its own failure with 500 there. An unsafe request got it as a success that it wasn't.

Cause: to the parser the second status line is the rest of a value or of the reason. Heads were checked for this on kept connections only, where the late copy of an earlier answer was the known source.

A sound answer that quotes a status line in a value is rejected as well; that held for kept connections before.

--- a/bergamothill/connection/backendconnection.py
+++ b/bergamothill/connection/backendconnection.py
@@ -9,7 +9,6 @@
 import asyncio
 import fcntl
 import os
-import re
 import select
 import socket
 import struct
@@ -23,6 +22,7 @@
 
 from bergamothill.clock import ms_to_seconds
 from bergamothill.connection.backendpool import idle_limit_ms
+from bergamothill.connection.brokenhead import has_status_line
 from bergamothill.connection.opening import CONNECT_TIMEOUT_MS
 from bergamothill.connection.sendqueue import SendQueue
 from bergamothill.errors import ProtocolError
@@ -63,8 +63,6 @@
 _IDLE_BUFFER = bytearray(64)
 """Buffer of all idle connections; bytes that arrive there only close the connection."""
 
-_STATUS_LINE_PATTERN = re.compile(rb"HTTP/1\.[01] [1-5][0-9][0-9]")
-
 
 class ExchangeEnd(Enum):
     """How an exchange ended."""
@@ -408,6 +406,9 @@
         if not MIN_STATUS <= status <= MAX_STATUS:
             self._reject(f"{status} is no status")
             return
+        if has_status_line(self._reason, *(value for _, value in self._headers)):
+            self._reject("response head broke off")
+            return
         self._is_informational = 100 <= status < 200
         if self._is_reused and not self._is_own_head():
             self._finish(ExchangeEnd.STALE, "response to another request")
@@ -426,14 +427,10 @@
     def _is_own_head(self) -> bool:
         """Return whether a head on a kept connection belongs to the request.
 
-        Only an informational response may lack the id. A status line inside the head shows that the
-        head of a late copy broke off in it, so that status and fields are of two responses.
+        Only an informational response may lack the id.
         """
         ids = set(self._values(b"x-request-id"))
-        if ids != {self._request_id} and (ids or not self._is_informational):
-            return False
-        texts = [self._reason, *(value for _, value in self._headers)]
-        return not any(_STATUS_LINE_PATTERN.search(text) for text in texts)
+        return ids == {self._request_id} or (not ids and self._is_informational)
 
     def _head_allows_keeping(self) -> bool:
         tokens = {t.strip().lower() for v in self._values(b"connection") for t in v.split(b",")}
