Reject a poll's reply whose head broke off

Seen: a server that stops in the middle of the head of a reply to a poll (/report, /kv-events) and writes another answer behind it, as a 500 for its own failure, got that counted as a reply of the first status: 200 with the body of the 500, whose bytes were then taken for a report or for events.

Why it works: the connection is given up at the value or the reason that holds a status line, before the reply is complete, so the read ends in PeerTimeoutError and the next one opens a new connection.

--- a/bergamothill/connection/pollconnection.py
+++ b/bergamothill/connection/pollconnection.py
@@ -17,6 +17,7 @@
     MAX_FRAMING_RATIO,
     READ_BYTES,
 )
+from bergamothill.connection.brokenhead import has_status_line
 from bergamothill.connection.opening import open_connection
 from bergamothill.errors import PeerTimeoutError, PeerUnreachableError
 
@@ -103,6 +104,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._body = bytearray()
         self._headers: dict[bytes, bytes] = {}
+        self._reason = b""
         self._received_bytes = 0
         self._framing_bytes = 0
 
@@ -141,9 +143,19 @@
     def on_message_begin(self) -> None:
         self._body.clear()
         self._headers = {}
+        self._reason = b""
+
+    def on_status(self, reason: bytes) -> None:
+        self._reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self._headers.setdefault(name.lower(), value)
+        if has_status_line(value):
+            self._give_up("head of the reply broke off")
+
+    def on_headers_complete(self) -> None:
+        if has_status_line(self._reason):
+            self._give_up("head of the reply broke off")
 
     def on_body(self, piece: bytes) -> None:
         self._body += piece
