Test cut heads at the client on pycurl

The client of the store, of the instance list, of servers' orders and, in the standalone processes, of engines and plain services.

--- a/tests/test_cut_heads.py
+++ b/tests/test_cut_heads.py
@@ -9,7 +9,9 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
+from functools import partial
 
+from bergamothill.connection.http import HttpClient
 from bergamothill.connection.pollconnection import PollConnection
 from bergamothill.errors import PeerTimeoutError
 from tests.gatewayworld import (
@@ -302,3 +304,46 @@
         whole, counts = FORMS["length"].head, itertools.cycle((1, 2))
         cuts = [(whole[:place], fails, next(counts)) for place in range(1, len(whole))]
         self.assert_no_replies(cuts)
+
+
+class CutClientTest(unittest.TestCase):
+    """The client of the store, of engines and of plain services of the other processes."""
+
+    def call(self, cut):
+        """Call once, or twice on one connection; return the last reply, if it is no failure."""
+        data, end, is_new = cut
+
+        def cuts(connection, sent):
+            connection.sendall(data)
+            end(connection, sent)
+
+        server = ScriptedServer(Keeps(*[good, cuts][is_new:]))
+        self.addCleanup(server.close)
+        client = HttpClient("peer", server.address)
+        self.addCleanup(client.close)
+        call = partial(client.request, "GET", "/", step="test", timeout_ms=TIMEOUT_MS)
+        headers = {"X-Request-Id": "r1"}
+        try:
+            if is_new:
+                return call(headers=headers, new_connection=True)
+            call(headers=headers)
+            reply = call(headers=headers)
+        except PeerTimeoutError:
+            return None
+        # libcurl may have sent it again on another connection.
+        return None if (reply.status, reply.body) == (200, b"r1") else reply
+
+    def assert_no_replies(self, cuts):
+        cuts = [(*cut, is_new) for cut in cuts for is_new in (True, False)]
+        with ThreadPoolExecutor(WORKERS) as pool:
+            replies = zip(cuts, pool.map(self.call, cuts), strict=True)
+            self.assertEqual([], [(cut, found) for cut, found in replies if found])
+
+    def test_at_the_end_and_before(self):
+        draw, ends = random.Random(SEED), itertools.cycle(ENDS)
+        places = [(form.head, place) for form in FORMS.values() for place in form.places(draw)]
+        self.assert_no_replies((text[:place], next(ends)) for text, place in places)
+
+    def test_a_reply_behind_it_is_no_reply(self):
+        whole = FORMS["length"].head
+        self.assert_no_replies((whole[:place], fails) for place in range(1, len(whole)))
