Take no head that broke off for a reply in the client on pycurl

Callers of standalone entry instances would get 200 with an empty body, framed as whole, from a plain service that stopped in the middle of the head of its answer and closed, unsafe ones too; the store's client took such a reply for an acknowledgement, and that of servers for the answer to an order.

Cause: libcurl takes a close after at least one whole line of the head for the end of the reply, and reports no error.

Why it works: libcurl passes on each line of the head; a reply counts only once the empty line of its final head has come. The outcome is unknown, as with every other lost reply.

--- a/bergamothill/connection/http.py
+++ b/bergamothill/connection/http.py
@@ -88,6 +88,7 @@
         self.headers: dict[str, str] = {}
         self.body = bytearray()
         self.callback_error: BaseException | None = None
+        self._is_head_whole = False
         self._on_chunk = on_chunk
         self._max_body_bytes = max_body_bytes
 
@@ -96,12 +97,19 @@
         """Whether more was received than is collected."""
         return len(self.body) > self._max_body_bytes
 
+    @property
+    def is_head_whole(self) -> bool:
+        """Whether the head of the final reply has ended; libcurl takes a close for its end."""
+        return self._is_head_whole and self.status >= 200
+
     def on_header_line(self, line: bytes) -> None:
         text = line.decode("latin-1").strip()
         if text.startswith("HTTP/"):
             self.status = int(text.split(" ", 2)[1])
             self.headers.clear()
+            self._is_head_whole = False
             return
+        self._is_head_whole |= line in (b"\r\n", b"\n")
         name, separator, value = text.partition(":")
         if separator:
             self.headers[name.strip().lower()] = value.strip()
@@ -258,6 +266,9 @@
             if collector.is_too_large:
                 raise PeerTimeoutError("reply is too large", step=step, peer=self.peer) from None
             raise self._error(error, step, sent) from None
+        if not collector.is_head_whole:
+            curl.close()
+            raise PeerTimeoutError("head of the reply broke off", step=step, peer=self.peer)
         self._release_handle(curl, new_connection)
 
     def _error(
