drainsoak: slow callers, chains, resumed streams, silent servers, crowds, pauses and repeated signals

Callers that read late and ask for large answers, that always have a request waiting, and that take streams up; a second SIGTERM, SIGHUP and SIGSTOP at any time in the grace; the store away for the whole stop; servers that go silent for about a second in turn; crowds that hold parts of requests; stops in one zone; instances with little memory and few descriptors for odd seeds. It also checks that each request that reached a server through a stopped instance has one line in its log. Requests that end at or after a SIGSTOP count as 'paused', as that is unplanned.

--- a/scripts/callerload.py
+++ b/scripts/callerload.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 import socket
 import time
@@ -24,7 +25,12 @@
 SLOW_PAUSE_S = 0.05
 READ_BYTES = 65_536
 RECONNECT_PAUSE_S = 0.1
+MAX_REFUSED_PAUSE_S = 0.5
 SLOWNESS = (1, 1, 2, 3)
+LARGENESS = (1, 10, 50)
+MAX_LATENESS_S = 4.0
+CHAIN_REQUESTS = 20
+EVENT_FRAME_BYTES = 20
 
 
 def now_ms() -> float:
@@ -61,6 +67,15 @@
     READS_SLOWLY = "reads_slowly"
     """Has a small receive window and sends its next request before it has read the answer."""
 
+    READS_LATE = "reads_late"
+    """Asks for large answers, and reads nothing of them for some seconds."""
+
+    CHAINS = "chains"
+    """Sends its next request as soon as only one is unanswered."""
+
+    RESUMES = "resumes"
+    """Leaves a stream after some events and takes it up on a new connection."""
+
 
 @dataclass
 class CallerRecord:
@@ -71,6 +86,9 @@
     :param habit: habit of the caller
     :param node: name of the entry instance
     :param slowness: factor on the time between the events of its answer
+    :param size_factor: factor on the size of its answer
+    :param resumes: request whose stream it takes up
+    :param resumes_after: event of that stream after which it goes on
     :param behind: request before it on the connection that had no whole answer when it was sent
     :param sent_ms: when its last byte was sent
     :param ended_ms: when it ended
@@ -84,6 +102,9 @@
     habit: CallerHabit
     node: str
     slowness: int = 1
+    size_factor: int = 1
+    resumes: str = ""
+    resumes_after: int = 0
     behind: CallerRecord | None = field(default=None, repr=False)
     sent_ms: float = 0.0
     ended_ms: float = 0.0
@@ -179,12 +200,21 @@
             await loop.sock_sendall(self._sock, encoded[start : start + step])
             record.sent_ms = now_ms()
 
-    async def receive(self, *, read_bytes: int = READ_BYTES, pause_s: float = 0.0) -> None:
-        """Read until all requests sent have ended; the slowest one's time limit applies."""
+    async def receive(
+        self, *, read_bytes: int = READ_BYTES, pause_s: float = 0.0, unanswered: int = 0
+    ) -> None:
+        """Read until the requests sent have ended; the slowest one's time limit applies.
+
+        :param read_bytes: maximum to read at once
+        :param pause_s: pause before each read
+        :param unanswered: number of requests that may still be unanswered
+        """
+        if not self._waiting:
+            return
         limit_s = max(record.kind.timeout_ms for record in self._waiting) / 1_000
         try:
             async with asyncio.timeout(limit_s):
-                while self._waiting:
+                while len(self._waiting) > unanswered:
                     await asyncio.sleep(pause_s)
                     if not await self._read(read_bytes):
                         return
@@ -206,6 +236,21 @@
         self._parser.feed_data(data)
         return True
 
+    async def receive_events(self, record: CallerRecord, size_bytes: int) -> None:
+        """Read until an answer has brought some bytes of its body, or has ended."""
+        while record in self._waiting and record.received < size_bytes:
+            await self._read(READ_BYTES)
+
+    @property
+    def takes_requests(self) -> bool:
+        """Whether the connection is open and no answer has announced its close."""
+        return self.is_open and not any(record.said_close for record in self._waiting)
+
+    def leave(self) -> None:
+        """Close the connection though requests may be unanswered."""
+        self._end_all(Ending.GIVEN_UP)
+        self.close()
+
     def close(self) -> None:
         """Close the connection."""
         if self.is_open:
@@ -247,7 +292,7 @@
     body = b"" if method == "GET" else b'{"note":"%s"}' % (b"x" * 200)
     target = (
         f"/{kind.name}/a?first={kind.first_ms}&gap={kind.gap_ms * record.slowness}"
-        f"&events={kind.events}&bytes={kind.size}"
+        f"&events={kind.events}&bytes={kind.size * record.size_factor}"
     )
     lines = [
         f"{method} {target} HTTP/1.1",
@@ -258,6 +303,8 @@
     ]
     if kind.events:
         lines += ["X-Model: m1", f"X-Token-Counts: 1000,{kind.events}", "X-Prompt-Prefix: a1:900"]
+    if record.resumes:
+        lines += [f"Resumes: {record.resumes}", f"Last-Event-Id: {record.resumes_after}"]
     if body:
         lines.append(f"Content-Length: {len(body)}")
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
@@ -290,32 +337,115 @@
             except ConnectionError:
                 await asyncio.sleep(RECONNECT_PAUSE_S)
                 continue
-        await _exchange(connection, habit, kinds, draw, records)
+        await _EXCHANGES.get(habit, _exchange)(connection, habit, kinds, draw, records)
+        if records[-1].status >= 400:
+            await asyncio.sleep(draw.uniform(0, MAX_REFUSED_PAUSE_S))
         if habit is CallerHabit.NEW:
             connection.close()
+        if habit is CallerHabit.RESUMES:
+            connection.leave()
     if connection is not None:
         connection.close()
 
 
-async def _exchange(
+async def _send(
     connection: Connection,
     habit: CallerHabit,
     kinds: list[RequestKind],
     draw: random.Random,
     records: list[CallerRecord],
-) -> None:
-    is_slow = habit is CallerHabit.SLOW
-    count = 2 if habit in (CallerHabit.PIPELINES, CallerHabit.READS_SLOWLY) else 1
+    **changes: int | str,
+) -> CallerRecord:
+    """Send a request of a kind that is drawn; its time of sending is 0 if that failed."""
+    request = f"{draw.getrandbits(64):016x}"
+    kind, slowness = draw.choice(kinds), draw.choice(SLOWNESS)
+    record = CallerRecord(request, kind, habit, connection.node.name, slowness, **changes)
+    records.append(record)
     try:
-        for _ in range(count):
-            request = f"{draw.getrandbits(64):016x}"
-            kind, slowness = draw.choice(kinds), draw.choice(SLOWNESS)
-            record = CallerRecord(request, kind, habit, connection.node.name, slowness)
-            records.append(record)
-            await connection.send(record, piece_bytes=SLOW_PIECE_BYTES if is_slow else 0)
+        await connection.send(
+            record, piece_bytes=SLOW_PIECE_BYTES if habit is CallerHabit.SLOW else 0
+        )
     except OSError:
         record.sent_ms = 0.0  # not wholly sent
+    return record
+
+
+async def _exchange(
+    connection: Connection,
+    habit: CallerHabit,
+    kinds: list[RequestKind],
+    draw: random.Random,
+    records: list[CallerRecord],
+) -> None:
+    count = 2 if habit in (CallerHabit.PIPELINES, CallerHabit.READS_SLOWLY) else 1
+    for _ in range(count):
+        await _send(connection, habit, kinds, draw, records)
     if habit is CallerHabit.READS_SLOWLY:
         await connection.receive(read_bytes=1_024, pause_s=0.02)
     else:
         await connection.receive()
+
+
+async def _exchange_late(
+    connection: Connection,
+    habit: CallerHabit,
+    kinds: list[RequestKind],
+    draw: random.Random,
+    records: list[CallerRecord],
+) -> None:
+    await _send(connection, habit, kinds, draw, records, size_factor=draw.choice(LARGENESS))
+    await asyncio.sleep(draw.uniform(0, MAX_LATENESS_S))
+    await connection.receive()
+
+
+async def _chain(
+    connection: Connection,
+    habit: CallerHabit,
+    kinds: list[RequestKind],
+    draw: random.Random,
+    records: list[CallerRecord],
+) -> None:
+    for _ in range(CHAIN_REQUESTS):
+        if not connection.takes_requests:
+            break
+        await _send(connection, habit, kinds, draw, records)
+        await connection.receive(unanswered=1)
+    await connection.receive()
+
+
+async def _resume(
+    connection: Connection,
+    habit: CallerHabit,
+    kinds: list[RequestKind],
+    draw: random.Random,
+    records: list[CallerRecord],
+) -> None:
+    """Take up the latest stream that such a caller has left, then leave one."""
+    kinds = [kind for kind in kinds if kind.is_resumable] or [kind for kind in kinds if kind.events]
+    left = [record for record in records if record.habit is habit and _event_of(record)]
+    changes: dict[str, int | str] = {}
+    if left:
+        before = left[-1]
+        changes = {"resumes": before.resumes or before.request, "resumes_after": _event_of(before)}
+        kinds = [before.kind]
+    first = await _send(connection, habit, kinds, draw, records, **changes)
+    if draw.random() < 0.5:
+        await connection.receive()
+    else:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(first.kind.timeout_ms / 1_000):
+                await connection.receive_events(first, 4 * first.kind.size)
+
+
+def _event_of(record: CallerRecord) -> int:
+    """Return the number of the last event of a stream that was left, 0 if there is none."""
+    if record.ending is not Ending.GIVEN_UP or not record.ended_ms:
+        return 0
+    return record.resumes_after + record.received // (record.kind.size + EVENT_FRAME_BYTES)
+
+
+_EXCHANGES = {
+    CallerHabit.READS_LATE: _exchange_late,
+    CallerHabit.CHAINS: _chain,
+    CallerHabit.RESUMES: _resume,
+}
--- a/scripts/drainsoak.py
+++ b/scripts/drainsoak.py
@@ -1,7 +1,8 @@
 """Stop entry instances under load and list requests that were read but not wholly answered.
 
 Usage: ``python -m scripts.drainsoak --layout kowhai-mend --seed 1 --rounds 2``. The exit code is 1
-if there is a violation.
+if there is a violation, or a request that a server got through a stopped instance has no line in
+the instance's log, or several.
 """
 
 from __future__ import annotations
@@ -9,11 +10,12 @@
 import argparse
 import asyncio
 import random
+import re
 import shutil
 import signal
 import sys
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from pathlib import Path
 from typing import Any
@@ -21,6 +23,7 @@
 from scripts.callerload import Balancer, CallerHabit, CallerRecord, Ending, now_ms, run_caller
 from scripts.platformfleet import LAYOUTS, EntryNode, FleetShape, PlatformFleet
 from scripts.processes import ProcessGroup
+from scripts.stopdisturbance import Disturbance, StopSignals, disturb_round
 
 __all__ = ["Finding", "Stop", "StopJudge", "Verdict", "main", "run_soak"]
 
@@ -33,6 +36,12 @@
 EXIT_VIOLATION = 1
 STATUS_UNKNOWN_OUTCOME = 502
 EXIT_INTERRUPTED = 2
+ZONE_SHARE = 0.5
+"""Share of the rounds with several stops in which these are in one zone."""
+
+TIGHT_MEMORY_MB = 112
+TIGHT_DESCRIPTORS = 900
+_LINE = re.compile(r"part=gateway event=request(?:_dropped)? request=(\S+)")
 
 
 @dataclass(frozen=True)
@@ -43,12 +52,14 @@
     :param signalled_ms: when it got the signal
     :param exited_ms: when its process had ended
     :param was_killed: whether it had to be killed
+    :param paused_ms: when it was paused by SIGSTOP; None if it was not
     """
 
     node: str
     signalled_ms: float
     exited_ms: float
     was_killed: bool
+    paused_ms: float | None = None
 
 
 class Verdict(Enum):
@@ -67,6 +78,9 @@
     BEHIND_CUT = "behind_cut"
     """Pipelined behind a stream that was cut as allowed; HTTP has no place for an answer."""
 
+    PAUSED = "paused"
+    """Its instance was paused before it ended, which is unplanned."""
+
 
 @dataclass(frozen=True)
 class Finding:
@@ -148,18 +162,23 @@
 
     def _is_around(self, record: CallerRecord, stop: Stop) -> bool:
         end_ms = stop.signalled_ms + self._grace_ms + AFTER_GRACE_MS
-        return record.node == stop.node and stop.signalled_ms <= record.ended_ms <= end_ms
+        # A caller that reads late sees the end of its connection late.
+        is_of_stop = record.sent_ms <= stop.exited_ms or record.ended_ms <= end_ms
+        return record.node == stop.node and stop.signalled_ms <= record.ended_ms and is_of_stop
 
     def _verdict(
         self, record: CallerRecord, stop: Stop, seen: dict[str, dict[str, Any]]
     ) -> Verdict:
-        if record.ended_ms - record.sent_ms >= record.kind.timeout_ms:
+        ended_ms = min(record.ended_ms, stop.exited_ms)
+        if ended_ms - record.sent_ms >= record.kind.timeout_ms:
             return Verdict.TIMED_OUT
         server = seen.get(record.request)
+        if stop.paused_ms is not None and ended_ms >= stop.paused_ms:
+            return Verdict.PAUSED
         if server is not None:
             is_cut = self._is_excused_cut(record, stop, server)
             return Verdict.CUT_AT_END if is_cut else Verdict.VIOLATION
-        if record.ended_ms - record.sent_ms <= LOSS_SLACK_MS:
+        if ended_ms - record.sent_ms <= LOSS_SLACK_MS:
             return Verdict.CROSSED
         before = record.behind
         if before is not None and before.ending is record.ending:
@@ -189,6 +208,7 @@
         self._draw = draw
         self.records: list[CallerRecord] = []
         self.stops: list[Stop] = []
+        self.disturbances: list[Disturbance] = []
 
     async def run(self, rounds: int, callers_per_habit: int) -> None:
         """Stop instances for a number of rounds while callers send requests."""
@@ -218,35 +238,46 @@
         checks.cancel()
 
     async def _round(self) -> None:
-        count = self._draw.choice((1, 1, 2, 3))
-        numbers = self._draw.sample(range(len(self._fleet.nodes)), count)
-        store_fault = self._draw.choice(({}, {"silent": True}, {"outage": True}))
-        tasks = [asyncio.ensure_future(self._disturb_store(store_fault))]
+        numbers = self._draw_instances()
+        disturbance = self._draw.choice(list(Disturbance))
+        self.disturbances.append(disturbance)
+        done = asyncio.Event()
+        disturbing = asyncio.ensure_future(
+            disturb_round(self._fleet, disturbance, self._draw, numbers, done)
+        )
+        stops = []
         for number in numbers:
-            tasks.append(asyncio.ensure_future(self._stop(number)))
+            stops.append(asyncio.ensure_future(self._stop(number)))
             await asyncio.sleep(self._draw.choice((0.0, 0.3, 1.5)))
-        await asyncio.gather(*tasks)
-
-    async def _disturb_store(self, faults: dict[str, bool]) -> None:
-        await asyncio.sleep(self._draw.uniform(0, 1.5))
-        store = self._fleet.store
-        await asyncio.to_thread(lambda: store.set_faults(**faults))
-        await asyncio.sleep(self._draw.uniform(0.5, 4))
-        await asyncio.to_thread(store.set_faults)
-        await asyncio.to_thread(self._fleet.write_config)
+        await asyncio.gather(*stops)
+        done.set()
+        await disturbing
+
+    def _draw_instances(self) -> list[int]:
+        """Draw the instances that stop, for half of the rounds in one zone."""
+        count, total = self._draw.choice((1, 1, 2, 3)), len(self._fleet.nodes)
+        numbers = self._draw.sample(range(total), count)
+        if self._draw.random() < ZONE_SHARE:
+            zones = len(self._fleet.shape.zones)
+            first = numbers[0]
+            numbers = [number for number in range(total) if (number - first) % zones == 0][:count]
+        return numbers
 
     async def _stop(self, number: int) -> None:
         node = self._fleet.nodes[number]
-        await asyncio.sleep(self._draw.uniform(0, 1))
-        if self._draw.random() < 0.5:
+        await asyncio.sleep(self._draw.uniform(0.5, 1.5))
+        signals = StopSignals.drawn(self._draw, self._fleet.shape.grace_s)
+        if signals.reload_s is not None and signals.reload_s < 0:
             node.signal(signal.SIGHUP)
+            signals = replace(signals, reload_s=None)
         signalled_ms = now_ms()
         node.terminate()
-        if self._draw.random() < 0.5:
-            await asyncio.sleep(self._draw.uniform(0, 3))
-            node.signal(signal.SIGHUP)
+        sending = asyncio.ensure_future(signals.send(node))
         was_killed = await self._wait_for_exit(node, signalled_ms)
-        self.stops.append(Stop(node.name, signalled_ms, now_ms(), was_killed))
+        exited_ms = now_ms()
+        sending.cancel()
+        paused_ms = None if signals.pause_s is None else signalled_ms + 1_000 * signals.pause_s
+        self.stops.append(Stop(node.name, signalled_ms, exited_ms, was_killed, paused_ms))
         await asyncio.sleep(0.5)
         self._fleet.nodes[number] = self._fleet.start_node(number)
 
@@ -259,25 +290,68 @@
         return False
 
 
+@dataclass(frozen=True)
+class SoakResult:
+    """What a soak has found.
+
+    :param soak: the run
+    :param findings: requests without a whole answer
+    :param unlogged: requests that reached a server through a stopped instance, without exactly one
+        line in its log
+    """
+
+    soak: Soak
+    findings: list[Finding]
+    unlogged: list[CallerRecord]
+
+    @property
+    def violations(self) -> list[Finding]:
+        """Findings that break the rule."""
+        return [finding for finding in self.findings if finding.verdict is Verdict.VIOLATION]
+
+
+def _unlogged(
+    fleet: PlatformFleet, soak: Soak, seen: dict[str, dict[str, Any]]
+) -> list[CallerRecord]:
+    """Return the requests at instances that ended by themselves without exactly one line."""
+    lines: Counter[str] = Counter()
+    for node in fleet.nodes:
+        lines.update(_LINE.findall(node.log_path.read_text(encoding="utf-8")))
+    ends_ms = {stop.node: stop.exited_ms for stop in soak.stops}
+    killed = {stop.node for stop in soak.stops if stop.was_killed}
+    return [
+        record
+        for record in soak.records
+        if record.request in seen
+        and record.node not in killed
+        and record.sent_ms <= ends_ms.get(record.node, 0.0)
+        and lines[record.request] != 1
+    ]
+
+
 def run_soak(
     shape: FleetShape, seed: int, rounds: int, callers_per_habit: int, logs: Path | None = None
-) -> tuple[Soak, list[Finding]]:
+) -> SoakResult:
     """Start a deployment, stop its instances under load, and judge.
 
     :param shape: layout of the deployment
-    :param seed: seed of all draws
+    :param seed: seed of all draws; instances have little memory and few descriptors for odd ones
     :param rounds: rounds of stops
     :param callers_per_habit: callers of each habit
     :param logs: folder for the logs of the instances; None discards them
     """
+    if seed % 2:
+        shape = replace(shape, memory_mb=TIGHT_MEMORY_MB, descriptors=TIGHT_DESCRIPTORS)
     with ProcessGroup() as group:
         fleet = PlatformFleet.start(group, shape)
         soak = Soak(fleet, random.Random(seed))
         asyncio.run(soak.run(rounds, callers_per_habit))
         seen = fleet.seen()
+        unlogged = _unlogged(fleet, soak, seen)
         if logs is not None:
             shutil.copytree(group.folder, logs, dirs_exist_ok=True)
-    return soak, StopJudge(shape.grace_s * 1_000).findings(soak.records, soak.stops, seen)
+    findings = StopJudge(shape.grace_s * 1_000).findings(soak.records, soak.stops, seen)
+    return SoakResult(soak, findings, unlogged)
 
 
 def main(argv: list[str]) -> int:
@@ -296,22 +370,32 @@
     options = parser.parse_args(argv)
     # The processes of the deployment are stopped on the way out.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_INTERRUPTED))
-    soak, findings = run_soak(
+    result = run_soak(
         LAYOUTS[options.layout], options.seed, options.rounds, options.callers, options.logs
     )
-    for finding in findings:
-        if options.verbose or finding.verdict is Verdict.VIOLATION:
-            print(finding)
-    verdicts = Counter(finding.verdict for finding in findings)
+    for finding in result.findings if options.verbose else result.violations:
+        print(finding)
+    for record in result.unlogged:
+        print(f"unlogged: {record}")
+    print(f"drainsoak layout={options.layout} seed={options.seed} {_summary(result)}")
+    return EXIT_VIOLATION if result.violations or result.unlogged else 0
+
+
+def _summary(result: SoakResult) -> str:
+    """Return the counts of a soak as pairs of name and value."""
+    soak = result.soak
+    verdicts = Counter(finding.verdict for finding in result.findings)
     endings = Counter(record.ending.value for record in soak.records)
-    print(
-        f"drainsoak layout={options.layout} seed={options.seed} stops={len(soak.stops)} "
-        f"killed={sum(stop.was_killed for stop in soak.stops)} requests={len(soak.records)} "
-        + " ".join(f"{name}={count}" for name, count in sorted(endings.items()))
-        + " "
-        + " ".join(f"{verdict.value}={verdicts[verdict]}" for verdict in Verdict)
-    )
-    return EXIT_VIOLATION if verdicts[Verdict.VIOLATION] else 0
+    counts = {
+        "stops": len(soak.stops),
+        "killed": sum(stop.was_killed for stop in soak.stops),
+        "beside": ",".join(disturbance.value for disturbance in soak.disturbances),
+        "requests": len(soak.records),
+        **dict(sorted(endings.items())),
+        **{verdict.value: verdicts[verdict] for verdict in Verdict},
+        "unlogged": len(result.unlogged),
+    }
+    return " ".join(f"{name}={value}" for name, value in counts.items())
 
 
 if __name__ == "__main__":
--- a/scripts/platformfleet.py
+++ b/scripts/platformfleet.py
@@ -69,6 +69,8 @@
     :param plain_servers: number of servers of the plain service
     :param kinds: kinds of request
     :param grace_s: seconds from SIGTERM to SIGKILL
+    :param memory_mb: memory limit of an entry instance
+    :param descriptors: its limit on file descriptors
     """
 
     zones: tuple[str, ...]
@@ -77,6 +79,8 @@
     plain_servers: int
     kinds: tuple[RequestKind, ...]
     grace_s: float = 8
+    memory_mb: int = 300
+    descriptors: int = 4_100
 
 
 KOWHAI_MEND = FleetShape(
@@ -236,8 +240,8 @@
 front = "{ip_address}:{CALLER_PORT}"
 readyAddress = "{ip_address}:{READINESS_PORT}"
 [limits]
-memoryMb = 300
-fileDescriptors = 4100
+memoryMb = {self.shape.memory_mb}
+fileDescriptors = {self.shape.descriptors}
 [bounds]
 drainTimeoutMs = 2000
 gracePeriodS = {self.shape.grace_s}
