Let the kernel take what callers have still to read before a stopping instance exits

Seen: a caller that reads slowly loses the rest of an answer that was whole seconds before, as the instance exits: 73,236 of 300,000 bytes of an order's answer, 51,696 of a stream whose server had ended (LOST). Cause: what the kernel's buffer does not take waits in the process, up to 64 KiB in the transport and the rest in its send queue or at the server, and ends with it. A buffer that has grown beyond what kernels grant by default is left alone. Bounded by that limit: more than it, unread by the caller, is still lost.

--- a/bergamothill/connection/callerhttp.py
+++ b/bergamothill/connection/callerhttp.py
@@ -18,6 +18,7 @@
 from bergamothill.connection.flowgate import FlowGate
 from bergamothill.connection.requestparser import ParsedRequest, ReceiveProgress, RequestParser
 from bergamothill.connection.responseformat import encode_chunk, encode_head, spread_retry_after
+from bergamothill.connection.sendbuffer import enlarge_send_buffer
 from bergamothill.connection.sendqueue import SendQueue
 from bergamothill.request.blockbody import BLOCK_BYTES
 from bergamothill.request.callerrequest import Header
@@ -142,6 +143,10 @@
         if not self.is_busy and self._transport is not None:
             self._close()
 
+    def hand_over(self) -> None:
+        """Let the kernel take what the caller has not read; it sends that also after the exit."""
+        enlarge_send_buffer(self._transport)
+
     # Memory.
 
     def give_way(self, refusal: Refusal) -> None:
@@ -234,7 +239,7 @@
             elif progress.body_bytes // BLOCK_BYTES > before.body_bytes // BLOCK_BYTES:
                 self._set_phase(Phase.UPLOADING)
         if not self._claim_memory():
-            self._reject_unparsed(self._status_without_room(progress.body_bytes))
+            self._reject_unparsed(self._intake.status_without_room(progress.body_bytes))
         elif before is not None and 2 * (progress.framing_bytes - before.framing_bytes) > nbytes:
             self._wait_for_turn()
 
@@ -254,15 +259,11 @@
         """Refuse a large body for which there is no room; answer ``Expect: 100-continue``."""
         self._cancel_timer()
         if body_bytes > BLOCK_BYTES and not self._intake.has_room(self, body_bytes):
-            return self._status_without_room(body_bytes)
+            return self._intake.status_without_room(body_bytes)
         if expects_continue and self._cancel is None:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         return 0
 
-    def _status_without_room(self, body_bytes: int) -> int:
-        """Return the status for a request that finds no room now, or never would."""
-        return 413 if body_bytes > self._intake.max_body_bytes else 503
-
     def on_request(self, request: ParsedRequest) -> None:
         """Start handling a request, or queue it until the previous one has been answered."""
         self._queued.append(request)
@@ -284,7 +285,7 @@
             self._handler.record_dropped([raw])
             self._reject_unparsed(503, None if has_descriptors else Refusal.CONNECTIONS)
             return
-        self._cancel = _cancel_nothing
+        self._cancel = lambda: None  # while it is being started
         cancel = self._handler.start(self, raw)
         if self._cancel is not None:
             self._cancel = cancel
@@ -493,7 +494,3 @@
 
 _HEADER_TIMEOUT_MS = attrgetter("header_timeout_ms")
 _IDLE_TIMEOUT_MS = attrgetter("idle_timeout_ms")
-
-
-def _cancel_nothing() -> None:
-    """Cancel callback of a request that is still being started."""
--- a/bergamothill/connection/callerintake.py
+++ b/bergamothill/connection/callerintake.py
@@ -143,6 +143,10 @@
             Refusal.STALLED,
         )
 
+    def status_without_room(self, body_bytes: int) -> int:
+        """Return the status for a request that finds no room now, or never would."""
+        return 413 if body_bytes > self.max_body_bytes else 503
+
     def _next_to_yield(
         self, connection: YieldingConnection, *, is_large: bool
     ) -> YieldingConnection | None:
--- a/bergamothill/process/nodedrain.py
+++ b/bergamothill/process/nodedrain.py
@@ -64,6 +64,7 @@
         await asyncio.sleep(ms_to_seconds(DRAIN_POLL_INTERVAL_MS))
         for connection in list(connections):
             connection.close_if_idle()
+            connection.hand_over()
         if not connections and not gateway.in_progress:
             break
     reserve_last_lines()
