--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from functools import partial
 
 from bergamothill.clock import Clock, ms_to_seconds
@@ -16,7 +16,7 @@
 from bergamothill.errors import InvalidRequestError
 from bergamothill.ids import EntryInstanceId, ServiceName
 from bergamothill.logs import EventLog
-from bergamothill.platform.headers import decode_request
+from bergamothill.platform.headers import decode_request, decode_request_id
 from bergamothill.process.admissionqueue import AdmissionQueue
 from bergamothill.process.configstate import Admission, ConfigState, Verdict
 from bergamothill.process.crashlog import MAX_ERROR_CHARACTERS, log_crash
@@ -52,6 +52,9 @@
 UNSEEN_INSTANCES = 1
 """Allowance for entry instances that have started but are not yet known here."""
 
+MAX_DROPPED_LINES = 8
+"""Maximum lines on the requests that one connection drops together."""
+
 MAX_BUFFERED_BYTES = 33_554_432
 """Maximum memory for the bodies of all unfinished answers that are delivered only as a whole."""
 
@@ -211,6 +214,12 @@
             log_crash("-", task.exception())
         connection.abort_unanswered(task.cancel)
 
+    def record_dropped(self, requests: Sequence[RawRequest]) -> None:
+        """Log requests that were read, and whose connection ended or found no room before them."""
+        unlogged = len(requests[MAX_DROPPED_LINES:])
+        for raw in requests[:MAX_DROPPED_LINES]:
+            _log.info("request_dropped", request=decode_request_id(raw) or "-", unlogged=unlogged)
+
     def admission_queue(self, service: ServiceName) -> AdmissionQueue:
         """Return the queue of requests that wait for a service."""
         queue = self._queues.get(service)
@@ -296,8 +305,11 @@
             admission = self._config.admit(request.host, request.path, request.key, now_ms)
             run = await self._create_run(connection, request, admission)
         except InvalidRequestError as error:
-            _log.info("request_invalid", error=error.message)
+            _log.info("request_invalid", request=decode_request_id(raw), error=error.message)
             connection.send_error(400)
+        except asyncio.CancelledError:
+            self.record_dropped([raw])
+            raise
         except Exception as error:  # noqa: BLE001 - the caller needs a final answer
             log_crash("-" if request is None else request.request_id, error)
             connection.send_response(503, [spread_retry_after(UNAVAILABLE_RETRY_MS)], b"")
@@ -307,14 +319,7 @@
                 return
             await self._execute(run)
             if isinstance(run, RequestRun) and run.passed_step is not None:
-                run = self._create_passed(
-                    connection,
-                    request,
-                    admission,
-                    run.service_name,
-                    may_have_run=run.passed_step.status != 503,
-                )
-                await self._execute(run)
+                await self._execute(self._continue_passed(connection, request, admission, run))
 
     async def _create_run(
         self, connection: CallerConnection, request: CallerRequest, admission: Admission
@@ -324,7 +329,8 @@
         if admission.verdict is not Verdict.ADMITTED or service is None:
             return None
         if self._passes_on(request):
-            return self._create_passed(connection, request, admission, service.name)
+            context = self._pass_context(service.name)
+            return PassedRun(context, connection, request, admission)
         resumed = await self._find_origin(request, admission, service)
         if resumed is not None:
             service = self._config.table.config.services.get(resumed.service, service)
@@ -358,18 +364,31 @@
         now_ms = self._clock.now_ms()
         return step.status == 503 or self.retry_budget(service).try_spend(now_ms)
 
-    def _create_passed(
+    def _pass_context(self, service: ServiceName) -> PassContext:
+        return PassContext(
+            self._clock,
+            self.passing,
+            self._metrics,
+            self._buffer_budget,
+            self.retry_budget(service),
+        )
+
+    def _continue_passed(
         self,
         connection: CallerConnection,
         request: CallerRequest,
         admission: Admission,
-        service: ServiceName,
-        *,
-        may_have_run: bool = False,
+        run: RequestRun,
     ) -> PassedRun:
-        context = PassContext(self._clock, self.passing, self._metrics, self._buffer_budget)
-        budget = self.retry_budget(service)
-        return PassedRun(context, connection, request, admission, budget, may_have_run=may_have_run)
+        """Return the run of a request that ended unanswered here and is to be passed on."""
+        return PassedRun(
+            self._pass_context(run.service_name),
+            connection,
+            request,
+            admission,
+            may_have_run=run.passed_step.status != 503,
+            attempts=run.attempt_log,
+        )
 
     async def _find_origin(
         self, request: CallerRequest, admission: Admission, service: Service
--- a/bergamothill/process/passedrun.py
+++ b/bergamothill/process/passedrun.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import random
+from collections.abc import Iterable
 from dataclasses import dataclass
 from functools import partial, singledispatchmethod
 
@@ -37,18 +38,20 @@
 
 @dataclass(frozen=True, slots=True)
 class PassContext:
-    """What the requests that are passed on have in common.
+    """What the requests to one service that are passed on have in common.
 
     :param clock: source of time
     :param passing: the other instances
     :param metrics: counters and histograms
     :param buffer_budget: memory for the bodies of unfinished answers
+    :param retry_budget: retry budget of the service
     """
 
     clock: Clock
     passing: Passing
     metrics: GatewayMetrics
     buffer_budget: BufferBudget
+    retry_budget: WindowedRetryBudget
 
 
 class PassedRun(AnswerListener):
@@ -58,8 +61,8 @@
     :param connection: connection of the caller
     :param request: caller's request
     :param admission: decision that admitted the request
-    :param retry_budget: retry budget of the service
     :param may_have_run: whether a server may have run the request already
+    :param attempts: descriptions of the attempts at servers that were made here before
     """
 
     def __init__(
@@ -68,9 +71,9 @@
         connection: CallerConnection,
         request: CallerRequest,
         admission: Admission,
-        retry_budget: WindowedRetryBudget,
         *,
         may_have_run: bool = False,
+        attempts: Iterable[str] = (),
     ) -> None:
         route, self._context = admission.route, context
         self._clock = context.clock
@@ -82,7 +85,7 @@
         self._state = PassedRequest(
             route,
             context.passing.choose_for(home_regions(route, admission.brand)),
-            retry_budget,
+            context.retry_budget,
             random.random(),
             request.raw.arrived_ms + timeout_ms,
             may_have_run=may_have_run,
@@ -101,7 +104,7 @@
         self._is_helper_lost = False
         self._is_stopping = False
         self._first_byte_ms: int | None = None
-        self._passes: list[str] = []
+        self._passes = list(attempts)
 
     async def execute(self) -> None:
         """Carry out the steps of the request until its final one."""
--- a/bergamothill/process/peerdoor.py
+++ b/bergamothill/process/peerdoor.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 
 from bergamothill.connection.callerhttp import CallerConnection
@@ -83,6 +83,10 @@
         connection.send_response(503, headers, b"")
         return _cancel_nothing
 
+    def record_dropped(self, requests: Sequence[RawRequest]) -> None:
+        """Log requests that were read and will not be started."""
+        self._gateway.record_dropped(requests)
+
 
 def _cancel_nothing() -> None:
     """Cancel a request that was refused."""
--- a/bergamothill/process/requestrun.py
+++ b/bergamothill/process/requestrun.py
@@ -240,6 +240,11 @@
         """Time by which the caller gets a final answer."""
         return self._forwarding.due_ms
 
+    @property
+    def attempt_log(self) -> list[str]:
+        """Descriptions of the attempts that have ended."""
+        return self._context.log
+
     @property
     def service_name(self) -> ServiceName:
         """Name of the service that it is forwarded to."""
