Learn from isolated instances that servers are reached elsewhere

Cause: only a reply of an instance that reaches servers told an instance that it is isolated. An isolated one now says in its replies that it knows of such an instance.

--- a/bergamothill/process/nodepassing.py
+++ b/bergamothill/process/nodepassing.py
@@ -124,8 +124,13 @@
 
     def _describe(self, is_reaching: bool) -> ReachReply:
         is_admitting = not self._gateway.is_draining()
-        in_progress = self._gateway.in_progress
-        return ReachReply(self._settings.entry, is_reaching, is_admitting, in_progress)
+        return ReachReply(
+            self._settings.entry,
+            is_reaching,
+            is_admitting,
+            self._gateway.in_progress,
+            self._passing.is_isolated,
+        )
 
     def _on_reply(self, reply: ReachReply) -> None:
         self._passing.record_reply(reply)
--- a/bergamothill/process/passing.py
+++ b/bergamothill/process/passing.py
@@ -62,17 +62,18 @@
         return self._isolated_ms is not None
 
     def record_reply(self, reply: ReachReply) -> None:
-        """Record what another instance replied; the first that reaches servers decides."""
+        """Record what another instance replied; the first that knows of reached servers decides."""
         now_ms = self._clock.now_ms()
         self.helpers.record_reply(reply, now_ms)
         is_unreached = self._reachability.state is ReachState.UNREACHED
-        if is_unreached and reply.is_reaching and not self.is_isolated:
+        is_reached_elsewhere = reply.is_reaching or reply.is_isolated
+        if is_unreached and is_reached_elsewhere and not self.is_isolated:
             self._isolated_ms = now_ms
             _log.warning(
                 "passing_begins",
                 after_ms=now_ms - self._reachability.changed_ms,
-                helper=reply.entry,
-                is_admitting=reply.is_admitting,
+                told_by=reply.entry,
+                is_helping=reply.is_helping,
             )
             self.on_isolated()
 
--- a/bergamothill/process/reachmessages.py
+++ b/bergamothill/process/reachmessages.py
@@ -44,12 +44,14 @@
     :param is_reaching: whether a server has just answered it
     :param is_admitting: whether it takes requests that others pass on
     :param in_progress: number of requests that it has in progress
+    :param is_isolated: whether it reaches no server and knows that others do
     """
 
     entry: EntryInstanceId
     is_reaching: bool
     is_admitting: bool
     in_progress: int
+    is_isolated: bool = False
 
     @property
     def is_helping(self) -> bool:
@@ -72,7 +74,7 @@
 
 def encode_reach_reply(reply: ReachReply) -> bytes:
     """Encode a reply as a datagram."""
-    row = [reply.is_reaching, reply.is_admitting, reply.in_progress]
+    row = [reply.is_reaching, reply.is_admitting, reply.in_progress, reply.is_isolated]
     return cbor2.dumps([KIND, FORMAT, reply.entry, _REPLY, row])
 
 
@@ -89,7 +91,8 @@
             return ReachQuery(entry)
         if kind != _REPLY:
             raise ValueError(f"unknown kind {kind!r}")
-        is_reaching, is_admitting, in_progress, *_ = row
-        return ReachReply(entry, bool(is_reaching), bool(is_admitting), max(0, int(in_progress)))
+        is_reaching, is_admitting, in_progress, is_isolated, *_ = row
+        flags = (bool(is_reaching), bool(is_admitting))
+        return ReachReply(entry, *flags, max(0, int(in_progress)), bool(is_isolated))
     except (TypeError, ValueError, OverflowError, cbor2.CBORDecodeError) as error:
         raise ProtocolError(f"not about reaching servers: {error}", step="reach.decode") from error
--- a/tests/test_passedrequest.py
+++ b/tests/test_passedrequest.py
@@ -151,7 +151,7 @@
 
 class MessageTest(unittest.TestCase):
     def test_messages_are_decoded_as_they_were_sent(self):
-        query, reply = ReachQuery("e1"), ReachReply("e2", True, False, 7)
+        query, reply = ReachQuery("e1"), ReachReply("e2", True, False, 7, True)
         for message, datagram in (
             (query, encode_reach_query(query)),
             (reply, encode_reach_reply(reply)),
