--- a/tests/test_swapduty.py
+++ b/tests/test_swapduty.py
@@ -54,7 +54,7 @@
         self.pool = ThreadPoolExecutor(max_workers=1)
         self.addCleanup(self.pool.shutdown)
 
-    def duty(self, name):
+    def duty(self, name, **options):
         lease = DutyLease(self.kvs, self.clock, "weights", name, times=TIMES)
         gap = OrderGapGuard(self.kvs, MARKER_KEY, name, lease, ORDER_GAP_MS, TIMES.ttl_ms)
         engines = Engines(self.clock)
@@ -67,6 +67,7 @@
             name,
             enforces_fencing=False,
             on_swapped=lambda engine, version: None,
+            **options,
         )
         return duty, engines
 
@@ -86,6 +87,18 @@
         held_until_ms = self.clock.now_ms() - 1_000 - 40 + TIMES.ttl_ms - TIMES.margin_ms
         self.assertEqual([held_until_ms - engines.ordered_ms[0]], engines.timeouts_ms)
 
+    def test_an_instance_that_reaches_no_engine_leaves_the_duty_to_another(self):
+        reaches = [True]
+        first, _ = self.duty("entry-1", reaches_engines=lambda: reaches[0])
+        second, engines = self.duty("entry-2")
+        first._tick(self.pool)
+        self.assertTrue(first.is_held)
+        reaches[0] = False
+        first._tick(self.pool)
+        self.run_until_ordered(second, engines)
+        self.assertFalse(first._tick(self.pool))
+        self.assertTrue(second.is_held)
+
     def test_orders_are_sent_as_soon_as_the_gap_of_a_previous_holder_has_passed(self):
         first, engines = self.duty("entry-1")
         self.run_until_ordered(first, engines)
