Let an isolated holder leave the duty of weight swaps

While the holder of the duty reaches no engine, new weights that are named are ordered nowhere until its links are back, as its lease goes on. It now gives the lease up as it becomes isolated, and contends again once servers are reached; the order gap between two holders holds as before.

--- a/bergamothill/process/nodeduties.py
+++ b/bergamothill/process/nodeduties.py
@@ -35,11 +35,13 @@
     roster: InstanceRoster,
     view: Callable[[], SwapView],
     on_swapped: Callable[[SwapEngine, int], None],
+    reaches_engines: Callable[[], bool],
 ) -> SwapDuty:
     """Return the duty that moves engines to the weight targets.
 
     :param view: returns targets and engines
     :param on_swapped: called in the duty's thread with each engine that has moved, and its version
+    :param reaches_engines: whether this instance can carry the duty out; called in that thread
     """
     bounds, holder = settings.bounds, settings.entry
     ttl_ms = max(settings.min_lease_ms, bounds.order_gap_ms // 2)
@@ -57,4 +59,5 @@
         enforces_fencing=bounds.engines_check_fencing,
         on_swapped=on_swapped,
         may_contend=DutyContenders(roster, SWAP_DUTY, clock).may_contend,
+        reaches_engines=reaches_engines,
     )
--- a/bergamothill/process/nodepassing.py
+++ b/bergamothill/process/nodepassing.py
@@ -83,6 +83,11 @@
         )
         metrics.add_gauge("passing_on", lambda: int(self._passing.is_isolated))
 
+    @property
+    def is_isolated(self) -> bool:
+        """Whether this instance reaches no server, and others do."""
+        return self._passing.is_isolated
+
     def tasks(self) -> Iterable[_NamedTask]:
         """Return the tasks to run, with their names."""
         return (("reach", self._watch.run), ("helpers", self._watch.ask_peers))
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -190,6 +190,7 @@
             self._roster,
             lambda: self._swap_view,
             self._on_swapped,
+            lambda: not self._passing.is_isolated,
         )
 
     def _make_sweep_duty(self) -> SweepDuty:
--- a/bergamothill/process/swapduty.py
+++ b/bergamothill/process/swapduty.py
@@ -62,6 +62,7 @@
     :param enforces_fencing: whether engines reject outdated fencing numbers
     :param on_swapped: called for each engine that reports its new weights
     :param may_contend: whether to ask for the lease while another instance may hold it
+    :param reaches_engines: whether this instance can carry the duty out; it gives it up otherwise
     """
 
     def __init__(
@@ -76,6 +77,7 @@
         enforces_fencing: bool,
         on_swapped: Callable[[SwapEngine, int], None],
         may_contend: Callable[[], bool] = lambda: True,
+        reaches_engines: Callable[[], bool] = lambda: True,
     ) -> None:
         self._lease = lease
         self._order_gap = order_gap
@@ -86,6 +88,7 @@
         self._enforces_fencing = enforces_fencing
         self._on_swapped = on_swapped
         self._may_contend = may_contend
+        self._reaches_engines = reaches_engines
         self._was_holder = False
         self._machine = WeightSwap()
         self._stopped = False
@@ -132,6 +135,9 @@
             self._wake.set()
 
     def _tick(self, pool: ThreadPoolExecutor) -> bool:
+        if not self._reaches_engines():
+            self._give_up()
+            return False
         self._was_holder = self._lease.tick()
         if not self._was_holder:
             self._machine = WeightSwap()
@@ -145,6 +151,13 @@
         list(pool.map(self._perform_and_log_failure, self._defer_blocked_orders(effects)))
         return True
 
+    def _give_up(self) -> None:
+        if self._was_holder:
+            _log.info("duty_given_up", reason="reaches no engine")
+            self._was_holder = False
+            self._machine = WeightSwap()
+            self._lease.release()
+
     def _defer_blocked_orders(self, effects: tuple[SwapEffect, ...]) -> list[SwapEffect]:
         """Return the effects, without orders to engines for which the order gap has not passed."""
         orders = [effect for effect in effects if isinstance(effect, OrderSwap)]
