Give the final answers of a stop after a pause of the process, too

Seen: requests in progress at an instance that did not run as its drain ended (a pause, a starved machine) ended without an answer, though it had time before the kill; those whose answers had come meanwhile got 502 (LOST). Cause: the time for final answers was counted from the planned end of the drain, so it was over; the loop was left and the requests were cancelled as if their callers had left. And requests were ended before the loop had read what had arrived. Change: the time is counted from the moment at which the process gets there, after one poll in which the loop handles what has arrived.

--- a/bergamothill/process/nodedrain.py
+++ b/bergamothill/process/nodedrain.py
@@ -69,6 +69,9 @@
             break
     reserve_last_lines()
     _log.info("stop_ends", in_progress=gateway.in_progress)
+    # The process may not have run as the drain ended; answers that came meanwhile go first.
+    await asyncio.sleep(ms_to_seconds(FINAL_ANSWER_POLL_INTERVAL_MS))
     gateway.end_drain()
-    while gateway.in_progress and clock.now_ms() < period.ends_ms + FINAL_ANSWER_MS:
+    final_ends_ms = clock.now_ms() + FINAL_ANSWER_MS
+    while gateway.in_progress and clock.now_ms() < final_ends_ms:
         await asyncio.sleep(ms_to_seconds(FINAL_ANSWER_POLL_INTERVAL_MS))
--- a/tests/test_stop_exit.py
+++ b/tests/test_stop_exit.py
@@ -17,14 +17,15 @@
 
 STREAM = RequestKind("stream", "streaming", 15, 10, 100, 12_000, 600, size=20_000)
 LARGE_ORDER = RequestKind("large-order", "unsafe", 0, 100, 0, 12_000, 400, size=300_000)
+ORDER = RequestKind("order", "unsafe", 0, 2_500, 0, 12_000, 400)
 SLOW_ORDER = RequestKind("slow-order", "unsafe", 0, 9_000, 0, 12_000, 400)
 
 SHAPE = FleetShape(
     zones=("zone-a",),
-    nodes=3,
+    nodes=4,
     engines=1,
     plain_servers=1,
-    kinds=(STREAM, LARGE_ORDER, SLOW_ORDER),
+    kinds=(STREAM, LARGE_ORDER, ORDER, SLOW_ORDER),
     grace_s=3,
 )
 
@@ -68,10 +69,19 @@
 
     def test_requests_get_answers_after_a_pause_as_the_drain_ends(self):
         connection = self.send(SLOW_ORDER, "c1")
+        self.pause_as_the_drain_ends()
+        self.assertIn(b"HTTP/1.1 502", read_all(connection))
+
+    def test_answers_that_came_in_a_pause_as_the_drain_ends_are_passed_on(self):
+        connections = [self.send(ORDER, f"d{number}") for number in range(20)]
+        self.pause_as_the_drain_ends()
+        heads = {read_all(connection)[:12] for connection in connections}
+        self.assertEqual({b"HTTP/1.1 200"}, heads)
+
+    def pause_as_the_drain_ends(self):
         time.sleep(0.2)
         self.node.terminate()
         time.sleep(DRAIN_S - 0.2)
         self.node.signal(signal.SIGSTOP)
         time.sleep(0.5)
         self.node.signal(signal.SIGCONT)
-        self.assertIn(b"HTTP/1.1 502", read_all(connection))
