Refuse requests that wait behind another one for want of memory, rather than dropping them

Seen: a request that was read whole and waited behind another one on its connection ended without an answer, when the next one on the connection found no room in the account of callers' memory; its connection closed after the answer before it, up to seconds later (LOST, if in a stop). Cause: to give memory back, the connection dropped what it had queued without a word. What waits on a connection is a class of its own now. Evidence: tests.test_stop_exit...a_request_behind_another_one_is_answered_though_memory_is_short: [200] before, [200, 503] now. tests.test_gateway and tests.test_stop_lines pass.

--- a/bergamothill/connection/callerhttp.py
+++ b/bergamothill/connection/callerhttp.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
 from collections.abc import Callable, Sequence
 from operator import attrgetter
 
@@ -20,6 +19,7 @@
 from bergamothill.connection.responseformat import encode_chunk, encode_head, spread_retry_after
 from bergamothill.connection.sendbuffer import enlarge_send_buffer
 from bergamothill.connection.sendqueue import SendQueue
+from bergamothill.connection.waitingrequests import WaitingRequests
 from bergamothill.request.blockbody import BLOCK_BYTES
 from bergamothill.request.callerrequest import Header
 from bergamothill.request.connectiontable import Phase
@@ -67,9 +67,8 @@
         self._intake = handler.intake
         self._holding = Holding(self._intake.account)
         self._transport: asyncio.Transport | None = None
-        self._queued: deque[ParsedRequest] = deque()
+        self._queued = WaitingRequests(handler.record_dropped)
         self._queued_bytes = 0
-        self._memory_queued = 0
         self._memory_in_progress = 0
         self._unsent = SendQueue()
         """Rest of a large answer, as the caller does not keep up."""
@@ -171,15 +170,10 @@
             return
         self._is_released = self._stops_reading = True
         self._parser.release()
-        self._drop_queued()
+        self._queued.drop()
         self._unsent.clear()
         self._holding.release()
 
-    def _drop_queued(self) -> None:
-        self._handler.record_dropped([queued.request for queued in self._queued])
-        self._queued.clear()
-        self._memory_queued = 0
-
     def _claim_memory(self) -> bool:
         """Take or give back memory for what the connection holds; return False without room."""
         size = self._needed_bytes()
@@ -190,7 +184,7 @@
         return self._intake.make_room(self, self._holding, size, share)
 
     def _needed_bytes(self) -> int:
-        requests = self._parser.memory_bytes + self._memory_queued + self._memory_in_progress
+        requests = self._parser.memory_bytes + self._queued.memory_bytes + self._memory_in_progress
         return CONNECTION_BYTES + requests + self._unsent.size_bytes
 
     def _set_phase(self, phase: Phase) -> None:
@@ -267,23 +261,26 @@
     def on_request(self, request: ParsedRequest) -> None:
         """Start handling a request, or queue it until the previous one has been answered."""
         self._queued.append(request)
-        self._memory_queued += request.memory_bytes
         if self._cancel is None and not self.flow.is_paused:
             self._start_next()
 
     def _start_next(self) -> None:
-        raw, memory_bytes, self._keep_alive = self._queued.popleft()
-        self._is_head_request = raw.method == b"HEAD"
+        raw, memory_bytes, self._keep_alive = self._queued.pop()
+        self._is_head_request = raw is not None and raw.method == b"HEAD"
         self._queued_bytes = 0
         self._response_started = False
         self._cancel_timer()
-        self._memory_queued -= memory_bytes
+        if raw is None:
+            self._send_refusal(503)
+            return
         self._memory_in_progress = memory_bytes + HANDLING_BYTES
         self._intake.table.set_phase(self, Phase.ANSWERING, raw.arrived_ms)
         has_descriptors = self._intake.has_descriptors(self)
         if not has_descriptors or not self._claim_memory():
-            self._handler.record_dropped([raw])
+            self._queued.put_back(ParsedRequest(raw, memory_bytes, self._keep_alive))
+            self._memory_in_progress = 0
             self._reject_unparsed(503, None if has_descriptors else Refusal.CONNECTIONS)
+            self._start_next()
             return
         self._cancel = lambda: None  # while it is being started
         cancel = self._handler.start(self, raw)
@@ -293,16 +290,16 @@
     def _reject_unparsed(self, status: int, refusal: Refusal | None = None) -> None:
         """Reject a request that is malformed, too large or late, or finds no room, and close.
 
-        Requests that were received before it are answered instead, and the last of these answers
-        closes the connection. Without room they are dropped.
+        Requests that were received before it are answered instead, without room with 503, and the
+        last of these answers closes the connection.
         """
         self._intake.record_refusal(refusal or REFUSAL_BY_STATUS[status], self._transport)
         self._stops_reading = True
         self._parser.release()
         if status == 503:
-            self._drop_queued()
+            self._queued.refuse()
         if self._queued:
-            self._queued[-1] = self._queued[-1]._replace(keep_alive=False)
+            self._queued.end_after_last()
             return
         self._keep_alive = False
         if self._cancel is not None or self._unsent:
@@ -310,11 +307,14 @@
         if self._response_started:
             self._transport.abort()
         else:
-            headers = [spread_retry_after(MIN_RETRY_AFTER_MS)] if status == 503 else []
-            self.send_response(status, headers, b"")
+            self._send_refusal(status)
 
     # Sending responses.
 
+    def _send_refusal(self, status: int) -> None:
+        headers = [spread_retry_after(MIN_RETRY_AFTER_MS)] if status == 503 else []
+        self.send_response(status, headers, b"")
+
     def send_error(self, status: int) -> None:
         """Reject a request whose framing or meaning is ambiguous, and close the connection."""
         self._keep_alive = False
--- a/bergamothill/connection/requestparser.py
+++ b/bergamothill/connection/requestparser.py
@@ -32,12 +32,12 @@
 class ParsedRequest(NamedTuple):
     """Complete request of a connection.
 
-    :param request: request as read
+    :param request: request as read; None if it is to be refused, as there is no room for it
     :param memory_bytes: memory that it takes
     :param keep_alive: whether the caller lets the connection stay open
     """
 
-    request: RawRequest
+    request: RawRequest | None
     memory_bytes: int
     keep_alive: bool
 
--- a/tests/test_stop_exit.py
+++ b/tests/test_stop_exit.py
@@ -1,16 +1,20 @@
 """Tests of callers' requests in the last moments of a stop, with processes that end."""
 
+import re
 import signal
 import socket
 import time
 import unittest
 
+from bergamothill.process.platformnode import METRICS_PORT
 from scripts.callerload import CallerHabit, CallerRecord, encode_request
 from scripts.platformfleet import FleetShape, PlatformFleet, RequestKind
 from scripts.processes import ProcessGroup
+from tests.builders import await_true
 from tests.gatewayworld import read_all
 
 TIMEOUT_S = 10
+BODY_BYTES = 4_000_000
 DRAIN_S = 2.3
 SEGMENT_BYTES = 1_448
 RECEIVE_BUFFER_BYTES = 4_096
@@ -18,14 +22,21 @@
 STREAM = RequestKind("stream", "streaming", 15, 10, 100, 12_000, 600, size=20_000)
 LARGE_ORDER = RequestKind("large-order", "unsafe", 0, 100, 0, 12_000, 400, size=300_000)
 ORDER = RequestKind("order", "unsafe", 0, 2_500, 0, 12_000, 400)
+SHORT_ORDER = RequestKind("short-order", "unsafe", 0, 1_000, 0, 12_000, 400)
+QUICK_ORDER = RequestKind("quick-order", "unsafe", 0, 45, 0, 2_500, 400)
 SLOW_ORDER = RequestKind("slow-order", "unsafe", 0, 9_000, 0, 12_000, 400)
+HEAD = (
+    b"POST /order/a HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: %s\r\n"
+    b"Authorization: Bearer key-1\r\nContent-Length: %d\r\n\r\n"
+)
 
 SHAPE = FleetShape(
     zones=("zone-a",),
-    nodes=4,
+    nodes=5,
     engines=1,
     plain_servers=1,
-    kinds=(STREAM, LARGE_ORDER, ORDER, SLOW_ORDER),
+    kinds=(STREAM, LARGE_ORDER, ORDER, SHORT_ORDER, QUICK_ORDER, SLOW_ORDER),
+    memory_mb=112,
     grace_s=3,
 )
 
@@ -78,6 +89,25 @@
         heads = {read_all(connection)[:12] for connection in connections}
         self.assertEqual({b"HTTP/1.1 200"}, heads)
 
+    def test_a_request_behind_another_one_is_answered_though_memory_is_short(self):
+        self.node.terminate()
+        for _ in range(5):
+            held = self.enterContext(socket.create_connection(self.node.caller_address, TIMEOUT_S))
+            held.sendall(HEAD % (b"held", BODY_BYTES) + b"x" * (BODY_BYTES - 1))
+        await_true(lambda: self.held_bytes() > 5 * BODY_BYTES)
+        connection = self.send(SHORT_ORDER, "e1")
+        behind = encode_request(CallerRecord("e2", QUICK_ORDER, CallerHabit.KEEPS, ""))
+        connection.sendall(behind + HEAD % (b"e3", BODY_BYTES))
+        received = read_all(connection)
+        self.assertEqual([b"200", b"503"], re.findall(rb"HTTP/1.1 (\d+)", received))
+
+    def held_bytes(self):
+        address = (self.node.caller_address[0], METRICS_PORT)
+        with socket.create_connection(address, TIMEOUT_S) as connection:
+            connection.sendall(b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+            found = re.search(rb"client_memory_bytes (\d+)", read_all(connection))
+        return int(found[1])
+
     def pause_as_the_drain_ends(self):
         time.sleep(0.2)
         self.node.terminate()
