A short soak of stops in the suite; late readers are judged by what they could see

The first form of the rule for callers that read late took a connection that ended 1.5 s after the grace for one of the stop (tests.test_drainsoak failed); the time for which a caller read nothing is subtracted instead.

--- a/scripts/callerload.py
+++ b/scripts/callerload.py
@@ -95,6 +95,7 @@
     :param ending: how it ended
     :param status: status of the answer; 0 for none
     :param received: bytes of the body received
+    :param unread_ms: for how long its caller read nothing
     """
 
     request: str
@@ -111,6 +112,7 @@
     ending: Ending = Ending.GIVEN_UP
     status: int = 0
     received: int = 0
+    unread_ms: float = 0.0
     said_close: bool = field(default=False, repr=False)
 
 
@@ -354,7 +356,7 @@
     kinds: list[RequestKind],
     draw: random.Random,
     records: list[CallerRecord],
-    **changes: int | str,
+    **changes: float | str,
 ) -> CallerRecord:
     """Send a request of a kind that is drawn; its time of sending is 0 if that failed."""
     request = f"{draw.getrandbits(64):016x}"
@@ -393,8 +395,10 @@
     draw: random.Random,
     records: list[CallerRecord],
 ) -> None:
-    await _send(connection, habit, kinds, draw, records, size_factor=draw.choice(LARGENESS))
-    await asyncio.sleep(draw.uniform(0, MAX_LATENESS_S))
+    size_factor, late_s = draw.choice(LARGENESS), draw.uniform(0, MAX_LATENESS_S)
+    changes = {"size_factor": size_factor, "unread_ms": late_s * 1_000}
+    await _send(connection, habit, kinds, draw, records, **changes)
+    await asyncio.sleep(late_s)
     await connection.receive()
 
 
--- a/scripts/drainsoak.py
+++ b/scripts/drainsoak.py
@@ -25,7 +25,7 @@
 from scripts.processes import ProcessGroup
 from scripts.stopdisturbance import Disturbance, StopSignals, disturb_round
 
-__all__ = ["Finding", "Stop", "StopJudge", "Verdict", "main", "run_soak"]
+__all__ = ["Finding", "SoakResult", "Stop", "StopJudge", "Verdict", "main", "run_soak"]
 
 LOSS_SLACK_MS = 200
 LATEST_EXCUSED_MS = 3_000
@@ -162,9 +162,10 @@
 
     def _is_around(self, record: CallerRecord, stop: Stop) -> bool:
         end_ms = stop.signalled_ms + self._grace_ms + AFTER_GRACE_MS
-        # A caller that reads late sees the end of its connection late.
-        is_of_stop = record.sent_ms <= stop.exited_ms or record.ended_ms <= end_ms
-        return record.node == stop.node and stop.signalled_ms <= record.ended_ms and is_of_stop
+        is_after = stop.signalled_ms <= record.ended_ms
+        # A caller that does not read sees the end of its connection late.
+        is_before_end = record.ended_ms - record.unread_ms <= end_ms
+        return record.node == stop.node and is_after and is_before_end
 
     def _verdict(
         self, record: CallerRecord, stop: Stop, seen: dict[str, dict[str, Any]]
--- a/scripts/platformfleet.py
+++ b/scripts/platformfleet.py
@@ -20,6 +20,7 @@
     "FleetShape",
     "KOWHAI_MEND",
     "LAYOUTS",
+    "LONG_LIMITS",
     "PKMA_DESK",
     "PlatformFleet",
     "RequestKind",
--- a/tests/test_drainsoak.py
+++ b/tests/test_drainsoak.py
@@ -1,10 +1,11 @@
-"""Tests of the rule that the soak of stops applies."""
+"""Tests of the rule that the soak of stops applies, and a short soak."""
 
 import unittest
+from dataclasses import replace
 
 from scripts.callerload import CallerHabit, CallerRecord, Ending
-from scripts.drainsoak import Stop, StopJudge, Verdict
-from scripts.platformfleet import KOWHAI_MEND
+from scripts.drainsoak import Stop, StopJudge, Verdict, run_soak
+from scripts.platformfleet import KOWHAI_MEND, LONG_LIMITS
 
 STOP = Stop("n1", signalled_ms=100_000, exited_ms=107_500, was_killed=False)
 
@@ -59,3 +60,24 @@
         self.assertEqual([Verdict.CUT_AT_END, Verdict.BEHIND_CUT], allowed)
         early = self.verdicts(first, behind, seen={"r1": at_server(102_000)})
         self.assertEqual([Verdict.VIOLATION, Verdict.VIOLATION], early)
+
+    def test_a_request_that_ends_after_a_pause_of_its_instance_is_told_apart(self):
+        stop = replace(STOP, paused_ms=105_000.0)
+        for ended_ms, verdict in ((105_000, Verdict.PAUSED), (104_999, Verdict.VIOLATION)):
+            with self.subTest(ended_ms=ended_ms):
+                found = StopJudge(8_000).findings([record(ended_ms=ended_ms)], [stop], {})
+                self.assertEqual([verdict], [finding.verdict for finding in found])
+
+    def test_a_caller_that_reads_after_the_exit_is_judged_by_the_exit(self):
+        late = record(sent_ms=104_000, ended_ms=111_000, unread_ms=4_000)
+        self.assertEqual([Verdict.VIOLATION], self.verdicts(late, seen={"r1": at_server(104_500)}))
+
+
+class SoakTest(unittest.TestCase):
+    def test_stops_beside_disturbances_lose_no_request_and_no_line(self):
+        for shape, seed in ((KOWHAI_MEND, 12), (LONG_LIMITS, 7)):
+            with self.subTest(seed=seed):
+                result = run_soak(shape, seed, rounds=1, callers_per_habit=2)
+                self.assertEqual([], [str(finding) for finding in result.violations])
+                self.assertEqual([], result.unlogged)
+                self.assertTrue(result.soak.stops)
