--- a/tests/recovercase.py
+++ b/tests/recovercase.py
@@ -73,6 +73,7 @@
             self.fleet.set_links(number, LinkState.OPEN)
         for node in self.nodes:
             self.await_local(node)
+            await_true(lambda node=node: self.knows_all(node))
 
     def cut(self, number: int, how: LinkState) -> EntryNode:
         """Cut an instance and wait until its callers are served; return it.
@@ -90,8 +91,9 @@
         return node
 
     def log(self, node: EntryNode) -> str:
-        """Return the log of an instance."""
-        return node.log_path.read_text(encoding="utf-8", errors="replace")
+        """Return the log of an instance since its last start."""
+        text = node.log_path.read_text(encoding="utf-8", errors="replace")
+        return text.rpartition("event=started ")[2]
 
     def is_passing(self, node: EntryNode) -> bool:
         """Return whether an instance says that it passes requests on."""
@@ -102,6 +104,12 @@
         """Wait until an instance serves requests by itself and reads the events of all engines."""
         await_true(lambda: self.is_local(node) and self.reads_events(node))
 
+    def knows_all(self, node: EntryNode) -> bool:
+        """Return whether an instance has read the registrations of all others."""
+        lists = re.findall(r"event=peers_changed peers=(.*)", self.log(node))
+        others = {other.name for other in self.nodes} - {node.name}
+        return bool(lists) and others <= set(lists[-1].strip('"').split())
+
     def reads_events(self, node: EntryNode) -> bool:
         """Return whether an instance has lost no event connection that is not back."""
         changes = re.findall(r"event=source_(lost|back) address=(\S+)", self.log(node))
--- a/tests/test_passing_failures.py
+++ b/tests/test_passing_failures.py
@@ -12,6 +12,7 @@
 
 REFUSAL_S = 0.3
 SETTLE_S = 2.0
+STABILITY_WINDOW_S = 3.0
 CALLERS = 16
 SEEDS = (1, 2)
 ROUNDS = 3
@@ -119,8 +120,10 @@
             readers = self.begin(node)
             self.nodes[stopped].terminate()
             for target in ("/lookup/a", "/order/a"):
-                answer = self.ask(node, target)
-                self.assertEqual((200, True), (answer.status, answer.is_whole), target)
+                request = self.new_id()
+                answer = self.ask(node, target, request=request)
+                found = (answer.status, answer.is_whole)
+                self.assertEqual((200, True), found, self.log_line(node, request))
             for read in readers:
                 answer = read()
                 self.assertEqual((200, True), (answer.status, answer.is_whole))
@@ -131,6 +134,19 @@
         self.nodes[stopped].wait_ready()
         self.open_links()
 
+    def test_an_instance_that_has_just_started_is_helped_with_a_silent_store(self):
+        self.nodes[0].terminate()
+        self.nodes[0].process.wait(10)
+        node = self.nodes[0] = self.fleet.start_node(0)
+        node.wait_ready()
+        self.fleet.store.set_faults(silent=True)
+        self.addCleanup(self.fleet.store.set_faults)
+        self.fleet.set_links(0, LinkState.RESET)
+        started_s = time.monotonic()
+        while self.ask(node, "/lookup/a").status != 200:
+            self.assertLess(time.monotonic() - started_s, STABILITY_WINDOW_S)
+            time.sleep(0.05)
+
     def test_a_cut_instance_stops_with_a_silent_store(self):
         for how in (LinkState.HANG, LinkState.RESET):
             with self.subTest(how=how.value):
