Take no reply behind a broken head for one in the client on pycurl

Why it works: a line that holds a status line beyond its start ends the exchange, as too large a reply does: PeerTimeoutError, the connection is closed.

--- a/bergamothill/connection/http.py
+++ b/bergamothill/connection/http.py
@@ -14,6 +14,7 @@
 import pycurl
 
 from bergamothill.connection.boundedjson import load_json
+from bergamothill.connection.brokenhead import has_status_line
 from bergamothill.connection.streamhub import STREAM_HUB
 from bergamothill.errors import PeerTimeoutError, PeerUnreachableError, ProtocolError
 
@@ -102,17 +103,20 @@
         """Whether the head of the final reply has ended; libcurl takes a close for its end."""
         return self._is_head_whole and self.status >= 200
 
-    def on_header_line(self, line: bytes) -> None:
+    def on_header_line(self, line: bytes) -> int | None:
+        if has_status_line(line[1:]):
+            return -1
         text = line.decode("latin-1").strip()
         if text.startswith("HTTP/"):
             self.status = int(text.split(" ", 2)[1])
             self.headers.clear()
             self._is_head_whole = False
-            return
+            return None
         self._is_head_whole |= line in (b"\r\n", b"\n")
         name, separator, value = text.partition(":")
         if separator:
             self.headers[name.strip().lower()] = value.strip()
+        return None
 
     def on_body_chunk(self, chunk: bytes) -> int | None:
         if self._on_chunk is None or self.status != 200:
