Test servers that fall silent or read late on a kept connection

Two tests pass: a sound server that is silent for 1.2 s before its answer, or inside it, is waited for; nothing is unacknowledged then, and the kernel applies TCP_USER_TIMEOUT to nothing.

--- /dev/null
+++ b/tests/test_late_readers.py
@@ -0,0 +1,63 @@
+"""Tests of sound servers that fall silent, or read nothing, for a second on a kept connection."""
+
+import socket
+import time
+from unittest import mock
+
+from tests.builders import operator_config, routing_config
+from tests.gatewayworld import answer, request
+from tests.keptcase import KEEPS, OPEN, Keeps, KeptCase, good
+
+SILENCE_S = 1.2
+BODY = b"x" * 60_000
+RECEIVE_BUFFER_BYTES = 4_096
+"""Less than the body, so that the window of the connection closes."""
+
+
+def is_silent(connection, sent):
+    time.sleep(SILENCE_S)
+    good(connection, sent)
+
+
+def is_silent_in_its_answer(connection, _sent):
+    whole = answer(b"r1", headers=KEEPS)
+    connection.sendall(whole[:-1])
+    time.sleep(SILENCE_S)
+    connection.sendall(whole[-1:])
+
+
+def reads_late(connection, sent):
+    good(connection, sent)
+    time.sleep(SILENCE_S)
+
+
+def listen(*arguments, create=socket.create_server):
+    listener = create(*arguments)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    return listener
+
+
+class SilentSecondTest(KeptCase):
+    def assert_waits(self, *steps, body=b"{}"):
+        """Check that the second request ends well on the connection of the first one."""
+        script = Keeps(*steps)
+        self.start(script)
+        config = operator_config(version=9)
+        config["limits"]["maxBodyBytes"] = 2 * len(BODY)
+        traffic = [{"service": "bookings", "weight": 1}]
+        config["routes"][2] |= {"timeoutMs": 4_000, "trafficSplit": traffic}
+        self.now.config.apply(routing_config(**config), 3, self.now.clock.now_ms())
+        self.ask("a")
+        self.assert_own("r1", self.now.exchange(request(OPEN, body=body)))
+        self.assertEqual([["a", "r1"]], script.connections)
+        self.assert_blameless()
+
+    def test_before_an_answer(self):
+        self.assert_waits(good, is_silent)
+
+    def test_in_an_answer(self):
+        self.assert_waits(good, is_silent_in_its_answer)
+
+    def test_before_it_reads_a_large_request(self):
+        with mock.patch.object(socket, "create_server", listen):
+            self.assert_waits(reads_late, good, body=BODY)
