Lift the user timeout of a kept connection once its server is reached

Cause: TCP_USER_TIMEOUT of 300 ms, set when a kept connection is used again, stayed for the rest of its life. It is there for a server that is out of reach, but the kernel also applies it to a closed window, although the server's machine acknowledges each probe.

Why it works: once any byte of the request was acknowledged the server is reachable, and the option goes back to the kernel's own limits; this is looked at every 100 ms, so before the 300 ms can pass.

--- a/bergamothill/connection/backendconnection.py
+++ b/bergamothill/connection/backendconnection.py
@@ -7,12 +7,9 @@
 from __future__ import annotations
 
 import asyncio
-import fcntl
 import os
 import select
 import socket
-import struct
-import termios
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from enum import Enum
@@ -25,6 +22,7 @@
 from bergamothill.connection.brokenhead import has_status_line
 from bergamothill.connection.opening import CONNECT_TIMEOUT_MS
 from bergamothill.connection.sendqueue import SendQueue
+from bergamothill.connection.socketstate import set_user_timeout, unacknowledged_bytes
 from bergamothill.errors import ProtocolError
 from bergamothill.request.callerrequest import Header, ResponseHead
 
@@ -58,6 +56,8 @@
 
 END_CHECK_MS = 25
 
+ACKNOWLEDGEMENT_CHECK_MS = 100
+
 MIN_STATUS, MAX_STATUS = 100, 599
 
 _IDLE_BUFFER = bytearray(64)
@@ -162,9 +162,26 @@
         self.on_idle_end = None
         self._begin(sink, done, is_head=is_head, request_id=request_id)
         # An unreachable server is told as early as by a connect timeout.
-        option = getattr(socket, "TCP_USER_TIMEOUT", None)
-        if option is not None:
-            self._socket().setsockopt(socket.IPPROTO_TCP, option, CONNECT_TIMEOUT_MS)
+        set_user_timeout(self._socket(), CONNECT_TIMEOUT_MS)
+        self._await_acknowledgement(done)
+
+    def _await_acknowledgement(self, done: asyncio.Future[ExchangeResult]) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(ms_to_seconds(ACKNOWLEDGEMENT_CHECK_MS), self._check_acknowledgement, done)
+
+    def _check_acknowledgement(self, done: asyncio.Future[ExchangeResult]) -> None:
+        """Lift the limit once a part of the request was acknowledged, so the server is reachable.
+
+        The kernel would also apply it to a server that acknowledges, but does not read the rest.
+        """
+        if done.done() or self.transport.is_closing():
+            return
+        unwritten_bytes = self._unsent.size_bytes + self.transport.get_write_buffer_size()
+        written_bytes = self._request_bytes - unwritten_bytes
+        if unacknowledged_bytes(self._socket()) < written_bytes:
+            set_user_timeout(self._socket(), 0)
+        else:
+            self._await_acknowledgement(done)
 
     def _begin(
         self,
@@ -222,7 +239,7 @@
         """Whether the request was written, and a large one acknowledged by the server's machine."""
         if not self._is_request_written or self._request_bytes <= CERTAINLY_READ_BYTES:
             return self._is_request_written
-        return _unacknowledged_bytes(self._socket()) == 0
+        return unacknowledged_bytes(self._socket()) == 0
 
     def _socket(self) -> socket.socket:
         return self.transport.get_extra_info("socket")
@@ -469,12 +486,3 @@
     def _finish(self, end: ExchangeEnd, detail: str, *, was_closed: bool = False) -> None:
         if not self.done.done():
             self.done.set_result(ExchangeResult(end, detail, was_closed))
-
-
-def _unacknowledged_bytes(sock: socket.socket) -> int:
-    """Return how many written bytes the peer's machine has not acknowledged; 0 if not known."""
-    try:
-        found = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, b"\0" * struct.calcsize("i"))
-    except OSError:
-        return 0
-    return struct.unpack("i", found)[0]
--- a/tests/test_late_readers.py
+++ b/tests/test_late_readers.py
@@ -1,9 +1,12 @@
 """Tests of sound servers that fall silent, or read nothing, for a second on a kept connection."""
 
+import asyncio
 import socket
 import time
+import unittest
 from unittest import mock
 
+from bergamothill.connection import backendconnection
 from tests.builders import operator_config, routing_config
 from tests.gatewayworld import answer, request
 from tests.keptcase import KEEPS, OPEN, Keeps, KeptCase, good
@@ -61,3 +64,22 @@
     def test_before_it_reads_a_large_request(self):
         with mock.patch.object(socket, "create_server", listen):
             self.assert_waits(reads_late, good, body=BODY)
+
+
+class UserTimeoutTest(unittest.IsolatedAsyncioTestCase):
+    async def test_it_ends_with_the_first_acknowledgement(self):
+        loop, option = asyncio.get_running_loop(), (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+        done, sink = loop.create_future(), mock.Mock()
+        connection = backendconnection.BackendConnection(sink, done, is_head=False)
+        self.enterContext(mock.patch.object(backendconnection, "ACKNOWLEDGEMENT_CHECK_MS", 5))
+        state = mock.patch.object(backendconnection, "unacknowledged_bytes")
+        unacknowledged = self.enterContext(state)
+        listener = self.enterContext(socket.create_server(("127.0.0.1", 0)))
+        await loop.create_connection(lambda: connection, *listener.getsockname())
+        connection.reuse(sink, done, is_head=False, request_id=b"r1")
+        connection.send([b"request"])
+        own = connection.transport.get_extra_info("socket")
+        for unacknowledged.return_value, timeout_ms in ((7, 300), (6, 0)):
+            await asyncio.sleep(0.1)
+            self.assertEqual(timeout_ms, own.getsockopt(*option))
+        connection.abort()
