Keep the user timeout where acknowledgements are not known

A platform that does not tell how many bytes were acknowledged counted as one on which all were, so the limit that notices an unreachable server on a kept connection was lifted after 100 ms. The test of the limit has this case now; it failed before (TypeError with None).

--- a/bergamothill/connection/backendconnection.py
+++ b/bergamothill/connection/backendconnection.py
@@ -178,7 +178,8 @@
             return
         unwritten_bytes = self._unsent.size_bytes + self.transport.get_write_buffer_size()
         written_bytes = self._request_bytes - unwritten_bytes
-        if unacknowledged_bytes(self._socket()) < written_bytes:
+        left_bytes = unacknowledged_bytes(self._socket())
+        if left_bytes is not None and left_bytes < written_bytes:
             set_user_timeout(self._socket(), 0)
         else:
             self._await_acknowledgement(done)
@@ -239,7 +240,7 @@
         """Whether the request was written, and a large one acknowledged by the server's machine."""
         if not self._is_request_written or self._request_bytes <= CERTAINLY_READ_BYTES:
             return self._is_request_written
-        return unacknowledged_bytes(self._socket()) == 0
+        return not unacknowledged_bytes(self._socket())
 
     def _socket(self) -> socket.socket:
         return self.transport.get_extra_info("socket")
--- a/bergamothill/connection/socketstate.py
+++ b/bergamothill/connection/socketstate.py
@@ -21,10 +21,10 @@
         sock.setsockopt(socket.IPPROTO_TCP, option, timeout_ms)
 
 
-def unacknowledged_bytes(sock: socket.socket) -> int:
-    """Return how many written bytes the peer's machine has not acknowledged; 0 if not known."""
+def unacknowledged_bytes(sock: socket.socket) -> int | None:
+    """Return how many written bytes the peer's machine has not acknowledged; None if not known."""
     try:
         found = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, b"\0" * struct.calcsize("i"))
     except OSError:
-        return 0
+        return None
     return struct.unpack("i", found)[0]
--- a/tests/test_late_readers.py
+++ b/tests/test_late_readers.py
@@ -79,7 +79,7 @@
         connection.reuse(sink, done, is_head=False, request_id=b"r1")
         connection.send([b"request"])
         own = connection.transport.get_extra_info("socket")
-        for unacknowledged.return_value, timeout_ms in ((7, 300), (6, 0)):
+        for unacknowledged.return_value, timeout_ms in ((7, 300), (None, 300), (6, 0)):
             await asyncio.sleep(0.1)
             self.assertEqual(timeout_ms, own.getsockopt(*option))
         connection.abort()
