--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -33,6 +33,7 @@
     ResumedStream,
     StreamResumption,
 )
+from bergamothill.process.timedrun import TimedRun
 from bergamothill.request.bufferbudget import BufferBudget
 from bergamothill.request.callerrequest import CallerRequest, RawRequest
 from bergamothill.request.forwarding import Finish
@@ -101,7 +102,7 @@
         self._connections = connections or KeptConnections(clock, 0, lambda _event: None)
         self._retry_budgets: dict[ServiceName, WindowedRetryBudget] = {}
         self._tasks: set[asyncio.Task[None]] = set()
-        self._runs: set[RequestRun | PassedRun] = set()
+        self._runs: set[TimedRun] = set()
         self._searches: set[asyncio.Task[ResumedStream | None]] = set()
         """Searches for where streams began; their requests are no runs yet."""
 
@@ -275,7 +276,7 @@
         is_same = is_same and state.entry.address == server.address
         return is_same and state.is_present(now_ms)
 
-    def _check_run(self, run: RequestRun | PassedRun, now_ms: int) -> None:
+    def _check_run(self, run: TimedRun, now_ms: int) -> None:
         try:
             run.check_deadline(now_ms)
             run.check_for_stall(now_ms)
@@ -323,7 +324,7 @@
 
     async def _create_run(
         self, connection: CallerConnection, request: CallerRequest, admission: Admission
-    ) -> RequestRun | PassedRun | None:
+    ) -> TimedRun | None:
         """Return the run of a request; None if the request is not admitted."""
         service = self._choose_service(admission, request)
         if admission.verdict is not Verdict.ADMITTED or service is None:
@@ -421,12 +422,12 @@
             self._searches.discard(search)
             search.cancel()
 
-    def _is_too_late(self, run: RequestRun | PassedRun) -> bool:
+    def _is_too_late(self, run: TimedRun) -> bool:
         """Return whether a drain leaves too little time to start a run."""
         drain = self._drain
         return drain is not None and drain.is_too_late(run.due_ms, self._clock.now_ms())
 
-    async def _execute(self, run: RequestRun | PassedRun) -> None:
+    async def _execute(self, run: TimedRun) -> None:
         if self._is_too_late(run):
             run.refuse()
             return
--- a/bergamothill/process/passedrun.py
+++ b/bergamothill/process/passedrun.py
@@ -22,6 +22,7 @@
 from bergamothill.process.gatewaymetrics import GatewayMetrics
 from bergamothill.process.passing import Passing
 from bergamothill.process.quarantinesteps import send_refusal
+from bergamothill.process.timedrun import TimedRun
 from bergamothill.request.answerrelay import AnswerListener, AnswerRelay, AttemptVerdict
 from bergamothill.request.bufferbudget import BufferBudget
 from bergamothill.request.callerrequest import CallerRequest
@@ -54,7 +55,7 @@
     retry_budget: WindowedRetryBudget
 
 
-class PassedRun(AnswerListener):
+class PassedRun(TimedRun, AnswerListener):
     """Processing of one request that is passed on, until its final answer.
 
     :param context: what these requests have in common
@@ -75,6 +76,7 @@
         may_have_run: bool = False,
         attempts: Iterable[str] = (),
     ) -> None:
+        super().__init__()
         route, self._context = admission.route, context
         self._clock = context.clock
         self._connection = connection
@@ -97,12 +99,10 @@
             budget=context.buffer_budget,
             decode=partial(decode_passed_answer, request.request_id),
         )
-        self._timeout: asyncio.Timeout | None = None
         self._exchange_task: asyncio.Task[ExchangeResult] | None = None
         self._helper = EntryInstanceId("")
         self._was_sent = False
         self._is_helper_lost = False
-        self._is_stopping = False
         self._first_byte_ms: int | None = None
         self._passes = list(attempts)
 
@@ -221,16 +221,6 @@
         """Refuse the request unsent, as this instance is stopping."""
         self._apply_final_step(self._give_up(Reason.STOPPING))
 
-    def stop(self) -> None:
-        """End the request with a final answer, as this instance is about to exit."""
-        self._is_stopping = True
-        self._expire()
-
-    def check_deadline(self, now_ms: int) -> None:
-        """Let the timeout of the request expire at once if its deadline has passed."""
-        if now_ms >= self.due_ms:
-            self._expire()
-
     def check_for_stall(self, _now_ms: int) -> None:
         """Try another instance for a request that may run again, if this one stopped replying."""
         task, may_retry = self._exchange_task, self._admission.route.may_retry
@@ -247,10 +237,6 @@
     def pass_on(self) -> None:
         """Do nothing, as the request is passed on already."""
 
-    def _expire(self) -> None:
-        if self._timeout is not None and not self._timeout.expired():
-            self._timeout.reschedule(asyncio.get_running_loop().time())
-
     @singledispatchmethod
     def _apply_final_step(self, step: PassStep) -> None:
         raise TypeError(f"not a final step: {step!r}")
--- a/bergamothill/process/requestrun.py
+++ b/bergamothill/process/requestrun.py
@@ -27,6 +27,7 @@
 from bergamothill.process.serverattempt import AttemptContext, AttemptOutcome, ServerAttempt
 from bergamothill.process.serverpool import ServerPool
 from bergamothill.process.streamresumption import ResumedStream, StreamResumption
+from bergamothill.process.timedrun import TimedRun
 from bergamothill.process.wakeup import cancel_task
 from bergamothill.request.answerrelay import AnswerRelay
 from bergamothill.request.bufferbudget import BufferBudget
@@ -54,7 +55,7 @@
 _log = EventLog("gateway")
 
 
-class RequestRun:
+class RequestRun(TimedRun):
     """Processing of one admitted request, from its first attempt to its final answer.
 
     :param clock: source of time
@@ -90,6 +91,7 @@
         resumption: StreamResumption,
         resumed: ResumedStream | None,
     ) -> None:
+        super().__init__()
         route: Route = admission.route
         self._clock = clock
         self._server_pool = server_pool
@@ -106,9 +108,7 @@
         self._route = route
         self._service = service
         self._first_byte_ms: int | None = None
-        self._timeout: asyncio.Timeout | None = None
         self._leading: ServerAttempt | None = None
-        self._is_stopping = False
         self._is_passing_on = False
         self.passes_on: Callable[[Finish], bool] = lambda _step: False
         """Returns whether another instance is to answer a request that ends unanswered here."""
@@ -358,24 +358,6 @@
         wait_ms = queue.requests.schedule_return(step.rate, now_ms)
         return self._forwarding.on_limited(now_ms, wait_ms=wait_ms)
 
-    def check_deadline(self, now_ms: int) -> None:
-        """Let the timeout of the request expire at once if its deadline has passed.
-
-        The clock of the event loop, unlike that of the deadline, stops while the machine is
-        suspended.
-        """
-        if now_ms >= self._forwarding.due_ms:
-            self._expire()
-
-    def stop(self) -> None:
-        """End the request with a final answer, as this instance is about to exit."""
-        self._is_stopping = True
-        self._expire()
-
-    def _expire(self) -> None:
-        if self._timeout is not None and not self._timeout.expired():
-            self._timeout.reschedule(asyncio.get_running_loop().time())
-
     def end_retired(self) -> None:
         """Send the request anew if its answer waits and its namespace is out of use."""
         if self._leading is not None and self._route.may_retry and not self._leading.is_moving:
