Record the servers that are silent together

Each silent server expired the failures of all others, ten times a second, which costs the square of their number on large deployments while all of them are silent.

--- a/bergamothill/process/reachability.py
+++ b/bergamothill/process/reachability.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from enum import Enum
 
 __all__ = ["ReachState", "Reachability"]
@@ -83,12 +83,18 @@
             self.state = ReachState.REACHED
 
     def record_failure(self, address: str, now_ms: int) -> None:
-        """Record that a server could not be reached, broke a connection or has been silent.
+        """Record the failure of one server; see :meth:`record_failures`."""
+        self.record_failures((address,), now_ms)
 
-        :param address: its address
+    def record_failures(self, addresses: Collection[str], now_ms: int) -> None:
+        """Record servers that can't be reached, broke a connection or have been silent.
+
+        :param addresses: their addresses
         """
+        if not addresses:
+            return
         self._expire(now_ms)
-        self._failed_ms[address] = now_ms
+        self._failed_ms.update(dict.fromkeys(addresses, now_ms))
         if self._failing_since_ms is None:
             self._failing_since_ms = now_ms
         if self.state is not ReachState.REACHED or now_ms < self._next_round_ms:
--- a/bergamothill/process/reachwatch.py
+++ b/bergamothill/process/reachwatch.py
@@ -101,8 +101,7 @@
         if is_answered:
             reachability.record_answer(now_ms)
         else:
-            for server in servers:
-                reachability.record_failure(server.address, now_ms)
+            reachability.record_failures([server.address for server in servers], now_ms)
         return is_answered
 
     async def _probe_round(self) -> None:
--- a/bergamothill/process/serversilence.py
+++ b/bergamothill/process/serversilence.py
@@ -115,9 +115,12 @@
         self._record_silent_servers(now_ms)
 
     def _record_silent_servers(self, now_ms: int) -> None:
-        for state in self._observed.values():
-            if state.is_heard and now_ms - state.last_received_ms >= SUSPECT_SILENCE_MS:
-                self.reachability.record_failure(state.entry.address, now_ms)
+        silent = [
+            state.entry.address
+            for state in self._observed.values()
+            if state.is_heard and now_ms - state.last_received_ms >= SUSPECT_SILENCE_MS
+        ]
+        self.reachability.record_failures(silent, now_ms)
 
     def _has_paused(self, now_ms: int) -> bool:
         """Return whether this process has paused since the last check for stalls."""
