Ignore signals once an instance has drained

Cause: the close of the event loop restores the default action of the signals that it had handled. Change: they are ignored from the end of the drain's clean-up on.

--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import signal
 from collections.abc import Callable
 from functools import partial
 
@@ -47,6 +46,7 @@
 from bergamothill.process.registry import READ_TIMES, REGISTRY_PREFIX, Peer, Registry
 from bergamothill.process.serverlimits import ServerLimits
 from bergamothill.process.serverpool import ServerPool
+from bergamothill.process.stopsignals import handle_signals, ignore_signals
 from bergamothill.process.supervisor import Supervisor
 from bergamothill.process.sweepduty import SweepDuty
 from bergamothill.request.contextplan import FETCH_TIMEOUT_MS, ContextPlanner
@@ -202,9 +202,7 @@
         loop = self._loop = asyncio.get_running_loop()
         loop.set_exception_handler(self._supervisor.handle_loop_error)
         stop_requested = asyncio.Event()
-        loop.add_signal_handler(signal.SIGTERM, stop_requested.set)
-        loop.add_signal_handler(signal.SIGINT, stop_requested.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        handle_signals(loop, stop_requested.set, self._reload)
         followers = self._followers = [
             self._make_follower(
                 OPERATOR_PREFIX,
@@ -249,6 +247,7 @@
         for task in tasks:
             task.cancel()
         swaps.join(timeout=ms_to_seconds(EXIT_MARGIN_MS // 2))
+        ignore_signals(loop)
 
     def _make_follower(
         self,
--- a/tests/test_stop_exit.py
+++ b/tests/test_stop_exit.py
@@ -32,7 +32,7 @@
 
 SHAPE = FleetShape(
     zones=("zone-a",),
-    nodes=5,
+    nodes=6,
     engines=1,
     plain_servers=1,
     kinds=(STREAM, LARGE_ORDER, ORDER, SHORT_ORDER, QUICK_ORDER, SLOW_ORDER),
@@ -101,6 +101,15 @@
         received = read_all(connection)
         self.assertEqual([b"200", b"503"], re.findall(rb"HTTP/1.1 (\d+)", received))
 
+    def test_signals_as_the_process_ends_do_not_cut_its_log(self):
+        self.node.terminate()
+        while self.node.process.poll() is None:
+            self.node.signal(signal.SIGHUP)
+            self.node.signal(signal.SIGTERM)
+            time.sleep(0.002)
+        self.assertEqual(0, self.node.process.returncode)
+        self.assertIn("event=stopped", self.node.log_path.read_text())
+
     def held_bytes(self):
         address = (self.node.caller_address[0], METRICS_PORT)
         with socket.create_connection(address, TIMEOUT_S) as connection:
