--- a/scripts/drainsoak.py
+++ b/scripts/drainsoak.py
@@ -384,6 +384,9 @@
             print(finding)
     for record in result.unlogged:
         print(f"unlogged: {record}")
+    for stop in result.soak.stops:
+        if stop.was_killed:
+            print(f"killed: {stop}")
     print(f"drainsoak layout={options.layout} seed={options.seed} {_summary(result)}")
     return EXIT_VIOLATION if result.violations or result.unlogged else 0
 
