--- a/scripts/drainsoak.py
+++ b/scripts/drainsoak.py
@@ -25,7 +25,7 @@
 from scripts.processes import ProcessGroup
 from scripts.stopdisturbance import Disturbance, StopSignals, disturb_round
 
-__all__ = ["Finding", "Stop", "StopJudge", "Verdict", "main", "run_soak"]
+__all__ = ["Finding", "SoakResult", "Stop", "StopJudge", "Verdict", "main", "run_soak"]
 
 LOSS_SLACK_MS = 200
 LATEST_EXCUSED_MS = 3_000
@@ -79,7 +79,7 @@
     """Pipelined behind a stream that was cut as allowed; HTTP has no place for an answer."""
 
     PAUSED = "paused"
-    """Its instance was paused before it ended, which is unplanned."""
+    """Would be a violation, but its instance was paused before, which is unplanned."""
 
 
 @dataclass(frozen=True)
@@ -146,6 +146,8 @@
             for stop in stops:
                 if self._is_around(record, stop):
                     verdict = self._verdict(record, stop, seen)
+                    if verdict is Verdict.VIOLATION and self._was_paused(record, stop):
+                        verdict = Verdict.PAUSED
                     found.append(Finding(record, stop, seen.get(record.request), verdict))
         return found
 
@@ -162,9 +164,14 @@
 
     def _is_around(self, record: CallerRecord, stop: Stop) -> bool:
         end_ms = stop.signalled_ms + self._grace_ms + AFTER_GRACE_MS
-        # A caller that reads late sees the end of its connection late.
-        is_of_stop = record.sent_ms <= stop.exited_ms or record.ended_ms <= end_ms
-        return record.node == stop.node and stop.signalled_ms <= record.ended_ms and is_of_stop
+        is_after = stop.signalled_ms <= record.ended_ms
+        # A caller that does not read sees the end of its connection late.
+        is_before_end = record.ended_ms - record.unread_ms <= end_ms
+        return record.node == stop.node and is_after and is_before_end
+
+    def _was_paused(self, record: CallerRecord, stop: Stop) -> bool:
+        ended_ms = min(record.ended_ms, stop.exited_ms)
+        return stop.paused_ms is not None and ended_ms >= stop.paused_ms
 
     def _verdict(
         self, record: CallerRecord, stop: Stop, seen: dict[str, dict[str, Any]]
@@ -173,8 +180,6 @@
         if ended_ms - record.sent_ms >= record.kind.timeout_ms:
             return Verdict.TIMED_OUT
         server = seen.get(record.request)
-        if stop.paused_ms is not None and ended_ms >= stop.paused_ms:
-            return Verdict.PAUSED
         if server is not None:
             is_cut = self._is_excused_cut(record, stop, server)
             return Verdict.CUT_AT_END if is_cut else Verdict.VIOLATION
@@ -373,8 +378,10 @@
     result = run_soak(
         LAYOUTS[options.layout], options.seed, options.rounds, options.callers, options.logs
     )
-    for finding in result.findings if options.verbose else result.violations:
-        print(finding)
+    shown = list(Verdict) if options.verbose else [Verdict.VIOLATION, Verdict.PAUSED]
+    for finding in result.findings:
+        if finding.verdict in shown:
+            print(finding)
     for record in result.unlogged:
         print(f"unlogged: {record}")
     print(f"drainsoak layout={options.layout} seed={options.seed} {_summary(result)}")
