Let the kernel take the answers that come in the last moments of a stop

Seen by the review: answers that arrived in the last poll of the drain, as after a pause of the process, reached their callers in part (73,236 of 150,000 bytes), and their lines said answered.

Cause: connections were handed over to the kernel until the drain ended, not after the last answers. Now once more at the end, with a turn of the event loop to write.

--- a/bergamothill/process/nodedrain.py
+++ b/bergamothill/process/nodedrain.py
@@ -75,3 +75,7 @@
     final_ends_ms = clock.now_ms() + FINAL_ANSWER_MS
     while gateway.in_progress and clock.now_ms() < final_ends_ms:
         await asyncio.sleep(ms_to_seconds(FINAL_ANSWER_POLL_INTERVAL_MS))
+    for connection in list(connections):
+        connection.hand_over()
+    # Lets the event loop write what the kernel has room for now.
+    await asyncio.sleep(ms_to_seconds(FINAL_ANSWER_POLL_INTERVAL_MS))
