Search for no origin of a stream once a stop has ended

Seen by the review: a request that takes a stream up, pipelined behind one that outlasts the stop, got no answer: [502] for three requests.

Cause: the end of the drain cancels the searches under way; one that begins after it takes as long as the final answers may.

tests.test_stop_decisions...resumed_streams_behind...: 3 of 3 red before, 3 of 3 pass.

--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -112,6 +112,7 @@
         """Passes requests on while this instance reaches no server; None if it cannot."""
 
         self._drain: DrainPeriod | None = None
+        self._has_drained = False
         self._known_instances = 0
         server_pool.next_limited_request = self._next_limited_request
         server_pool.next_waiting_request = self._next_waiting_request
@@ -164,6 +165,7 @@
 
     def end_drain(self) -> None:
         """Give a final answer to all requests in progress; streams that have begun are cut."""
+        self._has_drained = True
         for run in list(self._runs):
             run.stop()
         for search in self._searches:
@@ -396,10 +398,12 @@
     ) -> ResumedStream | None:
         """Return where a stream has to go on; see :meth:`StreamResumption.resolve`.
 
-        A search that is cut short by the end of a drain finds nothing.
+        A search that is cut short by the end of a drain, or begins after it, finds nothing.
         """
         if not request.last_event_id:
             return None
+        if self._has_drained:
+            return ResumedStream(service.name, None)
         timeouts_ms = (admission.route.timeout_ms, request.caller_timeout_ms)
         timeout_ms = min(timeout_ms for timeout_ms in timeouts_ms if timeout_ms is not None)
         search = asyncio.ensure_future(
