Log what waits behind an answer that is not read as the process exits

Seen by the review: a request that was read whole, behind an answer that its caller did not read, had neither answer nor line at the exit.

Cause: what waits on a connection is logged when the connection ends, and connections that are open at the exit never end in the process. It is logged at the end of the stop now.

--- a/bergamothill/connection/callerhttp.py
+++ b/bergamothill/connection/callerhttp.py
@@ -146,6 +146,10 @@
         """Let the kernel take what the caller has not read; it sends that also after the exit."""
         enlarge_send_buffer(self._transport)
 
+    def drop_waiting(self) -> None:
+        """Log the requests that were read and wait behind another one, as the process exits."""
+        self._queued.drop()
+
     # Memory.
 
     def give_way(self, refusal: Refusal) -> None:
--- a/bergamothill/process/nodedrain.py
+++ b/bergamothill/process/nodedrain.py
@@ -79,3 +79,5 @@
         connection.hand_over()
     # Lets the event loop write what the kernel has room for now.
     await asyncio.sleep(ms_to_seconds(FINAL_ANSWER_POLL_INTERVAL_MS))
+    for connection in list(connections):
+        connection.drop_waiting()
--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -56,6 +56,9 @@
     def hand_over(self):
         """Do nothing, as all was read."""
 
+    def drop_waiting(self):
+        """Do nothing, as no request waits."""
+
 
 class NodeCase(unittest.TestCase):
     def setUp(self):
