--- a/bergamothill/process/passing.py
+++ b/bergamothill/process/passing.py
@@ -104,5 +104,8 @@
         return self.helpers.choose(self._regions(), homes, tried, now_ms)
 
     def is_lost(self, entry: EntryInstanceId) -> bool:
-        """Return whether an instance has stopped replying while this one asks it."""
-        return self.is_isolated and self.helpers.is_lost(entry, self._clock.now_ms())
+        """Return whether an instance has stopped replying, and another one helps."""
+        now_ms, helpers = self._clock.now_ms(), self.helpers
+        if not self.is_isolated or not helpers.is_lost(entry, now_ms):
+            return False
+        return any(other != entry for other in helpers.helping(now_ms))
