End a connection whose caller has gone as its last answer is sent

The answer was written, but the connection was neither watched nor closed from then on, and the error ended the task that handled the request.

Cause: closing the sending side of a socket fails if the peer has reset it and the event loop has yet to see that. The connection is aborted then.

tests.test_callerintake.LingerTest failed with that error before, and passes.

--- a/bergamothill/connection/callerhttp.py
+++ b/bergamothill/connection/callerhttp.py
@@ -17,7 +17,7 @@
 from bergamothill.connection.flowgate import FlowGate
 from bergamothill.connection.requestparser import ParsedRequest, ReceiveProgress, RequestParser
 from bergamothill.connection.responseformat import encode_chunk, encode_head, spread_retry_after
-from bergamothill.connection.sendbuffer import enlarge_send_buffer
+from bergamothill.connection.sendbuffer import end_output, enlarge_send_buffer
 from bergamothill.connection.sendqueue import SendQueue
 from bergamothill.connection.waitingrequests import WaitingRequests
 from bergamothill.request.blockbody import BLOCK_BYTES
@@ -439,7 +439,7 @@
         self._is_lingering = True
         self._release()
         self._set_phase(Phase.CLOSING)
-        self._transport.write_eof()
+        end_output(self._transport)
         self._backlog_watch.start(self._transport, self._backlog_bytes)
         self._arm_timer(ms_to_seconds(LINGER_TIMEOUT_MS), self._end_linger)
 
--- a/bergamothill/connection/sendbuffer.py
+++ b/bergamothill/connection/sendbuffer.py
@@ -1,4 +1,4 @@
-"""Size of the kernel's buffer of what a caller has still to read."""
+"""The kernel's buffer of what a caller has still to read: its size, and its end."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 import contextlib
 import socket
 
-__all__ = ["enlarge_send_buffer"]
+__all__ = ["end_output", "enlarge_send_buffer"]
 
 SEND_BUFFER_BYTES = 1_048_576
 """Requested size; the kernel grants up to its own limit."""
@@ -23,3 +23,11 @@
         sock = transport.get_extra_info("socket")
         if sock.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF) < USUAL_MAX_BYTES:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+
+
+def end_output(transport: asyncio.WriteTransport) -> None:
+    """Close the sending side once all was sent; the connection ends if its peer has gone."""
+    try:
+        transport.write_eof()
+    except OSError:
+        transport.abort()
--- a/tests/test_callerintake.py
+++ b/tests/test_callerintake.py
@@ -1,7 +1,12 @@
 """Tests of the account of callers' memory, and of which connections yield."""
 
+import errno
 import unittest
+from unittest import mock
 
+from bergamothill.clock import ManualClock
+from bergamothill.connection.callerhttp import CallerConnection
+from bergamothill.connection.callerintake import CallerIntake
 from bergamothill.process.nodeintakes import max_caller_descriptors
 from bergamothill.request.connectiontable import STALL_MS, ConnectionTable, Phase
 from bergamothill.request.memoryaccount import (
@@ -11,6 +16,21 @@
     Share,
     caller_memory_bytes,
 )
+from bergamothill.version.routetable import CallerLimits
+
+
+class LingerTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_caller_that_has_gone_does_not_make_the_end_of_its_connection_fail(self):
+        handler = mock.Mock(intake=CallerIntake(ManualClock(0)))
+        handler.is_draining.return_value = True
+        handler.limits.return_value = CallerLimits()
+        connection = CallerConnection(handler, ManualClock(0), lambda *_: None)
+        transport = mock.Mock(**{"write_eof.side_effect": OSError(errno.ENOTCONN, "gone")})
+        transport.get_write_buffer_size.return_value = 0
+        connection.connection_made(transport)
+        connection.send_response(200, [], b"")
+        transport.abort.assert_called_once_with()
+        connection.connection_lost(None)
 
 
 class MemoryAccountTest(unittest.TestCase):
