--- a/bergamothill/process/daemon.py
+++ b/bergamothill/process/daemon.py
@@ -7,7 +7,6 @@
 import signal
 import sys
 from collections.abc import Sequence
-from typing import NoReturn
 
 from bergamothill.clock import SystemClock
 from bergamothill.errors import SettingsError
@@ -54,7 +53,7 @@
         print(f"{arguments.settings}: ok")
         return EXIT_OK
     if isinstance(settings, NodeSettings):
-        _serve_on_platform(settings, arguments.settings)
+        return _serve_on_platform(settings, arguments.settings)
     return _serve_standalone(settings)
 
 
@@ -62,13 +61,12 @@
     return load_node_settings(path) if is_node_settings(path) else load_settings(path)
 
 
-def _serve_on_platform(settings: NodeSettings, path: str) -> NoReturn:
+def _serve_on_platform(settings: NodeSettings, path: str) -> int:
     # The two modes share few modules; each imports only its own, because memory use is billed.
     from bergamothill.process.platformnode import serve
 
     serve(settings, path)
-    # The interpreter's clean-up would wait for calls to the store, maybe until the kill.
-    os._exit(EXIT_OK)
+    return EXIT_OK
 
 
 def _print_faults(group: ExceptionGroup) -> None:
