Refuse resumed streams that come too late in a stop before their origin is searched for

Seen: streams that callers took up again behind a request that outlasted the stop got no answer, and their connection closed (LOST). Cause: the end of the drain ends the searches under way; a search that began after that, as the request before it had got its answer, went on for up to 150 ms without replies, as long as the process waits for final answers. Change: a request that would be refused anyway is not searched for.

--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -395,19 +395,23 @@
     ) -> ResumedStream | None:
         """Return where a stream has to go on; see :meth:`StreamResumption.resolve`.
 
-        A search that is cut short by the end of a drain finds nothing.
+        A search that is cut short by the end of a drain finds nothing, nor does one that would
+        begin too late in it.
         """
         if not request.last_event_id:
             return None
         timeouts_ms = (admission.route.timeout_ms, request.caller_timeout_ms)
         timeout_ms = min(timeout_ms for timeout_ms in timeouts_ms if timeout_ms is not None)
+        give_up_ms = request.raw.arrived_ms + timeout_ms
+        if self._is_too_late(give_up_ms):
+            return ResumedStream(service.name, None)
         search = asyncio.ensure_future(
             self.resumption.resolve(
                 request,
                 admission.brand_name,
                 admission.route,
                 service,
-                give_up_ms=request.raw.arrived_ms + timeout_ms,
+                give_up_ms=give_up_ms,
             )
         )
         self._searches.add(search)
@@ -421,13 +425,16 @@
             self._searches.discard(search)
             search.cancel()
 
-    def _is_too_late(self, run: RequestRun | PassedRun) -> bool:
-        """Return whether a drain leaves too little time to start a run."""
+    def _is_too_late(self, due_ms: int) -> bool:
+        """Return whether a drain leaves too little time to start a request.
+
+        :param due_ms: deadline of its answer
+        """
         drain = self._drain
-        return drain is not None and drain.is_too_late(run.due_ms, self._clock.now_ms())
+        return drain is not None and drain.is_too_late(due_ms, self._clock.now_ms())
 
     async def _execute(self, run: RequestRun | PassedRun) -> None:
-        if self._is_too_late(run):
+        if self._is_too_late(run.due_ms):
             run.refuse()
             return
         self._runs.add(run)
