Leave no moment in which a signal ends an instance that has drained

Cause: removing a handler from the event loop restores the default action before the signal is ignored.

--- a/bergamothill/process/stopsignals.py
+++ b/bergamothill/process/stopsignals.py
@@ -21,7 +21,11 @@
 
 
 def ignore_signals(loop: asyncio.AbstractEventLoop) -> None:
-    """Ignore them from now on; the close of the loop would let the next one end the process."""
+    """Ignore them from now on.
+
+    Removing a handler, as the close of the loop does, would restore the default action first, by
+    which the next signal ends the process.
+    """
+    loop.remove_signal_handler = lambda _number: False
     for number in (*STOP_SIGNALS, signal.SIGHUP):
-        loop.remove_signal_handler(number)
         signal.signal(number, signal.SIG_IGN)
