Hand the last answers of a stop over to the kernel, too

Seen: answers that came in the last moment of the drain lost their rest: 73,236 of 150,000 bytes, with a line 'answered' (LOST). Cause: send buffers were last enlarged before the poll in which the loop handles what has come, and the process did not wait until they had taken the answers. Change: they are enlarged in the polls for final answers as well, which go on while a connection has bytes waiting, at most as long as before.

--- a/bergamothill/connection/callerhttp.py
+++ b/bergamothill/connection/callerhttp.py
@@ -142,9 +142,10 @@
         if not self.is_busy and self._transport is not None:
             self._close()
 
-    def hand_over(self) -> None:
-        """Let the kernel take what the caller has not read; it sends that also after the exit."""
+    def hand_over(self) -> bool:
+        """Let the kernel, which sends also after the exit, take what waits; return if more is."""
         enlarge_send_buffer(self._transport)
+        return self._backlog_bytes() > 0
 
     # Memory.
 
--- a/bergamothill/process/nodedrain.py
+++ b/bergamothill/process/nodedrain.py
@@ -25,7 +25,7 @@
 """Time reserved before the kill signal to close connections and write the log."""
 
 FINAL_ANSWER_MS = 150
-"""Part of that time in which requests that have no answer yet get one."""
+"""Part of that time in which requests that have no answer yet get one, and buffers empty."""
 
 DRAIN_POLL_INTERVAL_MS = 50
 FINAL_ANSWER_POLL_INTERVAL_MS = 10
@@ -73,5 +73,8 @@
     await asyncio.sleep(ms_to_seconds(FINAL_ANSWER_POLL_INTERVAL_MS))
     gateway.end_drain()
     final_ends_ms = clock.now_ms() + FINAL_ANSWER_MS
-    while gateway.in_progress and clock.now_ms() < final_ends_ms:
+    is_done = False
+    while not is_done and clock.now_ms() < final_ends_ms:
         await asyncio.sleep(ms_to_seconds(FINAL_ANSWER_POLL_INTERVAL_MS))
+        has_backlog = [connection.hand_over() for connection in list(connections)]
+        is_done = not gateway.in_progress and not any(has_backlog)
