Log the requests that wait on a connection as the process exits

Seen: a request that was read behind an answer that its caller does not read had no line; stop_ends said that none was in progress. Cause: requests that a connection drops get a line as it closes, and connections that are still open at the exit are not closed by the loop. Change: the end of the drain drops them, which logs them.

--- a/bergamothill/connection/callerhttp.py
+++ b/bergamothill/connection/callerhttp.py
@@ -68,6 +68,7 @@
         self._holding = Holding(self._intake.account)
         self._transport: asyncio.Transport | None = None
         self._queued = WaitingRequests(handler.record_dropped)
+        self.drop_waiting = self._queued.drop
         self._queued_bytes = 0
         self._memory_in_progress = 0
         self._unsent = SendQueue()
--- a/bergamothill/process/nodedrain.py
+++ b/bergamothill/process/nodedrain.py
@@ -78,3 +78,5 @@
         await asyncio.sleep(ms_to_seconds(FINAL_ANSWER_POLL_INTERVAL_MS))
         has_backlog = [connection.hand_over() for connection in list(connections)]
         is_done = not gateway.in_progress and not any(has_backlog)
+    for connection in list(connections):
+        connection.drop_waiting()
