--- a/bergamothill/connection/callerhttp.py
+++ b/bergamothill/connection/callerhttp.py
@@ -280,11 +280,11 @@
             return
         self._memory_in_progress = memory_bytes + HANDLING_BYTES
         self._intake.table.set_phase(self, Phase.ANSWERING, raw.arrived_ms)
-        has_descriptors = self._intake.has_descriptors(self)
-        if not has_descriptors or not self._claim_memory():
+        refusal = None if self._intake.has_descriptors(self) else Refusal.CONNECTIONS
+        if refusal is not None or not self._claim_memory():
             self._queued.put_back(ParsedRequest(raw, memory_bytes, self._keep_alive))
             self._memory_in_progress = 0
-            self._reject_unparsed(503, None if has_descriptors else Refusal.CONNECTIONS)
+            self._reject_unparsed(503, refusal)
             self._start_next()
             return
         self._cancel = lambda: None  # while it is being started
