--- a/bergamothill/connection/callerhttp.py
+++ b/bergamothill/connection/callerhttp.py
@@ -85,8 +85,6 @@
         self._discarded_bytes = 0
         self._timer: asyncio.TimerHandle | None = None
 
-    # Connection lifecycle.
-
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection and wait for its first request."""
         self._transport = transport
