tests.test_platform_node: the connection double takes hand_over, too

Five tests of the drain ended with AttributeError since, as the double of a connection had no such method; I had not run that module with it. Their checks are unchanged, and pass.

--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -53,6 +53,9 @@
         if self.clock.now_ms() >= self.idle_ms:
             self.connections.discard(self)
 
+    def hand_over(self):
+        pass
+
 
 class NodeCase(unittest.TestCase):
     def setUp(self):
