drainsoak: callers that read late note when their connection ends

The caller now watches for the end of the connection while it reads nothing, so the check has the true time for these callers too, as for all others.

--- a/scripts/callerload.py
+++ b/scripts/callerload.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import random
+import select
 import socket
 import time
 from collections.abc import Callable
@@ -24,6 +25,7 @@
 SLOW_PIECE_BYTES = 200
 SLOW_PAUSE_S = 0.05
 READ_BYTES = 65_536
+CLOSE_POLL_S = 0.01
 RECONNECT_PAUSE_S = 0.1
 MAX_REFUSED_PAUSE_S = 0.5
 SLOWNESS = (1, 1, 2, 3)
@@ -167,6 +169,7 @@
         self.node = node
         self.is_open = False
         self._receive_buffer = receive_buffer
+        self._closed_ms: float | None = None
         self._waiting: list[CallerRecord] = []
         self._parser = httptools.HttpResponseParser(self)
 
@@ -238,6 +241,16 @@
         self._parser.feed_data(data)
         return True
 
+    async def wait_unread(self, duration_s: float) -> None:
+        """Read nothing for some time; only note when the instance ends the connection."""
+        poll = select.poll()
+        poll.register(self._sock, select.POLLRDHUP)
+        until_ms = now_ms() + 1_000 * duration_s
+        while now_ms() < until_ms:
+            if self._closed_ms is None and poll.poll(0):
+                self._closed_ms = now_ms()
+            await asyncio.sleep(CLOSE_POLL_S)
+
     async def receive_events(self, record: CallerRecord, size_bytes: int) -> None:
         """Read until an answer has brought some bytes of its body, or has ended."""
         while record in self._waiting and record.received < size_bytes:
@@ -260,8 +273,9 @@
             self._sock.close()
 
     def _end_all(self, ending: Ending) -> None:
+        ended_ms = now_ms() if self._closed_ms is None else self._closed_ms
         for record in self._waiting:
-            record.ending, record.ended_ms = ending, now_ms()
+            record.ending, record.ended_ms = ending, ended_ms
         self._waiting.clear()
 
     # Callbacks of the parser.
@@ -398,7 +412,7 @@
     size_factor, late_s = draw.choice(LARGENESS), draw.uniform(0, MAX_LATENESS_S)
     changes = {"size_factor": size_factor, "unread_ms": late_s * 1_000}
     await _send(connection, habit, kinds, draw, records, **changes)
-    await asyncio.sleep(late_s)
+    await connection.wait_unread(late_s)
     await connection.receive()
 
 
