--- a/tests/test_passing_processes.py
+++ b/tests/test_passing_processes.py
@@ -61,6 +61,9 @@
             ("/stream/a%20b/c?events=7&bytes=50&gap=5&x=%C3%A9&y=", 200),
             ("/order/a;b/../c?bytes=3000&status=409&q=1+2", 409),
             ("/order/d?bytes=0&status=201", 201),
+            ("/order/e?bytes=4000000", 200),
+            ("/order/f?status=503", 503),
+            ("/stream/g?status=500", 500),
         )
         for number, how in enumerate(CUTS):
             node = self.cut(number, how)
