--- a/tests/test_stop_exit.py
+++ b/tests/test_stop_exit.py
@@ -3,6 +3,8 @@
 import re
 import signal
 import socket
+import subprocess
+import sys
 import time
 import unittest
 
@@ -30,9 +32,17 @@
     b"Authorization: Bearer key-1\r\nContent-Length: %d\r\n\r\n"
 )
 
+HANGING = """
+import time
+from concurrent.futures import ThreadPoolExecutor
+from bergamothill.process import daemon, platformnode
+platformnode.serve = lambda *_: ThreadPoolExecutor().submit(time.sleep, 60)
+daemon._serve_on_platform(None, "")
+"""
+
 SHAPE = FleetShape(
     zones=("zone-a",),
-    nodes=5,
+    nodes=7,
     engines=1,
     plain_servers=1,
     kinds=(STREAM, LARGE_ORDER, ORDER, SHORT_ORDER, QUICK_ORDER, SLOW_ORDER),
@@ -101,6 +111,19 @@
         received = read_all(connection)
         self.assertEqual([b"200", b"503"], re.findall(rb"HTTP/1.1 (\d+)", received))
 
+    def test_signals_as_the_process_ends_do_not_cut_its_log(self):
+        self.node.terminate()
+        while self.node.process.poll() is None:
+            self.node.signal(signal.SIGHUP)
+            self.node.signal(signal.SIGTERM)
+            time.sleep(0.002)
+        self.assertEqual(0, self.node.process.returncode)
+        self.assertIn("event=stopped", self.node.log_path.read_text())
+
+    def test_a_call_that_hangs_does_not_delay_the_exit(self):
+        found = subprocess.run([sys.executable, "-c", HANGING], timeout=TIMEOUT_S, check=False)
+        self.assertEqual(0, found.returncode)
+
     def held_bytes(self):
         address = (self.node.caller_address[0], METRICS_PORT)
         with socket.create_connection(address, TIMEOUT_S) as connection:
