--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -54,6 +54,9 @@
             self.connections.discard(self)
 
     def hand_over(self):
+        return False
+
+    def drop_waiting(self):
         pass
 
 
