--- a/tests/test_stop_decisions.py
+++ b/tests/test_stop_decisions.py
@@ -5,6 +5,7 @@
 import socket
 import time
 import unittest
+from dataclasses import replace
 
 from scripts.callerload import CallerHabit, CallerRecord, encode_request
 from scripts.platformfleet import FleetShape, PlatformFleet, RequestKind
@@ -25,7 +26,7 @@
 
 SHAPE = FleetShape(
     zones=("zone-a",),
-    nodes=4,
+    nodes=5,
     engines=1,
     plain_servers=1,
     kinds=(STREAM, ORDER, SLOW_ORDER, LARGE_ORDER, HUGE_ORDER),
@@ -85,6 +86,18 @@
         begun = [answer.count(b"x") for answer in answers if b"HTTP/1.1 502 " not in answer]
         self.assertEqual([LARGE_ORDER.size] * len(begun), begun)
 
+    def test_an_answer_is_not_lost_to_a_request_that_is_sent_before_it_is_read(self):
+        self.send(encoded(SLOW_ORDER, "d1"))
+        connection = self.send(encoded(replace(LARGE_ORDER, first_ms=100), "d2"))
+        time.sleep(0.4)
+        self.node.terminate()
+        time.sleep(DRAIN_S - 0.4)
+        connection.sendall(encoded(ORDER, "d3"))
+        self.assertIsNone(self.node.process.poll())
+        time.sleep(0.1)
+        received = read_all(connection)
+        self.assertEqual(LARGE_ORDER.size, received.count(b"x"))
+
     def test_a_request_behind_an_answer_that_is_not_read_has_a_line(self):
         self.send(encoded(HUGE_ORDER, "c1") + encoded(ORDER, "c2"))
         time.sleep(0.3)
