--- a/scripts/platformfleet.py
+++ b/scripts/platformfleet.py
@@ -190,7 +190,8 @@
 
         :param group: group that stops them
         :param shape: layout
-        :param has_links: whether each instance reaches the servers over links that can be cut
+        :param has_links: whether each instance reaches the servers over links that can be cut; for
+            at most two instances a zone, as more share what they read
         """
         store = group.add(StandInProcess("platformstore"))
         client = HttpClient("key-value service", store.address)
--- a/scripts/recoversoak.py
+++ b/scripts/recoversoak.py
@@ -13,10 +13,11 @@
 import signal
 import sys
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from pathlib import Path
 
+from bergamothill.process.zonereaders import READERS_PER_ZONE
 from scripts.callerload import CallerHabit, CallerRecord, Connection, Ending, ZoneBalancer, now_ms
 from scripts.platformfleet import LAYOUTS, EntryNode, FleetShape, PlatformFleet
 from scripts.processes import ProcessGroup
@@ -258,6 +259,8 @@
     :param callers: number of callers
     :param logs: folder for the logs of the instances; None discards them
     """
+    # Instances of larger zones tell each other what they read, the addresses of links included.
+    shape = replace(shape, nodes=min(shape.nodes, READERS_PER_ZONE * len(shape.zones)))
     with ProcessGroup() as group:
         fleet = PlatformFleet.start(group, shape, has_links=True)
         recovery = Recovery(fleet, random.Random(seed))
