--- a/bergamothill/process/helperchoice.py
+++ b/bergamothill/process/helperchoice.py
@@ -83,7 +83,8 @@
 
     def helping(self, now_ms: int) -> list[EntryInstanceId]:
         """Return the instances that requests may be passed to."""
-        return [entry for entry in self._peers if self._is_helping(entry, now_ms)]
+        heard = (entry for entry in self._heard if entry in self._peers)
+        return [entry for entry in heard if self._is_helping(entry, now_ms)]
 
     def choose(
         self,
