--- a/tests/test_helperchoice.py
+++ b/tests/test_helperchoice.py
@@ -88,6 +88,12 @@
         asked = known.to_ask(0)
         self.assertEqual(["b9", "b7"], asked[:2])
 
+    def test_other_zones_are_asked_though_the_own_zone_is_large_and_all_of_it_is_cut(self):
+        known = helpers(*[f"a{n}" for n in range(20)], "b1", "b2")
+        for n in range(20):
+            known.record_reply(ReachReply(f"a{n}", False, True, 0), 0)
+        self.assertEqual({"b1", "b2"}, {e for e in known.to_ask(0) if e.startswith("b")})
+
     def test_an_instance_that_stops_replying_is_lost(self):
         known = helpers("a1")
         self.assertTrue(known.is_lost("a1", 0))
