Ask instances of other zones for help even where the own zone is large

Deployments with up to eight other instances were not concerned, so no test had seen it.

Cause: instances of the own zone went before all others in the choice of whom to ask.

--- a/bergamothill/process/helperchoice.py
+++ b/bergamothill/process/helperchoice.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass
+from itertools import islice, zip_longest
 
 from bergamothill.ids import EntryInstanceId, ZoneName
 from bergamothill.process.reachmessages import ReachReply
@@ -74,12 +75,19 @@
             del self._passed[entry]
 
     def to_ask(self, now_ms: int) -> list[EntryInstanceId]:
-        """Return the instances to ask next: those that help, then others of the zone, then all."""
-        entries = list(self._peers)
-        random.shuffle(entries)
-        entries.sort(key=lambda e: (not self._is_helping(e, now_ms), not self._is_near(e)))
+        """Return the instances to ask next: in use, that help, of the zone, and of other zones.
+
+        Of each of the last three as many, as long as there are, since a whole zone may be cut off.
+        """
+        groups: tuple[list[EntryInstanceId], ...] = ([], [], [])
+        for entry in random.sample(list(self._peers), len(self._peers)):
+            is_helping = self._is_helping(entry, now_ms)
+            groups[0 if is_helping else 1 if self._is_near(entry) else 2].append(entry)
+        drawn = (entry for turn in zip_longest(*groups) for entry in turn if entry is not None)
+        asked = set(islice(drawn, ASKED_PER_ROUND))
         in_use = [entry for entry in self._passed if entry in self._peers]
-        return list(dict.fromkeys([*in_use, *entries[:ASKED_PER_ROUND]]))
+        in_order = (entry for group in groups for entry in group if entry in asked)
+        return list(dict.fromkeys([*in_use, *in_order]))
 
     def helping(self, now_ms: int) -> list[EntryInstanceId]:
         """Return the instances that requests may be passed to."""
