Tell when a caller needs its answer in one place

The deadline of a request was derived from its route and its caller in the forwarding, in the search for the origin of a stream and in passing on. Without change of behaviour; the modules of forwarding, runs, passing on and the gateway pass.

--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -401,9 +401,7 @@
         """
         if not request.last_event_id:
             return None
-        timeouts_ms = (admission.route.timeout_ms, request.caller_timeout_ms)
-        timeout_ms = min(timeout_ms for timeout_ms in timeouts_ms if timeout_ms is not None)
-        give_up_ms = request.raw.arrived_ms + timeout_ms
+        give_up_ms = request.due_ms(admission.route.timeout_ms)
         if self._is_too_late(give_up_ms):
             return ResumedStream(service.name, None)
         search = asyncio.ensure_future(
--- a/bergamothill/process/passedrun.py
+++ b/bergamothill/process/passedrun.py
@@ -82,14 +82,12 @@
         self._connection = connection
         self._request = request
         self._admission = admission
-        timeout_ms = request.caller_timeout_ms
-        timeout_ms = route.timeout_ms if timeout_ms is None else min(timeout_ms, route.timeout_ms)
         self._state = PassedRequest(
             route,
             context.passing.choose_for(home_regions(route, admission.brand)),
             context.retry_budget,
             random.random(),
-            request.raw.arrived_ms + timeout_ms,
+            request.due_ms(route.timeout_ms),
             may_have_run=may_have_run,
         )
         self._relay = AnswerRelay(
--- a/bergamothill/request/callerrequest.py
+++ b/bergamothill/request/callerrequest.py
@@ -112,6 +112,16 @@
         """Tokens of the prompt and of the answer; 0 for a plain request."""
         return 0 if self.model is None else max(1, self.prompt_tokens + self.max_output_tokens)
 
+    def due_ms(self, timeout_ms: int) -> int:
+        """Return the time by which the caller gets a final answer.
+
+        :param timeout_ms: maximum time that a caller waits on its route, in milliseconds
+        """
+        caller_timeout_ms = self.caller_timeout_ms
+        if caller_timeout_ms is not None:
+            timeout_ms = min(timeout_ms, caller_timeout_ms)
+        return self.raw.arrived_ms + timeout_ms
+
     @property
     def path(self) -> str:
         """Path without the query."""
--- a/bergamothill/request/forwarding.py
+++ b/bergamothill/request/forwarding.py
@@ -197,7 +197,7 @@
         self._give_up_ms = arrived_ms + (
             route.timeout_ms if caller_timeout_ms is None else caller_timeout_ms
         )
-        self.due_ms = min(self._give_up_ms, arrived_ms + route.timeout_ms)
+        self.due_ms = request.due_ms(route.timeout_ms)
         """Time by which the caller gets a final answer."""
 
         request.objective_ms = arrived_ms + route.target_ms
