--- a/tests/test_stop_decisions.py
+++ b/tests/test_stop_decisions.py
@@ -2,20 +2,14 @@
 
 import re
 import signal
-import socket
 import time
-import unittest
 from dataclasses import replace
 
-from scripts.callerload import CallerHabit, CallerRecord, encode_request
-from scripts.platformfleet import FleetShape, PlatformFleet, RequestKind
-from scripts.processes import ProcessGroup
+from scripts.platformfleet import FleetShape, RequestKind
 from tests.gatewayworld import read_all
+from tests.stopcase import TIMEOUT_S, StopCase, encoded
 
-TIMEOUT_S = 10
 DRAIN_S = 2.3
-SEGMENT_BYTES = 1_448
-RECEIVE_BUFFER_BYTES = 4_096
 RESUMED_FIELDS = b"\r\nLast-Event-Id: 3\r\nResumes: a0\r\n\r\n"
 
 STREAM = RequestKind("stream", "streaming", 15, 10, 100, 12_000, 600)
@@ -34,28 +28,12 @@
 )
 
 
-def encoded(kind, request):
-    return encode_request(CallerRecord(request, kind, CallerHabit.KEEPS, ""))
-
-
-class StopDecisionTest(unittest.TestCase):
-    @classmethod
-    def setUpClass(cls):
-        group = ProcessGroup()
-        cls.addClassCleanup(group.__exit__)
-        cls.fleet = PlatformFleet.start(group, SHAPE)
-        cls.nodes = cls.fleet.nodes
-
-    def setUp(self):
-        self.node = self.nodes.pop()
+class StopDecisionTest(StopCase):
+    SHAPE = SHAPE
 
     def send(self, data):
         """Send requests on a connection of small segments, as over a network."""
-        connection = self.enterContext(socket.socket())
-        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-        connection.settimeout(TIMEOUT_S)
-        connection.connect(self.node.caller_address)
+        connection = self.connect(has_small_segments=True)
         connection.sendall(data)
         return connection
 
--- a/tests/test_stop_exit.py
+++ b/tests/test_stop_exit.py
@@ -4,20 +4,16 @@
 import signal
 import socket
 import time
-import unittest
 
 from bergamothill.process.platformnode import METRICS_PORT
 from scripts.callerload import CallerHabit, CallerRecord, encode_request
-from scripts.platformfleet import FleetShape, PlatformFleet, RequestKind
-from scripts.processes import ProcessGroup
+from scripts.platformfleet import FleetShape, RequestKind
 from tests.builders import await_true
 from tests.gatewayworld import read_all
+from tests.stopcase import TIMEOUT_S, StopCase, encoded
 
-TIMEOUT_S = 10
 BODY_BYTES = 4_000_000
 DRAIN_S = 2.3
-SEGMENT_BYTES = 1_448
-RECEIVE_BUFFER_BYTES = 4_096
 
 STREAM = RequestKind("stream", "streaming", 15, 10, 100, 12_000, 600, size=20_000)
 LARGE_ORDER = RequestKind("large-order", "unsafe", 0, 100, 0, 12_000, 400, size=300_000)
@@ -41,25 +37,13 @@
 )
 
 
-class LastMomentsTest(unittest.TestCase):
-    @classmethod
-    def setUpClass(cls):
-        group = ProcessGroup()
-        cls.addClassCleanup(group.__exit__)
-        cls.fleet = PlatformFleet.start(group, SHAPE)
-        cls.nodes = cls.fleet.nodes
-
-    def setUp(self):
-        self.node = self.nodes.pop()
+class LastMomentsTest(StopCase):
+    SHAPE = SHAPE
 
     def send(self, kind, request):
         """Send a request on a connection of small segments, as over a network."""
-        connection = self.enterContext(socket.socket())
-        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-        connection.settimeout(TIMEOUT_S)
-        connection.connect(self.node.caller_address)
-        connection.sendall(encode_request(CallerRecord(request, kind, CallerHabit.KEEPS, "")))
+        connection = self.connect(has_small_segments=True)
+        connection.sendall(encoded(kind, request))
         return connection
 
     def read_after_exit(self, kind, request):
--- a/tests/test_stop_lines.py
+++ b/tests/test_stop_lines.py
@@ -2,16 +2,12 @@
 
 import re
 import signal
-import socket
 import time
-import unittest
 
-from scripts.callerload import CallerHabit, CallerRecord, encode_request
-from scripts.platformfleet import FleetShape, PlatformFleet, RequestKind
-from scripts.processes import ProcessGroup
+from scripts.platformfleet import FleetShape, RequestKind
 from tests.gatewayworld import read_all
+from tests.stopcase import TIMEOUT_S, StopCase, encoded
 
-TIMEOUT_S = 10
 LINE = re.compile(r"event=request(?:_denied|_dropped)? request=(\S+)")
 
 STREAM = RequestKind("stream", "streaming", 60, 10, 100, 12_000, 600)
@@ -29,26 +25,8 @@
 )
 
 
-def encoded(kind, request):
-    return encode_request(CallerRecord(request, kind, CallerHabit.KEEPS, ""))
-
-
-class LastLinesTest(unittest.TestCase):
-    @classmethod
-    def setUpClass(cls):
-        group = ProcessGroup()
-        cls.addClassCleanup(group.__exit__)
-        cls.fleet = PlatformFleet.start(group, SHAPE)
-        cls.nodes = cls.fleet.nodes
-
-    def setUp(self):
-        self.node = self.nodes.pop()
-
-    def connect(self):
-        connection = self.enterContext(socket.socket())
-        connection.settimeout(TIMEOUT_S)
-        connection.connect(self.node.caller_address)
-        return connection
+class LastLinesTest(StopCase):
+    SHAPE = SHAPE
 
     def logged(self):
         """Return the ids of the requests that have a line, sorted, once the process has ended."""
