Log whose read confirmed the configuration, and why an instance is ready

request_denied has config_revision and config_read_by now, and each change of what is lacking to be ready is a line. What decides is unchanged.

--- a/bergamothill/process/configstate.py
+++ b/bergamothill/process/configstate.py
@@ -6,7 +6,7 @@
 from enum import Enum
 
 from bergamothill.connection.storeera import REWRITE_MS
-from bergamothill.ids import BrandName
+from bergamothill.ids import BrandName, EntryInstanceId
 from bergamothill.version.routetable import Brand, CallerLimits, Route, RouteTable, RoutingConfig
 
 __all__ = ["Admission", "ConfigState", "Verdict"]
@@ -58,6 +58,9 @@
     def __init__(self, revocation_ms: int, *, is_strict: bool) -> None:
         self.table: RouteTable | None = None
         self.revision = 0
+        self.confirmed_by: EntryInstanceId | None = None
+        """Instance whose read showed last that the configuration is current; None for this one."""
+
         self._confirmed_ms: int | None = None
         self._distrusted_until_ms = 0
         self._is_distrusted = False
@@ -110,19 +113,27 @@
         """
         return sent_ms >= self._distrusted_until_ms
 
-    def confirm(self, revision: int, sent_ms: int) -> None:
+    def confirm(self, revision: int, sent_ms: int, source: EntryInstanceId | None = None) -> None:
         """Record a linearizable read that returned the revision already in force.
 
         :param revision: revision that was read
         :param sent_ms: time at which the read was sent; its result includes all earlier writes
+        :param source: instance that read; None for this one
         """
         if not self.is_read_trusted(sent_ms):
             return
         self._is_distrusted = False
-        if revision >= self.revision:
-            self._confirmed_ms = max(sent_ms, self._confirmed_ms or sent_ms)
-
-    def apply(self, config: RoutingConfig, revision: int, sent_ms: int) -> bool:
+        is_later = self._confirmed_ms is None or sent_ms > self._confirmed_ms
+        if revision >= self.revision and is_later:
+            self._confirmed_ms, self.confirmed_by = sent_ms, source
+
+    def apply(
+        self,
+        config: RoutingConfig,
+        revision: int,
+        sent_ms: int,
+        source: EntryInstanceId | None = None,
+    ) -> bool:
         """Put a configuration into force unless the same or a newer version is in force.
 
         An older version comes from a service that was restored from an older copy; it does not
@@ -134,11 +145,11 @@
             return False
         if self.table is not None and config.version == self.version:
             self.revision = max(revision, self.revision)
-            self.confirm(revision, sent_ms)
+            self.confirm(revision, sent_ms, source)
             return False
         self.table = RouteTable(config)
         self.revision = revision
-        self.confirm(revision, sent_ms)
+        self.confirm(revision, sent_ms, source)
         return True
 
     def age_ms(self, now_ms: int) -> int | None:
--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -479,6 +479,8 @@
             path=request.path,
             config=admission.version,
             config_age_ms=admission.age_ms,
+            config_revision=self._config.revision,
+            config_read_by=self._config.confirmed_by or "own",
         )
         self._metrics.count("requests", outcome=admission.verdict.value)
         connection.send_response(status, headers, b"")
--- a/bergamothill/process/operatorview.py
+++ b/bergamothill/process/operatorview.py
@@ -63,7 +63,7 @@
             self._on_evacuation(zones, snapshot.sent_ms, is_trusted)
         for entry in snapshot.entries:
             try:
-                self._apply_entry(entry, snapshot.sent_ms)
+                self._apply_entry(entry, snapshot)
             except ProtocolError as error:
                 self._on_invalid_entry(entry, error)
         if is_trusted:
@@ -77,12 +77,13 @@
                 except ProtocolError as error:
                     self._on_invalid_entry(entry, error)
 
-    def _apply_entry(self, entry: KeyValueEntry, sent_ms: int) -> None:
+    def _apply_entry(self, entry: KeyValueEntry, snapshot: Snapshot) -> None:
+        read = (entry.mod_revision, snapshot.sent_ms, snapshot.source)
         if entry.key.startswith(TARGET_PREFIX):
             self._on_target(decode_target(entry.value), self._previous_read_ms)
         elif entry.key == CONFIG_KEY and entry.mod_revision == self._config.revision:
-            self._config.confirm(entry.mod_revision, sent_ms)
+            self._config.confirm(*read)
         elif entry.key == CONFIG_KEY:
             config = decode_config(entry.value)
-            if self._config.apply(config, entry.mod_revision, sent_ms):
-                self._on_config(config, entry, sent_ms)
+            if self._config.apply(config, *read):
+                self._on_config(config, entry, snapshot.sent_ms)
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -41,7 +41,7 @@
 from bergamothill.process.prefillexchange import PrefillExchange
 from bergamothill.process.prefixfollower import PrefixFollower, Snapshot
 from bergamothill.process.readexchange import ReadExchange
-from bergamothill.process.readiness import ReadinessHandler
+from bergamothill.process.readiness import Readiness, ReadinessHandler
 from bergamothill.process.readtimes import ReadTimes
 from bergamothill.process.registry import READ_TIMES, REGISTRY_PREFIX, Peer, Registry
 from bergamothill.process.serverlimits import ServerLimits
@@ -160,7 +160,9 @@
             self._on_peer_report,
         )
         self._connections: set[CallerConnection] = set()
-        self._draining = False
+        self._readiness = Readiness(
+            clock, self._config, self._server_pool, self._quarantine.gate, self._supervisor
+        )
         self._unreadable_keys: set[str] = set()
         self._followers: list[PrefixFollower] = []
         client = HttpClient("key-value service", settings.store_address)
@@ -364,11 +366,7 @@
 
     def is_ready(self) -> bool:
         """Return whether this instance can serve callers."""
-        now_ms = self._clock.now_ms()
-        has_state = self._config.table is not None and self._server_pool.listed_ms is not None
-        has_state = has_state and self._quarantine.gate.has_read
-        is_healthy = has_state and self._supervisor.is_healthy()
-        return is_healthy and not self._draining and self._config.is_config_fresh(now_ms)
+        return self._readiness.is_ready()
 
     # Observed state.
 
@@ -480,7 +478,7 @@
         _log.info("reload", changed=changed)
 
     async def _drain(self, caller_listener: CallerListener) -> None:
-        self._draining = True
+        self._readiness.is_stopping = True
         await drain_callers(
             self._clock,
             self._gateway,
--- a/bergamothill/process/prefixfollower.py
+++ b/bergamothill/process/prefixfollower.py
@@ -17,6 +17,7 @@
 from bergamothill.clock import Clock, ms_to_seconds
 from bergamothill.connection.kvs import KeyValueEntry, KeyValueService
 from bergamothill.errors import BergamothillError
+from bergamothill.ids import EntryInstanceId
 from bergamothill.logs import EventLog
 from bergamothill.process.prefixshare import PrefixShare
 from bergamothill.process.readorder import AppliedRead
@@ -44,10 +45,12 @@
 
     :param entries: all entries under the prefix
     :param sent_ms: time at which the read was sent
+    :param source: instance that read it; None for this one
     """
 
     entries: tuple[KeyValueEntry, ...]
     sent_ms: int
+    source: EntryInstanceId | None = None
 
 
 class PrefixFollower:
@@ -176,7 +179,8 @@
         if read.follows_outage:
             self._set_connected(False, f"outage seen by {read.source}")
         self._set_connected(True, "")
-        self._apply(Snapshot(read.entries, read.sent_ms))
+        source = read.source if read.is_told else None
+        self._apply(Snapshot(read.entries, read.sent_ms, source))
 
     def _apply(self, snapshot: Snapshot) -> None:
         revisions = (entry.mod_revision for entry in snapshot.entries)
