--- a/tests/proof/proof_admission.py
+++ b/tests/proof/proof_admission.py
@@ -48,9 +48,9 @@
 class UnorderedConfigState(ConfigState):
     """Test double that accepts any version."""
 
-    def apply(self, config, revision, sent_ms):
+    def apply(self, config, revision, sent_ms, source=None):
         self.table = None
-        return super().apply(config, revision, sent_ms)
+        return super().apply(config, revision, sent_ms, source)
 
 
 class UnexpiringConfigState(ConfigState):
