Deny routes and keys only by a configuration within its bound

Cause: one age served two bounds. An instance accepted keys, and denied routes and keys, for as long as its latest read was younger than the bound on revocations (5 s). What a read of that age may lack was due after configApplyMs (2 or 3 s). "I don't know this route" and "there is no such route" were one answer.

Now an unknown route or key is denied only by a read younger than configApplyMs. Otherwise the request asks for a read and waits for it, for at most half a second and a quarter of its time, and not at all while nobody in the zone can read; then it is refused with 503 and Retry-After. A read younger than the bound when a request is denied shows all changes that were acknowledged that long before the request was sent, so the rule holds without a margin. Known routes are served as before.

--- a/bergamothill/process/configstate.py
+++ b/bergamothill/process/configstate.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 
 from bergamothill.connection.storeera import REWRITE_MS
 from bergamothill.ids import BrandName, EntryInstanceId
+from bergamothill.process.nodesettings import DeploymentBounds
 from bergamothill.version.routetable import Brand, CallerLimits, Route, RouteTable, RoutingConfig
 
 __all__ = ["Admission", "ConfigState", "Verdict"]
 
+DEFAULT_APPLY_MS = 2_000
+
 REVOCATION_MARGIN_MS = 250
 """Subtracted from the revocation bound, as a request reaches its server later than the check."""
 
@@ -21,6 +25,9 @@
     ADMITTED = "admitted"
     NO_CONFIGURATION = "no_configuration"
     STALE_KEYS = "stale_keys"
+    UNCONFIRMED = "unconfirmed"
+    """Not in the configuration in force, which may lack newer routes and keys."""
+
     UNKNOWN_ROUTE = "unknown_route"
     UNKNOWN_KEY = "unknown_key"
 
@@ -53,9 +60,16 @@
 
     :param revocation_ms: time after which a removed key must be rejected
     :param is_strict: reject all keys once the configuration is older than that
+    :param apply_ms: time in which a change must be in force
     """
 
-    def __init__(self, revocation_ms: int, *, is_strict: bool) -> None:
+    def __init__(
+        self, revocation_ms: int, *, is_strict: bool, apply_ms: int = DEFAULT_APPLY_MS
+    ) -> None:
+        self.apply_ms = apply_ms
+        self.on_confirmed: Callable[[], None] = lambda: None
+        """Called when a later read has shown that the configuration is current."""
+
         self.table: RouteTable | None = None
         self.revision = 0
         self.confirmed_by: EntryInstanceId | None = None
@@ -66,6 +80,20 @@
         self._is_distrusted = False
         self.set_revocation_bound(revocation_ms, is_strict=is_strict)
 
+    @classmethod
+    def of_bounds(cls, bounds: DeploymentBounds) -> ConfigState:
+        """Return the state without a configuration."""
+        return cls(
+            bounds.key_revocation_ms,
+            is_strict=bounds.is_revocation_strict,
+            apply_ms=bounds.config_apply_ms,
+        )
+
+    def set_bounds(self, bounds: DeploymentBounds) -> None:
+        """Apply the bounds of reloaded settings."""
+        self.apply_ms = bounds.config_apply_ms
+        self.set_revocation_bound(bounds.key_revocation_ms, is_strict=bounds.is_revocation_strict)
+
     def set_revocation_bound(self, revocation_ms: int, *, is_strict: bool) -> None:
         """Set the time within which removed keys must be rejected.
 
@@ -126,6 +154,7 @@
         is_later = self._confirmed_ms is None or sent_ms > self._confirmed_ms
         if revision >= self.revision and is_later:
             self._confirmed_ms, self.confirmed_by = sent_ms, source
+            self.on_confirmed()
 
     def apply(
         self,
@@ -165,6 +194,14 @@
         age_ms = self.age_ms(now_ms)
         return age_ms is not None and (not self.is_strict or age_ms < self._max_config_age_ms)
 
+    def may_deny(self, now_ms: int) -> bool:
+        """Return whether what the configuration in force lacks certainly does not exist.
+
+        An older configuration may lack what was added since, which must be in force by now.
+        """
+        age_ms = self.age_ms(now_ms)
+        return age_ms is not None and age_ms < self.apply_ms
+
     def admit(self, host: str, path: str, key: str | None, now_ms: int) -> Admission:
         """Decide whether to admit a request.
 
@@ -181,15 +218,13 @@
             return Admission(verdict, route, brand, self.version, age_ms)
 
         route = self.table.find(host, path)
-        if route is None:
-            # A stale configuration may lack a newly added route, so it must not answer "not found".
-            verdict = Verdict.UNKNOWN_ROUTE if self.is_config_fresh(now_ms) else Verdict.STALE_KEYS
-            return decide(verdict)
-        if route.is_public:
+        if route is not None and route.is_public:
             return decide(Verdict.ADMITTED)
         if not self.is_config_fresh(now_ms):
             return decide(Verdict.STALE_KEYS)
         brand = None if key is None else self.table.brand_of(key)
-        if brand is None:
-            return decide(Verdict.UNKNOWN_KEY)
-        return decide(Verdict.ADMITTED, brand)
+        if route is not None and brand is not None:
+            return decide(Verdict.ADMITTED, brand)
+        if not self.may_deny(now_ms):
+            return decide(Verdict.UNCONFIRMED)
+        return decide(Verdict.UNKNOWN_ROUTE if route is None else Verdict.UNKNOWN_KEY)
--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -18,6 +18,7 @@
 from bergamothill.logs import EventLog
 from bergamothill.platform.headers import decode_request, decode_request_id
 from bergamothill.process.admissionqueue import AdmissionQueue
+from bergamothill.process.configconfirmation import ConfigConfirmation
 from bergamothill.process.configstate import Admission, ConfigState, Verdict
 from bergamothill.process.crashlog import MAX_ERROR_CHARACTERS, log_crash
 from bergamothill.process.drainperiod import DrainPeriod
@@ -92,6 +93,7 @@
     ) -> None:
         self.intake = intake or CallerIntake(clock)
         self.resumption = StreamResumption(clock, server_pool, directory)
+        self.confirmation = ConfigConfirmation(clock, config)
         self._clock = clock
         self._started_ms = clock.now_ms()
         self._bounds = bounds
@@ -302,8 +304,7 @@
         try:
             request = decode_request(raw)
             request.passed_by = passed_by
-            now_ms = self._clock.now_ms()
-            admission = self._config.admit(request.host, request.path, request.key, now_ms)
+            admission = await self.confirmation.admit(request, may_wait=self._drain is None)
             run = await self._create_run(connection, request, admission)
         except InvalidRequestError as error:
             _log.info("request_invalid", request=decode_request_id(raw), error=error.message)
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -83,7 +83,7 @@
         self._settings = settings
         self._clock = clock
         self._metrics = GatewayMetrics()
-        self._config = ConfigState(bounds.key_revocation_ms, is_strict=bounds.is_revocation_strict)
+        self._config = ConfigState.of_bounds(bounds)
         self._operator = OperatorView(
             self._config,
             self._apply_config,
@@ -227,6 +227,7 @@
                 SERVER_PREFIX, self._apply_server_list, self._on_server_list_connection_change
             ),
         ]
+        self._gateway.confirmation.read_now = followers[0].read_now
         self._gateway.resumption.lists.read_list = followers[-1].read_now
         registry = self._registry = self._make_registry()
         self._kvs.era.add_listener(self._on_kvs_restored)
@@ -375,6 +376,7 @@
 
     def _on_operator_connection_change(self, is_connected: bool) -> None:
         self._count_kvs_connection_change(is_connected)
+        self._gateway.confirmation.is_readable = is_connected
         if is_connected:
             self._config.record_reconnection(self._clock.now_ms())
 
@@ -471,9 +473,7 @@
             self._server_pool.weights_due_ms = settings.bounds.weights_due_ms
             self._gateway.set_bounds(settings.bounds)
             self._server_pool.limits.set_bounds(settings.bounds.cold)
-            self._config.set_revocation_bound(
-                settings.bounds.key_revocation_ms, is_strict=settings.bounds.is_revocation_strict
-            )
+            self._config.set_bounds(settings.bounds)
         self._settings = settings
         _log.info("reload", changed=changed)
 
--- a/tests/gatewayworld.py
+++ b/tests/gatewayworld.py
@@ -176,7 +176,8 @@
     ) -> None:
         self.clock = AdvancingClock()
         bounds = load_node_settings(settings_path).bounds
-        self.config = ConfigState(bounds.key_revocation_ms, is_strict=False)
+        self.config = ConfigState.of_bounds(bounds)
+        self.config.is_strict = False
         servers = [backend(f"s{n}", address=s.address) for n, s in enumerate(engines)]
         servers += [
             backend(f"p{n}", address=s.address, service="bookings", weights={})
--- a/tests/test_unconfirmed_denials.py
+++ b/tests/test_unconfirmed_denials.py
@@ -1,10 +1,12 @@
 """Tests of requests that the configuration in force does not know, but a newer one may."""
 
+import asyncio
+import contextlib
 import json
 import time
 
-from tests.builders import operator_config
-from tests.gatewayworld import GatewayCase, answer, replies, request
+from tests.builders import operator_config, routing_config
+from tests.gatewayworld import GatewayCase, answer, read_message, replies, request
 from tests.platformworld import PlatformWorldCase
 
 APPLY_MS = 2_000
@@ -13,6 +15,7 @@
 REVOCATION_MS = 5_000
 
 UNKNOWN_ROUTE = request(b"/added/2f")
+ADDED_ROUTE = operator_config()["routes"][1] | {"name": "added", "prefix": "/added/"}
 UNKNOWN_KEY = request(key=b"key-added")
 
 
@@ -31,6 +34,55 @@
         for age_ms in (APPLY_MS, APPLY_MS + 1_300, REVOCATION_MS, 60_000):
             self.assertEqual(b"503", self.status_at(age_ms, UNKNOWN_KEY), age_ms)
 
+    def read_after(self, delay_s, config):
+        """Answer a request for a new route by reading a configuration some time later."""
+        world = self.world(plain=[replies(answer())])
+        world.clock.advance_ms(APPLY_MS)
+
+        def read_now():
+            def apply():
+                world.config.apply(config, 2, world.clock.now_ms())
+
+            asyncio.get_running_loop().call_later(delay_s, apply)
+
+        world.gateway.confirmation.read_now = read_now
+        started_s = time.monotonic()
+        status = world.exchange(UNKNOWN_ROUTE)[9:12]
+        return status, time.monotonic() - started_s
+
+    def test_a_request_is_served_once_a_read_shows_its_route(self):
+        status, _ = self.read_after(0.05, routing_config(version=8, routes=[ADDED_ROUTE]))
+        self.assertEqual(b"200", status)
+
+    def test_a_request_is_denied_once_a_read_shows_that_its_route_does_not_exist(self):
+        self.assertEqual(b"404", self.read_after(0.05, routing_config())[0])
+
+    def test_a_request_does_not_wait_for_a_read_for_longer_than_half_a_second(self):
+        status, took_s = self.read_after(2, routing_config())
+        self.assertEqual(b"503", status)
+        self.assertLess(took_s, 1)
+
+    def test_a_request_does_not_wait_while_nobody_can_read(self):
+        world = self.world(plain=[replies(answer())])
+        world.clock.advance_ms(APPLY_MS)
+        world.gateway.confirmation.is_readable = False
+        asked = []
+        world.gateway.confirmation.read_now = lambda: asked.append(1)
+        self.assertEqual(b"503", world.exchange(UNKNOWN_ROUTE)[9:12])
+        self.assertEqual([], asked)
+
+    def test_requests_that_wait_share_their_reads(self):
+        world = self.world(plain=[replies(answer())])
+        world.clock.advance_ms(APPLY_MS)
+        asked = []
+        world.gateway.confirmation.read_now = lambda: asked.append(1)
+        with contextlib.ExitStack() as stack:
+            callers = [stack.enter_context(world.connect()) for _ in range(20)]
+            for caller in callers:
+                caller.sendall(UNKNOWN_ROUTE)
+            self.assertEqual({b"503"}, {read_message(caller)[9:12] for caller in callers})
+        self.assertLessEqual(len(asked), 4)
+
     def test_a_configuration_within_its_bound_denies_at_once(self):
         self.assertEqual(b"404", self.status_at(APPLY_MS - 500, UNKNOWN_ROUTE))
         self.assertEqual(b"401", self.status_at(APPLY_MS - 500, UNKNOWN_KEY))
