--- a/bergamothill/process/configstate.py
+++ b/bergamothill/process/configstate.py
@@ -11,7 +11,7 @@
 from bergamothill.process.nodesettings import DeploymentBounds
 from bergamothill.version.routetable import Brand, CallerLimits, Route, RouteTable, RoutingConfig
 
-__all__ = ["Admission", "ConfigState", "Verdict"]
+__all__ = ["DEFAULT_APPLY_MS", "Admission", "ConfigState", "Verdict"]
 
 DEFAULT_APPLY_MS = 2_000
 
--- a/tests/proof/proof_admission.py
+++ b/tests/proof/proof_admission.py
@@ -10,7 +10,7 @@
 from bergamothill.clock import ManualClock
 from bergamothill.connection.kvs import ABSENT
 from bergamothill.platform.config import CONFIG_KEY, OPERATOR_PREFIX
-from bergamothill.process.configstate import ConfigState, Verdict
+from bergamothill.process.configstate import DEFAULT_APPLY_MS, ConfigState, Verdict
 from bergamothill.process.operatorview import OperatorView
 from bergamothill.process.prefixfollower import PrefixFollower, poll_interval_ms
 from tests.builders import FaultyKeyValueService, operator_config
@@ -60,6 +60,13 @@
         return self.age_ms(now_ms) is not None
 
 
+class DenyingConfigState(ConfigState):
+    """Test double that denies whatever the configuration in force lacks."""
+
+    def may_deny(self, now_ms):
+        return True
+
+
 class Node:
     """One process of an entry instance: the production follower, view and configuration state."""
 
@@ -177,21 +184,24 @@
     def check_request(self, node, key):
         now_ms = self.clock.now_ms()
         verdict = node.config_state.admit("desk.example", "/quote/x", key, now_ms).verdict
-        since_ms = now_ms + TRANSIT_MS - REVOCATION_MS
-        earlier = [keys for at_ms, keys in self.history if at_ms <= since_ms][-1:]
-        recent = [keys for at_ms, keys in self.history if at_ms > since_ms]
-        in_force = earlier + recent
         if verdict is Verdict.ADMITTED:
+            in_force = self.in_force_since(now_ms + TRANSIT_MS - REVOCATION_MS)
             require(
                 any(key in keys for keys in in_force),
                 f"{key} was accepted past the revocation bound",
             )
         if verdict is Verdict.UNKNOWN_KEY:
+            in_force = self.in_force_since(now_ms - DEFAULT_APPLY_MS)
             require(
                 not all(key in keys for keys in in_force),
                 f"{key} was rejected although every version in force allows it",
             )
 
+    def in_force_since(self, since_ms):
+        """Return the keys of each configuration that was in force at some time since then."""
+        earlier = [keys for at_ms, keys in self.history if at_ms <= since_ms][-1:]
+        return earlier + [keys for at_ms, keys in self.history if at_ms > since_ms]
+
     @rule(name=nodes, key=st.sampled_from(KEYS), freezes=st.booleans())
     def key_is_taken_from_a_node_that_is_cut_off(self, name, key, freezes):
         """Revoke a key while a node is cut off; the node may freeze during its last read."""
@@ -205,6 +215,19 @@
             self.clock.advance_ms(REVOCATION_MS // 3 + TRANSIT_MS)
             self.check_request(self.nodes[name], key)
 
+    @rule(name=nodes, key=st.sampled_from(KEYS))
+    def key_is_given_while_a_node_does_not_read(self, name, key):
+        self.fault()
+        if self.kvs.is_down:
+            return
+        self.operator_writes(set(KEYS) - {key}, 1)
+        self.node_reads(name, 0, 0)
+        self.node_takes_over(name)
+        self.operator_writes(set(KEYS), 1)
+        for _ in range(2):
+            self.clock.advance_ms(DEFAULT_APPLY_MS)
+            self.check_request(self.nodes[name], key)
+
     @rule(passed_ms=st.sampled_from([10, 400, POLL_INTERVAL_MS, 3_000, 5_000]))
     def time_passes(self, passed_ms):
         self.operation()
@@ -265,7 +288,14 @@
     double = UnexpiringConfigState
 
 
+class DenialProof(ConfigurationProof):
+    """The same environment; the mechanism is the age limit on denials."""
+
+    double = DenyingConfigState
+
+
 PROOFS = (
+    Proof(slug="denied-keys", machine=DenialProof),
     Proof(slug="routing-configuration", machine=ConfigurationProof),
     Proof(slug="key-revocation", machine=RevocationProof),
 )
