--- /dev/null
+++ b/tests/test_work_counts.py
@@ -0,0 +1,57 @@
+"""Tests that the work of one event does not grow with the deployment (:mod:`tests.workcount`)."""
+
+import unittest
+from unittest import mock
+
+from bergamothill.request.contextplan import ContextPlanner
+from bergamothill.version.cacheindex import CacheIndex, EventBatch, PartEvent, PartKey
+from tests.builders import backend, caller_request, routing_config, server_pool
+from tests.workcount import count_lines
+
+ZONES = ("zone-a", "zone-b", "zone-c", "zone-d")
+SMALL, LARGE = 20, 160
+PARTS = (("a", 500), ("b", 2_000))
+
+
+def engines(count):
+    """Return engines, spread over the zones."""
+    return [backend(f"s{n}", zone=ZONES[n % len(ZONES)]) for n in range(count)]
+
+
+class EngineCountTest(unittest.TestCase):
+    def setUp(self):
+        self.service = routing_config().services["llm"]
+
+    def pool(self, count, held=0):
+        """Return a pool of engines, a share of which holds the parts of a prompt."""
+        index, servers = CacheIndex(), engines(count)
+        events = tuple(PartEvent(PartKey("m1~1", name), tokens) for name, tokens in PARTS)
+        for server in servers[: count * held // 100]:
+            index.source(server.address).apply(EventBatch(1, 1, False, events, 0), 0, 0)
+        return server_pool(*servers, index=index)
+
+    def choose(self, pool):
+        return pool.choose(self.service, caller_request(), None, (), 2, 100)
+
+    def plans(self, count, held):
+        """Return how many plans are made to choose an engine for a prompt."""
+        pool = self.pool(count, held)
+        with mock.patch.object(
+            ContextPlanner, "plan", autospec=True, side_effect=ContextPlanner.plan
+        ) as plan:
+            self.choose(pool)
+        return plan.call_count
+
+    def test_a_prompt_is_planned_once_for_engines_of_a_zone_that_hold_the_same_parts(self):
+        for held in (0, 25, 100):
+            patterns = 1 if held in (0, 100) else 2
+            with self.subTest(held=held):
+                self.assertLessEqual(self.plans(LARGE, held), patterns * len(ZONES))
+
+    def test_a_reply_of_a_source_costs_the_same_however_many_servers_there_are(self):
+        small, large = self.pool(SMALL), self.pool(LARGE)
+
+        def reply(pool):
+            pool.record_reply_from("10.0.0.1:80", 100, is_leaving=False)
+
+        self.assertEqual(count_lines(lambda: reply(small)), count_lines(lambda: reply(large)))
