--- a/bergamothill/process/serverlist.py
+++ b/bergamothill/process/serverlist.py
@@ -38,6 +38,7 @@
         self.set_stability_window(stability_window_ms)
         self._observed: dict[ServerId, ObservedServer] = {}
         self._by_service: dict[ServiceName, list[ObservedServer]] = {}
+        self._by_address: dict[str, list[ObservedServer]] = {}
         self._departures = Departures(entry_expiry_ms)
         self._min_entry_life_ms = min_entry_life_ms
         self._is_first_list_after_outage = False
@@ -169,9 +170,10 @@
         return changes
 
     def _rebuild_index(self) -> None:
-        self._by_service = {}
+        self._by_service, self._by_address = {}, {}
         for state in self._observed.values():
             self._by_service.setdefault(state.entry.service, []).append(state)
+            self._by_address.setdefault(state.entry.address, []).append(state)
 
     def present(self, now_ms: int) -> list[BackendServer]:
         """Return the servers of all services that are there and not leaving."""
@@ -183,7 +185,7 @@
 
     def _at_address(self, address: str) -> list[ObservedServer]:
         """Return the servers that were listed at an address."""
-        return [state for state in self._observed.values() if state.entry.address == address]
+        return self._by_address.get(address, [])
 
     def usable(self, service: ServiceName, now_ms: int) -> list[ObservedServer]:
         """Return the servers of a service that may get new requests."""
