--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -41,7 +41,7 @@
 from bergamothill.process.prefillexchange import PrefillExchange
 from bergamothill.process.prefixfollower import PrefixFollower, Snapshot
 from bergamothill.process.readexchange import ReadExchange
-from bergamothill.process.readiness import ReadinessHandler
+from bergamothill.process.readiness import Readiness, ReadinessHandler
 from bergamothill.process.readtimes import ReadTimes
 from bergamothill.process.registry import READ_TIMES, REGISTRY_PREFIX, Peer, Registry
 from bergamothill.process.serverlimits import ServerLimits
@@ -83,7 +83,7 @@
         self._settings = settings
         self._clock = clock
         self._metrics = GatewayMetrics()
-        self._config = ConfigState(bounds.key_revocation_ms, is_strict=bounds.is_revocation_strict)
+        self._config = ConfigState.of_bounds(bounds)
         self._operator = OperatorView(
             self._config,
             self._apply_config,
@@ -160,7 +160,9 @@
             self._on_peer_report,
         )
         self._connections: set[CallerConnection] = set()
-        self._draining = False
+        self._readiness = Readiness(
+            clock, self._config, self._server_pool, self._quarantine.gate, self._supervisor
+        )
         self._unreadable_keys: set[str] = set()
         self._followers: list[PrefixFollower] = []
         client = HttpClient("key-value service", settings.store_address)
@@ -225,6 +227,7 @@
                 SERVER_PREFIX, self._apply_server_list, self._on_server_list_connection_change
             ),
         ]
+        self._gateway.confirmation.read_now = followers[0].read_now
         self._gateway.resumption.lists.read_list = followers[-1].read_now
         registry = self._registry = self._make_registry()
         self._kvs.era.add_listener(self._on_kvs_restored)
@@ -364,11 +367,7 @@
 
     def is_ready(self) -> bool:
         """Return whether this instance can serve callers."""
-        now_ms = self._clock.now_ms()
-        has_state = self._config.table is not None and self._server_pool.listed_ms is not None
-        has_state = has_state and self._quarantine.gate.has_read
-        is_healthy = has_state and self._supervisor.is_healthy()
-        return is_healthy and not self._draining and self._config.is_config_fresh(now_ms)
+        return self._readiness.is_ready()
 
     # Observed state.
 
@@ -377,6 +376,7 @@
 
     def _on_operator_connection_change(self, is_connected: bool) -> None:
         self._count_kvs_connection_change(is_connected)
+        self._gateway.confirmation.is_readable = is_connected
         if is_connected:
             self._config.record_reconnection(self._clock.now_ms())
 
@@ -473,14 +473,12 @@
             self._server_pool.weights_due_ms = settings.bounds.weights_due_ms
             self._gateway.set_bounds(settings.bounds)
             self._server_pool.limits.set_bounds(settings.bounds.cold)
-            self._config.set_revocation_bound(
-                settings.bounds.key_revocation_ms, is_strict=settings.bounds.is_revocation_strict
-            )
+            self._config.set_bounds(settings.bounds)
         self._settings = settings
         _log.info("reload", changed=changed)
 
     async def _drain(self, caller_listener: CallerListener) -> None:
-        self._draining = True
+        self._readiness.is_stopping = True
         await drain_callers(
             self._clock,
             self._gateway,
