Plan a prompt once for engines that hold the same parts of it

A plan depends on the zone, the parts that the engine holds, the namespace and the speed; what an engine holds is never fetched from engines, so that it does not depend on the address. Engines that agree in these share it, speeds within an eighth. The estimate of the time to the first token uses the engine's own speed as before.

--- a/bergamothill/process/engineselector.py
+++ b/bergamothill/process/engineselector.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from heapq import nsmallest
+from typing import NamedTuple
 
 from bergamothill.ids import ZoneName
 from bergamothill.process.backends import BackendServer
@@ -10,9 +11,9 @@
 from bergamothill.process.observedserver import ObservedServer
 from bergamothill.process.prefillnotice import AnnouncedPrefill
 from bergamothill.request.callerrequest import CallerRequest, ForwardTerms
-from bergamothill.request.contextplan import ContextPlan, ContextPlanner, PartHolders
+from bergamothill.request.contextplan import ContextPlan, ContextPlanner
+from bergamothill.request.promptplans import PromptPlans
 from bergamothill.request.serverspeed import EngineSpeed, PromptWork, ServerSpeeds
-from bergamothill.version.cachenamespace import namespace
 from bergamothill.version.routetable import Brand, EngineTraits
 
 __all__ = ["EngineSelector"]
@@ -28,8 +29,7 @@
 """Engines of the own zone from which on they are preferred; fewer are busy too often."""
 
 
-@dataclass(frozen=True, slots=True)
-class _Candidate:
+class _Candidate(NamedTuple):
     """Estimate for a request at one engine.
 
     :param first_ms: expected time to first token
@@ -76,18 +76,16 @@
         now_ms: int,
     ) -> tuple[BackendServer, ForwardTerms]:
         """Return the engine with the shortest expected time to first token, and the terms."""
-        holders = PartHolders(self._planner, now_ms)
+        plans = PromptPlans(self._planner, traits, request, brand, now_ms)
         prefers_zone = sum(b.entry.zone == self._zone for b in candidates) >= MIN_ZONE_ENGINES
-        evaluated = [
-            self._evaluate(state, traits, request, brand, holders, now_ms) for state in candidates
-        ]
+        evaluated = [self._evaluate(state, traits, request, plans, now_ms) for state in candidates]
 
         def cost(candidate: _Candidate) -> tuple[float, str]:
             entry = candidate.state.entry
             is_far = prefers_zone and entry.zone != self._zone
             return (candidate.first_ms + (OTHER_ZONE_DELAY_MS if is_far else 0.0), entry.server)
 
-        ranked = sorted(evaluated, key=cost)
+        ranked = nsmallest(2, evaluated, cost)
         best = ranked[0]
         runner_up = ranked[1] if len(ranked) > 1 else None
         entry, plan = best.state.entry, best.plan
@@ -116,19 +114,14 @@
         state: ObservedServer,
         traits: EngineTraits,
         request: CallerRequest,
-        brand: Brand | None,
-        holders: PartHolders,
+        plans: PromptPlans,
         now_ms: int,
     ) -> _Candidate:
         """Estimate the time to first token on an engine."""
         entry = state.entry
-        homes = self._planner.regions.namespace_of(request.homes)
-        version = state.weight_version(request.model)
-        salt = namespace(request.model, version, brand, homes, self._planner.isolation)
+        salt = plans.salt(state.weight_version(request.model))
         speed = self._speeds.engine(entry.service, entry.incarnation, now_ms)
-        plan = self._planner.plan(
-            entry.address, entry.zone, traits, request, salt, now_ms, speed.tokens_per_ms, holders
-        )
+        plan = plans.plan(entry.address, entry.zone, salt, speed.tokens_per_ms)
         first_ms = self._estimate_first_token_ms(state, traits, request, plan, speed, now_ms)
         return _Candidate(first_ms, state, plan, salt)
 
--- a/bergamothill/request/contextplan.py
+++ b/bergamothill/request/contextplan.py
@@ -282,6 +282,16 @@
         zones += [store.zone for store in self._stores if store.address == address]
         return homes is None or any(self.regions.is_home(z, homes) for z in zones if z is not None)
 
+    def holds(self, engine: str, parts: Iterable[tuple[PartKey, int]]) -> tuple[bool, ...]:
+        """Return which parts an engine holds.
+
+        :param engine: address of the engine
+        :param parts: parts with their tokens
+        """
+        source = self._index.sources.get(engine)
+        held = {} if source is None else source.parts
+        return tuple([held.get(key, 0) >= tokens for key, tokens in parts])
+
     def stores_with(self, key: PartKey, tokens: int, now_ms: int) -> list[CacheStore]:
         """Return the stores that certainly have a part."""
         if self._stores_held_until_ms is not None and now_ms < self._stores_held_until_ms:
