Look up the state of each source of context once for a prompt

Keys and events of parts are named tuples, whose hash and creation take no Python code; each event and each look-up makes or hashes one.

--- a/bergamothill/request/contextplan.py
+++ b/bergamothill/request/contextplan.py
@@ -6,6 +6,7 @@
 import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from bergamothill.ids import ZoneName
 from bergamothill.request.callerrequest import CallerRequest
@@ -17,7 +18,7 @@
 from bergamothill.version.routetable import CacheStore, EngineTraits
 from bergamothill.version.scopesweep import FETCH_HOLD_MS
 
-__all__ = ["FETCH_TIMEOUT_MS", "ContextPlan", "ContextPlanner", "PartHolders"]
+__all__ = ["FETCH_TIMEOUT_MS", "ContextPlan", "ContextPlanner", "PartHolders", "SourceState"]
 
 CROSS_ZONE_FACTOR = 2.0
 """Ratio of the transfer time between zones to that within a zone."""
@@ -80,8 +81,18 @@
     homes: HomeRegions | None
 
 
-@dataclass(frozen=True, slots=True)
-class _Source:
+class SourceState(NamedTuple):
+    """State of an engine or store as a source of parts.
+
+    :param delay_ms: expected delay of a fetch beyond its transfer, in milliseconds
+    :param left_ms: time until the source may have restarted unnoticed, in milliseconds
+    """
+
+    delay_ms: float
+    left_ms: int
+
+
+class _Source(NamedTuple):
     """Source that a part may be fetched from.
 
     :param address: address of the engine or store
@@ -124,6 +135,7 @@
         self._now_ms = now_ms
         self._engines: dict[PartKey, list[str]] = {}
         self._stores: dict[PartKey, list[CacheStore]] = {}
+        self._states: dict[str, SourceState] = {}
 
     def engines_with(self, key: PartKey, tokens: int) -> list[str]:
         """Return the addresses of the engines that have a part."""
@@ -139,6 +151,13 @@
             stores = self._stores[key] = self._planner.stores_with(key, tokens, self._now_ms)
         return stores
 
+    def state(self, address: str) -> SourceState:
+        """Return the state of a source."""
+        state = self._states.get(address)
+        if state is None:
+            state = self._states[address] = self._planner.source_state(address, self._now_ms)
+        return state
+
 
 class ContextPlanner:
     """Plans fetches and saves of prompt parts.
@@ -267,10 +286,10 @@
         A source is left out if it may have restarted before the fetch has ended.
         """
         stores = holders.stores_with(key, tokens)
-        sources = list(self._store_sources(candidate, stores, tokens, timing.now_ms))
+        sources = list(self._store_sources(candidate, stores, tokens, holders))
         if with_engines:
             addresses = holders.engines_with(key, tokens)
-            sources += self._engine_sources(candidate, addresses, tokens, timing.now_ms)
+            sources += self._engine_sources(candidate, addresses, tokens, holders)
         sources = [source for source in sources if timing.is_enough_for(source)]
         if candidate.homes is not None:
             sources = [s for s in sources if self.is_home(s.address, candidate.homes)]
@@ -299,39 +318,50 @@
         return [s for s in self._stores if self._certainly_has(s.address, key, tokens, now_ms)]
 
     def _store_sources(
-        self, candidate: _CandidateEngine, stores: list[CacheStore], tokens: int, now_ms: int
+        self,
+        candidate: _CandidateEngine,
+        stores: list[CacheStore],
+        tokens: int,
+        holders: PartHolders,
     ) -> Iterable[_Source]:
         size_bytes = tokens * candidate.traits.token_bytes
         for store in stores:
             link_mbps = min(store.link_mbps, candidate.traits.link_mbps)
             transfer_ms = _transfer_ms(size_bytes, link_mbps, store.zone != candidate.zone)
-            yield self._source(store.address, store.first_byte_ms + transfer_ms, now_ms)
+            delay_ms, left_ms = holders.state(store.address)
+            fetch_ms = store.first_byte_ms + transfer_ms + delay_ms
+            yield _Source(store.address, fetch_ms, left_ms)
 
     def engines_with(self, key: PartKey, tokens: int, now_ms: int) -> list[str]:
         """Return the addresses of the engines that certainly have a part."""
         return [a for a in self._zones if self._certainly_has(a, key, tokens, now_ms)]
 
     def _engine_sources(
-        self, candidate: _CandidateEngine, addresses: list[str], tokens: int, now_ms: int
+        self,
+        candidate: _CandidateEngine,
+        addresses: list[str],
+        tokens: int,
+        holders: PartHolders,
     ) -> Iterable[_Source]:
-        size_bytes = tokens * candidate.traits.token_bytes
+        size_bytes, link_mbps = tokens * candidate.traits.token_bytes, candidate.traits.link_mbps
+        near_ms = _transfer_ms(size_bytes, link_mbps, False)
+        far_ms = _transfer_ms(size_bytes, link_mbps, True)
         for address in addresses:
             if address != candidate.engine:
-                transfer_ms = _transfer_ms(
-                    size_bytes,
-                    candidate.traits.link_mbps,
-                    self._zones[address] != candidate.zone,
-                )
-                yield self._source(address, transfer_ms, now_ms)
-
-    def _source(self, address: str, fetch_ms: float, now_ms: int) -> _Source:
+                delay_ms, left_ms = holders.state(address)
+                transfer_ms = near_ms if self._zones[address] == candidate.zone else far_ms
+                yield _Source(address, transfer_ms + delay_ms, left_ms)
+
+    def source_state(self, address: str, now_ms: int) -> SourceState:
+        """Return the state of an engine or store as a source of parts."""
         index = self._index.source(address)
         left_ms = index.certain_until_clock_ms - (now_ms + index.clock_offset_ms)
-        return _Source(address, fetch_ms + self.delays.expected(address, now_ms), left_ms)
+        return SourceState(self.delays.expected(address, now_ms), left_ms)
 
     def _certainly_has(self, address: str, key: PartKey, tokens: int, now_ms: int) -> bool:
-        has_all = self._index.tokens_at(address, key) >= tokens
-        return has_all and self._index.source(address).is_certain(now_ms)
+        source = self._index.sources.get(address)
+        has_all = source is not None and source.parts.get(key, 0) >= tokens
+        return has_all and source.is_certain(now_ms)
 
     def plan_saves(self, request: CallerRequest, salt: str, now_ms: int) -> tuple[str, ...]:
         """Return the address to which to save each part, and record the saves as pending.
--- a/bergamothill/version/cacheindex.py
+++ b/bergamothill/version/cacheindex.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 __all__ = ["EventBatch", "PartEvent", "CacheIndex", "PartKey", "SourceIndex"]
 
@@ -16,8 +17,7 @@
 """A source cannot have restarted within this time after its last answer; a start takes longer."""
 
 
-@dataclass(frozen=True, slots=True)
-class PartKey:
+class PartKey(NamedTuple):
     """Key of a part of cached context.
 
     :param salt: namespace; see :class:`~bergamothill.version.cachenamespace.Namespace`
@@ -28,8 +28,7 @@
     part: str
 
 
-@dataclass(frozen=True, slots=True)
-class PartEvent:
+class PartEvent(NamedTuple):
     """Change of the cached content of an engine or store.
 
     :param key: part that changed
