--- a/bergamothill/process/serverpool.py
+++ b/bergamothill/process/serverpool.py
@@ -397,7 +397,8 @@
         if first is not None and first is not request and version is None and not is_move:
             return NoFreeMemory()
         preferred = self._preferred_by_weights(candidates, request.model, now_ms)
-        for group in (preferred, candidates):
+        groups = (preferred, candidates) if len(preferred) < len(candidates) else (candidates,)
+        for group in groups:
             with_room = [b for b in group if self._has_room(b, service.engine, request, urgency)]
             with_room = placement.select_for(trial, with_room)
             if with_room:
--- a/bergamothill/process/serverweights.py
+++ b/bergamothill/process/serverweights.py
@@ -114,7 +114,15 @@
         self, states: list[ObservedServer], model: ModelName, now_ms: int
     ) -> list[ObservedServer]:
         """Return the engines on whose weights a new request may run; log if none is left."""
-        allowed = [b for b in states if self._may_run_on_weights(b, model, now_ms)]
+        # Engines have few versions, and all of one are allowed or none.
+        is_allowed: dict[int | None, bool] = {}
+        allowed = []
+        for state in states:
+            version = state.weight_version(model)
+            if version not in is_allowed:
+                is_allowed[version] = self._may_run_on_weights(state, model, now_ms)
+            if is_allowed[version]:
+                allowed.append(state)
         if states and not allowed:
             self._log_overdue(states, model, now_ms)
         return allowed
@@ -157,10 +165,14 @@
         Right after a new target all engines are preferred. Later those with new weights are, once
         they can carry the load, and the others get what does not fit there.
         """
-        outdated_ms = {
-            b.entry.server: self._outdated(b, model, now_ms).since_read_ms for b in candidates
-        }
-        new = [b for b in candidates if outdated_ms[b.entry.server] < OLD_WEIGHTS_GRACE_MS]
+        outdated_ms: dict[int | None, int] = {}
+        new = []
+        for state in candidates:
+            version = state.weight_version(model)
+            if version not in outdated_ms:
+                outdated_ms[version] = self._outdated(state, model, now_ms).since_read_ms
+            if outdated_ms[version] < OLD_WEIGHTS_GRACE_MS:
+                new.append(state)
         oldest_ms = max(outdated_ms.values(), default=0)
         carries_load = 2 * len(new) >= len(candidates) or oldest_ms >= self.weights_due_ms // 2
         return new if new and carries_load else candidates
--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -113,6 +113,19 @@
         self.assertFalse(self.node.is_ready())
 
 
+class PeerReportTest(NodeCase):
+    def test_reports_of_peers_do_not_each_wake_the_requests_that_wait(self):
+        woken = []
+        self.node._gateway.admission_queue("llm").wake_head = lambda: woken.append(1)
+
+        async def receive():
+            for number in range(100):
+                self.node._on_peer_report(f"front-a-{number}")
+
+        asyncio.run(receive())
+        self.assertEqual(1, len(woken))
+
+
 class WeightTargetTest(NodeCase):
     """An instance that reads a weight target late, with two engines that have older weights."""
 
--- a/tests/test_work_counts.py
+++ b/tests/test_work_counts.py
@@ -1,8 +1,12 @@
 """Tests that the work of one event does not grow with the deployment (:mod:`tests.workcount`)."""
 
+import asyncio
 import unittest
 from unittest import mock
 
+from bergamothill.clock import SystemClock
+from bergamothill.process.pacedcall import PacedCall
+from bergamothill.process.platformnode import QUEUE_WAKE_MS
 from bergamothill.request.contextplan import ContextPlanner
 from bergamothill.version.cacheindex import CacheIndex, EventBatch, PartEvent, PartKey
 from tests.builders import backend, caller_request, routing_config, server_pool
@@ -55,3 +59,24 @@
             pool.record_reply_from("10.0.0.1:80", 100, is_leaving=False)
 
         self.assertEqual(count_lines(lambda: reply(small)), count_lines(lambda: reply(large)))
+
+
+class ReportCountTest(unittest.IsolatedAsyncioTestCase):
+    async def test_waiting_requests_are_not_tried_again_for_each_report(self):
+        clock, tries = SystemClock(), []
+        paced = PacedCall(clock, QUEUE_WAKE_MS, lambda: tries.append(1))
+        started_ms = clock.now_ms()
+        for _ in range(400):
+            paced.ask()
+            await asyncio.sleep(0.001)
+        elapsed_ms = clock.now_ms() - started_ms
+        self.assertLessEqual(len(tries), elapsed_ms // QUEUE_WAKE_MS + 1)
+
+    async def test_the_last_report_is_followed_by_a_try(self):
+        tries = []
+        paced = PacedCall(SystemClock(), QUEUE_WAKE_MS, lambda: tries.append(1))
+        paced.ask()
+        paced.ask()
+        self.assertEqual(1, len(tries))
+        await asyncio.sleep(2 * QUEUE_WAKE_MS / 1_000)
+        self.assertEqual(2, len(tries))
