Read the histories of cache events two at a time

An instance that starts asks each of its sources (some twenty engines and stores) for all events that the source keeps, up to 3,000 from each, at the same moment.

Histories are read two at a time now, and a read goes on for as long as its bytes arrive, 5 s at most. The first read of a source waits 200 ms for events, as other sources wait for it; a source that has to wait counts as one whose events are not read here.

Red before: 12 histories at the same time with 12 sources.

--- a/bergamothill/connection/pollconnection.py
+++ b/bergamothill/connection/pollconnection.py
@@ -53,19 +53,22 @@
         self._address = address
         self._protocol: _PollProtocol | None = None
 
-    async def read(self, request: bytes, *, step: str, timeout_ms: int) -> PollReply:
+    async def read(
+        self, request: bytes, *, step: str, timeout_ms: int, max_ms: int | None = None
+    ) -> PollReply:
         """Send one request and return its reply.
 
         :param request: encoded request without a body
         :param step: step for errors
-        :param timeout_ms: maximum duration of the exchange, in milliseconds
+        :param timeout_ms: longest time without a byte of the reply, in milliseconds
+        :param max_ms: maximum duration of the exchange, in milliseconds; None for ``timeout_ms``
         :raises PeerUnreachableError: the connection could not be opened
         :raises PeerTimeoutError: the exchange failed or timed out after connecting
         """
         protocol = await self._connect(step)
         try:
-            async with asyncio.timeout(ms_to_seconds(timeout_ms)):
-                reply = await protocol.exchange(request)
+            async with asyncio.timeout(ms_to_seconds(max_ms or timeout_ms)):
+                reply = await protocol.exchange(request, timeout_ms)
         except (OSError, TimeoutError, httptools.HttpParserError) as error:
             self.close()
             raise PeerTimeoutError(repr(error), step=step, peer=self._peer) from error
@@ -107,6 +110,8 @@
         self._reason = b""
         self._received_bytes = 0
         self._framing_bytes = 0
+        self._silence: asyncio.Timeout | None = None
+        self._max_silence_s = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport
@@ -119,6 +124,9 @@
 
     def data_received(self, data: bytes) -> None:
         self._received_bytes += len(data)
+        if self._silence is not None and not self._silence.expired():
+            now_s = asyncio.get_running_loop().time()
+            self._silence.reschedule(now_s + self._max_silence_s)
         if self._pending is None:
             self._give_up("unsolicited bytes")
             return
@@ -172,13 +180,18 @@
             status = self._parser.get_status_code()
             pending.set_result(PollReply(status, bytes(self._body), self._headers))
 
-    async def exchange(self, request: bytes) -> PollReply:
+    async def exchange(self, request: bytes, max_silence_ms: int) -> PollReply:
         if self._transport is None:
             raise ConnectionResetError("connection closed")
         self._received_bytes = self._framing_bytes = 0
         self._pending = asyncio.get_running_loop().create_future()
         self._transport.write(request)
-        return await self._pending
+        self._max_silence_s = ms_to_seconds(max_silence_ms)
+        try:
+            async with asyncio.timeout(self._max_silence_s) as self._silence:
+                return await self._pending
+        finally:
+            self._silence = None
 
     def abort(self) -> None:
         if self._transport is not None:
--- a/bergamothill/process/cacheeventlistener.py
+++ b/bergamothill/process/cacheeventlistener.py
@@ -26,6 +26,15 @@
 
 LONG_POLL_MS = 700  # long enough not to count as a probe, short enough to notice a restart
 REPLY_MARGIN_MS = 500
+MAX_READ_MS = 5_000
+"""Longest read while bytes arrive: a history of events takes long on a narrow link."""
+
+HISTORY_POLL_MS = 200
+"""Wait of the first read of a source, as others wait for it; shorter ones count as probes."""
+
+HISTORIES_AT_A_TIME = 2
+"""An instance reads this many histories at a time, which leaves other replies room on its link."""
+
 RECONNECT_DELAY_MS = 250
 
 INTERVAL_PER_SOURCE_MS = 8
@@ -104,6 +113,7 @@
         self.has_ranked_readers = False
         """Whether only as many instances try to read a source as it admits."""
 
+        self._histories = asyncio.Semaphore(HISTORIES_AT_A_TIME)
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._lost: set[str] = set()
         self._full: set[str] = set()
@@ -114,14 +124,14 @@
         :param addresses: their addresses
         :param others: addresses of those that other entry instances follow
         """
-        current = set(addresses)
+        current = dict.fromkeys(addresses)
         for address in others:
             self._on_full(address)
-        for address in set(self._tasks) - current:
+        for address in self._tasks.keys() - current:
             self._tasks.pop(address).cancel()
             self._index.forget(address)
             self._full.discard(address)
-        for address in current - set(self._tasks):
+        for address in [address for address in current if address not in self._tasks]:
             self._tasks[address] = self._start_task("events", partial(self._listen, address))
 
     def retry_full(self) -> None:
@@ -143,7 +153,7 @@
             while True:
                 polled_ms = self._clock.now_ms()
                 try:
-                    await self._read_events(connection, address)
+                    await self._read_next(connection, address)
                 except OverloadedError:
                     connection.close()
                     delay_ms = self._full_retry_ms() * (0.5 + random.random())
@@ -192,12 +202,22 @@
             self._lost.add(address)
         self._on_connection_change(address, is_connected)
 
-    async def _read_events(self, connection: PollConnection, address: str) -> None:
+    async def _read_next(self, connection: PollConnection, address: str) -> None:
+        """Read the next events of a source, or its history before its first reply."""
+        if self._index.source(address).epoch:
+            await self._read_events(connection, address, LONG_POLL_MS)
+            return
+        if self._histories.locked():
+            self._on_full(address)
+        async with self._histories:
+            await self._read_events(connection, address, HISTORY_POLL_MS)
+
+    async def _read_events(self, connection: PollConnection, address: str, wait_ms: int) -> None:
         source = self._index.source(address)
         sent_ms = self._clock.now_ms()
-        head = encode_event_poll(address, source.next_sequence_number, LONG_POLL_MS)
+        head = encode_event_poll(address, source.next_sequence_number, wait_ms)
         reply = await connection.read(
-            head, step="kept.events", timeout_ms=LONG_POLL_MS + REPLY_MARGIN_MS
+            head, step="kept.events", timeout_ms=wait_ms + REPLY_MARGIN_MS, max_ms=MAX_READ_MS
         )
         self._on_reply(address, is_source_leaving(reply))
         epoch = source.epoch
--- a/tests/test_cacheeventlistener.py
+++ b/tests/test_cacheeventlistener.py
@@ -5,12 +5,13 @@
 import unittest
 from unittest import mock
 
-from bergamothill.clock import ManualClock
+from bergamothill.clock import ManualClock, SystemClock
 from bergamothill.connection.pollconnection import PollReply
 from bergamothill.errors import PeerUnreachableError
 from bergamothill.process import cacheeventlistener
 from bergamothill.process.cacheeventlistener import (
     FULL_SOURCE_RETRY_MS,
+    HISTORIES_AT_A_TIME,
     RECONNECT_DELAY_MS,
     CacheEventListener,
     poll_interval_ms,
@@ -31,7 +32,7 @@
         self.replies = list(replies)
         self.closed = 0
 
-    async def read(self, request, *, step, timeout_ms):
+    async def read(self, request, *, step, timeout_ms, max_ms=None):
         if not self.replies:
             raise asyncio.CancelledError
         reply = self.replies.pop(0)
@@ -99,6 +100,34 @@
         self.assertLessEqual(34 * 1_000 / poll_interval_ms(34), 340)
         self.assertLess(poll_interval_ms(1_000), STALL_SILENCE_MS)
 
+    def test_histories_are_not_all_read_at_the_same_time(self):
+        reading, most = set(), []
+
+        class History(ScriptedPolls):
+            async def read(self, request, **_terms):
+                if b"since=0" not in request:
+                    await asyncio.sleep(60)
+                reading.add(request)
+                most.append(len(reading))
+                await asyncio.sleep(0.01)
+                reading.discard(request)
+                body = {"epoch": 1, "next": 3_000, "lost": False, "events": []}
+                return PollReply(200, json.dumps(body).encode())
+
+        async def main():
+            index = CacheIndex()
+            listener = CacheEventListener(
+                index, SystemClock(), lambda *_: None, lambda *_: None, lambda *_: None
+            )
+            listener.follow([f"10.0.0.{n}:80" for n in range(12)])
+            while len(most) < 12 or reading:
+                await asyncio.sleep(0.01)
+            listener.stop()
+
+        with mock.patch.object(cacheeventlistener, "PollConnection", lambda *_: History(())):
+            asyncio.run(asyncio.wait_for(main(), 5))
+        self.assertLessEqual(max(most), HISTORIES_AT_A_TIME)
+
     def test_a_lost_source_is_tried_again_soon(self):
         delays_ms, changes = self.listen(EVENTS, LOST, LOST, EVENTS)
         self.assertEqual([RECONNECT_DELAY_MS] * 2, delays_ms)
--- a/tests/test_pollconnection.py
+++ b/tests/test_pollconnection.py
@@ -48,6 +48,25 @@
         self.assertLess(time.monotonic() - started_s, 2)
         self.assertTrue(endless.was_closed.wait(2))
 
+    def test_a_reply_is_read_for_as_long_as_its_bytes_arrive(self):
+        def drip(connection, _request):
+            connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n")
+            for _ in range(8):
+                time.sleep(0.1)
+                connection.sendall(b"x")
+
+        async def read(max_ms):
+            connection = PollConnection("test", self.server(drip).address)
+            try:
+                return await connection.read(REQUEST, step="poll", timeout_ms=400, max_ms=max_ms)
+            finally:
+                connection.close()
+
+        self.assertEqual(b"x" * 8, asyncio.run(read(TIMEOUT_MS)).body)
+        for max_ms in (None, 500):
+            with self.assertRaises(PeerTimeoutError):
+                asyncio.run(read(max_ms))
+
     def test_an_endless_head(self):
         self.assert_given_up(b"HTTP/1.1 200 OK\r\nX-Long: ", BLOCK)
 
