--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -21,6 +21,7 @@
 from bergamothill.platform.settings import load_node_settings
 from bergamothill.process.coldservers import ColdServers
 from bergamothill.process.configstate import ConfigState
+from bergamothill.process.decodedentries import DecodedEntries
 from bergamothill.process.gateway import Gateway
 from bergamothill.process.gatewaymetrics import GatewayMetrics
 from bergamothill.process.instanceroster import InstanceRoster
@@ -93,6 +94,10 @@
             self._log_unreadable_entry,
             self._apply_evacuation,
         )
+        self._servers = DecodedEntries(
+            lambda entry: decode_server(entry.key, entry.value, entry.mod_revision),
+            self._log_unreadable_entry,
+        )
         self._cache_index = cache_index = CacheIndex()
         self._planner = ContextPlanner(cache_index, settings.regions)
         self._supervisor = Supervisor(clock)
@@ -430,12 +435,7 @@
             self._gateway.capacity_changed()
 
     def _apply_server_list(self, snapshot: Snapshot) -> None:
-        servers = []
-        for entry in snapshot.entries:
-            try:
-                servers.append(decode_server(entry.key, entry.value, entry.mod_revision))
-            except ProtocolError as error:
-                self._log_unreadable_entry(entry, error)
+        servers = self._servers.decode_all(snapshot.entries)
         self._streams.apply_servers(servers)
         now_ms = self._clock.now_ms()
         changes = self._server_pool.apply_list(servers, snapshot.sent_ms, now_ms)
--- a/tests/test_work_counts.py
+++ b/tests/test_work_counts.py
@@ -1,15 +1,21 @@
 """Tests that the work of one event does not grow with the deployment (:mod:`tests.workcount`)."""
 
 import asyncio
+import json
 import unittest
 from unittest import mock
 
 from bergamothill.clock import SystemClock
+from bergamothill.connection.kvs import KeyValueEntry
+from bergamothill.platform.servers import decode_server
+from bergamothill.process import platformnode
 from bergamothill.process.pacedcall import PacedCall
 from bergamothill.process.platformnode import QUEUE_WAKE_MS
+from bergamothill.process.prefixfollower import Snapshot
 from bergamothill.request.contextplan import ContextPlanner
 from bergamothill.version.cacheindex import CacheIndex, EventBatch, PartEvent, PartKey
-from tests.builders import backend, caller_request, routing_config, server_pool
+from tests.builders import backend, caller_request, routing_config, server_entry, server_pool
+from tests.test_platform_node import NodeCase
 from tests.workcount import count_lines
 
 ZONES = ("zone-a", "zone-b", "zone-c", "zone-d")
@@ -61,6 +67,26 @@
         self.assertEqual(count_lines(lambda: reply(small)), count_lines(lambda: reply(large)))
 
 
+class ServerListTest(NodeCase):
+    def test_the_entries_of_servers_are_decoded_once(self):
+        decoded = []
+
+        def decode(key, value, revision):
+            decoded.append(key)
+            return decode_server(key, value, revision)
+
+        value = json.dumps(server_entry()).encode()
+        entries = [KeyValueEntry(f"servers/s{n}", value, 1) for n in range(LARGE)]
+        self.node._context.set_engines = lambda _engines: None
+        with mock.patch.object(platformnode, "decode_server", decode):
+            for read_ms in range(0, 3_000, 300):
+                self.node._apply_server_list(Snapshot(tuple(entries), read_ms))
+            self.assertEqual(LARGE, len(decoded))
+            entries[0] = KeyValueEntry("servers/s0", value, 2)
+            self.node._apply_server_list(Snapshot(tuple(entries), 3_000))
+        self.assertEqual(LARGE + 1, len(decoded))
+
+
 class ReportCountTest(unittest.IsolatedAsyncioTestCase):
     async def test_waiting_requests_are_not_tried_again_for_each_report(self):
         clock, tries = SystemClock(), []
