--- a/scripts/ablate.py
+++ b/scripts/ablate.py
@@ -131,16 +131,16 @@
         ),
         Replacement(
             SELECTOR,
-            "from dataclasses import dataclass\n",
-            "import zlib\nfrom dataclasses import dataclass\n",
+            "from heapq import nsmallest\n",
+            "import zlib\nfrom heapq import nsmallest\n",
         ),
     ),
     "random": (
         Replacement(SELECTOR, COST_LINE, "        return random.random()\n"),
         Replacement(
             SELECTOR,
-            "from dataclasses import dataclass\n",
-            "import random\nfrom dataclasses import dataclass\n",
+            "from heapq import nsmallest\n",
+            "import random\nfrom heapq import nsmallest\n",
         ),
     ),
 }
