Wake less often while there is nothing to do

Queues are woken after reports only while requests wait; limits are checked each second while no server has one, and news of one ends the wait; the readers' state is checked each 100 ms instead of 50 while nothing is being fetched.

--- a/bergamothill/process/gateway.py
+++ b/bergamothill/process/gateway.py
@@ -23,7 +23,9 @@
 from bergamothill.process.crashlog import MAX_ERROR_CHARACTERS, log_crash
 from bergamothill.process.drainperiod import DrainPeriod
 from bergamothill.process.gatewaymetrics import GatewayMetrics
+from bergamothill.process.loadexchange import REPORT_INTERVAL_MS
 from bergamothill.process.nodesettings import DeploymentBounds
+from bergamothill.process.pacedcall import PacedCall
 from bergamothill.process.passedrun import PassContext, PassedRun
 from bergamothill.process.passing import Passing
 from bergamothill.process.quarantinegate import QuarantineGate
@@ -46,6 +48,7 @@
 
 UNAVAILABLE_RETRY_MS = 300
 STALL_CHECK_INTERVAL_MS = 100
+QUEUE_WAKE_MS = REPORT_INTERVAL_MS // 2
 PAUSE_NOTICE_MS = 1_000
 
 ASSUMED_INSTANCES = 16
@@ -109,6 +112,9 @@
         """Searches for where streams began; their requests are no runs yet."""
 
         self._queues: dict[ServiceName, AdmissionQueue] = {}
+        self.peer_capacity = PacedCall(
+            clock, QUEUE_WAKE_MS, self.capacity_changed, self._has_waiting
+        )
         self._buffer_budget = BufferBudget(MAX_BUFFERED_BYTES, self.intake.account)
         self.passing: Passing | None = None
         """Passes requests on while this instance reaches no server; None if it cannot."""
@@ -247,6 +253,10 @@
         queue = self._queues.get(service)
         return None if queue is None else queue.next_request()
 
+    def _has_waiting(self) -> bool:
+        """Return whether requests wait for capacity, which a peer may have freed."""
+        return any(len(queue.requests) for queue in self._queues.values())
+
     def capacity_changed(self) -> None:
         """Wake the head of each admission queue after engine capacity changed."""
         for queue in self._queues.values():
--- a/bergamothill/process/limitexchange.py
+++ b/bergamothill/process/limitexchange.py
@@ -24,6 +24,9 @@
 KEEPALIVE_MS = 2_000
 """Interval at which limits are told again, for instances that started or missed them."""
 
+IDLE_INTERVAL_MS = 1_000
+"""Time between two checks while no server has a limit; news of one ends the wait."""
+
 KEEPALIVE_PER_PEER_MS = 8
 """Limits one instance to 125 datagrams per second."""
 
@@ -57,7 +60,8 @@
     async def run(self) -> None:
         """Send reports until cancelled."""
         while True:
-            await wait_until_set(self._wake, BURST_INTERVAL_MS)
+            has_any = self._limits.has_any or self._limits.pace.has_any
+            await wait_until_set(self._wake, BURST_INTERVAL_MS if has_any else IDLE_INTERVAL_MS)
             self._wake.clear()
             self._send_if_due()
             self._paces.send_if_due()
--- a/bergamothill/process/pacedcall.py
+++ b/bergamothill/process/pacedcall.py
@@ -16,18 +16,26 @@
     :param clock: source of time
     :param interval_ms: shortest time between two calls
     :param call: called without arguments
+    :param is_needed: returns whether a call has any effect
     """
 
-    def __init__(self, clock: Clock, interval_ms: int, call: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        interval_ms: int,
+        call: Callable[[], None],
+        is_needed: Callable[[], bool] = lambda: True,
+    ) -> None:
         self._clock = clock
         self._interval_ms = interval_ms
         self._call = call
+        self._is_needed = is_needed
         self._called_ms: int | None = None
         self._timer: asyncio.TimerHandle | None = None
 
     def ask(self) -> None:
         """Ask for a call; one that is due already counts."""
-        if self._timer is not None:
+        if self._timer is not None or not self._is_needed():
             return
         now_ms = self._clock.now_ms()
         called_ms = self._called_ms
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -26,7 +26,7 @@
 from bergamothill.process.gatewaymetrics import GatewayMetrics
 from bergamothill.process.instanceroster import InstanceRoster
 from bergamothill.process.limitexchange import LimitExchange
-from bergamothill.process.loadexchange import REPORT_INTERVAL_MS, LoadExchange
+from bergamothill.process.loadexchange import LoadExchange
 from bergamothill.process.loadreport import PeerLoads
 from bergamothill.process.nodecontext import NodeContext
 from bergamothill.process.nodedrain import EXIT_MARGIN_MS, drain_callers
@@ -39,7 +39,6 @@
 from bergamothill.process.operatorview import OperatorView
 from bergamothill.process.ordergap import read_settled_era
 from bergamothill.process.originexchange import OriginExchange
-from bergamothill.process.pacedcall import PacedCall
 from bergamothill.process.prefillexchange import PrefillExchange
 from bergamothill.process.prefixfollower import PrefixFollower, Snapshot
 from bergamothill.process.readexchange import ReadExchange
@@ -62,7 +61,6 @@
 __all__ = ["METRICS_PORT", "PlatformNode"]
 
 METRICS_PORT = 9464
-QUEUE_WAKE_MS = REPORT_INTERVAL_MS // 2
 ENTRY_LIFE_HEARTBEATS = 4
 """Entries of servers expire after three heartbeat intervals of silence; one more for the delay."""
 
@@ -166,7 +164,6 @@
             lambda: self._planner.regions,
             self._on_peer_report,
         )
-        self._wake_queues = PacedCall(clock, QUEUE_WAKE_MS, self._gateway.capacity_changed)
         self._connections: set[CallerConnection] = set()
         self._readiness = Readiness(
             clock, self._config, self._server_pool, self._quarantine.gate, self._supervisor
@@ -365,7 +362,7 @@
 
     def _on_peer_report(self, sender: EntryInstanceId) -> None:
         self._roster.record_heard(sender, self._clock.now_ms())
-        self._wake_queues.ask()
+        self._gateway.peer_capacity.ask()
 
     def _track_connection(self, connection: CallerConnection, is_open: bool) -> None:
         if is_open:
--- a/bergamothill/process/readexchange.py
+++ b/bergamothill/process/readexchange.py
@@ -30,6 +30,7 @@
 __all__ = ["ReadExchange"]
 
 TICK_MS = 50
+IDLE_TICK_MS = 100
 
 _log = EventLog("reads")
 
@@ -99,7 +100,8 @@
         """Ask readers and watch the roles until cancelled."""
         self._loop = asyncio.get_running_loop()
         while True:
-            await asyncio.sleep(ms_to_seconds(TICK_MS))
+            tick_ms = TICK_MS if self._reads.is_fetching() else IDLE_TICK_MS
+            await asyncio.sleep(ms_to_seconds(tick_ms))
             with self._lock:
                 self._reads.tick(self._clock.now_ms())
                 self._update_roles()
--- a/bergamothill/process/sharedreads.py
+++ b/bergamothill/process/sharedreads.py
@@ -161,8 +161,8 @@
 
     def is_fresh(self, prefix: str, now_ms: int) -> bool:
         """Return whether a read that is at most one interval old was applied, whoever made it."""
-        times = self.readers.times(prefix)
-        return now_ms - self._prefixes[prefix].order.sent_ms <= times.interval_ms
+        age_ms = now_ms - self._prefixes[prefix].order.sent_ms
+        return age_ms <= self.readers.times(prefix).interval_ms
 
     # Own reads.
 
@@ -176,10 +176,10 @@
         """
         state = self._prefixes[prefix]
         self._number += 1
-        digest = digest_entries(entries)
+        digest, times = digest_entries(entries), self.readers.times(prefix)
         read = SeenRead(self._own, self._number, digest, sent_ms, now_ms)
-        interval_ms = self.readers.times(prefix).interval_ms
-        follows_outage = state.outages.on_own_read(sent_ms, state.order.last_ms, interval_ms)
+        last_ms = state.order.last_ms
+        follows_outage = state.outages.on_own_read(sent_ms, last_ms, times.interval_ms)
         state.is_failing = False
         self.readers.record_success(prefix, self._own)
         state.has_stuck_fetch, state.fetch = False, None
@@ -245,9 +245,8 @@
         """Ask the readers if that is due; call it several times in a query interval."""
         if not self.readers.is_sharing:
             return
-        prefixes = self._prefixes.items()
         fetched_from = set()
-        for _, state in prefixes:
+        for state in self._prefixes.values():
             fetch = state.fetch
             if fetch is None:
                 continue
@@ -267,6 +266,10 @@
             if queried_ms is None or now_ms - queried_ms >= interval_ms:
                 self._query(entry, now_ms)
 
+    def is_fetching(self) -> bool:
+        """Return whether content of another instance's read is being fetched."""
+        return any(state.fetch is not None for state in self._prefixes.values())
+
     @property
     def _needs_answers(self) -> bool:
         is_reader = self._own in self.readers.ranking[:READERS_PER_ZONE]
@@ -416,9 +419,8 @@
         sent_ms = query.sent_ms - row.sent_age_ms - ROUNDING_MS
         done_ms = now_ms - row.done_age_ms + ROUNDING_MS
         read = SeenRead(query.entry, row.number, row.digest, sent_ms, done_ms)
-        outage_ms = None
-        if row.outage_age_ms is not None:
-            outage_ms = query.sent_ms - row.outage_age_ms - ROUNDING_MS
+        age_ms = row.outage_age_ms
+        outage_ms = None if age_ms is None else query.sent_ms - age_ms - ROUNDING_MS
         if not state.order.may_apply(read, row.era):
             return None
         entries = state.contents.get(row.digest)
--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -116,7 +116,8 @@
 class PeerReportTest(NodeCase):
     def test_reports_of_peers_do_not_each_wake_the_requests_that_wait(self):
         woken = []
-        self.node._gateway.admission_queue("llm").wake_head = lambda: woken.append(1)
+        queue = self.node._gateway.admission_queue("llm")
+        queue.requests, queue.wake_head = ["waiting"], lambda: woken.append(1)
 
         async def receive():
             for number in range(100):
@@ -124,6 +125,10 @@
 
         asyncio.run(receive())
         self.assertEqual(1, len(woken))
+        queue.requests = []
+        self.clock.advance_ms(1_000)
+        asyncio.run(receive())
+        self.assertEqual(1, len(woken))
 
 
 class WeightTargetTest(NodeCase):
--- a/tests/test_work_counts.py
+++ b/tests/test_work_counts.py
@@ -9,8 +9,8 @@
 from bergamothill.connection.kvs import KeyValueEntry
 from bergamothill.platform.servers import decode_server
 from bergamothill.process import platformnode
+from bergamothill.process.gateway import QUEUE_WAKE_MS
 from bergamothill.process.pacedcall import PacedCall
-from bergamothill.process.platformnode import QUEUE_WAKE_MS
 from bergamothill.process.prefixfollower import Snapshot
 from bergamothill.request.contextplan import ContextPlanner
 from bergamothill.version.cacheindex import CacheIndex, EventBatch, PartEvent, PartKey
