Announce a prompt to the zone of its engine only

Loads are 72 of the datagrams; most others announce long prompts, each to all instances, those of other zones by two relays, so that it arrived there twice and was counted twice.

A prompt is announced in the zone of its engine now, by one relay if that is another one. Instances prefer the engines of their zone; for the others load reports follow within 300 ms. The datagrams are unchanged.

--- a/bergamothill/process/loadexchange.py
+++ b/bergamothill/process/loadexchange.py
@@ -99,6 +99,11 @@
         passes = self._zone_loads.passes
         self._send(passes.to_all(datagram, self._peers, now_ms, is_urgent=is_urgent))
 
+    def send_to_zone(self, zone: ZoneName, datagram: bytes) -> None:
+        """Send a datagram to the peers of one zone; a relay of another zone passes it on."""
+        passes = self._zone_loads.passes
+        self._send(passes.to_zone(datagram, zone, self._peers, self._clock.now_ms()))
+
     def send_to(
         self, entries: Iterable[EntryInstanceId], datagram: bytes
     ) -> tuple[EntryInstanceId, ...]:
--- a/bergamothill/process/prefillexchange.py
+++ b/bergamothill/process/prefillexchange.py
@@ -44,11 +44,13 @@
     def announce(self, server: BackendServer, tokens: int) -> None:
         """Tell the others that a prompt was sent to an engine.
 
+        Instances prefer the engines of their zone; those of other zones learn by load reports.
+
         :param tokens: tokens that it has to prefill
         """
         if tokens >= LONG_PROMPT_TOKENS and self._load_exchange.interval_ms > REPORT_INTERVAL_MS:
             notice = PrefillNotice(server.server, server.started_wall_ms, tokens)
-            self._load_exchange.send_to_peers(encode_prefill_notice(notice))
+            self._load_exchange.send_to_zone(server.zone, encode_prefill_notice(notice))
 
     def _on_notice(self, notice: PrefillNotice) -> None:
         reported_ms = self._clock.now_ms() + self._load_exchange.interval_ms + REPORT_MARGIN_MS
--- a/bergamothill/process/zonepasses.py
+++ b/bergamothill/process/zonepasses.py
@@ -75,6 +75,25 @@
             outgoing.append(Outgoing(wrapped, tuple(passed)))
         return outgoing
 
+    def to_zone(
+        self, datagram: bytes, zone: ZoneName, peers: Iterable[EntryInstanceId], now_ms: int
+    ) -> list[Outgoing]:
+        """Return how a datagram reaches the peers of one zone, and those of unknown zones.
+
+        :param peers: all peers, which get it where loads are not exchanged by zone
+        """
+        if not self._roles.is_zoned:
+            return [Outgoing(datagram, tuple(peers))]
+        unknown = self._roles.members_of(None)
+        relays = self._sums.relays_of(zone, now_ms) if zone != self._zone else ()
+        relays = sorted(relay for relay in relays if self._roles.zone_of(relay) == zone)
+        if not relays:
+            return [Outgoing(datagram, (*self._roles.members_of(zone), *unknown))]
+        self._turn += 1
+        wrapped = encode_zone_message(ZonePass(NO_ENTRY, (), datagram))
+        chosen = relays[self._turn % len(relays)]
+        return [Outgoing(wrapped, (chosen,)), Outgoing(datagram, unknown)]
+
     def to_some(
         self, datagram: bytes, entries: Iterable[EntryInstanceId], turn: int, *, is_repeat: bool
     ) -> list[Outgoing]:
--- a/tests/test_work_counts.py
+++ b/tests/test_work_counts.py
@@ -5,13 +5,18 @@
 import unittest
 from unittest import mock
 
-from bergamothill.clock import SystemClock
+from bergamothill.clock import ManualClock, SystemClock
 from bergamothill.connection.kvs import KeyValueEntry
 from bergamothill.platform.servers import decode_server
 from bergamothill.process import platformnode
 from bergamothill.process.gateway import QUEUE_WAKE_MS
+from bergamothill.process.loadexchange import LoadExchange
+from bergamothill.process.loadreport import LoadReport, PeerLoads, encode_report
 from bergamothill.process.pacedcall import PacedCall
+from bergamothill.process.prefillexchange import PrefillExchange
 from bergamothill.process.prefixfollower import Snapshot
+from bergamothill.process.registry import Peer
+from bergamothill.process.zonereport import append_zone
 from bergamothill.request.contextplan import ContextPlanner
 from bergamothill.version.cacheindex import CacheIndex, EventBatch, PartEvent, PartKey
 from tests.builders import backend, caller_request, routing_config, server_entry, server_pool
@@ -87,6 +92,23 @@
         self.assertEqual(LARGE + 1, len(decoded))
 
 
+class PrefillNoticeTest(unittest.TestCase):
+    def test_a_notice_of_a_prompt_goes_to_the_zone_of_its_engine(self):
+        clock, receivers = ManualClock(0), []
+        exchange = LoadExchange("e0", clock, server_pool(), PeerLoads(), mock.Mock(), ZONES[0])
+        names = [f"e{n}" for n in range(1, LARGE)]
+        peers = [Peer(e, e, 1, ZONES[n % len(ZONES)]) for n, e in enumerate(names, 1)]
+        exchange.set_peers(tuple(peers))
+        for peer in peers:
+            report = encode_report(LoadReport(peer.entry, 1, {}))
+            exchange._on_datagram(append_zone(report, peer.zone))
+        exchange._datagrams.send = lambda _datagram, addresses: receivers.extend(addresses)
+        notices = PrefillExchange(clock, mock.Mock(), exchange)
+        notices.announce(backend(zone=ZONES[0]), 10_000)
+        self.assertEqual({p.host for p in peers if p.zone == ZONES[0]}, {h for h, _ in receivers})
+        self.assertEqual(LARGE // len(ZONES) - 1, len(receivers))
+
+
 class ReportCountTest(unittest.IsolatedAsyncioTestCase):
     async def test_waiting_requests_are_not_tried_again_for_each_report(self):
         clock, tries = SystemClock(), []
