Let the second relay pass sums on half as often inside its zone

Its sums count only when one of the first relay is lost or late, as those between zones, which it has sent half as often all along.

--- a/bergamothill/process/zoneloads.py
+++ b/bergamothill/process/zoneloads.py
@@ -365,13 +365,12 @@
         if not (is_sum_due or is_forward_due):
             return outgoing
         content = self._sum_content(now_ms) if is_sum_due or sums_own_zone else None
+        factor = 1 if self.relays[0] == self._entry else SECOND_RELAY_FACTOR
         if is_sum_due:
-            interval_ms = max(SUM_INTERVAL_MS, self._hop_interval_ms)
-            is_first = self.relays[0] == self._entry
-            self._sum_ms = now_ms + interval_ms * (1 if is_first else SECOND_RELAY_FACTOR)
+            self._sum_ms = now_ms + factor * max(SUM_INTERVAL_MS, self._hop_interval_ms)
             outgoing += self._sum_for_other_zones(content, now_ms)
         if is_forward_due:
-            self._forward_ms = now_ms + self._hop_interval_ms
+            self._forward_ms = now_ms + factor * self._hop_interval_ms
             if sums_own_zone:
                 self._add_sum_for_own_zone(content, now_ms)
             if self._pending or now_ms - self._forwarded_ms >= RELAY_KEEPALIVE_MS:
