--- a/bergamothill/connection/pollconnection.py
+++ b/bergamothill/connection/pollconnection.py
@@ -67,8 +67,7 @@
         """
         protocol = await self._connect(step)
         try:
-            async with asyncio.timeout(ms_to_seconds(max_ms or timeout_ms)):
-                reply = await protocol.exchange(request, timeout_ms)
+            reply = await protocol.exchange(request, timeout_ms, max_ms or timeout_ms)
         except (OSError, TimeoutError, httptools.HttpParserError) as error:
             self.close()
             raise PeerTimeoutError(repr(error), step=step, peer=self._peer) from error
@@ -110,8 +109,9 @@
         self._reason = b""
         self._received_bytes = 0
         self._framing_bytes = 0
-        self._silence: asyncio.Timeout | None = None
-        self._max_silence_s = 0.0
+        self._loop = asyncio.get_running_loop()
+        self._received_s = self._max_silence_s = self._due_s = 0.0
+        self._timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport
@@ -124,9 +124,7 @@
 
     def data_received(self, data: bytes) -> None:
         self._received_bytes += len(data)
-        if self._silence is not None and not self._silence.expired():
-            now_s = asyncio.get_running_loop().time()
-            self._silence.reschedule(now_s + self._max_silence_s)
+        self._received_s = self._loop.time()
         if self._pending is None:
             self._give_up("unsolicited bytes")
             return
@@ -180,18 +178,28 @@
             status = self._parser.get_status_code()
             pending.set_result(PollReply(status, bytes(self._body), self._headers))
 
-    async def exchange(self, request: bytes, max_silence_ms: int) -> PollReply:
+    async def exchange(self, request: bytes, max_silence_ms: int, max_ms: int) -> PollReply:
         if self._transport is None:
             raise ConnectionResetError("connection closed")
         self._received_bytes = self._framing_bytes = 0
-        self._pending = asyncio.get_running_loop().create_future()
+        self._pending = self._loop.create_future()
         self._transport.write(request)
+        self._received_s = self._loop.time()
         self._max_silence_s = ms_to_seconds(max_silence_ms)
+        self._due_s = self._received_s + ms_to_seconds(max_ms)
+        self._check_silence()
         try:
-            async with asyncio.timeout(self._max_silence_s) as self._silence:
-                return await self._pending
+            return await self._pending
         finally:
-            self._silence = None
+            self._timer.cancel()
+
+    def _check_silence(self) -> None:
+        """End an exchange that lasts too long, or check again when it may do so."""
+        due_s = min(self._received_s + self._max_silence_s, self._due_s)
+        if self._loop.time() < due_s:
+            self._timer = self._loop.call_at(due_s, self._check_silence)
+        else:
+            self._fail(TimeoutError("no reply in time"))
 
     def abort(self) -> None:
         if self._transport is not None:
