Do not take a source that waits for its turn for one that is not read

The first reply of a source that counted as not read here put its version in doubt until a list a heartbeat interval later, so that after a start engines were asked who they are, which their first reply had shown before.

--- a/bergamothill/process/cacheeventlistener.py
+++ b/bergamothill/process/cacheeventlistener.py
@@ -207,8 +207,6 @@
         if self._index.source(address).epoch:
             await self._read_events(connection, address, LONG_POLL_MS)
             return
-        if self._histories.locked():
-            self._on_full(address)
         async with self._histories:
             await self._read_events(connection, address, HISTORY_POLL_MS)
 
