Count what takes an instance's processor time

Gauges now: processor time, datagrams of peers, reads of cache events, choices of an engine and engines compared.

--- a/bergamothill/process/cacheeventlistener.py
+++ b/bergamothill/process/cacheeventlistener.py
@@ -113,6 +113,9 @@
         self.has_ranked_readers = False
         """Whether only as many instances try to read a source as it admits."""
 
+        self.replies = 0
+        """Number of reads that returned."""
+
         self._histories = asyncio.Semaphore(HISTORIES_AT_A_TIME)
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._lost: set[str] = set()
@@ -217,6 +220,7 @@
         reply = await connection.read(
             head, step="kept.events", timeout_ms=wait_ms + REPLY_MARGIN_MS, max_ms=MAX_READ_MS
         )
+        self.replies += 1
         self._on_reply(address, is_source_leaving(reply))
         epoch = source.epoch
         batch = decode_events(reply)
--- a/bergamothill/process/engineselector.py
+++ b/bergamothill/process/engineselector.py
@@ -64,6 +64,9 @@
         self._speeds = speeds
         self._planner = planner
         self._peer_loads = peer_loads
+        self.choices = self.compared = 0
+        """Number of choices, and of engines that were compared for them."""
+
         self.announced = AnnouncedPrefill()
         """Prompts that the others have announced since their latest load reports."""
 
@@ -76,6 +79,8 @@
         now_ms: int,
     ) -> tuple[BackendServer, ForwardTerms]:
         """Return the engine with the shortest expected time to first token, and the terms."""
+        self.choices += 1
+        self.compared += len(candidates)
         plans = PromptPlans(self._planner, traits, request, brand, now_ms)
         prefers_zone = sum(b.entry.zone == self._zone for b in candidates) >= MIN_ZONE_ENGINES
         evaluated = [self._evaluate(state, traits, request, plans, now_ms) for state in candidates]
--- a/bergamothill/process/loadexchange.py
+++ b/bergamothill/process/loadexchange.py
@@ -75,6 +75,8 @@
         self._datagrams = DatagramSocket(self._on_datagram)
         self._relays: tuple[EntryInstanceId, ...] = ()
         self._kinds: list[_Kind] = []
+        self.received = 0
+        """Number of datagrams received, those that were passed on inside others included."""
 
     def add_kind(
         self,
@@ -187,6 +189,7 @@
             self.send_to(datagram.entries, datagram.datagram)
 
     def _on_datagram(self, datagram: bytes) -> None:
+        self.received += 1
         try:
             if is_zone_message(datagram):
                 self._on_zone_message(decode_zone_message(datagram), datagram)
--- a/bergamothill/process/platformnode.py
+++ b/bergamothill/process/platformnode.py
@@ -50,6 +50,7 @@
 from bergamothill.process.stopsignals import handle_signals, ignore_signals
 from bergamothill.process.supervisor import Supervisor
 from bergamothill.process.sweepduty import SweepDuty
+from bergamothill.process.workmetrics import add_work_gauges
 from bergamothill.request.contextplan import FETCH_TIMEOUT_MS, ContextPlanner
 from bergamothill.request.streamorigin import StreamOrigins
 from bergamothill.version.cacheindex import CacheIndex
@@ -164,6 +165,9 @@
             lambda: self._planner.regions,
             self._on_peer_report,
         )
+        add_work_gauges(
+            self._metrics, self._exchange, self._context.listener, self._server_pool.selector
+        )
         self._connections: set[CallerConnection] = set()
         self._readiness = Readiness(
             clock, self._config, self._server_pool, self._quarantine.gate, self._supervisor
--- a/tests/test_platform_node.py
+++ b/tests/test_platform_node.py
@@ -17,6 +17,7 @@
 from bergamothill.platform.config import TARGET_PREFIX
 from bergamothill.platform.settings import load_node_settings
 from bergamothill.process import nodedrain
+from bergamothill.process.loadreport import LoadReport, encode_report
 from bergamothill.process.nodedrain import READINESS_NOTICE_MS
 from bergamothill.process.platformnode import PlatformNode
 from bergamothill.process.prefixfollower import Snapshot
@@ -113,6 +114,15 @@
         self.assertFalse(self.node.is_ready())
 
 
+class WorkMetricsTest(NodeCase):
+    def test_metrics_count_what_the_instance_does(self):
+        self.node._exchange._on_datagram(encode_report(LoadReport("front-a-2", 1, {})))
+        text = self.node._metrics.text()
+        self.assertIn("bergamothill_peer_datagrams 1\n", text)
+        self.assertIn("bergamothill_engine_choices 0\n", text)
+        self.assertRegex(text, r"bergamothill_processor_ms \d+\n")
+
+
 class PeerReportTest(NodeCase):
     def test_reports_of_peers_do_not_each_wake_the_requests_that_wait(self):
         woken = []
