Read what came in a cut two sources at a time as well

What did for the first read of each source holds for all sources at the end of a cut, whose events have gathered meanwhile: a source that has not replied for 2 s takes its turn with the others.

Red before: twelve sources that had not replied for 2 s read at the same time.

--- a/bergamothill/process/cacheeventlistener.py
+++ b/bergamothill/process/cacheeventlistener.py
@@ -29,8 +29,11 @@
 MAX_READ_MS = 5_000
 """Longest read while bytes arrive: a history of events takes long on a narrow link."""
 
+BEHIND_MS = 2_000
+"""Time without a reply after which a source is expected to have a history of events."""
+
 HISTORY_POLL_MS = 200
-"""Wait of the first read of a source, as others wait for it; shorter ones count as probes."""
+"""Wait of a read of a history, as others wait for its end; shorter ones count as probes."""
 
 HISTORIES_AT_A_TIME = 2
 """An instance reads this many histories at a time, which leaves other replies room on its link."""
@@ -206,8 +209,9 @@
         self._on_connection_change(address, is_connected)
 
     async def _read_next(self, connection: PollConnection, address: str) -> None:
-        """Read the next events of a source, or its history before its first reply."""
-        if self._index.source(address).epoch:
+        """Read the next events of a source, or all that came in a long time without a reply."""
+        source = self._index.source(address)
+        if source.epoch and self._clock.now_ms() - source.answered_ms < BEHIND_MS:
             await self._read_events(connection, address, LONG_POLL_MS)
             return
         async with self._histories:
--- a/tests/test_cacheeventlistener.py
+++ b/tests/test_cacheeventlistener.py
@@ -10,8 +10,10 @@
 from bergamothill.errors import PeerUnreachableError
 from bergamothill.process import cacheeventlistener
 from bergamothill.process.cacheeventlistener import (
+    BEHIND_MS,
     FULL_SOURCE_RETRY_MS,
     HISTORIES_AT_A_TIME,
+    LONG_POLL_MS,
     RECONNECT_DELAY_MS,
     CacheEventListener,
     poll_interval_ms,
@@ -20,6 +22,7 @@
 from bergamothill.version.cacheindex import CacheIndex
 
 ADDRESS = "10.0.0.1:80"
+SOURCES = [f"10.0.0.{n}:80" for n in range(12)]
 EVENTS = PollReply(200, json.dumps({"epoch": 1, "next": 0, "lost": False, "events": []}).encode())
 FULL = PollReply(429, b"{}")
 LOST = PeerUnreachableError("refused", step="kept.events")
@@ -100,12 +103,13 @@
         self.assertLessEqual(34 * 1_000 / poll_interval_ms(34), 340)
         self.assertLess(poll_interval_ms(1_000), STALL_SILENCE_MS)
 
-    def test_histories_are_not_all_read_at_the_same_time(self):
+    def most_reads_at_a_time(self, index):
+        """Return how many of twelve sources are read at the same time as they are followed."""
         reading, most = set(), []
 
         class History(ScriptedPolls):
             async def read(self, request, **_terms):
-                if b"since=0" not in request:
+                if b"Wait-Ms: %d\r\n" % LONG_POLL_MS in request and len(most) >= 12:
                     await asyncio.sleep(60)
                 reading.add(request)
                 most.append(len(reading))
@@ -115,18 +119,27 @@
                 return PollReply(200, json.dumps(body).encode())
 
         async def main():
-            index = CacheIndex()
             listener = CacheEventListener(
                 index, SystemClock(), lambda *_: None, lambda *_: None, lambda *_: None
             )
-            listener.follow([f"10.0.0.{n}:80" for n in range(12)])
+            listener.follow(SOURCES)
             while len(most) < 12 or reading:
                 await asyncio.sleep(0.01)
             listener.stop()
 
         with mock.patch.object(cacheeventlistener, "PollConnection", lambda *_: History(())):
             asyncio.run(asyncio.wait_for(main(), 5))
-        self.assertLessEqual(max(most), HISTORIES_AT_A_TIME)
+        return max(most)
+
+    def test_histories_are_not_all_read_at_the_same_time(self):
+        self.assertLessEqual(self.most_reads_at_a_time(CacheIndex()), HISTORIES_AT_A_TIME)
+
+    def test_what_came_in_a_cut_is_not_all_read_at_the_same_time(self):
+        for behind_ms, most in ((BEHIND_MS, HISTORIES_AT_A_TIME), (500, len(SOURCES))):
+            index, now_ms = CacheIndex(), SystemClock().now_ms()
+            for source in map(index.source, SOURCES):
+                source.epoch, source.answered_ms = 1, now_ms - behind_ms
+            self.assertLessEqual(self.most_reads_at_a_time(index), most)
 
     def test_a_lost_source_is_tried_again_soon(self):
         delays_ms, changes = self.listen(EVENTS, LOST, LOST, EVENTS)
