Tell changes of limits, paces and verdicts together where there are many peers

Each such change was a report to all peers at once, with all servers in slow start (some 55 bytes each), in other zones by two relays, and again each 100 ms: by estimate several MB a second at each instance, on links of 10 Mbit/s. That this is what held the link is not shown; that the rate of reports grew with changes times instances is.

Reports of a kind are now sent at most once in the time that their schedule allows for each peer (8 ms for limits and paces, 2 ms for verdicts), also while things change; paces go to other zones by one relay. With few peers that is below the interval at which changes are repeated.

--- a/bergamothill/process/paceexchange.py
+++ b/bergamothill/process/paceexchange.py
@@ -51,7 +51,7 @@
         if self._schedule.is_due(paces.report_revision, peer_count, now_ms):
             report = paces.report(self._limits.roster.own, now_ms)
             if report.paces:
-                self._load_exchange.send_to_peers(encode_pace(report))
+                self._load_exchange.send_to_peers(encode_pace(report), is_urgent=False)
 
     def _on_pace_report(self, report: PaceReport) -> None:
         self._limits.pace.merge(report, self._clock.now_ms())
--- a/bergamothill/process/reportschedule.py
+++ b/bergamothill/process/reportschedule.py
@@ -1,4 +1,4 @@
-"""When an entry instance sends its next quarantine report; no I/O and no clock."""
+"""When an entry instance sends its next report of a kind; no I/O and no clock."""
 
 from __future__ import annotations
 
@@ -13,8 +13,11 @@
 class ReportSchedule:
     """Sends a change at once and repeats it, as datagrams get lost; then sends now and then.
 
+    Changes that follow each other closely are sent together, so that a peer gets no more reports a
+    second from many instances than from a few, however much happens at the same moment.
+
     :param keepalive_ms: shortest interval between reports without a change
-    :param per_peer_ms: the same for each peer, if that is longer in all
+    :param per_peer_ms: shortest interval between any two reports, for each peer
     """
 
     def __init__(
@@ -32,7 +35,10 @@
         :param revision: number that grows with each change that peers should learn at once
         :param peer_count: number of peers
         """
+        spacing_ms = self._per_peer_ms * peer_count
         if revision != self._revision:
+            if self._sent_ms is not None and now_ms - self._sent_ms < spacing_ms:
+                return False
             self._revision = revision
             self._changed_ms = self._sent_ms = now_ms
             return True
@@ -48,6 +54,7 @@
         return self._changed_ms is not None and now_ms - self._changed_ms <= BURST_MS
 
     def _interval_ms(self, peer_count: int, now_ms: int) -> int:
+        spacing_ms = self._per_peer_ms * peer_count
         if self.is_change(now_ms):
-            return BURST_INTERVAL_MS
-        return max(self._keepalive_ms, self._per_peer_ms * peer_count)
+            return max(BURST_INTERVAL_MS, spacing_ms)
+        return max(self._keepalive_ms, spacing_ms)
--- a/tests/test_quarantineexchange.py
+++ b/tests/test_quarantineexchange.py
@@ -27,6 +27,10 @@
         expected = [400, 730, 830, 930, 1_030, 1_130, 1_230, 1_630, 2_030]
         self.assertEqual(expected, self.sent_ms([730], 2_100))
 
+    def test_changes_of_one_moment_are_told_together_where_there_are_many_peers(self):
+        changes_ms = range(1_000, 2_000, 20)
+        self.assertLessEqual(len(self.sent_ms(changes_ms, 2_000, peer_count=90)), 10)
+
     def test_many_peers_are_told_less_often_but_before_reports_of_trials_expire(self):
         self.assertEqual([600, 1_200, 1_800], self.sent_ms([], 2_000, peer_count=300))
 
