--- a/bergamothill/process/configconfirmation.py
+++ b/bergamothill/process/configconfirmation.py
@@ -5,9 +5,10 @@
 import asyncio
 from collections.abc import Callable
 
-from bergamothill.clock import Clock, ms_to_seconds
+from bergamothill.clock import Clock
 from bergamothill.logs import EventLog
 from bergamothill.process.configstate import Admission, ConfigState, Verdict
+from bergamothill.process.wakeup import wait_until_set
 from bergamothill.request.callerrequest import CallerRequest
 
 __all__ = ["ConfigConfirmation"]
@@ -56,12 +57,7 @@
         until_ms = now_ms + _max_wait_ms(request, now_ms)
         while self._should_wait(admission, until_ms, now_ms) and may_wait:
             self._ask_for_read(now_ms)
-            confirmed = self._confirmed
-            try:
-                async with asyncio.timeout(ms_to_seconds(min(until_ms - now_ms, READ_INTERVAL_MS))):
-                    await confirmed.wait()
-            except TimeoutError:
-                pass
+            await wait_until_set(self._confirmed, min(until_ms - now_ms, READ_INTERVAL_MS))
             now_ms = self._clock.now_ms()
             admission = self._admit(request, now_ms)
             if not self._should_wait(admission, until_ms, now_ms):
