--- a/bergamothill/process/zonepasses.py
+++ b/bergamothill/process/zonepasses.py
@@ -61,14 +61,13 @@
         passed: list[EntryInstanceId] = []
         self._turn += 1
         for zone in self._roles.all_other_zones:
-            relays = self._sums.relays_of(zone, now_ms)
-            relays = tuple(relay for relay in relays if self._roles.zone_of(relay) == zone)
+            relays = self._relays_of(zone, now_ms)
             if not relays:
                 direct += self._roles.members_of(zone)
             elif is_urgent:
                 passed += relays[:RELAYS]
             else:
-                passed.append(sorted(relays)[self._turn % len(relays)])
+                passed.append(self._in_turn(relays))
         outgoing = [Outgoing(datagram, tuple(direct))]
         if passed:
             wrapped = encode_zone_message(ZonePass(NO_ENTRY, (), datagram))
@@ -85,14 +84,21 @@
         if not self._roles.is_zoned:
             return [Outgoing(datagram, tuple(peers))]
         unknown = self._roles.members_of(None)
-        relays = self._sums.relays_of(zone, now_ms) if zone != self._zone else ()
-        relays = sorted(relay for relay in relays if self._roles.zone_of(relay) == zone)
+        relays = self._relays_of(zone, now_ms) if zone != self._zone else ()
         if not relays:
             return [Outgoing(datagram, (*self._roles.members_of(zone), *unknown))]
         self._turn += 1
         wrapped = encode_zone_message(ZonePass(NO_ENTRY, (), datagram))
-        chosen = relays[self._turn % len(relays)]
-        return [Outgoing(wrapped, (chosen,)), Outgoing(datagram, unknown)]
+        return [Outgoing(wrapped, (self._in_turn(relays),)), Outgoing(datagram, unknown)]
+
+    def _relays_of(self, zone: ZoneName, now_ms: int) -> tuple[EntryInstanceId, ...]:
+        """Return the relays of another zone that are alive and registered there."""
+        relays = self._sums.relays_of(zone, now_ms)
+        return tuple(relay for relay in relays if self._roles.zone_of(relay) == zone)
+
+    def _in_turn(self, relays: tuple[EntryInstanceId, ...]) -> EntryInstanceId:
+        """Return one of the relays of a zone, in turn."""
+        return sorted(relays)[self._turn % len(relays)]
 
     def to_some(
         self, datagram: bytes, entries: Iterable[EntryInstanceId], turn: int, *, is_repeat: bool
