--- a/bergamothill/process/reportschedule.py
+++ b/bergamothill/process/reportschedule.py
@@ -43,7 +43,7 @@
             self._changed_ms = self._sent_ms = now_ms
             return True
         if self._sent_ms is not None and now_ms - self._sent_ms < self._interval_ms(
-            peer_count, now_ms
+            spacing_ms, now_ms
         ):
             return False
         self._sent_ms = now_ms
@@ -53,8 +53,6 @@
         """Return whether a report that is sent now tells of a change, or repeats one."""
         return self._changed_ms is not None and now_ms - self._changed_ms <= BURST_MS
 
-    def _interval_ms(self, peer_count: int, now_ms: int) -> int:
-        spacing_ms = self._per_peer_ms * peer_count
-        if self.is_change(now_ms):
-            return max(BURST_INTERVAL_MS, spacing_ms)
-        return max(self._keepalive_ms, spacing_ms)
+    def _interval_ms(self, spacing_ms: int, now_ms: int) -> int:
+        usual_ms = BURST_INTERVAL_MS if self.is_change(now_ms) else self._keepalive_ms
+        return max(usual_ms, spacing_ms)
